--- /dev/null
+++ b/Libraries/LibCore/Clock.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+namespace Bergamot {
+
+/// Source of local monotonic time. Tests pass a manual clock.
+class Clock {
+public:
+    virtual ~Clock() = default;
+    virtual Instant now() const = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCore/Verify.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdio>
+#include <cstdlib>
+
+/// Stops the process when an invariant of the program is broken. Never used for bad input.
+#define VERIFY(expression)                                                                                             \
+    do {                                                                                                               \
+        if (!(expression)) [[unlikely]] {                                                                              \
+            std::fprintf(                                                                                              \
+                stderr, "event=invariant_broken check=\"%s\" file=%s line=%d\n", #expression, __FILE__, __LINE__);     \
+            std::abort();                                                                                              \
+        }                                                                                                              \
+    } while (false)
--- /dev/null
+++ b/Libraries/LibPlatform/HostEntry.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/Resources.h>
+#include <string>
+
+namespace Bergamot {
+
+/// A worker in the platform's host list, which lags behind the truth.
+struct HostEntry {
+    WorkerId id {};
+    std::string address {};
+    ZoneId zone {};
+    std::string rack {};
+    Resources capacity {};
+    bool leaving { false };
+
+    bool operator==(const HostEntry&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/Forward.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace Bergamot {
+
+struct RecordBatch;
+
+}
--- /dev/null
+++ b/Libraries/LibWire/Heartbeat.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <cstdint>
+#include <msgpack.hpp>
+#include <vector>
+
+namespace Bergamot {
+
+/// Sent to every peer each second. `logAgeMs` is the age of the sender's last successful log read.
+struct Heartbeat {
+    MemberId member {};
+    uint64_t incarnation { 0 };
+    LogPosition position { 0 };
+    int64_t logAgeMs { 0 };
+    uint32_t freeSlots { 0 };
+    uint32_t queuedRequests { 0 };
+    std::vector<WorkerId> unreachableWorkers {};
+    uint64_t configVersion { 0 };
+
+    bool operator==(const Heartbeat&) const = default;
+    MSGPACK_DEFINE_ARRAY(
+        member, incarnation, position, logAgeMs, freeSlots, queuedRequests, unreachableWorkers, configVersion)
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/LeaderKeepalive.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace Bergamot {
+
+/// Shows that the leader of `epoch` still appends.
+struct LeaderKeepalive {
+    uint64_t epoch { 0 };
+
+    bool operator==(const LeaderKeepalive&) const = default;
+    MSGPACK_DEFINE_ARRAY(epoch)
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/MemberRemoved.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace Bergamot {
+
+/// The leader removes a member that has been silent, or a member leaves by itself.
+struct MemberRemoved {
+    uint64_t epoch { 0 };
+    MemberId member {};
+    uint64_t incarnation { 0 };
+
+    bool operator==(const MemberRemoved&) const = default;
+    MSGPACK_DEFINE_ARRAY(epoch, member, incarnation)
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/PeerMessage.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibWire/Heartbeat.h>
+#include <LibWire/RecordRelay.h>
+#include <LibWire/SlotLoan.h>
+#include <LibWire/SlotLoanRequest.h>
+#include <LibWire/SlotReturn.h>
+#include <LibWire/StateOffer.h>
+#include <LibWire/StateRequest.h>
+#include <variant>
+
+namespace Bergamot {
+
+/// A message between entry hosts. The order of the alternatives is part of the wire format: new ones go to the end.
+using PeerMessage
+    = std::variant<Heartbeat, SlotLoanRequest, SlotLoan, SlotReturn, StateRequest, StateOffer, RecordRelay>;
+
+}
--- /dev/null
+++ b/Libraries/LibWire/SlotReturn.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace Bergamot {
+
+/// Returns a loan before its lease ends.
+struct SlotReturn {
+    MemberId member {};
+    uint64_t loan { 0 };
+
+    bool operator==(const SlotReturn&) const = default;
+    MSGPACK_DEFINE_ARRAY(member, loan)
+};
+
+}
--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+BUILD ?= Build
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: packages build test lint format demo bench soak capacity
+
+packages:
+	Meta/install-packages.sh
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja >$(BUILD).cmake.log 2>&1 || { cat $(BUILD).cmake.log; exit 1; }
+	rm -f $(BUILD).cmake.log
+	cmake --build $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+lint: build
+	Meta/lint.sh $(BUILD)
+
+format:
+	git ls-files '*.h' '*.cpp' | xargs clang-format -i
+
+demo: build
+	Meta/demo.sh $(BUILD) $(SEED)
+
+bench: build
+	$(BUILD)/bergamot-bench --seed $(SEED)
+
+soak: build
+	Meta/soak.sh $(BUILD) $(SEED) $(SECONDS)
--- /dev/null
+++ b/Meta/lint.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter on every source file of the libraries and programs.
+set -euo pipefail
+build=${1:-Build}
+cd "$(dirname "$0")/.."
+git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs clang-format --dry-run -Werror
+git ls-files -co --exclude-standard 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp' \
+    | xargs -P "$(nproc)" -n 3 clang-tidy -p "$build" --quiet
--- /dev/null
+++ b/Tests/LibWire/TestCodec.cpp
@@ -0,0 +1,45 @@
+#include <CppUTest/TestHarness.h>
+#include <LibWire/Codec.h>
+
+using namespace Bergamot;
+
+TEST_GROUP(Codec) {};
+
+static RecordBatch sampleBatch()
+{
+    return {
+        .member = "e1",
+        .incarnation = 7,
+        .sequence = 3,
+        .records = {
+            TaskIntent { .epoch = 4, .job = "j1", .attempt = 2, .worker = "w9" },
+            WorkerListed { .epoch = 4, .worker = "w9", .capacity = { .cpuMillis = 32000, .memoryMb = 125000 } },
+            TaskEnded { .epoch = 4, .job = "j1", .attempt = 2, .outcome = TaskOutcome::Evicted, .checkpoint = "c1" },
+        },
+    };
+}
+
+// Guards against fields that are lost or swapped on the way through the log.
+TEST(Codec, BatchRoundTrip)
+{
+    auto decoded = decodeBatch(encodeBatch(sampleBatch()));
+    CHECK(decoded.ok());
+    CHECK(*decoded == sampleBatch());
+}
+
+// Guards against truncated answers that decode to a shorter but valid batch.
+TEST(Codec, EveryTruncationIsRefused)
+{
+    auto bytes = encodeBatch(sampleBatch());
+    for (size_t n = 0; n < bytes.size(); ++n)
+        CHECK_FALSE(decodeBatch(std::string_view(bytes).substr(0, n)).ok());
+}
+
+// Guards against a peer of another major version being misread.
+TEST(Codec, OtherVersionIsRefused)
+{
+    auto bytes = encodePeerMessage(Heartbeat { .member = "e1" });
+    CHECK(decodePeerMessage(bytes).ok());
+    bytes[1] = 9;
+    CHECK_FALSE(decodePeerMessage(bytes).ok());
+}
