--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -21,4 +21,7 @@
 
 inline constexpr Instant epochInstant {};
 
+/// Earlier than every reading of the clock, and far enough from the limit that ages do not overflow.
+inline constexpr Instant neverInstant { Milliseconds { -(int64_t { 1 } << 50) } };
+
 }
--- /dev/null
+++ b/Libraries/LibDecision/Authority.cpp
@@ -0,0 +1,64 @@
+#include <LibDecision/Authority.h>
+#include <LibDecision/Timing.h>
+#include <algorithm>
+
+namespace Bergamot {
+
+static bool isMajority(size_t count, size_t total) { return total > 0 && 2 * count > total; }
+
+void Authority::logReadSucceeded(Instant began) { m_lastLogRead = std::max(m_lastLogRead, began); }
+
+void Authority::peerConfirmed(const MemberId& member, const PeerEvidence& evidence)
+{
+    auto& known = m_peers[member];
+    if (evidence.incarnation < known.incarnation)
+        return;
+    bool restarted = evidence.incarnation > known.incarnation;
+    auto confirmedAt = restarted ? evidence.confirmedAt : std::max(known.confirmedAt, evidence.confirmedAt);
+    known = evidence;
+    known.confirmedAt = confirmedAt;
+}
+
+void Authority::forgetPeer(const MemberId& member) { m_peers.erase(member); }
+
+bool Authority::hasFreshLog(Instant now) const { return now - m_lastLogRead <= Timing::evidenceMaxAge; }
+
+bool Authority::isReachable(const MemberId& member, Instant now) const
+{
+    if (member == m_self)
+        return true;
+    auto it = m_peers.find(member);
+    return it != m_peers.end() && !it->second.leaving && now - it->second.confirmedAt <= Timing::peerTimeout;
+}
+
+size_t Authority::reachableVoters(Instant now, const std::set<MemberId>& voters) const
+{
+    return std::ranges::count_if(voters, [&](const auto& member) { return isReachable(member, now); });
+}
+
+bool Authority::mayRenew(Instant now, const std::set<MemberId>& voters, LogPosition ownPosition) const
+{
+    if (hasFreshLog(now))
+        return true;
+    if (now - m_lastLogRead > Timing::outageRenewalLimit)
+        return false;
+    auto knowsMore = [&](const auto& it) {
+        return now - it.second.confirmedAt <= Timing::evidenceMaxAge && it.second.position > ownPosition;
+    };
+    if (std::ranges::any_of(m_peers, knowsMore))
+        return false;
+    return isMajority(reachableVoters(now, voters), voters.size());
+}
+
+bool Authority::majorityHasRead(LogPosition position, const std::set<MemberId>& voters, LogPosition ownPosition) const
+{
+    auto hasRead = [&](const auto& member) {
+        if (member == m_self)
+            return ownPosition >= position;
+        auto it = m_peers.find(member);
+        return it != m_peers.end() && it->second.position >= position;
+    };
+    return isMajority(std::ranges::count_if(voters, hasRead), voters.size());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/Forward.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace Bergamot {
+
+class Authority;
+class Leadership;
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Membership.cpp
@@ -0,0 +1,243 @@
+#include <LibCore/Logger.h>
+#include <LibDecision/Timing.h>
+#include <LibEntry/Membership.h>
+#include <LibWire/Codec.h>
+#include <algorithm>
+#include <tuple>
+
+namespace Bergamot {
+
+static constexpr Milliseconds joinRetry { 2000 };
+static constexpr Milliseconds voterChangeSpacing { 500 };
+
+Membership::Membership(Options options, LogStream& region)
+    : m_options(std::move(options))
+    , m_region(region)
+    , m_authority(m_options.member)
+{
+}
+
+bool Membership::isMember() const
+{
+    const auto& members = m_region.state().image().members;
+    auto it = members.find(m_options.member);
+    return it != members.end() && it->second.spec.incarnation == m_options.incarnation;
+}
+
+bool Membership::isLeader() const
+{
+    const auto& leader = m_region.state().image().leader;
+    return leader.member == m_options.member && leader.incarnation == m_options.incarnation;
+}
+
+std::set<MemberId> Membership::voters() const
+{
+    std::set<MemberId> result;
+    for (const auto& [id, member] : m_region.state().image().members) {
+        if (member.voter)
+            result.insert(id);
+    }
+    return result;
+}
+
+bool Membership::mayRenew(Instant now) const
+{
+    return m_authority.mayRenew(now, voters(), m_region.state().position());
+}
+
+std::vector<MemberId> Membership::reachableMembers(Instant now) const
+{
+    std::vector<MemberId> result;
+    for (const auto& [id, member] : m_region.state().image().members) {
+        if (m_authority.isReachable(id, now))
+            result.push_back(id);
+    }
+    return result;
+}
+
+bool Membership::majorityHasRead(LogPosition position) const
+{
+    const auto& image = m_region.state().image();
+    auto resetSettles = image.membershipResetAtMs + (Timing::outageRenewalLimit + Timing::renewLease).count();
+    if (image.membershipResetAtMs != 0 && image.logTimeMs < resetSettles)
+        return false;
+    return m_authority.majorityHasRead(position, voters(), m_region.state().position());
+}
+
+std::string Membership::peerAddress(const MemberId& member) const
+{
+    const auto& members = m_region.state().image().members;
+    auto it = members.find(member);
+    return it == members.end() ? std::string {} : it->second.spec.peerAddress;
+}
+
+void Membership::tick(Instant now)
+{
+    if (now >= m_nextHeartbeat)
+        sendHeartbeats(now);
+    if (m_leaving)
+        return;
+    joinWhenCaughtUp(now);
+    claimWhenLeaderIsGone(now);
+    if (isLeader())
+        lead(now);
+}
+
+void Membership::joinWhenCaughtUp(Instant now)
+{
+    if (!m_region.hasCaughtUp() || isMember() || now < m_nextJoin)
+        return;
+    m_nextJoin = now + joinRetry;
+    m_region.appends().submit(MemberJoined {
+        .member = m_options.member,
+        .incarnation = m_options.incarnation,
+        .zone = m_options.zone,
+        .peerAddress = m_options.peerAddress,
+        .callerAddress = m_options.callerAddress,
+    });
+}
+
+void Membership::sendHeartbeats(Instant now)
+{
+    m_nextHeartbeat = now + Timing::heartbeatInterval;
+    std::map<std::string, MemberId> targets;
+    for (const auto& address : m_options.seedPeers)
+        targets.emplace(address, MemberId {});
+    for (const auto& [id, member] : m_region.state().image().members)
+        targets[member.spec.peerAddress] = id;
+    targets.erase(m_options.peerAddress);
+    for (const auto& [address, id] : targets) {
+        auto heard = m_heartbeats.find(id);
+        Heartbeat heartbeat {
+            .member = m_options.member,
+            .incarnation = m_options.incarnation,
+            .position = m_region.state().position(),
+            .logAgeMs = (now - m_authority.lastLogRead()).count(),
+            .freeSlots = m_freeSlots,
+            .configVersion = m_configVersion,
+            .sentAtMs = now.time_since_epoch().count(),
+            .echoMs = heard == m_heartbeats.end() ? 0 : heard->second.sentAtMs,
+            .leaving = m_leaving,
+        };
+        m_options.transport->send(address, encodePeerMessage(heartbeat));
+    }
+}
+
+void Membership::heartbeatReceived(const Heartbeat& heartbeat, Instant now)
+{
+    if (heartbeat.member.empty() || heartbeat.member == m_options.member)
+        return;
+    auto& known = m_heartbeats[heartbeat.member];
+    if (std::tie(heartbeat.incarnation, heartbeat.sentAtMs) < std::tie(known.incarnation, known.sentAtMs))
+        return;
+    known = heartbeat;
+    m_lastHeard[heartbeat.member] = now;
+    m_authority.peerConfirmed(heartbeat.member,
+        {
+            .incarnation = heartbeat.incarnation,
+            .confirmedAt = heartbeat.echoMs == 0 ? neverInstant : Instant { Milliseconds { heartbeat.echoMs } },
+            .position = heartbeat.position,
+            .leaving = heartbeat.leaving,
+        });
+}
+
+void Membership::batchApplied(const RecordBatch& batch, const ApplyResult& result, Instant now)
+{
+    const auto& leader = m_region.state().image().leader;
+    bool accepted = std::ranges::any_of(result.statuses, [](const auto& status) { return status.ok(); });
+    if (accepted && batch.member == leader.member && batch.incarnation == leader.incarnation)
+        m_leadership.leaderRecordApplied(now);
+    for (size_t i = 0; i < batch.records.size(); ++i) {
+        if (!result.statuses[i].ok())
+            continue;
+        if (const auto* claim = std::get_if<LeaderClaimed>(&batch.records[i]))
+            logInfo("leader_changed", { { "leader", batch.member }, { "epoch", claim->epoch } });
+        if (const auto* removed = std::get_if<MemberRemoved>(&batch.records[i])) {
+            m_authority.forgetPeer(removed->member);
+            m_heartbeats.erase(removed->member);
+            logInfo("member_removed", { { "member", removed->member } });
+        }
+    }
+}
+
+size_t Membership::rankAmongReachable(Instant now) const
+{
+    auto members = reachableMembers(now);
+    return static_cast<size_t>(std::ranges::find(members, m_options.member) - members.begin());
+}
+
+void Membership::claimWhenLeaderIsGone(Instant now)
+{
+    if (!isMember() || isLeader()
+        || !m_leadership.shouldClaim(now, m_authority.hasFreshLog(now), rankAmongReachable(now)))
+        return;
+    m_leadership.claimSent(now);
+    m_region.appends().submit(LeaderClaimed { .epoch = epoch() + 1 });
+}
+
+void Membership::lead(Instant now)
+{
+    if (now >= m_nextKeepalive) {
+        m_nextKeepalive = now + Timing::keepaliveInterval;
+        m_region.appends().submit(LeaderKeepalive { .epoch = epoch() });
+    }
+    resetWhenVotersAreGone(now);
+    if (now < m_nextChange || !mayChangeVoters(now))
+        return;
+    admitOne(now);
+    removeOne(now);
+}
+
+// Single changes, each known to a majority before the next, keep any two majorities of voters that are in use at the
+// same time overlapping.
+bool Membership::mayChangeVoters(Instant now) const
+{
+    auto all = voters();
+    if (2 * m_authority.reachableVoters(now, all) <= all.size())
+        return false;
+    return m_authority.majorityHasRead(m_region.state().image().votersChangedAt + 1, all, m_region.state().position());
+}
+
+void Membership::admitOne(Instant now)
+{
+    for (const auto& [id, member] : m_region.state().image().members) {
+        if (member.voter || !m_authority.isReachable(id, now))
+            continue;
+        m_nextChange = now + voterChangeSpacing;
+        m_region.appends().submit(
+            MemberAdmitted { .epoch = epoch(), .member = id, .incarnation = member.spec.incarnation });
+        return;
+    }
+}
+
+void Membership::removeOne(Instant now)
+{
+    if (now < m_nextChange)
+        return;
+    for (const auto& [id, member] : m_region.state().image().members) {
+        auto& heard = m_lastHeard.try_emplace(id, now).first->second;
+        if (id == m_options.member || m_authority.isReachable(id, now) || now - heard <= Timing::peerTimeout)
+            continue;
+        m_nextChange = now + voterChangeSpacing;
+        m_region.appends().submit(
+            MemberRemoved { .epoch = epoch(), .member = id, .incarnation = member.spec.incarnation });
+        return;
+    }
+}
+
+void Membership::resetWhenVotersAreGone(Instant now)
+{
+    auto all = voters();
+    bool majorityReachable = 2 * m_authority.reachableVoters(now, all) > all.size();
+    if (majorityReachable || m_votersGoneSince == neverInstant) {
+        m_votersGoneSince = now;
+        return;
+    }
+    if (now - m_votersGoneSince < Timing::membershipResetDelay)
+        return;
+    m_votersGoneSince = now;
+    logWarning("membership_reset", { { "voters", all.size() } });
+    m_region.appends().submit(MembershipReset { .epoch = epoch() });
+}
+
+}
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -43,7 +43,7 @@
 
         const char* name() const override { return m_header.name.c_str(); }
         uint64_t hash() const override { return 0; }
-    void write(std::ostream& stream) const override { stream << m_header.value; }
+        void write(std::ostream& stream) const override { stream << m_header.value; }
 
     private:
         HttpHeader m_header;
--- a/Libraries/LibPlatform/HostListService.h
+++ b/Libraries/LibPlatform/HostListService.h
@@ -3,14 +3,17 @@
 #include <LibCore/Service.h>
 #include <LibPlatform/HostEntry.h>
 #include <absl/status/statusor.h>
+#include <functional>
 #include <vector>
 
 namespace Bergamot {
 
-/// The platform's lagging list of workers. The call blocks.
+/// The platform's lagging list of workers. The callback runs exactly once, on a thread of the implementation.
 class HostListService : public Service {
 public:
-    virtual absl::StatusOr<std::vector<HostEntry>> list() = 0;
+    using Callback = std::function<void(absl::StatusOr<std::vector<HostEntry>>)>;
+
+    virtual void list(Callback) = 0;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibPlatform/HttpHostListService.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibHttp/Forward.h>
+#include <LibPlatform/HostListService.h>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Bergamot {
+
+/// HostListService over the platform's HTTP protocol.
+class HttpHostListService final : public HostListService {
+public:
+    HttpHostListService(std::string baseUrl, std::shared_ptr<HttpEngine> engine)
+        : m_baseUrl(std::move(baseUrl))
+        , m_engine(std::move(engine))
+    {
+    }
+
+    void list(Callback) override;
+
+private:
+    std::string m_baseUrl;
+    std::shared_ptr<HttpEngine> m_engine;
+};
+
+/// Returns InvalidArgument for malformed input, so that a broken answer never looks like an empty list.
+absl::StatusOr<std::vector<HostEntry>> decodeHostList(std::string_view json);
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/HttpLogService.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibHttp/Forward.h>
+#include <LibPlatform/LogService.h>
+#include <memory>
+
+namespace Bergamot {
+
+/// LogService over the platform's HTTP protocol.
+class HttpLogService final : public LogService {
+public:
+    struct Options {
+        std::string baseUrl {};
+        /// Sent as X-Member, so that the platform can tell its callers apart.
+        std::string member {};
+        Milliseconds timeout { 2000 };
+        std::shared_ptr<HttpEngine> engine {};
+    };
+
+    explicit HttpLogService(Options options)
+        : m_options(std::move(options))
+    {
+    }
+
+    void append(const std::string& stream, std::string bytes, Callback<LogPosition>) override;
+    void read(const std::string& stream, LogPosition from, Milliseconds wait, Callback<LogChunk>) override;
+
+private:
+    Options m_options;
+};
+
+/// Decodes the answer to a read. Returns InvalidArgument for malformed or truncated bytes.
+absl::StatusOr<LogChunk> decodeLogChunk(std::string_view bytes);
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/HttpWorkerService.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibHttp/Forward.h>
+#include <LibPlatform/WorkerService.h>
+#include <memory>
+#include <string_view>
+
+namespace Bergamot {
+
+/// WorkerService over the platform's HTTP protocol.
+class HttpWorkerService final : public WorkerService {
+public:
+    explicit HttpWorkerService(std::shared_ptr<HttpEngine> engine)
+        : m_engine(std::move(engine))
+    {
+    }
+
+    void start(const std::string& address, const TaskStart&, Callback<StartReply>) override;
+    void renew(const std::string& address, const LeaseRenewal&, Callback<LeaseReport>) override;
+    void stop(const std::string& address, const TaskId&, bool checkpoint, Callback<StopReply>) override;
+    void throttle(
+        const std::string& address, const TaskId&, int cpuPercent, std::function<void(absl::Status)>) override;
+
+private:
+    template <typename Reply, typename Decode>
+    void post(const std::string& url, std::string body, Decode, Callback<Reply>);
+
+    std::shared_ptr<HttpEngine> m_engine;
+};
+
+}
--- a/Libraries/LibPlatform/LogService.h
+++ b/Libraries/LibPlatform/LogService.h
@@ -4,19 +4,23 @@
 #include <LibCore/Time.h>
 #include <LibPlatform/LogChunk.h>
 #include <absl/status/statusor.h>
-#include <string_view>
+#include <functional>
+#include <string>
 
 namespace Bergamot {
 
-/// The platform's append-only log. Calls block; each thread of the system uses an instance of its own.
+/// The platform's append-only log. Calls return at once; the callback runs exactly once, on a thread of the
+/// implementation.
 class LogService : public Service {
 public:
-    /// Appends one entry and returns its offset. On Unavailable or DeadlineExceeded the entry may have been
-    /// appended; on ResourceExhausted and InvalidArgument it surely was not.
-    virtual absl::StatusOr<LogPosition> append(std::string_view stream, std::string_view bytes) = 0;
+    template <typename Reply> using Callback = std::function<void(absl::StatusOr<Reply>)>;
+
+    /// Appends one entry and answers with its offset. On Unavailable or DeadlineExceeded the entry may have been
+    /// appended; on Aborted, ResourceExhausted and InvalidArgument it surely was not.
+    virtual void append(const std::string& stream, std::string bytes, Callback<LogPosition>) = 0;
 
     /// Reads entries from `from` on, and waits up to `wait` for the first one when there is none.
-    virtual absl::StatusOr<LogChunk> read(std::string_view stream, LogPosition from, Milliseconds wait) = 0;
+    virtual void read(const std::string& stream, LogPosition from, Milliseconds wait, Callback<LogChunk>) = 0;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibPlatform/NngPeerTransport.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibPlatform/PeerTransport.h>
+#include <absl/status/statusor.h>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nng/nng.h>
+#include <thread>
+
+namespace Bergamot {
+
+/// PeerTransport on nng push and pull sockets: one pull socket that listens, and one push socket for each peer.
+class NngPeerTransport final : public PeerTransport {
+public:
+    /// `listenAddress` is IP:port. Returns Unavailable when it is in use.
+    static absl::StatusOr<std::unique_ptr<NngPeerTransport>> create(const std::string& listenAddress);
+    ~NngPeerTransport() override;
+
+    void setReceiver(Receiver) override;
+
+    /// Drops the message when the peer does not take it at once: an old heartbeat has no value.
+    void send(const std::string& address, std::string_view bytes) override;
+
+    uint64_t bytesSent() const { return m_bytesSent; }
+    uint64_t bytesReceived() const { return m_bytesReceived; }
+
+private:
+    NngPeerTransport() = default;
+    void receiveLoop();
+    absl::StatusOr<nng_socket> socketFor(const std::string& address);
+
+    nng_socket m_listener {};
+    std::mutex m_mutex;
+    std::map<std::string, nng_socket> m_peers;
+    Receiver m_receiver;
+    std::thread m_thread;
+    std::atomic<uint64_t> m_bytesSent { 0 };
+    std::atomic<uint64_t> m_bytesReceived { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/WorkerJson.cpp
@@ -0,0 +1,168 @@
+#include <LibPlatform/WorkerJson.h>
+#include <exception>
+#include <fmt/format.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace Bergamot {
+
+using Json = nlohmann::json;
+
+static Json toJson(const TaskId& task) { return { { "job", task.job }, { "attempt", task.attempt } }; }
+
+static Json toJson(const Resources& size)
+{
+    return { { "cpu_millis", size.cpuMillis }, { "memory_mb", size.memoryMb }, { "accelerators", size.accelerators } };
+}
+
+static Json toJson(const std::vector<TaskId>& tasks)
+{
+    auto json = Json::array();
+    for (const auto& task : tasks)
+        json.push_back(toJson(task));
+    return json;
+}
+
+static TaskId taskFromJson(const Json& json) { return { .job = json.at("job"), .attempt = json.at("attempt") }; }
+
+static Resources resourcesFromJson(const Json& json)
+{
+    return {
+        .cpuMillis = json.at("cpu_millis"), .memoryMb = json.at("memory_mb"), .accelerators = json.at("accelerators")
+    };
+}
+
+// An unknown word is an error: a guess could turn an unknown end into a completion.
+template <typename Value> static Value wordToValue(const std::map<std::string, Value>& words, const std::string& word)
+{
+    auto it = words.find(word);
+    if (it == words.end())
+        throw std::invalid_argument("unknown word " + word);
+    return it->second;
+}
+
+static TaskOutcome outcomeFromJson(const Json& json)
+{
+    static const std::map<std::string, TaskOutcome> words {
+        { "completed", TaskOutcome::Completed },
+        { "failed", TaskOutcome::Failed },
+        { "evicted", TaskOutcome::Evicted },
+        { "lost", TaskOutcome::Lost },
+        { "refused", TaskOutcome::Refused },
+        { "stopped", TaskOutcome::Stopped },
+    };
+    return wordToValue(words, json.get<std::string>());
+}
+
+static StartResult startResultFromJson(const Json& json)
+{
+    static const std::map<std::string, StartResult> words {
+        { "started", StartResult::Started },
+        { "already_running", StartResult::AlreadyRunning },
+        { "already_ended", StartResult::AlreadyEnded },
+        { "refused", StartResult::Refused },
+    };
+    return wordToValue(words, json.get<std::string>());
+}
+
+static EndedTask endedFromJson(const Json& json)
+{
+    return {
+        .task = taskFromJson(json.at("task")),
+        .outcome = outcomeFromJson(json.at("outcome")),
+        .checkpoint = json.at("checkpoint"),
+        .result = json.at("result"),
+    };
+}
+
+static TaskUsage usageFromJson(const Json& json)
+{
+    return {
+        .task = taskFromJson(json.at("task")),
+        .used = resourcesFromJson(json.at("used")),
+        .progressMilli = json.at("progress_milli"),
+    };
+}
+
+std::string encodeTaskStart(const TaskStart& start)
+{
+    return Json {
+        { "task", toJson(start.task) },
+        { "kind", start.kind },
+        { "size", toJson(start.size) },
+        { "run_ms", start.runMs },
+        { "lease_until_ms", start.leaseUntilMs },
+        { "checkpoint", start.checkpoint },
+        { "is_service", start.isService },
+    }
+        .dump();
+}
+
+std::string encodeLeaseRenewal(const LeaseRenewal& renewal)
+{
+    return Json {
+        { "lease_until_ms", renewal.leaseUntilMs },
+        { "tasks", toJson(renewal.tasks) },
+        { "acknowledged", toJson(renewal.acknowledged) },
+    }
+        .dump();
+}
+
+std::string encodeTaskId(const TaskId& task) { return Json { { "task", toJson(task) } }.dump(); }
+
+std::string encodeStop(const TaskId& task, bool checkpoint)
+{
+    return Json { { "task", toJson(task) }, { "checkpoint", checkpoint } }.dump();
+}
+
+std::string encodeThrottle(const TaskId& task, int cpuPercent)
+{
+    return Json { { "task", toJson(task) }, { "cpu_percent", cpuPercent } }.dump();
+}
+
+// nlohmann-json reports missing and mistyped keys by exceptions; they end here and become values.
+template <typename Result, typename Convert>
+static absl::StatusOr<Result> decodeGuarded(std::string_view text, std::string_view what, Convert convert)
+{
+    try {
+        return convert(Json::parse(text));
+    } catch (const std::exception& error) {
+        return absl::InvalidArgumentError(fmt::format("malformed {}: {}", what, error.what()));
+    }
+}
+
+absl::StatusOr<StartReply> decodeStartReply(std::string_view text)
+{
+    return decodeGuarded<StartReply>(text, "start reply", [](const Json& json) {
+        return StartReply {
+            .result = startResultFromJson(json.at("result")),
+            .workerClockMs = json.at("worker_clock_ms"),
+            .reason = json.at("reason"),
+        };
+    });
+}
+
+absl::StatusOr<LeaseReport> decodeLeaseReport(std::string_view text)
+{
+    return decodeGuarded<LeaseReport>(text, "lease report", [](const Json& json) {
+        LeaseReport report { .workerClockMs = json.at("worker_clock_ms") };
+        for (const auto& it : json.at("running"))
+            report.running.push_back(usageFromJson(it));
+        for (const auto& it : json.at("ended"))
+            report.ended.push_back(endedFromJson(it));
+        return report;
+    });
+}
+
+absl::StatusOr<StopReply> decodeStopReply(std::string_view text)
+{
+    return decodeGuarded<StopReply>(text, "stop reply", [](const Json& json) {
+        return StopReply {
+            .ended = endedFromJson(json.at("ended")),
+            .workerClockMs = json.at("worker_clock_ms"),
+        };
+    });
+}
+
+}
--- a/Libraries/LibPlatform/WorkerService.h
+++ b/Libraries/LibPlatform/WorkerService.h
@@ -6,6 +6,7 @@
 #include <LibPlatform/StartReply.h>
 #include <LibPlatform/StopReply.h>
 #include <LibPlatform/TaskStart.h>
+#include <absl/status/status.h>
 #include <absl/status/statusor.h>
 #include <functional>
 #include <string>
@@ -25,7 +26,8 @@
     virtual void stop(const std::string& address, const TaskId&, bool checkpoint, Callback<StopReply>) = 0;
 
     /// Limits the attempt to `cpuPercent` of its processors; 100 removes the limit.
-    virtual void throttle(const std::string& address, const TaskId&, int cpuPercent, Callback<absl::Status>) = 0;
+    virtual void throttle(const std::string& address, const TaskId&, int cpuPercent, std::function<void(absl::Status)>)
+        = 0;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibState/JobState.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibState/JobPhase.h>
+#include <LibWire/JobSubmitted.h>
+#include <LibWire/RevokeReason.h>
+
+namespace Bergamot {
+
+/// A job and its current attempt. `changedAtMs` is log time.
+struct JobState {
+    JobSubmitted spec {};
+    JobPhase phase { JobPhase::Pending };
+    uint32_t attempt { 0 };
+    WorkerId worker {};
+    RevokeReason revokeReason { RevokeReason::Eviction };
+    bool cancelRequested { false };
+    std::string checkpoint {};
+    std::string result {};
+    uint32_t failures { 0 };
+    uint32_t evictions { 0 };
+    int64_t submittedAtMs { 0 };
+    int64_t changedAtMs { 0 };
+    LogPosition changedAt { 0 };
+
+    bool holdsCommitment() const { return phase == JobPhase::Placed || phase == JobPhase::Revoking; }
+    bool hasEnded() const { return phase >= JobPhase::Completed; }
+
+    bool operator==(const JobState&) const = default;
+    MSGPACK_DEFINE_ARRAY(spec, phase, attempt, worker, revokeReason, cancelRequested, checkpoint, result, failures,
+        evictions, submittedAtMs, changedAtMs, changedAt)
+};
+
+}
--- /dev/null
+++ b/Libraries/LibState/LeaderState.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <msgpack.hpp>
+
+namespace Bergamot {
+
+/// The holder of the leader epoch. `lastRecordAtMs` is the log time of its last accepted record.
+struct LeaderState {
+    uint64_t epoch { 0 };
+    MemberId member {};
+    uint64_t incarnation { 0 };
+    int64_t lastRecordAtMs { 0 };
+
+    bool operator==(const LeaderState&) const = default;
+    MSGPACK_DEFINE_ARRAY(epoch, member, incarnation, lastRecordAtMs)
+};
+
+}
--- a/Libraries/LibWire/Heartbeat.h
+++ b/Libraries/LibWire/Heartbeat.h
@@ -7,7 +7,8 @@
 
 namespace Bergamot {
 
-/// Sent to every peer each second. `logAgeMs` is the age of the sender's last successful log read.
+/// Sent to every peer each second. `logAgeMs` is the age of the sender's last successful log read, `sentAtMs` the
+/// sender's clock and `echoMs` the newest `sentAtMs` that the sender has received from the receiver.
 struct Heartbeat {
     MemberId member {};
     uint64_t incarnation { 0 };
@@ -17,10 +18,13 @@
     uint32_t queuedRequests { 0 };
     std::vector<WorkerId> unreachableWorkers {};
     uint64_t configVersion { 0 };
+    int64_t sentAtMs { 0 };
+    int64_t echoMs { 0 };
+    bool leaving { false };
 
     bool operator==(const Heartbeat&) const = default;
-    MSGPACK_DEFINE_ARRAY(
-        member, incarnation, position, logAgeMs, freeSlots, queuedRequests, unreachableWorkers, configVersion)
+    MSGPACK_DEFINE_ARRAY(member, incarnation, position, logAgeMs, freeSlots, queuedRequests, unreachableWorkers,
+        configVersion, sentAtMs, echoMs, leaving)
 };
 
 }
--- a/Libraries/LibWire/Record.h
+++ b/Libraries/LibWire/Record.h
@@ -3,11 +3,14 @@
 #include <LibWire/ConfigPublished.h>
 #include <LibWire/HostChanged.h>
 #include <LibWire/JobCancelled.h>
+#include <LibWire/JobFailed.h>
 #include <LibWire/JobSubmitted.h>
 #include <LibWire/LeaderClaimed.h>
 #include <LibWire/LeaderKeepalive.h>
+#include <LibWire/MemberAdmitted.h>
 #include <LibWire/MemberJoined.h>
 #include <LibWire/MemberRemoved.h>
+#include <LibWire/MembershipReset.h>
 #include <LibWire/RequestClaimed.h>
 #include <LibWire/RequestFinished.h>
 #include <LibWire/SnapshotBegin.h>
@@ -26,6 +29,7 @@
 /// A record of a log stream. The order of the alternatives is part of the wire format: new ones go to the end.
 using Record = std::variant<MemberJoined, MemberRemoved, LeaderClaimed, LeaderKeepalive, WorkerListed,
     WorkerQuarantined, ZoneChanged, HostChanged, JobSubmitted, JobCancelled, TaskIntent, TaskRevoked, TaskEnded,
-    RequestClaimed, RequestFinished, TermsRenewed, ConfigPublished, SnapshotBegin, SnapshotChunk>;
+    RequestClaimed, RequestFinished, TermsRenewed, ConfigPublished, SnapshotBegin, SnapshotChunk, JobFailed,
+    MemberAdmitted, MembershipReset>;
 
 }
