--- /dev/null
+++ b/Libraries/LibDecision/TeamView.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibCore/Resources.h>
+#include <string>
+
+namespace Bergamot {
+
+/// A team that submits jobs. Commitments above `quota` are possible only with `mayBorrow`, and only while no team
+/// within its quota waits for the same resources. `weight` is its share relative to other teams and is positive.
+struct TeamView {
+    std::string name {};
+    double weight { 1.0 };
+    Resources quota {};
+    bool mayBorrow { false };
+
+    bool operator==(const TeamView&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/UsageSample.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/Resources.h>
+#include <cstdint>
+
+namespace Bergamot {
+
+/// Measured use of one attempt. `progressMilli` is the share of the work done, in thousandths (0 to 1000).
+struct UsageSample {
+    JobId job {};
+    uint32_t attempt { 0 };
+    Resources used {};
+    int64_t progressMilli { 0 };
+
+    bool operator==(const UsageSample&) const = default;
+};
+
+}
