Add the value types of the configuration library

Cause: the entry daemon and the decision library need the types before loading exists. Conclusion: the headers compile; nothing uses them yet.

--- /dev/null
+++ b/Libraries/LibConfig/RegionConfig.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <string>
+#include <vector>
+
+namespace Bergamot {
+
+/// A region and its availability zones. A zone belongs to exactly one region.
+struct RegionConfig {
+    std::string name {};
+    /// Sorted.
+    std::vector<ZoneId> zones {};
+
+    bool operator==(const RegionConfig&) const = default;
+};
+
+}
