Refuse unknown enumeration values and oversize arrays in LibWire

Change: EnumConvert checks the range, Resources follow the rule for records, and the element limits follow the size of the input.

--- a/Libraries/LibWire/Codec.cpp
+++ b/Libraries/LibWire/Codec.cpp
@@ -1,4 +1,5 @@
 #include <LibWire/Codec.h>
+#include <algorithm>
 #include <exception>
 #include <fmt/format.h>
 #include <utility>
@@ -37,8 +38,10 @@
 
 static msgpack::object_handle unpackBounded(std::string_view bytes)
 {
-    const msgpack::unpack_limit limit(
-        maxElements, maxElements, maxEncodedBytes, maxEncodedBytes, maxEncodedBytes, maxNesting);
+    // msgpack allocates an array when it reads its length. Each element has at least one byte, so a longer array is
+    // malformed; with maxElements alone 80 bytes can announce nested arrays that reserve 380 MB.
+    const auto elements = std::min(maxElements, bytes.size());
+    const msgpack::unpack_limit limit(elements, elements, bytes.size(), bytes.size(), bytes.size(), maxNesting);
     size_t offset = 0;
     auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
     if (offset != bytes.size())
--- a/Libraries/LibWire/ResourcesCodec.h
+++ b/Libraries/LibWire/ResourcesCodec.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <LibCore/Resources.h>
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
 #include <msgpack.hpp>
 
 namespace msgpack {
@@ -8,15 +11,17 @@
 {
     namespace adaptor {
 
-        /// Resources travel as an array of three integers.
+        /// Resources travel as an array of three integers. As with records, missing trailing integers are zero and
+        /// further ones are ignored.
         template <> struct convert<Bergamot::Resources> {
             const msgpack::object& operator()(const msgpack::object& o, Bergamot::Resources& v) const
             {
-                if (o.type != msgpack::type::ARRAY || o.via.array.size < 3)
+                if (o.type != msgpack::type::ARRAY)
                     throw msgpack::type_error();
-                o.via.array.ptr[0].convert(v.cpuMillis);
-                o.via.array.ptr[1].convert(v.memoryMb);
-                o.via.array.ptr[2].convert(v.accelerators);
+                v = {};
+                int64_t* const fields[] = { &v.cpuMillis, &v.memoryMb, &v.accelerators };
+                for (uint32_t i = 0; i < std::min<uint32_t>(o.via.array.size, std::size(fields)); ++i)
+                    o.via.array.ptr[i].convert(*fields[i]);
                 return o;
             }
         };
--- a/Libraries/LibWire/TaskOutcome.h
+++ b/Libraries/LibWire/TaskOutcome.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibWire/EnumCodec.h>
 #include <cstdint>
 #include <msgpack.hpp>
 
@@ -10,4 +11,19 @@
 
 }
 
-MSGPACK_ADD_ENUM(Bergamot::TaskOutcome);
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor {
+
+        template <>
+        struct convert<Bergamot::TaskOutcome>
+            : Bergamot::EnumConvert<Bergamot::TaskOutcome, Bergamot::TaskOutcome::Stopped> {
+        };
+
+        template <> struct pack<Bergamot::TaskOutcome> : Bergamot::EnumPack<Bergamot::TaskOutcome> {
+        };
+
+    }
+}
+}
--- /dev/null
+++ b/Tests/LibWire/TestCodecRobustness.cpp
@@ -0,0 +1,254 @@
+#include <CheckProperty.h>
+#include <CppUTest/TestHarness.h>
+#include <LibCore/StatusText.h>
+#include <LibWire/Codec.h>
+#include <random>
+
+using namespace Bergamot;
+
+namespace rc {
+
+template <> struct Arbitrary<TaskOutcome> {
+    static Gen<TaskOutcome> arbitrary()
+    {
+        return gen::cast<TaskOutcome>(gen::inRange(0, static_cast<int>(TaskOutcome::Stopped) + 1));
+    }
+};
+
+template <> struct Arbitrary<RevokeReason> {
+    static Gen<RevokeReason> arbitrary()
+    {
+        return gen::cast<RevokeReason>(gen::inRange(0, static_cast<int>(RevokeReason::Superseded) + 1));
+    }
+};
+
+template <> struct Arbitrary<Resources> {
+    static Gen<Resources> arbitrary()
+    {
+        return gen::construct<Resources>(
+            gen::arbitrary<int64_t>(), gen::arbitrary<int64_t>(), gen::arbitrary<int64_t>());
+    }
+};
+
+}
+
+namespace {
+
+// Takes the place of a packer and assigns a generated value to each field that the type declares to msgpack, so that a
+// new field is covered without a change here. Only called with values that are not const.
+struct FieldFiller {
+    void pack_array(uint32_t) { } // NOLINT(readability-identifier-naming): msgpack requires this name.
+    template <typename T> void pack(const T& field) { const_cast<T&>(field) = *rc::gen::arbitrary<T>(); }
+};
+
+template <typename Variant, size_t index = 0> Variant filledAlternative(size_t wanted)
+{
+    if constexpr (index < std::variant_size_v<Variant>) {
+        if (wanted != index)
+            return filledAlternative<Variant, index + 1>(wanted);
+        std::variant_alternative_t<index, Variant> value;
+        FieldFiller filler;
+        value.msgpack_pack(filler);
+        return value;
+    } else {
+        return {};
+    }
+}
+
+template <typename Variant> Variant anyOf()
+{
+    return filledAlternative<Variant>(*rc::gen::inRange<size_t>(0, std::variant_size_v<Variant>));
+}
+
+RecordBatch oneOfEach(uint64_t number)
+{
+    RecordBatch batch { .member = "e1", .incarnation = number, .sequence = 2 };
+    [&]<size_t... index>(std::index_sequence<index...>)
+    {
+        (batch.records.push_back(Record { std::in_place_index<index> }), ...);
+    }
+    (std::make_index_sequence<std::variant_size_v<Record>> {});
+    return batch;
+}
+
+// Flips, inserts, removes and repeats a few bytes.
+std::string mutated(std::string bytes, std::mt19937_64& random)
+{
+    for (auto n = random() % 4 + 1; n > 0 && !bytes.empty(); --n) {
+        auto at = random() % bytes.size();
+        switch (random() % 4) {
+        case 0:
+            bytes[at] = static_cast<char>(random());
+            break;
+        case 1:
+            bytes.insert(at, 1, static_cast<char>(random()));
+            break;
+        case 2:
+            bytes.erase(at, random() % 4 + 1);
+            break;
+        default:
+            bytes.insert(at, bytes.substr(random() % bytes.size(), random() % 16));
+        }
+    }
+    return bytes;
+}
+
+// Returns whether the bytes were accepted.
+bool checkBatch(const std::string& bytes)
+{
+    auto decoded = decodeBatch(bytes);
+    if (decoded.ok()) {
+        auto again = decodeBatch(encodeBatch(*decoded));
+        CHECK(again.ok());
+        CHECK(*again == *decoded);
+    }
+    return decoded.ok();
+}
+
+bool checkPeerMessage(const std::string& bytes)
+{
+    auto decoded = decodePeerMessage(bytes);
+    if (decoded.ok()) {
+        auto again = decodePeerMessage(encodePeerMessage(*decoded));
+        CHECK(again.ok());
+        CHECK(*again == *decoded);
+    }
+    return decoded.ok();
+}
+
+// A batch with one record, or a peer message, with the given fields in place of those of the alternative.
+template <typename... Fields> std::string packedFields(bool isBatch, uint32_t alternative, const Fields&... fields)
+{
+    msgpack::sbuffer buf;
+    msgpack::packer<msgpack::sbuffer> packer(buf);
+    packer.pack_array(isBatch ? 5 : 2);
+    packer.pack(wireVersion);
+    if (isBatch) {
+        packer.pack("e1");
+        packer.pack(1);
+        packer.pack(1);
+        packer.pack_array(1);
+    }
+    packer.pack_array(2);
+    packer.pack(alternative);
+    packer.pack_array(sizeof...(fields));
+    (packer.pack(fields), ...);
+    return { buf.data(), buf.size() };
+}
+
+template <typename T> uint32_t recordIndex() { return static_cast<uint32_t>(Record { T {} }.index()); }
+
+}
+
+TEST_GROUP(CodecRobustness) {};
+
+// Guards against a field of any record type that is missing from its codec.
+TEST(CodecRobustness, EveryRecordRoundTrips)
+{
+    for (size_t i = 0; i < std::variant_size_v<Record>; ++i) {
+        checkProperty("a record survives encoding", [i] {
+            const RecordBatch batch { .member = *rc::gen::arbitrary<std::string>(),
+                .incarnation = *rc::gen::arbitrary<uint64_t>(),
+                .sequence = *rc::gen::arbitrary<uint64_t>(),
+                .records = { filledAlternative<Record>(i), anyOf<Record>() } };
+            const auto decoded = decodeBatch(encodeBatch(batch));
+            RC_ASSERT(decoded.ok());
+            RC_ASSERT((*decoded == batch));
+        });
+    }
+}
+
+// Guards against a field of any peer message that is missing from its codec.
+TEST(CodecRobustness, EveryPeerMessageRoundTrips)
+{
+    for (size_t i = 0; i < std::variant_size_v<PeerMessage>; ++i) {
+        checkProperty("a peer message survives encoding", [i] {
+            const auto message = filledAlternative<PeerMessage>(i);
+            const auto decoded = decodePeerMessage(encodePeerMessage(message));
+            RC_ASSERT(decoded.ok());
+            RC_ASSERT((*decoded == message));
+        });
+    }
+}
+
+// Guards against input from the network that crashes the process or decodes to a value that cannot be sent on.
+TEST(CodecRobustness, RandomBytes)
+{
+    std::mt19937_64 random(1);
+    for (int i = 0; i < 20'000; ++i) {
+        std::string bytes(random() % 64, '\0');
+        for (auto& c : bytes)
+            c = static_cast<char>(random());
+        // A valid start takes some of the input past the check of the envelope.
+        if (i % 2 == 0)
+            bytes.insert(0, "\x92\x01\x92");
+        checkBatch(bytes);
+        checkPeerMessage(bytes);
+    }
+}
+
+// As above, with input that is nearly valid.
+TEST(CodecRobustness, MutatedMessages)
+{
+    std::mt19937_64 random(2);
+    const Heartbeat heartbeat { .member = "e1", .incarnation = 9, .unreachableWorkers = { "w1", "w2" } };
+    const RecordRelay relay { .member = "e2", .position = 1, .entries = { encodeBatch(oneOfEach(1)) } };
+    int accepted = 0;
+    for (int i = 0; i < 20'000; ++i) {
+        accepted += checkBatch(mutated(encodeBatch(oneOfEach(random())), random));
+        accepted += checkPeerMessage(mutated(encodePeerMessage(heartbeat), random));
+        accepted += checkPeerMessage(mutated(encodePeerMessage(relay), random));
+    }
+    CHECK_TEXT(accepted > 1000, "the mutations are too strong to reach the conversion of fields");
+}
+
+// Guards against an older version that refuses records of a newer one with more fields.
+TEST(CodecRobustness, ExtraTrailingFieldsAreIgnored)
+{
+    auto batch = decodeBatch(packedFields(true, recordIndex<ZoneChanged>(), "z1", true, "later field", 7));
+    CHECK(batch.ok());
+    CHECK((batch->records == std::vector<Record> { ZoneChanged { .zone = "z1", .out = true } }));
+    auto message = decodePeerMessage(packedFields(false, 1, "e1", 3, std::vector<int> { 1, 2 }));
+    CHECK(message.ok());
+    CHECK((*message == PeerMessage { SlotLoanRequest { .member = "e1", .slots = 3 } }));
+}
+
+// Guards against a newer version that refuses records of an older one with fewer fields.
+TEST(CodecRobustness, MissingTrailingFieldsHaveDefaults)
+{
+    for (uint32_t i = 0; i < std::variant_size_v<Record>; ++i) {
+        auto batch = decodeBatch(packedFields(true, i));
+        CHECK(batch.ok());
+        CHECK(batch->records[0] == oneOfEach(0).records[i]);
+    }
+    for (uint32_t i = 0; i < std::variant_size_v<PeerMessage>; ++i)
+        CHECK(decodePeerMessage(packedFields(false, i)).ok());
+    auto batch
+        = decodeBatch(packedFields(true, recordIndex<WorkerListed>(), 4, "w1", "", "", "", std::vector { 8, 9 }));
+    CHECK(batch.ok());
+    const WorkerListed listed { .epoch = 4, .worker = "w1", .capacity = { .cpuMillis = 8, .memoryMb = 9 } };
+    CHECK((batch->records == std::vector<Record> { listed }));
+}
+
+// Guards against enumeration values outside the declared ones, which a switch over them does not handle.
+TEST(CodecRobustness, UnknownEnumerationValuesAreRefused)
+{
+    const auto last = static_cast<int>(TaskOutcome::Stopped);
+    CHECK(decodeBatch(packedFields(true, recordIndex<TaskEnded>(), 1, "j1", 1, last)).ok());
+    CHECK_FALSE(decodeBatch(packedFields(true, recordIndex<TaskEnded>(), 1, "j1", 1, last + 1)).ok());
+    const auto lastReason = static_cast<int>(RevokeReason::Superseded);
+    CHECK(decodeBatch(packedFields(true, recordIndex<TaskRevoked>(), 1, "j1", 1, lastReason)).ok());
+    CHECK_FALSE(decodeBatch(packedFields(true, recordIndex<TaskRevoked>(), 1, "j1", 1, lastReason + 1)).ok());
+    CHECK_FALSE(decodeBatch(packedFields(true, recordIndex<TaskRevoked>(), 1, "j1", 1, 256)).ok());
+}
+
+// Guards against a few bytes that announce nested arrays of a million elements and so reserve 380 MB.
+TEST(CodecRobustness, ArraysLargerThanTheInputAreRefused)
+{
+    std::string bytes;
+    for (int i = 0; i < 16; ++i)
+        bytes += std::string("\xdd\x00\x0f\x42\x40", 5);
+    auto decoded = decodePeerMessage(bytes);
+    CHECK_FALSE(decoded.ok());
+    STRCMP_CONTAINS("array size overflow", statusText(decoded.status()).c_str());
+}
