Carry slot loans and client shares in peer messages, and refuse crossed replies

The policies for loans and shares exchange more fields than the first peer messages had, and the platform protocol asks callers to compare X-Request-Id so that a crossed or repeated answer is never taken for the own one.

--- a/Libraries/LibHttp/CurlRequest.cpp
+++ b/Libraries/LibHttp/CurlRequest.cpp
@@ -31,6 +31,8 @@
     m_headerList = curl_slist_append(m_headerList, "Expect:");
     for (const auto& header : m_call.headers)
         m_headerList = curl_slist_append(m_headerList, fmt::format("{}: {}", header.name, header.value).c_str());
+    if (!m_call.requestId.empty())
+        m_headerList = curl_slist_append(m_headerList, ("X-Request-Id: " + m_call.requestId).c_str());
     curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_headerList);
     if (!m_call.body.empty() || m_call.method == "POST") {
         curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, m_call.body.data());
@@ -74,6 +76,9 @@
         long status = 0;
         curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
         m_reply.status = static_cast<int>(status);
+        if (!m_call.requestId.empty() && headerValue(m_reply.headers, "X-Request-Id") != m_call.requestId)
+            return absl::UnavailableError(
+                fmt::format("{} {}: the reply is of another call", m_call.method, m_call.url));
         return std::move(m_reply);
     }
     auto text = fmt::format("{} {}: {}", m_call.method, m_call.url, curl_easy_strerror(code));
--- a/Libraries/LibHttp/HttpCall.h
+++ b/Libraries/LibHttp/HttpCall.h
@@ -17,6 +17,10 @@
     /// libcurl repeats a request by itself when a reused connection turns out to be dead, although the server may
     /// have run it. A non-idempotent request therefore needs a connection of its own.
     bool freshConnection { false };
+
+    /// When set, it is sent as X-Request-Id, and a reply without the same value counts as no reply: it belongs to
+    /// another call.
+    std::string requestId {};
 };
 
 }
--- a/Libraries/LibPlatform/HttpHostListService.h
+++ b/Libraries/LibPlatform/HttpHostListService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/Forward.h>
+#include <LibHttp/RequestIds.h>
 #include <LibPlatform/HostListService.h>
 #include <memory>
 #include <string>
@@ -11,9 +12,10 @@
 /// HostListService over the platform's HTTP protocol.
 class HttpHostListService final : public HostListService {
 public:
-    HttpHostListService(std::string baseUrl, std::shared_ptr<HttpEngine> engine)
+    HttpHostListService(std::string baseUrl, std::shared_ptr<HttpEngine> engine, std::shared_ptr<RequestIds> requestIds)
         : m_baseUrl(std::move(baseUrl))
         , m_engine(std::move(engine))
+        , m_requestIds(std::move(requestIds))
     {
     }
 
@@ -22,6 +24,7 @@
 private:
     std::string m_baseUrl;
     std::shared_ptr<HttpEngine> m_engine;
+    std::shared_ptr<RequestIds> m_requestIds;
 };
 
 /// Returns InvalidArgument for malformed input, so that a broken answer never looks like an empty list.
--- a/Libraries/LibPlatform/HttpLogService.cpp
+++ b/Libraries/LibPlatform/HttpLogService.cpp
@@ -60,6 +60,7 @@
         .headers = { { "X-Member", m_options.member }, { "Content-Type", "application/octet-stream" } },
         .body = std::move(bytes),
         .timeout = m_options.timeout,
+        .requestId = m_options.requestIds->next(),
     };
     m_options.engine->submit(std::move(call),
         [callback = std::move(callback)](const absl::StatusOr<HttpReply>& reply) { callback(appendResult(reply)); });
@@ -72,6 +73,7 @@
             maxReadBytes, wait.count()),
         .headers = { { "X-Member", m_options.member } },
         .timeout = m_options.timeout + wait,
+        .requestId = m_options.requestIds->next(),
     };
     m_options.engine->submit(std::move(call), [callback = std::move(callback)](const absl::StatusOr<HttpReply>& reply) {
         if (!reply.ok())
--- a/Libraries/LibPlatform/HttpLogService.h
+++ b/Libraries/LibPlatform/HttpLogService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/Forward.h>
+#include <LibHttp/RequestIds.h>
 #include <LibPlatform/LogService.h>
 #include <memory>
 
@@ -15,6 +16,7 @@
         std::string member {};
         Milliseconds timeout { 2000 };
         std::shared_ptr<HttpEngine> engine {};
+        std::shared_ptr<RequestIds> requestIds {};
     };
 
     explicit HttpLogService(Options options)
--- a/Libraries/LibPlatform/HttpWorkerService.cpp
+++ b/Libraries/LibPlatform/HttpWorkerService.cpp
@@ -17,6 +17,7 @@
         .headers = { { "Content-Type", "application/json" } },
         .body = std::move(body),
         .timeout = workerCallTimeout,
+        .requestId = m_requestIds->next(),
     };
     m_engine->submit(std::move(call), [decode, callback = std::move(callback)](const absl::StatusOr<HttpReply>& reply) {
         if (!reply.ok())
@@ -58,7 +59,8 @@
     m_engine->submit({ .method = "POST",
                          .url = address + "/v1/tasks/throttle",
                          .body = encodeThrottle(task, cpuPercent),
-                         .timeout = workerCallTimeout },
+                         .timeout = workerCallTimeout,
+                         .requestId = m_requestIds->next() },
         std::move(onReply));
 }
 
--- a/Libraries/LibPlatform/HttpWorkerService.h
+++ b/Libraries/LibPlatform/HttpWorkerService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/Forward.h>
+#include <LibHttp/RequestIds.h>
 #include <LibPlatform/WorkerService.h>
 #include <memory>
 #include <string_view>
@@ -10,8 +11,9 @@
 /// WorkerService over the platform's HTTP protocol.
 class HttpWorkerService final : public WorkerService {
 public:
-    explicit HttpWorkerService(std::shared_ptr<HttpEngine> engine)
+    HttpWorkerService(std::shared_ptr<HttpEngine> engine, std::shared_ptr<RequestIds> requestIds)
         : m_engine(std::move(engine))
+        , m_requestIds(std::move(requestIds))
     {
     }
 
@@ -26,6 +28,7 @@
     void post(const std::string& url, std::string body, Decode, Callback<Reply>);
 
     std::shared_ptr<HttpEngine> m_engine;
+    std::shared_ptr<RequestIds> m_requestIds;
 };
 
 }
--- a/Libraries/LibWire/PeerMessage.h
+++ b/Libraries/LibWire/PeerMessage.h
@@ -2,6 +2,8 @@
 
 #include <LibWire/Heartbeat.h>
 #include <LibWire/RecordRelay.h>
+#include <LibWire/ShareGrantMessage.h>
+#include <LibWire/ShareReportMessage.h>
 #include <LibWire/SlotLoan.h>
 #include <LibWire/SlotLoanRequest.h>
 #include <LibWire/SlotReturn.h>
@@ -12,7 +14,7 @@
 namespace Bergamot {
 
 /// A message between entry hosts. The order of the alternatives is part of the wire format: new ones go to the end.
-using PeerMessage
-    = std::variant<Heartbeat, SlotLoanRequest, SlotLoan, SlotReturn, StateRequest, StateOffer, RecordRelay>;
+using PeerMessage = std::variant<Heartbeat, SlotLoanRequest, SlotLoan, SlotReturn, StateRequest, StateOffer,
+    RecordRelay, ShareReportMessage, ShareGrantMessage>;
 
 }
--- a/Libraries/LibWire/SlotLoan.h
+++ b/Libraries/LibWire/SlotLoan.h
@@ -7,15 +7,16 @@
 
 namespace Bergamot {
 
-/// Lends slots of workers until `leaseMs` after receipt of the request that it answers.
+/// Answers a SlotLoanRequest: lends one slot of each listed worker. The lease counts from the request at the borrower.
 struct SlotLoan {
-    MemberId member {};
+    MemberId lender {};
+    uint64_t request { 0 };
     uint64_t loan { 0 };
     std::vector<WorkerId> workers {};
     int64_t leaseMs { 0 };
 
     bool operator==(const SlotLoan&) const = default;
-    MSGPACK_DEFINE_ARRAY(member, loan, workers, leaseMs)
+    MSGPACK_DEFINE_ARRAY(lender, request, loan, workers, leaseMs)
 };
 
 }
--- a/Libraries/LibWire/SlotLoanRequest.h
+++ b/Libraries/LibWire/SlotLoanRequest.h
@@ -3,16 +3,19 @@
 #include <LibCore/Ids.h>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <vector>
 
 namespace Bergamot {
 
-/// Asks a peer to lend unused slots.
+/// Asks the receiver for unused slots and for the extension of the loans in `renewals`.
 struct SlotLoanRequest {
-    MemberId member {};
+    MemberId borrower {};
+    uint64_t request { 0 };
     uint32_t slots { 0 };
+    std::vector<uint64_t> renewals {};
 
     bool operator==(const SlotLoanRequest&) const = default;
-    MSGPACK_DEFINE_ARRAY(member, slots)
+    MSGPACK_DEFINE_ARRAY(borrower, request, slots, renewals)
 };
 
 }
--- a/Libraries/LibWire/SlotReturn.h
+++ b/Libraries/LibWire/SlotReturn.h
@@ -8,11 +8,11 @@
 
 /// Returns a loan before its lease ends.
 struct SlotReturn {
-    MemberId member {};
+    MemberId borrower {};
     uint64_t loan { 0 };
 
     bool operator==(const SlotReturn&) const = default;
-    MSGPACK_DEFINE_ARRAY(member, loan)
+    MSGPACK_DEFINE_ARRAY(borrower, loan)
 };
 
 }
--- /dev/null
+++ b/Libraries/LibWire/WireClientDemand.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace Bergamot {
+
+/// What a member needs for one client; the wire form of ClientDemand.
+struct WireClientDemand {
+    ClientId client {};
+    int64_t rateMillis { 0 };
+    int64_t concurrency { 0 };
+    int64_t inUse { 0 };
+    uint64_t heldGrant { 0 };
+
+    bool operator==(const WireClientDemand&) const = default;
+    MSGPACK_DEFINE_ARRAY(client, rateMillis, concurrency, inUse, heldGrant)
+};
+
+}
