--- a/Libraries/LibDecision/Authority.cpp
+++ b/Libraries/LibDecision/Authority.cpp
@@ -1,6 +1,8 @@
 #include <LibDecision/Authority.h>
 #include <LibDecision/Timing.h>
 #include <algorithm>
+#include <functional>
+#include <vector>
 
 namespace Bergamot {
 
@@ -50,6 +52,21 @@
     return isMajority(reachableVoters(now, voters), voters.size());
 }
 
+Instant Authority::renewalsAllowedUntil(Instant now, const std::set<MemberId>& voters, LogPosition ownPosition) const
+{
+    auto byLog = m_lastLogRead + Timing::evidenceMaxAge;
+    if (hasFreshLog(now) || !mayRenew(now, voters, ownPosition))
+        return byLog;
+    std::vector<Instant> confirmations;
+    for (const auto& member : voters) {
+        if (isReachable(member, now))
+            confirmations.push_back(member == m_self ? now : m_peers.at(member).confirmedAt);
+    }
+    // The majority holds until the oldest confirmation that it needs is too old.
+    std::ranges::sort(confirmations, std::greater {});
+    return std::max(byLog, confirmations.at(voters.size() / 2) + Timing::evidenceMaxAge);
+}
+
 bool Authority::majorityHasRead(LogPosition position, const std::set<MemberId>& voters, LogPosition ownPosition) const
 {
     auto hasRead = [&](const auto& member) {
--- a/Libraries/LibDecision/Authority.h
+++ b/Libraries/LibDecision/Authority.h
@@ -24,6 +24,9 @@
     bool hasFreshLog(Instant now) const;
     bool mayRenew(Instant now, const std::set<MemberId>& voters, LogPosition ownPosition) const;
 
+    /// Until when mayRenew() holds on the evidence so far; a time in the past when it does not hold now.
+    Instant renewalsAllowedUntil(Instant now, const std::set<MemberId>& voters, LogPosition ownPosition) const;
+
     /// True when a majority of the voters is known to have read past `position`.
     bool majorityHasRead(LogPosition position, const std::set<MemberId>& voters, LogPosition ownPosition) const;
 
--- /dev/null
+++ b/Libraries/LibEntry/LossWatch.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibEntry/Dispatcher.h>
+#include <LibEntry/LogStream.h>
+#include <LibEntry/Membership.h>
+#include <map>
+
+namespace Bergamot {
+
+/// Leader only: revokes attempts on workers that do not answer, and declares a revoked attempt lost once its lease has
+/// surely lapsed (section D7 of the design page).
+class LossWatch {
+public:
+    LossWatch(LogStream& region, Membership& membership, const Dispatcher& dispatcher)
+        : m_region(region)
+        , m_membership(membership)
+        , m_dispatcher(dispatcher)
+    {
+    }
+
+    void tick(Instant now);
+
+    /// Forgets all waits; called when the leader epoch is won, since waits of another epoch count for nothing.
+    void reset() { m_waits.clear(); }
+
+private:
+    struct Wait {
+        LogPosition revokedAt { 0 };
+        Instant since { neverInstant };
+        Instant confirmedAt { neverInstant };
+        bool submitted { false };
+    };
+
+    std::set<WorkerId> suspects(Instant now) const;
+    void revokeOnSuspects(Instant now);
+    void watchRevoked(const JobState&, Instant now);
+
+    LogStream& m_region;
+    Membership& m_membership;
+    const Dispatcher& m_dispatcher;
+    std::map<TaskId, Wait> m_waits;
+    Instant m_nextRevoke { neverInstant };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Problem.cpp
@@ -0,0 +1,27 @@
+#include <LibEntry/Problem.h>
+#include <nlohmann/json.hpp>
+
+namespace Bergamot {
+
+HttpResponse toResponse(const Problem& problem)
+{
+    nlohmann::json json {
+        { "type", "urn:bergamotbay:" + std::string(problem.type) },
+        { "title", problem.title },
+        { "status", problem.status },
+        { "ran", toString(problem.ran) },
+    };
+    if (!problem.detail.empty())
+        json["detail"] = problem.detail;
+    if (!problem.field.empty())
+        json["field"] = problem.field;
+    HttpResponse response { .status = problem.status, .contentType = "application/problem+json" };
+    response.headers.push_back({ "X-Ran", std::string(toString(problem.ran)) });
+    if (problem.retryAfterSeconds > 0)
+        response.headers.push_back({ "Retry-After", std::to_string(problem.retryAfterSeconds) });
+    // Input that is not UTF-8 may be quoted in the detail; it is replaced and not refused a second time.
+    response.body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Problem.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibEntry/RanState.h>
+#include <LibHttp/HttpResponse.h>
+#include <string>
+#include <string_view>
+
+namespace Bergamot {
+
+/// An RFC 9457 problem document.
+struct Problem {
+    int status { 500 };
+    std::string_view type {};
+    std::string_view title {};
+    std::string detail {};
+    RanState ran { RanState::No };
+    int retryAfterSeconds { 0 };
+
+    /// Name of the faulty input field, when there is one.
+    std::string field {};
+};
+
+HttpResponse toResponse(const Problem&);
+
+}
--- a/Libraries/LibState/ClusterState.cpp
+++ b/Libraries/LibState/ClusterState.cpp
@@ -19,6 +19,7 @@
     StateImage& state;
     Sender sender;
     LogPosition position;
+    WorkerId releasedWorker {};
 
     absl::Status requireLeader(uint64_t epoch) const
     {
@@ -64,6 +65,7 @@
         worker->jobs.erase(job.spec.job);
         worker->committed = worker->committed - job.spec.size;
         VERIFY(worker->committed.isValid());
+        releasedWorker = job.worker;
         job.worker.clear();
         if (worker->spec.gone && worker->jobs.empty())
             state.workers.erase(worker->spec.worker);
@@ -363,8 +365,12 @@
     Applier applier { *this, m_image, { batch.member, batch.incarnation }, position };
     ApplyResult result;
     result.statuses.reserve(batch.records.size());
-    for (const auto& record : batch.records)
-        result.statuses.push_back(std::visit(applier, record));
+    for (size_t i = 0; i < batch.records.size(); ++i) {
+        applier.releasedWorker.clear();
+        result.statuses.push_back(std::visit(applier, batch.records[i]));
+        if (!applier.releasedWorker.empty())
+            result.releasedWorkers.emplace(i, applier.releasedWorker);
+    }
     prune();
     return result;
 }
--- a/Libraries/LibWire/SlotLoan.h
+++ b/Libraries/LibWire/SlotLoan.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <string>
 #include <vector>
 
 namespace Bergamot {
@@ -14,9 +15,10 @@
     uint64_t loan { 0 };
     std::vector<WorkerId> workers {};
     int64_t leaseMs { 0 };
+    std::string service {};
 
     bool operator==(const SlotLoan&) const = default;
-    MSGPACK_DEFINE_ARRAY(lender, request, loan, workers, leaseMs)
+    MSGPACK_DEFINE_ARRAY(lender, request, loan, workers, leaseMs, service)
 };
 
 }
--- a/Libraries/LibWire/SlotLoanRequest.h
+++ b/Libraries/LibWire/SlotLoanRequest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <string>
 #include <vector>
 
 namespace Bergamot {
@@ -13,9 +14,10 @@
     uint64_t request { 0 };
     uint32_t slots { 0 };
     std::vector<uint64_t> renewals {};
+    std::string service {};
 
     bool operator==(const SlotLoanRequest&) const = default;
-    MSGPACK_DEFINE_ARRAY(borrower, request, slots, renewals)
+    MSGPACK_DEFINE_ARRAY(borrower, request, slots, renewals, service)
 };
 
 }
--- a/Libraries/LibWire/SlotReturn.h
+++ b/Libraries/LibWire/SlotReturn.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <string>
 
 namespace Bergamot {
 
@@ -10,9 +11,10 @@
 struct SlotReturn {
     MemberId borrower {};
     uint64_t loan { 0 };
+    std::string service {};
 
     bool operator==(const SlotReturn&) const = default;
-    MSGPACK_DEFINE_ARRAY(borrower, loan)
+    MSGPACK_DEFINE_ARRAY(borrower, loan, service)
 };
 
 }
