Add the first complete batch and placement policy

Cause: the interface had no implementation behind it. Change: interference model, placement, eviction policy, queue, fair sharing, failure judge, zone policy, recovery pacer and the scheduler that ties them together.

--- a/Libraries/LibDecision/BatchScheduler.h
+++ b/Libraries/LibDecision/BatchScheduler.h
@@ -7,6 +7,7 @@
 #include <LibDecision/JobView.h>
 #include <LibDecision/KindView.h>
 #include <LibDecision/SchedulerOptions.h>
+#include <LibDecision/SlowdownEstimator.h>
 #include <LibDecision/TeamView.h>
 #include <LibDecision/UsageSample.h>
 #include <LibDecision/WaitReason.h>
@@ -31,7 +32,9 @@
 /// second.
 class BatchScheduler {
 public:
-    static absl::StatusOr<std::unique_ptr<BatchScheduler>> create(const SchedulerOptions&);
+    /// Without an estimator the scheduler learns with an InterferenceModel of default options.
+    static absl::StatusOr<std::unique_ptr<BatchScheduler>> create(
+        const SchedulerOptions&, std::unique_ptr<SlowdownEstimator> = nullptr);
     ~BatchScheduler();
 
     /// Adds a worker or replaces its description.
@@ -71,6 +74,9 @@
     /// Why the job is not placed; one entry at least.
     absl::StatusOr<std::vector<WaitReason>> whyWaiting(const JobId&) const;
 
+    /// The number by which a SlowdownEstimator sees the kind.
+    absl::StatusOr<KindIndex> kindIndex(const std::string& kind) const;
+    size_t pendingJobs() const;
     /// Estimated bytes of decision state held in memory.
     size_t stateBytes() const;
 
--- /dev/null
+++ b/Libraries/LibDecision/BatchSchedulerImpl.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <LibDecision/BatchQueue.h>
+#include <LibDecision/BatchScheduler.h>
+#include <LibDecision/EvictionPolicy.h>
+#include <LibDecision/FailureJudge.h>
+#include <LibDecision/Placement.h>
+#include <LibDecision/RecoveryPacer.h>
+#include <LibDecision/RoomPlanner.h>
+#include <LibDecision/RunTimeEstimator.h>
+#include <LibDecision/SchedulerState.h>
+#include <LibDecision/ZonePolicy.h>
+#include <deque>
+#include <random>
+
+namespace Bergamot {
+
+/// Ties the policies together. BatchSchedulerImpl.cpp holds the inputs, BatchSchedulerTick.cpp the decisions.
+class BatchScheduler::Impl {
+public:
+    Impl(const SchedulerOptions&, std::unique_ptr<SlowdownEstimator>);
+
+    absl::Status upsertWorker(const WorkerView&);
+    absl::Status removeWorker(const WorkerId&);
+    absl::Status setZoneOut(const ZoneId&, bool out);
+    absl::Status defineKind(const KindView&);
+    absl::Status defineTeam(const TeamView&);
+    absl::Status submitJob(const JobView&);
+    absl::Status cancelJob(const JobId&);
+    absl::Status jobEnded(const JobId&);
+    absl::Status taskPlaced(const JobId&, uint32_t attempt, const WorkerId&);
+    absl::Status placementDropped(const JobId&);
+    absl::Status taskRevoking(const JobId&, uint32_t attempt);
+    absl::Status taskEnded(const JobId&, uint32_t attempt, AttemptOutcome, const WorkerId&);
+    absl::Status reportUsage(const WorkerId&, const std::vector<UsageSample>&);
+    absl::Status reportLatency(const std::string& serviceKind, const WorkerId&, double load, double ratio);
+    absl::StatusOr<std::vector<Decision>> tick(Instant now);
+    absl::StatusOr<std::vector<WaitReason>> whyWaiting(const JobId&) const;
+    absl::StatusOr<KindIndex> kindIndex(const std::string&) const;
+    size_t pendingJobs() const { return m_queue.size(); }
+    size_t stateBytes() const;
+
+private:
+    /// A size that found no room in this tick; equal or larger jobs of the kind are not tried again.
+    struct FailedShape {
+        KindIndex kind { 0 };
+        Resources size {};
+        Milliseconds run {};
+    };
+    enum class Attempt : uint8_t { Placed, NoRoom, Skipped };
+
+    absl::StatusOr<JobIndex> findJob(const JobId&) const;
+    absl::StatusOr<WorkerIndex> findWorker(const WorkerId&) const;
+    void countCapacity();
+    void queueMoves(WorkerIndex);
+    void enqueue(JobIndex);
+    void dequeue(JobIndex);
+    size_t laneOf(const JobRecord&) const;
+    void requeue(JobIndex, Instant retryAt);
+    void forget(JobIndex);
+    void recordOutcome(JobIndex, WorkerIndex, AttemptOutcome);
+    void recordFailure(JobIndex, WorkerIndex);
+    void giveUp(JobIndex, std::string reason);
+    bool hasUntriedWorker(const JobRecord&) const;
+
+    void runTimers();
+    void releaseQuarantines();
+    void retryEvictions();
+    void cancelTasks();
+    void moveTasks();
+    bool moveTask(JobIndex);
+    void shrinkCommitments();
+    void relieveServices();
+    void placeLane(size_t lane, size_t depth);
+    void placeUrgent();
+    void makeUrgentRoom(JobIndex);
+    void placeTeams(bool borrowing);
+    void placeHeld();
+    Attempt tryPlace(JobIndex);
+    void place(JobIndex, WorkerIndex);
+    void reserve(JobIndex);
+    void reclaim(JobIndex);
+    void evict(JobIndex, EvictReason);
+    void failJobs();
+    bool isShapeFailed(const JobRecord&, Milliseconds run) const;
+    bool hasPlacementsLeft() const { return m_placements < m_options.maxPlacementsPerTick; }
+    PlacementQuery queryFor(JobIndex) const;
+    Milliseconds runEstimate(const JobRecord&) const;
+
+    SchedulerOptions m_options;
+    SchedulerState m_state;
+    std::unique_ptr<SlowdownEstimator> m_estimator;
+    RunTimeEstimator m_runTimes;
+    ZonePolicy m_zonePolicy;
+    Placement m_placement;
+    RoomPlanner m_roomPlanner;
+    EvictionPolicy m_evictionPolicy;
+    BatchQueue m_queue;
+    FailureJudge m_judge;
+    RecoveryPacer m_pacer;
+    std::mt19937_64 m_random;
+    Instant m_now {};
+    bool m_started { false };
+    Instant m_plannedAt {};
+
+    // Work lists; entries are checked against the state when they are taken.
+    std::deque<JobIndex> m_cancelled;
+    std::vector<JobIndex> m_moves;
+    std::vector<JobIndex> m_evicting;
+    std::vector<JobIndex> m_failed;
+    std::vector<JobIndex> m_held;
+    std::vector<Decision> m_pendingDecisions;
+
+    // Valid during one tick.
+    std::vector<Decision> m_decisions;
+    std::vector<FailedShape> m_failedShapes;
+    size_t m_placements { 0 };
+    size_t m_evictions { 0 };
+    size_t m_failedAttempts { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/InterferenceModel.cpp
@@ -0,0 +1,122 @@
+#include <LibDecision/InterferenceModel.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Bergamot {
+
+// A share below this tells nothing about the pair and is left out of the update.
+static constexpr double minShare = 0.002;
+// Errors beyond this many standard deviations are clipped, so that one wild report can't move an estimate far.
+static constexpr double clipDeviations = 3.0;
+static constexpr double surpriseDeviations = 2.0;
+
+InterferenceModel::Cell* InterferenceModel::cellOf(KindIndex victim, KindIndex neighbour, size_t level, Instant now)
+{
+    if (m_victims.size() <= victim)
+        m_victims.resize(victim + 1);
+    auto& byNeighbour = m_victims[victim].byNeighbour;
+    if (byNeighbour.size() <= neighbour)
+        byNeighbour.resize(neighbour + 1);
+    auto& cell = byNeighbour[neighbour][level];
+    auto prior = static_cast<float>(m_options.priorDeviation * m_options.priorDeviation);
+    if (cell.samples == 0) {
+        auto start = pair(victim, { .kind = neighbour, .share = 1.0 }, level == 0 ? 0.2 : level == 1 ? 0.6 : 0.9);
+        cell = { .mean = static_cast<float>(start.mean),
+            .variance = static_cast<float>(start.deviation * start.deviation),
+            .updatedAt = now };
+    }
+    double hours = std::chrono::duration<double, std::ratio<3600>>(now - cell.updatedAt).count();
+    cell.variance
+        = std::min(prior, cell.variance + static_cast<float>(m_options.variancePerHour * std::max(0.0, hours)));
+    cell.updatedAt = now;
+    return &cell;
+}
+
+const InterferenceModel::Levels* InterferenceModel::levelsOf(KindIndex victim, KindIndex neighbour) const
+{
+    if (victim >= m_victims.size() || neighbour >= m_victims[victim].byNeighbour.size())
+        return nullptr;
+    return &m_victims[victim].byNeighbour[neighbour];
+}
+
+void InterferenceModel::observe(
+    KindIndex victim, const std::vector<Neighbour>& neighbours, double load, double ratio, Instant now)
+{
+    auto level = m_options.usesLoadLevels ? levelOf(load) : 0;
+    double predicted = 0;
+    double variance = m_options.reportNoise * m_options.reportNoise * ratio * ratio;
+    for (const auto& neighbour : neighbours) {
+        if (neighbour.share < minShare)
+            continue;
+        auto* cell = cellOf(victim, neighbour.kind, level, now);
+        predicted += neighbour.share * cell->mean;
+        variance += neighbour.share * neighbour.share * cell->variance;
+    }
+    double error = ratio - 1.0 - predicted;
+    double limit = clipDeviations * std::sqrt(variance);
+    double clipped = std::clamp(error, -limit, limit);
+    for (const auto& neighbour : neighbours) {
+        if (neighbour.share < minShare)
+            continue;
+        auto& cell = m_victims[victim].byNeighbour[neighbour.kind][level];
+        double gain = cell.variance * neighbour.share / variance;
+        cell.mean = std::max(0.0f, cell.mean + static_cast<float>(gain * clipped));
+        cell.variance *= static_cast<float>(1.0 - gain * neighbour.share);
+        ++cell.samples;
+    }
+    if (m_options.detectsShifts && victim < m_victims.size())
+        noteSurprise(m_victims[victim], level, error, variance, neighbours);
+}
+
+void InterferenceModel::noteSurprise(
+    Victim& victim, size_t level, double error, double variance, const std::vector<Neighbour>& neighbours)
+{
+    auto& run = victim.surpriseRun[level];
+    if (std::abs(error) < surpriseDeviations * std::sqrt(variance)) {
+        run -= run > 0 ? 1 : run < 0 ? -1 : 0;
+        return;
+    }
+    run = error > 0 ? std::max(1, run + 1) : std::min(-1, run - 1);
+    if (std::abs(run) < static_cast<int32_t>(m_options.shiftReports))
+        return;
+    // Only the kinds present are opened again; what was learnt about the others stays.
+    run = 0;
+    ++m_shifts;
+    auto prior = static_cast<float>(m_options.priorDeviation * m_options.priorDeviation);
+    for (const auto& neighbour : neighbours) {
+        if (neighbour.share >= minShare)
+            victim.byNeighbour[neighbour.kind][level].variance = prior;
+    }
+}
+
+SlowdownEstimate InterferenceModel::pair(KindIndex victim, Neighbour neighbour, double load) const
+{
+    SlowdownEstimate prior { m_options.priorMean * neighbour.share, m_options.priorDeviation * neighbour.share };
+    const auto* levels = levelsOf(victim, neighbour.kind);
+    if (!levels)
+        return prior;
+    auto level = m_options.usesLoadLevels ? levelOf(load) : 0;
+    const auto& own = (*levels)[level];
+    if (own.samples >= m_options.minSamples)
+        return { own.mean * neighbour.share, std::sqrt(own.variance) * neighbour.share };
+    // Too few reports at this level: the best known other level with half of the prior uncertainty added.
+    const Cell* best = &own;
+    for (const auto& cell : *levels) {
+        if (cell.samples > best->samples)
+            best = &cell;
+    }
+    if (best->samples < m_options.minSamples)
+        return prior;
+    double deviation = std::sqrt(best->variance) + m_options.priorDeviation / 2;
+    return { best->mean * neighbour.share, std::min(deviation, m_options.priorDeviation) * neighbour.share };
+}
+
+size_t InterferenceModel::stateBytes() const
+{
+    size_t bytes = m_victims.capacity() * sizeof(Victim);
+    for (const auto& victim : m_victims)
+        bytes += victim.byNeighbour.capacity() * sizeof(Levels);
+    return bytes;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/InterferenceModel.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <LibDecision/SlowdownEstimator.h>
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace Bergamot {
+
+/// Learns the slowdown of each pair of kinds at each load level from lagging, noisy reports.
+///
+/// Slowdown is modelled as the sum over neighbours of share x coefficient. Each coefficient has a mean and a variance,
+/// updated by a Kalman filter with a diagonal covariance. Variance grows with time, so old knowledge fades. When
+/// prediction errors stay larger than the variance explains, the coefficients involved are opened for relearning.
+class InterferenceModel final : public SlowdownEstimator {
+public:
+    struct Options {
+        double priorMean { 0.25 };
+        double priorDeviation { 0.35 };
+        /// Standard deviation of one report, as a ratio.
+        double reportNoise { 0.05 };
+        /// Growth of the variance of a coefficient per hour without reports.
+        double variancePerHour { 0.01 };
+        /// A cell with fewer reports than this borrows from the other load levels.
+        uint32_t minSamples { 4 };
+        /// Consecutive surprising reports of a victim after which the behaviour is taken to have shifted. A wave of
+        /// noise is shorter than this or changes sign.
+        uint32_t shiftReports { 8 };
+        bool detectsShifts { true };
+        bool usesLoadLevels { true };
+    };
+
+    static constexpr size_t loadLevels = 3;
+    static size_t levelOf(double load) { return load < 0.45 ? 0 : load < 0.7 ? 1 : 2; }
+
+    InterferenceModel()
+        : InterferenceModel(Options {})
+    {
+    }
+    explicit InterferenceModel(Options options)
+        : m_options(options)
+    {
+    }
+
+    void observe(KindIndex victim, const std::vector<Neighbour>&, double load, double ratio, Instant now) override;
+    SlowdownEstimate pair(KindIndex victim, Neighbour, double load) const override;
+    size_t stateBytes() const override;
+
+    /// Number of times a shift of behaviour was found.
+    uint64_t shifts() const { return m_shifts; }
+
+private:
+    struct Cell {
+        float mean { 0 };
+        float variance { 0 };
+        uint32_t samples { 0 };
+        Instant updatedAt {};
+    };
+    using Levels = std::array<Cell, loadLevels>;
+    struct Victim {
+        std::vector<Levels> byNeighbour {};
+        /// Run of surprising errors of one sign: positive when slower than predicted.
+        std::array<int32_t, loadLevels> surpriseRun {};
+    };
+
+    Cell* cellOf(KindIndex victim, KindIndex neighbour, size_t level, Instant now);
+    const Levels* levelsOf(KindIndex victim, KindIndex neighbour) const;
+    void noteSurprise(Victim&, size_t level, double error, double variance, const std::vector<Neighbour>&);
+
+    Options m_options;
+    std::vector<Victim> m_victims;
+    uint64_t m_shifts { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/JobRecord.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibDecision/Decision.h>
+#include <LibDecision/JobView.h>
+#include <LibDecision/SchedulerTypes.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Bergamot {
+
+enum class JobState : uint8_t { Free, Pending, Decided, Placed, Revoking, Failed };
+
+/// A job as the scheduler holds it. Ids of kind and team are interned; `view.kind` and `view.team` stay empty.
+struct JobRecord {
+    JobView view {};
+    JobState state { JobState::Free };
+    KindIndex kind { 0 };
+    TeamIndex team { 0 };
+    WorkerIndex worker { noIndex };
+    uint32_t attempt { 0 };
+    uint32_t failures { 0 };
+    Instant submittedAt {};
+    Instant placedAt {};
+    Instant retryAt {};
+    int64_t queueKey { 0 };
+    /// Progress at the last checkpoint and as last reported, in thousandths.
+    int32_t savedMilli { 0 };
+    int32_t progressMilli { 0 };
+    Resources used {};
+    double expectedCpu { 0 };
+    uint8_t overUseReports { 0 };
+    int32_t throttlePercent { 100 };
+    int32_t wantedPercent { 100 };
+    Instant throttledAt {};
+    bool cancelled { false };
+    bool recovering { false };
+    bool queued { false };
+    /// Set once the scheduler has decided to revoke the attempt; cleared when the attempt ends.
+    std::optional<EvictReason> evicting {};
+    bool evictWithCheckpoint { true };
+    Instant evictDecidedAt {};
+    std::optional<EvictReason> lastEvictReason {};
+    Instant lastEvictAt {};
+    WorkerIndex reservedWorker { noIndex };
+    std::vector<WorkerIndex> failedOn {};
+    std::string failure {};
+
+    bool isCommitted() const
+    {
+        return state == JobState::Decided || state == JobState::Placed || state == JobState::Revoking;
+    }
+};
+
+}
--- a/Libraries/LibDecision/KindView.h
+++ b/Libraries/LibDecision/KindView.h
@@ -6,7 +6,7 @@
 
 namespace Bergamot {
 
-/// A kind of work that operators declare. `yieldsTo` names the service kinds for which tasks of this kind may be
+/// A kind of work that operators declare. `yieldsTo` names the kinds for which tasks of this kind may be
 /// throttled or evicted. `priority` is added to that of each job. `latencyTargetMs` is 0 when there is no target.
 struct KindView {
     std::string name {};
--- /dev/null
+++ b/Libraries/LibDecision/Placement.cpp
@@ -0,0 +1,197 @@
+#include <LibDecision/Placement.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Bergamot {
+
+// Workers scored for one decision. More than this gained nothing in the benchmark and costs time.
+static constexpr size_t maxCandidates = 24;
+// Workers whose interference is predicted for one decision; it bounds the time when all of them are refused.
+static constexpr size_t maxPredictions = 160;
+// Expected use may fill a host that runs services to this share; above it, queueing for processors begins.
+static constexpr double maxExpectedUse = 0.95;
+// A job that was evicted for interference gets only half of the latency budget for a while, so that it isn't evicted
+// again.
+static constexpr double evictedBudgetShare = 0.5;
+
+Placement::Placement(const SchedulerState& state, const SlowdownEstimator& estimator, const ZonePolicy& zonePolicy,
+    const SchedulerOptions& options)
+    : m_state(state)
+    , m_estimator(estimator)
+    , m_zonePolicy(zonePolicy)
+    , m_options(options)
+{
+}
+
+Rejection Placement::checkHolds(const PlacementQuery& query, const WorkerRecord& worker) const
+{
+    const auto& job = m_state.jobs[query.job];
+    auto needed = job.view.size;
+    for (const auto& hold : worker.holds) {
+        if (hold.job == query.job)
+            continue;
+        bool endsBefore = !hold.firm && query.now + query.estimatedRun <= hold.until;
+        if (!endsBefore)
+            needed = needed + hold.size;
+    }
+    return needed.fitsIn(worker.free()) ? Rejection::None : Rejection::Reserved;
+}
+
+Rejection Placement::check(const PlacementQuery& query, WorkerIndex index) const
+{
+    const auto& worker = m_state.workers[index];
+    const auto& job = m_state.jobs[query.job];
+    if (!job.view.size.fitsIn(worker.view.capacity))
+        return Rejection::TooSmall;
+    if (m_state.zones[worker.zone].out)
+        return Rejection::ZoneOut;
+    if (worker.view.state != WorkerState::Live || worker.quarantined || worker.coolUntil > query.now)
+        return Rejection::Unavailable;
+    if (worker.probation && (worker.probationJob != noIndex || job.view.isService || job.view.urgent))
+        return Rejection::Unavailable;
+    if (std::ranges::find(job.failedOn, index) != job.failedOn.end())
+        return Rejection::FailedThere;
+    if (!job.view.size.fitsIn(worker.free()))
+        return Rejection::NoRoom;
+    if (!worker.holds.empty()) {
+        if (auto rejection = checkHolds(query, worker); rejection != Rejection::None)
+            return rejection;
+    }
+    if (worker.zone < m_workersPerZone.size()
+        && !m_zonePolicy.mayPlace(worker.zone, m_workersPerZone[worker.zone], query.now))
+        return Rejection::Pacing;
+    if (!m_options.sharesHosts && !worker.tasks.empty()
+        && (job.view.isService ? worker.services.empty() : !worker.services.empty()))
+        return Rejection::Interference;
+    if (m_options.learnsUse && !worker.services.empty() && !job.view.isService) {
+        double use
+            = worker.expectedCpu + static_cast<double>(job.view.size.cpuMillis) * m_state.kinds[job.kind].cpuUseRatio;
+        if (use > maxExpectedUse * static_cast<double>(worker.view.capacity.cpuMillis))
+            return Rejection::Busy;
+    }
+    return Rejection::None;
+}
+
+Placement::Interference Placement::riseOf(
+    const JobRecord& job, const WorkerRecord& worker, const ServiceWatch& watch, Instant now) const
+{
+    double capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+    double load = std::max(watch.load, watch.peakLoad);
+    Neighbour added { .kind = job.kind,
+        .share = static_cast<double>(job.view.size.cpuMillis) * m_state.kinds[job.kind].cpuUseRatio / capacity };
+    auto own = m_estimator.pair(watch.kind, added, load);
+    double mean = own.mean;
+    double variance = own.deviation * own.deviation;
+    for (const auto& kind : worker.kinds) {
+        auto other = m_estimator.pair(watch.kind, { .kind = kind.kind, .share = kind.cpuMillis / capacity }, load);
+        mean += other.mean;
+        variance += other.deviation * other.deviation;
+    }
+    if (watch.reportsOver >= 2)
+        mean = std::max(mean, watch.smoothedRatio - 1.0 + own.mean);
+    double budget = m_options.latencyBudget;
+    if (job.lastEvictReason == EvictReason::Interference && now - job.lastEvictAt < m_options.evictionRepeat)
+        budget *= evictedBudgetShare;
+    return { .acceptable = mean + std::sqrt(variance) <= budget, .rise = own.mean + 0.5 * own.deviation };
+}
+
+Placement::Interference Placement::interferenceOf(const JobRecord& job, const WorkerRecord& worker, Instant now) const
+{
+    Interference total;
+    for (const auto& watch : worker.services) {
+        auto rise = riseOf(job, worker, watch, now);
+        total.rise += rise.rise;
+        total.acceptable = total.acceptable && rise.acceptable;
+    }
+    if (job.view.isService) {
+        // A service is placed even where it is slowed down; the score sends it where that is least.
+        total.acceptable = true;
+        double capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+        for (const auto& kind : worker.kinds)
+            total.rise
+                += m_estimator.pair(job.kind, { .kind = kind.kind, .share = kind.cpuMillis / capacity }, 0.6).mean;
+    }
+    return total;
+}
+
+double Placement::spreadScore(const JobRecord& job, const WorkerRecord& worker) const
+{
+    const auto& kind = m_state.kinds[job.kind];
+    if (kind.tasks == 0)
+        return 0;
+    auto countAt = [](const std::vector<uint32_t>& counts, size_t index) {
+        return index < counts.size() ? static_cast<double>(counts[index]) : 0.0;
+    };
+    auto it = std::ranges::find(worker.services, job.kind, &ServiceWatch::kind);
+    double onHost = it == worker.services.end() ? 0 : it->tasks;
+    double tasks = kind.tasks;
+    return (2 * countAt(kind.tasksByZone, worker.zone) + countAt(kind.tasksByRack, worker.rack) + onHost) / tasks;
+}
+
+double Placement::score(const JobRecord& job, const WorkerRecord& worker, double rise) const
+{
+    constexpr double riseWeight = 10.0;
+    constexpr double acceleratorWeight = 3.0;
+    double value = riseWeight * rise;
+    auto left = worker.free() - job.view.size;
+    // Full hosts first, so that room for large jobs remains elsewhere.
+    value += static_cast<double>(left.cpuMillis)
+        / static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+    if (m_options.keepsAccelerators && job.view.size.accelerators == 0 && worker.view.capacity.accelerators > 0)
+        value += acceleratorWeight;
+    if (m_options.spreadsServices && job.view.isService)
+        value += spreadScore(job, worker);
+    return value;
+}
+
+std::optional<WorkerIndex> Placement::choose(const PlacementQuery& query, uint64_t random) const
+{
+    const auto& job = m_state.jobs[query.job];
+    auto count = m_state.workers.size();
+    size_t candidates = 0;
+    size_t predictions = 0;
+    std::optional<WorkerIndex> best;
+    double bestScore = 0;
+    for (size_t n = 0; n < count; ++n) {
+        auto index = static_cast<WorkerIndex>(m_options.firstFit ? n : (random + n) % count);
+        const auto& worker = m_state.workers[index];
+        if (!worker.present || check(query, index) != Rejection::None)
+            continue;
+        if (m_options.firstFit)
+            return index;
+        Interference interference;
+        if (m_options.avoidsInterference && (!worker.services.empty() || job.view.isService)) {
+            if (++predictions > maxPredictions)
+                break;
+            interference = interferenceOf(job, worker, query.now);
+            if (!interference.acceptable && !job.view.urgent)
+                continue;
+        }
+        double value = score(job, worker, interference.rise);
+        if (!best || value < bestScore) {
+            best = index;
+            bestScore = value;
+        }
+        if (++candidates >= maxCandidates)
+            break;
+    }
+    return best;
+}
+
+std::array<size_t, static_cast<size_t>(Rejection::Count)> Placement::explain(const PlacementQuery& query) const
+{
+    std::array<size_t, static_cast<size_t>(Rejection::Count)> counts {};
+    const auto& job = m_state.jobs[query.job];
+    for (WorkerIndex index = 0; index < m_state.workers.size(); ++index) {
+        if (!m_state.workers[index].present)
+            continue;
+        auto rejection = check(query, index);
+        if (rejection == Rejection::None && m_options.avoidsInterference
+            && !interferenceOf(job, m_state.workers[index], query.now).acceptable)
+            rejection = Rejection::Interference;
+        ++counts[static_cast<size_t>(rejection)];
+    }
+    return counts;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/RoomPlanner.cpp
@@ -0,0 +1,129 @@
+#include <LibDecision/RoomPlanner.h>
+#include <algorithm>
+
+namespace Bergamot {
+
+RoomPlanner::RoomPlanner(const SchedulerState& state, const RunTimeEstimator& estimator)
+    : m_state(state)
+    , m_estimator(estimator)
+{
+}
+
+bool RoomPlanner::isCandidate(const JobRecord& job, WorkerIndex index, Instant now) const
+{
+    const auto& worker = m_state.workers[index];
+    return m_state.isAvailable(worker) && !worker.probation && worker.coolUntil <= now
+        && job.view.size.fitsIn(worker.view.capacity) && std::ranges::find(job.failedOn, index) == job.failedOn.end();
+}
+
+Instant RoomPlanner::expectedEnd(const JobRecord& job, Instant now) const
+{
+    if (job.view.isService)
+        return Instant::max();
+    auto run = m_estimator.estimate(job.kind, job.view.runMs);
+    auto end = job.placedAt + run * (1000 - job.savedMilli) / 1000;
+    // A task that has outlived its estimate is expected to run for another quarter of what it has run so far.
+    return end > now ? end : now + (now - job.placedAt) / 4 + Milliseconds { 1'000 };
+}
+
+static Resources heldByOthers(const WorkerRecord& worker, JobIndex job)
+{
+    Resources held;
+    for (const auto& hold : worker.holds) {
+        if (hold.job != job)
+            held = held + hold.size;
+    }
+    return held;
+}
+
+std::optional<RoomPlanner::Plan> RoomPlanner::evictionOn(
+    const PlacementQuery& query, WorkerIndex index, double& cost) const
+{
+    const auto& job = m_state.jobs[query.job];
+    const auto& worker = m_state.workers[index];
+    auto needed = job.view.size + heldByOthers(worker, query.job);
+    auto room = worker.free();
+    std::vector<std::pair<double, JobIndex>> victims;
+    for (auto task : worker.tasks) {
+        const auto& other = m_state.jobs[task];
+        // Room that other evictions are about to free counts, because it is held by nobody else.
+        if (other.evicting || other.state == JobState::Revoking) {
+            room = room + other.view.size;
+            continue;
+        }
+        if (other.state != JobState::Placed || other.view.urgent || other.view.isService
+            || !m_state.yields(other.kind, job.kind)
+            || (other.lastEvictReason == EvictReason::Urgent
+                && query.now - other.lastEvictAt < Milliseconds { 600'000 }))
+            continue;
+        double work = static_cast<double>(other.view.size.cpuMillis)
+            * std::chrono::duration<double>(query.now - other.placedAt).count();
+        victims.emplace_back(work, task);
+    }
+    std::ranges::sort(victims);
+    Plan plan { .worker = index, .readyAt = query.now };
+    for (const auto& [work, task] : victims) {
+        if (needed.fitsIn(room))
+            break;
+        room = room + m_state.jobs[task].view.size;
+        // Each eviction costs about a minute of a core besides the work at stake.
+        cost += work + 60'000;
+        plan.victims.push_back(task);
+    }
+    if (!needed.fitsIn(room))
+        return {};
+    return plan;
+}
+
+std::optional<RoomPlanner::Plan> RoomPlanner::byEviction(const PlacementQuery& query) const
+{
+    std::optional<Plan> best;
+    double bestCost = 0;
+    for (WorkerIndex index = 0; index < m_state.workers.size(); ++index) {
+        if (!isCandidate(m_state.jobs[query.job], index, query.now))
+            continue;
+        double cost = 0;
+        auto plan = evictionOn(query, index, cost);
+        if (plan && (!best || cost < bestCost)) {
+            best = std::move(plan);
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<Instant> RoomPlanner::waitOn(const PlacementQuery& query, const WorkerRecord& worker) const
+{
+    auto needed = m_state.jobs[query.job].view.size + heldByOthers(worker, query.job);
+    auto room = worker.free();
+    if (needed.fitsIn(room))
+        return query.now;
+    std::vector<std::pair<Instant, JobIndex>> ends;
+    for (auto task : worker.tasks) {
+        auto end = expectedEnd(m_state.jobs[task], query.now);
+        if (end != Instant::max())
+            ends.emplace_back(end, task);
+    }
+    std::ranges::sort(ends);
+    for (const auto& [end, task] : ends) {
+        room = room + m_state.jobs[task].view.size;
+        if (needed.fitsIn(room))
+            return end;
+    }
+    return {};
+}
+
+std::optional<RoomPlanner::Plan> RoomPlanner::byWaiting(const PlacementQuery& query) const
+{
+    std::optional<Plan> best;
+    for (WorkerIndex index = 0; index < m_state.workers.size(); ++index) {
+        if (!isCandidate(m_state.jobs[query.job], index, query.now))
+            continue;
+        auto ready = waitOn(query, m_state.workers[index]);
+        if (ready && (!best || *ready < best->readyAt))
+            best = Plan { .worker = index, .readyAt = *ready };
+    }
+    return best;
+}
+
+}
--- a/Libraries/LibDecision/SchedulerOptions.h
+++ b/Libraries/LibDecision/SchedulerOptions.h
@@ -6,7 +6,7 @@
 
 namespace Bergamot {
 
-/// Settings of the batch scheduler. The boolean switches exist for ablations in the benchmark.
+/// Settings of the batch scheduler. The boolean switches exist for baselines and ablations in the benchmark.
 struct SchedulerOptions {
     uint64_t seed { 1 };
     size_t maxPlacementsPerTick { 64 };
@@ -15,6 +15,39 @@
     Milliseconds reportLag { 10'000 };
     /// An eviction that has not been confirmed by taskRevoking() is decided again after this time.
     Milliseconds decisionRetry { 3'000 };
+    /// An eviction that has not ended after this time is repeated without a checkpoint.
+    Milliseconds stopAfter { 20'000 };
+    /// The same for an eviction that makes room for an urgent job, which must start within 7.1 s.
+    Milliseconds urgentStopAfter { 4'000 };
+    /// Rise of a service's latency that placement may cause, as a ratio.
+    double latencyBudget { 0.08 };
+    /// Rise of a service's latency at which tasks that yield to it are throttled or evicted.
+    double latencyLimit { 0.10 };
+    /// No task is evicted twice for the same cause within this time.
+    Milliseconds evictionRepeat { 1'800'000 };
+    /// Evictions for interference, use above declaration and reservations, per worker and hour.
+    double evictionsPerWorkerHour { 4.0 };
+    /// A job that has waited this long for room gets a reservation.
+    Milliseconds reserveAfter { 20'000 };
+    size_t maxReservations { 16 };
+    /// Restarts of lost tasks each second while many are lost at once.
+    double recoveryRate { 25.0 };
+
+    bool firstFit { false };
+    bool sharesHosts { true };
+    bool avoidsInterference { true };
+    bool reactsToLatency { true };
+    bool throttlesFirst { true };
+    bool learnsUse { true };
+    bool watchesUse { true };
+    bool spreadsServices { true };
+    bool keepsAccelerators { true };
+    bool reserves { true };
+    bool learnsRunTimes { true };
+    bool quarantines { true };
+    bool pacesRecovery { true };
+    bool refillsGradually { true };
+    bool ordersZoneEvictions { true };
 
     bool operator==(const SchedulerOptions&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibDecision/SchedulerState.cpp
@@ -0,0 +1,217 @@
+#include <LibCore/Verify.h>
+#include <LibDecision/SchedulerState.h>
+#include <algorithm>
+
+namespace Bergamot {
+
+// A composition is kept this many changes back; reports older than that are not matched to one.
+static constexpr size_t maxCompositions = 16;
+static constexpr Milliseconds compositionStep { 1'000 };
+
+KindIndex SchedulerState::internKind(const std::string& name)
+{
+    auto index = kindIds.find(name);
+    if (index == noIndex) {
+        index = static_cast<uint32_t>(kinds.size());
+        kindIds.insert(name, index);
+        kinds.emplace_back().view.name = name;
+    }
+    return static_cast<KindIndex>(index);
+}
+
+ZoneIndex SchedulerState::internZone(const ZoneId& id)
+{
+    auto index = zoneIds.find(id);
+    if (index == noIndex) {
+        index = static_cast<uint32_t>(zones.size());
+        zoneIds.insert(id, index);
+        zones.push_back({ .id = id });
+    }
+    return static_cast<ZoneIndex>(index);
+}
+
+RackIndex SchedulerState::internRack(const ZoneId& zone, const std::string& rack)
+{
+    auto key = zone + '/' + rack;
+    auto index = rackIds.find(key);
+    if (index == noIndex) {
+        index = static_cast<uint32_t>(rackIds.size());
+        rackIds.insert(key, index);
+    }
+    return static_cast<RackIndex>(index);
+}
+
+JobIndex SchedulerState::addJob(JobRecord job)
+{
+    JobIndex index = 0;
+    if (m_freeJobs.empty()) {
+        index = static_cast<JobIndex>(jobs.size());
+        jobs.emplace_back();
+    } else {
+        index = m_freeJobs.back();
+        m_freeJobs.pop_back();
+    }
+    jobIds.insert(job.view.id, index);
+    jobs[index] = std::move(job);
+    return index;
+}
+
+void SchedulerState::removeJob(JobIndex index)
+{
+    VERIFY(!jobs[index].isCommitted());
+    dropHold(index);
+    jobIds.erase(jobs[index].view.id);
+    jobs[index] = {};
+    m_freeJobs.push_back(index);
+}
+
+static void adjustCount(std::vector<uint32_t>& counts, size_t index, int32_t change)
+{
+    if (counts.size() <= index)
+        counts.resize(index + 1);
+    counts[index] += change;
+}
+
+void SchedulerState::countService(const JobRecord& job, WorkerRecord& worker, int32_t change)
+{
+    auto& kind = kinds[job.kind];
+    adjustCount(kind.tasksByZone, worker.zone, change);
+    adjustCount(kind.tasksByRack, worker.rack, change);
+    kind.tasks += change;
+    auto it = std::ranges::find(worker.services, job.kind, &ServiceWatch::kind);
+    if (it == worker.services.end())
+        it = worker.services.insert(it, { .kind = job.kind });
+    it->tasks += change;
+    if (it->tasks == 0)
+        worker.services.erase(it);
+}
+
+void SchedulerState::commit(JobIndex index, WorkerIndex workerIndex, Instant now)
+{
+    auto& job = jobs[index];
+    auto& worker = workers[workerIndex];
+    dropHold(index);
+    VERIFY(job.worker == noIndex);
+    VERIFY((worker.committed + job.view.size).fitsIn(worker.view.capacity));
+    worker.committed = worker.committed + job.view.size;
+    teams[job.team].committed = teams[job.team].committed + job.view.size;
+    worker.tasks.push_back(index);
+    job.worker = workerIndex;
+    job.used = {};
+    job.throttlePercent = job.wantedPercent = 100;
+    job.overUseReports = 0;
+    auto it = std::ranges::find(worker.kinds, job.kind, &KindLoad::kind);
+    if (it == worker.kinds.end())
+        it = worker.kinds.insert(it, { .kind = job.kind });
+    ++it->tasks;
+    job.expectedCpu = 0;
+    setExpectedCpu(job, static_cast<double>(job.view.size.cpuMillis) * kinds[job.kind].cpuUseRatio);
+    if (job.view.isService)
+        countService(job, worker, 1);
+    noteComposition(worker, now);
+}
+
+void SchedulerState::release(JobIndex index, Instant now)
+{
+    auto& job = jobs[index];
+    auto& worker = workers[job.worker];
+    worker.committed = worker.committed - job.view.size;
+    teams[job.team].committed = teams[job.team].committed - job.view.size;
+    std::erase(worker.tasks, index);
+    if (worker.probationJob == index)
+        worker.probationJob = noIndex;
+    auto it = std::ranges::find(worker.kinds, job.kind, &KindLoad::kind);
+    setExpectedCpu(job, 0);
+    if (--it->tasks == 0)
+        worker.kinds.erase(it);
+    if (job.view.isService)
+        countService(job, worker, -1);
+    job.worker = noIndex;
+    job.evicting.reset();
+    noteComposition(worker, now);
+}
+
+void SchedulerState::dropHold(JobIndex index)
+{
+    auto& job = jobs[index];
+    if (job.reservedWorker == noIndex)
+        return;
+    std::erase_if(workers[job.reservedWorker].holds, [&](const auto& hold) { return hold.job == index; });
+    job.reservedWorker = noIndex;
+}
+
+void SchedulerState::addHold(WorkerIndex worker, Hold hold)
+{
+    dropHold(hold.job);
+    jobs[hold.job].reservedWorker = worker;
+    workers[worker].holds.push_back(hold);
+}
+
+bool SchedulerState::yields(KindIndex kind, KindIndex other) const
+{
+    return std::ranges::find(kinds[kind].yieldsTo, other) != kinds[kind].yieldsTo.end();
+}
+
+bool SchedulerState::isAvailable(const WorkerRecord& worker) const
+{
+    return worker.present && worker.view.state == WorkerState::Live && !worker.quarantined && !zones[worker.zone].out;
+}
+
+void SchedulerState::setExpectedCpu(JobRecord& job, double cpuMillis)
+{
+    auto& worker = workers[job.worker];
+    auto it = std::ranges::find(worker.kinds, job.kind, &KindLoad::kind);
+    it->cpuMillis += cpuMillis - job.expectedCpu;
+    worker.expectedCpu += cpuMillis - job.expectedCpu;
+    job.expectedCpu = cpuMillis;
+}
+
+std::vector<Neighbour> SchedulerState::neighboursOf(const WorkerRecord& worker)
+{
+    std::vector<Neighbour> neighbours;
+    neighbours.reserve(worker.kinds.size());
+    auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+    for (const auto& load : worker.kinds)
+        neighbours.push_back({ .kind = load.kind, .share = load.cpuMillis / capacity });
+    return neighbours;
+}
+
+void SchedulerState::noteComposition(WorkerRecord& worker, Instant now)
+{
+    auto& history = worker.history;
+    if (!history.empty() && now - history.back().since < compositionStep) {
+        history.back().neighbours = neighboursOf(worker);
+        return;
+    }
+    history.push_back({ .since = now, .neighbours = neighboursOf(worker) });
+    if (history.size() > maxCompositions)
+        history.pop_front();
+}
+
+const std::vector<Neighbour>* SchedulerState::compositionAt(const WorkerRecord& worker, Instant time)
+{
+    for (auto it = worker.history.rbegin(); it != worker.history.rend(); ++it) {
+        if (it->since <= time)
+            return &it->neighbours;
+    }
+    return nullptr;
+}
+
+size_t SchedulerState::stateBytes() const
+{
+    // An entry of an id table is a node with key, value, hash and next pointer, and a bucket.
+    constexpr size_t idEntryBytes = 72;
+    size_t bytes = jobs.capacity() * sizeof(JobRecord) + workers.capacity() * sizeof(WorkerRecord)
+        + (jobIds.size() + workerIds.size()) * idEntryBytes;
+    for (const auto& job : jobs)
+        bytes += job.view.id.capacity() + job.failure.capacity() + job.failedOn.capacity() * sizeof(WorkerIndex);
+    for (const auto& worker : workers) {
+        bytes += worker.tasks.capacity() * sizeof(JobIndex) + worker.kinds.capacity() * sizeof(KindLoad)
+            + worker.services.capacity() * sizeof(ServiceWatch) + worker.holds.capacity() * sizeof(Hold) + 512;
+        for (const auto& composition : worker.history)
+            bytes += sizeof(Composition) + composition.neighbours.capacity() * sizeof(Neighbour);
+    }
+    return bytes;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/SchedulerState.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibDecision/IdTable.h>
+#include <LibDecision/JobRecord.h>
+#include <LibDecision/KindView.h>
+#include <LibDecision/TeamView.h>
+#include <LibDecision/WorkerRecord.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Bergamot {
+
+struct KindRecord {
+    KindView view {};
+    bool defined { false };
+    std::vector<KindIndex> yieldsTo {};
+    /// Measured use as a ratio to the declared size, smoothed.
+    double cpuUseRatio { 1.0 };
+    /// Running tasks of a service kind, by zone and by rack.
+    std::vector<uint32_t> tasksByZone {};
+    std::vector<uint32_t> tasksByRack {};
+    uint32_t tasks { 0 };
+};
+
+struct ZoneRecord {
+    ZoneId id {};
+    bool out { false };
+    Instant changedAt {};
+};
+
+struct TeamRecord {
+    TeamView view {};
+    Resources committed {};
+};
+
+/// Workers, jobs, kinds, teams and zones, with the commitments that tie them together. The policies read it; the batch
+/// scheduler changes it.
+class SchedulerState {
+public:
+    std::vector<WorkerRecord> workers;
+    std::vector<JobRecord> jobs;
+    std::vector<KindRecord> kinds;
+    std::vector<TeamRecord> teams;
+    std::vector<ZoneRecord> zones;
+    IdTable workerIds;
+    IdTable jobIds;
+    IdTable kindIds;
+    IdTable teamIds;
+    IdTable zoneIds;
+    IdTable rackIds;
+    /// Capacity of the workers present.
+    Resources total {};
+
+    KindIndex internKind(const std::string& name);
+    ZoneIndex internZone(const ZoneId&);
+    RackIndex internRack(const ZoneId&, const std::string& rack);
+    JobIndex addJob(JobRecord);
+    void removeJob(JobIndex);
+
+    /// Holds the job's size on the worker. The caller has checked that it fits.
+    void commit(JobIndex, WorkerIndex, Instant now);
+    void release(JobIndex, Instant now);
+    void dropHold(JobIndex);
+    void addHold(WorkerIndex, Hold);
+
+    /// True when tasks of `kind` may be throttled or evicted for tasks of `other`.
+    bool yields(KindIndex kind, KindIndex other) const;
+    bool isAvailable(const WorkerRecord&) const;
+    /// Sets the processors that a committed job is expected to use, in thousandths of a core.
+    void setExpectedCpu(JobRecord&, double cpuMillis);
+    static std::vector<Neighbour> neighboursOf(const WorkerRecord&);
+    static void noteComposition(WorkerRecord&, Instant now);
+    /// The tasks that ran on the worker at `time`.
+    static const std::vector<Neighbour>* compositionAt(const WorkerRecord&, Instant time);
+    size_t stateBytes() const;
+
+private:
+    void countService(const JobRecord&, WorkerRecord&, int32_t change);
+
+    std::vector<JobIndex> m_freeJobs;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/ZonePolicy.cpp
@@ -0,0 +1,55 @@
+#include <LibDecision/ZonePolicy.h>
+#include <algorithm>
+
+namespace Bergamot {
+
+// Starts per worker and second at the beginning of a refill; the pace grows by the same amount each refillStep. A start
+// costs the host processor time that its services feel.
+static constexpr double refillStartsPerWorker = 0.2;
+static constexpr double refillStepSeconds = 10.0;
+static constexpr Milliseconds refillTime { 60'000 };
+
+void ZonePolicy::zoneChanged(ZoneIndex zone, bool out, Instant now)
+{
+    if (m_refills.size() <= zone)
+        m_refills.resize(zone + 1);
+    m_refills[zone] = { .active = !out, .since = now };
+}
+
+bool ZonePolicy::mayPlace(ZoneIndex zone, size_t workersInZone, Instant now) const
+{
+    if (!m_refillsGradually || zone >= m_refills.size() || !m_refills[zone].active)
+        return true;
+    const auto& refill = m_refills[zone];
+    if (now - refill.since >= refillTime)
+        return true;
+    double seconds = std::chrono::duration<double>(now - refill.since).count();
+    double allowed = static_cast<double>(workersInZone) * refillStartsPerWorker
+        * (seconds + seconds * seconds / (2 * refillStepSeconds));
+    return static_cast<double>(refill.placed) < allowed + 1;
+}
+
+void ZonePolicy::placed(ZoneIndex zone)
+{
+    if (zone < m_refills.size())
+        ++m_refills[zone].placed;
+}
+
+// Processor time since the last checkpoint, in core milliseconds.
+static double unsavedWork(const JobRecord& job, Instant now)
+{
+    if (job.view.isService)
+        return -1;
+    double elapsed = std::chrono::duration<double, std::milli>(now - job.placedAt).count();
+    return elapsed * static_cast<double>(job.view.size.cpuMillis);
+}
+
+void ZonePolicy::sortForEviction(const SchedulerState& state, std::vector<JobIndex>& tasks, Instant now) const
+{
+    if (!m_ordersEvictions)
+        return;
+    std::ranges::stable_sort(
+        tasks, std::greater {}, [&](JobIndex index) { return unsavedWork(state.jobs[index], now); });
+}
+
+}
