--- a/Libraries/LibDecision/BatchSchedulerImpl.cpp
+++ b/Libraries/LibDecision/BatchSchedulerImpl.cpp
@@ -269,6 +269,7 @@
 void BatchScheduler::Impl::forget(JobIndex index)
 {
     dequeue(index);
+    std::erase(m_held, index);
     if (m_state.jobs[index].failures > 0)
         m_judge.clearBlame(index);
     m_state.removeJob(index);
--- a/Libraries/LibDecision/BatchSchedulerImpl.h
+++ b/Libraries/LibDecision/BatchSchedulerImpl.h
@@ -117,6 +117,7 @@
     size_t m_placements { 0 };
     size_t m_evictions { 0 };
     size_t m_failedAttempts { 0 };
+    size_t m_plans { 0 };
 };
 
 }
--- a/Libraries/LibDecision/BatchSchedulerTick.cpp
+++ b/Libraries/LibDecision/BatchSchedulerTick.cpp
@@ -15,6 +15,8 @@
 static constexpr Milliseconds serviceMoveTime { 120'000 };
 // Services moved at once are a bounded part of their kind, so that the others carry the load.
 static constexpr double serviceMoveShare = 0.1;
+// Searches for a reservation, per tick. Each looks at all tasks.
+static constexpr size_t maxPlans = 1;
 static constexpr Milliseconds firmHoldTime { 30'000 };
 // A reservation whose estimate has passed by this time makes room by eviction.
 static constexpr Milliseconds reservationGrace { 30'000 };
@@ -28,7 +30,7 @@
     m_decisions = std::move(m_pendingDecisions);
     m_pendingDecisions.clear();
     m_failedShapes.clear();
-    m_placements = m_evictions = m_failedAttempts = 0;
+    m_placements = m_evictions = m_failedAttempts = m_plans = 0;
     m_evictionPolicy.refillBudget(m_state.workerIds.size(), now);
     runTimers();
     releaseQuarantines();
@@ -328,8 +330,9 @@
         return m_state.jobs[held].reservedWorker == noIndex || m_state.jobs[held].state != JobState::Pending;
     });
     if (!m_options.reserves || job.reservedWorker != noIndex || m_held.size() >= m_options.maxReservations
-        || m_now - job.submittedAt < m_options.reserveAfter)
+        || m_now - job.submittedAt < m_options.reserveAfter || m_plans >= maxPlans)
         return;
+    ++m_plans;
     auto plan = m_roomPlanner.byWaiting(queryFor(index));
     // Room that exists already is not lacking; the job is refused there for other reasons.
     if (!plan || plan->readyAt <= m_now)
--- /dev/null
+++ b/Utilities/bergamot-bench/main.cpp
@@ -0,0 +1,45 @@
+#include "DecisionBench.h"
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <stdexcept>
+
+static constexpr const char* usage = R"(Decision benchmark. Prints JSON lines, one measurement a line.
+
+Usage:
+  bergamot-bench [--seed N] [--only NAME]
+
+Options:
+  --seed N     Seed of workload and faults [default: 1].
+  --only NAME  One of riga, sofia, design, ablation. All but the ablation run by default.
+)";
+
+int main(int argc, char** argv)
+{
+    using namespace Bergamot;
+    auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
+    uint64_t seed = 0;
+    try {
+        seed = std::stoull(arguments["--seed"].asString());
+    } catch (const std::logic_error&) {
+        std::fprintf(stderr, "event=bad_argument name=seed\n");
+        return 2;
+    }
+    DecisionBench bench { seed };
+    auto only = arguments["--only"] ? arguments["--only"].asString() : "";
+    bool known = only.empty();
+    for (const auto& size : { Workload::riga(), Workload::sofia(), Workload::design() }) {
+        if (only.empty() || only == size.name) {
+            known = true;
+            bench.compare(size);
+        }
+    }
+    if (only == "ablation") {
+        known = true;
+        bench.ablate(Workload::riga());
+    }
+    if (!known) {
+        std::fprintf(stderr, "event=bad_argument name=only\n");
+        return 2;
+    }
+    return 0;
+}
