Tell failing kinds from failing workers and shrink job records

Cause: with 30 workers failing at once, the kinds they ran became suspect, so the workers were not quarantined and 21 good jobs were given up. Job records held copies of kind and team names. Change: a worker on which several kinds fail is blamed whatever the kinds' history, its failures do not count against kinds, and refunds also lower the count of failures. Names of kind and team are interned only.

--- a/Libraries/LibDecision/BatchSchedulerImpl.cpp
+++ b/Libraries/LibDecision/BatchSchedulerImpl.cpp
@@ -201,12 +201,17 @@
     if (m_state.kinds[kind].view.isService != view.isService)
         return absl::InvalidArgumentError(
             fmt::format("job '{}' and kind '{}' differ in being a service", view.id, view.kind));
-    JobRecord job { .view = view, .state = JobState::Pending };
+    JobRecord job { .view = { .id = view.id,
+                        .size = view.size,
+                        .runMs = view.runMs,
+                        .deadline = view.deadline,
+                        .priority = view.priority,
+                        .urgent = view.urgent,
+                        .isService = view.isService },
+        .state = JobState::Pending };
     job.kind = static_cast<KindIndex>(kind);
     job.team = static_cast<TeamIndex>(team);
     job.submittedAt = m_now;
-    job.view.kind.clear();
-    job.view.team.clear();
     auto index = m_state.addJob(std::move(job));
     enqueue(index);
     return absl::OkStatus();
@@ -443,8 +448,11 @@
         job.failedOn.push_back(worker);
     if (m_options.quarantines) {
         auto verdict = m_judge.recordFailure(worker, job.kind, index, m_now);
-        for (auto refunded : verdict.refunded)
-            std::erase(m_state.jobs[refunded].failedOn, worker);
+        for (auto refunded : verdict.refunded) {
+            auto& other = m_state.jobs[refunded];
+            if (std::erase(other.failedOn, worker) > 0 && other.failures > 0)
+                --other.failures;
+        }
         if (verdict.quarantine) {
             m_state.workers[worker].quarantined = true;
             m_state.workers[worker].probation = false;
--- a/Libraries/LibDecision/EvictionPolicy.cpp
+++ b/Libraries/LibDecision/EvictionPolicy.cpp
@@ -73,8 +73,8 @@
         const auto& job = state.jobs[index];
         if (job.state != JobState::Placed || job.view.isService || job.evicting || !state.yields(job.kind, watch.kind))
             continue;
-        auto estimate
-            = m_estimator.pair(watch.kind, { .kind = job.kind, .share = job.expectedCpu / capacity }, watch.load);
+        auto estimate = m_estimator.pair(
+            watch.kind, { .kind = job.kind, .share = static_cast<float>(job.expectedCpu / capacity) }, watch.load);
         candidates.push_back({ .job = index, .rise = estimate.mean + 0.5 * estimate.deviation });
     }
     std::ranges::stable_sort(candidates, std::greater {}, &Candidate::rise);
@@ -134,8 +134,8 @@
             continue;
         auto step = job.throttlePercent < throttleSteps[0] ? throttleSteps[0] : 100;
         double growth = static_cast<double>(step) / job.throttlePercent - 1.0;
-        auto rise = m_estimator.pair(
-            watch.kind, { .kind = job.kind, .share = job.expectedCpu * growth / capacity }, watch.load);
+        auto rise = m_estimator.pair(watch.kind,
+            { .kind = job.kind, .share = static_cast<float>(job.expectedCpu * growth / capacity) }, watch.load);
         if (rise.mean > room)
             continue;
         actions.push_back({ .job = index, .percent = step });
--- a/Libraries/LibDecision/FailureJudge.cpp
+++ b/Libraries/LibDecision/FailureJudge.cpp
@@ -62,18 +62,30 @@
     }
 }
 
+bool FailureJudge::failsSeveralKinds(const WorkerHistory& history)
+{
+    return std::ranges::any_of(
+        history.failedInRow, [&](const Blame& blame) { return blame.kind != history.failedInRow.front().kind; });
+}
+
 FailureJudge::Verdict FailureJudge::recordFailure(WorkerIndex worker, KindIndex kind, JobIndex job, Instant now)
 {
-    record(kind, { .worker = worker, .failed = true });
     auto& history = historyOf(worker);
     if (history.quarantined)
         return {};
-    if (!isKindSuspect(kind) && std::ranges::find(history.failedInRow, job) == history.failedInRow.end())
-        history.failedInRow.push_back(job);
+    if (std::ranges::find(history.failedInRow, job, &Blame::job) == history.failedInRow.end())
+        history.failedInRow.push_back({ job, kind });
+    bool severalKinds = failsSeveralKinds(history);
+    if (!severalKinds)
+        record(kind, { .worker = worker, .failed = true });
+    if (!severalKinds && isKindSuspect(kind))
+        return {};
     auto needed = history.probation ? 1 : failuresForQuarantine;
     if (history.failedInRow.size() < needed)
         return {};
-    Verdict verdict { .quarantine = true, .refunded = std::move(history.failedInRow) };
+    Verdict verdict { .quarantine = true };
+    for (const auto& blame : history.failedInRow)
+        verdict.refunded.push_back(blame.job);
     history.failedInRow.clear();
     history.quarantined = true;
     history.delay = history.delay.count() == 0 ? firstProbeDelay : std::min(maxProbeDelay, history.delay * 2);
@@ -104,7 +116,7 @@
 void FailureJudge::clearBlame(JobIndex job)
 {
     for (auto& history : m_workers)
-        std::erase(history.failedInRow, job);
+        std::erase_if(history.failedInRow, [&](const Blame& blame) { return blame.job == job; });
 }
 
 }
--- a/Libraries/LibDecision/FailureJudge.h
+++ b/Libraries/LibDecision/FailureJudge.h
@@ -12,7 +12,8 @@
 ///
 /// A worker on which several distinct jobs fail in a row without a success is quarantined. It is released for a probe
 /// of one task after a delay that doubles with each failed probe. A kind that fails on many workers is taken to be at
-/// fault itself, and its failures do not count against workers.
+/// fault itself: alone it does not put a worker in quarantine. A worker on which several kinds fail does not make them
+/// suspect.
 class FailureJudge {
 public:
     /// What a failure means. `refunded` are the jobs whose failures on the worker were the worker's fault.
@@ -33,8 +34,12 @@
     bool isKindSuspect(KindIndex) const;
 
 private:
+    struct Blame {
+        JobIndex job { noIndex };
+        KindIndex kind { 0 };
+    };
     struct WorkerHistory {
-        std::vector<JobIndex> failedInRow {};
+        std::vector<Blame> failedInRow {};
         bool quarantined { false };
         bool probation { false };
         Instant releaseAt {};
@@ -51,6 +56,7 @@
 
     void record(KindIndex, Outcome);
     WorkerHistory& historyOf(WorkerIndex);
+    static bool failsSeveralKinds(const WorkerHistory&);
 
     std::vector<WorkerHistory> m_workers;
     std::vector<KindHistory> m_kinds;
--- a/Libraries/LibDecision/InterferenceModel.cpp
+++ b/Libraries/LibDecision/InterferenceModel.cpp
@@ -5,7 +5,7 @@
 namespace Bergamot {
 
 // A share below this tells nothing about the pair and is left out of the update.
-static constexpr double minShare = 0.002;
+static constexpr float minShare = 0.002f;
 // Errors beyond this many standard deviations are clipped, so that one wild report can't move an estimate far.
 static constexpr double clipDeviations = 3.0;
 static constexpr double surpriseDeviations = 2.0;
@@ -20,7 +20,7 @@
     auto& cell = byNeighbour[neighbour][level];
     auto prior = static_cast<float>(m_options.priorDeviation * m_options.priorDeviation);
     if (cell.samples == 0) {
-        auto start = pair(victim, { .kind = neighbour, .share = 1.0 }, level == 0 ? 0.2 : level == 1 ? 0.6 : 0.9);
+        auto start = pair(victim, { .kind = neighbour, .share = 1.0f }, level == 0 ? 0.2 : level == 1 ? 0.6 : 0.9);
         cell = { .mean = static_cast<float>(start.mean),
             .variance = static_cast<float>(start.deviation * start.deviation),
             .updatedAt = now };
--- a/Libraries/LibDecision/JobRecord.h
+++ b/Libraries/LibDecision/JobRecord.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <LibCore/Ids.h>
+#include <LibCore/Resources.h>
 #include <LibCore/Time.h>
 #include <LibDecision/Decision.h>
-#include <LibDecision/JobView.h>
 #include <LibDecision/SchedulerTypes.h>
 #include <cstdint>
 #include <optional>
@@ -13,9 +14,20 @@
 
 enum class JobState : uint8_t { Free, Pending, Decided, Placed, Revoking, Failed };
 
-/// A job as the scheduler holds it. Ids of kind and team are interned; `view.kind` and `view.team` stay empty.
+/// What the caller declared, without kind and team, which are interned.
+struct JobDeclaration {
+    JobId id {};
+    Resources size {};
+    int64_t runMs { 0 };
+    std::optional<Instant> deadline {};
+    int32_t priority { 0 };
+    bool urgent { false };
+    bool isService { false };
+};
+
+/// A job as the scheduler holds it.
 struct JobRecord {
-    JobView view {};
+    JobDeclaration view {};
     JobState state { JobState::Free };
     KindIndex kind { 0 };
     TeamIndex team { 0 };
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -78,12 +78,14 @@
     double capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
     double load = std::max(watch.load, watch.peakLoad);
     Neighbour added { .kind = job.kind,
-        .share = static_cast<double>(job.view.size.cpuMillis) * m_state.kinds[job.kind].cpuUseRatio / capacity };
+        .share = static_cast<float>(
+            static_cast<double>(job.view.size.cpuMillis) * m_state.kinds[job.kind].cpuUseRatio / capacity) };
     auto own = m_estimator.pair(watch.kind, added, load);
     double mean = own.mean;
     double variance = own.deviation * own.deviation;
     for (const auto& kind : worker.kinds) {
-        auto other = m_estimator.pair(watch.kind, { .kind = kind.kind, .share = kind.cpuMillis / capacity }, load);
+        auto other = m_estimator.pair(
+            watch.kind, { .kind = kind.kind, .share = static_cast<float>(kind.cpuMillis / capacity) }, load);
         mean += other.mean;
         variance += other.deviation * other.deviation;
     }
@@ -108,8 +110,10 @@
         total.acceptable = true;
         double capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
         for (const auto& kind : worker.kinds)
-            total.rise
-                += m_estimator.pair(job.kind, { .kind = kind.kind, .share = kind.cpuMillis / capacity }, 0.6).mean;
+            total.rise += m_estimator
+                              .pair(job.kind,
+                                  { .kind = kind.kind, .share = static_cast<float>(kind.cpuMillis / capacity) }, 0.6)
+                              .mean;
     }
     return total;
 }
--- a/Libraries/LibDecision/SchedulerState.cpp
+++ b/Libraries/LibDecision/SchedulerState.cpp
@@ -172,7 +172,7 @@
     neighbours.reserve(worker.kinds.size());
     auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
     for (const auto& load : worker.kinds)
-        neighbours.push_back({ .kind = load.kind, .share = load.cpuMillis / capacity });
+        neighbours.push_back({ .kind = load.kind, .share = static_cast<float>(load.cpuMillis / capacity) });
     return neighbours;
 }
 
@@ -201,7 +201,7 @@
 {
     // An entry of an id table is a node with key, value, hash and next pointer, and a bucket.
     constexpr size_t idEntryBytes = 72;
-    size_t bytes = jobs.capacity() * sizeof(JobRecord) + workers.capacity() * sizeof(WorkerRecord)
+    size_t bytes = jobs.size() * sizeof(JobRecord) + workers.capacity() * sizeof(WorkerRecord)
         + (jobIds.size() + workerIds.size()) * idEntryBytes;
     for (const auto& job : jobs)
         bytes += job.view.id.capacity() + job.failure.capacity() + job.failedOn.capacity() * sizeof(WorkerIndex);
--- a/Libraries/LibDecision/SchedulerState.h
+++ b/Libraries/LibDecision/SchedulerState.h
@@ -6,7 +6,7 @@
 #include <LibDecision/KindView.h>
 #include <LibDecision/TeamView.h>
 #include <LibDecision/WorkerRecord.h>
-#include <map>
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -40,7 +40,8 @@
 class SchedulerState {
 public:
     std::vector<WorkerRecord> workers;
-    std::vector<JobRecord> jobs;
+    /// Grows without moving or spare capacity; slots are used again.
+    std::deque<JobRecord> jobs;
     std::vector<KindRecord> kinds;
     std::vector<TeamRecord> teams;
     std::vector<ZoneRecord> zones;
--- a/Libraries/LibDecision/SchedulerTypes.h
+++ b/Libraries/LibDecision/SchedulerTypes.h
@@ -18,7 +18,7 @@
 /// Processors that tasks of one kind use on a host, as a share of the host's processors.
 struct Neighbour {
     KindIndex kind { 0 };
-    double share { 0 };
+    float share { 0 };
 
     bool operator==(const Neighbour&) const = default;
 };
