Load, check and encode the site configuration and the daemon's settings

Cause: operators write one base file and an overlay per site, and need every fault at once. The canonical JSON form is decoded with the same checks. TeamConfig::clients and JobKindConfig::teams limit who may submit; SiteConfig::maySubmit() evaluates them.

--- a/Libraries/LibConfig/Finding.h
+++ b/Libraries/LibConfig/Finding.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <string>
 
 namespace Bergamot {
@@ -12,7 +13,8 @@
     std::string message {};
 
     bool operator==(const Finding&) const = default;
-    auto operator<=>(const Finding&) const = default;
+    // clang-tidy 14 takes the comparison with 0 behind a defaulted operator for a null pointer.
+    auto operator<=>(const Finding&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 }
--- a/Libraries/LibConfig/JobKindConfig.h
+++ b/Libraries/LibConfig/JobKindConfig.h
@@ -20,6 +20,8 @@
     bool singleRun { false };
     /// Names of the services or job kinds for which an attempt may be evicted, sorted.
     std::vector<std::string> yieldsTo {};
+    /// Names of the teams that may submit this kind, sorted; empty means every team.
+    std::vector<std::string> teams {};
 
     bool operator==(const JobKindConfig&) const = default;
 };
--- a/Libraries/LibConfig/SiteConfig.h
+++ b/Libraries/LibConfig/SiteConfig.h
@@ -6,6 +6,7 @@
 #include <LibConfig/RegionConfig.h>
 #include <LibConfig/ServiceConfig.h>
 #include <LibConfig/TeamConfig.h>
+#include <algorithm>
 #include <string_view>
 #include <vector>
 
@@ -42,6 +43,19 @@
         return nullptr;
     }
 
+    /// True when the three exist and the kind and the team admit this submission.
+    bool maySubmit(std::string_view client, std::string_view team, std::string_view kind) const
+    {
+        const auto* teamConfig = findTeam(team);
+        const auto* kindConfig = findKind(kind);
+        if (!findClient(client) || !teamConfig || !kindConfig)
+            return false;
+        auto admits = [](const std::vector<std::string>& names, std::string_view name) {
+            return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
+        };
+        return admits(teamConfig->clients, client) && admits(kindConfig->teams, team);
+    }
+
 private:
     template <typename Entry> static const Entry* find(const std::vector<Entry>& entries, std::string_view name)
     {
--- /dev/null
+++ b/Libraries/LibConfig/SiteConfigTree.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibConfig/SiteConfig.h>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+
+namespace Bergamot {
+
+/// Builds the configuration from a tree that passed checkTree() and fillDefaults(). Entries with `enabled = false` are
+/// left out and their paths added to `disabled`.
+SiteConfig siteFromTree(const nlohmann::json& tree, std::set<std::string, std::less<>>& disabled);
+
+/// The tree with every key of the key table but `enabled`.
+nlohmann::json treeFromSite(const SiteConfig& config);
+
+}
--- a/Libraries/LibConfig/TeamConfig.h
+++ b/Libraries/LibConfig/TeamConfig.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <LibCore/Ids.h>
 #include <LibCore/Resources.h>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Bergamot {
 
@@ -15,6 +17,8 @@
     Resources quota {};
     /// The team may exceed its quota while other teams leave capacity unused.
     bool mayBorrow { true };
+    /// Names of the clients that may submit jobs for the team, sorted; empty means every client.
+    std::vector<ClientId> clients {};
 
     bool operator==(const TeamConfig&) const = default;
 };
--- /dev/null
+++ b/Tests/LibConfig/Files.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+namespace Bergamot {
+
+/// The text of a file of the repository, by its path below the root.
+inline std::string repositoryFile(const std::string& path)
+{
+    auto root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
+    std::ifstream file(root / path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+}
