Add the stand-ins of the log, the host list and the workers

Cause: the daemon needs a platform to run against, in tests and in demonstrations. Change: LibStandIn holds LogStore, WorkerModel, HostList and the fault switches with time as a parameter, and the checks of the promises P1 to P10 over the records of a run. Conclusion: each check is tested with records that violate its promise and with a clean run in which it examines something.

--- /dev/null
+++ b/Libraries/LibStandIn/HostState.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Bergamot {
+
+enum class HostState : uint8_t { Live, Leaving, Gone };
+
+}
--- /dev/null
+++ b/Libraries/LibStandIn/OperationChecks.cpp
@@ -0,0 +1,68 @@
+#include <LibStandIn/OperationChecks.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+
+namespace Bergamot {
+
+CheckResult checkPlannedStops(const RunRecords& records)
+{
+    CheckResult result { .promise = "P9" };
+    for (const auto& stop : records.stops) {
+        if (!stop.isPlanned)
+            continue;
+        for (const auto& request : records.requests) {
+            bool wasInProgress = request.sentMs <= stop.atMs && request.answeredMs >= stop.atMs;
+            if (request.entry != stop.entry || !wasInProgress)
+                continue;
+            ++result.examined;
+            if (request.error == "cut_off")
+                result.violations.push_back(fmt::format("request {} sent at {} was cut off by the stop of {} at {}",
+                    request.key, request.sentMs, stop.entry, stop.atMs));
+        }
+    }
+    return result;
+}
+
+static bool isStopped(const RunRecords& records, const ConfigSeenEvent& seen)
+{
+    return std::ranges::any_of(records.stops, [&](const auto& stop) {
+        return stop.entry == seen.entry && seen.atMs >= stop.atMs && seen.atMs <= stop.untilMs + configLimitMs;
+    });
+}
+
+static int64_t versionDueAt(const RunRecords& records, int64_t atMs)
+{
+    int64_t due = 0;
+    for (const auto& accepted : records.configsAccepted) {
+        if (accepted.atMs + configLimitMs < atMs)
+            due = std::max(due, accepted.version);
+    }
+    return due;
+}
+
+CheckResult checkConfiguration(const RunRecords& records)
+{
+    CheckResult result { .promise = "P10" };
+    auto samples = records.configsSeen;
+    std::ranges::stable_sort(samples, {}, &ConfigSeenEvent::atMs);
+    std::map<std::string, int64_t> highest;
+    for (const auto& seen : samples) {
+        // A version that was seen around a stop is not judged, but later ones are judged by it.
+        auto before = highest[seen.entry];
+        highest[seen.entry] = std::max(before, seen.version);
+        if (isStopped(records, seen))
+            continue;
+        ++result.examined;
+        auto due = versionDueAt(records, seen.atMs);
+        if (seen.version < due)
+            result.violations.push_back(
+                fmt::format("{} had version {} at {} although {} was due", seen.entry, seen.version, seen.atMs, due));
+        if (seen.version < before)
+            result.violations.push_back(
+                fmt::format("{} went back from version {} to {} at {}", seen.entry, before, seen.version, seen.atMs));
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStandIn/RequestChecks.cpp
@@ -0,0 +1,86 @@
+#include <LibStandIn/RequestChecks.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <string_view>
+#include <unordered_map>
+
+namespace Bergamot {
+
+using TriesByKey = std::unordered_map<std::string_view, std::vector<const SentRequest*>>;
+
+static TriesByKey triesByKey(const RunRecords& records)
+{
+    TriesByKey tries;
+    for (const auto& request : records.requests)
+        tries[request.key].push_back(&request);
+    return tries;
+}
+
+static bool isSuccess(const SentRequest& request) { return request.status >= 200 && request.status < 300; }
+
+CheckResult checkAnswers(const RunRecords& records)
+{
+    CheckResult result { .promise = "P5" };
+    std::unordered_map<std::string_view, int> executions;
+    for (const auto& execution : records.executions)
+        ++executions[execution.key];
+    for (const auto& request : records.requests) {
+        if (!isSuccess(request))
+            continue;
+        ++result.examined;
+        if (!request.isWhole || request.answerDigest != request.digest)
+            result.violations.push_back(fmt::format("request {} through {} got an answer with digest '{}' to '{}'{}",
+                request.key, request.entry, request.answerDigest, request.digest, request.isWhole ? "" : ", cut off"));
+        if (!executions.contains(request.key))
+            result.violations.push_back(fmt::format("request {} was answered and ran nowhere", request.key));
+    }
+    auto tries = triesByKey(records);
+    for (const auto& execution : records.executions) {
+        ++result.examined;
+        if (!tries.contains(execution.key))
+            result.violations.push_back(fmt::format("execution {} on {} with key '{}' belongs to no request",
+                execution.requestId, execution.worker, execution.key));
+    }
+    return result;
+}
+
+CheckResult checkRefusals(const RunRecords& records)
+{
+    CheckResult result { .promise = "P6" };
+    result.examined = std::ranges::count(records.requests, "no", &SentRequest::ran);
+    auto tries = triesByKey(records);
+    for (const auto& execution : records.executions) {
+        auto it = tries.find(execution.key);
+        if (it == tries.end())
+            continue;
+        bool isExplained = std::ranges::any_of(
+            it->second, [&](const auto* sent) { return sent->sentMs <= execution.startMs && sent->ran != "no"; });
+        if (!isExplained)
+            result.violations.push_back(
+                fmt::format("request {} ran on {} at {} although its caller was told that it did not", execution.key,
+                    execution.worker, execution.startMs));
+    }
+    return result;
+}
+
+CheckResult checkNonIdempotent(const RunRecords& records)
+{
+    CheckResult result { .promise = "P7" };
+    std::unordered_map<std::string_view, bool> nonIdempotent;
+    for (const auto& request : records.requests)
+        nonIdempotent[request.key] |= request.nonIdempotent;
+    std::unordered_map<std::string_view, int> executions;
+    for (const auto& execution : records.executions) {
+        auto it = nonIdempotent.find(execution.key);
+        if (execution.nonIdempotent || (it != nonIdempotent.end() && it->second))
+            ++executions[execution.key];
+    }
+    for (const auto& [key, count] : executions) {
+        ++result.examined;
+        if (count > 1)
+            result.violations.push_back(fmt::format("non-idempotent request {} ran {} times", key, count));
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStandIn/ServiceCall.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace Bergamot {
+
+/// A quick request as it reaches a worker.
+struct ServiceCall {
+    std::string service {};
+    std::string requestId {};
+    std::string key {};
+    bool nonIdempotent { false };
+    std::string digest {};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibStandIn/TimerQueue.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Bergamot {
+
+/// Runs tasks at given times on one thread of its own. Tasks that are not due at destruction are dropped.
+class TimerQueue {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+    using Task = std::function<void()>;
+
+    TimerQueue();
+    ~TimerQueue();
+    TimerQueue(const TimerQueue&) = delete;
+    TimerQueue& operator=(const TimerQueue&) = delete;
+
+    void schedule(TimePoint due, Task);
+    void scheduleAfter(std::chrono::microseconds, Task);
+
+private:
+    struct Entry {
+        TimePoint due;
+        uint64_t sequence;
+        Task task;
+    };
+
+    static bool isLater(const Entry&, const Entry&);
+    void run();
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<Entry> m_heap;
+    uint64_t m_sequence { 0 };
+    bool m_stopping { false };
+    std::thread m_thread;
+};
+
+}
