Throttle deeper before evicting and keep throttled room for the throttled

Cause: services suffer mostly when their load rises, which evictions can't help, since other hosts have the same load. New tasks also took the room that throttling had made, so the throttled ones were evicted next. Change: a third throttle step of 10%, no new neighbour for a service whose host has throttled tasks, and several tasks are relaxed at once while their predicted effect fits the budget.

--- a/Libraries/LibDecision/BatchSchedulerTick.cpp
+++ b/Libraries/LibDecision/BatchSchedulerTick.cpp
@@ -192,9 +192,8 @@
             continue;
         }
         auto& job = m_state.jobs[action.job];
-        m_state.setExpectedCpu(job, job.expectedCpu * action.percent / job.throttlePercent);
+        m_state.setThrottle(job, action.percent);
         SchedulerState::noteComposition(m_state.workers[job.worker], m_now);
-        job.throttlePercent = action.percent;
         job.throttledAt = m_now;
         m_decisions.emplace_back(ThrottleTask { job.view.id, action.percent });
     }
--- a/Libraries/LibDecision/EvictionPolicy.cpp
+++ b/Libraries/LibDecision/EvictionPolicy.cpp
@@ -1,5 +1,6 @@
 #include <LibDecision/EvictionPolicy.h>
 #include <algorithm>
+#include <array>
 
 namespace Bergamot {
 
@@ -9,7 +10,7 @@
 static constexpr double smoothing = 0.4;
 // Reports arrive this long after the lag at the latest, as workers are polled each 1 to 10 s.
 static constexpr Milliseconds reportPeriod { 5'000 };
-static constexpr int32_t throttleSteps[] = { 50, 25 };
+static constexpr std::array<int32_t, 3> throttleSteps { 50, 25, 10 };
 // Use above declaration is tolerated up to this ratio, which measurement noise reaches.
 static constexpr double overUseRatio = 1.3;
 static constexpr double overMemoryRatio = 1.2;
@@ -87,7 +88,7 @@
         return 0;
     for (auto step : throttleSteps) {
         double relief = rise * (1.0 - static_cast<double>(step) / job.throttlePercent);
-        if (step < job.throttlePercent && (relief >= missing || step == throttleSteps[1]))
+        if (step < job.throttlePercent && (relief >= missing || step == throttleSteps.back()))
             return step;
     }
     return 0;
@@ -123,6 +124,16 @@
     }
 }
 
+static int32_t nextStepUp(int32_t percent)
+{
+    int32_t next = 100;
+    for (auto step : throttleSteps) {
+        if (step > percent)
+            next = step;
+    }
+    return next;
+}
+
 void EvictionPolicy::relax(
     SchedulerState& state, WorkerRecord& worker, ServiceWatch& watch, Instant now, std::vector<Action>& actions)
 {
@@ -132,15 +143,15 @@
         auto& job = state.jobs[index];
         if (job.state != JobState::Placed || job.throttlePercent == 100 || job.evicting)
             continue;
-        auto step = job.throttlePercent < throttleSteps[0] ? throttleSteps[0] : 100;
+        auto step = nextStepUp(job.throttlePercent);
         double growth = static_cast<double>(step) / job.throttlePercent - 1.0;
         auto rise = m_estimator.pair(watch.kind,
             { .kind = job.kind, .share = static_cast<float>(job.expectedCpu * growth / capacity) }, watch.load);
         if (rise.mean > room)
             continue;
+        room -= rise.mean;
         actions.push_back({ .job = index, .percent = step });
         watch.actedAt = now;
-        return;
     }
 }
 
--- a/Libraries/LibDecision/JobRecord.h
+++ b/Libraries/LibDecision/JobRecord.h
@@ -45,7 +45,6 @@
     double expectedCpu { 0 };
     uint8_t overUseReports { 0 };
     int32_t throttlePercent { 100 };
-    int32_t wantedPercent { 100 };
     Instant throttledAt {};
     bool cancelled { false };
     bool recovering { false };
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -14,6 +14,8 @@
 // again.
 static constexpr double evictedBudgetShare = 0.5;
 
+static constexpr double negligibleRise = 0.003;
+
 Placement::Placement(const SchedulerState& state, const SlowdownEstimator& estimator, const ZonePolicy& zonePolicy,
     const SchedulerOptions& options)
     : m_state(state)
@@ -89,6 +91,9 @@
         mean += other.mean;
         variance += other.deviation * other.deviation;
     }
+    // Room that throttling has made belongs to the throttled tasks, not to new ones.
+    if (worker.throttledTasks > 0 && own.mean > negligibleRise)
+        return { .acceptable = false, .rise = own.mean };
     if (watch.reportsOver >= 2)
         mean = std::max(mean, watch.smoothedRatio - 1.0 + own.mean);
     double budget = m_options.latencyBudget;
--- a/Libraries/LibDecision/SchedulerState.cpp
+++ b/Libraries/LibDecision/SchedulerState.cpp
@@ -98,7 +98,7 @@
     worker.tasks.push_back(index);
     job.worker = workerIndex;
     job.used = {};
-    job.throttlePercent = job.wantedPercent = 100;
+    job.throttlePercent = 100;
     job.overUseReports = 0;
     auto it = std::ranges::find(worker.kinds, job.kind, &KindLoad::kind);
     if (it == worker.kinds.end())
@@ -118,6 +118,7 @@
     worker.committed = worker.committed - job.view.size;
     teams[job.team].committed = teams[job.team].committed - job.view.size;
     std::erase(worker.tasks, index);
+    worker.throttledTasks -= job.throttlePercent < 100 ? 1 : 0;
     if (worker.probationJob == index)
         worker.probationJob = noIndex;
     auto it = std::ranges::find(worker.kinds, job.kind, &KindLoad::kind);
@@ -157,6 +158,14 @@
     return worker.present && worker.view.state == WorkerState::Live && !worker.quarantined && !zones[worker.zone].out;
 }
 
+void SchedulerState::setThrottle(JobRecord& job, int32_t percent)
+{
+    auto& worker = workers[job.worker];
+    worker.throttledTasks += (percent < 100 ? 1 : 0) - (job.throttlePercent < 100 ? 1 : 0);
+    setExpectedCpu(job, job.expectedCpu * percent / job.throttlePercent);
+    job.throttlePercent = percent;
+}
+
 void SchedulerState::setExpectedCpu(JobRecord& job, double cpuMillis)
 {
     auto& worker = workers[job.worker];
--- a/Libraries/LibDecision/WorkerRecord.h
+++ b/Libraries/LibDecision/WorkerRecord.h
@@ -59,6 +59,7 @@
     double expectedCpu { 0 };
     /// A task here uses more than it declared; set by reports, looked at by the eviction policy.
     bool hasOverUse { false };
+    uint32_t throttledTasks { 0 };
     std::vector<JobIndex> tasks {};
     std::vector<KindLoad> kinds {};
     std::vector<ServiceWatch> services {};
