Add tests, exploration of unknown pairs and a way out of starvation

A kind about which nothing is known never ran beside a service when its share of the host was large, so it never became known and its jobs starved. Change: after a minute of waiting one placement in 5 s may disregard doubt, after 15 minutes it disregards the budget. A service's own kind no longer counts as its neighbour.

--- a/Libraries/LibDecision/BatchSchedulerImpl.h
+++ b/Libraries/LibDecision/BatchSchedulerImpl.h
@@ -84,6 +84,7 @@
     void failJobs();
     bool isShapeFailed(const JobRecord&, Milliseconds run) const;
     bool hasPlacementsLeft() const { return m_placements < m_options.maxPlacementsPerTick; }
+    std::optional<WorkerIndex> explore(PlacementQuery);
     PlacementQuery queryFor(JobIndex) const;
     Milliseconds runEstimate(const JobRecord&) const;
 
@@ -102,6 +103,7 @@
     Instant m_now {};
     bool m_started { false };
     Instant m_plannedAt {};
+    Instant m_exploredAt {};
 
     // Work lists; entries are checked against the state when they are taken.
     std::deque<JobIndex> m_cancelled;
--- a/Libraries/LibDecision/BatchSchedulerTick.cpp
+++ b/Libraries/LibDecision/BatchSchedulerTick.cpp
@@ -17,6 +17,12 @@
 static constexpr double serviceMoveShare = 0.1;
 // Searches for a reservation, per tick. Each looks at all tasks.
 static constexpr size_t maxPlans = 1;
+// A job that has waited this long may be placed on what is expected of its kind, without regard to doubt. One such
+// placement in each period bounds the harm when the expectation is wrong.
+static constexpr Milliseconds exploreAfter { 60'000 };
+static constexpr Milliseconds explorePeriod { 5'000 };
+// After this wait a job is placed even where it slows down services; else it would starve.
+static constexpr Milliseconds incautiousAfter { 900'000 };
 static constexpr Milliseconds firmHoldTime { 30'000 };
 // A reservation whose estimate has passed by this time makes room by eviction.
 static constexpr Milliseconds reservationGrace { 30'000 };
@@ -226,6 +232,19 @@
     m_decisions.emplace_back(PlaceTask { job.view.id, worker.view.id });
 }
 
+std::optional<WorkerIndex> BatchScheduler::Impl::explore(PlacementQuery query)
+{
+    const auto& job = m_state.jobs[query.job];
+    auto waited = m_now - job.submittedAt;
+    if (!m_options.explores || waited < exploreAfter || m_now - m_exploredAt < explorePeriod)
+        return {};
+    query.caution = waited < incautiousAfter ? LatencyCaution::Expected : LatencyCaution::None;
+    auto worker = m_placement.choose(query, m_random());
+    if (worker)
+        m_exploredAt = m_now;
+    return worker;
+}
+
 BatchScheduler::Impl::Attempt BatchScheduler::Impl::tryPlace(JobIndex index)
 {
     auto& job = m_state.jobs[index];
@@ -243,6 +262,10 @@
         place(index, *worker);
         return Attempt::Placed;
     }
+    if (auto worker = explore(query)) {
+        place(index, *worker);
+        return Attempt::Placed;
+    }
     if (isPaced)
         m_pacer.putBack(m_now);
     ++m_failedAttempts;
--- a/Libraries/LibDecision/InterferenceModel.cpp
+++ b/Libraries/LibDecision/InterferenceModel.cpp
@@ -46,7 +46,7 @@
     double predicted = 0;
     double variance = m_options.reportNoise * m_options.reportNoise * ratio * ratio;
     for (const auto& neighbour : neighbours) {
-        if (neighbour.share < minShare)
+        if (neighbour.share < minShare || neighbour.kind == victim)
             continue;
         auto* cell = cellOf(victim, neighbour.kind, level, now);
         predicted += neighbour.share * cell->mean;
@@ -56,7 +56,7 @@
     double limit = clipDeviations * std::sqrt(variance);
     double clipped = std::clamp(error, -limit, limit);
     for (const auto& neighbour : neighbours) {
-        if (neighbour.share < minShare)
+        if (neighbour.share < minShare || neighbour.kind == victim)
             continue;
         auto& cell = m_victims[victim].byNeighbour[neighbour.kind][level];
         double gain = cell.variance * neighbour.share / variance;
@@ -71,12 +71,12 @@
 void InterferenceModel::noteSurprise(
     Victim& victim, size_t level, double error, double variance, const std::vector<Neighbour>& neighbours)
 {
-    auto& run = victim.surpriseRun[level];
+    auto& run = victim.surprises[level];
     if (std::abs(error) < surpriseDeviations * std::sqrt(variance)) {
         run -= run > 0 ? 1 : run < 0 ? -1 : 0;
         return;
     }
-    run = error > 0 ? std::max(1, run + 1) : std::min(-1, run - 1);
+    run += error > 0 ? 1 : -1;
     if (std::abs(run) < static_cast<int32_t>(m_options.shiftReports))
         return;
     // Only the kinds present are opened again; what was learnt about the others stays.
@@ -84,13 +84,15 @@
     ++m_shifts;
     auto prior = static_cast<float>(m_options.priorDeviation * m_options.priorDeviation);
     for (const auto& neighbour : neighbours) {
-        if (neighbour.share >= minShare)
+        if (neighbour.share >= minShare && neighbour.kind < victim.byNeighbour.size())
             victim.byNeighbour[neighbour.kind][level].variance = prior;
     }
 }
 
 SlowdownEstimate InterferenceModel::pair(KindIndex victim, Neighbour neighbour, double load) const
 {
+    if (neighbour.kind == victim)
+        return {};
     SlowdownEstimate prior { m_options.priorMean * neighbour.share, m_options.priorDeviation * neighbour.share };
     const auto* levels = levelsOf(victim, neighbour.kind);
     if (!levels)
--- a/Libraries/LibDecision/InterferenceModel.h
+++ b/Libraries/LibDecision/InterferenceModel.h
@@ -11,6 +11,7 @@
 ///
 /// Slowdown is modelled as the sum over neighbours of share x coefficient. Each coefficient has a mean and a variance,
 /// updated by a Kalman filter with a diagonal covariance. Variance grows with time, so old knowledge fades. When
+/// A service's own kind does not count: its latency alone includes its other tasks on the host. When
 /// prediction errors stay larger than the variance explains, the coefficients involved are opened for relearning.
 class InterferenceModel final : public SlowdownEstimator {
 public:
@@ -23,9 +24,9 @@
         double variancePerHour { 0.01 };
         /// A cell with fewer reports than this borrows from the other load levels.
         uint32_t minSamples { 4 };
-        /// Consecutive surprising reports of a victim after which the behaviour is taken to have shifted. A wave of
-        /// noise is shorter than this or changes sign.
-        uint32_t shiftReports { 8 };
+        /// Surplus of surprising reports of one sign after which the behaviour is taken to have shifted. In a wave of
+        /// noise the signs cancel out.
+        uint32_t shiftReports { 10 };
         bool detectsShifts { true };
         bool usesLoadLevels { true };
     };
@@ -59,8 +60,8 @@
     using Levels = std::array<Cell, loadLevels>;
     struct Victim {
         std::vector<Levels> byNeighbour {};
-        /// Run of surprising errors of one sign: positive when slower than predicted.
-        std::array<int32_t, loadLevels> surpriseRun {};
+        /// Surplus of surprising errors of one sign: positive when slower than predicted.
+        std::array<int32_t, loadLevels> surprises {};
     };
 
     Cell* cellOf(KindIndex victim, KindIndex neighbour, size_t level, Instant now);
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -75,8 +75,9 @@
 }
 
 Placement::Interference Placement::riseOf(
-    const JobRecord& job, const WorkerRecord& worker, const ServiceWatch& watch, Instant now) const
+    const PlacementQuery& query, const WorkerRecord& worker, const ServiceWatch& watch) const
 {
+    const auto& job = m_state.jobs[query.job];
     double capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
     double load = std::max(watch.load, watch.peakLoad);
     Neighbour added { .kind = job.kind,
@@ -92,21 +93,24 @@
         variance += other.deviation * other.deviation;
     }
     // Room that throttling has made belongs to the throttled tasks, not to new ones.
-    if (worker.throttledTasks > 0 && own.mean > negligibleRise)
+    if (query.caution != LatencyCaution::None && worker.throttledTasks > 0 && own.mean > negligibleRise)
         return { .acceptable = false, .rise = own.mean };
     if (watch.reportsOver >= 2)
         mean = std::max(mean, watch.smoothedRatio - 1.0 + own.mean);
     double budget = m_options.latencyBudget;
-    if (job.lastEvictReason == EvictReason::Interference && now - job.lastEvictAt < m_options.evictionRepeat)
+    if (job.lastEvictReason == EvictReason::Interference && query.now - job.lastEvictAt < m_options.evictionRepeat)
         budget *= evictedBudgetShare;
-    return { .acceptable = mean + std::sqrt(variance) <= budget, .rise = own.mean + 0.5 * own.deviation };
+    double doubt = query.caution == LatencyCaution::Full ? std::sqrt(variance) : 0;
+    return { .acceptable = query.caution == LatencyCaution::None || mean + doubt <= budget,
+        .rise = own.mean + 0.5 * own.deviation };
 }
 
-Placement::Interference Placement::interferenceOf(const JobRecord& job, const WorkerRecord& worker, Instant now) const
+Placement::Interference Placement::interferenceOf(const PlacementQuery& query, const WorkerRecord& worker) const
 {
+    const auto& job = m_state.jobs[query.job];
     Interference total;
     for (const auto& watch : worker.services) {
-        auto rise = riseOf(job, worker, watch, now);
+        auto rise = riseOf(query, worker, watch);
         total.rise += rise.rise;
         total.acceptable = total.acceptable && rise.acceptable;
     }
@@ -172,7 +176,7 @@
         if (m_options.avoidsInterference && (!worker.services.empty() || job.view.isService)) {
             if (++predictions > maxPredictions)
                 break;
-            interference = interferenceOf(job, worker, query.now);
+            interference = interferenceOf(query, worker);
             if (!interference.acceptable && !job.view.urgent)
                 continue;
         }
@@ -190,13 +194,12 @@
 std::array<size_t, static_cast<size_t>(Rejection::Count)> Placement::explain(const PlacementQuery& query) const
 {
     std::array<size_t, static_cast<size_t>(Rejection::Count)> counts {};
-    const auto& job = m_state.jobs[query.job];
     for (WorkerIndex index = 0; index < m_state.workers.size(); ++index) {
         if (!m_state.workers[index].present)
             continue;
         auto rejection = check(query, index);
         if (rejection == Rejection::None && m_options.avoidsInterference
-            && !interferenceOf(job, m_state.workers[index], query.now).acceptable)
+            && !interferenceOf(query, m_state.workers[index]).acceptable)
             rejection = Rejection::Interference;
         ++counts[static_cast<size_t>(rejection)];
     }
--- a/Libraries/LibDecision/Placement.h
+++ b/Libraries/LibDecision/Placement.h
@@ -26,11 +26,16 @@
     Count
 };
 
+/// How far the latency budget of services limits a placement. `Expected` leaves the uncertainty out, so that a kind
+/// about which nothing is known can be tried; `None` is for jobs that would otherwise starve.
+enum class LatencyCaution : uint8_t { Full, Expected, None };
+
 /// One question: where to place this job now.
 struct PlacementQuery {
     JobIndex job { noIndex };
     Instant now {};
     Milliseconds estimatedRun {};
+    LatencyCaution caution { LatencyCaution::Full };
 };
 
 /// Chooses a worker for a job. Hard limits are room, state of the worker, reservations and the latency budget of the
@@ -54,8 +59,8 @@
         double rise { 0 };
     };
 
-    Interference interferenceOf(const JobRecord&, const WorkerRecord&, Instant now) const;
-    Interference riseOf(const JobRecord&, const WorkerRecord&, const ServiceWatch&, Instant now) const;
+    Interference interferenceOf(const PlacementQuery&, const WorkerRecord&) const;
+    Interference riseOf(const PlacementQuery&, const WorkerRecord&, const ServiceWatch&) const;
     Rejection checkHolds(const PlacementQuery&, const WorkerRecord&) const;
     double score(const JobRecord&, const WorkerRecord&, double rise) const;
     double spreadScore(const JobRecord&, const WorkerRecord&) const;
--- a/Libraries/LibDecision/SchedulerOptions.h
+++ b/Libraries/LibDecision/SchedulerOptions.h
@@ -36,6 +36,7 @@
     bool firstFit { false };
     bool sharesHosts { true };
     bool avoidsInterference { true };
+    bool explores { true };
     bool reactsToLatency { true };
     bool throttlesFirst { true };
     bool learnsUse { true };
--- /dev/null
+++ b/Tests/LibDecision/TestPolicies.cpp
@@ -0,0 +1,160 @@
+#include <CppUTest/TestHarness.h>
+#include <LibDecision/BatchQueue.h>
+#include <LibDecision/FailureJudge.h>
+#include <LibDecision/FairShare.h>
+#include <LibDecision/RecoveryPacer.h>
+#include <LibDecision/RunTimeEstimator.h>
+#include <LibDecision/ZonePolicy.h>
+
+using namespace Bergamot;
+
+static Instant at(int64_t seconds) { return Instant { Milliseconds { seconds * 1000 } }; }
+
+TEST_GROUP(RunTimeEstimator) {};
+
+// Guards against backfill that trusts declared run times.
+TEST(RunTimeEstimator, CorrectsDeclarationsByHistory)
+{
+    RunTimeEstimator estimator;
+    for (int n = 0; n < 50; ++n)
+        estimator.recordRun(3, 10'000, 40'000);
+    CHECK(estimator.estimate(3, 20'000) >= Milliseconds { 80'000 });
+    CHECK(estimator.estimate(3, 20'000) < Milliseconds { 100'000 });
+    CHECK(estimator.estimate(4, 20'000) == Milliseconds { 20'000 });
+    CHECK(estimator.estimate(3, 0) >= Milliseconds { 40'000 });
+}
+
+TEST_GROUP(BatchQueue) {};
+
+// Guards against starvation of low priorities by a stream of high ones.
+TEST(BatchQueue, WaitingOvercomesPriority)
+{
+    auto oldLow = BatchQueue::keyOf(at(0), 0);
+    CHECK(BatchQueue::keyOf(at(100), 5) < oldLow);
+    CHECK(BatchQueue::keyOf(at(400), 5) > oldLow);
+    CHECK(BatchQueue::keyOf(at(7'201), 2'000'000'000) > BatchQueue::keyOf(at(0), -60) - 7'200'000);
+}
+
+// Guards against timers that fire early, out of order or twice.
+TEST(BatchQueue, TimersFireOnceInOrder)
+{
+    BatchQueue queue;
+    queue.addTimer(at(5), 1);
+    queue.addTimer(at(3), 2);
+    CHECK_FALSE(queue.takeDueTimer(at(2)).has_value());
+    UNSIGNED_LONGS_EQUAL(2, *queue.takeDueTimer(at(9)));
+    UNSIGNED_LONGS_EQUAL(1, *queue.takeDueTimer(at(9)));
+    CHECK_FALSE(queue.takeDueTimer(at(9)).has_value());
+}
+
+TEST_GROUP(FairShare) {};
+
+// Guards against fairness by processors alone when a team uses mostly another resource.
+TEST(FairShare, LargestShareCountsByWeight)
+{
+    TeamRecord team { .view = { .name = "a", .weight = 2.0, .quota = { 10, 10, 10 } }, .committed = { 1, 5, 0 } };
+    DOUBLES_EQUAL(0.25, FairShare::dominantShare(team, { 10, 10, 0 }), 1e-9);
+    CHECK(FairShare::isAllowed(team, { 9, 5, 0 }));
+    CHECK_FALSE(FairShare::isAllowed(team, { 1, 6, 0 }));
+    team.view.mayBorrow = true;
+    CHECK(FairShare::isAllowed(team, { 1, 6, 0 }));
+}
+
+TEST_GROUP(FailureJudge) { FailureJudge judge; };
+
+// Guards against a worker that fails everything and draws all jobs in.
+TEST(FailureJudge, QuarantinesAfterDistinctJobsFail)
+{
+    CHECK_FALSE(judge.recordFailure(7, 0, 1, at(0)).quarantine);
+    CHECK_FALSE(judge.recordFailure(7, 0, 1, at(1)).quarantine);
+    CHECK_FALSE(judge.recordFailure(7, 1, 2, at(2)).quarantine);
+    auto verdict = judge.recordFailure(7, 0, 3, at(3));
+    CHECK(verdict.quarantine);
+    UNSIGNED_LONGS_EQUAL(3, verdict.refunded.size());
+}
+
+// Guards against quarantine of a healthy worker on which a few bad jobs ran.
+TEST(FailureJudge, SuccessClearsBlame)
+{
+    for (JobIndex job = 0; job < 20; ++job) {
+        CHECK_FALSE(judge.recordFailure(7, 0, job, at(job)).quarantine);
+        if (job % 2 == 1)
+            judge.recordSuccess(7, 0);
+    }
+}
+
+// Guards against quarantine of many healthy workers by one kind that can never run.
+TEST(FailureJudge, KindThatFailsEverywhereDoesNotBlameWorkers)
+{
+    for (JobIndex job = 0; job < 100; ++job)
+        CHECK_FALSE(judge.recordFailure(job % 20, 5, job, at(job)).quarantine);
+    CHECK(judge.isKindSuspect(5));
+}
+
+// Guards against many failing workers that make the kinds they run look suspect and so escape quarantine.
+TEST(FailureJudge, ManyFailingWorkersDoNotExcuseEachOther)
+{
+    size_t quarantined = 0;
+    for (JobIndex job = 0; job < 120; ++job)
+        quarantined
+            += judge.recordFailure(job % 30, static_cast<KindIndex>((job * 7 + job / 30) % 6), job, at(job)).quarantine;
+    UNSIGNED_LONGS_EQUAL(30, quarantined);
+}
+
+// Guards against probes at a constant rate on a worker that never recovers.
+TEST(FailureJudge, FailedProbesDoubleTheDelay)
+{
+    for (JobIndex job = 0; job < 3; ++job)
+        judge.recordFailure(7, static_cast<KindIndex>(job), job, at(0));
+    CHECK(judge.takeReleases(at(59)).empty());
+    UNSIGNED_LONGS_EQUAL(1, judge.takeReleases(at(60)).size());
+    CHECK(judge.recordFailure(7, 0, 9, at(61)).quarantine);
+    CHECK(judge.takeReleases(at(180)).empty());
+    UNSIGNED_LONGS_EQUAL(1, judge.takeReleases(at(181)).size());
+}
+
+TEST_GROUP(ZonePolicy) {};
+
+// Guards against a rush of starts into a zone that has just returned.
+TEST(ZonePolicy, RefillsGradually)
+{
+    ZonePolicy policy { true, true };
+    policy.zoneChanged(0, false, at(100));
+    int placed = 0;
+    for (; policy.mayPlace(0, 10, at(101)); ++placed)
+        policy.placed(0);
+    CHECK(placed >= 2 && placed <= 4);
+    CHECK(policy.mayPlace(0, 10, at(110)));
+    CHECK(policy.mayPlace(1, 10, at(101)));
+}
+
+// Guards against loss of the longest unsaved work when the zone stops before all checkpoints are taken.
+TEST(ZonePolicy, MostUnsavedWorkLeavesFirst)
+{
+    SchedulerState state;
+    state.jobs.resize(3);
+    state.jobs[0] = { .view = { .size = { 1'000 } }, .placedAt = at(0) };
+    state.jobs[1] = { .view = { .size = { 1'000 }, .isService = true }, .placedAt = at(0) };
+    state.jobs[2] = { .view = { .size = { 4'000 } }, .placedAt = at(50) };
+    std::vector<JobIndex> tasks { 0, 1, 2 };
+    ZonePolicy { true, true }.sortForEviction(state, tasks, at(100));
+    CHECK((tasks == std::vector<JobIndex> { 2, 0, 1 }));
+}
+
+TEST_GROUP(RecoveryPacer) {};
+
+// Guards against all tasks of a lost rack starting at once, and against pacing of single losses.
+TEST(RecoveryPacer, PacesOnlyLargeLosses)
+{
+    RecoveryPacer pacer { 10, 5 };
+    pacer.recordLoss(at(100));
+    CHECK(pacer.take(at(100)) && pacer.take(at(100)));
+    for (int n = 0; n < 10; ++n)
+        pacer.recordLoss(at(101));
+    int taken = 0;
+    for (int second = 102; second < 112; ++second) {
+        while (pacer.take(at(second)))
+            ++taken;
+    }
+    CHECK(taken >= 90 && taken <= 110);
+}
--- a/Utilities/bergamot-bench/DecisionBench.cpp
+++ b/Utilities/bergamot-bench/DecisionBench.cpp
@@ -93,7 +93,7 @@
         bool SchedulerOptions::*option;
     };
     static constexpr Ablation ablations[] = { { "avoids_interference", &SchedulerOptions::avoidsInterference },
-        { "reacts_to_latency", &SchedulerOptions::reactsToLatency },
+        { "explores", &SchedulerOptions::explores }, { "reacts_to_latency", &SchedulerOptions::reactsToLatency },
         { "throttles_first", &SchedulerOptions::throttlesFirst }, { "learns_use", &SchedulerOptions::learnsUse },
         { "watches_use", &SchedulerOptions::watchesUse }, { "spreads_services", &SchedulerOptions::spreadsServices },
         { "keeps_accelerators", &SchedulerOptions::keepsAccelerators }, { "reserves", &SchedulerOptions::reserves },
