Add the load and experiment tool

Change: bergamot-load sends quick requests (open or closed loop) and jobs, watches the configuration version of the daemons and checks the records of a run. Worker zones are named a, b, c like those of the example configuration.

--- /dev/null
+++ b/Libraries/LibStandIn/AnswerReading.cpp
@@ -0,0 +1,52 @@
+#include <LibHttp/HttpHeaders.h>
+#include <LibStandIn/AnswerReading.h>
+#include <LibStandIn/JsonField.h>
+
+namespace Bergamot {
+
+static constexpr size_t digestLength = 16;
+
+static bool isSuccess(const HttpReply& reply) { return reply.status >= 200 && reply.status < 300; }
+
+std::string ranOf(const absl::StatusOr<HttpReply>& reply)
+{
+    if (!reply.ok())
+        return absl::IsAborted(reply.status()) ? "no" : "unknown";
+    if (isSuccess(*reply))
+        return "yes";
+    auto ran = jsonText(parseJson(reply->body), "ran");
+    return ran.empty() ? "unknown" : ran;
+}
+
+std::string errorOf(const absl::StatusOr<HttpReply>& reply)
+{
+    if (reply.ok())
+        return {};
+    if (absl::IsAborted(reply.status()))
+        return "not_connected";
+    return absl::IsDeadlineExceeded(reply.status()) ? "timeout" : "cut_off";
+}
+
+void noteAnswer(SentRequest& request, const absl::StatusOr<HttpReply>& reply)
+{
+    request.ran = ranOf(reply);
+    request.error = errorOf(reply);
+    if (!reply.ok())
+        return;
+    request.status = reply->status;
+    if (!isSuccess(*reply))
+        return;
+    request.answerDigest = reply->body.substr(0, digestLength);
+    auto header = headerValue(reply->headers, "X-Request-Digest");
+    request.isWhole = reply->body.size() > digestLength && reply->body.back() == '\n'
+        && (header.empty() || header == request.answerDigest);
+}
+
+bool isWorthRetry(const absl::StatusOr<HttpReply>& reply)
+{
+    if (!reply.ok())
+        return true;
+    return reply->status == 429 || reply->status >= 500;
+}
+
+}
--- a/Libraries/LibStandIn/WorkerLayout.cpp
+++ b/Libraries/LibStandIn/WorkerLayout.cpp
@@ -5,13 +5,16 @@
 
 std::string WorkerLayout::listenAddress(int zone, int number) { return fmt::format("127.{}.0.{}", zone, number); }
 
+std::string WorkerLayout::zoneName(int zone) { return { static_cast<char>('a' + zone - 1) }; }
+
 HostEntry WorkerLayout::host(int zone, int number) const
 {
+    auto name = zoneName(zone);
     return {
-        .id = fmt::format("z{}-w{}", zone, number),
+        .id = fmt::format("{}-w{}", name, number),
         .address = fmt::format("http://{}:{}", listenAddress(zone, number), port),
-        .zone = fmt::format("z{}", zone),
-        .rack = fmt::format("z{}-r{}", zone, (number - 1) / workersPerRack + 1),
+        .zone = name,
+        .rack = fmt::format("{}-r{}", name, (number - 1) / workersPerRack + 1),
         .capacity = capacity,
     };
 }
--- a/Tests/LibStandIn/TestWorkerModel.cpp
+++ b/Tests/LibStandIn/TestWorkerModel.cpp
@@ -191,9 +191,9 @@
 {
     HostList hosts(
         { WorkerLayout().host(1, 1), WorkerLayout().host(1, 9), WorkerLayout().host(2, 1) }, Milliseconds(100));
-    STRCMP_EQUAL("z1-r2", hosts.shown(at(0))[1].rack.c_str());
-    CHECK(hosts.setZoneState("z1", HostState::Leaving, at(50)).ok());
-    CHECK(hosts.setHostState("z1-w1", HostState::Gone, at(60)).ok());
+    STRCMP_EQUAL("a-r2", hosts.shown(at(0))[1].rack.c_str());
+    CHECK(hosts.setZoneState("a", HostState::Leaving, at(50)).ok());
+    CHECK(hosts.setHostState("a-w1", HostState::Gone, at(60)).ok());
     CHECK(absl::IsNotFound(hosts.setHostState("none", HostState::Gone, at(60))));
     CHECK(!hosts.shown(at(149))[0].leaving);
     CHECK(hosts.shown(at(150))[0].leaving);
--- /dev/null
+++ b/Utilities/bergamot-load/JobLoad.cpp
@@ -0,0 +1,193 @@
+#include "JobLoad.h"
+#include <LibCore/Digest.h>
+#include <LibStandIn/AnswerReading.h>
+#include <LibStandIn/JsonField.h>
+#include <LibStandIn/RecordJson.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <thread>
+
+namespace Bergamot {
+
+static constexpr int maxTries = 5;
+static constexpr std::chrono::milliseconds retryDelay { 200 };
+static constexpr std::chrono::milliseconds followPeriod { 500 };
+static constexpr Milliseconds callTimeout { 5000 };
+
+JobLoad::JobLoad(Options options, RecordSink& sink)
+    : m_options(std::move(options))
+    , m_sink(sink)
+    , m_engine(HttpEngine::create({}))
+{
+    // The time keeps the keys of repeated runs with one seed apart.
+    m_keyPrefix = fmt::format("j{}-{}", m_options.mix.seed, m_clock.now().time_since_epoch().count());
+}
+
+nlohmann::json JobLoad::run()
+{
+    JobMix mix(m_options.mix);
+    std::mt19937_64 random(mixDigest(m_options.mix.seed, 2));
+    std::exponential_distribution<double> gap(m_options.rate);
+    auto due = std::chrono::steady_clock::now();
+    auto end = due + std::chrono::seconds(m_options.seconds);
+    for (size_t number = 0; due < end; ++number) {
+        std::this_thread::sleep_until(due);
+        submit(mix.next(), number);
+        due += std::chrono::nanoseconds(static_cast<int64_t>(gap(random) * 1e9));
+    }
+    follow();
+    waitForCalls();
+    std::lock_guard lock(m_mutex);
+    for (const auto& job : m_jobs)
+        m_sink.write(toJson(job->record));
+    return summary();
+}
+
+void JobLoad::submit(JobMix::Job drawn, size_t number)
+{
+    auto job = std::make_shared<Job>();
+    job->record = { .key = fmt::format("{}-{}", m_keyPrefix, number), .kind = drawn.kind, .urgent = drawn.isUrgent };
+    job->body = nlohmann::json {
+        { "kind", drawn.kind }, { "client", m_options.client }, { "team", m_options.team },
+        { "cpu_millis", drawn.size.cpuMillis }, { "memory_mb", drawn.size.memoryMb },
+        { "accelerators", drawn.size.accelerators }, { "run_ms", drawn.runMs }, { "urgent", drawn.isUrgent },
+        { "key", job->record.key }
+    }.dump();
+    job->entry = number;
+    job->triesLeft = maxTries;
+    job->cancelAfterMs = drawn.cancelAfterMs;
+    job->record.sentMs = m_clock.now().time_since_epoch().count();
+    {
+        std::lock_guard lock(m_mutex);
+        m_jobs.push_back(job);
+        ++m_openCalls;
+    }
+    sendTry(job);
+}
+
+void JobLoad::sendTry(const JobPointer& job)
+{
+    --job->triesLeft;
+    auto entry = m_options.entries[job->entry % m_options.entries.size()];
+    {
+        std::lock_guard lock(m_mutex);
+        job->record.entry = entry;
+    }
+    m_engine->submit({ .method = "POST",
+                         .url = entry + "/v1/jobs",
+                         .headers = { { "Content-Type", "application/json" }, { "X-Client", m_options.client } },
+                         .body = job->body,
+                         .timeout = callTimeout },
+        [this, job](const auto& reply) { onSubmitted(job, reply); });
+}
+
+void JobLoad::onSubmitted(const JobPointer& job, const absl::StatusOr<HttpReply>& reply)
+{
+    // A submission with the same key gives the same job, so a retry through another entry host is safe.
+    if (isWorthRetry(reply) && job->triesLeft > 0) {
+        ++job->entry;
+        m_timers.scheduleAfter(retryDelay, [this, job] { sendTry(job); });
+        return;
+    }
+    {
+        std::lock_guard lock(m_mutex);
+        auto& record = job->record;
+        record.answeredMs = m_clock.now().time_since_epoch().count();
+        record.ran = ranOf(reply);
+        record.status = reply.ok() ? reply->status : 0;
+        if (record.ran == "yes")
+            record.job = jsonText(parseJson(reply->body), "job");
+        m_latencies.add((record.answeredMs - record.sentMs) * 1000);
+    }
+    if (job->cancelAfterMs >= 0 && !job->record.job.empty())
+        m_timers.scheduleAfter(std::chrono::milliseconds(job->cancelAfterMs), [this, job] { cancel(job); });
+    closeCall();
+}
+
+void JobLoad::cancel(const JobPointer& job)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_openCalls;
+    }
+    auto url = fmt::format("{}/v1/jobs/{}", job->record.entry, job->record.job);
+    m_engine->submit({ .method = "DELETE", .url = url, .timeout = callTimeout }, [this, job](const auto& reply) {
+        {
+            std::lock_guard lock(m_mutex);
+            job->record.cancelled = reply.ok() && reply->status < 300;
+        }
+        closeCall();
+    });
+}
+
+void JobLoad::closeCall()
+{
+    std::lock_guard lock(m_mutex);
+    if (--m_openCalls == 0)
+        m_idle.notify_all();
+}
+
+void JobLoad::waitForCalls()
+{
+    std::unique_lock lock(m_mutex);
+    m_idle.wait(lock, [this] { return m_openCalls == 0; });
+}
+
+void JobLoad::follow()
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(m_options.waitSeconds);
+    while (true) {
+        waitForCalls();
+        std::vector<JobPointer> unfinished;
+        {
+            std::lock_guard lock(m_mutex);
+            for (const auto& job : m_jobs) {
+                if (!job->isEnded && !job->record.job.empty())
+                    unfinished.push_back(job);
+            }
+            m_openCalls += unfinished.size();
+        }
+        for (const auto& job : unfinished)
+            askState(job);
+        if (unfinished.empty() || std::chrono::steady_clock::now() >= end)
+            return;
+        std::this_thread::sleep_for(followPeriod);
+    }
+}
+
+void JobLoad::askState(const JobPointer& job)
+{
+    // Any entry host can answer, so that jobs are followed also while some are stopped.
+    auto entry = m_options.entries[m_nextEntry++ % m_options.entries.size()];
+    m_engine->submit({ .url = fmt::format("{}/v1/jobs/{}", entry, job->record.job), .timeout = callTimeout },
+        [this, job](const auto& reply) { noteState(job, reply); });
+}
+
+void JobLoad::noteState(const JobPointer& job, const absl::StatusOr<HttpReply>& reply)
+{
+    if (reply.ok() && reply->status == 200) {
+        auto body = parseJson(reply->body);
+        auto state = jsonText(body, "state");
+        std::lock_guard lock(m_mutex);
+        job->isEnded = state == "ended";
+        job->record.finalState = job->isEnded ? jsonText(body, "outcome") : state;
+    }
+    closeCall();
+}
+
+nlohmann::json JobLoad::summary()
+{
+    std::map<std::string, uint64_t> states;
+    std::map<std::string, uint64_t> answers;
+    for (const auto& job : m_jobs) {
+        ++answers[std::to_string(job->record.status)];
+        if (!job->record.job.empty())
+            ++states[job->record.finalState.empty() ? "unknown" : job->record.finalState];
+    }
+    return { { "type", "summary" }, { "command", "jobs" }, { "seed", m_options.mix.seed },
+        { "seconds", m_options.seconds }, { "jobs", m_jobs.size() }, { "answers", answers }, { "states", states },
+        { "submit_latency_ms", m_latencies.toJson() } };
+}
+
+}
--- /dev/null
+++ b/Utilities/bergamot-load/QuickLoad.cpp
@@ -0,0 +1,149 @@
+#include "QuickLoad.h"
+#include <LibCore/Digest.h>
+#include <LibStandIn/AnswerReading.h>
+#include <LibStandIn/RecordJson.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <thread>
+
+namespace Bergamot {
+
+static constexpr int maxTries = 4;
+static constexpr std::chrono::milliseconds retryDelay { 50 };
+
+// A caller waits a little longer than its deadline, so that the daemon's own refusal can arrive.
+static constexpr Milliseconds deadlineMargin { 1000 };
+
+QuickLoad::QuickLoad(Options options, RecordSink& sink)
+    : m_options(std::move(options))
+    , m_sink(sink)
+    , m_random(m_options.seed)
+{
+    // The time keeps the keys of repeated runs with one seed apart.
+    m_keyPrefix = fmt::format("q{}-{}", m_options.seed, m_clock.now().time_since_epoch().count());
+    for (int i = 0; i < std::max(m_options.engines, 1); ++i)
+        m_engines.push_back(HttpEngine::create({}));
+}
+
+bool QuickLoad::isOver() const { return std::chrono::steady_clock::now() >= m_end; }
+
+nlohmann::json QuickLoad::run()
+{
+    m_end = std::chrono::steady_clock::now() + std::chrono::seconds(m_options.seconds);
+    if (m_options.rate > 0)
+        runAtRate();
+    else
+        runCallers();
+    std::unique_lock lock(m_mutex);
+    m_idle.wait(lock, [this] { return m_open == 0; });
+    return summary();
+}
+
+void QuickLoad::runAtRate()
+{
+    std::mt19937_64 random(mixDigest(m_options.seed, 1));
+    std::exponential_distribution<double> gap(m_options.rate);
+    auto due = std::chrono::steady_clock::now();
+    while (due < m_end) {
+        std::this_thread::sleep_until(due);
+        startNext();
+        due += std::chrono::nanoseconds(static_cast<int64_t>(gap(random) * 1e9));
+    }
+}
+
+void QuickLoad::runCallers()
+{
+    for (int i = 0; i < m_options.concurrency; ++i)
+        startNext();
+}
+
+void QuickLoad::startNext()
+{
+    auto number = m_nextNumber++;
+    auto request = std::make_shared<Request>();
+    request->record.key = fmt::format("{}-{}", m_keyPrefix, number);
+    request->record.service = m_options.service;
+    request->body = fmt::format("{:-<{}}", request->record.key, m_options.bodyBytes);
+    request->record.digest = hexDigestOf(request->body);
+    request->entry = number % m_options.entries.size();
+    request->triesLeft = m_options.retries ? maxTries : 1;
+    request->begin = std::chrono::steady_clock::now();
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_open;
+        request->record.nonIdempotent = std::uniform_real_distribution<>(0, 1)(m_random) < m_options.nonIdempotentShare;
+    }
+    sendTry(request);
+}
+
+void QuickLoad::sendTry(const RequestPointer& request)
+{
+    auto& record = request->record;
+    --request->triesLeft;
+    record.entry = m_options.entries[request->entry % m_options.entries.size()];
+    record.status = 0;
+    record.answerDigest.clear();
+    record.isWhole = false;
+    HttpCall call { .method = "POST",
+        .url = fmt::format("{}/v1/services/{}", record.entry, m_options.service),
+        .headers = { { "Idempotency-Key", record.key }, { "X-Deadline-Ms", std::to_string(m_options.deadlineMs) },
+            { "X-Client", m_options.client } },
+        .body = request->body,
+        .timeout = Milliseconds(m_options.deadlineMs) + deadlineMargin,
+        .freshConnection = record.nonIdempotent };
+    if (record.nonIdempotent)
+        call.headers.push_back({ "X-Non-Idempotent", "1" });
+    record.sentMs = m_clock.now().time_since_epoch().count();
+    auto& engine = *m_engines[digestOf(record.key) % m_engines.size()];
+    engine.submit(std::move(call), [this, request](const auto& reply) { onReply(request, reply); });
+}
+
+void QuickLoad::onReply(const RequestPointer& request, const absl::StatusOr<HttpReply>& reply)
+{
+    auto& record = request->record;
+    record.answeredMs = m_clock.now().time_since_epoch().count();
+    noteAnswer(record, reply);
+    m_sink.write(toJson(record));
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_tries;
+    }
+    if (request->triesLeft > 0 && isWorthRetry(reply)) {
+        ++request->entry;
+        m_timers.scheduleAfter(retryDelay, [this, request] { sendTry(request); });
+        return;
+    }
+    finish(request);
+}
+
+void QuickLoad::finish(const RequestPointer& request)
+{
+    const auto& record = request->record;
+    bool isGood = record.status >= 200 && record.status < 300 && record.isWhole;
+    auto micros
+        = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - request->begin)
+              .count();
+    auto outcome
+        = record.error.empty() ? fmt::format("{}{}", record.status, isGood ? "" : " ran=" + record.ran) : record.error;
+    if (m_options.rate <= 0 && !isOver())
+        startNext();
+    std::lock_guard lock(m_mutex);
+    ++m_outcomes[outcome];
+    if (isGood) {
+        m_latencies.add(micros);
+        m_good += micros <= m_options.deadlineMs * 1000 ? 1 : 0;
+    }
+    if (--m_open == 0)
+        m_idle.notify_all();
+}
+
+nlohmann::json QuickLoad::summary()
+{
+    auto sent = m_nextNumber.load();
+    return { { "type", "summary" }, { "command", "quick" }, { "service", m_options.service },
+        { "seed", m_options.seed }, { "seconds", m_options.seconds }, { "requests", sent }, { "tries", m_tries },
+        { "good", m_good }, { "goodput_per_s", static_cast<double>(m_good) / m_options.seconds },
+        { "latency_ms", m_latencies.toJson() }, { "outcomes", m_outcomes } };
+}
+
+}
