Add a virtual-time cluster of entry nodes for tests

Failures of the platform and of processes must be tested without wall-clock time. The cluster runs real entry nodes against fakes of the log, workers, host list and peers.

--- /dev/null
+++ b/Tests/LibEntry/VirtualCluster.cpp
@@ -0,0 +1,467 @@
+#include "VirtualCluster.h"
+#include <LibConfig/SiteConfigCodec.h>
+#include <LibCore/Verify.h>
+#include <LibWire/Codec.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace Bergamot {
+
+static constexpr Milliseconds stepLength { 20 };
+static constexpr Milliseconds workerDelay { 3 };
+static constexpr Milliseconds peerDelay { 2 };
+static constexpr Milliseconds callTimeout { 2000 };
+
+struct VirtualCluster::Process {
+    std::unique_ptr<LogService> log;
+    std::unique_ptr<WorkerService> workers;
+    std::unique_ptr<HostListService> hosts;
+    std::unique_ptr<PeerTransport> peers;
+    std::unique_ptr<EntryNode> node;
+    std::deque<std::function<void()>> inbox;
+    Instant pausedUntil { neverInstant };
+    std::shared_ptr<bool> alive { std::make_shared<bool>(true) };
+};
+
+class VirtualCluster::FakeLog final : public LogService {
+public:
+    FakeLog(VirtualCluster& cluster, MemberId member)
+        : m_cluster(cluster)
+        , m_member(std::move(member))
+    {
+    }
+
+    void append(const std::string& stream, std::string bytes, Callback<LogPosition> callback) override
+    {
+        for (auto reached : m_cluster.stepsOf(stream, bytes))
+            m_cluster.reach(reached, m_member);
+        m_cluster.events.after(m_cluster.logDelay, [&cluster = m_cluster, member = m_member, stream, bytes, callback] {
+            if (cluster.dropCallsOf.contains(member))
+                return;
+            if (isDown(cluster, member)) {
+                cluster.events.after(callTimeout, [callback] { callback(absl::DeadlineExceededError("log down")); });
+                return;
+            }
+            auto result = cluster.m_log.append(stream, bytes, cluster.events.now());
+            if (cluster.duplicateAppends > 0) {
+                --cluster.duplicateAppends;
+                result = cluster.m_log.append(stream, bytes, cluster.events.now());
+            }
+            bool lose = cluster.loseAppendAnswers > 0 && cluster.loseAppendAnswers-- > 0;
+            auto answer = lose ? absl::StatusOr<LogPosition>(absl::DeadlineExceededError("answer lost")) : result;
+            cluster.events.after(lose ? callTimeout : cluster.logDelay, [callback, answer] { callback(answer); });
+        });
+    }
+
+    void read(const std::string& stream, LogPosition from, Milliseconds wait, Callback<LogChunk> callback) override
+    {
+        poll(m_cluster, m_member, stream, from, m_cluster.events.now() + wait, std::move(callback));
+    }
+
+private:
+    static bool isDown(VirtualCluster& cluster, const MemberId& member)
+    {
+        return cluster.events.now() < cluster.logDownUntil || cluster.cutFromLog.contains(member);
+    }
+
+    static void poll(VirtualCluster& cluster, const MemberId& member, const std::string& stream, LogPosition from,
+        Instant until, Callback<LogChunk> callback)
+    {
+        cluster.events.after(cluster.logDelay, [&cluster, member, stream, from, until, callback] {
+            if (isDown(cluster, member)) {
+                cluster.events.after(callTimeout, [callback] { callback(absl::DeadlineExceededError("log down")); });
+                return;
+            }
+            auto chunk = cluster.m_log.read(stream, from, size_t { 1 } << 20, cluster.events.now());
+            if (chunk.ok() && chunk->entries.empty() && cluster.events.now() < until) {
+                poll(cluster, member, stream, from, until, callback);
+                return;
+            }
+            cluster.events.after(cluster.logDelay, [callback, chunk] { callback(chunk); });
+        });
+    }
+
+    VirtualCluster& m_cluster;
+    MemberId m_member;
+};
+
+class VirtualCluster::FakeWorkers final : public WorkerService {
+public:
+    FakeWorkers(VirtualCluster& cluster, MemberId member)
+        : m_cluster(cluster)
+        , m_member(std::move(member))
+    {
+    }
+
+    void start(const std::string& address, const TaskStart& start, Callback<StartReply> callback) override
+    {
+        m_cluster.reach(Step::Start, m_member);
+        call<StartReply>(
+            address, callback, [start](WorkerModel& worker, Instant now) { return worker.start(start, now); });
+    }
+
+    void renew(const std::string& address, const LeaseRenewal& renewal, Callback<LeaseReport> callback) override
+    {
+        if (!renewal.tasks.empty())
+            m_cluster.reach(Step::Renew, m_member);
+        call<LeaseReport>(
+            address, callback, [renewal](WorkerModel& worker, Instant now) { return worker.renew(renewal, now); });
+    }
+
+    void stop(const std::string& address, const TaskId& task, bool checkpoint, Callback<StopReply> callback) override
+    {
+        m_cluster.reach(Step::Stop, m_member);
+        call<StopReply>(address, callback,
+            [task, checkpoint](WorkerModel& worker, Instant now) { return worker.stop(task, checkpoint, now); });
+    }
+
+    void throttle(const std::string& address, const TaskId& task, int cpuPercent,
+        std::function<void(absl::Status)> callback) override
+    {
+        call<int>(
+            address, [callback](const absl::StatusOr<int>& reply) { callback(reply.status()); },
+            [task, cpuPercent](WorkerModel& worker, Instant now) {
+                worker.throttle(task, cpuPercent, now).IgnoreError();
+                return 0;
+            });
+    }
+
+private:
+    template <typename Reply, typename Effect>
+    void call(const std::string& address, Callback<Reply> callback, Effect effect)
+    {
+        m_cluster.events.after(workerDelay, [&cluster = m_cluster, member = m_member, address, callback, effect] {
+            if (cluster.dropCallsOf.contains(member))
+                return;
+            auto fail = [&] {
+                cluster.events.after(callTimeout, [callback] { callback(absl::DeadlineExceededError("no answer")); });
+            };
+            if (cluster.cutWorkers.contains(address)) {
+                fail();
+                return;
+            }
+            Reply reply = effect(cluster.worker(address), cluster.events.now());
+            if (cluster.loseWorkerAnswers > 0) {
+                --cluster.loseWorkerAnswers;
+                fail();
+                return;
+            }
+            cluster.events.after(workerDelay, [callback, reply] { callback(reply); });
+        });
+    }
+
+    VirtualCluster& m_cluster;
+    MemberId m_member;
+};
+
+class VirtualCluster::FakeHosts final : public HostListService {
+public:
+    explicit FakeHosts(VirtualCluster& cluster)
+        : m_cluster(cluster)
+    {
+    }
+
+    void list(Callback callback) override
+    {
+        m_cluster.events.after(workerDelay, [&cluster = m_cluster, callback] {
+            if (cluster.events.now() < cluster.hostListFrozenUntil) {
+                callback(absl::UnavailableError("host list down"));
+                return;
+            }
+            std::vector<HostEntry> hosts;
+            for (const auto& [id, worker] : cluster.m_workers)
+                hosts.push_back({ .id = id,
+                    .address = id,
+                    .zone = worker->options().zone,
+                    .rack = "r",
+                    .capacity = worker->options().capacity,
+                    .leaving = cluster.leavingWorkers.contains(id) });
+            callback(std::move(hosts));
+        });
+    }
+
+private:
+    VirtualCluster& m_cluster;
+};
+
+class VirtualCluster::FakePeers final : public PeerTransport {
+public:
+    FakePeers(VirtualCluster& cluster, MemberId member)
+        : m_cluster(cluster)
+        , m_member(std::move(member))
+    {
+    }
+
+    void setReceiver(Receiver) override { }
+
+    void send(const std::string& address, std::string_view bytes) override
+    {
+        if (m_cluster.cutFromPeers.contains(m_member) || m_cluster.cutFromPeers.contains(address))
+            return;
+        m_cluster.events.after(peerDelay, [&cluster = m_cluster, address, message = std::string(bytes)] {
+            auto it = cluster.m_processes.find(address);
+            if (it == cluster.m_processes.end())
+                return;
+            it->second->inbox.push_back(
+                [node = it->second->node.get(), message] { node->peerMessageReceived(message); });
+        });
+    }
+
+private:
+    VirtualCluster& m_cluster;
+    MemberId m_member;
+};
+
+SiteConfig testConfig()
+{
+    SiteConfig config;
+    config.regions = { { .name = "main", .zones = { "a", "b", "c" } } };
+    config.kinds = {
+        { .name = "report",
+            .size = { .cpuMillis = 1000, .memoryMb = 1000 },
+            .run = Milliseconds { 5000 },
+            .maxAttempts = 3,
+            .yieldsTo = { "settlement" } },
+        { .name = "settlement",
+            .size = { .cpuMillis = 2000, .memoryMb = 1000 },
+            .run = Milliseconds { 5000 },
+            .maxAttempts = 3,
+            .singleRun = true },
+    };
+    config.teams = { { .name = "team", .quota = { .cpuMillis = 100'000, .memoryMb = 100'000, .accelerators = 10 } } };
+    config.clients = { { .name = "shop", .terms = { .requestsPerSecond = 100, .concurrency = 2 } } };
+    return config;
+}
+
+VirtualCluster::VirtualCluster(Options options)
+    : m_options(options)
+    , m_log({ .appendsPerSecond = 300 })
+{
+    createWorkers();
+    for (int i = 1; i <= options.nodes; ++i)
+        start(fmt::format("e{}", i));
+}
+
+VirtualCluster::~VirtualCluster() = default;
+
+void VirtualCluster::createWorkers()
+{
+    int number = 0;
+    for (const char* zone : { "a", "b", "c" }) {
+        for (int i = 0; i < m_options.workersPerZone; ++i) {
+            auto id = fmt::format("w{}", ++number);
+            m_workers[id] = std::make_unique<WorkerModel>(WorkerModelOptions { .id = id,
+                .zone = zone,
+                .capacity = { .cpuMillis = 8000, .memoryMb = 16'000, .accelerators = 1 },
+                .seed = m_options.seed + static_cast<uint64_t>(number),
+                .clockOffsetMs = 5'000'000 * number });
+        }
+    }
+}
+
+void VirtualCluster::start(const MemberId& member)
+{
+    auto process = std::make_unique<Process>();
+    process->log = std::make_unique<FakeLog>(*this, member);
+    process->workers = std::make_unique<FakeWorkers>(*this, member);
+    process->hosts = std::make_unique<FakeHosts>(*this);
+    process->peers = std::make_unique<FakePeers>(*this, member);
+    Executor executor = [raw = process.get(), alive = std::weak_ptr(process->alive)](std::function<void()> task) {
+        if (!alive.expired())
+            raw->inbox.push_back(std::move(task));
+    };
+    NodeSettings settings { .member = member,
+        .zone = std::string(1, static_cast<char>('a' + (member.back() - '1') % 3)),
+        .region = "main",
+        .peerListen = member };
+    for (int i = 1; i <= m_options.nodes; ++i)
+        settings.peers.push_back(fmt::format("e{}", i));
+    auto node = EntryNode::create({ .settings = settings,
+        .incarnation = ++m_nextIncarnation,
+        .seed = m_options.seed,
+        .platform = { .log = process->log.get(),
+            .workers = process->workers.get(),
+            .hosts = process->hosts.get(),
+            .peers = process->peers.get(),
+            .clock = &events,
+            .executor = executor },
+        .snapshotInterval = Milliseconds { 60'000 },
+        .snapshotEntries = m_options.snapshotEntries });
+    VERIFY(node.ok());
+    process->node = std::move(*node);
+    m_processes[member] = std::move(process);
+}
+
+void VirtualCluster::kill(const MemberId& member) { m_processes.erase(member); }
+
+void VirtualCluster::pause(const MemberId& member, Milliseconds length)
+{
+    if (auto it = m_processes.find(member); it != m_processes.end())
+        it->second->pausedUntil = events.now() + length;
+}
+
+void VirtualCluster::step()
+{
+    events.advanceTo(events.now() + stepLength);
+    std::vector<MemberId> members;
+    for (const auto& [id, process] : m_processes)
+        members.push_back(id);
+    for (const auto& id : members) {
+        // A fault that strikes inside a step can kill the process, so it is looked up again before each task.
+        while (true) {
+            auto it = m_processes.find(id);
+            if (it == m_processes.end() || it->second->pausedUntil > events.now() || it->second->inbox.empty())
+                break;
+            auto task = std::move(it->second->inbox.front());
+            it->second->inbox.pop_front();
+            task();
+        }
+        auto it = m_processes.find(id);
+        if (it != m_processes.end() && it->second->pausedUntil <= events.now())
+            it->second->node->tick(events.now());
+    }
+}
+
+void VirtualCluster::run(Milliseconds length)
+{
+    for (auto end = events.now() + length; events.now() < end;)
+        step();
+}
+
+bool VirtualCluster::runUntil(Milliseconds limit, const std::function<bool()>& condition)
+{
+    for (auto end = events.now() + limit; events.now() < end;) {
+        step();
+        if (condition())
+            return true;
+    }
+    return false;
+}
+
+EntryNode* VirtualCluster::node(const MemberId& member)
+{
+    auto it = m_processes.find(member);
+    return it == m_processes.end() ? nullptr : it->second->node.get();
+}
+
+EntryNode* VirtualCluster::anyNode()
+{
+    for (const auto& [id, process] : m_processes) {
+        if (process->pausedUntil <= events.now() && process->node->membership().authority().hasFreshLog(events.now()))
+            return process->node.get();
+    }
+    return nullptr;
+}
+
+EntryNode* VirtualCluster::leader()
+{
+    auto* any = anyNode();
+    return any ? node(any->region().state().image().leader.member) : nullptr;
+}
+
+const StateImage& VirtualCluster::image()
+{
+    auto* newest = m_processes.begin()->second->node.get();
+    for (const auto& [id, process] : m_processes) {
+        if (process->node->region().state().position() > newest->region().state().position())
+            newest = process->node.get();
+    }
+    return newest->region().state().image();
+}
+
+void VirtualCluster::publishConfig()
+{
+    anyNode()->configStream().appends().submit(
+        ConfigPublished { .version = 1, .basedOn = 0, .author = "test", .body = encodeSiteConfig(testConfig()) });
+}
+
+void VirtualCluster::submitJob(const JobId& id, int64_t runMs, const std::string& kind)
+{
+    m_submitted.insert(id);
+    const auto config = testConfig();
+    anyNode()->region().appends().submit(JobSubmitted { .job = id,
+        .kind = kind,
+        .team = "team",
+        .client = "shop",
+        .size = config.findKind(kind)->size,
+        .runMs = runMs,
+        .requestKey = "shop/" + id });
+}
+
+void VirtualCluster::setZoneOut(const ZoneId& zone, bool out)
+{
+    anyNode()->region().appends().submit(
+        ZoneChanged { .zone = zone, .out = out }, [this, zone, out](const auto& status) {
+            if (status.ok())
+                m_zoneEvents.push_back({ .zone = zone, .isOut = out, .atMs = events.now().time_since_epoch().count() });
+        });
+}
+
+RunRecords VirtualCluster::records()
+{
+    RunRecords records;
+    for (auto& [id, worker] : m_workers) {
+        worker->advance(events.now());
+        for (const auto& task : worker->taskRecords())
+            records.tasks.push_back(task);
+        records.workers.push_back(worker->record());
+    }
+    records.zones = m_zoneEvents;
+    return records;
+}
+
+bool VirtualCluster::allJobsEnded()
+{
+    const auto& jobs = image().jobs;
+    return std::ranges::all_of(m_submitted, [&](const auto& id) {
+        auto it = jobs.find(id);
+        return it != jobs.end() && it->second.hasEnded();
+    });
+}
+
+void VirtualCluster::reach(Step reached, const MemberId& member)
+{
+    if (onStep)
+        onStep(reached, member);
+}
+
+namespace {
+
+    struct StepOfRecord {
+        template <typename Other> std::optional<Step> operator()(const Other&) const { return std::nullopt; }
+        std::optional<Step> operator()(const MemberJoined&) const { return Step::Join; }
+        std::optional<Step> operator()(const LeaderClaimed&) const { return Step::TakeOver; }
+        std::optional<Step> operator()(const ConfigPublished&) const { return Step::PublishConfig; }
+        std::optional<Step> operator()(const WorkerListed&) const { return Step::ListWorker; }
+        std::optional<Step> operator()(const JobSubmitted&) const { return Step::Record; }
+        std::optional<Step> operator()(const TaskIntent&) const { return Step::Claim; }
+        std::optional<Step> operator()(const TaskRevoked&) const { return Step::Evict; }
+        std::optional<Step> operator()(const TaskEnded&) const { return Step::Complete; }
+        std::optional<Step> operator()(const JobCancelled&) const { return Step::Cancel; }
+        std::optional<Step> operator()(const RequestClaimed&) const { return Step::ClaimRequest; }
+        std::optional<Step> operator()(const RequestFinished&) const { return Step::FinishRequest; }
+        std::optional<Step> operator()(const TermsRenewed&) const { return Step::RenewTerms; }
+        std::optional<Step> operator()(const ZoneChanged& record) const
+        {
+            return record.out ? Step::ZoneOut : Step::ZoneIn;
+        }
+        std::optional<Step> operator()(const SnapshotBegin&) const { return Step::Snapshot; }
+    };
+
+}
+
+std::vector<Step> VirtualCluster::stepsOf(const std::string&, const std::string& bytes) const
+{
+    std::vector<Step> steps;
+    auto batch = decodeBatch(bytes);
+    if (!batch.ok())
+        return steps;
+    for (const auto& record : batch->records) {
+        if (auto reached = std::visit(StepOfRecord {}, record))
+            steps.push_back(*reached);
+    }
+    return steps;
+}
+
+}
