Add bergamotctl and the library of its commands

Cause: operators need to validate, publish and watch configurations, and to change zones, hosts, jobs and terms. Change: LibAdmin holds the commands behind AdminApi, with a libcurl implementation in one file; Utilities/bergamotctl is the program.

--- /dev/null
+++ b/Libraries/LibAdmin/CommandLine.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibAdmin/Environment.h>
+#include <LibAdmin/ExitStatus.h>
+#include <string>
+#include <vector>
+
+namespace Bergamot {
+
+/// The help text, from which the command line is parsed.
+extern const char* const commandLineUsage;
+
+/// Parses the arguments after the program name and runs the command.
+ExitStatus runCommandLine(const std::vector<std::string>& arguments, Environment& environment);
+
+}
--- /dev/null
+++ b/Libraries/LibAdmin/CurlAdminApi.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibAdmin/AdminApi.h>
+#include <LibAdmin/ApiOptions.h>
+
+namespace Bergamot {
+
+/// Reaches the entry hosts over HTTP with libcurl.
+class CurlAdminApi final : public AdminApi {
+public:
+    explicit CurlAdminApi(ApiOptions options);
+
+    absl::StatusOr<AdminReply> send(const AdminRequest& request) override;
+    std::vector<AdminReply> sendToEach(const AdminRequest& request) override;
+
+private:
+    absl::StatusOr<AdminReply> sendTo(const std::string& entry, const AdminRequest& request) const;
+
+    ApiOptions m_options;
+    /// The entry host that answered last; the next request starts there.
+    size_t m_current { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAdmin/Forward.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Bergamot {
+
+class AdminApi;
+class AdminSession;
+class Arguments;
+class Output;
+class ProgressReporter;
+class Publisher;
+class TextTable;
+struct AdminFailure;
+struct AdminReply;
+struct AdminRequest;
+struct ApiOptions;
+struct CommandContext;
+struct Environment;
+enum class ExitStatus : uint8_t;
+
+}
--- /dev/null
+++ b/Utilities/bergamotctl/main.cpp
@@ -0,0 +1,49 @@
+#include <LibAdmin/CommandLine.h>
+#include <LibAdmin/CurlAdminApi.h>
+#include <LibCore/SteadyClock.h>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+using namespace Bergamot;
+
+static absl::StatusOr<std::string> readFile(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    text << file.rdbuf();
+    // An empty file sets the fail bit of the output stream, but is readable.
+    if (!file.is_open() || file.bad())
+        return absl::NotFoundError(fmt::format("{}: the file cannot be read", path));
+    return text.str();
+}
+
+static std::string variable(const std::string& name)
+{
+    const char* value = std::getenv(name.c_str());
+    return value ? value : "";
+}
+
+static std::string uniqueText()
+{
+    std::random_device device;
+    return fmt::format("{:08x}{:08x}{:08x}", device(), device(), device());
+}
+
+int main(int argc, char** argv)
+{
+    SteadyClock clock;
+    Environment environment { .out = std::cout,
+        .err = std::cerr,
+        .clock = clock,
+        .sleep = [](Milliseconds duration) { std::this_thread::sleep_for(duration); },
+        .readFile = readFile,
+        .variable = variable,
+        .makeApi = [](ApiOptions options) { return std::make_unique<CurlAdminApi>(std::move(options)); },
+        .uniqueText = uniqueText };
+    return static_cast<int>(runCommandLine({ argv + 1, argv + argc }, environment));
+}
