--- /dev/null
+++ b/Meta/soak.sh
@@ -0,0 +1,123 @@
+#!/usr/bin/env bash
+# A randomised run: the schedule of faults follows from the seed and is printed before it starts.
+# Exit status: 0 without a violation. Usage: Meta/soak.sh BUILD SEED SECONDS
+set -u
+build=$(realpath "${1:-Build}")
+run_seconds=${3:-60}
+cd "$(dirname "$0")/.."
+. Meta/cluster.sh
+cluster_init "$build" "${2:-1}"
+began_ms=$(now_ms)
+status=1
+trap 'cluster_end $status' EXIT
+trap 'exit 1' INT TERM
+
+pick() { picked=$((RANDOM % $1)); }
+
+# One line for each fault: the second, the words of the command. The last 15 s are free of new faults.
+make_schedule() {
+    local second=4 zone number member way state ways states worker
+    # Bash gives each subshell new random numbers unless it sets the seed itself, so no number is drawn in a nested one.
+    RANDOM=$seed
+    while ((second < run_seconds - 15)); do
+        pick "$zones" && zone=$((picked + 1))
+        pick "$workers_per_zone" && number=$((picked + 1))
+        pick "$daemons" && member=$((picked + 1))
+        worker=$(zone_name "$zone")-w$number
+        ways=(fail refuse) states=(leaving leaving live)
+        pick 2 && way=${ways[picked]}
+        pick 3 && state=${states[picked]}
+        pick 18
+        case $picked in
+        0) echo "$second log {\"down_ms\":$((RANDOM % 6000 + 500))}" ;;
+        1) echo "$second log {\"silent_ms\":$((RANDOM % 6000 + 500))}" ;;
+        2) echo "$second log {\"slow_ms\":$((RANDOM % 3000 + 50)),\"for_ms\":$((RANDOM % 6000 + 500))}" ;;
+        3) echo "$second log {\"lose_answers\":$((RANDOM % 10 + 1))}" ;;
+        4) echo "$second log {\"duplicate_answers\":$((RANDOM % 10 + 1))}" ;;
+        5) echo "$second log {\"cut_off\":\"e$member\",\"for_ms\":$((RANDOM % 9000 + 500))}" ;;
+        6) echo "$second worker $zone {\"worker\":\"$worker\",\"freeze_ms\":$((RANDOM % 9000 + 500))}" ;;
+        7) echo "$second worker $zone {\"worker\":\"$worker\",\"fail_starts\":\"$way\"}" ;;
+        8) echo "$second worker $zone {\"worker\":\"$worker\",\"late_ms\":$((RANDOM % 3000 + 100)),\"count\":20}" ;;
+        9) echo "$second worker $zone {\"worker\":\"$worker\",\"cross\":5,\"truncate\":5}" ;;
+        10) echo "$second worker $zone {\"worker\":\"$worker\",\"lose_answers\":5}" ;;
+        11) echo "$second worker $zone {\"worker\":\"$worker\",\"die\":true}" ;;
+        12) echo "$second worker $zone {\"worker\":\"*\",\"revive\":true,\"fail_starts\":\"off\",\"slow_factor\":$((RANDOM % 3 + 1))}" ;;
+        13) echo "$second hosts {\"host\":\"$worker\",\"state\":\"$state\"}" ;;
+        14) echo "$second zone $(zone_name "$zone") $((RANDOM % 8 + 4))" ;;
+        15) echo "$second stop $member KILL $((RANDOM % 4 + 1))" ;;
+        16) echo "$second stop $member TERM $((RANDOM % 4 + 1))" ;;
+        17) echo "$second pause $member $((RANDOM % 6 + 1))" ;;
+        esac
+        second=$((second + RANDOM % 3 + 1))
+    done
+}
+
+# Faults that last run in the background, so that several overlap. One daemon has one fault at a time.
+apply() { # WORDS...
+    case $1 in
+    log) fault "$log_url" "$2" ;;
+    hosts) fault "$hosts_url" "$2" ;;
+    worker) fault "$(control_url "$2")" "$3" ;;
+    zone) set_zone "$2" true && sleep "$3" && until set_zone "$2" false; do sleep 1; done ;;
+    stop) cluster_stop_daemon "$2" "$3" "$4" ;;
+    pause)
+        kill -STOP "${cluster_pids[e$2]}"
+        sleep "$3"
+        kill -CONT "${cluster_pids[e$2]}"
+        ;;
+    esac
+}
+
+schedule=$(make_schedule)
+echo "seed $seed, $run_seconds s, schedule (second, fault):"
+printf '%s\n' "$schedule"
+cluster_start_platform && cluster_start_daemons || exit 1
+publish "${operators[0]}" 1 anna || { say "the first configuration was not accepted"; exit 1; }
+
+mapfile -t to_all < <(entry_options)
+watched=()
+for ((i = 0; i < daemons; ++i)); do watched+=("--operator=${operators[i]}" "--entry=${entries[i]}"); done
+common=("--seed=$seed" "--sent=$sent")
+load_ms=$(now_ms)
+cluster_run watch "$build/bergamot-load" watch "${watched[@]}" "--token-file=$token_file" --seconds="$run_seconds" "${common[@]}"
+cluster_run top-ups "$build/bergamot-load" quick "${to_all[@]}" --rate=150 --retry --seconds="$run_seconds" "${common[@]}"
+cluster_run settlements "$build/bergamot-load" quick "${to_all[@]}" --client=back-office --rate=8 \
+    --non-idempotent-share=1 --retry --seconds="$run_seconds" --deadline-ms=3000 "${common[@]}"
+cluster_run jobs "$build/bergamot-load" jobs "${to_all[@]}" --rate=2 --seconds=$((run_seconds - 10)) --run-ms=5000 \
+    --wait-seconds=30 --cancel-share=0.1 --oversize-share=0.02 "${common[@]}"
+
+zone_orders=()
+while read -r second words; do
+    [[ $words ]] || continue
+    left=$((load_ms + second * 1000 - $(now_ms)))
+    ((left <= 0)) || sleep "$(seconds "$left")"
+    say "$words"
+    read -ra fault_words <<<"$words"
+    if [[ ${fault_words[0]} == zone ]]; then
+        apply "${fault_words[@]}" &
+        zone_orders+=($!)
+    else
+        apply "${fault_words[@]}" || say "the fault could not be set"
+    fi
+    if ((second % 10 == 0)); then
+        # Two operators publish at once; at most one of the two is accepted on one version.
+        publish "${operators[0]}" $((second * 2)) anna &
+        zone_orders+=($!)
+        publish "${operators[$((daemons - 1))]}" $((second * 2 + 1)) boris || true
+    fi
+done <<<"$schedule"
+for pid in "${zone_orders[@]}"; do wait "$pid"; done
+fault "$log_url" '{"clear":true}'
+for ((zone = 1; zone <= zones; ++zone)); do
+    fault "$(control_url "$zone")" '{"worker":"*","revive":true,"fail_starts":"off","slow_factor":1}'
+done
+for name in watch top-ups settlements jobs; do
+    wait "${cluster_pids[$name]}" || say "the load $name failed"
+    unset "cluster_pids[$name]"
+    say "$name: $(cat "$folder/$name.out")"
+done
+required=()
+for promise in P1 P2 P3 P5 P7 P10; do required+=("--require=$promise"); done
+cluster_check --text "${required[@]}" && status=0
+say "seed $seed: $([[ $status == 0 ]] && echo "no violation" || echo "VIOLATIONS or unreadable records")"
+exit $status
--- a/Utilities/bergamot-load/CheckCommand.cpp
+++ b/Utilities/bergamot-load/CheckCommand.cpp
@@ -4,12 +4,15 @@
 #include <LibHttp/HttpClient.h>
 #include <LibStandIn/RecordChecker.h>
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <string_view>
 
 namespace Bergamot {
 
@@ -67,6 +70,51 @@
     return records;
 }
 
+static std::string_view titleOf(std::string_view promise)
+{
+    static constexpr std::array<std::string_view, 10> titles {
+        "no worker is committed beyond its capacity",
+        "no job runs in two places at once",
+        "evicted work resumes once, from its checkpoint",
+        "no start in a zone 3 s after it was taken out",
+        "each caller gets the whole answer to its request",
+        "a request that is said not to have run did not run",
+        "a non-idempotent request runs at most once",
+        "a leaving worker gets no work after 3 s",
+        "a planned stop cuts off no request",
+        "an accepted configuration is in force within 5 s",
+    };
+    size_t number = 0;
+    std::from_chars(promise.data() + 1, promise.data() + promise.size(), number);
+    return number >= 1 && number <= titles.size() ? titles.at(number - 1) : promise;
+}
+
+/// What was sent, answered, refused and run.
+static nlohmann::json totalsOf(const RunRecords& records)
+{
+    auto countRan = [&](std::string_view ran) { return std::ranges::count(records.requests, ran, &SentRequest::ran); };
+    std::map<std::string, int64_t> attempts;
+    for (const auto& task : records.tasks)
+        ++attempts[task.outcome.empty() ? "running" : task.outcome];
+    return { { "request_tries", records.requests.size() }, { "answered", countRan("yes") },
+        { "refused", countRan("no") }, { "unknown", countRan("unknown") },
+        { "requests_run", records.executions.size() }, { "jobs", records.jobs.size() }, { "attempts", attempts } };
+}
+
+static void print(const CheckResult& result, bool isText, std::vector<std::string> shown)
+{
+    if (!isText) {
+        std::cout << nlohmann::json { { "type", "summary" }, { "command", "check" }, { "promise", result.promise },
+            { "examined", result.examined }, { "violations", result.violations.size() }, { "shown", shown } }
+                  << "\n";
+        return;
+    }
+    std::cout << fmt::format("{:<4}{:<52}examined {:>7}  violations {:>3}\n", result.promise, titleOf(result.promise),
+        result.examined, result.violations.size());
+    for (const auto& line : shown)
+        std::cout << "      " << line << "\n";
+}
+
 int runChecks(const CheckOptions& options)
 {
     auto records = readRecords(options);
@@ -74,6 +122,15 @@
         logError("records_unreadable", { { "error", statusText(records.status()) } });
         return 2;
     }
+    auto totals = totalsOf(*records);
+    if (options.isText) {
+        for (const auto& [name, value] : totals.items())
+            std::cout << fmt::format("{:<16}{}\n", name, value.dump());
+    } else {
+        totals["type"] = "summary";
+        totals["command"] = "totals";
+        std::cout << totals << "\n";
+    }
     bool isClean = true;
     for (const auto& result : checkAllPromises(*records)) {
         bool isRequired = std::ranges::find(options.required, result.promise) != options.required.end();
@@ -83,9 +140,7 @@
         shown.resize(std::min(shown.size(), maxShownViolations));
         if (isVacuous)
             shown.emplace_back("nothing was examined");
-        std::cout << nlohmann::json { { "type", "summary" }, { "command", "check" }, { "promise", result.promise },
-            { "examined", result.examined }, { "violations", result.violations.size() }, { "shown", shown } }
-                  << "\n";
+        print(result, options.isText, std::move(shown));
     }
     return isClean ? 0 : 1;
 }
--- a/Utilities/bergamot-load/CheckCommand.h
+++ b/Utilities/bergamot-load/CheckCommand.h
@@ -15,10 +15,13 @@
 
     /// Promises whose check must have examined something.
     std::vector<std::string> required {};
+
+    /// Prints a table for people and not JSON lines.
+    bool isText { false };
 };
 
-/// Prints one JSON line for each promise. Returns the exit status: 0 without a violation, 1 with one, and 2 when
-/// records cannot be read.
+/// Prints the totals of the run and one line for each promise. Returns the exit status: 0 without a violation, 1 with
+/// one, and 2 when records cannot be read.
 int runChecks(const CheckOptions&);
 
 }
--- a/Utilities/bergamot-load/main.cpp
+++ b/Utilities/bergamot-load/main.cpp
@@ -4,6 +4,7 @@
 #include "QuickLoad.h"
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
+#include <LibHttp/HttpClient.h>
 #include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
@@ -18,7 +19,8 @@
   bergamot-load quick --entry=URL... [--sent=FILE]... [options]
   bergamot-load jobs --entry=URL... [--sent=FILE]... [options]
   bergamot-load watch (--operator=URL --entry=URL)... --token-file=F [--sent=FILE]... [options]
-  bergamot-load check [--records=URL]... [--sent=FILE]... [--zone-out-at=ZONE:MS]... [--require=P]...
+  bergamot-load check [--records=URL]... [--sent=FILE]... [--zone-out-at=ZONE:MS]... [--require=P]... [--text]
+  bergamot-load call METHOD URL [--body=JSON] [--token-file=F] [--timeout-ms=N]
   bergamot-load --help
 
 Options:
@@ -44,16 +46,19 @@
   --token-file=F           File with the operators' token.
   --zone-out-at=ZONE:MS    The zone was taken out at this CLOCK_BOOTTIME.
   --require=P              The check of this promise must have examined something.
+  --text                   Prints the checks as a table for people.
+  --body=JSON              Body of the call.
+  --timeout-ms=N           Time limit of the call [default: 10000].
 )";
 
 using Arguments = std::map<std::string, docopt::value>;
 
 static double number(const Arguments& arguments, const char* name) { return std::stod(arguments.at(name).asString()); }
 
-static std::string text(const Arguments& arguments, const char* name, std::string fallback = {})
+static std::string text(const Arguments& arguments, const char* name, const std::string& fallback = {})
 {
     const auto& value = arguments.at(name);
-    return value ? value.asString() : std::move(fallback);
+    return value ? value.asString() : fallback;
 }
 
 static std::vector<std::string> split(const std::string& list)
@@ -102,18 +107,45 @@
     return load.run();
 }
 
-static nlohmann::json runWatch(const Arguments& arguments, RecordSink& sink)
+static std::string readToken(const Arguments& arguments)
 {
     std::ifstream file(text(arguments, "--token-file"));
     std::string token;
     file >> token;
+    return token;
+}
+
+static nlohmann::json runWatch(const Arguments& arguments, RecordSink& sink)
+{
     return watchConfig({ .operators = arguments.at("--operator").asStringList(),
                            .entries = arguments.at("--entry").asStringList(),
-                           .token = token,
+                           .token = readToken(arguments),
                            .seconds = static_cast<int>(number(arguments, "--seconds")) },
         sink);
 }
 
+/// Prints the body of the reply; the exit status is 0 for a success, so that scripts need no other HTTP client.
+static int runCall(const Arguments& arguments)
+{
+    HttpCall call { .method = text(arguments, "METHOD"),
+        .url = text(arguments, "URL"),
+        .body = text(arguments, "--body"),
+        .timeout = Milliseconds(arguments.at("--timeout-ms").asLong()) };
+    if (auto token = readToken(arguments); !token.empty())
+        call.headers.push_back({ "Authorization", "Bearer " + token });
+    auto reply = HttpClient().call(call);
+    if (!reply.ok()) {
+        std::cerr << statusText(reply.status()) << "\n";
+        return 1;
+    }
+    std::cout << reply->body << "\n";
+    if (reply->status < 200 || reply->status >= 300) {
+        std::cerr << call.method << " " << call.url << ": status " << reply->status << "\n";
+        return 1;
+    }
+    return 0;
+}
+
 int main(int argc, char** argv)
 {
     Logger::the().setProcessName("bergamot-load");
@@ -122,7 +154,10 @@
         return runChecks({ .recordUrls = arguments.at("--records").asStringList(),
             .sentFiles = arguments.at("--sent").asStringList(),
             .zonesOut = arguments.at("--zone-out-at").asStringList(),
-            .required = arguments.at("--require").asStringList() });
+            .required = arguments.at("--require").asStringList(),
+            .isText = arguments.at("--text").asBool() });
+    if (arguments.at("call").asBool())
+        return runCall(arguments);
     auto names = arguments.at("--sent").asStringList();
     auto sink = RecordSink::create(names.empty() ? "" : names.back());
     if (!sink.ok()) {
