--- /dev/null
+++ b/Libraries/LibDecision/Forward.h
@@ -0,0 +1,21 @@
+#pragma once
+
+namespace Bergamot {
+
+class Authority;
+class BatchScheduler;
+class Leadership;
+struct EvictTask;
+struct FailJob;
+struct JobView;
+struct KindView;
+struct PlaceTask;
+struct QuarantineWorker;
+struct SchedulerOptions;
+struct TeamView;
+struct ThrottleTask;
+struct UsageSample;
+struct WaitReason;
+struct WorkerView;
+
+}
--- a/Libraries/LibWire/SlotLoan.h
+++ b/Libraries/LibWire/SlotLoan.h
@@ -3,19 +3,22 @@
 #include <LibCore/Ids.h>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <string>
 #include <vector>
 
 namespace Bergamot {
 
-/// Lends slots of workers until `leaseMs` after receipt of the request that it answers.
+/// Answers a SlotLoanRequest: lends one slot of each listed worker. The lease counts from the request at the borrower.
 struct SlotLoan {
-    MemberId member {};
+    MemberId lender {};
+    uint64_t request { 0 };
     uint64_t loan { 0 };
     std::vector<WorkerId> workers {};
     int64_t leaseMs { 0 };
+    std::string service {};
 
     bool operator==(const SlotLoan&) const = default;
-    MSGPACK_DEFINE_ARRAY(member, loan, workers, leaseMs)
+    MSGPACK_DEFINE_ARRAY(lender, request, loan, workers, leaseMs, service)
 };
 
 }
--- a/Libraries/LibWire/SlotReturn.h
+++ b/Libraries/LibWire/SlotReturn.h
@@ -3,16 +3,18 @@
 #include <LibCore/Ids.h>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <string>
 
 namespace Bergamot {
 
 /// Returns a loan before its lease ends.
 struct SlotReturn {
-    MemberId member {};
+    MemberId borrower {};
     uint64_t loan { 0 };
+    std::string service {};
 
     bool operator==(const SlotReturn&) const = default;
-    MSGPACK_DEFINE_ARRAY(member, loan)
+    MSGPACK_DEFINE_ARRAY(borrower, loan, service)
 };
 
 }
