--- a/Libraries/LibDecision/ClientLimiter.h
+++ b/Libraries/LibDecision/ClientLimiter.h
@@ -65,7 +65,7 @@
     /// Takes over a membership that is known to a majority since `now`. Memberships are passed one by one in log order.
     absl::Status setMembers(const std::vector<Member>&, Instant now);
 
-    /// Sets the limits of a client. A raised limit takes effect after the settle time, a lowered one at once.
+    /// Sets the limits of a client; they take effect at once, shares that are leased end within the lease.
     absl::Status setLimit(const Limit&, Instant now);
 
     absl::Status removeClient(const ClientId&, Instant now);
@@ -100,11 +100,10 @@
         int64_t concurrency { 0 };
     };
 
-    /// The base share and the limit that hold from `settled` on; lower ones hold at once.
-    struct Version {
+    /// The base share follows the lowest of the newest settled membership and all later ones.
+    struct Membership {
         Instant settled {};
-        Split base {};
-        Split limit {};
+        std::vector<Member> members {};
     };
 
     struct Outstanding {
@@ -125,12 +124,15 @@
 
     struct Client {
         Limit limit {};
-        std::deque<Version> versions {};
-        MemberId coordinator {};
+        /// No base share before this time.
+        Instant baseFrom {};
+        Split base {};
+        uint64_t baseRevision { 0 };
+        Member coordinator {};
         Instant coordinatingFrom {};
         std::map<std::pair<MemberId, uint64_t>, Holder> holders {};
 
-        std::pair<MemberId, uint64_t> grantor {};
+        Member grantor {};
         uint64_t heldGrant { 0 };
         Split leased {};
         Instant leasedUntil {};
@@ -140,18 +142,27 @@
         Instant refilled {};
         int64_t arrivals { 0 };
         int64_t rateDemandMillis { 0 };
+        int64_t refused { 0 };
         int64_t peakWanted { 0 };
+        int64_t wantedDemand { 0 };
     };
 
     explicit ClientLimiter(Options);
     absl::Status advance(Instant now);
     Split baseOf(const Client&, Instant now) const;
-    Split limitOf(const Client&, Instant now) const;
     Split usable(const Client&, Instant now) const;
-    Split evenSplit(const Limit&) const;
-    void addVersion(Client&, Instant settled);
-    void refill(Client&, Instant now);
-    Split target(const Client&, const std::pair<MemberId, uint64_t>& member, Instant now) const;
+    static constexpr int64_t Limit::*limitPart(int64_t Split::*part)
+    {
+        return part == &Split::rateMillis ? &Limit::rateMillis : &Limit::concurrency;
+    }
+    Split evenSplit(const Limit&, const std::vector<Member>&) const;
+    void updateBase(Client&) const;
+    void assignCoordinator(Client&, Instant from);
+    void refill(Client&, Instant now) const;
+    void expireHolders(Client&, Instant now) const;
+    std::optional<ClientShare> grantOne(
+        Client&, const Member& reporter, uint64_t sequence, const ClientDemand&, Instant now);
+    Split target(const Client&, const std::pair<MemberId, uint64_t>& member) const;
 
     Options m_options;
     Milliseconds m_settle { 0 };
@@ -160,6 +171,10 @@
     Instant m_nextReport {};
     Instant m_lastReport {};
     std::vector<Member> m_members;
+    std::deque<Membership> m_memberships;
+    /// Grows with each change of m_memberships.
+    uint64_t m_revision { 1 };
+    std::map<ClientId, Instant> m_removed;
     std::map<ClientId, Client> m_clients;
     std::map<uint64_t, Instant> m_sent;
     uint64_t m_sequence { 0 };
--- /dev/null
+++ b/Libraries/LibDecision/SlotTable.cpp
@@ -0,0 +1,897 @@
+#include <LibCore/Digest.h>
+#include <LibCore/Verify.h>
+#include <LibDecision/SlotTable.h>
+#include <algorithm>
+#include <set>
+
+namespace Bergamot {
+
+namespace {
+
+    constexpr int64_t maxSlotsPerWorker = 4096;
+    constexpr int64_t maxMillis = 1000;
+    /// Small loans can be returned one by one as the need falls.
+    constexpr size_t slotsPerLoan = 4;
+    /// Draws of the two random choices before all workers are searched.
+    constexpr uint64_t maxDraws = 8;
+    constexpr Milliseconds minAskBackoff { 100 };
+    constexpr Milliseconds maxAskBackoff { 800 };
+    /// An unanswered request is taken for lost after this time.
+    constexpr Milliseconds answerTimeout { 200 };
+    /// Asked from a peer that has reported nothing or no free slots.
+    constexpr int64_t exploringAsk = 4;
+    constexpr Instant never = Instant::max();
+
+    int64_t shareOf(int64_t n, int64_t millis) { return (n * millis + maxMillis - 1) / maxMillis; }
+
+    bool isMillis(int64_t n) { return n >= 0 && n <= maxMillis; }
+
+}
+
+absl::StatusOr<SlotTable> SlotTable::create(Options options)
+{
+    if (options.self.empty())
+        return absl::InvalidArgumentError("slot table: the member id is empty");
+    for (auto length : { options.evidenceMaxAge, options.loanLease, options.maxHold, options.confirmTimeout }) {
+        if (length <= Milliseconds(0) || length > std::chrono::hours(1))
+            return absl::InvalidArgumentError("slot table: times must lie between 1 ms and 1 h");
+    }
+    if (options.driftMargin < Milliseconds(0) || options.loanMargin < Milliseconds(0))
+        return absl::InvalidArgumentError("slot table: a margin is negative");
+    if (options.needWindow < Milliseconds(needBuckets))
+        return absl::InvalidArgumentError("slot table: the need window is too short");
+    if (!isMillis(options.reserveMillis) || !isMillis(options.spillMillis) || !isMillis(options.zonePenaltyMillis))
+        return absl::InvalidArgumentError("slot table: a share is not between 0 and 1000 thousandths");
+    if (options.maxAsk <= 0 || options.maxAsk > maxSlotsPerWorker)
+        return absl::InvalidArgumentError("slot table: the most slots asked at once are out of range");
+    return SlotTable(std::move(options));
+}
+
+SlotTable::SlotTable(Options options)
+    : m_options(std::move(options))
+    , m_settle(m_options.evidenceMaxAge + std::max(m_options.loanLease, m_options.maxHold) + m_options.driftMargin)
+    , m_nextExpiry(never)
+    // Ids of another incarnation must not match: a late return of a loan of the process before this one would
+    // otherwise end a loan of this one.
+    , m_nextId(mixDigest(digestOf(m_options.self), m_options.incarnation) >> 8U)
+{
+}
+
+MemberId SlotTable::ownerOf(const std::vector<Member>& members, const WorkerId& worker, int64_t slot)
+{
+    const auto slotDigest = mixDigest(digestOf(worker), static_cast<uint64_t>(slot));
+    MemberId owner;
+    uint64_t best = 0;
+    for (const auto& member : members) {
+        const auto score = mixDigest(slotDigest, digestOf(member.id));
+        if (owner.empty() || score > best || (score == best && member.id < owner)) {
+            owner = member.id;
+            best = score;
+        }
+    }
+    return owner;
+}
+
+absl::Status SlotTable::advance(Instant now)
+{
+    if (now < m_now)
+        return absl::InvalidArgumentError("slot table: time went back");
+    m_now = now;
+    if (!m_changes.empty()) {
+        confirmChanges(now);
+        settleChanges(now);
+    }
+    if (now >= m_nextExpiry)
+        expireLoans(now);
+    rollNeed(now);
+    return absl::OkStatus();
+}
+
+absl::Status SlotTable::checkView(const View& view, Instant now) const
+{
+    if (now < m_now)
+        return absl::InvalidArgumentError("slot table: time went back");
+    if (m_position && view.position == *m_position)
+        return absl::AlreadyExistsError("slot table: the view was applied before");
+    if (m_position && view.position < *m_position)
+        return absl::InvalidArgumentError("slot table: the view is older than the last one");
+    std::set<std::string> ids;
+    for (const auto& member : view.members) {
+        if (member.id.empty() || !ids.insert(member.id).second)
+            return absl::InvalidArgumentError("slot table: a member id is empty or listed twice");
+    }
+    ids.clear();
+    for (const auto& worker : view.workers) {
+        if (worker.id.empty() || !ids.insert(worker.id).second)
+            return absl::InvalidArgumentError("slot table: a worker id is empty or listed twice");
+        if (worker.slots < 0 || worker.slots > maxSlotsPerWorker)
+            return absl::InvalidArgumentError("slot table: the number of slots of a worker is out of range");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status SlotTable::applyView(const View& view, Instant now)
+{
+    if (auto status = checkView(view, now); !status.ok())
+        return status;
+    if (auto status = advance(now); !status.ok())
+        return status;
+
+    Change change { .position = view.position, .members = {}, .known = now, .confirmed = {}, .gained = {} };
+    for (const auto& member : view.members)
+        change.members.push_back(member.id);
+    const bool membersChanged = m_members != view.members;
+    m_members = view.members;
+    m_position = view.position;
+    m_positions[m_options.self] = view.position;
+
+    unlistAbsent(view.workers);
+    recomputeOwnership(view, change);
+    // Changes of the membership count also without gains: they are confirmed in order, because only majorities of
+    // neighbouring memberships are sure to intersect.
+    if (membersChanged || !change.gained.empty())
+        m_changes.push_back(std::move(change));
+    std::erase_if(m_peers, [this](const auto& entry) { return !isMember(entry.first); });
+    confirmChanges(now);
+    recomputeUsage();
+    return absl::OkStatus();
+}
+
+void SlotTable::unlistAbsent(const std::vector<Worker>& workers)
+{
+    std::set<std::string> listed;
+    for (const auto& worker : workers)
+        listed.insert(worker.id);
+    for (auto& state : m_workers) {
+        if (!state.listed || listed.contains(state.id))
+            continue;
+        state.listed = false;
+        state.slots.clear();
+        state.settled = 0;
+    }
+}
+
+size_t SlotTable::indexOf(const WorkerId& worker)
+{
+    if (auto it = m_workerIndex.find(worker); it != m_workerIndex.end())
+        return it->second;
+    // Entries of workers that left are used again, so that replaced hosts do not add up.
+    auto isFree = [](const WorkerState& state) {
+        return !state.listed && state.borrowed.empty() && state.ownInUse + state.borrowedInUse + state.lent == 0;
+    };
+    auto it = std::find_if(m_workers.begin(), m_workers.end(), isFree);
+    if (it == m_workers.end())
+        it = m_workers.insert(m_workers.end(), WorkerState {});
+    else
+        m_workerIndex.erase(it->id);
+    *it = WorkerState { .id = worker };
+    const auto index = static_cast<size_t>(it - m_workers.begin());
+    m_workerIndex[worker] = index;
+    return index;
+}
+
+void SlotTable::recomputeOwnership(const View& view, Change& change)
+{
+    const bool ownsAny = isOwnIncarnationListed();
+    m_localWorkers.clear();
+    m_remoteWorkers.clear();
+    std::vector<std::pair<uint64_t, bool>> members;
+    auto sorted = view.members;
+    std::sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
+    members.reserve(sorted.size());
+    for (const auto& member : sorted)
+        members.emplace_back(digestOf(member.id), member.id == m_options.self);
+
+    for (const auto& worker : view.workers) {
+        const auto index = indexOf(worker.id);
+        auto& state = m_workers[index];
+        state.listed = true;
+        state.zone = worker.zone;
+        state.slots.resize(static_cast<size_t>(worker.slots));
+        state.settled = 0;
+        (worker.zone == m_options.zone ? m_localWorkers : m_remoteWorkers).push_back(index);
+        const auto workerDigest = digestOf(worker.id);
+        for (size_t n = 0; n < state.slots.size(); ++n) {
+            auto& slot = state.slots[n];
+            bool owned = false;
+            if (ownsAny) {
+                const auto slotDigest = mixDigest(workerDigest, n);
+                uint64_t best = 0;
+                bool isFirst = true;
+                // The members are in the order of their ids, so the lowest id wins a tie.
+                for (const auto& [digest, isSelf] : members) {
+                    const auto score = mixDigest(slotDigest, digest);
+                    if (!isFirst && score <= best)
+                        continue;
+                    best = score;
+                    owned = isSelf;
+                    isFirst = false;
+                }
+            }
+            if (owned && (!slot.owned || !view.contiguous)) {
+                slot = { .owned = true, .settled = false, .gained = view.position };
+                change.gained.emplace_back(index, n);
+            } else if (!owned) {
+                slot = {};
+            }
+            state.settled += slot.settled ? 1 : 0;
+        }
+    }
+}
+
+absl::Status SlotTable::notePosition(const MemberId& member, LogPosition position, Instant now)
+{
+    if (now < m_now)
+        return absl::InvalidArgumentError("slot table: time went back");
+    if (!isMember(member))
+        return absl::NotFoundError("slot table: the position is of an unknown member");
+    auto [it, isNew] = m_positions.try_emplace(member, position);
+    if (!isNew && position < it->second)
+        return absl::InvalidArgumentError("slot table: the position of a member went back");
+    it->second = position;
+    return advance(now);
+}
+
+void SlotTable::confirmChanges(Instant now)
+{
+    for (auto& change : m_changes) {
+        if (change.confirmed)
+            continue;
+        const auto reached = std::count_if(change.members.begin(), change.members.end(), [&](const auto& member) {
+            auto it = m_positions.find(member);
+            return it != m_positions.end() && it->second >= change.position;
+        });
+        const bool hasMajority = static_cast<size_t>(reached) * 2 > change.members.size();
+        if (!hasMajority && now < change.known + m_options.confirmTimeout)
+            return;
+        change.confirmed = now;
+    }
+}
+
+void SlotTable::settleChanges(Instant now)
+{
+    bool settledAny = false;
+    while (!m_changes.empty() && m_changes.front().confirmed && now >= *m_changes.front().confirmed + m_settle) {
+        const auto& change = m_changes.front();
+        for (const auto& [worker, n] : change.gained) {
+            auto& state = m_workers[worker];
+            // A slot that was lost and gained again since then waits for the later change.
+            if (n >= state.slots.size() || !state.slots[n].owned || state.slots[n].gained != change.position)
+                continue;
+            state.slots[n].settled = true;
+            ++state.settled;
+            settledAny = true;
+        }
+        m_changes.pop_front();
+    }
+    if (settledAny)
+        recomputeUsage();
+}
+
+void SlotTable::expireLoans(Instant now)
+{
+    for (auto it = m_lent.begin(); it != m_lent.end();) {
+        if (now < it->second.reusable) {
+            ++it;
+            continue;
+        }
+        for (auto worker : it->second.workers)
+            --m_workers[worker].lent;
+        it = m_lent.erase(it);
+    }
+    for (auto it = m_borrowed.begin(); it != m_borrowed.end();) {
+        auto current = it++;
+        if (now >= current->second.until)
+            dropBorrowed(current);
+    }
+    std::erase_if(m_pending, [&](const auto& entry) { return now >= entry.second.sent + 2 * m_options.loanLease; });
+    std::erase_if(m_answered, [&](const auto& entry) { return now >= entry.second; });
+    m_nextExpiry = never;
+    for (const auto& [loan, lent] : m_lent)
+        m_nextExpiry = std::min(m_nextExpiry, lent.reusable);
+    for (const auto& [key, borrowed] : m_borrowed)
+        m_nextExpiry = std::min(m_nextExpiry, borrowed.until);
+    for (const auto& [request, pending] : m_pending)
+        m_nextExpiry = std::min(m_nextExpiry, pending.sent + 2 * m_options.loanLease);
+    for (const auto& [key, until] : m_answered)
+        m_nextExpiry = std::min(m_nextExpiry, until);
+    recomputeUsage();
+}
+
+void SlotTable::dropBorrowed(std::map<LoanKey, Borrowed>::iterator it)
+{
+    const auto serial = it->second.serial;
+    for (auto worker : it->second.workers)
+        std::erase_if(m_workers[worker].borrowed, [&](const auto& slot) { return slot.serial == serial; });
+    m_loanOfSerial.erase(serial);
+    m_borrowed.erase(it);
+}
+
+bool SlotTable::isMember(const MemberId& id) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto& member) { return member.id == id; });
+}
+
+bool SlotTable::isOwnIncarnationListed() const
+{
+    return std::any_of(m_members.begin(), m_members.end(),
+        [&](const auto& member) { return member.id == m_options.self && member.incarnation == m_options.incarnation; });
+}
+
+void SlotTable::recomputeUsage()
+{
+    auto sum = [this](const std::vector<size_t>& workers) {
+        Usage usage;
+        for (auto index : workers) {
+            const auto& state = m_workers[index];
+            if (state.weightMillis == 0)
+                continue;
+            usage.usable += std::max<int64_t>(0, state.settled - state.lent);
+            usage.usable += static_cast<int64_t>(state.borrowed.size());
+            usage.inUse += state.ownInUse + state.borrowedInUse;
+        }
+        return usage;
+    };
+    m_localUsage = sum(m_localWorkers);
+    m_remoteUsage = sum(m_remoteWorkers);
+}
+
+int64_t SlotTable::utilisationMillis(bool local) const
+{
+    const auto& usage = local ? m_localUsage : m_remoteUsage;
+    return usage.usable <= 0 ? maxMillis : usage.inUse * maxMillis / usage.usable;
+}
+
+absl::Status SlotTable::setWeight(const WorkerId& worker, int64_t weightMillis)
+{
+    auto it = m_workerIndex.find(worker);
+    if (it == m_workerIndex.end() || !m_workers[it->second].listed)
+        return absl::NotFoundError("slot table: unknown worker");
+    if (!isMillis(weightMillis))
+        return absl::InvalidArgumentError("slot table: the weight is not between 0 and 1000 thousandths");
+    m_workers[it->second].weightMillis = weightMillis;
+    recomputeUsage();
+    return absl::OkStatus();
+}
+
+absl::Status SlotTable::noteBusy(const WorkerId& worker, int64_t busyMillis)
+{
+    auto it = m_workerIndex.find(worker);
+    if (it == m_workerIndex.end() || !m_workers[it->second].listed)
+        return absl::NotFoundError("slot table: unknown worker");
+    if (!isMillis(busyMillis))
+        return absl::InvalidArgumentError("slot table: the busy share is not between 0 and 1000 thousandths");
+    m_workers[it->second].reportedBusyMillis = busyMillis;
+    return absl::OkStatus();
+}
+
+int64_t SlotTable::freeOwnOn(const WorkerState& state) const
+{
+    return std::max<int64_t>(0, state.settled - state.ownInUse - state.lent);
+}
+
+int64_t SlotTable::freeBorrowedOn(const WorkerState& state, Instant until)
+{
+    return std::count_if(state.borrowed.begin(), state.borrowed.end(),
+        [&](const auto& slot) { return !slot.inUse && slot.until >= until; });
+}
+
+int64_t SlotTable::freeOn(const WorkerState& state, Instant until) const
+{
+    return state.listed ? freeOwnOn(state) + freeBorrowedOn(state, until) : 0;
+}
+
+int64_t SlotTable::busyMillisOf(const WorkerState& state)
+{
+    const auto usable = std::max<int64_t>(1, state.settled - state.lent + static_cast<int64_t>(state.borrowed.size()));
+    return state.reportedBusyMillis + (state.ownInUse + state.borrowedInUse) * maxMillis / usable;
+}
+
+std::optional<size_t> SlotTable::choose(
+    bool local, Instant until, uint64_t random, const std::vector<WorkerId>& excluded) const
+{
+    const auto& workers = local ? m_localWorkers : m_remoteWorkers;
+    if (workers.empty())
+        return {};
+    auto isUsable = [&](const WorkerState& state) {
+        return state.weightMillis > 0 && freeOn(state, until) > 0
+            && std::find(excluded.begin(), excluded.end(), state.id) == excluded.end();
+    };
+    std::optional<size_t> best;
+    int found = 0;
+    for (uint64_t draw = 0; draw < maxDraws && found < 2; ++draw) {
+        const auto hash = mixDigest(random, draw);
+        const auto index = workers[hash % workers.size()];
+        const auto& state = m_workers[index];
+        const auto chance = static_cast<int64_t>((hash >> 32U) % static_cast<uint64_t>(maxMillis));
+        if (!isUsable(state) || chance >= state.weightMillis || best == index)
+            continue;
+        ++found;
+        if (!best || busyMillisOf(state) < busyMillisOf(m_workers[*best]))
+            best = index;
+    }
+    if (best)
+        return best;
+    for (size_t n = 0; n < workers.size(); ++n) {
+        const auto index = workers[(random + n) % workers.size()];
+        if (isUsable(m_workers[index]))
+            return index;
+    }
+    return {};
+}
+
+absl::StatusOr<SlotTable::Use> SlotTable::acquire(
+    Milliseconds hold, uint64_t random, Instant now, const std::vector<WorkerId>& excluded)
+{
+    if (hold <= Milliseconds(0) || hold > m_options.maxHold)
+        return absl::InvalidArgumentError("slot table: a request may hold a slot between 1 ms and the longest hold");
+    if (auto status = advance(now); !status.ok())
+        return status;
+    if (now >= m_authorityUntil)
+        return absl::FailedPreconditionError("slot table: no authority to use slots");
+    const auto until = now + hold;
+    const auto localUse = utilisationMillis(true);
+    const bool spills
+        = localUse >= m_options.spillMillis && utilisationMillis(false) + m_options.zonePenaltyMillis < localUse;
+    for (bool local : { !spills, spills }) {
+        if (auto worker = choose(local, until, random, excluded))
+            return take(*worker, until);
+    }
+    return absl::ResourceExhaustedError("slot table: no usable slot");
+}
+
+absl::StatusOr<SlotTable::Use> SlotTable::acquireOn(const WorkerId& worker, Milliseconds hold, Instant now)
+{
+    if (hold <= Milliseconds(0) || hold > m_options.maxHold)
+        return absl::InvalidArgumentError("slot table: a request may hold a slot between 1 ms and the longest hold");
+    if (auto status = advance(now); !status.ok())
+        return status;
+    auto it = m_workerIndex.find(worker);
+    if (it == m_workerIndex.end() || !m_workers[it->second].listed)
+        return absl::NotFoundError("slot table: unknown worker");
+    if (now >= m_authorityUntil)
+        return absl::FailedPreconditionError("slot table: no authority to use slots");
+    if (freeOn(m_workers[it->second], now + hold) == 0)
+        return absl::ResourceExhaustedError("slot table: no usable slot on this worker");
+    return take(it->second, now + hold);
+}
+
+SlotTable::Use SlotTable::take(size_t worker, Instant until)
+{
+    auto& state = m_workers[worker];
+    UseState use { .worker = worker };
+    if (freeOwnOn(state) > 0) {
+        ++state.ownInUse;
+    } else {
+        auto it = std::find_if(state.borrowed.begin(), state.borrowed.end(),
+            [&](const auto& slot) { return !slot.inUse && slot.until >= until; });
+        VERIFY(it != state.borrowed.end());
+        it->inUse = true;
+        use.serial = it->serial;
+        ++state.borrowedInUse;
+        ++m_borrowed.at(m_loanOfSerial.at(use.serial)).inUse;
+    }
+    noteInUse(state, 1);
+    const auto id = ++m_nextId;
+    m_uses[id] = use;
+    noteNeed();
+    return Use { .id = id, .worker = state.id, .borrowed = use.serial != 0, .until = until };
+}
+
+void SlotTable::noteInUse(const WorkerState& state, int64_t change)
+{
+    if (state.listed && state.weightMillis > 0)
+        (state.zone == m_options.zone ? m_localUsage : m_remoteUsage).inUse += change;
+}
+
+absl::Status SlotTable::release(uint64_t use, Instant now)
+{
+    if (auto status = advance(now); !status.ok())
+        return status;
+    auto it = m_uses.find(use);
+    if (it == m_uses.end())
+        return absl::NotFoundError("slot table: the use is unknown or was released before");
+    auto& state = m_workers[it->second.worker];
+    if (it->second.serial == 0) {
+        --state.ownInUse;
+    } else {
+        --state.borrowedInUse;
+        const auto serial = it->second.serial;
+        auto slot = std::find_if(state.borrowed.begin(), state.borrowed.end(),
+            [&](const auto& borrowed) { return borrowed.serial == serial && borrowed.inUse; });
+        if (slot != state.borrowed.end())
+            slot->inUse = false;
+        if (auto loan = m_loanOfSerial.find(serial); loan != m_loanOfSerial.end())
+            --m_borrowed.at(loan->second).inUse;
+    }
+    noteInUse(state, -1);
+    m_uses.erase(it);
+    return absl::OkStatus();
+}
+
+void SlotTable::rollNeed(Instant now)
+{
+    const auto bucket = now.time_since_epoch() / (m_options.needWindow / static_cast<int64_t>(needBuckets));
+    const auto passed = std::min<int64_t>(bucket - m_needBucket, static_cast<int64_t>(needBuckets));
+    m_needBucket = bucket;
+    for (int64_t n = 0; n < passed; ++n)
+        m_need[static_cast<size_t>(bucket - n) % needBuckets] = 0;
+    noteNeed();
+}
+
+void SlotTable::noteNeed()
+{
+    auto& need = m_need[static_cast<size_t>(m_needBucket) % needBuckets];
+    need = std::max(need, inUse() + m_waiting);
+}
+
+int64_t SlotTable::recentNeed() const { return *std::max_element(m_need.begin(), m_need.end()); }
+
+int64_t SlotTable::headroom() const { return shareOf(recentNeed(), m_options.reserveMillis); }
+
+absl::Status SlotTable::noteWaiting(int64_t waiting, Instant now)
+{
+    if (waiting < 0)
+        return absl::InvalidArgumentError("slot table: the number of waiting requests is negative");
+    if (auto status = advance(now); !status.ok())
+        return status;
+    m_waiting = std::min<int64_t>(waiting, int64_t { 1 } << 20);
+    noteNeed();
+    return absl::OkStatus();
+}
+
+absl::Status SlotTable::notePeer(const MemberId& peer, int64_t freeSlots, Instant now)
+{
+    if (freeSlots < 0)
+        return absl::InvalidArgumentError("slot table: the number of free slots of a peer is negative");
+    if (peer == m_options.self || !isMember(peer))
+        return absl::NotFoundError("slot table: unknown peer");
+    if (auto status = advance(now); !status.ok())
+        return status;
+    auto& state = m_peers[peer];
+    state.freeSlots = freeSlots;
+    if (freeSlots > 0) {
+        state.nextAsk = std::min(state.nextAsk, now);
+        state.backoff = Milliseconds(0);
+    }
+    return absl::OkStatus();
+}
+
+int64_t SlotTable::slotsToAsk() const
+{
+    int64_t have = 0;
+    for (const auto& state : m_workers) {
+        if (state.listed && state.weightMillis > 0)
+            have += std::max<int64_t>(0, state.settled - state.lent) + static_cast<int64_t>(state.borrowed.size());
+    }
+    for (const auto& [request, pending] : m_pending) {
+        if (m_now < pending.sent + answerTimeout)
+            have += pending.missing;
+    }
+    return recentNeed() + headroom() - have;
+}
+
+absl::StatusOr<std::vector<LoanAsk>> SlotTable::asks(Instant now, uint64_t random)
+{
+    if (auto status = advance(now); !status.ok())
+        return status;
+    std::map<MemberId, LoanAsk> asks;
+    if (now < m_authorityUntil) {
+        addRenewals(asks, now);
+        addLoanAsks(asks, now, random);
+    }
+    std::vector<LoanAsk> result;
+    for (auto& [lender, ask] : asks) {
+        ask.lender = lender;
+        ask.borrower = m_options.self;
+        ask.request = ++m_nextId;
+        m_pending[ask.request] = { .ask = ask, .sent = now, .missing = ask.slots, .received = {} };
+        m_nextExpiry = std::min(m_nextExpiry, now + m_options.loanLease);
+        result.push_back(ask);
+    }
+    return result;
+}
+
+void SlotTable::addRenewals(std::map<MemberId, LoanAsk>& asks, Instant now)
+{
+    // Loans that are in use are extended in any case; idle ones only as far as they are needed.
+    auto surplus = -slotsToAsk();
+    for (auto& [key, loan] : m_borrowed) {
+        const auto size = static_cast<int64_t>(loan.workers.size());
+        if (loan.inUse == 0 && surplus >= size) {
+            surplus -= size;
+            continue;
+        }
+        if (loan.until - now > m_options.loanLease * 6 / 10 || now < loan.nextRenewal || !isMember(key.first))
+            continue;
+        loan.nextRenewal = now + answerTimeout;
+        asks[key.first].renewals.push_back(key.second);
+    }
+}
+
+void SlotTable::addLoanAsks(std::map<MemberId, LoanAsk>& asks, Instant now, uint64_t random)
+{
+    auto wanted = slotsToAsk();
+    if (wanted <= 0)
+        return;
+    std::vector<MemberId> peers;
+    for (const auto& member : m_members) {
+        if (member.id != m_options.self && now >= m_peers[member.id].nextAsk)
+            peers.push_back(member.id);
+    }
+    std::sort(peers.begin(), peers.end(), [&](const auto& a, const auto& b) {
+        const auto freeA = m_peers[a].freeSlots;
+        const auto freeB = m_peers[b].freeSlots;
+        return freeA != freeB ? freeA > freeB : mixDigest(random, digestOf(a)) < mixDigest(random, digestOf(b));
+    });
+    for (const auto& id : peers) {
+        if (wanted <= 0)
+            return;
+        auto& peer = m_peers[id];
+        const auto slots = std::min({ wanted, m_options.maxAsk, std::max(peer.freeSlots, exploringAsk) });
+        asks[id].slots = static_cast<uint32_t>(slots);
+        peer.nextAsk = now + answerTimeout;
+        wanted -= slots;
+    }
+}
+
+int64_t SlotTable::lendable() const
+{
+    const auto reserve = std::max(shareOf(settled(), m_options.reserveMillis), headroom());
+    return std::clamp<int64_t>(settled() - lent() - recentNeed() - reserve, 0, freeOwn());
+}
+
+bool SlotTable::mayExtend(const Lent& lent) const
+{
+    // The member may have lost a slot since it lent it; the new owner counts on the loan to end.
+    return std::all_of(lent.workers.begin(), lent.workers.end(), [this](auto worker) {
+        const auto& state = m_workers[worker];
+        return state.listed && state.settled >= state.lent + state.ownInUse;
+    });
+}
+
+std::vector<size_t> SlotTable::chooseLent(int64_t count, const ZoneId& zone)
+{
+    std::vector<size_t> chosen;
+    if (m_workers.empty())
+        return chosen;
+    std::vector<int64_t> left;
+    for (const auto& state : m_workers)
+        left.push_back(state.listed && state.weightMillis > 0 ? freeOwnOn(state) : 0);
+    m_lendStart = (m_lendStart + 1) % m_workers.size();
+    for (bool sameZone : { true, false }) {
+        for (bool progress = true; progress;) {
+            progress = false;
+            for (size_t n = 0; n < m_workers.size(); ++n) {
+                if (static_cast<int64_t>(chosen.size()) >= count)
+                    return chosen;
+                const auto index = (m_lendStart + n) % m_workers.size();
+                if (left[index] == 0 || (m_workers[index].zone == zone) != sameZone)
+                    continue;
+                --left[index];
+                chosen.push_back(index);
+                progress = true;
+            }
+        }
+    }
+    return chosen;
+}
+
+absl::StatusOr<std::vector<LoanGrant>> SlotTable::lend(const LoanAsk& ask, Instant now)
+{
+    if (ask.lender != m_options.self)
+        return absl::InvalidArgumentError("slot table: the loan request is for another member");
+    if (auto status = advance(now); !status.ok())
+        return status;
+    auto borrower = std::find_if(
+        m_members.begin(), m_members.end(), [&](const auto& member) { return member.id == ask.borrower; });
+    if (borrower == m_members.end() || ask.borrower == m_options.self)
+        return absl::NotFoundError("slot table: the loan request is of an unknown member");
+    if (now >= m_authorityUntil)
+        return absl::FailedPreconditionError("slot table: no authority to lend slots");
+    const auto forgetAt = now + 2 * m_options.loanLease;
+    if (!m_answered.try_emplace({ ask.borrower, ask.request }, forgetAt).second)
+        return absl::AlreadyExistsError("slot table: the loan request was answered before");
+
+    std::vector<LoanGrant> grants;
+    auto add = [&](uint64_t loan, const std::vector<size_t>& workers) {
+        LoanGrant grant { .lender = m_options.self, .borrower = ask.borrower, .request = ask.request, .loan = loan };
+        for (auto worker : workers)
+            grant.workers.push_back(m_workers[worker].id);
+        grant.lease = m_options.loanLease;
+        grants.push_back(std::move(grant));
+    };
+    const auto reusable = now + m_options.loanLease + m_options.loanMargin;
+    m_nextExpiry = std::min({ m_nextExpiry, forgetAt, reusable });
+    // A member that needs its slots itself lets the loans lapse.
+    const bool isShort = m_waiting > 0 || settled() - lent() < recentNeed();
+    for (auto loan : ask.renewals) {
+        auto it = m_lent.find(loan);
+        if (isShort || it == m_lent.end() || it->second.borrower != ask.borrower || !mayExtend(it->second))
+            continue;
+        it->second.reusable = reusable;
+        add(loan, it->second.workers);
+    }
+    const auto chosen = chooseLent(std::min<int64_t>({ ask.slots, lendable(), m_options.maxAsk }), borrower->zone);
+    for (size_t n = 0; n < chosen.size(); n += slotsPerLoan) {
+        const auto end = std::min(n + slotsPerLoan, chosen.size());
+        Lent lent { .borrower = ask.borrower, .workers = {}, .reusable = reusable };
+        for (auto k = n; k < end; ++k) {
+            lent.workers.push_back(chosen[k]);
+            ++m_workers[chosen[k]].lent;
+        }
+        const auto loan = ++m_nextId;
+        add(loan, lent.workers);
+        m_lent[loan] = std::move(lent);
+    }
+    if (ask.slots > 0 && chosen.empty())
+        add(0, {});
+    recomputeUsage();
+    return grants;
+}
+
+absl::Status SlotTable::receive(const LoanGrant& grant, Instant now)
+{
+    if (grant.borrower != m_options.self)
+        return absl::InvalidArgumentError("slot table: the loan is for another member");
+    if (grant.lease <= Milliseconds(0) || grant.lease > m_options.loanLease)
+        return absl::InvalidArgumentError("slot table: the lease of the loan is out of range");
+    if (grant.workers.size() > static_cast<size_t>(maxSlotsPerWorker))
+        return absl::InvalidArgumentError("slot table: the loan has too many slots");
+    if (auto status = advance(now); !status.ok())
+        return status;
+    auto it = m_pending.find(grant.request);
+    if (it == m_pending.end() || it->second.ask.lender != grant.lender)
+        return absl::NotFoundError("slot table: the loan answers no request");
+    auto& pending = it->second;
+    const auto until = pending.sent + grant.lease;
+    if (now >= until)
+        return absl::DeadlineExceededError("slot table: the loan has lapsed on the way");
+    if (std::find(pending.received.begin(), pending.received.end(), grant.loan) != pending.received.end())
+        return absl::AlreadyExistsError("slot table: the loan was taken before");
+    pending.received.push_back(grant.loan);
+    const auto& renewals = pending.ask.renewals;
+    if (std::find(renewals.begin(), renewals.end(), grant.loan) != renewals.end()) {
+        auto loan = m_borrowed.find({ grant.lender, grant.loan });
+        // The loan was returned or has lapsed after the renewal was asked for; the lender may have it in use.
+        if (loan == m_borrowed.end())
+            return absl::NotFoundError("slot table: the extended loan is not held any more");
+        extendLoan(loan->second, until);
+        return absl::OkStatus();
+    }
+    noteAnswer(pending, grant, now);
+    if (!grant.workers.empty())
+        addLoan(grant, until);
+    recomputeUsage();
+    return absl::OkStatus();
+}
+
+void SlotTable::extendLoan(Borrowed& loan, Instant until)
+{
+    loan.until = std::max(loan.until, until);
+    for (auto worker : loan.workers) {
+        for (auto& slot : m_workers[worker].borrowed) {
+            if (slot.serial == loan.serial)
+                slot.until = loan.until;
+        }
+    }
+}
+
+void SlotTable::noteAnswer(Pending& pending, const LoanGrant& grant, Instant now)
+{
+    const auto lent = static_cast<int64_t>(grant.workers.size());
+    pending.missing = lent == 0 ? 0 : std::max<int64_t>(0, pending.missing - lent);
+    auto& peer = m_peers[grant.lender];
+    peer.freeSlots = lent == 0 ? 0 : std::max<int64_t>(0, peer.freeSlots - lent);
+    peer.backoff = lent == 0 ? std::clamp(peer.backoff * 2, minAskBackoff, maxAskBackoff) : Milliseconds(0);
+    peer.nextAsk = now + peer.backoff;
+}
+
+void SlotTable::addLoan(const LoanGrant& grant, Instant until)
+{
+    Borrowed loan { .serial = ++m_nextId, .workers = {}, .until = until };
+    for (const auto& worker : grant.workers) {
+        auto it = m_workerIndex.find(worker);
+        // The lender may have read of a worker that this member has not read of yet.
+        if (it == m_workerIndex.end() || !m_workers[it->second].listed)
+            continue;
+        loan.workers.push_back(it->second);
+        m_workers[it->second].borrowed.push_back({ .serial = loan.serial, .until = until });
+    }
+    m_loanOfSerial[loan.serial] = { grant.lender, grant.loan };
+    m_borrowed[{ grant.lender, grant.loan }] = std::move(loan);
+    m_nextExpiry = std::min(m_nextExpiry, until);
+}
+
+absl::StatusOr<std::vector<LoanReturn>> SlotTable::returns(Instant now)
+{
+    if (auto status = advance(now); !status.ok())
+        return status;
+    std::vector<LoanReturn> result;
+    auto surplus = -slotsToAsk();
+    for (auto it = m_borrowed.begin(); it != m_borrowed.end();) {
+        auto current = it++;
+        const auto size = static_cast<int64_t>(current->second.workers.size());
+        if (current->second.inUse > 0 || surplus < size)
+            continue;
+        surplus -= size;
+        result.push_back({ .lender = current->first.first, .borrower = m_options.self, .loan = current->first.second });
+        dropBorrowed(current);
+    }
+    recomputeUsage();
+    return result;
+}
+
+absl::Status SlotTable::takeBack(const LoanReturn& loan, Instant now)
+{
+    if (loan.lender != m_options.self)
+        return absl::InvalidArgumentError("slot table: the returned loan is of another member");
+    if (auto status = advance(now); !status.ok())
+        return status;
+    auto it = m_lent.find(loan.loan);
+    if (it == m_lent.end() || it->second.borrower != loan.borrower)
+        return absl::NotFoundError("slot table: the returned loan is unknown");
+    for (auto worker : it->second.workers)
+        --m_workers[worker].lent;
+    m_lent.erase(it);
+    recomputeUsage();
+    return absl::OkStatus();
+}
+
+int64_t SlotTable::freeOwn() const
+{
+    int64_t sum = 0;
+    for (const auto& state : m_workers)
+        sum += state.listed && state.weightMillis > 0 ? freeOwnOn(state) : 0;
+    return sum;
+}
+
+int64_t SlotTable::freeFor(Milliseconds hold, Instant now) const
+{
+    int64_t sum = 0;
+    for (const auto& state : m_workers)
+        sum += state.weightMillis > 0 ? freeOn(state, now + hold) : 0;
+    return sum;
+}
+
+int64_t SlotTable::inUseOn(const WorkerId& worker) const
+{
+    auto it = m_workerIndex.find(worker);
+    if (it == m_workerIndex.end())
+        return 0;
+    return m_workers[it->second].ownInUse + m_workers[it->second].borrowedInUse;
+}
+
+int64_t SlotTable::owned() const
+{
+    int64_t sum = 0;
+    for (const auto& state : m_workers)
+        sum += std::count_if(state.slots.begin(), state.slots.end(), [](const auto& slot) { return slot.owned; });
+    return sum;
+}
+
+int64_t SlotTable::settled() const
+{
+    int64_t sum = 0;
+    for (const auto& state : m_workers)
+        sum += state.settled;
+    return sum;
+}
+
+int64_t SlotTable::lent() const
+{
+    int64_t sum = 0;
+    for (const auto& state : m_workers)
+        sum += state.lent;
+    return sum;
+}
+
+int64_t SlotTable::borrowed(Instant now) const
+{
+    int64_t sum = 0;
+    for (const auto& [key, loan] : m_borrowed)
+        sum += loan.until > now ? static_cast<int64_t>(loan.workers.size()) : 0;
+    return sum;
+}
+
+}
--- a/Libraries/LibDecision/SlotTable.h
+++ b/Libraries/LibDecision/SlotTable.h
@@ -84,9 +84,8 @@
     struct Use {
         uint64_t id { 0 };
         WorkerId worker {};
-        /// The loan that the slot came from, with its lender; empty lender for an own slot.
-        MemberId lender {};
-        uint64_t loan { 0 };
+        /// True when the slot was lent by a peer.
+        bool borrowed { false };
         /// The request must have ended by then.
         Instant until {};
         bool operator==(const Use&) const = default;
@@ -106,6 +105,9 @@
     /// Weight of a worker in thousandths: 0 excludes it (ejected, zone out, leaving), 1000 is normal.
     absl::Status setWeight(const WorkerId&, int64_t weightMillis);
 
+    /// Notes how busy a worker is apart from this member's requests, in thousandths (lagging usage reports).
+    absl::Status noteBusy(const WorkerId&, int64_t busyMillis);
+
     /// Takes a slot on the best worker for a request that lasts at most `hold`. ResourceExhausted when there is no
     /// usable slot, FailedPrecondition without authority.
     absl::StatusOr<Use> acquire(
@@ -149,6 +151,7 @@
     int64_t inUseOn(const WorkerId&) const;
     /// Own slots, settled or not.
     int64_t owned() const;
+    int64_t settled() const;
     int64_t lent() const;
     int64_t borrowed(Instant now) const;
     /// Slots that the member may lend now.
@@ -162,18 +165,28 @@
     struct Slot {
         bool owned { false };
         bool settled { false };
+        /// The view with which the slot was gained.
+        LogPosition gained { 0 };
+    };
+
+    struct BorrowedSlot {
+        uint64_t serial { 0 };
+        Instant until {};
+        bool inUse { false };
     };
 
     struct WorkerState {
         WorkerId id {};
         ZoneId zone {};
+        bool listed { false };
         std::vector<Slot> slots {};
+        std::vector<BorrowedSlot> borrowed {};
         int64_t weightMillis { 1000 };
+        int64_t reportedBusyMillis { 0 };
         int64_t settled { 0 };
         int64_t ownInUse { 0 };
         int64_t borrowedInUse { 0 };
         int64_t lent { 0 };
-        bool listed { true };
     };
 
     struct Change {
@@ -191,49 +204,78 @@
         Instant reusable {};
     };
 
-    struct BorrowedSlot {
-        size_t worker { 0 };
-        uint64_t use { 0 };
-    };
-
     struct Borrowed {
-        std::vector<BorrowedSlot> slots {};
+        uint64_t serial { 0 };
+        std::vector<size_t> workers {};
         Instant until {};
-        Instant lastNeeded {};
+        int64_t inUse { 0 };
+        Instant nextRenewal {};
     };
 
     struct Pending {
         LoanAsk ask {};
         Instant sent {};
+        int64_t missing { 0 };
         std::vector<uint64_t> received {};
     };
 
     struct Peer {
         int64_t freeSlots { 0 };
         Instant nextAsk {};
+        Milliseconds backoff { 0 };
     };
 
     struct UseState {
         size_t worker { 0 };
-        std::optional<std::pair<MemberId, uint64_t>> loan {};
+        /// Serial of the loan; 0 for an own slot.
+        uint64_t serial { 0 };
+    };
+
+    /// Usable slots and slots in use, of the own zone or of all others.
+    struct Usage {
+        int64_t usable { 0 };
+        int64_t inUse { 0 };
     };
 
+    using LoanKey = std::pair<MemberId, uint64_t>;
+
     explicit SlotTable(Options);
     absl::Status advance(Instant now);
+    absl::Status checkView(const View&, Instant now) const;
     void confirmChanges(Instant now);
     void settleChanges(Instant now);
     void expireLoans(Instant now);
-    size_t indexOf(const Worker&);
-    void dropOwnership(const std::vector<bool>& listed);
+    void rollNeed(Instant now);
+    void noteNeed();
+    int64_t recentNeed() const;
+    int64_t headroom() const;
+
+    bool isMember(const MemberId&) const;
+    bool isOwnIncarnationListed() const;
+    size_t indexOf(const WorkerId&);
+    void unlistAbsent(const std::vector<Worker>&);
+    void recomputeOwnership(const View&, Change&);
+    void recomputeUsage();
+    void noteInUse(const WorkerState&, int64_t change);
+
     int64_t freeOwnOn(const WorkerState&) const;
-    Borrowed* borrowedSlotOn(size_t worker, Instant until, std::pair<MemberId, uint64_t>& key, size_t& slot);
-    int64_t freeOn(size_t worker, Instant until) const;
-    int64_t busyMillis(size_t worker, Instant until) const;
+    static int64_t freeBorrowedOn(const WorkerState&, Instant until);
+    int64_t freeOn(const WorkerState&, Instant until) const;
+    static int64_t busyMillisOf(const WorkerState&);
+    int64_t utilisationMillis(bool local) const;
     std::optional<size_t> choose(
-        const std::vector<size_t>&, Instant until, uint64_t random, const std::vector<WorkerId>& excluded) const;
+        bool local, Instant until, uint64_t random, const std::vector<WorkerId>& excluded) const;
     Use take(size_t worker, Instant until);
-    void noteNeed(Instant now);
-    int64_t recentNeed() const;
+    void dropBorrowed(std::map<LoanKey, Borrowed>::iterator);
+
+    int64_t slotsToAsk() const;
+    void addRenewals(std::map<MemberId, LoanAsk>&, Instant now);
+    void addLoanAsks(std::map<MemberId, LoanAsk>&, Instant now, uint64_t random);
+    bool mayExtend(const Lent&) const;
+    std::vector<size_t> chooseLent(int64_t count, const ZoneId&);
+    void extendLoan(Borrowed&, Instant until);
+    void addLoan(const LoanGrant&, Instant until);
+    void noteAnswer(Pending&, const LoanGrant&, Instant now);
 
     Options m_options;
     Milliseconds m_settle { 0 };
@@ -248,15 +290,20 @@
     std::deque<Change> m_changes;
     std::map<MemberId, LogPosition> m_positions;
     std::map<uint64_t, Lent> m_lent;
-    std::map<std::pair<MemberId, uint64_t>, Borrowed> m_borrowed;
+    std::map<LoanKey, Borrowed> m_borrowed;
+    std::unordered_map<uint64_t, LoanKey> m_loanOfSerial;
     std::map<uint64_t, Pending> m_pending;
-    std::map<std::pair<MemberId, uint64_t>, Instant> m_answered;
+    std::map<LoanKey, Instant> m_answered;
     std::map<MemberId, Peer> m_peers;
     std::unordered_map<uint64_t, UseState> m_uses;
+    Usage m_localUsage;
+    Usage m_remoteUsage;
+    Instant m_nextExpiry {};
     static constexpr size_t needBuckets = 10;
     std::array<int64_t, needBuckets> m_need {};
     int64_t m_needBucket { 0 };
     int64_t m_waiting { 0 };
+    size_t m_lendStart { 0 };
     uint64_t m_nextId { 0 };
 };
 
--- a/Libraries/LibDecision/TermsLedger.h
+++ b/Libraries/LibDecision/TermsLedger.h
@@ -11,7 +11,11 @@
 namespace Bergamot {
 
 /// Client terms that grow at each renewal, without guarantees that the workers could not keep while the zone with the
-/// most slots is out. A pure fold: the same calls in the same order give the same terms on every member.
+/// most slots is out.
+///
+/// propose() uses the plans, which come from the configuration. apply() does not: it depends only on records of the
+/// region stream, so every member comes to the same terms although configuration reaches the members at different
+/// times. The capacity must therefore be the one of the workers listed before the applied record.
 class TermsLedger {
 public:
     /// What happens when a renewal does not fit.
@@ -49,14 +53,17 @@
     /// Sets the slots of all workers of each zone.
     absl::Status setCapacity(const std::map<ZoneId, int64_t>& slotsPerZone);
 
-    /// The terms that the next renewal asks for, to be recorded in the log.
+    /// The terms that the next renewal gives, to be recorded in the log. ResourceExhausted when nothing more fits.
     absl::StatusOr<Terms> propose(const ClientId&) const;
 
     /// Applies a recorded renewal at its log position and gives the terms in force. AlreadyExists when the position or
-    /// the renewal was applied before, FailedPrecondition when a renewal is missing or the terms are not those
-    /// proposed, ResourceExhausted when it does not fit.
+    /// the renewal was applied before, FailedPrecondition when a renewal is missing or the terms shrink,
+    /// ResourceExhausted when they do not fit (another renewal was recorded first).
     absl::StatusOr<Terms> apply(const Terms& recorded, LogPosition);
 
+    /// Takes over the terms of a snapshot.
+    absl::Status restore(const std::vector<Terms>&, std::optional<LogPosition> lastPosition);
+
     absl::StatusOr<Terms> termsOf(const ClientId&) const;
     std::vector<Terms> all() const;
 
@@ -70,6 +77,10 @@
     {
     }
 
+    int64_t heldBy(const ClientId&) const;
+    int64_t roomFor(const ClientId&) const;
+    absl::Status doesNotFit() const;
+
     Overflow m_overflow;
     std::map<ZoneId, int64_t> m_slots;
     std::map<ClientId, Plan> m_plans;
--- /dev/null
+++ b/Tests/LibDecision/TestClientLimiter.cpp
@@ -0,0 +1,161 @@
+#include <CppUTest/TestHarness.h>
+#include <LibDecision/ClientLimiter.h>
+#include <map>
+#include <memory>
+#include <random>
+
+using namespace Bergamot;
+
+static Instant at(int ms) { return epochInstant + Milliseconds(ms); }
+
+TEST_GROUP(ClientLimiter)
+{
+    // Members with delayed and lost messages; `use` are requests that run, per member.
+    struct Cluster {
+        std::vector<ClientLimiter::Member> members {};
+        std::map<MemberId, std::unique_ptr<ClientLimiter>> limiters {};
+        std::map<MemberId, std::vector<int>> running {};
+        std::multimap<int, ShareReport> reports {};
+        std::multimap<int, ShareGrant> grants {};
+        std::mt19937_64 random { 5 };
+        int64_t limit { 20 };
+
+        explicit Cluster(int size)
+        {
+            for (int n = 0; n < size; ++n)
+                members.push_back({ .id = "e" + std::to_string(n), .incarnation = 1 });
+            for (const auto& member : members)
+                add(member);
+        }
+
+        void add(const ClientLimiter::Member& member)
+        {
+            auto limiter = ClientLimiter::create({ .self = member.id, .incarnation = member.incarnation });
+            CHECK(limiter.ok());
+            limiters[member.id] = std::make_unique<ClientLimiter>(std::move(*limiter));
+            limiters[member.id]->setAuthorityUntil(at(1000000));
+            CHECK(limiters[member.id]->setMembers(members, at(0)).ok());
+            CHECK(limiters[member.id]
+                      ->setLimit({ .client = "c", .rateMillis = 1000000, .concurrency = limit }, at(0))
+                      .ok());
+        }
+
+        // One step of 10 ms with the given requests wanted at once per member.
+        int64_t step(int ms, const std::map<MemberId, int>& wanted, int maxDelayMs)
+        {
+            for (auto it = reports.begin(); it != reports.end() && it->first <= ms; it = reports.erase(it)) {
+                if (auto to = limiters.find(it->second.coordinator); to != limiters.end()) {
+                    if (auto grant = to->second->grant(it->second, at(ms)); grant.ok() && random() % 10)
+                        grants.emplace(ms + static_cast<int>(random() % maxDelayMs), *grant);
+                }
+            }
+            for (auto it = grants.begin(); it != grants.end() && it->first <= ms; it = grants.erase(it)) {
+                if (auto to = limiters.find(it->second.member); to != limiters.end())
+                    static_cast<void>(to->second->receive(it->second, at(ms)));
+            }
+            int64_t sum = 0;
+            for (auto& [id, limiter] : limiters) {
+                auto& ends = running[id];
+                std::erase_if(
+                    ends, [&, limit = limiter.get()](int end) { return end <= ms && limit->finish("c", at(ms)).ok(); });
+                const auto want = wanted.contains(id) ? wanted.at(id) : 0;
+                for (int n = static_cast<int>(ends.size()); n < want; ++n) {
+                    if (*limiter->admit("c", at(ms)) == ClientLimiter::Verdict::Admitted)
+                        ends.push_back(ms + 10 + static_cast<int>(random() % 1900));
+                }
+                const auto due = limiter->reports(at(ms));
+                CHECK(due.ok());
+                for (const auto& report : *due)
+                    reports.emplace(ms + static_cast<int>(random() % maxDelayMs), report);
+                sum += static_cast<int64_t>(ends.size());
+            }
+            return sum;
+        }
+    };
+};
+
+// Guards against members that together run more requests of a client than its limit, with late and lost messages,
+// changing load, a member that dies and one that joins.
+TEST(ClientLimiter, TheSumOfRequestsNeverExceedsTheLimit)
+{
+    for (int maxDelay : { 2, 100, 3000 }) {
+        Cluster cluster(4);
+        int64_t most = 0;
+        std::map<MemberId, int> wanted;
+        for (int ms = 0; ms < 60000; ms += 10) {
+            if (ms % 3000 == 0) {
+                for (const auto& member : cluster.members)
+                    wanted[member.id] = cluster.random() % 2 ? 0 : static_cast<int>(cluster.random() % 25);
+            }
+            if (ms == 30000) {
+                // The requests of the dead member run on until their end, at most 2 s.
+                cluster.limiters.erase("e2");
+                std::erase_if(cluster.members, [](const auto& member) { return member.id == "e2"; });
+                for (auto& [id, limiter] : cluster.limiters)
+                    CHECK(limiter->setMembers(cluster.members, at(ms)).ok());
+            }
+            const auto dead = ms >= 30000 && ms < 32000 ? static_cast<int64_t>(cluster.running["e2"].size()) : 0;
+            most = std::max(most, cluster.step(ms, wanted, maxDelay) + dead);
+        }
+        CHECK(most <= cluster.limit);
+        CHECK(most >= cluster.limit * 3 / 4);
+    }
+}
+
+// Guards against a limit that is mostly unused because the load enters at one entry host.
+TEST(ClientLimiter, OneLoadedMemberGetsMostOfTheLimit)
+{
+    Cluster cluster(9);
+    int64_t last = 0;
+    for (int ms = 0; ms < 12000; ms += 10)
+        last = cluster.step(ms, { { "e4", 40 } }, 3);
+    // Base 20 x 0.5 / 9 and the whole leased part; equal static shares would give 20 / 9.
+    CHECK(last >= 11);
+}
+
+// Guards against a rate above the limit over all members together.
+TEST(ClientLimiter, TheRateStaysAtTheLimit)
+{
+    Cluster cluster(3);
+    for (auto& [id, limiter] : cluster.limiters)
+        CHECK(limiter->setLimit({ .client = "c", .rateMillis = 100000, .concurrency = 1000000 }, at(0)).ok());
+    int64_t admitted = 0;
+    for (int ms = 0; ms < 30000; ms += 10) {
+        cluster.step(ms, {}, 3);
+        for (auto& [id, limiter] : cluster.limiters) {
+            for (int n = 0; n < (id == "e0" ? 5 : 1); ++n) {
+                if (ms >= 10000 && *limiter->admit("c", at(ms)) == ClientLimiter::Verdict::Admitted) {
+                    CHECK(limiter->finish("c", at(ms)).ok());
+                    ++admitted;
+                }
+            }
+        }
+    }
+    // 100/s for 20 s and a burst of 200 ms.
+    CHECK(admitted <= 2020);
+    CHECK(admitted >= 1900);
+}
+
+// Guards against crashes and silent changes on bad input.
+TEST(ClientLimiter, BadInputIsRefused)
+{
+    CHECK(!ClientLimiter::create({}).ok());
+    CHECK(!ClientLimiter::create({ .self = "e0", .baseMillis = 1001 }).ok());
+    Cluster cluster(2);
+    auto& limiter = *cluster.limiters["e0"];
+    CHECK(!limiter.setMembers({ { .id = "a" }, { .id = "a" } }, at(0)).ok());
+    CHECK(!limiter.setLimit({ .client = "c", .rateMillis = -1 }, at(0)).ok());
+    CHECK(!limiter.removeClient("x", at(0)).ok());
+    CHECK(!limiter.admit("x", at(0)).ok());
+    CHECK(!limiter.finish("c", at(0)).ok());
+    CHECK(!limiter.shareOf("x", at(0)).ok());
+    CHECK(!limiter.grant({ .member = "e1", .incarnation = 1, .coordinator = "e1" }, at(0)).ok());
+    CHECK(!limiter.grant({ .member = "e1", .incarnation = 2, .coordinator = "e0" }, at(0)).ok());
+    CHECK(!limiter.grant({ .member = "e1", .incarnation = 1, .coordinator = "e0", .clients = { { "c", -1 } } }, at(0))
+               .ok());
+    CHECK(!limiter.receive({ .member = "e0", .incarnation = 1, .sequence = 77, .lease = Milliseconds(9) }, at(0)).ok());
+    CHECK(limiter.admit("c", at(10)).ok());
+    CHECK(!limiter.admit("c", at(9)).ok());
+    limiter.setAuthorityUntil(at(10));
+    CHECK(limiter.admit("c", at(10)).status().code() == absl::StatusCode::kFailedPrecondition);
+}
--- /dev/null
+++ b/Tests/LibDecision/TestSlotTable.cpp
@@ -0,0 +1,269 @@
+#include <CppUTest/TestHarness.h>
+#include <LibDecision/SlotCluster.h>
+#include <iostream>
+#include <rapidcheck.h>
+
+using namespace Bergamot;
+
+static Instant at(int ms) { return epochInstant + Milliseconds(ms); }
+
+TEST_GROUP(SlotTable) { static SlotTable::View viewOf(LogPosition position, const std::vector<MemberId>& ids,
+    int64_t workers = 4) { SlotTable::View view { .position = position };
+for (const auto& id : ids)
+    view.members.push_back({ .id = id, .incarnation = 1, .zone = "a" });
+for (int64_t n = 0; n < workers; ++n)
+    view.workers.push_back({ .id = "w" + std::to_string(n), .zone = n < workers / 2 ? "a" : "b", .slots = 8 });
+return view;
+}
+
+static SlotTable tableOf(const MemberId& self)
+{
+    auto table = SlotTable::create({ .self = self, .incarnation = 1, .zone = "a" });
+    CHECK(table.ok());
+    table->setAuthorityUntil(at(1000000));
+    return std::move(*table);
+}
+
+// The lender is alone in use of its slots after 6 s; the borrower has nothing settled.
+static void settle(SlotTable& table, const std::vector<MemberId>& ids)
+{
+    CHECK(table.applyView(viewOf(1, ids), at(0)).ok());
+    for (const auto& id : ids)
+        CHECK(table.notePosition(id, 1, at(0)).ok());
+}
+
+static absl::StatusCode codeOf(const absl::Status& status) { return status.code(); }
+}
+;
+
+static rc::Gen<ClusterFault> faultGen()
+{
+    return rc::gen::construct<ClusterFault>(
+        rc::gen::map(rc::gen::inRange(0, 7), [](int n) { return static_cast<ClusterFault::Kind>(n); }),
+        rc::gen::inRange(0, 14), rc::gen::inRange(0, 40000), rc::gen::inRange(100, 12000));
+}
+
+namespace Bergamot {
+static void showValue(const ClusterFault& fault, std::ostream& os)
+{
+    os << "{kind " << static_cast<int>(fault.kind) << " member " << fault.member << " at " << fault.atMs << " for "
+       << fault.lengthMs << "}";
+}
+}
+
+// A timeout of confirmations hands slots over without a majority, which is a stated limit and not part of the property.
+static SlotTable::Options propertyOptions() { return { .confirmTimeout = std::chrono::hours(1) }; }
+
+// Guards against two members that use the same slot at a time, whatever joins, removals, pauses, cuts and message
+// delays.
+TEST(SlotTable, SlotsInUseNeverExceedTheSlotsOfAWorker)
+{
+    int64_t borrowed = 0;
+    const auto result = rc::detail::checkTestable(
+        [&] {
+            const auto faults = *rc::gen::container<std::vector<ClusterFault>>(12, faultGen());
+            const auto seed = *rc::gen::inRange<uint64_t>(1, 1000000);
+            SlotCluster cluster(propertyOptions(), seed, 4000);
+            const auto run = cluster.run(faults, 50000);
+            borrowed += run.borrowed;
+            RC_ASSERT(run.excess == 0);
+            RC_ASSERT(run.acquired > 0);
+        },
+        rc::detail::TestMetadata {}, rc::detail::TestParams { .seed = 11, .maxSuccess = 30, .disableShrinking = true });
+    if (!result.is<rc::detail::SuccessResult>())
+        rc::detail::printResultMessage(result, std::cerr);
+    CHECK(result.is<rc::detail::SuccessResult>());
+    CHECK(borrowed > 0);
+}
+
+// Sum of the excess over runs with random faults from a fixed seed.
+static int64_t excessWith(const SlotTable::Options& options)
+{
+    int64_t excess = 0;
+    for (uint64_t seed = 1; seed <= 12; ++seed) {
+        std::mt19937_64 random(seed);
+        std::vector<ClusterFault> faults;
+        for (int n = 0; n < 12; ++n) {
+            faults.push_back({ .kind = static_cast<ClusterFault::Kind>(random() % 7),
+                .member = static_cast<int>(random() % 14),
+                .atMs = static_cast<int>(random() % 40000),
+                .lengthMs = 100 + static_cast<int>(random() % 11900) });
+        }
+        SlotCluster cluster(options, seed, 4000);
+        excess += cluster.run(faults, 50000).excess;
+    }
+    return excess;
+}
+
+// Guards against a simulation that could not show a violation: each part of the waiting rule is needed.
+TEST(SlotTable, EachPartOfTheWaitBeforeReuseIsNeeded)
+{
+    LONGS_EQUAL(0, excessWith(propertyOptions()));
+    auto shortSettle = propertyOptions();
+    shortSettle.evidenceMaxAge = Milliseconds(1);
+    shortSettle.driftMargin = Milliseconds(0);
+    CHECK(excessWith(shortSettle) > 0);
+    // All old members lose the log and a new one reads it without contact to them.
+    std::vector<ClusterFault> faults { { ClusterFault::Kind::Join, 4, 12000, 0 },
+        { ClusterFault::Kind::CutPeers, 4, 12020, 11000 } };
+    for (int n = 0; n < 4; ++n)
+        faults.push_back({ ClusterFault::Kind::CutLog, n, 11900, 12000 });
+    LONGS_EQUAL(0, SlotCluster(propertyOptions(), 1, 100).run(faults, 30000).excess);
+    auto noMajority = propertyOptions();
+    noMajority.confirmTimeout = Milliseconds(1);
+    CHECK(SlotCluster(noMajority, 1, 100).run(faults, 30000).excess > 0);
+}
+
+// Two members; e0 has settled and lends to e1, which has just learned of its own slots.
+struct LoanPair {
+    SlotTable lender;
+    SlotTable borrower;
+
+    std::vector<LoanGrant> exchange(int atMs)
+    {
+        CHECK(borrower.notePeer("e0", 12, at(atMs)).ok());
+        CHECK(borrower.noteWaiting(6, at(atMs)).ok());
+        auto asks = borrower.asks(at(atMs), 1);
+        CHECK(asks.ok());
+        std::vector<LoanGrant> grants;
+        for (const auto& ask : *asks) {
+            auto lent = lender.lend(ask, at(atMs + 10));
+            CHECK(lent.ok());
+            grants.insert(grants.end(), lent->begin(), lent->end());
+        }
+        return grants;
+    }
+};
+
+// Guards against loans that end later at the borrower than at the lender, and against answers taken twice or too late.
+TEST(SlotTable, ALoanEndsAtTheBorrowerFirst)
+{
+    LoanPair pair { tableOf("e0"), tableOf("e1") };
+    settle(pair.lender, { "e0", "e1" });
+    CHECK(pair.borrower.applyView(viewOf(1, { "e0", "e1" }), at(6000)).ok());
+    const auto grants = pair.exchange(6000);
+    CHECK(grants.size() >= 2);
+    LONGS_EQUAL(0, pair.borrower.inUse());
+    CHECK(pair.borrower.receive(grants[0], at(7000)).ok());
+    CHECK(codeOf(pair.borrower.receive(grants[0], at(7000))) == absl::StatusCode::kAlreadyExists);
+    CHECK(codeOf(pair.borrower.receive(grants[1], at(8000))) == absl::StatusCode::kDeadlineExceeded);
+    pair.borrower.setAuthorityUntil(at(9000));
+    CHECK(codeOf(pair.borrower.acquire(Milliseconds(1), 1, at(8000)).status()) == absl::StatusCode::kResourceExhausted);
+    CHECK(pair.lender.noteWaiting(0, at(8109)).ok());
+    CHECK(pair.lender.lent() > 0);
+    CHECK(pair.lender.noteWaiting(0, at(8110)).ok());
+    LONGS_EQUAL(0, pair.lender.lent());
+}
+
+// Guards against a request that outlasts the loan whose slot it holds.
+TEST(SlotTable, ABorrowedSlotServesOnlyRequestsThatEndWithinTheLoan)
+{
+    LoanPair pair { tableOf("e0"), tableOf("e1") };
+    settle(pair.lender, { "e0", "e1" });
+    CHECK(pair.borrower.applyView(viewOf(1, { "e0", "e1" }), at(6000)).ok());
+    for (const auto& grant : pair.exchange(6000))
+        CHECK(pair.borrower.receive(grant, at(6020)).ok());
+    CHECK(!pair.borrower.acquire(Milliseconds(1501), 1, at(6500)).ok());
+    CHECK(pair.borrower.acquire(Milliseconds(1500), 1, at(6500)).ok());
+}
+
+// Guards against a late extension that brings a returned loan back into use.
+TEST(SlotTable, AnExtensionDoesNotReviveAReturnedLoan)
+{
+    LoanPair pair { tableOf("e0"), tableOf("e1") };
+    settle(pair.lender, { "e0", "e1" });
+    CHECK(pair.borrower.applyView(viewOf(1, { "e0", "e1" }), at(6000)).ok());
+    for (const auto& grant : pair.exchange(6000))
+        CHECK(pair.borrower.receive(grant, at(6020)).ok());
+    const auto extensions = pair.exchange(6850);
+    CHECK(!extensions.empty());
+    CHECK(pair.borrower.noteWaiting(0, at(6860)).ok());
+    // The need of the last second is over at 7.9 s, before the loans lapse at 8 s.
+    CHECK(!pair.borrower.returns(at(7990))->empty());
+    bool sawRefusal = false;
+    for (const auto& grant : extensions)
+        sawRefusal |= codeOf(pair.borrower.receive(grant, at(7995))) == absl::StatusCode::kNotFound;
+    CHECK(sawRefusal);
+    CHECK(!pair.borrower.acquire(Milliseconds(1), 1, at(7996)).ok());
+}
+
+// Guards against the extension of a loan of slots that the lender has lost to a new member meanwhile.
+TEST(SlotTable, ALoanOfALostSlotIsNotExtended)
+{
+    LoanPair pair { tableOf("e0"), tableOf("e1") };
+    settle(pair.lender, { "e0", "e1" });
+    CHECK(pair.borrower.applyView(viewOf(1, { "e0", "e1" }), at(6000)).ok());
+    for (const auto& grant : pair.exchange(6000))
+        CHECK(pair.borrower.receive(grant, at(6020)).ok());
+    SlotTable::View noWorkers { .position = 2, .members = viewOf(1, { "e0", "e1" }).members };
+    CHECK(pair.lender.applyView(noWorkers, at(6500)).ok());
+    // The workers come back, but their slots wait for the settle time.
+    CHECK(pair.lender.applyView(viewOf(3, { "e0", "e1" }), at(6600)).ok());
+    for (const auto& grant : pair.exchange(7000))
+        CHECK(grant.workers.empty());
+}
+
+// Guards against use of slots by a process that skipped records and so may have missed another owner.
+TEST(SlotTable, SkippedViewsMakeAllSlotsSettleAgain)
+{
+    auto table = tableOf("e0");
+    settle(table, { "e0" });
+    CHECK(table.acquire(Milliseconds(10), 1, at(6000)).ok());
+    auto view = viewOf(9, { "e0" });
+    view.contiguous = false;
+    CHECK(table.applyView(view, at(6010)).ok());
+    CHECK(!table.acquire(Milliseconds(10), 1, at(12009)).ok());
+    CHECK(table.acquire(Milliseconds(10), 1, at(12010)).ok());
+    table.setAuthorityUntil(at(12020));
+    CHECK(codeOf(table.acquire(Milliseconds(10), 1, at(12020)).status()) == absl::StatusCode::kFailedPrecondition);
+}
+
+// Guards against local queues while other zones are idle, and against traffic between zones without need.
+TEST(SlotTable, RequestsSpillOverWhenTheOwnZoneIsNearlyFull)
+{
+    auto table = tableOf("e0");
+    settle(table, { "e0" });
+    CHECK(table.noteWaiting(0, at(6000)).ok());
+    int remote = 0;
+    for (int n = 0; n < 12; ++n)
+        remote += table.acquire(Milliseconds(100), static_cast<uint64_t>(n), at(6000))->worker >= "w2" ? 1 : 0;
+    LONGS_EQUAL(0, remote);
+    for (int n = 12; n < 20; ++n)
+        remote += table.acquire(Milliseconds(100), static_cast<uint64_t>(n), at(6000))->worker >= "w2" ? 1 : 0;
+    CHECK(remote >= 6);
+    CHECK(table.setWeight("w0", 0).ok());
+    CHECK(table.setWeight("w1", 0).ok());
+    CHECK(table.acquire(Milliseconds(100), 1, at(6000))->worker >= "w2");
+}
+
+// Guards against crashes and silent changes on bad input.
+TEST(SlotTable, BadInputIsRefused)
+{
+    CHECK(!SlotTable::create({}).ok());
+    CHECK(!SlotTable::create({ .self = "e0", .maxHold = Milliseconds(-1) }).ok());
+    auto table = tableOf("e0");
+    settle(table, { "e0" });
+    auto view = viewOf(2, { "e0", "e0" });
+    CHECK(!table.applyView(view, at(1)).ok());
+    view = viewOf(2, { "e0" });
+    view.workers[0].slots = -1;
+    CHECK(!table.applyView(view, at(1)).ok());
+    CHECK(codeOf(table.applyView(viewOf(1, { "e0" }), at(1))) == absl::StatusCode::kAlreadyExists);
+    CHECK(!table.release(99, at(1)).ok());
+    CHECK(!table.noteWaiting(-1, at(1)).ok());
+    CHECK(!table.notePeer("e9", 1, at(1)).ok());
+    CHECK(!table.notePosition("e9", 1, at(1)).ok());
+    CHECK(!table.setWeight("w9", 1).ok());
+    CHECK(!table.setWeight("w0", 1001).ok());
+    CHECK(!table.acquire(Milliseconds(0), 1, at(1)).ok());
+    CHECK(!table.acquireOn("w9", Milliseconds(1), at(1)).ok());
+    CHECK(!table.lend({ .lender = "e0", .borrower = "e9", .slots = 1 }, at(1)).ok());
+    CHECK(!table.receive({ .lender = "e9", .borrower = "e0", .lease = Milliseconds(10) }, at(1)).ok());
+    CHECK(!table.takeBack({ .lender = "e0", .borrower = "e1", .loan = 3 }, at(1)).ok());
+    auto use = table.acquire(Milliseconds(10), 1, at(6000));
+    CHECK(use.ok());
+    CHECK(!table.release(use->id, at(5999)).ok());
+    CHECK(table.release(use->id, at(6001)).ok());
+    CHECK(!table.release(use->id, at(6001)).ok());
+    LONGS_EQUAL(32, table.freeOwn());
+}
