--- a/Libraries/LibReport/BurnHtml.cpp
+++ b/Libraries/LibReport/BurnHtml.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace Bergamot {
 
@@ -134,17 +135,19 @@
         "<figure><figcaption>{0}</figcaption>\n<svg viewBox=\"0 0 {1} {2}\" role=\"img\" aria-label=\"{0}\">\n"
         "<title>{0}</title>\n",
         escapeHtml(plot.title), plotWidth, plotHeight);
-    const auto horizontal = [&](std::string_view style, double value) {
+    // Labels of the range stand left of the plot and those of limits inside it at the right, so that they do not
+    // overlap.
+    const auto horizontal = [&](std::string_view style, double value, double labelX, double labelY) {
         fmt::format_to(write,
             "<line class=\"{0}\" x1=\"{1}\" x2=\"{2}\" y1=\"{3:.1f}\" y2=\"{3:.1f}\"/>\n"
             "<text x=\"{4}\" y=\"{5:.1f}\" text-anchor=\"end\">{6:g}{7}</text>\n",
-            style, marginLeft, right, y(value), marginLeft - 4, y(value) + 4, value, plot.unit);
+            style, marginLeft, right, y(value), labelX, labelY, value, plot.unit);
     };
-    horizontal("axis", low);
-    horizontal("axis", high);
+    horizontal("axis", low, marginLeft - 4, y(low) + 4);
+    horizontal("axis", high, marginLeft - 4, y(high) + 4);
     for (double limit : plot.limits) {
         if (limit > low && limit < high)
-            horizontal("limit", limit);
+            horizontal("limit", limit, right, y(limit) - 3);
     }
     std::vector<std::pair<double, double>> points;
     for (size_t i = 0; i < plot.values.size(); ++i) {
--- a/Libraries/LibReport/BurnKey.h
+++ b/Libraries/LibReport/BurnKey.h
@@ -12,6 +12,7 @@
     ClientId client {};
     ZoneId zone {};
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 mistakes the zero of the defaulted comparison for a pointer.
     auto operator<=>(const BurnKey&) const = default;
 };
 
--- a/Libraries/LibReport/BurnReport.cpp
+++ b/Libraries/LibReport/BurnReport.cpp
@@ -63,6 +63,7 @@
             chosen = &slice;
     }
     std::vector<const BurnSlice*> result;
+    result.reserve(byMember.size());
     for (const auto& [member, slice] : byMember)
         result.push_back(slice);
     return result;
--- a/Libraries/LibReport/BurnWindow.h
+++ b/Libraries/LibReport/BurnWindow.h
@@ -17,7 +17,9 @@
 using WindowCounts = std::array<BurnCounts, burnWindowCount>;
 
 inline constexpr std::array<std::string_view, burnWindowCount> burnWindowNames { "5m", "1h", "6h", "3d", "28d" };
-inline constexpr std::array<int64_t, burnWindowCount> burnWindowMinutes { 5, 60, 360, 3 * 1440, 28 * 1440 };
+inline constexpr int64_t minutesPerDay = 1440;
+inline constexpr std::array<int64_t, burnWindowCount> burnWindowMinutes { 5, 60, 360, 3 * minutesPerDay,
+    28 * minutesPerDay };
 
 inline const BurnCounts& countsOf(const WindowCounts& counts, BurnWindow window)
 {
--- /dev/null
+++ b/Meta/cmake/bergamotbay-config.cmake
@@ -0,0 +1,10 @@
+# Targets: bergamotbay::LibCore, LibWire, LibState, LibDecision and LibReport.
+include(CMakeFindDependencyMacro)
+find_dependency(PkgConfig)
+find_dependency(Threads)
+find_dependency(absl)
+find_dependency(fmt)
+find_dependency(nlohmann_json)
+find_dependency(prometheus-cpp CONFIG)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/bergamotbay-targets.cmake)
