--- a/Libraries/LibStandIn/AnswerReading.cpp
+++ b/Libraries/LibStandIn/AnswerReading.cpp
@@ -14,7 +14,10 @@
         return absl::IsAborted(reply.status()) ? "no" : "unknown";
     if (isSuccess(*reply))
         return "yes";
+    // Daemons say it in the problem document, workers in a header.
     auto ran = jsonText(parseJson(reply->body), "ran");
+    if (ran.empty())
+        ran = headerValue(reply->headers, "X-Ran");
     return ran.empty() ? "unknown" : ran;
 }
 
--- a/Tests/LibStandIn/TestLoad.cpp
+++ b/Tests/LibStandIn/TestLoad.cpp
@@ -27,6 +27,7 @@
             .status = 200, .headers = { { "x-request-digest", "f" } }, .body = "0123456789abcdef token a-w1\n" })
                .isWhole);
     STRCMP_EQUAL("no", readAnswer(HttpReply { .status = 503, .body = R"({"ran":"no"})" }).ran.c_str());
+    STRCMP_EQUAL("no", readAnswer(HttpReply { .status = 503, .headers = { { "X-Ran", "no" } } }).ran.c_str());
     STRCMP_EQUAL("unknown", readAnswer(HttpReply { .status = 503, .body = "{" }).ran.c_str());
     STRCMP_EQUAL("unknown", readAnswer(absl::UnavailableError("")).ran.c_str());
     STRCMP_EQUAL("cut_off", readAnswer(absl::UnavailableError("")).error.c_str());
--- a/Utilities/bergamot-load/QuickLoad.cpp
+++ b/Utilities/bergamot-load/QuickLoad.cpp
@@ -85,7 +85,8 @@
     record.answerDigest.clear();
     record.isWhole = false;
     HttpCall call { .method = "POST",
-        .url = fmt::format("{}/v1/services/{}", record.entry, m_options.service),
+        .url
+        = fmt::format("{}{}{}", record.entry, m_options.isDirect ? "/service/" : "/v1/services/", m_options.service),
         .headers = { { "Idempotency-Key", record.key }, { "X-Deadline-Ms", std::to_string(m_options.deadlineMs) },
             { "X-Client", m_options.client } },
         .body = request->body,
@@ -93,6 +94,8 @@
         .freshConnection = record.nonIdempotent };
     if (record.nonIdempotent)
         call.headers.push_back({ "X-Non-Idempotent", "1" });
+    if (m_options.isDirect)
+        call.requestId = record.key;
     record.sentMs = m_clock.now().time_since_epoch().count();
     auto& engine = *m_engines[digestOf(record.key) % m_engines.size()];
     engine.submit(std::move(call), [this, request](const auto& reply) { onReply(request, reply); });
--- a/Utilities/bergamot-load/QuickLoad.h
+++ b/Utilities/bergamot-load/QuickLoad.h
@@ -36,6 +36,9 @@
         int64_t deadlineMs { 1000 };
         size_t bodyBytes { 64 };
         int engines { 1 };
+
+        /// The entries are workers, called without a daemon. This gives the latency to compare with.
+        bool isDirect { false };
     };
 
     QuickLoad(Options, RecordSink&);
--- a/Utilities/bergamot-load/main.cpp
+++ b/Utilities/bergamot-load/main.cpp
@@ -38,6 +38,7 @@
   --deadline-ms=N          Deadline of a quick request [default: 1000].
   --body-bytes=N           Size of a quick request [default: 64].
   --engines=N              Threads that send quick requests [default: 1].
+  --direct                 The entries are workers, called without a daemon; gives the latency to compare with.
   --urgent-share=F         Share of urgent jobs [default: 0.1].
   --cancel-share=F         Share of jobs that are cancelled [default: 0.05].
   --oversize-share=F       Share of jobs that fit nowhere [default: 0].
@@ -83,7 +84,8 @@
                        .retries = arguments.at("--retry").asBool(),
                        .deadlineMs = arguments.at("--deadline-ms").asLong(),
                        .bodyBytes = static_cast<size_t>(arguments.at("--body-bytes").asLong()),
-                       .engines = static_cast<int>(number(arguments, "--engines")) },
+                       .engines = static_cast<int>(number(arguments, "--engines")),
+                       .isDirect = arguments.at("--direct").asBool() },
         sink);
     return load.run();
 }
