Put the configuration of the settings file in force until one is published

A new site has no published configuration and its daemons stayed unready. The file's configuration is used only after the config stream was read to its head and is empty, so that a restarted daemon never goes back to it.

--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -109,6 +109,7 @@
     m_configStream.tick(now);
     // A snapshot can bring a configuration without a batch.
     adoptConfig(m_configStream.state().image().config);
+    adoptInitialConfig();
     m_membership.tick(now);
     m_hosts.tick(now);
     m_dispatcher.tick(now);
@@ -169,20 +170,35 @@
             { { "version", published.version }, { "findings", describeFindings(std::get<Findings>(decoded)) } });
         return;
     }
-    m_config = std::make_shared<const SiteConfig>(*config);
+    putInForce(std::make_shared<const SiteConfig>(*config), published.version);
+    logInfo("config_in_force", { { "version", published.version }, { "author", published.author } });
+}
+
+// The configuration of the settings file must not replace a published one, so the stream is read to its head first.
+void EntryNode::adoptInitialConfig()
+{
+    bool nothingPublished = m_configStream.hasCaughtUp() && m_configStream.state().image().config.version == 0;
+    if (m_config || !m_options.initialConfig || !nothingPublished)
+        return;
+    putInForce(m_options.initialConfig, 0);
+    logInfo("config_in_force", { { "version", 0 }, { "author", "settings file" } });
+}
+
+void EntryNode::putInForce(std::shared_ptr<const SiteConfig> config, uint64_t version)
+{
+    m_config = std::move(config);
     std::vector<BurnObjective> objectives;
     for (const auto& service : m_config->services)
         objectives.push_back({ .service = service.name,
             .latencyTarget = service.latencyTarget,
             .objectivePercent = service.objectivePercent });
-    if (auto status = m_burn->setObjectives(std::move(objectives), published.version); !status.ok())
+    if (auto status = m_burn->setObjectives(std::move(objectives), version); !status.ok())
         logWarning("objectives_refused", { { "error", statusText(status) } });
     m_quickPath->setConfig(m_config);
     m_scheduler.setConfig(m_config);
-    m_metrics->setConfigVersion(published.version);
+    m_metrics->setConfigVersion(version);
     m_routedPosition = 0;
     m_limitsChanged = true;
-    logInfo("config_in_force", { { "version", published.version }, { "author", published.author } });
 }
 
 const EntryNode::ConfigVersion* EntryNode::findConfigVersion(std::string_view version) const
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -37,6 +37,9 @@
 
     struct Options {
         NodeSettings settings {};
+
+        /// In force until the first configuration is published; may be null.
+        std::shared_ptr<const SiteConfig> initialConfig {};
         uint64_t incarnation { 0 };
         uint64_t seed { 1 };
         Platform platform {};
@@ -90,6 +93,8 @@
     void regionBatchApplied(const RecordBatch&, const ApplyResult&);
     void configBatchApplied(const RecordBatch&, const ApplyResult&);
     void adoptConfig(const ConfigPublished&);
+    void adoptInitialConfig();
+    void putInForce(std::shared_ptr<const SiteConfig>, uint64_t version);
     void updateRouting(Instant now);
     void updateLimits(Instant now);
     void exchangeShares(Instant now);
--- a/Services/bergamotd/Daemon.cpp
+++ b/Services/bergamotd/Daemon.cpp
@@ -96,6 +96,7 @@
     Executor executor = [mailbox = m_mailbox](std::function<void()> task) { mailbox->post(std::move(task)); };
     auto wallClock = std::chrono::system_clock::now().time_since_epoch();
     auto node = EntryNode::create({ .settings = m_options.settings,
+        .initialConfig = m_options.initialConfig,
         // A restarted process must get a higher incarnation without a disk; the wall clock gives one.
         .incarnation = static_cast<uint64_t>(std::chrono::duration_cast<Milliseconds>(wallClock).count()),
         .seed = m_options.seed,
--- a/Services/bergamotd/Daemon.h
+++ b/Services/bergamotd/Daemon.h
@@ -21,6 +21,7 @@
 public:
     struct Options {
         NodeSettings settings {};
+        std::shared_ptr<const SiteConfig> initialConfig {};
         std::string adminToken {};
         Milliseconds snapshotInterval { 600'000 };
         uint64_t snapshotEntries { 20'000 };
--- a/Services/bergamotd/main.cpp
+++ b/Services/bergamotd/main.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 #include <LibConfig/Findings.h>
 #include <LibConfig/NodeSettingsLoader.h>
+#include <LibConfig/SiteConfigLoader.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <curl/curl.h>
@@ -8,6 +9,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -44,6 +46,29 @@
     return first == std::string::npos ? std::string {} : text.substr(first, last - first + 1);
 }
 
+/// The configuration that the settings name; null when they name none. Prints findings and returns nullopt for bad
+/// ones.
+static std::optional<std::shared_ptr<const SiteConfig>> loadInitialConfig(const NodeSettings& settings)
+{
+    if (!settings.baseConfig || !settings.overlayConfig)
+        return std::shared_ptr<const SiteConfig> {};
+    auto base = readFile(*settings.baseConfig);
+    auto overlay = readFile(*settings.overlayConfig);
+    if (!base || !overlay) {
+        fmt::print(stderr, "bergamotd: cannot read {}\n", base ? *settings.overlayConfig : *settings.baseConfig);
+        return std::nullopt;
+    }
+    auto loaded = loadSite({ .baseText = *base,
+        .overlayText = *overlay,
+        .baseFile = *settings.baseConfig,
+        .overlayFile = *settings.overlayConfig });
+    if (const auto* findings = std::get_if<Findings>(&loaded)) {
+        fmt::print(stderr, "{}", describeFindings(*findings));
+        return std::nullopt;
+    }
+    return std::make_shared<const SiteConfig>(std::get<SiteConfig>(std::move(loaded)));
+}
+
 static LogLevel levelOf(const std::string& name)
 {
     if (name == "debug")
@@ -73,10 +98,14 @@
         fmt::print(stderr, "bergamotd: cannot read a token from {}\n", settings.adminTokenFile);
         return 2;
     }
+    auto initialConfig = loadInitialConfig(settings);
+    if (!initialConfig)
+        return 2;
     Logger::the().setProcessName(settings.member);
     Logger::the().setLevel(levelOf(settings.logLevel));
     curl_global_init(CURL_GLOBAL_DEFAULT);
     auto daemon = Daemon::create({ .settings = settings,
+        .initialConfig = *initialConfig,
         .adminToken = trimmed(*token),
         .snapshotInterval = std::chrono::seconds { arguments["--snapshot-seconds"].asLong() },
         .snapshotEntries = static_cast<uint64_t>(arguments["--snapshot-entries"].asLong()),
