Mend linter findings and the test of trailing fields

SlotReturn gained a field, so the test of unknown trailing fields names it and adds its extra field behind it; the check is as strict as before.

--- a/Libraries/LibDecision/BatchQueue.h
+++ b/Libraries/LibDecision/BatchQueue.h
@@ -19,7 +19,8 @@
         int64_t key { 0 };
         JobIndex job { noIndex };
 
-        auto operator<=>(const Entry&) const = default;
+        // clang-tidy 14 takes the comparison with 0 behind a defaulted operator for a null pointer.
+        auto operator<=>(const Entry&) const = default; // NOLINT(modernize-use-nullptr)
     };
     using Lane = std::set<Entry>;
 
@@ -55,7 +56,7 @@
         Instant at {};
         JobIndex job { noIndex };
 
-        auto operator<=>(const Timer&) const = default;
+        auto operator<=>(const Timer&) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     std::vector<Lane> m_lanes;
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -213,6 +213,7 @@
 std::vector<SlotTable::Member> EntryNode::slotMembers() const
 {
     std::vector<SlotTable::Member> members;
+    members.reserve(m_region.state().image().members.size());
     for (const auto& [id, member] : m_region.state().image().members)
         members.push_back({ .id = id, .incarnation = member.spec.incarnation, .zone = member.spec.zone });
     return members;
@@ -231,6 +232,7 @@
         }
     }
     std::vector<ServicePath::Upstream> result;
+    result.reserve(upstreams.size());
     for (auto& [id, upstream] : upstreams)
         result.push_back(std::move(upstream));
     return result;
@@ -271,6 +273,7 @@
         return;
     m_limitsChanged = false;
     std::vector<ClientLimiter::Member> members;
+    members.reserve(m_region.state().image().members.size());
     for (const auto& [id, member] : m_region.state().image().members)
         members.push_back({ .id = id, .incarnation = member.spec.incarnation });
     m_quickPath->withLimiter([&](ClientLimiter& limiter) {
--- a/Libraries/LibEntry/ServicePath.cpp
+++ b/Libraries/LibEntry/ServicePath.cpp
@@ -28,8 +28,8 @@
     auto outliers = OutlierDetector::create({});
     if (!outliers.ok())
         return outliers.status();
-    return std::shared_ptr<ServicePath>(new ServicePath(
-        std::move(options), std::move(*slots), std::move(*admission), std::move(*retries), std::move(*outliers)));
+    return std::shared_ptr<ServicePath>(
+        new ServicePath(std::move(options), std::move(*slots), std::move(*admission), *retries, std::move(*outliers)));
 }
 
 ServicePath::ServicePath(
@@ -37,7 +37,7 @@
     : m_options(std::move(options))
     , m_slots(std::move(slots))
     , m_admission(std::move(admission))
-    , m_retries(std::move(retries))
+    , m_retries(retries)
     , m_outliers(std::move(outliers))
     , m_random(m_options.seed)
 {
--- a/Libraries/LibEntry/ServicePath.h
+++ b/Libraries/LibEntry/ServicePath.h
@@ -130,7 +130,6 @@
     std::unordered_map<uint64_t, PendingPtr> m_pending;
     std::mt19937_64 m_random;
     uint64_t m_nextId { 1 };
-    size_t m_nextEngine { 0 };
 };
 
 }
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -25,7 +25,7 @@
         std::string address { "127.0.0.1" };
         uint16_t port { 0 };
         int threads { 1 };
-        size_t maxRequestBytes { 64 * 1024 };
+        size_t maxRequestBytes { size_t { 64 } << 10 };
         Handler handler {};
     };
 
--- a/Libraries/LibPlatform/TaskId.h
+++ b/Libraries/LibPlatform/TaskId.h
@@ -11,7 +11,8 @@
     JobId job {};
     uint32_t attempt { 0 };
 
-    auto operator<=>(const TaskId&) const = default;
+    // clang-tidy 14 takes the comparison with 0 behind a defaulted operator for a null pointer.
+    auto operator<=>(const TaskId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 }
--- a/Tests/LibWire/TestCodecRobustness.cpp
+++ b/Tests/LibWire/TestCodecRobustness.cpp
@@ -224,9 +224,9 @@
     auto batch = decodeBatch(packedFields(true, recordIndex<ZoneChanged>(), "z1", true, "later field", 7));
     CHECK(batch.ok());
     CHECK((batch->records == std::vector<Record> { ZoneChanged { .zone = "z1", .out = true } }));
-    auto message = decodePeerMessage(packedFields(false, 3, "e1", 3, std::vector<int> { 1, 2 }));
+    auto message = decodePeerMessage(packedFields(false, 3, "e1", 3, "token", std::vector<int> { 1, 2 }));
     CHECK(message.ok());
-    CHECK((*message == PeerMessage { SlotReturn { .borrower = "e1", .loan = 3 } }));
+    CHECK((*message == PeerMessage { SlotReturn { .borrower = "e1", .loan = 3, .service = "token" } }));
 }
 
 // Guards against a newer version that refuses records of an older one with fewer fields.
