Tell the model which kinds are services and learn what no neighbour explains

Cause: with an unknown pair of services expected to slow down as much as batch work does, services were packed by kind and the hosts' budgets were used up by doubt about services that run side by side anyway. Throttled tasks barred new work from their hosts even where the budget had room for both. Change: services have a milder prior, a base for each victim and load level takes what no neighbour explains, hosts short of processors are left out of learning, and throttled tasks count at full speed in predictions.

--- a/Libraries/LibDecision/BatchSchedulerImpl.cpp
+++ b/Libraries/LibDecision/BatchSchedulerImpl.cpp
@@ -16,6 +16,7 @@
 static constexpr uint32_t maxAttemptsLimit = 100;
 static constexpr double useSmoothing = 0.05;
 static constexpr double maxRatio = 1e6;
+static constexpr double busyShare = 0.92;
 
 BatchScheduler::Impl::Impl(const SchedulerOptions& options, std::unique_ptr<SlowdownEstimator> estimator)
     : m_options(options)
@@ -164,6 +165,8 @@
     m_state.kinds[index].view = view;
     m_state.kinds[index].yieldsTo = std::move(yieldsTo);
     m_state.kinds[index].defined = true;
+    if (view.isService)
+        m_estimator->declareService(index);
     return absl::OkStatus();
 }
 
@@ -537,6 +540,10 @@
     if (watch == record.services.end())
         return absl::FailedPreconditionError(fmt::format("no task of '{}' on worker '{}'", serviceKind, id));
     m_evictionPolicy.observeLatency(*watch, load, ratio);
+    // Where processors are short, the wait for them hides what the neighbours do.
+    bool isBusy = record.expectedCpu > busyShare * static_cast<double>(record.view.capacity.cpuMillis);
+    if (isBusy && m_options.learnsUse)
+        return absl::OkStatus();
     if (const auto* neighbours = SchedulerState::compositionAt(record, m_now - m_options.reportLag))
         m_estimator->observe(watch->kind, *neighbours, load, ratio, m_now);
     return absl::OkStatus();
--- a/Libraries/LibDecision/EvictionPolicy.cpp
+++ b/Libraries/LibDecision/EvictionPolicy.cpp
@@ -8,6 +8,8 @@
 static constexpr uint32_t reportsToAct = 2;
 static constexpr uint32_t reportsToRelax = 4;
 static constexpr double smoothing = 0.4;
+// Throttles are relaxed while the rise is below this share of the budget; the gap to the limit prevents flapping.
+static constexpr double relaxShare = 0.75;
 // Reports arrive this long after the lag at the latest, as workers are polled each 1 to 10 s.
 static constexpr Milliseconds reportPeriod { 5'000 };
 static constexpr std::array<int32_t, 3> throttleSteps { 50, 25, 10 };
@@ -31,7 +33,7 @@
     watch.smoothedRatio += smoothing * (ratio - watch.smoothedRatio);
     double rise = watch.smoothedRatio - 1.0;
     watch.reportsOver = rise > m_options.latencyLimit ? watch.reportsOver + 1 : 0;
-    watch.reportsUnder = rise < m_options.latencyLimit / 2 ? watch.reportsUnder + 1 : 0;
+    watch.reportsUnder = rise < relaxShare * m_options.latencyBudget ? watch.reportsUnder + 1 : 0;
 }
 
 bool EvictionPolicy::observeUse(JobRecord& job, const UsageSample& sample) const
--- a/Libraries/LibDecision/InterferenceModel.cpp
+++ b/Libraries/LibDecision/InterferenceModel.cpp
@@ -45,8 +45,13 @@
     KindIndex victim, const std::vector<Neighbour>& neighbours, double load, double ratio, Instant now)
 {
     auto level = m_options.usesLoadLevels ? levelOf(load) : 0;
-    double predicted = 0;
-    double variance = m_options.reportNoise * m_options.reportNoise * ratio * ratio;
+    if (m_victims.size() <= victim)
+        m_victims.resize(victim + 1);
+    auto& base = m_victims[victim].bases[level];
+    if (base.samples == 0)
+        base.variance = static_cast<float>(m_options.baseDeviation * m_options.baseDeviation);
+    double predicted = base.mean;
+    double variance = m_options.reportNoise * m_options.reportNoise * ratio * ratio + base.variance;
     for (const auto& neighbour : neighbours) {
         if (neighbour.share < minShare || neighbour.kind == victim)
             continue;
@@ -57,6 +62,10 @@
     double error = ratio - 1.0 - predicted;
     double limit = clipDeviations * std::sqrt(variance);
     double clipped = std::clamp(error, -limit, limit);
+    double baseGain = base.variance / variance;
+    base.mean += static_cast<float>(baseGain * clipped);
+    base.variance *= static_cast<float>(1.0 - baseGain);
+    ++base.samples;
     for (const auto& neighbour : neighbours) {
         if (neighbour.share < minShare || neighbour.kind == victim)
             continue;
@@ -89,15 +98,32 @@
     }
 }
 
+void InterferenceModel::declareService(KindIndex kind)
+{
+    if (m_victims.size() <= kind)
+        m_victims.resize(kind + 1);
+    m_victims[kind].isService = true;
+}
+
+SlowdownEstimate InterferenceModel::baseOf(KindIndex victim, size_t level) const
+{
+    if (victim >= m_victims.size())
+        return {};
+    return { m_victims[victim].bases[level].mean, 0 };
+}
+
 SlowdownEstimate InterferenceModel::pair(KindIndex victim, Neighbour neighbour, double load) const
 {
+    auto level = m_options.usesLoadLevels ? levelOf(load) : 0;
     if (neighbour.kind == victim)
-        return {};
-    SlowdownEstimate prior { m_options.priorMean * neighbour.share, m_options.priorDeviation * neighbour.share };
+        return baseOf(victim, level);
+    bool isService = neighbour.kind < m_victims.size() && m_victims[neighbour.kind].isService;
+    double priorDeviation = isService ? m_options.servicePriorDeviation : m_options.priorDeviation;
+    SlowdownEstimate prior { (isService ? m_options.servicePriorMean : m_options.priorMean) * neighbour.share,
+        priorDeviation * neighbour.share };
     const auto* levels = levelsOf(victim, neighbour.kind);
     if (!levels)
         return prior;
-    auto level = m_options.usesLoadLevels ? levelOf(load) : 0;
     const auto& own = (*levels)[level];
     if (own.samples >= m_options.minSamples)
         return { own.mean * neighbour.share, std::sqrt(own.variance) * neighbour.share };
@@ -109,8 +135,8 @@
     }
     if (best->samples < m_options.minSamples)
         return prior;
-    double deviation = std::sqrt(best->variance) + m_options.priorDeviation / 2;
-    return { best->mean * neighbour.share, std::min(deviation, m_options.priorDeviation) * neighbour.share };
+    double deviation = std::sqrt(best->variance) + priorDeviation / 2;
+    return { best->mean * neighbour.share, std::min(deviation, priorDeviation) * neighbour.share };
 }
 
 size_t InterferenceModel::stateBytes() const
--- a/Libraries/LibDecision/InterferenceModel.h
+++ b/Libraries/LibDecision/InterferenceModel.h
@@ -11,13 +11,17 @@
 ///
 /// Slowdown is modelled as the sum over neighbours of share x coefficient. Each coefficient has a mean and a variance,
 /// updated by a Kalman filter with a diagonal covariance. Variance grows with time, so old knowledge fades. When
-/// A service's own kind does not count: its latency alone includes its other tasks on the host. When
+/// A service's own kind does not count, as its latency alone includes its other tasks on the host; pair() returns for
+/// it the rise that no neighbour explains. When
 /// prediction errors stay larger than the variance explains, the coefficients involved are opened for relearning.
 class InterferenceModel final : public SlowdownEstimator {
 public:
     struct Options {
         double priorMean { 0.25 };
         double priorDeviation { 0.35 };
+        /// Services are sized to run side by side, so less is expected of a service as neighbour.
+        double servicePriorMean { 0.05 };
+        double servicePriorDeviation { 0.1 };
         /// Standard deviation of one report, as a ratio.
         double reportNoise { 0.05 };
         /// Growth of the variance of a coefficient per hour without reports.
@@ -27,6 +31,8 @@
         /// Bound of the cumulative sum of errors (in standard deviations, each clipped) at which the behaviour is taken
         /// to have shifted. In a wave of noise the signs cancel out.
         double shiftBound { 10.0 };
+        /// Deviation of the part that no neighbour explains, such as the disturbance by starts.
+        double baseDeviation { 0.03 };
         bool detectsShifts { true };
         bool usesLoadLevels { true };
     };
@@ -43,6 +49,7 @@
     {
     }
 
+    void declareService(KindIndex) override;
     void observe(KindIndex victim, const std::vector<Neighbour>&, double load, double ratio, Instant now) override;
     SlowdownEstimate pair(KindIndex victim, Neighbour, double load) const override;
     size_t stateBytes() const override;
@@ -66,8 +73,12 @@
     struct Victim {
         std::vector<Levels> byNeighbour {};
         std::array<Drift, loadLevels> drifts {};
+        /// Rise that no neighbour explains. Without it, mild neighbours are blamed for it.
+        std::array<Cell, loadLevels> bases {};
+        bool isService { false };
     };
 
+    SlowdownEstimate baseOf(KindIndex victim, size_t level) const;
     Cell* cellOf(KindIndex victim, KindIndex neighbour, size_t level, Instant now);
     const Levels* levelsOf(KindIndex victim, KindIndex neighbour) const;
     void noteSurprise(Victim&, size_t level, double error, double variance, const std::vector<Neighbour>&);
--- a/Libraries/LibDecision/JobRecord.h
+++ b/Libraries/LibDecision/JobRecord.h
@@ -45,7 +45,7 @@
     double expectedCpu { 0 };
     uint8_t overUseReports { 0 };
     int32_t throttlePercent { 100 };
-    bool throttledForService { false };
+    double withheldCpu { 0 };
     Instant throttledAt {};
     bool cancelled { false };
     bool recovering { false };
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -14,8 +14,6 @@
 // again.
 static constexpr double evictedBudgetShare = 0.5;
 
-static constexpr double negligibleRise = 0.003;
-
 Placement::Placement(const SchedulerState& state, const SlowdownEstimator& estimator, const ZonePolicy& zonePolicy,
     const SchedulerOptions& options)
     : m_state(state)
@@ -89,14 +87,13 @@
     double mean = own.mean;
     double variance = own.deviation * own.deviation;
     for (const auto& kind : worker.kinds) {
-        auto other = m_estimator.pair(
-            watch.kind, { .kind = kind.kind, .share = static_cast<float>(kind.cpuMillis / capacity) }, load);
+        // Room that throttling has made belongs to the throttled tasks, not to new ones.
+        double cpu = kind.cpuMillis + kind.withheldMillis;
+        auto other
+            = m_estimator.pair(watch.kind, { .kind = kind.kind, .share = static_cast<float>(cpu / capacity) }, load);
         mean += other.mean;
         variance += other.deviation * other.deviation;
     }
-    // Room that throttling has made belongs to the throttled tasks, not to new ones.
-    if (query.caution != LatencyCaution::None && worker.throttledTasks > 0 && own.mean > negligibleRise)
-        return { .acceptable = false, .rise = own.mean };
     if (watch.reportsOver >= 2)
         mean = std::max(mean, watch.smoothedRatio - 1.0 + own.mean);
     double budget = m_options.latencyBudget;
--- a/Libraries/LibDecision/SchedulerState.cpp
+++ b/Libraries/LibDecision/SchedulerState.cpp
@@ -109,7 +109,7 @@
     job.worker = workerIndex;
     job.used = {};
     job.throttlePercent = 100;
-    job.throttledForService = false;
+    job.withheldCpu = 0;
     job.overUseReports = 0;
     auto it = std::ranges::find(worker.kinds, job.kind, &KindLoad::kind);
     if (it == worker.kinds.end())
@@ -129,10 +129,10 @@
     worker.committed = worker.committed - job.view.size;
     teams[job.team].committed = teams[job.team].committed - job.view.size;
     std::erase(worker.tasks, index);
-    worker.throttledTasks -= job.throttledForService ? 1 : 0;
     if (worker.probationJob == index)
         worker.probationJob = noIndex;
     auto it = std::ranges::find(worker.kinds, job.kind, &KindLoad::kind);
+    it->withheldMillis -= job.withheldCpu;
     setExpectedCpu(job, 0);
     if (--it->tasks == 0)
         worker.kinds.erase(it);
@@ -171,10 +171,12 @@
 
 void SchedulerState::setThrottle(JobRecord& job, int32_t percent, bool forService)
 {
-    auto& worker = workers[job.worker];
-    bool counts = percent < 100 && forService;
-    worker.throttledTasks += (counts ? 1 : 0) - (job.throttledForService ? 1 : 0);
-    job.throttledForService = counts;
+    auto& kinds = workers[job.worker].kinds;
+    auto it = std::ranges::find(kinds, job.kind, &KindLoad::kind);
+    double full = job.expectedCpu * 100 / job.throttlePercent;
+    double withheld = forService ? full * (100 - percent) / 100 : 0;
+    it->withheldMillis += withheld - job.withheldCpu;
+    job.withheldCpu = withheld;
     setExpectedCpu(job, job.expectedCpu * percent / job.throttlePercent);
     job.throttlePercent = percent;
 }
--- a/Libraries/LibDecision/SchedulerState.h
+++ b/Libraries/LibDecision/SchedulerState.h
@@ -73,7 +73,7 @@
     /// True when tasks of `kind` may be throttled or evicted for tasks of `other`.
     bool yields(KindIndex kind, KindIndex other) const;
     bool isAvailable(const WorkerRecord&) const;
-    /// With `forService` the room made is kept for the throttled task.
+    /// With `forService` the processors withheld still count for the task, and it gets them back later.
     void setThrottle(JobRecord&, int32_t percent, bool forService);
     /// Sets the processors that a committed job is expected to use, in thousandths of a core.
     void setExpectedCpu(JobRecord&, double cpuMillis);
--- a/Libraries/LibDecision/WorkerRecord.h
+++ b/Libraries/LibDecision/WorkerRecord.h
@@ -27,6 +27,8 @@
     KindIndex kind { 0 };
     uint32_t tasks { 0 };
     double cpuMillis { 0 };
+    /// What throttling for services withholds from them; they will use it again.
+    double withheldMillis { 0 };
 };
 
 /// Room that is kept for one job. A `firm` hold admits nobody else. Otherwise work that is expected to end before
@@ -59,7 +61,6 @@
     double expectedCpu { 0 };
     /// A task here uses more than it declared; set by reports, looked at by the eviction policy.
     bool hasOverUse { false };
-    uint32_t throttledTasks { 0 };
     std::vector<JobIndex> tasks {};
     std::vector<KindLoad> kinds {};
     std::vector<ServiceWatch> services {};
