Gather services on fewer hosts and make room for them by eviction

Cause: services lost with a zone started wherever room appeared first, mostly on hosts without services, which then took batch work only within a latency budget; until room appeared they were down. Change: placement prefers hosts that run services already; pending services make room like urgent jobs.

--- a/Libraries/LibDecision/BatchSchedulerImpl.h
+++ b/Libraries/LibDecision/BatchSchedulerImpl.h
@@ -71,8 +71,8 @@
     bool moveTask(JobIndex);
     void shrinkCommitments();
     void relieveServices();
-    void placeLane(size_t lane, size_t depth);
-    void placeUrgent();
+    /// Places urgent jobs or services, making room by eviction where there is none.
+    void placeLane(size_t lane);
     void makeUrgentRoom(JobIndex);
     void placeTeams(bool borrowing);
     void placeHeld();
--- a/Libraries/LibDecision/BatchSchedulerTick.cpp
+++ b/Libraries/LibDecision/BatchSchedulerTick.cpp
@@ -44,7 +44,7 @@
     runTimers();
     releaseQuarantines();
     retryEvictions();
-    placeUrgent();
+    placeLane(BatchQueue::urgentLane);
     moveTasks();
     if (now - m_plannedAt >= planPeriod) {
         m_plannedAt = now;
@@ -52,7 +52,7 @@
         relieveServices();
     }
     cancelTasks();
-    placeLane(BatchQueue::serviceLane, laneDepth);
+    placeLane(BatchQueue::serviceLane);
     placeHeld();
     placeTeams(false);
     placeTeams(true);
@@ -278,28 +278,15 @@
     return Attempt::NoRoom;
 }
 
-void BatchScheduler::Impl::placeLane(size_t lane, size_t depth)
+void BatchScheduler::Impl::placeLane(size_t lane)
 {
     const auto& jobs = m_queue.lane(lane);
     auto it = jobs.begin();
-    for (size_t n = 0; n < depth && it != jobs.end() && hasPlacementsLeft(); ++n) {
-        auto index = (it++)->job;
-        const auto& job = m_state.jobs[index];
-        if (FairShare::isAllowed(m_state.teams[job.team], job.view.size))
-            tryPlace(index);
-    }
-}
-
-void BatchScheduler::Impl::placeUrgent()
-{
-    const auto& jobs = m_queue.lane(BatchQueue::urgentLane);
-    auto it = jobs.begin();
     for (size_t n = 0; n < laneDepth && it != jobs.end() && hasPlacementsLeft(); ++n) {
         auto index = (it++)->job;
         const auto& job = m_state.jobs[index];
-        if (!FairShare::isAllowed(m_state.teams[job.team], job.view.size) || tryPlace(index) != Attempt::NoRoom)
-            continue;
-        makeUrgentRoom(index);
+        if (FairShare::isAllowed(m_state.teams[job.team], job.view.size) && tryPlace(index) == Attempt::NoRoom)
+            makeUrgentRoom(index);
     }
 }
 
--- a/Libraries/LibDecision/Decision.h
+++ b/Libraries/LibDecision/Decision.h
@@ -11,7 +11,7 @@
 enum class EvictReason : uint8_t {
     Interference, // A service on the same host misses its latency budget.
     UnderDeclared, // The task uses far more than it declared.
-    Urgent, // An urgent job needs the room.
+    Urgent, // An urgent job or a service needs the room.
     Reservation, // A large job that has waited long needs the room.
     ZoneOut, // Operators have taken the zone out.
     Draining, // The worker is leaving or draining.
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -172,6 +172,7 @@
 {
     constexpr double riseWeight = 10.0;
     constexpr double acceleratorWeight = 3.0;
+    constexpr double newServiceHostWeight = 1.0;
     double value = riseWeight * rise;
     auto left = worker.free() - job.view.size;
     // Full hosts first, so that room for large jobs remains elsewhere.
@@ -179,6 +180,9 @@
         / static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
     if (m_options.keepsAccelerators && job.view.size.accelerators == 0 && worker.view.capacity.accelerators > 0)
         value += acceleratorWeight;
+    // A host without services takes batch work without a latency budget, so services gather on fewer hosts.
+    if (job.view.isService && worker.services.empty())
+        value += newServiceHostWeight;
     if (m_options.spreadsServices && job.view.isService)
         value += spreadScore(job, worker);
     return value;
--- a/Libraries/LibDecision/RoomPlanner.cpp
+++ b/Libraries/LibDecision/RoomPlanner.cpp
@@ -3,6 +3,8 @@
 
 namespace Bergamot {
 
+static constexpr double newServiceHostSeconds = 60;
+
 RoomPlanner::RoomPlanner(const SchedulerState& state, const RunTimeEstimator& estimator, const Placement& placement)
     : m_state(state)
     , m_estimator(estimator)
@@ -63,6 +65,9 @@
     }
     std::ranges::sort(victims);
     Plan plan { .worker = index, .readyAt = query.now };
+    // A service turns a host without services into one with a latency budget for all batch work.
+    if (job.view.isService && worker.services.empty())
+        cost += static_cast<double>(worker.view.capacity.cpuMillis) * newServiceHostSeconds;
     for (const auto& [work, task] : victims) {
         if (needed.fitsIn(room))
             break;
