Take placement candidates from all zones

Cause: the scan took its 24 candidates from neighbouring indexes, which are mostly of one zone and rack. Change: the scan goes in strides near the golden section of the number of workers.

--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/Placement.h>
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Bergamot {
 
@@ -23,6 +24,17 @@
 {
 }
 
+void Placement::setWorkersPerZone(std::vector<size_t> counts)
+{
+    m_workersPerZone = std::move(counts);
+    // Neighbouring indexes are mostly of one zone and rack. A stride near the golden section, without a common divisor
+    // with the count, visits all workers and takes candidates from everywhere.
+    auto count = m_state.workers.size();
+    m_stride = std::max<size_t>(1, count * 618 / 1000);
+    while (count > 0 && std::gcd(m_stride, count) != 1)
+        ++m_stride;
+}
+
 Rejection Placement::checkHolds(const PlacementQuery& query, const WorkerRecord& worker) const
 {
     const auto& job = m_state.jobs[query.job];
@@ -197,7 +209,7 @@
     std::optional<WorkerIndex> best;
     double bestScore = 0;
     for (size_t n = 0; n < count; ++n) {
-        auto index = static_cast<WorkerIndex>(m_options.firstFit ? n : (random + n) % count);
+        auto index = static_cast<WorkerIndex>(m_options.firstFit ? n : (random + n * m_stride) % count);
         const auto& worker = m_state.workers[index];
         if (!worker.present || check(query, index) != Rejection::None)
             continue;
--- a/Libraries/LibDecision/Placement.h
+++ b/Libraries/LibDecision/Placement.h
@@ -53,7 +53,7 @@
     /// Number of workers by the first reason that excludes them; for explanations.
     std::array<size_t, static_cast<size_t>(Rejection::Count)> explain(const PlacementQuery&) const;
     /// Workers per zone, for the refill pace; set again when workers come or go.
-    void setWorkersPerZone(std::vector<size_t> counts) { m_workersPerZone = std::move(counts); }
+    void setWorkersPerZone(std::vector<size_t> counts);
 
 private:
     struct Interference {
@@ -73,6 +73,7 @@
     const ZonePolicy& m_zonePolicy;
     const SchedulerOptions& m_options;
     std::vector<size_t> m_workersPerZone;
+    size_t m_stride { 1 };
 };
 
 }
