Move services to hosts that run services, at the cost of evictions there

Cause: services leaving a zone took the first free room, mostly on hosts without services, and turned 16 of them on sofia into hosts with a latency budget. Change: a moved service prefers a host that runs services and evicts work that yields there; urgent jobs may use reserved room; an eviction is weighed as five core minutes, so that one victim is preferred to several.

--- a/Libraries/LibDecision/BatchSchedulerTick.cpp
+++ b/Libraries/LibDecision/BatchSchedulerTick.cpp
@@ -142,7 +142,17 @@
     if (static_cast<double>(moving) >= std::max(1.0, serviceMoveShare * kind.tasks))
         return false;
     // Room elsewhere is held first. Two attempts never run at once (D9), so the old one stops before the new starts.
-    if (auto target = m_placement.choose(queryFor(index), m_random())) {
+    auto target = m_placement.choose(queryFor(index), m_random());
+    if (!target || m_state.workers[*target].services.empty()) {
+        auto plan = m_roomPlanner.byEviction(queryFor(index));
+        if (plan && !plan->victims.empty() && !m_state.workers[plan->worker].services.empty()
+            && m_evictions + plan->victims.size() < m_options.maxEvictionsPerTick) {
+            target = plan->worker;
+            for (auto victim : plan->victims)
+                evict(victim, EvictReason::Urgent);
+        }
+    }
+    if (target) {
         m_state.addHold(*target, { .job = index, .size = job.view.size, .since = m_now, .firm = true });
         evict(index, reason);
         return true;
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -42,7 +42,8 @@
     for (const auto& hold : worker.holds) {
         if (hold.job == query.job)
             continue;
-        bool endsBefore = !hold.firm && query.now + query.estimatedRun <= hold.until;
+        // Urgent jobs may use reserved room; they would evict somebody else for it.
+        bool endsBefore = !hold.firm && (job.view.urgent || query.now + query.estimatedRun <= hold.until);
         if (!endsBefore)
             needed = needed + hold.size;
     }
--- a/Libraries/LibDecision/RoomPlanner.cpp
+++ b/Libraries/LibDecision/RoomPlanner.cpp
@@ -72,8 +72,8 @@
         if (needed.fitsIn(room))
             break;
         room = room + m_state.jobs[task].view.size;
-        // Each eviction costs about a minute of a core besides the work at stake.
-        cost += work + 60'000;
+        // Each eviction costs a checkpoint and a restart besides the work at stake, about five minutes of a core.
+        cost += work + 300'000;
         plan.victims.push_back(task);
     }
     if (!needed.fitsIn(room))
