--- a/Libraries/LibDecision/BatchQueue.h
+++ b/Libraries/LibDecision/BatchQueue.h
@@ -19,7 +19,7 @@
         int64_t key { 0 };
         JobIndex job { noIndex };
 
-        // clang-tidy 14 takes the comparison with 0 behind a defaulted operator for a null pointer.
+        // clang-tidy 14 takes the generated comparison with 0 for a pointer.
         auto operator<=>(const Entry&) const = default; // NOLINT(modernize-use-nullptr)
     };
     using Lane = std::set<Entry>;
@@ -47,7 +47,6 @@
 
     /// Calls back for a job at a later time; used for retries and for deadlines.
     void addTimer(Instant at, JobIndex);
-    void removeTimer(Instant at, JobIndex);
     std::optional<JobIndex> takeDueTimer(Instant now);
     size_t stateBytes() const;
 
--- a/Libraries/LibDecision/BatchSchedulerTick.cpp
+++ b/Libraries/LibDecision/BatchSchedulerTick.cpp
@@ -44,7 +44,7 @@
     runTimers();
     releaseQuarantines();
     retryEvictions();
-    placeUrgent();
+    placeLane(BatchQueue::urgentLane);
     moveTasks();
     if (now - m_plannedAt >= planPeriod) {
         m_plannedAt = now;
@@ -52,7 +52,7 @@
         relieveServices();
     }
     cancelTasks();
-    placeLane(BatchQueue::serviceLane, laneDepth);
+    placeLane(BatchQueue::serviceLane);
     placeHeld();
     placeTeams(false);
     placeTeams(true);
@@ -142,7 +142,17 @@
     if (static_cast<double>(moving) >= std::max(1.0, serviceMoveShare * kind.tasks))
         return false;
     // Room elsewhere is held first. Two attempts never run at once (D9), so the old one stops before the new starts.
-    if (auto target = m_placement.choose(queryFor(index), m_random())) {
+    auto target = m_placement.choose(queryFor(index), m_random());
+    if (!target || m_state.workers[*target].services.empty()) {
+        auto plan = m_roomPlanner.byEviction(queryFor(index));
+        if (plan && !plan->victims.empty() && !m_state.workers[plan->worker].services.empty()
+            && m_evictions + plan->victims.size() < m_options.maxEvictionsPerTick) {
+            target = plan->worker;
+            for (auto victim : plan->victims)
+                evict(victim, EvictReason::Urgent);
+        }
+    }
+    if (target) {
         m_state.addHold(*target, { .job = index, .size = job.view.size, .since = m_now, .firm = true });
         evict(index, reason);
         return true;
@@ -278,28 +288,15 @@
     return Attempt::NoRoom;
 }
 
-void BatchScheduler::Impl::placeLane(size_t lane, size_t depth)
+void BatchScheduler::Impl::placeLane(size_t lane)
 {
     const auto& jobs = m_queue.lane(lane);
     auto it = jobs.begin();
-    for (size_t n = 0; n < depth && it != jobs.end() && hasPlacementsLeft(); ++n) {
-        auto index = (it++)->job;
-        const auto& job = m_state.jobs[index];
-        if (FairShare::isAllowed(m_state.teams[job.team], job.view.size))
-            tryPlace(index);
-    }
-}
-
-void BatchScheduler::Impl::placeUrgent()
-{
-    const auto& jobs = m_queue.lane(BatchQueue::urgentLane);
-    auto it = jobs.begin();
     for (size_t n = 0; n < laneDepth && it != jobs.end() && hasPlacementsLeft(); ++n) {
         auto index = (it++)->job;
         const auto& job = m_state.jobs[index];
-        if (!FairShare::isAllowed(m_state.teams[job.team], job.view.size) || tryPlace(index) != Attempt::NoRoom)
-            continue;
-        makeUrgentRoom(index);
+        if (FairShare::isAllowed(m_state.teams[job.team], job.view.size) && tryPlace(index) == Attempt::NoRoom)
+            makeUrgentRoom(index);
     }
 }
 
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/Placement.h>
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Bergamot {
 
@@ -14,8 +15,6 @@
 // again.
 static constexpr double evictedBudgetShare = 0.5;
 
-static constexpr double negligibleRise = 0.003;
-
 Placement::Placement(const SchedulerState& state, const SlowdownEstimator& estimator, const ZonePolicy& zonePolicy,
     const SchedulerOptions& options)
     : m_state(state)
@@ -25,6 +24,17 @@
 {
 }
 
+void Placement::setWorkersPerZone(std::vector<size_t> counts)
+{
+    m_workersPerZone = std::move(counts);
+    // Neighbouring indexes are mostly of one zone and rack. A stride near the golden section, without a common divisor
+    // with the count, visits all workers and takes candidates from everywhere.
+    auto count = m_state.workers.size();
+    m_stride = std::max<size_t>(1, count * 618 / 1000);
+    while (count > 0 && std::gcd(m_stride, count) != 1)
+        ++m_stride;
+}
+
 Rejection Placement::checkHolds(const PlacementQuery& query, const WorkerRecord& worker) const
 {
     const auto& job = m_state.jobs[query.job];
@@ -32,7 +42,8 @@
     for (const auto& hold : worker.holds) {
         if (hold.job == query.job)
             continue;
-        bool endsBefore = !hold.firm && query.now + query.estimatedRun <= hold.until;
+        // Urgent jobs may use reserved room; they would evict somebody else for it.
+        bool endsBefore = !hold.firm && (job.view.urgent || query.now + query.estimatedRun <= hold.until);
         if (!endsBefore)
             needed = needed + hold.size;
     }
@@ -89,14 +100,13 @@
     double mean = own.mean;
     double variance = own.deviation * own.deviation;
     for (const auto& kind : worker.kinds) {
-        auto other = m_estimator.pair(
-            watch.kind, { .kind = kind.kind, .share = static_cast<float>(kind.cpuMillis / capacity) }, load);
+        // Room that throttling has made belongs to the throttled tasks, not to new ones.
+        double cpu = kind.cpuMillis + kind.withheldMillis;
+        auto other
+            = m_estimator.pair(watch.kind, { .kind = kind.kind, .share = static_cast<float>(cpu / capacity) }, load);
         mean += other.mean;
         variance += other.deviation * other.deviation;
     }
-    // Room that throttling has made belongs to the throttled tasks, not to new ones.
-    if (query.caution != LatencyCaution::None && worker.throttledTasks > 0 && own.mean > negligibleRise)
-        return { .acceptable = false, .rise = own.mean };
     if (watch.reportsOver >= 2)
         mean = std::max(mean, watch.smoothedRatio - 1.0 + own.mean);
     double budget = m_options.latencyBudget;
@@ -175,6 +185,7 @@
 {
     constexpr double riseWeight = 10.0;
     constexpr double acceleratorWeight = 3.0;
+    constexpr double newServiceHostWeight = 1.0;
     double value = riseWeight * rise;
     auto left = worker.free() - job.view.size;
     // Full hosts first, so that room for large jobs remains elsewhere.
@@ -182,6 +193,9 @@
         / static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
     if (m_options.keepsAccelerators && job.view.size.accelerators == 0 && worker.view.capacity.accelerators > 0)
         value += acceleratorWeight;
+    // A host without services takes batch work without a latency budget, so services gather on fewer hosts.
+    if (job.view.isService && worker.services.empty())
+        value += newServiceHostWeight;
     if (m_options.spreadsServices && job.view.isService)
         value += spreadScore(job, worker);
     return value;
@@ -196,7 +210,7 @@
     std::optional<WorkerIndex> best;
     double bestScore = 0;
     for (size_t n = 0; n < count; ++n) {
-        auto index = static_cast<WorkerIndex>(m_options.firstFit ? n : (random + n) % count);
+        auto index = static_cast<WorkerIndex>(m_options.firstFit ? n : (random + n * m_stride) % count);
         const auto& worker = m_state.workers[index];
         if (!worker.present || check(query, index) != Rejection::None)
             continue;
