--- a/Libraries/LibDecision/ClientLimiter.cpp
+++ b/Libraries/LibDecision/ClientLimiter.cpp
@@ -8,6 +8,7 @@
 namespace {
     constexpr int64_t maxAmount = int64_t { 1 } << 40;
     constexpr int64_t oneRequest = 1000000;
+    constexpr Milliseconds minReportInterval { 10 };
     constexpr size_t maxClientsPerReport = 100000;
 
     bool isAmount(int64_t n) { return n >= 0 && n <= maxAmount; }
@@ -195,6 +196,13 @@
     earn(now);
 }
 
+void ClientLimiter::hastenReport(const Client& client, Instant now)
+{
+    // The first requests of a client at this member would otherwise be refused for a whole report interval.
+    if (now >= client.leasedUntil)
+        m_nextReport = std::min(m_nextReport, m_lastReport + minReportInterval);
+}
+
 absl::StatusOr<ClientLimiter::Verdict> ClientLimiter::admit(const ClientId& id, Instant now)
 {
     auto it = m_clients.find(id);
@@ -212,10 +220,13 @@
     if (client.inUse >= usable(client, now).concurrency) {
         ++client.refused;
         client.peakWanted = std::max(client.peakWanted, client.inUse + client.refused);
+        hastenReport(client, now);
         return Verdict::ConcurrencyLimited;
     }
-    if (client.tokensMicro < oneRequest)
+    if (client.tokensMicro < oneRequest) {
+        hastenReport(client, now);
         return Verdict::RateLimited;
+    }
     client.tokensMicro -= oneRequest;
     ++client.inUse;
     client.peakWanted = std::max(client.peakWanted, client.inUse);
--- a/Libraries/LibDecision/ClientLimiter.h
+++ b/Libraries/LibDecision/ClientLimiter.h
@@ -26,8 +26,9 @@
     struct Options {
         MemberId self {};
         uint64_t incarnation { 0 };
-        /// Part of each limit that is split evenly, in thousandths.
-        int64_t baseMillis { 500 };
+        /// Part of each limit that is split evenly, in thousandths. A larger part leaves more of the limit unused under
+        /// uneven load, a smaller one leaves less to use when the coordinator dies.
+        int64_t baseMillis { 250 };
         Milliseconds evidenceMaxAge { 3000 };
         Milliseconds shareLease { 2000 };
         /// Longest run time of a request; concurrency is given to another member only after it.
@@ -80,7 +81,7 @@
     absl::Status finish(const ClientId&, Instant now);
 
     /// The reports to send now, one for each coordinator (this member included: pass it to grant()). Empty before the
-    /// interval has passed.
+    /// interval has passed, or before 10 ms have passed when a client without a leased share was refused.
     absl::StatusOr<std::vector<ShareReport>> reports(Instant now);
 
     /// Coordinator: decides on the shares of the reporting member.
@@ -158,6 +159,7 @@
     Split evenSplit(const Limit&, const std::vector<Member>&) const;
     void updateBase(Client&) const;
     void assignCoordinator(Client&, Instant from);
+    void hastenReport(const Client&, Instant now);
     void refill(Client&, Instant now) const;
     void expireHolders(Client&, Instant now) const;
     std::optional<ClientShare> grantOne(
--- a/Libraries/LibDecision/SlotTable.cpp
+++ b/Libraries/LibDecision/SlotTable.cpp
@@ -527,6 +527,12 @@
 
 int64_t SlotTable::recentNeed() const { return *std::max_element(m_need.begin(), m_need.end()); }
 
+int64_t SlotTable::presentNeed() const
+{
+    const auto last = static_cast<size_t>(m_needBucket) % needBuckets;
+    return std::max(m_need[last], m_need[(last + needBuckets - 1) % needBuckets]);
+}
+
 int64_t SlotTable::headroom() const { return shareOf(recentNeed(), m_options.reserveMillis); }
 
 absl::Status SlotTable::noteWaiting(int64_t waiting, Instant now)
@@ -568,7 +574,7 @@
         if (m_now < pending.sent + answerTimeout)
             have += pending.missing;
     }
-    return recentNeed() + headroom() - have;
+    return presentNeed() + shareOf(presentNeed(), m_options.reserveMillis) - have;
 }
 
 absl::StatusOr<std::vector<LoanAsk>> SlotTable::asks(Instant now, uint64_t random)
--- a/Libraries/LibDecision/SlotTable.h
+++ b/Libraries/LibDecision/SlotTable.h
@@ -46,10 +46,11 @@
         /// A change that no majority confirms counts as confirmed after this time. The worker's own limit is then the
         /// only protection; without it, the slots stay unused for ever when most members are lost at once.
         Milliseconds confirmTimeout { 30000 };
-        /// The window over which the member's own recent need of slots is the maximum.
-        Milliseconds needWindow { 1000 };
+        /// The window over which the member's own recent need of slots is the maximum. Longer windows keep slots that
+        /// others wait for (docs/decisions/limits.md).
+        Milliseconds needWindow { 100 };
         /// Share of the member's own slots that it never lends, in thousandths.
-        int64_t reserveMillis { 100 };
+        int64_t reserveMillis { 50 };
         /// Share of zone-local slots in use, in thousandths, from which requests may go to other zones.
         int64_t spillMillis { 800 };
         /// A worker of another zone must be less busy by this share, in thousandths, to be chosen.
@@ -248,6 +249,9 @@
     void rollNeed(Instant now);
     void noteNeed();
     int64_t recentNeed() const;
+    /// The need of the last tenth or two of the window. Slots are asked for and returned by it, so that a borrower
+    /// does not keep what others wait for; a lender keeps its need of the whole window.
+    int64_t presentNeed() const;
     int64_t headroom() const;
 
     bool isMember(const MemberId&) const;
--- a/Tests/LibDecision/SlotCluster.cpp
+++ b/Tests/LibDecision/SlotCluster.cpp
@@ -181,6 +181,8 @@
     });
     if (pick(40) == 0)
         node.demand = pick(3) == 0 ? pick(16) : pick(3);
+    if (m_isSaturated)
+        node.demand = static_cast<int>(m_workers.size() * slotsPerWorker);
     const auto waiting = std::max(0, node.demand - static_cast<int>(node.running.size()));
     CHECK(node.table->noteWaiting(waiting, now).ok());
     for (int n = 0; n < waiting; ++n) {
--- a/Tests/LibDecision/SlotCluster.h
+++ b/Tests/LibDecision/SlotCluster.h
@@ -38,6 +38,8 @@
     };
 
     SlotCluster(SlotTable::Options, uint64_t seed, int maxDelayMs);
+    /// Makes every member want more slots than there are.
+    void saturate() { m_isSaturated = true; }
     Result run(const std::vector<ClusterFault>&, int lengthMs);
 
     static constexpr int64_t slotsPerWorker = 4;
@@ -86,6 +88,7 @@
     SlotTable::Options m_options;
     std::mt19937_64 m_random;
     int m_maxDelayMs;
+    bool m_isSaturated { false };
     std::vector<SlotTable::View> m_log;
     std::vector<SlotTable::Member> m_members;
     std::vector<SlotTable::Worker> m_workers;
