Name the unit with a suggested key and correct two messages

Change: suggestions name the unit of the key; directories are refused; polling leaves the progress line to its caller.

--- a/Libraries/LibAdmin/CurlAdminApi.cpp
+++ b/Libraries/LibAdmin/CurlAdminApi.cpp
@@ -71,7 +71,7 @@
     std::string faults;
     for (size_t n = 0; n < m_options.entries.size(); ++n) {
         const auto index = (m_current + n) % m_options.entries.size();
-        auto reply = sendTo(m_options.entries[index], request);
+        auto reply = sendTo(m_options.entries[index], request, WaitReport::Send);
         if (reply.ok()) {
             if (reply->status != serviceUnavailable) {
                 m_current = index;
@@ -94,13 +94,15 @@
 {
     std::vector<AdminReply> replies;
     for (const auto& entry : m_options.entries) {
-        if (auto reply = sendTo(entry, request); reply.ok())
+        // The caller polls and says itself what it waits for.
+        if (auto reply = sendTo(entry, request, WaitReport::Omit); reply.ok())
             replies.push_back(*std::move(reply));
     }
     return replies;
 }
 
-absl::StatusOr<AdminReply> CurlAdminApi::sendTo(const std::string& entry, const AdminRequest& request) const
+absl::StatusOr<AdminReply> CurlAdminApi::sendTo(
+    const std::string& entry, const AdminRequest& request, WaitReport waitReport) const
 {
     Handle handle(curl_easy_init(), curl_easy_cleanup);
     if (!handle)
@@ -120,7 +122,7 @@
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
-    curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(curl, CURLOPT_NOPROGRESS, waitReport == WaitReport::Omit ? 1L : 0L);
     curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, reportWait);
     curl_easy_setopt(curl, CURLOPT_XFERINFODATA, &waitContext);
     if (!request.body.empty()) {
--- a/Libraries/LibAdmin/CurlAdminApi.h
+++ b/Libraries/LibAdmin/CurlAdminApi.h
@@ -14,7 +14,9 @@
     std::vector<AdminReply> sendToEach(const AdminRequest& request) override;
 
 private:
-    absl::StatusOr<AdminReply> sendTo(const std::string& entry, const AdminRequest& request) const;
+    enum class WaitReport { Send, Omit };
+
+    absl::StatusOr<AdminReply> sendTo(const std::string& entry, const AdminRequest& request, WaitReport) const;
 
     ApiOptions m_options;
     /// The entry host that answered last; the next request starts there.
--- a/Libraries/LibConfig/CheckedTree.cpp
+++ b/Libraries/LibConfig/CheckedTree.cpp
@@ -77,7 +77,7 @@
                 auto keyPath = joinPath(path, name);
                 const auto* spec = m_schema.findKey(section, name);
                 if (!spec) {
-                    add(keyPath, "unknown key" + suggestion(name, namesOf(section)));
+                    add(keyPath, "unknown key" + suggestion(name, namesOf(section)) + unitHint(section, name));
                     continue;
                 }
                 auto faults = valueFaults(*spec, value);
@@ -94,6 +94,13 @@
             return checked;
         }
 
+        /// Names the unit, because a key such as `timeout_s` needs another value, too, when it becomes `timeout_ms`.
+        std::string unitHint(std::string_view section, std::string_view name) const
+        {
+            const auto* near = m_schema.findKey(section, nearestName(name, namesOf(section)));
+            return near && !near->unit.empty() ? fmt::format(" Its unit is {}.", near->unit) : std::string {};
+        }
+
         std::vector<std::string> namesOf(std::string_view section) const
         {
             std::vector<std::string> names;
--- a/Tests/LibConfig/TestSiteConfigLoader.cpp
+++ b/Tests/LibConfig/TestSiteConfigLoader.cpp
@@ -102,7 +102,7 @@
 TEST(SiteConfigLoader, OtherUnitNamesTheKnownKey)
 {
     checkOnly(findingsOf(smallBase + "[policy]\nqueue_timeout_s = 1\n"), 15, "policy.queue_timeout_s",
-        "\"queue_timeout_ms\"");
+        "\"queue_timeout_ms\"? Its unit is ms.");
 }
 
 // Guards against names that are given twice, for tables, in lists, over sections and over regions.
--- a/Utilities/bergamotctl/main.cpp
+++ b/Utilities/bergamotctl/main.cpp
@@ -2,6 +2,7 @@
 #include <LibAdmin/CurlAdminApi.h>
 #include <LibCore/SteadyClock.h>
 #include <cstdlib>
+#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
@@ -16,8 +17,9 @@
     std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
     text << file.rdbuf();
-    // An empty file sets the fail bit of the output stream, but is readable.
-    if (!file.is_open() || file.bad())
+    std::error_code ec;
+    // An empty file sets the fail bit of the output stream, but is readable. A directory can be opened, but not read.
+    if (!file.is_open() || file.bad() || std::filesystem::is_directory(path, ec))
         return absl::NotFoundError(fmt::format("{}: the file cannot be read", path));
     return text.str();
 }
