--- a/Libraries/LibReport/BurnFormat.cpp
+++ b/Libraries/LibReport/BurnFormat.cpp
@@ -55,7 +55,7 @@
         out += fmt::format("\nservice {}: {} % within {} ms{}{}\n", Logger::quoted(service.objective.service),
             service.objective.objectivePercent, service.objective.latencyTarget.count(),
             service.fastAlert ? "  ALERT fast burn" : "", service.slowAlert ? "  ALERT slow burn" : "");
-        appendRows(out, "all", { { "clients and zones", service.total } });
+        appendRows(out, "total", { { "all", service.total } });
         appendRows(out, "zone", service.byZone);
         appendRows(out, "client", service.byClient);
     }
--- a/Libraries/LibReport/BurnHtml.cpp
+++ b/Libraries/LibReport/BurnHtml.cpp
@@ -237,7 +237,7 @@
     appendPlot(out, burnPlot(service));
     appendPlot(out, budgetPlot(service));
     out += "</div>\n";
-    appendTable(out, "all", { { "clients and zones", service.total } });
+    appendTable(out, "service", { { "all clients and zones", service.total } });
     appendTable(out, "zone", service.byZone);
     appendTable(out, "client", service.byClient);
     out += "</section>\n";
--- a/Tests/LibWire/TestCodecRobustness.cpp
+++ b/Tests/LibWire/TestCodecRobustness.cpp
@@ -230,6 +230,13 @@
     CHECK((batch->records == std::vector<Record> { listed }));
 }
 
+// Guards against a record or message of a newer version that is taken for another one.
+TEST(CodecRobustness, UnknownAlternativesAreRefused)
+{
+    CHECK_FALSE(decodeBatch(packedFields(true, std::variant_size_v<Record>)).ok());
+    CHECK_FALSE(decodePeerMessage(packedFields(false, std::variant_size_v<PeerMessage>)).ok());
+}
+
 // Guards against enumeration values outside the declared ones, which a switch over them does not handle.
 TEST(CodecRobustness, UnknownEnumerationValuesAreRefused)
 {
