Let faults of a soak overlap with slow stops

Change: stops, starts and pauses go on in the background; two operators publish at once as a fault of the schedule; the records of the workers are kept beside the logs.

--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -79,9 +79,9 @@
 }
 
 # The overlay for fewer workers than in Riga promises clients less, so that the terms fit the slots of two zones.
-cluster_write_overlay() { # MARK
+cluster_write_overlay() { # MARK FILE
     sed -e 's/^\[clients.kiosks\]$/&\nconcurrency = 30/' -e 's/^\[clients.phone-app\]$/&\nconcurrency = 10/' \
-        -e "s/^queue_timeout_ms = .*/&\nqueue_limit = $((300 + $1))/" Examples/riga.toml >"$folder/overlay.toml"
+        -e "s/^queue_timeout_ms = .*/&\nqueue_limit = $((300 + $1))/" Examples/riga.toml >"$2"
 }
 
 cluster_start_daemon() { # INDEX
@@ -106,7 +106,7 @@
 
 cluster_start_daemons() {
     local i
-    cluster_write_overlay 0
+    cluster_write_overlay 0 "$folder/overlay.toml"
     for ((i = 1; i <= daemons; ++i)); do cluster_start_daemon "$i"; done
     for ((i = 1; i <= daemons; ++i)); do wait_for "${entries[i - 1]}/healthz" 20 || return 1; done
 }
@@ -157,8 +157,8 @@
 # Publishes the overlay with a mark that makes it differ from earlier versions. Returns 1 when it is not accepted.
 publish() { # OPERATOR_URL MARK AUTHOR
     local body based_on reply version
-    cluster_write_overlay "$2"
-    body=$("$build/bergamotctl" effective --output json Examples/base.toml "$folder/overlay.toml") || return 1
+    cluster_write_overlay "$2" "$folder/overlay-$3.toml"
+    body=$("$build/bergamotctl" effective --output json Examples/base.toml "$folder/overlay-$3.toml") || return 1
     reply=$(call GET "$1/admin/config" --token-file="$token_file") || return 1
     [[ $reply =~ \"version\":([0-9]+) ]] || return 1
     based_on=${BASH_REMATCH[1]}
@@ -176,6 +176,8 @@
 cluster_check() { # OPTIONS...
     local zone urls=("--records=$hosts_url")
     for ((zone = 1; zone <= zones; ++zone)); do urls+=("--records=$(control_url "$zone")"); done
+    # Kept beside the logs, to look into a violation.
+    for ((zone = 1; zone <= zones; ++zone)); do call GET "$(control_url "$zone")/records" >>"$folder/records.jsonl"; done
     "$build/bergamot-load" check "${urls[@]}" --sent="$sent" "$@"
 }
 
--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -27,7 +27,7 @@
         ways=(fail refuse) states=(leaving leaving live)
         pick 2 && way=${ways[picked]}
         pick 3 && state=${states[picked]}
-        pick 18
+        pick 19
         case $picked in
         0) echo "$second log {\"down_ms\":$((RANDOM % 6000 + 500))}" ;;
         1) echo "$second log {\"silent_ms\":$((RANDOM % 6000 + 500))}" ;;
@@ -46,24 +46,75 @@
         14) echo "$second zone $(zone_name "$zone") $((RANDOM % 8 + 4))" ;;
         15) echo "$second stop $member KILL $((RANDOM % 4 + 1))" ;;
         16) echo "$second stop $member TERM $((RANDOM % 4 + 1))" ;;
+        18) echo "$second race $second" ;;
         17) echo "$second pause $member $((RANDOM % 6 + 1))" ;;
         esac
         second=$((second + RANDOM % 3 + 1))
     done
 }
 
-# Faults that last run in the background, so that several overlap. One daemon has one fault at a time.
+# Stops and starts of daemons go on while other faults happen: each step is taken when it is due.
+declare -A stop_phase=() stop_begin=() stop_due=() stop_delay=() stop_planned=()
+
+begin_stop() { # INDEX SIGNAL DELAY
+    local name=e$1
+    [[ ! ${stop_phase[$name]:-} ]] || return 1
+    stop_phase[$name]=stopping stop_begin[$name]=$(now_ms) stop_delay[$name]=$3 stop_planned[$name]=false
+    [[ $2 == TERM ]] && stop_planned[$name]=true
+    kill "-$2" "${cluster_pids[$name]}"
+}
+
+continue_stops() {
+    local name now
+    for name in "${!stop_phase[@]}"; do
+        now=$(now_ms)
+        case ${stop_phase[$name]} in
+        stopping)
+            kill -0 "${cluster_pids[$name]}" 2>/dev/null && continue
+            wait "${cluster_pids[$name]}" 2>/dev/null
+            say "$name ended after $((now - stop_begin[$name])) ms with status $?"
+            unset "cluster_pids[$name]"
+            stop_phase[$name]=down stop_due[$name]=$((now + stop_delay[$name] * 1000))
+            ;;
+        down)
+            ((now >= stop_due[$name])) || continue
+            cluster_start_daemon "${name#e}"
+            stop_phase[$name]=starting stop_due[$name]=$((now + 30000))
+            ;;
+        starting)
+            call GET "${entries[${name#e} - 1]}/readyz" --timeout-ms=300 >/dev/null 2>&1 || ((now >= stop_due[$name])) || continue
+            say "$name is up again"
+            record "{\"type\":\"stop\",\"entry\":\"${entries[${name#e} - 1]}\",\"planned\":${stop_planned[$name]},\"at_ms\":${stop_begin[$name]},\"until_ms\":$(now_ms)}"
+            unset "stop_phase[$name]"
+            ;;
+        esac
+    done
+}
+
+# Faults that last run in the background, so that several overlap.
 apply() { # WORDS...
     case $1 in
     log) fault "$log_url" "$2" ;;
     hosts) fault "$hosts_url" "$2" ;;
     worker) fault "$(control_url "$2")" "$3" ;;
-    zone) set_zone "$2" true && sleep "$3" && until set_zone "$2" false; do sleep 1; done ;;
-    stop) cluster_stop_daemon "$2" "$3" "$4" ;;
+    zone)
+        (set_zone "$2" true && sleep "$3" && until set_zone "$2" false; do sleep 1; done) &
+        orders+=($!)
+        ;;
+    stop) begin_stop "$2" "$3" "$4" ;;
+    race)
+        # Two operators publish at once; at most one of the two is accepted on one version.
+        publish "${operators[0]}" $(($2 * 2)) anna &
+        orders+=($!)
+        publish "${operators[$((daemons - 1))]}" $(($2 * 2 + 1)) boris &
+        orders+=($!)
+        ;;
     pause)
-        kill -STOP "${cluster_pids[e$2]}"
-        sleep "$3"
-        kill -CONT "${cluster_pids[e$2]}"
+        local pid=${cluster_pids[e$2]:-}
+        [[ $pid ]] || return 1
+        kill -STOP "$pid"
+        (sleep "$3" && kill -CONT "$pid") &
+        orders+=($!)
         ;;
     esac
 }
@@ -83,29 +134,24 @@
 cluster_run settlements "$build/bergamot-load" quick "${to_all[@]}" --client=back-office --rate=8 \
     --non-idempotent-share=1 --retry --seconds="$run_seconds" --deadline-ms=3000 "${common[@]}"
 cluster_run jobs "$build/bergamot-load" jobs "${to_all[@]}" --rate=2 --seconds=$((run_seconds - 10)) --run-ms=5000 \
-    --wait-seconds=30 --cancel-share=0.1 --oversize-share=0.02 "${common[@]}"
+    --wait-seconds=75 --cancel-share=0.1 --oversize-share=0.02 "${common[@]}"
 
-zone_orders=()
+orders=()
 while read -r second words; do
     [[ $words ]] || continue
-    left=$((load_ms + second * 1000 - $(now_ms)))
-    ((left <= 0)) || sleep "$(seconds "$left")"
+    while (($(now_ms) < load_ms + second * 1000)); do
+        continue_stops
+        sleep 0.1
+    done
     say "$words"
     read -ra fault_words <<<"$words"
-    if [[ ${fault_words[0]} == zone ]]; then
-        apply "${fault_words[@]}" &
-        zone_orders+=($!)
-    else
-        apply "${fault_words[@]}" || say "the fault could not be set"
-    fi
-    if ((second % 10 == 0)); then
-        # Two operators publish at once; at most one of the two is accepted on one version.
-        publish "${operators[0]}" $((second * 2)) anna &
-        zone_orders+=($!)
-        publish "${operators[$((daemons - 1))]}" $((second * 2 + 1)) boris || true
-    fi
+    apply "${fault_words[@]}" || say "this fault is left out: the daemon is stopped, or the order was refused"
 done <<<"$schedule"
-for pid in "${zone_orders[@]}"; do wait "$pid"; done
+while ((${#stop_phase[@]} > 0)); do
+    continue_stops
+    sleep 0.1
+done
+for pid in "${orders[@]}"; do wait "$pid"; done
 fault "$log_url" '{"clear":true}'
 for ((zone = 1; zone <= zones; ++zone)); do
     fault "$(control_url "$zone")" '{"worker":"*","revive":true,"fail_starts":"off","slow_factor":1}'
