Test that a silent member's running requests count against the limit

Cause: the mutation that frees the concurrency of a silent member before its requests end passed all tests.

--- a/Tests/LibDecision/TestClientLimiter.cpp
+++ b/Tests/LibDecision/TestClientLimiter.cpp
@@ -19,6 +19,8 @@
         std::multimap<int, ShareGrant> grants {};
         std::mt19937_64 random;
         int64_t limit { 20 };
+        /// This member's reports are lost.
+        MemberId cut {};
 
         explicit Cluster(int size, uint64_t seed = 5)
             : random(seed)
@@ -66,8 +68,8 @@
                 }
                 const auto due = limiter->reports(at(ms));
                 CHECK(due.ok());
-                for (const auto& report : *due)
-                    reports.emplace(ms + static_cast<int>(random() % maxDelayMs), report);
+                for (size_t n = 0; id != cut && n < due->size(); ++n)
+                    reports.emplace(ms + static_cast<int>(random() % maxDelayMs), (*due)[n]);
                 sum += static_cast<int64_t>(ends.size());
             }
             return sum;
@@ -120,6 +122,20 @@
     }
 }
 
+// Guards against shares given away while requests of a member that fell silent still run.
+TEST(ClientLimiter, ConcurrencyOfASilentMemberIsFreeOnlyAfterItsRequestsEnd)
+{
+    Cluster cluster(2);
+    const auto coordinator = cluster.limiters["e0"]->coordinatorOf("c");
+    const MemberId other = coordinator == "e0" ? "e1" : "e0";
+    for (int ms = 0; ms < 12000; ms += 10)
+        cluster.step(ms, { { other, 40 } }, 3);
+    cluster.cut = other;
+    for (int ms = 12000; ms < 20000; ms += 10)
+        CHECK(cluster.step(ms, { { other, 40 }, { coordinator, 40 } }, 3) <= cluster.limit);
+    CHECK(cluster.running[coordinator].size() >= 15);
+}
+
 // Guards against a limit that is mostly unused because the load enters at one entry host.
 TEST(ClientLimiter, OneLoadedMemberGetsMostOfTheLimit)
 {
