Check refused jobs and lost work that never resumes

Change: P6 counts jobs that ran without a known or unknown submission; P3 has a limit of 60 s for a job whose last attempt has ended. The records of jobs carry the time of the last report.

--- a/Libraries/LibStandIn/AttemptChecks.cpp
+++ b/Libraries/LibStandIn/AttemptChecks.cpp
@@ -81,6 +81,22 @@
     }
 }
 
+static void checkLostWorkResumes(const RunRecords& records, const std::map<JobId, Attempts>& jobs, CheckResult& result)
+{
+    for (const auto& sent : records.jobs) {
+        auto it = jobs.find(sent.job);
+        bool isOpen = sent.finalState == "placed" || sent.finalState == "pending" || sent.finalState == "revoking";
+        if (!isOpen || it == jobs.end())
+            continue;
+        const auto& last = *it->second.back();
+        ++result.examined;
+        if (sent.stateMs - endOf(last) > resumptionLimitMs)
+            result.violations.push_back(
+                fmt::format("job {} is {} although its last attempt ended as {} on {} {} ms before", sent.job,
+                    sent.finalState, last.outcome, last.worker, sent.stateMs - endOf(last)));
+    }
+}
+
 CheckResult checkResumption(const RunRecords& records)
 {
     CheckResult result { .promise = "P3" };
@@ -97,6 +113,7 @@
         if (sent.finalState == "completed" && !completed)
             result.violations.push_back(fmt::format("job {} is reported completed and completed nowhere", sent.job));
     }
+    checkLostWorkResumes(records, jobs, result);
     return result;
 }
 
--- a/Libraries/LibStandIn/RecordJson.cpp
+++ b/Libraries/LibStandIn/RecordJson.cpp
@@ -45,7 +45,7 @@
     return { { "type", "job" }, { "key", record.key }, { "job", record.job }, { "kind", record.kind },
         { "entry", record.entry }, { "urgent", record.urgent }, { "cancelled", record.cancelled },
         { "sent_ms", record.sentMs }, { "answered_ms", record.answeredMs }, { "status", record.status },
-        { "ran", record.ran }, { "final_state", record.finalState } };
+        { "ran", record.ran }, { "final_state", record.finalState }, { "state_ms", record.stateMs } };
 }
 
 json toJson(const ConfigSeenEvent& event)
--- a/Libraries/LibStandIn/RequestChecks.cpp
+++ b/Libraries/LibStandIn/RequestChecks.cpp
@@ -1,6 +1,7 @@
 #include <LibStandIn/RequestChecks.h>
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -44,6 +45,30 @@
     return result;
 }
 
+/// A job that was refused has no id, so refused jobs that did run show only as more unknown jobs than unknown answers.
+static void checkRefusedJobs(const RunRecords& records, CheckResult& result)
+{
+    std::set<std::string_view> known;
+    int64_t unknown = 0;
+    for (const auto& sent : records.jobs) {
+        result.examined += sent.ran == "no" ? 1 : 0;
+        if (!sent.job.empty())
+            known.insert(sent.job);
+        else if (sent.ran != "no")
+            ++unknown;
+    }
+    std::set<std::string_view> unclaimed;
+    for (const auto& task : records.tasks) {
+        if (!task.isService && !known.contains(task.task.job))
+            unclaimed.insert(task.task.job);
+    }
+    if (!records.jobs.empty() && static_cast<int64_t>(unclaimed.size()) > unknown)
+        result.violations.push_back(
+            fmt::format("{} jobs ran that no caller knows, such as {}, and only {} submissions have an "
+                        "unknown outcome",
+                unclaimed.size(), *unclaimed.begin(), unknown));
+}
+
 CheckResult checkRefusals(const RunRecords& records)
 {
     CheckResult result { .promise = "P6" };
@@ -60,6 +85,7 @@
                 fmt::format("request {} ran on {} at {} although its caller was told that it did not", execution.key,
                     execution.worker, execution.startMs));
     }
+    checkRefusedJobs(records, result);
     return result;
 }
 
--- a/Libraries/LibStandIn/RequestChecks.h
+++ b/Libraries/LibStandIn/RequestChecks.h
@@ -9,7 +9,8 @@
 /// to a request that was sent.
 CheckResult checkAnswers(const RunRecords&);
 
-/// P6: an execution belongs to a try that was sent before it and was not answered with "did not run".
+/// P6: an execution belongs to a try that was sent before it and was not answered with "did not run", and no job ran
+/// whose submission was refused.
 CheckResult checkRefusals(const RunRecords&);
 
 /// P7: a non-idempotent key was executed at most once.
--- a/Libraries/LibStandIn/RunRecords.cpp
+++ b/Libraries/LibStandIn/RunRecords.cpp
@@ -107,7 +107,8 @@
         .answeredMs = in.integer("answered_ms"),
         .status = static_cast<int>(in.integer("status")),
         .ran = in.text("ran"),
-        .finalState = in.text("final_state") });
+        .finalState = in.text("final_state"),
+        .stateMs = in.integer("state_ms") });
 }
 
 static void addHostState(RunRecords& records, const LineReader& in)
--- a/Libraries/LibStandIn/SentJob.h
+++ b/Libraries/LibStandIn/SentJob.h
@@ -16,11 +16,16 @@
     int64_t sentMs { 0 };
     int64_t answeredMs { 0 };
     int status { 0 };
+
+    /// `no` only when every try of the submission was answered so.
     std::string ran { "unknown" };
 
     /// State that the daemon reported last, or empty.
     std::string finalState {};
 
+    /// Time of that report.
+    int64_t stateMs { 0 };
+
     bool operator==(const SentJob&) const = default;
 };
 
--- a/Tests/LibStandIn/TestRecordChecks.cpp
+++ b/Tests/LibStandIn/TestRecordChecks.cpp
@@ -113,6 +113,8 @@
     checkViolates("P2=1 ", [](auto& run) { run.tasks[1].startMs = 50, run.tasks[1].endMs = 60; });
     checkViolates("P2=1 P3=1 ", [](auto& run) { run.tasks[1].task.attempt = 1, run.tasks[1].resumedFrom = ""; });
     checkViolates("P2=1 ", [](auto& run) { run.tasks[0].outcome = "completed"; });
+    checkViolates("P3=1 ", [](auto& run) { run.jobs[0].finalState = "placed", run.jobs[0].stateMs = 60'301; });
+    checkViolates("", [](auto& run) { run.jobs[0].finalState = "placed", run.jobs[0].stateMs = 60'300; });
     checkViolates("P3=1 ", [](auto& run) { run.tasks[1].resumedFrom = ""; });
     checkViolates("P3=1 ", [](auto& run) { run.tasks[1].resumedFrom = "j#1#400"; });
     checkViolates("P3=1 ", [](auto& run) { run.tasks[1].outcome = "failed"; });
@@ -151,6 +153,8 @@
     checkViolates("P5=2 ", [](auto& run) { run.executions[0].key = ""; });
     checkViolates("P6=1 ", [](auto& run) { run.executions[1].startMs = 109; });
     checkViolates("P6=1 ", [](auto& run) { run.requests[2].ran = "no", run.requests[2].status = 503; });
+    checkViolates("P6=1 ", [](auto& run) { run.jobs[0].job = "", run.jobs[0].ran = "no"; });
+    checkViolates("", [](auto& run) { run.jobs[0].job = "", run.jobs[0].ran = "unknown"; });
     checkViolates("P7=1 ", [](auto& run) { run.executions.push_back(run.executions[1]); });
     checkViolates("P7=1 ", [](auto& run) {
         run.executions[1].nonIdempotent = false;
--- a/Utilities/bergamot-load/JobLoad.cpp
+++ b/Utilities/bergamot-load/JobLoad.cpp
@@ -84,6 +84,7 @@
 
 void JobLoad::onSubmitted(const JobPointer& job, const absl::StatusOr<HttpReply>& reply)
 {
+    job->mayRun = job->mayRun || ranOf(reply) == "unknown";
     // A submission with the same key gives the same job, so a retry through another entry host is safe.
     if (isWorthRetry(reply) && job->triesLeft > 0) {
         ++job->entry;
@@ -96,6 +97,8 @@
         record.answeredMs = m_clock.now().time_since_epoch().count();
         record.ran = ranOf(reply);
         record.status = reply.ok() ? reply->status : 0;
+        if (record.ran == "no" && job->mayRun)
+            record.ran = "unknown";
         if (record.ran == "yes")
             record.job = jsonText(parseJson(reply->body), "job");
         m_latencies.add((record.answeredMs - record.sentMs) * 1000);
@@ -171,6 +174,7 @@
         auto state = jsonText(body, "state");
         std::lock_guard lock(m_mutex);
         job->isEnded = state == "ended";
+        job->record.stateMs = m_clock.now().time_since_epoch().count();
         job->record.finalState = job->isEnded ? jsonText(body, "outcome") : state;
     }
     closeCall();
--- a/Utilities/bergamot-load/JobLoad.h
+++ b/Utilities/bergamot-load/JobLoad.h
@@ -43,6 +43,9 @@
         int triesLeft { 0 };
         int64_t cancelAfterMs { -1 };
         bool isEnded { false };
+
+        /// A try had an unknown outcome, so that a later refusal does not mean that the job does not run.
+        bool mayRun { false };
     };
 
     using JobPointer = std::shared_ptr<Job>;
