Refill a returning zone faster and let services use the room beside accelerators

Change: the refill pace starts at 0.5 instead of 0.2 starts a worker and second and ends after 30 s; services and urgent jobs are not bound by the kept room.

--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -158,7 +158,9 @@
 bool Placement::takesAcceleratorRoom(const JobRecord& job, const WorkerRecord& worker) const
 {
     auto free = worker.free();
-    if (!m_options.keepsAccelerators || job.view.size.accelerators > 0 || free.accelerators <= 0)
+    // Services and urgent jobs take precedence over accelerators that might be asked for.
+    if (!m_options.keepsAccelerators || job.view.size.accelerators > 0 || free.accelerators <= 0 || job.view.isService
+        || job.view.urgent)
         return false;
     auto kept = [&](double perAccelerator) {
         return static_cast<int64_t>(perAccelerator * static_cast<double>(free.accelerators));
--- a/Libraries/LibDecision/ZonePolicy.cpp
+++ b/Libraries/LibDecision/ZonePolicy.cpp
@@ -5,9 +5,9 @@
 
 // Starts per worker and second at the beginning of a refill; the pace grows by the same amount each refillStep. A start
 // costs the host processor time that its services feel.
-static constexpr double refillStartsPerWorker = 0.2;
+static constexpr double refillStartsPerWorker = 0.5;
 static constexpr double refillStepSeconds = 10.0;
-static constexpr Milliseconds refillTime { 60'000 };
+static constexpr Milliseconds refillTime { 30'000 };
 
 void ZonePolicy::zoneChanged(ZoneIndex zone, bool out, Instant now)
 {
