Relay configuration and losses between members, and end drains

A member cut off from the log kept its old configuration; heartbeats never carried unreachable workers, so only losses seen by the leader itself were handled; workers of a reachable member that cannot read the log were served by no one. Ruled out: the fold and LossWatch, whose virtual-time tests pass. Change: peers send a newer configuration, report unreachable workers, and skip members without the log; an attempt that a revived worker calls ended is confirmed by a stop. Readiness waits for settled slots and shares, and a drain refuses new requests after 4 s. Before: each of the 3 new tests fails.

--- a/Libraries/LibEntry/AdminApi.cpp
+++ b/Libraries/LibEntry/AdminApi.cpp
@@ -167,7 +167,7 @@
             { "live", node.membership().authority().isReachable(id, now) } };
         auto heard = node.membership().heartbeats().find(id);
         if (id == settings.member) {
-            json["config_version"] = node.configStream().state().image().config.version;
+            json["config_version"] = node.configInForce().version;
             json["position"] = node.region().state().position();
             json["log_age_ms"] = (now - node.membership().authority().lastLogRead()).count();
             json["heartbeat_age_ms"] = 0;
@@ -210,7 +210,7 @@
     auto now = m_node.clock().now();
     const auto& image = m_node.region().state().image();
     const auto& settings = m_node.options().settings;
-    const auto& config = m_node.configStream().state().image().config;
+    const auto& config = m_node.configInForce();
     auto unreachable = m_node.dispatcher().unreachableWorkers(now).size();
     Json json {
         { "member", settings.member },
@@ -273,8 +273,8 @@
 {
     const auto& image = m_node.configStream().state().image();
     auto wanted = headerValue(request.query, "version");
-    if (wanted.empty() || wanted == std::to_string(image.config.version)) {
-        responder.send(jsonResponse(configJson(image.config, image.logTimeMs)));
+    if (wanted.empty() || wanted == std::to_string(m_node.configInForce().version)) {
+        responder.send(jsonResponse(configJson(m_node.configInForce(), image.logTimeMs)));
         return;
     }
     const auto* earlier = m_node.findConfigVersion(wanted);
--- a/Libraries/LibEntry/CallerApi.cpp
+++ b/Libraries/LibEntry/CallerApi.cpp
@@ -44,6 +44,13 @@
             { .status = ready ? 200 : 503, .contentType = "text/plain", .body = ready ? "ready\n" : "not ready\n" });
         return;
     }
+    if (m_refusing) {
+        auto response = toResponse(Problem {
+            .status = 503, .type = "draining", .title = "This entry host is stopping", .retryAfterSeconds = 1 });
+        response.headers.push_back({ "Connection", "close" });
+        responder.send(response);
+        return;
+    }
     if (segments.size() >= 2 && segments[0] == "v1" && segments[1] == "jobs") {
         auto shared = std::make_shared<HttpResponder>(std::move(responder));
         m_executor([this, request = std::move(request), shared] { m_jobs.handle(request, std::move(*shared)); });
--- a/Libraries/LibEntry/CallerApi.h
+++ b/Libraries/LibEntry/CallerApi.h
@@ -25,6 +25,9 @@
     /// Published by the control thread, read by the threads of the server.
     void setReady(bool ready) { m_ready = ready; }
 
+    /// New requests are refused from here on, and their connections asked to close; requests in progress go on.
+    void refuseNewRequests() { m_refusing = true; }
+
 private:
     void quickRequest(const std::string& service, HttpRequest, HttpResponder);
 
@@ -32,6 +35,7 @@
     JobApi& m_jobs;
     Executor m_executor;
     std::atomic<bool> m_ready { false };
+    std::atomic<bool> m_refusing { false };
 };
 
 }
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -47,16 +47,18 @@
 
 void Dispatcher::tick(Instant now)
 {
-    auto reachable = m_membership.reachableMembers(now);
-    size_t served = 0;
+    auto reachable = m_membership.servingMembers(now);
+    std::set<WorkerId> served;
     for (const auto& [id, worker] : m_region.state().image().workers) {
         if (!isResponsible(id, reachable))
             continue;
-        ++served;
+        served.insert(id);
         serveWorker(worker, now);
     }
-    m_served = served;
-    std::erase_if(m_links, [&](const auto& it) { return !m_region.state().findWorker(it.first); });
+    m_served = served.size();
+    // What another member serves now is no longer known here; a call in flight still needs its link.
+    std::erase_if(m_links, [&](const auto& it) { return !served.contains(it.first) && !it.second.polling; });
+    m_membership.setUnreachableWorkers(unreachableWorkers(now));
 }
 
 void Dispatcher::serveWorker(const WorkerInfo& worker, Instant now)
@@ -205,8 +207,10 @@
         return;
     }
     if (reply->result == StartResult::AlreadyEnded) {
-        link.reportedEnds.insert(task);
-        link.nextPoll = m_options.clock->now();
+        // A worker that came back without its list of ended tasks reports this end in no poll; a stop returns it.
+        const auto* worker = m_region.state().findWorker(id);
+        if (worker && job && job->attempt == task.attempt)
+            stopTask(*worker, link, *job);
         return;
     }
     link.running.insert(task);
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -14,6 +14,11 @@
 static constexpr Milliseconds exchangeInterval { 100 };
 static constexpr Milliseconds metricsInterval { 1000 };
 static constexpr Milliseconds routingInterval { 250 };
+/// Age of a peer's last log read from which it is sent a newer configuration; well within the 5 s of P10.
+static constexpr Milliseconds relayConfigAfter { 1500 };
+
+/// A host whose services have no usable slots becomes ready after this time all the same, so that it takes jobs.
+static constexpr Milliseconds maxServiceWait { 15'000 };
 static constexpr size_t configHistoryLimit = 20;
 static constexpr std::string_view configStreamName = "config";
 
@@ -118,6 +123,7 @@
     m_configSnapshots.tick(now, m_membership.isLeader());
     updateRouting(now);
     updateLimits(now);
+    noteServiceReadiness(now);
     if (now >= m_nextExchange) {
         m_nextExchange = now + exchangeInterval;
         exchangeLoans();
@@ -159,6 +165,7 @@
     if (published.version <= m_configVersion)
         return;
     m_configVersion = published.version;
+    m_configInForce = published;
     m_configHistory.push_back({ published, m_configStream.state().image().logTimeMs });
     if (m_configHistory.size() > configHistoryLimit)
         m_configHistory.pop_front();
@@ -437,9 +444,15 @@
 
     void operator()(const StateOffer& offer)
     {
+        // A version that a peer has in force was accepted by the fold, so a member that is cut off from the log takes
+        // it.
+        if (offer.configVersion > node.m_configVersion)
+            node.adoptConfig({ .version = offer.configVersion,
+                .basedOn = offer.configVersion - 1,
+                .author = "relayed by " + offer.member,
+                .body = offer.configBody });
         // FIXME: A process that starts during an outage of the log adopts no offered state yet; it stays unready
         // until the log answers. Adoption needs the confirmation of a majority (section D4 of the design page).
-        logDebug("state_offered", { { "member", offer.member }, { "position", offer.position } });
     }
 
     void operator()(const RecordRelay& relay)
@@ -474,6 +487,11 @@
     if (!m_membership.authority().hasFreshLog(now))
         return;
     for (const auto& [member, heartbeat] : m_membership.heartbeats()) {
+        if (heartbeat.logAgeMs > relayConfigAfter.count() && heartbeat.configVersion < m_configVersion)
+            sendTo(member,
+                StateOffer { .member = m_options.settings.member,
+                    .configVersion = m_configVersion,
+                    .configBody = m_configInForce.body });
         if (heartbeat.logAgeMs <= Timing::evidenceMaxAge.count() || heartbeat.position >= m_region.state().position())
             continue;
         if (auto entries = m_region.recentEntries(heartbeat.position); !entries.empty())
@@ -492,7 +510,29 @@
     m_metrics->sampleProcess();
 }
 
-bool EntryNode::isReady(Instant now) const { return !m_shuttingDown && m_config && m_membership.mayRenew(now); }
+bool EntryNode::isReady(Instant now) const
+{
+    return !m_shuttingDown && m_config && m_servicesReady && m_membership.mayRenew(now);
+}
+
+// Slots and client shares of a fresh process settle for some seconds after it joined; until then it would refuse what
+// other hosts can serve, so the balancer must not choose it yet.
+void EntryNode::noteServiceReadiness(Instant now)
+{
+    if (m_servicesReady || !m_config)
+        return;
+    if (m_configuredAt == neverInstant)
+        m_configuredAt = now;
+    auto paths = m_quickPath->paths();
+    bool slotsUsable = std::ranges::all_of(paths, [](const auto& it) { return it.second->settledSlots() > 0; });
+    bool sharesUsable = m_quickPath->withLimiter([&](const ClientLimiter& limiter) {
+        return std::ranges::all_of(m_config->clients, [&](const auto& client) {
+            auto share = limiter.shareOf(client.name, now);
+            return client.terms.concurrency == 0 || (share.ok() && share->concurrency > 0);
+        });
+    });
+    m_servicesReady = (slotsUsable && sharesUsable) || now - m_configuredAt > maxServiceWait;
+}
 
 void EntryNode::beginShutdown()
 {
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -75,6 +75,9 @@
     const Options& options() const { return m_options; }
     std::shared_ptr<const SiteConfig> config() const { return m_config; }
 
+    /// The published configuration in force; version 0 when none is.
+    const ConfigPublished& configInForce() const { return m_configInForce; }
+
     /// A configuration that was in force, and the log time of its publication.
     struct ConfigVersion {
         ConfigPublished config {};
@@ -100,6 +103,7 @@
     void exchangeShares(Instant now);
     void exchangeLoans();
     void relayToStalePeers(Instant now);
+    void noteServiceReadiness(Instant now);
     void offerState(const StateRequest&);
     void sendTo(const MemberId&, const PeerMessage&);
     void updateMetrics(Instant now);
@@ -121,7 +125,10 @@
     std::unique_ptr<QuickPath> m_quickPath;
     std::shared_ptr<const SiteConfig> m_config;
     std::deque<ConfigVersion> m_configHistory;
+    ConfigPublished m_configInForce {};
     uint64_t m_configVersion { 0 };
+    Instant m_configuredAt { neverInstant };
+    bool m_servicesReady { false };
     LogPosition m_routedPosition { 0 };
     bool m_limitsChanged { true };
     bool m_shuttingDown { false };
--- a/Libraries/LibEntry/Membership.cpp
+++ b/Libraries/LibEntry/Membership.cpp
@@ -55,6 +55,18 @@
     return result;
 }
 
+std::vector<MemberId> Membership::servingMembers(Instant now) const
+{
+    auto members = reachableMembers(now);
+    if (!m_authority.hasFreshLog(now))
+        return members;
+    std::erase_if(members, [&](const auto& id) {
+        auto it = m_heartbeats.find(id);
+        return it != m_heartbeats.end() && it->second.logAgeMs > Timing::evidenceMaxAge.count();
+    });
+    return members;
+}
+
 bool Membership::majorityHasRead(LogPosition position) const
 {
     const auto& image = m_region.state().image();
@@ -114,6 +126,7 @@
             .position = m_region.state().position(),
             .logAgeMs = (now - m_authority.lastLogRead()).count(),
             .freeSlots = m_freeSlots,
+            .unreachableWorkers = m_unreachableWorkers,
             .configVersion = m_configVersion,
             .sentAtMs = now.time_since_epoch().count(),
             .echoMs = heard == m_heartbeats.end() ? 0 : heard->second.sentAtMs,
--- a/Libraries/LibEntry/Membership.h
+++ b/Libraries/LibEntry/Membership.h
@@ -39,6 +39,9 @@
     void setConfigVersion(uint64_t version) { m_configVersion = version; }
     void setFreeSlots(uint32_t slots) { m_freeSlots = slots; }
 
+    /// Told to the leader through heartbeats.
+    void setUnreachableWorkers(std::vector<WorkerId> workers) { m_unreachableWorkers = std::move(workers); }
+
     bool isMember() const;
     bool isLeader() const;
     uint64_t epoch() const { return m_region.state().image().leader.epoch; }
@@ -49,6 +52,10 @@
     /// Members that answer heartbeats, this one included, in id order.
     std::vector<MemberId> reachableMembers(Instant now) const;
 
+    /// Reachable members that can carry out decisions: while this process reads the log, a member that does not is
+    /// left out, because it could not start anything.
+    std::vector<MemberId> servingMembers(Instant now) const;
+
     /// True when a majority of the voters has read past `position`, and no membership reset is recent.
     bool majorityHasRead(LogPosition position) const;
 
@@ -80,6 +87,7 @@
     Instant m_votersGoneSince { neverInstant };
     uint64_t m_configVersion { 0 };
     uint32_t m_freeSlots { 0 };
+    std::vector<WorkerId> m_unreachableWorkers;
     bool m_leaving { false };
 };
 
--- a/Libraries/LibEntry/ServicePath.cpp
+++ b/Libraries/LibEntry/ServicePath.cpp
@@ -374,6 +374,12 @@
     return m_slots.lendable();
 }
 
+int64_t ServicePath::settledSlots() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_slots.settled();
+}
+
 size_t ServicePath::requestsInProgress() const
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibEntry/ServicePath.h
+++ b/Libraries/LibEntry/ServicePath.h
@@ -75,6 +75,9 @@
 
     const ServiceConfig& service() const { return m_options.service; }
     int64_t freeSlots() const;
+
+    /// Own slots that are past their settle time.
+    int64_t settledSlots() const;
     size_t requestsInProgress() const;
 
 private:
--- a/Services/bergamotd/Daemon.cpp
+++ b/Services/bergamotd/Daemon.cpp
@@ -22,6 +22,9 @@
 /// The balancer sees the failing readiness within this time and sends nothing new.
 static constexpr Milliseconds readinessGrace { 2000 };
 
+/// From this time of a drain on, new requests are refused truthfully.
+static constexpr Milliseconds acceptGrace { 4000 };
+
 /// How long no request may have been in progress before the listener closes.
 static constexpr Milliseconds quietBeforeClose { 500 };
 static constexpr Milliseconds maxDrainTime { 60'000 };
@@ -194,6 +197,9 @@
         logWarning("drain_timed_out", { { "requests", m_callerServer->requestsInProgress() } });
         return true;
     }
+    // Callers that the balancer does not steer keep sending; without a refusal the drain would not end before they do.
+    if (now - m_drainBegan >= acceptGrace)
+        m_callerApi->refuseNewRequests();
     if (now - m_drainBegan < readinessGrace || m_callerServer->requestsInProgress() > 0) {
         m_idleSince = neverInstant;
         return false;
--- a/Tests/LibEntry/TestEntryNode.cpp
+++ b/Tests/LibEntry/TestEntryNode.cpp
@@ -162,3 +162,41 @@
     const auto& jobs = cluster.node("e1")->region().state().image().jobs;
     LONGS_EQUAL(40, std::ranges::count_if(jobs, [](const auto& it) { return !it.second.spec.isService; }));
 }
+
+// Guards against a dead worker whose loss only its responsible member knows of, while another member leads.
+TEST(EntryNode, LossIsReportedToTheLeader)
+{
+    submitMany(18, 40'000);
+    cluster.run(5s);
+    cluster.cutWorkers = { "w1", "w2", "w3", "w4", "w5" };
+    CHECK(cluster.runUntil(20s, [&] {
+        return std::ranges::none_of(cluster.image().jobs, [&](const auto& it) {
+            return it.second.phase == JobPhase::Placed && cluster.cutWorkers.contains(it.second.worker);
+        });
+    }));
+    cluster.run(60s);
+    cluster.cutWorkers = {};
+    checkAllCompleted(300s);
+}
+
+// Guards against a member that is cut off from the log and keeps an old configuration although its peers have a newer
+// one.
+TEST(EntryNode, ConfigReachesAMemberThatIsCutOffFromTheLog)
+{
+    cluster.cutFromLog = { "e2" };
+    cluster.run(500ms);
+    cluster.publishConfig(2);
+    CHECK(cluster.runUntil(5s, [&] { return cluster.node("e2")->configInForce().version == 2; }));
+    cluster.cutFromLog = {};
+    cluster.run(10s);
+    LONGS_EQUAL(2, cluster.node("e2")->configInForce().version);
+}
+
+// Guards against tasks that stay placed on a worker whose responsible member is reachable but cannot read the log.
+TEST(EntryNode, WorkersOfAMemberWithoutTheLogAreServedByOthers)
+{
+    cluster.cutFromLog = { "e2" };
+    cluster.run(8s);
+    submitMany(18, 3000);
+    checkAllCompleted(60s);
+}
--- a/Tests/LibEntry/VirtualCluster.cpp
+++ b/Tests/LibEntry/VirtualCluster.cpp
@@ -372,10 +372,10 @@
     return newest->region().state().image();
 }
 
-void VirtualCluster::publishConfig()
+void VirtualCluster::publishConfig(uint64_t version)
 {
-    anyNode()->configStream().appends().submit(
-        ConfigPublished { .version = 1, .basedOn = 0, .author = "test", .body = encodeSiteConfig(testConfig()) });
+    anyNode()->configStream().appends().submit(ConfigPublished {
+        .version = version, .basedOn = version - 1, .author = "test", .body = encodeSiteConfig(testConfig()) });
 }
 
 void VirtualCluster::submitJob(const JobId& id, int64_t runMs, const std::string& kind)
--- a/Tests/LibEntry/VirtualCluster.h
+++ b/Tests/LibEntry/VirtualCluster.h
@@ -44,7 +44,7 @@
     void start(const MemberId&);
     void pause(const MemberId&, Milliseconds);
 
-    void publishConfig();
+    void publishConfig(uint64_t version = 1);
     void submitJob(const JobId&, int64_t runMs, const std::string& kind = "settlement");
     void setZoneOut(const ZoneId&, bool out);
     WorkerModel& worker(const WorkerId& id) { return *m_workers.at(id); }
