Compute the responsible member of a worker once per set of reachable members

Cause: Dispatcher::tick sorted the members by rendezvous hash for every worker each 20 ms. Change: the result is kept for each worker until the reachable members change. The rest is the look-up of every task at each tick.

--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -33,10 +33,16 @@
     };
 }
 
-bool Dispatcher::isResponsible(const WorkerId& worker, const std::vector<MemberId>& reachable) const
+// The rendezvous order of a worker changes only with the reachable members, so it is computed once for each set of
+// them.
+bool Dispatcher::isResponsible(const WorkerId& worker)
 {
-    auto order = rendezvousOrder(worker, reachable);
-    return !order.empty() && order.front() == m_options.member;
+    auto [it, inserted] = m_responsible.try_emplace(worker, false);
+    if (inserted) {
+        auto order = rendezvousOrder(worker, m_reachable);
+        it->second = !order.empty() && order.front() == m_options.member;
+    }
+    return it->second;
 }
 
 Milliseconds Dispatcher::pollInterval(size_t workersServed) const
@@ -48,9 +54,14 @@
 void Dispatcher::tick(Instant now)
 {
     auto reachable = m_membership.reachableMembers(now);
+    const auto& workers = m_region.state().image().workers;
+    // Entries of workers that are gone stay until there are more entries than workers.
+    if (reachable != m_reachable || m_responsible.size() > workers.size())
+        m_responsible.clear();
+    m_reachable = std::move(reachable);
     size_t served = 0;
-    for (const auto& [id, worker] : m_region.state().image().workers) {
-        if (!isResponsible(id, reachable))
+    for (const auto& [id, worker] : workers) {
+        if (!isResponsible(id))
             continue;
         ++served;
         serveWorker(worker, now);
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -41,7 +41,7 @@
     uint64_t startsSent() const { return m_startsSent; }
 
 private:
-    bool isResponsible(const WorkerId&, const std::vector<MemberId>& reachable) const;
+    bool isResponsible(const WorkerId&);
     Milliseconds pollInterval(size_t workersServed) const;
     void serveWorker(const WorkerInfo&, Instant now);
     void poll(const WorkerInfo&, WorkerLink&, Instant now);
@@ -61,6 +61,8 @@
     Membership& m_membership;
     ReportObserver m_reportObserver;
     std::map<WorkerId, WorkerLink> m_links;
+    std::vector<MemberId> m_reachable;
+    std::map<WorkerId, bool> m_responsible;
     size_t m_served { 0 };
     uint64_t m_startsSent { 0 };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
