--- a/Libraries/LibEntry/LossWatch.cpp
+++ b/Libraries/LibEntry/LossWatch.cpp
@@ -17,17 +17,11 @@
 void LossWatch::tick(Instant now)
 {
     std::map<TaskId, Wait> kept;
-    const auto& image = m_region.state().image();
-    for (const auto& [id, worker] : image.workers) {
-        for (const auto& jobId : worker.jobs) {
-            const auto* job = m_region.state().findJob(jobId);
-            if (!job || job->phase != JobPhase::Revoking)
-                continue;
-            TaskId task { jobId, job->attempt };
-            auto& wait = kept[task];
-            if (auto it = m_waits.find(task); it != m_waits.end())
-                wait = it->second;
-        }
+    for (const auto& jobId : m_region.state().revokingJobs()) {
+        TaskId task { jobId, m_region.state().findJob(jobId)->attempt };
+        auto& wait = kept[task];
+        if (auto it = m_waits.find(task); it != m_waits.end())
+            wait = it->second;
     }
     m_waits = std::move(kept);
     for (const auto& [task, wait] : m_waits)
--- a/Libraries/LibState/ClusterState.cpp
+++ b/Libraries/LibState/ClusterState.cpp
@@ -51,6 +51,10 @@
 
     void setPhase(JobState& job, JobPhase phase) const
     {
+        if (job.phase == JobPhase::Revoking)
+            owner.m_revokingJobs.erase(job.spec.job);
+        if (phase == JobPhase::Revoking)
+            owner.m_revokingJobs.insert(job.spec.job);
         job.phase = phase;
         job.changedAtMs = state.logTimeMs;
         job.changedAt = position;
@@ -425,6 +429,8 @@
     for (const auto& [id, job] : m_image.jobs) {
         if (!job.spec.requestKey.empty())
             m_jobsByKey.emplace(job.spec.requestKey, id);
+        if (job.phase == JobPhase::Revoking)
+            m_revokingJobs.insert(id);
         if (job.hasEnded())
             m_endedJobs.emplace_back(job.changedAtMs, id);
     }
--- a/Libraries/LibState/ClusterState.h
+++ b/Libraries/LibState/ClusterState.h
@@ -5,6 +5,8 @@
 #include <LibWire/RecordBatch.h>
 #include <absl/status/statusor.h>
 #include <deque>
+#include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -31,6 +33,9 @@
     /// The job that was submitted under this caller's key, or nullptr.
     const JobState* findJobByKey(const std::string& requestKey) const;
 
+    /// The jobs whose phase is Revoking, so that the leader need not look at every task to find them.
+    const std::set<JobId>& revokingJobs() const { return m_revokingJobs; }
+
     std::string encodeSnapshot() const;
 
     /// Returns InvalidArgument for malformed bytes and DataLoss when the commitments do not add up.
@@ -46,6 +51,7 @@
 
     StateImage m_image;
     std::map<std::string, JobId> m_jobsByKey;
+    std::set<JobId> m_revokingJobs;
     std::deque<std::pair<int64_t, JobId>> m_endedJobs;
     std::deque<std::pair<int64_t, std::string>> m_claimAges;
 };
--- a/Tests/LibState/TestClusterState.cpp
+++ b/Tests/LibState/TestClusterState.cpp
@@ -242,10 +242,14 @@
         for (int i = 0; i < 200; ++i) {
             random.append(generator() % 2 == 0 ? "e1" : "e2", { randomRecord(generator, random.state) }, i);
             std::map<WorkerId, Resources> sums;
+            std::set<JobId> revoking;
             for (const auto& [id, job] : random.state.image().jobs) {
+                if (job.phase == JobPhase::Revoking)
+                    revoking.insert(id);
                 if (job.holdsCommitment())
                     sums[job.worker] = sums[job.worker] + job.spec.size;
             }
+            RC_ASSERT(revoking == random.state.revokingJobs());
             for (const auto& [id, worker] : random.state.image().workers) {
                 RC_ASSERT(sums[id] == worker.committed);
                 RC_ASSERT(worker.committed.fitsIn(worker.spec.capacity));
@@ -254,5 +258,6 @@
         auto copy = ClusterState::decodeSnapshot(random.state.encodeSnapshot());
         RC_ASSERT(copy.ok());
         RC_ASSERT(copy->image() == random.state.image());
+        RC_ASSERT(copy->revokingJobs() == random.state.revokingJobs());
     });
 }
