Find the upstreams of all services in one pass

Change: upstreamsByService() scans once. The result for each service is the same, in worker id order.

--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/StatusText.h>
 #include <LibDecision/Timing.h>
 #include <LibEntry/EntryNode.h>
+#include <LibEntry/ServiceUpstreams.h>
 #include <LibWire/Codec.h>
 #include <algorithm>
 #include <fmt/format.h>
@@ -219,25 +220,6 @@
     return members;
 }
 
-// The slots of a service follow its placed replicas, so they depend on the fold alone and are the same everywhere.
-std::vector<ServicePath::Upstream> EntryNode::upstreamsOf(const std::string& service) const
-{
-    std::map<WorkerId, ServicePath::Upstream> upstreams;
-    const auto& image = m_region.state().image();
-    for (const auto& [id, worker] : image.workers) {
-        for (const auto& jobId : worker.jobs) {
-            const auto* job = m_region.state().findJob(jobId);
-            if (job && job->spec.isService && job->spec.kind == service)
-                upstreams[id] = { .worker = id, .zone = worker.spec.zone, .address = worker.spec.address };
-        }
-    }
-    std::vector<ServicePath::Upstream> result;
-    result.reserve(upstreams.size());
-    for (auto& [id, upstream] : upstreams)
-        result.push_back(std::move(upstream));
-    return result;
-}
-
 void EntryNode::updateRouting(Instant now)
 {
     auto until = m_membership.authority().renewalsAllowedUntil(now, m_membership.voters(), m_region.state().position());
@@ -256,9 +238,11 @@
         return worker && !worker->spec.leaving && !worker->spec.gone && m_hosts.isLive(id)
             && !image.zonesOut.contains(worker->spec.zone) && std::ranges::find(unreachable, id) == unreachable.end();
     };
+    auto upstreams = position == m_routedPosition ? decltype(upstreamsByService(m_region.state())) {}
+                                                  : upstreamsByService(m_region.state());
     for (const auto& [name, path] : paths) {
         if (position != m_routedPosition)
-            path->setView(position, slotMembers(), upstreamsOf(name), true);
+            path->setView(position, slotMembers(), upstreams[name], true);
         path->setRoutable(isRoutable);
         for (const auto& [peer, evidence] : m_membership.authority().peers())
             path->notePosition(peer, evidence.position);
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -104,7 +104,6 @@
     void sendTo(const MemberId&, const PeerMessage&);
     void updateMetrics(Instant now);
     std::vector<SlotTable::Member> slotMembers() const;
-    std::vector<ServicePath::Upstream> upstreamsOf(const std::string& service) const;
 
     Options m_options;
     std::unique_ptr<Metrics> m_metrics;
