Measure the capacity of an entry host with bergamot-capacity

LibCapacity holds the fit and the table writer, with tests. A first run of the tests found that figures below 100 lost their decimals; the fault is mended.

--- /dev/null
+++ b/Libraries/LibCapacity/Forward.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace Bergamot {
+
+struct LinearFit;
+struct Measurement;
+struct SizedValue;
+class MarkdownTable;
+
+}
--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,8 @@
 bench: build
 	$(BUILD)/bergamot-bench --seed $(SEED)
 
+capacity: build
+	$(BUILD)/bergamot-capacity --seed $(SEED)
+
 soak: build
 	Meta/soak.sh $(BUILD) $(SEED) $(SECONDS)
--- /dev/null
+++ b/Utilities/bergamot-capacity/RegionRig.cpp
@@ -0,0 +1,84 @@
+#include "RegionRig.h"
+#include <LibCore/Verify.h>
+#include <LibWire/Codec.h>
+
+namespace Bergamot {
+
+static constexpr Milliseconds daemonTick { 20 };
+
+static void runAtOnce(const std::function<void()>& task) { task(); }
+
+void RegionRig::MemoryLog::read(const std::string& stream, LogPosition from, Milliseconds, Callback<LogChunk> callback)
+{
+    LogChunk chunk;
+    if (stream == "region") {
+        chunk.head = entries.size();
+        chunk.entries.assign(entries.begin() + static_cast<ptrdiff_t>(from), entries.end());
+    }
+    callback(std::move(chunk));
+}
+
+void RegionRig::IdleWorkers::renew(const std::string& address, const LeaseRenewal&, Callback<LeaseReport> callback)
+{
+    callback(rig->m_reports.at(address));
+}
+
+RegionRig::RegionRig(ClusterSize size)
+    : m_members(size.members)
+    , m_region({ .log = &m_log,
+          .clock = &m_clock,
+          .name = "region",
+          .member = SyntheticCluster::memberId(1),
+          .incarnation = SyntheticCluster::incarnation,
+          .executor = runAtOnce })
+    , m_membership({ .member = SyntheticCluster::memberId(1), .incarnation = SyntheticCluster::incarnation }, m_region)
+    , m_dispatcher(
+          { .member = SyntheticCluster::memberId(1), .workers = &m_workers, .clock = &m_clock, .executor = runAtOnce },
+          m_region, m_membership)
+    , m_lossWatch(m_region, m_membership, m_dispatcher)
+{
+    m_workers.rig = this;
+    const SyntheticCluster cluster(size);
+    for (const auto& batch : cluster.batches())
+        m_log.entries.push_back({ m_log.entries.size(), SyntheticCluster::logTimeMs, encodeBatch(batch) });
+    // The first tick loads the snapshot, of which there is none, and the second one reads the stream.
+    m_region.tick(m_clock.time);
+    m_region.tick(m_clock.time);
+    VERIFY(m_region.hasCaughtUp() && m_region.state().image().workers.size() == size.workers);
+    for (const auto& [id, worker] : m_region.state().image().workers) {
+        LeaseReport report { .workerClockMs = 5'000'000 };
+        for (const auto& job : worker.jobs)
+            report.running.push_back({ .task = { job, 1 }, .used = { 900, 1'800, 0 }, .progressMilli = 500 });
+        m_reports[worker.spec.address] = std::move(report);
+    }
+    tickDispatcher();
+}
+
+void RegionRig::advance()
+{
+    m_clock.time += daemonTick;
+    m_membership.logReadSucceeded(m_clock.time);
+    for (size_t n = 2; n <= m_members; ++n) {
+        auto ms = m_clock.time.time_since_epoch().count();
+        m_membership.heartbeatReceived({ .member = SyntheticCluster::memberId(n),
+                                           .incarnation = SyntheticCluster::incarnation,
+                                           .position = m_region.state().position(),
+                                           .sentAtMs = ms,
+                                           .echoMs = ms },
+            m_clock.time);
+    }
+}
+
+void RegionRig::tickDispatcher()
+{
+    advance();
+    m_dispatcher.tick(m_clock.time);
+}
+
+void RegionRig::tickLossWatch()
+{
+    advance();
+    m_lossWatch.tick(m_clock.time);
+}
+
+}
