--- a/Utilities/bergamot-load/QuickLoad.cpp
+++ b/Utilities/bergamot-load/QuickLoad.cpp
@@ -4,6 +4,7 @@
 #include <LibStandIn/RecordJson.h>
 #include <algorithm>
 #include <fmt/format.h>
+#include <unistd.h>
 #include <thread>
 
 namespace Bergamot {
@@ -20,7 +21,8 @@
     , m_random(m_options.seed)
 {
     // The time keeps the keys of repeated runs with one seed apart.
-    m_keyPrefix = fmt::format("q{}-{}", m_options.seed, m_clock.now().time_since_epoch().count());
+    // Two runs of one client that begin in the same millisecond must not share keys.
+    m_keyPrefix = fmt::format("q{}-{}-{}", m_options.seed, getpid(), m_clock.now().time_since_epoch().count());
     for (int i = 0; i < std::max(m_options.engines, 1); ++i)
         m_engines.push_back(HttpEngine::create({}));
 }
