Add a fault matrix of entry nodes in virtual time

Each of 13 faults strikes at the first time that each of 18 steps is reached; P1 to P4 and P10 are checked each virtual second, the end of all jobs and equal folds at the end. Claims of requests are not part of the scenario yet, so two steps are not reached.

--- /dev/null
+++ b/Tests/LibEntry/FaultCell.cpp
@@ -0,0 +1,132 @@
+#include "FaultCell.h"
+#include "ClusterChecks.h"
+#include <LibConfig/SiteConfigCodec.h>
+#include <fmt/format.h>
+#include <map>
+
+namespace Bergamot {
+
+using namespace std::chrono_literals;
+
+static constexpr Milliseconds goalLimit { 400'000 };
+
+namespace {
+
+    /// Orders of callers and operators, repeated each second until the fold shows them, and the checks of each second.
+    class Scenario {
+    public:
+        explicit Scenario(VirtualCluster& cluster)
+            : m_cluster(cluster)
+        {
+        }
+
+        void run()
+        {
+            auto began = m_cluster.events.now();
+            while (m_violations.empty() && m_cluster.events.now() - began < goalLimit) {
+                m_cluster.run(1s);
+                ++m_second;
+                check();
+                if (m_cluster.anyNode())
+                    giveOrders();
+                if (m_second > 60 && goalReached())
+                    return;
+            }
+            if (m_violations.empty())
+                m_violations = m_cluster.allJobsEnded() ? "members differ\n" : "jobs have not ended\n";
+        }
+
+        const std::string& violations() const { return m_violations; }
+
+    private:
+        void giveOrders()
+        {
+            const auto& image = m_cluster.anyNode()->region().state().image();
+            if (m_cluster.anyNode()->configStream().state().image().config.version == 0)
+                m_cluster.publishConfig();
+            for (int i = 0; i < 12 && m_second >= 8; ++i) {
+                auto id = fmt::format("j{}", i);
+                if (!image.jobs.contains(id))
+                    m_cluster.submitJob(id, 6000 + 4000 * (i % 4), i % 2 ? "report" : "settlement");
+            }
+            auto cancelled = image.jobs.find("j3");
+            if (m_second >= 12 && cancelled != image.jobs.end() && !cancelled->second.hasEnded())
+                m_cluster.anyNode()->region().appends().submit(JobCancelled { .job = "j3" });
+            bool zoneOut = m_second >= 14 && m_second < 30;
+            if (m_second >= 14 && image.zonesOut.contains("b") != zoneOut)
+                m_cluster.setZoneOut("b", zoneOut);
+            if (m_second >= 16 && !image.terms.contains("shop"))
+                m_cluster.anyNode()->region().appends().submit(TermsRenewed { .client = "shop",
+                    .renewal = 1,
+                    .requestsPerSecond = 120,
+                    .concurrency = 3,
+                    .basedOn = image.termsChangedAt });
+        }
+
+        void check()
+        {
+            m_violations += findViolations(m_cluster);
+            for (const char* id : { "e1", "e2", "e3" }) {
+                auto* node = m_cluster.node(id);
+                if (!node || !node->config())
+                    continue;
+                auto version = node->configStream().state().image().config.version;
+                auto& highest = m_versions[id];
+                if (version < highest)
+                    m_violations += fmt::format("P10: {} went back to version {}\n", id, version);
+                highest = std::max(highest, version);
+            }
+        }
+
+        bool goalReached()
+        {
+            if (!m_cluster.anyNode() || !m_cluster.allJobsEnded() || m_cluster.image().zonesOut.contains("b"))
+                return false;
+            for (const auto& [id, job] : m_cluster.image().jobs) {
+                bool mayBeCancelled = id == "j3" && job.phase == JobPhase::Cancelled;
+                if (!job.spec.isService && job.phase != JobPhase::Completed && !mayBeCancelled)
+                    m_violations += fmt::format("job {} is {}\n", id, toString(job.phase));
+            }
+            return membersAgree();
+        }
+
+        // Members may be a batch apart at any moment, so equality is asked for at one position.
+        bool membersAgree()
+        {
+            auto* first = m_cluster.node("e1");
+            for (const char* id : { "e1", "e2", "e3" }) {
+                auto* node = m_cluster.node(id);
+                if (!node || !node->config() || node->region().state().position() != first->region().state().position())
+                    return false;
+                if (node->region().state().encodeSnapshot() != first->region().state().encodeSnapshot())
+                    m_violations += fmt::format("the folds of {} and e1 differ\n", id);
+            }
+            return true;
+        }
+
+        VirtualCluster& m_cluster;
+        std::string m_violations;
+        std::map<MemberId, uint64_t> m_versions;
+        int m_second { 0 };
+    };
+
+}
+
+CellResult runCell(Step step, const Fault* fault)
+{
+    VirtualCluster cluster { { .snapshotEntries = 60 } };
+    CellResult result;
+    cluster.onStep = [&](Step reached, const MemberId& member) {
+        if (reached != step || result.stepReached)
+            return;
+        result.stepReached = true;
+        if (fault)
+            fault->strike(cluster, member);
+    };
+    Scenario scenario(cluster);
+    scenario.run();
+    result.violations = scenario.violations();
+    return result;
+}
+
+}
