Tell peers which workers do not answer

Cause: heartbeats never carried the unreachable workers, so the leader revoked attempts only on workers that it polls itself; a job on a dead worker of another member waited for ever. Ruled out: the waits of LossWatch, since no revocation was recorded. Before: JobsOfWorkersThatNeverReturnRunElsewhere fails (jobs open after 600 s of virtual time). After: 10 of 10 tests of the group EntryNode pass.

--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -251,6 +251,7 @@
     auto position = m_region.state().position();
     const auto& image = m_region.state().image();
     auto unreachable = m_dispatcher.unreachableWorkers(now);
+    m_membership.setUnreachableWorkers(unreachable);
     auto isRoutable = [&](const WorkerId& id) {
         const auto* worker = m_region.state().findWorker(id);
         return worker && !worker->spec.leaving && !worker->spec.gone && m_hosts.isLive(id)
--- a/Libraries/LibEntry/Membership.cpp
+++ b/Libraries/LibEntry/Membership.cpp
@@ -114,6 +114,7 @@
             .position = m_region.state().position(),
             .logAgeMs = (now - m_authority.lastLogRead()).count(),
             .freeSlots = m_freeSlots,
+            .unreachableWorkers = m_unreachableWorkers,
             .configVersion = m_configVersion,
             .sentAtMs = now.time_since_epoch().count(),
             .echoMs = heard == m_heartbeats.end() ? 0 : heard->second.sentAtMs,
--- a/Libraries/LibEntry/Membership.h
+++ b/Libraries/LibEntry/Membership.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Bergamot {
@@ -39,6 +40,9 @@
     void setConfigVersion(uint64_t version) { m_configVersion = version; }
     void setFreeSlots(uint32_t slots) { m_freeSlots = slots; }
 
+    /// Told to peers in each heartbeat, because the leader itself polls only a part of the workers.
+    void setUnreachableWorkers(std::vector<WorkerId> workers) { m_unreachableWorkers = std::move(workers); }
+
     bool isMember() const;
     bool isLeader() const;
     uint64_t epoch() const { return m_region.state().image().leader.epoch; }
@@ -80,6 +84,7 @@
     Instant m_votersGoneSince { neverInstant };
     uint64_t m_configVersion { 0 };
     uint32_t m_freeSlots { 0 };
+    std::vector<WorkerId> m_unreachableWorkers;
     bool m_leaving { false };
 };
 
--- a/Tests/LibEntry/TestEntryNode.cpp
+++ b/Tests/LibEntry/TestEntryNode.cpp
@@ -162,3 +162,13 @@
     const auto& jobs = cluster.node("e1")->region().state().image().jobs;
     LONGS_EQUAL(40, std::ranges::count_if(jobs, [](const auto& it) { return !it.second.spec.isService; }));
 }
+
+// Guards against jobs that wait for ever on a dead worker that another member than the leader serves. The jobs outlast
+// their leases, since a completion that a lost worker never reports cannot be known.
+TEST(EntryNode, JobsOfWorkersThatNeverReturnRunElsewhere)
+{
+    submitMany(12, 60'000);
+    cluster.run(5s);
+    cluster.cutWorkers = { "w1", "w2", "w3", "w4" };
+    checkAllCompleted(600s);
+}
