Record the end of tasks that a worker has lost

Cause: a worker that lost its tasks answers a repeated start with already_ended but reports no end, so the start was repeated for ever. The end is now asked for by a stop, whose reply gives it. Ruled out: the lease report, which rightly omits them. Before: TasksLostByAWorkerThatAnswersRunAgain and two cells of the matrix (worker loses its tasks at 'renew terms' and at 'take zone out') fail with open jobs. After: 11 of 11 tests of EntryNode and the matrix pass.

--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -205,8 +205,10 @@
         return;
     }
     if (reply->result == StartResult::AlreadyEnded) {
-        link.reportedEnds.insert(task);
-        link.nextPoll = m_options.clock->now();
+        // A worker that lost its tasks reports no end in its lease reports; its reply to a stop still gives the end.
+        const auto* worker = m_region.state().findWorker(id);
+        if (worker && job && job->holdsCommitment() && job->attempt == task.attempt && job->worker == id)
+            stopTask(*worker, link, *job);
         return;
     }
     link.running.insert(task);
--- a/Tests/LibEntry/Fault.cpp
+++ b/Tests/LibEntry/Fault.cpp
@@ -34,9 +34,17 @@
     cluster.events.after(90s, [&cluster] { cluster.cutWorkers.erase("w1"); });
 }
 
+// Strikes the busiest worker after its tasks had time to start.
 static void loseTasks(VirtualCluster& cluster, const MemberId&)
 {
-    cluster.events.after(soon, [&cluster] { cluster.worker("w1").loseEverything(cluster.events.now()); });
+    cluster.events.after(1s, [&cluster] {
+        WorkerId busiest = "w1";
+        for (const char* id : { "w2", "w3", "w4", "w5", "w6" }) {
+            if (cluster.worker(id).runningTasks() > cluster.worker(busiest).runningTasks())
+                busiest = id;
+        }
+        cluster.worker(busiest).loseEverything(cluster.events.now());
+    });
 }
 
 static void failStarts(VirtualCluster& cluster, const MemberId&)
--- a/Tests/LibEntry/TestEntryNode.cpp
+++ b/Tests/LibEntry/TestEntryNode.cpp
@@ -172,3 +172,13 @@
     cluster.cutWorkers = { "w1", "w2", "w3", "w4" };
     checkAllCompleted(600s);
 }
+
+// Guards against jobs that are started for ever on a worker that lost them and answers that they have ended.
+TEST(EntryNode, TasksLostByAWorkerThatAnswersRunAgain)
+{
+    submitMany(12, 20'000);
+    cluster.run(5s);
+    for (const char* worker : { "w1", "w2", "w3", "w4", "w5", "w6" })
+        cluster.worker(worker).loseEverything(cluster.events.now());
+    checkAllCompleted(300s);
+}
