--- a/Tests/LibEntry/TestFaultMatrix.cpp
+++ b/Tests/LibEntry/TestFaultMatrix.cpp
@@ -1,8 +1,10 @@
 #include "FaultCell.h"
 #include <CppUTest/TestHarness.h>
 #include <LibCore/Logger.h>
-#include <cstdio>
+#include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
+#include <iostream>
 
 using namespace Bergamot;
 
@@ -16,6 +18,15 @@
 TEST(FaultMatrix, EveryFaultAtEveryStep)
 {
     std::string failures;
+    std::string page = "# Fault matrix\n\nWritten by `BERGAMOT_FAULT_MATRIX_PAGE=docs/fault-matrix.md "
+                       "Build/TestLibEntry -g FaultMatrix`.\n"
+                       "A step that the scenario does not reach has no verdict.\n\n| fault |";
+    std::string rule = "|---|";
+    for (const auto& name : stepNames) {
+        page += fmt::format(" {} |", name);
+        rule += "---|";
+    }
+    page += "\n" + rule + "\n";
     for (const auto& fault : allFaults()) {
         std::string row;
         for (size_t i = 0; i < stepNames.size(); ++i) {
@@ -27,8 +38,10 @@
             }
             row += fmt::format(" {} |", verdict);
         }
-        fmt::print("| {} |{}\n", fault.name, row);
+        page += fmt::format("| {} |{}\n", fault.name, row);
     }
-    std::fflush(stdout);
+    std::cout << page << std::flush;
+    if (const char* path = std::getenv("BERGAMOT_FAULT_MATRIX_PAGE"))
+        std::ofstream(path) << page;
     STRCMP_EQUAL("", failures.c_str());
 }
