--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: packages build test lint format demo bench soak capacity
+.PHONY: packages build test lint format demo bench soak virtual-soak capacity
 
 packages:
 	Meta/install-packages.sh
@@ -29,3 +29,6 @@
 
 soak: build
 	Meta/soak.sh $(BUILD) $(SEED) $(SECONDS)
+
+virtual-soak: build
+	BERGAMOT_SEED=$(SEED) BERGAMOT_SECONDS=$(SECONDS) $(BUILD)/TestLibEntry -g RandomisedRun
--- a/Tests/LibEntry/FaultCell.cpp
+++ b/Tests/LibEntry/FaultCell.cpp
@@ -1,8 +1,10 @@
 #include "FaultCell.h"
 #include "ClusterChecks.h"
 #include <LibConfig/SiteConfigCodec.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <map>
+#include <random>
 
 namespace Bergamot {
 
@@ -15,21 +17,23 @@
     /// Orders of callers and operators, repeated each second until the fold shows them, and the checks of each second.
     class Scenario {
     public:
-        explicit Scenario(VirtualCluster& cluster)
+        explicit Scenario(VirtualCluster& cluster, int seconds = 60)
             : m_cluster(cluster)
+            , m_seconds(seconds)
         {
         }
 
         void run()
         {
             auto began = m_cluster.events.now();
-            while (m_violations.empty() && m_cluster.events.now() - began < goalLimit) {
+            while (m_violations.empty()
+                && m_cluster.events.now() - began < Milliseconds { m_seconds * 1000 } + goalLimit) {
                 m_cluster.run(1s);
                 ++m_second;
                 check();
                 if (m_cluster.anyNode())
                     giveOrders();
-                if (m_second > 60 && goalReached())
+                if (m_second > m_seconds && goalReached())
                     return;
             }
             if (m_violations.empty())
@@ -44,7 +48,7 @@
             const auto& image = m_cluster.anyNode()->region().state().image();
             if (m_cluster.anyNode()->configStream().state().image().config.version == 0)
                 m_cluster.publishConfig();
-            for (int i = 0; i < 12 && m_second >= 8; ++i) {
+            for (int i = 0; i < jobsWanted() && m_second >= 8; ++i) {
                 auto id = fmt::format("j{}", i);
                 if (!image.jobs.contains(id))
                     m_cluster.submitJob(id, 6000 + 4000 * (i % 4), i % 2 ? "report" : "settlement");
@@ -63,6 +67,9 @@
                     .basedOn = image.termsChangedAt });
         }
 
+        // Long runs submit a job each ten seconds, so that every fault meets work.
+        int jobsWanted() const { return 12 + std::max(0, std::min(m_second, m_seconds) - 60) / 10; }
+
         void check()
         {
             m_violations += findViolations(m_cluster);
@@ -107,6 +114,7 @@
         VirtualCluster& m_cluster;
         std::string m_violations;
         std::map<MemberId, uint64_t> m_versions;
+        int m_seconds;
         int m_second { 0 };
     };
 
@@ -129,4 +137,22 @@
     return result;
 }
 
+RandomisedResult runRandomised(uint64_t seed, Milliseconds length)
+{
+    VirtualCluster cluster { { .seed = seed, .snapshotEntries = 60 } };
+    RandomisedResult result;
+    std::mt19937_64 random(seed);
+    static constexpr uint64_t longestPauseMs = 40'000;
+    for (Milliseconds at { 10'000 }; at < length; at += Milliseconds { 5000 + random() % longestPauseMs }) {
+        const auto& fault = allFaults()[random() % allFaults().size()];
+        auto member = fmt::format("e{}", 1 + random() % 3);
+        result.trace += fmt::format("{} ms: {} ({})\n", at.count(), fault.name, member);
+        cluster.events.after(at, [&cluster, &fault, member] { fault.strike(cluster, member); });
+    }
+    Scenario scenario(cluster, static_cast<int>(length.count() / 1000));
+    scenario.run();
+    result.violations = scenario.violations();
+    return result;
+}
+
 }
