--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -69,7 +69,6 @@
     m_served = served.size();
     // What another member serves now is no longer known here; a call in flight still needs its link.
     std::erase_if(m_links, [&](const auto& it) { return !served.contains(it.first) && !it.second.polling; });
-    m_membership.setUnreachableWorkers(unreachableWorkers(now));
 }
 
 void Dispatcher::serveWorker(const WorkerInfo& worker, Instant now)
@@ -218,9 +217,9 @@
         return;
     }
     if (reply->result == StartResult::AlreadyEnded) {
-        // A worker that came back without its list of ended tasks reports this end in no poll; a stop returns it.
+        // A worker that lost its tasks reports no end in its lease reports; its reply to a stop still gives the end.
         const auto* worker = m_region.state().findWorker(id);
-        if (worker && job && job->attempt == task.attempt)
+        if (worker && job && job->holdsCommitment() && job->attempt == task.attempt && job->worker == id)
             stopTask(*worker, link, *job);
         return;
     }
--- a/Libraries/LibEntry/Membership.h
+++ b/Libraries/LibEntry/Membership.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Bergamot {
@@ -39,7 +40,7 @@
     void setConfigVersion(uint64_t version) { m_configVersion = version; }
     void setFreeSlots(uint32_t slots) { m_freeSlots = slots; }
 
-    /// Told to the leader through heartbeats.
+    /// Told to peers in each heartbeat, because the leader itself polls only a part of the workers.
     void setUnreachableWorkers(std::vector<WorkerId> workers) { m_unreachableWorkers = std::move(workers); }
 
     bool isMember() const;
--- a/Tests/LibEntry/TestEntryNode.cpp
+++ b/Tests/LibEntry/TestEntryNode.cpp
@@ -200,3 +200,23 @@
     submitMany(18, 3000);
     checkAllCompleted(60s);
 }
+
+// Guards against jobs that wait for ever on a dead worker that another member than the leader serves. The jobs outlast
+// their leases, since a completion that a lost worker never reports cannot be known.
+TEST(EntryNode, JobsOfWorkersThatNeverReturnRunElsewhere)
+{
+    submitMany(12, 60'000);
+    cluster.run(5s);
+    cluster.cutWorkers = { "w1", "w2", "w3", "w4" };
+    checkAllCompleted(600s);
+}
+
+// Guards against jobs that are started for ever on a worker that lost them and answers that they have ended.
+TEST(EntryNode, TasksLostByAWorkerThatAnswersRunAgain)
+{
+    submitMany(12, 20'000);
+    cluster.run(5s);
+    for (const char* worker : { "w1", "w2", "w3", "w4", "w5", "w6" })
+        cluster.worker(worker).loseEverything(cluster.events.now());
+    checkAllCompleted(300s);
+}
--- /dev/null
+++ b/Tests/LibEntry/TestFaultMatrix.cpp
@@ -0,0 +1,47 @@
+#include "FaultCell.h"
+#include <CppUTest/TestHarness.h>
+#include <LibCore/Logger.h>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+
+using namespace Bergamot;
+
+TEST_GROUP(FaultMatrix) { void setup() override { Logger::the().setLevel(LogLevel::Error);
+}
+void teardown() override { Logger::the().setLevel(LogLevel::Info); }
+}
+;
+
+// Guards against a fault at any step that breaks P1 to P4 or P10, loses a job or lets members differ.
+TEST(FaultMatrix, EveryFaultAtEveryStep)
+{
+    std::string failures;
+    std::string page = "# Fault matrix\n\nWritten by `BERGAMOT_FAULT_MATRIX_PAGE=docs/fault-matrix.md "
+                       "Build/TestLibEntry -g FaultMatrix`.\n"
+                       "A step that the scenario does not reach has no verdict.\n\n| fault |";
+    std::string rule = "|---|";
+    for (const auto& name : stepNames) {
+        page += fmt::format(" {} |", name);
+        rule += "---|";
+    }
+    page += "\n" + rule + "\n";
+    for (const auto& fault : allFaults()) {
+        std::string row;
+        for (size_t i = 0; i < stepNames.size(); ++i) {
+            auto cell = runCell(static_cast<Step>(i), &fault);
+            const char* verdict = cell.stepReached ? "passed" : "not reached";
+            if (!cell.violations.empty()) {
+                verdict = "FAILED";
+                failures += fmt::format("{} at '{}': {}", fault.name, stepNames[i], cell.violations);
+            }
+            row += fmt::format(" {} |", verdict);
+        }
+        page += fmt::format("| {} |{}\n", fault.name, row);
+    }
+    std::cout << page << std::flush;
+    if (const char* path = std::getenv("BERGAMOT_FAULT_MATRIX_PAGE"))
+        std::ofstream(path) << page;
+    STRCMP_EQUAL("", failures.c_str());
+}
--- a/Utilities/bergamot-load/QuickLoad.cpp
+++ b/Utilities/bergamot-load/QuickLoad.cpp
@@ -4,8 +4,8 @@
 #include <LibStandIn/RecordJson.h>
 #include <algorithm>
 #include <fmt/format.h>
-#include <unistd.h>
 #include <thread>
+#include <unistd.h>
 
 namespace Bergamot {
 
