Count metrics at the leader, claim requests in the fault matrix, bench limits and the path

Evictions, task ends and the work done while a zone is out had metrics that nothing recorded; the leader counts them, so that a sum over hosts counts each event once. The fault matrix made no claims, so P7 was unchecked there: callers now send each request through all members, and a second grant fails the cell.

--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -7,6 +7,7 @@
 #include <LibEntry/ServiceUpstreams.h>
 #include <LibWire/Codec.h>
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <utility>
 
@@ -149,6 +150,7 @@
             || std::holds_alternative<MemberJoined>(batch.records[i])
             || std::holds_alternative<MemberRemoved>(batch.records[i]))
             m_limitsChanged = true;
+        recordMetrics(batch.records[i]);
         if (const auto* zone = std::get_if<ZoneChanged>(&batch.records[i])) {
             m_metrics->setZoneOut(zone->zone, zone->out);
             logInfo("zone_changed", { { "zone", zone->zone }, { "out", zone->out } });
@@ -156,6 +158,37 @@
     }
 }
 
+static std::string_view nameOf(TaskOutcome outcome)
+{
+    constexpr std::array<std::string_view, 6> names { "completed", "failed", "evicted", "lost", "refused", "stopped" };
+    return names.at(static_cast<size_t>(outcome));
+}
+
+static std::string_view nameOf(RevokeReason reason)
+{
+    constexpr std::array<std::string_view, 6> names { "eviction", "zone_out", "cancelled", "worker_lost", "host_drain",
+        "superseded" };
+    return names.at(static_cast<size_t>(reason));
+}
+
+// Every member sees every record; only the leader counts, so that the sum over all hosts counts each event once.
+void EntryNode::recordMetrics(const Record& record)
+{
+    if (!m_membership.isLeader())
+        return;
+    if (const auto* revoked = std::get_if<TaskRevoked>(&record))
+        m_metrics->recordEviction(nameOf(revoked->reason));
+    const auto* ended = std::get_if<TaskEnded>(&record);
+    if (!ended)
+        return;
+    m_metrics->recordTaskEnded(nameOf(ended->outcome));
+    const auto* job = m_region.state().findJob(ended->job);
+    bool zoneIsOut = !m_region.state().image().zonesOut.empty();
+    if (zoneIsOut && job && ended->outcome == TaskOutcome::Completed)
+        m_metrics->recordWorkWhileZoneOut(
+            static_cast<double>(job->spec.size.cpuMillis) / 1000.0 * static_cast<double>(job->spec.runMs) / 1000.0);
+}
+
 void EntryNode::configBatchApplied(const RecordBatch&, const ApplyResult&)
 {
     adoptConfig(m_configStream.state().image().config);
@@ -491,6 +524,8 @@
 {
     m_metrics->setLeaderEpoch(m_membership.epoch(), m_membership.isLeader());
     m_metrics->setLogLag(0, now - m_membership.authority().lastLogRead());
+    if (!m_region.state().image().zonesOut.empty() && m_membership.isLeader())
+        m_metrics->recordZoneOutTime(metricsInterval);
     m_metrics->sampleControlThread("control");
     m_metrics->sampleProcess();
 }
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -97,6 +97,7 @@
     void configBatchApplied(const RecordBatch&, const ApplyResult&);
     void adoptConfig(const ConfigPublished&);
     void adoptInitialConfig();
+    void recordMetrics(const Record&);
     void putInForce(std::shared_ptr<const SiteConfig>, uint64_t version);
     void updateRouting(Instant now);
     void updateLimits(Instant now);
--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 bench: build
 	$(BUILD)/bergamot-bench --seed $(SEED)
+	Meta/path-bench.sh $(BUILD) $(SEED)
 
 capacity: build
 	$(BUILD)/bergamot-capacity --seed $(SEED)
--- a/Tests/LibEntry/FaultCell.cpp
+++ b/Tests/LibEntry/FaultCell.cpp
@@ -59,6 +59,8 @@
             bool zoneOut = m_second >= 14 && m_second < 30;
             if (m_second >= 14 && image.zonesOut.contains("b") != zoneOut)
                 m_cluster.setZoneOut("b", zoneOut);
+            if (m_second >= 10 && m_second < 40)
+                sendRequests();
             if (m_second >= 16 && !image.terms.contains("shop"))
                 m_cluster.anyNode()->region().appends().submit(TermsRenewed { .client = "shop",
                     .renewal = 1,
@@ -67,6 +69,24 @@
                     .basedOn = image.termsChangedAt });
         }
 
+        // Callers send each non-idempotent request through all members, again and again, as after a lost answer.
+        void sendRequests()
+        {
+            for (const char* id : { "e1", "e2", "e3" }) {
+                auto* node = m_cluster.node(id);
+                if (!node || !node->config())
+                    continue;
+                auto key = fmt::format("shop/request-{}", m_second / 5);
+                node->ledger().claim(key, 7, m_cluster.events.now() + 2s, [this, node, key](const ClaimResult& result) {
+                    if (!std::holds_alternative<ClaimGranted>(result))
+                        return;
+                    if (++m_executions[key] > 1)
+                        m_violations += fmt::format("P7: request {} was granted twice\n", key);
+                    node->ledger().finish(key, 200, "answer");
+                });
+            }
+        }
+
         // Long runs submit a job each ten seconds, so that every fault meets work.
         int jobsWanted() const { return 12 + std::max(0, std::min(m_second, m_seconds) - 60) / 10; }
 
@@ -114,6 +134,7 @@
         VirtualCluster& m_cluster;
         std::string m_violations;
         std::map<MemberId, uint64_t> m_versions;
+        std::map<std::string, int> m_executions;
         int m_seconds;
         int m_second { 0 };
     };
--- a/Utilities/bergamot-bench/main.cpp
+++ b/Utilities/bergamot-bench/main.cpp
@@ -1,6 +1,8 @@
 #include "DecisionBench.h"
+#include <LibDecision/LimitsBench.h>
 #include <cstdio>
 #include <docopt/docopt.h>
+#include <iostream>
 #include <stdexcept>
 
 static constexpr const char* usage = R"(Decision benchmark. Prints JSON lines, one measurement a line.
@@ -10,7 +12,7 @@
 
 Options:
   --seed N     Seed of workload and faults [default: 1].
-  --only NAME  One of riga, sofia, design, ablation. All but the ablation run by default.
+  --only NAME  One of riga, sofia, design, limits, ablation. All but the ablation run by default.
 )";
 
 int main(int argc, char** argv)
@@ -33,6 +35,10 @@
             bench.compare(size);
         }
     }
+    if (only.empty() || only == "limits") {
+        known = true;
+        runLimitsBench(seed, std::cout);
+    }
     if (only == "ablation") {
         known = true;
         bench.ablate(Workload::riga());
