--- a/Libraries/LibEntry/AdminApi.cpp
+++ b/Libraries/LibEntry/AdminApi.cpp
@@ -100,8 +100,6 @@
         why(segments[2], std::move(responder));
     else if (matches("GET", "burn", 2))
         burn(request, std::move(responder));
-    else if (matches("GET", "burn", 3) && segments[2] == "slice")
-        burnSlice(std::move(responder));
     else
         responder.send(problem(404, "not-found", "No such path", request.path));
 }
@@ -556,29 +554,20 @@
     responder.send(jsonResponse(json));
 }
 
-void AdminApi::burnSlice(HttpResponder responder) const
+static HttpResponse burnResponse(const BurnReport& report, std::string_view format)
 {
-    responder.send({ .body = encodeBurnSlice(m_node.burn().slice(m_node.clock().now())) });
+    if (format == "json")
+        return { .body = formatBurnJson(report) };
+    if (format == "html")
+        return { .contentType = "text/html; charset=utf-8", .body = formatBurnHtml(report) };
+    return { .contentType = "text/plain; charset=utf-8", .body = formatBurnText(report) };
 }
 
 void AdminApi::burn(const HttpRequest& request, HttpResponder responder) const
 {
-    auto now = m_node.clock().now();
-    std::vector<BurnSlice> slices { m_node.burn().slice(now) };
-    std::vector<MemberId> missing;
-    // FIXME: The slices of the other entry hosts are not fetched yet, so the report names them as missing.
-    for (const auto& [id, member] : m_node.region().state().image().members) {
-        if (id != m_node.options().settings.member)
-            missing.push_back(id);
-    }
-    auto report = mergeBurn(slices, missing);
-    auto format = headerValue(request.query, "format");
-    if (format == "json")
-        responder.send({ .body = formatBurnJson(report) });
-    else if (format == "html")
-        responder.send({ .contentType = "text/html; charset=utf-8", .body = formatBurnHtml(report) });
-    else
-        responder.send({ .contentType = "text/plain; charset=utf-8", .body = formatBurnText(report) });
+    auto shared = std::make_shared<HttpResponder>(std::move(responder));
+    m_node.collectBurn([shared, format = std::string(headerValue(request.query, "format"))](
+                           const BurnReport& report) { shared->send(burnResponse(report, format)); });
 }
 
 }
--- a/Libraries/LibEntry/AdminApi.h
+++ b/Libraries/LibEntry/AdminApi.h
@@ -41,7 +41,6 @@
     void renewTerms(const std::string& client, const HttpRequest&, HttpResponder);
     void why(const std::string& job, HttpResponder) const;
     void burn(const HttpRequest&, HttpResponder) const;
-    void burnSlice(HttpResponder) const;
 
     EntryNode& m_node;
     JobApi& m_jobs;
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -131,6 +131,7 @@
         exchangeLoans();
         exchangeShares(now);
     }
+    m_burnCollector.tick(now);
     if (now >= m_nextMetrics) {
         m_nextMetrics = now + metricsInterval;
         updateMetrics(now);
@@ -460,6 +461,19 @@
 
     void operator()(const StateRequest& request) { node.offerState(request); }
 
+    void operator()(const BurnRequest& message)
+    {
+        node.sendTo(message.member,
+            BurnAnswer { .member = node.m_options.settings.member,
+                .request = message.request,
+                .slice = encodeBurnSlice(node.m_burn->slice(now)) });
+    }
+
+    void operator()(const BurnAnswer& message)
+    {
+        node.m_burnCollector.answered(message.request, message.member, message.slice);
+    }
+
     void operator()(const StateOffer& offer)
     {
         // A version that a peer has in force was accepted by the fold, so a member that is cut off from the log takes
@@ -490,6 +504,19 @@
     std::visit(PeerMessageHandler { *this, clock().now() }, *message);
 }
 
+void EntryNode::collectBurn(BurnCollector::Done done)
+{
+    std::set<MemberId> peers;
+    for (const auto& [id, member] : m_region.state().image().members) {
+        if (id != m_options.settings.member)
+            peers.insert(id);
+    }
+    auto now = clock().now();
+    auto request = m_burnCollector.begin(m_burn->slice(now), peers, now, std::move(done));
+    for (const auto& peer : peers)
+        sendTo(peer, BurnRequest { .member = m_options.settings.member, .request = request });
+}
+
 void EntryNode::offerState(const StateRequest& request)
 {
     StateOffer offer { .member = m_options.settings.member,
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -4,6 +4,7 @@
 #include <LibConfig/SiteConfig.h>
 #include <LibCore/Clock.h>
 #include <LibCore/Service.h>
+#include <LibEntry/BurnCollector.h>
 #include <LibEntry/Dispatcher.h>
 #include <LibEntry/HostListWatcher.h>
 #include <LibEntry/LogStream.h>
@@ -54,6 +55,9 @@
     void tick(Instant now);
     void peerMessageReceived(std::string_view bytes);
 
+    /// Asks all members for their burn figures; `done` is called once with the merged report.
+    void collectBurn(BurnCollector::Done);
+
     /// From here on readiness fails and peers take over; requests in progress go on.
     void beginShutdown();
     bool isShuttingDown() const { return m_shuttingDown; }
@@ -122,6 +126,7 @@
     RequestLedger m_ledger;
     SnapshotWriter m_regionSnapshots;
     SnapshotWriter m_configSnapshots;
+    BurnCollector m_burnCollector;
     std::unique_ptr<QuickPath> m_quickPath;
     std::shared_ptr<const SiteConfig> m_config;
     std::deque<ConfigVersion> m_configHistory;
--- /dev/null
+++ b/Libraries/LibWire/BurnRequest.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace Bergamot {
+
+/// Asks a peer for its burn figures.
+struct BurnRequest {
+    MemberId member {};
+    uint64_t request { 0 };
+
+    bool operator==(const BurnRequest&) const = default;
+    MSGPACK_DEFINE_ARRAY(member, request)
+};
+
+}
--- a/Libraries/LibWire/PeerMessage.h
+++ b/Libraries/LibWire/PeerMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibWire/BurnAnswer.h>
+#include <LibWire/BurnRequest.h>
 #include <LibWire/Heartbeat.h>
 #include <LibWire/RecordRelay.h>
 #include <LibWire/ShareGrantMessage.h>
@@ -15,6 +17,6 @@
 
 /// A message between entry hosts. The order of the alternatives is part of the wire format: new ones go to the end.
 using PeerMessage = std::variant<Heartbeat, SlotLoanRequest, SlotLoan, SlotReturn, StateRequest, StateOffer,
-    RecordRelay, ShareReportMessage, ShareGrantMessage>;
+    RecordRelay, ShareReportMessage, ShareGrantMessage, BurnRequest, BurnAnswer>;
 
 }
