--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -50,6 +50,12 @@
     return needed.fitsIn(worker.free()) ? Rejection::None : Rejection::Reserved;
 }
 
+static bool hasReplica(const JobRecord& job, const WorkerRecord& worker)
+{
+    auto it = std::ranges::find(worker.services, job.kind, &ServiceWatch::kind);
+    return it != worker.services.end() && it->tasks > 0;
+}
+
 Rejection Placement::check(const PlacementQuery& query, WorkerIndex index) const
 {
     const auto& worker = m_state.workers[index];
@@ -66,6 +72,8 @@
         return Rejection::FailedThere;
     if (!job.view.size.fitsIn(worker.free()))
         return Rejection::NoRoom;
+    if (m_options.oneReplicaPerWorker && job.view.isService && hasReplica(job, worker))
+        return Rejection::NoRoom;
     if (!worker.holds.empty()) {
         if (auto rejection = checkHolds(query, worker); rejection != Rejection::None)
             return rejection;
--- a/Libraries/LibDecision/SchedulerOptions.h
+++ b/Libraries/LibDecision/SchedulerOptions.h
@@ -49,6 +49,10 @@
     bool refillsGradually { true };
     bool ordersZoneEvictions { true };
 
+    /// At most one replica of a service on a worker. For services whose limits belong to the worker, such as request
+    /// slots, a second replica there adds nothing.
+    bool oneReplicaPerWorker { false };
+
     bool operator==(const SchedulerOptions&) const = default;
 };
 
--- a/Libraries/LibEntry/SchedulerDriver.cpp
+++ b/Libraries/LibEntry/SchedulerDriver.cpp
@@ -140,7 +140,7 @@
 {
     m_builtForEpoch = m_membership.epoch();
     m_lossWatch.reset();
-    auto scheduler = BatchScheduler::create({ .seed = m_options.seed });
+    auto scheduler = BatchScheduler::create({ .seed = m_options.seed, .oneReplicaPerWorker = true });
     if (!scheduler.ok()) {
         note(scheduler.status(), "scheduler options");
         return;
--- a/Tests/LibEntry/TestEntryNode.cpp
+++ b/Tests/LibEntry/TestEntryNode.cpp
@@ -2,6 +2,7 @@
 #include <CppUTest/TestHarness.h>
 #include <LibDecision/Timing.h>
 #include <fmt/format.h>
+#include <set>
 
 using namespace Bergamot;
 using namespace std::chrono_literals;
@@ -236,3 +237,19 @@
         cluster.worker(worker).loseEverything(cluster.events.now());
     checkAllCompleted(300s);
 }
+
+// Guards against replicas that gather on a few workers, where their request slots do not add up.
+TEST(EntryNode, ReplicasOfAServiceRunOnDistinctWorkers)
+{
+    std::set<WorkerId> workers;
+    CHECK(cluster.runUntil(30s, [&] {
+        workers.clear();
+        int placed = 0;
+        for (const auto& [id, job] : cluster.image().jobs) {
+            placed += job.spec.isService && job.phase == JobPhase::Placed ? 1 : 0;
+            workers.insert(job.worker);
+        }
+        return placed == 3;
+    }));
+    LONGS_EQUAL(3, workers.size());
+}
