--- a/Meta/path-bench.sh
+++ b/Meta/path-bench.sh
@@ -35,5 +35,7 @@
     measure "direct-rate-$rate" "${direct[@]}" --direct --rate="$rate"
     measure "daemon-rate-$rate" "${to_all[@]}" --rate="$rate"
 done
-measure direct-closed "${direct[@]}" --direct --concurrency=64 --engines=2
-measure daemon-closed "${to_all[@]}" --concurrency=64 --engines=2
+for callers in ${CALLERS:-64 170}; do
+    measure "direct-closed-$callers" "${direct[@]}" --direct --concurrency="$callers" --engines=3
+    measure "daemon-closed-$callers" "${to_all[@]}" --concurrency="$callers" --engines=3
+done
