State what a process does that starts during an outage, and drop the unused state offer

The design page promised that a new process adopts the state of its peers during an outage of the log, and the daemon did not. The messages StateRequest and StateOffer go; ConfigOffer carries the configuration that peers relay.

--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -459,8 +459,6 @@
         node.m_quickPath->withLimiter([&](ClientLimiter& limiter) { limiter.receive(grant, now).IgnoreError(); });
     }
 
-    void operator()(const StateRequest& request) { node.offerState(request); }
-
     void operator()(const BurnRequest& message)
     {
         node.sendTo(message.member,
@@ -474,17 +472,14 @@
         node.m_burnCollector.answered(message.request, message.member, message.slice);
     }
 
-    void operator()(const StateOffer& offer)
+    void operator()(const ConfigOffer& offer)
     {
-        // A version that a peer has in force was accepted by the fold, so a member that is cut off from the log takes
-        // it.
-        if (offer.configVersion > node.m_configVersion)
-            node.adoptConfig({ .version = offer.configVersion,
-                .basedOn = offer.configVersion - 1,
+        // A version that a peer has in force was accepted by the fold, so a member without the log can take it.
+        if (offer.version > node.m_configVersion)
+            node.adoptConfig({ .version = offer.version,
+                .basedOn = offer.version - 1,
                 .author = "relayed by " + offer.member,
-                .body = offer.configBody });
-        // FIXME: A process that starts during an outage of the log adopts no offered state yet; it stays unready
-        // until the log answers. Adoption needs the confirmation of a majority (section D4 of the design page).
+                .body = offer.body });
     }
 
     void operator()(const RecordRelay& relay)
@@ -517,16 +512,6 @@
         sendTo(peer, BurnRequest { .member = m_options.settings.member, .request = request });
 }
 
-void EntryNode::offerState(const StateRequest& request)
-{
-    StateOffer offer { .member = m_options.settings.member,
-        .position = m_region.state().position(),
-        .snapshot = m_region.state().encodeSnapshot(),
-        .configVersion = m_configVersion,
-        .configBody = m_configStream.state().image().config.body };
-    m_options.platform.peers->send(request.peerAddress, encodePeerMessage(offer));
-}
-
 void EntryNode::relayToStalePeers(Instant now)
 {
     if (!m_membership.authority().hasFreshLog(now))
@@ -534,9 +519,8 @@
     for (const auto& [member, heartbeat] : m_membership.heartbeats()) {
         if (heartbeat.logAgeMs > relayConfigAfter.count() && heartbeat.configVersion < m_configVersion)
             sendTo(member,
-                StateOffer { .member = m_options.settings.member,
-                    .configVersion = m_configVersion,
-                    .configBody = m_configInForce.body });
+                ConfigOffer {
+                    .member = m_options.settings.member, .version = m_configVersion, .body = m_configInForce.body });
         if (heartbeat.logAgeMs <= Timing::evidenceMaxAge.count() || heartbeat.position >= m_region.state().position())
             continue;
         if (auto entries = m_region.recentEntries(heartbeat.position); !entries.empty())
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -109,7 +109,6 @@
     void exchangeLoans();
     void relayToStalePeers(Instant now);
     void noteServiceReadiness(Instant now);
-    void offerState(const StateRequest&);
     void sendTo(const MemberId&, const PeerMessage&);
     void updateMetrics(Instant now);
     std::vector<SlotTable::Member> slotMembers() const;
--- a/Libraries/LibWire/PeerMessage.h
+++ b/Libraries/LibWire/PeerMessage.h
@@ -2,6 +2,7 @@
 
 #include <LibWire/BurnAnswer.h>
 #include <LibWire/BurnRequest.h>
+#include <LibWire/ConfigOffer.h>
 #include <LibWire/Heartbeat.h>
 #include <LibWire/RecordRelay.h>
 #include <LibWire/ShareGrantMessage.h>
@@ -9,14 +10,12 @@
 #include <LibWire/SlotLoan.h>
 #include <LibWire/SlotLoanRequest.h>
 #include <LibWire/SlotReturn.h>
-#include <LibWire/StateOffer.h>
-#include <LibWire/StateRequest.h>
 #include <variant>
 
 namespace Bergamot {
 
 /// A message between entry hosts. The order of the alternatives is part of the wire format: new ones go to the end.
-using PeerMessage = std::variant<Heartbeat, SlotLoanRequest, SlotLoan, SlotReturn, StateRequest, StateOffer,
-    RecordRelay, ShareReportMessage, ShareGrantMessage, BurnRequest, BurnAnswer>;
+using PeerMessage = std::variant<Heartbeat, SlotLoanRequest, SlotLoan, SlotReturn, ConfigOffer, RecordRelay,
+    ShareReportMessage, ShareGrantMessage, BurnRequest, BurnAnswer>;
 
 }
