--- a/Libraries/LibEntry/AdminApi.cpp
+++ b/Libraries/LibEntry/AdminApi.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/StatusText.h>
 #include <LibEntry/AdminApi.h>
 #include <LibEntry/EntryNode.h>
+#include <LibEntry/StatusView.h>
 #include <LibEntry/TermsPolicy.h>
 #include <LibReport/BurnFormat.h>
 #include <algorithm>
@@ -79,9 +80,9 @@
         return request.method == method && segments[1] == name && segments.size() == count;
     };
     if (matches("GET", "status", 2))
-        status(std::move(responder));
+        responder.send(jsonResponse(statusJson(m_node, m_node.clock().now(), m_started)));
     else if (matches("GET", "state", 2))
-        state(std::move(responder));
+        responder.send(jsonResponse(stateJson(m_node, m_node.clock().now())));
     else if (matches("GET", "config", 2))
         showConfig(request, std::move(responder));
     else if (matches("GET", "config", 3) && segments[2] == "history")
@@ -104,162 +105,6 @@
         responder.send(problem(404, "not-found", "No such path", request.path));
 }
 
-static Json zonesJson(const StateImage& image)
-{
-    struct Count {
-        int64_t workers { 0 };
-        int64_t usable { 0 };
-    };
-    std::map<ZoneId, Count> zones;
-    for (const auto& zone : image.zonesOut)
-        zones[zone];
-    for (const auto& [id, worker] : image.workers) {
-        auto& count = zones[worker.spec.zone];
-        ++count.workers;
-        bool usable = !worker.spec.leaving && !worker.spec.gone && !worker.draining && !worker.quarantined
-            && !image.zonesOut.contains(worker.spec.zone);
-        count.usable += usable ? 1 : 0;
-    }
-    auto json = Json::array();
-    for (const auto& [zone, count] : zones) {
-        json.push_back({ { "zone", zone }, { "out", image.zonesOut.contains(zone) }, { "workers", count.workers },
-            { "usable", count.usable } });
-    }
-    return json;
-}
-
-static Json workersSummary(const StateImage& image, size_t unreachable)
-{
-    int64_t usable = 0;
-    int64_t leaving = 0;
-    int64_t draining = 0;
-    int64_t quarantined = 0;
-    for (const auto& [id, worker] : image.workers) {
-        leaving += worker.spec.leaving || worker.spec.gone ? 1 : 0;
-        draining += worker.draining ? 1 : 0;
-        quarantined += worker.quarantined ? 1 : 0;
-        bool isUsable = !worker.spec.leaving && !worker.spec.gone && !worker.draining && !worker.quarantined
-            && !image.zonesOut.contains(worker.spec.zone);
-        usable += isUsable ? 1 : 0;
-    }
-    return { { "total", image.workers.size() }, { "usable", usable }, { "leaving", leaving }, { "draining", draining },
-        { "quarantined", quarantined }, { "unreachable", unreachable } };
-}
-
-static Json jobsSummary(const StateImage& image)
-{
-    std::map<JobPhase, int64_t> counts;
-    for (const auto& [id, job] : image.jobs)
-        ++counts[job.phase];
-    return { { "pending", counts[JobPhase::Pending] }, { "placed", counts[JobPhase::Placed] },
-        { "revoking", counts[JobPhase::Revoking] } };
-}
-
-static Json membersJson(EntryNode& node, Instant now)
-{
-    auto members = Json::array();
-    const auto& settings = node.options().settings;
-    for (const auto& [id, member] : node.region().state().image().members) {
-        Json json { { "member", id }, { "region", settings.region }, { "zone", member.spec.zone },
-            { "caller_address", member.spec.callerAddress }, { "voter", member.voter },
-            { "live", node.membership().authority().isReachable(id, now) } };
-        auto heard = node.membership().heartbeats().find(id);
-        if (id == settings.member) {
-            json["config_version"] = node.configInForce().version;
-            json["position"] = node.region().state().position();
-            json["log_age_ms"] = (now - node.membership().authority().lastLogRead()).count();
-            json["heartbeat_age_ms"] = 0;
-        } else if (heard != node.membership().heartbeats().end()) {
-            json["config_version"] = heard->second.configVersion;
-            json["position"] = heard->second.position;
-            json["log_age_ms"] = heard->second.logAgeMs;
-            auto it = node.membership().authority().peers().find(id);
-            json["heartbeat_age_ms"]
-                = it == node.membership().authority().peers().end() ? -1 : (now - it->second.confirmedAt).count();
-        }
-        members.push_back(std::move(json));
-    }
-    return members;
-}
-
-static Json problemsOf(EntryNode& node, Instant now)
-{
-    auto problems = Json::array();
-    const auto& image = node.region().state().image();
-    if (!node.membership().authority().hasFreshLog(now))
-        problems.push_back("this entry host has not read the log for 3 s");
-    if (node.region().appends().isStalled(now))
-        problems.push_back("the log does not take appends");
-    if (!node.config())
-        problems.push_back("no configuration is in force");
-    for (const auto& [id, worker] : image.workers) {
-        if (worker.draining && !worker.jobs.empty())
-            problems.push_back(fmt::format("host {} is draining and still runs {} tasks", id, worker.jobs.size()));
-        if (worker.quarantined)
-            problems.push_back(fmt::format("host {} is quarantined because tasks fail on it", id));
-    }
-    for (const auto& id : node.dispatcher().unreachableWorkers(now))
-        problems.push_back(fmt::format("host {} does not answer", id));
-    return problems;
-}
-
-void AdminApi::status(HttpResponder responder) const
-{
-    auto now = m_node.clock().now();
-    const auto& image = m_node.region().state().image();
-    const auto& settings = m_node.options().settings;
-    const auto& config = m_node.configInForce();
-    auto unreachable = m_node.dispatcher().unreachableWorkers(now).size();
-    Json json {
-        { "member", settings.member },
-        { "region", settings.region },
-        { "zone", settings.zone },
-        { "incarnation", m_node.options().incarnation },
-        { "uptime_ms", (now - m_started).count() },
-        { "ready", m_node.isReady(now) },
-        { "authority", m_node.membership().mayRenew(now) },
-        { "leader",
-            { { "member", image.leader.member }, { "epoch", image.leader.epoch },
-                { "keepalive_age_ms", image.logTimeMs - image.leader.lastRecordAtMs } } },
-        { "log",
-            { { "reachable", m_node.membership().authority().hasFreshLog(now) },
-                { "position", m_node.region().state().position() },
-                { "age_ms", (now - m_node.membership().authority().lastLogRead()).count() } } },
-        { "config",
-            { { "version", config.version }, { "author", config.author },
-                { "time_ms", m_node.configStream().state().image().logTimeMs } } },
-        { "members", membersJson(m_node, now) },
-        { "zones", zonesJson(image) },
-        { "workers", workersSummary(image, unreachable) },
-        { "jobs", jobsSummary(image) },
-        { "problems", problemsOf(m_node, now) },
-    };
-    responder.send(jsonResponse(json));
-}
-
-static Json sizeJson(const Resources& size)
-{
-    return { { "cpu_millis", size.cpuMillis }, { "memory_mb", size.memoryMb }, { "accelerators", size.accelerators } };
-}
-
-void AdminApi::state(HttpResponder responder) const
-{
-    auto now = m_node.clock().now();
-    const auto& image = m_node.region().state().image();
-    auto unreachable = m_node.dispatcher().unreachableWorkers(now);
-    auto workers = Json::array();
-    for (const auto& [id, worker] : image.workers) {
-        std::string_view state = worker.spec.gone ? "gone" : worker.spec.leaving ? "leaving" : "live";
-        workers.push_back({ { "worker", id }, { "zone", worker.spec.zone }, { "rack", worker.spec.rack },
-            { "address", worker.spec.address }, { "state", state }, { "draining", worker.draining },
-            { "quarantined", worker.quarantined },
-            { "reachable", std::ranges::find(unreachable, id) == unreachable.end() }, { "tasks", worker.jobs.size() },
-            { "capacity", sizeJson(worker.spec.capacity) }, { "committed", sizeJson(worker.committed) } });
-    }
-    responder.send(jsonResponse(
-        { { "position", m_node.region().state().position() }, { "zones", zonesJson(image) }, { "workers", workers } }));
-}
-
 static Json configJson(const ConfigPublished& config, int64_t timeMs)
 {
     return { { "version", config.version }, { "based_on", config.basedOn }, { "author", config.author },
--- a/Libraries/LibEntry/AdminApi.h
+++ b/Libraries/LibEntry/AdminApi.h
@@ -30,8 +30,6 @@
 private:
     void route(const HttpRequest&, HttpResponder);
     void routeAdmin(const HttpRequest&, const std::vector<std::string>& segments, HttpResponder);
-    void status(HttpResponder) const;
-    void state(HttpResponder) const;
     void showConfig(const HttpRequest&, HttpResponder) const;
     void configHistory(HttpResponder) const;
     void publishConfig(const HttpRequest&, HttpResponder);
