Report a request as not run only when no connection ever carried it

Change: a callback of libcurl notes that a connection was ready to carry the request; a refused connection after that is an unknown outcome. Before: the new test fails. After: it passes.

--- a/Libraries/LibHttp/CurlRequest.cpp
+++ b/Libraries/LibHttp/CurlRequest.cpp
@@ -42,9 +42,17 @@
     curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &CurlRequest::onHeader);
     curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &CurlRequest::onBeforeRequest);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_PRIVATE, this);
 }
 
+int CurlRequest::onBeforeRequest(void* self, char*, char*, int, int)
+{
+    static_cast<CurlRequest*>(self)->m_mayHaveBeenSent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
 size_t CurlRequest::onBody(char* data, size_t size, size_t count, void* self)
 {
     auto& reply = static_cast<CurlRequest*>(self)->m_reply;
@@ -82,7 +90,8 @@
         return std::move(m_reply);
     }
     auto text = fmt::format("{} {}: {}", m_call.method, m_call.url, curl_easy_strerror(code));
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
+    bool neverSent = code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
+    if (neverSent && !m_mayHaveBeenSent)
         return absl::AbortedError(text);
     if (code == CURLE_OPERATION_TIMEDOUT)
         return absl::DeadlineExceededError(text);
--- a/Libraries/LibHttp/CurlRequest.h
+++ b/Libraries/LibHttp/CurlRequest.h
@@ -25,6 +25,7 @@
 
 private:
     static size_t onBody(char* data, size_t size, size_t count, void* self);
+    static int onBeforeRequest(void* self, char* primaryIp, char* localIp, int primaryPort, int localPort);
     static size_t onHeader(char* data, size_t size, size_t count, void* self);
     void applyOptions();
 
@@ -32,6 +33,10 @@
     HttpCall m_call;
     HttpReply m_reply;
     curl_slist* m_headerList { nullptr };
+
+    /// libcurl repeats a request whose reused connection has died. When the new connection is refused, the result is
+    /// that of a request that was never sent, although the server may have run the first one.
+    bool m_mayHaveBeenSent { false };
 };
 
 }
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -4,8 +4,12 @@
 #include <LibHttp/HttpServer.h>
 #include <fmt/format.h>
 #include <future>
+#include <netinet/in.h>
 #include <optional>
+#include <string_view>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace Bergamot;
 
@@ -103,3 +107,31 @@
     for (auto& result : results)
         CHECK(result.get());
 }
+
+// Guards against "did not run" for a request that reached a server which died before it answered: libcurl repeats it on
+// a new connection, and only that one is refused.
+TEST(Http, RequestLostWithItsServerIsUnknown)
+{
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address { .sin_family = AF_INET, .sin_port = 0, .sin_addr = { htonl(INADDR_LOOPBACK) } };
+    socklen_t size = sizeof(address);
+    CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&address), size));
+    CHECK_EQUAL(0, listen(listener, 1));
+    CHECK_EQUAL(0, getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size));
+    std::thread dyingServer([&] {
+        char buf[4096];
+        int connection = accept(listener, nullptr, nullptr);
+        if (read(connection, buf, sizeof(buf)) > 0) {
+            constexpr std::string_view reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            if (write(connection, reply.data(), reply.size()) > 0 && read(connection, buf, sizeof(buf)) > 0)
+                close(listener);
+        }
+        close(connection);
+    });
+    HttpClient client;
+    HttpCall call { .url = fmt::format("http://127.0.0.1:{}/", ntohs(address.sin_port)) };
+    CHECK(client.call(call).ok());
+    auto status = client.call(call).status();
+    dyingServer.join();
+    CHECK(absl::IsUnavailable(status));
+}
