--- a/Libraries/LibStandIn/AttemptChecks.cpp
+++ b/Libraries/LibStandIn/AttemptChecks.cpp
@@ -27,8 +27,7 @@
 
 static bool overlap(const TaskRecord& a, const TaskRecord& b) { return a.startMs < endOf(b) && b.startMs < endOf(a); }
 
-static void checkJobRuns(
-    const JobId& job, const Attempts& attempts, const std::set<std::string>& repeatableKinds, CheckResult& result)
+static void checkJobRuns(const JobId& job, const Attempts& attempts, CheckResult& result)
 {
     int completed = 0;
     for (size_t i = 0; i < attempts.size(); ++i) {
@@ -47,7 +46,7 @@
                         b.startMs, b.endMs.value_or(-1)));
         }
     }
-    if (completed > 1 && !repeatableKinds.contains(attempts.front()->kind))
+    if (completed > 1)
         result.violations.push_back(fmt::format("job {} completed {} times", job, completed));
 }
 
@@ -55,7 +54,7 @@
 {
     CheckResult result { .promise = "P2" };
     for (const auto& [job, attempts] : attemptsByJob(records))
-        checkJobRuns(job, attempts, records.repeatableKinds, result);
+        checkJobRuns(job, attempts, result);
     return result;
 }
 
--- a/Libraries/LibStandIn/RunRecords.h
+++ b/Libraries/LibStandIn/RunRecords.h
@@ -7,7 +7,6 @@
 #include <LibStandIn/TaskRecord.h>
 #include <LibStandIn/WorkerRecord.h>
 #include <absl/status/status.h>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,9 +18,6 @@
     std::vector<TaskRecord> tasks {};
     std::vector<ExecutionRecord> executions {};
     std::vector<WorkerRecord> workers {};
-
-    /// Kinds that may complete again after a worker that completed them unheard was lost. All others may not.
-    std::set<std::string> repeatableKinds {};
     std::vector<SentRequest> requests {};
     std::vector<SentJob> jobs {};
     std::vector<HostStateEvent> hostStates {};
--- a/Tests/LibEntry/VirtualCluster.cpp
+++ b/Tests/LibEntry/VirtualCluster.cpp
@@ -414,10 +414,6 @@
         records.workers.push_back(worker->record());
     }
     records.zones = m_zoneEvents;
-    for (const auto& kind : testConfig().kinds) {
-        if (!kind.singleRun)
-            records.repeatableKinds.insert(kind.name);
-    }
     return records;
 }
 
