Learn interference by pair of images and pace only the tasks that press

One pace for a whole worker starved them all, and the learned idle capacity fell after each new start because the figure covers the last half second. Change: PressureModel (tail = base / (1 - utilisation)), pace by task, placement only where the pair leaves room, serving tasks of one image together.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -14,6 +14,29 @@
 /// Tasks that are paced below this share may rightly show no progress.
 static constexpr uint32_t stallPacePercent = 50;
 
+/// A task that fills moves to another worker when it has been paced below this share for this long.
+static constexpr uint32_t movePacePercent = 40;
+static constexpr Milliseconds pacedDownLimit { 1500 };
+
+/// A change of pace below this many points is not worth an order.
+static constexpr uint32_t leastPaceChange = 10;
+
+/// Filling tasks may raise the tail of a serving task to this share of its target.
+static constexpr double tailLimitShare = 0.75;
+
+/// Pace of the tasks that press a serving task which is over its target.
+static constexpr double overTargetPace = 0.1;
+
+/// Utilisation that does not count as pressure.
+static constexpr double negligiblePressure = 0.02;
+
+/// A task that fills starts only where it may work at this share of its speed.
+static constexpr double leastStartPace = 0.8;
+
+/// Serving tasks of one image share workers, so that each image of filling tasks finds workers where it presses nothing.
+static constexpr double sameImageWeight = 0.6;
+static constexpr double siblingWeight = 0.1;
+
 /// A report of the last half second says nothing of a run that is younger than this.
 static constexpr Milliseconds figureDelay { 700 };
 
@@ -137,14 +160,19 @@
         auto capacityCpu = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
         double score = 0;
         if (spec.fills) {
-            auto room = worker.fillRoomMillis();
+            auto room = static_cast<double>(worker.fillRoomMillis());
             if (room < fillStartShare * static_cast<double>(spec.size.cpuMillis))
                 continue;
-            score = room / capacityCpu;
+            double allowed = allowedFillShare(worker, spec);
+            if (allowed < leastStartPace)
+                continue;
+            score = room / capacityCpu + std::min(allowed, 3.0);
         } else {
             score = static_cast<double>(worker.freeRoom().cpuMillis) / capacityCpu;
         }
-        score -= static_cast<double>(siblings);
+        if (spec.longRunning)
+            score += sameImageWeight * sameImageShare(worker, spec.image);
+        score -= siblingWeight * static_cast<double>(siblings);
         if (!spec.dataRack.empty() && hasLabel(worker.view, spec.dataRack))
             score += 1;
         if (handle == task.lastFailedOn && task.failures > 0)
@@ -159,6 +187,21 @@
     return best;
 }
 
+/// The share of the serving tasks on the worker that have this image; 0 when nothing serves there.
+double TaskScheduler::sameImageShare(const WorkerEntry& worker, const std::string& image) const
+{
+    double same = 0;
+    double all = 0;
+    for (const auto& [ref, number] : worker.runs) {
+        const auto& spec = m_jobs.at(ref.job)->spec.steps[ref.step];
+        if (!spec.longRunning)
+            continue;
+        all += 1;
+        same += spec.image == image ? 1 : 0;
+    }
+    return all > 0 ? same / all : 0;
+}
+
 void TaskScheduler::startOn(WorkerEntry& worker, const ReadyStep& ready, uint32_t index, Instant now)
 {
     auto& job = *ready.job;
@@ -175,60 +218,146 @@
         .payload = job.spec.payload,
         .checkpoint = task.checkpoint,
     });
-    if (!job.spec.steps[ready.step].fills || worker.pace.percent() == 100)
-        return;
-    task.runs.back().pace = worker.pace.percent();
-    m_actions.push_back(
-        PaceTask { .worker = worker.handle, .task = ref, .run = run, .percent = worker.pace.percent() });
+}
+
+void TaskScheduler::stopRun(const TaskRef& ref, TrackedRun& run)
+{
+    run.phase = RunPhase::Stopping;
+    m_actions.push_back(StopTask { .worker = run.worker, .task = ref, .run = run.run });
 }
 
 void TaskScheduler::superviseWorker(WorkerEntry& worker, Instant now)
 {
-    double worstRatio = 0;
-    double measuredDemand = 0;
-    double measuredUse = 0;
+    observeInterference(worker, now);
+    paceFills(worker, now);
     auto runs = worker.runs;
     for (const auto& [ref, number] : runs) {
         auto& job = *findJob(ref.job);
-        auto& task = *findTask(job, ref);
-        const auto& run = *findRun(task, number);
+        auto& run = *findRun(*findTask(job, ref), number);
         const auto& spec = job.spec.steps[ref.step];
-        if (spec.longRunning && spec.targetLatencyMs > 0 && run.percent == 100)
-            worstRatio
-                = std::max(worstRatio, static_cast<double>(run.recentFigure) / static_cast<double>(spec.targetLatencyMs));
-        if (spec.fills && run.phase == RunPhase::Running && now - run.startedAt > figureDelay) {
-            measuredDemand += static_cast<double>(spec.size.cpuMillis) * run.pace / 100;
-            measuredUse += static_cast<double>(run.recentFigure);
-        }
-        bool stalled = !spec.longRunning && run.phase == RunPhase::Running && run.pace >= stallPacePercent
-            && worker.pace.percent() >= stallPacePercent && now - run.progressedAt > stallLimit;
+        bool stalled = !spec.longRunning && run.pace >= stallPacePercent && now - run.progressedAt > stallLimit;
         bool leaves = worker.view.draining && (spec.longRunning || spec.checkpointing);
-        if (run.phase == RunPhase::Running && (stalled || leaves)) {
-            findRun(task, number)->phase = RunPhase::Stopping;
-            m_actions.push_back(StopTask { .worker = worker.handle, .task = ref, .run = number });
-        }
+        bool moves = spec.fills && spec.checkpointing && run.pacedDownSince != neverInstant
+            && now - run.pacedDownSince > pacedDownLimit;
+        if (run.phase == RunPhase::Running && (stalled || leaves || moves))
+            stopRun(ref, run);
     }
-    constexpr double saturatedBelow = 0.9;
-    constexpr double smoothing = 0.3;
-    if (measuredDemand > 0) {
-        double share = measuredUse / measuredDemand;
-        double estimate = share < saturatedBelow ? share * static_cast<double>(worker.fillDemandMillis)
-                                                 : 1.1 * static_cast<double>(worker.fillDemandMillis);
-        if (worker.fillCapacityMillis < 0)
-            worker.fillCapacityMillis = std::max(estimate, worker.fillRoomMillis() + static_cast<double>(worker.fillDemandMillis));
-        else if (share < saturatedBelow || estimate > worker.fillCapacityMillis)
-            worker.fillCapacityMillis += smoothing * (estimate - worker.fillCapacityMillis);
+}
+
+void TaskScheduler::observeInterference(WorkerEntry& worker, Instant now)
+{
+    auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+    std::vector<PressureModel::Fill> fills;
+    for (const auto& [ref, number] : worker.runs) {
+        auto& job = *findJob(ref.job);
+        const auto& run = *findRun(*findTask(job, ref), number);
+        const auto& spec = job.spec.steps[ref.step];
+        if (spec.fills && run.recentFigure > 0)
+            fills.push_back({ .image = spec.image, .share = static_cast<double>(run.recentFigure) / capacity });
     }
-    worker.pace.update(worstRatio, now);
-    for (const auto& [ref, number] : runs) {
+    for (const auto& [ref, number] : worker.runs) {
+        auto& job = *findJob(ref.job);
+        auto& run = *findRun(*findTask(job, ref), number);
+        const auto& spec = job.spec.steps[ref.step];
+        if (!spec.longRunning || spec.targetLatencyMs == 0 || run.percent < 100 || now - run.startedAt < figureDelay)
+            continue;
+        m_pressure.observe(spec.image, static_cast<double>(run.recentFigure), fills, run.load);
+    }
+}
+
+/// The utilisation that filling tasks may add before the serving task comes near its target.
+double TaskScheduler::servingMargin(const TrackedRun& run, const StepSpec& spec) const
+{
+    return m_pressure.utilisationAt(spec.image, tailLimitShare * spec.targetLatencyMs) - run.load;
+}
+
+/// The share of its speed at which a further task that fills may work beside the tasks that serve; may exceed 1.
+double TaskScheduler::allowedFillShare(const WorkerEntry& worker, const StepSpec& fill) const
+{
+    auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+    double allowed = 100;
+    for (const auto& [ref, number] : worker.runs) {
+        const auto& job = *m_jobs.at(ref.job);
+        const auto& spec = job.spec.steps[ref.step];
+        if (!spec.longRunning || spec.targetLatencyMs == 0)
+            continue;
+        const auto& task = job.occurrences[ref.occurrence].steps[ref.step].tasks[ref.index];
+        auto run = std::ranges::find(task.runs, number, &TrackedRun::run);
+        double added = m_pressure.pressure(fill.image, spec.image) * static_cast<double>(fill.size.cpuMillis) / capacity;
+        if (added < negligiblePressure)
+            continue;
+        double margin = servingMargin(*run, spec);
+        for (const auto& [otherRef, otherNumber] : worker.runs) {
+            const auto& otherSpec = m_jobs.at(otherRef.job)->spec.steps[otherRef.step];
+            if (otherSpec.fills)
+                margin -= m_pressure.pressure(otherSpec.image, spec.image)
+                    * static_cast<double>(otherSpec.size.cpuMillis) / capacity;
+        }
+        allowed = std::min(allowed, std::max(0.0, margin) / added);
+    }
+    return allowed;
+}
+
+void TaskScheduler::setPace(WorkerEntry& worker, const TaskRef& ref, TrackedRun& run, uint32_t percent, Instant now)
+{
+    if (percent >= movePacePercent)
+        run.pacedDownSince = neverInstant;
+    else if (run.pacedDownSince == neverInstant)
+        run.pacedDownSince = now;
+    auto difference = percent > run.pace ? percent - run.pace : run.pace - percent;
+    bool atEnd = percent == 0 || percent == 100;
+    if (difference == 0 || (difference < leastPaceChange && !atEnd))
+        return;
+    run.pace = percent;
+    run.progressedAt = now;
+    m_actions.push_back(PaceTask { .worker = worker.handle, .task = ref, .run = run.run, .percent = percent });
+}
+
+/// Lets each filling task work at the largest share that keeps every serving task that it presses below its target.
+void TaskScheduler::paceFills(WorkerEntry& worker, Instant now)
+{
+    struct Fill {
+        TaskRef ref;
+        TrackedRun* run;
+        const StepSpec* spec;
+        double allowed { 1 };
+    };
+    auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+    std::vector<Fill> fills;
+    for (const auto& [ref, number] : worker.runs) {
         auto& job = *findJob(ref.job);
         auto& run = *findRun(*findTask(job, ref), number);
-        if (!job.spec.steps[ref.step].fills || run.phase == RunPhase::Stopping || run.pace == worker.pace.percent())
+        const auto& spec = job.spec.steps[ref.step];
+        if (spec.fills && run.phase != RunPhase::Stopping)
+            fills.push_back({ ref, &run, &spec });
+    }
+    if (fills.empty())
+        return;
+    for (const auto& [ref, number] : worker.runs) {
+        auto& job = *findJob(ref.job);
+        const auto& run = *findRun(*findTask(job, ref), number);
+        const auto& spec = job.spec.steps[ref.step];
+        if (!spec.longRunning || spec.targetLatencyMs == 0 || run.percent < 100)
+            continue;
+        double pressed = 0;
+        for (const auto& fill : fills)
+            pressed += m_pressure.pressure(fill.spec->image, spec.image) * static_cast<double>(fill.spec->size.cpuMillis)
+                / capacity;
+        bool overTarget = run.recentFigure >= spec.targetLatencyMs;
+        if (pressed < negligiblePressure && !overTarget)
             continue;
-        run.pace = worker.pace.percent();
-        m_actions.push_back(
-            PaceTask { .worker = worker.handle, .task = ref, .run = number, .percent = run.pace });
+        double share = pressed > 0 ? std::clamp(servingMargin(run, spec) / pressed, 0.0, 1.0) : 1;
+        if (overTarget)
+            share = std::min(share, overTargetPace);
+        for (auto& fill : fills) {
+            double part = m_pressure.pressure(fill.spec->image, spec.image) * static_cast<double>(fill.spec->size.cpuMillis)
+                / capacity;
+            if (part >= negligiblePressure || pressed < negligiblePressure)
+                fill.allowed = std::min(fill.allowed, share);
+        }
     }
+    for (auto& fill : fills)
+        setPace(worker, fill.ref, *fill.run, static_cast<uint32_t>(fill.allowed * 100), now);
 }
 
 }
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -232,6 +232,8 @@
         worker.fillDemandMillis += size.cpuMillis;
         size.cpuMillis = 0;
     }
+    if (step.longRunning)
+        worker.servingMillis += size.cpuMillis;
     worker.reserved = worker.reserved + size;
 }
 
@@ -247,6 +249,8 @@
         worker.fillDemandMillis -= size.cpuMillis;
         size.cpuMillis = 0;
     }
+    if (step.longRunning)
+        worker.servingMillis -= size.cpuMillis;
     worker.reserved = worker.reserved - size;
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibDecision/PaceController.h>
+#include <LibDecision/PressureModel.h>
 #include <LibDecision/QueuePolicy.h>
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunReport.h>
@@ -128,6 +128,13 @@
     WorkerEntry* chooseWorker(const TrackedJob&, const ReadyStep&, const TrackedTask&, Instant now);
     void startOn(WorkerEntry&, const ReadyStep&, uint32_t index, Instant now);
     void superviseWorker(WorkerEntry&, Instant now);
+    void observeInterference(WorkerEntry&, Instant now);
+    void paceFills(WorkerEntry&, Instant now);
+    void setPace(WorkerEntry&, const TaskRef&, TrackedRun&, uint32_t percent, Instant now);
+    void stopRun(const TaskRef&, TrackedRun&);
+    double servingMargin(const TrackedRun&, const StepSpec&) const;
+    double sameImageShare(const WorkerEntry&, const std::string& image) const;
+    double allowedFillShare(const WorkerEntry&, const StepSpec&) const;
     void reserve(WorkerEntry&, const TrackedJob&, const TaskRef&, uint64_t run);
     void release(WorkerHandle, const TrackedJob&, const TaskRef&, uint64_t run);
 
@@ -142,6 +149,7 @@
     std::set<JobId> m_changedJobs;
     std::vector<TaskAction> m_actions;
     Instant m_unblockAt { neverInstant };
+    PressureModel m_pressure;
 };
 
 }
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -2,7 +2,6 @@
 
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
-#include <LibDecision/PaceController.h>
 #include <LibDecision/TaskScheduler.h>
 #include <map>
 #include <set>
@@ -20,9 +19,8 @@
     /// Processors that the tasks that fill would use at full pace.
     int64_t fillDemandMillis { 0 };
 
-    /// Processors left for tasks that fill, as measured; negative while unknown.
-    double fillCapacityMillis { -1 };
-    PaceController pace {};
+    /// What the tasks that serve here reserve.
+    int64_t servingMillis { 0 };
 
     /// Active runs, with those that are being stopped.
     std::set<std::pair<TaskRef, uint64_t>> runs {};
@@ -40,14 +38,12 @@
     Resources freeRoom() const { return view.capacity - reserved; }
 
     /// Processors that a further task that fills may expect.
-    double fillRoomMillis() const
+    int64_t fillRoomMillis() const
     {
-        // Tasks that serve use about this share of what they reserve, until a measurement says more.
-        constexpr double assumedUse = 0.6;
-        double capacity = fillCapacityMillis >= 0
-            ? fillCapacityMillis
-            : static_cast<double>(view.capacity.cpuMillis) - assumedUse * static_cast<double>(reserved.cpuMillis);
-        return capacity * pace.percent() / 100 - static_cast<double>(fillDemandMillis);
+        // Tasks that serve use about this share of what they reserve.
+        constexpr double servingUse = 0.55;
+        auto idle = static_cast<int64_t>((1 - servingUse) * static_cast<double>(servingMillis));
+        return view.capacity.cpuMillis - reserved.cpuMillis + idle - fillDemandMillis;
     }
 };
 
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -26,6 +26,12 @@
     uint32_t percent { 0 };
     uint32_t pace { 100 };
     int64_t recentFigure { 0 };
+
+    /// Of a serving task: its own estimated utilisation.
+    double load { 0 };
+
+    /// Of a filling task: since when it has been paced below the share at which it should move.
+    Instant pacedDownSince { neverInstant };
 };
 
 struct TrackedTask {
