Queue a task once when its end is listed before its step opens

Change: a closed step is not requeued into. Test: EndListedBeforeItsStepOpensQueuesTheTaskOnce failed first.

--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -181,6 +181,9 @@
     auto& occurrence = job.occurrences[ref.occurrence];
     auto& step = occurrence.steps[ref.step];
     auto& task = step.tasks[ref.index];
+    // A step that is not open yet takes all its tasks when it opens.
+    if (!occurrence.due || step.waitsFor > 0)
+        return;
     if (job.hasEnded() || task.done || !task.runs.empty() || std::ranges::count(step.waiting, ref.index) > 0)
         return;
     bool wasEmpty = step.waiting.empty();
--- /dev/null
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -0,0 +1,156 @@
+#include "TaskSchedulerFixture.h"
+#include <algorithm>
+
+using namespace Bergamot;
+
+TEST_GROUP(TaskScheduler)
+{
+    TaskSchedulerFixture fixture;
+    TaskScheduler& scheduler { fixture.scheduler() };
+};
+
+// Guards against a step that starts before the steps that it depends on are done.
+TEST(TaskScheduler, StepWaitsForItsDependencies)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(2), fixture.step(1, { 0 }) }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(2, starts.size());
+    fixture.end(starts[0], RunOutcome::Done);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    fixture.end(starts[1], RunOutcome::Done, 2);
+    starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    CHECK_EQUAL(1, starts[0].task.step);
+    fixture.end(starts[0], RunOutcome::Done, 3);
+    CHECK(scheduler.stateOf("j") == JobStage::Running);
+    for (const auto& progress : scheduler.takeChangedJobs())
+        scheduler.progressStored(progress);
+    CHECK(scheduler.stateOf("j") == JobStage::Completed);
+}
+
+// Guards against two runs of one task: after a takeover (day trouble-1 of the Riga site) the failed run of a task was
+// listed before the end that opens its step, and the task was queued twice.
+TEST(TaskScheduler, EndListedBeforeItsStepOpensQueuesTheTaskOnce)
+{
+    fixture.addWorker(1);
+    fixture.addWorker(2);
+    scheduler.addJob(fixture.job("j", { fixture.step(1), fixture.step(1, { 0 }) }), std::nullopt, Instant::max());
+    scheduler.runEnded(
+        1, { .sequence = 2, .task = { "j", 0, 1, 0 }, .run = 7, .outcome = RunOutcome::Failed }, fixture.now());
+    scheduler.unblockTasks();
+    for (const auto& start : fixture.planStarts())
+        CHECK_EQUAL(0, start.task.step);
+    scheduler.runEnded(
+        2, { .sequence = 1, .task = { "j", 0, 0, 0 }, .run = 6, .outcome = RunOutcome::Done }, fixture.now());
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(1, std::ranges::count_if(starts, [](const StartTask& it) { return it.task.step == 1; }));
+}
+
+// Guards against starts beyond the attempts of a queue, also when the end of one run is listed twice.
+TEST(TaskScheduler, FailedRunsCountOnceAgainstTheAttempts)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto first = fixture.planStarts();
+    fixture.end(first[0], RunOutcome::Failed);
+    fixture.end(first[0], RunOutcome::Failed);
+    auto second = fixture.planStarts();
+    CHECK_EQUAL(1, second.size());
+    CHECK(second[0].run > first[0].run);
+    fixture.end(second[0], RunOutcome::Failed, 2);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    auto changed = scheduler.takeChangedJobs();
+    CHECK(changed.back().state == JobStage::Failed);
+}
+
+// Guards against work that a new leader starts although a worker may still run it for an earlier leader.
+TEST(TaskScheduler, StoredJobWaitsUntilAllWorkersHaveAnswered)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, fixture.now() + Milliseconds { 6000 });
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler.runsReported(1, { { .task = { "j", 0, 0, 0 }, .run = 9, .percent = 10 } }, fixture.now(), fixture.now());
+    scheduler.unblockTasks();
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler.runEnded(
+        1, { .sequence = 1, .task = { "j", 0, 0, 0 }, .run = 9, .outcome = RunOutcome::Done }, fixture.now());
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Completed);
+}
+
+// Guards against runs that go on after their job was cancelled.
+TEST(TaskScheduler, CancelledJobIsStoppedAndNotStartedAgain)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK(scheduler.cancelJob("j") == JobStage::Cancelled);
+    auto actions = fixture.plan();
+    CHECK_EQUAL(2, actions.size());
+    CHECK(std::holds_alternative<StopTask>(actions[0]));
+    fixture.end(starts[0], RunOutcome::Stopped);
+    CHECK_EQUAL(0, fixture.plan().size());
+}
+
+// Guards against more runs of a step on one worker than the step allows, and against committed memory beyond capacity.
+TEST(TaskScheduler, LimitsOfStepAndWorkerHold)
+{
+    fixture.addWorker(1, { 32000, 2500, 0 });
+    fixture.addWorker(2);
+    auto limited = fixture.step(4);
+    limited.maxPerWorker = 1;
+    scheduler.addJob(fixture.job("limited", { limited }), std::nullopt, neverInstant);
+    CHECK_EQUAL(2, fixture.planStarts().size());
+    scheduler.addJob(fixture.job("large", { fixture.step(60) }), std::nullopt, neverInstant);
+    int64_t onFirst = 0;
+    for (const auto& start : fixture.planStarts())
+        onFirst += start.worker == 1 ? 1 : 0;
+    CHECK(onFirst <= 1);
+}
+
+// Guards against starts in a zone that operators have taken out, on leaving workers and on workers that do not answer.
+TEST(TaskScheduler, UnusableWorkersGetNoStart)
+{
+    fixture.addWorker(1, { 32000, 125000, 0 }, "out");
+    fixture.addWorker(2);
+    scheduler.setZonesOut({ "out" });
+    scheduler.setReachable(2, false);
+    TaskWorkerView leaving { .id = "w3", .service = "token", .zone = "a", .draining = true };
+    leaving.capacity = { 32000, 125000, 0 };
+    scheduler.updateWorker(3, leaving);
+    scheduler.addJob(fixture.job("j", { fixture.step(3) }), std::nullopt, neverInstant);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler.setZonesOut({});
+    CHECK_EQUAL(3, fixture.planStarts().size());
+}
+
+// Guards against a run that the worker does not know and that is never started again.
+TEST(TaskScheduler, RunMissingFromTheListIsStartedAgain)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    scheduler.orderAccepted(1, starts[0].task, starts[0].run, fixture.now());
+    fixture.pass(Milliseconds { 10 });
+    scheduler.runsReported(1, {}, fixture.now() - Milliseconds { 20 }, fixture.now());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler.runsReported(1, {}, fixture.now(), fixture.now());
+    auto again = fixture.planStarts();
+    CHECK_EQUAL(1, again.size());
+    CHECK(again[0].run > starts[0].run);
+}
+
+// Guards against stored progress that a new leader forgets: done tasks run again, or ended jobs are reopened.
+TEST(TaskScheduler, StoredProgressIsTakenOver)
+{
+    fixture.addWorker(1);
+    JobProgress progress { .id = "j", .state = JobStage::Running, .done = { "10", "0" } };
+    scheduler.addJob(fixture.job("j", { fixture.step(2), fixture.step(1, { 0 }) }), progress, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    CHECK_EQUAL(1, starts[0].task.index);
+    scheduler.addJob(fixture.job("k", { fixture.step(1) }), JobProgress { .id = "k", .state = JobStage::Cancelled },
+        neverInstant);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK(scheduler.stateOf("k") == JobStage::Cancelled);
+}
