Take an order off the queue before its answer is acted on

Change: the order leaves the queue first; EventLoop::runReady() plays loops in virtual time. Test: AnswerThatRegainsTheWorkerFinishesOneOrder failed before (run 1 sent twice).

--- a/Libraries/LibHttp/EventLoop.cpp
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -100,30 +100,42 @@
     return static_cast<int>(std::clamp<int64_t>(delay, 0, INT_MAX));
 }
 
+void EventLoop::serveDescriptors(int waitMs)
+{
+    std::array<epoll_event, maxEventsPerWait> events {};
+    int n = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), waitMs);
+    for (int i = 0; i < n; ++i) {
+        int descriptor = events[i].data.fd;
+        if (descriptor == m_wakeup) {
+            uint64_t count = 0;
+            [[maybe_unused]] auto size = read(m_wakeup, &count, sizeof(count));
+            runPosted();
+            continue;
+        }
+        auto it = m_watchers.find(descriptor);
+        if (it == m_watchers.end())
+            continue;
+        auto watcher = it->second;
+        (*watcher)(events[i].events);
+    }
+}
+
 void EventLoop::run()
 {
     m_threadId = std::this_thread::get_id();
-    std::array<epoll_event, maxEventsPerWait> events {};
     while (!m_stopping) {
-        int n = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), millisecondsToNextTimer());
-        for (int i = 0; i < n; ++i) {
-            int descriptor = events[i].data.fd;
-            if (descriptor == m_wakeup) {
-                uint64_t count = 0;
-                [[maybe_unused]] auto size = read(m_wakeup, &count, sizeof(count));
-                runPosted();
-                continue;
-            }
-            auto it = m_watchers.find(descriptor);
-            if (it == m_watchers.end())
-                continue;
-            auto watcher = it->second;
-            (*watcher)(events[i].events);
-        }
+        serveDescriptors(millisecondsToNextTimer());
         runTimers();
     }
 }
 
+void EventLoop::runReady()
+{
+    m_threadId = std::this_thread::get_id();
+    serveDescriptors(0);
+    runTimers();
+}
+
 void EventLoop::stop()
 {
     m_stopping = true;
--- a/Libraries/LibHttp/EventLoop.h
+++ b/Libraries/LibHttp/EventLoop.h
@@ -42,12 +42,16 @@
     /// Serves events until stop().
     void run();
 
+    /// Serves what is ready now, without waiting; for tests with a manual clock.
+    void runReady();
+
     /// May be called from any thread.
     void stop();
 
 private:
     explicit EventLoop(const Clock&);
     void runPosted();
+    void serveDescriptors(int waitMs);
     void runTimers();
     int millisecondsToNextTimer() const;
 
--- a/Libraries/LibNode/WorkerLink.cpp
+++ b/Libraries/LibNode/WorkerLink.cpp
@@ -234,15 +234,18 @@
         m_orderFailures = 0;
         if (!checkOutcome(*answer))
             return;
+        // The order leaves the queue first, because a regained worker gets the next one at once.
+        auto action = takeOrder();
         noteAnswer(*answer);
-        finishOrder(*answer);
+        reportOrder(action, *answer);
         return sendNextOrder();
     }
     bool neverSent = absl::IsAborted(answer.status());
     const auto& action = m_orders.front();
     if (neverSent && std::holds_alternative<StartTask>(action) && m_orderFailures == 0) {
+        auto refused = takeOrder();
         noteFailure();
-        finishOrder({ .outcome = OrderOutcome::Unhealthy });
+        reportOrder(refused, { .outcome = OrderOutcome::Unhealthy });
         return sendNextOrder();
     }
     // A repeat of the same order is harmless; whether the lost one arrived is decided by the answer to the repeat.
@@ -254,10 +257,15 @@
     });
 }
 
-void WorkerLink::finishOrder(const OrderAnswer& answer)
+TaskAction WorkerLink::takeOrder()
 {
     auto action = std::move(m_orders.front());
     m_orders.pop_front();
+    return action;
+}
+
+void WorkerLink::reportOrder(const TaskAction& action, const OrderAnswer& answer)
+{
     if (const auto* start = std::get_if<StartTask>(&action))
         m_options.events.onStartAnswered(*start, answer.outcome);
     else if (const auto* stop = std::get_if<StopTask>(&action))
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -74,7 +74,8 @@
     void noteFailure();
     void sendNextOrder();
     void orderAnswered(const absl::StatusOr<OrderAnswer>&);
-    void finishOrder(const OrderAnswer&);
+    TaskAction takeOrder();
+    void reportOrder(const TaskAction&, const OrderAnswer&);
     int64_t leaseEnd() const;
     void checkLapse();
 
--- /dev/null
+++ b/Tests/LibNode/NodeTestClock.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+
+namespace Bergamot {
+
+/// A clock that only tests move.
+class NodeTestClock final : public Clock {
+public:
+    Instant now() const override { return m_now; }
+    void pass(Milliseconds time) { m_now += time; }
+
+private:
+    Instant m_now { Milliseconds { 100000 } };
+};
+
+}
--- /dev/null
+++ b/Tests/LibNode/TestWorkerLink.cpp
@@ -0,0 +1,136 @@
+#include "MockTaskHost.h"
+#include "NodeTestClock.h"
+#include <CppUTest/TestHarness.h>
+#include <LibHttp/EventLoop.h>
+#include <LibNode/WorkerLink.h>
+#include <memory>
+#include <vector>
+
+using namespace Bergamot;
+
+TEST_GROUP(WorkerLink)
+{
+    NodeTestClock clock;
+    std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
+    MockTaskHost host;
+    std::vector<uint64_t> startedRuns;
+    std::vector<bool> reachable;
+    int lapses { 0 };
+    int otherLives { 0 };
+    int fences { 0 };
+    std::unique_ptr<WorkerLink> link { std::make_unique<WorkerLink>(*loop, host,
+        WorkerLink::Options { .host = { .id = "w1", .address = "a:1" },
+            .bornMs = 50,
+            .epoch = 3,
+            .lease = Milliseconds { 6000 },
+            .events = { .onReport = [](const HoldAnswer&, Instant) { },
+                .onStartAnswered = [this](const StartTask& start, OrderOutcome) { startedRuns.push_back(start.run); },
+                .onStopAccepted = [](const TaskRef&, uint64_t) { },
+                .onReachableChanged = [this](bool now) { reachable.push_back(now); },
+                .onLapsed = [this] { ++lapses; },
+                .onOtherLife = [this] { ++otherLives; },
+                .onFenced = [this] { ++fences; } } }) };
+
+    void pass(Milliseconds time)
+    {
+        constexpr Milliseconds step { 50 };
+        for (Milliseconds passed { 0 }; passed < time; passed += step) {
+            clock.pass(step);
+            loop->runReady();
+        }
+    }
+
+    static HoldAnswer answerAt(int64_t clockMs, std::vector<RunEnd> ends = {})
+    {
+        return { .order = { .clockMs = clockMs, .bornMs = 50 }, .ended = std::move(ends) };
+    }
+
+    void connect()
+    {
+        link->start();
+        loop->runReady();
+        host.takeHold().answer(answerAt(1000));
+        loop->runReady();
+    }
+
+    static TaskAction startOf(uint64_t run)
+    {
+        return StartTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
+    }
+};
+
+// Guards against an order that leaves the queue twice when its own answer shows that the worker is back: day fresh-ade8
+// of the Sofia site ended the process and sent an order without a task.
+TEST(WorkerLink, AnswerThatRegainsTheWorkerFinishesOneOrder)
+{
+    connect();
+    link->order(startOf(1));
+    link->order(startOf(2));
+    for (int i = 0; i < 3; ++i) {
+        loop->runReady();
+        if (!host.holds.empty())
+            host.takeHold().answer(absl::DeadlineExceededError("lost"));
+        pass(Milliseconds { 200 });
+    }
+    CHECK_FALSE(link->isReachable());
+    CHECK_EQUAL(1, host.orders.size());
+    host.takeOrder().answer(OrderAnswer { .clockMs = 2000, .bornMs = 50 });
+    CHECK(link->isReachable());
+    CHECK_EQUAL(1, host.orders.size());
+    auto second = host.takeOrder();
+    CHECK_EQUAL(2, second.run);
+    second.answer(OrderAnswer { .clockMs = 2001, .bornMs = 50 });
+    CHECK_EQUAL(2, startedRuns.size());
+    CHECK_EQUAL(1, startedRuns[0]);
+    CHECK_EQUAL(2, startedRuns[1]);
+    CHECK(host.orders.empty());
+}
+
+// Guards against leases that never lapse because questions to a silent worker keep renewing them, and against a lapse
+// that is declared while the worker's slow clock still runs.
+TEST(WorkerLink, SilentWorkerLapsesAfterItsLeaseOnASlowClock)
+{
+    connect();
+    loop->runReady();
+    auto lastRenewal = clock.now();
+    while (lapses == 0 && clock.now() - lastRenewal < Milliseconds { 20000 }) {
+        if (!host.holds.empty())
+            host.takeHold().answer(absl::DeadlineExceededError("lost"));
+        pass(Milliseconds { 100 });
+    }
+    CHECK_EQUAL(1, lapses);
+    CHECK(clock.now() - lastRenewal >= Milliseconds { 6120 });
+    CHECK(clock.now() - lastRenewal < Milliseconds { 8000 });
+}
+
+// Guards against ends that the worker forgets before they are stored, and against an acknowledgement that is repeated
+// to a later life of the worker.
+TEST(WorkerLink, EndsAreAcknowledgedOnceWhenStored)
+{
+    connect();
+    pass(Milliseconds { 50 });
+    host.takeHold().answer(answerAt(1100, { { .sequence = 4, .task = { "j", 0, 0, 0 }, .run = 1 } }));
+    pass(Milliseconds { 600 });
+    auto unstored = host.takeHold();
+    CHECK_EQUAL(0, unstored.order.acknowledged);
+    unstored.answer(answerAt(1700, { { .sequence = 4, .task = { "j", 0, 0, 0 }, .run = 1 } }));
+    link->acknowledge(4);
+    pass(Milliseconds { 50 });
+    auto stored = host.takeHold();
+    CHECK_EQUAL(4, stored.order.acknowledged);
+    stored.answer(answerAt(1800));
+    pass(Milliseconds { 50 });
+    CHECK_EQUAL(0, host.takeHold().order.acknowledged);
+}
+
+// Guards against a leader that goes on after a later one was seen, and against orders for a life that is over.
+TEST(WorkerLink, FenceAndOtherBirthAreReported)
+{
+    connect();
+    pass(Milliseconds { 50 });
+    host.takeHold().answer(HoldAnswer { .order = { .outcome = OrderOutcome::Fenced } });
+    CHECK_EQUAL(1, fences);
+    link->order(startOf(1));
+    host.takeOrder().answer(OrderAnswer { .clockMs = 5, .bornMs = 60 });
+    CHECK_EQUAL(1, otherLives);
+}
