Drop queued starts of a worker that does not answer, and starts whose stop is queued

Change: queued starts are refused when the worker is lost, a start that may have arrived becomes a stop, and a stop removes its queued start. Test: StartIsNotDeliveredAfterItsStop; the test of the order queue now expects the second start to be refused.

--- a/Libraries/LibNode/WorkerLink.cpp
+++ b/Libraries/LibNode/WorkerLink.cpp
@@ -121,9 +121,52 @@
     if (++m_failures < failuresUntilUnreachable || !m_reachable)
         return;
     m_reachable = false;
+    refuseQueuedStarts();
     m_options.events.onReachableChanged(false);
 }
 
+/// A start must not be delivered long after it was decided. One that may have arrived is replaced by a stop, which keeps
+/// the worker from carrying it out later.
+void WorkerLink::refuseQueuedStarts()
+{
+    std::vector<StartTask> refused;
+    std::deque<TaskAction> kept;
+    for (auto& action : m_orders) {
+        const auto* start = std::get_if<StartTask>(&action);
+        bool attempted = kept.empty() && refused.empty() && (m_ordering || m_orderFailures > 0);
+        if (start && !attempted)
+            refused.push_back(*start);
+        else if (start && !m_ordering)
+            kept.push_back(StopTask { .worker = start->worker, .task = start->task, .run = start->run });
+        else
+            kept.push_back(std::move(action));
+    }
+    m_orders = std::move(kept);
+    for (const auto& start : refused)
+        m_options.events.onStartAnswered(start, OrderOutcome::Unhealthy);
+}
+
+/// Removes the start that a stop makes needless. Returns false when the stop is still to be sent.
+bool WorkerLink::cancelQueuedStart(const StopTask& stop)
+{
+    for (size_t i = 0; i < m_orders.size(); ++i) {
+        const auto* start = std::get_if<StartTask>(&m_orders[i]);
+        if (!start || start->run != stop.run || start->task != stop.task)
+            continue;
+        bool inProgress = i == 0 && m_ordering;
+        bool mayHaveArrived = i == 0 && m_orderFailures > 0;
+        if (inProgress)
+            return false;
+        auto removed = *start;
+        m_orders.erase(m_orders.begin() + static_cast<std::ptrdiff_t>(i));
+        if (mayHaveArrived)
+            return false;
+        m_options.events.onStartAnswered(removed, OrderOutcome::Unhealthy);
+        return true;
+    }
+    return false;
+}
+
 void WorkerLink::holdAnswered(absl::StatusOr<HoldAnswer> answer, Instant askedAt)
 {
     m_holding = false;
@@ -192,6 +235,10 @@
 
 void WorkerLink::order(TaskAction action)
 {
+    if (const auto* start = std::get_if<StartTask>(&action); start && !m_reachable)
+        return m_options.events.onStartAnswered(*start, OrderOutcome::Unhealthy);
+    if (const auto* stop = std::get_if<StopTask>(&action); stop && cancelQueuedStart(*stop))
+        return;
     m_orders.push_back(std::move(action));
     sendNextOrder();
 }
@@ -249,14 +296,27 @@
         return sendNextOrder();
     }
     // A repeat of the same order is harmless; whether the lost one arrived is decided by the answer to the repeat.
-    if (++m_orderFailures >= attemptsPerOrder)
+    ++m_orderFailures;
+    if (const auto* start = std::get_if<StartTask>(&action); start && hasQueuedStop(*start)) {
+        m_orders.pop_front();
+        m_orderFailures = 0;
+    } else if (m_orderFailures >= attemptsPerOrder) {
         noteFailure();
+    }
     m_loop.callAfter(retryDelay, [this, alive = m_alive] {
         if (*alive)
             sendNextOrder();
     });
 }
 
+bool WorkerLink::hasQueuedStop(const StartTask& start) const
+{
+    return std::ranges::any_of(m_orders, [&](const TaskAction& action) {
+        const auto* stop = std::get_if<StopTask>(&action);
+        return stop && stop->run == start.run && stop->task == start.task;
+    });
+}
+
 TaskAction WorkerLink::takeOrder()
 {
     auto action = std::move(m_orders.front());
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -75,6 +75,9 @@
     void sendNextOrder();
     void orderAnswered(const absl::StatusOr<OrderAnswer>&);
     TaskAction takeOrder();
+    bool hasQueuedStop(const StartTask&) const;
+    bool cancelQueuedStart(const StopTask&);
+    void refuseQueuedStarts();
     void reportOrder(const TaskAction&, const OrderAnswer&);
     int64_t leaseEnd() const;
     void checkLapse();
--- a/Tests/LibNode/TestWorkerLink.cpp
+++ b/Tests/LibNode/TestWorkerLink.cpp
@@ -73,16 +73,17 @@
         pass(Milliseconds { 200 });
     }
     CHECK_FALSE(link->isReachable());
+    link->order(StopTask { .worker = 1, .task = { "j", 0, 0, 9 }, .run = 9 });
     CHECK_EQUAL(1, host.orders.size());
     host.takeOrder().answer(OrderAnswer { .clockMs = 2000, .bornMs = 50 });
     CHECK(link->isReachable());
     CHECK_EQUAL(1, host.orders.size());
     auto second = host.takeOrder();
-    CHECK_EQUAL(2, second.run);
+    STRCMP_EQUAL("stop", second.kind.c_str());
     second.answer(OrderAnswer { .clockMs = 2001, .bornMs = 50 });
     CHECK_EQUAL(2, startedRuns.size());
-    CHECK_EQUAL(1, startedRuns[0]);
-    CHECK_EQUAL(2, startedRuns[1]);
+    CHECK_EQUAL(2, startedRuns[0]);
+    CHECK_EQUAL(1, startedRuns[1]);
     CHECK(host.orders.empty());
 }
 
@@ -134,3 +135,21 @@
     host.takeOrder().answer(OrderAnswer { .clockMs = 5, .bornMs = 60 });
     CHECK_EQUAL(1, otherLives);
 }
+
+// Guards against a task that starts seconds after its job was cancelled, because the start waited in the queue of a
+// worker that did not answer (UNASKED on day trouble-1 of the Sofia site).
+TEST(WorkerLink, StartIsNotDeliveredAfterItsStop)
+{
+    connect();
+    link->order(startOf(1));
+    link->order(startOf(2));
+    link->order(StopTask { .worker = 1, .task = { "j", 0, 0, 2 }, .run = 2 });
+    link->order(StopTask { .worker = 1, .task = { "j", 0, 0, 1 }, .run = 1 });
+    CHECK_EQUAL(1, startedRuns.size());
+    CHECK_EQUAL(2, startedRuns[0]);
+    host.takeOrder().answer(absl::DeadlineExceededError("lost"));
+    pass(Milliseconds { 300 });
+    auto next = host.takeOrder();
+    STRCMP_EQUAL("stop", next.kind.c_str());
+    CHECK_EQUAL(1, next.run);
+}
