Find pressures by ridge regression over smoothed use, and group serving tasks by image

Change: non-negative ridge regression per serving image with forgetting, shares smoothed like the tail; serving images kept together.

--- a/Libraries/LibDecision/PressureModel.h
+++ b/Libraries/LibDecision/PressureModel.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <cstdint>
+#include <LibCore/Time.h>
+#include <cstddef>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace Bergamot {
@@ -13,18 +13,17 @@
 /// with load.
 ///
 /// The model is that of a queue: tail = base / (1 - utilisation), and the utilisation of a serving task is its own load
-/// plus the pressure of each pair times the share of the worker's processors that the filling task uses.
+/// plus the pressure of each pair times the share of the worker's processors that the filling task uses. For each
+/// serving image, a ridge regression with non-negative coefficients and exponential forgetting finds the pressures; the
+/// load of single tasks averages out.
 class PressureModel {
 public:
-    struct Fill {
-        std::string image {};
+    /// Processors that tasks of an image use, as a share of those of the worker, by image. The reported tail follows
+    /// the use with a delay, so the shares are smoothed in the same way.
+    using Shares = std::map<std::string, double>;
 
-        /// Processors in use, as a share of those of the worker.
-        double share { 0 };
-    };
-
-    /// Takes one report of a serving task. `load` is the estimate for this task, which is updated.
-    void observe(const std::string& servingImage, double tailMs, const std::vector<Fill>&, double& load);
+    /// Takes one report of a serving task, and updates the estimate of its own load.
+    void observe(const std::string& servingImage, double tailMs, const Shares&, double& load, Instant now);
 
     /// Utilisation per share of the worker's processors; 0 for a pair that has not been seen.
     double pressure(const std::string& fillImage, const std::string& servingImage) const;
@@ -33,13 +32,23 @@
     double utilisationAt(const std::string& servingImage, double tailMs) const;
 
 private:
-    struct Pair {
-        double pressure { 0 };
-        uint32_t observations { 0 };
+    /// Weighted sums of the regression of one serving image. Variable 0 is the mean load.
+    struct Regression {
+        double baseTailMs { 0 };
+        std::vector<double> products {};
+        std::vector<double> targets {};
+        std::vector<double> pressures {};
+        Instant decayedAt { neverInstant };
+        Instant solvedAt { neverInstant };
     };
 
-    std::map<std::string, double> m_baseTails;
-    std::map<std::pair<std::string, std::string>, Pair> m_pairs;
+    size_t indexOf(const std::string& fillImage);
+    void grow(Regression&) const;
+    void decay(Regression&, Instant now) const;
+    void solve(Regression&) const;
+
+    std::map<std::string, size_t> m_fillImages;
+    std::map<std::string, Regression> m_regressions;
 };
 
 }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <limits>
 
@@ -21,8 +22,15 @@
 /// A change of pace below this many points is not worth an order.
 static constexpr uint32_t leastPaceChange = 10;
 
+/// The reported figures cover half a second, so that more frequent ones say the same again.
+static constexpr Milliseconds observationInterval { 400 };
+
+/// The reported tail follows a change of the processor use with about this delay.
+static constexpr double tailDelayMs = 800;
+static constexpr double negligibleFillShare = 0.002;
+
 /// Filling tasks may raise the tail of a serving task to this share of its target.
-static constexpr double tailLimitShare = 0.75;
+static constexpr double tailLimitShare = 0.8;
 
 /// Pace of the tasks that press a serving task which is over its target.
 static constexpr double overTargetPace = 0.1;
@@ -34,7 +42,7 @@
 static constexpr double leastStartPace = 0.8;
 
 /// Serving tasks of one image share workers, so that each image of filling tasks finds workers where it presses nothing.
-static constexpr double sameImageWeight = 0.6;
+static constexpr double sameImageWeight = 3;
 static constexpr double siblingWeight = 0.1;
 
 /// A report of the last half second says nothing of a run that is younger than this.
@@ -246,22 +254,32 @@
 
 void TaskScheduler::observeInterference(WorkerEntry& worker, Instant now)
 {
+    if (now - worker.observedAt < observationInterval)
+        return;
+    auto passed = static_cast<double>((now - worker.observedAt).count());
+    double weight = worker.observedAt == neverInstant ? 1 : 1 - std::exp(-passed / tailDelayMs);
+    worker.observedAt = now;
     auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
-    std::vector<PressureModel::Fill> fills;
+    PressureModel::Shares shares;
     for (const auto& [ref, number] : worker.runs) {
         auto& job = *findJob(ref.job);
         const auto& run = *findRun(*findTask(job, ref), number);
         const auto& spec = job.spec.steps[ref.step];
         if (spec.fills && run.recentFigure > 0)
-            fills.push_back({ .image = spec.image, .share = static_cast<double>(run.recentFigure) / capacity });
+            shares[spec.image] += static_cast<double>(run.recentFigure) / capacity;
     }
+    for (auto& [image, smoothed] : worker.fillShares)
+        smoothed -= weight * smoothed;
+    for (const auto& [image, share] : shares)
+        worker.fillShares[image] += weight * share;
+    std::erase_if(worker.fillShares, [](const auto& it) { return it.second < negligibleFillShare; });
     for (const auto& [ref, number] : worker.runs) {
         auto& job = *findJob(ref.job);
         auto& run = *findRun(*findTask(job, ref), number);
         const auto& spec = job.spec.steps[ref.step];
         if (!spec.longRunning || spec.targetLatencyMs == 0 || run.percent < 100 || now - run.startedAt < figureDelay)
             continue;
-        m_pressure.observe(spec.image, static_cast<double>(run.recentFigure), fills, run.load);
+        m_pressure.observe(spec.image, static_cast<double>(run.recentFigure), worker.fillShares, run.load, now);
     }
 }
 
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -22,6 +22,10 @@
     /// What the tasks that serve here reserve.
     int64_t servingMillis { 0 };
 
+    /// Smoothed use of processors by filling tasks, by image, for the pressure model.
+    PressureModel::Shares fillShares {};
+    Instant observedAt { neverInstant };
+
     /// Active runs, with those that are being stopped.
     std::set<std::pair<TaskRef, uint64_t>> runs {};
 
