Leave short tasks headroom beside tasks that last

A step that found no room also kept smaller steps of other kinds from being tried. Change: tasks that last leave the recent peak of short tasks free; room is looked for by kind of task; jobs accepted after a takeover are not blocked. Test: TasksThatLastLeaveHeadroomForShortTasks failed first.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -41,6 +41,9 @@
 /// A task that fills starts only where it may work at this share of its speed.
 static constexpr double leastStartPace = 0.8;
 
+/// The peak of what short tasks need halves in this time.
+static constexpr double shortDemandHalfLifeMs = 6000;
+
 /// Serving tasks of one image share workers, so that each image of filling tasks finds workers where it presses
 /// nothing.
 static constexpr double sameImageWeight = 3;
@@ -59,6 +62,7 @@
         unblockTasks();
     }
     activateDueOccurrences(unixMs);
+    updateShortDemand(now);
     placeWaiting(now);
     return std::exchange(m_actions, {});
 }
@@ -82,11 +86,47 @@
     }
 }
 
+/// Keeps the recent peak of what short tasks reserve and wait for. Answers the loss of a zone, when tasks that last would
+/// take all processors that remain and short tasks would wait behind them.
+void TaskScheduler::updateShortDemand(Instant now)
+{
+    m_freeMillis = 0;
+    for (const auto& [handle, worker] : m_workers) {
+        if (isUsable(*worker, now))
+            m_freeMillis += worker->freeRoom().cpuMillis;
+    }
+    int64_t waiting = 0;
+    for (const auto& [key, ready] : m_readySteps) {
+        const auto& spec = ready.job->spec.steps[ready.step];
+        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+        if (!spec.longRunning && !spec.fills)
+            waiting += spec.size.cpuMillis * static_cast<int64_t>(step.waiting.size());
+    }
+    if (m_shortDemandAt != neverInstant)
+        m_shortDemandMillis *= std::exp2(-static_cast<double>((now - m_shortDemandAt).count()) / shortDemandHalfLifeMs);
+    m_shortDemandAt = now;
+    m_shortDemandMillis = std::max(m_shortDemandMillis, static_cast<double>(m_shortMillis + waiting));
+}
+
+/// Whether a task that lasts leaves short tasks the processors that they have needed lately.
+bool TaskScheduler::leavesHeadroom(const StepSpec& spec) const
+{
+    auto wanted = static_cast<int64_t>(m_shortDemandMillis) - m_shortMillis;
+    return m_freeMillis - spec.size.cpuMillis >= wanted;
+}
+
+bool TaskScheduler::isUsable(const WorkerEntry& worker, Instant now) const
+{
+    return worker.reachable && !worker.view.draining && worker.fullUntil <= now && worker.pausedUntil <= now
+        && !m_zonesOut.contains(worker.view.zone);
+}
+
 void TaskScheduler::placeWaiting(Instant now)
 {
     // The smallest sizes that found no room in this pass; larger ones need not be tried.
     int64_t blockedCpu = std::numeric_limits<int64_t>::max();
     int64_t blockedFillCpu = std::numeric_limits<int64_t>::max();
+    int64_t blockedLastingCpu = std::numeric_limits<int64_t>::max();
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
         const auto& ready = it->second;
         auto& tracked = ready.job->occurrences[ready.occurrence].steps[ready.step];
@@ -95,7 +135,7 @@
             continue;
         }
         const auto& spec = ready.job->spec.steps[ready.step];
-        auto& blocked = spec.fills ? blockedFillCpu : blockedCpu;
+        auto& blocked = spec.fills ? blockedFillCpu : spec.longRunning ? blockedLastingCpu : blockedCpu;
         if (spec.size.cpuMillis < blocked && !placeStep(ready, now) && spec.requiredLabel.empty()
             && spec.maxPerWorker == 0)
             blocked = std::min(blocked, spec.size.cpuMillis);
@@ -139,6 +179,8 @@
     const auto& service = policyOf(job).service;
     if (service.empty())
         return nullptr;
+    if (spec.longRunning && !leavesHeadroom(spec))
+        return nullptr;
     auto reserveSize = spec.size;
     if (spec.fills)
         reserveSize.cpuMillis = 0;
@@ -155,8 +197,7 @@
     double bestScore = -std::numeric_limits<double>::max();
     for (auto& [handle, entry] : m_workers) {
         auto& worker = *entry;
-        if (!worker.reachable || worker.view.draining || worker.fullUntil > now || worker.pausedUntil > now
-            || worker.view.service != service || m_zonesOut.contains(worker.view.zone))
+        if (worker.view.service != service || !isUsable(worker, now))
             continue;
         if (!reserveSize.fitsIn(worker.freeRoom()))
             continue;
@@ -220,6 +261,8 @@
     task.runs.push_back({ .run = run, .worker = worker.handle, .startedAt = now, .progressedAt = now });
     job.started = true;
     reserve(worker, job, ref, run);
+    if (!job.spec.steps[ready.step].fills)
+        m_freeMillis -= job.spec.steps[ready.step].size.cpuMillis;
     m_actions.push_back(StartTask {
         .worker = worker.handle,
         .task = ref,
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -237,6 +237,8 @@
     }
     if (step.longRunning)
         worker.servingMillis += size.cpuMillis;
+    else
+        m_shortMillis += size.cpuMillis;
     worker.reserved = worker.reserved + size;
 }
 
@@ -254,6 +256,8 @@
     }
     if (step.longRunning)
         worker.servingMillis -= size.cpuMillis;
+    else
+        m_shortMillis -= size.cpuMillis;
     worker.reserved = worker.reserved - size;
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -124,6 +124,9 @@
     void orderStop(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
     void activateDueOccurrences(int64_t unixMs);
     void placeWaiting(Instant now);
+    void updateShortDemand(Instant now);
+    bool isUsable(const WorkerEntry&, Instant now) const;
+    bool leavesHeadroom(const StepSpec&) const;
     bool placeStep(const ReadyStep&, Instant now);
     WorkerEntry* chooseWorker(const TrackedJob&, const ReadyStep&, const TrackedTask&, Instant now);
     void startOn(WorkerEntry&, const ReadyStep&, uint32_t index, Instant now);
@@ -150,6 +153,14 @@
     std::vector<TaskAction> m_actions;
     Instant m_unblockAt { neverInstant };
     PressureModel m_pressure;
+
+    /// Processors that short tasks reserve now, and their recent peak with those that wait.
+    int64_t m_shortMillis { 0 };
+    double m_shortDemandMillis { 0 };
+    Instant m_shortDemandAt { neverInstant };
+
+    /// Processors that are free on usable workers, as of the last plan.
+    int64_t m_freeMillis { 0 };
 };
 
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -137,7 +137,9 @@
     }
     auto id = spec->id;
     auto acceptedAtMs = spec->acceptedAtMs;
-    if (m_scheduler.addJob(std::move(*spec), std::move(stored), m_settled ? neverInstant : m_blockedUntil))
+    // A job that was accepted after this leader had read the stream is unknown to earlier leaders.
+    auto blockedUntil = m_settled || m_jobs->hasLoaded() ? neverInstant : m_blockedUntil;
+    if (m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil))
         logInfo("job_known", { { "job", id }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
 }
 
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -154,3 +154,23 @@
     CHECK_EQUAL(0, fixture.planStarts().size());
     CHECK(scheduler.stateOf("k") == JobStage::Cancelled);
 }
+
+// Guards against short tasks that wait for seconds behind tasks that last, when a zone is out and processors are scarce
+// (recorded day inc-e811 of the Riga site: the share of top-ups on time fell to 0.60).
+TEST(TaskScheduler, TasksThatLastLeaveHeadroomForShortTasks)
+{
+    fixture.addWorker(1, { 10000, 125000, 0 });
+    scheduler.addJob(fixture.job("short", { fixture.step(4) }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(4, starts.size());
+    for (const auto& start : starts)
+        fixture.end(start, RunOutcome::Done);
+    auto lasting = fixture.step(10);
+    lasting.longRunning = true;
+    scheduler.addJob(fixture.job("lasting", { lasting }), std::nullopt, neverInstant);
+    fixture.pass(Milliseconds { 100 });
+    CHECK_EQUAL(6, fixture.planStarts().size());
+    scheduler.addJob(fixture.job("next", { fixture.step(4) }), std::nullopt, neverInstant);
+    starts = fixture.planStarts();
+    CHECK_EQUAL(4, std::ranges::count_if(starts, [](const StartTask& it) { return it.task.job == "next"; }));
+}
