--- a/Libraries/LibNode/JobAcceptor.cpp
+++ b/Libraries/LibNode/JobAcceptor.cpp
@@ -7,13 +7,15 @@
 
 namespace Bergamot {
 
-static constexpr Milliseconds appendTimeout { 900 };
+/// A repeat before the answer would queue behind the first append while the store is slow.
+static constexpr Milliseconds appendTimeout { 2200 };
 static constexpr Milliseconds retryDelay { 100 };
 static constexpr size_t maxJobsPerAppend = 100;
 
-JobAcceptor::JobAcceptor(EventLoop& loop, RecordStore& store)
+JobAcceptor::JobAcceptor(EventLoop& loop, RecordStore& store, uint32_t partition)
     : m_loop(loop)
     , m_store(store)
+    , m_partition(partition)
 {
 }
 
@@ -47,7 +49,7 @@
     giveUpExpired();
     if (m_waiting.empty() || !m_inAppend.empty())
         return;
-    AppendRequest request { .stream = StreamName::Jobs };
+    AppendRequest request { .stream = StreamName::Jobs, .partition = m_partition };
     auto n = std::min(m_waiting.size(), maxJobsPerAppend);
     for (size_t i = 0; i < n; ++i) {
         request.records.push_back(m_waiting[i].record);
--- a/Libraries/LibNode/JobAcceptor.h
+++ b/Libraries/LibNode/JobAcceptor.h
@@ -20,13 +20,17 @@
     Unknown
 };
 
+/// Partitions of the job stream. The store appends to a partition one call at a time, so that nodes that share one wait
+/// for each other while the store is slow.
+inline constexpr uint32_t jobPartitions = 4;
+
 /// Stores accepted jobs in groups, one append at a time. A job is keyed by its id, so storing it twice is harmless.
 class JobAcceptor {
 public:
     using Callback = std::function<void(AcceptResult)>;
 
     /// `loop` and `store` must outlive the acceptor.
-    JobAcceptor(EventLoop&, RecordStore&);
+    JobAcceptor(EventLoop&, RecordStore&, uint32_t partition);
     ~JobAcceptor();
 
     /// Tries until `deadline`; the callback runs once.
@@ -51,6 +55,7 @@
 
     EventLoop& m_loop;
     RecordStore& m_store;
+    uint32_t m_partition;
     std::vector<Waiting> m_waiting;
     std::vector<Waiting> m_inAppend;
     bool m_failing { false };
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -38,7 +38,7 @@
 void LeadershipMonitor::readNext()
 {
     m_store.read(
-        StreamName::Leadership, m_position, readWait, [this, alive = m_alive](absl::StatusOr<ReadReply> reply) {
+        StreamName::Leadership, 0, m_position, readWait, [this, alive = m_alive](absl::StatusOr<ReadReply> reply) {
             if (!*alive)
                 return;
             if (reply.ok())
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Digest.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
@@ -30,7 +31,7 @@
           { .node = m_options,
               .onElected = [this](uint64_t epoch, bool earlierLeader) { elected(epoch, earlierLeader); },
               .onDeposed = [this] { deposed(); } })
-    , m_acceptor(services.loop, services.store)
+    , m_acceptor(services.loop, services.store, static_cast<uint32_t>(digestOf(m_options.member) % jobPartitions))
     , m_queries(services.loop, services.peers,
           { .peerAddress = m_options.peerAddress,
               .leaderAddress = [this]() -> std::optional<std::string> {
--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -8,7 +8,7 @@
 namespace Bergamot {
 
 static constexpr const char* writerName = "leader";
-static constexpr Milliseconds appendTimeout { 1000 };
+static constexpr Milliseconds appendTimeout { 2500 };
 static constexpr Milliseconds retryDelay { 150 };
 
 /// Ends that arrive within this time share an append.
--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -29,16 +29,17 @@
 
 void StreamReader::load(const std::string& afterKey)
 {
-    m_store.newest(m_options.stream, afterKey, [this, alive = m_alive, afterKey](absl::StatusOr<NewestReply> reply) {
-        if (!*alive)
-            return;
-        if (!reply.ok()) {
-            logWarning("stream_load_failed",
-                { { "stream", static_cast<int>(m_options.stream) }, { "error", statusText(reply.status()) } });
-            return retry([this, afterKey] { load(afterKey); });
-        }
-        loaded(*reply, afterKey.empty());
-    });
+    m_store.newest(m_options.stream, m_options.partition, afterKey,
+        [this, alive = m_alive, afterKey](absl::StatusOr<NewestReply> reply) {
+            if (!*alive)
+                return;
+            if (!reply.ok()) {
+                logWarning("stream_load_failed",
+                    { { "stream", static_cast<int>(m_options.stream) }, { "error", statusText(reply.status()) } });
+                return retry([this, afterKey] { load(afterKey); });
+            }
+            loaded(*reply, afterKey.empty());
+        });
 }
 
 void StreamReader::loaded(const NewestReply& reply, bool firstPage)
@@ -59,7 +60,7 @@
 void StreamReader::readNext()
 {
     auto begunAt = m_loop.now();
-    m_store.read(m_options.stream, m_position, m_options.wait,
+    m_store.read(m_options.stream, m_options.partition, m_position, m_options.wait,
         [this, alive = m_alive, begunAt](absl::StatusOr<ReadReply> reply) {
             if (!*alive)
                 return;
--- a/Libraries/LibNode/StreamReader.h
+++ b/Libraries/LibNode/StreamReader.h
@@ -16,6 +16,7 @@
 public:
     struct Options {
         StreamName stream { StreamName::Operators };
+        uint32_t partition { 0 };
 
         /// How long the store may hold a read back until there is a record.
         Milliseconds wait { 800 };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -61,7 +61,7 @@
 void TaskLeader::loadProgress(const std::string& afterKey)
 {
     m_store.newest(
-        StreamName::Progress, afterKey, [this, alive = m_alive, afterKey](absl::StatusOr<NewestReply> reply) {
+        StreamName::Progress, 0, afterKey, [this, alive = m_alive, afterKey](absl::StatusOr<NewestReply> reply) {
             if (!*alive)
                 return;
             if (!reply.ok()) {
@@ -104,11 +104,14 @@
             { "workers", m_storedRoster.workers.size() } });
     for (const auto& life : m_storedRoster.workers)
         addWorker(life, std::nullopt);
-    m_jobs = std::make_unique<StreamReader>(m_loop, m_store,
-        StreamReader::Options { .stream = StreamName::Jobs,
-            .onReload = [] {},
-            .onRecord = [this](const KeyedRecord& record) { applyJobRecord(record); },
-            .onCaughtUp = [this] { jobsRead(); } });
+    for (uint32_t partition = 0; partition < jobPartitions; ++partition) {
+        m_jobs.push_back(std::make_unique<StreamReader>(m_loop, m_store,
+            StreamReader::Options { .stream = StreamName::Jobs,
+                .partition = partition,
+                .onReload = [] {},
+                .onRecord = [this](const KeyedRecord& record) { applyJobRecord(record); },
+                .onCaughtUp = [this] { jobsRead(); } }));
+    }
     m_workerList = std::make_unique<StreamReader>(m_loop, m_store,
         StreamReader::Options { .stream = StreamName::Workers,
             .wait = Milliseconds { 0 },
@@ -116,7 +119,8 @@
             .onReload = [this] { m_listed.clear(); },
             .onRecord = [this](const KeyedRecord& record) { applyWorkerRecord(record); },
             .onCaughtUp = [this] { workersRead(); } });
-    m_jobs->start();
+    for (auto& reader : m_jobs)
+        reader->start();
     m_workerList->start();
     tick();
 }
@@ -138,7 +142,7 @@
     auto id = spec->id;
     auto acceptedAtMs = spec->acceptedAtMs;
     // A job that was accepted after this leader had read the stream is unknown to earlier leaders.
-    auto blockedUntil = m_settled || m_jobs->hasLoaded() ? neverInstant : m_blockedUntil;
+    auto blockedUntil = m_settled || jobsLoaded() ? neverInstant : m_blockedUntil;
     if (m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil))
         logInfo("job_known", { { "job", id }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
 }
@@ -199,9 +203,22 @@
     m_journal.wake();
 }
 
+bool TaskLeader::jobsLoaded() const
+{
+    return !m_jobs.empty() && std::ranges::all_of(m_jobs, [](const auto& reader) { return reader->hasLoaded(); });
+}
+
+Instant TaskLeader::jobsCurrentAsOf() const
+{
+    auto oldest = Instant::max();
+    for (const auto& reader : m_jobs)
+        oldest = std::min(oldest, reader->currentAsOf());
+    return oldest;
+}
+
 void TaskLeader::jobsRead()
 {
-    if (!std::exchange(m_linksStarted, true)) {
+    if (jobsLoaded() && !std::exchange(m_linksStarted, true)) {
         for (auto& [handle, worker] : m_workers)
             worker.link->start();
     }
@@ -399,7 +416,7 @@
 
 void TaskLeader::plan()
 {
-    if (!m_jobs || !m_jobs->hasLoaded() || !m_options.mayStart())
+    if (!jobsLoaded() || !m_options.mayStart())
         return;
     for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow())) {
         auto handle = std::visit([](const auto& order) { return order.worker; }, action);
@@ -429,7 +446,7 @@
 void TaskLeader::answer(const JobQuery& query, std::function<void(const JobAnswer&)> reply, bool isRepeat)
 {
     JobAnswer answer { .number = query.number };
-    bool current = m_jobs && m_jobs->hasLoaded() && m_loop.now() - m_jobs->currentAsOf() < longestJobLag;
+    bool current = jobsLoaded() && m_loop.now() - jobsCurrentAsOf() < longestJobLag;
     if (query.kind == JobQueryKind::Pending) {
         if (current)
             answer.status = JobAnswerStatus::Found;
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/TaskScheduler.h>
+#include <LibNode/JobAcceptor.h>
 #include <LibNode/NodeOptions.h>
 #include <LibNode/ProgressJournal.h>
 #include <LibNode/StreamReader.h>
@@ -71,6 +72,8 @@
     void applyWorkerRecord(const KeyedRecord&);
     void workersRead();
     void jobsRead();
+    bool jobsLoaded() const;
+    Instant jobsCurrentAsOf() const;
     void addWorker(const WorkerLife&, std::optional<WorkerAnnouncement>);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void forgetWorker(WorkerHandle);
@@ -93,7 +96,7 @@
     Options m_options;
     TaskScheduler m_scheduler;
     ProgressJournal m_journal;
-    std::unique_ptr<StreamReader> m_jobs;
+    std::vector<std::unique_ptr<StreamReader>> m_jobs;
     std::unique_ptr<StreamReader> m_workerList;
     std::map<JobId, JobProgress> m_storedProgress;
     WorkerRoster m_storedRoster;
--- a/Libraries/LibPlatform/RecordStore.h
+++ b/Libraries/LibPlatform/RecordStore.h
@@ -23,6 +23,7 @@
 
 struct AppendRequest {
     StreamName stream { StreamName::Jobs };
+    uint32_t partition { 0 };
 
     /// Appended all or nothing. None, with a fence, only sets the writer's epoch.
     std::vector<KeyedRecord> records {};
@@ -69,11 +70,11 @@
 
     virtual void append(const AppendRequest&, Milliseconds timeout, Callback<AppendReply>) = 0;
 
-    /// Reads records from `from` on, and waits up to `wait` for the first one.
-    virtual void read(StreamName, LogPosition from, Milliseconds wait, Callback<ReadReply>) = 0;
+    /// Reads records of a partition from `from` on, and waits up to `wait` for the first one.
+    virtual void read(StreamName, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply>) = 0;
 
-    /// Reads the newest record of each key that follows `afterKey`.
-    virtual void newest(StreamName, const std::string& afterKey, Callback<NewestReply>) = 0;
+    /// Reads the newest record of each key of a partition that follows `afterKey`.
+    virtual void newest(StreamName, uint32_t partition, const std::string& afterKey, Callback<NewestReply>) = 0;
 };
 
 }
