--- a/Libraries/LibHttp/HttpEngine.cpp
+++ b/Libraries/LibHttp/HttpEngine.cpp
@@ -78,7 +78,7 @@
                 callback(absl::AbortedError("the HTTP engine is stopping"));
         }
     };
-    auto queued = std::make_shared<Queued>(std::move(call), std::move(callback));
+    std::shared_ptr<Queued> queued(new Queued { std::move(call), std::move(callback) });
     m_loop.post([this, alive = m_alive, queued] {
         if (*alive)
             start(std::move(queued->call), std::exchange(queued->callback, nullptr));
--- /dev/null
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -0,0 +1,107 @@
+#include "FakeRecordStore.h"
+
+namespace Bergamot {
+
+static constexpr Milliseconds answerTime { 4 };
+static constexpr Milliseconds pollInterval { 5 };
+static constexpr Milliseconds silence { 1500 };
+
+AppendReply FakeRecordStore::apply(Partition& partition, const AppendRequest& request)
+{
+    auto end = static_cast<LogPosition>(partition.records.size());
+    if (request.onlyAt && *request.onlyAt != end)
+        return { .outcome = AppendOutcome::EndMoved };
+    if (request.fence) {
+        auto& writer = partition.writers[request.fence->writer];
+        if (request.fence->epoch < writer.epoch)
+            return { .outcome = AppendOutcome::Fenced };
+        bool sameEpoch = request.fence->epoch == writer.epoch;
+        if (sameEpoch && request.fence->sequence == writer.sequence)
+            return writer.lastReply;
+        if (sameEpoch && request.fence->sequence != writer.sequence + 1)
+            return { .outcome = AppendOutcome::WrongSequence };
+        writer = { .epoch = request.fence->epoch, .sequence = request.fence->sequence, .lastReply = { .offset = end } };
+    }
+    for (auto record : request.records) {
+        record.offset = static_cast<LogPosition>(partition.records.size());
+        partition.records.push_back(std::move(record));
+    }
+    return { .offset = end };
+}
+
+void FakeRecordStore::append(const AppendRequest& request, Milliseconds timeout, Callback<AppendReply> callback)
+{
+    ++appends;
+    auto& partition = m_partitions[{ request.stream, request.partition }];
+    if (fault == Fault::Refusing)
+        return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
+    if (fault == Fault::Silent)
+        return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("silent")); });
+    auto reply = apply(partition, request);
+    if (fault == Fault::LosingAnswers)
+        return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("lost")); });
+    m_loop.callAfter(answerTime, [callback, reply] { callback(reply); });
+}
+
+void FakeRecordStore::poll(
+    StreamName stream, uint32_t number, LogPosition from, Instant until, Callback<ReadReply> callback)
+{
+    auto& partition = m_partitions[{ stream, number }];
+    if (from < partition.firstRetained)
+        return callback(ReadReply { .expired = true, .firstRetained = partition.firstRetained });
+    if (from >= partition.records.size() && m_loop.now() < until) {
+        m_loop.callAfter(pollInterval, [this, stream, number, from, until, callback = std::move(callback)] {
+            poll(stream, number, from, until, callback);
+        });
+        return;
+    }
+    ReadReply reply { .end = partition.records.size(), .firstRetained = partition.firstRetained };
+    for (auto position = from; position < partition.records.size(); ++position)
+        reply.records.push_back(partition.records[position]);
+    callback(std::move(reply));
+}
+
+void FakeRecordStore::read(
+    StreamName stream, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply> callback)
+{
+    if (fault == Fault::Refusing)
+        return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
+    if (fault == Fault::Silent)
+        return m_loop.callAfter(silence, [callback] { callback(absl::DeadlineExceededError("silent")); });
+    m_loop.callAfter(answerTime, [this, stream, partition, from, wait, callback = std::move(callback)] {
+        poll(stream, partition, from, m_loop.now() + wait, callback);
+    });
+}
+
+void FakeRecordStore::newest(
+    StreamName stream, uint32_t number, const std::string& afterKey, Callback<NewestReply> callback)
+{
+    if (fault == Fault::Refusing || fault == Fault::Silent)
+        return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
+    m_loop.callAfter(answerTime, [this, stream, number, afterKey, callback = std::move(callback)] {
+        auto& partition = m_partitions[{ stream, number }];
+        std::map<std::string, KeyedRecord> newestByKey;
+        for (const auto& record : partition.records)
+            newestByKey[record.key] = record;
+        NewestReply reply { .end = partition.records.size() };
+        for (auto it = newestByKey.upper_bound(afterKey); it != newestByKey.end(); ++it) {
+            if (!it->second.value.empty())
+                reply.records.push_back(it->second);
+        }
+        callback(std::move(reply));
+    });
+}
+
+void FakeRecordStore::put(StreamName stream, std::string key, std::string value)
+{
+    apply(m_partitions[{ stream, 0 }],
+        { .stream = stream, .records = { { .key = std::move(key), .value = std::move(value) } } });
+}
+
+void FakeRecordStore::expire(StreamName stream)
+{
+    auto& partition = m_partitions[{ stream, 0 }];
+    partition.firstRetained = partition.records.size();
+}
+
+}
