Adapt append time-outs to the store's response time and refuse at once while it is silent

Change: CallTimeout (five times the usual time, doubled by time-outs, 0.3 to 2.2 s); an append ends by the earliest deadline of its jobs; after two time-outs only one append probes and other jobs get 503; leadership time-out 1.3 -> 1.05 s with keepalives each 0.3 s.

--- /dev/null
+++ b/Libraries/LibDecision/CallTimeout.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+namespace Bergamot {
+
+/// Chooses the time-out of repeatable calls to a service that may be slow or lose answers: a few times the usual response
+/// time, doubled after each time-out. Answers both a lost answer, which should cost little, and a slow service, where
+/// repeats would queue behind the first call.
+class CallTimeout {
+public:
+    struct Options {
+        Milliseconds shortest { 300 };
+        Milliseconds longest { 2200 };
+    };
+
+    explicit CallTimeout(Options options)
+        : m_options(options)
+        , m_current(options.shortest)
+    {
+    }
+
+    Milliseconds current() const { return m_current; }
+
+    void answered(Milliseconds responseTime);
+    void timedOut();
+
+private:
+    Options m_options;
+    double m_usualMs { 0 };
+    Milliseconds m_current;
+};
+
+}
--- a/Libraries/LibNode/JobAcceptor.cpp
+++ b/Libraries/LibNode/JobAcceptor.cpp
@@ -3,14 +3,14 @@
 #include <LibHttp/EventLoop.h>
 #include <LibNode/JobAcceptor.h>
 #include <LibWire/ValueCodec.h>
+#include <algorithm>
 #include <utility>
 
 namespace Bergamot {
 
-/// A repeat before the answer would queue behind the first append while the store is slow.
-static constexpr Milliseconds appendTimeout { 2200 };
 static constexpr Milliseconds retryDelay { 100 };
 static constexpr size_t maxJobsPerAppend = 100;
+static constexpr uint32_t timeoutsUntilRefusal = 2;
 
 JobAcceptor::JobAcceptor(EventLoop& loop, RecordStore& store, uint32_t partition)
     : m_loop(loop)
@@ -23,6 +23,8 @@
 
 void JobAcceptor::accept(const JobSpec& job, Instant deadline, Callback callback)
 {
+    if (m_timeoutsInARow >= timeoutsUntilRefusal && (!m_inAppend.empty() || !m_waiting.empty()))
+        return callback(AcceptResult::Refused);
     m_waiting.push_back({ .record = { .key = job.id, .value = encodeValue(job) },
         .deadline = deadline,
         .callback = std::move(callback) });
@@ -56,7 +58,11 @@
         m_inAppend.push_back(std::move(m_waiting[i]));
     }
     m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(n));
-    m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
+    m_sentAt = m_loop.now();
+    auto timeout = m_timeout.current();
+    for (const auto& job : m_inAppend)
+        timeout = std::min(timeout, job.deadline - m_sentAt);
+    m_store.append(request, timeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
         if (*alive)
             answered(reply);
     });
@@ -65,7 +71,14 @@
 void JobAcceptor::answered(const absl::StatusOr<AppendReply>& reply)
 {
     auto jobs = std::exchange(m_inAppend, {});
-    m_failing = !reply.ok();
+    if (absl::IsDeadlineExceeded(reply.status())) {
+        m_timeout.timedOut();
+        ++m_timeoutsInARow;
+    } else {
+        m_timeoutsInARow = 0;
+    }
+    if (reply.ok())
+        m_timeout.answered(m_loop.now() - m_sentAt);
     if (reply.ok()) {
         for (auto& job : jobs)
             job.callback(AcceptResult::Accepted);
--- a/Libraries/LibNode/JobAcceptor.h
+++ b/Libraries/LibNode/JobAcceptor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/CallTimeout.h>
 #include <LibPlatform/RecordStore.h>
 #include <LibWire/JobSpec.h>
 #include <cstdint>
@@ -33,11 +34,10 @@
     JobAcceptor(EventLoop&, RecordStore&, uint32_t partition);
     ~JobAcceptor();
 
-    /// Tries until `deadline`; the callback runs once.
+    /// Tries until `deadline`; the callback runs once. While the store does not answer, only one append at a time finds out
+    /// whether it is back, and other jobs are refused at once.
     void accept(const JobSpec&, Instant deadline, Callback);
 
-    /// Whether the last append failed; a caller may be refused without waiting.
-    bool isFailing() const { return m_failing; }
 
 private:
     struct Waiting {
@@ -58,7 +58,9 @@
     uint32_t m_partition;
     std::vector<Waiting> m_waiting;
     std::vector<Waiting> m_inAppend;
-    bool m_failing { false };
+    uint32_t m_timeoutsInARow { 0 };
+    CallTimeout m_timeout { {} };
+    Instant m_sentAt { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -8,17 +8,17 @@
 
 namespace Bergamot {
 
-static constexpr Milliseconds keepaliveInterval { 400 };
+static constexpr Milliseconds keepaliveInterval { 300 };
 static constexpr Milliseconds appendTimeout { 800 };
 static constexpr Milliseconds readWait { 600 };
 static constexpr Milliseconds retryDelay { 150 };
 
 /// A silent leader is replaced after this time and a delay that differs by node.
-static constexpr Milliseconds leaderTimeout { 1300 };
-static constexpr Milliseconds largestRankDelay { 300 };
+static constexpr Milliseconds leaderTimeout { 1050 };
+static constexpr Milliseconds largestRankDelay { 250 };
 
 /// A leader trusts its leadership for this long after it sent its last stored keepalive; shorter than leaderTimeout.
-static constexpr Milliseconds leadershipLease { 1200 };
+static constexpr Milliseconds leadershipLease { 950 };
 
 LeadershipMonitor::LeadershipMonitor(EventLoop& loop, RecordStore& store, Options options)
     : m_loop(loop)
--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -8,7 +8,7 @@
 namespace Bergamot {
 
 static constexpr const char* writerName = "leader";
-static constexpr Milliseconds appendTimeout { 2500 };
+static constexpr Milliseconds lockOutTimeout { 1000 };
 static constexpr Milliseconds retryDelay { 150 };
 
 /// Ends that arrive within this time share an append.
@@ -27,7 +27,7 @@
 {
     AppendRequest request { .stream = StreamName::Progress,
         .fence = WriterFence { .writer = writerName, .epoch = m_options.epoch, .sequence = 0 } };
-    m_store.append(request, appendTimeout, [this, alive = m_alive, onDone = std::move(onDone)](auto reply) {
+    m_store.append(request, lockOutTimeout, [this, alive = m_alive, onDone = std::move(onDone)](auto reply) {
         if (!*alive)
             return;
         if (reply.ok() && reply->outcome == AppendOutcome::Fenced)
@@ -77,7 +77,8 @@
 void ProgressJournal::send()
 {
     ++m_appends;
-    m_store.append(m_request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
+    m_sentAt = m_loop.now();
+    m_store.append(m_request, m_timeout.current(), [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
         if (*alive)
             answered(std::move(reply));
     });
@@ -85,6 +86,10 @@
 
 void ProgressJournal::answered(absl::StatusOr<AppendReply> reply)
 {
+    if (absl::IsDeadlineExceeded(reply.status()))
+        m_timeout.timedOut();
+    else if (reply.ok())
+        m_timeout.answered(m_loop.now() - m_sentAt);
     if (!reply.ok()) {
         // The sequence makes a repeat harmless when the first append took effect.
         logWarning("progress_append_failed",
--- a/Libraries/LibNode/ProgressJournal.h
+++ b/Libraries/LibNode/ProgressJournal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/CallTimeout.h>
 #include <LibPlatform/RecordStore.h>
 #include <LibWire/JobProgress.h>
 #include <LibWire/WorkerRoster.h>
@@ -62,6 +63,8 @@
     AppendRequest m_request;
     uint64_t m_sequence { 0 };
     uint64_t m_appends { 0 };
+    CallTimeout m_timeout { {} };
+    Instant m_sentAt { neverInstant };
     bool m_wakeScheduled { false };
     bool m_sending { false };
     bool m_wokenMeanwhile { false };
--- a/Tests/LibNode/TestJobAcceptor.cpp
+++ b/Tests/LibNode/TestJobAcceptor.cpp
@@ -46,10 +46,10 @@
 {
     store.fault = FakeRecordStore::Fault::LosingAnswers;
     accept("j1");
-    pass(Milliseconds { 2250 });
+    pass(Milliseconds { 350 });
     CHECK(results.empty());
     store.fault = FakeRecordStore::Fault::Refusing;
-    pass(Milliseconds { 1000 });
+    pass(Milliseconds { 3000 });
     CHECK_EQUAL(1, results.size());
     CHECK(results[0] == AcceptResult::Unknown);
     CHECK_EQUAL(1, store.records(StreamName::Jobs).size());
@@ -77,3 +77,22 @@
     CHECK_EQUAL(1, results.size());
     CHECK(results[0] == AcceptResult::Accepted);
 }
+
+// Guards against callers that wait until their deadline although it is known that the store does not answer.
+TEST(JobAcceptor, SilentStoreRefusesFurtherJobsAtOnce)
+{
+    store.fault = FakeRecordStore::Fault::Silent;
+    accept("j1", Milliseconds { 2000 });
+    pass(Milliseconds { 1300 });
+    CHECK(results.empty());
+    accept("j2");
+    CHECK_EQUAL(1, results.size());
+    CHECK(results[0] == AcceptResult::Refused);
+    pass(Milliseconds { 800 });
+    CHECK_EQUAL(2, results.size());
+    CHECK(results[1] == AcceptResult::Unknown);
+    store.fault = FakeRecordStore::Fault::None;
+    accept("j3");
+    pass(Milliseconds { 50 });
+    CHECK(results.back() == AcceptResult::Accepted);
+}
