--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -44,6 +44,9 @@
 /// A task that fills starts only where it may work at this share of its speed.
 static constexpr double leastStartPace = 0.8;
 
+/// A task that lasts waits no longer than this for the sake of short tasks; it has to run again within seconds.
+static constexpr Milliseconds headroomWait { 2500 };
+
 /// The peak of what short tasks need halves in this time.
 static constexpr double shortDemandHalfLifeMs = 6000;
 
@@ -153,7 +156,9 @@
     std::vector<uint32_t> left;
     bool found = true;
     for (auto index : step.waiting) {
-        const auto& task = step.tasks[index];
+        auto& task = step.tasks[index];
+        if (task.waitingSince == neverInstant)
+            task.waitingSince = now;
         if (task.blockedUntil > now) {
             left.push_back(index);
             continue;
@@ -182,7 +187,7 @@
     const auto& service = policyOf(job).service;
     if (service.empty())
         return nullptr;
-    if (spec.longRunning && !leavesHeadroom(spec))
+    if (spec.longRunning && now - task.waitingSince < headroomWait && !leavesHeadroom(spec))
         return nullptr;
     auto reserveSize = spec.size;
     if (spec.fills)
@@ -261,6 +266,7 @@
     auto& task = job.occurrences[ready.occurrence].steps[ready.step].tasks[index];
     TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
     uint64_t run = m_options.epoch * runsPerEpoch + ++task.starts;
+    task.waitingSince = neverInstant;
     task.runs.push_back({ .run = run, .worker = worker.handle, .startedAt = now, .progressedAt = now });
     job.started = true;
     reserve(worker, job, ref, run);
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -44,6 +44,9 @@
     std::vector<TrackedRun> runs {};
     WorkerHandle lastFailedOn { 0 };
 
+    /// Since when a worker has been looked for.
+    Instant waitingSince { neverInstant };
+
     /// A run of an earlier leader may still be active until this time.
     Instant blockedUntil { neverInstant };
 };
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -175,6 +175,31 @@
     CHECK_EQUAL(4, std::ranges::count_if(starts, [](const StartTask& it) { return it.task.job == "next"; }));
 }
 
+// Guards against a task that lasts and is kept out although there is room for it (LOST on hunted day hunt-9ac6-35 of
+// the Riga site, with a zone out).
+TEST(TaskScheduler, TaskThatLastsWaitsOnlySecondsForHeadroom)
+{
+    fixture.addWorker(1, { 10000, 125000, 0 });
+    scheduler.addJob(fixture.job("short", { fixture.step(9) }), std::nullopt, neverInstant);
+    for (const auto& start : fixture.planStarts())
+        fixture.end(start, RunOutcome::Done);
+    auto lasting = fixture.step(2);
+    lasting.longRunning = true;
+    scheduler.addJob(fixture.job("lasting", { lasting }), std::nullopt, neverInstant);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+    for (int i = 0; i < 26; ++i) {
+        fixture.pass(Milliseconds { 100 });
+        // Short tasks come and go, so that the demand for headroom stays.
+        scheduler.addJob(fixture.job("s" + std::to_string(i), { fixture.step(9) }), std::nullopt, neverInstant);
+        for (const auto& start : fixture.planStarts()) {
+            if (start.task.job == "lasting")
+                return;
+            fixture.end(start, RunOutcome::Done);
+        }
+    }
+    FAIL("the task that lasts was never started");
+}
+
 // Guards against a serving task that stays over its target beside tasks whose pressure is not known, as after a
 // takeover (HARM on day trouble-2 of the Sofia site): known pressures explain nothing, and new filling tasks keep
 // coming.
