Hand what was learned of interference to the next leader

Change: the leader stores the model's coefficients each 3 s; a successor takes them as the prior of its regression. Tests: PressureModel finds the pair, successor knows it.

--- a/Libraries/LibDecision/PressureModel.cpp
+++ b/Libraries/LibDecision/PressureModel.cpp
@@ -14,7 +14,7 @@
 static constexpr double halfLifeMs = 20000;
 static constexpr Milliseconds solveInterval { 500 };
 
-/// Weight of the assumption that a pair presses nothing, in squared shares.
+/// Weight of what is assumed of a pair before it is observed, in squared shares.
 static constexpr double ridge = 0.02;
 static constexpr int solveRounds = 12;
 static constexpr double loadLearningRate = 0.4;
@@ -66,6 +66,7 @@
     regression.products = std::move(products);
     regression.targets.resize(size, 0);
     regression.pressures.resize(size, 0);
+    regression.priors.resize(size, 0);
 }
 
 void PressureModel::decay(Regression& regression, Instant now) const
@@ -87,7 +88,7 @@
     auto size = regression.targets.size();
     for (int round = 0; round < solveRounds; ++round) {
         for (size_t i = 0; i < size; ++i) {
-            double rest = regression.targets[i];
+            double rest = regression.targets[i] + ridge * regression.priors[i];
             for (size_t j = 0; j < size; ++j) {
                 if (j != i)
                     rest -= regression.products[i * size + j] * regression.pressures[j];
@@ -98,6 +99,37 @@
     }
 }
 
+PressureRecord PressureModel::save() const
+{
+    PressureRecord record;
+    for (const auto& [serving, regression] : m_regressions) {
+        record.bases.push_back({ serving, regression.baseTailMs });
+        for (const auto& [fill, index] : m_fillImages) {
+            if (index < regression.pressures.size())
+                record.pairs.push_back({ fill, serving, regression.pressures[index] });
+        }
+    }
+    return record;
+}
+
+void PressureModel::restore(const PressureRecord& record)
+{
+    for (const auto& base : record.bases)
+        m_regressions[base.servingImage].baseTailMs = base.tailMs;
+    for (const auto& pair : record.pairs)
+        indexOf(pair.fillImage);
+    for (auto& [serving, regression] : m_regressions)
+        grow(regression);
+    for (const auto& pair : record.pairs) {
+        auto index = indexOf(pair.fillImage);
+        auto it = m_regressions.find(pair.servingImage);
+        if (index == 0 || it == m_regressions.end())
+            continue;
+        it->second.priors[index] = std::clamp(pair.pressure, 0.0, highestPressure);
+        it->second.pressures[index] = it->second.priors[index];
+    }
+}
+
 void PressureModel::observe(
     const std::string& servingImage, double tailMs, const Shares& shares, double& load, Instant now)
 {
--- a/Libraries/LibDecision/PressureModel.h
+++ b/Libraries/LibDecision/PressureModel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibWire/PressureRecord.h>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -28,6 +29,11 @@
     /// Utilisation per share of the worker's processors; 0 for a pair that has not been seen.
     double pressure(const std::string& fillImage, const std::string& servingImage) const;
 
+    /// What has been learned, and what an earlier leader had learned. The latter holds until observations say
+    /// otherwise.
+    PressureRecord save() const;
+    void restore(const PressureRecord&);
+
     /// The utilisation at which the tail reaches `tailMs`.
     double utilisationAt(const std::string& servingImage, double tailMs) const;
 
@@ -38,6 +44,9 @@
         std::vector<double> products {};
         std::vector<double> targets {};
         std::vector<double> pressures {};
+
+        /// Where the ridge pulls the coefficients to.
+        std::vector<double> priors {};
         Instant decayedAt { neverInstant };
         Instant solvedAt { neverInstant };
     };
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -89,6 +89,10 @@
     std::vector<JobProgress> takeChangedJobs();
     void progressStored(const JobProgress&);
 
+    /// What has been learned of interference.
+    PressureRecord savePressures() const { return m_pressure.save(); }
+    void restorePressures(const PressureRecord& record) { m_pressure.restore(record); }
+
     struct Totals {
         uint32_t waitingTasks { 0 };
         uint32_t activeRuns { 0 };
--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -70,6 +70,8 @@
         m_request.records.push_back({ .key = jobKeyPrefix + job.id, .value = encodeValue(job) });
     if (m_batch.roster)
         m_request.records.push_back({ .key = rosterKey, .value = encodeValue(*m_batch.roster) });
+    if (m_batch.pressures)
+        m_request.records.push_back({ .key = pressuresKey, .value = encodeValue(*m_batch.pressures) });
     m_sending = true;
     send();
 }
--- a/Libraries/LibNode/ProgressJournal.h
+++ b/Libraries/LibNode/ProgressJournal.h
@@ -3,6 +3,7 @@
 #include <LibDecision/CallTimeout.h>
 #include <LibPlatform/RecordStore.h>
 #include <LibWire/JobProgress.h>
+#include <LibWire/PressureRecord.h>
 #include <LibWire/WorkerRoster.h>
 #include <cstdint>
 #include <functional>
@@ -18,8 +19,9 @@
 struct ProgressBatch {
     std::vector<JobProgress> jobs {};
     std::optional<WorkerRoster> roster {};
+    std::optional<PressureRecord> pressures {};
 
-    bool isEmpty() const { return jobs.empty() && !roster; }
+    bool isEmpty() const { return jobs.empty() && !roster && !pressures; }
 };
 
 /// Stores the leader's progress, one append at a time, fenced by the leader's epoch. Each batch holds all that changed
@@ -71,8 +73,9 @@
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
-/// Keys of the progress stream: a job, or the roster of workers.
+/// Keys of the progress stream: a job, the roster of workers, or what was learned of interference.
 inline constexpr const char* rosterKey = "roster";
+inline constexpr const char* pressuresKey = "pressures";
 inline constexpr const char* jobKeyPrefix = "job/";
 
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -14,6 +14,9 @@
 static constexpr Milliseconds retryDelay { 150 };
 static constexpr Milliseconds tickInterval { 100 };
 
+/// What was learned of interference is stored this often, for a successor.
+static constexpr Milliseconds pressuresInterval { 3000 };
+
 /// Workers announce themselves about once a second; a list this old misses at most one change.
 static constexpr Milliseconds workerListInterval { 400 };
 
@@ -115,6 +118,13 @@
             logError("roster_unreadable", { { "error", statusText(roster.status()) } });
         return;
     }
+    if (record.key == pressuresKey) {
+        if (auto pressures = decodeValue<PressureRecord>(record.value); pressures.ok())
+            m_scheduler.restorePressures(*pressures);
+        else
+            logError("pressures_unreadable", { { "error", statusText(pressures.status()) } });
+        return;
+    }
     auto progress = decodeValue<JobProgress>(record.value);
     if (progress.ok())
         m_storedProgress[progress->id] = std::move(*progress);
@@ -376,6 +386,10 @@
 {
     ProgressBatch batch { .jobs = m_scheduler.takeChangedJobs() };
     m_acknowledgementsInBatch = std::exchange(m_acknowledgements, {});
+    if (m_loop.now() - m_pressuresStoredAt >= pressuresInterval) {
+        m_pressuresStoredAt = m_loop.now();
+        batch.pressures = m_scheduler.savePressures();
+    }
     if (std::exchange(m_rosterChanged, false)) {
         batch.roster.emplace();
         for (const auto& [handle, worker] : m_workers)
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -115,6 +115,7 @@
     bool m_planScheduled { false };
     Instant m_blockedUntil { neverInstant };
     Instant m_electedAt { neverInstant };
+    Instant m_pressuresStoredAt { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- /dev/null
+++ b/Tests/LibDecision/TestPressureModel.cpp
@@ -0,0 +1,56 @@
+#include <CppUTest/TestHarness.h>
+#include <LibDecision/PressureModel.h>
+#include <cmath>
+#include <random>
+#include <string>
+
+using namespace Bergamot;
+
+/// Plays serving tasks whose own load swings, beside filling tasks of which only "heavy" presses "sensitive".
+TEST_GROUP(PressureModel)
+{
+    static constexpr double truePressure = 5;
+    PressureModel model;
+    std::mt19937 random { 7 };
+    Instant now { Milliseconds { 1000 } };
+
+    void playSeconds(int seconds)
+    {
+        std::uniform_real_distribution<double> share { 0, 0.1 };
+        double sensitiveLoad = 0.4;
+        double toughLoad = 0.4;
+        for (int i = 0; i < 2 * seconds; ++i) {
+            now += Milliseconds { 500 };
+            double own = 0.35 + 0.15 * std::sin(i * 0.3);
+            PressureModel::Shares shares { { "heavy", share(random) }, { "light", share(random) } };
+            double utilisation = std::min(0.95, own + truePressure * shares["heavy"]);
+            model.observe("sensitive", std::round(4 / (1 - utilisation)), shares, sensitiveLoad, now);
+            model.observe("tough", std::round(4 / (1 - own)), shares, toughLoad, now);
+        }
+    }
+};
+
+// Guards against a pair that presses and is not found, and against harmless pairs that are blamed for the swing of
+// load.
+TEST(PressureModel, FindsThePairThatPresses)
+{
+    playSeconds(60);
+    CHECK(model.pressure("heavy", "sensitive") > 0.6 * truePressure);
+    CHECK(model.pressure("heavy", "sensitive") < 2 * truePressure);
+    CHECK(model.pressure("light", "sensitive") < 0.3 * truePressure);
+    CHECK(model.pressure("heavy", "tough") < 0.3 * truePressure);
+    CHECK(model.pressure("unseen", "tough") == 0);
+}
+
+// Guards against a new leader that has to learn everything by missed targets again.
+TEST(PressureModel, SuccessorKnowsWhatWasLearned)
+{
+    playSeconds(60);
+    PressureModel successor;
+    successor.restore(model.save());
+    DOUBLES_EQUAL(model.pressure("heavy", "sensitive"), successor.pressure("heavy", "sensitive"), 1e-9);
+    DOUBLES_EQUAL(model.utilisationAt("sensitive", 8), successor.utilisationAt("sensitive", 8), 1e-9);
+    double load = 0.4;
+    successor.observe("sensitive", 8, { { "light", 0.05 } }, load, now);
+    CHECK(successor.pressure("heavy", "sensitive") > 0.6 * truePressure);
+}
