--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -20,6 +20,10 @@
 /// Workers announce themselves about once a second; a list this old misses at most one change.
 static constexpr Milliseconds workerListInterval { 400 };
 
+/// Covers the time from the loss of all nodes to the first renewal of a new leader. A longer lease would only make that
+/// leader wait longer for a worker that is gone. All versions that run together must use the same length.
+static constexpr Milliseconds longestLease { 5000 };
+
 /// The slowest clock of a worker and the travel of orders, in relation to the longest lease.
 static constexpr double lapseFactor = 1.03;
 static constexpr Milliseconds lapseMargin { 300 };
@@ -75,13 +79,15 @@
 
 TaskLeader::~TaskLeader() { *m_alive = false; }
 
+Milliseconds TaskLeader::leaseLength() const { return std::min(m_options.node.maxLease, longestLease); }
+
 void TaskLeader::start()
 {
     m_electedAt = m_loop.now();
     m_metrics.recordElection();
     if (m_options.earlierLeader) {
-        m_blockedUntil = m_loop.now() + std::chrono::duration_cast<Milliseconds>(m_options.node.maxLease * lapseFactor)
-            + lapseMargin;
+        m_blockedUntil
+            = m_loop.now() + std::chrono::duration_cast<Milliseconds>(leaseLength() * lapseFactor) + lapseMargin;
     }
     m_journal.lockOut([this] { loadProgress({}); });
 }
@@ -227,7 +233,7 @@
         WorkerLink::Options { .host = { .id = life.id, .address = life.address },
             .bornMs = life.bornMs,
             .epoch = m_options.epoch,
-            .lease = m_options.node.maxLease,
+            .lease = leaseLength(),
             .events = eventsOf(handle) });
     if (!worker.stored)
         m_rosterChanged = true;
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -87,6 +87,7 @@
     void progressStored(const ProgressBatch&);
     void checkSettled();
     void schedulePlan();
+    Milliseconds leaseLength() const;
     void plan();
     void updateGauges();
     void tick();
