Split the scheduler and the leader by subject, and give each public type a header

Names of outcomes stand in one place. No change of behaviour: the tests are those of before and pass.

--- /dev/null
+++ b/Libraries/LibDecision/PaceTask.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibDecision/TaskRef.h>
+#include <LibDecision/TaskWorkerView.h>
+#include <cstdint>
+
+namespace Bergamot {
+
+/// Lets a task work at a share of its speed.
+struct PaceTask {
+    WorkerHandle worker { 0 };
+    TaskRef task {};
+    uint64_t run { 0 };
+    uint32_t percent { 100 };
+
+    bool operator==(const PaceTask&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/StartTask.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibDecision/TaskRef.h>
+#include <LibDecision/TaskWorkerView.h>
+#include <cstdint>
+#include <string>
+
+namespace Bergamot {
+
+struct StartTask {
+    WorkerHandle worker { 0 };
+    TaskRef task {};
+    uint64_t run { 0 };
+    std::string payload {};
+    std::string checkpoint {};
+
+    bool operator==(const StartTask&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/StopTask.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibDecision/TaskRef.h>
+#include <LibDecision/TaskWorkerView.h>
+#include <cstdint>
+
+namespace Bergamot {
+
+struct StopTask {
+    WorkerHandle worker { 0 };
+    TaskRef task {};
+    uint64_t run { 0 };
+
+    bool operator==(const StopTask&) const = default;
+};
+
+}
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -5,9 +5,6 @@
 
 namespace Bergamot {
 
-/// A stop is repeated when the worker still lists the run after this time.
-static constexpr Milliseconds stopRetryInterval { 1000 };
-
 TaskScheduler::TaskScheduler(Options options)
     : m_options(options)
 {
@@ -276,70 +273,6 @@
         it->second->reachable = reachable;
 }
 
-void TaskScheduler::loseRuns(WorkerHandle handle, Instant)
-{
-    auto it = m_workers.find(handle);
-    if (it == m_workers.end())
-        return;
-    auto runs = it->second->runs;
-    for (const auto& [ref, run] : runs) {
-        auto* job = findJob(ref.job);
-        auto* task = job ? findTask(*job, ref) : nullptr;
-        if (task)
-            dropRun(*job, ref, *task, run);
-    }
-    it->second->unknownRuns.clear();
-}
-
-void TaskScheduler::removeWorker(WorkerHandle handle, Instant now)
-{
-    loseRuns(handle, now);
-    m_workers.erase(handle);
-}
-
-void TaskScheduler::dropRun(TrackedJob& job, const TaskRef& ref, TrackedTask& task, uint64_t run)
-{
-    auto it = std::ranges::find(task.runs, run, &TrackedRun::run);
-    if (it == task.runs.end())
-        return;
-    release(it->worker, job, ref, run);
-    task.runs.erase(it);
-    requeue(job, ref);
-}
-
-void TaskScheduler::orderAccepted(WorkerHandle, const TaskRef& ref, uint64_t run, Instant now)
-{
-    auto* job = findJob(ref.job);
-    auto* task = job ? findTask(*job, ref) : nullptr;
-    auto* tracked = task ? findRun(*task, run) : nullptr;
-    if (!tracked)
-        return;
-    tracked->confirmedAt = now;
-    tracked->progressedAt = now;
-    if (tracked->phase == RunPhase::Starting)
-        tracked->phase = RunPhase::Running;
-}
-
-void TaskScheduler::startRefused(
-    WorkerHandle handle, const TaskRef& ref, uint64_t run, StartRefusal refusal, Instant now)
-{
-    auto* job = findJob(ref.job);
-    auto* task = job ? findTask(*job, ref) : nullptr;
-    auto* tracked = task ? findRun(*task, run) : nullptr;
-    if (!tracked)
-        return;
-    // The run may have started and ended there, and its end is still to be listed: the next list decides.
-    if (refusal == StartRefusal::Superseded) {
-        tracked->confirmedAt = now;
-        return;
-    }
-    constexpr Milliseconds fullPause { 500 };
-    constexpr Milliseconds unhealthyPause { 1000 };
-    if (auto it = m_workers.find(handle); it != m_workers.end())
-        it->second->fullUntil = now + (refusal == StartRefusal::Room ? fullPause : unhealthyPause);
-    dropRun(*job, ref, *task, run);
-}
-
 void TaskScheduler::stopOtherRuns(const TaskRef& ref, TrackedTask& task)
 {
     for (auto& run : task.runs) {
@@ -350,48 +283,6 @@
     }
 }
 
-void TaskScheduler::runEnded(WorkerHandle handle, const RunEnd& end, Instant now)
-{
-    auto* job = findJob(end.task.job);
-    auto* task = job && !job->occurrences.empty() ? findTask(*job, end.task) : nullptr;
-    if (!task)
-        return;
-    if (auto* run = findRun(*task, end.run)) {
-        release(run->worker, *job, end.task, end.run);
-        std::erase_if(task->runs, [&](const TrackedRun& it) { return it.run == end.run; });
-    }
-    if (job->hasEnded() || task->done)
-        return;
-    job->started = true;
-    auto worker = m_workers.find(handle);
-    bool lasts = job->spec.steps[end.task.step].longRunning;
-    if (end.outcome == RunOutcome::Done && !lasts) {
-        if (worker != m_workers.end())
-            worker->second->failures = 0;
-        completeTask(*job, end.task, *task);
-        return;
-    }
-    if (!end.checkpoint.empty())
-        task->checkpoint = end.checkpoint;
-    if (end.outcome == RunOutcome::Failed && !lasts) {
-        FailedRun failed { end.task.occurrence, end.task.step, end.task.index, end.run };
-        if (job->failedRuns.insert(failed).second) {
-            ++task->failures;
-            task->lastFailedOn = handle;
-            markChanged(*job);
-        }
-        constexpr uint32_t failuresBeforePause = 3;
-        constexpr Milliseconds failurePause { 3000 };
-        if (worker != m_workers.end() && ++worker->second->failures >= failuresBeforePause)
-            worker->second->pausedUntil = now + failurePause;
-        if (task->failures >= policyOf(*job).maxAttempts) {
-            finishJob(*job, JobStage::Failed);
-            return;
-        }
-    }
-    requeue(*job, end.task);
-}
-
 void TaskScheduler::completeTask(TrackedJob& job, const TaskRef& ref, TrackedTask& task)
 {
     task.done = true;
@@ -470,92 +361,6 @@
         job->storedState = std::max(job->storedState, progress.state);
 }
 
-void TaskScheduler::orderStop(WorkerHandle handle, const TaskRef& ref, uint64_t run, Instant now)
-{
-    auto it = m_workers.find(handle);
-    if (it == m_workers.end())
-        return;
-    auto& orderedAt = it->second->unknownRuns.try_emplace({ ref, run }, neverInstant).first->second;
-    if (now - orderedAt < stopRetryInterval)
-        return;
-    orderedAt = now;
-    m_actions.push_back(StopTask { .worker = handle, .task = ref, .run = run });
-}
-
-void TaskScheduler::adoptRun(
-    WorkerHandle handle, TrackedJob& job, TrackedTask& task, const RunReport& report, Instant now)
-{
-    auto& worker = *m_workers.at(handle);
-    task.runs.push_back({ .run = report.run,
-        .worker = handle,
-        .phase = RunPhase::Running,
-        .startedAt = now,
-        .confirmedAt = now,
-        .progressedAt = now });
-    job.started = true;
-    reserve(worker, job, report.task, report.run);
-    auto& step = job.occurrences[report.task.occurrence].steps[report.task.step];
-    std::erase(step.waiting, report.task.index);
-}
-
-void TaskScheduler::updateRun(TrackedJob& job, TrackedTask& task, TrackedRun& run, const RunReport& report, Instant now)
-{
-    run.confirmedAt = now;
-    if (run.phase == RunPhase::Starting)
-        run.phase = RunPhase::Running;
-    if (report.percent != run.percent) {
-        run.percent = report.percent;
-        run.progressedAt = now;
-    }
-    run.recentFigure = report.recentFigure;
-    if (!report.checkpoint.empty())
-        task.checkpoint = report.checkpoint;
-    job.started = true;
-}
-
-void TaskScheduler::runsReported(
-    WorkerHandle handle, const std::vector<RunReport>& reports, Instant askedAt, Instant now)
-{
-    auto it = m_workers.find(handle);
-    if (it == m_workers.end())
-        return;
-    auto& worker = *it->second;
-    std::set<std::pair<TaskRef, uint64_t>> listed;
-    for (const auto& report : reports) {
-        listed.emplace(report.task, report.run);
-        auto* job = findJob(report.task.job);
-        auto* task = job ? findTask(*job, report.task) : nullptr;
-        auto* run = task ? findRun(*task, report.run) : nullptr;
-        bool wanted = task && !job->hasEnded() && !task->done;
-        if (!run && wanted && task->runs.empty()) {
-            adoptRun(handle, *job, *task, report, now);
-            run = findRun(*task, report.run);
-        }
-        if (!run) {
-            // The job may have been accepted so recently that only an earlier leader has read it.
-            if (!job)
-                worker.unknownRuns.try_emplace({ report.task, report.run }, now);
-            orderStop(handle, report.task, report.run, now);
-            continue;
-        }
-        updateRun(*job, *task, *run, report, now);
-        if (run->phase == RunPhase::Stopping || !wanted)
-            orderStop(handle, report.task, report.run, now);
-    }
-    std::erase_if(worker.unknownRuns, [&](const auto& entry) { return !listed.contains(entry.first); });
-    auto runs = worker.runs;
-    for (const auto& [ref, run] : runs) {
-        if (listed.contains({ ref, run }))
-            continue;
-        auto* job = findJob(ref.job);
-        auto* task = job ? findTask(*job, ref) : nullptr;
-        auto* tracked = task ? findRun(*task, run) : nullptr;
-        if (tracked && tracked->confirmedAt != neverInstant && tracked->confirmedAt < askedAt)
-            dropRun(*job, ref, *task, run);
-    }
-    superviseWorker(worker, now);
-}
-
 void TaskScheduler::unblockTasks()
 {
     for (auto& [id, job] : m_jobs) {
--- /dev/null
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibDecision/TaskWorkerView.h>
+#include <cstdint>
+
+namespace Bergamot {
+
+enum class RunPhase : uint8_t { Starting, Running, Stopping };
+
+/// A run that may be active on a worker.
+struct TrackedRun {
+    uint64_t run { 0 };
+    WorkerHandle worker { 0 };
+    RunPhase phase { RunPhase::Starting };
+    Instant startedAt { epochInstant };
+
+    /// When the worker accepted the start, or listed the run; a later list without the run means that it is gone.
+    Instant confirmedAt { neverInstant };
+    Instant progressedAt { epochInstant };
+    uint32_t percent { 0 };
+    uint32_t pace { 100 };
+    int64_t recentFigure { 0 };
+
+    /// Of a serving task: its own estimated utilisation.
+    double load { 0 };
+
+    /// Of a filling task: since when it has been paced below the share at which it should move.
+    Instant pacedDownSince { neverInstant };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibDecision/TrackedTask.h>
+#include <cstdint>
+#include <vector>
+
+namespace Bergamot {
+
+struct TrackedStep {
+    std::vector<TrackedTask> tasks {};
+    uint32_t remaining { 0 };
+
+    /// Steps that this one still waits for.
+    uint32_t waitsFor { 0 };
+
+    /// Indices of tasks that are to be started.
+    std::vector<uint32_t> waiting {};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -0,0 +1,26 @@
+#include <LibNode/OutcomeNames.h>
+#include <array>
+
+namespace Bergamot {
+
+std::string_view nameOf(RunOutcome outcome)
+{
+    constexpr std::array<std::string_view, 6> names { "done", "failed", "stopped", "lease_lapsed", "gang_broken",
+        "gang_incomplete" };
+    return names[static_cast<size_t>(outcome)];
+}
+
+std::string_view nameOf(OrderOutcome outcome)
+{
+    constexpr std::array<std::string_view, 8> names { "accepted", "fenced", "superseded", "too_late", "no_room",
+        "invalid", "unhealthy", "other_life" };
+    return names[static_cast<size_t>(outcome)];
+}
+
+std::string_view nameOf(JobStage stage)
+{
+    constexpr std::array<std::string_view, 5> names { "queued", "running", "completed", "failed", "cancelled" };
+    return names[static_cast<size_t>(stage)];
+}
+
+}
--- /dev/null
+++ b/Libraries/LibNode/OutcomeNames.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <LibDecision/RunEnd.h>
+#include <LibPlatform/OrderAnswer.h>
+#include <LibWire/JobStage.h>
+#include <string_view>
+
+namespace Bergamot {
+
+/// Names of outcomes in log lines and label values.
+std::string_view nameOf(RunOutcome);
+std::string_view nameOf(OrderOutcome);
+std::string_view nameOf(JobStage);
+
+}
--- a/Libraries/LibNode/ProgressJournal.h
+++ b/Libraries/LibNode/ProgressJournal.h
@@ -1,29 +1,16 @@
 #pragma once
 
 #include <LibDecision/CallTimeout.h>
+#include <LibNode/ProgressBatch.h>
 #include <LibPlatform/RecordStore.h>
-#include <LibWire/JobProgress.h>
-#include <LibWire/PressureRecord.h>
-#include <LibWire/WorkerRoster.h>
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <vector>
 
 namespace Bergamot {
 
 class EventLoop;
 
-/// What the leader stores in one append.
-struct ProgressBatch {
-    std::vector<JobProgress> jobs {};
-    std::optional<WorkerRoster> roster {};
-    std::optional<PressureRecord> pressures {};
-
-    bool isEmpty() const { return jobs.empty() && !roster && !pressures; }
-};
-
 /// Stores the leader's progress, one append at a time, fenced by the leader's epoch. Each batch holds all that changed
 /// during the append before it.
 class ProgressJournal {
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -1,11 +1,11 @@
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
+#include <LibNode/OutcomeNames.h>
 #include <LibNode/TaskLeader.h>
 #include <LibReport/NodeMetrics.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <utility>
 
@@ -40,26 +40,6 @@
     return std::chrono::duration_cast<Milliseconds>(now).count();
 }
 
-static std::string_view nameOf(RunOutcome outcome)
-{
-    constexpr std::array<std::string_view, 6> names { "done", "failed", "stopped", "lease_lapsed", "gang_broken",
-        "gang_incomplete" };
-    return names[static_cast<size_t>(outcome)];
-}
-
-static std::string_view nameOf(OrderOutcome outcome)
-{
-    constexpr std::array<std::string_view, 8> names { "accepted", "fenced", "superseded", "too_late", "no_room",
-        "invalid", "unhealthy", "other_life" };
-    return names[static_cast<size_t>(outcome)];
-}
-
-static std::string_view nameOf(JobStage stage)
-{
-    constexpr std::array<std::string_view, 5> names { "queued", "running", "completed", "failed", "cancelled" };
-    return names[static_cast<size_t>(stage)];
-}
-
 TaskLeader::TaskLeader(EventLoop& loop, RecordStore& store, TaskHost& taskHost, const PlatformFormats& formats,
     NodeMetrics& metrics, Options options)
     : m_loop(loop)
@@ -188,62 +168,6 @@
         logInfo("job_known", { { "job", id }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
 }
 
-std::optional<WorkerHandle> TaskLeader::handleOf(const WorkerId& id) const
-{
-    for (const auto& [handle, worker] : m_workers) {
-        if (worker.life.id == id)
-            return handle;
-    }
-    return std::nullopt;
-}
-
-void TaskLeader::applyWorkerRecord(const KeyedRecord& record)
-{
-    if (record.value.empty()) {
-        m_listed.erase(record.key);
-        return;
-    }
-    auto announcement = m_formats.readWorkerRecord(record);
-    if (!announcement.ok())
-        return;
-    m_listed.insert(record.key);
-    auto handle = handleOf(record.key);
-    if (handle) {
-        auto& worker = m_workers.at(*handle);
-        bool sameLife
-            = worker.life.bornMs == 0 || announcement->bornMs == 0 || worker.life.bornMs == announcement->bornMs;
-        if (sameLife)
-            return updateAnnouncement(*handle, *announcement);
-        // An older record of an earlier life says nothing of this one.
-        if (announcement->bornMs < worker.life.bornMs)
-            return;
-        forgetWorker(*handle);
-    }
-    addWorker({ .id = record.key, .address = announcement->address, .bornMs = announcement->bornMs }, *announcement);
-}
-
-void TaskLeader::addWorker(const WorkerLife& life, std::optional<WorkerAnnouncement> announcement)
-{
-    auto handle = ++m_lastHandle;
-    auto& worker = m_workers[handle];
-    worker.life = life;
-    worker.announcement = std::move(announcement);
-    worker.stored = std::ranges::find(m_storedRoster.workers, life) != m_storedRoster.workers.end();
-    worker.link = std::make_unique<WorkerLink>(m_loop, m_taskHost,
-        WorkerLink::Options { .host = { .id = life.id, .address = life.address },
-            .bornMs = life.bornMs,
-            .epoch = m_options.epoch,
-            .lease = leaseLength(),
-            .events = eventsOf(handle) });
-    if (!worker.stored)
-        m_rosterChanged = true;
-    publishWorker(handle);
-    // The lists of workers mean nothing before the jobs are known.
-    if (m_linksStarted)
-        worker.link->start();
-    m_journal.wake();
-}
-
 bool TaskLeader::jobsLoaded() const
 {
     return !m_jobs.empty() && std::ranges::all_of(m_jobs, [](const auto& reader) { return reader->hasLoaded(); });
@@ -266,128 +190,6 @@
     schedulePlan();
 }
 
-void TaskLeader::updateAnnouncement(WorkerHandle handle, const WorkerAnnouncement& announcement)
-{
-    auto& worker = m_workers.at(handle);
-    if (worker.announcement == announcement)
-        return;
-    if (worker.announcement && announcement.view.draining && !worker.announcement->view.draining)
-        logInfo("worker_drains", { { "worker", worker.life.id } });
-    worker.announcement = announcement;
-    publishWorker(handle);
-}
-
-/// A worker may get tasks once it has said what it is and the roster names it.
-void TaskLeader::publishWorker(WorkerHandle handle)
-{
-    const auto& worker = m_workers.at(handle);
-    if (!worker.announcement)
-        return;
-    m_scheduler.updateWorker(handle, worker.announcement->view);
-    m_scheduler.setReachable(
-        handle, worker.stored && worker.link && worker.link->isReachable() && m_listed.contains(worker.life.id));
-}
-
-void TaskLeader::forgetWorker(WorkerHandle handle)
-{
-    auto it = m_workers.find(handle);
-    if (it == m_workers.end())
-        return;
-    logInfo("worker_gone", { { "worker", it->second.life.id }, { "born", it->second.life.bornMs } });
-    m_scheduler.removeWorker(handle, m_loop.now());
-    // The link may be the caller, so it ends after it has returned.
-    m_loop.post([link = std::shared_ptr<WorkerLink>(std::move(it->second.link))] {});
-    m_workers.erase(it);
-    m_rosterChanged = true;
-    m_journal.wake();
-    schedulePlan();
-}
-
-void TaskLeader::workersRead()
-{
-    for (auto& [handle, worker] : m_workers)
-        publishWorker(handle);
-    checkSettled();
-    schedulePlan();
-}
-
-WorkerLink::Events TaskLeader::eventsOf(WorkerHandle handle)
-{
-    return {
-        .onReport
-        = [this, handle](const HoldAnswer& answer, Instant askedAt) { reportReceived(handle, answer, askedAt); },
-        .onStartAnswered
-        = [this, handle](const StartTask& start, OrderOutcome outcome) { startAnswered(handle, start, outcome); },
-        .onStopAccepted = [this, handle](const TaskRef& task,
-                              uint64_t run) { m_scheduler.orderAccepted(handle, task, run, m_loop.now()); },
-        .onReachableChanged =
-            [this, handle](bool reachable) {
-                auto& worker = m_workers.at(handle);
-                logInfo(reachable ? "worker_regained" : "worker_lost", { { "worker", worker.life.id } });
-                publishWorker(handle);
-                schedulePlan();
-            },
-        .onLapsed =
-            [this, handle] {
-                auto& worker = m_workers.at(handle);
-                logWarning("worker_lapsed", { { "worker", worker.life.id } });
-                m_scheduler.loseRuns(handle, m_loop.now());
-                checkSettled();
-                if (!m_listed.contains(worker.life.id))
-                    return forgetWorker(handle);
-                schedulePlan();
-            },
-        .onOtherLife = [this, handle] { forgetWorker(handle); },
-        .onFenced = [this] { m_loop.post([fenced = m_options.onFenced] { fenced(); }); },
-    };
-}
-
-void TaskLeader::reportReceived(WorkerHandle handle, const HoldAnswer& answer, Instant askedAt)
-{
-    auto now = m_loop.now();
-    auto& worker = m_workers.at(handle);
-    if (worker.life.bornMs == 0)
-        worker.life.bornMs = worker.link->bornMs();
-    for (const auto& end : answer.ended) {
-        if (end.outcome == RunOutcome::Failed || end.outcome == RunOutcome::LeaseLapsed)
-            logInfo("run_ended",
-                { { "job", end.task.job }, { "step", end.task.step }, { "index", end.task.index }, { "run", end.run },
-                    { "worker", worker.life.id }, { "outcome", nameOf(end.outcome) } });
-        if (end.sequence > worker.endsToStore)
-            m_metrics.recordRunEnd(nameOf(end.outcome));
-        m_scheduler.runEnded(handle, end, now);
-    }
-    // A worker of the roster that has not announced itself yet still holds runs that are to be known.
-    if (!worker.announcement)
-        m_scheduler.updateWorker(handle, { .id = worker.life.id });
-    m_scheduler.runsReported(handle, answer.running, askedAt, now);
-    if (worker.link->seenSequence() > worker.endsToStore) {
-        worker.endsToStore = worker.link->seenSequence();
-        m_acknowledgements.emplace_back(handle, worker.endsToStore);
-        m_journal.wake();
-    }
-    checkSettled();
-    schedulePlan();
-}
-
-void TaskLeader::startAnswered(WorkerHandle handle, const StartTask& start, OrderOutcome outcome)
-{
-    auto now = m_loop.now();
-    m_metrics.recordStart(nameOf(outcome));
-    if (outcome == OrderOutcome::Accepted)
-        return m_scheduler.orderAccepted(handle, start.task, start.run, now);
-    logInfo("start_refused",
-        { { "job", start.task.job }, { "step", start.task.step }, { "index", start.task.index }, { "run", start.run },
-            { "worker", m_workers.at(handle).life.id }, { "outcome", nameOf(outcome) } });
-    auto refusal = TaskScheduler::StartRefusal::NotStarted;
-    if (outcome == OrderOutcome::NoRoom)
-        refusal = TaskScheduler::StartRefusal::Room;
-    else if (outcome == OrderOutcome::Superseded)
-        refusal = TaskScheduler::StartRefusal::Superseded;
-    m_scheduler.startRefused(handle, start.task, start.run, refusal, now);
-    schedulePlan();
-}
-
 ProgressBatch TaskLeader::collectProgress()
 {
     ProgressBatch batch { .jobs = m_scheduler.takeChangedJobs() };
--- /dev/null
+++ b/Libraries/LibPlatform/AppendReply.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <cstdint>
+
+namespace Bergamot {
+
+enum class AppendOutcome : uint8_t { Appended, EndMoved, Fenced, WrongSequence };
+
+struct AppendReply {
+    AppendOutcome outcome { AppendOutcome::Appended };
+
+    /// Offset of the first record.
+    LogPosition offset { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/AppendRequest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibPlatform/KeyedRecord.h>
+#include <LibPlatform/StreamName.h>
+#include <LibPlatform/WriterFence.h>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Bergamot {
+
+struct AppendRequest {
+    StreamName stream { StreamName::Jobs };
+    uint32_t partition { 0 };
+
+    /// Appended all or nothing. None, with a fence, only sets the writer's epoch.
+    std::vector<KeyedRecord> records {};
+
+    /// Append only when the stream ends at this offset.
+    std::optional<LogPosition> onlyAt {};
+    std::optional<WriterFence> fence {};
+};
+
+}
--- a/Libraries/LibPlatform/RoutingTable.h
+++ b/Libraries/LibPlatform/RoutingTable.h
@@ -1,24 +1,13 @@
 #pragma once
 
-#include <LibDecision/QueuePolicy.h>
+#include <LibPlatform/QueueRoute.h>
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <string_view>
 #include <vector>
 
 namespace Bergamot {
 
-/// Where callers hand in the jobs of a queue.
-struct QueueRoute {
-    std::string queue {};
-    std::string host {};
-    std::string pathPrefix {};
-    QueuePolicy policy {};
-
-    bool operator==(const QueueRoute&) const = default;
-};
-
 /// One version of the operators' configuration.
 struct RoutingTable {
     uint64_t version { 0 };
--- /dev/null
+++ b/Libraries/LibPlatform/StartOrder.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibDecision/TaskRef.h>
+#include <cstdint>
+#include <string>
+
+namespace Bergamot {
+
+struct StartOrder {
+    TaskRef task {};
+    uint64_t run { 0 };
+    std::string payload {};
+    std::string checkpoint {};
+
+    /// End of the lease of everything on the worker, on the worker's clock.
+    int64_t leaseUntilMs { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/TaskHostAddress.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <string>
+
+namespace Bergamot {
+
+/// One life of a worker and where it is reached.
+struct TaskHostAddress {
+    WorkerId id {};
+    std::string address {};
+
+    bool operator==(const TaskHostAddress&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/PairPressure.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <msgpack.hpp>
+#include <string>
+
+namespace Bergamot {
+
+/// What is known of one pair of images; see PressureModel.
+struct PairPressure {
+    std::string fillImage {};
+    std::string servingImage {};
+    double pressure { 0 };
+
+    bool operator==(const PairPressure&) const = default;
+    MSGPACK_DEFINE_ARRAY(fillImage, servingImage, pressure)
+};
+
+}
