Test the replacement of lost attempts with a kind that is exempt from single_run

The test's subject is kinds that may run elsewhere, so it submits such a kind (scan); what the default does is tested by SettlementsOfACutOffWorkerWaitForItOrItsRemoval.

--- a/Tests/LibEntry/TestEntryNode.cpp
+++ b/Tests/LibEntry/TestEntryNode.cpp
@@ -203,10 +203,11 @@
 }
 
 // Guards against jobs that wait for ever on a dead worker that another member than the leader serves. The jobs outlast
-// their leases, since a completion that a lost worker never reports cannot be known.
+// their leases, since a completion that a lost worker never reports cannot be known. The kind is exempt from
+// single_run; other kinds wait until the host list drops the worker.
 TEST(EntryNode, JobsOfWorkersThatNeverReturnRunElsewhere)
 {
-    submitMany(12, 60'000, "report");
+    submitMany(12, 60'000, "scan");
     cluster.run(5s);
     cluster.cutWorkers = { "w1", "w2", "w3", "w4" };
     checkAllCompleted(600s);
--- a/Tests/LibEntry/VirtualCluster.cpp
+++ b/Tests/LibEntry/VirtualCluster.cpp
@@ -232,6 +232,11 @@
             .run = Milliseconds { 5000 },
             .maxAttempts = 3,
             .singleRun = true },
+        { .name = "scan",
+            .size = { .cpuMillis = 1000, .memoryMb = 1000 },
+            .run = Milliseconds { 5000 },
+            .maxAttempts = 3,
+            .singleRun = false },
     };
     config.services = { { .name = "token", .replica = { .cpuMillis = 500, .memoryMb = 500 }, .replicas = 3 } };
     config.teams = { { .name = "team", .quota = { .cpuMillis = 100'000, .memoryMb = 100'000, .accelerators = 10 } } };
