--- a/Libraries/LibConfig/SiteSchema.cpp
+++ b/Libraries/LibConfig/SiteSchema.cpp
@@ -171,8 +171,9 @@
                 .name = "single_run",
                 .type = KeyType::Boolean,
                 .defaultJson = "true",
-                .effect = "The job never runs in two places at once and completes once, whatever fails: when its worker "
-                          "is cut off, it waits until the worker answers or has left the host list." },
+                .effect
+                = "The job never runs in two places at once and completes once, whatever fails: when its worker "
+                  "is cut off, it waits until the worker answers or has left the host list." },
             { .section = "kinds",
                 .name = "yields_to",
                 .type = KeyType::NameList,
--- a/Libraries/LibCore/Logger.cpp
+++ b/Libraries/LibCore/Logger.cpp
@@ -61,8 +61,8 @@
         fmt::format_to(std::back_inserter(line), " {}={}", field.key, quoted(field.value));
     if (budget.suppressed > 0)
         fmt::format_to(std::back_inserter(line), " suppressed={}", std::exchange(budget.suppressed, 0));
-    fmt::print(stdout, "{}\n", line);
-    std::fflush(stdout);
+    fmt::print(m_stream, "{}\n", line);
+    std::fflush(m_stream);
 }
 
 }
--- a/Libraries/LibCore/Logger.h
+++ b/Libraries/LibCore/Logger.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/LogField.h>
 #include <cstdint>
+#include <cstdio>
 #include <initializer_list>
 #include <map>
 #include <mutex>
@@ -12,8 +13,8 @@
 
 enum class LogLevel : uint8_t { Debug, Info, Warning, Error };
 
-/// Writes one line of key=value pairs to standard output for each event. Lines of the same event above
-/// MaxLinesPerSecond are counted and summed up in the next line, so that a fault cannot flood the log.
+/// Writes one line of key=value pairs for each event, to standard error unless another stream is set. Lines of the same
+/// event above MaxLinesPerSecond are counted and summed up in the next line, so that a fault cannot flood the log.
 class Logger {
 public:
     static constexpr uint32_t maxLinesPerSecond = 20;
@@ -21,6 +22,8 @@
     static Logger& the();
 
     void setLevel(LogLevel level) { m_level = level; }
+    /// Daemons log to standard output, which operators collect. Tools print results there and keep the default.
+    void setStream(std::FILE* stream) { m_stream = stream; }
     void setProcessName(std::string name) { m_processName = std::move(name); }
 
     void log(LogLevel, std::string_view event, std::initializer_list<LogField> fields);
@@ -39,6 +42,7 @@
     std::map<std::string, EventBudget, std::less<>> m_budgets;
     std::string m_processName;
     LogLevel m_level { LogLevel::Info };
+    std::FILE* m_stream { stderr };
 };
 
 inline void logDebug(std::string_view event, std::initializer_list<LogField> fields)
--- a/Libraries/LibDecision/CallTimeout.h
+++ b/Libraries/LibDecision/CallTimeout.h
@@ -4,9 +4,9 @@
 
 namespace Bergamot {
 
-/// Chooses the time-out of repeatable calls to a service that may be slow or lose answers: a few times the usual response
-/// time, doubled after each time-out. Answers both a lost answer, which should cost little, and a slow service, where
-/// repeats would queue behind the first call.
+/// Chooses the time-out of repeatable calls to a service that may be slow or lose answers: a few times the usual
+/// response time, doubled after each time-out. Answers both a lost answer, which should cost little, and a slow
+/// service, where repeats would queue behind the first call.
 class CallTimeout {
 public:
     struct Options {
--- a/Services/bergamot-node/main.cpp
+++ b/Services/bergamot-node/main.cpp
@@ -62,6 +62,7 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     curl_global_init(CURL_GLOBAL_DEFAULT);
+    Logger::the().setStream(stdout);
     Logger::the().setProcessName(settings->node);
     auto metricsPort = arguments["--metrics-port"].asLong();
     if (metricsPort < 0 || metricsPort > UINT16_MAX)
--- a/Services/bergamotd/main.cpp
+++ b/Services/bergamotd/main.cpp
@@ -101,6 +101,7 @@
     auto initialConfig = loadInitialConfig(settings);
     if (!initialConfig)
         return 2;
+    Logger::the().setStream(stdout);
     Logger::the().setProcessName(settings.member);
     Logger::the().setLevel(levelOf(settings.logLevel));
     curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/Tests/LibDecision/TestCallTimeout.cpp
+++ b/Tests/LibDecision/TestCallTimeout.cpp
@@ -5,8 +5,8 @@
 
 TEST_GROUP(CallTimeout) {};
 
-// Guards against seconds of waiting for a lost answer (recorded day inc-413f of the Sofia site: the progress of all jobs
-// stood still for 5.6 s), and against repeats that queue behind a slow store (day trouble-2 of that site).
+// Guards against seconds of waiting for a lost answer (recorded day inc-413f of the Sofia site: the progress of all
+// jobs stood still for 5.6 s), and against repeats that queue behind a slow store (day trouble-2 of that site).
 TEST(CallTimeout, FollowsTheUsualTimeAndBacksOff)
 {
     CallTimeout timeout({ .shortest = Milliseconds { 300 }, .longest = Milliseconds { 2200 } });
