Replace silent connections between nodes, and number questions from a drawn start

Causes, found by reading: a connection between nodes that goes silent without a reset takes every question or answer until TCP gives up, and the repeats of QueryRouter used the same connection. Questions were numbered from 1 in each process, so a late answer to an earlier process at the same address could be taken for the answer to another caller's question. The first message to each peer was dropped, because the connection was not open yet, which cost a repeat of 400 ms. Change: an unanswered question, and on the other side a repeated one, replaces a connection that is older than 1 s; numbers start from the incarnation; messages wait in a queue of 64 while the connection opens.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -33,7 +33,8 @@
               .onDeposed = [this] { deposed(); } })
     , m_acceptor(services.loop, services.store, static_cast<uint32_t>(digestOf(m_options.member) % jobPartitions))
     , m_queries(services.loop, services.peers,
-          { .peerAddress = m_options.peerAddress,
+          { .firstNumber = m_options.incarnation,
+              .peerAddress = m_options.peerAddress,
               .leaderAddress = [this]() -> std::optional<std::string> {
                   if (m_leadership.isLeader())
                       return m_options.peerAddress;
--- a/Libraries/LibNode/QueryRouter.cpp
+++ b/Libraries/LibNode/QueryRouter.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/QueryRouter.h>
 #include <LibPlatform/PeerTransport.h>
 #include <LibWire/Codec.h>
+#include <algorithm>
 #include <utility>
 
 namespace Bergamot {
@@ -11,10 +12,14 @@
 /// A question is sent again when no answer has come, because messages between nodes may be lost.
 static constexpr Milliseconds repeatInterval { 400 };
 
+/// A younger connection between nodes is not replaced, because it may still be opening.
+static constexpr Milliseconds shortestConnection { 1000 };
+
 QueryRouter::QueryRouter(EventLoop& loop, PeerTransport& transport, Options options)
     : m_loop(loop)
     , m_transport(transport)
     , m_options(std::move(options))
+    , m_lastNumber(m_options.firstNumber)
 {
     m_transport.setReceiver([this, alive = m_alive](std::string_view bytes) {
         m_loop.post([this, alive, copy = std::string(bytes)] {
@@ -51,14 +56,49 @@
     auto leader = m_options.leaderAddress();
     if (!leader)
         return;
-    if (*leader != m_options.peerAddress)
-        return m_transport.send(*leader, encodePeerMessage(it->second.query));
+    if (*leader != m_options.peerAddress) {
+        if (++it->second.sends > 1)
+            replaceConnection(*leader);
+        return sendTo(*leader, encodePeerMessage(it->second.query));
+    }
     m_options.answerHere(it->second.query, [this, alive = m_alive](const JobAnswer& answer) {
         if (*alive && answer.status != JobAnswerStatus::Unavailable)
             answerReceived(answer);
     });
 }
 
+void QueryRouter::sendTo(const std::string& address, std::string_view bytes)
+{
+    m_connectionsOpenedAt.try_emplace(address, m_loop.now());
+    m_transport.send(address, bytes);
+}
+
+/// The peer may be slow, or the connection may be silent for good; only a new connection helps against the latter.
+void QueryRouter::replaceConnection(const std::string& address)
+{
+    auto now = m_loop.now();
+    auto it = m_connectionsOpenedAt.find(address);
+    if (it == m_connectionsOpenedAt.end() || now - it->second < shortestConnection)
+        return;
+    it->second = now;
+    logInfo("peer_connection_replaced", { { "peer", address } });
+    m_transport.disconnect(address);
+}
+
+/// A node numbers its questions upwards, so a number just below the latest one is of a question that was sent again. A
+/// number far from it is of another process at the same address.
+bool QueryRouter::isRepeated(const JobQuery& query)
+{
+    constexpr uint64_t longestRun = 10000;
+    auto [it, first] = m_latestQuestions.try_emplace(query.replyAddress, query.number);
+    if (first)
+        return false;
+    bool repeated = query.number <= it->second && it->second - query.number < longestRun;
+    if (!repeated)
+        it->second = query.number;
+    return repeated;
+}
+
 void QueryRouter::received(std::string_view bytes)
 {
     auto message = decodePeerMessage(bytes);
@@ -74,10 +114,12 @@
 
 void QueryRouter::queryReceived(const JobQuery& query)
 {
+    if (isRepeated(query))
+        replaceConnection(query.replyAddress);
     m_options.answerHere(query, [this, alive = m_alive, address = query.replyAddress](const JobAnswer& answer) {
         // Without an answer the asking node asks again, perhaps another leader.
         if (*alive && answer.status != JobAnswerStatus::Unavailable)
-            m_transport.send(address, encodePeerMessage(answer));
+            sendTo(address, encodePeerMessage(answer));
     });
 }
 
--- a/Libraries/LibNode/QueryRouter.h
+++ b/Libraries/LibNode/QueryRouter.h
@@ -22,6 +22,10 @@
     using Reply = std::function<void(const JobAnswer&)>;
 
     struct Options {
+        /// Questions are numbered from here. Drawn anew by each process, so that no answer to a question of an earlier
+        /// process at this address is taken for the answer to another one.
+        uint64_t firstNumber { 0 };
+
         /// Where answers reach this node.
         std::string peerAddress {};
 
@@ -44,18 +48,26 @@
         JobQuery query;
         Instant deadline;
         Reply reply;
+        uint32_t sends { 0 };
     };
 
     void send(uint64_t number);
     void received(std::string_view bytes);
     void answerReceived(const JobAnswer&);
     void queryReceived(const JobQuery&);
+    void sendTo(const std::string& address, std::string_view bytes);
+    void replaceConnection(const std::string& address);
+    bool isRepeated(const JobQuery&);
 
     EventLoop& m_loop;
     PeerTransport& m_transport;
     Options m_options;
     uint64_t m_lastNumber { 0 };
     std::map<uint64_t, Open> m_open;
+
+    /// The latest question of each node, by its address.
+    std::map<std::string, uint64_t> m_latestQuestions;
+    std::map<std::string, Instant> m_connectionsOpenedAt;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/Libraries/LibPlatform/NngPeerTransport.cpp
+++ b/Libraries/LibPlatform/NngPeerTransport.cpp
@@ -65,6 +65,12 @@
         return nngStatus(ec, "cannot open a peer socket");
     nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, 100);
     nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, 1000);
+    // Messages wait while the connection opens; without a queue the first one to each peer would be dropped.
+    constexpr int queuedMessages = 64;
+    if (int ec = nng_socket_set_int(socket, NNG_OPT_SENDBUF, queuedMessages); ec != 0) {
+        nng_close(socket);
+        return nngStatus(ec, "cannot set the queue of a peer socket");
+    }
     if (int ec = nng_dial(socket, ("tcp://" + address).c_str(), nullptr, NNG_FLAG_NONBLOCK); ec != 0) {
         nng_close(socket);
         return nngStatus(ec, "cannot dial " + address);
@@ -73,6 +79,16 @@
     return socket;
 }
 
+void NngPeerTransport::disconnect(const std::string& address)
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_peers.find(address);
+    if (it == m_peers.end())
+        return;
+    nng_close(it->second);
+    m_peers.erase(it);
+}
+
 void NngPeerTransport::send(const std::string& address, std::string_view bytes)
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibPlatform/NngPeerTransport.h
+++ b/Libraries/LibPlatform/NngPeerTransport.h
@@ -21,9 +21,11 @@
 
     void setReceiver(Receiver) override;
 
-    /// Drops the message when the peer does not take it at once: an old heartbeat has no value.
+    /// A message waits in a short queue while the connection opens; when that is full it is dropped.
     void send(const std::string& address, std::string_view bytes) override;
 
+    void disconnect(const std::string& address) override;
+
     uint64_t bytesSent() const { return m_bytesSent; }
     uint64_t bytesReceived() const { return m_bytesReceived; }
 
--- a/Libraries/LibPlatform/PeerTransport.h
+++ b/Libraries/LibPlatform/PeerTransport.h
@@ -15,6 +15,10 @@
     /// Must be called before the first message arrives; runs on a thread of the implementation.
     virtual void setReceiver(Receiver) = 0;
     virtual void send(const std::string& address, std::string_view bytes) = 0;
+
+    /// Drops the connection to a peer, so that the next message opens a new one. A connection can go silent without a
+    /// reset, and then takes messages that never arrive.
+    virtual void disconnect(const std::string&) { }
 };
 
 }
