Elect the host with the most processor time, and claim when the turn comes

Cause: one leader orders all workers, and on the grown sites a host of 0.069 cores was as likely to lead as one of 0.5. Nodes also looked at their turn to claim only when a read of 600 ms ended, so a takeover after silence came at 1.2 or 1.8 s. Change: nodes announce their processor time in the leadership stream (older readers ignore the record); those with less than three quarters of the strongest wait 400 ms longer; a read ends when the node's turn comes. Tests: the strongest host is elected, its successor is strong too, and a weak one leads when no strong one is left; the second failed before the read was shortened.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/EventLoop.h>
 #include <LibNode/LeadershipMonitor.h>
 #include <LibWire/ValueCodec.h>
+#include <algorithm>
 #include <utility>
 
 namespace Bergamot {
@@ -11,12 +12,21 @@
 static constexpr Milliseconds keepaliveInterval { 300 };
 static constexpr Milliseconds appendTimeout { 800 };
 static constexpr Milliseconds readWait { 600 };
+static constexpr Milliseconds shortestReadWait { 40 };
 static constexpr Milliseconds retryDelay { 150 };
 
 /// A silent leader is replaced after this time and a delay that differs by node.
 static constexpr Milliseconds leaderTimeout { 1050 };
 static constexpr Milliseconds largestRankDelay { 250 };
 
+/// Nodes with less than this share of the processor time of the strongest candidate leave it this much time to claim.
+/// One leader orders all workers, so a small host would bound the whole system.
+static constexpr double strongCandidateShare = 0.75;
+static constexpr Milliseconds weakCandidateDelay { 400 };
+
+/// Time in which nodes that start together learn of each other before the first election.
+static constexpr Milliseconds candidacyPeriod { 500 };
+
 /// A leader trusts its leadership for this long after it sent its last stored keepalive; shorter than leaderTimeout.
 static constexpr Milliseconds leadershipLease { 950 };
 
@@ -31,24 +41,49 @@
 
 void LeadershipMonitor::start()
 {
-    m_leaderSeenAt = m_loop.now();
+    m_startedAt = m_loop.now();
+    m_leaderSeenAt = m_startedAt;
+    announceCandidacy();
     readNext();
 }
 
+/// The store may deliver this late or never; the node is then only ranked as one of unknown strength.
+void LeadershipMonitor::announceCandidacy()
+{
+    LeadershipRecord record { .member = m_options.node.member,
+        .incarnation = m_options.node.incarnation,
+        .peerAddress = m_options.node.peerAddress,
+        .epoch = candidacyEpoch,
+        .cpuMillis = m_options.node.cpuMillis };
+    AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
+    m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
+        if (!*alive || reply.ok())
+            return;
+        logWarning("candidacy_failed", { { "error", statusText(reply.status()) } });
+        m_loop.callAfter(keepaliveInterval, [this, alive] {
+            if (*alive && !m_retired)
+                announceCandidacy();
+        });
+    });
+}
+
 void LeadershipMonitor::readNext()
 {
-    m_store.read(
-        StreamName::Leadership, 0, m_position, readWait, [this, alive = m_alive](absl::StatusOr<ReadReply> reply) {
-            if (!*alive)
-                return;
-            if (reply.ok())
-                return readFinished(*reply);
-            logWarning("leadership_read_failed", { { "error", statusText(reply.status()) } });
-            m_loop.callAfter(retryDelay, [this, alive] {
-                if (*alive)
-                    readNext();
-            });
+    // A node whose turn to claim comes sooner looks at the stream just then.
+    auto wait = readWait;
+    if (!m_isLeader && !m_retired)
+        wait = std::clamp(claimDueAt() - m_loop.now(), shortestReadWait, readWait);
+    m_store.read(StreamName::Leadership, 0, m_position, wait, [this, alive = m_alive](absl::StatusOr<ReadReply> reply) {
+        if (!*alive)
+            return;
+        if (reply.ok())
+            return readFinished(*reply);
+        logWarning("leadership_read_failed", { { "error", statusText(reply.status()) } });
+        m_loop.callAfter(retryDelay, [this, alive] {
+            if (*alive)
+                readNext();
         });
+    });
 }
 
 void LeadershipMonitor::readFinished(const ReadReply& reply)
@@ -76,6 +111,9 @@
     auto decoded = decodeValue<LeadershipRecord>(record.value);
     if (!decoded.ok())
         return;
+    m_strongestCpuMillis = std::max(m_strongestCpuMillis, decoded->cpuMillis);
+    if (decoded->epoch == candidacyEpoch)
+        return;
     if (decoded->epoch == 0)
         return applyClaim(*decoded, record.offset + 1);
     if (!m_leader || decoded->epoch != m_leader->epoch)
@@ -106,14 +144,27 @@
 
 void LeadershipMonitor::considerClaim()
 {
-    if (m_isLeader || m_claiming || m_retired)
+    if (m_isLeader || m_claiming || m_retired || m_loop.now() < claimDueAt())
         return;
+    claim();
+}
+
+/// When this node should claim if the stream stays silent until then.
+Instant LeadershipMonitor::claimDueAt() const
+{
+    if (!m_leader)
+        return m_startedAt + candidacyPeriod + strengthDelay();
+    if (m_leaderResigned)
+        return m_leaderSeenAt + strengthDelay();
     auto rank = Milliseconds { static_cast<int64_t>(
         digestOf(m_options.node.member) % static_cast<uint64_t>(largestRankDelay.count())) };
-    auto silentFor = m_loop.now() - m_leaderSeenAt;
-    if (!m_leaderResigned && m_leader && silentFor < leaderTimeout + rank)
-        return;
-    claim();
+    return m_leaderSeenAt + leaderTimeout + strengthDelay() + rank;
+}
+
+Milliseconds LeadershipMonitor::strengthDelay() const
+{
+    auto enough = strongCandidateShare * static_cast<double>(m_strongestCpuMillis);
+    return static_cast<double>(m_options.node.cpuMillis) >= enough ? Milliseconds { 0 } : weakCandidateDelay;
 }
 
 void LeadershipMonitor::claim()
@@ -121,7 +172,8 @@
     m_claiming = true;
     LeadershipRecord record { .member = m_options.node.member,
         .incarnation = m_options.node.incarnation,
-        .peerAddress = m_options.node.peerAddress };
+        .peerAddress = m_options.node.peerAddress,
+        .cpuMillis = m_options.node.cpuMillis };
     AppendRequest request {
         .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } }, .onlyAt = m_position
     };
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -59,7 +59,12 @@
     void readFinished(const ReadReply&);
     void applyRecord(const KeyedRecord&);
     void applyClaim(const LeadershipRecord&, uint64_t epoch);
+    void announceCandidacy();
     void considerClaim();
+    Instant claimDueAt() const;
+
+    /// How long this node leaves a claim to candidates with more processor time.
+    Milliseconds strengthDelay() const;
     void claim();
     void sendKeepalive();
 
@@ -72,6 +77,8 @@
     bool m_leaderResigned { false };
     bool m_retired { false };
     bool m_claiming { false };
+    int64_t m_strongestCpuMillis { 0 };
+    Instant m_startedAt { neverInstant };
     Instant m_leaderSeenAt { neverInstant };
     Instant m_leaseUntil { neverInstant };
     Instant m_storeContactAt { neverInstant };
--- a/Libraries/LibNode/NodeOptions.h
+++ b/Libraries/LibNode/NodeOptions.h
@@ -17,6 +17,9 @@
     /// IP:port at which other nodes reach this one.
     std::string peerAddress {};
 
+    /// Processor time of the host for this process, in thousandths of a core; 0 when it is not known.
+    int64_t cpuMillis { 0 };
+
     /// Longest lease that workers grant.
     Milliseconds maxLease { 6000 };
 };
--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -97,6 +97,7 @@
         NodeOptions { .member = m_settings.node,
             .incarnation = drawIncarnation(),
             .peerAddress = m_settings.peerAddress,
+            .cpuMillis = m_settings.cpuMillis,
             .maxLease = Milliseconds { m_settings.maxLeaseMs } });
 
     auto [readyIp, readyPort] = splitAddress(m_settings.readyAddress);
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -21,7 +21,7 @@
     FakeRecordStore store { *loop };
     std::vector<std::unique_ptr<Member>> members;
 
-    void addMember(uint64_t incarnation)
+    void addMember(uint64_t incarnation, int64_t cpuMillis = 0)
     {
         auto member = std::make_unique<Member>();
         auto* it = member.get();
@@ -29,7 +29,8 @@
             LeadershipMonitor::Options {
                 .node = { .member = "m" + std::to_string(incarnation),
                     .incarnation = incarnation,
-                    .peerAddress = "a" + std::to_string(incarnation) },
+                    .peerAddress = "a" + std::to_string(incarnation),
+                    .cpuMillis = cpuMillis },
                 .onElected = [it](uint64_t epoch, bool) { it->elections.push_back(epoch); },
                 .onDeposed = [it] { ++it->depositions; },
             });
@@ -150,3 +151,44 @@
     pass(Milliseconds { 3000 });
     CHECK_EQUAL(1, leaders());
 }
+
+// Guards against a small host that leads, and bounds the whole system, while larger ones are there.
+TEST(LeadershipMonitor, HostWithMostProcessorTimeIsElected)
+{
+    for (uint64_t i = 1; i <= 9; ++i)
+        addMember(i, i == 6 ? 500 : 69);
+    pass(Milliseconds { 1500 });
+    CHECK_EQUAL(5, leaderIndex());
+}
+
+// Guards against an election of a small host after the leader stopped, silently or as planned.
+TEST(LeadershipMonitor, SuccessorIsAnotherLargeHost)
+{
+    for (uint64_t i = 1; i <= 9; ++i)
+        addMember(i, i % 3 == 0 ? 500 : 69);
+    pass(Milliseconds { 1500 });
+    auto first = leaderIndex();
+    CHECK_EQUAL(2, first % 3);
+    members[first]->monitor->retire();
+    pass(Milliseconds { 900 });
+    auto second = leaderIndex();
+    CHECK_EQUAL(2, second % 3);
+    CHECK(first != second);
+    members.erase(members.begin() + static_cast<std::ptrdiff_t>(second));
+    pass(Milliseconds { 2500 });
+    CHECK_EQUAL(1, leaders());
+    auto third = members[leaderIndex()]->monitor->leader()->member;
+    CHECK(third == "m3" || third == "m6" || third == "m9");
+}
+
+// Guards against nodes that wait for large hosts that are gone.
+TEST(LeadershipMonitor, SmallHostLeadsWhenNoLargeOneIsLeft)
+{
+    addMember(1, 69);
+    addMember(2, 500);
+    pass(Milliseconds { 1500 });
+    CHECK_EQUAL(1, leaderIndex());
+    members.pop_back();
+    pass(Milliseconds { 3000 });
+    CHECK_EQUAL(0, leaderIndex());
+}
