--- /dev/null
+++ b/Utilities/bergamot-bench/DayModel.cpp
@@ -0,0 +1,385 @@
+#include "DayModel.h"
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <ctime>
+#include <fmt/format.h>
+#include <utility>
+#include <variant>
+
+namespace Bergamot {
+
+static constexpr int64_t stepMs = 10;
+static constexpr int64_t reportIntervalMs = 500;
+
+/// The day starts late enough that a neverInstant lies in the past.
+static constexpr int64_t firstMs = 1000;
+
+/// Jobs accepted after this share of the day are not counted, because the day ends before they can.
+static constexpr double countedShare = 0.7;
+static constexpr double meanServingLoad = 0.42;
+static constexpr double servingLoadSwing = 0.5;
+static constexpr double servingPeriodMs = 10000;
+static constexpr double highestUtilisation = 0.98;
+static constexpr double tailSmoothingMs = 500;
+
+struct DayModel::Run {
+    TaskRef task {};
+    uint64_t run { 0 };
+    const StepSpec* spec { nullptr };
+    uint32_t imageIndex { 0 };
+    double workLeftMs { 0 };
+    double workMs { 0 };
+    uint32_t pace { 100 };
+    double cpuInUse { 0 };
+    double tailMs { 0 };
+    double phase { 0 };
+    bool lasts { false };
+    bool fills { false };
+};
+
+struct DayModel::Worker {
+    WorkerHandle handle { 0 };
+    std::vector<Run> runs {};
+    std::vector<RunEnd> ends {};
+    int64_t reportedAtMs { 0 };
+};
+
+struct DayModel::Job {
+    uint32_t kind { 0 };
+    JobSpec spec {};
+    int64_t acceptedAtMs { 0 };
+    double objectiveMs { 0 };
+    bool counted { false };
+    std::vector<double> workMs {};
+    uint32_t imageIndex { 0 };
+    double servedMs { 0 };
+    double belowTargetMs { 0 };
+    double owedMs { 0 };
+};
+
+DayModel::DayModel(DaySize size, uint64_t seed)
+    : m_size(std::move(size))
+    , m_random(seed)
+    , m_scheduler({ .epoch = 1 })
+    , m_nowMs(firstMs)
+{
+    std::map<std::string, QueuePolicy> queues;
+    for (const auto& kind : m_size.kinds) {
+        queues[kind.queue] = { .service = "service",
+            .priority = kind.priority,
+            .maxAttempts = 3,
+            .stretch = kind.stretch,
+            .targetLatencyMs = kind.targetLatencyMs };
+        m_result.queues.push_back({ .queue = kind.queue });
+    }
+    m_scheduler.setQueues(std::move(queues));
+    addWorkers();
+    drawPressures();
+}
+
+DayModel::~DayModel() = default;
+
+/// A gamma distribution with the given mean and coefficient of variation, cut off at `most` times the mean.
+double DayModel::draw(double mean, double spread, double most)
+{
+    if (spread <= 0)
+        return mean;
+    double shape = 1 / (spread * spread);
+    std::gamma_distribution<double> distribution(shape, mean / shape);
+    return std::clamp(distribution(m_random), mean * 0.1, mean * most);
+}
+
+void DayModel::addWorkers()
+{
+    constexpr std::array<double, 3> sizes { 1.0, 1.0, 1.5 };
+    for (uint32_t i = 1; i <= m_size.workers; ++i) {
+        TaskWorkerView view { .id = fmt::format("w{}", i), .service = "service" };
+        view.zone = fmt::format("z{}", i % m_size.zones);
+        double factor = sizes[i % sizes.size()];
+        view.capacity = { static_cast<int64_t>(factor * static_cast<double>(m_size.workerCpuMillis)),
+            static_cast<int64_t>(factor * static_cast<double>(m_size.workerMemoryMb)), 0 };
+        m_scheduler.updateWorker(i, view);
+        m_workers.push_back({ .handle = i, .reportedAtMs = firstMs - static_cast<int64_t>(i % 50) * stepMs });
+    }
+}
+
+void DayModel::drawPressures()
+{
+    uint32_t serving = 0;
+    uint32_t filling = 0;
+    for (const auto& kind : m_size.kinds) {
+        serving = kind.lasts ? kind.images : serving;
+        filling = kind.fills ? kind.images : filling;
+    }
+    std::uniform_real_distribution<double> unit(0, 1);
+    m_pressures.assign(filling, std::vector<double>(serving, 0));
+    for (auto& row : m_pressures) {
+        bool presses = unit(m_random) < m_size.pressingShare;
+        for (auto& it : row)
+            it = presses && unit(m_random) < 0.5 ? m_size.pressure * unit(m_random) : 0.05 * unit(m_random);
+    }
+}
+
+void DayModel::submit(uint32_t kindIndex)
+{
+    const auto& kind = m_size.kinds[kindIndex];
+    Job job { .kind = kindIndex, .acceptedAtMs = m_nowMs };
+    job.spec.id = fmt::format("{:016x}", ++m_lastJob);
+    job.spec.queue = kind.queue;
+    job.spec.acceptedAtMs = m_nowMs;
+    auto steps = static_cast<uint32_t>(std::lround(draw(kind.meanSteps, kind.lasts ? 0 : 0.4, 2.5)));
+    std::uniform_real_distribution<double> error(1 - kind.estimateError, 1 + kind.estimateError);
+    if (kind.images > 0)
+        job.imageIndex = static_cast<uint32_t>(m_random() % kind.images);
+    double chainMs = 0;
+    for (uint32_t i = 0; i < std::max(1U, steps); ++i) {
+        double workMs = draw(kind.meanWorkMs, 0.5, 2.5);
+        StepSpec step { .count = static_cast<uint32_t>(std::max(1.0, draw(kind.meanTasks, 0.6, 4))),
+            .size = { static_cast<int64_t>(draw(kind.meanCpuMillis, 0.3, 2)),
+                static_cast<int64_t>(draw(kind.meanMemoryMb, 0.3, 2)), 0 },
+            .estimateMs = static_cast<uint32_t>(workMs * error(m_random)) };
+        if (i > 0)
+            step.dependsOn = { i - 1 };
+        if (kind.images > 0)
+            step.image = fmt::format("{}-{}", kind.queue, job.imageIndex);
+        step.checkpointing = kind.fills;
+        step.fills = kind.fills;
+        step.longRunning = kind.lasts;
+        if (kind.lasts)
+            step.targetLatencyMs = static_cast<uint32_t>(m_size.baseTailMs * m_size.targetFactor);
+        job.workMs.push_back(workMs);
+        chainMs += workMs;
+        job.spec.steps.push_back(std::move(step));
+    }
+    job.objectiveMs = kind.stretch * chainMs + kind.targetLatencyMs;
+    auto counted = static_cast<double>(m_nowMs - firstMs) < countedShare * static_cast<double>(m_size.lengthMs);
+    job.counted = counted;
+    auto spec = job.spec;
+    m_jobs.emplace(spec.id, std::move(job));
+    m_scheduler.addJob(std::move(spec), std::nullopt, neverInstant);
+    m_eventsSincePlan = true;
+}
+
+void DayModel::startRun(const StartTask& start)
+{
+    ++m_result.starts;
+    auto& job = m_jobs.at(start.task.job);
+    const auto& spec = job.spec.steps[start.task.step];
+    std::uniform_real_distribution<double> phase(0, 2 * M_PI);
+    Run run { .task = start.task, .run = start.run, .spec = &spec, .imageIndex = job.imageIndex };
+    run.workMs = draw(job.workMs[start.task.step], 0.15, 2);
+    run.workLeftMs = run.workMs;
+    run.phase = phase(m_random);
+    run.tailMs = m_size.baseTailMs;
+    run.lasts = spec.longRunning;
+    run.fills = spec.fills;
+    if (!start.checkpoint.empty())
+        run.workLeftMs = std::min(run.workLeftMs, std::strtod(start.checkpoint.c_str(), nullptr));
+    m_workers[start.worker - 1].runs.push_back(run);
+    m_scheduler.orderAccepted(start.worker, start.task, start.run, now());
+}
+
+DayModel::Run* DayModel::findRun(WorkerHandle handle, const TaskRef& task, uint64_t run)
+{
+    for (auto& it : m_workers[handle - 1].runs) {
+        if (it.run == run && it.task == task)
+            return &it;
+    }
+    return nullptr;
+}
+
+void DayModel::applyOrders(std::vector<TaskAction> orders)
+{
+    for (const auto& order : orders) {
+        if (const auto* start = std::get_if<StartTask>(&order)) {
+            startRun(*start);
+        } else if (const auto* pace = std::get_if<PaceTask>(&order)) {
+            ++m_result.paceOrders;
+            if (auto* run = findRun(pace->worker, pace->task, pace->run))
+                run->pace = pace->percent;
+        } else if (const auto* stop = std::get_if<StopTask>(&order)) {
+            ++m_result.stopOrders;
+            auto& worker = m_workers[stop->worker - 1];
+            auto* run = findRun(stop->worker, stop->task, stop->run);
+            if (!run)
+                continue;
+            worker.ends.push_back({ .sequence = ++m_lastSequence,
+                .task = stop->task,
+                .run = stop->run,
+                .outcome = RunOutcome::Stopped,
+                .checkpoint = std::to_string(run->workLeftMs) });
+            worker.runs.erase(worker.runs.begin() + (run - worker.runs.data()));
+        }
+    }
+}
+
+double DayModel::tailOf(const Worker& worker, const Run& run) const
+{
+    double swing = std::sin(2 * M_PI * static_cast<double>(m_nowMs) / servingPeriodMs + run.phase);
+    double utilisation = meanServingLoad * (1 + servingLoadSwing * swing);
+    for (const auto& other : worker.runs) {
+        if (other.fills)
+            utilisation += m_pressures[other.imageIndex][run.imageIndex] * other.cpuInUse
+                / static_cast<double>(m_size.workerCpuMillis);
+    }
+    return m_size.baseTailMs * (1 - meanServingLoad) / (1 - std::min(highestUtilisation, utilisation));
+}
+
+void DayModel::advance(Worker& worker)
+{
+    double reserved = 0;
+    double fillDemand = 0;
+    for (const auto& run : worker.runs) {
+        auto cpu = static_cast<double>(run.spec->size.cpuMillis);
+        if (run.fills)
+            fillDemand += cpu * run.pace / 100;
+        else
+            reserved += run.lasts ? cpu * meanServingLoad : cpu;
+    }
+    double idle = std::max(0.0, static_cast<double>(m_size.workerCpuMillis) - reserved);
+    double fillShare = fillDemand > idle ? idle / fillDemand : 1;
+    for (auto& run : worker.runs) {
+        double share = run.fills ? fillShare * run.pace / 100 : 1;
+        run.cpuInUse = share * static_cast<double>(run.spec->size.cpuMillis);
+        run.workLeftMs -= share * stepMs;
+        if (run.lasts)
+            run.tailMs += (tailOf(worker, run) - run.tailMs) * stepMs / tailSmoothingMs;
+    }
+    for (size_t i = 0; i < worker.runs.size();) {
+        auto& run = worker.runs[i];
+        if (run.lasts || run.workLeftMs > 0) {
+            ++i;
+            continue;
+        }
+        worker.ends.push_back(
+            { .sequence = ++m_lastSequence, .task = run.task, .run = run.run, .outcome = RunOutcome::Done });
+        worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+}
+
+static double threadMicros()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+void DayModel::report(Worker& worker)
+{
+    if (worker.ends.empty() && m_nowMs - worker.reportedAtMs < reportIntervalMs)
+        return;
+    worker.reportedAtMs = m_nowMs;
+    std::vector<RunReport> running;
+    for (const auto& run : worker.runs) {
+        double done = run.lasts ? (run.workLeftMs <= 0 ? 1 : 0) : 1 - run.workLeftMs / run.workMs;
+        running.push_back({ .task = run.task,
+            .run = run.run,
+            .percent = static_cast<uint32_t>(100 * std::clamp(done, 0.0, 1.0)),
+            .recentFigure = static_cast<int64_t>(run.lasts ? run.tailMs : run.cpuInUse) });
+    }
+    auto ends = std::exchange(worker.ends, {});
+    auto begunAt = threadMicros();
+    for (const auto& end : ends)
+        m_scheduler.runEnded(worker.handle, end, now());
+    m_scheduler.runsReported(worker.handle, running, now(), now());
+    m_result.decisionMicros += threadMicros() - begunAt;
+    m_eventsSincePlan = true;
+}
+
+void DayModel::plan()
+{
+    auto begunAt = threadMicros();
+    auto orders = m_scheduler.plan(now(), m_nowMs);
+    auto took = threadMicros() - begunAt;
+    m_result.decisionMicros += took;
+    m_result.longestPlanMicros = std::max(m_result.longestPlanMicros, took);
+    ++m_result.plans;
+    applyOrders(std::move(orders));
+    for (const auto& progress : m_scheduler.takeChangedJobs())
+        m_scheduler.progressStored(progress);
+    m_eventsSincePlan = false;
+}
+
+void DayModel::noteServing()
+{
+    for (auto& [id, job] : m_jobs) {
+        if (m_size.kinds[job.kind].lasts)
+            job.owedMs += stepMs * job.spec.steps[0].count;
+    }
+    for (const auto& worker : m_workers) {
+        for (const auto& run : worker.runs) {
+            if (!run.lasts || run.workLeftMs > 0)
+                continue;
+            auto& job = m_jobs.at(run.task.job);
+            job.servedMs += stepMs;
+            if (run.tailMs < run.spec->targetLatencyMs)
+                job.belowTargetMs += stepMs;
+        }
+    }
+}
+
+void DayModel::checkCompletions()
+{
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        auto& [id, job] = *it;
+        if (m_scheduler.stateOf(id) != JobStage::Completed) {
+            ++it;
+            continue;
+        }
+        auto& result = m_result.queues[job.kind];
+        auto took = static_cast<double>(m_nowMs - job.acceptedAtMs);
+        if (job.counted) {
+            ++result.jobs;
+            result.onTime += took <= job.objectiveMs ? 1 : 0;
+            result.late += took > job.objectiveMs && took <= 3 * job.objectiveMs ? 1 : 0;
+        }
+        it = m_jobs.erase(it);
+    }
+}
+
+DayResult DayModel::run()
+{
+    std::vector<std::exponential_distribution<double>> gaps;
+    ArrivalQueue arrivals;
+    for (uint32_t i = 0; i < m_size.kinds.size(); ++i) {
+        for (uint32_t n = 0; n < m_size.kinds[i].initialJobs; ++n)
+            submit(i);
+        gaps.emplace_back(m_size.kinds[i].jobsPerSecond / 1000);
+        arrivals.emplace(m_nowMs + static_cast<int64_t>(gaps[i](m_random)), i);
+    }
+    while (m_nowMs < firstMs + m_size.lengthMs) {
+        while (arrivals.top().first <= m_nowMs) {
+            auto kind = arrivals.top().second;
+            arrivals.pop();
+            submit(kind);
+            arrivals.emplace(m_nowMs + 1 + static_cast<int64_t>(gaps[kind](m_random)), kind);
+        }
+        for (auto& worker : m_workers) {
+            advance(worker);
+            report(worker);
+        }
+        if (m_eventsSincePlan)
+            plan();
+        noteServing();
+        checkCompletions();
+        m_nowMs += stepMs;
+    }
+    std::vector<double> owed(m_size.kinds.size(), 0);
+    for (const auto& [id, job] : m_jobs) {
+        auto& result = m_result.queues[job.kind];
+        result.jobs += job.counted ? 1 : 0;
+        owed[job.kind] += job.owedMs;
+        result.shareAtWork += job.servedMs;
+        result.shareBelowTarget += job.belowTargetMs;
+    }
+    for (size_t i = 0; i < owed.size(); ++i) {
+        if (owed[i] <= 0)
+            continue;
+        m_result.queues[i].shareAtWork /= owed[i];
+        m_result.queues[i].shareBelowTarget /= owed[i];
+    }
+    return m_result;
+}
+
+}
--- /dev/null
+++ b/Utilities/bergamot-bench/DaySize.cpp
@@ -0,0 +1,127 @@
+#include "DaySize.h"
+
+namespace Bergamot {
+
+// Rates, widths and run times are those of the site files of today's and the grown deployments.
+
+DaySize DaySize::riga()
+{
+    return { .name = "riga-day",
+        .workers = 48,
+        .zones = 3,
+        .kinds = { { .queue = "topup",
+                       .jobsPerSecond = 4.44,
+                       .meanSteps = 1.6,
+                       .meanTasks = 6,
+                       .meanWorkMs = 1000,
+                       .meanCpuMillis = 2100,
+                       .meanMemoryMb = 4200 },
+            { .queue = "settle",
+                .jobsPerSecond = 4.27,
+                .initialJobs = 12,
+                .meanSteps = 2,
+                .meanTasks = 8,
+                .meanWorkMs = 2700,
+                .meanCpuMillis = 3500,
+                .meanMemoryMb = 6400,
+                .priority = 2,
+                .stretch = 2,
+                .targetLatencyMs = 1000,
+                .fills = true,
+                .images = 9 },
+            { .queue = "ledger",
+                .jobsPerSecond = 0.206,
+                .initialJobs = 37,
+                .meanTasks = 6,
+                .meanWorkMs = 500,
+                .meanCpuMillis = 6400,
+                .meanMemoryMb = 13000,
+                .stretch = 2.2,
+                .targetLatencyMs = 2500,
+                .lasts = true,
+                .images = 5 } } };
+}
+
+DaySize DaySize::sofia()
+{
+    auto day = riga();
+    day.name = "sofia-day";
+    day.workers = 66;
+    day.zones = 4;
+    day.workerCpuMillis = 64000;
+    day.workerMemoryMb = 256000;
+    day.pressingShare = 0.6;
+    auto& quick = day.kinds[0];
+    quick.queue = "table-check";
+    quick.jobsPerSecond = 6.92;
+    quick.meanWorkMs = 640;
+    quick.meanCpuMillis = 5800;
+    quick.meanMemoryMb = 11000;
+    auto& batch = day.kinds[1];
+    batch.queue = "regional-aggregate";
+    batch.jobsPerSecond = 9.33;
+    batch.meanWorkMs = 1700;
+    batch.meanCpuMillis = 7000;
+    batch.meanMemoryMb = 13000;
+    auto& lasting = day.kinds[2];
+    lasting.queue = "meter-reconcile";
+    lasting.jobsPerSecond = 0.283;
+    lasting.initialJobs = 51;
+    lasting.meanWorkMs = 400;
+    lasting.meanCpuMillis = 13000;
+    lasting.meanMemoryMb = 26000;
+    return day;
+}
+
+DaySize DaySize::rigaGrown()
+{
+    auto day = riga();
+    day.name = "riga-grown-day";
+    day.workers = 350;
+    auto& quick = day.kinds[0];
+    quick.jobsPerSecond = 11.6;
+    quick.meanTasks = 10;
+    quick.meanCpuMillis = 3700;
+    quick.meanMemoryMb = 7400;
+    auto& batch = day.kinds[1];
+    batch.jobsPerSecond = 12.4;
+    batch.meanTasks = 20;
+    batch.initialJobs = 34;
+    batch.images = 18;
+    auto& lasting = day.kinds[2];
+    lasting.jobsPerSecond = 0.652;
+    lasting.meanTasks = 14;
+    lasting.initialJobs = 117;
+    lasting.images = 10;
+    return day;
+}
+
+DaySize DaySize::sofiaGrown()
+{
+    auto day = sofia();
+    day.name = "sofia-grown-day";
+    day.workers = 490;
+    day.zones = 5;
+    day.baseTailMs = 10;
+    auto& quick = day.kinds[0];
+    quick.jobsPerSecond = 17.1;
+    quick.meanTasks = 10;
+    quick.meanCpuMillis = 11000;
+    quick.meanMemoryMb = 22000;
+    quick.estimateError = 0.2;
+    auto& batch = day.kinds[1];
+    batch.jobsPerSecond = 21.4;
+    batch.meanTasks = 20;
+    batch.meanWorkMs = 2200;
+    batch.initialJobs = 47;
+    batch.images = 18;
+    batch.estimateError = 0.2;
+    auto& lasting = day.kinds[2];
+    lasting.jobsPerSecond = 0.906;
+    lasting.meanTasks = 14;
+    lasting.initialJobs = 163;
+    lasting.images = 10;
+    return day;
+}
+
+}
--- a/Utilities/bergamot-bench/main.cpp
+++ b/Utilities/bergamot-bench/main.cpp
@@ -1,3 +1,4 @@
+#include "DayBench.h"
 #include "DecisionBench.h"
 #include <LibDecision/LimitsBench.h>
 #include <cstdio>
@@ -12,7 +13,8 @@
 
 Options:
   --seed N     Seed of workload and faults [default: 1].
-  --only NAME  One of riga, sofia, design, limits, ablation. All but the ablation run by default.
+  --only NAME  One of riga, sofia, design, limits, days, riga-day, sofia-day, riga-grown-day, sofia-grown-day,
+               ablation. All but the ablation run by default.
 )";
 
 int main(int argc, char** argv)
@@ -39,6 +41,8 @@
         known = true;
         runLimitsBench(seed, std::cout);
     }
+    if (only.empty() || only == "days" || only.ends_with("-day"))
+        known = runDayBench(seed, only == "days" ? "" : only, std::cout) || known;
     if (only == "ablation") {
         known = true;
         bench.ablate(Workload::riga());
