--- a/Libraries/LibDecision/PressureModel.cpp
+++ b/Libraries/LibDecision/PressureModel.cpp
@@ -22,34 +22,38 @@
 /// Long queues show less utilisation than there is, so the regression finds too little pressure.
 static constexpr double cautionFactor = 1.4;
 
-size_t PressureModel::indexOf(const std::string& fillImage)
+uint32_t PressureModel::fillImage(const std::string& name)
 {
-    auto it = m_fillImages.find(fillImage);
+    auto it = m_fillImages.find(name);
     if (it != m_fillImages.end())
         return it->second;
     if (m_fillImages.size() >= maxFillImages)
         return 0;
-    auto index = m_fillImages.size() + 1;
-    m_fillImages.emplace(fillImage, index);
-    return index;
+    auto number = static_cast<uint32_t>(m_fillImages.size()) + 1;
+    m_fillImages.emplace(name, number);
+    return number;
 }
 
-double PressureModel::utilisationAt(const std::string& servingImage, double tailMs) const
+uint32_t PressureModel::servingImage(const std::string& name)
 {
-    auto it = m_regressions.find(servingImage);
-    if (it == m_regressions.end() || tailMs <= 0)
-        return 0;
-    return std::clamp(1 - it->second.baseTailMs / tailMs, 0.0, highestUtilisation);
+    auto [it, first] = m_servingImages.try_emplace(name, static_cast<uint32_t>(m_regressions.size()));
+    if (first)
+        m_regressions.emplace_back();
+    return it->second;
 }
 
-double PressureModel::pressure(const std::string& fillImage, const std::string& servingImage) const
+double PressureModel::utilisationAt(uint32_t servingImage, double tailMs) const
 {
-    auto fill = m_fillImages.find(fillImage);
-    auto serving = m_regressions.find(servingImage);
-    if (fill == m_fillImages.end() || serving == m_regressions.end())
+    double baseTailMs = m_regressions[servingImage].baseTailMs;
+    if (baseTailMs <= 0 || tailMs <= 0)
         return 0;
-    const auto& pressures = serving->second.pressures;
-    return fill->second < pressures.size() ? cautionFactor * pressures[fill->second] : 0;
+    return std::clamp(1 - baseTailMs / tailMs, 0.0, highestUtilisation);
+}
+
+double PressureModel::pressure(uint32_t fillImage, uint32_t servingImage) const
+{
+    const auto& pressures = m_regressions[servingImage].pressures;
+    return fillImage > 0 && fillImage < pressures.size() ? cautionFactor * pressures[fillImage] : 0;
 }
 
 void PressureModel::grow(Regression& regression) const
@@ -102,7 +106,10 @@
 PressureRecord PressureModel::save() const
 {
     PressureRecord record;
-    for (const auto& [serving, regression] : m_regressions) {
+    for (const auto& [serving, number] : m_servingImages) {
+        const auto& regression = m_regressions[number];
+        if (regression.baseTailMs <= 0)
+            continue;
         record.bases.push_back({ serving, regression.baseTailMs });
         for (const auto& [fill, index] : m_fillImages) {
             if (index < regression.pressures.size())
@@ -115,48 +122,44 @@
 void PressureModel::restore(const PressureRecord& record)
 {
     for (const auto& base : record.bases)
-        m_regressions[base.servingImage].baseTailMs = base.tailMs;
+        m_regressions[servingImage(base.servingImage)].baseTailMs = base.tailMs;
     for (const auto& pair : record.pairs)
-        indexOf(pair.fillImage);
-    for (auto& [serving, regression] : m_regressions)
+        fillImage(pair.fillImage);
+    for (auto& regression : m_regressions)
         grow(regression);
     for (const auto& pair : record.pairs) {
-        auto index = indexOf(pair.fillImage);
-        auto it = m_regressions.find(pair.servingImage);
-        if (index == 0 || it == m_regressions.end())
+        auto index = fillImage(pair.fillImage);
+        auto it = m_servingImages.find(pair.servingImage);
+        if (index == 0 || it == m_servingImages.end())
             continue;
-        it->second.priors[index] = std::clamp(pair.pressure, 0.0, highestPressure);
-        it->second.pressures[index] = it->second.priors[index];
+        auto& regression = m_regressions[it->second];
+        regression.priors[index] = std::clamp(pair.pressure, 0.0, highestPressure);
+        regression.pressures[index] = regression.priors[index];
     }
 }
 
-void PressureModel::observe(
-    const std::string& servingImage, double tailMs, const Shares& shares, double& load, Instant now)
+void PressureModel::observe(uint32_t servingImage, double tailMs, const Shares& shares, double& load, Instant now)
 {
     if (tailMs <= 0)
         return;
-    for (const auto& [image, share] : shares)
-        indexOf(image);
-    auto [it, first] = m_regressions.try_emplace(servingImage);
-    auto& regression = it->second;
-    regression.baseTailMs = first ? tailMs : std::min(regression.baseTailMs, tailMs);
+    auto& regression = m_regressions[servingImage];
+    regression.baseTailMs = regression.baseTailMs > 0 ? std::min(regression.baseTailMs, tailMs) : tailMs;
     grow(regression);
     decay(regression, now);
     double observed = utilisationAt(servingImage, tailMs);
-    std::vector<double> row(regression.targets.size(), 0);
-    row[0] = 1;
+    auto size = regression.targets.size();
+    auto shareOf = [&](size_t index) { return index < shares.size() ? shares[index] : 0; };
     double explained = 0;
-    for (const auto& [image, share] : shares) {
-        auto index = indexOf(image);
-        if (index == 0)
+    for (size_t i = 1; i < size; ++i)
+        explained += shareOf(i) * regression.pressures[i];
+    for (size_t i = 0; i < size; ++i) {
+        double row = i == 0 ? 1 : shareOf(i);
+        if (row == 0)
             continue;
-        row[index] += share;
-        explained += share * regression.pressures[index];
-    }
-    for (size_t i = 0; i < row.size(); ++i) {
-        regression.targets[i] += row[i] * observed;
-        for (size_t j = 0; j < row.size(); ++j)
-            regression.products[i * row.size() + j] += row[i] * row[j];
+        regression.targets[i] += row * observed;
+        regression.products[i * size] += row;
+        for (size_t j = 1; j < size; ++j)
+            regression.products[i * size + j] += row * shareOf(j);
     }
     if (now - regression.solvedAt >= solveInterval) {
         regression.solvedAt = now;
--- a/Libraries/LibDecision/PressureModel.h
+++ b/Libraries/LibDecision/PressureModel.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibWire/PressureRecord.h>
-#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,15 +19,21 @@
 /// load of single tasks averages out.
 class PressureModel {
 public:
-    /// Processors that tasks of an image use, as a share of those of the worker, by image. The reported tail follows
-    /// the use with a delay, so the shares are smoothed in the same way.
-    using Shares = std::map<std::string, double>;
+    /// Number of a filling image. 0 stands for all images beyond those that are told apart.
+    uint32_t fillImage(const std::string& name);
+
+    /// Number of a serving image.
+    uint32_t servingImage(const std::string& name);
+
+    /// Processors that tasks of a filling image use, as a share of those of the worker, by number. The reported tail
+    /// follows the use with a delay, so the shares are smoothed in the same way.
+    using Shares = std::vector<double>;
 
     /// Takes one report of a serving task, and updates the estimate of its own load.
-    void observe(const std::string& servingImage, double tailMs, const Shares&, double& load, Instant now);
+    void observe(uint32_t servingImage, double tailMs, const Shares&, double& load, Instant now);
 
     /// Utilisation per share of the worker's processors; 0 for a pair that has not been seen.
-    double pressure(const std::string& fillImage, const std::string& servingImage) const;
+    double pressure(uint32_t fillImage, uint32_t servingImage) const;
 
     /// What has been learned, and what an earlier leader had learned. The latter holds until observations say
     /// otherwise.
@@ -35,11 +41,12 @@
     void restore(const PressureRecord&);
 
     /// The utilisation at which the tail reaches `tailMs`.
-    double utilisationAt(const std::string& servingImage, double tailMs) const;
+    double utilisationAt(uint32_t servingImage, double tailMs) const;
 
 private:
     /// Weighted sums of the regression of one serving image. Variable 0 is the mean load.
     struct Regression {
+        /// 0 before the first report.
         double baseTailMs { 0 };
         std::vector<double> products {};
         std::vector<double> targets {};
@@ -51,13 +58,15 @@
         Instant solvedAt { neverInstant };
     };
 
-    size_t indexOf(const std::string& fillImage);
     void grow(Regression&) const;
     void decay(Regression&, Instant now) const;
     void solve(Regression&) const;
 
-    std::map<std::string, size_t> m_fillImages;
-    std::map<std::string, Regression> m_regressions;
+    std::map<std::string, uint32_t> m_fillImages;
+    std::map<std::string, uint32_t> m_servingImages;
+
+    /// By number of the serving image.
+    std::vector<Regression> m_regressions;
 };
 
 }
--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdint>
 #include <limits>
+#include <utility>
 
 namespace Bergamot {
 
@@ -52,20 +53,21 @@
 {
     observeInterference(worker, now);
     paceFills(worker, now);
-    auto runs = worker.runs;
-    for (const auto& [ref, number] : runs) {
-        auto& job = *findJob(ref.job);
-        auto& run = *findRun(*findTask(job, ref), number);
-        const auto& spec = job.spec.steps[ref.step];
+    for (const auto& [key, active] : worker.runs) {
+        auto& run = *findRun(*active.task, key.second);
+        const auto& spec = *active.spec;
         bool stalled = !spec.longRunning && run.pace >= stallPacePercent && now - run.progressedAt > stallLimit;
         bool leaves = worker.view.draining && (spec.longRunning || spec.checkpointing);
         bool moves = spec.fills && spec.checkpointing && run.pacedDownSince != neverInstant
             && now - run.pacedDownSince > pacedDownLimit;
         if (run.phase == RunPhase::Running && (stalled || leaves || moves))
-            stopRun(ref, run);
+            stopRun(key.first, run);
     }
 }
 
+/// Whether the reported figure of the run is the tail latency of a serving task at work.
+static bool servesWithTarget(const StepSpec& spec) { return spec.longRunning && spec.targetLatencyMs > 0; }
+
 void TaskScheduler::observeInterference(WorkerEntry& worker, Instant now)
 {
     if (now - worker.observedAt < observationInterval)
@@ -73,62 +75,71 @@
     auto passed = static_cast<double>((now - worker.observedAt).count());
     double weight = worker.observedAt == neverInstant ? 1 : 1 - std::exp(-passed / tailDelayMs);
     worker.observedAt = now;
-    auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
-    PressureModel::Shares shares;
-    for (const auto& [ref, number] : worker.runs) {
-        auto& job = *findJob(ref.job);
-        const auto& run = *findRun(*findTask(job, ref), number);
-        const auto& spec = job.spec.steps[ref.step];
-        if (spec.fills && run.recentFigure > 0)
-            shares[spec.image] += static_cast<double>(run.recentFigure) / capacity;
-    }
-    for (auto& [image, smoothed] : worker.fillShares)
+    worker.servingPressuresCurrent = false;
+    for (auto& smoothed : worker.fillShares)
         smoothed -= weight * smoothed;
-    for (const auto& [image, share] : shares)
-        worker.fillShares[image] += weight * share;
-    std::erase_if(worker.fillShares, [](const auto& it) { return it.second < negligibleFillShare; });
-    for (const auto& [ref, number] : worker.runs) {
-        auto& job = *findJob(ref.job);
-        auto& run = *findRun(*findTask(job, ref), number);
-        const auto& spec = job.spec.steps[ref.step];
-        if (!spec.longRunning || spec.targetLatencyMs == 0 || run.percent < 100 || now - run.startedAt < figureDelay)
+    for (const auto& [key, active] : worker.runs) {
+        const auto& run = *findRun(*active.task, key.second);
+        if (!active.spec->fills || run.recentFigure <= 0 || active.image == 0)
             continue;
-        m_pressure.observe(spec.image, static_cast<double>(run.recentFigure), worker.fillShares, run.load, now);
+        if (worker.fillShares.size() <= active.image)
+            worker.fillShares.resize(active.image + 1, 0);
+        worker.fillShares[active.image] += weight * static_cast<double>(run.recentFigure) / worker.capacityMillis();
+    }
+    for (auto& share : worker.fillShares)
+        share = share < negligibleFillShare ? 0 : share;
+    for (const auto& [key, active] : worker.runs) {
+        auto& run = *findRun(*active.task, key.second);
+        if (!servesWithTarget(*active.spec) || run.percent < 100 || now - run.startedAt < figureDelay)
+            continue;
+        m_pressure.observe(active.image, static_cast<double>(run.recentFigure), worker.fillShares, run.load, now);
     }
 }
 
 /// The utilisation that filling tasks may add before the serving task comes near its target.
-double TaskScheduler::servingMargin(const TrackedRun& run, const StepSpec& spec) const
+double TaskScheduler::servingMargin(const TrackedRun& run, const StepSpec& spec, uint32_t image) const
+{
+    return m_pressure.utilisationAt(image, tailLimitShare * spec.targetLatencyMs) - run.load;
+}
+
+/// Works out again what presses the serving tasks of a worker, when runs or reports have changed.
+void TaskScheduler::refreshServingPressures(WorkerEntry& worker) const
+{
+    if (std::exchange(worker.servingPressuresCurrent, true))
+        return;
+    worker.servingPressures.clear();
+    for (const auto& [key, active] : worker.runs) {
+        if (!servesWithTarget(*active.spec))
+            continue;
+        auto run = std::ranges::find(active.task->runs, key.second, &TrackedRun::run);
+        WorkerEntry::ServingPressure pressure { .image = active.image };
+        pressure.margin = servingMargin(*run, *active.spec, active.image);
+        for (const auto& [otherKey, other] : worker.runs) {
+            if (other.spec->fills)
+                pressure.added += addedUtilisation(worker, *other.spec, other.image, active.image);
+        }
+        worker.servingPressures.push_back(pressure);
+    }
+}
+
+double TaskScheduler::addedUtilisation(
+    const WorkerEntry& worker, const StepSpec& fill, uint32_t fillImage, uint32_t servingImage) const
 {
-    return m_pressure.utilisationAt(spec.image, tailLimitShare * spec.targetLatencyMs) - run.load;
+    return m_pressure.pressure(fillImage, servingImage) * static_cast<double>(fill.size.cpuMillis)
+        / worker.capacityMillis();
 }
 
 /// The share of its speed at which a further task that fills may work beside the tasks that serve; may exceed 1.
-double TaskScheduler::allowedFillShare(const WorkerEntry& worker, const StepSpec& fill) const
+double TaskScheduler::allowedFillShare(WorkerEntry& worker, const StepSpec& fill, uint32_t fillImage) const
 {
     if (worker.overTargetSince != neverInstant)
         return 0;
-    auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
+    refreshServingPressures(worker);
     double allowed = 100;
-    for (const auto& [ref, number] : worker.runs) {
-        const auto& job = *m_jobs.at(ref.job);
-        const auto& spec = job.spec.steps[ref.step];
-        if (!spec.longRunning || spec.targetLatencyMs == 0)
-            continue;
-        const auto& task = job.occurrences[ref.occurrence].steps[ref.step].tasks[ref.index];
-        auto run = std::ranges::find(task.runs, number, &TrackedRun::run);
-        double added
-            = m_pressure.pressure(fill.image, spec.image) * static_cast<double>(fill.size.cpuMillis) / capacity;
-        if (added < negligiblePressure)
-            continue;
-        double margin = servingMargin(*run, spec);
-        for (const auto& [otherRef, otherNumber] : worker.runs) {
-            const auto& otherSpec = m_jobs.at(otherRef.job)->spec.steps[otherRef.step];
-            if (otherSpec.fills)
-                margin -= m_pressure.pressure(otherSpec.image, spec.image)
-                    * static_cast<double>(otherSpec.size.cpuMillis) / capacity;
-        }
-        allowed = std::min(allowed, std::max(0.0, margin) / added);
+    for (const auto& serving : worker.servingPressures) {
+        double added = addedUtilisation(worker, fill, fillImage, serving.image);
+        if (added >= negligiblePressure)
+            allowed = std::min(allowed, std::max(0.0, serving.margin - serving.added) / added);
     }
     return allowed;
 }
@@ -151,13 +162,11 @@
 void TaskScheduler::noteOverTarget(WorkerEntry& worker, Instant now)
 {
     bool over = false;
-    for (const auto& [ref, number] : worker.runs) {
-        auto& job = *findJob(ref.job);
-        const auto& run = *findRun(*findTask(job, ref), number);
-        const auto& spec = job.spec.steps[ref.step];
-        over = over
-            || (spec.longRunning && spec.targetLatencyMs > 0 && run.percent == 100
-                && run.recentFigure >= spec.targetLatencyMs);
+    for (const auto& [key, active] : worker.runs) {
+        if (!servesWithTarget(*active.spec))
+            continue;
+        const auto& run = *findRun(*active.task, key.second);
+        over = over || (run.percent == 100 && run.recentFigure >= active.spec->targetLatencyMs);
     }
     if (!over)
         worker.overTargetSince = neverInstant;
@@ -169,50 +178,49 @@
 void TaskScheduler::paceFills(WorkerEntry& worker, Instant now)
 {
     struct Fill {
-        TaskRef ref;
+        const TaskRef* ref;
         TrackedRun* run;
         const StepSpec* spec;
+        uint32_t image;
         double allowed { 1 };
     };
-    auto capacity = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
     std::vector<Fill> fills;
-    for (const auto& [ref, number] : worker.runs) {
-        auto& job = *findJob(ref.job);
-        auto& run = *findRun(*findTask(job, ref), number);
-        const auto& spec = job.spec.steps[ref.step];
-        if (spec.fills && run.phase != RunPhase::Stopping)
-            fills.push_back({ ref, &run, &spec });
+    for (const auto& [key, active] : worker.runs) {
+        if (!active.spec->fills)
+            continue;
+        auto& run = *findRun(*active.task, key.second);
+        if (run.phase != RunPhase::Stopping)
+            fills.push_back({ &key.first, &run, active.spec, active.image });
     }
     noteOverTarget(worker, now);
     if (fills.empty())
         return;
     bool overForLong = worker.overTargetSince != neverInstant && now - worker.overTargetSince > overTargetLimit;
-    for (const auto& [ref, number] : worker.runs) {
-        auto& job = *findJob(ref.job);
-        const auto& run = *findRun(*findTask(job, ref), number);
-        const auto& spec = job.spec.steps[ref.step];
-        if (!spec.longRunning || spec.targetLatencyMs == 0 || run.percent < 100)
+    for (const auto& [key, active] : worker.runs) {
+        if (!servesWithTarget(*active.spec))
+            continue;
+        const auto& run = *findRun(*active.task, key.second);
+        if (run.percent < 100)
             continue;
         double pressed = 0;
         for (const auto& fill : fills)
-            pressed += m_pressure.pressure(fill.spec->image, spec.image)
-                * static_cast<double>(fill.spec->size.cpuMillis) / capacity;
-        bool overTarget = run.recentFigure >= spec.targetLatencyMs;
+            pressed += addedUtilisation(worker, *fill.spec, fill.image, active.image);
+        bool overTarget = run.recentFigure >= active.spec->targetLatencyMs;
         if (pressed < negligiblePressure && !overTarget)
             continue;
-        double share = pressed > 0 ? std::clamp(servingMargin(run, spec) / pressed, 0.0, 1.0) : 1;
+        double margin = servingMargin(run, *active.spec, active.image);
+        double share = pressed > 0 ? std::clamp(margin / pressed, 0.0, 1.0) : 1;
         if (overTarget)
             share = std::min(share, overTargetPace);
         for (auto& fill : fills) {
-            double part = m_pressure.pressure(fill.spec->image, spec.image)
-                * static_cast<double>(fill.spec->size.cpuMillis) / capacity;
+            double part = addedUtilisation(worker, *fill.spec, fill.image, active.image);
             if (part >= negligiblePressure || pressed < negligiblePressure)
                 fill.allowed = std::min(fill.allowed, share);
         }
     }
     // The pressures that are known do not explain the tail, so that everything that fills here has to wait.
     for (auto& fill : fills)
-        setPace(worker, fill.ref, *fill.run, overForLong ? 0 : static_cast<uint32_t>(fill.allowed * 100), now);
+        setPace(worker, *fill.ref, *fill.run, overForLong ? 0 : static_cast<uint32_t>(fill.allowed * 100), now);
 }
 
 }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -94,10 +94,12 @@
 
 void TaskScheduler::placeWaiting(Instant now)
 {
-    // The smallest sizes that found no room in this pass; larger ones need not be tried.
-    int64_t blockedCpu = std::numeric_limits<int64_t>::max();
-    int64_t blockedFillCpu = std::numeric_limits<int64_t>::max();
-    int64_t blockedLastingCpu = std::numeric_limits<int64_t>::max();
+    // The smallest sizes that found no room in this pass, for short tasks, for those that last, and for each filling
+    // image; larger ones need not be tried.
+    constexpr int64_t none = std::numeric_limits<int64_t>::max();
+    int64_t blockedShortCpu = none;
+    int64_t blockedLastingCpu = none;
+    std::vector<int64_t> blockedFillCpu;
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
         const auto& ready = it->second;
         auto& tracked = ready.job->occurrences[ready.occurrence].steps[ready.step];
@@ -106,7 +108,11 @@
             continue;
         }
         const auto& spec = ready.job->spec.steps[ready.step];
-        auto& blocked = spec.fills ? blockedFillCpu : spec.longRunning ? blockedLastingCpu : blockedCpu;
+        if (spec.fills && blockedFillCpu.size() <= tracked.image)
+            blockedFillCpu.resize(tracked.image + 1, none);
+        auto& blocked = spec.fills ? blockedFillCpu[tracked.image]
+            : spec.longRunning     ? blockedLastingCpu
+                                   : blockedShortCpu;
         if (spec.size.cpuMillis < blocked && !placeStep(ready, now) && spec.requiredLabel.empty()
             && spec.maxPerWorker == 0)
             blocked = std::min(blocked, spec.size.cpuMillis);
@@ -154,6 +160,7 @@
         return nullptr;
     if (spec.longRunning && now - task.waitingSince < headroomWait && !leavesHeadroom(spec))
         return nullptr;
+    auto image = job.occurrences[ready.occurrence].steps[ready.step].image;
     auto reserveSize = spec.size;
     if (spec.fills)
         reserveSize.cpuMillis = 0;
@@ -186,7 +193,7 @@
             auto room = static_cast<double>(worker.fillRoomMillis());
             if (room < fillStartShare * static_cast<double>(spec.size.cpuMillis))
                 continue;
-            double allowed = allowedFillShare(worker, spec);
+            double allowed = allowedFillShare(worker, spec, image);
             if (allowed < leastStartPace)
                 continue;
             score = room / capacityCpu + std::min(allowed, 3.0);
@@ -194,7 +201,7 @@
             score = static_cast<double>(worker.freeRoom().cpuMillis) / capacityCpu;
         }
         if (spec.longRunning)
-            score += sameImageWeight * sameImageShare(worker, spec.image);
+            score += sameImageWeight * sameImageShare(worker, image);
         score -= siblingWeight * static_cast<double>(siblings);
         if (!spec.dataRack.empty() && hasLabel(worker.view, spec.dataRack))
             score += 1;
@@ -211,16 +218,15 @@
 }
 
 /// The share of the serving tasks on the worker that have this image; 0 when nothing serves there.
-double TaskScheduler::sameImageShare(const WorkerEntry& worker, const std::string& image) const
+double TaskScheduler::sameImageShare(const WorkerEntry& worker, uint32_t image) const
 {
     double same = 0;
     double all = 0;
-    for (const auto& [ref, number] : worker.runs) {
-        const auto& spec = m_jobs.at(ref.job)->spec.steps[ref.step];
-        if (!spec.longRunning)
+    for (const auto& [key, active] : worker.runs) {
+        if (!active.spec->longRunning)
             continue;
         all += 1;
-        same += spec.image == image ? 1 : 0;
+        same += active.image == image ? 1 : 0;
     }
     return all > 0 ? same / all : 0;
 }
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -15,12 +15,8 @@
     if (it == m_workers.end())
         return;
     auto runs = it->second->runs;
-    for (const auto& [ref, run] : runs) {
-        auto* job = findJob(ref.job);
-        auto* task = job ? findTask(*job, ref) : nullptr;
-        if (task)
-            dropRun(*job, ref, *task, run);
-    }
+    for (const auto& [key, active] : runs)
+        dropRun(*active.job, key.first, *active.task, key.second);
     it->second->unknownRuns.clear();
 }
 
@@ -188,16 +184,16 @@
             orderStop(handle, report.task, report.run, now);
     }
     std::erase_if(worker.unknownRuns, [&](const auto& entry) { return !listed.contains(entry.first); });
-    auto runs = worker.runs;
-    for (const auto& [ref, run] : runs) {
-        if (listed.contains({ ref, run }))
+    std::vector<std::pair<std::pair<TaskRef, uint64_t>, WorkerEntry::ActiveRun>> gone;
+    for (const auto& [key, active] : worker.runs) {
+        if (listed.contains(key))
             continue;
-        auto* job = findJob(ref.job);
-        auto* task = job ? findTask(*job, ref) : nullptr;
-        auto* tracked = task ? findRun(*task, run) : nullptr;
+        auto* tracked = findRun(*active.task, key.second);
         if (tracked && tracked->confirmedAt != neverInstant && tracked->confirmedAt < askedAt)
-            dropRun(*job, ref, *task, run);
+            gone.emplace_back(key, active);
     }
+    for (const auto& [key, active] : gone)
+        dropRun(*active.job, key.first, *active.task, key.second);
     superviseWorker(worker, now);
 }
 
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -72,6 +72,10 @@
         occurrence.remainingSteps = static_cast<uint32_t>(spec.steps.size());
         for (const auto& step : spec.steps) {
             TrackedStep tracked { .remaining = step.count };
+            if (step.fills)
+                tracked.image = m_pressure.fillImage(step.image);
+            else if (step.longRunning)
+                tracked.image = m_pressure.servingImage(step.image);
             tracked.waitsFor = static_cast<uint32_t>(step.dependsOn.size());
             tracked.tasks.resize(step.count);
             occurrence.steps.push_back(std::move(tracked));
@@ -222,11 +226,16 @@
     return n;
 }
 
-void TaskScheduler::reserve(WorkerEntry& worker, const TrackedJob& job, const TaskRef& task, uint64_t run)
+void TaskScheduler::reserve(WorkerEntry& worker, TrackedJob& job, const TaskRef& task, uint64_t run)
 {
-    if (!worker.runs.emplace(task, run).second)
-        return;
     const auto& step = job.spec.steps[task.step];
+    auto& tracked = job.occurrences[task.occurrence].steps[task.step];
+    WorkerEntry::ActiveRun active {
+        .job = &job, .task = &tracked.tasks[task.index], .spec = &step, .image = tracked.image
+    };
+    if (!worker.runs.try_emplace({ task, run }, active).second)
+        return;
+    worker.servingPressuresCurrent = false;
     auto size = step.size;
     if (step.fills) {
         worker.fillDemandMillis += size.cpuMillis;
@@ -245,6 +254,7 @@
     if (it == m_workers.end() || it->second->runs.erase({ task, run }) == 0)
         return;
     auto& worker = *it->second;
+    worker.servingPressuresCurrent = false;
     const auto& step = job.spec.steps[task.step];
     auto size = step.size;
     if (step.fills) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -140,10 +140,12 @@
     void paceFills(WorkerEntry&, Instant now);
     void setPace(WorkerEntry&, const TaskRef&, TrackedRun&, uint32_t percent, Instant now);
     void stopRun(const TaskRef&, TrackedRun&);
-    double servingMargin(const TrackedRun&, const StepSpec&) const;
-    double sameImageShare(const WorkerEntry&, const std::string& image) const;
-    double allowedFillShare(const WorkerEntry&, const StepSpec&) const;
-    void reserve(WorkerEntry&, const TrackedJob&, const TaskRef&, uint64_t run);
+    double servingMargin(const TrackedRun&, const StepSpec&, uint32_t image) const;
+    double sameImageShare(const WorkerEntry&, uint32_t image) const;
+    double addedUtilisation(const WorkerEntry&, const StepSpec& fill, uint32_t fillImage, uint32_t servingImage) const;
+    void refreshServingPressures(WorkerEntry&) const;
+    double allowedFillShare(WorkerEntry&, const StepSpec&, uint32_t fillImage) const;
+    void reserve(WorkerEntry&, TrackedJob&, const TaskRef&, uint64_t run);
     void release(WorkerHandle, const TrackedJob&, const TaskRef&, uint64_t run);
 
     Options m_options;
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -3,9 +3,10 @@
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
 #include <LibDecision/TaskScheduler.h>
+#include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
+#include <vector>
 
 namespace Bergamot {
 
@@ -22,6 +23,25 @@
     /// What the tasks that serve here reserve.
     int64_t servingMillis { 0 };
 
+    /// One active run here. The pointers stay valid while the run is listed.
+    struct ActiveRun {
+        TrackedJob* job { nullptr };
+        TrackedTask* task { nullptr };
+        const StepSpec* spec { nullptr };
+        uint32_t image { 0 };
+    };
+
+    /// What the filling tasks here do to one serving task.
+    struct ServingPressure {
+        uint32_t image { 0 };
+
+        /// Utilisation that filling tasks may add before the tail comes near its target.
+        double margin { 0 };
+
+        /// Utilisation that the filling tasks that are here would add at full pace.
+        double added { 0 };
+    };
+
     /// Smoothed use of processors by filling tasks, by image, for the pressure model.
     PressureModel::Shares fillShares {};
     Instant observedAt { neverInstant };
@@ -30,7 +50,11 @@
     Instant overTargetSince { neverInstant };
 
     /// Active runs, with those that are being stopped.
-    std::set<std::pair<TaskRef, uint64_t>> runs {};
+    std::map<std::pair<TaskRef, uint64_t>, ActiveRun> runs {};
+
+    /// Derived from `runs` and the latest report; see refreshServingPressures().
+    std::vector<ServingPressure> servingPressures {};
+    bool servingPressuresCurrent { false };
 
     /// Runs that the worker lists and that were told to stop.
     std::map<std::pair<TaskRef, uint64_t>, Instant> unknownRuns {};
@@ -42,6 +66,7 @@
     uint32_t failures { 0 };
     Instant pausedUntil { neverInstant };
 
+    double capacityMillis() const { return static_cast<double>(std::max<int64_t>(1, view.capacity.cpuMillis)); }
     Resources freeRoom() const { return view.capacity - reserved; }
 
     /// Processors that a further task that fills may expect.
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -13,6 +13,9 @@
     /// Steps that this one still waits for.
     uint32_t waitsFor { 0 };
 
+    /// Number of the image in the pressure model, as a filling or as a serving image.
+    uint32_t image { 0 };
+
     /// Indices of tasks that are to be started.
     std::vector<uint32_t> waiting {};
 };
--- a/Tests/LibDecision/TestPressureModel.cpp
+++ b/Tests/LibDecision/TestPressureModel.cpp
@@ -11,9 +11,18 @@
 {
     static constexpr double truePressure = 5;
     PressureModel model;
+    uint32_t heavy { model.fillImage("heavy") };
+    uint32_t light { model.fillImage("light") };
+    uint32_t sensitive { model.servingImage("sensitive") };
+    uint32_t tough { model.servingImage("tough") };
     std::mt19937 random { 7 };
     Instant now { Milliseconds { 1000 } };
 
+    static double pressureOn(PressureModel & other)
+    {
+        return other.pressure(other.fillImage("heavy"), other.servingImage("sensitive"));
+    }
+
     void playSeconds(int seconds)
     {
         std::uniform_real_distribution<double> share { 0, 0.1 };
@@ -22,10 +31,10 @@
         for (int i = 0; i < 2 * seconds; ++i) {
             now += Milliseconds { 500 };
             double own = 0.35 + 0.15 * std::sin(i * 0.3);
-            PressureModel::Shares shares { { "heavy", share(random) }, { "light", share(random) } };
-            double utilisation = std::min(0.95, own + truePressure * shares["heavy"]);
-            model.observe("sensitive", std::round(4 / (1 - utilisation)), shares, sensitiveLoad, now);
-            model.observe("tough", std::round(4 / (1 - own)), shares, toughLoad, now);
+            PressureModel::Shares shares { 0, share(random), share(random) };
+            double utilisation = std::min(0.95, own + truePressure * shares[heavy]);
+            model.observe(sensitive, std::round(4 / (1 - utilisation)), shares, sensitiveLoad, now);
+            model.observe(tough, std::round(4 / (1 - own)), shares, toughLoad, now);
         }
     }
 };
@@ -35,11 +44,11 @@
 TEST(PressureModel, FindsThePairThatPresses)
 {
     playSeconds(60);
-    CHECK(model.pressure("heavy", "sensitive") > 0.6 * truePressure);
-    CHECK(model.pressure("heavy", "sensitive") < 2 * truePressure);
-    CHECK(model.pressure("light", "sensitive") < 0.3 * truePressure);
-    CHECK(model.pressure("heavy", "tough") < 0.3 * truePressure);
-    CHECK(model.pressure("unseen", "tough") == 0);
+    CHECK(model.pressure(heavy, sensitive) > 0.6 * truePressure);
+    CHECK(model.pressure(heavy, sensitive) < 2 * truePressure);
+    CHECK(model.pressure(light, sensitive) < 0.3 * truePressure);
+    CHECK(model.pressure(heavy, tough) < 0.3 * truePressure);
+    CHECK(model.pressure(model.fillImage("unseen"), tough) == 0);
 }
 
 // Guards against a new leader that has to learn everything by missed targets again.
@@ -48,9 +57,12 @@
     playSeconds(60);
     PressureModel successor;
     successor.restore(model.save());
-    DOUBLES_EQUAL(model.pressure("heavy", "sensitive"), successor.pressure("heavy", "sensitive"), 1e-9);
-    DOUBLES_EQUAL(model.utilisationAt("sensitive", 8), successor.utilisationAt("sensitive", 8), 1e-9);
+    DOUBLES_EQUAL(model.pressure(heavy, sensitive), pressureOn(successor), 1e-9);
+    DOUBLES_EQUAL(
+        model.utilisationAt(sensitive, 8), successor.utilisationAt(successor.servingImage("sensitive"), 8), 1e-9);
     double load = 0.4;
-    successor.observe("sensitive", 8, { { "light", 0.05 } }, load, now);
-    CHECK(successor.pressure("heavy", "sensitive") > 0.6 * truePressure);
+    PressureModel::Shares shares(successor.fillImage("light") + 1, 0);
+    shares.back() = 0.05;
+    successor.observe(successor.servingImage("sensitive"), 8, shares, load, now);
+    CHECK(pressureOn(successor) > 0.6 * truePressure);
 }
--- a/Utilities/bergamot-bench/DayModel.cpp
+++ b/Utilities/bergamot-bench/DayModel.cpp
@@ -61,6 +61,7 @@
 DayModel::DayModel(DaySize size, uint64_t seed)
     : m_size(std::move(size))
     , m_random(seed)
+    , m_runRandom(seed + 1)
     , m_scheduler({ .epoch = 1 })
     , m_nowMs(firstMs)
 {
@@ -81,13 +82,13 @@
 DayModel::~DayModel() = default;
 
 /// A gamma distribution with the given mean and coefficient of variation, cut off at `most` times the mean.
-double DayModel::draw(double mean, double spread, double most)
+double DayModel::draw(std::mt19937_64& random, double mean, double spread, double most)
 {
     if (spread <= 0)
         return mean;
     double shape = 1 / (spread * spread);
     std::gamma_distribution<double> distribution(shape, mean / shape);
-    return std::clamp(distribution(m_random), mean * 0.1, mean * most);
+    return std::clamp(distribution(random), mean * 0.1, mean * most);
 }
 
 void DayModel::addWorkers()
@@ -128,16 +129,16 @@
     job.spec.id = fmt::format("{:016x}", ++m_lastJob);
     job.spec.queue = kind.queue;
     job.spec.acceptedAtMs = m_nowMs;
-    auto steps = static_cast<uint32_t>(std::lround(draw(kind.meanSteps, kind.lasts ? 0 : 0.4, 2.5)));
+    auto steps = static_cast<uint32_t>(std::lround(draw(m_random, kind.meanSteps, kind.lasts ? 0 : 0.4, 2.5)));
     std::uniform_real_distribution<double> error(1 - kind.estimateError, 1 + kind.estimateError);
     if (kind.images > 0)
         job.imageIndex = static_cast<uint32_t>(m_random() % kind.images);
     double chainMs = 0;
     for (uint32_t i = 0; i < std::max(1U, steps); ++i) {
-        double workMs = draw(kind.meanWorkMs, 0.5, 2.5);
-        StepSpec step { .count = static_cast<uint32_t>(std::max(1.0, draw(kind.meanTasks, 0.6, 4))),
-            .size = { static_cast<int64_t>(draw(kind.meanCpuMillis, 0.3, 2)),
-                static_cast<int64_t>(draw(kind.meanMemoryMb, 0.3, 2)), 0 },
+        double workMs = draw(m_random, kind.meanWorkMs, 0.5, 2.5);
+        StepSpec step { .count = static_cast<uint32_t>(std::max(1.0, draw(m_random, kind.meanTasks, 0.6, 4))),
+            .size = { static_cast<int64_t>(draw(m_random, kind.meanCpuMillis, 0.3, 2)),
+                static_cast<int64_t>(draw(m_random, kind.meanMemoryMb, 0.3, 2)), 0 },
             .estimateMs = static_cast<uint32_t>(workMs * error(m_random)) };
         if (i > 0)
             step.dependsOn = { i - 1 };
@@ -168,9 +169,9 @@
     const auto& spec = job.spec.steps[start.task.step];
     std::uniform_real_distribution<double> phase(0, 2 * M_PI);
     Run run { .task = start.task, .run = start.run, .spec = &spec, .imageIndex = job.imageIndex };
-    run.workMs = draw(job.workMs[start.task.step], 0.15, 2);
+    run.workMs = draw(m_runRandom, job.workMs[start.task.step], 0.15, 2);
     run.workLeftMs = run.workMs;
-    run.phase = phase(m_random);
+    run.phase = phase(m_runRandom);
     run.tailMs = m_size.baseTailMs;
     run.lasts = spec.longRunning;
     run.fills = spec.fills;
--- a/Utilities/bergamot-bench/DayModel.h
+++ b/Utilities/bergamot-bench/DayModel.h
@@ -28,7 +28,7 @@
     using ArrivalQueue
         = std::priority_queue<std::pair<int64_t, uint32_t>, std::vector<std::pair<int64_t, uint32_t>>, std::greater<>>;
 
-    double draw(double mean, double spread, double most);
+    static double draw(std::mt19937_64&, double mean, double spread, double most);
     void addWorkers();
     void drawPressures();
     void submit(uint32_t kind);
@@ -44,7 +44,10 @@
     Instant now() const { return Instant { Milliseconds { m_nowMs } }; }
 
     DaySize m_size;
+
+    /// Jobs and runs are drawn apart, so that the same seed brings the same jobs whatever is decided.
     std::mt19937_64 m_random;
+    std::mt19937_64 m_runRandom;
     TaskScheduler m_scheduler;
     std::vector<Worker> m_workers;
     std::map<std::string, Job> m_jobs;
