Find slow workers by the progress of their runs, copy or move lagging tasks

Cause: a worker that turned slow, or let its tasks stand still, was noticed only after a run had made no progress for 3 s, and went on getting tasks. Steps that allow copies never got one. Change: RunSpeed compares a run with its ended siblings (before one has ended, with twice the estimate); a run that needs 2.5 times as long marks its worker for 2 s, and its task gets a copy where the step allows it, else it is stopped and moves. Filling tasks are judged by the processors that they got.

--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -46,7 +46,7 @@
 void TaskScheduler::stopRun(const TaskRef& ref, TrackedRun& run)
 {
     run.phase = RunPhase::Stopping;
-    m_actions.push_back(StopTask { .worker = run.worker, .task = ref, .run = run.run });
+    orderStop(run.worker, ref, run.run, m_latestEventAt);
 }
 
 void TaskScheduler::superviseWorker(WorkerEntry& worker, Instant now)
@@ -62,6 +62,7 @@
             && now - run.pacedDownSince > pacedDownLimit;
         if (run.phase == RunPhase::Running && (stalled || leaves || moves))
             stopRun(key.first, run);
+        superviseSpeed(worker, key.first, *active.job, *active.task, run, now);
     }
 }
 
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -28,6 +28,7 @@
 
 std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs)
 {
+    m_latestEventAt = now;
     if (m_unblockAt != neverInstant && now >= m_unblockAt) {
         m_unblockAt = neverInstant;
         unblockTasks();
@@ -130,6 +131,11 @@
         auto& task = step.tasks[index];
         if (task.waitingSince == neverInstant)
             task.waitingSince = now;
+        if (task.done || (task.wantsCopy && task.runs.size() != 1)) {
+            task.wantsCopy = false;
+            if (task.done || !task.runs.empty())
+                continue;
+        }
         if (task.blockedUntil > now) {
             left.push_back(index);
             continue;
@@ -183,6 +189,9 @@
             continue;
         if (!spec.requiredLabel.empty() && !hasLabel(worker.view, spec.requiredLabel))
             continue;
+        // A copy beside the run that it is to replace would share its fate.
+        if (task.wantsCopy && std::ranges::count(task.runs, handle, &TrackedRun::worker) > 0)
+            continue;
         auto here = sameStep.find(handle);
         uint32_t siblings = here == sameStep.end() ? 0 : here->second;
         if (spec.maxPerWorker > 0 && siblings >= spec.maxPerWorker)
@@ -207,6 +216,8 @@
             score += 1;
         if (handle == task.lastFailedOn && task.failures > 0)
             score -= 10;
+        if (isSlow(worker, now))
+            score -= 5;
         if (worker.view.coldLeftMs > 0)
             score -= 1;
         if (score > bestScore) {
@@ -238,7 +249,12 @@
     TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
     uint64_t run = m_options.epoch * runsPerEpoch + ++task.starts;
     task.waitingSince = neverInstant;
-    task.runs.push_back({ .run = run, .worker = worker.handle, .startedAt = now, .progressedAt = now });
+    task.wantsCopy = false;
+    task.runs.push_back({ .run = run,
+        .worker = worker.handle,
+        .startedAt = now,
+        .resumed = !task.checkpoint.empty(),
+        .progressedAt = now });
     job.started = true;
     reserve(worker, job, ref, run);
     if (!job.spec.steps[ready.step].fills)
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -76,6 +76,9 @@
     if (!task)
         return;
     if (auto* run = findRun(*task, end.run)) {
+        if (end.outcome == RunOutcome::Done)
+            noteRunTime(
+                job->occurrences[end.task.occurrence].steps[end.task.step], job->spec.steps[end.task.step], *run, now);
         release(run->worker, *job, end.task, end.run);
         std::erase_if(task->runs, [&](const TrackedRun& it) { return it.run == end.run; });
     }
@@ -131,6 +134,7 @@
         .worker = handle,
         .phase = RunPhase::Running,
         .startedAt = now,
+        .resumed = true,
         .confirmedAt = now,
         .progressedAt = now });
     job.started = true;
@@ -149,6 +153,7 @@
         run.progressedAt = now;
     }
     run.recentFigure = report.recentFigure;
+    noteEffort(run, job.spec.steps[report.task.step], now);
     if (!report.checkpoint.empty())
         task.checkpoint = report.checkpoint;
     job.started = true;
@@ -160,6 +165,7 @@
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
         return;
+    m_latestEventAt = now;
     auto& worker = *it->second;
     std::set<std::pair<TaskRef, uint64_t>> listed;
     for (const auto& report : reports) {
@@ -168,7 +174,8 @@
         auto* task = job ? findTask(*job, report.task) : nullptr;
         auto* run = task ? findRun(*task, report.run) : nullptr;
         bool wanted = task && !job->hasEnded() && !task->done;
-        if (!run && wanted && task->runs.empty()) {
+        bool mayCopy = wanted && job->spec.steps[report.task.step].speculative;
+        if (!run && wanted && (task->runs.empty() || mayCopy)) {
             adoptRun(handle, *job, *task, report, now);
             run = findRun(*task, report.run);
         }
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -185,7 +185,16 @@
     // A step that is not open yet takes all its tasks when it opens.
     if (!occurrence.due || step.waitsFor > 0)
         return;
-    if (job.hasEnded() || task.done || !task.runs.empty() || std::ranges::count(step.waiting, ref.index) > 0)
+    if (job.hasEnded() || task.done || !task.runs.empty())
+        return;
+    enqueue(job, ref);
+}
+
+/// Lets a worker be looked for for the task.
+void TaskScheduler::enqueue(TrackedJob& job, const TaskRef& ref)
+{
+    auto& step = job.occurrences[ref.occurrence].steps[ref.step];
+    if (std::ranges::count(step.waiting, ref.index) > 0)
         return;
     bool wasEmpty = step.waiting.empty();
     step.waiting.push_back(ref.index);
@@ -286,10 +295,8 @@
 void TaskScheduler::stopOtherRuns(const TaskRef& ref, TrackedTask& task)
 {
     for (auto& run : task.runs) {
-        if (run.phase == RunPhase::Stopping)
-            continue;
-        run.phase = RunPhase::Stopping;
-        m_actions.push_back(StopTask { .worker = run.worker, .task = ref, .run = run.run });
+        if (run.phase != RunPhase::Stopping)
+            stopRun(ref, run);
     }
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -117,6 +117,7 @@
     void activateOccurrence(TrackedJob&, uint32_t occurrence);
     void openStep(TrackedJob&, uint32_t occurrence, uint32_t step);
     void requeue(TrackedJob&, const TaskRef&);
+    void enqueue(TrackedJob&, const TaskRef&);
     void completeTask(TrackedJob&, const TaskRef&, TrackedTask&);
     void completeStep(TrackedJob&, uint32_t occurrence, uint32_t step);
     void finishJob(TrackedJob&, JobStage);
@@ -140,6 +141,11 @@
     void paceFills(WorkerEntry&, Instant now);
     void setPace(WorkerEntry&, const TaskRef&, TrackedRun&, uint32_t percent, Instant now);
     void stopRun(const TaskRef&, TrackedRun&);
+    static void noteEffort(TrackedRun&, const StepSpec&, Instant now);
+    static void noteRunTime(TrackedStep&, const StepSpec&, const TrackedRun&, Instant now);
+    static bool isSlow(const WorkerEntry&, Instant now);
+    void superviseSpeed(WorkerEntry&, const TaskRef&, TrackedJob&, TrackedTask&, TrackedRun&, Instant now);
+    void requestCopy(TrackedJob&, const TaskRef&, TrackedTask&);
     double servingMargin(const TrackedRun&, const StepSpec&, uint32_t image) const;
     double sameImageShare(const WorkerEntry&, uint32_t image) const;
     double addedUtilisation(const WorkerEntry&, const StepSpec& fill, uint32_t fillImage, uint32_t servingImage) const;
@@ -158,6 +164,9 @@
     std::set<JobId> m_timedJobs;
     std::set<JobId> m_changedJobs;
     std::vector<TaskAction> m_actions;
+
+    /// Time of the latest report or plan.
+    Instant m_latestEventAt { neverInstant };
     Instant m_unblockAt { neverInstant };
     PressureModel m_pressure;
 
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -62,6 +62,9 @@
     /// A refusal for want of room shows that the list is out of date.
     Instant fullUntil { neverInstant };
 
+    /// When a run here last lagged far behind its siblings.
+    Instant slowSeenAt { neverInstant };
+
     /// Consecutive failed runs of different jobs; a worker that fails everything gets a pause.
     uint32_t failures { 0 };
     Instant pausedUntil { neverInstant };
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -15,13 +15,22 @@
     RunPhase phase { RunPhase::Starting };
     Instant startedAt { epochInstant };
 
+    /// The run began at a checkpoint.
+    bool resumed { false };
+
     /// When the worker accepted the start, or listed the run; a later list without the run means that it is gone.
     Instant confirmedAt { neverInstant };
+
+    /// When the worker last listed the run.
+    Instant reportedAt { neverInstant };
     Instant progressedAt { epochInstant };
     uint32_t percent { 0 };
     uint32_t pace { 100 };
     int64_t recentFigure { 0 };
 
+    /// Time at full speed that the run has had processors for: for a task that fills by the processors that it used.
+    Milliseconds effort { 0 };
+
     /// Of a serving task: its own estimated utilisation.
     double load { 0 };
 
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/RunSpeed.h>
 #include <LibDecision/TrackedTask.h>
 #include <cstdint>
 #include <vector>
@@ -16,6 +17,9 @@
     /// Number of the image in the pressure model, as a filling or as a serving image.
     uint32_t image { 0 };
 
+    /// Run times of the tasks that are done.
+    RunSpeed speed {};
+
     /// Indices of tasks that are to be started.
     std::vector<uint32_t> waiting {};
 };
--- a/Utilities/bergamot-bench/DayBench.cpp
+++ b/Utilities/bergamot-bench/DayBench.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <ostream>
+#include <vector>
 
 namespace Bergamot {
 
@@ -25,7 +26,14 @@
 bool runDayBench(uint64_t seed, const std::string& only, std::ostream& out)
 {
     bool known = false;
-    for (const auto& size : { DaySize::riga(), DaySize::sofia(), DaySize::rigaGrown(), DaySize::sofiaGrown() }) {
+    std::vector<DaySize> sizes { DaySize::riga(), DaySize::sofia(), DaySize::rigaGrown(), DaySize::sofiaGrown() };
+    for (const auto& calm : { DaySize::riga(), DaySize::sofia() }) {
+        auto faulty = calm;
+        faulty.faults = true;
+        faulty.name += "-faults-day";
+        sizes.push_back(faulty);
+    }
+    for (const auto& size : sizes) {
         if (!only.empty() && only != size.name)
             continue;
         known = true;
--- a/Utilities/bergamot-bench/DayModel.cpp
+++ b/Utilities/bergamot-bench/DayModel.cpp
@@ -43,6 +43,9 @@
     std::vector<Run> runs {};
     std::vector<RunEnd> ends {};
     int64_t reportedAtMs { 0 };
+
+    /// Share of its usual speed; 0 while tasks stand still.
+    double speed { 1 };
 };
 
 struct DayModel::Job {
@@ -81,6 +84,25 @@
 
 DayModel::~DayModel() = default;
 
+/// A share of the workers turns slow after a third of the day, and others let their tasks stand still after two thirds.
+void DayModel::applyFaults()
+{
+    constexpr int64_t slowForMs = 7000;
+    constexpr int64_t hangForMs = 5500;
+    constexpr double slowSpeed = 1.0 / 6.5;
+    auto slowAt = firstMs + m_size.lengthMs / 3;
+    auto hangAt = firstMs + 2 * m_size.lengthMs / 3;
+    bool slow = m_nowMs >= slowAt && m_nowMs < slowAt + slowForMs;
+    bool hangs = m_nowMs >= hangAt && m_nowMs < hangAt + hangForMs;
+    for (auto& worker : m_workers) {
+        worker.speed = 1;
+        if (slow && worker.handle % 6 == 1)
+            worker.speed = slowSpeed;
+        if (hangs && worker.handle % 10 == 2)
+            worker.speed = 0;
+    }
+}
+
 /// A gamma distribution with the given mean and coefficient of variation, cut off at `most` times the mean.
 double DayModel::draw(std::mt19937_64& random, double mean, double spread, double most)
 {
@@ -139,7 +161,8 @@
         StepSpec step { .count = static_cast<uint32_t>(std::max(1.0, draw(m_random, kind.meanTasks, 0.6, 4))),
             .size = { static_cast<int64_t>(draw(m_random, kind.meanCpuMillis, 0.3, 2)),
                 static_cast<int64_t>(draw(m_random, kind.meanMemoryMb, 0.3, 2)), 0 },
-            .estimateMs = static_cast<uint32_t>(workMs * error(m_random)) };
+            .estimateMs = static_cast<uint32_t>(workMs * error(m_random)),
+            .speculative = m_random() % 10 < static_cast<uint64_t>(10 * kind.copyShare) };
         if (i > 0)
             step.dependsOn = { i - 1 };
         if (kind.images > 0)
@@ -243,7 +266,7 @@
     for (auto& run : worker.runs) {
         double share = run.fills ? fillShare * run.pace / 100 : 1;
         run.cpuInUse = share * static_cast<double>(run.spec->size.cpuMillis);
-        run.workLeftMs -= share * stepMs;
+        run.workLeftMs -= share * worker.speed * stepMs;
         if (run.lasts)
             run.tailMs += (tailOf(worker, run) - run.tailMs) * stepMs / tailSmoothingMs;
     }
@@ -356,6 +379,8 @@
             submit(kind);
             arrivals.emplace(m_nowMs + 1 + static_cast<int64_t>(gaps[kind](m_random)), kind);
         }
+        if (m_size.faults)
+            applyFaults();
         for (auto& worker : m_workers) {
             advance(worker);
             report(worker);
--- a/Utilities/bergamot-bench/DaySize.h
+++ b/Utilities/bergamot-bench/DaySize.h
@@ -27,6 +27,9 @@
     bool lasts { false };
     bool fills { false };
     uint32_t images { 0 };
+
+    /// Share of the steps whose tasks may run as copies.
+    double copyShare { 0 };
 };
 
 /// Sizes and load of a modelled day.
@@ -47,6 +50,9 @@
     double pressure { 5 };
     int64_t lengthMs { 34000 };
 
+    /// Whether workers turn slow and let tasks stand still for some seconds.
+    bool faults { false };
+
     static DaySize riga();
     static DaySize sofia();
     static DaySize rigaGrown();
