Repeat an order after a few usual response times instead of a second

Change: the time-out of orders follows the response time of all workers (250 ms to 1 s), and a lost answer is repeated at once; a repeat with the same run number is harmless. Test: LostAnswerOfAnOrderCostsAFewUsualResponseTimes.

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -54,6 +54,7 @@
             .bornMs = life.bornMs,
             .epoch = m_options.epoch,
             .lease = leaseLength(),
+            .orderTimeout = m_orderTimeout,
             .events = eventsOf(handle) });
     if (!worker.stored)
         m_rosterChanged = true;
--- a/Libraries/LibNode/WorkerLink.cpp
+++ b/Libraries/LibNode/WorkerLink.cpp
@@ -248,6 +248,8 @@
     if (m_ordering || m_orders.empty() || !m_clockMs || !m_reachable)
         return;
     m_ordering = true;
+    m_orderSentAt = m_loop.now();
+    OrderContext context { .epoch = m_options.epoch, .timeout = m_options.orderTimeout.current() };
     auto onAnswer = [this, alive = m_alive](absl::StatusOr<OrderAnswer> answer) {
         if (*alive)
             orderAnswered(answer);
@@ -262,17 +264,18 @@
         m_latestLeaseEnd = std::max(m_latestLeaseEnd, order.leaseUntilMs);
         m_lapsedBy = std::max(m_lapsedBy, m_clockReadAt + slowClockTime(m_latestLeaseEnd - *m_clockMs));
         m_busy = true;
-        m_taskHost.start(m_options.host, m_options.epoch, order, onAnswer);
+        m_taskHost.start(m_options.host, context, order, onAnswer);
     } else if (const auto* stop = std::get_if<StopTask>(&action)) {
-        m_taskHost.stop(m_options.host, m_options.epoch, stop->task, stop->run, onAnswer);
+        m_taskHost.stop(m_options.host, context, stop->task, stop->run, onAnswer);
     } else if (const auto* pace = std::get_if<PaceTask>(&action)) {
-        m_taskHost.pace(m_options.host, m_options.epoch, pace->task, pace->run, pace->percent, onAnswer);
+        m_taskHost.pace(m_options.host, context, pace->task, pace->run, pace->percent, onAnswer);
     }
 }
 
 void WorkerLink::orderAnswered(const absl::StatusOr<OrderAnswer>& answer)
 {
     m_ordering = false;
+    noteOrderTime(answer.status());
     if (std::exchange(m_discardOrder, false)) {
         m_orders.pop_front();
         return sendNextOrder();
@@ -303,12 +306,22 @@
     } else if (m_orderFailures >= attemptsPerOrder) {
         noteFailure();
     }
-    m_loop.callAfter(retryDelay, [this, alive = m_alive] {
+    // A lost answer has cost its time-out already.
+    auto delay = absl::IsDeadlineExceeded(answer.status()) ? Milliseconds { 0 } : retryDelay;
+    m_loop.callAfter(delay, [this, alive = m_alive] {
         if (*alive)
             sendNextOrder();
     });
 }
 
+void WorkerLink::noteOrderTime(const absl::Status& status)
+{
+    if (status.ok())
+        m_options.orderTimeout.answered(m_loop.now() - m_orderSentAt);
+    else if (absl::IsDeadlineExceeded(status))
+        m_options.orderTimeout.timedOut();
+}
+
 bool WorkerLink::hasQueuedStop(const StartTask& start) const
 {
     return std::ranges::any_of(m_orders, [&](const TaskAction& action) {
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/CallTimeout.h>
 #include <LibDecision/TaskAction.h>
 #include <LibPlatform/TaskHost.h>
 #include <LibPlatform/WorkerAnnouncement.h>
@@ -43,6 +44,9 @@
 
         /// Length of the leases that are asked for.
         Milliseconds lease { 6000 };
+
+        /// Time-out of orders, learned from the answers of all workers. Must outlive the link.
+        CallTimeout& orderTimeout;
         Events events {};
     };
 
@@ -73,6 +77,7 @@
     bool checkOutcome(const OrderAnswer&);
     void noteFailure();
     void sendNextOrder();
+    void noteOrderTime(const absl::Status&);
     void orderAnswered(const absl::StatusOr<OrderAnswer>&);
     TaskAction takeOrder();
     bool hasQueuedStop(const StartTask&) const;
@@ -105,6 +110,7 @@
     bool m_lapseReported { false };
     std::deque<TaskAction> m_orders;
     bool m_ordering { false };
+    Instant m_orderSentAt { neverInstant };
 
     /// The order in progress is of a run that is over.
     bool m_discardOrder { false };
--- a/Libraries/LibPlatform/TaskHost.h
+++ b/Libraries/LibPlatform/TaskHost.h
@@ -2,6 +2,7 @@
 
 #include <LibPlatform/HoldAnswer.h>
 #include <LibPlatform/HoldOrder.h>
+#include <LibPlatform/OrderContext.h>
 #include <LibPlatform/StartOrder.h>
 #include <LibPlatform/TaskHostAddress.h>
 #include <absl/status/statusor.h>
@@ -19,10 +20,11 @@
 
     virtual ~TaskHost() = default;
 
-    virtual void start(const TaskHostAddress&, uint64_t epoch, const StartOrder&, Callback<OrderAnswer>) = 0;
-    virtual void stop(const TaskHostAddress&, uint64_t epoch, const TaskRef&, uint64_t run, Callback<OrderAnswer>) = 0;
-    virtual void pace(
-        const TaskHostAddress&, uint64_t epoch, const TaskRef&, uint64_t run, uint32_t percent, Callback<OrderAnswer>)
+    virtual void start(const TaskHostAddress&, const OrderContext&, const StartOrder&, Callback<OrderAnswer>) = 0;
+    virtual void stop(const TaskHostAddress&, const OrderContext&, const TaskRef&, uint64_t run, Callback<OrderAnswer>)
+        = 0;
+    virtual void pace(const TaskHostAddress&, const OrderContext&, const TaskRef&, uint64_t run, uint32_t percent,
+        Callback<OrderAnswer>)
         = 0;
 
     /// Renews the lease, acknowledges ends, and lists what runs and what has ended.
--- a/Tests/LibNode/MockTaskHost.h
+++ b/Tests/LibNode/MockTaskHost.h
@@ -14,6 +14,7 @@
         std::string kind;
         StartOrder start;
         uint64_t run { 0 };
+        Milliseconds timeout { 0 };
         Callback<OrderAnswer> answer;
     };
     struct Hold {
@@ -21,17 +22,23 @@
         Callback<HoldAnswer> answer;
     };
 
-    void start(const TaskHostAddress&, uint64_t, const StartOrder& order, Callback<OrderAnswer> callback) override
+    void start(const TaskHostAddress&, const OrderContext& context, const StartOrder& order,
+        Callback<OrderAnswer> callback) override
     {
-        orders.push_back({ .kind = "start", .start = order, .run = order.run, .answer = std::move(callback) });
+        orders.push_back({ .kind = "start",
+            .start = order,
+            .run = order.run,
+            .timeout = context.timeout,
+            .answer = std::move(callback) });
     }
 
-    void stop(const TaskHostAddress&, uint64_t, const TaskRef&, uint64_t run, Callback<OrderAnswer> callback) override
+    void stop(const TaskHostAddress&, const OrderContext&, const TaskRef&, uint64_t run,
+        Callback<OrderAnswer> callback) override
     {
         orders.push_back({ .kind = "stop", .run = run, .answer = std::move(callback) });
     }
 
-    void pace(const TaskHostAddress&, uint64_t, const TaskRef&, uint64_t run, uint32_t,
+    void pace(const TaskHostAddress&, const OrderContext&, const TaskRef&, uint64_t run, uint32_t,
         Callback<OrderAnswer> callback) override
     {
         orders.push_back({ .kind = "pace", .run = run, .answer = std::move(callback) });
--- a/Tests/LibNode/TestWorkerLink.cpp
+++ b/Tests/LibNode/TestWorkerLink.cpp
@@ -13,6 +13,7 @@
     NodeTestClock clock;
     std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
     MockTaskHost host;
+    CallTimeout orderTimeout { { .shortest = Milliseconds { 250 }, .longest = Milliseconds { 1000 } } };
     std::vector<uint64_t> startedRuns;
     std::vector<bool> reachable;
     int lapses { 0 };
@@ -23,6 +24,7 @@
             .bornMs = 50,
             .epoch = 3,
             .lease = Milliseconds { 6000 },
+            .orderTimeout = orderTimeout,
             .events = { .onReport = [](const HoldAnswer&, Instant) {},
                 .onStartAnswered = [this](const StartTask& start, OrderOutcome) { startedRuns.push_back(start.run); },
                 .onStopAccepted = [](const TaskRef&, uint64_t) {},
@@ -153,3 +155,22 @@
     STRCMP_EQUAL("stop", next.kind.c_str());
     CHECK_EQUAL(1, next.run);
 }
+
+// Guards against a lost answer that holds up the start and everything behind it for a second: days with late orders.
+TEST(WorkerLink, LostAnswerOfAnOrderCostsAFewUsualResponseTimes)
+{
+    connect();
+    link->order(startOf(1));
+    auto first = host.takeOrder();
+    CHECK_EQUAL(250, first.timeout.count());
+    pass(first.timeout);
+    first.answer(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    CHECK_EQUAL(1, host.orders.size());
+    auto repeat = host.takeOrder();
+    CHECK_EQUAL(1, repeat.run);
+    CHECK_EQUAL(500, repeat.timeout.count());
+    repeat.answer(OrderAnswer { .clockMs = 2000, .bornMs = 50 });
+    CHECK_EQUAL(1, startedRuns.size());
+    CHECK_EQUAL(250, orderTimeout.current().count());
+}
--- a/Tests/PlatformAdapter/TestPlatformCalls.cpp
+++ b/Tests/PlatformAdapter/TestPlatformCalls.cpp
@@ -108,7 +108,7 @@
     StartOrder start {
         .task = { "5c0e7a21d94b36f8", 0, 1, 17 }, .run = 2, .payload = "\"text\"", .leaseUntilMs = 486000
     };
-    auto accepted = wait<OrderAnswer>([&](auto done) { workers.start(host, 7, start, done); });
+    auto accepted = wait<OrderAnswer>([&](auto done) { workers.start(host, { .epoch = 7 }, start, done); });
     CHECK(accepted.ok());
     CHECK_EQUAL(482113, *accepted->clockMs);
     CHECK_EQUAL(9, accepted->bornMs);
@@ -120,7 +120,7 @@
         { std::pair { "fence", OrderOutcome::Fenced }, { "old", OrderOutcome::Superseded },
             { "late", OrderOutcome::TooLate }, { "room", OrderOutcome::NoRoom } }) {
         answer = { .status = 409, .body = fmt::format(R"({{"clockMs":1,"reason":"{}"}})", reason) };
-        auto refused = wait<OrderAnswer>([&](auto done) { workers.start(host, 7, start, done); });
+        auto refused = wait<OrderAnswer>([&](auto done) { workers.start(host, { .epoch = 7 }, start, done); });
         CHECK(refused->outcome == outcome);
     }
     answer = { .body
