Collect a plan's candidates once, plan at most each 8 ms, and log where a job's time went

Cause: job_known lines of the grown Sofia site showed jobs read 50 to 300 ms after their acceptance: the leader was behind. Each of some 1,700 events a second started a plan that looked at all 490 workers, and strings were compared for each.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -34,7 +34,8 @@
         unblockTasks();
     }
     activateDueOccurrences(unixMs);
-    updateShortDemand(now);
+    collectCandidates(now);
+    updateShortDemand();
     placeWaiting(now);
     return std::exchange(m_actions, {});
 }
@@ -58,15 +59,31 @@
     }
 }
 
-/// Keeps the recent peak of what short tasks reserve and wait for. Answers the loss of a zone, when tasks that last
-/// would take all processors that remain and short tasks would wait behind them.
-void TaskScheduler::updateShortDemand(Instant now)
+/// Finds the workers of each service that may get runs in this plan, and their free processors.
+void TaskScheduler::collectCandidates(Instant now)
 {
+    for (auto& [service, candidates] : m_candidates)
+        candidates.clear();
     m_freeMillis = 0;
+    std::vector<WorkerEntry*>* candidates = nullptr;
+    const std::string* service = nullptr;
     for (const auto& [handle, worker] : m_workers) {
-        if (isUsable(*worker, now))
-            m_freeMillis += worker->freeRoom().cpuMillis;
+        if (!isUsable(*worker, now))
+            continue;
+        if (!service || worker->view.service != *service) {
+            service = &worker->view.service;
+            candidates = &m_candidates[*service];
+        }
+        candidates->push_back(worker.get());
+        m_freeMillis += worker->freeRoom().cpuMillis;
     }
+}
+
+/// Keeps the recent peak of what short tasks reserve and wait for. Answers the loss of a zone, when tasks that last
+/// would take all processors that remain and short tasks would wait behind them.
+void TaskScheduler::updateShortDemand()
+{
+    auto now = m_latestEventAt;
     int64_t waiting = 0;
     for (const auto& [key, ready] : m_readySteps) {
         const auto& spec = ready.job->spec.steps[ready.step];
@@ -161,8 +178,8 @@
     const TrackedJob& job, const ReadyStep& ready, const TrackedTask& task, Instant now)
 {
     const auto& spec = job.spec.steps[ready.step];
-    const auto& service = policyOf(job).service;
-    if (service.empty())
+    auto candidates = m_candidates.find(policyOf(job).service);
+    if (candidates == m_candidates.end())
         return nullptr;
     if (spec.longRunning && now - task.waitingSince < headroomWait && !leavesHeadroom(spec))
         return nullptr;
@@ -172,7 +189,6 @@
         reserveSize.cpuMillis = 0;
     // Runs of the same step per worker, for the limit and for spreading.
     std::map<WorkerHandle, uint32_t> sameStep;
-    std::map<std::string, uint32_t> sameZone;
     if (spec.maxPerWorker > 0 || spec.longRunning) {
         for (const auto& other : job.occurrences[ready.occurrence].steps[ready.step].tasks) {
             for (const auto& run : other.runs)
@@ -181,10 +197,9 @@
     }
     WorkerEntry* best = nullptr;
     double bestScore = -std::numeric_limits<double>::max();
-    for (auto& [handle, entry] : m_workers) {
-        auto& worker = *entry;
-        if (worker.view.service != service || !isUsable(worker, now))
-            continue;
+    for (auto* candidate : candidates->second) {
+        auto& worker = *candidate;
+        auto handle = worker.handle;
         if (!reserveSize.fitsIn(worker.freeRoom()))
             continue;
         if (!spec.requiredLabel.empty() && !hasLabel(worker.view, spec.requiredLabel))
@@ -208,6 +223,10 @@
             score = room / capacityCpu + std::min(allowed, 3.0);
         } else {
             score = static_cast<double>(worker.freeRoom().cpuMillis) / capacityCpu;
+            // Short tasks go where the least room is left, so that large ones find room on workers that are nearly
+            // full.
+            if (!spec.longRunning)
+                score = -score;
         }
         if (spec.longRunning)
             score += sameImageWeight * sameImageShare(worker, image);
@@ -245,7 +264,12 @@
 void TaskScheduler::startOn(WorkerEntry& worker, const ReadyStep& ready, uint32_t index, Instant now)
 {
     auto& job = *ready.job;
-    auto& task = job.occurrences[ready.occurrence].steps[ready.step].tasks[index];
+    auto& step = job.occurrences[ready.occurrence].steps[ready.step];
+    auto& task = step.tasks[index];
+    step.lastStartAt = now;
+    // The job may have been read before the first plan.
+    if (step.openedAt == neverInstant)
+        step.openedAt = now;
     TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
     uint64_t run = m_options.epoch * runsPerEpoch + ++task.starts;
     task.waitingSince = neverInstant;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -71,6 +71,7 @@
 
 void TaskScheduler::runEnded(WorkerHandle handle, const RunEnd& end, Instant now)
 {
+    m_latestEventAt = now;
     auto* job = findJob(end.task.job);
     auto* task = job && !job->occurrences.empty() ? findTask(*job, end.task) : nullptr;
     if (!task)
@@ -167,33 +168,55 @@
         return;
     m_latestEventAt = now;
     auto& worker = *it->second;
-    std::set<std::pair<TaskRef, uint64_t>> listed;
+    ++worker.reports;
+    std::set<std::pair<TaskRef, uint64_t>> unknown;
     for (const auto& report : reports) {
-        listed.emplace(report.task, report.run);
-        auto* job = findJob(report.task.job);
-        auto* task = job ? findTask(*job, report.task) : nullptr;
-        auto* run = task ? findRun(*task, report.run) : nullptr;
-        bool wanted = task && !job->hasEnded() && !task->done;
-        bool mayCopy = wanted && job->spec.steps[report.task.step].speculative;
-        if (!run && wanted && (task->runs.empty() || mayCopy)) {
-            adoptRun(handle, *job, *task, report, now);
-            run = findRun(*task, report.run);
-        }
-        if (!run) {
-            // The job may have been accepted so recently that only an earlier leader has read it.
-            if (!job)
-                worker.unknownRuns.try_emplace({ report.task, report.run }, now);
-            orderStop(handle, report.task, report.run, now);
-            continue;
+        auto active = worker.runs.find({ report.task, report.run });
+        if (active == worker.runs.end()) {
+            if (!adoptListedRun(worker, report, now)) {
+                unknown.emplace(report.task, report.run);
+                continue;
+            }
+            active = worker.runs.find({ report.task, report.run });
         }
-        updateRun(*job, *task, *run, report, now);
-        if (run->phase == RunPhase::Stopping || !wanted)
+        active->second.listedBy = worker.reports;
+        auto& job = *active->second.job;
+        auto& task = *active->second.task;
+        auto& run = *findRun(task, report.run);
+        updateRun(job, task, run, report, now);
+        if (run.phase == RunPhase::Stopping || job.hasEnded() || task.done)
             orderStop(handle, report.task, report.run, now);
     }
-    std::erase_if(worker.unknownRuns, [&](const auto& entry) { return !listed.contains(entry.first); });
+    std::erase_if(worker.unknownRuns,
+        [&](const auto& entry) { return !unknown.contains(entry.first) && !worker.runs.contains(entry.first); });
+    dropUnlistedRuns(worker, askedAt);
+    superviseWorker(worker, now);
+}
+
+/// Takes over a run of an earlier leader. A run that is not wanted is told to stop, and false is returned.
+bool TaskScheduler::adoptListedRun(WorkerEntry& worker, const RunReport& report, Instant now)
+{
+    auto* job = findJob(report.task.job);
+    auto* task = job ? findTask(*job, report.task) : nullptr;
+    bool wanted = task && !job->hasEnded() && !task->done;
+    bool mayCopy = wanted && job->spec.steps[report.task.step].speculative;
+    if (wanted && (task->runs.empty() || mayCopy)) {
+        adoptRun(worker.handle, *job, *task, report, now);
+        return true;
+    }
+    // The job may have been accepted so recently that only an earlier leader has read it.
+    if (!job)
+        worker.unknownRuns.try_emplace({ report.task, report.run }, now);
+    orderStop(worker.handle, report.task, report.run, now);
+    return false;
+}
+
+/// Runs that the worker had confirmed before it was asked, and that it no longer lists, are over.
+void TaskScheduler::dropUnlistedRuns(WorkerEntry& worker, Instant askedAt)
+{
     std::vector<std::pair<std::pair<TaskRef, uint64_t>, WorkerEntry::ActiveRun>> gone;
     for (const auto& [key, active] : worker.runs) {
-        if (listed.contains(key))
+        if (active.listedBy == worker.reports)
             continue;
         auto* tracked = findRun(*active.task, key.second);
         if (tracked && tracked->confirmedAt != neverInstant && tracked->confirmedAt < askedAt)
@@ -201,7 +224,6 @@
     }
     for (const auto& [key, active] : gone)
         dropRun(*active.job, key.first, *active.task, key.second);
-    superviseWorker(worker, now);
 }
 
 }
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -167,6 +167,7 @@
 void TaskScheduler::openStep(TrackedJob& job, uint32_t occurrence, uint32_t step)
 {
     auto& tracked = job.occurrences[occurrence].steps[step];
+    tracked.openedAt = m_latestEventAt;
     for (uint32_t i = 0; i < tracked.tasks.size(); ++i) {
         if (!tracked.tasks[i].done && tracked.tasks[i].runs.empty())
             tracked.waiting.push_back(i);
@@ -225,6 +226,29 @@
     return job.started ? JobStage::Running : JobStage::Queued;
 }
 
+std::optional<JobTimeline> TaskScheduler::timelineOf(const JobId& id) const
+{
+    auto it = m_jobs.find(id);
+    if (it == m_jobs.end())
+        return std::nullopt;
+    const auto& job = *it->second;
+    JobTimeline timeline { .queue = job.spec.queue,
+        .objectiveUnixMs = job.objectiveUnixMs,
+        .failedRuns = static_cast<uint32_t>(job.failedRuns.size()) };
+    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (uint32_t i = 0; i < job.occurrences[k].steps.size(); ++i) {
+            const auto& step = job.occurrences[k].steps[i];
+            if (step.doneAt == neverInstant || step.lastStartAt == neverInstant)
+                continue;
+            timeline.steps.push_back({ .occurrence = k,
+                .step = i,
+                .waited = step.lastStartAt - step.openedAt,
+                .ran = step.doneAt - step.lastStartAt });
+        }
+    }
+    return timeline;
+}
+
 uint32_t TaskScheduler::pendingJobs(const std::string& queue) const
 {
     uint32_t n = 0;
@@ -315,6 +339,7 @@
 void TaskScheduler::completeStep(TrackedJob& job, uint32_t k, uint32_t step)
 {
     auto& occurrence = job.occurrences[k];
+    occurrence.steps[step].doneAt = m_latestEventAt;
     for (uint32_t i = step + 1; i < occurrence.steps.size(); ++i) {
         auto waits = std::ranges::count(job.spec.steps[i].dependsOn, step);
         if (waits == 0)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
 #include <LibDecision/QueuePolicy.h>
 #include <LibDecision/RunEnd.h>
@@ -55,6 +56,9 @@
     /// The state to show to callers.
     std::optional<JobStage> stateOf(const JobId&) const;
 
+    /// Nothing for an unknown job. Steps that an earlier leader saw end are left out.
+    std::optional<JobTimeline> timelineOf(const JobId&) const;
+
     /// Jobs of the queue that have not started and have no due time.
     uint32_t pendingJobs(const std::string& queue) const;
     size_t jobCount() const { return m_jobs.size(); }
@@ -124,12 +128,15 @@
     void stopOtherRuns(const TaskRef&, TrackedTask&);
     void dropRun(TrackedJob&, const TaskRef&, TrackedTask&, uint64_t run);
     void markChanged(const TrackedJob&);
+    bool adoptListedRun(WorkerEntry&, const RunReport&, Instant now);
+    void dropUnlistedRuns(WorkerEntry&, Instant askedAt);
     void adoptRun(WorkerHandle, TrackedJob&, TrackedTask&, const RunReport&, Instant now);
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
     void orderStop(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
     void activateDueOccurrences(int64_t unixMs);
     void placeWaiting(Instant now);
-    void updateShortDemand(Instant now);
+    void collectCandidates(Instant now);
+    void updateShortDemand();
     bool isUsable(const WorkerEntry&, Instant now) const;
     bool leavesHeadroom(const StepSpec&) const;
     bool placeStep(const ReadyStep&, Instant now);
@@ -159,6 +166,9 @@
     std::set<ZoneId> m_zonesOut;
     std::unordered_map<JobId, std::unique_ptr<TrackedJob>> m_jobs;
     std::map<WorkerHandle, std::unique_ptr<WorkerEntry>> m_workers;
+
+    /// Workers that may get runs, by service, as of the latest plan.
+    std::map<std::string, std::vector<WorkerEntry*>> m_candidates;
     std::map<StepKey, ReadyStep> m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_timedJobs;
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -29,6 +29,9 @@
         TrackedTask* task { nullptr };
         const StepSpec* spec { nullptr };
         uint32_t image { 0 };
+
+        /// Number of the latest report that lists the run.
+        uint64_t listedBy { 0 };
     };
 
     /// What the filling tasks here do to one serving task.
@@ -52,6 +55,9 @@
     /// Active runs, with those that are being stopped.
     std::map<std::pair<TaskRef, uint64_t>, ActiveRun> runs {};
 
+    /// Reports of this worker so far.
+    uint64_t reports { 0 };
+
     /// Derived from `runs` and the latest report; see refreshServingPressures().
     std::vector<ServingPressure> servingPressures {};
     bool servingPressuresCurrent { false };
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibDecision/RunSpeed.h>
 #include <LibDecision/TrackedTask.h>
 #include <cstdint>
@@ -20,6 +21,11 @@
     /// Run times of the tasks that are done.
     RunSpeed speed {};
 
+    /// When its tasks could first start, when the last of them started, and when all were done.
+    Instant openedAt { neverInstant };
+    Instant lastStartAt { neverInstant };
+    Instant doneAt { neverInstant };
+
     /// Indices of tasks that are to be started.
     std::vector<uint32_t> waiting {};
 };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -7,6 +7,9 @@
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
 #include <chrono>
+#include <fmt/format.h>
+#include <iterator>
+#include <string>
 #include <utility>
 
 namespace Bergamot {
@@ -14,6 +17,9 @@
 static constexpr Milliseconds retryDelay { 150 };
 static constexpr Milliseconds tickInterval { 100 };
 
+/// Events within this time share a plan: a plan looks at all workers, and on hundreds of workers events come faster.
+static constexpr Milliseconds shortestPlanGap { 8 };
+
 /// What was learned of interference is stored this often, for a successor.
 static constexpr Milliseconds pressuresInterval { 3000 };
 
@@ -161,11 +167,14 @@
         m_storedProgress.erase(it);
     }
     auto id = spec->id;
+    auto queue = spec->queue;
     auto acceptedAtMs = spec->acceptedAtMs;
     // A job that was accepted after this leader had read the stream is unknown to earlier leaders.
     auto blockedUntil = m_settled || jobsLoaded() ? neverInstant : m_blockedUntil;
     if (m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil))
-        logInfo("job_known", { { "job", id }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
+        logInfo("job_known",
+            { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs },
+                { "offset", record.offset } });
 }
 
 bool TaskLeader::jobsLoaded() const
@@ -206,6 +215,20 @@
     return batch;
 }
 
+/// Shows where the time of a job went: for each step, the wait for the last start and the time from then to its end.
+void TaskLeader::logJobEnd(const JobProgress& progress)
+{
+    auto timeline = m_scheduler.timelineOf(progress.id).value_or(JobTimeline {});
+    std::string steps;
+    for (const auto& step : timeline.steps)
+        fmt::format_to(std::back_inserter(steps), "{}{}.{}:wait={},run={}", steps.empty() ? "" : ";", step.occurrence,
+            step.step, step.waited.count(), step.ran.count());
+    logInfo("job_ended",
+        { { "job", progress.id }, { "queue", timeline.queue }, { "state", nameOf(progress.state) },
+            { "late_ms", unixMsNow() - timeline.objectiveUnixMs }, { "failed_runs", timeline.failedRuns },
+            { "steps_ms", steps } });
+}
+
 void TaskLeader::progressStored(const ProgressBatch& batch)
 {
     for (const auto& progress : batch.jobs) {
@@ -213,7 +236,7 @@
         if (progress.state < JobStage::Completed)
             continue;
         m_metrics.recordJobEnd(nameOf(progress.state));
-        logInfo("job_ended", { { "job", progress.id }, { "state", nameOf(progress.state) } });
+        logJobEnd(progress);
     }
     if (batch.roster) {
         for (auto& [handle, worker] : m_workers) {
@@ -261,18 +284,23 @@
 {
     if (std::exchange(m_planScheduled, true))
         return;
-    m_loop.post([this, alive = m_alive] {
+    auto run = [this, alive = m_alive] {
         if (!*alive)
             return;
         m_planScheduled = false;
         plan();
-    });
+    };
+    auto gap = m_plannedAt + shortestPlanGap - m_loop.now();
+    if (gap <= Milliseconds { 0 })
+        return m_loop.post(std::move(run));
+    m_loop.callAfter(gap, std::move(run));
 }
 
 void TaskLeader::plan()
 {
     if (!jobsLoaded() || !m_options.mayStart())
         return;
+    m_plannedAt = m_loop.now();
     for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow())) {
         auto handle = std::visit([](const auto& order) { return order.worker; }, action);
         if (!std::holds_alternative<StartTask>(action))
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -53,6 +53,10 @@
     void answer(const JobQuery&, std::function<void(const JobAnswer&)>, bool isRepeat = false);
 
 private:
+    /// An order whose answer is lost is repeated after this time or more; a repeat is harmless.
+    static constexpr Milliseconds shortestOrderTimeout { 250 };
+    static constexpr Milliseconds longestOrderTimeout { 1000 };
+
     struct Worker {
         std::unique_ptr<WorkerLink> link;
         std::optional<WorkerAnnouncement> announcement;
@@ -85,6 +89,7 @@
     void publishWorker(WorkerHandle);
     ProgressBatch collectProgress();
     void progressStored(const ProgressBatch&);
+    void logJobEnd(const JobProgress&);
     void checkSettled();
     void schedulePlan();
     Milliseconds leaseLength() const;
@@ -99,6 +104,7 @@
     NodeMetrics& m_metrics;
     Options m_options;
     TaskScheduler m_scheduler;
+    CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobs;
     std::unique_ptr<StreamReader> m_workerList;
@@ -114,6 +120,7 @@
     bool m_linksStarted { false };
     bool m_settled { false };
     bool m_planScheduled { false };
+    Instant m_plannedAt { neverInstant };
     Instant m_blockedUntil { neverInstant };
     Instant m_electedAt { neverInstant };
     Instant m_pressuresStoredAt { neverInstant };
