Place gangs all or none, and keep tasks of one rack together

Change: a gang starts when all members find room, on one rack where it wants one and one has room, under one run number; the end of one member stands for all; a member that fails, breaks or is refused stops the others, and the gang starts again when all are over, with one checkpoint; a failure counts once. Tests: TaskGangs (8).

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -110,6 +110,12 @@
         && !m_zonesOut.contains(worker.view.zone);
 }
 
+/// Whether a task of this size may find no worker although others of the size do.
+static bool hasPlacementRule(const StepSpec& spec)
+{
+    return spec.gang || spec.maxPerWorker > 0 || !spec.requiredLabel.empty();
+}
+
 void TaskScheduler::placeWaiting(Instant now)
 {
     // The smallest sizes that found no room in this pass, for short tasks, for those that last, and for each filling
@@ -131,8 +137,7 @@
         auto& blocked = spec.fills ? blockedFillCpu[tracked.image]
             : spec.longRunning     ? blockedLastingCpu
                                    : blockedShortCpu;
-        if (spec.size.cpuMillis < blocked && !placeStep(ready, now) && spec.requiredLabel.empty()
-            && spec.maxPerWorker == 0)
+        if (spec.size.cpuMillis < blocked && !placeStep(ready, now) && !hasPlacementRule(spec))
             blocked = std::min(blocked, spec.size.cpuMillis);
         it = tracked.waiting.empty() ? m_readySteps.erase(it) : std::next(it);
     }
@@ -141,6 +146,8 @@
 /// Returns false when a task that may start found no worker.
 bool TaskScheduler::placeStep(const ReadyStep& ready, Instant now)
 {
+    if (ready.job->spec.steps[ready.step].gang)
+        return placeGang(ready, now);
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
     std::vector<uint32_t> left;
     bool found = true;
@@ -157,7 +164,7 @@
             left.push_back(index);
             continue;
         }
-        auto* worker = found ? chooseWorker(*ready.job, ready, task, now) : nullptr;
+        auto* worker = found ? chooseWorker(*ready.job, ready, task, {}, now) : nullptr;
         if (!worker) {
             found = false;
             left.push_back(index);
@@ -174,8 +181,9 @@
     return std::ranges::find(view.labels, label) != view.labels.end();
 }
 
+/// `rack` limits the choice when it is not empty.
 TaskScheduler::WorkerEntry* TaskScheduler::chooseWorker(
-    const TrackedJob& job, const ReadyStep& ready, const TrackedTask& task, Instant now)
+    const TrackedJob& job, const ReadyStep& ready, const TrackedTask& task, const std::string& rack, Instant now)
 {
     const auto& spec = job.spec.steps[ready.step];
     auto candidates = m_candidates.find(policyOf(job).service);
@@ -189,10 +197,14 @@
         reserveSize.cpuMillis = 0;
     // Runs of the same step per worker, for the limit and for spreading.
     std::map<WorkerHandle, uint32_t> sameStep;
-    if (spec.maxPerWorker > 0 || spec.longRunning) {
+    std::set<std::string> racks;
+    if (spec.maxPerWorker > 0 || spec.longRunning || spec.sameRack) {
         for (const auto& other : job.occurrences[ready.occurrence].steps[ready.step].tasks) {
-            for (const auto& run : other.runs)
+            for (const auto& run : other.runs) {
                 ++sameStep[run.worker];
+                if (auto it = m_workers.find(run.worker); it != m_workers.end())
+                    racks.insert(it->second->view.rack);
+            }
         }
     }
     WorkerEntry* best = nullptr;
@@ -200,6 +212,8 @@
     for (auto* candidate : candidates->second) {
         auto& worker = *candidate;
         auto handle = worker.handle;
+        if (!rack.empty() && worker.view.rack != rack)
+            continue;
         if (!reserveSize.fitsIn(worker.freeRoom()))
             continue;
         if (!spec.requiredLabel.empty() && !hasLabel(worker.view, spec.requiredLabel))
@@ -231,7 +245,9 @@
         if (spec.longRunning)
             score += sameImageWeight * sameImageShare(worker, image);
         score -= siblingWeight * static_cast<double>(siblings);
-        if (!spec.dataRack.empty() && hasLabel(worker.view, spec.dataRack))
+        if (!spec.dataRack.empty() && worker.view.rack == spec.dataRack)
+            score += 1;
+        if (spec.sameRack && racks.contains(worker.view.rack))
             score += 1;
         if (handle == task.lastFailedOn && task.failures > 0)
             score -= 10;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -91,13 +91,20 @@
     if (end.outcome == RunOutcome::Done && !lasts) {
         if (worker != m_workers.end())
             worker->second->failures = 0;
-        completeTask(*job, end.task, *task);
+        if (job->spec.steps[end.task.step].gang)
+            completeGang(*job, end.task);
+        else
+            completeTask(*job, end.task, *task);
         return;
     }
-    if (!end.checkpoint.empty())
-        task->checkpoint = end.checkpoint;
+    noteCheckpoint(*job, end.task, *task, end.checkpoint);
     if (end.outcome == RunOutcome::Failed && !lasts) {
-        FailedRun failed { end.task.occurrence, end.task.step, end.task.index, end.run };
+        // The failure of one member counts once for the whole gang.
+        bool gang = job->spec.steps[end.task.step].gang;
+        auto index = gang ? 0 : end.task.index;
+        if (gang)
+            task = findTask(*job, { end.task.job, end.task.occurrence, end.task.step, index });
+        FailedRun failed { end.task.occurrence, end.task.step, index, end.run };
         if (job->failedRuns.insert(failed).second) {
             ++task->failures;
             task->lastFailedOn = handle;
@@ -115,6 +122,16 @@
     requeue(*job, end.task);
 }
 
+void TaskScheduler::noteCheckpoint(
+    TrackedJob& job, const TaskRef& ref, TrackedTask& task, const std::string& checkpoint)
+{
+    if (checkpoint.empty())
+        return;
+    if (job.spec.steps[ref.step].gang)
+        return shareCheckpoint(job, ref, checkpoint);
+    task.checkpoint = checkpoint;
+}
+
 void TaskScheduler::orderStop(WorkerHandle handle, const TaskRef& ref, uint64_t run, Instant now)
 {
     auto it = m_workers.find(handle);
@@ -155,8 +172,7 @@
     }
     run.recentFigure = report.recentFigure;
     noteEffort(run, job.spec.steps[report.task.step], now);
-    if (!report.checkpoint.empty())
-        task.checkpoint = report.checkpoint;
+    noteCheckpoint(job, report.task, task, report.checkpoint);
     job.started = true;
 }
 
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -188,6 +188,8 @@
         return;
     if (job.hasEnded() || task.done || !task.runs.empty())
         return;
+    if (job.spec.steps[ref.step].gang)
+        return breakGang(job, ref);
     enqueue(job, ref);
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -128,6 +128,7 @@
     void stopOtherRuns(const TaskRef&, TrackedTask&);
     void dropRun(TrackedJob&, const TaskRef&, TrackedTask&, uint64_t run);
     void markChanged(const TrackedJob&);
+    static void noteCheckpoint(TrackedJob&, const TaskRef&, TrackedTask&, const std::string& checkpoint);
     bool adoptListedRun(WorkerEntry&, const RunReport&, Instant now);
     void dropUnlistedRuns(WorkerEntry&, Instant askedAt);
     void adoptRun(WorkerHandle, TrackedJob&, TrackedTask&, const RunReport&, Instant now);
@@ -140,7 +141,16 @@
     bool isUsable(const WorkerEntry&, Instant now) const;
     bool leavesHeadroom(const StepSpec&) const;
     bool placeStep(const ReadyStep&, Instant now);
-    WorkerEntry* chooseWorker(const TrackedJob&, const ReadyStep&, const TrackedTask&, Instant now);
+    WorkerEntry* chooseWorker(
+        const TrackedJob&, const ReadyStep&, const TrackedTask&, const std::string& rack, Instant now);
+    void requeueGang(TrackedJob&, const TaskRef&);
+    bool placeGang(const ReadyStep&, Instant now);
+    std::vector<std::string> racksWithRoom(const TrackedJob&, const StepSpec&) const;
+    bool startGang(const ReadyStep&, const std::string& rack, Instant now);
+    void undoStarts(const ReadyStep&, uint32_t members, size_t actionsBefore);
+    void completeGang(TrackedJob&, const TaskRef&);
+    void breakGang(TrackedJob&, const TaskRef&);
+    static void shareCheckpoint(TrackedJob&, const TaskRef&, const std::string& checkpoint);
     void startOn(WorkerEntry&, const ReadyStep&, uint32_t index, Instant now);
     void superviseWorker(WorkerEntry&, Instant now);
     void observeInterference(WorkerEntry&, Instant now);
--- a/Libraries/LibDecision/TaskSpeed.cpp
+++ b/Libraries/LibDecision/TaskSpeed.cpp
@@ -54,7 +54,8 @@
     WorkerEntry& worker, const TaskRef& ref, TrackedJob& job, TrackedTask& task, TrackedRun& run, Instant now)
 {
     const auto& spec = job.spec.steps[ref.step];
-    if (spec.longRunning || run.resumed || run.phase != RunPhase::Running || run.reportedAt != now)
+    // Members of a gang wait for each other, so the progress of one says nothing of its worker.
+    if (spec.gang || spec.longRunning || run.resumed || run.phase != RunPhase::Running || run.reportedAt != now)
         return;
     auto remaining = RunSpeed::remaining(run.effort, run.percent);
     if (!remaining)
--- a/Libraries/LibDecision/TaskWorkerView.h
+++ b/Libraries/LibDecision/TaskWorkerView.h
@@ -17,6 +17,7 @@
     std::string service {};
     ZoneId zone {};
     std::vector<std::string> labels {};
+    std::string rack {};
     Resources capacity {};
     bool draining { false };
 
--- /dev/null
+++ b/Tests/LibDecision/TestTaskGangs.cpp
@@ -0,0 +1,144 @@
+#include "TaskSchedulerFixture.h"
+#include <algorithm>
+#include <set>
+
+using namespace Bergamot;
+
+TEST_GROUP(TaskGangs)
+{
+    TaskSchedulerFixture fixture;
+    TaskScheduler& scheduler { fixture.scheduler() };
+
+    static StepSpec gangOf(uint32_t count)
+    {
+        auto step = TaskSchedulerFixture::step(count);
+        step.gang = true;
+        return step;
+    }
+
+    void addRackWorker(WorkerHandle handle, const std::string& rack, int64_t cpuMillis)
+    {
+        TaskWorkerView view { .id = "w" + std::to_string(handle), .service = "token", .zone = "a", .rack = rack };
+        view.capacity = { cpuMillis, 125000, 0 };
+        scheduler.updateWorker(handle, view);
+    }
+
+    std::vector<StartTask> startThree()
+    {
+        for (WorkerHandle handle = 1; handle <= 3; ++handle)
+            fixture.addWorker(handle, { 1000, 125000, 0 });
+        scheduler.addJob(fixture.job("g", { gangOf(3) }), std::nullopt, neverInstant);
+        return fixture.planStarts();
+    }
+};
+
+// Guards against members that wait on workers for others that find no room.
+TEST(TaskGangs, AllMembersStartOrNone)
+{
+    fixture.addWorker(1, { 2000, 125000, 0 });
+    scheduler.addJob(fixture.job("g", { gangOf(3) }), std::nullopt, neverInstant);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK(scheduler.stateOf("g") == JobStage::Queued);
+    fixture.addWorker(2, { 1000, 125000, 0 });
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(3, starts.size());
+    for (const auto& start : starts)
+        CHECK_EQUAL(starts[0].run, start.run);
+}
+
+// Guards against room that stays reserved by members whose starts were taken back.
+TEST(TaskGangs, AttemptWithoutRoomReservesNothing)
+{
+    fixture.addWorker(1, { 2000, 125000, 0 });
+    scheduler.addJob(fixture.job("g", { gangOf(3) }), std::nullopt, neverInstant);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant);
+    CHECK_EQUAL(2, fixture.planStarts().size());
+}
+
+// Guards against a second run of members that have ended with the others.
+TEST(TaskGangs, OneEndStandsForAll)
+{
+    auto starts = startThree();
+    fixture.end(starts[1], RunOutcome::Done);
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Completed);
+    for (const auto& action : fixture.plan())
+        CHECK_FALSE(std::holds_alternative<StartTask>(action));
+}
+
+// Guards against members of two attempts that run at the same time, and against an attempt that is counted for each
+// member.
+TEST(TaskGangs, BrokenGangStartsAgainWhenAllMembersAreOver)
+{
+    auto starts = startThree();
+    fixture.end(starts[0], RunOutcome::Failed);
+    auto orders = fixture.plan();
+    CHECK_EQUAL(2, std::ranges::count_if(orders, [](const auto& it) { return std::holds_alternative<StopTask>(it); }));
+    CHECK_EQUAL(0, fixture.startsOf(orders).size());
+    fixture.end(starts[1], RunOutcome::GangBroken);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    fixture.end(starts[2], RunOutcome::Failed);
+    auto again = fixture.planStarts();
+    CHECK_EQUAL(3, again.size());
+    for (const auto& start : again) {
+        CHECK_EQUAL(again[0].run, start.run);
+        CHECK(start.run > starts[0].run);
+    }
+    fixture.end(again[2], RunOutcome::Failed);
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Failed);
+}
+
+// Guards against members that start from different checkpoints.
+TEST(TaskGangs, AllMembersCarryTheSameCheckpoint)
+{
+    auto starts = startThree();
+    scheduler.runsReported(starts[1].worker,
+        { { .task = starts[1].task, .run = starts[1].run, .checkpoint = "c1", .percent = 40 } }, fixture.now(),
+        fixture.now());
+    for (const auto& start : starts)
+        fixture.end(start, RunOutcome::GangBroken);
+    auto again = fixture.planStarts();
+    CHECK_EQUAL(3, again.size());
+    for (const auto& start : again)
+        STRCMP_EQUAL("c1", start.checkpoint.c_str());
+}
+
+// Guards against a gang spread over racks although one rack holds it.
+TEST(TaskGangs, SameRackIsUsedWhenItHasRoom)
+{
+    for (WorkerHandle handle = 1; handle <= 4; ++handle)
+        addRackWorker(handle, handle % 2 == 0 ? "r2" : "r1", handle % 2 == 0 ? 2000 : 1000);
+    auto step = gangOf(3);
+    step.sameRack = true;
+    scheduler.addJob(fixture.job("g", { step }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(3, starts.size());
+    for (const auto& start : starts)
+        CHECK_EQUAL(0, start.worker % 2);
+}
+
+// Guards against a gang that waits for ever for a rack that is large enough.
+TEST(TaskGangs, GangIsSpreadWhenNoRackHoldsIt)
+{
+    for (WorkerHandle handle = 1; handle <= 4; ++handle)
+        addRackWorker(handle, handle % 2 == 0 ? "r2" : "r1", 1000);
+    auto step = gangOf(3);
+    step.sameRack = true;
+    scheduler.addJob(fixture.job("g", { step }), std::nullopt, neverInstant);
+    CHECK_EQUAL(3, fixture.planStarts().size());
+}
+
+// Guards against a new leader that starts single members beside those that still run.
+TEST(TaskGangs, NewLeaderWaitsForTheMembersThatRun)
+{
+    for (WorkerHandle handle = 1; handle <= 3; ++handle)
+        fixture.addWorker(handle, { 1000, 125000, 0 });
+    scheduler.addJob(fixture.job("g", { gangOf(2) }), std::nullopt, Instant::max());
+    RunReport report { .task = { "g", 0, 0, 0 }, .run = 5, .percent = 10 };
+    scheduler.runsReported(1, { report }, fixture.now(), fixture.now());
+    scheduler.unblockTasks();
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler.runEnded(
+        1, { .sequence = 1, .task = report.task, .run = 5, .outcome = RunOutcome::GangIncomplete }, fixture.now());
+    CHECK_EQUAL(2, fixture.planStarts().size());
+}
