Bound what a leader keeps of jobs, and never block on the log

Causes, found by reading: a leader kept every task of every job that had ended; a body of 60 bytes could ask for a thousand million tasks; a reader of the log that stops would have stopped the process at the first full pipe.

--- a/Libraries/LibCore/Logger.cpp
+++ b/Libraries/LibCore/Logger.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdio>
 #include <iterator>
+#include <poll.h>
 #include <utility>
 
 namespace Bergamot {
@@ -37,6 +38,14 @@
     return out + '"';
 }
 
+/// Whether a line could wait for the reader of a pipe. A pipe that can be written to takes PIPE_BUF bytes (4,096) at
+/// once, more than a line has.
+bool Logger::mayBlock() const
+{
+    pollfd descriptor { .fd = fileno(m_stream), .events = POLLOUT, .revents = 0 };
+    return poll(&descriptor, 1, 0) == 0;
+}
+
 void Logger::log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (level < m_level)
@@ -55,12 +64,21 @@
         ++budget.suppressed;
         return;
     }
+    if (mayBlock()) {
+        ++m_dropped;
+        return;
+    }
     auto line = fmt::format("ts={}.{:03} level={} process={} event={}", now / 1000, now % 1000,
         levelNames[static_cast<size_t>(level)], quoted(m_processName), quoted(event));
     for (const auto& field : fields)
         fmt::format_to(std::back_inserter(line), " {}={}", field.key, quoted(field.value));
     if (budget.suppressed > 0)
         fmt::format_to(std::back_inserter(line), " suppressed={}", std::exchange(budget.suppressed, 0));
+    if (m_dropped > 0)
+        fmt::format_to(std::back_inserter(line), " dropped={}", std::exchange(m_dropped, 0));
+    constexpr size_t longestLine = 4000;
+    if (line.size() > longestLine)
+        line.resize(longestLine);
     fmt::print(m_stream, "{}\n", line);
     std::fflush(m_stream);
 }
--- a/Libraries/LibCore/Logger.h
+++ b/Libraries/LibCore/Logger.h
@@ -14,7 +14,8 @@
 enum class LogLevel : uint8_t { Debug, Info, Warning, Error };
 
 /// Writes one line of key=value pairs for each event, to standard error unless another stream is set. Lines of the same
-/// event above MaxLinesPerSecond are counted and summed up in the next line, so that a fault cannot flood the log.
+/// event above MaxLinesPerSecond are counted and summed up in the next line, so that a fault cannot flood the log. A
+/// reader that does not keep up never blocks the process: lines that find a full pipe are dropped and counted.
 class Logger {
 public:
     static constexpr uint32_t maxLinesPerSecond = 20;
@@ -32,6 +33,8 @@
     static std::string quoted(std::string_view value);
 
 private:
+    bool mayBlock() const;
+
     struct EventBudget {
         int64_t second { 0 };
         uint32_t lines { 0 };
@@ -43,6 +46,9 @@
     std::string m_processName;
     LogLevel m_level { LogLevel::Info };
     std::FILE* m_stream { stderr };
+
+    /// Lines that found a full pipe since the last line that was written.
+    uint64_t m_dropped { 0 };
 };
 
 inline void logDebug(std::string_view event, std::initializer_list<LogField> fields)
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -33,6 +33,8 @@
         return;
     release(it->worker, job, ref, run);
     task.runs.erase(it);
+    if (job.hasEnded())
+        return releaseDetailsOf(job);
     requeue(job, ref);
 }
 
@@ -83,7 +85,9 @@
         release(run->worker, *job, end.task, end.run);
         std::erase_if(task->runs, [&](const TrackedRun& it) { return it.run == end.run; });
     }
-    if (job->hasEnded() || task->done)
+    if (job->hasEnded())
+        return releaseDetailsOf(*job);
+    if (task->done)
         return;
     job->started = true;
     auto worker = m_workers.find(handle);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -405,6 +405,32 @@
         job->storedState = std::max(job->storedState, progress.state);
 }
 
+void TaskScheduler::releaseDetails(const JobId& id)
+{
+    auto* job = findJob(id);
+    if (!job || job->storedState < JobStage::Completed)
+        return;
+    job->detailsNeedless = true;
+    releaseDetailsOf(*job);
+}
+
+void TaskScheduler::releaseDetailsOf(TrackedJob& job)
+{
+    if (!job.detailsNeedless)
+        return;
+    for (const auto& occurrence : job.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return !it.runs.empty(); }))
+                return;
+        }
+    }
+    std::erase_if(m_readySteps, [&](const auto& it) { return it.second.job == &job; });
+    job.occurrences = {};
+    job.failedRuns = {};
+    job.spec.payload = {};
+    job.spec.steps = {};
+}
+
 void TaskScheduler::unblockTasks()
 {
     for (auto& [id, job] : m_jobs) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -93,6 +93,10 @@
     std::vector<JobProgress> takeChangedJobs();
     void progressStored(const JobProgress&);
 
+    /// Frees what is kept of the tasks of a job whose end is stored; its state stays known. Does nothing while a run may
+    /// be active; the job is then freed when its last run is over.
+    void releaseDetails(const JobId&);
+
     /// What has been learned of interference.
     PressureRecord savePressures() const { return m_pressure.save(); }
     void restorePressures(const PressureRecord& record) { m_pressure.restore(record); }
@@ -127,6 +131,7 @@
     void finishJob(TrackedJob&, JobStage);
     void stopOtherRuns(const TaskRef&, TrackedTask&);
     void dropRun(TrackedJob&, const TaskRef&, TrackedTask&, uint64_t run);
+    void releaseDetailsOf(TrackedJob&);
     void markChanged(const TrackedJob&);
     static void noteCheckpoint(TrackedJob&, const TaskRef&, TrackedTask&, const std::string& checkpoint);
     bool adoptListedRun(WorkerEntry&, const RunReport&, Instant now);
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -21,6 +21,9 @@
     std::set<FailedRun> failedRuns {};
     bool started { false };
 
+    /// What is kept of the tasks may be freed once no run is active.
+    bool detailsNeedless { false };
+
     /// Unix time by which the job is on time.
     int64_t objectiveUnixMs { 0 };
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -237,6 +237,7 @@
             continue;
         m_metrics.recordJobEnd(nameOf(progress.state));
         logJobEnd(progress);
+        m_scheduler.releaseDetails(progress.id);
     }
     if (batch.roster) {
         for (auto& [handle, worker] : m_workers) {
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -253,3 +253,24 @@
     scheduler.addJob(fixture.job("large", { large }), std::nullopt, neverInstant);
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
+
+// Guards against a leader whose memory grows with each job that has ended, and against freeing runs that are still active.
+TEST(TaskScheduler, EndedJobKeepsItsStateOnly)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    scheduler.cancelJob("j");
+    scheduler.progressStored({ .id = "j", .state = JobStage::Cancelled });
+    scheduler.releaseDetails("j");
+    fixture.end(starts[0], RunOutcome::Stopped);
+    CHECK_EQUAL(1, scheduler.totals().activeRuns);
+    fixture.end(starts[1], RunOutcome::Stopped, 2);
+    CHECK_EQUAL(0, scheduler.totals().activeRuns);
+    fixture.end(starts[1], RunOutcome::Stopped, 2);
+    scheduler.runsReported(1, { { .task = starts[0].task, .run = starts[0].run } }, fixture.now(), fixture.now());
+    CHECK(scheduler.stateOf("j") == JobStage::Cancelled);
+    CHECK(scheduler.timelineOf("j")->steps.empty());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_FALSE(scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant));
+}
--- a/Tests/PlatformAdapter/TestPlatformJson.cpp
+++ b/Tests/PlatformAdapter/TestPlatformJson.cpp
@@ -63,6 +63,9 @@
     STRCMP_EQUAL("steps[0].cpu: not a whole number", problemOf(R"({"steps":[{"count":1,"cpu":"5"}]})").c_str());
     STRCMP_EQUAL("steps[0].dependsOn: not the number of an earlier step",
         problemOf(R"({"steps":[{"count":1,"dependsOn":[0]}]})").c_str());
+    // A job that would take all of a leader's memory.
+    STRCMP_EQUAL("steps: more than 50000 tasks, counted with repeats",
+        problemOf(R"({"repeatCount":100000,"steps":[{"count":10000}]})").c_str());
     STRCMP_EQUAL("steps[0].gang: neither true nor false", problemOf(R"({"steps":[{"count":1,"gang":1}]})").c_str());
     STRCMP_EQUAL(
         "spec: too long", problemOf(R"({"spec":")" + std::string(4001, 'x') + R"(","steps":[{"count":1}]})").c_str());
