Order stops and pace also while the leader may not start anything

A leader whose loop stands still for 0.7 s is taken for suspended; until the store has confirmed it again it did not plan at all, so that stops stayed in the scheduler while its renewals kept the runs alive. Change: only starts wait for the confirmation; stops and pace are refused by workers if the leader has been replaced. Test: StopsAreOrderedWhileNothingMayStart failed first.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -26,7 +26,7 @@
 /// A task that fills starts when at least this share of its processors is expected to be idle.
 static constexpr double fillStartShare = 0.7;
 
-std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs)
+std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs, bool mayStart)
 {
     m_latestEventAt = now;
     if (m_unblockAt != neverInstant && now >= m_unblockAt) {
@@ -36,7 +36,8 @@
     activateDueOccurrences(unixMs);
     collectCandidates(now);
     updateShortDemand();
-    placeWaiting(now);
+    if (mayStart)
+        placeWaiting(now);
     return std::exchange(m_actions, {});
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -86,8 +86,9 @@
     /// Tasks that no worker has listed may be started again, because all workers have answered the new leader.
     void unblockTasks();
 
-    /// Orders that follow from all events so far.
-    std::vector<TaskAction> plan(Instant now, int64_t unixMs);
+    /// Orders that follow from all events so far. Without `mayStart` no task is started; stops and changes of pace are
+    /// harmless in the name of a leader that has been replaced, because workers refuse them.
+    std::vector<TaskAction> plan(Instant now, int64_t unixMs, bool mayStart = true);
 
     /// What changed since the last call and must be stored.
     std::vector<JobProgress> takeChangedJobs();
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -299,10 +299,10 @@
 
 void TaskLeader::plan()
 {
-    if (!jobsLoaded() || !m_options.mayStart())
+    if (!jobsLoaded())
         return;
     m_plannedAt = m_loop.now();
-    for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow())) {
+    for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow(), m_options.mayStart())) {
         auto handle = std::visit([](const auto& order) { return order.worker; }, action);
         if (!std::holds_alternative<StartTask>(action))
             m_metrics.recordOrder(std::holds_alternative<StopTask>(action) ? "stop" : "pace");
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -274,3 +274,19 @@
     CHECK_EQUAL(0, fixture.planStarts().size());
     CHECK_FALSE(scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant));
 }
+
+// Guards against runs that go on after their job was cancelled because the leader is unsure of its leadership: on a hunted day
+// of the grown Sofia site (trouble-2, seed 661965882003) four runs went on for 9.6 s after the cancellation was answered.
+TEST(TaskScheduler, StopsAreOrderedWhileNothingMayStart)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("running", { fixture.step(2) }), std::nullopt, neverInstant);
+    CHECK_EQUAL(2, fixture.planStarts().size());
+    scheduler.addJob(fixture.job("waiting", { fixture.step(1) }), std::nullopt, neverInstant);
+    scheduler.cancelJob("running");
+    auto orders = scheduler.plan(fixture.now(), 0, false);
+    CHECK_EQUAL(2, orders.size());
+    for (const auto& order : orders)
+        CHECK(std::holds_alternative<StopTask>(order));
+    CHECK_EQUAL(1, fixture.planStarts().size());
+}
