Explain a job from the logs of several hosts

bergamotctl explain JOB LOG... prints the lines of one job in order with the changes of leadership meanwhile, the cause that they prove (a refused or unknown submission, a late reading, steps that waited or ran long, failed runs) and what the logs lack.

--- a/Libraries/LibAdmin/Arguments.cpp
+++ b/Libraries/LibAdmin/Arguments.cpp
@@ -16,6 +16,12 @@
     return it != m_values.end() && it->second.isString() ? it->second.asString() : std::string {};
 }
 
+std::vector<std::string> Arguments::list(const std::string& name) const
+{
+    auto it = m_values.find(name);
+    return it != m_values.end() && it->second.isStringList() ? it->second.asStringList() : std::vector<std::string> {};
+}
+
 absl::StatusOr<std::optional<int64_t>> Arguments::number(const std::string& name) const
 {
     auto given = text(name);
--- a/Libraries/LibAdmin/Arguments.h
+++ b/Libraries/LibAdmin/Arguments.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Bergamot {
 
@@ -21,6 +22,8 @@
     bool has(const std::string& name) const;
     /// The text of an option or argument; empty when it was not given.
     std::string text(const std::string& name) const;
+    /// The values of an argument that may be repeated.
+    std::vector<std::string> list(const std::string& name) const;
     /// A whole number of at least 0, or nothing when it was not given. Fails when the text is no such number.
     absl::StatusOr<std::optional<int64_t>> number(const std::string& name) const;
 
--- a/Libraries/LibAdmin/CommandLine.cpp
+++ b/Libraries/LibAdmin/CommandLine.cpp
@@ -35,6 +35,7 @@
             { { "job", "show" }, showJob },
             { { "job", "cancel" }, cancelJob },
             { { "job", "why" }, explainJob },
+            { { "explain" }, tellStory, false },
             { { "terms", "show" }, showTerms },
             { { "terms", "renew" }, renewTerms },
             { { "config", "show" }, showConfig },
--- a/Libraries/LibAdmin/CommandLineUsage.cpp
+++ b/Libraries/LibAdmin/CommandLineUsage.cpp
@@ -16,6 +16,7 @@
   bergamotctl job submit --client=NAME --team=NAME [--cpu-millis=N] [--memory-mb=N] [--accelerators=N] [--run-ms=N] [--urgent] [--key=TEXT] [options] KIND
   bergamotctl job list [--state=STATE] [--kind=KIND] [--team=NAME] [--limit=N] [options]
   bergamotctl job (show | cancel | why) [options] JOB
+  bergamotctl explain [options] JOB LOG...
   bergamotctl terms show [options] [CLIENT]
   bergamotctl terms renew [--renewal=N] [options] CLIENT
   bergamotctl config show [options] [VERSION]
@@ -70,6 +71,7 @@
   bergamotctl zone out b --entry 10.0.1.1:8081,10.0.2.1:8081 --token-file admin.token
   bergamotctl job submit settlement --client back-office --team settlement --key 2026-12-04
   bergamotctl job why riga-e1.7.42
+  bergamotctl explain 5c0e7a21d94b36f8 front-1.log front-2.log
   bergamotctl terms renew kiosks
   bergamotctl status --output json
 )";
--- a/Libraries/LibAdmin/Commands.h
+++ b/Libraries/LibAdmin/Commands.h
@@ -27,6 +27,8 @@
 ExitStatus cancelJob(CommandContext& context);
 ExitStatus explainJob(CommandContext& context);
 
+ExitStatus tellStory(CommandContext& context);
+
 ExitStatus showTerms(CommandContext& context);
 ExitStatus renewTerms(CommandContext& context);
 
--- /dev/null
+++ b/Libraries/LibAdmin/JobStory.cpp
@@ -0,0 +1,155 @@
+#include <LibAdmin/JobStory.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace Bergamot {
+
+/// A failed call to the store this long before a refusal is taken for its cause.
+static constexpr int64_t refusalWindowMs = 1500;
+
+/// A job is usually read within some tens of milliseconds.
+static constexpr int64_t slowReadingMs = 500;
+
+JobStory::JobStory(std::string job, std::vector<LogLine> lines)
+    : m_job(std::move(job))
+    , m_lines(std::move(lines))
+{
+    std::ranges::stable_sort(m_lines, {}, &LogLine::atMs);
+    std::ranges::copy_if(
+        m_lines, std::back_inserter(m_story), [&](const LogLine& it) { return it.field("job") == m_job; });
+    explainSubmission();
+    explainReading();
+    explainEnd();
+    addContext();
+}
+
+std::vector<const LogLine*> JobStory::linesOf(const std::string& event) const
+{
+    std::vector<const LogLine*> result;
+    for (const auto& line : m_lines) {
+        if (line.event == event && line.field("job") == m_job)
+            result.push_back(&line);
+    }
+    return result;
+}
+
+void JobStory::explainSubmission()
+{
+    auto submissions = linesOf("job_submitted");
+    if (submissions.empty()) {
+        m_missing.emplace_back("job_submitted: the log of the host that took the request is not here, or the line was "
+                               "left out (look for suppressed= and dropped=)");
+        return;
+    }
+    for (const auto* submission : submissions) {
+        auto result = submission->field("result");
+        if (result == "accepted")
+            continue;
+        auto cause = std::ranges::find_if(m_lines.rbegin(), m_lines.rend(), [&](const LogLine& it) {
+            return it.event == "job_append_failed" && it.process == submission->process && it.atMs <= submission->atMs
+                && submission->atMs - it.atMs < refusalWindowMs;
+        });
+        if (cause == m_lines.rend())
+            m_missing.push_back(
+                fmt::format("{}: no job_append_failed line shows why the answer was {}", submission->process, result));
+        else
+            m_causes.push_back(fmt::format("{} answered {} because its store call failed: {}", submission->process,
+                result, cause->field("error")));
+    }
+}
+
+void JobStory::explainReading()
+{
+    auto readings = linesOf("job_known");
+    bool accepted = std::ranges::any_of(
+        linesOf("job_submitted"), [](const auto* it) { return it->field("result") == "accepted"; });
+    if (readings.empty()) {
+        if (accepted)
+            m_missing.emplace_back("job_known: the log of the leader is not here, or no leader has read the job");
+        return;
+    }
+    auto ageMs = readings.front()->number("age_ms");
+    if (ageMs > slowReadingMs)
+        m_causes.push_back(fmt::format(
+            "{} ms passed from the acceptance until leader {} had read the job (the lines leader_changed and "
+            "leader_settled say who led meanwhile)",
+            ageMs, readings.front()->process));
+}
+
+void JobStory::explainEnd()
+{
+    auto ends = linesOf("job_ended");
+    if (ends.empty()) {
+        if (!linesOf("job_known").empty())
+            m_missing.emplace_back("job_ended: the job had not ended, or the log of a later leader is not here");
+        return;
+    }
+    const auto& end = *ends.back();
+    if (end.field("state") == "failed")
+        return explainFailedRuns(end);
+    if (end.field("state") == "completed" && end.number("late_ms") > 0)
+        explainSteps(end);
+}
+
+void JobStory::explainSteps(const LogLine& end)
+{
+    auto text = end.field("steps_ms");
+    std::string_view steps = text;
+    int64_t waited = 0;
+    int64_t ran = 0;
+    auto take = [&](std::string_view name) {
+        auto at = steps.find(name);
+        if (at == std::string_view::npos)
+            return int64_t { -1 };
+        steps.remove_prefix(at + name.size());
+        return static_cast<int64_t>(std::strtoll(steps.data(), nullptr, 10));
+    };
+    for (int64_t wait = take("wait="); wait >= 0; wait = take("wait=")) {
+        waited += wait;
+        ran += std::max<int64_t>(0, take("run="));
+    }
+    m_causes.push_back(
+        fmt::format("the job was {} ms late: its steps waited {} ms for workers and ran for {} ms, with {} "
+                    "failed runs",
+            end.number("late_ms"), waited, ran, end.number("failed_runs")));
+}
+
+void JobStory::explainFailedRuns(const LogLine& end)
+{
+    std::set<std::string> workers;
+    int failed = 0;
+    for (const auto* run : linesOf("run_ended")) {
+        if (run->field("outcome") != "failed")
+            continue;
+        ++failed;
+        workers.insert(run->field("worker"));
+    }
+    if (failed < end.number("failed_runs"))
+        m_missing.push_back(fmt::format("run_ended: {} of {} failed runs are not in these logs",
+            end.number("failed_runs") - failed, end.number("failed_runs")));
+    if (failed > 0)
+        m_causes.push_back(fmt::format("a task used up its attempts: {} runs failed on {} worker{}{}", failed,
+            workers.size(), workers.size() == 1 ? "" : "s",
+            workers.size() == 1 ? ", so the worker may be at fault" : ", so the task is likely at fault"));
+}
+
+/// Adds what happened to leadership while the job lived.
+void JobStory::addContext()
+{
+    if (m_story.empty())
+        return;
+    auto from = m_story.front().atMs;
+    auto to = m_story.back().atMs;
+    for (const auto& line : m_lines) {
+        bool ofLeader = (line.event == "leader_changed" && line.field("self") == "true")
+            || line.event == "leader_settled" || line.event == "leader_deposed";
+        if (ofLeader && line.atMs >= from && line.atMs <= to)
+            m_story.push_back(line);
+    }
+    std::ranges::stable_sort(m_story, {}, &LogLine::atMs);
+}
+
+}
--- a/Utilities/bergamotctl/main.cpp
+++ b/Utilities/bergamotctl/main.cpp
@@ -14,8 +14,12 @@
 
 static absl::StatusOr<std::string> readFile(const std::string& path)
 {
-    std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
+    if (path == "-") {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
+    std::ifstream file(path, std::ios::binary);
     text << file.rdbuf();
     std::error_code ec;
     // An empty file sets the fail bit of the output stream, but is readable. A directory can be opened, but not read.
