Keep idle connections registered with epoll, and explain runs once

Cause: strace of 2,000 calls of the HTTP engine shows 3,811 epoll_ctl calls of 13,200 system calls: libcurl gives a socket back after each transfer and asks for it again with the next one. Change: a kept connection stays registered; an event while it is idle or its close ends that. Now no epoll_ctl for a call on a kept connection. Also: an end that a worker lists several times is logged once, and bergamotctl explain counts runs, not lines. Tests: PausedWatchEndsWithItsFirstEventAndCanBeTakenUpAgain, FailedJobCountsRunsAndWorkers.

--- a/Libraries/LibAdmin/JobStory.cpp
+++ b/Libraries/LibAdmin/JobStory.cpp
@@ -97,6 +97,11 @@
 void JobStory::explainSteps(const LogLine& end)
 {
     auto text = end.field("steps_ms");
+    if (text.empty()) {
+        m_missing.push_back(fmt::format(
+            "steps_ms: an earlier leader saw the steps of this job end, {} ms late", end.number("late_ms")));
+        return;
+    }
     std::string_view steps = text;
     int64_t waited = 0;
     int64_t ran = 0;
@@ -120,13 +125,15 @@
 void JobStory::explainFailedRuns(const LogLine& end)
 {
     std::set<std::string> workers;
-    int failed = 0;
+    // A worker lists an end until it is acknowledged, so that one run may have several lines.
+    std::set<std::string> runs;
     for (const auto* run : linesOf("run_ended")) {
         if (run->field("outcome") != "failed")
             continue;
-        ++failed;
+        runs.insert(fmt::format("{}.{}.{}", run->field("step"), run->field("index"), run->field("run")));
         workers.insert(run->field("worker"));
     }
+    auto failed = static_cast<int64_t>(runs.size());
     if (failed < end.number("failed_runs"))
         m_missing.push_back(fmt::format("run_ended: {} of {} failed runs are not in these logs",
             end.number("failed_runs") - failed, end.number("failed_runs")));
--- a/Libraries/LibHttp/EventLoop.cpp
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -57,8 +57,13 @@
 
 void EventLoop::watch(int descriptor, uint32_t epollEvents, Watcher watcher)
 {
+    auto [it, inserted] = m_registrations.try_emplace(descriptor);
+    auto& registration = it->second;
+    registration.watcher = std::make_shared<Watcher>(std::move(watcher));
+    if (!inserted && registration.epollEvents == epollEvents)
+        return;
+    registration.epollEvents = epollEvents;
     epoll_event event { .events = epollEvents, .data = { .fd = descriptor } };
-    auto [it, inserted] = m_watchers.insert_or_assign(descriptor, std::make_shared<Watcher>(std::move(watcher)));
     int operation = inserted ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
     if (epoll_ctl(m_epoll, operation, descriptor, &event) == 0)
         return;
@@ -68,10 +73,16 @@
 
 void EventLoop::unwatch(int descriptor)
 {
-    if (m_watchers.erase(descriptor) > 0)
+    if (m_registrations.erase(descriptor) > 0)
         epoll_ctl(m_epoll, EPOLL_CTL_DEL, descriptor, nullptr);
 }
 
+void EventLoop::pauseWatch(int descriptor)
+{
+    if (auto it = m_registrations.find(descriptor); it != m_registrations.end())
+        it->second.watcher.reset();
+}
+
 void EventLoop::runPosted()
 {
     std::vector<Task> posted;
@@ -112,10 +123,14 @@
             runPosted();
             continue;
         }
-        auto it = m_watchers.find(descriptor);
-        if (it == m_watchers.end())
+        auto it = m_registrations.find(descriptor);
+        if (it == m_registrations.end())
+            continue;
+        if (!it->second.watcher) {
+            unwatch(descriptor);
             continue;
-        auto watcher = it->second;
+        }
+        auto watcher = it->second.watcher;
         (*watcher)(events[i].events);
     }
 }
--- a/Libraries/LibHttp/EventLoop.h
+++ b/Libraries/LibHttp/EventLoop.h
@@ -36,6 +36,11 @@
     void watch(int descriptor, uint32_t epollEvents, Watcher);
     void unwatch(int descriptor);
 
+    /// Calls the watcher no more, but keeps the descriptor registered, so that the next watch() of the same events
+    /// costs no system call. An event that arrives meanwhile ends the registration. The owner must call unwatch()
+    /// before it closes the descriptor.
+    void pauseWatch(int descriptor);
+
     bool isLoopThread() const { return std::this_thread::get_id() == m_threadId.load(); }
     Instant now() const;
 
@@ -64,7 +69,12 @@
     std::vector<Task> m_posted;
     uint64_t m_timerSequence { 0 };
     std::map<std::pair<Instant, uint64_t>, Task> m_timers;
-    std::unordered_map<int, std::shared_ptr<Watcher>> m_watchers;
+    struct Registration {
+        /// Empty while the watch is paused.
+        std::shared_ptr<Watcher> watcher;
+        uint32_t epollEvents { 0 };
+    };
+    std::unordered_map<int, Registration> m_registrations;
 };
 
 }
--- a/Libraries/LibHttp/HttpEngine.cpp
+++ b/Libraries/LibHttp/HttpEngine.cpp
@@ -2,6 +2,7 @@
 #include <LibHttp/EventLoop.h>
 #include <LibHttp/HttpEngine.h>
 #include <sys/epoll.h>
+#include <unistd.h>
 #include <utility>
 
 namespace Bergamot {
@@ -94,6 +95,8 @@
         handle = m_idleHandles.back();
         m_idleHandles.pop_back();
     }
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &HttpEngine::closeSocket);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
     m_bodyBytes += call.body.size();
     m_active.push_back(std::make_unique<Transfer>(handle, std::move(call), std::move(callback), m_active.size()));
     curl_multi_add_handle(m_multi, handle);
@@ -103,7 +106,8 @@
 {
     auto& engine = *static_cast<HttpEngine*>(self);
     if (what == CURL_POLL_REMOVE) {
-        engine.m_loop.unwatch(socket);
+        // The connection is kept for the next call; closeSocket() ends the registration.
+        engine.m_loop.pauseWatch(socket);
         return 0;
     }
     uint32_t events = (what & CURL_POLL_IN ? EPOLLIN : 0U) | (what & CURL_POLL_OUT ? EPOLLOUT : 0U);
@@ -115,6 +119,12 @@
     return 0;
 }
 
+int HttpEngine::closeSocket(void* self, curl_socket_t socket)
+{
+    static_cast<HttpEngine*>(self)->m_loop.unwatch(socket);
+    return close(socket);
+}
+
 int HttpEngine::onTimerChange(CURLM*, long timeoutMs, void* self)
 {
     auto& engine = *static_cast<HttpEngine*>(self);
--- a/Libraries/LibHttp/HttpEngine.h
+++ b/Libraries/LibHttp/HttpEngine.h
@@ -50,6 +50,7 @@
 
     HttpEngine(std::unique_ptr<EventLoop> ownLoop, EventLoop& loop, Options);
     static int onSocketChange(CURL*, curl_socket_t, int what, void* self, void*);
+    static int closeSocket(void* self, curl_socket_t);
     static int onTimerChange(CURLM*, long timeoutMs, void* self);
     void start(HttpCall, Callback);
     void drive(curl_socket_t, int curlEvents);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -148,11 +148,12 @@
     if (worker.life.bornMs == 0)
         worker.life.bornMs = worker.link->bornMs();
     for (const auto& end : answer.ended) {
-        if (end.outcome == RunOutcome::Failed || end.outcome == RunOutcome::LeaseLapsed)
+        bool isNew = end.sequence > worker.endsToStore;
+        if (isNew && (end.outcome == RunOutcome::Failed || end.outcome == RunOutcome::LeaseLapsed))
             logInfo("run_ended",
                 { { "job", end.task.job }, { "step", end.task.step }, { "index", end.task.index }, { "run", end.run },
                     { "worker", worker.life.id }, { "outcome", nameOf(end.outcome) } });
-        if (end.sequence > worker.endsToStore)
+        if (isNew)
             m_metrics.recordRunEnd(nameOf(end.outcome));
         m_scheduler.runEnded(handle, end, now);
     }
--- a/Tests/LibAdmin/TestJobStory.cpp
+++ b/Tests/LibAdmin/TestJobStory.cpp
@@ -68,6 +68,7 @@
         = "ts=1.0 process=h event=job_submitted job=a1 result=accepted ms=1\n"
           "ts=1.1 process=h event=job_known job=a1 queue=q age_ms=20 offset=1\n"
           "ts=2.0 process=h event=run_ended job=a1 step=0 index=0 run=1 worker=w1 outcome=failed\n"
+          "ts=2.1 process=h event=run_ended job=a1 step=0 index=0 run=1 worker=w1 outcome=failed\n"
           "ts=3.0 process=h event=run_ended job=a1 step=0 index=0 run=2 worker=w2 outcome=failed\n"
           "ts=3.1 process=h event=job_ended job=a1 queue=q state=failed late_ms=-5 failed_runs=2 steps_ms=\n";
     checkContains(runner.runLine("explain a1 l").out, "2 runs failed on 2 workers, so the task is likely at fault");
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -1,12 +1,16 @@
 #include <CppUTest/TestHarness.h>
+#include <LibCore/SteadyClock.h>
+#include <LibHttp/EventLoop.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpEngine.h>
 #include <LibHttp/HttpServer.h>
+#include <array>
 #include <fmt/format.h>
 #include <future>
 #include <netinet/in.h>
 #include <optional>
 #include <string_view>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -135,3 +139,30 @@
     dyingServer.join();
     CHECK(absl::IsUnavailable(status));
 }
+
+// Guards against a kept connection whose end keeps the loop busy, and against calls that are lost when a connection is
+// used again without a new registration.
+TEST(Http, PausedWatchEndsWithItsFirstEventAndCanBeTakenUpAgain)
+{
+    SteadyClock clock;
+    auto loop = EventLoop::create(clock);
+    std::array<int, 2> ends {};
+    CHECK_EQUAL(0, pipe(ends.data()));
+    int calls = 0;
+    loop->watch(ends[0], EPOLLIN, [&](uint32_t) { ++calls; });
+    loop->pauseWatch(ends[0]);
+    loop->watch(ends[0], EPOLLIN, [&](uint32_t) { ++calls; });
+    CHECK_EQUAL(1, write(ends[1], "x", 1));
+    loop->runReady();
+    CHECK_EQUAL(1, calls);
+    loop->pauseWatch(ends[0]);
+    loop->runReady();
+    loop->runReady();
+    CHECK_EQUAL(1, calls);
+    loop->watch(ends[0], EPOLLIN, [&](uint32_t) { ++calls; });
+    loop->runReady();
+    CHECK_EQUAL(2, calls);
+    loop->unwatch(ends[0]);
+    close(ends[0]);
+    close(ends[1]);
+}
