Let workers hold reports back longer where there are hundreds

Change: a report is held back for 500 ms to 1 s, so that at most 600 such reports come a second. Sites of today keep 500 ms. Test: ReportsFollowTheLeadersInterval.

--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -79,6 +79,7 @@
     void jobsRead();
     bool jobsLoaded() const;
     Instant jobsCurrentAsOf() const;
+    static Milliseconds reportWaitFor(size_t workers);
     void addWorker(const WorkerLife&, std::optional<WorkerAnnouncement>);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void forgetWorker(WorkerHandle);
@@ -104,6 +105,7 @@
     NodeMetrics& m_metrics;
     Options m_options;
     TaskScheduler m_scheduler;
+    Milliseconds m_reportWait { 500 };
     CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobs;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -42,6 +42,18 @@
     addWorker({ .id = record.key, .address = announcement->address, .bornMs = announcement->bornMs }, *announcement);
 }
 
+/// Reports are as fresh as the figures in them, half a second, until their number would take too much of the leader's
+/// processor time.
+Milliseconds TaskLeader::reportWaitFor(size_t workers)
+{
+    constexpr Milliseconds shortestWait { 500 };
+    constexpr Milliseconds longestWait { 1000 };
+    constexpr double reportsPerSecond = 600;
+    constexpr double msPerSecond = 1000;
+    auto wait = Milliseconds { static_cast<int64_t>(static_cast<double>(workers) / reportsPerSecond * msPerSecond) };
+    return std::clamp(wait, shortestWait, longestWait);
+}
+
 void TaskLeader::addWorker(const WorkerLife& life, std::optional<WorkerAnnouncement> announcement)
 {
     auto handle = ++m_lastHandle;
@@ -55,9 +67,11 @@
             .epoch = m_options.epoch,
             .lease = leaseLength(),
             .orderTimeout = m_orderTimeout,
+            .reportWait = m_reportWait,
             .events = eventsOf(handle) });
     if (!worker.stored)
         m_rosterChanged = true;
+    m_reportWait = reportWaitFor(m_workers.size());
     publishWorker(handle);
     // The lists of workers mean nothing before the jobs are known.
     if (m_linksStarted)
--- a/Libraries/LibNode/WorkerLink.cpp
+++ b/Libraries/LibNode/WorkerLink.cpp
@@ -7,8 +7,6 @@
 
 namespace Bergamot {
 
-/// How long a worker with tasks may hold its answer back; bounds the age of usage figures.
-static constexpr Milliseconds busyWait { 500 };
 static constexpr Milliseconds idleWait { 2000 };
 static constexpr Milliseconds retryDelay { 150 };
 
@@ -55,7 +53,7 @@
         return;
     m_holding = true;
     m_holdScheduled = false;
-    HoldOrder order { .wait = m_settled ? (m_busy ? busyWait : idleWait) : Milliseconds { 0 } };
+    HoldOrder order { .wait = m_settled ? (m_busy ? m_options.reportWait : idleWait) : Milliseconds { 0 } };
     // Acknowledging again what is acknowledged could hit the ends of a later life.
     if (m_stored > m_acknowledged)
         order.acknowledged = m_stored;
@@ -194,7 +192,7 @@
     // While ends are unacknowledged the worker answers at once, so the next question waits for acknowledge().
     if (m_seen > m_stored) {
         if (!newEnds)
-            holdSoon(busyWait);
+            holdSoon(m_options.reportWait);
         else
             holdSoon(retryDelay);
         return;
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -47,6 +47,9 @@
 
         /// Time-out of orders, learned from the answers of all workers. Must outlive the link.
         CallTimeout& orderTimeout;
+
+        /// How long a worker with tasks may hold its report back; the leader may change it. Must outlive the link.
+        const Milliseconds& reportWait;
         Events events {};
     };
 
--- a/Tests/LibNode/TestWorkerLink.cpp
+++ b/Tests/LibNode/TestWorkerLink.cpp
@@ -13,6 +13,7 @@
     NodeTestClock clock;
     std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
     MockTaskHost host;
+    Milliseconds reportWait { 500 };
     CallTimeout orderTimeout { { .shortest = Milliseconds { 250 }, .longest = Milliseconds { 1000 } } };
     std::vector<uint64_t> startedRuns;
     std::vector<bool> reachable;
@@ -25,6 +26,7 @@
             .epoch = 3,
             .lease = Milliseconds { 6000 },
             .orderTimeout = orderTimeout,
+            .reportWait = reportWait,
             .events = { .onReport = [](const HoldAnswer&, Instant) {},
                 .onStartAnswered = [this](const StartTask& start, OrderOutcome) { startedRuns.push_back(start.run); },
                 .onStopAccepted = [](const TaskRef&, uint64_t) {},
@@ -174,3 +176,19 @@
     CHECK_EQUAL(1, startedRuns.size());
     CHECK_EQUAL(250, orderTimeout.current().count());
 }
+
+// Guards against reports that take the leader's processor time on hundreds of workers, and against a change that only
+// new workers follow.
+TEST(WorkerLink, ReportsFollowTheLeadersInterval)
+{
+    connect();
+    HoldAnswer busy { .order = { .clockMs = 1100, .bornMs = 50 }, .running = { { .run = 1 } } };
+    host.takeHold().answer(busy);
+    loop->runReady();
+    auto hold = host.takeHold();
+    CHECK_EQUAL(500, hold.order.wait.count());
+    reportWait = Milliseconds { 800 };
+    hold.answer(busy);
+    loop->runReady();
+    CHECK_EQUAL(800, host.takeHold().order.wait.count());
+}
