--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -60,6 +60,7 @@
     }
     std::ranges::sort(racks);
     std::vector<std::string> names;
+    names.reserve(racks.size());
     for (auto& [free, rack] : racks)
         names.push_back(std::move(rack));
     return names;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -94,8 +94,8 @@
     std::vector<JobProgress> takeChangedJobs();
     void progressStored(const JobProgress&);
 
-    /// Frees what is kept of the tasks of a job whose end is stored; its state stays known. Does nothing while a run may
-    /// be active; the job is then freed when its last run is over.
+    /// Frees what is kept of the tasks of a job whose end is stored; its state stays known. Does nothing while a run
+    /// may be active; the job is then freed when its last run is over.
     void releaseDetails(const JobId&);
 
     /// What has been learned of interference.
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -254,7 +254,8 @@
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
 
-// Guards against a leader whose memory grows with each job that has ended, and against freeing runs that are still active.
+// Guards against a leader whose memory grows with each job that has ended, and against freeing runs that are still
+// active.
 TEST(TaskScheduler, EndedJobKeepsItsStateOnly)
 {
     fixture.addWorker(1);
@@ -275,8 +276,9 @@
     CHECK_FALSE(scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant));
 }
 
-// Guards against runs that go on after their job was cancelled because the leader is unsure of its leadership: on a hunted day
-// of the grown Sofia site (trouble-2, seed 661965882003) four runs went on for 9.6 s after the cancellation was answered.
+// Guards against runs that go on after their job was cancelled because the leader is unsure of its leadership: on a
+// hunted day of the grown Sofia site (trouble-2, seed 661965882003) four runs went on for 9.6 s after the cancellation
+// was answered.
 TEST(TaskScheduler, StopsAreOrderedWhileNothingMayStart)
 {
     fixture.addWorker(1);
