--- /dev/null
+++ b/Tests/PlatformAdapter/TestPlatformMutations.cpp
@@ -0,0 +1,119 @@
+#include <CppUTest/TestHarness.h>
+#include <LibHttp/HttpEngine.h>
+#include <LibHttp/HttpServer.h>
+#include <fmt/format.h>
+#include <future>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <platform/PlatformJson.h>
+#include <platform/PlatformStore.h>
+#include <platform/PlatformWorkers.h>
+#include <random>
+#include <string>
+
+using namespace Bergamot;
+using nlohmann::json;
+
+/// Feeds the decoders of the adapter with bodies that other writers could have damaged, from fixed seeds.
+TEST_GROUP(PlatformMutations)
+{
+    std::mt19937 random { 20261204 };
+
+    /// Replaces, removes or adds values at any depth.
+    void mutate(json & value)
+    {
+        static const std::vector<json> strange { nullptr, true, -1, 1e300, 18446744073709551615U, "", "text",
+            json::array(), json::object(), json::array({ 1, "x" }), std::string(300, 'k') };
+        if (value.is_structured() && !value.empty() && random() % 4 != 0) {
+            auto it = value.begin();
+            std::advance(it, static_cast<std::ptrdiff_t>(random() % value.size()));
+            if (random() % 8 == 0)
+                value.erase(it);
+            else
+                mutate(*it);
+            return;
+        }
+        value = strange[random() % strange.size()];
+    }
+
+    std::string mutated(const std::string& body)
+    {
+        auto value = json::parse(body);
+        for (uint32_t n = 1 + random() % 3; n > 0; --n)
+            mutate(value);
+        auto text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+        // Bytes are damaged as well, not only values.
+        if (random() % 4 == 0 && !text.empty())
+            text[random() % text.size()] = static_cast<char>(random());
+        if (random() % 8 == 0)
+            text.resize(random() % (text.size() + 1));
+        return text;
+    }
+};
+
+// Guards against an entry by another writer, or a job of a caller, that ends the process.
+TEST(PlatformMutations, RecordsAndJobsAreReadOrRefused)
+{
+    Platform::PlatformJson formats;
+    const std::string job
+        = R"({"spec":"s","repeatCount":2,"startAtMs":5,"intervalMs":7,"steps":[{"count":4,"cpu":500,)"
+          R"("memMb":256,"estRuntimeMs":900,"affinity":"r1-3"},{"count":2,"dependsOn":[0],"gang":true}]})";
+    const std::string worker = R"({"service":"s","addr":"1.2.3.4:5","zone":"z","state":"ready","coldLeftMs":3,)"
+                               R"("capacity":{"cpu":1000,"memMb":5,"gpu":0},"labels":["a","r1"],"born":7,"seq":4})";
+    const std::string config
+        = R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",)"
+          R"("priority":1,"maxAttempts":3,"stretch":1.5,"targetLatencyMs":9}],"limits":{"maxBodyBytes":5}})";
+    constexpr int rounds = 4000;
+    int read = 0;
+    for (int i = 0; i < rounds; ++i) {
+        read += formats.readJob(mutated(job)).ok() ? 1 : 0;
+        read += formats.readWorkerRecord({ .key = "w", .value = mutated(worker) }).ok() ? 1 : 0;
+        read += formats.readOperatorRecord({ .key = "config", .value = mutated(config) }).ok() ? 1 : 0;
+    }
+    CHECK(read > 0);
+    CHECK(read < 3 * rounds);
+}
+
+// Guards against an answer of a worker or of the store that ends the process.
+TEST(PlatformMutations, AnswersAreReadOrRefused)
+{
+    HttpResponse answer;
+    auto server = HttpServer::create(
+        { .handler = [&](const HttpRequest&, HttpResponder responder) { responder.send(answer); } });
+    CHECK(server.ok());
+    auto engine = HttpEngine::create({});
+    auto address = fmt::format("127.0.0.1:{}", (*server)->port());
+    Platform::PlatformWorkers workers(*engine);
+    Platform::PlatformStore store(*engine, { .address = address });
+    const std::string hold
+        = R"({"clockMs":5,"born":3,"running":[["j.0.1.2",3,"cp",41,18]],"finished":[[58,"j.0.1.9",1,"lapsed","s"]]})";
+    const std::string newest = R"({"items":[{"key":"k","value":"YWI=","offset":3}],"more":false,"end":4})";
+    const std::string append = R"({"offset":3,"end":4,"reason":"fenced"})";
+    constexpr int rounds = 400;
+    const std::array<int, 4> statuses { 200, 200, 409, 410 };
+    for (int i = 0; i < rounds; ++i) {
+        answer.status = statuses[random() % statuses.size()];
+        std::promise<void> done;
+        auto finish = [&](const auto&) { done.set_value(); };
+        switch (i % 4) {
+        case 0:
+            answer.body = mutated(hold);
+            workers.hold({ .id = "w", .address = address }, 7, {}, finish);
+            break;
+        case 1:
+            answer.body = mutated(newest);
+            store.newest(StreamName::Jobs, 0, {}, finish);
+            break;
+        case 2:
+            answer.body = mutated(append);
+            store.append(
+                { .stream = StreamName::Leadership, .records = { { .value = "v" } } }, Milliseconds { 1000 }, finish);
+            break;
+        default:
+            // A read is binary: the end, the first offset, and records of a length and bytes.
+            answer.body = std::string(random() % 40, static_cast<char>(random() % 3));
+            store.read(StreamName::Jobs, 0, 0, Milliseconds { 0 }, finish);
+        }
+        done.get_future().get();
+    }
+}
