--- a/Libraries/LibNode/JobAcceptor.cpp
+++ b/Libraries/LibNode/JobAcceptor.cpp
@@ -32,11 +32,6 @@
         send();
 }
 
-Milliseconds JobAcceptor::outage() const
-{
-    return m_failingSince == neverInstant ? Milliseconds { 0 } : m_loop.now() - m_failingSince;
-}
-
 void JobAcceptor::giveUpExpired()
 {
     auto now = m_loop.now();
@@ -82,11 +77,9 @@
     } else {
         m_timeoutsInARow = 0;
     }
-    if (!reply.ok() && m_failingSince == neverInstant)
-        m_failingSince = m_sentAt;
-    if (reply.ok()) {
+    if (reply.ok())
         m_timeout.answered(m_loop.now() - m_sentAt);
-        m_failingSince = neverInstant;
+    if (reply.ok()) {
         for (auto& job : jobs)
             job.callback(AcceptResult::Accepted);
         return send();
--- a/Libraries/LibNode/JobAcceptor.h
+++ b/Libraries/LibNode/JobAcceptor.h
@@ -38,9 +38,6 @@
     /// out whether it is back, and other jobs are refused at once.
     void accept(const JobSpec&, Instant deadline, Callback);
 
-    /// For how long no append has succeeded although one was tried; 0 while appends succeed.
-    Milliseconds outage() const;
-
 private:
     struct Waiting {
         KeyedRecord record;
@@ -60,7 +57,6 @@
     uint32_t m_partition;
     std::vector<Waiting> m_waiting;
     std::vector<Waiting> m_inAppend;
-    Instant m_failingSince { neverInstant };
     uint32_t m_timeoutsInARow { 0 };
     CallTimeout m_timeout { {} };
     Instant m_sentAt { neverInstant };
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -1,7 +1,5 @@
-#include <LibCore/Digest.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
-#include <LibDecision/RetryAdvice.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/NodeIngress.h>
 #include <LibReport/NodeMetrics.h>
@@ -22,11 +20,11 @@
 static constexpr const char* deadlineHeader = "X-Deadline-Ms";
 static constexpr size_t jobIdLength = 16;
 
-static void respond(HttpResponder& responder, int status, std::string_view problem, uint32_t retryAfterSeconds = 1)
+static void respond(HttpResponder& responder, int status, std::string_view problem)
 {
     HttpResponse response { .status = status, .body = fmt::format(R"({{"title":"{}","ran":"no"}})", problem) };
     if (status == 503 || status == 429)
-        response.headers.push_back({ "Retry-After", std::to_string(retryAfterSeconds) });
+        response.headers.push_back({ "Retry-After", "1" });
     responder.send(response);
 }
 
@@ -145,8 +143,7 @@
         if (result == AcceptResult::Accepted)
             return responder->send({ .status = 200, .body = "{}" });
         if (result == AcceptResult::Refused)
-            return respond(
-                *responder, 503, "the store is unavailable", RetryAdvice::seconds(m_acceptor.outage(), digestOf(id)));
+            return respond(*responder, 503, "the store is unavailable");
         responder->send({ .status = 504, .body = R"({"title":"the store did not answer","ran":"unknown"})" });
     });
 }
