--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -23,6 +23,14 @@
 static constexpr double sameImageWeight = 3;
 static constexpr double siblingWeight = 0.1;
 
+/// A rack that holds the data, or tasks of the step that want one rack, outweighs any difference of room.
+static constexpr double rackWeight = 1;
+
+/// Workers of these kinds get a task only when there is no other, in this order of preference.
+static constexpr double coldPenalty = 1;
+static constexpr double slowPenalty = 5;
+static constexpr double failedBeforePenalty = 10;
+
 /// A task that fills starts when at least this share of its processors is expected to be idle.
 static constexpr double fillStartShare = 0.7;
 
@@ -247,15 +255,15 @@
             score += sameImageWeight * sameImageShare(worker, image);
         score -= siblingWeight * static_cast<double>(siblings);
         if (!spec.dataRack.empty() && worker.view.rack == spec.dataRack)
-            score += 1;
+            score += rackWeight;
         if (spec.sameRack && racks.contains(worker.view.rack))
-            score += 1;
+            score += rackWeight;
         if (handle == task.lastFailedOn && task.failures > 0)
-            score -= 10;
+            score -= failedBeforePenalty;
         if (isSlow(worker, now))
-            score -= 5;
+            score -= slowPenalty;
         if (worker.view.coldLeftMs > 0)
-            score -= 1;
+            score -= coldPenalty;
         if (score > bestScore) {
             bestScore = score;
             best = &worker;
