Close the link of a forgotten worker before its next answer

A worker that starts again answers the open question and the open order with "another life"; when both answers are at hand in one turn of the loop, the first forgets the worker, and the second looked it up. It can happen on any site, but needs both answers within one turn. Change: a forgotten worker's link is closed at once and reports nothing more. Test: ClosedLinkReportsNothingMore; without close() the second answer is reported.

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -108,7 +108,9 @@
         return;
     logInfo("worker_gone", { { "worker", it->second.life.id }, { "born", it->second.life.bornMs } });
     m_scheduler.removeWorker(handle, m_loop.now());
-    // The link may be the caller, so it ends after it has returned.
+    // The link may be the caller, so it ends after it has returned. Until then, further answers of the worker may be at
+    // hand: with 3,000 workers that started again, the second one found no worker and ended the process.
+    it->second.link->close();
     m_loop.post([link = std::shared_ptr<WorkerLink>(std::move(it->second.link))] {});
     m_workers.erase(it);
     m_rosterChanged = true;
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -60,6 +60,10 @@
     void start();
     void order(TaskAction);
 
+    /// No event follows, also not from answers that have arrived already. For an owner that cannot end the link at
+    /// once, because the link is the caller.
+    void close() { *m_alive = false; }
+
     /// Ends up to this sequence are stored.
     void acknowledge(uint64_t sequence);
 
--- a/Tests/LibNode/TestWorkerLink.cpp
+++ b/Tests/LibNode/TestWorkerLink.cpp
@@ -19,6 +19,7 @@
     std::vector<bool> reachable;
     int lapses { 0 };
     int otherLives { 0 };
+    bool closesAtOtherLife { false };
     int fences { 0 };
     std::unique_ptr<WorkerLink> link { std::make_unique<WorkerLink>(*loop, host,
         WorkerLink::Options { .host = { .id = "w1", .address = "a:1" },
@@ -32,7 +33,12 @@
                 .onStopAccepted = [](const TaskRef&, uint64_t) {},
                 .onReachableChanged = [this](bool now) { reachable.push_back(now); },
                 .onLapsed = [this] { ++lapses; },
-                .onOtherLife = [this] { ++otherLives; },
+                .onOtherLife =
+                    [this] {
+                        ++otherLives;
+                        if (closesAtOtherLife)
+                            link->close();
+                    },
                 .onFenced = [this] { ++fences; } } }) };
 
     void pass(Milliseconds time)
@@ -192,3 +198,21 @@
     loop->runReady();
     CHECK_EQUAL(800, host.takeHold().order.wait.count());
 }
+
+// Guards against events of a link whose worker is forgotten: the sweep at 300 hosts ended the leader when a worker that
+// had started again answered a question and an order in one turn of the loop.
+TEST(WorkerLink, ClosedLinkReportsNothingMore)
+{
+    connect();
+    closesAtOtherLife = true;
+    link->order(startOf(1));
+    auto order = host.takeOrder();
+    auto hold = host.takeHold();
+    order.answer(OrderAnswer { .outcome = OrderOutcome::OtherLife });
+    CHECK_EQUAL(1, otherLives);
+    hold.answer(HoldAnswer { .order = { .outcome = OrderOutcome::OtherLife } });
+    pass(Milliseconds { 12000 });
+    CHECK_EQUAL(1, otherLives);
+    CHECK_EQUAL(0, lapses);
+    CHECK_EQUAL(0, startedRuns.size());
+}
