--- a/Libraries/LibDecision/JobTimeline.h
+++ b/Libraries/LibDecision/JobTimeline.h
@@ -12,6 +12,9 @@
     std::string queue {};
     int64_t objectiveUnixMs { 0 };
     uint32_t failedRuns { 0 };
+
+    /// The limit that its failed runs were judged by.
+    uint32_t maxAttempts { 0 };
     std::vector<StepTimeline> steps {};
 
     bool operator==(const JobTimeline&) const = default;
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -236,7 +236,8 @@
     const auto& job = *it->second;
     JobTimeline timeline { .queue = job.spec.queue,
         .objectiveUnixMs = job.objectiveUnixMs,
-        .failedRuns = static_cast<uint32_t>(job.failedRuns.size()) };
+        .failedRuns = static_cast<uint32_t>(job.failedRuns.size()),
+        .maxAttempts = policyOf(job).maxAttempts };
     for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
         for (uint32_t i = 0; i < job.occurrences[k].steps.size(); ++i) {
             const auto& step = job.occurrences[k].steps[i];
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -93,7 +93,7 @@
         std::map<std::string, QueuePolicy> queues;
         for (const auto& route : m_routing->routes)
             queues[route.queue] = route.policy;
-        m_leader->setQueues(std::move(queues));
+        m_leader->setQueues(m_routing->version, std::move(queues));
     }
     m_leader->setZonesOut(m_zonesOut);
 }
@@ -108,6 +108,7 @@
             .onFenced = [this] { m_leadership.stepDown(); },
             .mayStart = [this] { return mayStart(); } });
     m_metrics.setLeader(true, epoch);
+    logInfo("leadership_begins", { { "epoch", epoch }, { "config_version", m_routing ? m_routing->version : 0 } });
     updateLeader();
     m_leader->start();
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -226,7 +226,7 @@
     logInfo("job_ended",
         { { "job", progress.id }, { "queue", timeline.queue }, { "state", nameOf(progress.state) },
             { "late_ms", unixMsNow() - timeline.objectiveUnixMs }, { "failed_runs", timeline.failedRuns },
-            { "steps_ms", steps } });
+            { "max_attempts", timeline.maxAttempts }, { "config_version", m_configVersion }, { "steps_ms", steps } });
 }
 
 void TaskLeader::progressStored(const ProgressBatch& batch)
@@ -330,8 +330,9 @@
     });
 }
 
-void TaskLeader::setQueues(std::map<std::string, QueuePolicy> queues)
+void TaskLeader::setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy> queues)
 {
+    m_configVersion = configVersion;
     m_scheduler.setQueues(std::move(queues));
     schedulePlan();
 }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -46,7 +46,7 @@
     ~TaskLeader();
 
     void start();
-    void setQueues(std::map<std::string, QueuePolicy>);
+    void setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy>);
     void setZonesOut(std::set<ZoneId>);
 
     /// Answers at once, or for a cancellation when it is stored.
@@ -105,6 +105,9 @@
     NodeMetrics& m_metrics;
     Options m_options;
     TaskScheduler m_scheduler;
+
+    /// Version of the configuration in use; 0 before the first one.
+    uint64_t m_configVersion { 0 };
     Milliseconds m_reportWait { 500 };
     CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
     ProgressJournal m_journal;
