--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -78,6 +78,8 @@
 {
     if (fault == Fault::Refusing || fault == Fault::Silent)
         return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
+    if (unansweredNewest == stream)
+        return m_loop.callAfter(silence, [callback] { callback(absl::DeadlineExceededError("lost")); });
     m_loop.callAfter(answerTime, [this, stream, number, afterKey, callback = std::move(callback)] {
         auto& partition = m_partitions[{ stream, number }];
         std::map<std::string, KeyedRecord> newestByKey;
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -44,6 +44,9 @@
     }
 
     Fault fault { Fault::None };
+
+    /// Questions for the newest records of this stream get no answer before the time-out.
+    std::optional<StreamName> unansweredNewest {};
     uint32_t appends { 0 };
 
 private:
--- /dev/null
+++ b/Tests/LibNode/TestNode.cpp
@@ -0,0 +1,110 @@
+#include "FakeFormats.h"
+#include "FakePeerTransport.h"
+#include "FakeRecordStore.h"
+#include "MockTaskHost.h"
+#include "NodeTestClock.h"
+#include <CppUTest/TestHarness.h>
+#include <LibHttp/EventLoop.h>
+#include <LibNode/Node.h>
+#include <LibNode/ProgressJournal.h>
+#include <LibWire/JobProgress.h>
+#include <LibWire/ValueCodec.h>
+#include <memory>
+#include <string>
+
+using namespace Bergamot;
+
+TEST_GROUP(Node)
+{
+    NodeTestClock clock;
+    std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
+    FakeRecordStore store { *loop };
+    MockTaskHost taskHost;
+    FakePeerTransport peers;
+    FakeFormats formats;
+    std::unique_ptr<Node> node;
+    const TaskRef firstTask { .job = "00000000000000aa", .occurrence = 0, .step = 0, .index = 0 };
+    int64_t workerClockMs { 1000 };
+
+    void setup() override
+    {
+        formats.changes["config"] = RoutingTable { .version = 7,
+            .routes
+            = { { .queue = "batch", .pathPrefix = "/b/", .policy = { .service = "token", .maxAttempts = 3 } } } };
+        WorkerAnnouncement worker { .address = "a", .bornMs = 5 };
+        worker.view = { .id = "w", .service = "token", .zone = "z" };
+        worker.view.capacity = { 32000, 125000, 0 };
+        formats.workers["worker"] = worker;
+        store.put(StreamName::Operators, "config", "config");
+        store.put(StreamName::Workers, "w", "worker");
+        JobSpec job { .id = firstTask.job, .queue = "batch", .payload = "p" };
+        job.steps = { { .count = 2, .size = { 1000, 1000, 0 }, .estimateMs = 1000 } };
+        store.put(StreamName::Jobs, job.id, encodeValue(job));
+    }
+
+    void teardown() override { node.reset(); }
+
+    void startNode()
+    {
+        node = std::make_unique<Node>(Node::Services { *loop, store, taskHost, peers, formats },
+            NodeOptions { .member = "m", .incarnation = 1, .peerAddress = "p" });
+        node->start();
+    }
+
+    void pass(Milliseconds time)
+    {
+        constexpr Milliseconds step { 5 };
+        for (Milliseconds passed { 0 }; passed < time; passed += step) {
+            clock.pass(step);
+            workerClockMs += step.count();
+            loop->runReady();
+        }
+    }
+
+    OrderAnswer accepted() const { return { .clockMs = workerClockMs, .bornMs = 5 }; }
+
+    /// The worker lists one failed run until it is acknowledged.
+    void answerHolds(uint64_t failedRun)
+    {
+        for (auto n = taskHost.holds.size(); n > 0; --n) {
+            auto hold = taskHost.takeHold();
+            HoldAnswer answer { .order = accepted() };
+            if (hold.order.acknowledged < 1)
+                answer.ended.push_back(
+                    { .sequence = 1, .task = firstTask, .run = failedRun, .outcome = RunOutcome::Failed });
+            hold.answer(answer);
+        }
+    }
+
+    bool isStoredAsFailed(const JobId& id)
+    {
+        for (const auto& record : store.records(StreamName::Progress)) {
+            if (record.key != jobKeyPrefix + id)
+                continue;
+            auto progress = decodeValue<JobProgress>(record.value);
+            if (progress.ok() && progress->state == JobStage::Failed)
+                return true;
+        }
+        return false;
+    }
+};
+
+TEST(Node, FirstFailureDoesNotFailAJobWhileTheConfigurationIsUnread)
+{
+    store.unansweredNewest = StreamName::Operators;
+    startNode();
+    constexpr uint64_t runOfAnEarlierLeader = 1;
+    for (int i = 0; i < 20; ++i) {
+        pass(Milliseconds { 100 });
+        answerHolds(runOfAnEarlierLeader);
+    }
+    CHECK_FALSE(isStoredAsFailed(firstTask.job));
+
+    store.unansweredNewest.reset();
+    for (int i = 0; i < 40 && taskHost.orders.empty(); ++i) {
+        pass(Milliseconds { 100 });
+        answerHolds(runOfAnEarlierLeader);
+    }
+    CHECK_FALSE(isStoredAsFailed(firstTask.job));
+    CHECK_FALSE(taskHost.orders.empty());
+}
