Do not lead before the operators' records are read, and do not judge by an unknown queue

Cause: a node that had started again was elected while the answer to its question for the operators' records was lost (time-out 2.5 s). The scheduler treated a queue that is not in the configuration as one that allows a single attempt, so the first failed run that a worker listed ended the job for good. The same default would have counted after the removal of a route.

The regression test showed max_attempts=1 config_version=0 before this change.

Fix: a node claims the leadership only once it has read the operators' records to their end, and claims at once then if a claim is due; another node that knows the configuration may claim meanwhile. Failures in an unknown queue are counted and stored but judged when the queue is known, also when several were counted by then. Thus nothing irreversible follows from a missing record.

TaskScheduler.FailuresAreJudgedOnceTheQueueIsKnown and LeadershipMonitor.NodeClaimsOnlyOnceItMay are new.

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -118,10 +118,7 @@
         constexpr Milliseconds failurePause { 3000 };
         if (worker != m_workers.end() && ++worker->second->failures >= failuresBeforePause)
             worker->second->pausedUntil = now + failurePause;
-        if (task->failures >= policyOf(*job).maxAttempts) {
-            finishJob(*job, JobStage::Failed);
-            return;
-        }
+        judgeFailures(*job, *task);
     }
     requeue(*job, end.task);
 }
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Bergamot {
@@ -12,7 +13,23 @@
 
 TaskScheduler::~TaskScheduler() = default;
 
-void TaskScheduler::setQueues(std::map<std::string, QueuePolicy> queues) { m_queues = std::move(queues); }
+void TaskScheduler::setQueues(std::map<std::string, QueuePolicy> queues)
+{
+    m_queues = std::move(queues);
+    for (auto& [id, job] : m_jobs) {
+        for (auto it = job->failedRuns.begin(); it != job->failedRuns.end() && !job->hasEnded(); ++it) {
+            if (const auto* task = findTask(*job, { id, it->occurrence, it->step, it->index }))
+                judgeFailures(*job, *task);
+        }
+    }
+}
+
+/// Ends the job when the task has used up its attempts.
+void TaskScheduler::judgeFailures(TrackedJob& job, const TrackedTask& task)
+{
+    if (!task.done && task.failures >= policyOf(job).maxAttempts)
+        finishJob(job, JobStage::Failed);
+}
 
 void TaskScheduler::setZonesOut(std::set<ZoneId> zones) { m_zonesOut = std::move(zones); }
 
@@ -24,9 +41,10 @@
 
 const QueuePolicy& TaskScheduler::policyOf(const TrackedJob& job) const
 {
-    static const QueuePolicy none {};
+    // Nothing starts in a queue without a service, and its failures are counted but not judged.
+    static const QueuePolicy unknown { .maxAttempts = std::numeric_limits<uint32_t>::max() };
     auto it = m_queues.find(job.spec.queue);
-    return it == m_queues.end() ? none : it->second;
+    return it == m_queues.end() ? unknown : it->second;
 }
 
 TrackedTask* TaskScheduler::findTask(TrackedJob& job, const TaskRef& task)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -119,6 +119,7 @@
 
     TrackedJob* findJob(const JobId&);
     const QueuePolicy& policyOf(const TrackedJob&) const;
+    void judgeFailures(TrackedJob&, const TrackedTask&);
     TrackedTask* findTask(TrackedJob&, const TaskRef&);
     TrackedRun* findRun(TrackedTask&, uint64_t run);
     void buildOccurrences(TrackedJob&);
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -71,7 +71,7 @@
 {
     // A node whose turn to claim comes sooner looks at the stream just then.
     auto wait = readWait;
-    if (!m_isLeader && !m_retired)
+    if (mayClaim())
         wait = std::clamp(claimDueAt() - m_loop.now(), shortestReadWait, readWait);
     m_store.read(StreamName::Leadership, 0, m_position, wait, [this, alive = m_alive](absl::StatusOr<ReadReply> reply) {
         if (!*alive)
@@ -142,9 +142,15 @@
     sendKeepalive();
 }
 
+bool LeadershipMonitor::mayClaim() const
+{
+    return !m_isLeader && !m_retired && (!m_options.mayClaim || m_options.mayClaim());
+}
+
 void LeadershipMonitor::considerClaim()
 {
-    if (m_isLeader || m_claiming || m_retired || m_loop.now() < claimDueAt())
+    bool streamRead = m_storeContactAt != neverInstant;
+    if (!streamRead || m_claiming || !mayClaim() || m_loop.now() < claimDueAt())
         return;
     claim();
 }
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -29,6 +29,9 @@
     struct Options {
         NodeOptions node {};
 
+        /// Whether this node knows what a leader needs to decide. Unset means always.
+        std::function<bool()> mayClaim {};
+
         /// `earlierLeader` is false when the stream names no leader before.
         std::function<void(uint64_t epoch, bool earlierLeader)> onElected {};
         std::function<void()> onDeposed {};
@@ -39,6 +42,9 @@
     ~LeadershipMonitor();
 
     void start();
+
+    /// Claims at once when a claim is due; to be called when the result of `mayClaim` has become true.
+    void considerClaim();
     const std::optional<Leader>& leader() const { return m_leader; }
     bool isLeader() const { return m_isLeader; }
 
@@ -60,7 +66,7 @@
     void applyRecord(const KeyedRecord&);
     void applyClaim(const LeadershipRecord&, uint64_t epoch);
     void announceCandidacy();
-    void considerClaim();
+    bool mayClaim() const;
     Instant claimDueAt() const;
 
     /// How long this node leaves a claim to candidates with more processor time.
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -29,6 +29,7 @@
               .onCaughtUp = [this] { configurationRead(); } })
     , m_leadership(services.loop, services.store,
           { .node = m_options,
+              .mayClaim = [this] { return m_operatorsRead && m_routing; },
               .onElected = [this](uint64_t epoch, bool earlierLeader) { elected(epoch, earlierLeader); },
               .onDeposed = [this] { deposed(); } })
     , m_acceptor(services.loop, services.store, static_cast<uint32_t>(digestOf(m_options.member) % jobPartitions))
@@ -83,7 +84,12 @@
     }
 }
 
-void Node::configurationRead() { updateLeader(); }
+void Node::configurationRead()
+{
+    updateLeader();
+    m_operatorsRead = true;
+    m_leadership.considerClaim();
+}
 
 void Node::updateLeader()
 {
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -76,6 +76,10 @@
     std::unique_ptr<TaskLeader> m_leader;
     std::shared_ptr<const RoutingTable> m_routing;
     std::set<ZoneId> m_zonesOut;
+
+    /// The operators' records have been read to their end. A leader without them would not know how often a task may
+    /// fail, which zones are out, or what comes first.
+    bool m_operatorsRead { false };
     bool m_retired { false };
     std::atomic<bool> m_ready { false };
     Instant m_lastTick { neverInstant };
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -64,6 +64,28 @@
     CHECK(changed.back().state == JobStage::Failed);
 }
 
+// Guards against a job that fails at its first failure because its queue is not known, and against attempts beyond the
+// limit.
+TEST(TaskScheduler, FailuresAreJudgedOnceTheQueueIsKnown)
+{
+    fixture.addWorker(1);
+    scheduler.setQueues({});
+    scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant);
+    auto fail = [&](uint64_t run) {
+        StartTask start { .worker = 1, .task = { .job = "j" }, .run = run };
+        fixture.end(start, RunOutcome::Failed, run);
+    };
+    fail(1);
+    CHECK(scheduler.takeChangedJobs().back().state != JobStage::Failed);
+    scheduler.setQueues({ { "quick", { .service = "token", .maxAttempts = 2 } } });
+    CHECK_EQUAL(2, fixture.planStarts().size());
+    scheduler.setQueues({});
+    fail(2);
+    CHECK(scheduler.takeChangedJobs().back().state != JobStage::Failed);
+    scheduler.setQueues({ { "quick", { .service = "token", .maxAttempts = 2 } } });
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Failed);
+}
+
 // Guards against work that a new leader starts although a worker may still run it for an earlier leader.
 TEST(TaskScheduler, StoredJobWaitsUntilAllWorkersHaveAnswered)
 {
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -16,6 +16,7 @@
         std::unique_ptr<FakeRecordStore> ownStore;
         std::unique_ptr<LeadershipMonitor> monitor;
         std::vector<uint64_t> elections;
+        bool mayClaim { true };
         int depositions { 0 };
     };
     FakeRecordStore store { *loop };
@@ -31,6 +32,7 @@
                     .incarnation = incarnation,
                     .peerAddress = "a" + std::to_string(incarnation),
                     .cpuMillis = cpuMillis },
+                .mayClaim = [it] { return it->mayClaim; },
                 .onElected = [it](uint64_t epoch, bool) { it->elections.push_back(epoch); },
                 .onDeposed = [it] { ++it->depositions; },
             });
@@ -192,3 +194,16 @@
     pass(Milliseconds { 3000 });
     CHECK_EQUAL(0, leaderIndex());
 }
+
+// Guards against a leader that has not read what it needs, and against a pause after it has.
+TEST(LeadershipMonitor, NodeClaimsOnlyOnceItMay)
+{
+    addMember(1);
+    members[0]->mayClaim = false;
+    pass(Milliseconds { 5000 });
+    CHECK_EQUAL(0, leaders());
+    members[0]->mayClaim = true;
+    members[0]->monitor->considerClaim();
+    pass(Milliseconds { 30 });
+    CHECK_EQUAL(1, leaders());
+}
