Store the policy of its acceptance with each job

What callers would see: a job that was accepted stands still for good once its route has left the configuration, because its queue then has no service, and a new leader cannot know how often its tasks may fail.

Change: the record of a job carries the policy that its queue had when it was accepted. The configuration in force still goes first; the stored policy decides once the queue is gone. Records of earlier processes have no policy and are read as before.

TaskScheduler.JobOfARemovedRouteIsFinishedUnderThePolicyOfItsAcceptance got no start before (expected 1, was 0) and passes now; JobSpec.RecordOfAnOlderProcessHasNoPolicy guards mixed versions.

--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -43,8 +43,9 @@
 {
     // Nothing starts in a queue without a service, and its failures are counted but not judged.
     static const QueuePolicy unknown { .maxAttempts = std::numeric_limits<uint32_t>::max() };
-    auto it = m_queues.find(job.spec.queue);
-    return it == m_queues.end() ? unknown : it->second;
+    if (auto it = m_queues.find(job.spec.queue); it != m_queues.end())
+        return it->second;
+    return job.spec.policyAtAcceptance ? *job.spec.policyAtAcceptance : unknown;
 }
 
 TrackedTask* TaskScheduler::findTask(TrackedJob& job, const TaskRef& task)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -2,7 +2,7 @@
 
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
-#include <LibDecision/QueuePolicy.h>
+#include <LibWire/QueuePolicy.h>
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunReport.h>
 #include <LibDecision/TaskAction.h>
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -135,6 +135,7 @@
     auto now = std::chrono::system_clock::now().time_since_epoch();
     job->id = id;
     job->queue = route.queue;
+    job->policyAtAcceptance = route.policy;
     job->acceptedAtMs = std::chrono::duration_cast<Milliseconds>(now).count();
     m_acceptor.accept(*job, deadlineOf(request), [this, id, responder, begunAt = m_loop.now()](AcceptResult result) {
         logInfo("job_submitted",
--- a/Libraries/LibPlatform/PlatformFormats.h
+++ b/Libraries/LibPlatform/PlatformFormats.h
@@ -23,7 +23,7 @@
     virtual absl::StatusOr<WorkerAnnouncement> readWorkerRecord(const KeyedRecord&) const = 0;
 
     /// Reads the body of a submitted job; the message of InvalidArgument names the field. Sets neither the id, the
-    /// queue nor the time of acceptance.
+    /// queue and its policy nor the time of acceptance.
     virtual absl::StatusOr<JobSpec> readJob(std::string_view body) const = 0;
 
     virtual std::string writeJobStage(JobStage) const = 0;
--- a/Libraries/LibPlatform/QueueRoute.h
+++ b/Libraries/LibPlatform/QueueRoute.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibDecision/QueuePolicy.h>
+#include <LibWire/QueuePolicy.h>
 #include <string>
 
 namespace Bergamot {
--- a/Libraries/LibWire/JobSpec.h
+++ b/Libraries/LibWire/JobSpec.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibWire/QueuePolicy.h>
 #include <LibWire/StepSpec.h>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,8 +32,11 @@
     /// Unix time at which an entry host accepted the job.
     int64_t acceptedAtMs { 0 };
 
+    /// How the queue treated jobs when it took this one; for the time after the queue has left the configuration.
+    std::optional<QueuePolicy> policyAtAcceptance {};
+
     bool operator==(const JobSpec&) const = default;
-    MSGPACK_DEFINE_ARRAY(id, queue, payload, steps, repeats, firstDueMs, intervalMs, acceptedAtMs)
+    MSGPACK_DEFINE_ARRAY(id, queue, payload, steps, repeats, firstDueMs, intervalMs, acceptedAtMs, policyAtAcceptance)
 };
 
 }
--- a/Libraries/LibDecision/QueuePolicy.h
+++ b/Libraries/LibWire/QueuePolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <msgpack.hpp>
 #include <string>
 
 namespace Bergamot {
@@ -21,6 +22,7 @@
     uint32_t targetLatencyMs { 0 };
 
     bool operator==(const QueuePolicy&) const = default;
+    MSGPACK_DEFINE_ARRAY(service, priority, maxAttempts, stretch, targetLatencyMs)
 };
 
 }
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -64,6 +64,22 @@
     CHECK(changed.back().state == JobStage::Failed);
 }
 
+// Guards against accepted jobs that stand still for good after their route has left the configuration.
+TEST(TaskScheduler, JobOfARemovedRouteIsFinishedUnderThePolicyOfItsAcceptance)
+{
+    fixture.addWorker(1);
+    auto job = fixture.job("j", { fixture.step(1) }, "removed");
+    job.policyAtAcceptance = QueuePolicy { .service = "token", .maxAttempts = 2 };
+    scheduler.addJob(job, std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    fixture.end(starts[0], RunOutcome::Failed);
+    starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    fixture.end(starts[0], RunOutcome::Done, 2);
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Completed);
+}
+
 // Guards against a job that fails at its first failure because its queue is not known, and against attempts beyond the
 // limit.
 TEST(TaskScheduler, FailuresAreJudgedOnceTheQueueIsKnown)
--- /dev/null
+++ b/Tests/LibWire/TestJobSpec.cpp
@@ -0,0 +1,31 @@
+#include <CppUTest/TestHarness.h>
+#include <LibWire/JobSpec.h>
+#include <LibWire/ValueCodec.h>
+#include <tuple>
+#include <vector>
+
+using namespace Bergamot;
+
+TEST_GROUP(JobSpec) {};
+
+// Guards against a policy that is lost on the way to the leader.
+TEST(JobSpec, KeepsThePolicyOfItsAcceptance)
+{
+    JobSpec job { .id = "a", .queue = "q" };
+    job.policyAtAcceptance
+        = QueuePolicy { .service = "s", .priority = 2, .maxAttempts = 3, .stretch = 1.5, .targetLatencyMs = 250 };
+    auto decoded = decodeValue<JobSpec>(encodeValue(job));
+    CHECK(decoded.ok());
+    CHECK(*decoded == job);
+}
+
+// Guards against jobs that a newer process cannot read because an older one stored them.
+TEST(JobSpec, RecordOfAnOlderProcessHasNoPolicy)
+{
+    std::tuple older { JobId("a"), std::string("q"), std::string("p"), std::vector<StepSpec> {}, 0U, int64_t { 0 },
+        int64_t { 0 }, int64_t { 9 } };
+    auto decoded = decodeValue<JobSpec>(encodeValue(older));
+    CHECK(decoded.ok());
+    CHECK_EQUAL(9, decoded->acceptedAtMs);
+    CHECK_FALSE(decoded->policyAtAcceptance.has_value());
+}
