Retry a lost read of newest records after 300 ms, and catch up without waiting

Change: reads of the newest records use CallTimeout like the appends, from 300 ms on and doubled after each time-out, so a slow store is not flooded. The first read after a load no longer waits up to 800 ms for a record that may not come. CallTimeout::observe replaces the same lines in three classes.

Node.LostAnswerToTheFirstQuestionsCostsLessThanASecond failed before.

--- a/Libraries/LibDecision/CallTimeout.cpp
+++ b/Libraries/LibDecision/CallTimeout.cpp
@@ -6,6 +6,14 @@
 static constexpr double smoothing = 0.25;
 static constexpr double usualTimesFactor = 5;
 
+void CallTimeout::observe(const absl::Status& status, Milliseconds responseTime)
+{
+    if (status.ok())
+        answered(responseTime);
+    else if (absl::IsDeadlineExceeded(status))
+        timedOut();
+}
+
 void CallTimeout::answered(Milliseconds responseTime)
 {
     m_usualMs += smoothing * (static_cast<double>(responseTime.count()) - m_usualMs);
--- a/Libraries/LibDecision/CallTimeout.h
+++ b/Libraries/LibDecision/CallTimeout.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <absl/status/status.h>
 
 namespace Bergamot {
 
@@ -22,6 +23,8 @@
 
     Milliseconds current() const { return m_current; }
 
+    /// Takes the result of a call: an answer, a time-out, or a failure that says nothing of the response time.
+    void observe(const absl::Status&, Milliseconds responseTime);
     void answered(Milliseconds responseTime);
     void timedOut();
 
--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -88,10 +88,7 @@
 
 void ProgressJournal::answered(absl::StatusOr<AppendReply> reply)
 {
-    if (absl::IsDeadlineExceeded(reply.status()))
-        m_timeout.timedOut();
-    else if (reply.ok())
-        m_timeout.answered(m_loop.now() - m_sentAt);
+    m_timeout.observe(reply.status(), m_loop.now() - m_sentAt);
     if (!reply.ok()) {
         // The sequence makes a repeat harmless when the first append took effect.
         logWarning("progress_append_failed",
--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -29,10 +29,11 @@
 
 void StreamReader::load(const std::string& afterKey)
 {
-    m_store.newest(m_options.stream, m_options.partition, afterKey,
-        [this, alive = m_alive, afterKey](absl::StatusOr<NewestReply> reply) {
+    m_store.newest(m_options.stream, m_options.partition, afterKey, m_loadTimeout.current(),
+        [this, alive = m_alive, afterKey, askedAt = m_loop.now()](absl::StatusOr<NewestReply> reply) {
             if (!*alive)
                 return;
+            m_loadTimeout.observe(reply.status(), m_loop.now() - askedAt);
             if (!reply.ok()) {
                 logWarning("stream_load_failed",
                     { { "stream", static_cast<int>(m_options.stream) }, { "error", statusText(reply.status()) } });
@@ -47,6 +48,7 @@
     // Pages are not a snapshot: records that change meanwhile are read again from the end as of the first page.
     if (firstPage) {
         m_position = reply.end;
+        m_caughtUp = false;
         m_options.onReload();
     }
     for (const auto& record : reply.records)
@@ -60,7 +62,9 @@
 void StreamReader::readNext()
 {
     auto begunAt = m_loop.now();
-    m_store.read(m_options.stream, m_options.partition, m_position, m_options.wait,
+    // The first read after a load only looks for what came during the load.
+    auto wait = m_caughtUp ? m_options.wait : Milliseconds { 0 };
+    m_store.read(m_options.stream, m_options.partition, m_position, wait,
         [this, alive = m_alive, begunAt](absl::StatusOr<ReadReply> reply) {
             if (!*alive)
                 return;
@@ -82,8 +86,10 @@
     for (const auto& record : reply.records)
         m_options.onRecord(record);
     m_position += reply.records.size();
-    if (m_position >= reply.end)
+    if (m_position >= reply.end) {
+        m_caughtUp = true;
         m_currentAsOf = begunAt;
+    }
     m_options.onCaughtUp();
     if (m_options.interval.count() == 0)
         return readNext();
--- a/Libraries/LibNode/StreamReader.h
+++ b/Libraries/LibNode/StreamReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/CallTimeout.h>
 #include <LibPlatform/RecordStore.h>
 #include <functional>
 #include <memory>
@@ -53,7 +54,9 @@
     RecordStore& m_store;
     Options m_options;
     LogPosition m_position { 0 };
+    CallTimeout m_loadTimeout { {} };
     bool m_loaded { false };
+    bool m_caughtUp { false };
     Instant m_currentAsOf { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -80,10 +80,11 @@
 
 void TaskLeader::loadProgress(const std::string& afterKey)
 {
-    m_store.newest(
-        StreamName::Progress, 0, afterKey, [this, alive = m_alive, afterKey](absl::StatusOr<NewestReply> reply) {
+    m_store.newest(StreamName::Progress, 0, afterKey, m_loadTimeout.current(),
+        [this, alive = m_alive, afterKey, askedAt = m_loop.now()](absl::StatusOr<NewestReply> reply) {
             if (!*alive)
                 return;
+            m_loadTimeout.observe(reply.status(), m_loop.now() - askedAt);
             if (!reply.ok()) {
                 logWarning("progress_load_failed", { { "error", statusText(reply.status()) } });
                 m_loop.callAfter(retryDelay, [this, alive, afterKey] {
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -110,6 +110,7 @@
     uint64_t m_configVersion { 0 };
     Milliseconds m_reportWait { 500 };
     CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
+    CallTimeout m_loadTimeout { {} };
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobs;
     std::unique_ptr<StreamReader> m_workerList;
--- a/Libraries/LibNode/WorkerLink.cpp
+++ b/Libraries/LibNode/WorkerLink.cpp
@@ -273,7 +273,7 @@
 void WorkerLink::orderAnswered(const absl::StatusOr<OrderAnswer>& answer)
 {
     m_ordering = false;
-    noteOrderTime(answer.status());
+    m_options.orderTimeout.observe(answer.status(), m_loop.now() - m_orderSentAt);
     if (std::exchange(m_discardOrder, false)) {
         m_orders.pop_front();
         return sendNextOrder();
@@ -312,14 +312,6 @@
     });
 }
 
-void WorkerLink::noteOrderTime(const absl::Status& status)
-{
-    if (status.ok())
-        m_options.orderTimeout.answered(m_loop.now() - m_orderSentAt);
-    else if (absl::IsDeadlineExceeded(status))
-        m_options.orderTimeout.timedOut();
-}
-
 bool WorkerLink::hasQueuedStop(const StartTask& start) const
 {
     return std::ranges::any_of(m_orders, [&](const TaskAction& action) {
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -84,7 +84,6 @@
     bool checkOutcome(const OrderAnswer&);
     void noteFailure();
     void sendNextOrder();
-    void noteOrderTime(const absl::Status&);
     void orderAnswered(const absl::StatusOr<OrderAnswer>&);
     TaskAction takeOrder();
     bool hasQueuedStop(const StartTask&) const;
--- a/Libraries/LibPlatform/RecordStore.h
+++ b/Libraries/LibPlatform/RecordStore.h
@@ -27,7 +27,9 @@
     virtual void read(StreamName, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply>) = 0;
 
     /// Reads the newest record of each key of a partition that follows `afterKey`.
-    virtual void newest(StreamName, uint32_t partition, const std::string& afterKey, Callback<NewestReply>) = 0;
+    virtual void newest(
+        StreamName, uint32_t partition, const std::string& afterKey, Milliseconds timeout, Callback<NewestReply>)
+        = 0;
 };
 
 }
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -73,13 +73,13 @@
     });
 }
 
-void FakeRecordStore::newest(
-    StreamName stream, uint32_t number, const std::string& afterKey, Callback<NewestReply> callback)
+void FakeRecordStore::newest(StreamName stream, uint32_t number, const std::string& afterKey, Milliseconds timeout,
+    Callback<NewestReply> callback)
 {
     if (fault == Fault::Refusing || fault == Fault::Silent)
         return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
     if (unansweredNewest == stream)
-        return m_loop.callAfter(silence, [callback] { callback(absl::DeadlineExceededError("lost")); });
+        return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("lost")); });
     m_loop.callAfter(answerTime, [this, stream, number, afterKey, callback = std::move(callback)] {
         auto& partition = m_partitions[{ stream, number }];
         std::map<std::string, KeyedRecord> newestByKey;
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -30,7 +30,8 @@
 
     void append(const AppendRequest&, Milliseconds timeout, Callback<AppendReply>) override;
     void read(StreamName, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply>) override;
-    void newest(StreamName, uint32_t partition, const std::string& afterKey, Callback<NewestReply>) override;
+    void newest(StreamName, uint32_t partition, const std::string& afterKey, Milliseconds timeout,
+        Callback<NewestReply>) override;
 
     /// Appends in the name of somebody else.
     void put(StreamName, std::string key, std::string value);
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -108,3 +108,14 @@
     CHECK_FALSE(isStoredAsFailed(firstTask.job));
     CHECK_FALSE(taskHost.orders.empty());
 }
+
+// Guards against seconds without configuration and leader after a restart, when the store's answers are lost.
+TEST(Node, LostAnswerToTheFirstQuestionsCostsLessThanASecond)
+{
+    store.unansweredNewest = StreamName::Operators;
+    startNode();
+    pass(Milliseconds { 20 });
+    store.unansweredNewest.reset();
+    pass(Milliseconds { 900 });
+    CHECK_TRUE(node->isReady());
+}
--- a/Tests/PlatformAdapter/TestPlatformCalls.cpp
+++ b/Tests/PlatformAdapter/TestPlatformCalls.cpp
@@ -93,7 +93,8 @@
     CHECK(reply->expired);
     CHECK_EQUAL(900, reply->firstRetained);
     answer = { .body = R"({"items":[{"key":"a","value":"dmE=","offset":4}],"more":true,"end":6})" };
-    auto newest = wait<NewestReply>([&](auto done) { store.newest(StreamName::Jobs, 1, "k/1", done); });
+    auto newest
+        = wait<NewestReply>([&](auto done) { store.newest(StreamName::Jobs, 1, "k/1", Milliseconds { 1000 }, done); });
     STRCMP_EQUAL("k%2F1", std::string(headerValue(seen.query, "dependsOn")).c_str());
     CHECK(newest->more);
     CHECK((newest->records[0] == KeyedRecord { "a", "va", 4 }));
--- a/Tests/PlatformAdapter/TestPlatformMutations.cpp
+++ b/Tests/PlatformAdapter/TestPlatformMutations.cpp
@@ -102,7 +102,7 @@
             break;
         case 1:
             answer.body = mutated(newest);
-            store.newest(StreamName::Jobs, 0, {}, finish);
+            store.newest(StreamName::Jobs, 0, {}, Milliseconds { 1000 }, finish);
             break;
         case 2:
             answer.body = mutated(append);
