Log why tasks that last have waited for seconds

The leader now names such steps each second (task_waits, four lines at most) with the reason, the size, and the processors that are free and kept free. No decision changes.

--- /dev/null
+++ b/Libraries/LibDecision/StepWait.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/Resources.h>
+#include <LibCore/Time.h>
+#include <LibDecision/PlacementDelay.h>
+#include <cstdint>
+
+namespace Bergamot {
+
+/// A step with tasks that wait for a worker.
+struct StepWait {
+    JobId job {};
+    uint32_t occurrence { 0 };
+    uint32_t step { 0 };
+
+    /// Tasks that wait, and how long the first of them has.
+    uint32_t tasks { 0 };
+    Milliseconds longest { 0 };
+    Resources size {};
+    PlacementDelay reason { PlacementDelay::None };
+
+    bool operator==(const StepWait&) const = default;
+};
+
+}
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdint>
 #include <limits>
+#include <utility>
 
 namespace Bergamot {
 
@@ -109,8 +110,13 @@
 /// Whether a task that lasts leaves short tasks the processors that they have needed lately.
 bool TaskScheduler::leavesHeadroom(const StepSpec& spec) const
 {
-    auto wanted = static_cast<int64_t>(m_shortDemandMillis) - m_shortMillis;
-    return m_freeMillis - spec.size.cpuMillis >= wanted;
+    return m_freeMillis - spec.size.cpuMillis >= headroomMillis();
+}
+
+/// Whether the task waits for the sake of short tasks.
+bool TaskScheduler::keepsHeadroom(const StepSpec& spec, const TrackedTask& task, Instant now) const
+{
+    return spec.longRunning && now - task.waitingSince < headroomWait && !leavesHeadroom(spec);
 }
 
 bool TaskScheduler::isUsable(const WorkerEntry& worker, Instant now) const
@@ -146,7 +152,9 @@
         auto& blocked = spec.fills ? blockedFillCpu[tracked.image]
             : spec.longRunning     ? blockedLastingCpu
                                    : blockedShortCpu;
-        if (spec.size.cpuMillis < blocked && !placeStep(ready, now) && !hasPlacementRule(spec))
+        if (spec.size.cpuMillis >= blocked)
+            tracked.delay = PlacementDelay::NotTried;
+        else if (!placeStep(ready, now) && !hasPlacementRule(spec))
             blocked = std::min(blocked, spec.size.cpuMillis);
         it = tracked.waiting.empty() ? m_readySteps.erase(it) : std::next(it);
     }
@@ -155,7 +163,8 @@
 /// Returns false when a task that may start found no worker.
 bool TaskScheduler::placeStep(const ReadyStep& ready, Instant now)
 {
-    if (ready.job->spec.steps[ready.step].gang)
+    const auto& spec = ready.job->spec.steps[ready.step];
+    if (spec.gang)
         return placeGang(ready, now);
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
     std::vector<uint32_t> left;
@@ -170,12 +179,14 @@
                 continue;
         }
         if (task.blockedUntil > now) {
+            step.delay = PlacementDelay::EarlierLeader;
             left.push_back(index);
             continue;
         }
         auto* worker = found ? chooseWorker(*ready.job, ready, task, {}, now) : nullptr;
         if (!worker) {
-            found = false;
+            if (std::exchange(found, false))
+                step.delay = keepsHeadroom(spec, task, now) ? PlacementDelay::Headroom : PlacementDelay::NoWorker;
             left.push_back(index);
             continue;
         }
@@ -198,7 +209,7 @@
     auto candidates = m_candidates.find(policyOf(job).service);
     if (candidates == m_candidates.end())
         return nullptr;
-    if (spec.longRunning && now - task.waitingSince < headroomWait && !leavesHeadroom(spec))
+    if (keepsHeadroom(spec, task, now))
         return nullptr;
     auto image = job.occurrences[ready.occurrence].steps[ready.step].image;
     auto reserveSize = spec.size;
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Bergamot {
@@ -169,8 +170,10 @@
     auto& tracked = job.occurrences[occurrence].steps[step];
     tracked.openedAt = m_latestEventAt;
     for (uint32_t i = 0; i < tracked.tasks.size(); ++i) {
-        if (!tracked.tasks[i].done && tracked.tasks[i].runs.empty())
-            tracked.waiting.push_back(i);
+        if (tracked.tasks[i].done || !tracked.tasks[i].runs.empty())
+            continue;
+        tracked.tasks[i].queuedAt = m_latestEventAt;
+        tracked.waiting.push_back(i);
     }
     if (tracked.waiting.empty())
         return;
@@ -201,6 +204,7 @@
         return;
     bool wasEmpty = step.waiting.empty();
     step.waiting.push_back(ref.index);
+    step.tasks[ref.index].queuedAt = m_latestEventAt;
     if (!wasEmpty)
         return;
     StepKey key { policyOf(job).priority, job.objectiveUnixMs, ++m_readySequence };
@@ -454,4 +458,30 @@
     return totals;
 }
 
+std::vector<StepWait> TaskScheduler::lastingWaits(Instant now, Milliseconds least, size_t most) const
+{
+    std::vector<StepWait> waits;
+    for (const auto& [key, ready] : m_readySteps) {
+        if (ready.job->hasEnded() || !ready.job->spec.steps[ready.step].longRunning)
+            continue;
+        const auto& spec = ready.job->spec.steps[ready.step];
+        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+        StepWait wait { .job = ready.job->spec.id,
+            .occurrence = ready.occurrence,
+            .step = ready.step,
+            .tasks = static_cast<uint32_t>(step.waiting.size()),
+            .size = spec.size,
+            .reason = step.delay };
+        for (auto index : step.waiting) {
+            if (step.tasks[index].queuedAt != neverInstant)
+                wait.longest = std::max(wait.longest, now - step.tasks[index].queuedAt);
+        }
+        if (wait.longest >= least)
+            waits.push_back(std::move(wait));
+    }
+    std::ranges::sort(waits, std::ranges::greater {}, &StepWait::longest);
+    waits.resize(std::min(waits.size(), most));
+    return waits;
+}
+
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -5,6 +5,7 @@
 #include <LibDecision/QueuePolicy.h>
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunReport.h>
+#include <LibDecision/StepWait.h>
 #include <LibDecision/TaskAction.h>
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
@@ -108,6 +109,13 @@
     };
     Totals totals() const;
 
+    /// Steps whose tasks last and have waited for at least `least`, the longest wait first; `most` at most.
+    std::vector<StepWait> lastingWaits(Instant now, Milliseconds least, size_t most) const;
+
+    /// Processors that are free on usable workers, and those that are kept free for short tasks.
+    int64_t freeMillis() const { return m_freeMillis; }
+    int64_t headroomMillis() const { return static_cast<int64_t>(m_shortDemandMillis) - m_shortMillis; }
+
 private:
     struct WorkerEntry;
     using StepKey = std::tuple<uint32_t, int64_t, uint64_t>;
@@ -146,6 +154,7 @@
     void updateShortDemand();
     bool isUsable(const WorkerEntry&, Instant now) const;
     bool leavesHeadroom(const StepSpec&) const;
+    bool keepsHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
     WorkerEntry* chooseWorker(
         const TrackedJob&, const ReadyStep&, const TrackedTask&, const std::string& rack, Instant now);
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/PlacementDelay.h>
 #include <LibDecision/RunSpeed.h>
 #include <LibDecision/TrackedTask.h>
 #include <cstdint>
@@ -28,6 +29,9 @@
 
     /// Indices of tasks that are to be started.
     std::vector<uint32_t> waiting {};
+
+    /// Why the first of them was not started in the latest plan.
+    PlacementDelay delay { PlacementDelay::None };
 };
 
 }
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -20,6 +20,9 @@
     std::vector<TrackedRun> runs {};
     WorkerHandle lastFailedOn { 0 };
 
+    /// When the task was last put among those that are to be started.
+    Instant queuedAt { neverInstant };
+
     /// Since when a worker has been looked for.
     Instant waitingSince { neverInstant };
 
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -23,4 +23,10 @@
     return names[static_cast<size_t>(stage)];
 }
 
+std::string_view nameOf(PlacementDelay delay)
+{
+    constexpr std::array<std::string_view, 5> names { "none", "earlier_leader", "headroom", "no_worker", "not_tried" };
+    return names[static_cast<size_t>(delay)];
+}
+
 }
--- a/Libraries/LibNode/OutcomeNames.h
+++ b/Libraries/LibNode/OutcomeNames.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/PlacementDelay.h>
 #include <LibDecision/RunEnd.h>
 #include <LibPlatform/OrderAnswer.h>
 #include <LibWire/JobStage.h>
@@ -11,5 +12,6 @@
 std::string_view nameOf(RunOutcome);
 std::string_view nameOf(OrderOutcome);
 std::string_view nameOf(JobStage);
+std::string_view nameOf(PlacementDelay);
 
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -320,10 +320,29 @@
     m_metrics.setWorkers(static_cast<size_t>(reachable), m_workers.size());
 }
 
+/// Names tasks that should run all the time and have not been started for seconds, and why.
+void TaskLeader::logLastingWaits()
+{
+    constexpr Milliseconds interval { 1000 };
+    constexpr Milliseconds longWait { 3000 };
+    constexpr size_t mostLines { 4 };
+    auto now = m_loop.now();
+    if (now - m_waitsLoggedAt < interval)
+        return;
+    m_waitsLoggedAt = now;
+    for (const auto& wait : m_scheduler.lastingWaits(now, longWait, mostLines))
+        logInfo("task_waits",
+            { { "job", wait.job }, { "occurrence", wait.occurrence }, { "step", wait.step }, { "tasks", wait.tasks },
+                { "longest_ms", wait.longest.count() }, { "reason", nameOf(wait.reason) },
+                { "cpu_millis", wait.size.cpuMillis }, { "memory_mb", wait.size.memoryMb },
+                { "free_millis", m_scheduler.freeMillis() }, { "headroom_millis", m_scheduler.headroomMillis() } });
+}
+
 void TaskLeader::tick()
 {
     plan();
     updateGauges();
+    logLastingWaits();
     m_loop.callAfter(tickInterval, [this, alive = m_alive] {
         if (*alive)
             tick();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -96,6 +96,7 @@
     Milliseconds leaseLength() const;
     void plan();
     void updateGauges();
+    void logLastingWaits();
     void tick();
 
     EventLoop& m_loop;
@@ -126,6 +127,7 @@
     Instant m_blockedUntil { neverInstant };
     Instant m_electedAt { neverInstant };
     Instant m_pressuresStoredAt { neverInstant };
+    Instant m_waitsLoggedAt { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -292,3 +292,25 @@
         CHECK(std::holds_alternative<StopTask>(order));
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
+
+// Guards against a wait of a task that lasts that no log explains.
+TEST(TaskScheduler, LongWaitsOfTasksThatLastAreNamed)
+{
+    fixture.addWorker(1, { 500, 125000, 0 });
+    fixture.planStarts();
+    auto lasting = fixture.step(2);
+    lasting.longRunning = true;
+    scheduler.addJob(fixture.job("lasting", { lasting }), std::nullopt, neverInstant);
+    scheduler.addJob(fixture.job("short", { fixture.step(1) }), std::nullopt, neverInstant);
+    fixture.planStarts();
+    fixture.pass(Milliseconds { 3000 });
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    auto waits = scheduler.lastingWaits(fixture.now(), Milliseconds { 3000 }, 4);
+    CHECK_EQUAL(1, waits.size());
+    STRCMP_EQUAL("lasting", waits[0].job.c_str());
+    CHECK_EQUAL(2, waits[0].tasks);
+    CHECK_EQUAL(3000, waits[0].longest.count());
+    CHECK(waits[0].reason == PlacementDelay::NoWorker);
+    CHECK(scheduler.lastingWaits(fixture.now(), Milliseconds { 3001 }, 4).empty());
+    CHECK(scheduler.lastingWaits(fixture.now(), Milliseconds { 3000 }, 0).empty());
+}
