Keep tasks out only for what truly found no worker

Cause: a plan remembered one number, the smallest count of processors that had not been placed, and did not look at later steps that need as many. A task that lasts and only leaves headroom to short tasks (for 2.5 s at most) set that number too. Runs of the many lasting jobs fail in turn, so that there was always a task in its first 2.5 s, and the steps behind it were never looked at; their own 2.5 s did not even begin. The same number was set by a step that lacked memory or an accelerator, by a step of another service, and by a copy that lacked only a second worker.

Now sizes without a worker are remembered by service, by kind and in all components, a wait for headroom and a copy are not among them, and the wait of each task begins with the first plan that finds it waiting.

TaskScheduler.TaskThatWaitsForHeadroomKeepsOutNoOther, TaskScheduler.TaskWithoutRoomKeepsOutOnlyThoseThatNeedAsMuch and TaskSpeed.CopyWithoutAnotherWorkerKeepsOutNoOther failed before.

--- a/Libraries/LibDecision/PlacementDelay.h
+++ b/Libraries/LibDecision/PlacementDelay.h
@@ -12,9 +12,7 @@
     /// Short tasks have lately needed the processors that are free.
     Headroom,
     /// No worker that may get runs has the room or meets the rules of the step.
-    NoWorker,
-    /// Another step was not placed, and this one was taken to need as much.
-    NotTried
+    NoWorker
 };
 
 }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -1,9 +1,11 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
+#include <LibDecision/UnplacedSizes.h>
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <limits>
+#include <ranges>
 #include <utility>
 
 namespace Bergamot {
@@ -133,12 +135,7 @@
 
 void TaskScheduler::placeWaiting(Instant now)
 {
-    // The smallest sizes that found no room in this pass, for short tasks, for those that last, and for each filling
-    // image; larger ones need not be tried.
-    constexpr int64_t none = std::numeric_limits<int64_t>::max();
-    int64_t blockedShortCpu = none;
-    int64_t blockedLastingCpu = none;
-    std::vector<int64_t> blockedFillCpu;
+    UnplacedSizes unplaced;
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
         const auto& ready = it->second;
         auto& tracked = ready.job->occurrences[ready.occurrence].steps[ready.step];
@@ -147,20 +144,29 @@
             continue;
         }
         const auto& spec = ready.job->spec.steps[ready.step];
-        if (spec.fills && blockedFillCpu.size() <= tracked.image)
-            blockedFillCpu.resize(tracked.image + 1, none);
-        auto& blocked = spec.fills ? blockedFillCpu[tracked.image]
-            : spec.longRunning     ? blockedLastingCpu
-                                   : blockedShortCpu;
-        if (spec.size.cpuMillis >= blocked)
-            tracked.delay = PlacementDelay::NotTried;
+        PlacementClass placementClass { .service = policyOf(*ready.job).service, .lasts = spec.longRunning };
+        if (spec.fills)
+            placementClass.fillImage = tracked.image;
+        noteWaiting(tracked, now);
+        if (unplaced.covers(placementClass, spec.size))
+            tracked.delay = PlacementDelay::NoWorker;
         else if (!placeStep(ready, now) && !hasPlacementRule(spec))
-            blocked = std::min(blocked, spec.size.cpuMillis);
+            unplaced.add(placementClass, spec.size);
         it = tracked.waiting.empty() ? m_readySteps.erase(it) : std::next(it);
     }
 }
 
-/// Returns false when a task that may start found no worker.
+/// Tasks that were put among those that wait since the last plan are the last ones.
+void TaskScheduler::noteWaiting(TrackedStep& step, Instant now)
+{
+    for (auto index : std::views::reverse(step.waiting)) {
+        if (step.tasks[index].waitingSince != neverInstant)
+            return;
+        step.tasks[index].waitingSince = now;
+    }
+}
+
+/// Returns false when no worker had room for one of the tasks, so that others of its size need not be tried.
 bool TaskScheduler::placeStep(const ReadyStep& ready, Instant now)
 {
     const auto& spec = ready.job->spec.steps[ready.step];
@@ -168,11 +174,10 @@
         return placeGang(ready, now);
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
     std::vector<uint32_t> left;
-    bool found = true;
+    bool tryOthers = true;
+    bool hasRoom = true;
     for (auto index : step.waiting) {
         auto& task = step.tasks[index];
-        if (task.waitingSince == neverInstant)
-            task.waitingSince = now;
         if (task.done || (task.wantsCopy && task.runs.size() != 1)) {
             task.wantsCopy = false;
             if (task.done || !task.runs.empty())
@@ -183,17 +188,26 @@
             left.push_back(index);
             continue;
         }
-        auto* worker = found ? chooseWorker(*ready.job, ready, task, {}, now) : nullptr;
+        // It has waited the longest, so that those that follow it have to leave headroom too.
+        if (tryOthers && keepsHeadroom(spec, task, now)) {
+            step.delay = PlacementDelay::Headroom;
+            tryOthers = false;
+        }
+        auto* worker = tryOthers ? chooseWorker(*ready.job, ready, task, {}, now) : nullptr;
+        // A copy may lack only a second worker.
+        if (!worker && tryOthers && !task.wantsCopy) {
+            step.delay = PlacementDelay::NoWorker;
+            tryOthers = false;
+            hasRoom = false;
+        }
         if (!worker) {
-            if (std::exchange(found, false))
-                step.delay = keepsHeadroom(spec, task, now) ? PlacementDelay::Headroom : PlacementDelay::NoWorker;
             left.push_back(index);
             continue;
         }
         startOn(*worker, ready, index, now);
     }
     step.waiting = std::move(left);
-    return found;
+    return hasRoom;
 }
 
 static bool hasLabel(const TaskWorkerView& view, const std::string& label)
@@ -209,8 +223,6 @@
     auto candidates = m_candidates.find(policyOf(job).service);
     if (candidates == m_candidates.end())
         return nullptr;
-    if (keepsHeadroom(spec, task, now))
-        return nullptr;
     auto image = job.occurrences[ready.occurrence].steps[ready.step].image;
     auto reserveSize = spec.size;
     if (spec.fills)
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -159,6 +159,7 @@
         .resumed = true,
         .confirmedAt = now,
         .progressedAt = now });
+    task.waitingSince = neverInstant;
     job.started = true;
     reserve(worker, job, report.task, report.run);
     auto& step = job.occurrences[report.task.occurrence].steps[report.task.step];
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -170,10 +170,8 @@
     auto& tracked = job.occurrences[occurrence].steps[step];
     tracked.openedAt = m_latestEventAt;
     for (uint32_t i = 0; i < tracked.tasks.size(); ++i) {
-        if (tracked.tasks[i].done || !tracked.tasks[i].runs.empty())
-            continue;
-        tracked.tasks[i].queuedAt = m_latestEventAt;
-        tracked.waiting.push_back(i);
+        if (!tracked.tasks[i].done && tracked.tasks[i].runs.empty())
+            tracked.waiting.push_back(i);
     }
     if (tracked.waiting.empty())
         return;
@@ -204,7 +202,6 @@
         return;
     bool wasEmpty = step.waiting.empty();
     step.waiting.push_back(ref.index);
-    step.tasks[ref.index].queuedAt = m_latestEventAt;
     if (!wasEmpty)
         return;
     StepKey key { policyOf(job).priority, job.objectiveUnixMs, ++m_readySequence };
@@ -473,8 +470,8 @@
             .size = spec.size,
             .reason = step.delay };
         for (auto index : step.waiting) {
-            if (step.tasks[index].queuedAt != neverInstant)
-                wait.longest = std::max(wait.longest, now - step.tasks[index].queuedAt);
+            if (step.tasks[index].waitingSince != neverInstant)
+                wait.longest = std::max(wait.longest, now - step.tasks[index].waitingSince);
         }
         if (wait.longest >= least)
             waits.push_back(std::move(wait));
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -156,6 +156,7 @@
     bool leavesHeadroom(const StepSpec&) const;
     bool keepsHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
+    static void noteWaiting(TrackedStep&, Instant now);
     WorkerEntry* chooseWorker(
         const TrackedJob&, const ReadyStep&, const TrackedTask&, const std::string& rack, Instant now);
     void requeueGang(TrackedJob&, const TaskRef&);
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -20,10 +20,7 @@
     std::vector<TrackedRun> runs {};
     WorkerHandle lastFailedOn { 0 };
 
-    /// When the task was last put among those that are to be started.
-    Instant queuedAt { neverInstant };
-
-    /// Since when a worker has been looked for.
+    /// The first plan that found the task waiting; plans that did not look at its step count too.
     Instant waitingSince { neverInstant };
 
     /// A run of an earlier leader may still be active until this time.
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -25,7 +25,7 @@
 
 std::string_view nameOf(PlacementDelay delay)
 {
-    constexpr std::array<std::string_view, 5> names { "none", "earlier_leader", "headroom", "no_worker", "not_tried" };
+    constexpr std::array<std::string_view, 4> names { "none", "earlier_leader", "headroom", "no_worker" };
     return names[static_cast<size_t>(delay)];
 }
 
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -314,3 +314,55 @@
     CHECK(scheduler.lastingWaits(fixture.now(), Milliseconds { 3001 }, 4).empty());
     CHECK(scheduler.lastingWaits(fixture.now(), Milliseconds { 3000 }, 0).empty());
 }
+
+// Guards against a task that lasts and is not looked at while others wait for headroom (LOST on the varied day
+// gangs-and-repeats of the grown Sofia site, seed 934434394345).
+TEST(TaskScheduler, TaskThatWaitsForHeadroomKeepsOutNoOther)
+{
+    fixture.addWorker(1, { 10000, 125000, 0 });
+    scheduler.addJob(fixture.job("short", { fixture.step(9) }), std::nullopt, neverInstant);
+    for (const auto& start : fixture.planStarts())
+        fixture.end(start, RunOutcome::Done);
+    auto lasting = fixture.step(2);
+    lasting.longRunning = true;
+    scheduler.addJob(fixture.job("failing", { lasting }), std::nullopt, neverInstant);
+    fixture.planStarts();
+    lasting.count = 1;
+    scheduler.addJob(fixture.job("sound", { lasting }), std::nullopt, neverInstant);
+    for (int i = 0; i < 30; ++i) {
+        // Short tasks come and go, so that the demand for headroom stays.
+        scheduler.addJob(fixture.job("s" + std::to_string(i), { fixture.step(9) }), std::nullopt, neverInstant);
+        for (const auto& start : fixture.planStarts()) {
+            if (start.task.job == "sound")
+                return;
+            fixture.end(start, start.task.job == "failing" ? RunOutcome::Failed : RunOutcome::Done);
+        }
+        fixture.pass(Milliseconds { 100 });
+    }
+    FAIL("the sound task was never started");
+}
+
+// Guards against tasks that wait while there is room for them, because one that needs fewer processors, but more memory
+// or another service, found none.
+TEST(TaskScheduler, TaskWithoutRoomKeepsOutOnlyThoseThatNeedAsMuch)
+{
+    scheduler.setQueues({ { "quick", { .service = "token" } }, { "elsewhere", { .service = "absent" } } });
+    fixture.addWorker(1);
+    for (bool lasts : { false, true }) {
+        auto large = fixture.step(1);
+        large.size = { 500, 200000, 0 };
+        large.longRunning = lasts;
+        auto usual = fixture.step(1);
+        usual.longRunning = lasts;
+        auto small = fixture.step(1);
+        small.size = { 100, 100, 0 };
+        small.longRunning = lasts;
+        std::string suffix = lasts ? "-lasts" : "";
+        scheduler.addJob(fixture.job("large" + suffix, { large }), std::nullopt, neverInstant);
+        scheduler.addJob(fixture.job("absent" + suffix, { small }, "elsewhere"), std::nullopt, neverInstant);
+        scheduler.addJob(fixture.job("usual" + suffix, { usual }), std::nullopt, neverInstant);
+        auto starts = fixture.planStarts();
+        CHECK_EQUAL(1, starts.size());
+        STRCMP_EQUAL(("usual" + suffix).c_str(), starts[0].task.job.c_str());
+    }
+}
--- a/Tests/LibDecision/TestTaskSpeed.cpp
+++ b/Tests/LibDecision/TestTaskSpeed.cpp
@@ -79,6 +79,32 @@
     CHECK_EQUAL(1, ordersOf<StopTask>(fixture.plan()).size());
 }
 
+// Guards against tasks that wait while there is room for them, because a copy that needs another worker found none.
+TEST(TaskSpeed, CopyWithoutAnotherWorkerKeepsOutNoOther)
+{
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    auto step = fixture.step(2);
+    step.speculative = true;
+    scheduler.addJob(fixture.job("j", { step }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(2, starts.size());
+    for (const auto& start : starts)
+        scheduler.orderAccepted(1, start.task, start.run, fixture.now());
+    fixture.pass(Milliseconds { 1000 });
+    fixture.end(starts[0], RunOutcome::Done);
+    fixture.pass(Milliseconds { 500 });
+    scheduler.runsReported(
+        1, { { .task = starts[1].task, .run = starts[1].run, .percent = 20 } }, fixture.now(), fixture.now());
+    auto larger = fixture.step(1);
+    larger.size.cpuMillis = 1500;
+    scheduler.addJob(fixture.job("larger", { larger }), std::nullopt, neverInstant);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+    fixture.addWorker(2);
+    auto copies = fixture.planStarts();
+    CHECK_EQUAL(1, copies.size());
+    CHECK(copies[0].task == starts[1].task);
+}
+
 // Guards against two runs of a task that may not run twice: the lagging one has to end first.
 TEST(TaskSpeed, LaggingTaskIsStoppedBeforeItStartsElsewhere)
 {
