--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -16,7 +16,7 @@
 static constexpr double leastStartPace = 0.8;
 
 /// A task that lasts waits no longer than this for the sake of short tasks; it has to run again within seconds.
-static constexpr Milliseconds headroomWait { 4500 };
+static constexpr Milliseconds headroomWait { 2500 };
 
 /// The peak of what short tasks need halves in this time.
 static constexpr double shortDemandHalfLifeMs = 6000;
