--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -5,7 +5,6 @@
 #include <cmath>
 #include <cstdint>
 #include <limits>
-#include <ranges>
 #include <utility>
 
 namespace Bergamot {
@@ -159,10 +158,11 @@
 /// Tasks that were put among those that wait since the last plan are the last ones.
 void TaskScheduler::noteWaiting(TrackedStep& step, Instant now)
 {
-    for (auto index : std::views::reverse(step.waiting)) {
-        if (step.tasks[index].waitingSince != neverInstant)
+    for (auto it = step.waiting.rbegin(); it != step.waiting.rend(); ++it) {
+        auto& task = step.tasks[*it];
+        if (task.waitingSince != neverInstant)
             return;
-        step.tasks[index].waitingSince = now;
+        task.waitingSince = now;
     }
 }
 
