--- a/Libraries/LibDecision/UnplacedSizes.cpp
+++ b/Libraries/LibDecision/UnplacedSizes.cpp
@@ -7,7 +7,7 @@
 {
     auto it = m_sizes.find(placementClass);
     return it != m_sizes.end()
-        && std::ranges::any_of(it->second, [&](const Resources& unplaced) { return unplaced.cpuMillis <= size.cpuMillis; });
+        && std::ranges::any_of(it->second, [&](const Resources& unplaced) { return unplaced.fitsIn(size); });
 }
 
 void UnplacedSizes::add(const PlacementClass& placementClass, const Resources& size)
