--- a/Libraries/LibDecision/PlacementClass.h
+++ b/Libraries/LibDecision/PlacementClass.h
@@ -15,7 +15,7 @@
     /// The image of tasks that fill.
     std::optional<uint32_t> fillImage {};
 
-    auto operator<=>(const PlacementClass&) const = default;
+    auto operator<=>(const PlacementClass&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 }
