--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -474,4 +475,30 @@
     return totals;
 }
 
+std::vector<StepWait> TaskScheduler::lastingWaits(Instant now, Milliseconds least, size_t most) const
+{
+    std::vector<StepWait> waits;
+    for (const auto& [key, ready] : m_readySteps) {
+        if (ready.job->hasEnded() || !ready.job->spec.steps[ready.step].longRunning)
+            continue;
+        const auto& spec = ready.job->spec.steps[ready.step];
+        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+        StepWait wait { .job = ready.job->spec.id,
+            .occurrence = ready.occurrence,
+            .step = ready.step,
+            .tasks = static_cast<uint32_t>(step.waiting.size()),
+            .size = spec.size,
+            .reason = step.delay };
+        for (auto index : step.waiting) {
+            if (step.tasks[index].waitingSince != neverInstant)
+                wait.longest = std::max(wait.longest, now - step.tasks[index].waitingSince);
+        }
+        if (wait.longest >= least)
+            waits.push_back(std::move(wait));
+    }
+    std::ranges::sort(waits, std::ranges::greater {}, &StepWait::longest);
+    waits.resize(std::min(waits.size(), most));
+    return waits;
+}
+
 }
