Let a leader that was frozen answer questions only once it is confirmed

What callers saw: the state of a job went back from completed to running.

Cause: a leader that was frozen and replaced answers from its tables for about 150 ms after it goes on, until it reads that another node leads. Starts were held back in this time already, answers were not: again a decision from input that may be stale.

Fix: questions are answered under the same condition as starts, a keepalive stored since the process stood still. A question without answer is not an answer 410 or 503.

Node.LeaderThatWasFrozenAnswersOnlyOnceItIsConfirmed failed before (an answer to the second question) and passes now.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -45,7 +45,8 @@
               },
               .answerHere =
                   [this](const JobQuery& query, QueryRouter::Reply reply) {
-                      if (m_leader)
+                      // The asking node asks again, perhaps another leader.
+                      if (m_leader && isConfirmedSinceSuspension())
                           m_leader->answer(query, std::move(reply));
                   } })
     , m_ingress(services.loop, m_acceptor, m_queries, services.formats, m_metrics,
@@ -127,14 +128,19 @@
 }
 
 bool Node::mayStart()
+{
+    auto now = m_services.loop.now();
+    bool storeIsRecent = m_leadership.holdsLease(now) || now - m_leadership.storeContactAt() < longestUnconfirmed;
+    return isConfirmedSinceSuspension() && storeIsRecent;
+}
+
+bool Node::isConfirmedSinceSuspension()
 {
     auto now = m_services.loop.now();
     noteSuspension(now);
-    if (m_leadership.holdsLease(now)) {
+    if (m_leadership.holdsLease(now))
         m_wasSuspended = false;
-        return true;
-    }
-    return !m_wasSuspended && now - m_leadership.storeContactAt() < longestUnconfirmed;
+    return !m_wasSuspended;
 }
 
 void Node::noteSuspension(Instant now)
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -62,6 +62,9 @@
     void elected(uint64_t epoch, bool earlierLeader);
     void deposed();
     bool mayStart();
+
+    /// False while another node may have led since this process stood still.
+    bool isConfirmedSinceSuspension();
     void noteSuspension(Instant now);
     void tick();
 
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -7,6 +7,7 @@
 #include <LibHttp/EventLoop.h>
 #include <LibNode/Node.h>
 #include <LibNode/ProgressJournal.h>
+#include <LibWire/Codec.h>
 #include <LibWire/JobProgress.h>
 #include <LibWire/ValueCodec.h>
 #include <memory>
@@ -76,6 +77,14 @@
         }
     }
 
+    size_t answersTo(uint64_t question)
+    {
+        peers.deliver(encodePeerMessage(JobQuery {
+            .number = question, .replyAddress = "caller", .kind = JobQueryKind::State, .subject = firstTask.job }));
+        loop->runReady();
+        return peers.sent.size();
+    }
+
     bool isStoredAsFailed(const JobId& id)
     {
         for (const auto& record : store.records(StreamName::Progress)) {
@@ -119,3 +128,17 @@
     pass(Milliseconds { 900 });
     CHECK_TRUE(node->isReady());
 }
+
+// Guards against states that go back, told by a leader that was frozen and has been replaced meanwhile.
+TEST(Node, LeaderThatWasFrozenAnswersOnlyOnceItIsConfirmed)
+{
+    startNode();
+    pass(Milliseconds { 1500 });
+    CHECK_EQUAL(1, answersTo(1));
+    store.fault = FakeRecordStore::Fault::Refusing;
+    clock.pass(Milliseconds { 3000 });
+    CHECK_EQUAL(1, answersTo(2));
+    store.fault = FakeRecordStore::Fault::None;
+    pass(Milliseconds { 1500 });
+    CHECK_EQUAL(2, answersTo(3));
+}
