--- a/Meta/check-platform-names.sh
+++ b/Meta/check-platform-names.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# Only platform/ and its tests know the names of the users' platform. Lists every other source file that uses one.
+# Only platform/, its tests and its stand-in know the names of the users' platform. Lists every other source file that
+# uses one.
 set -eu
 cd "$(dirname "$0")/.."
 names='ackedSeq|estRuntimeMs|fencingToken|runId|run-start|run-stop|machine-move|machine-upkeep|log-append|log-read|log-newest|log-join|\bkeyed\.(op|servers|status)|admissionCheck|antiAffinity|X-Bergamotbay'
 leaks=$(git ls-files -co --exclude-standard 'Libraries/*' 'Services/*' 'Utilities/*' 'Tests/*' \
-    | grep -v '^Tests/PlatformAdapter/' | xargs grep -lE "$names" || true)
+    | grep -vE '^(Tests/PlatformAdapter|Utilities/PlatformStandIn)/' | xargs grep -lE "$names" || true)
 if [ -n "$leaks" ]; then
     echo "names of the platform outside platform/:"
     echo "$leaks"
--- /dev/null
+++ b/Utilities/PlatformStandIn/StoreStandIn.cpp
@@ -0,0 +1,232 @@
+#include "StoreStandIn.h"
+#include <LibHttp/EventLoop.h>
+#include <absl/strings/escaping.h>
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace Bergamot {
+
+using nlohmann::json;
+
+static constexpr size_t maxRequestBytes = size_t { 4 } << 20;
+static constexpr uint64_t longestWaitMs = 30'000;
+static constexpr size_t newestPageItems = 500;
+
+/// The leadership stream expires by age, and no leader's claim or keepalive of the last seconds can be that old.
+static constexpr size_t keptUnkeyedRecords = 40;
+static constexpr const char* operatorTopic = "keyed.op";
+static constexpr const char* workerTopic = "keyed.servers";
+
+static bool isKeyed(std::string_view topic) { return topic.starts_with("keyed."); }
+
+static std::optional<uint64_t> readNumber(const HttpRequest& request, std::string_view name)
+{
+    auto text = headerValue(request.query, name);
+    uint64_t value = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || ec != std::errc {} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+absl::StatusOr<std::unique_ptr<StoreStandIn>> StoreStandIn::create(EventLoop& loop, Options options)
+{
+    std::unique_ptr<StoreStandIn> store(new StoreStandIn(loop));
+    auto server = HttpServer::create({ .address = options.address,
+        .port = options.port,
+        .maxRequestBytes = maxRequestBytes,
+        .handler = [self = store.get()](HttpRequest request, HttpResponder responder) {
+            auto shared = std::make_shared<HttpResponder>(std::move(responder));
+            self->m_loop.post([self, request = std::move(request), shared] { self->handle(request, shared); });
+        } });
+    if (!server.ok())
+        return server.status();
+    store->m_server = std::move(*server);
+    return store;
+}
+
+StoreStandIn::StoreStandIn(EventLoop& loop)
+    : m_loop(loop)
+{
+}
+
+StoreStandIn::~StoreStandIn() = default;
+
+void StoreStandIn::apply(const StoreFault& fault)
+{
+    if (fault.kind == StoreFault::Kind::Forgets) {
+        for (auto& [key, partition] : m_partitions)
+            partition.forget(isKeyed(key.first) ? 0 : keptUnkeyedRecords);
+        return;
+    }
+    m_faults.push_back({ fault, m_loop.now() + fault.duration });
+}
+
+const StoreStandIn::ActiveFault* StoreStandIn::findFault(StoreFault::Kind kind) const
+{
+    auto now = m_loop.now();
+    auto it = std::ranges::find_if(
+        m_faults, [&](const ActiveFault& active) { return active.fault.kind == kind && now < active.until; });
+    return it == m_faults.end() ? nullptr : &*it;
+}
+
+bool StoreStandIn::isDown() const
+{
+    return findFault(StoreFault::Kind::Refusing) || findFault(StoreFault::Kind::Silent);
+}
+
+void StoreStandIn::handle(const HttpRequest& request, Responder responder)
+{
+    const auto* slow = findFault(StoreFault::Kind::Slow);
+    if (!slow)
+        return serve(request, std::move(responder));
+    m_loop.callAfter(
+        slow->fault.delay / 2, [this, request, responder = std::move(responder)] { serve(request, responder); });
+}
+
+void StoreStandIn::serve(const HttpRequest& request, Responder responder)
+{
+    if (findFault(StoreFault::Kind::Silent))
+        return park(std::move(responder));
+    if (findFault(StoreFault::Kind::Refusing))
+        return responder->send({ .status = 503, .body = "{}" });
+    if (request.method == "POST" && request.path == "/log-append")
+        return append(request, responder);
+    if (request.method == "GET" && request.path == "/log-read")
+        return read(request, responder);
+    if (request.method == "GET" && request.path == "/log-newest")
+        return newest(request, responder);
+    responder->send({ .status = 404, .body = "{}" });
+}
+
+LogPartition& StoreStandIn::partition(const std::string& topic, uint64_t part)
+{
+    return m_partitions.try_emplace({ topic, part }, isKeyed(topic)).first->second;
+}
+
+void StoreStandIn::append(const HttpRequest& request, const Responder& responder)
+{
+    std::string topic(headerValue(request.query, "topic"));
+    auto part = readNumber(request, "part");
+    if (topic.empty() || !part)
+        return responder->send({ .status = 400, .body = "{}" });
+    if (topic == operatorTopic || topic == workerTopic)
+        return responder->send({ .status = 403, .body = "{}" });
+    std::optional<LogPartition::Producer> producer;
+    if (auto name = headerValue(request.query, "producer"); !name.empty()) {
+        producer = { .name = std::string(name),
+            .epoch = readNumber(request, "epoch").value_or(0),
+            .sequence = readNumber(request, "seq").value_or(0) };
+    }
+    auto carryOut = [this, topic, part = *part, body = request.body, onlyAt = readNumber(request, "at"), producer] {
+        auto answer = partition(topic, part).append(body, onlyAt, producer);
+        answerWaiters(topic, part);
+        return answer;
+    };
+    if (const auto* late = findFault(StoreFault::Kind::LateAppends)) {
+        m_loop.callAfter(late->fault.delay, carryOut);
+        return park(responder);
+    }
+    auto answer = carryOut();
+    if (findFault(StoreFault::Kind::LosesAppendAnswers))
+        return park(responder);
+    send(responder, { .status = answer.status, .body = answer.body });
+}
+
+void StoreStandIn::read(const HttpRequest& request, const Responder& responder)
+{
+    std::string topic(headerValue(request.query, "topic"));
+    auto part = readNumber(request, "part");
+    auto from = readNumber(request, "from");
+    if (topic.empty() || !part || !from)
+        return responder->send({ .status = 400, .body = "{}" });
+    Waiter waiter { .id = m_nextWaiter++, .topic = topic, .part = *part, .from = *from, .responder = responder };
+    auto wait = std::min(readNumber(request, "waitMs").value_or(0), longestWaitMs);
+    const auto& log = partition(topic, *part);
+    if (wait == 0 || *from < log.end())
+        return finishRead(waiter);
+    m_waiters.push_back(waiter);
+    m_loop.callAfter(Milliseconds { wait }, [this, id = waiter.id] {
+        auto it = std::ranges::find(m_waiters, id, &Waiter::id);
+        if (it == m_waiters.end())
+            return;
+        auto expired = std::move(*it);
+        m_waiters.erase(it);
+        finishRead(expired);
+    });
+}
+
+void StoreStandIn::finishRead(const Waiter& waiter)
+{
+    if (findFault(StoreFault::Kind::Silent))
+        return park(waiter.responder);
+    const auto& log = partition(waiter.topic, waiter.part);
+    if (waiter.from < log.firstRetained())
+        return send(waiter.responder, { .status = 410, .body = fmt::format(R"({{"first":{}}})", log.firstRetained()) });
+    send(waiter.responder, { .contentType = "application/octet-stream", .body = log.read(waiter.from) });
+}
+
+void StoreStandIn::answerWaiters(const std::string& topic, uint64_t part)
+{
+    std::vector<Waiter> due;
+    std::erase_if(m_waiters, [&](Waiter& waiter) {
+        if (waiter.topic != topic || waiter.part != part || waiter.from >= partition(topic, part).end())
+            return false;
+        due.push_back(std::move(waiter));
+        return true;
+    });
+    for (const auto& waiter : due)
+        finishRead(waiter);
+}
+
+void StoreStandIn::newest(const HttpRequest& request, const Responder& responder)
+{
+    std::string topic(headerValue(request.query, "topic"));
+    auto part = readNumber(request, "part");
+    if (topic.empty() || !part)
+        return responder->send({ .status = 400, .body = "{}" });
+    const auto& log = partition(topic, *part);
+    json body { { "items", json::array() }, { "more", false }, { "end", log.end() } };
+    for (auto it = log.newest().upper_bound(std::string(headerValue(request.query, "dependsOn")));
+         it != log.newest().end(); ++it) {
+        if (body["items"].size() == newestPageItems) {
+            body["more"] = true;
+            break;
+        }
+        body["items"].push_back({ { "key", it->first }, { "value", absl::Base64Escape(it->second.value) },
+            { "offset", it->second.offset } });
+    }
+    HttpResponse response { .body = body.dump() };
+    if (topic == operatorTopic) {
+        if (findFault(StoreFault::Kind::LosesOperatorAnswers))
+            return park(responder);
+        if (const auto* slow = findFault(StoreFault::Kind::SlowOperatorAnswers))
+            return m_loop.callAfter(slow->fault.delay, [responder, response] { responder->send(response); });
+    }
+    send(responder, std::move(response));
+}
+
+void StoreStandIn::send(const Responder& responder, HttpResponse response)
+{
+    const auto* slow = findFault(StoreFault::Kind::Slow);
+    if (!slow)
+        return responder->send(response);
+    m_loop.callAfter(slow->fault.delay / 2, [responder, response = std::move(response)] { responder->send(response); });
+}
+
+void StoreStandIn::park(Responder responder) { m_parked.push_back(std::move(responder)); }
+
+void StoreStandIn::put(const std::string& topic, std::string_view key, std::string_view value)
+{
+    partition(topic, 0).put(key, value);
+    answerWaiters(topic, 0);
+}
+
+void StoreStandIn::putOperatorRecord(std::string_view key, std::string_view value) { put(operatorTopic, key, value); }
+
+void StoreStandIn::putWorkerRecord(std::string_view key, std::string_view value) { put(workerTopic, key, value); }
+
+}
--- /dev/null
+++ b/Utilities/PlatformStandIn/TcpProxy.cpp
@@ -0,0 +1,223 @@
+#include "TcpProxy.h"
+#include <LibHttp/EventLoop.h>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace Bergamot {
+
+static constexpr int listenBacklog = 128;
+static constexpr size_t readBytes = size_t { 64 } << 10;
+static constexpr Milliseconds fullSocketRetry { 5 };
+
+static sockaddr_in socketAddress(const TcpProxy::Endpoint& endpoint)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
+    return address;
+}
+
+static void resetOnClose(int descriptor)
+{
+    linger option { .l_onoff = 1, .l_linger = 0 };
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
+static void sendWithoutDelay(int descriptor)
+{
+    int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+absl::StatusOr<std::unique_ptr<TcpProxy>> TcpProxy::create(EventLoop& loop, const Endpoint& listenAt, Endpoint target)
+{
+    std::unique_ptr<TcpProxy> proxy(new TcpProxy(loop, std::move(target)));
+    proxy->m_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(proxy->m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    auto address = socketAddress(listenAt);
+    if (bind(proxy->m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0
+        || listen(proxy->m_listener, listenBacklog) != 0)
+        return absl::UnavailableError(fmt::format("cannot listen on {}:{}", listenAt.ip, listenAt.port));
+    loop.watch(proxy->m_listener, EPOLLIN, [self = proxy.get()](uint32_t) { self->acceptNext(); });
+    return proxy;
+}
+
+TcpProxy::TcpProxy(EventLoop& loop, Endpoint target)
+    : m_loop(loop)
+    , m_target(std::move(target))
+{
+}
+
+TcpProxy::~TcpProxy()
+{
+    *m_alive = false;
+    resetConnections();
+    if (m_listener < 0)
+        return;
+    m_loop.unwatch(m_listener);
+    ::close(m_listener);
+}
+
+void TcpProxy::delay(Milliseconds delay, Milliseconds duration)
+{
+    m_delay = delay;
+    m_delayedUntil = m_loop.now() + duration;
+}
+
+void TcpProxy::silence(bool towardsCaller, Milliseconds duration)
+{
+    auto& until = m_silentUntil[towardsCaller ? 1 : 0];
+    until = std::max(until, m_loop.now() + duration);
+}
+
+void TcpProxy::resetConnections()
+{
+    std::vector<uint64_t> ids;
+    for (const auto& [id, link] : m_links)
+        ids.push_back(id);
+    for (auto id : ids)
+        close(id, true);
+}
+
+void TcpProxy::setRefusing(bool refusing)
+{
+    m_refusing = refusing;
+    if (refusing)
+        resetConnections();
+}
+
+void TcpProxy::acceptNext()
+{
+    int caller = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (caller < 0)
+        return;
+    if (m_refusing) {
+        resetOnClose(caller);
+        ::close(caller);
+        return;
+    }
+    // Connections on loopback are made at once, so a blocking connect costs no time.
+    int target = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto address = socketAddress(m_target);
+    if (connect(target, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+        ::close(target);
+        ::close(caller);
+        return;
+    }
+    sendWithoutDelay(caller);
+    sendWithoutDelay(target);
+    auto id = m_nextLink++;
+    m_links[id] = { .toTarget = { .from = caller, .to = target },
+        .toCaller = { .from = target, .to = caller, .towardsCaller = true } };
+    watch(id, false);
+    watch(id, true);
+}
+
+void TcpProxy::watch(uint64_t id, bool towardsCaller)
+{
+    auto& link = m_links[id];
+    int from = towardsCaller ? link.toCaller.from : link.toTarget.from;
+    m_loop.watch(from, EPOLLIN, [this, id, towardsCaller](uint32_t) { readable(id, towardsCaller); });
+}
+
+Instant TcpProxy::dueTime(const Direction& direction) const
+{
+    auto now = m_loop.now();
+    auto due = now < m_delayedUntil ? now + m_delay : now;
+    due = std::max(due, m_silentUntil[direction.towardsCaller ? 1 : 0]);
+    return direction.chunks.empty() ? due : std::max(due, direction.chunks.back().due);
+}
+
+void TcpProxy::readable(uint64_t id, bool towardsCaller)
+{
+    auto it = m_links.find(id);
+    if (it == m_links.end())
+        return;
+    auto& direction = towardsCaller ? it->second.toCaller : it->second.toTarget;
+    std::array<char, readBytes> buf;
+    auto n = recv(direction.from, buf.data(), buf.size(), MSG_DONTWAIT);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    if (n < 0)
+        return close(id, true);
+    if (n == 0) {
+        direction.ended = true;
+        m_loop.unwatch(direction.from);
+    } else {
+        direction.chunks.push_back({ dueTime(direction), std::string(buf.data(), static_cast<size_t>(n)) });
+    }
+    flush(id, towardsCaller);
+}
+
+void TcpProxy::later(Milliseconds delay, std::function<void()> task)
+{
+    m_loop.callAfter(delay, [alive = m_alive, task = std::move(task)] {
+        if (*alive)
+            task();
+    });
+}
+
+void TcpProxy::flush(uint64_t id, bool towardsCaller)
+{
+    auto it = m_links.find(id);
+    if (it == m_links.end())
+        return;
+    auto& direction = towardsCaller ? it->second.toCaller : it->second.toTarget;
+    auto retry = [&](Milliseconds delay) {
+        if (std::exchange(direction.timerSet, true))
+            return;
+        later(delay, [this, id, towardsCaller] {
+            auto link = m_links.find(id);
+            if (link == m_links.end())
+                return;
+            (towardsCaller ? link->second.toCaller : link->second.toTarget).timerSet = false;
+            flush(id, towardsCaller);
+        });
+    };
+    while (!direction.chunks.empty()) {
+        auto& chunk = direction.chunks.front();
+        // A silence that began after the bytes arrived holds them back too.
+        auto due = std::max(chunk.due, m_silentUntil[towardsCaller ? 1 : 0]);
+        if (auto now = m_loop.now(); now < due)
+            return retry(due - now);
+        auto n = send(direction.to, chunk.bytes.data(), chunk.bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
+            return retry(fullSocketRetry);
+        if (n < 0)
+            return close(id, true);
+        if (static_cast<size_t>(n) == chunk.bytes.size())
+            direction.chunks.pop_front();
+        else
+            chunk.bytes.erase(0, static_cast<size_t>(n));
+    }
+    if (direction.ended)
+        close(id, false);
+}
+
+void TcpProxy::close(uint64_t id, bool reset)
+{
+    auto it = m_links.find(id);
+    if (it == m_links.end())
+        return;
+    for (int descriptor : { it->second.toTarget.from, it->second.toCaller.from }) {
+        m_loop.unwatch(descriptor);
+        if (reset)
+            resetOnClose(descriptor);
+        ::close(descriptor);
+    }
+    m_links.erase(it);
+}
+
+}
