--- /dev/null
+++ b/Meta/node-soak.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# A randomised run of node processes under faults; jobs, workers and faults follow from the seed.
+# Exit status: 0 without a violation. Usage: Meta/node-soak.sh BUILD SEED SECONDS [FAULTS]
+set -u
+build=$(realpath "${1:-Build}")
+seed=${2:-1} run_seconds=${3:-30} faults=${4:-all}
+folder=$(mktemp -d)
+soak=
+
+# Ends the soak, and nodes that it has left behind. A process id may have been given to another process since, so a node
+# is recognised by the settings file that it was started with.
+cleanup() {
+    if [[ $soak ]] && kill -TERM "$soak" 2>/dev/null; then wait "$soak"; fi
+    local pid
+    while read -r pid; do
+        grep -qz "^BERGAMOTBAY_NODE_FILE=$folder/" "/proc/$pid/environ" 2>/dev/null && kill -KILL "$pid" 2>/dev/null
+    done < <(cat "$folder/pids" 2>/dev/null)
+}
+trap cleanup EXIT
+trap 'exit 1' INT TERM
+
+"$build/bergamot-node-soak" --node="$build/bergamot-node" --folder="$folder" --seed="$seed" --seconds="$run_seconds" \
+    --faults="$faults" >"$folder/out" 2>&1 &
+soak=$!
+wait "$soak"
+status=$?
+soak=
+cat "$folder/out"
+echo "command: Meta/node-soak.sh BUILD $seed $run_seconds $faults"
+if ((status == 0)); then
+    rm -r "$folder"
+else
+    echo "the run failed with status $status; settings and logs: $folder"
+fi
+exit $status
--- a/Utilities/bergamot-node-soak/JobBook.cpp
+++ b/Utilities/bergamot-node-soak/JobBook.cpp
@@ -99,7 +99,7 @@
 {
     for (uint32_t index = 0; index < job.steps[step].count; ++index) {
         auto it = job.tasks.find(fmt::format("{}.0.{}.{}", job.id, step, index));
-        if (it == job.tasks.end() || !it->second.startsAtDone)
+        if (it == job.tasks.end() || it->second.startsAtDone.empty())
             return false;
     }
     return true;
@@ -195,8 +195,8 @@
     std::erase(task.active, std::pair { run.worker, run.run });
     if (outcome == "failed")
         ++task.failedRuns;
-    if (outcome == "done" && !task.startsAtDone)
-        task.startsAtDone = task.starts;
+    if (outcome == "done")
+        task.startsAtDone[run.run] = task.starts;
 }
 
 void JobBook::endAcknowledged(const Run& run, const std::string& outcome)
@@ -210,7 +210,7 @@
         ++task.notedFailures;
     if (outcome != "done")
         return;
-    if (task.startsAtDone && task.starts > *task.startsAtDone && !task.doneNoted)
+    if (auto it = task.startsAtDone.find(run.run); it != task.startsAtDone.end() && task.starts > it->second)
         violation(job, fmt::format("{} was started again although its end as done was noted", run.task));
     task.doneNoted = true;
 }
--- a/Utilities/bergamot-node-soak/SoakJob.h
+++ b/Utilities/bergamot-node-soak/SoakJob.h
@@ -19,8 +19,9 @@
     uint32_t notedFailures { 0 };
     uint32_t starts { 0 };
 
-    /// The number of starts when the first run had ended as done.
-    std::optional<uint32_t> startsAtDone {};
+    /// For each run that ended as done, the number of starts at that time. A crash may lose such an end before it is
+    /// acknowledged, and the task then has to start again.
+    std::map<uint64_t, uint32_t> startsAtDone {};
     bool doneNoted { false };
 };
 
