--- a/Utilities/bergamot-node-soak/Fault.h
+++ b/Utilities/bergamot-node-soak/Fault.h
@@ -30,16 +30,17 @@
     WorkerDelay,
     WorkerReset,
     WorkerSilent,
+    WorkerZoneSilent,
     NewConfiguration,
     ZoneOut
 };
 
 /// The names of the kinds on the command line, in their order.
-inline constexpr std::array<std::string_view, 23> faultNames { "node-kill", "node-term", "node-freeze", "all-kill",
+inline constexpr std::array<std::string_view, 24> faultNames { "node-kill", "node-term", "node-freeze", "all-kill",
     "all-kill-operators-lost", "all-kill-operators-slow", "store-refuses", "store-silent", "store-slow",
     "store-loses-answers", "store-late", "store-operators-lost", "store-forgets", "link-delay", "link-reset",
     "link-silent-to-node", "link-silent-to-store", "worker-crash", "worker-delay", "worker-reset", "worker-silent",
-    "configuration", "zone-out" };
+    "worker-zone-silent", "configuration", "zone-out" };
 
 /// One fault of the schedule. `target` is reduced to the number of nodes, workers or zones.
 struct Fault {
--- a/Utilities/bergamot-node-soak/FaultSchedule.cpp
+++ b/Utilities/bergamot-node-soak/FaultSchedule.cpp
@@ -11,7 +11,7 @@
 /// The nodes have elected a leader and started work before the first fault.
 static constexpr Milliseconds firstFaultAt { 3500 };
 
-/// The longest of one fault, and of the downtime of a node.
+/// The longest of most faults.
 static constexpr int64_t longestMs = 3500;
 
 absl::StatusOr<std::vector<FaultKind>> parseFaultKinds(const std::string& text)
@@ -40,6 +40,9 @@
     case FaultKind::WorkerDelay:
     case FaultKind::WorkerSilent:
         return 1800;
+    case FaultKind::WorkerZoneSilent:
+        // Outlasts the election of a leader, and the leases of what runs there.
+        return 7000;
     default:
         return longestMs;
     }
@@ -52,12 +55,13 @@
         return faults;
     Random random(mixDigest(seed, 2));
     auto at = firstFaultAt;
-    while (at + Milliseconds { longestMs } <= end) {
+    while (at < end) {
         auto kind = kinds[static_cast<size_t>(random.between(0, static_cast<int64_t>(kinds.size()) - 1))];
         auto target = static_cast<size_t>(random.between(0, 1000));
         auto duration = Milliseconds { random.between(200, longestOf(kind)) };
         auto delay = Milliseconds { random.between(20, 1200) };
-        faults.push_back({ .at = at, .kind = kind, .target = target, .duration = duration, .delay = delay });
+        if (at + duration <= end)
+            faults.push_back({ .at = at, .kind = kind, .target = target, .duration = duration, .delay = delay });
         at += Milliseconds { random.between(100, 1500) };
     }
     return faults;
--- a/Utilities/bergamot-node-soak/JobBook.cpp
+++ b/Utilities/bergamot-node-soak/JobBook.cpp
@@ -91,8 +91,10 @@
 void JobBook::cancelAcknowledged(SoakJob& job)
 {
     note(job, "cancel acknowledged");
-    if (!job.cancelledAt)
-        job.cancelledAt = m_loop.now();
+    if (job.cancelledAt)
+        return;
+    job.cancelledAt = m_loop.now();
+    job.doneBeforeCancel = hasEndedDone(job);
 }
 
 bool JobBook::hasEndedDone(const SoakJob& job, size_t step)
@@ -105,6 +107,15 @@
     return true;
 }
 
+bool JobBook::hasEndedDone(const SoakJob& job)
+{
+    for (size_t step = 0; step < job.steps.size(); ++step) {
+        if (!hasEndedDone(job, step))
+            return false;
+    }
+    return true;
+}
+
 void JobBook::stateShown(SoakJob& job, const std::string& state, Instant sentAt)
 {
     bool isEnd = state == "completed" || state == "failed" || state == "cancelled";
@@ -122,10 +133,10 @@
     job.endState = state;
     job.endShownAt = m_loop.now();
     if (state == "completed") {
-        for (size_t step = 0; step < job.steps.size(); ++step) {
-            if (!hasEndedDone(job, step))
-                return violation(&job, "shown as completed while a task has not ended as done");
-        }
+        if (!hasEndedDone(job))
+            violation(&job, "shown as completed while a task has not ended as done");
+        else if (job.cancelledAt && !job.doneBeforeCancel)
+            violation(&job, "shown as completed although its cancel was acknowledged before its last task was done");
     } else if (state == "failed") {
         bool cause = std::ranges::any_of(
             job.tasks, [&](const auto& task) { return task.second.failedRuns >= job.queue.maxAttempts; });
--- a/Utilities/bergamot-node-soak/JobBook.h
+++ b/Utilities/bergamot-node-soak/JobBook.h
@@ -57,6 +57,7 @@
     void checkEarlierSteps(SoakJob&, const std::string& task);
     void checkRejected(SoakJob&);
     static bool hasEndedDone(const SoakJob&, size_t step);
+    static bool hasEndedDone(const SoakJob&);
 
     EventLoop& m_loop;
     uint64_t m_seed;
--- a/Utilities/bergamot-node-soak/JobTraffic.cpp
+++ b/Utilities/bergamot-node-soak/JobTraffic.cpp
@@ -8,10 +8,13 @@
 
 static constexpr Milliseconds callTimeout { 3000 };
 static constexpr int mostRejections = 8;
-static constexpr int cancelPercent = 12;
+static constexpr int cancelPercent = 20;
 static constexpr int repeatPercent = 10;
 static constexpr int failingPercent = 35;
 static constexpr int hopelessPercent = 3;
+
+/// Steps whose tasks outlast the election of a leader.
+static constexpr int longPercent = 15;
 static constexpr uint32_t alwaysFails = 1000;
 
 /// Answers to ask for after the end, to see that it stays.
@@ -53,7 +56,7 @@
         StepPlan step { .count = static_cast<uint32_t>(m_random.between(1, 4)),
             .cpuMillis = 250 * m_random.between(1, 8),
             .memoryMb = 128 * m_random.between(1, 4),
-            .durationMs = m_random.between(60, 1400),
+            .durationMs = m_random.chance(longPercent) ? m_random.between(2000, 6000) : m_random.between(60, 1400),
             .afterEarlierStep = n > 0 };
         if (m_random.chance(hopelessPercent))
             step.failures = alwaysFails;
--- a/Utilities/bergamot-node-soak/Soak.cpp
+++ b/Utilities/bergamot-node-soak/Soak.cpp
@@ -177,7 +177,7 @@
         return injectStoreFault(fault);
     if (fault.kind <= FaultKind::LinkSilentToStore)
         return injectLinkFault(fault);
-    if (fault.kind <= FaultKind::WorkerSilent)
+    if (fault.kind <= FaultKind::WorkerZoneSilent)
         return injectWorkerFault(fault);
     injectOperatorChange(fault);
 }
@@ -241,6 +241,10 @@
         worker.proxy().delay(std::min(fault.delay, longestWorkerDelay), fault.duration);
     } else if (fault.kind == FaultKind::WorkerReset) {
         worker.proxy().resetConnections();
+    } else if (fault.kind == FaultKind::WorkerZoneSilent) {
+        // Orders arrive and their answers do not, so that a new leader does not learn what runs there.
+        for (size_t n = fault.target % zones.size(); n < m_workers.size(); n += zones.size())
+            m_workers[n]->proxy().silence(true, fault.duration);
     } else {
         worker.proxy().silence(fault.target % 2 == 0, fault.duration);
     }
--- a/Utilities/bergamot-node-soak/SoakJob.h
+++ b/Utilities/bergamot-node-soak/SoakJob.h
@@ -42,6 +42,9 @@
     std::optional<Instant> cancelSentAt {};
     std::optional<Instant> cancelledAt {};
 
+    /// All tasks had ended as done when the cancel was acknowledged, so the job may be shown as completed.
+    bool doneBeforeCancel { false };
+
     std::string endState {};
     Instant endShownAt { neverInstant };
     int answersAfterEnd { 0 };
