--- a/Utilities/bergamot-node-soak/JobBook.cpp
+++ b/Utilities/bergamot-node-soak/JobBook.cpp
@@ -265,7 +265,7 @@
             continue;
         }
         bool hopeless = std::ranges::any_of(
-            job->steps, [&](const StepPlan& step) { return step.failures >= job->queue.maxAttempts; });
+            job->steps, [limit = job->queue.maxAttempts](const StepPlan& step) { return step.failures >= limit; });
         if (hopeless && job->endState == "completed")
             violation(job.get(), "shown as completed although a task always fails");
     }
--- a/Utilities/bergamot-node-soak/JobTraffic.cpp
+++ b/Utilities/bergamot-node-soak/JobTraffic.cpp
@@ -45,6 +45,22 @@
     later(gap / 2, gap + gap / 2, [this] { submitNext(); });
 }
 
+StepPlan JobTraffic::drawStep(const QueuePlan& queue, bool afterEarlierStep)
+{
+    bool isLong = m_random.chance(longPercent);
+    StepPlan step { .count = static_cast<uint32_t>(m_random.between(1, 4)),
+        .cpuMillis = 250 * m_random.between(1, 8),
+        .memoryMb = 128 * m_random.between(1, 4),
+        .durationMs = isLong ? m_random.between(2000, 4000) : m_random.between(60, 1400),
+        .afterEarlierStep = afterEarlierStep };
+    // Long tasks fail once at most, so that every job can end within the bound after the last fault.
+    if (!isLong && m_random.chance(hopelessPercent))
+        step.failures = alwaysFails;
+    else if (m_random.chance(failingPercent))
+        step.failures = static_cast<uint32_t>(m_random.between(1, isLong ? 1 : queue.maxAttempts - 1));
+    return step;
+}
+
 JobTraffic::JobHandle JobTraffic::drawJob()
 {
     auto job = std::make_shared<SoakJob>();
@@ -52,18 +68,8 @@
     job->queue
         = m_options.queues[static_cast<size_t>(m_random.between(0, static_cast<int64_t>(m_options.queues.size()) - 1))];
     auto steps = m_random.between(1, 2);
-    for (int64_t n = 0; n < steps; ++n) {
-        StepPlan step { .count = static_cast<uint32_t>(m_random.between(1, 4)),
-            .cpuMillis = 250 * m_random.between(1, 8),
-            .memoryMb = 128 * m_random.between(1, 4),
-            .durationMs = m_random.chance(longPercent) ? m_random.between(2000, 6000) : m_random.between(60, 1400),
-            .afterEarlierStep = n > 0 };
-        if (m_random.chance(hopelessPercent))
-            step.failures = alwaysFails;
-        else if (m_random.chance(failingPercent))
-            step.failures = static_cast<uint32_t>(m_random.between(1, job->queue.maxAttempts - 1));
-        job->steps.push_back(step);
-    }
+    for (int64_t n = 0; n < steps; ++n)
+        job->steps.push_back(drawStep(job->queue, n > 0));
     job->spec = taskSpecText(job->steps);
     job->body = jobText(job->steps);
     m_book.add(job);
--- a/Utilities/bergamot-node-soak/JobTraffic.h
+++ b/Utilities/bergamot-node-soak/JobTraffic.h
@@ -34,6 +34,7 @@
 
     void submitNext();
     JobHandle drawJob();
+    StepPlan drawStep(const QueuePlan&, bool afterEarlierStep);
     void submit(const JobHandle&);
     void submitted(const JobHandle&, const absl::StatusOr<HttpReply>&);
     void accepted(const JobHandle&);
