Read requests and write answers in a transport of our own

Callers saw three faults of one cause: - `Content-Length: -1` was answered 500 with the text `basic_string::_M_create`, and the connection went on. - A sender that closed its sending side after a whole request got no answer: the connection was closed, also when the answer came 300 ms later. - One body that was too large was answered 413 for each piece that arrived (20 times in the test, 13 times in chunks), and the connection stayed open.

Pistache's transport closes a connection when it reads its end, whatever is still to be answered. Its handler turns an exception of its parser into an answer and then reads the rest of a refused request as the next one. Neither can be set from outside: the reading functions of the transport are private and not virtual, and an endpoint makes its own transport. But the listener takes a transport from a factory, and all events of a transport pass through its virtual onReady().

ServerTransport therefore reads and writes itself. Pistache still accepts, polls, and writes what the kernel does not take at once. RequestParser reads one request; after a refusal nobody knows where the next request begins, so the transport answers once and closes. It first closes its sending side and throws away what still arrives, because a reset would overtake the answer. While a request is with the handler nothing is read, so the end of a sender is seen only after the answer, and requests sent ahead are answered in order, where they were lost before. Answers from other threads go through a queue of our own; Pistache's queue empties its notification after it has found itself empty, so a push in between would wait for the next one.

--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/HttpLimits.h>
 #include <LibHttp/HttpRequest.h>
 #include <LibHttp/HttpResponder.h>
 #include <absl/status/statusor.h>
@@ -10,8 +11,8 @@
 #include <memory>
 #include <string>
 
-namespace Pistache::Http {
-class Endpoint;
+namespace Pistache::Tcp {
+class Listener;
 }
 
 namespace Bergamot {
@@ -25,7 +26,7 @@
         std::string address { "127.0.0.1" };
         uint16_t port { 0 };
         int threads { 1 };
-        size_t maxRequestBytes { size_t { 64 } << 10 };
+        HttpLimits limits {};
         Handler handler {};
     };
 
@@ -45,7 +46,7 @@
 private:
     HttpServer() = default;
 
-    std::unique_ptr<Pistache::Http::Endpoint> m_endpoint;
+    std::unique_ptr<Pistache::Tcp::Listener> m_listener;
     std::shared_ptr<std::atomic<size_t>> m_inProgress { std::make_shared<std::atomic<size_t>>(0) };
     bool m_stopped { false };
 };
--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -113,7 +113,7 @@
     auto [frontIp, frontPort] = splitAddress(m_settings.frontAddress);
     auto front = HttpServer::create({ .address = frontIp,
         .port = frontPort,
-        .maxRequestBytes = maxRequestBytes,
+        .limits = { .maxRequestBytes = maxRequestBytes },
         .handler = [this](HttpRequest request, HttpResponder responder) {
             auto shared = std::make_shared<HttpResponder>(std::move(responder));
             m_loop->post([this, request = Platform::fromPlatform(std::move(request)), shared] {
--- a/Services/bergamotd/Daemon.cpp
+++ b/Services/bergamotd/Daemon.cpp
@@ -138,7 +138,7 @@
     auto callerServer = HttpServer::create({ .address = callerIp,
         .port = callerPort,
         .threads = callerThreads,
-        .maxRequestBytes = maxCallerRequestBytes,
+        .limits = { .maxRequestBytes = maxCallerRequestBytes },
         .handler = [this](HttpRequest request, HttpResponder responder) {
             m_callerApi->handle(std::move(request), std::move(responder));
         } });
@@ -149,7 +149,7 @@
     auto adminServer = HttpServer::create({ .address = adminIp,
         .port = adminPort,
         .threads = adminThreads,
-        .maxRequestBytes = maxAdminRequestBytes,
+        .limits = { .maxRequestBytes = maxAdminRequestBytes },
         .handler = [this](HttpRequest request, HttpResponder responder) {
             m_adminApi->handle(std::move(request), std::move(responder));
         } });
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -18,7 +18,7 @@
 using namespace Bergamot;
 
 TEST_GROUP(Http) { std::unique_ptr<HttpServer> startServer(HttpServer::Handler handler) {
-    auto server = HttpServer::create({ .maxRequestBytes = 4096, .handler = std::move(handler) });
+    auto server = HttpServer::create({ .limits = { .maxRequestBytes = 4096 }, .handler = std::move(handler) });
 CHECK(server.ok());
 return std::move(*server);
 }
--- /dev/null
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -0,0 +1,173 @@
+#include "RawConnection.h"
+#include <CppUTest/TestHarness.h>
+#include <LibHttp/HttpServer.h>
+#include <algorithm>
+#include <atomic>
+#include <fmt/format.h>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace Bergamot;
+
+static constexpr int quietMs = 1500;
+
+static bool contains(std::string_view text, std::string_view part) { return text.find(part) != std::string_view::npos; }
+
+TEST_GROUP(HttpServerEdge)
+{
+    std::atomic<int> handled { 0 };
+    std::unique_ptr<HttpServer> server;
+
+    void serve(HttpServer::Options options = { .limits = { .maxRequestBytes = 4096 } })
+    {
+        options.handler = [this](HttpRequest request, HttpResponder responder) {
+            ++handled;
+            responder.send({ .body = "ran " + request.method + " " + request.path + " " + request.body });
+        };
+        auto created = HttpServer::create(std::move(options));
+        CHECK(created.ok());
+        server = std::move(*created);
+    }
+
+    void checkRefusedAndClosed(std::string_view bytes, std::string_view statusLine)
+    {
+        RawConnection connection(server->port());
+        connection.send(bytes);
+        auto text = connection.readToClose(quietMs);
+        STRNCMP_EQUAL(std::string(statusLine).c_str(), text.c_str(), statusLine.size());
+        CHECK_EQUAL(1, connection.answers());
+        CHECK(connection.isClosed());
+        CHECK_EQUAL(0, handled.load());
+    }
+};
+
+// Guards against 500 with the text of an internal exception for a length that is no number, and against a connection
+// that goes on although nobody knows where the next request begins.
+TEST(HttpServerEdge, BadContentLengthIsABadRequestAndCloses)
+{
+    serve();
+    for (auto value : { "-1", "+5", "zz", "5x", "0x10", "1 2", "99999999999999999999999" })
+        checkRefusedAndClosed(
+            fmt::format("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\nhello", value), "HTTP/1.1 400 ");
+    checkRefusedAndClosed(
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhello", "HTTP/1.1 400 ");
+}
+
+// Guards against a caller that ends its sending side after a whole request and never gets the answer.
+TEST(HttpServerEdge, HalfClosedSenderGetsItsAnswer)
+{
+    serve();
+    RawConnection connection(server->port());
+    connection.send("POST /half HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    connection.shutdownSending();
+    auto text = connection.readToClose(quietMs);
+    CHECK(text.starts_with("HTTP/1.1 200 "));
+    CHECK(text.ends_with("ran POST /half body"));
+    CHECK(connection.isClosed());
+}
+
+// Guards against the same loss when the answer comes later and from another thread, as all answers of the node do.
+TEST(HttpServerEdge, HalfClosedSenderGetsALateAnswer)
+{
+    std::thread answerer;
+    auto created = HttpServer::create({ .handler = [&](HttpRequest, HttpResponder responder) {
+        answerer = std::thread([moved = std::make_shared<HttpResponder>(std::move(responder))] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+            moved->send({ .body = "late" });
+        });
+    } });
+    CHECK(created.ok());
+    RawConnection connection((*created)->port());
+    connection.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    connection.shutdownSending();
+    auto text = connection.readToClose(quietMs);
+    answerer.join();
+    CHECK(text.ends_with("late"));
+    CHECK(connection.isClosed());
+    CHECK_EQUAL(0, (*created)->requestsInProgress());
+}
+
+// Guards against 413 for each piece of one large body, and against the rest of the body read as further requests.
+TEST(HttpServerEdge, OversizeBodyIsAnsweredOnceAndCloses)
+{
+    serve();
+    RawConnection connection(server->port());
+    connection.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n");
+    std::string piece(4096, 'x');
+    for (int i = 0; i < 40 && connection.send(piece); ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    auto text = connection.readToClose(quietMs);
+    CHECK(text.starts_with("HTTP/1.1 413 "));
+    CHECK_EQUAL(1, connection.answers());
+    CHECK(connection.isClosed());
+    CHECK_EQUAL(0, handled.load());
+}
+
+// Guards against an endless body in chunks, whose size no header tells.
+TEST(HttpServerEdge, OversizeChunkedBodyIsAnsweredOnceAndCloses)
+{
+    serve();
+    std::string bytes = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 100; ++i)
+        bytes += "400\r\n" + std::string(0x400, 'x') + "\r\n";
+    checkRefusedAndClosed(bytes, "HTTP/1.1 413 ");
+}
+
+// Guards against limits that strike requests below them, and against requests that are lost behind an earlier one.
+TEST(HttpServerEdge, WholeRequestsOnOneConnectionAreAllAnsweredInOrder)
+{
+    serve();
+    RawConnection connection(server->port());
+    connection.send("\r\nGET /one HTTP/1.1\r\nHost: h\r\n\r\nPOST /two HTTP/1.1\r\nHost: h\r\ncontent-length: 3\r\n\r\n"
+                    "abcPOST /three HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n1;x=y\r\nf\r\n"
+                    "0\r\n\r\nGET /four HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto& text = connection.readUntil("ran GET /four", quietMs);
+    size_t at = 0;
+    for (auto body : { "ran GET /one", "ran POST /two abc", "ran POST /three def", "ran GET /four" }) {
+        at = text.find(body, at);
+        CHECK(at != std::string::npos);
+    }
+    CHECK_EQUAL(4, handled.load());
+}
+
+// Guards against a request whose parts arrive one by one and that is read as several, or never.
+TEST(HttpServerEdge, RequestInSmallPiecesIsOneRequest)
+{
+    serve();
+    RawConnection connection(server->port());
+    for (char c : std::string_view("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")) {
+        connection.send({ &c, 1 });
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(contains(connection.readUntil("ran POST /p body", quietMs), "ran POST /p body"));
+    CHECK_EQUAL(1, handled.load());
+}
+
+// Guards against a connection that stays open although the caller has asked for its end.
+TEST(HttpServerEdge, ConnectionClosesWhenTheCallerAsksForIt)
+{
+    serve();
+    RawConnection connection(server->port());
+    connection.send("GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(contains(connection.readToClose(quietMs), "ran GET /last"));
+    CHECK(connection.isClosed());
+}
+
+// Guards against a query that reaches the handler in another form than the caller wrote it.
+TEST(HttpServerEdge, QueryReachesTheHandler)
+{
+    std::string seen;
+    auto created = HttpServer::create({ .handler = [&](HttpRequest request, HttpResponder responder) {
+        std::ranges::sort(request.query, {}, &HttpHeader::name);
+        for (const auto& it : request.query)
+            seen += it.name + "=" + it.value + ";";
+        responder.send({ .body = "path " + request.path });
+    } });
+    CHECK(created.ok());
+    RawConnection connection((*created)->port());
+    connection.send("GET /p%20q/r?a=1&b=x%20y+z&c&d=&e=f=g HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(connection.readUntil("path ", quietMs), "path /p%20q/r"));
+    STRCMP_EQUAL("a=1;b=x%20y+z;c=;d=;e=f=g;", seen.c_str());
+}
--- a/Utilities/LogStandIn/main.cpp
+++ b/Utilities/LogStandIn/main.cpp
@@ -36,7 +36,7 @@
     server = HttpServer::create({ .address = options["--address"].asString(),
         .port = static_cast<uint16_t>(options["--port"].asLong()),
         .threads = static_cast<int>(options["--threads"].asLong()),
-        .maxRequestBytes = LogStore::maxRecordBytes + size_t { 64 } * 1024,
+        .limits = { .maxRequestBytes = LogStore::maxRecordBytes + size_t { 64 } * 1024 },
         .handler = [&](HttpRequest request, HttpResponder responder) {
             log.handle(std::move(request), std::move(responder));
         } });
--- a/Utilities/WorkerStandIn/main.cpp
+++ b/Utilities/WorkerStandIn/main.cpp
@@ -104,7 +104,7 @@
         auto* worker = workers.back().get();
         if (!listen({ .address = WorkerLayout::listenAddress(zone, n),
                 .port = layout.port,
-                .maxRequestBytes = size_t { 1 } << 20,
+                .limits = { .maxRequestBytes = size_t { 1 } << 20 },
                 .handler = [worker](HttpRequest request, HttpResponder responder) {
                     worker->handle(std::move(request), std::move(responder));
                 } }))
