Refuse bytes that cannot begin a request at once

Callers that sent something else than HTTP got neither an answer nor a close: Pistache's parser waited for the rest of a request line, for good. Whole lines were already checked by the new parser; now the first bytes are checked as they arrive, and a method of other characters than capitals and dashes, or a control character, is answered 400 and the connection is closed.

GarbageBeforeARequestLineIsABadRequestAndCloses failed before: no byte came back for `\x00\x01\x02\xff\xfe` in 1.5 s.

--- a/Libraries/LibHttp/RequestParser.cpp
+++ b/Libraries/LibHttp/RequestParser.cpp
@@ -85,6 +85,8 @@
         if (std::min(end, bytes.size()) > limits.maxRequestBytes)
             return Refusal { 413, "the request is too large" };
         if (end == std::string_view::npos) {
+            if (!m_hasRequestLine && !canBeginRequestLine(bytes.substr(m_position)))
+                return Refusal { 400, "not an HTTP request" };
             // The last byte may be the first half of the end of the line.
             m_searched = bytes.empty() ? 0 : bytes.size() - 1;
             return std::nullopt;
--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -55,6 +55,18 @@
         "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhello", "HTTP/1.1 400 ");
 }
 
+// Guards against a sender of something that is not HTTP who gets neither an answer nor a close.
+TEST(HttpServerEdge, GarbageBeforeARequestLineIsABadRequestAndCloses)
+{
+    serve();
+    checkRefusedAndClosed(std::string_view("\x00\x01\x02\xff\xfe", 5), "HTTP/1.1 400 ");
+    checkRefusedAndClosed("\x16\x03\x01 GET / HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 400 ");
+    checkRefusedAndClosed("nonsense\r\n\r\n", "HTTP/1.1 400 ");
+    checkRefusedAndClosed("GET /\r\n\r\n", "HTTP/1.1 400 ");
+    checkRefusedAndClosed("{\"json\":1}", "HTTP/1.1 400 ");
+    checkRefusedAndClosed("GET / HTTP/1.1\r\nno colon\r\n\r\n", "HTTP/1.1 400 ");
+}
+
 // Guards against a caller that ends its sending side after a whole request and never gets the answer.
 TEST(HttpServerEdge, HalfClosedSenderGetsItsAnswer)
 {
