Close connections whose headers, bodies or next requests do not arrive

400 senders that stopped in the middle of their headers all kept their connections: Pistache's default is 60 s. It cannot simply be set lower: with a header time-out of 500 ms, Pistache also answered 408 after 1.0 s to a complete request whose handler needed 3 s (measured with a program of an endpoint and three callers).

The transport looks at all connections each 100 ms. Each phase of a connection has its time, named with its unit in HttpLimits: headers and body are answered 408 once and closed, a connection on which nothing has come or nobody asks any more closes without an answer, because a caller would take it for the answer to the request that it just sends. The time of the headers runs from their first byte, so single bytes do not extend it. A request in progress has none.

Tests that failed before: HeadersThatDoNotArriveAreAnsweredAndClosed (0 of 400 closed), TrickledHeaders- DoNotExtendTheirTime, IdleConnectionClosesWithoutAnAnswer. TimeOutsDoNotStrikeARequestInProgress passed before.

--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibHttp/RequestParser.h>
 #include <cstdint>
 #include <string>
@@ -24,6 +25,7 @@
     };
 
     Phase phase { Phase::New };
+    Instant since { neverInstant };
     std::string input {};
     RequestParser parser {};
 
--- a/Libraries/LibHttp/ServerTransport.cpp
+++ b/Libraries/LibHttp/ServerTransport.cpp
@@ -6,6 +6,7 @@
 #include <pistache/http_defs.h>
 #include <pistache/peer.h>
 #include <sys/socket.h>
+#include <sys/timerfd.h>
 #include <unistd.h>
 #include <utility>
 
@@ -17,6 +18,10 @@
 
 static constexpr const char* connectionKey = "connection";
 static constexpr size_t readBytes = size_t { 16 } << 10;
+static constexpr Milliseconds checkInterval { 100 };
+
+/// How long a refused caller may go on sending before its connection is reset.
+static constexpr Milliseconds lingerTime { 1000 };
 
 namespace {
 
@@ -28,7 +33,9 @@
 
         void onConnection(const std::shared_ptr<Tcp::Peer>& peer) override
         {
-            peer->putData(connectionKey, std::make_shared<ServerConnection>());
+            auto connection = std::make_shared<ServerConnection>();
+            connection->since = SteadyClock().now();
+            peer->putData(connectionKey, connection);
         }
     };
 
@@ -37,9 +44,13 @@
 ServerTransport::ServerTransport(std::shared_ptr<const Shared> shared)
     : Tcp::Transport(std::make_shared<ConnectionHandler>())
     , m_shared(std::move(shared))
+    , m_timer(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
 {
+    VERIFY(m_timer >= 0);
 }
 
+ServerTransport::~ServerTransport() { ::close(m_timer); }
+
 std::shared_ptr<Pistache::Aio::Handler> ServerTransport::clone() const
 {
     return std::make_shared<ServerTransport>(m_shared);
@@ -48,8 +59,13 @@
 void ServerTransport::registerPoller(Polling::Epoll& poller)
 {
     Tcp::Transport::registerPoller(poller);
-    auto descriptor = m_answers->descriptor();
-    poller.addFd(descriptor, Pistache::Flags(Polling::NotifyOn::Read), Polling::Tag(static_cast<uint64_t>(descriptor)));
+    constexpr long interval = std::chrono::nanoseconds(checkInterval).count();
+    itimerspec timing { .it_interval = { .tv_sec = 0, .tv_nsec = interval },
+        .it_value = { .tv_sec = 0, .tv_nsec = interval } };
+    timerfd_settime(m_timer, 0, &timing, nullptr);
+    for (int descriptor : { m_timer, m_answers->descriptor() })
+        poller.addFd(
+            descriptor, Pistache::Flags(Polling::NotifyOn::Read), Polling::Tag(static_cast<uint64_t>(descriptor)));
 }
 
 void ServerTransport::onReady(const Pistache::Aio::FdSet& events)
@@ -61,6 +77,10 @@
             writeAnswers();
             continue;
         }
+        if (descriptor == m_timer) {
+            checkTimes();
+            continue;
+        }
         auto peer = peers.find(descriptor);
         bool isPeer = peer != peers.end();
         if (isPeer && event.isReadable())
@@ -79,7 +99,13 @@
     return *std::static_pointer_cast<ServerConnection>(peer.getData(connectionKey));
 }
 
-void ServerTransport::enter(ServerConnection& connection, Phase phase) { connection.phase = phase; }
+void ServerTransport::enter(ServerConnection& connection, Phase phase)
+{
+    if (connection.phase == phase)
+        return;
+    connection.phase = phase;
+    connection.since = m_clock.now();
+}
 
 /// Takes all bytes that are there; the poller reports an arrival once. Returns false when the connection is broken.
 bool ServerTransport::receive(const PeerPointer& peer, ServerConnection& connection)
@@ -218,4 +244,45 @@
     return it != peers.end() && it->second == peer;
 }
 
+void ServerTransport::checkTimes()
+{
+    uint64_t expirations = 0;
+    if (read(m_timer, &expirations, sizeof(expirations)) < 0)
+        return;
+    for (const auto& [descriptor, peer] : peers)
+        checkTime(peer);
+}
+
+void ServerTransport::checkTime(const PeerPointer& peer)
+{
+    const auto& limits = m_shared->limits;
+    const auto& connection = connectionOf(*peer);
+    auto age = m_clock.now() - connection.since;
+    switch (connection.phase) {
+    case Phase::InProgress:
+        return;
+    case Phase::Headers:
+        if (age > limits.headerTimeout)
+            refuse(peer, 408, "the headers did not arrive in time");
+        return;
+    case Phase::Body:
+        if (age > limits.bodyTimeout)
+            refuse(peer, 408, "the body did not arrive in time");
+        return;
+    case Phase::New:
+        if (age > limits.headerTimeout)
+            close(peer);
+        return;
+    case Phase::Idle:
+    case Phase::Answering:
+        if (age > limits.idleTimeout)
+            close(peer);
+        return;
+    case Phase::Closing:
+        if (age > lingerTime)
+            close(peer);
+        return;
+    }
+}
+
 }
--- a/Libraries/LibHttp/ServerTransport.h
+++ b/Libraries/LibHttp/ServerTransport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/SteadyClock.h>
 #include <LibHttp/AnswerQueue.h>
 #include <LibHttp/HttpLimits.h>
 #include <LibHttp/HttpRequest.h>
@@ -26,6 +27,7 @@
     };
 
     explicit ServerTransport(std::shared_ptr<const Shared>);
+    ~ServerTransport() override;
 
     std::shared_ptr<Pistache::Aio::Handler> clone() const override;
     void registerPoller(Pistache::Polling::Epoll&) override;
@@ -47,10 +49,14 @@
     void close(const PeerPointer& peer) { m_toClose.push_back(peer); }
     void closeMarked();
     bool isOpen(const PeerPointer&) const;
-    static void enter(ServerConnection&, ServerConnection::Phase);
+    void checkTimes();
+    void checkTime(const PeerPointer&);
+    void enter(ServerConnection&, ServerConnection::Phase);
 
     std::shared_ptr<const Shared> m_shared;
     std::shared_ptr<AnswerQueue> m_answers { std::make_shared<AnswerQueue>() };
+    SteadyClock m_clock;
+    int m_timer { -1 };
 
     /// Closed when all events of a round are served, so that none of them meets a descriptor used again.
     std::vector<PeerPointer> m_toClose;
--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -127,6 +127,83 @@
     checkRefusedAndClosed(bytes, "HTTP/1.1 413 ");
 }
 
+// Guards against hundreds of senders that stop in the middle of their headers and hold their connections for good, and
+// against a time-out that also strikes who sends whole requests beside them.
+TEST(HttpServerEdge, HeadersThatDoNotArriveAreAnsweredAndClosed)
+{
+    constexpr int senders = 400;
+    serve({ .limits = { .headerTimeout = Milliseconds { 500 } } });
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int i = 0; i < senders; ++i) {
+        connections.push_back(std::make_unique<RawConnection>(server->port()));
+        CHECK(connections.back()->send(i % 2 == 0 ? "GET / HTTP/1.1\r\nHost: h\r\nX-Half: " : "GE"));
+    }
+    RawConnection sound(server->port());
+    sound.send("GET /sound HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(sound.readUntil("ran GET /sound", quietMs), "ran GET /sound"));
+    int closed = 0;
+    for (auto& connection : connections) {
+        const auto& text = connection->readToClose(quietMs);
+        if (connection->isClosed() && text.starts_with("HTTP/1.1 408 ") && connection->answers() == 1)
+            ++closed;
+        else if (!connection->isClosed())
+            break;
+    }
+    CHECK_EQUAL(senders, closed);
+    sound.send("GET /again HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(sound.readUntil("ran GET /again", quietMs), "ran GET /again"));
+}
+
+// Guards against a sender that keeps a connection by one more byte of its headers now and then.
+TEST(HttpServerEdge, TrickledHeadersDoNotExtendTheirTime)
+{
+    serve({ .limits = { .headerTimeout = Milliseconds { 500 } } });
+    RawConnection connection(server->port());
+    connection.send("GET / HTTP/1.1\r\nX-Slow: ");
+    for (int i = 0; i < 20 && !connection.isClosed(); ++i) {
+        connection.send("x");
+        connection.readToClose(100);
+    }
+    CHECK(connection.isClosed());
+}
+
+// Guards against connections that nobody uses any more, and against a header time-out for a connection between two
+// requests, whose end a caller would take for a lost answer.
+TEST(HttpServerEdge, IdleConnectionClosesWithoutAnAnswer)
+{
+    serve({ .limits = { .headerTimeout = Milliseconds { 200 }, .idleTimeout = Milliseconds { 1000 } } });
+    RawConnection connection(server->port());
+    connection.send("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+    connection.readUntil("ran GET /one", quietMs);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    connection.send("GET /two HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(connection.readToClose(quietMs), "ran GET /two"));
+    CHECK(connection.isClosed());
+    CHECK_EQUAL(2, connection.answers());
+}
+
+// Guards against a time-out for a request that is complete and whose answer takes long.
+TEST(HttpServerEdge, TimeOutsDoNotStrikeARequestInProgress)
+{
+    std::thread answerer;
+    auto created = HttpServer::create({ .limits = { .headerTimeout = Milliseconds { 100 },
+                                            .bodyTimeout = Milliseconds { 100 },
+                                            .idleTimeout = Milliseconds { 100 } },
+        .handler = [&](HttpRequest, HttpResponder responder) {
+            answerer = std::thread([moved = std::make_shared<HttpResponder>(std::move(responder))] {
+                std::this_thread::sleep_for(std::chrono::milliseconds(900));
+                moved->send({ .body = "late" });
+            });
+        } });
+    CHECK(created.ok());
+    RawConnection connection((*created)->port());
+    connection.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto text = connection.readUntil("late", quietMs);
+    answerer.join();
+    CHECK(text.starts_with("HTTP/1.1 200 "));
+    CHECK(text.ends_with("late"));
+}
+
 // Guards against limits that strike requests below them, and against requests that are lost behind an earlier one.
 TEST(HttpServerEdge, WholeRequestsOnOneConnectionAreAllAnsweredInOrder)
 {
