Limit the bytes and the number of headers

64 KB of headers and 2,000 header lines were accepted and answered 200: only the size of the whole request was limited. Now more than maxHeaderBytes (16 KB) of request line and headers, whole or still without an end, or more than maxHeaders (100) lines are answered 431 once, and the connection is closed.

LargeHeadersAreRefusedAndClose and ManyHeadersAreRefusedAndClose failed before with 200.

--- a/Libraries/LibHttp/HttpLimits.h
+++ b/Libraries/LibHttp/HttpLimits.h
@@ -10,6 +10,12 @@
     /// Of a whole request: its request line, headers and body. A larger one is answered 413.
     size_t maxRequestBytes { size_t { 64 } << 10 };
 
+    /// Of the request line and the headers. Larger ones are answered 431.
+    size_t maxHeaderBytes { size_t { 16 } << 10 };
+
+    /// Header lines of one request. More are answered 431.
+    size_t maxHeaders { 100 };
+
     /// From the first byte of a request until its headers are complete, then 408; and from the connect until the first
     /// byte, then a close.
     Milliseconds headerTimeout { 5000 };
--- a/Libraries/LibHttp/RequestParser.cpp
+++ b/Libraries/LibHttp/RequestParser.cpp
@@ -82,8 +82,8 @@
 {
     while (!m_headersComplete) {
         auto end = bytes.find(lineEnd, std::max(m_position, m_searched));
-        if (std::min(end, bytes.size()) > limits.maxRequestBytes)
-            return Refusal { 413, "the request is too large" };
+        if (std::min(end, bytes.size()) > limits.maxHeaderBytes)
+            return Refusal { 431, "the headers are too large" };
         if (end == std::string_view::npos) {
             if (!m_hasRequestLine && !canBeginRequestLine(bytes.substr(m_position)))
                 return Refusal { 400, "not an HTTP request" };
@@ -95,6 +95,8 @@
         m_position = end + lineEnd.size();
         if (auto refusal = parseLine(line))
             return refusal;
+        if (m_request.headers.size() > limits.maxHeaders)
+            return Refusal { 431, "too many headers" };
     }
     return std::nullopt;
 }
--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -204,6 +204,28 @@
     CHECK(text.ends_with("late"));
 }
 
+// Guards against memory that any sender can claim by header bytes, in one line or in many, whole or without an end.
+TEST(HttpServerEdge, LargeHeadersAreRefusedAndClose)
+{
+    serve({ .limits = { .maxRequestBytes = size_t { 320 } << 10, .maxHeaderBytes = 8192 } });
+    checkRefusedAndClosed(
+        "GET / HTTP/1.1\r\nHost: h\r\nX-Large: " + std::string(65536, 'x') + "\r\n\r\n", "HTTP/1.1 431 ");
+    checkRefusedAndClosed("GET / HTTP/1.1\r\nHost: h\r\nX-Endless: " + std::string(9000, 'x'), "HTTP/1.1 431 ");
+    checkRefusedAndClosed("GET /" + std::string(9000, 'x'), "HTTP/1.1 431 ");
+}
+
+// Guards against thousands of header lines that are each small.
+TEST(HttpServerEdge, ManyHeadersAreRefusedAndClose)
+{
+    serve({ .limits
+        = { .maxRequestBytes = size_t { 320 } << 10, .maxHeaderBytes = size_t { 64 } << 10, .maxHeaders = 100 } });
+    std::string bytes = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 2000; ++i)
+        bytes += fmt::format("X-{}: a\r\n", i);
+    checkRefusedAndClosed(bytes + "\r\n", "HTTP/1.1 431 ");
+    checkRefusedAndClosed(bytes, "HTTP/1.1 431 ");
+}
+
 // Guards against limits that strike requests below them, and against requests that are lost behind an earlier one.
 TEST(HttpServerEdge, WholeRequestsOnOneConnectionAreAllAnsweredInOrder)
 {
