Take the limits of callers' connections from the configuration

Operators set maxBodyBytes, maxHeaderBytes, headerTimeoutMs and idleTimeoutMs, and the node read the first and used none: bodies up to 320 KB were accepted whatever the configuration said. The adapter now reads all four, and the node passes them to its server within 0.5 s of a new version, where they also hold for open connections.

NewLimitsHoldForOpenConnections and the new lines of OperatorRecordsAreRead need interfaces that did not exist before.

--- a/Libraries/LibHttp/HttpLimits.h
+++ b/Libraries/LibHttp/HttpLimits.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <cstddef>
+#include <limits>
 
 namespace Bergamot {
 
@@ -10,6 +11,9 @@
     /// Of a whole request: its request line, headers and body. A larger one is answered 413.
     size_t maxRequestBytes { size_t { 64 } << 10 };
 
+    /// Of the body alone. A larger one is answered 413.
+    size_t maxBodyBytes { std::numeric_limits<size_t>::max() };
+
     /// Of the request line and the headers. Larger ones are answered 431.
     size_t maxHeaderBytes { size_t { 16 } << 10 };
 
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -11,9 +11,10 @@
 
 absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::create(Options options)
 {
-    std::unique_ptr<HttpServer> server(new HttpServer());
-    auto shared = std::make_shared<const ServerTransport::Shared>(ServerTransport::Shared {
-        .handler = std::move(options.handler), .limits = options.limits, .inProgress = server->m_inProgress });
+    auto shared = std::make_shared<ServerShared>();
+    shared->handler = std::move(options.handler);
+    std::unique_ptr<HttpServer> server(new HttpServer(shared));
+    server->setLimits(options.limits);
     // Pistache reports a failed bind by an exception; it ends here and becomes a value.
     try {
         server->m_listener
@@ -31,10 +32,17 @@
     return server;
 }
 
+HttpServer::HttpServer(std::shared_ptr<ServerShared> shared)
+    : m_shared(std::move(shared))
+{
+}
+
 HttpServer::~HttpServer() { shutdown(); }
 
 uint16_t HttpServer::port() const { return static_cast<uint16_t>(m_listener->getPort()); }
 
+void HttpServer::setLimits(const HttpLimits& limits) { m_shared->limits = std::make_shared<const HttpLimits>(limits); }
+
 void HttpServer::shutdown()
 {
     if (std::exchange(m_stopped, true) || !m_listener)
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -3,11 +3,10 @@
 #include <LibHttp/HttpLimits.h>
 #include <LibHttp/HttpRequest.h>
 #include <LibHttp/HttpResponder.h>
+#include <LibHttp/ServerShared.h>
 #include <absl/status/statusor.h>
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,7 +19,7 @@
 /// HTTP/1.1 server on Pistache. The handler runs on a Pistache thread and may answer later from another thread.
 class HttpServer {
 public:
-    using Handler = std::function<void(HttpRequest, HttpResponder)>;
+    using Handler = ServerShared::Handler;
 
     struct Options {
         std::string address { "127.0.0.1" };
@@ -37,17 +36,20 @@
     uint16_t port() const;
 
     /// Requests that have arrived and are not answered yet.
-    size_t requestsInProgress() const { return m_inProgress->load(); }
+    size_t requestsInProgress() const { return m_shared->inProgress.load(); }
+
+    /// Replaces the limits, also for open connections. May be called from any thread.
+    void setLimits(const HttpLimits&);
 
     /// Closes the listener and all connections. Pistache cuts off unanswered requests here, so the caller first
     /// waits until requestsInProgress() is zero.
     void shutdown();
 
 private:
-    HttpServer() = default;
+    explicit HttpServer(std::shared_ptr<ServerShared>);
 
     std::unique_ptr<Pistache::Tcp::Listener> m_listener;
-    std::shared_ptr<std::atomic<size_t>> m_inProgress { std::make_shared<std::atomic<size_t>>(0) };
+    std::shared_ptr<ServerShared> m_shared;
     bool m_stopped { false };
 };
 
--- a/Libraries/LibHttp/RequestParser.cpp
+++ b/Libraries/LibHttp/RequestParser.cpp
@@ -180,11 +180,12 @@
     if (m_isChunked) {
         auto refusal = parseChunks(bytes);
         auto size = m_isComplete ? m_position : bytes.size();
-        if (!refusal && size > limits.maxRequestBytes)
+        if (!refusal && (size > limits.maxRequestBytes || m_request.body.size() > limits.maxBodyBytes))
             return tooLarge;
         return refusal;
     }
-    if (m_position > limits.maxRequestBytes || m_contentLength > limits.maxRequestBytes - m_position)
+    if (m_position > limits.maxRequestBytes || m_contentLength > limits.maxRequestBytes - m_position
+        || m_contentLength > limits.maxBodyBytes)
         return tooLarge;
     if (bytes.size() - m_position < m_contentLength)
         return std::nullopt;
--- a/Libraries/LibHttp/ServerTransport.cpp
+++ b/Libraries/LibHttp/ServerTransport.cpp
@@ -41,7 +41,7 @@
 
 }
 
-ServerTransport::ServerTransport(std::shared_ptr<const Shared> shared)
+ServerTransport::ServerTransport(std::shared_ptr<ServerShared> shared)
     : Tcp::Transport(std::make_shared<ConnectionHandler>())
     , m_shared(std::move(shared))
     , m_timer(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
@@ -70,6 +70,7 @@
 
 void ServerTransport::onReady(const Pistache::Aio::FdSet& events)
 {
+    m_limits = m_shared->limits.load();
     for (size_t i = 0; i < events.size(); ++i) {
         const auto& event = events.at(i);
         auto descriptor = static_cast<int>(event.getTag().value());
@@ -141,7 +142,7 @@
     auto& connection = connectionOf(*peer);
     if (connection.input.empty() || !connection.takesInput())
         return;
-    auto result = connection.parser.parse(connection.input, m_shared->limits);
+    auto result = connection.parser.parse(connection.input, *m_limits);
     if (const auto* incomplete = std::get_if<RequestParser::Incomplete>(&result))
         return enter(connection, incomplete->headersComplete ? Phase::Body : Phase::Headers);
     if (const auto* refusal = std::get_if<RequestParser::Refusal>(&result))
@@ -157,7 +158,7 @@
     connection.closeAfterAnswer = !complete.keepsConnection;
     connection.connectionHeader = complete.connection.empty() ? "Close" : std::move(complete.connection);
     enter(connection, Phase::InProgress);
-    ++*m_shared->inProgress;
+    ++m_shared->inProgress;
     HttpResponder responder([answers = m_answers, weak = std::weak_ptr(peer)](const HttpResponse& response) {
         answers->push({ .peer = weak, .response = response });
     });
@@ -175,7 +176,7 @@
 void ServerTransport::writeAnswers()
 {
     for (const auto& answer : m_answers->takeAll()) {
-        --*m_shared->inProgress;
+        --m_shared->inProgress;
         if (auto peer = answer.peer.lock(); peer && isOpen(peer))
             write(peer, answer.response);
     }
@@ -255,7 +256,7 @@
 
 void ServerTransport::checkTime(const PeerPointer& peer)
 {
-    const auto& limits = m_shared->limits;
+    const auto& limits = *m_limits;
     const auto& connection = connectionOf(*peer);
     auto age = m_clock.now() - connection.since;
     switch (connection.phase) {
--- a/Libraries/LibHttp/ServerTransport.h
+++ b/Libraries/LibHttp/ServerTransport.h
@@ -3,14 +3,12 @@
 #include <LibCore/SteadyClock.h>
 #include <LibHttp/AnswerQueue.h>
 #include <LibHttp/HttpLimits.h>
-#include <LibHttp/HttpRequest.h>
-#include <LibHttp/HttpResponder.h>
+#include <LibHttp/HttpResponse.h>
 #include <LibHttp/ServerConnection.h>
-#include <atomic>
-#include <functional>
+#include <LibHttp/ServerShared.h>
 #include <memory>
 #include <pistache/transport.h>
-#include <string>
+#include <string_view>
 #include <vector>
 
 namespace Bergamot {
@@ -20,13 +18,7 @@
 /// bytes are read and answers are written here.
 class ServerTransport final : public Pistache::Tcp::Transport {
 public:
-    struct Shared {
-        std::function<void(HttpRequest, HttpResponder)> handler;
-        HttpLimits limits;
-        std::shared_ptr<std::atomic<size_t>> inProgress;
-    };
-
-    explicit ServerTransport(std::shared_ptr<const Shared>);
+    explicit ServerTransport(std::shared_ptr<ServerShared>);
     ~ServerTransport() override;
 
     std::shared_ptr<Pistache::Aio::Handler> clone() const override;
@@ -53,9 +45,12 @@
     void checkTime(const PeerPointer&);
     void enter(ServerConnection&, ServerConnection::Phase);
 
-    std::shared_ptr<const Shared> m_shared;
+    std::shared_ptr<ServerShared> m_shared;
     std::shared_ptr<AnswerQueue> m_answers { std::make_shared<AnswerQueue>() };
     SteadyClock m_clock;
+
+    /// As of the begin of a round of events.
+    std::shared_ptr<const HttpLimits> m_limits;
     int m_timer { -1 };
 
     /// Closed when all events of a round are served, so that none of them meets a descriptor used again.
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -46,6 +46,9 @@
         m_ingress.handle(request, std::move(responder));
     }
 
+    /// The configuration in force; null while there is none. On the loop's thread.
+    std::shared_ptr<const RoutingTable> routing() const { return m_routing; }
+
     /// Whether new connections are welcome. May be called from any thread.
     bool isReady() const { return m_ready; }
 
--- a/Libraries/LibPlatform/RoutingTable.h
+++ b/Libraries/LibPlatform/RoutingTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/HttpLimits.h>
 #include <LibPlatform/QueueRoute.h>
 #include <cstddef>
 #include <cstdint>
@@ -14,6 +15,11 @@
     std::vector<QueueRoute> routes {};
     size_t maxBodyBytes { size_t { 256 } << 10 };
 
+    /// Limits of callers' connections.
+    size_t maxHeaderBytes { HttpLimits {}.maxHeaderBytes };
+    Milliseconds headerTimeout { HttpLimits {}.headerTimeout };
+    Milliseconds idleTimeout { HttpLimits {}.idleTimeout };
+
     bool operator==(const RoutingTable&) const = default;
 
     /// The route with the host and the longest matching prefix; null when there is none.
--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -17,6 +17,7 @@
 
 /// The balancer asks for readiness once a second and goes by two answers.
 static constexpr Milliseconds balancerDelay { 2600 };
+static constexpr Milliseconds limitsInterval { 500 };
 static constexpr Milliseconds drainCheckInterval { 50 };
 
 /// Left of the grace period for the end of the process.
@@ -143,10 +144,27 @@
 
 void NodeProcess::run()
 {
-    m_loop->post([this] { m_node->start(); });
+    m_loop->post([this] {
+        m_node->start();
+        applyLimits();
+    });
     m_loop->run();
 }
 
+/// Puts the limits of a new configuration in force at the callers' server.
+void NodeProcess::applyLimits()
+{
+    if (auto routing = m_node->routing(); routing && routing->version != m_limitsVersion) {
+        m_limitsVersion = routing->version;
+        m_front->setLimits({ .maxRequestBytes = maxRequestBytes,
+            .maxBodyBytes = routing->maxBodyBytes,
+            .maxHeaderBytes = routing->maxHeaderBytes,
+            .headerTimeout = routing->headerTimeout,
+            .idleTimeout = routing->idleTimeout });
+    }
+    m_loop->callAfter(limitsInterval, [this] { applyLimits(); });
+}
+
 void NodeProcess::signalReceived()
 {
     signalfd_siginfo info {};
--- a/Services/bergamot-node/NodeProcess.h
+++ b/Services/bergamot-node/NodeProcess.h
@@ -30,6 +30,7 @@
     absl::Status startServers();
     absl::Status startMetrics(uint16_t port);
     absl::Status watchSignals();
+    void applyLimits();
     void signalReceived();
     void drain();
 
@@ -46,6 +47,7 @@
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_metrics;
     int m_signals { -1 };
+    uint64_t m_limitsVersion { 0 };
     Instant m_drainingSince { neverInstant };
 };
 
--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -282,3 +282,17 @@
     CHECK(contains(connection.readUntil("path ", quietMs), "path /p%20q/r"));
     STRCMP_EQUAL("a=1;b=x%20y+z;c=;d=;e=f=g;", seen.c_str());
 }
+
+// Guards against limits of a new configuration that wait for a restart or for new connections.
+TEST(HttpServerEdge, NewLimitsHoldForOpenConnections)
+{
+    serve();
+    RawConnection connection(server->port());
+    connection.send("POST /one HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" + std::string(20, 'x'));
+    connection.readUntil("ran POST /one", quietMs);
+    server->setLimits({ .maxBodyBytes = 10 });
+    connection.send("POST /two HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" + std::string(20, 'x'));
+    CHECK(contains(connection.readToClose(quietMs), "HTTP/1.1 413 "));
+    CHECK(connection.isClosed());
+    CHECK_EQUAL(1, handled.load());
+}
--- a/Tests/PlatformAdapter/TestPlatformJson.cpp
+++ b/Tests/PlatformAdapter/TestPlatformJson.cpp
@@ -96,11 +96,15 @@
 {
     auto change = formats.readOperatorRecord({ .key = "config",
         .value = R"({"version":7,"routes":[{"name":"q","host":"h","pathPrefix":"/p/","service":"s","priority":2,
-            "maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"limits":{"maxBodyBytes":1000}})" });
+            "maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"limits":{"maxBodyBytes":1000,
+            "maxHeaderBytes":8192,"headerTimeoutMs":700,"idleTimeoutMs":9000}})" });
     CHECK(change.ok());
     const auto& table = std::get<RoutingTable>(*change);
     CHECK_EQUAL(7, table.version);
     CHECK_EQUAL(1000, table.maxBodyBytes);
+    CHECK_EQUAL(8192, table.maxHeaderBytes);
+    CHECK_EQUAL(700, table.headerTimeout.count());
+    CHECK_EQUAL(9000, table.idleTimeout.count());
     QueuePolicy policy { .service = "s", .priority = 2, .maxAttempts = 3, .stretch = 1.5, .targetLatencyMs = 250 };
     CHECK(table.routes[0].policy == policy);
     auto out = formats.readOperatorRecord({ .key = "evacuate/riga-a", .value = "{}" });
