Parse requests with http_parser instead of own code

The project takes parsers from libraries, so RequestParser now lets http_parser (Debian's libhttp-parser-dev) read the syntax and only applies the limits and builds the request. Bytes are fed once instead of being looked at again with each piece. Times of connections are checked twice a second instead of ten times, since each wake-up costs processor time on a small host.

--- a/Libraries/LibHttp/RequestParser.cpp
+++ b/Libraries/LibHttp/RequestParser.cpp
@@ -1,234 +1,178 @@
 #include <LibHttp/RequestParser.h>
 #include <algorithm>
-#include <cctype>
-#include <charconv>
+#include <limits>
 #include <utility>
 
 namespace Bergamot {
 
-using Refusal = RequestParser::Refusal;
+/// Results of the library's callbacks.
+static constexpr int goOn = 0;
+static constexpr int stop = -1;
 
-static constexpr std::string_view lineEnd = "\r\n";
+/// Of a header line beside its name and its value.
+static constexpr size_t headerSeparatorBytes = 4;
 
-/// No registered method is longer.
-static constexpr size_t maxMethodBytes = 20;
+RequestParser& RequestParser::parserOf(http_parser* parser) { return *static_cast<RequestParser*>(parser->data); }
 
-/// Of a chunk's size with its extensions.
-static constexpr size_t maxChunkLineBytes = 256;
-
-static bool isMethodCharacter(unsigned char c) { return (c >= 'A' && c <= 'Z') || c == '-'; }
-
-static bool isTokenCharacter(unsigned char c)
-{
-    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
-    return (c < 0x80 && std::isalnum(c)) || others.find(static_cast<char>(c)) != std::string_view::npos;
-}
-
-static bool isControlCharacter(unsigned char c) { return c < 0x20 || c == 0x7f; }
-
-static std::string_view trimmed(std::string_view text)
+const http_parser_settings& RequestParser::callbacks()
 {
-    auto isBlank = [](char c) { return c == ' ' || c == '\t'; };
-    while (!text.empty() && isBlank(text.front()))
-        text.remove_prefix(1);
-    while (!text.empty() && isBlank(text.back()))
-        text.remove_suffix(1);
-    return text;
+    static const http_parser_settings settings {
+        .on_url =
+            [](http_parser* it, const char* data, size_t n) {
+                return parserOf(it).takeTarget({ data, n });
+            },
+        .on_header_field =
+            [](http_parser* it, const char* data, size_t n) {
+                return parserOf(it).takeHeaderName({ data, n });
+            },
+        .on_header_value =
+            [](http_parser* it, const char* data, size_t n) {
+                return parserOf(it).takeHeaderValue({ data, n });
+            },
+        .on_headers_complete = [](http_parser* it) { return parserOf(it).takeHeadersEnd(); },
+        .on_body =
+            [](http_parser* it, const char* data, size_t n) {
+                return parserOf(it).takeBody({ data, n });
+            },
+        .on_message_complete = [](http_parser* it) { return parserOf(it).takeMessageEnd(); },
+    };
+    return settings;
 }
 
-static bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return std::ranges::equal(
-        a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
+RequestParser::RequestParser() { http_parser_init(&m_parser, HTTP_REQUEST); }
 
-/// Whether more bytes can make a request line of these, the first ones of a line.
-static bool canBeginRequestLine(std::string_view part)
+/// Splits the query off and takes it apart. A parameter without a value has an empty one.
+static void splitTarget(std::string_view target, HttpRequest& request)
 {
-    auto method = part.substr(0, part.find(' '));
-    if (method == "\r")
-        return true;
-    if (method.size() == part.size() && method.ends_with('\r'))
-        return false;
-    if (method.size() > maxMethodBytes || !std::ranges::all_of(method, isMethodCharacter))
-        return false;
-    auto rest = part.substr(method.size());
-    if (rest.ends_with('\r'))
-        rest.remove_suffix(1);
-    return (rest.empty() || !method.empty()) && std::ranges::none_of(rest, isControlCharacter);
+    auto question = target.find('?');
+    request.path = target.substr(0, question);
+    if (question == std::string_view::npos)
+        return;
+    auto rest = target.substr(question + 1);
+    while (!rest.empty()) {
+        auto parameter = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), parameter.size() + 1));
+        auto equals = parameter.find('=');
+        auto value = equals == std::string_view::npos ? std::string_view {} : parameter.substr(equals + 1);
+        if (!parameter.empty())
+            request.query.push_back({ std::string(parameter.substr(0, equals)), std::string(value) });
+    }
 }
 
 RequestParser::Result RequestParser::parse(std::string_view bytes, const HttpLimits& limits)
 {
-    if (!m_headersComplete) {
-        if (auto refusal = parseHead(bytes, limits))
-            return *refusal;
-    }
-    if (m_headersComplete && !m_isComplete) {
-        if (auto refusal = parseBody(bytes, limits))
-            return *refusal;
-    }
+    m_limits = &limits;
+    // The parser may have been moved since the last call.
+    m_parser.data = this;
+    auto size = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
+    if (m_refusal)
+        return *m_refusal;
+    auto error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error != HPE_OK && !m_isComplete)
+        return refusalOf(error);
     if (!m_isComplete)
         return Incomplete { .headersComplete = m_headersComplete };
+    m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
+    splitTarget(m_target, m_request);
     std::string connection(headerValue(m_request.headers, "Connection"));
-    bool keeps = m_isHttp10 ? equalsIgnoringCase(connection, "keep-alive") : !equalsIgnoringCase(connection, "close");
     return Complete { .request = std::move(m_request),
-        .size = m_position,
-        .keepsConnection = keeps,
+        .size = size,
+        .keepsConnection = m_keepsConnection,
         .connection = std::move(connection) };
 }
 
-std::optional<Refusal> RequestParser::parseHead(std::string_view bytes, const HttpLimits& limits)
+RequestParser::Refusal RequestParser::refusalOf(http_errno error) const
 {
-    while (!m_headersComplete) {
-        auto end = bytes.find(lineEnd, std::max(m_position, m_searched));
-        if (std::min(end, bytes.size()) > limits.maxHeaderBytes)
-            return Refusal { 431, "the headers are too large" };
-        if (end == std::string_view::npos) {
-            if (!m_hasRequestLine && !canBeginRequestLine(bytes.substr(m_position)))
-                return Refusal { 400, "not an HTTP request" };
-            // The last byte may be the first half of the end of the line.
-            m_searched = bytes.empty() ? 0 : bytes.size() - 1;
-            return std::nullopt;
-        }
-        auto line = bytes.substr(m_position, end - m_position);
-        m_position = end + lineEnd.size();
-        if (auto refusal = parseLine(line))
-            return refusal;
-        if (m_request.headers.size() > limits.maxHeaders)
-            return Refusal { 431, "too many headers" };
+    switch (error) {
+    case HPE_HEADER_OVERFLOW:
+        return { 431, "the headers are too large" };
+    case HPE_INVALID_CONTENT_LENGTH:
+        return { 400, "Content-Length is not a number" };
+    case HPE_UNEXPECTED_CONTENT_LENGTH:
+        return { 400, "Content-Length beside another length" };
+    case HPE_INVALID_TRANSFER_ENCODING:
+        return { 501, "the transfer encoding is unknown" };
+    case HPE_INVALID_HEADER_TOKEN:
+        return { 400, "a header cannot be read" };
+    case HPE_INVALID_CHUNK_SIZE:
+        return { 400, "a chunk cannot be read" };
+    default:
+        return { 400, "not an HTTP request" };
     }
-    return std::nullopt;
 }
 
-std::optional<Refusal> RequestParser::parseLine(std::string_view line)
+int RequestParser::refuse(int status, std::string_view title)
 {
-    if (!m_hasRequestLine)
-        return line.empty() ? std::nullopt : parseRequestLine(line);
-    if (!line.empty())
-        return parseHeader(line);
-    m_headersComplete = true;
-    // A request with both has two readings of where it ends.
-    if (m_isChunked && m_hasContentLength)
-        return Refusal { 400, "Content-Length beside Transfer-Encoding" };
-    return std::nullopt;
+    m_refusal = Refusal { status, title };
+    return stop;
 }
 
-std::optional<Refusal> RequestParser::parseRequestLine(std::string_view line)
+int RequestParser::countHeadBytes(size_t n)
 {
-    constexpr Refusal noRequest { 400, "not an HTTP request" };
-    auto methodEnd = line.find(' ');
-    auto targetEnd = line.rfind(' ');
-    if (methodEnd == std::string_view::npos || targetEnd <= methodEnd + 1 || !canBeginRequestLine(line))
-        return noRequest;
-    auto target = line.substr(methodEnd + 1, targetEnd - methodEnd - 1);
-    auto version = line.substr(targetEnd + 1);
-    if ((version != "HTTP/1.1" && version != "HTTP/1.0") || target.find(' ') != std::string_view::npos)
-        return noRequest;
-    m_isHttp10 = version == "HTTP/1.0";
-    m_request.method = line.substr(0, methodEnd);
-    parseTarget(target);
-    m_hasRequestLine = true;
-    return std::nullopt;
+    m_headBytes += n;
+    return m_headBytes > m_limits->maxHeaderBytes ? refuse(431, "the headers are too large") : goOn;
 }
 
-void RequestParser::parseTarget(std::string_view target)
+int RequestParser::takeTarget(std::string_view part)
 {
-    auto question = target.find('?');
-    m_request.path = target.substr(0, question);
-    if (question == std::string_view::npos)
-        return;
-    auto rest = target.substr(question + 1);
-    while (!rest.empty()) {
-        auto parameter = rest.substr(0, rest.find('&'));
-        rest.remove_prefix(std::min(rest.size(), parameter.size() + 1));
-        auto equals = parameter.find('=');
-        auto value = equals == std::string_view::npos ? std::string_view {} : parameter.substr(equals + 1);
-        if (!parameter.empty())
-            m_request.query.push_back({ std::string(parameter.substr(0, equals)), std::string(value) });
-    }
+    m_target += part;
+    return countHeadBytes(part.size());
 }
 
-std::optional<Refusal> RequestParser::parseHeader(std::string_view line)
+int RequestParser::takeHeaderName(std::string_view part)
 {
-    auto colon = line.find(':');
-    auto name = line.substr(0, colon);
-    if (colon == std::string_view::npos || name.empty() || !std::ranges::all_of(name, isTokenCharacter))
-        return Refusal { 400, "a header cannot be read" };
-    auto value = trimmed(line.substr(colon + 1));
-    if (equalsIgnoringCase(name, "Content-Length")) {
-        uint64_t length = 0;
-        auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), length);
-        if (ec != std::errc {} || end != value.data() + value.size()
-            || (m_hasContentLength && length != m_contentLength))
-            return Refusal { 400, "Content-Length is not a number" };
-        m_contentLength = length;
-        m_hasContentLength = true;
-    }
-    if (equalsIgnoringCase(name, "Transfer-Encoding")) {
-        if (!equalsIgnoringCase(value, "chunked"))
-            return Refusal { 501, "the transfer encoding is unknown" };
-        m_isChunked = true;
+    // The trailer of a chunked body is counted, but not kept.
+    if (m_headersComplete)
+        return countHeadBytes(part.size());
+    if (std::exchange(m_inHeaderValue, false)) {
+        if (m_request.headers.size() == m_limits->maxHeaders)
+            return refuse(431, "too many headers");
+        m_request.headers.emplace_back();
+        m_headBytes += headerSeparatorBytes;
     }
-    m_request.headers.push_back({ std::string(name), std::string(value) });
-    return std::nullopt;
+    m_request.headers.back().name += part;
+    return countHeadBytes(part.size());
 }
 
-std::optional<Refusal> RequestParser::parseBody(std::string_view bytes, const HttpLimits& limits)
+int RequestParser::takeHeaderValue(std::string_view part)
 {
-    constexpr Refusal tooLarge { 413, "the request is too large" };
-    if (m_isChunked) {
-        auto refusal = parseChunks(bytes);
-        auto size = m_isComplete ? m_position : bytes.size();
-        if (!refusal && (size > limits.maxRequestBytes || m_request.body.size() > limits.maxBodyBytes))
-            return tooLarge;
-        return refusal;
+    if (!m_headersComplete) {
+        m_inHeaderValue = true;
+        m_request.headers.back().value += part;
     }
-    if (m_position > limits.maxRequestBytes || m_contentLength > limits.maxRequestBytes - m_position
-        || m_contentLength > limits.maxBodyBytes)
-        return tooLarge;
-    if (bytes.size() - m_position < m_contentLength)
-        return std::nullopt;
-    m_request.body = bytes.substr(m_position, m_contentLength);
-    m_position += m_contentLength;
-    m_isComplete = true;
-    return std::nullopt;
+    return countHeadBytes(part.size());
 }
 
-std::optional<Refusal> RequestParser::parseChunks(std::string_view bytes)
+int RequestParser::takeHeadersEnd()
 {
-    while (!m_isComplete) {
-        auto end = bytes.find(lineEnd, m_position);
-        if (std::min(end, bytes.size()) - m_position > maxChunkLineBytes)
-            return Refusal { 400, "a chunk cannot be read" };
-        if (end == std::string_view::npos)
-            return std::nullopt;
-        auto line = bytes.substr(m_position, end - m_position);
-        auto afterLine = end + lineEnd.size();
-        if (m_inTrailer) {
-            m_position = afterLine;
-            m_isComplete = line.empty();
-            continue;
-        }
-        uint64_t size = 0;
-        auto [sizeEnd, ec] = std::from_chars(line.data(), line.data() + line.size(), size, 16);
-        auto extension = trimmed(line.substr(static_cast<size_t>(sizeEnd - line.data())));
-        if (ec != std::errc {} || (!extension.empty() && extension.front() != ';'))
-            return Refusal { 400, "a chunk cannot be read" };
-        if (size == 0) {
-            m_inTrailer = true;
-            m_position = afterLine;
-            continue;
-        }
-        auto available = bytes.size() - afterLine;
-        if (available < lineEnd.size() || size > available - lineEnd.size())
-            return std::nullopt;
-        if (bytes.substr(afterLine + size, lineEnd.size()) != lineEnd)
-            return Refusal { 400, "a chunk cannot be read" };
-        m_request.body += bytes.substr(afterLine, size);
-        m_position = afterLine + size + lineEnd.size();
-    }
-    return std::nullopt;
+    m_headersComplete = true;
+    bool isKnownVersion = m_parser.http_major == 1 && m_parser.http_minor <= 1;
+    if (!isKnownVersion)
+        return refuse(400, "not an HTTP request");
+    constexpr auto noLength = std::numeric_limits<uint64_t>::max();
+    auto length = m_parser.content_length;
+    if (length == noLength)
+        return goOn;
+    bool fits = m_headBytes <= m_limits->maxRequestBytes && length <= m_limits->maxRequestBytes - m_headBytes
+        && length <= m_limits->maxBodyBytes;
+    return fits ? goOn : refuse(413, "the request is too large");
+}
+
+int RequestParser::takeBody(std::string_view part)
+{
+    m_request.body += part;
+    auto size = m_request.body.size();
+    bool fits = size <= m_limits->maxBodyBytes && m_headBytes + size <= m_limits->maxRequestBytes;
+    return fits ? goOn : refuse(413, "the request is too large");
+}
+
+int RequestParser::takeMessageEnd()
+{
+    m_isComplete = true;
+    m_keepsConnection = http_should_keep_alive(&m_parser) != 0;
+    // The bytes that follow belong to the next request.
+    http_parser_pause(&m_parser, 1);
+    return goOn;
 }
 
 }
--- a/Libraries/LibHttp/RequestParser.h
+++ b/Libraries/LibHttp/RequestParser.h
@@ -3,7 +3,7 @@
 #include <LibHttp/HttpLimits.h>
 #include <LibHttp/HttpRequest.h>
 #include <cstddef>
-#include <cstdint>
+#include <http_parser.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,15 +11,16 @@
 
 namespace Bergamot {
 
-/// Reads one HTTP/1.1 request from the bytes of a connection, which may arrive in any pieces.
+/// Reads one HTTP/1.x request from the bytes of a connection, which may arrive in any pieces. The library http_parser
+/// reads the syntax; this class applies the limits and builds the request.
 class RequestParser {
 public:
-    /// More bytes are needed.
+    /// All bytes are taken, and more are needed.
     struct Incomplete {
         bool headersComplete { false };
     };
 
-    /// The request takes the first `size` bytes.
+    /// The request ends after the first `size` of the bytes.
     struct Complete {
         HttpRequest request {};
         size_t size { 0 };
@@ -35,32 +36,35 @@
     };
     using Result = std::variant<Incomplete, Complete, Refusal>;
 
-    /// `bytes` holds all that has arrived of this request, so each call repeats what the calls before it had. After
-    /// any other result than Incomplete, a new parser reads the next request.
+    RequestParser();
+
+    /// `bytes` are those that follow the bytes of the calls before. After any other result than Incomplete, a new
+    /// parser reads the next request.
     Result parse(std::string_view bytes, const HttpLimits&);
 
 private:
-    std::optional<Refusal> parseHead(std::string_view bytes, const HttpLimits&);
-    std::optional<Refusal> parseLine(std::string_view line);
-    std::optional<Refusal> parseRequestLine(std::string_view line);
-    std::optional<Refusal> parseHeader(std::string_view line);
-    std::optional<Refusal> parseBody(std::string_view bytes, const HttpLimits&);
-    std::optional<Refusal> parseChunks(std::string_view bytes);
-    void parseTarget(std::string_view target);
+    static RequestParser& parserOf(http_parser*);
+    static const http_parser_settings& callbacks();
+    int takeTarget(std::string_view);
+    int takeHeaderName(std::string_view);
+    int takeHeaderValue(std::string_view);
+    int takeHeadersEnd();
+    int takeBody(std::string_view);
+    int takeMessageEnd();
+    int refuse(int status, std::string_view title);
+    int countHeadBytes(size_t);
+    Refusal refusalOf(http_errno) const;
 
+    http_parser m_parser {};
+    const HttpLimits* m_limits { nullptr };
     HttpRequest m_request;
-    /// Where the next line, chunk or body begins.
-    size_t m_position { 0 };
-    /// Up to here, no end of the current line was found.
-    size_t m_searched { 0 };
-    uint64_t m_contentLength { 0 };
-    bool m_hasContentLength { false };
-    bool m_isChunked { false };
-    bool m_isHttp10 { false };
-    bool m_hasRequestLine { false };
+    std::string m_target;
+    size_t m_headBytes { 0 };
+    bool m_inHeaderValue { true };
     bool m_headersComplete { false };
-    bool m_inTrailer { false };
     bool m_isComplete { false };
+    bool m_keepsConnection { false };
+    std::optional<Refusal> m_refusal;
 };
 
 }
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -26,6 +26,7 @@
 
     Phase phase { Phase::New };
     Instant since { neverInstant };
+    /// Bytes that the parser has not taken yet.
     std::string input {};
     RequestParser parser {};
 
--- a/Libraries/LibHttp/ServerTransport.cpp
+++ b/Libraries/LibHttp/ServerTransport.cpp
@@ -18,7 +18,7 @@
 
 static constexpr const char* connectionKey = "connection";
 static constexpr size_t readBytes = size_t { 16 } << 10;
-static constexpr Milliseconds checkInterval { 100 };
+static constexpr Milliseconds checkInterval { 500 };
 
 /// How long a refused caller may go on sending before its connection is reset.
 static constexpr Milliseconds lingerTime { 1000 };
@@ -143,8 +143,10 @@
     if (connection.input.empty() || !connection.takesInput())
         return;
     auto result = connection.parser.parse(connection.input, *m_limits);
-    if (const auto* incomplete = std::get_if<RequestParser::Incomplete>(&result))
+    if (const auto* incomplete = std::get_if<RequestParser::Incomplete>(&result)) {
+        connection.input.clear();
         return enter(connection, incomplete->headersComplete ? Phase::Body : Phase::Headers);
+    }
     if (const auto* refusal = std::get_if<RequestParser::Refusal>(&result))
         return refuse(peer, refusal->status, refusal->title);
     dispatch(peer, std::get<RequestParser::Complete>(std::move(result)));
