--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -76,6 +76,7 @@
 void FakeRecordStore::newest(
     StreamName stream, uint32_t number, const std::string& afterKey, Callback<NewestReply> callback)
 {
+    ++loads;
     if (fault == Fault::Refusing || fault == Fault::Silent)
         return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
     m_loop.callAfter(answerTime, [this, stream, number, afterKey, callback = std::move(callback)] {
@@ -85,8 +86,13 @@
             newestByKey[record.key] = record;
         NewestReply reply { .end = partition.records.size() };
         for (auto it = newestByKey.upper_bound(afterKey); it != newestByKey.end(); ++it) {
-            if (!it->second.value.empty())
-                reply.records.push_back(it->second);
+            if (it->second.value.empty())
+                continue;
+            if (reply.records.size() == pageRecords) {
+                reply.more = true;
+                break;
+            }
+            reply.records.push_back(it->second);
         }
         callback(std::move(reply));
     });
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -45,6 +45,10 @@
 
     Fault fault { Fault::None };
     uint32_t appends { 0 };
+    uint32_t loads { 0 };
+
+    /// Records of one page of newest().
+    size_t pageRecords { 500 };
 
 private:
     struct Writer {
