Test the task leader

The class had no tests: loading, the wait for earlier runs, the roster before the first start, acknowledgement and display of ends, lives of workers, cancellation and deposition. The stand-ins can now refuse single partitions, and keep the address of each call.

--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -64,7 +64,7 @@
 void FakeRecordStore::read(
     StreamName stream, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply> callback)
 {
-    if (fault == Fault::Refusing)
+    if (fault == Fault::Refusing || unreadable.contains({ stream, partition }))
         return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
     if (fault == Fault::Silent)
         return m_loop.callAfter(silence, [callback] { callback(absl::DeadlineExceededError("silent")); });
@@ -77,7 +77,7 @@
     StreamName stream, uint32_t number, const std::string& afterKey, Callback<NewestReply> callback)
 {
     ++loads;
-    if (fault == Fault::Refusing || fault == Fault::Silent)
+    if (fault == Fault::Refusing || fault == Fault::Silent || unreadable.contains({ stream, number }))
         return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
     m_loop.callAfter(answerTime, [this, stream, number, afterKey, callback = std::move(callback)] {
         auto& partition = m_partitions[{ stream, number }];
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -4,6 +4,7 @@
 #include <LibPlatform/RecordStore.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,6 +48,9 @@
     uint32_t appends { 0 };
     uint32_t loads { 0 };
 
+    /// Partitions whose reads and loads are refused.
+    std::set<std::pair<StreamName, uint32_t>> unreadable;
+
     /// Records of one page of newest().
     size_t pageRecords { 500 };
 
--- a/Tests/LibNode/MockTaskHost.h
+++ b/Tests/LibNode/MockTaskHost.h
@@ -16,37 +16,42 @@
         uint64_t run { 0 };
         Milliseconds timeout { 0 };
         Callback<OrderAnswer> answer;
+        std::string address;
     };
     struct Hold {
         HoldOrder order;
         Callback<HoldAnswer> answer;
+        std::string address;
+        uint64_t epoch { 0 };
     };
 
-    void start(const TaskHostAddress&, const OrderContext& context, const StartOrder& order,
+    void start(const TaskHostAddress& host, const OrderContext& context, const StartOrder& order,
         Callback<OrderAnswer> callback) override
     {
         orders.push_back({ .kind = "start",
             .start = order,
             .run = order.run,
             .timeout = context.timeout,
-            .answer = std::move(callback) });
+            .answer = std::move(callback),
+            .address = host.address });
     }
 
-    void stop(const TaskHostAddress&, const OrderContext&, const TaskRef&, uint64_t run,
+    void stop(const TaskHostAddress& host, const OrderContext&, const TaskRef&, uint64_t run,
         Callback<OrderAnswer> callback) override
     {
-        orders.push_back({ .kind = "stop", .run = run, .answer = std::move(callback) });
+        orders.push_back({ .kind = "stop", .run = run, .answer = std::move(callback), .address = host.address });
     }
 
-    void pace(const TaskHostAddress&, const OrderContext&, const TaskRef&, uint64_t run, uint32_t,
+    void pace(const TaskHostAddress& host, const OrderContext&, const TaskRef&, uint64_t run, uint32_t,
         Callback<OrderAnswer> callback) override
     {
-        orders.push_back({ .kind = "pace", .run = run, .answer = std::move(callback) });
+        orders.push_back({ .kind = "pace", .run = run, .answer = std::move(callback), .address = host.address });
     }
 
-    void hold(const TaskHostAddress&, uint64_t, const HoldOrder& order, Callback<HoldAnswer> callback) override
+    void hold(
+        const TaskHostAddress& host, uint64_t epoch, const HoldOrder& order, Callback<HoldAnswer> callback) override
     {
-        holds.push_back({ .order = order, .answer = std::move(callback) });
+        holds.push_back({ .order = order, .answer = std::move(callback), .address = host.address, .epoch = epoch });
     }
 
     Order takeOrder()
