Let two tests of the leader see what they guard against

With acknowledgements of ends that arrived during an append, and with a new birth in an answer ignored, both tests still passed. The first now keeps the next append from being stored, and the second looks at another worker before the old life's leases lapse; both changes of the leader then fail them.

--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -355,7 +355,17 @@
     report("w1", 50, { { .task = { "j", 0, 0, 1 }, .run = runs[1] } }, { first });
     pass(Milliseconds { 200 });
     report("w1", 50, {}, { first, second });
-    pass(Milliseconds { 100 });
+    // The repeat of the first append is answered; the next append, with the second end, is not carried out.
+    store.fault = FakeRecordStore::Fault::None;
+    auto appends = store.appends;
+    for (int i = 0; i < 1000 && store.appends == appends; ++i)
+        pass(Milliseconds { 2 });
+    store.fault = FakeRecordStore::Fault::Refusing;
+    for (int i = 0; i < 100; ++i) {
+        pass(Milliseconds { 10 });
+        CHECK(report("w1", 50, {}, { first, second }) < 2);
+    }
+    CHECK(storedProgress("j")->state == JobStage::Running);
     store.fault = FakeRecordStore::Fault::None;
     uint64_t acknowledged = 0;
     for (int i = 0; i < 2000 && acknowledged < 2; ++i) {
@@ -397,12 +407,17 @@
 {
     auto run = leadWithOneRun();
     reportFor(Milliseconds { 200 }, "w1", 50, { { .task = { "j", 0, 0, 0 }, .run = run } });
-    pass(Milliseconds { 20 });
+    announce("w2", 51);
+    pass(Milliseconds { 600 });
+    report("w2", 51);
     report("w1", 60);
-    pass(Milliseconds { 200 });
-    announce("w1", 60);
-    reportUntilStarts(1, "w1", 60);
+    // Well before the leases of the old life would lapse.
+    reportFor(Milliseconds { 1000 }, "w2", 51);
+    CHECK_EQUAL(1, startsInQueue());
+    STRCMP_EQUAL("w2", host.orders.front().address.c_str());
     CHECK(host.orders.front().run > run);
+    announce("w1", 60);
+    reportFor(Milliseconds { 1000 }, "w1", 60);
     announce("w1", 50);
     auto holds = host.holds.size();
     pass(Milliseconds { 900 });
