Let hundreds of callers connect at once

Of 800 callers that connected at the same moment, 129 to 337 were connected after 0.9 s (five runs): Pistache's listener queues 128 connections, and the kernel drops the handshakes of the others, which are repeated after 1 s. The queue now holds 2,048, where the kernel allows it. HundredsOfCallersConnectAtOnce failed before and took 104 to 149 ms in five runs after; EngineAnswersEveryCall, whose 200 calls took 1.02 s in about half of the runs, took 61 to 129 ms in five of six, and 1.7 s in one on a busy machine, whose cause is not known.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -9,6 +9,10 @@
 
 namespace Tcp = Pistache::Tcp;
 
+/// Connections that wait to be accepted. The kernel drops the handshakes of further ones, whose callers repeat them
+/// after 1 s; hundreds connect at once when another host leaves.
+static constexpr int listenBacklog = 2048;
+
 absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::create(Options options)
 {
     auto shared = std::make_shared<ServerShared>();
@@ -20,7 +24,7 @@
         server->m_listener
             = std::make_unique<Tcp::Listener>(Pistache::Address(options.address, Pistache::Port(options.port)));
         server->m_listener->init(static_cast<size_t>(options.threads),
-            Pistache::Flags<Tcp::Options>(Tcp::Options::ReuseAddr | Tcp::Options::NoDelay));
+            Pistache::Flags<Tcp::Options>(Tcp::Options::ReuseAddr | Tcp::Options::NoDelay), "", listenBacklog);
         server->m_listener->setTransportFactory([shared] { return std::make_shared<ServerTransport>(shared); });
         server->m_listener->bind();
         server->m_listener->runThreaded();
--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/HttpServer.h>
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <fmt/format.h>
 #include <memory>
 #include <string>
@@ -296,3 +297,33 @@
     CHECK(connection.isClosed());
     CHECK_EQUAL(1, handled.load());
 }
+
+// Guards against callers that connect at the same moment and wait a second for their handshake to be repeated, because
+// the queue of the listener was full.
+TEST(HttpServerEdge, HundredsOfCallersConnectAtOnce)
+{
+    constexpr int callers = 800;
+    constexpr int handshakeRepeatMs = 1000;
+    serve();
+    sockaddr_in address {
+        .sin_family = AF_INET, .sin_port = htons(server->port()), .sin_addr = { htonl(INADDR_LOOPBACK) }
+    };
+    std::vector<pollfd> sockets;
+    for (int i = 0; i < callers; ++i) {
+        int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        sockets.push_back({ .fd = descriptor, .events = POLLOUT, .revents = 0 });
+    }
+    for (const auto& it : sockets)
+        connect(it.fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    auto startedAt = std::chrono::steady_clock::now();
+    size_t connected = 0;
+    for (auto& it : sockets) {
+        auto passed
+            = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - startedAt);
+        auto left = std::max<int>(0, handshakeRepeatMs - 100 - static_cast<int>(passed.count()));
+        connected += poll(&it, 1, left) == 1 && (it.revents & POLLOUT) != 0 ? 1 : 0;
+    }
+    for (const auto& it : sockets)
+        close(it.fd);
+    CHECK_EQUAL(callers, connected);
+}
