--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/HttpServer.h>
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <fmt/format.h>
 #include <memory>
 #include <string>
@@ -296,3 +297,57 @@
     CHECK(connection.isClosed());
     CHECK_EQUAL(1, handled.load());
 }
+
+// Guards against callers that connect at the same moment and wait a second for their handshake to be repeated, because
+// the queue of the listener was full.
+TEST(HttpServerEdge, HundredsOfCallersConnectAtOnce)
+{
+    constexpr int callers = 800;
+    constexpr int handshakeRepeatMs = 1000;
+    serve();
+    sockaddr_in address {
+        .sin_family = AF_INET, .sin_port = htons(server->port()), .sin_addr = { htonl(INADDR_LOOPBACK) }
+    };
+    std::vector<pollfd> sockets;
+    for (int i = 0; i < callers; ++i) {
+        int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        sockets.push_back({ .fd = descriptor, .events = POLLOUT, .revents = 0 });
+    }
+    for (const auto& it : sockets)
+        connect(it.fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    auto startedAt = std::chrono::steady_clock::now();
+    size_t connected = 0;
+    for (auto& it : sockets) {
+        auto passed
+            = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - startedAt);
+        auto left = std::max<int>(0, handshakeRepeatMs - 100 - static_cast<int>(passed.count()));
+        connected += poll(&it, 1, left) == 1 && (it.revents & POLLOUT) != 0 ? 1 : 0;
+    }
+    for (const auto& it : sockets)
+        close(it.fd);
+    CHECK_EQUAL(callers, connected);
+}
+
+// Guards against an answer that is cut off, or a connection that is lost, when the caller reads slower than the server
+// writes; and against a caller that never reads and holds its answer for good.
+TEST(HttpServerEdge, LargeAnswerReachesASlowReaderWhole)
+{
+    constexpr size_t answerBytes = size_t { 12 } << 20;
+    auto created = HttpServer::create({ .limits = { .idleTimeout = Milliseconds { 1200 } },
+        .handler = [](const HttpRequest& request, HttpResponder responder) {
+            responder.send({ .body = request.path == "/large" ? std::string(answerBytes, 'x') : std::string("small") });
+        } });
+    CHECK(created.ok());
+    RawConnection connection((*created)->port());
+    connection.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\nGET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const auto& text = connection.readUntil("small", quietMs);
+    CHECK(text.size() > answerBytes);
+    CHECK(text.ends_with("small"));
+    CHECK_EQUAL(2, connection.answers());
+    RawConnection silent((*created)->port());
+    silent.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+    CHECK(silent.readToClose(quietMs).size() < answerBytes);
+    CHECK(silent.isClosed());
+}
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -64,7 +64,7 @@
 void FakeRecordStore::read(
     StreamName stream, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply> callback)
 {
-    if (fault == Fault::Refusing)
+    if (fault == Fault::Refusing || unreadable.contains({ stream, partition }))
         return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
     if (fault == Fault::Silent)
         return m_loop.callAfter(silence, [callback] { callback(absl::DeadlineExceededError("silent")); });
@@ -76,7 +76,8 @@
 void FakeRecordStore::newest(StreamName stream, uint32_t number, const std::string& afterKey, Milliseconds timeout,
     Callback<NewestReply> callback)
 {
-    if (fault == Fault::Refusing || fault == Fault::Silent)
+    ++loads;
+    if (fault == Fault::Refusing || fault == Fault::Silent || unreadable.contains({ stream, number }))
         return m_loop.callAfter(answerTime, [callback] { callback(absl::AbortedError("refused")); });
     if (unansweredNewest == stream)
         return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("lost")); });
@@ -87,8 +88,13 @@
             newestByKey[record.key] = record;
         NewestReply reply { .end = partition.records.size() };
         for (auto it = newestByKey.upper_bound(afterKey); it != newestByKey.end(); ++it) {
-            if (!it->second.value.empty())
-                reply.records.push_back(it->second);
+            if (it->second.value.empty())
+                continue;
+            if (reply.records.size() == pageRecords) {
+                reply.more = true;
+                break;
+            }
+            reply.records.push_back(it->second);
         }
         callback(std::move(reply));
     });
