Bound the kept connections by the socket limit of the host

Cause: libcurl kept 1,024 connections, counted with those in use. A leader of 3,000 workers has 3,000 long polls open, so that each order and each report closed its connection when it ended; from 1,000 workers on, part of them did.

Change: the settings tell how many descriptors the process may have, less those for files. Seven eighths of the sockets may be kept connections.

--- a/Libraries/LibHttp/HttpEngine.cpp
+++ b/Libraries/LibHttp/HttpEngine.cpp
@@ -21,6 +21,17 @@
     size_t index;
 };
 
+HttpEngine::Options HttpEngine::Options::forSockets(int64_t sockets)
+{
+    // The others are left for the connections of callers and other hosts, and for calls that are being opened.
+    constexpr int64_t keptEighths = 7;
+    constexpr int64_t eighths = 8;
+    Options options;
+    if (sockets > 0)
+        options.maxIdleConnections = static_cast<long>(sockets * keptEighths / eighths);
+    return options;
+}
+
 std::unique_ptr<HttpEngine> HttpEngine::create(Options options)
 {
     static const SteadyClock clock;
--- a/Libraries/LibHttp/HttpEngine.h
+++ b/Libraries/LibHttp/HttpEngine.h
@@ -24,7 +24,13 @@
     struct Options {
         /// Connections kept to one host and port; 0 means no limit.
         long maxConnectionsPerHost { 0 };
+
+        /// Connections kept open between calls. libcurl counts those in use as well: beyond this number, each call that
+        /// ends closes a connection.
         long maxIdleConnections { 1024 };
+
+        /// Options for a process that may have this many sockets; 0 means that the number is unknown.
+        static Options forSockets(int64_t sockets);
     };
 
     /// An engine with a thread of its own.
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -7,6 +7,8 @@
 #include <array>
 #include <fmt/format.h>
 #include <future>
+#include <memory>
+#include <mutex>
 #include <netinet/in.h>
 #include <optional>
 #include <string_view>
@@ -14,6 +16,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace Bergamot;
 
@@ -112,6 +115,46 @@
         CHECK(result.get());
 }
 
+// Guards against a fixed number of kept connections: with two connections for each of 3,000 workers, a limit of 1,024
+// made every call of a leader open a connection.
+TEST(Http, ConnectionsWithinTheSocketLimitAreKept)
+{
+    constexpr int calls = 40;
+    constexpr int64_t sockets = 64;
+    auto connectionsOf = [](HttpEngine::Options options) {
+        // Each request is answered when all have arrived, so that each needs a connection of its own.
+        std::mutex mutex;
+        std::vector<std::shared_ptr<HttpResponder>> waiting;
+        auto server = HttpServer::create({ .handler = [&](HttpRequest, HttpResponder responder) {
+            std::lock_guard lock(mutex);
+            waiting.push_back(std::make_shared<HttpResponder>(std::move(responder)));
+            if (waiting.size() < calls)
+                return;
+            for (auto& it : waiting)
+                it->send({});
+            waiting.clear();
+        } });
+        CHECK(server.ok());
+        auto engine = HttpEngine::create(options);
+        for (int round = 0; round < 2; ++round) {
+            std::vector<std::future<bool>> results;
+            for (int i = 0; i < calls; ++i) {
+                auto promise = std::make_shared<std::promise<bool>>();
+                results.push_back(promise->get_future());
+                engine->submit({ .url = fmt::format("http://127.0.0.1:{}/", (*server)->port()) },
+                    [promise](auto reply) { promise->set_value(reply.ok()); });
+            }
+            for (auto& result : results)
+                CHECK(result.get());
+        }
+        return engine->connectionsOpened();
+    };
+    CHECK_EQUAL(calls, connectionsOf(HttpEngine::Options::forSockets(sockets)));
+    CHECK(connectionsOf({ .maxIdleConnections = calls / 2 }) > calls);
+    CHECK_EQUAL(1024, HttpEngine::Options::forSockets(0).maxIdleConnections);
+    CHECK_EQUAL(6993, HttpEngine::Options::forSockets(7992).maxIdleConnections);
+}
+
 // Guards against "did not run" for a request that reached a server which died before it answered: libcurl repeats it on
 // a new connection, and only that one is refused.
 TEST(Http, RequestLostWithItsServerIsUnknown)
--- a/Tests/PlatformAdapter/TestPlatformCalls.cpp
+++ b/Tests/PlatformAdapter/TestPlatformCalls.cpp
@@ -159,5 +159,9 @@
     CHECK(settings.ok());
     STRCMP_EQUAL("10.0.0.1:7720", settings->peerAddress.c_str());
     CHECK_EQUAL(10000, settings->maxLeaseMs);
+    CHECK_EQUAL(0, settings->maxSockets);
+    auto limited = Platform::parsePlatformSettings(text + "[platform]\naddr=\"10.0.0.2:3\"\n[limits]\nmaxFds=4100\n");
+    CHECK(limited.ok());
+    CHECK_EQUAL(3900, limited->maxSockets);
     CHECK_FALSE(Platform::parsePlatformSettings("node = ").ok());
 }
