Bound the orders and first questions that a leader has in progress

Cause: a new leader of 3,000 workers asks all of them at once and then sends an order to each of about 1,500, and each of these calls opens a connection. Half a core opens them more slowly than their time-outs of 1 s and 250 ms allow; each call that is given up closes its connection and is repeated on another.

Change: links share two windows, one for orders and one for questions to workers that have not answered lately. Each lets as many calls at a time as the host has thousandths of a core, 64 at least. A worker that answers is asked on its open connection without a window, so that renewals never wait.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -55,6 +55,8 @@
     , m_metrics(metrics)
     , m_options(std::move(options))
     , m_scheduler({ .epoch = m_options.epoch })
+    , m_orderWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis)))
+    , m_questionWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis)))
     , m_journal(loop, store,
           { .epoch = m_options.epoch,
               .collect = [this] { return collectProgress(); },
@@ -63,6 +65,18 @@
 {
 }
 
+/// Calls that the host can open and answer well within their time-out. More at a time would all be late, and each that
+/// is given up costs another connection.
+size_t TaskLeader::callWindowSize(int64_t cpuMillis)
+{
+    constexpr size_t usualSize = 256;
+    constexpr size_t callsPerMilliCore = 1;
+    constexpr size_t smallestSize = 64;
+    if (cpuMillis <= 0)
+        return usualSize;
+    return std::max(smallestSize, static_cast<size_t>(cpuMillis) * callsPerMilliCore);
+}
+
 TaskLeader::~TaskLeader() { *m_alive = false; }
 
 Milliseconds TaskLeader::leaseLength() const { return std::min(m_options.node.maxLease, longestLease); }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/TaskScheduler.h>
+#include <LibNode/CallWindow.h>
 #include <LibNode/JobAcceptor.h>
 #include <LibNode/NodeOptions.h>
 #include <LibNode/ProgressJournal.h>
@@ -94,6 +95,7 @@
     void checkSettled();
     void schedulePlan();
     Milliseconds leaseLength() const;
+    static size_t callWindowSize(int64_t cpuMillis);
     void plan();
     void updateGauges();
     void tick();
@@ -107,6 +109,8 @@
     TaskScheduler m_scheduler;
     Milliseconds m_reportWait { 500 };
     CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
+    std::shared_ptr<CallWindow> m_orderWindow;
+    std::shared_ptr<CallWindow> m_questionWindow;
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobs;
     std::unique_ptr<StreamReader> m_workerList;
--- a/Libraries/LibNode/WorkerLink.cpp
+++ b/Libraries/LibNode/WorkerLink.cpp
@@ -53,6 +53,19 @@
         return;
     m_holding = true;
     m_holdScheduled = false;
+    if (m_reachable)
+        return sendHold(nullptr);
+    m_options.questionWindow->request([this, alive = m_alive] {
+        if (!*alive)
+            return false;
+        sendHold(m_options.questionWindow);
+        return true;
+    });
+}
+
+/// `window` is told when the question has ended.
+void WorkerLink::sendHold(std::shared_ptr<CallWindow> window)
+{
     HoldOrder order { .wait = m_settled ? (m_busy ? m_options.reportWait : idleWait) : Milliseconds { 0 } };
     // Acknowledging again what is acknowledged could hit the ends of a later life.
     if (m_stored > m_acknowledged)
@@ -65,7 +78,10 @@
     }
     auto askedAt = m_loop.now();
     m_taskHost.hold(m_options.host, m_options.epoch, order,
-        [this, alive = m_alive, askedAt, stored = order.acknowledged](absl::StatusOr<HoldAnswer> answer) {
+        [this, alive = m_alive, askedAt, stored = order.acknowledged, window = std::move(window)](
+            absl::StatusOr<HoldAnswer> answer) {
+            if (window)
+                window->ended();
             if (!*alive)
                 return;
             if (answer.ok())
@@ -243,12 +259,23 @@
 
 void WorkerLink::sendNextOrder()
 {
-    if (m_ordering || m_orders.empty() || !m_clockMs || !m_reachable)
+    if (m_ordering || m_orderRequested || m_orders.empty() || !m_clockMs || !m_reachable)
         return;
+    m_orderRequested = true;
+    m_options.orderWindow->request([this, alive = m_alive] { return *alive && sendOrder(); });
+}
+
+/// Returns false when there is nothing to send any more.
+bool WorkerLink::sendOrder()
+{
+    m_orderRequested = false;
+    if (m_orders.empty() || !m_reachable)
+        return false;
     m_ordering = true;
     m_orderSentAt = m_loop.now();
     OrderContext context { .epoch = m_options.epoch, .timeout = m_options.orderTimeout.current() };
-    auto onAnswer = [this, alive = m_alive](absl::StatusOr<OrderAnswer> answer) {
+    auto onAnswer = [this, alive = m_alive, window = m_options.orderWindow](absl::StatusOr<OrderAnswer> answer) {
+        window->ended();
         if (*alive)
             orderAnswered(answer);
     };
@@ -268,6 +295,7 @@
     } else if (const auto* pace = std::get_if<PaceTask>(&action)) {
         m_taskHost.pace(m_options.host, context, pace->task, pace->run, pace->percent, onAnswer);
     }
+    return true;
 }
 
 void WorkerLink::orderAnswered(const absl::StatusOr<OrderAnswer>& answer)
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibDecision/CallTimeout.h>
 #include <LibDecision/TaskAction.h>
+#include <LibNode/CallWindow.h>
 #include <LibPlatform/TaskHost.h>
 #include <LibPlatform/WorkerAnnouncement.h>
 #include <cstdint>
@@ -50,6 +51,11 @@
 
         /// How long a worker with tasks may hold its report back; the leader may change it. Must outlive the link.
         const Milliseconds& reportWait;
+
+        /// Shared by all links: orders, and questions to workers that have not answered lately. Each of them may need a
+        /// new connection.
+        std::shared_ptr<CallWindow> orderWindow {};
+        std::shared_ptr<CallWindow> questionWindow {};
         Events events {};
     };
 
@@ -78,12 +84,14 @@
 
 private:
     void hold();
+    void sendHold(std::shared_ptr<CallWindow>);
     void holdAnswered(absl::StatusOr<HoldAnswer>, Instant askedAt);
     void holdSoon(Milliseconds delay);
     void noteAnswer(const OrderAnswer&);
     bool checkOutcome(const OrderAnswer&);
     void noteFailure();
     void sendNextOrder();
+    bool sendOrder();
     void noteOrderTime(const absl::Status&);
     void orderAnswered(const absl::StatusOr<OrderAnswer>&);
     TaskAction takeOrder();
@@ -117,6 +125,7 @@
     bool m_lapseReported { false };
     std::deque<TaskAction> m_orders;
     bool m_ordering { false };
+    bool m_orderRequested { false };
     Instant m_orderSentAt { neverInstant };
 
     /// The order in progress is of a run that is over.
--- a/Tests/LibNode/TestWorkerLink.cpp
+++ b/Tests/LibNode/TestWorkerLink.cpp
@@ -14,6 +14,8 @@
     std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
     MockTaskHost host;
     Milliseconds reportWait { 500 };
+    std::shared_ptr<CallWindow> orderWindow { std::make_shared<CallWindow>(1) };
+    std::shared_ptr<CallWindow> questionWindow { std::make_shared<CallWindow>(1) };
     CallTimeout orderTimeout { { .shortest = Milliseconds { 250 }, .longest = Milliseconds { 1000 } } };
     std::vector<uint64_t> startedRuns;
     std::vector<bool> reachable;
@@ -28,6 +30,8 @@
             .lease = Milliseconds { 6000 },
             .orderTimeout = orderTimeout,
             .reportWait = reportWait,
+            .orderWindow = orderWindow,
+            .questionWindow = questionWindow,
             .events = { .onReport = [](const HoldAnswer&, Instant) {},
                 .onStartAnswered = [this](const StartTask& start, OrderOutcome) { startedRuns.push_back(start.run); },
                 .onStopAccepted = [](const TaskRef&, uint64_t) {},
@@ -216,3 +220,54 @@
     CHECK_EQUAL(0, lapses);
     CHECK_EQUAL(0, startedRuns.size());
 }
+
+// Guards against calls that are all opened at once: the first questions to 3,000 workers, and the first orders to half
+// of them, took the leader longer than their time-out, and each that was given up opened another connection.
+TEST(WorkerLink, CallsThatMayOpenAConnectionWaitForTheWindow)
+{
+    std::vector<uint64_t> started;
+    auto makeLink = [&] {
+        return std::make_unique<WorkerLink>(*loop, host,
+            WorkerLink::Options { .host = { .id = "w2", .address = "a:2" },
+                .bornMs = 50,
+                .epoch = 3,
+                .lease = Milliseconds { 6000 },
+                .orderTimeout = orderTimeout,
+                .reportWait = reportWait,
+                .orderWindow = orderWindow,
+                .questionWindow = questionWindow,
+                .events = { .onReport = [](const HoldAnswer&, Instant) {},
+                    .onStartAnswered = [&](const StartTask& start, OrderOutcome) { started.push_back(start.run); },
+                    .onStopAccepted = [](const TaskRef&, uint64_t) {},
+                    .onReachableChanged = [](bool) {},
+                    .onLapsed = [] {},
+                    .onOtherLife = [] {},
+                    .onFenced = [] {} } });
+    };
+    auto forgotten = makeLink();
+    auto second = makeLink();
+    link->start();
+    forgotten->start();
+    second->start();
+    CHECK_EQUAL(1, host.holds.size());
+    // A link that ends while it waits must not keep its place.
+    forgotten.reset();
+    host.takeHold().answer(absl::DeadlineExceededError("lost"));
+    CHECK_EQUAL(1, host.holds.size());
+    host.takeHold().answer(answerAt(1000));
+    pass(Milliseconds { 200 });
+    // The worker that has answered is asked on its open connection, whatever the window holds.
+    CHECK_EQUAL(2, host.holds.size());
+    CHECK_EQUAL(1, questionWindow->inProgress());
+    host.takeHold();
+    host.takeHold().answer(answerAt(1000));
+    CHECK(link->isReachable());
+    link->order(startOf(1));
+    second->order(startOf(2));
+    CHECK_EQUAL(1, host.orders.size());
+    host.takeOrder().answer(OrderAnswer { .clockMs = 2000, .bornMs = 50 });
+    CHECK_EQUAL(1, host.orders.size());
+    host.takeOrder().answer(OrderAnswer { .clockMs = 2000, .bornMs = 50 });
+    CHECK_EQUAL(1, started.size());
+    CHECK_EQUAL(0, orderWindow->inProgress());
+}
