Size the leader's windows by processor time and time-out

Cause: 500 orders at a time need more than the 250 ms of their time-out on half a core, when each may open a connection.

Change: a window lets as many calls at a time as the host answers in half of their time-out, at an assumed millisecond of processor time each: 64 orders and 250 questions on half a core.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -55,8 +55,8 @@
     , m_metrics(metrics)
     , m_options(std::move(options))
     , m_scheduler({ .epoch = m_options.epoch })
-    , m_orderWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis)))
-    , m_questionWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis)))
+    , m_orderWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis, shortestOrderTimeout)))
+    , m_questionWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis, questionTimeout)))
     , m_journal(loop, store,
           { .epoch = m_options.epoch,
               .collect = [this] { return collectProgress(); },
@@ -65,16 +65,20 @@
 {
 }
 
-/// Calls that the host can open and answer well within their time-out. More at a time would all be late, and each that
-/// is given up costs another connection.
-size_t TaskLeader::callWindowSize(int64_t cpuMillis)
+/// Calls that the host can open and answer within half of their time-out. More at a time would all be late, and each
+/// that is given up costs another connection.
+size_t TaskLeader::callWindowSize(int64_t cpuMillis, Milliseconds timeout)
 {
-    constexpr size_t usualSize = 256;
-    constexpr size_t callsPerMilliCore = 1;
+    constexpr size_t usualSize = 128;
     constexpr size_t smallestSize = 64;
+    constexpr double processorMsPerCall = 1;
+    constexpr double usedShare = 0.5;
+    constexpr double millisPerCore = 1000;
     if (cpuMillis <= 0)
         return usualSize;
-    return std::max(smallestSize, static_cast<size_t>(cpuMillis) * callsPerMilliCore);
+    auto cores = static_cast<double>(cpuMillis) / millisPerCore;
+    auto calls = static_cast<double>(timeout.count()) * usedShare * cores / processorMsPerCall;
+    return std::max(smallestSize, static_cast<size_t>(calls));
 }
 
 TaskLeader::~TaskLeader() { *m_alive = false; }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -58,6 +58,9 @@
     static constexpr Milliseconds shortestOrderTimeout { 250 };
     static constexpr Milliseconds longestOrderTimeout { 1000 };
 
+    /// A first question that is not answered within this time is given up.
+    static constexpr Milliseconds questionTimeout { 1000 };
+
     struct Worker {
         std::unique_ptr<WorkerLink> link;
         std::optional<WorkerAnnouncement> announcement;
@@ -95,7 +98,7 @@
     void checkSettled();
     void schedulePlan();
     Milliseconds leaseLength() const;
-    static size_t callWindowSize(int64_t cpuMillis);
+    static size_t callWindowSize(int64_t cpuMillis, Milliseconds timeout);
     void plan();
     void updateGauges();
     void tick();
