--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -50,9 +50,6 @@
     void setQueues(std::map<std::string, QueuePolicy>);
     void setZonesOut(std::set<ZoneId>);
 
-    /// How long workers with tasks may hold their reports back.
-    static Milliseconds reportWaitFor(size_t workers);
-
     /// Answers at once, or for a cancellation when it is stored.
     void answer(const JobQuery&, std::function<void(const JobAnswer&)>, bool isRepeat = false);
 
@@ -86,6 +83,7 @@
     void jobsRead();
     bool jobsLoaded() const;
     Instant jobsCurrentAsOf() const;
+    static Milliseconds reportWaitFor(size_t workers);
     void addWorker(const WorkerLife&, std::optional<WorkerAnnouncement>);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void forgetWorker(WorkerHandle);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -42,20 +42,15 @@
 }
 
 /// Reports are as fresh as the figures in them, half a second, until their number would take too much of the leader's
-/// processor time. Workers hold an answer back for 2 s at most.
+/// processor time.
 Milliseconds TaskLeader::reportWaitFor(size_t workers)
 {
     constexpr Milliseconds shortestWait { 500 };
     constexpr Milliseconds longestWait { 1000 };
     constexpr double reportsPerSecond = 600;
-    constexpr double mostReportsPerSecond = 1500;
-    constexpr Milliseconds protocolLimit { 2000 };
     constexpr double msPerSecond = 1000;
-    auto waitAt = [&](double rate) {
-        return Milliseconds { static_cast<int64_t>(static_cast<double>(workers) / rate * msPerSecond) };
-    };
-    auto usual = std::clamp(waitAt(reportsPerSecond), shortestWait, longestWait);
-    return std::min(std::max(usual, waitAt(mostReportsPerSecond)), protocolLimit);
+    auto wait = Milliseconds { static_cast<int64_t>(static_cast<double>(workers) / reportsPerSecond * msPerSecond) };
+    return std::clamp(wait, shortestWait, longestWait);
 }
 
 void TaskLeader::addWorker(const WorkerLife& life, std::optional<WorkerAnnouncement> announcement)
