--- a/Utilities/bergamot-bench/DayBench.cpp
+++ b/Utilities/bergamot-bench/DayBench.cpp
@@ -26,7 +26,8 @@
 bool runDayBench(uint64_t seed, const std::string& only, std::ostream& out)
 {
     bool known = false;
-    std::vector<DaySize> sizes { DaySize::riga(), DaySize::sofia(), DaySize::rigaGrown(), DaySize::sofiaGrown() };
+    std::vector<DaySize> sizes { DaySize::riga(), DaySize::sofia(), DaySize::rigaGrown(), DaySize::sofiaGrown(),
+        DaySize::rigaWide() };
     for (const auto& calm : { DaySize::riga(), DaySize::sofia() }) {
         auto faulty = calm;
         faulty.faults = true;
--- a/Utilities/bergamot-bench/DaySize.cpp
+++ b/Utilities/bergamot-bench/DaySize.cpp
@@ -98,6 +98,14 @@
     return day;
 }
 
+DaySize DaySize::rigaWide()
+{
+    auto day = rigaGrown();
+    day.name = "riga-wide-day";
+    day.workers = 3000;
+    return day;
+}
+
 DaySize DaySize::sofiaGrown()
 {
     auto day = sofia();
--- a/Utilities/bergamot-bench/DaySize.h
+++ b/Utilities/bergamot-bench/DaySize.h
@@ -63,6 +63,9 @@
     static DaySize sofia();
     static DaySize rigaGrown();
     static DaySize sofiaGrown();
+
+    /// The load of the grown Riga site on many more workers.
+    static DaySize rigaWide();
 };
 
 }
