--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/TaskScheduler.h>
+#include <LibNode/CallWindow.h>
 #include <LibNode/JobAcceptor.h>
 #include <LibNode/NodeOptions.h>
 #include <LibNode/ProgressJournal.h>
@@ -57,6 +58,9 @@
     static constexpr Milliseconds shortestOrderTimeout { 250 };
     static constexpr Milliseconds longestOrderTimeout { 1000 };
 
+    /// A first question that is not answered within this time is given up.
+    static constexpr Milliseconds questionTimeout { 1000 };
+
     struct Worker {
         std::unique_ptr<WorkerLink> link;
         std::optional<WorkerAnnouncement> announcement;
@@ -94,6 +98,7 @@
     void checkSettled();
     void schedulePlan();
     Milliseconds leaseLength() const;
+    static size_t callWindowSize(int64_t cpuMillis, Milliseconds timeout);
     void plan();
     void updateGauges();
     void logLastingWaits();
@@ -112,12 +117,17 @@
     Milliseconds m_reportWait { 500 };
     CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
     CallTimeout m_loadTimeout { {} };
+    std::shared_ptr<CallWindow> m_orderWindow;
+    std::shared_ptr<CallWindow> m_questionWindow;
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobs;
     std::unique_ptr<StreamReader> m_workerList;
     std::map<JobId, JobProgress> m_storedProgress;
     WorkerRoster m_storedRoster;
     std::map<WorkerHandle, Worker> m_workers;
+
+    /// The handles of all lives in `m_workers`, by id. The roster may name several lives of one id.
+    std::set<std::pair<WorkerId, WorkerHandle>> m_handles;
     std::set<WorkerId> m_listed;
     WorkerHandle m_lastHandle { 0 };
     bool m_rosterChanged { false };
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -64,7 +64,7 @@
                 .earlierLeader = earlierLeader,
                 .onFenced = [this] { ++fences; },
                 .mayStart = [this] { return mayStart; } });
-        leader->setQueues({ { "q", { .service = "s", .maxAttempts = 3 } } });
+        leader->setQueues(1, { { "q", { .service = "s", .maxAttempts = 3 } } });
         leader->start();
     }
 
--- a/Utilities/PlatformStandIn/StoreStandIn.cpp
+++ b/Utilities/PlatformStandIn/StoreStandIn.cpp
@@ -37,7 +37,7 @@
     std::unique_ptr<StoreStandIn> store(new StoreStandIn(loop));
     auto server = HttpServer::create({ .address = options.address,
         .port = options.port,
-        .maxRequestBytes = maxRequestBytes,
+        .limits = { .maxRequestBytes = maxRequestBytes },
         .handler = [self = store.get()](HttpRequest request, HttpResponder responder) {
             auto shared = std::make_shared<HttpResponder>(std::move(responder));
             self->m_loop.post([self, request = std::move(request), shared] { self->handle(request, shared); });
--- a/Utilities/PlatformStandIn/TaskWorker.cpp
+++ b/Utilities/PlatformStandIn/TaskWorker.cpp
@@ -34,7 +34,7 @@
     worker->m_proxy = std::move(*proxy);
     auto server = HttpServer::create({ .address = o.ip,
         .port = o.serverPort,
-        .maxRequestBytes = maxRequestBytes,
+        .limits = { .maxRequestBytes = maxRequestBytes },
         .handler = [self = worker.get()](HttpRequest request, HttpResponder responder) {
             auto shared = std::make_shared<HttpResponder>(std::move(responder));
             self->m_loop.post([self, request = std::move(request), shared] { self->handle(request, shared); });
