Keep the zones that are out while the operators' records are loaded again

What callers would see: tasks that start in a zone that is out, when a node is elected between two pages of a reload of the operators' records.

Cause: a reload cleared the set of zones that a new leader gets. Fix: the set is replaced once the stream has been read to its end. Node.ElectionDuringAReloadKnowsTheZonesThatAreOut failed before.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -24,7 +24,7 @@
     , m_options(std::move(options))
     , m_operators(services.loop, services.store,
           { .stream = StreamName::Operators,
-              .onReload = [this] { m_zonesOut.clear(); },
+              .onReload = [this] { m_zonesBeingRead.clear(); },
               .onRecord = [this](const KeyedRecord& record) { applyOperatorRecord(record); },
               .onCaughtUp = [this] { configurationRead(); } })
     , m_leadership(services.loop, services.store,
@@ -79,14 +79,15 @@
     } else if (const auto* zone = std::get_if<ZoneOut>(&*change)) {
         logInfo("zone_changed", { { "zone", zone->zone }, { "out", zone->out } });
         if (zone->out)
-            m_zonesOut.insert(zone->zone);
+            m_zonesBeingRead.insert(zone->zone);
         else
-            m_zonesOut.erase(zone->zone);
+            m_zonesBeingRead.erase(zone->zone);
     }
 }
 
 void Node::configurationRead()
 {
+    m_zonesOut = m_zonesBeingRead;
     updateLeader();
     if (!std::exchange(m_operatorsRead, true))
         m_leadership.considerClaim();
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -83,6 +83,9 @@
     std::shared_ptr<const RoutingTable> m_routing;
     std::set<ZoneId> m_zonesOut;
 
+    /// Incomplete while the operators' records are being loaded again.
+    std::set<ZoneId> m_zonesBeingRead;
+
     /// The operators' records have been read to their end. A leader without them would not know how often a task may
     /// fail, which zones are out, or what comes first.
     bool m_operatorsRead { false };
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -201,3 +201,25 @@
     }
     CHECK_EQUAL(0, claims);
 }
+
+TEST(Node, ElectionDuringAReloadKnowsTheZonesThatAreOut)
+{
+    formats.changes["out"] = ZoneOut { .zone = "z", .out = true };
+    store.put(StreamName::Operators, "evacuate/z", "out");
+    store.put(StreamName::Leadership, "",
+        encodeValue(LeadershipRecord { .member = "other", .incarnation = 99, .peerAddress = "q" }));
+    startNode();
+    pass(Milliseconds { 800 });
+    CHECK(taskHost.holds.empty());
+    // The store deletes the old records, and the second page of the newest ones is not answered.
+    store.pageRecords = 1;
+    store.unansweredAfterKey = "config";
+    store.put(StreamName::Operators, "x", "");
+    store.expire(StreamName::Operators);
+    for (int i = 0; i < 60; ++i) {
+        pass(Milliseconds { 100 });
+        for (auto n = taskHost.holds.size(); n > 0; --n)
+            taskHost.takeHold().answer(HoldAnswer { .order = accepted() });
+    }
+    CHECK(taskHost.orders.empty());
+}
