Give a slow store up to 4 s for a page of newest records

What callers would see: a node that never becomes ready while the store needs more than 2.2 s for a page. Found by the review.

Cause: the loads had taken over the time-outs of appends, whose longest is 2.2 s; before, loads had 2.5 s. Fix: 4 s at the longest, and a first time-out of 1 s for the leader's own state, whose pages are large; 300 ms stay for the operators' records, which are small and without which a node answers nothing. Node.StoreThatTakesMoreThanTwoSecondsIsLoadedFrom failed before.

--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -12,6 +12,7 @@
     : m_loop(loop)
     , m_store(store)
     , m_options(std::move(options))
+    , m_loadTimeout(m_options.loadTimeout)
 {
 }
 
--- a/Libraries/LibNode/StreamReader.h
+++ b/Libraries/LibNode/StreamReader.h
@@ -15,6 +15,9 @@
 /// records again when records that it still needed have been deleted.
 class StreamReader {
 public:
+    /// A slow store gets this long for a page of newest records.
+    static constexpr Milliseconds longestLoadTimeout { 4000 };
+
     struct Options {
         StreamName stream { StreamName::Operators };
         uint32_t partition { 0 };
@@ -25,6 +28,9 @@
         /// Pause between two reads.
         Milliseconds interval { 0 };
 
+        /// Time-outs of a question for newest records.
+        CallTimeout::Options loadTimeout { .longest = longestLoadTimeout };
+
         /// Called before the newest records are loaded again: what was read before may be out of date.
         std::function<void()> onReload {};
         std::function<void(const KeyedRecord&)> onRecord {};
@@ -54,7 +60,7 @@
     RecordStore& m_store;
     Options m_options;
     LogPosition m_position { 0 };
-    CallTimeout m_loadTimeout { {} };
+    CallTimeout m_loadTimeout;
     bool m_loaded { false };
     bool m_caughtUp { false };
     Instant m_currentAsOf { neverInstant };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -154,6 +154,7 @@
         m_jobs.push_back(std::make_unique<StreamReader>(m_loop, m_store,
             StreamReader::Options { .stream = StreamName::Jobs,
                 .partition = partition,
+                .loadTimeout = stateLoadTimeout,
                 .onReload = [] {},
                 .onRecord = [this](const KeyedRecord& record) { applyJobRecord(record); },
                 .onCaughtUp = [this] { jobsRead(); } }));
@@ -162,6 +163,7 @@
         StreamReader::Options { .stream = StreamName::Workers,
             .wait = Milliseconds { 0 },
             .interval = workerListInterval,
+            .loadTimeout = stateLoadTimeout,
             .onReload = [this] { m_listed.clear(); },
             .onRecord = [this](const KeyedRecord& record) { applyWorkerRecord(record); },
             .onCaughtUp = [this] { workersRead(); } });
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -61,6 +61,10 @@
     /// A first question that is not answered within this time is given up.
     static constexpr Milliseconds questionTimeout { 1000 };
 
+    /// Pages of what the leader keeps hold up to a megabyte, so a repeat is dearer than one of the operators' records.
+    static constexpr CallTimeout::Options stateLoadTimeout { .shortest = Milliseconds { 1000 },
+        .longest = StreamReader::longestLoadTimeout };
+
     struct Worker {
         std::unique_ptr<WorkerLink> link;
         std::optional<WorkerAnnouncement> announcement;
@@ -116,7 +120,7 @@
     uint64_t m_configVersion { 0 };
     Milliseconds m_reportWait { 500 };
     CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
-    CallTimeout m_loadTimeout { {} };
+    CallTimeout m_loadTimeout { stateLoadTimeout };
     std::shared_ptr<CallWindow> m_orderWindow;
     std::shared_ptr<CallWindow> m_questionWindow;
     ProgressJournal m_journal;
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -223,3 +223,11 @@
     }
     CHECK(taskHost.orders.empty());
 }
+
+TEST(Node, StoreThatTakesMoreThanTwoSecondsIsLoadedFrom)
+{
+    store.newestTime = Milliseconds { 2300 };
+    startNode();
+    pass(Milliseconds { 20000 });
+    CHECK(node->isReady());
+}
