Count a failed run that is listed again once against its worker

What callers would see: a worker that gets nothing for 3 s and longer after one failed run, so that tasks wait although there is room.

Cause: a worker lists an end until it is acknowledged, and each listing counted as a further failure in a row; a slow append of progress is enough for three. Fix: only an end that is new for the job counts. TaskScheduler.FailedRunThatIsListedAgainDoesNotPauseTheWorker failed before.

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -111,15 +111,15 @@
         if (gang)
             task = findTask(*job, { end.task.job, end.task.occurrence, end.task.step, index });
         FailedRun failed { end.task.occurrence, end.task.step, index, end.run };
+        constexpr uint32_t failuresBeforePause = 3;
+        constexpr Milliseconds failurePause { 3000 };
         if (job->failedRuns.insert(failed).second) {
             ++task->failures;
             task->lastFailedOn = handle;
             markChanged(*job);
+            if (worker != m_workers.end() && ++worker->second->failures >= failuresBeforePause)
+                worker->second->pausedUntil = now + failurePause;
         }
-        constexpr uint32_t failuresBeforePause = 3;
-        constexpr Milliseconds failurePause { 3000 };
-        if (worker != m_workers.end() && ++worker->second->failures >= failuresBeforePause)
-            worker->second->pausedUntil = now + failurePause;
         judgeFailures(*job, *task);
     }
     requeue(*job, end.task);
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -424,3 +424,14 @@
     CHECK_EQUAL(0, fixture.scheduler().pendingJobs("quick"));
     CHECK(fixture.scheduler().stateOf("j") == JobStage::Running);
 }
+
+// Guards against a worker that is paused for one failed run, which it lists again until the run's end is acknowledged.
+TEST(TaskScheduler, FailedRunThatIsListedAgainDoesNotPauseTheWorker)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto start = fixture.planStarts().at(0);
+    for (int i = 0; i < 3; ++i)
+        fixture.end(start, RunOutcome::Failed);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+}
