Judge stored failures when a job is loaded

Found by the review: this state exists only since failures of an unknown queue are counted first and judged later.

Fix: addJob() judges what was stored, and does not wait for the next configuration. TaskScheduler.StoredFailuresAreJudgedWhenTheJobIsLoaded failed before.

--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -17,11 +17,15 @@
 void TaskScheduler::setQueues(std::map<std::string, QueuePolicy> queues)
 {
     m_queues = std::move(queues);
-    for (auto& [id, job] : m_jobs) {
-        for (auto it = job->failedRuns.begin(); it != job->failedRuns.end() && !job->hasEnded(); ++it) {
-            if (const auto* task = findTask(*job, { id, it->occurrence, it->step, it->index }))
-                judgeFailures(*job, *task);
-        }
+    for (auto& [id, job] : m_jobs)
+        judgeAllFailures(*job);
+}
+
+void TaskScheduler::judgeAllFailures(TrackedJob& job)
+{
+    for (auto it = job.failedRuns.begin(); it != job.failedRuns.end() && !job.hasEnded(); ++it) {
+        if (const auto* task = findTask(job, { job.spec.id, it->occurrence, it->step, it->index }))
+            judgeFailures(job, *task);
     }
 }
 
@@ -159,6 +163,9 @@
         }
     }
     m_unblockAt = std::max(m_unblockAt, blockedUntil);
+    judgeAllFailures(tracked);
+    if (tracked.hasEnded())
+        return true;
     if (tracked.spec.repeats > 0) {
         m_timedJobs.insert(id);
         return true;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -128,6 +128,7 @@
     TrackedJob* findJob(const JobId&);
     const QueuePolicy& policyOf(const TrackedJob&) const;
     void judgeFailures(TrackedJob&, const TrackedTask&);
+    void judgeAllFailures(TrackedJob&);
     TrackedTask* findTask(TrackedJob&, const TaskRef&);
     TrackedRun* findRun(TrackedTask&, uint64_t run);
     void buildOccurrences(TrackedJob&);
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -435,3 +435,14 @@
         fixture.end(start, RunOutcome::Failed);
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
+
+// Guards against attempts beyond the limit after a takeover: failures that were stored while the queue was unknown have
+// to be judged when the job is loaded.
+TEST(TaskScheduler, StoredFailuresAreJudgedWhenTheJobIsLoaded)
+{
+    fixture.addWorker(1);
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.failedRuns = { { 0, 0, 0, 1 }, { 0, 0, 0, 2 } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    CHECK(fixture.planStarts().empty());
+}
