Start nothing of an unknown queue on a worker that has not announced itself

What callers would see: a task without a size that starts on a worker of an unknown service (ROUTE). Found by the review: both names are empty, so the two matched. Fix: an empty service has no candidates. TaskScheduler.TaskOfAnUnknownQueueDoesNotStartOnAnUnannouncedWorker failed before.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -220,8 +220,10 @@
     const TrackedJob& job, const ReadyStep& ready, const TrackedTask& task, const std::string& rack, Instant now)
 {
     const auto& spec = job.spec.steps[ready.step];
-    auto candidates = m_candidates.find(policyOf(job).service);
-    if (candidates == m_candidates.end())
+    const auto& service = policyOf(job).service;
+    auto candidates = m_candidates.find(service);
+    // A worker that has not announced itself has no service either.
+    if (service.empty() || candidates == m_candidates.end())
         return nullptr;
     auto image = job.occurrences[ready.occurrence].steps[ready.step].image;
     auto reserveSize = spec.size;
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -446,3 +446,14 @@
     scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
     CHECK(fixture.planStarts().empty());
 }
+
+// Guards against starts in a queue that is not known: a worker that has not announced itself has no service either, and
+// a task without a size fits there.
+TEST(TaskScheduler, TaskOfAnUnknownQueueDoesNotStartOnAnUnannouncedWorker)
+{
+    scheduler.updateWorker(1, { .id = "w1" });
+    auto step = fixture.step(1);
+    step.size = {};
+    scheduler.addJob(fixture.job("j", { step }, "unknown"), std::nullopt, neverInstant);
+    CHECK(fixture.planStarts().empty());
+}
