Do not give a batch job up at its first failure while other workers are not listed

Fix: a job that has failed on all listed workers is given up only when its attempts are used up. BatchScheduler.FirstFailureDoesNotEndAJobWhileOneWorkerIsListed failed before.

--- a/Libraries/LibDecision/BatchSchedulerImpl.cpp
+++ b/Libraries/LibDecision/BatchSchedulerImpl.cpp
@@ -464,8 +464,9 @@
         }
     }
     auto maxAttempts = m_state.kinds[job.kind].view.maxAttempts;
-    if (job.failedOn.size() >= maxAttempts || job.failures >= maxAttempts * totalFailureFactor
-        || !hasUntriedWorker(job)) {
+    // Workers that are not listed yet may still be tried, so attempts have to be used up as well.
+    bool triedEverywhere = job.failures >= maxAttempts && !hasUntriedWorker(job);
+    if (job.failedOn.size() >= maxAttempts || job.failures >= maxAttempts * totalFailureFactor || triedEverywhere) {
         std::string names;
         for (auto failed : job.failedOn)
             names += (names.empty() ? "" : ", ") + m_state.workers[failed].view.id;
--- a/Tests/LibDecision/TestBatchScheduler.cpp
+++ b/Tests/LibDecision/TestBatchScheduler.cpp
@@ -247,3 +247,18 @@
     CHECK(cluster.scheduler->setZoneOut("z0", true).ok());
     CHECK(cluster.waitsFor("r3", WaitCause::ZoneOut));
 }
+
+// Guards against a job that is given up at its first failure because the other workers are not listed yet.
+TEST(BatchScheduler, FirstFailureDoesNotEndAJobWhileOneWorkerIsListed)
+{
+    SchedulerFixture cluster(1);
+    cluster.submit(SchedulerFixture::job("bad", "report", 1));
+    auto places = SchedulerFixture::only<PlaceTask>(cluster.tickAndPlace(5));
+    CHECK_EQUAL(1, places.size());
+    cluster.end("bad", AttemptOutcome::Failed);
+    CHECK(cluster.scheduler->upsertWorker(SchedulerFixture::worker(1)).ok());
+    std::vector<FailJob> failed;
+    for (int n = 0; n < 3 && failed.empty(); ++n)
+        failed = SchedulerFixture::only<FailJob>(cluster.tickAndPlace(5));
+    CHECK(failed.empty());
+}
