Hold a job back whose stored progress cannot be read

Fix: such a job is not run, and questions about it are answered as unavailable, not as unknown; its record is not overwritten. An operator finds it by progress_unreadable. Node.JobWhoseProgressCannotBeReadIsNotStarted failed before.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -140,7 +140,14 @@
     if (progress.ok())
         m_storedProgress[progress->id] = std::move(*progress);
     else
-        logError("progress_unreadable", { { "key", record.key }, { "error", statusText(progress.status()) } });
+        progressUnreadable(record.key, progress.status());
+}
+
+void TaskLeader::progressUnreadable(const std::string& key, const absl::Status& status)
+{
+    logError("progress_unreadable", { { "key", key }, { "error", statusText(status) } });
+    if (key.starts_with(jobKeyPrefix))
+        m_jobsWithUnreadableProgress.insert(key.substr(std::string_view(jobKeyPrefix).size()));
 }
 
 void TaskLeader::progressLoaded()
@@ -182,6 +189,9 @@
         logError("job_unreadable", { { "job", record.key }, { "error", statusText(spec.status()) } });
         return;
     }
+    // Without its progress it is not known which tasks are done, or whether the job was cancelled.
+    if (m_jobsWithUnreadableProgress.contains(spec->id))
+        return;
     std::optional<JobProgress> stored;
     if (auto it = m_storedProgress.find(spec->id); it != m_storedProgress.end()) {
         stored = std::move(it->second);
@@ -399,7 +409,7 @@
         return;
     }
     if (!state) {
-        if (current)
+        if (current && !m_jobsWithUnreadableProgress.contains(query.subject))
             answer.status = JobAnswerStatus::Unknown;
         return reply(answer);
     }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -81,6 +81,7 @@
     void loadProgress(const std::string& afterKey);
     void progressLoaded();
     void applyProgressRecord(const KeyedRecord&);
+    void progressUnreadable(const std::string& key, const absl::Status&);
     void applyJobRecord(const KeyedRecord&);
     void applyWorkerRecord(const KeyedRecord&);
     void workersRead();
@@ -127,6 +128,9 @@
     std::vector<std::unique_ptr<StreamReader>> m_jobs;
     std::unique_ptr<StreamReader> m_workerList;
     std::map<JobId, JobProgress> m_storedProgress;
+
+    /// These jobs are neither run nor said to be unknown.
+    std::set<JobId> m_jobsWithUnreadableProgress;
     WorkerRoster m_storedRoster;
     std::map<WorkerHandle, Worker> m_workers;
 
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -231,3 +231,15 @@
     pass(Milliseconds { 20000 });
     CHECK(node->isReady());
 }
+
+TEST(Node, JobWhoseProgressCannotBeReadIsNotStarted)
+{
+    store.put(StreamName::Progress, std::string(jobKeyPrefix) + firstTask.job, "not a record of progress");
+    startNode();
+    for (int i = 0; i < 80; ++i) {
+        pass(Milliseconds { 100 });
+        for (auto n = taskHost.holds.size(); n > 0; --n)
+            taskHost.takeHold().answer(HoldAnswer { .order = accepted() });
+    }
+    CHECK(taskHost.orders.empty());
+}
