Keep the end of a job that is not read yet until the jobs are current

What callers would see: a task that runs again after its end was acknowledged (TWICE), when a new leader hears of the end before it has read the job, for example while the store's answers to its reads are lost.

Cause: an end of an unknown job was dropped and acknowledged, and the streams of jobs counted as loaded before the first read after the load. Fix: such an end stays on the worker and with the leader until all partitions have been read once more; a job that is read meanwhile takes its ends first. Jobs count as loaded once every partition has been read to its end.

Node.EndOfAJobThatIsNotReadYetIsKept failed before (the task started again).

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -202,15 +202,17 @@
     auto acceptedAtMs = spec->acceptedAtMs;
     // A job that was accepted after this leader had read the stream is unknown to earlier leaders.
     auto blockedUntil = m_settled || jobsLoaded() ? neverInstant : m_blockedUntil;
-    if (m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil))
-        logInfo("job_known",
-            { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs },
-                { "offset", record.offset } });
+    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil))
+        return;
+    logInfo("job_known",
+        { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
+    applyEndsOf(id);
 }
 
 bool TaskLeader::jobsLoaded() const
 {
-    return !m_jobs.empty() && std::ranges::all_of(m_jobs, [](const auto& reader) { return reader->hasLoaded(); });
+    // Jobs that were accepted during the load are read after it.
+    return !m_jobs.empty() && jobsCurrentAsOf() != neverInstant;
 }
 
 Instant TaskLeader::jobsCurrentAsOf() const
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -71,6 +71,12 @@
         WorkerLife life;
         bool stored { false };
         uint64_t endsToStore { 0 };
+
+        /// Ends in the latest report whose jobs were not known, the number of the last one, and when it was first
+        /// listed.
+        std::vector<RunEnd> endsOfUnknownJobs;
+        uint64_t unknownEndSequence { 0 };
+        Instant unknownEndSeenAt { neverInstant };
     };
     struct WaitingCancel {
         JobId job;
@@ -93,6 +99,8 @@
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void forgetWorker(WorkerHandle);
     WorkerLink::Events eventsOf(WorkerHandle);
+    bool mayAcknowledge(Worker&, const HoldAnswer&);
+    void applyEndsOf(const JobId&);
     void reportReceived(WorkerHandle, const HoldAnswer&, Instant askedAt);
     void startAnswered(WorkerHandle, const StartTask&, OrderOutcome);
     std::optional<WorkerHandle> handleOf(const WorkerId&) const;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -160,6 +160,34 @@
     };
 }
 
+/// The end of a job that is not known is kept, here and on its worker, until the jobs have been read once more: the job
+/// may have been accepted and run under an earlier leader since they were read.
+bool TaskLeader::mayAcknowledge(Worker& worker, const HoldAnswer& answer)
+{
+    worker.endsOfUnknownJobs.clear();
+    for (const auto& end : answer.ended) {
+        if (!m_scheduler.stateOf(end.task.job))
+            worker.endsOfUnknownJobs.push_back(end);
+    }
+    if (worker.endsOfUnknownJobs.empty())
+        return true;
+    if (worker.unknownEndSequence < worker.link->seenSequence()) {
+        worker.unknownEndSequence = worker.link->seenSequence();
+        worker.unknownEndSeenAt = m_loop.now();
+    }
+    return jobsCurrentAsOf() > worker.unknownEndSeenAt;
+}
+
+void TaskLeader::applyEndsOf(const JobId& job)
+{
+    for (const auto& [handle, worker] : m_workers) {
+        for (const auto& end : worker.endsOfUnknownJobs) {
+            if (end.task.job == job)
+                m_scheduler.runEnded(handle, end, m_loop.now());
+        }
+    }
+}
+
 void TaskLeader::reportReceived(WorkerHandle handle, const HoldAnswer& answer, Instant askedAt)
 {
     auto now = m_loop.now();
@@ -180,7 +208,7 @@
     if (!worker.announcement)
         m_scheduler.updateWorker(handle, { .id = worker.life.id });
     m_scheduler.runsReported(handle, answer.running, askedAt, now);
-    if (worker.link->seenSequence() > worker.endsToStore) {
+    if (worker.link->seenSequence() > worker.endsToStore && mayAcknowledge(worker, answer)) {
         worker.endsToStore = worker.link->seenSequence();
         m_acknowledgements.emplace_back(handle, worker.endsToStore);
         m_journal.wake();
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -243,3 +243,39 @@
     }
     CHECK(taskHost.orders.empty());
 }
+
+// Guards against a second run of a task whose end was acknowledged before its job was read.
+TEST(Node, EndOfAJobThatIsNotReadYetIsKept)
+{
+    startNode();
+    pass(Milliseconds { 900 });
+    JobSpec job { .id = "00000000000000bb", .queue = "batch", .payload = "late" };
+    job.steps = { { .count = 1, .size = { 1000, 1000, 0 }, .estimateMs = 1000 } };
+    store.unreadable.insert({ StreamName::Jobs, 0 });
+    // The read in progress ends.
+    pass(Milliseconds { 1000 });
+    store.put(StreamName::Jobs, job.id, encodeValue(job));
+    bool acknowledged = false;
+    bool startedAgain = false;
+    for (int i = 0; i < 60; ++i) {
+        pass(Milliseconds { 100 });
+        if (i == 30)
+            store.unreadable.clear();
+        for (auto n = taskHost.holds.size(); n > 0; --n) {
+            auto hold = taskHost.takeHold();
+            HoldAnswer answer { .order = accepted() };
+            acknowledged = acknowledged || hold.order.acknowledged >= 1;
+            if (!acknowledged)
+                answer.ended.push_back(
+                    { .sequence = 1, .task = { .job = job.id }, .run = 1, .outcome = RunOutcome::Done });
+            hold.answer(answer);
+        }
+        while (!taskHost.orders.empty()) {
+            auto order = taskHost.takeOrder();
+            startedAgain = startedAgain || order.start.payload == "late";
+            order.answer(accepted());
+        }
+    }
+    CHECK(acknowledged);
+    CHECK_FALSE(startedAgain);
+}
