Move stored progress out of TaskScheduler.cpp, and free the policy of ended jobs

What it takes over from stored progress and gives to be stored is in TaskProgress.cpp now; the functions are unchanged, but releaseDetailsOf() also frees the policy at acceptance, about 80 bytes for each ended job. TestLibDecision and TestLibNode pass.

--- /dev/null
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -0,0 +1,113 @@
+#include <LibDecision/TaskScheduler.h>
+#include <LibDecision/TaskWorkerEntry.h>
+#include <algorithm>
+#include <utility>
+
+// What a scheduler takes over from stored progress, and what it gives to be stored.
+
+namespace Bergamot {
+
+void TaskScheduler::applyStored(TrackedJob& job, const JobProgress& stored)
+{
+    job.state = stored.state;
+    job.storedState = stored.state;
+    if (job.hasEnded())
+        return;
+    job.failedRuns.insert(stored.failedRuns.begin(), stored.failedRuns.end());
+    for (const auto& failed : stored.failedRuns) {
+        if (auto* task = findTask(job, { job.spec.id, failed.occurrence, failed.step, failed.index }))
+            ++task->failures;
+    }
+    size_t position = 0;
+    for (auto& occurrence : job.occurrences) {
+        for (auto& step : occurrence.steps) {
+            if (position >= stored.done.size())
+                return;
+            const auto& done = stored.done[position++];
+            for (size_t i = 0; i < std::min(done.size(), step.tasks.size()); ++i) {
+                if (done[i] != '1')
+                    continue;
+                step.tasks[i].done = true;
+                --step.remaining;
+                job.started = true;
+            }
+        }
+    }
+}
+
+/// Ends the job when the task has used up its attempts.
+void TaskScheduler::judgeFailures(TrackedJob& job, const TrackedTask& task)
+{
+    if (!task.done && task.failures >= policyOf(job).maxAttempts)
+        finishJob(job, JobStage::Failed);
+}
+
+void TaskScheduler::judgeAllFailures(TrackedJob& job)
+{
+    for (auto it = job.failedRuns.begin(); it != job.failedRuns.end() && !job.hasEnded(); ++it) {
+        if (const auto* task = findTask(job, { job.spec.id, it->occurrence, it->step, it->index }))
+            judgeFailures(job, *task);
+    }
+}
+
+void TaskScheduler::markChanged(const TrackedJob& job) { m_changedJobs.insert(job.spec.id); }
+
+std::vector<JobProgress> TaskScheduler::takeChangedJobs()
+{
+    std::vector<JobProgress> result;
+    for (const auto& id : m_changedJobs) {
+        const auto& job = *m_jobs.at(id);
+        JobProgress progress { .id = id, .state = job.started ? JobStage::Running : JobStage::Queued };
+        if (job.hasEnded()) {
+            progress.state = job.state;
+        } else {
+            for (const auto& occurrence : job.occurrences) {
+                for (const auto& step : occurrence.steps) {
+                    std::string done(step.tasks.size(), '0');
+                    for (size_t i = 0; i < done.size(); ++i)
+                        done[i] = step.tasks[i].done ? '1' : '0';
+                    progress.done.push_back(std::move(done));
+                }
+            }
+            progress.failedRuns.assign(job.failedRuns.begin(), job.failedRuns.end());
+        }
+        result.push_back(std::move(progress));
+    }
+    m_changedJobs.clear();
+    return result;
+}
+
+void TaskScheduler::progressStored(const JobProgress& progress)
+{
+    if (auto* job = findJob(progress.id))
+        job->storedState = std::max(job->storedState, progress.state);
+}
+
+void TaskScheduler::releaseDetails(const JobId& id)
+{
+    auto* job = findJob(id);
+    if (!job || job->storedState < JobStage::Completed)
+        return;
+    job->detailsNeedless = true;
+    releaseDetailsOf(*job);
+}
+
+void TaskScheduler::releaseDetailsOf(TrackedJob& job)
+{
+    if (!job.detailsNeedless)
+        return;
+    for (const auto& occurrence : job.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return !it.runs.empty(); }))
+                return;
+        }
+    }
+    std::erase_if(m_readySteps, [&](const auto& it) { return it.second.job == &job; });
+    job.occurrences = {};
+    job.failedRuns = {};
+    job.spec.payload = {};
+    job.spec.steps = {};
+    job.spec.policyAtAcceptance = {};
+}
+
+}
