--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -2,7 +2,6 @@
 
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
-#include <LibWire/QueuePolicy.h>
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunReport.h>
 #include <LibDecision/StepWait.h>
@@ -10,6 +9,7 @@
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
 #include <LibDecision/TrackedJob.h>
+#include <LibWire/QueuePolicy.h>
 #include <cstdint>
 #include <map>
 #include <memory>
