Let orders go out without waiting for other workers

A leader that is behind by 50 to 500 ms takes each answer late, so 64 orders at a time are a few hundred a second, less than it decides, and stops wait behind starts.

Fix: only first questions wait for the window. The test said that orders wait too, which was the fault; it now says that they do not, and still that questions do: WorkerLink.FirstQuestionsWaitForTheWindowAndOrdersDoNot.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -55,7 +55,6 @@
     , m_metrics(metrics)
     , m_options(std::move(options))
     , m_scheduler({ .epoch = m_options.epoch })
-    , m_orderWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis, shortestOrderTimeout)))
     , m_questionWindow(std::make_shared<CallWindow>(callWindowSize(m_options.node.cpuMillis, questionTimeout)))
     , m_journal(loop, store,
           { .epoch = m_options.epoch,
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -130,7 +130,6 @@
     Milliseconds m_reportWait { 500 };
     CallTimeout m_orderTimeout { { .shortest = shortestOrderTimeout, .longest = longestOrderTimeout } };
     CallTimeout m_loadTimeout { stateLoadTimeout };
-    std::shared_ptr<CallWindow> m_orderWindow;
     std::shared_ptr<CallWindow> m_questionWindow;
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobs;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -68,7 +68,6 @@
             .lease = leaseLength(),
             .orderTimeout = m_orderTimeout,
             .reportWait = m_reportWait,
-            .orderWindow = m_orderWindow,
             .questionWindow = m_questionWindow,
             .events = eventsOf(handle) });
     if (!worker.stored)
--- a/Libraries/LibNode/WorkerLink.cpp
+++ b/Libraries/LibNode/WorkerLink.cpp
@@ -259,23 +259,12 @@
 
 void WorkerLink::sendNextOrder()
 {
-    if (m_ordering || m_orderRequested || m_orders.empty() || !m_clockMs || !m_reachable)
+    if (m_ordering || m_orders.empty() || !m_clockMs || !m_reachable)
         return;
-    m_orderRequested = true;
-    m_options.orderWindow->request([this, alive = m_alive] { return *alive && sendOrder(); });
-}
-
-/// Returns false when there is nothing to send any more.
-bool WorkerLink::sendOrder()
-{
-    m_orderRequested = false;
-    if (m_orders.empty() || !m_reachable)
-        return false;
     m_ordering = true;
     m_orderSentAt = m_loop.now();
     OrderContext context { .epoch = m_options.epoch, .timeout = m_options.orderTimeout.current() };
-    auto onAnswer = [this, alive = m_alive, window = m_options.orderWindow](absl::StatusOr<OrderAnswer> answer) {
-        window->ended();
+    auto onAnswer = [this, alive = m_alive](absl::StatusOr<OrderAnswer> answer) {
         if (*alive)
             orderAnswered(answer);
     };
@@ -295,7 +284,6 @@
     } else if (const auto* pace = std::get_if<PaceTask>(&action)) {
         m_taskHost.pace(m_options.host, context, pace->task, pace->run, pace->percent, onAnswer);
     }
-    return true;
 }
 
 void WorkerLink::orderAnswered(const absl::StatusOr<OrderAnswer>& answer)
--- a/Libraries/LibNode/WorkerLink.h
+++ b/Libraries/LibNode/WorkerLink.h
@@ -52,9 +52,8 @@
         /// How long a worker with tasks may hold its report back; the leader may change it. Must outlive the link.
         const Milliseconds& reportWait;
 
-        /// Shared by all links: orders, and questions to workers that have not answered lately. Each of them may need a
-        /// new connection.
-        std::shared_ptr<CallWindow> orderWindow {};
+        /// Shared by all links: questions to workers that have not answered lately. Each of them may need a new
+        /// connection. Orders do not wait: a leader that is behind would take their answers late and send too few.
         std::shared_ptr<CallWindow> questionWindow {};
         Events events {};
     };
@@ -91,7 +90,6 @@
     bool checkOutcome(const OrderAnswer&);
     void noteFailure();
     void sendNextOrder();
-    bool sendOrder();
     void orderAnswered(const absl::StatusOr<OrderAnswer>&);
     TaskAction takeOrder();
     bool hasQueuedStop(const StartTask&) const;
@@ -124,7 +122,6 @@
     bool m_lapseReported { false };
     std::deque<TaskAction> m_orders;
     bool m_ordering { false };
-    bool m_orderRequested { false };
     Instant m_orderSentAt { neverInstant };
 
     /// The order in progress is of a run that is over.
--- a/Tests/LibNode/TestWorkerLink.cpp
+++ b/Tests/LibNode/TestWorkerLink.cpp
@@ -14,7 +14,6 @@
     std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
     MockTaskHost host;
     Milliseconds reportWait { 500 };
-    std::shared_ptr<CallWindow> orderWindow { std::make_shared<CallWindow>(1) };
     std::shared_ptr<CallWindow> questionWindow { std::make_shared<CallWindow>(1) };
     CallTimeout orderTimeout { { .shortest = Milliseconds { 250 }, .longest = Milliseconds { 1000 } } };
     std::vector<uint64_t> startedRuns;
@@ -30,7 +29,6 @@
             .lease = Milliseconds { 6000 },
             .orderTimeout = orderTimeout,
             .reportWait = reportWait,
-            .orderWindow = orderWindow,
             .questionWindow = questionWindow,
             .events = { .onReport = [](const HoldAnswer&, Instant) {},
                 .onStartAnswered = [this](const StartTask& start, OrderOutcome) { startedRuns.push_back(start.run); },
@@ -221,9 +219,9 @@
     CHECK_EQUAL(0, startedRuns.size());
 }
 
-// Guards against calls that are all opened at once: the first questions to 3,000 workers, and the first orders to half
-// of them, took the leader longer than their time-out, and each that was given up opened another connection.
-TEST(WorkerLink, CallsThatMayOpenAConnectionWaitForTheWindow)
+// Guards against first questions that are all opened at once: those to 3,000 workers took the leader longer than their
+// time-out, and each that was given up opened another connection.
+TEST(WorkerLink, FirstQuestionsWaitForTheWindowAndOrdersDoNot)
 {
     std::vector<uint64_t> started;
     auto makeLink = [&] {
@@ -234,7 +232,6 @@
                 .lease = Milliseconds { 6000 },
                 .orderTimeout = orderTimeout,
                 .reportWait = reportWait,
-                .orderWindow = orderWindow,
                 .questionWindow = questionWindow,
                 .events = { .onReport = [](const HoldAnswer&, Instant) {},
                     .onStartAnswered = [&](const StartTask& start, OrderOutcome) { started.push_back(start.run); },
@@ -261,13 +258,10 @@
     CHECK_EQUAL(1, questionWindow->inProgress());
     host.takeHold();
     host.takeHold().answer(answerAt(1000));
+    // Orders never wait for other workers: runs of a gang would end alone, and stops of cancelled jobs would come late
+    // (GANG and UNASKED on varied days gangs-and-repeats of the grown Sofia site, while the leader was behind).
     CHECK(link->isReachable());
     link->order(startOf(1));
     second->order(startOf(2));
-    CHECK_EQUAL(1, host.orders.size());
-    host.takeOrder().answer(OrderAnswer { .clockMs = 2000, .bornMs = 50 });
-    CHECK_EQUAL(1, host.orders.size());
-    host.takeOrder().answer(OrderAnswer { .clockMs = 2000, .bornMs = 50 });
-    CHECK_EQUAL(1, started.size());
-    CHECK_EQUAL(0, orderWindow->inProgress());
+    CHECK_EQUAL(2, host.orders.size());
 }
