Apply server limits to each request and close idle connections in time

Cause: ServerTransport read its limits once for each round of events, so a request that was parsed later in a round in which setLimits() was called still got the old ones. It looked for passed time-outs every 500 ms, so a connection closed up to 500 ms late. Change: the limits are read for each parsed request and each check; the timer is set to the next time-out, at least 20 ms and at most 500 ms away.

--- a/Libraries/LibHttp/ServerTransport.cpp
+++ b/Libraries/LibHttp/ServerTransport.cpp
@@ -1,7 +1,9 @@
 #include <LibCore/Verify.h>
 #include <LibHttp/ServerTransport.h>
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <fmt/format.h>
 #include <pistache/http_defs.h>
 #include <pistache/peer.h>
@@ -18,7 +20,11 @@
 
 static constexpr const char* connectionKey = "connection";
 static constexpr size_t readBufferBytes = size_t { 16 } << 10;
-static constexpr Milliseconds timeoutCheckInterval { 500 };
+
+/// Bounds of the time between two checks of the time-outs. The lower one limits the processor time for many
+/// connections.
+static constexpr Milliseconds minTimeoutCheckInterval { 20 };
+static constexpr Milliseconds maxTimeoutCheckInterval { 500 };
 
 /// Time for which input is discarded after the last response of a connection. Closing the connection then resets it if
 /// the peer is still sending.
@@ -61,10 +67,7 @@
 void ServerTransport::registerPoller(Polling::Epoll& poller)
 {
     Tcp::Transport::registerPoller(poller);
-    constexpr long interval = std::chrono::nanoseconds(timeoutCheckInterval).count();
-    itimerspec timing { .it_interval = { .tv_sec = 0, .tv_nsec = interval },
-        .it_value = { .tv_sec = 0, .tv_nsec = interval } };
-    timerfd_settime(m_timer, 0, &timing, nullptr);
+    scheduleTimeoutCheck(minTimeoutCheckInterval);
     for (int descriptor : { m_timer, m_responseQueue->descriptor() })
         poller.addFd(
             descriptor, Pistache::Flags(Polling::NotifyOn::Read), Polling::Tag(static_cast<uint64_t>(descriptor)));
@@ -72,7 +75,6 @@
 
 void ServerTransport::onReady(const Pistache::Aio::FdSet& events)
 {
-    m_limits = m_state->limits.load();
     for (size_t i = 0; i < events.size(); ++i) {
         const auto& event = events.at(i);
         auto descriptor = static_cast<int>(event.getTag().value());
@@ -144,7 +146,8 @@
     auto& connection = connectionOf(*peer);
     if (connection.input.empty() || !connection.canReceive())
         return;
-    auto result = connection.parser.parse(connection.input, *m_limits);
+    auto limits = m_state->limits.load();
+    auto result = connection.parser.parse(connection.input, *limits);
     if (const auto* incomplete = std::get_if<RequestParser::Incomplete>(&result)) {
         connection.input.clear();
         return enterPhase(connection, incomplete->headersComplete ? Phase::Body : Phase::Headers);
@@ -248,45 +251,66 @@
     return it != peers.end() && it->second == peer;
 }
 
+void ServerTransport::scheduleTimeoutCheck(Milliseconds delay)
+{
+    auto seconds = std::chrono::duration_cast<std::chrono::seconds>(delay);
+    itimerspec timing { .it_value
+        = { .tv_sec = seconds.count(), .tv_nsec = std::chrono::nanoseconds(delay - seconds).count() } };
+    timerfd_settime(m_timer, 0, &timing, nullptr);
+}
+
 void ServerTransport::checkTimeouts()
 {
     uint64_t expirations = 0;
     if (read(m_timer, &expirations, sizeof(expirations)) < 0)
         return;
-    for (const auto& [descriptor, peer] : peers)
-        checkTimeout(peer);
+    auto limits = m_state->limits.load();
+    // A phase that begins after this check lasts at least as long as the shortest time-out.
+    auto nextCheck
+        = std::min({ maxTimeoutCheckInterval, limits->headerTimeout, limits->bodyTimeout, limits->idleTimeout });
+    for (const auto& [descriptor, peer] : peers) {
+        if (auto timeLeft = checkTimeout(peer, *limits))
+            nextCheck = std::min(nextCheck, *timeLeft);
+    }
+    scheduleTimeoutCheck(std::max(nextCheck, minTimeoutCheckInterval));
 }
 
-void ServerTransport::checkTimeout(const PeerPointer& peer)
+static std::optional<Milliseconds> phaseTimeout(Phase phase, const HttpLimits& limits)
 {
-    const auto& limits = *m_limits;
-    const auto& connection = connectionOf(*peer);
-    auto timeInPhase = m_clock.now() - connection.phaseStartedAt;
-    switch (connection.phase) {
+    switch (phase) {
     case Phase::InProgress:
-        return;
+        return std::nullopt;
+    case Phase::New:
     case Phase::Headers:
-        if (timeInPhase > limits.headerTimeout)
-            sendErrorAndClose(peer, 408, "the headers did not arrive in time");
-        return;
+        return limits.headerTimeout;
     case Phase::Body:
-        if (timeInPhase > limits.bodyTimeout)
-            sendErrorAndClose(peer, 408, "the body did not arrive in time");
-        return;
-    case Phase::New:
-        if (timeInPhase > limits.headerTimeout)
-            markForClose(peer);
-        return;
+        return limits.bodyTimeout;
     case Phase::Idle:
     case Phase::WritingResponse:
-        if (timeInPhase > limits.idleTimeout)
-            markForClose(peer);
-        return;
+        return limits.idleTimeout;
     case Phase::Closing:
-        if (timeInPhase > lingerTimeout)
-            markForClose(peer);
-        return;
+        return lingerTimeout;
     }
+    VERIFY(false);
+}
+
+/// Ends the phase of the connection if its time-out has passed; otherwise returns the time until then, if it has one.
+std::optional<Milliseconds> ServerTransport::checkTimeout(const PeerPointer& peer, const HttpLimits& limits)
+{
+    const auto& connection = connectionOf(*peer);
+    auto timeout = phaseTimeout(connection.phase, limits);
+    if (!timeout)
+        return std::nullopt;
+    auto timeInPhase = m_clock.now() - connection.phaseStartedAt;
+    if (timeInPhase < *timeout)
+        return std::chrono::ceil<Milliseconds>(*timeout - timeInPhase);
+    if (connection.phase == Phase::Headers)
+        sendErrorAndClose(peer, 408, "the headers did not arrive in time");
+    else if (connection.phase == Phase::Body)
+        sendErrorAndClose(peer, 408, "the body did not arrive in time");
+    else
+        markForClose(peer);
+    return std::nullopt;
 }
 
 }
--- a/Libraries/LibHttp/ServerTransport.h
+++ b/Libraries/LibHttp/ServerTransport.h
@@ -7,6 +7,7 @@
 #include <LibHttp/ServerConnection.h>
 #include <LibHttp/SharedServerState.h>
 #include <memory>
+#include <optional>
 #include <pistache/transport.h>
 #include <string_view>
 #include <vector>
@@ -42,16 +43,15 @@
     void markForClose(const PeerPointer& peer) { m_peersToClose.push_back(peer); }
     void closeMarkedPeers();
     bool isOpen(const PeerPointer&) const;
+    void scheduleTimeoutCheck(Milliseconds delay);
     void checkTimeouts();
-    void checkTimeout(const PeerPointer&);
+    std::optional<Milliseconds> checkTimeout(const PeerPointer&, const HttpLimits&);
     void enterPhase(ServerConnection&, ServerConnection::Phase);
 
     std::shared_ptr<SharedServerState> m_state;
     std::shared_ptr<ResponseQueue> m_responseQueue { std::make_shared<ResponseQueue>() };
     SteadyClock m_clock;
 
-    /// The limits in effect at the start of the current onReady() call.
-    std::shared_ptr<const HttpLimits> m_limits;
     int m_timer { -1 };
 
     /// Peers to close at the end of the current onReady() call. Closing them earlier would let a new connection reuse
--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -185,6 +185,29 @@
     CHECK_EQUAL(2, connection.responseCount());
 }
 
+// Guards against an idle connection that stays open until the next of a series of fixed checks, up to 500 ms after its
+// time-out. The connections become idle at different times, so that they can't all meet such a check.
+TEST(HttpServerEdge, IdleConnectionClosesSoonAfterItsTimeout)
+{
+    constexpr std::chrono::milliseconds idleTimeout { 700 };
+    constexpr std::chrono::milliseconds maxDelay { 300 };
+    serve({ .limits = { .idleTimeout = idleTimeout } });
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    std::vector<std::chrono::steady_clock::time_point> idleSince;
+    for (int i = 0; i < 5; ++i) {
+        auto& connection = connections.emplace_back(std::make_unique<RawConnection>(server->port()));
+        connection->send("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+        connection->readUntil("ran GET /one", quietMs);
+        idleSince.push_back(std::chrono::steady_clock::now());
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    for (size_t i = 0; i < connections.size(); ++i) {
+        connections[i]->readToClose(quietMs);
+        CHECK(connections[i]->isClosed());
+        CHECK(std::chrono::steady_clock::now() - idleSince[i] < idleTimeout + maxDelay);
+    }
+}
+
 // Guards against a connection time-out while the handler takes a long time to respond to a complete request.
 TEST(HttpServerEdge, TimeoutsDoNotApplyToRequestsInProgress)
 {
@@ -300,6 +323,46 @@
     CHECK_EQUAL(1, handled.load());
 }
 
+// Guards against a request that is parsed with the limits from before setLimits() although it is parsed after that
+// call, here later in the same round of events.
+TEST(HttpServerEdge, NewLimitsHoldForRequestsParsedInTheSameRound)
+{
+    std::vector<HttpResponder> heldResponders;
+    auto created = HttpServer::create({ .handler = [&](HttpRequest request, HttpResponder responder) {
+        ++handled;
+        if (request.path == "/hold")
+            return heldResponders.push_back(std::move(responder));
+        if (request.path == "/release") {
+            for (auto& it : heldResponders)
+                it.send({ .body = "held" });
+        }
+        if (request.path == "/limit")
+            server->setLimits({ .maxBodyBytes = 10 });
+        responder.send({ .body = "ran " + request.path });
+    } });
+    CHECK(created.ok());
+    server = std::move(*created);
+
+    // The responses to both held requests are written in one round; each makes the server parse the request behind it.
+    RawConnection limiting(server->port());
+    limiting.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\nGET /limit HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (handled.load() < 1)
+        std::this_thread::yield();
+    RawConnection limited(server->port());
+    limited.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+                 "POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n"
+        + std::string(20, 'x'));
+    while (handled.load() < 2)
+        std::this_thread::yield();
+    RawConnection releasing(server->port());
+    releasing.send("GET /release HTTP/1.1\r\nHost: h\r\n\r\n");
+
+    CHECK(contains(limiting.readUntil("ran /limit", quietMs), "ran /limit"));
+    CHECK(contains(limited.readToClose(quietMs), "HTTP/1.1 413 "));
+    CHECK(limited.isClosed());
+    server = nullptr;
+}
+
 // Guards against a full listen backlog when many peers connect at once: each dropped handshake is retried only after
 // one second.
 TEST(HttpServerEdge, ListenBacklogHoldsHundredsOfNewConnections)
