Confirm the configuration after a pause before answering with it

Change: PauseGuard notes a gap of 1 s between ticks. Until a read of the configuration stream that was sent after it has reached the head, or authority by peers has held for 3 s, status and configuration requests, new jobs and quick requests get 503 config-unconfirmed or no-authority with a Retry-After, and the host is not ready.

--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -94,6 +94,7 @@
 {
     m_region.setBatchObserver([this](const auto& batch, const auto& result) { regionBatchApplied(batch, result); });
     m_region.setReadObserver([this](Instant requestSentAt) { m_membership.logReadSucceeded(requestSentAt); });
+    m_configStream.setReadObserver([this](Instant requestSentAt) { m_pauseGuard.configReadSucceeded(requestSentAt); });
     m_configStream.setBatchObserver(
         [this](const auto& batch, const auto& result) { configBatchApplied(batch, result); });
     m_dispatcher.setReportObserver(
@@ -113,6 +114,7 @@
 
 void EntryNode::tick(Instant now)
 {
+    m_pauseGuard.ticked(now, m_membership.mayRenew(now));
     m_region.tick(now);
     m_configStream.tick(now);
     // A configuration loaded from a snapshot does not call the batch observer.
@@ -265,8 +267,10 @@
 
 void EntryNode::updateRouting(Instant now)
 {
-    auto authorityExpiry
-        = m_membership.renewalAuthority().renewalsAllowedUntil(now, m_membership.voters(), m_region.state().position());
+    // Quick requests wait for the configuration as well, because they use its services, clients and limits.
+    auto authorityExpiry = isConfigConfirmed()
+        ? m_membership.renewalAuthority().renewalsAllowedUntil(now, m_membership.voters(), m_region.state().position())
+        : neverInstant;
     auto paths = m_quickPath->paths();
     for (const auto& [name, path] : paths)
         path->setAuthorityExpiry(authorityExpiry);
@@ -552,7 +556,7 @@
 
 bool EntryNode::isReady(Instant now) const
 {
-    return !m_isShuttingDown && m_config && m_servicesReady && m_membership.mayRenew(now);
+    return !m_isShuttingDown && m_config && isConfigConfirmed() && m_servicesReady && m_membership.mayRenew(now);
 }
 
 // For some seconds after a process joins, it has no usable slots and client shares and rejects requests that other
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -9,6 +9,7 @@
 #include <LibEntry/HostListWatcher.h>
 #include <LibEntry/LogStream.h>
 #include <LibEntry/Membership.h>
+#include <LibEntry/PauseGuard.h>
 #include <LibEntry/QuickPath.h>
 #include <LibEntry/RequestLedger.h>
 #include <LibEntry/SchedulerDriver.h>
@@ -62,8 +63,11 @@
     void beginShutdown();
     bool isShuttingDown() const { return m_isShuttingDown; }
 
-    /// True when this host can serve requests of callers: it is not shutting down, a configuration is active, services
-    /// are ready, and this host may renew leases.
+    /// False after a pause of this process, until it knows that it holds the newest accepted configuration.
+    bool isConfigConfirmed() const { return m_pauseGuard.isConfigConfirmed(clock().now()); }
+
+    /// True when this host can serve requests of callers: it is not shutting down, a confirmed configuration is active,
+    /// services are ready, and this host may renew leases.
     bool isReady(Instant now) const;
 
     LogStream& region() { return m_region; }
@@ -127,6 +131,7 @@
     SnapshotWriter m_regionSnapshots;
     SnapshotWriter m_configSnapshots;
     BurnCollector m_burnCollector;
+    PauseGuard m_pauseGuard;
     std::unique_ptr<QuickPath> m_quickPath;
     std::shared_ptr<const SiteConfig> m_config;
     std::deque<ConfigVersion> m_configHistory;
--- a/Libraries/LibEntry/JobApi.cpp
+++ b/Libraries/LibEntry/JobApi.cpp
@@ -109,6 +109,10 @@
             .retryAfterSeconds = 1 }));
         return;
     }
+    if (!m_node.isConfigConfirmed()) {
+        responder.send(unconfirmedConfigResponse());
+        return;
+    }
     auto parsed = parseJobRequest(request.body, *config);
     if (auto* problem = std::get_if<Problem>(&parsed)) {
         responder.send(toResponse(*problem));
--- a/Libraries/LibEntry/OperatorApi.cpp
+++ b/Libraries/LibEntry/OperatorApi.cpp
@@ -80,7 +80,10 @@
     auto matches = [&](std::string_view method, std::string_view name, size_t count) {
         return request.method == method && segments[1] == name && segments.size() == count;
     };
-    if (matches("GET", "status", 2))
+    bool showsConfig = matches("GET", "status", 2) || matches("GET", "config", 2);
+    if (showsConfig && !m_node.isConfigConfirmed())
+        responder.send(unconfirmedConfigResponse());
+    else if (matches("GET", "status", 2))
         responder.send(jsonResponse(statusJson(m_node, m_node.clock().now(), m_startedAt)));
     else if (matches("GET", "state", 2))
         responder.send(jsonResponse(stateJson(m_node, m_node.clock().now())));
--- a/Libraries/LibEntry/Problem.cpp
+++ b/Libraries/LibEntry/Problem.cpp
@@ -25,4 +25,12 @@
     return response;
 }
 
+HttpResponse unconfirmedConfigResponse()
+{
+    return toResponse(Problem { .status = 503,
+        .type = "config-unconfirmed",
+        .title = "This entry host was paused and has not confirmed its configuration since",
+        .retryAfterSeconds = 1 });
+}
+
 }
--- a/Libraries/LibEntry/Problem.h
+++ b/Libraries/LibEntry/Problem.h
@@ -22,4 +22,7 @@
 
 HttpResponse toResponse(const Problem&);
 
+/// Answer of a host that was paused and has not confirmed its configuration since.
+HttpResponse unconfirmedConfigResponse();
+
 }
