Check each start again before it is sent, and start new jobs only with a proof of leadership

By reading: the refusal of a repeated start was taken as proof that the first attempt, whose answer was lost, had not run; the refusal of a stop counted as its acceptance; the reader of the workers' stream waited for its poll interval although it was behind.

Changes: WorkerSession asks before each send whether the start is still permitted (leadership, drain, zones out, a list of workers at most 1.5 s old while the store answers); otherwise it is refused, or replaced by a stop if an attempt may have arrived. A refused retry is stopped before it counts, and a refused stop is repeated. Beyond its leadership lease, a leader starts only jobs that it had read before its last stored keepalive was sent. A worker that is no longer listed and whose host refuses connections is removed at once instead of after its lease.

--- a/Libraries/LibDecision/PlacementDelay.h
+++ b/Libraries/LibDecision/PlacementDelay.h
@@ -12,7 +12,9 @@
     /// The free processors are reserved for the recent demand of short tasks.
     Headroom,
     /// No usable worker both has the free resources and meets the placement constraints of the step.
-    NoWorker
+    NoWorker,
+    /// The job is newer than the latest proof that no other node has been elected.
+    UnconfirmedLeadership
 };
 
 }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -39,7 +39,7 @@
 /// there.
 static constexpr double minIdleCpuShare = 0.7;
 
-std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs, bool mayStart)
+std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs, const StartPermission& permission)
 {
     m_latestEventAt = now;
     if (m_unblockAt != neverInstant && now >= m_unblockAt) {
@@ -49,8 +49,8 @@
     activateDueOccurrences(unixMs);
     collectCandidates(now);
     updateShortTaskDemand();
-    if (mayStart)
-        placeWaitingTasks(now);
+    if (permission.mayStart)
+        placeWaitingTasks(now, permission.knownBy);
     return std::exchange(m_actions, {});
 }
 
@@ -125,10 +125,20 @@
     return spec.longRunning && now - task.waitingSince < maxHeadroomWait && !leavesHeadroom(spec);
 }
 
+bool TaskScheduler::acceptsRuns(WorkerHandle handle) const
+{
+    auto it = m_workers.find(handle);
+    return it != m_workers.end() && acceptsRuns(*it->second);
+}
+
+bool TaskScheduler::acceptsRuns(const WorkerEntry& worker) const
+{
+    return worker.reachable && !worker.view.draining && !m_excludedZones.contains(worker.view.zone);
+}
+
 bool TaskScheduler::isUsable(const WorkerEntry& worker, Instant now) const
 {
-    return worker.reachable && !worker.view.draining && worker.startBackoffUntil <= now && worker.pausedUntil <= now
-        && !m_excludedZones.contains(worker.view.zone);
+    return worker.startBackoffUntil <= now && worker.pausedUntil <= now && acceptsRuns(worker);
 }
 
 /// Whether a task of the step may find no worker although other tasks of the same size do.
@@ -137,7 +147,7 @@
     return spec.gang || spec.maxPerWorker > 0 || !spec.requiredLabel.empty();
 }
 
-void TaskScheduler::placeWaitingTasks(Instant now)
+void TaskScheduler::placeWaitingTasks(Instant now, Instant knownBy)
 {
     UnplacedSizes unplaced;
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
@@ -152,6 +162,11 @@
         if (spec.bestEffort)
             placementClass.bestEffortImage = tracked.image;
         setWaitingSince(tracked, now);
+        if (ready.job->knownAt > knownBy) {
+            tracked.delay = PlacementDelay::UnconfirmedLeadership;
+            ++it;
+            continue;
+        }
         if (unplaced.covers(placementClass, spec.size))
             tracked.delay = PlacementDelay::NoWorker;
         else if (!placeStep(ready, now) && !hasPlacementConstraint(spec))
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -92,13 +92,20 @@
     }
 }
 
-bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil)
+bool TaskScheduler::wasKnownAt(const JobId& id, Instant time) const
+{
+    auto it = m_jobs.find(id);
+    return it != m_jobs.end() && it->second->knownAt <= time;
+}
+
+bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt)
 {
     auto id = spec.id;
     if (m_jobs.contains(id))
         return false;
     auto job = std::make_unique<TrackedJob>();
     job->spec = std::move(spec);
+    job->knownAt = knownAt;
     auto& tracked = *job;
     m_jobs.emplace(id, std::move(job));
     if (stored && stored->state >= JobStage::Completed) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -48,8 +48,11 @@
     void setExcludedZones(std::set<ZoneId>);
 
     /// Returns false if the job is known already. Its tasks do not start before `blockedUntil`, because runs that an
-    /// earlier leader started may still be active.
-    bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil);
+    /// earlier leader started may still be active. `knownAt` is when this leader read the job.
+    bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant);
+
+    /// Whether this leader knew the job at `time`.
+    bool wasKnownAt(const JobId&, Instant time) const;
 
     /// Cancels the job unless it has ended, and returns its state; std::nullopt for an unknown job.
     std::optional<JobStage> cancelJob(const JobId&);
@@ -67,6 +70,9 @@
 
     void updateWorker(WorkerHandle, const TaskWorkerView&);
 
+    /// Whether the worker may get runs: it is reachable, not draining, and its zone is not excluded.
+    bool acceptsRuns(WorkerHandle) const;
+
     /// An unreachable worker gets no new runs.
     void setReachable(WorkerHandle, bool reachable);
 
@@ -89,10 +95,19 @@
     /// Lets tasks start that no worker has listed. Called once all workers have replied to the new leader.
     void unblockTasks();
 
-    /// Returns the commands that follow from all events so far. Starts no task unless `mayStart` is set. Stop and
-    /// throttle commands are always returned: they are harmless after this leader has been replaced, because workers
-    /// reject them.
-    std::vector<TaskAction> plan(Instant now, int64_t unixMs, bool mayStart = true);
+    /// What this leader may start.
+    struct StartPermission {
+        bool mayStart { true };
+
+        /// Only tasks of jobs that this leader knew by then start. A later leader starts jobs that were accepted after
+        /// its election without waiting for the workers of this one, so the jobs must be older than the latest proof
+        /// that there is no later leader.
+        Instant knownBy { Instant::max() };
+    };
+
+    /// Returns the commands that follow from all events so far. Stop and throttle commands need no permission: they are
+    /// harmless after this leader has been replaced, because workers reject them.
+    std::vector<TaskAction> plan(Instant now, int64_t unixMs, const StartPermission& = { true, Instant::max() });
 
     /// Returns the progress of the jobs that changed since the last call and must be stored.
     std::vector<JobProgress> takeChangedJobs();
@@ -156,9 +171,10 @@
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
     void requestStop(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
     void activateDueOccurrences(int64_t unixMs);
-    void placeWaitingTasks(Instant now);
+    void placeWaitingTasks(Instant now, Instant knownBy);
     void collectCandidates(Instant now);
     void updateShortTaskDemand();
+    bool acceptsRuns(const WorkerEntry&) const;
     bool isUsable(const WorkerEntry&, Instant now) const;
     bool leavesHeadroom(const StepSpec&) const;
     bool mustWaitForHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibDecision/TrackedOccurrence.h>
 #include <LibWire/JobProgress.h>
 #include <LibWire/JobSpec.h>
@@ -12,6 +13,9 @@
 /// State that the leader keeps for a job.
 struct TrackedJob {
     JobSpec spec {};
+
+    /// When this leader read the job.
+    Instant knownAt { neverInstant };
     JobStage state { JobStage::Queued };
 
     /// The stored state. Clients see the end of the job only once it is stored.
--- a/Libraries/LibHttp/CurlRequest.cpp
+++ b/Libraries/LibHttp/CurlRequest.cpp
@@ -1,4 +1,6 @@
+#include <LibHttp/ConnectionRefused.h>
 #include <LibHttp/CurlRequest.h>
+#include <cerrno>
 #include <fmt/format.h>
 #include <string>
 #include <string_view>
@@ -92,8 +94,11 @@
     auto message = fmt::format("{} {}: {}", m_call.method, m_call.url, curl_easy_strerror(code));
     bool failedBeforeSending
         = code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
-    if (failedBeforeSending && !m_mayHaveBeenSent)
-        return absl::AbortedError(message);
+    if (failedBeforeSending && !m_mayHaveBeenSent) {
+        long systemError = 0;
+        curl_easy_getinfo(m_handle, CURLINFO_OS_ERRNO, &systemError);
+        return systemError == ECONNREFUSED ? connectionRefusedError(message) : absl::AbortedError(message);
+    }
     if (code == CURLE_OPERATION_TIMEDOUT)
         return absl::DeadlineExceededError(message);
     return absl::UnavailableError(message);
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -208,10 +208,12 @@
         [this, alive = m_alive, sentAt, epoch = m_leader->epoch](absl::StatusOr<AppendReply> reply) {
             if (!*alive || !m_isLeader || m_leader->epoch != epoch)
                 return;
-            if (reply.ok())
+            if (reply.ok()) {
                 m_leaseExpiresAt = sentAt + leadershipLeaseDuration;
-            else
+                m_confirmedAt = sentAt;
+            } else {
                 logWarning("keepalive_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
+            }
             m_loop.callAfter(keepaliveInterval, [this, alive, epoch] {
                 if (*alive && m_isLeader && m_leader->epoch == epoch && !m_hasResigned)
                     sendKeepalive();
@@ -232,6 +234,7 @@
     if (!std::exchange(m_isLeader, false))
         return;
     m_leaseExpiresAt = neverInstant;
+    m_confirmedAt = neverInstant;
     logWarning("leader_deposed", { { "epoch", m_leader->epoch } });
     m_options.onDeposed();
 }
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -52,6 +52,10 @@
     /// True while this node leads and its leadership lease guarantees that no other node has been elected.
     bool holdsLease(Instant now) const { return m_isLeader && now < m_leaseExpiresAt; }
 
+    /// Time up to which no other node has been elected for certain. While the leadership lease holds, this is `now`;
+    /// afterwards, the time at which the last stored keepalive was sent.
+    Instant soleLeaderUntil(Instant now) const { return holdsLease(now) ? now : m_confirmedAt; }
+
     /// Time of the last successful reply to a read of the leadership stream.
     Instant lastStoreReplyAt() const { return m_lastStoreReplyAt; }
 
@@ -93,6 +97,9 @@
     /// stream does not count.
     Instant m_leaderSilentSince { neverInstant };
     Instant m_leaseExpiresAt { neverInstant };
+
+    /// When the last stored keepalive of this leader was sent.
+    Instant m_confirmedAt { neverInstant };
     Instant m_lastStoreReplyAt { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -114,7 +114,8 @@
             .epoch = epoch,
             .hasPredecessor = hasPredecessor,
             .onFenced = [this] { m_leadership.stepDown(); },
-            .canStart = [this] { return canStart(); } });
+            .canStart = [this] { return canStart(); },
+            .soleLeaderUntil = [this] { return m_leadership.soleLeaderUntil(m_services.loop.now()); } });
     m_metrics.setLeader(true, epoch);
     logInfo("leadership_begins", { { "epoch", epoch }, { "config_version", m_routing ? m_routing->version : 0 } });
     updateLeader();
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -25,7 +25,8 @@
 
 std::string_view nameOf(PlacementDelay delay)
 {
-    constexpr std::array<std::string_view, 4> names { "none", "earlier_leader", "headroom", "no_worker" };
+    constexpr std::array<std::string_view, 5> names { "none", "earlier_leader", "headroom", "no_worker",
+        "unconfirmed_leadership" };
     return names[static_cast<size_t>(delay)];
 }
 
--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -61,6 +61,11 @@
     readNext();
 }
 
+bool StreamReader::isLagging(Milliseconds maxAge) const
+{
+    return !m_hasLastReadFailed && m_loop.now() - m_currentAsOf > maxAge;
+}
+
 void StreamReader::readNext()
 {
     auto startedAt = m_loop.now();
@@ -70,6 +75,7 @@
         [this, alive = m_alive, startedAt](absl::StatusOr<ReadReply> reply) {
             if (!*alive)
                 return;
+            m_hasLastReadFailed = !reply.ok();
             if (!reply.ok()) {
                 logWarning("stream_read_failed",
                     { { "stream", static_cast<int>(m_options.stream) }, { "error", statusText(reply.status()) } });
@@ -93,7 +99,8 @@
         m_currentAsOf = startedAt;
         m_options.onCaughtUp();
     }
-    if (m_options.pollInterval.count() == 0)
+    bool isBehind = m_position < reply.end;
+    if (isBehind || m_options.pollInterval.count() == 0)
         return readNext();
     m_loop.callAfter(m_options.pollInterval, [this, alive = m_alive] {
         if (*alive)
--- a/Libraries/LibNode/StreamReader.h
+++ b/Libraries/LibNode/StreamReader.h
@@ -25,7 +25,7 @@
         /// Maximum time that the store delays a read until a record is available (long polling).
         Milliseconds maxWait { 800 };
 
-        /// Delay between two reads.
+        /// Delay between two reads, once the end of the stream is reached.
         Milliseconds pollInterval { 0 };
 
         /// Bounds of the time-out for reading a page of newest records.
@@ -50,6 +50,10 @@
     /// Start time of the last read that reached the end of the stream.
     Instant currentAsOf() const { return m_currentAsOf; }
 
+    /// True when this reader has not reached the end of the stream within `maxAge` although the store answers. While
+    /// the store is unavailable, the records are as new as they can be.
+    bool isLagging(Milliseconds maxAge) const;
+
 private:
     void load(const std::string& afterKey);
     void handlePage(const ReadNewestReply&, bool isFirstPage);
@@ -64,6 +68,7 @@
     CallTimeout m_loadTimeout;
     bool m_hasLoaded { false };
     bool m_isCaughtUp { false };
+    bool m_hasLastReadFailed { false };
     Instant m_currentAsOf { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -28,6 +28,10 @@
 /// of each worker.
 static constexpr Milliseconds workerListInterval { 400 };
 
+/// With an older list of workers, a task could start on a worker later than its notice to leave allows, which is 2 s at
+/// least.
+static constexpr Milliseconds maxWorkerListAge { 1500 };
+
 /// Covers the time from the loss of all nodes to the first lease renewal by a new leader. A longer lease would make
 /// that leader wait longer for workers that are gone. All versions that run together must use the same duration.
 static constexpr Milliseconds maxLeaseDuration { 5000 };
@@ -205,7 +209,7 @@
     // A job accepted after this leader has read the streams was never started by an earlier leader, so its tasks do not
     // have to wait for earlier leases to expire.
     auto blockedUntil = m_isReconciled || hasLoadedJobs() ? neverInstant : m_earlierLeasesExpireAt;
-    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil))
+    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now()))
         return;
     logInfo("job_known",
         { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
@@ -335,12 +339,22 @@
     m_loop.callAfter(delay, std::move(run));
 }
 
+bool TaskLeader::canStart() const { return m_options.canStart() && !m_workerReader->isLagging(maxWorkerListAge); }
+
+/// Whether the start may be sent now. The decision may be old: the command may have waited behind others.
+bool TaskLeader::canStart(const StartTask& start) const
+{
+    return canStart() && m_scheduler.acceptsRuns(start.worker)
+        && m_scheduler.wasKnownAt(start.task.job, m_options.soleLeaderUntil());
+}
+
 void TaskLeader::plan()
 {
     if (!hasLoadedJobs())
         return;
     m_lastPlanAt = m_loop.now();
-    for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow(), m_options.canStart())) {
+    for (auto& action : m_scheduler.plan(
+             m_loop.now(), unixMsNow(), { .mayStart = canStart(), .knownBy = m_options.soleLeaderUntil() })) {
         auto handle = std::visit([](const auto& command) { return command.worker; }, action);
         if (!std::holds_alternative<StartTask>(action))
             m_metrics.recordTaskCommand(std::holds_alternative<StopTask>(action) ? "stop" : "pace");
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -40,6 +40,9 @@
 
         /// Whether this node may start tasks now.
         std::function<bool()> canStart {};
+
+        /// Time up to which no other node has been elected for certain.
+        std::function<Instant()> soleLeaderUntil {};
     };
 
     /// All references must outlive the leader.
@@ -93,6 +96,7 @@
     void applyJobRecord(const KeyedRecord&);
     void applyWorkerRecord(const KeyedRecord&);
     void handleWorkersCaughtUp();
+    void removeAbsentWorkers();
     void handleJobsCaughtUp();
     bool hasLoadedJobs() const;
     Instant jobsCurrentAsOf() const;
@@ -111,6 +115,8 @@
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
     void checkReconciled();
+    bool canStart() const;
+    bool canStart(const StartTask&) const;
     void schedulePlan();
     Milliseconds leaseDuration() const;
     static size_t maxConcurrentRenewals(int64_t cpuMillis, Milliseconds timeout);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -70,6 +70,7 @@
             .lease = leaseDuration(),
             .commandTimeout = m_commandTimeout,
             .reportWait = m_reportWait,
+            .canStart = [this](const StartTask& start) { return canStart(start); },
             .renewalLimiter = m_renewalLimiter,
             .events = makeSessionEvents(handle) });
     if (!worker.isStored)
@@ -125,8 +126,23 @@
     schedulePlan();
 }
 
+/// Removes workers that are neither listed by the platform nor listening at their address: the process has ended, and
+/// its runs with it, so nobody has to wait for its lease. A worker that is only silent may run on and keeps its runs
+/// until its lease has expired.
+void TaskLeader::removeAbsentWorkers()
+{
+    std::vector<WorkerHandle> absent;
+    for (const auto& [handle, worker] : m_workers) {
+        if (worker.session->refusesConnections() && !m_listedWorkers.contains(worker.incarnation.id))
+            absent.push_back(handle);
+    }
+    for (auto handle : absent)
+        removeWorker(handle);
+}
+
 void TaskLeader::handleWorkersCaughtUp()
 {
+    removeAbsentWorkers();
     for (auto& [handle, worker] : m_workers)
         updateWorkerInScheduler(handle);
     checkReconciled();
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
+#include <LibHttp/ConnectionRefused.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/WorkerSession.h>
 #include <algorithm>
@@ -33,6 +34,13 @@
 
 WorkerSession::~WorkerSession() { *m_alive = false; }
 
+bool WorkerSession::refusesConnections() const
+{
+    // A single refusal may reach a worker that is just starting.
+    constexpr uint32_t minRefusals { 2 };
+    return m_refusedConnections >= minRefusals;
+}
+
 void WorkerSession::start()
 {
     renewLease();
@@ -190,6 +198,7 @@
 void WorkerSession::handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply> reply, Instant requestSentAt)
 {
     m_isRenewalInProgress = false;
+    m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
         recordFailure();
         return scheduleLeaseRenewal(retryDelay);
@@ -264,9 +273,41 @@
     sendNextCommand();
 }
 
+/// Replaces the start at the front of the queue, which an earlier attempt may have delivered, with a stop. A worker
+/// that has accepted the stop no longer executes the start.
+void WorkerSession::stopUnansweredStart()
+{
+    auto& action = m_commands.front();
+    const auto& start = std::get<StartTask>(action);
+    action = StopTask { .worker = start.worker, .task = start.task, .run = start.run };
+}
+
+bool WorkerSession::isForbiddenStart(const TaskAction& action) const
+{
+    const auto* start = std::get_if<StartTask>(&action);
+    return start && !m_options.canStart(*start);
+}
+
+/// Takes the starts that are not permitted any more from the front of the queue. Returns false if the session was
+/// closed meanwhile.
+bool WorkerSession::refuseForbiddenStarts()
+{
+    while (!m_commands.empty() && isForbiddenStart(m_commands.front())) {
+        if (m_commandFailures > 0) {
+            stopUnansweredStart();
+            return true;
+        }
+        auto refused = takeCommand();
+        m_options.events.onStartReply(std::get<StartTask>(refused), TaskCommandOutcome::Unhealthy);
+        if (!*m_alive)
+            return false;
+    }
+    return true;
+}
+
 void WorkerSession::sendNextCommand()
 {
-    if (m_isCommandInProgress || m_commands.empty() || !m_clockMs || !m_isReachable)
+    if (m_isCommandInProgress || !m_clockMs || !m_isReachable || !refuseForbiddenStarts() || m_commands.empty())
         return;
     m_isCommandInProgress = true;
     m_commandSentAt = m_loop.now();
@@ -303,9 +344,19 @@
         return sendNextCommand();
     }
     if (reply.ok()) {
-        m_commandFailures = 0;
         if (!checkOutcome(*reply))
             return;
+        if (mustConfirm(*reply)) {
+            if (std::holds_alternative<StartTask>(m_commands.front()))
+                stopUnansweredStart();
+            ++m_commandFailures;
+            m_loop.callAfter(retryDelay, [this, alive = m_alive] {
+                if (*alive)
+                    sendNextCommand();
+            });
+            return;
+        }
+        m_commandFailures = 0;
         // The command is removed from the queue first, because recordReply() sends the next command if the worker
         // becomes reachable.
         auto action = takeCommand();
@@ -337,6 +388,18 @@
     });
 }
 
+/// Whether the reply leaves open what becomes of the run. The refusal of a repeated start says nothing about the
+/// earlier attempt without a reply, which the worker may still execute, and an unhealthy worker has not carried out a
+/// stop.
+bool WorkerSession::mustConfirm(const TaskCommandReply& reply) const
+{
+    if (std::holds_alternative<StopTask>(m_commands.front()))
+        return reply.outcome == TaskCommandOutcome::Unhealthy;
+    bool isStartRefused = std::holds_alternative<StartTask>(m_commands.front())
+        && reply.outcome != TaskCommandOutcome::Accepted && reply.outcome != TaskCommandOutcome::Superseded;
+    return isStartRefused && m_commandFailures > 0;
+}
+
 bool WorkerSession::hasQueuedStop(const StartTask& start) const
 {
     return std::ranges::any_of(m_commands, [&](const TaskAction& action) {
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -53,6 +53,10 @@
         /// Must outlive the session.
         const Milliseconds& reportWait;
 
+        /// Whether the start may be sent now. Asked directly before each start command is sent, also before a retry:
+        /// the decision may be seconds old, and the worker may have announced its drain since.
+        std::function<bool(const StartTask&)> canStart {};
+
         /// Shared by all sessions: limits concurrent lease renewals of unreachable workers, each of which may need a
         /// new connection. Commands are not limited: an overloaded leader would process the replies late and send too
         /// few commands.
@@ -81,6 +85,10 @@
     /// expired.
     bool isReconciled() const { return m_isReconciled; }
     bool isReachable() const { return m_isReachable; }
+
+    /// True when no process listens at the worker's address: consecutive lease renewals failed with refused
+    /// connections.
+    bool refusesConnections() const;
     const TaskExecutorAddress& executor() const { return m_options.executor; }
     int64_t startedAtMs() const { return m_options.startedAtMs; }
 
@@ -95,6 +103,10 @@
     void sendNextCommand();
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
     TaskAction takeCommand();
+    bool isForbiddenStart(const TaskAction&) const;
+    bool refuseForbiddenStarts();
+    void stopUnansweredStart();
+    bool mustConfirm(const TaskCommandReply&) const;
     bool hasQueuedStop(const StartTask&) const;
     bool cancelQueuedStart(const StopTask&);
     void refuseQueuedStarts();
@@ -124,6 +136,9 @@
     bool m_isRenewalScheduled { false };
     bool m_hasRuns { false };
     uint32_t m_failures { 0 };
+
+    /// Consecutive lease renewals that failed because the connection was refused.
+    uint32_t m_refusedConnections { 0 };
     bool m_isLeaseExpiryReported { false };
     std::deque<TaskAction> m_commands;
     bool m_isCommandInProgress { false };
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -327,7 +327,7 @@
     CHECK_EQUAL(2, fixture.planStarts().size());
     scheduler.addJob(fixture.job("waiting", { fixture.step(1) }), std::nullopt, neverInstant);
     scheduler.cancelJob("running");
-    auto commands = scheduler.plan(fixture.now(), 0, false);
+    auto commands = scheduler.plan(fixture.now(), 0, { .mayStart = false });
     CHECK_EQUAL(2, commands.size());
     for (const auto& command : commands)
         CHECK(std::holds_alternative<StopTask>(command));
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 #include <LibCore/SteadyClock.h>
+#include <LibHttp/ConnectionRefused.h>
 #include <LibHttp/EventLoop.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpEngine.h>
@@ -96,6 +97,26 @@
     }
     auto reply = HttpClient().call({ .url = fmt::format("http://127.0.0.1:{}/", port) });
     CHECK(absl::IsAborted(reply.status()));
+    CHECK(isConnectionRefused(reply.status()));
+}
+
+// Guards against taking another failure for a refused connection, which proves that no process listens.
+TEST(Http, OtherFailuresAreNoRefusedConnections)
+{
+    auto unsupported = HttpClient().call({ .url = "unsupported://127.0.0.1/" });
+    CHECK(absl::IsAborted(unsupported.status()));
+    CHECK_FALSE(isConnectionRefused(unsupported.status()));
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address { .sin_family = AF_INET, .sin_port = 0, .sin_addr = { htonl(INADDR_LOOPBACK) } };
+    socklen_t size = sizeof(address);
+    CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&address), size));
+    CHECK_EQUAL(0, listen(listener, 1));
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    auto silent = HttpClient().call(
+        { .url = fmt::format("http://127.0.0.1:{}/", ntohs(address.sin_port)), .timeout = Milliseconds { 200 } });
+    close(listener);
+    CHECK(absl::IsDeadlineExceeded(silent.status()));
+    CHECK_FALSE(isConnectionRefused(silent.status()));
 }
 
 // Guards against engine callbacks that never run or get the reply to another request.
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -1,4 +1,5 @@
 #include "FakeRecordStore.h"
+#include <algorithm>
 
 namespace Bergamot {
 
@@ -56,7 +57,8 @@
         return;
     }
     ReadReply reply { .end = partition.records.size(), .firstRetained = partition.firstRetained };
-    for (auto position = from; position < partition.records.size(); ++position)
+    auto end = std::min(partition.records.size(), static_cast<size_t>(from) + readRecords);
+    for (auto position = from; position < end; ++position)
         reply.records.push_back(partition.records[position]);
     callback(std::move(reply));
 }
@@ -68,7 +70,8 @@
         return m_loop.callAfter(replyTime, [callback] { callback(absl::AbortedError("refused")); });
     if (fault == Fault::Unresponsive)
         return m_loop.callAfter(unresponsiveReadTime, [callback] { callback(absl::DeadlineExceededError("silent")); });
-    m_loop.callAfter(replyTime, [this, stream, partition, from, wait, callback = std::move(callback)] {
+    auto delay = replyTime + readDelays[stream];
+    m_loop.callAfter(delay, [this, stream, partition, from, wait, callback = std::move(callback)] {
         poll(stream, partition, from, m_loop.now() + wait, callback);
     });
 }
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -53,6 +53,9 @@
     /// Calls of readNewest() for the page after this key time out.
     std::optional<std::string> unansweredAfterKey {};
 
+    /// Additional response time of read() by stream.
+    std::map<StreamName, Milliseconds> readDelays {};
+
     /// Response time of readNewest().
     Milliseconds readNewestTime { 4 };
     uint32_t appends { 0 };
@@ -64,6 +67,9 @@
     /// Maximum number of records in a page of readNewest().
     size_t pageRecords { 500 };
 
+    /// Maximum number of records in a reply of read().
+    size_t readRecords { 500 };
+
 private:
     struct Writer {
         uint64_t epoch { 0 };
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -143,6 +143,22 @@
     CHECK(members[first]->monitor->holdsLease(clock.now()));
 }
 
+// Guards against a proof of leadership that is taken from the time of a reply or of an unanswered keepalive.
+TEST(LeadershipMonitor, ProofOfLeadershipEndsWithTheLastStoredKeepalive)
+{
+    addMember(1);
+    advance(Milliseconds { 1000 });
+    auto& monitor = *members[0]->monitor;
+    CHECK(monitor.soleLeaderUntil(clock.now()) == clock.now());
+    store.fault = FakeRecordStore::Fault::Refusing;
+    auto failingFrom = clock.now();
+    advance(Milliseconds { 600 });
+    CHECK(monitor.soleLeaderUntil(clock.now()) == clock.now());
+    advance(Milliseconds { 2000 });
+    CHECK(monitor.soleLeaderUntil(clock.now()) <= failingFrom);
+    CHECK(monitor.soleLeaderUntil(clock.now()) > failingFrom - Milliseconds { 400 });
+}
+
 // Guards against a new node that requests records which the store has deleted and never catches up.
 TEST(LeadershipMonitor, DeletedRecordsDoNotStopANewNode)
 {
--- a/Tests/LibNode/TestStreamReader.cpp
+++ b/Tests/LibNode/TestStreamReader.cpp
@@ -195,6 +195,39 @@
     CHECK(reader->currentAsOf() <= failingFrom);
 }
 
+// Guards against a reader that waits for its poll interval although more records are available: the announcements of
+// thousands of workers fill several replies, and a reader that falls behind would never catch up.
+TEST(StreamReader, ReaderBehindTheEndReadsOnAtOnce)
+{
+    put("a", "1");
+    start(Milliseconds { 400 });
+    advance(Milliseconds { 100 });
+    CHECK_EQUAL(1, catchUps);
+    store.readRecords = 2;
+    for (auto key : { "b", "c", "d", "e", "f", "g" })
+        put(key, "1");
+    advance(Milliseconds { 400 });
+    CHECK_EQUAL(7, known.size());
+    CHECK_EQUAL(2, catchUps);
+}
+
+// Guards against decisions on records that are out of date because replies are late, and against a reader that counts
+// as lagging while the store is unavailable.
+TEST(StreamReader, LaggingMeansLateRepliesOfAnAvailableStore)
+{
+    constexpr Milliseconds maxAge { 1500 };
+    start(Milliseconds { 400 });
+    CHECK(reader->isLagging(maxAge));
+    advance(Milliseconds { 1000 });
+    CHECK_FALSE(reader->isLagging(maxAge));
+    store.readDelays[StreamName::Workers] = Milliseconds { 3000 };
+    advance(Milliseconds { 2000 });
+    CHECK(reader->isLagging(maxAge));
+    store.fault = FakeRecordStore::Fault::Refusing;
+    advance(Milliseconds { 4000 });
+    CHECK_FALSE(reader->isLagging(maxAge));
+}
+
 // Guards against callbacks into a destroyed owner: a deposed leader destroys its readers while calls and retries are in
 // progress.
 TEST(StreamReader, NothingIsCalledAfterDestruction)
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -3,6 +3,7 @@
 #include "NodeTestClock.h"
 #include "PlainFormats.h"
 #include <CppUTest/TestHarness.h>
+#include <LibHttp/ConnectionRefused.h>
 #include <LibNode/TaskLeader.h>
 #include <LibReport/NodeMetrics.h>
 #include <LibWire/ValueCodec.h>
@@ -26,15 +27,20 @@
     NodeMetrics metrics;
     int fencedCalls { 0 };
     bool canStart { true };
+    Instant soleLeaderUntil { Instant::max() };
     std::unique_ptr<TaskLeader> leader;
 
-    void announce(const std::string& worker, int64_t startedAtMs)
+    void announce(const std::string& worker, int64_t startedAtMs, bool draining = false)
     {
-        auto value = worker + "/" + std::to_string(startedAtMs);
-        formats.announcements[value]
-            = { .view = { .id = worker, .service = "s", .zone = "z", .rack = "r", .capacity = { 4000, 8192, 0 } },
-                  .address = worker,
-                  .startedAtMs = startedAtMs };
+        auto value = worker + "/" + std::to_string(startedAtMs) + (draining ? "/draining" : "");
+        formats.announcements[value] = { .view = { .id = worker,
+                                             .service = "s",
+                                             .zone = "z",
+                                             .rack = "r",
+                                             .capacity = { 4000, 8192, 0 },
+                                             .draining = draining },
+            .address = worker,
+            .startedAtMs = startedAtMs };
         store.put(StreamName::Workers, worker, value);
     }
 
@@ -64,7 +70,8 @@
                 .epoch = epoch,
                 .hasPredecessor = hasPredecessor,
                 .onFenced = [this] { ++fencedCalls; },
-                .canStart = [this] { return canStart; } });
+                .canStart = [this] { return canStart; },
+                .soleLeaderUntil = [this] { return soleLeaderUntil; } });
         leader->setQueues(1, { { "q", { .service = "s", .maxAttempts = 3 } } });
         leader->start();
     }
@@ -224,6 +231,44 @@
     CHECK_EQUAL(1, startsInQueue());
 }
 
+// Guards against a new leader that waits for the lease of a worker that has ended: after a release and a loss of all
+// hosts, all earlier tasks waited for 5.3 s while workers were free. A worker that is listed or only silent may still
+// run tasks.
+TEST(TaskLeader, EndedWorkerIsNotWaitedFor)
+{
+    struct Case {
+        bool isListed;
+        absl::Status failure;
+        size_t starts;
+    };
+    for (const auto& it : { Case { false, connectionRefusedError("refused"), 1 },
+             Case { true, connectionRefusedError("refused"), 0 }, Case { false, absl::AbortedError("unreachable"), 0 },
+             Case { false, absl::DeadlineExceededError("silent"), 0 } }) {
+        announce("w1", 50);
+        store.put(StreamName::Workers, "w2", {});
+        if (it.isListed)
+            announce("w2", 51);
+        putAssignedWorkers(
+            { { .id = "w1", .address = "w1", .startedAtMs = 50 }, { .id = "w2", .address = "w2", .startedAtMs = 51 } });
+        putJob("j");
+        lead(true);
+        for (int i = 0; i < 75; ++i) {
+            advance(Milliseconds { 20 });
+            for (auto left = taskExecutor.renewLeaseCalls.size(); left > 0; --left) {
+                auto call = taskExecutor.takeRenewLeaseCall();
+                if (call.address == "w2")
+                    call.reply(it.failure);
+                else
+                    call.reply(RenewLeaseReply { .commandReply = commandReply(50) });
+            }
+        }
+        CHECK_EQUAL(it.starts, startsInQueue());
+        leader.reset();
+        taskExecutor.commands.clear();
+        taskExecutor.renewLeaseCalls.clear();
+    }
+}
+
 // Guards against starting a task that is still running under a command of an earlier leader.
 TEST(TaskLeader, RunsOfAnEarlierLeaderContinue)
 {
@@ -311,6 +356,84 @@
     CHECK_EQUAL(1, startsInQueue());
 }
 
+// Guards against two runs of a new job around a change of leader: a leader that was late to notice its successor
+// started a job that the successor had already started, on a worker that the successor had not reached yet (TWICE in
+// the sweeps at 300 hosts). Jobs from before the last proof of leadership still start, because the successor waits for
+// their workers.
+TEST(TaskLeader, OnlyJobsFromBeforeTheLastProofOfLeadershipStart)
+{
+    announce("w1", 50);
+    lead(false);
+    reportFor(Milliseconds { 1500 }, "w1", 50);
+    putJob("old", 2);
+    reportFor(Milliseconds { 40 }, "w1", 50);
+    soleLeaderUntil = clock.now();
+    putJob("new");
+    reportFor(Milliseconds { 600 }, "w1", 50);
+    CHECK_EQUAL(1, taskExecutor.commands.size());
+    taskExecutor.takeCommand().reply(commandReply(50));
+    taskExecutor.takeCommand().reply(commandReply(50));
+    CHECK_EQUAL(0, startsInQueue());
+    soleLeaderUntil = clock.now();
+    reportFor(Milliseconds { 100 }, "w1", 50);
+    CHECK_EQUAL(1, startsInQueue());
+    STRCMP_EQUAL("new", taskExecutor.commands.front().start.task.job.c_str());
+}
+
+// Guards against a queued start that is sent after the leadership has become doubtful.
+TEST(TaskLeader, QueuedStartOfANewJobNeedsAProofOfLeadership)
+{
+    announce("w1", 50);
+    lead(false);
+    reportFor(Milliseconds { 1500 }, "w1", 50);
+    auto before = clock.now();
+    putJob("new", 2);
+    reportUntilStarts(1, "w1", 50);
+    soleLeaderUntil = before;
+    taskExecutor.takeCommand().reply(commandReply(50));
+    CHECK_EQUAL(0, startsInQueue());
+}
+
+// Guards against a task that starts on a leaving worker or in an excluded zone, because its start waited behind a
+// command without a reply (DRAIN in the sweeps at 300 hosts: 5.5 s after the notice).
+TEST(TaskLeader, QueuedStartIsNotSentToAWorkerThatNoLongerAcceptsRuns)
+{
+    for (bool drains : { true, false }) {
+        announce("w1", 50);
+        putJob(drains ? "j1" : "j2", 2);
+        lead(false);
+        reportUntilStarts(1, "w1", 50);
+        if (drains)
+            announce("w1", 50, true);
+        else
+            leader->setExcludedZones({ "z" });
+        reportFor(Milliseconds { 600 }, "w1", 50);
+        taskExecutor.takeCommand().reply(commandReply(50));
+        reportFor(Milliseconds { 1200 }, "w1", 50);
+        CHECK_EQUAL(0, startsInQueue());
+        leader.reset();
+        taskExecutor.renewLeaseCalls.clear();
+        taskExecutor.commands.clear();
+        store.put(StreamName::Jobs, "j1", {});
+    }
+}
+
+// Guards against starts by a leader that is so far behind that it does not know which workers are leaving.
+TEST(TaskLeader, NothingStartsWithAnOldListOfWorkers)
+{
+    announce("w1", 50);
+    lead(false);
+    reportFor(Milliseconds { 1500 }, "w1", 50);
+    store.readDelays[StreamName::Workers] = Milliseconds { 5000 };
+    reportFor(Milliseconds { 2500 }, "w1", 50);
+    putJob("j");
+    reportFor(Milliseconds { 1000 }, "w1", 50);
+    CHECK_EQUAL(0, startsInQueue());
+    store.readDelays.clear();
+    reportFor(Milliseconds { 3000 }, "w1", 50);
+    CHECK_EQUAL(1, startsInQueue());
+}
+
 // Guards against acknowledging a run end before it is stored: the worker would delete it, and the next leader would run
 // the task again. Guards also against reporting `completed` before it is stored: the next leader could revert it.
 TEST(TaskLeader, RunEndIsAcknowledgedAndReportedOnceItIsStored)
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -22,6 +22,8 @@
     int incarnationMismatches { 0 };
     bool closesAtIncarnationMismatch { false };
     int fencedCalls { 0 };
+    bool canStart { true };
+    int acceptedStops { 0 };
     std::unique_ptr<WorkerSession> session { std::make_unique<WorkerSession>(*loop, taskExecutor,
         WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
             .startedAtMs = 50,
@@ -29,11 +31,12 @@
             .lease = Milliseconds { 6000 },
             .commandTimeout = commandTimeout,
             .reportWait = reportWait,
+            .canStart = [this](const StartTask&) { return canStart; },
             .renewalLimiter = renewalLimiter,
             .events = { .onReport = [](const RenewLeaseReply&, Instant) {},
                 .onStartReply
                 = [this](const StartTask& start, TaskCommandOutcome) { startedRuns.push_back(start.run); },
-                .onStopAccepted = [](const TaskRef&, uint64_t) {},
+                .onStopAccepted = [this](const TaskRef&, uint64_t) { ++acceptedStops; },
                 .onReachabilityChanged = [this](bool now) { reachabilityChanges.push_back(now); },
                 .onLeaseExpired = [this] { ++leaseExpiries; },
                 .onIncarnationMismatch =
@@ -169,6 +172,74 @@
     CHECK_EQUAL(1, next.run);
 }
 
+// Guards against a start that was decided while the worker accepted runs and is sent after it has announced its drain,
+// because it waited behind a command without a reply (DRAIN in the sweeps at 300 hosts).
+TEST(WorkerSession, QueuedStartIsNotSentWithoutPermission)
+{
+    connect();
+    session->enqueueCommand(startOf(1));
+    session->enqueueCommand(startOf(2));
+    session->enqueueCommand(StopTask { .worker = 1, .task = { "j", 0, 0, 9 }, .run = 9 });
+    canStart = false;
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    CHECK_EQUAL(2, startedRuns.size());
+    CHECK_EQUAL(2, startedRuns[1]);
+    CHECK_EQUAL(1, taskExecutor.commands.size());
+    STRCMP_EQUAL("stop", taskExecutor.takeCommand().kind.c_str());
+}
+
+// Guards against the retry of a start after its permission has ended: a lost first attempt would start the task late,
+// and an executed one would run on although the leader has given it up.
+TEST(WorkerSession, UnansweredStartIsStoppedWithoutPermission)
+{
+    connect();
+    session->enqueueCommand(startOf(1));
+    canStart = false;
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    CHECK_EQUAL(0, startedRuns.size());
+    auto next = taskExecutor.takeCommand();
+    STRCMP_EQUAL("stop", next.kind.c_str());
+    CHECK_EQUAL(1, next.run);
+}
+
+// Guards against a second run of a task whose first start has no reply: the worker refuses the retry, for example
+// because it is unhealthy, but has executed the first attempt or executes it later.
+TEST(WorkerSession, RefusedRetryOfAStartIsStoppedFirst)
+{
+    for (auto outcome : { TaskCommandOutcome::Unhealthy, TaskCommandOutcome::InsufficientResources,
+             TaskCommandOutcome::LeaseExpired, TaskCommandOutcome::Invalid }) {
+        startedRuns.clear();
+        if (!session->isReachable())
+            connect();
+        session->enqueueCommand(startOf(1));
+        taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+        loop->runReady();
+        taskExecutor.takeCommand().reply(TaskCommandReply { .outcome = outcome, .clockMs = 2000, .startedAtMs = 50 });
+        CHECK_EQUAL(0, startedRuns.size());
+        advance(Milliseconds { 200 });
+        auto stop = taskExecutor.takeCommand();
+        STRCMP_EQUAL("stop", stop.kind.c_str());
+        CHECK_EQUAL(1, stop.run);
+        stop.reply(TaskCommandReply { .clockMs = 2100, .startedAtMs = 50 });
+        CHECK_EQUAL(0, startedRuns.size());
+    }
+    CHECK_EQUAL(4, acceptedStops);
+}
+
+// Guards against taking the refusal of a stop for its acceptance: the run would be dropped and started elsewhere.
+TEST(WorkerSession, RefusedStopIsRepeated)
+{
+    connect();
+    session->enqueueCommand(StopTask { .worker = 1, .task = { "j", 0, 0, 9 }, .run = 9 });
+    taskExecutor.takeCommand().reply(
+        TaskCommandReply { .outcome = TaskCommandOutcome::Unhealthy, .clockMs = 2000, .startedAtMs = 50 });
+    CHECK_EQUAL(0, acceptedStops);
+    advance(Milliseconds { 200 });
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2200, .startedAtMs = 50 });
+    CHECK_EQUAL(1, acceptedStops);
+}
+
 // Guards against a lost reply that delays the start and all commands queued behind it by a second, as
 // seen on days with late commands.
 TEST(WorkerSession, CommandWithALostReplyIsRetriedAfterItsTimeout)
@@ -236,6 +307,7 @@
                 .lease = Milliseconds { 6000 },
                 .commandTimeout = commandTimeout,
                 .reportWait = reportWait,
+                .canStart = [](const StartTask&) { return true; },
                 .renewalLimiter = renewalLimiter,
                 .events = { .onReport = [](const RenewLeaseReply&, Instant) {},
                     .onStartReply = [&](const StartTask& start, TaskCommandOutcome) { started.push_back(start.run); },
