Do not wait for workers that have left

Cause: workers that leave as planned are removed from the platform's list at once, but their runs and their place among the assigned workers were kept until their leases had expired. Result: RunsOfADepartedWorkerStartElsewhereAtOnce fails without it, RunsOfASilentWorkerAreKeptAfterItsRemovalFromTheList guards the other side.

--- a/Libraries/LibNode/NodeOptions.h
+++ b/Libraries/LibNode/NodeOptions.h
@@ -20,6 +20,9 @@
     /// CPU available to this process, in thousandths of a core; 0 if unknown.
     int64_t cpuMillis { 0 };
 
+    /// Least time of silence after which the platform removes a worker from its list; 0 if unknown.
+    Milliseconds workerSilenceUntilRemoval { 0 };
+
     /// Maximum duration of a lease that workers grant.
     Milliseconds maxLease { 6000 };
 };
--- a/Libraries/LibNode/StreamReader.h
+++ b/Libraries/LibNode/StreamReader.h
@@ -50,6 +50,10 @@
     /// Start time of the last read that reached the end of the stream.
     Instant currentAsOf() const { return m_currentAsOf; }
 
+    /// Time after which the record that is being delivered was appended; neverInstant for a record of the initial load
+    /// or a reload, which may be of any age.
+    Instant appendedAfter() const { return m_isCaughtUp ? m_currentAsOf : neverInstant; }
+
     /// True when this reader has not reached the end of the stream within `maxAge` although the store answers. While
     /// the store is unavailable, the records are as new as they can be.
     bool isLagging(Milliseconds maxAge) const;
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -68,6 +68,7 @@
               .collect = [this] { return collectProgress(); },
               .onStored = [this](const ProgressBatch& batch) { handleProgressStored(batch); },
               .onFenced = m_options.onFenced })
+    , m_listedWorkers(m_options.node.workerSilenceUntilRemoval)
 {
 }
 
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/ListedWorkers.h>
 #include <LibDecision/TaskScheduler.h>
 #include <LibNode/ConcurrencyLimiter.h>
 #include <LibNode/JobAcceptor.h>
@@ -152,7 +153,7 @@
     /// The handles of all worker incarnations in `m_workers`, by worker id. The assigned workers may include several
     /// incarnations of one id.
     std::set<std::pair<WorkerId, WorkerHandle>> m_handles;
-    std::set<WorkerId> m_listedWorkers;
+    ListedWorkers m_listedWorkers;
     WorkerHandle m_lastHandle { 0 };
     bool m_assignedWorkersChanged { false };
     std::vector<std::pair<WorkerHandle, uint64_t>> m_pendingAcknowledgements;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -19,13 +19,13 @@
 void TaskLeader::applyWorkerRecord(const KeyedRecord& record)
 {
     if (record.value.empty()) {
-        m_listedWorkers.erase(record.key);
+        m_listedWorkers.removed(record.key, m_loop.now());
         return;
     }
     auto announcement = m_formats.readWorkerRecord(record);
     if (!announcement.ok())
         return;
-    m_listedWorkers.insert(record.key);
+    m_listedWorkers.announced(record.key, m_workerReader->appendedAfter());
     auto handle = findHandle(record.key);
     if (handle) {
         auto& worker = m_workers.at(*handle);
@@ -112,6 +112,7 @@
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
         return;
+    m_listedWorkers.forget(it->second.incarnation.id);
     logInfo("worker_gone", { { "worker", it->second.incarnation.id }, { "born", it->second.incarnation.startedAtMs } });
     m_scheduler.removeWorker(handle, m_loop.now());
     // This function may be called by the session itself, so the session is destroyed in a later turn of the event loop.
@@ -126,14 +127,16 @@
     schedulePlan();
 }
 
-/// Removes workers that are neither listed by the platform nor listening at their address: the process has ended, and
-/// its runs with it, so nobody has to wait for its lease. A worker that is only silent may run on and keeps its runs
-/// until its lease has expired.
+/// Removes workers that do not reply and that the platform no longer lists, if they have left according to the list or
+/// no process listens at their address: the worker has ended, and its runs with it, so nobody has to wait for its
+/// lease. A worker that is only silent may run on and keeps its runs until its lease has expired.
 void TaskLeader::removeAbsentWorkers()
 {
     std::vector<WorkerHandle> absent;
     for (const auto& [handle, worker] : m_workers) {
-        if (worker.session->refusesConnections() && !m_listedWorkers.contains(worker.incarnation.id))
+        const auto& id = worker.incarnation.id;
+        bool hasEnded = worker.session->refusesConnections() || m_listedWorkers.hasLeft(id);
+        if (hasEnded && !worker.session->isReachable() && !m_listedWorkers.contains(id))
             absent.push_back(handle);
     }
     for (auto handle : absent)
--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -99,6 +99,7 @@
             .incarnation = generateIncarnation(),
             .peerAddress = m_settings.peerAddress,
             .cpuMillis = m_settings.cpuMillis,
+            .workerSilenceUntilRemoval = Milliseconds { m_settings.workerSilenceMs },
             .maxLease = Milliseconds { m_settings.maxLeaseMs } });
 
     auto [readyIp, readyPort] = splitAddress(m_settings.readyAddress);
--- /dev/null
+++ b/Tests/LibDecision/TestListedWorkers.cpp
@@ -0,0 +1,55 @@
+#include <CppUTest/TestHarness.h>
+#include <LibDecision/ListedWorkers.h>
+
+using namespace Bergamot;
+using namespace std::chrono_literals;
+
+static constexpr Instant start { 100s };
+
+TEST_GROUP(ListedWorkers) { ListedWorkers workers { 4s }; };
+
+// Guards against giving up the runs of a worker that is only cut off from the platform: it is removed after its
+// silence.
+TEST(ListedWorkers, RemovalAfterSilenceIsNoDeparture)
+{
+    workers.announced("w1", start);
+    CHECK(workers.contains("w1"));
+    workers.removed("w1", start + 4s);
+    CHECK_FALSE(workers.contains("w1"));
+    CHECK_FALSE(workers.hasLeft("w1"));
+}
+
+// Guards against a worker that has left and whose tasks wait until its lease has expired.
+TEST(ListedWorkers, RemovalSoonAfterAnAnnouncementIsADeparture)
+{
+    workers.announced("w1", start);
+    workers.announced("w1", start + 3s);
+    workers.removed("w1", start + 5s);
+    CHECK(workers.hasLeft("w1"));
+    workers.forget("w1");
+    CHECK_FALSE(workers.hasLeft("w1"));
+}
+
+// Guards against taking the time at which an announcement was read for the time at which it was written: a newly read
+// list holds announcements of any age.
+TEST(ListedWorkers, AnnouncementOfUnknownAgeProvesNothing)
+{
+    workers.announced("w1", start);
+    workers.clear();
+    CHECK_FALSE(workers.contains("w1"));
+    workers.announced("w1", neverInstant);
+    workers.removed("w1", start + 1s);
+    CHECK_FALSE(workers.hasLeft("w1"));
+    workers.removed("unknown", start);
+    CHECK_FALSE(workers.hasLeft("unknown"));
+}
+
+// Guards against a departed worker that returns under its id and still counts as departed.
+TEST(ListedWorkers, ReturnedWorkerIsListedAgain)
+{
+    workers.announced("w1", start);
+    workers.removed("w1", start + 1s);
+    workers.announced("w1", start + 2s);
+    CHECK(workers.contains("w1"));
+    CHECK_FALSE(workers.hasLeft("w1"));
+}
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -66,7 +66,7 @@
     void lead(bool hasPredecessor)
     {
         leader = std::make_unique<TaskLeader>(*loop, store, taskExecutor, formats, metrics,
-            TaskLeader::Options { .node = { .member = "m" },
+            TaskLeader::Options { .node = { .member = "m", .workerSilenceUntilRemoval = Milliseconds { 3000 } },
                 .epoch = epoch,
                 .hasPredecessor = hasPredecessor,
                 .onFenced = [this] { ++fencedCalls; },
@@ -151,6 +151,37 @@
         return start.run;
     }
 
+    /// Lets worker w1 fall silent with the only run of a job and removes it from the list after `silence`. Returns how
+    /// many starts w2 has received one second later.
+    size_t startsAfterRemoval(Milliseconds silence)
+    {
+        auto run = leadWithOneRun();
+        announce("w1", 50);
+        announce("w2", 51);
+        auto reportBoth = [&](Milliseconds time, bool isSilent) {
+            for (Milliseconds passed { 0 }; passed < time; passed += Milliseconds { 20 }) {
+                advance(Milliseconds { 20 });
+                report("w2", 51);
+                if (!isSilent) {
+                    report("w1", 50, { { .task = { "j", 0, 0, 0 }, .run = run } });
+                    continue;
+                }
+                for (auto left = taskExecutor.renewLeaseCalls.size(); left > 0; --left) {
+                    auto call = taskExecutor.takeRenewLeaseCall();
+                    if (call.address == "w1")
+                        call.reply(absl::DeadlineExceededError("silent"));
+                    else
+                        taskExecutor.renewLeaseCalls.push_back(std::move(call));
+                }
+            }
+        };
+        reportBoth(Milliseconds { 500 }, false);
+        reportBoth(silence, true);
+        store.put(StreamName::Workers, "w1", {});
+        reportBoth(Milliseconds { 1000 }, true);
+        return startsInQueue();
+    }
+
     std::optional<JobQueryReply> query(JobQueryKind kind, const std::string& subject)
     {
         std::optional<JobQueryReply> result;
@@ -269,6 +300,19 @@
     }
 }
 
+// Guards against tasks of a worker that has left and that wait until its lease has expired.
+TEST(TaskLeader, RunsOfADepartedWorkerStartElsewhereAtOnce)
+{
+    CHECK_EQUAL(1, startsAfterRemoval(Milliseconds { 500 }));
+}
+
+// Guards against giving up the runs of a worker that is only cut off: the platform removes it from its list after a
+// time of silence.
+TEST(TaskLeader, RunsOfASilentWorkerAreKeptAfterItsRemovalFromTheList)
+{
+    CHECK_EQUAL(0, startsAfterRemoval(Milliseconds { 3500 }));
+}
+
 // Guards against starting a task that is still running under a command of an earlier leader.
 TEST(TaskLeader, RunsOfAnEarlierLeaderContinue)
 {
--- a/Tests/PlatformAdapter/TestPlatformCalls.cpp
+++ b/Tests/PlatformAdapter/TestPlatformCalls.cpp
@@ -160,10 +160,11 @@
     auto missing = Platform::parsePlatformSettings(text);
     STRCMP_EQUAL("settings: platform.addr is missing or has the wrong type",
         std::string(missing.status().message().data(), missing.status().message().size()).c_str());
-    auto settings = Platform::parsePlatformSettings(text + "[platform]\naddr=\"10.0.0.2:3\"\n");
+    auto settings = Platform::parsePlatformSettings("heartbeatMs=1500\n" + text + "[platform]\naddr=\"10.0.0.2:3\"\n");
     CHECK(settings.ok());
     STRCMP_EQUAL("10.0.0.1:7720", settings->peerAddress.c_str());
     CHECK_EQUAL(10000, settings->maxLeaseMs);
+    CHECK_EQUAL(3000, settings->workerSilenceMs);
     CHECK_EQUAL(0, settings->maxSockets);
     auto limited = Platform::parsePlatformSettings(text + "[platform]\naddr=\"10.0.0.2:3\"\n[limits]\nmaxFds=4100\n");
     CHECK(limited.ok());
