--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -69,7 +69,7 @@
     }
     constexpr Milliseconds insufficientResourcesBackoff { 500 };
     constexpr Milliseconds notStartedBackoff { 1000 };
-    if (auto it = m_workers.find(handle); it != m_workers.end())
+    if (auto it = m_workers.find(handle); it != m_workers.end() && refusal != StartRefusal::NotSent)
         it->second->startBackoffUntil
             = now + (refusal == StartRefusal::InsufficientResources ? insufficientResourcesBackoff : notStartedBackoff);
     dropRun(*job, ref, *task, run);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -38,7 +38,9 @@
         /// A run of the task with this number or a higher one was stopped or ended on the worker.
         Superseded,
         /// The worker is unhealthy, or its lease had expired when the command arrived.
-        NotStarted
+        NotStarted,
+        /// The command was not sent, because it was no longer permitted. This says nothing about the worker.
+        NotSent
     };
 
     explicit TaskScheduler(Options);
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -12,8 +12,8 @@
 
 std::string_view nameOf(TaskCommandOutcome outcome)
 {
-    constexpr std::array<std::string_view, 8> names { "accepted", "fenced", "superseded", "too_late", "no_room",
-        "invalid", "unhealthy", "other_life" };
+    constexpr std::array<std::string_view, 9> names { "accepted", "fenced", "superseded", "too_late", "no_room",
+        "invalid", "unhealthy", "other_life", "not_sent" };
     return names[static_cast<size_t>(outcome)];
 }
 
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -255,6 +255,8 @@
         refusal = TaskScheduler::StartRefusal::InsufficientResources;
     else if (outcome == TaskCommandOutcome::Superseded)
         refusal = TaskScheduler::StartRefusal::Superseded;
+    else if (outcome == TaskCommandOutcome::NotSent)
+        refusal = TaskScheduler::StartRefusal::NotSent;
     m_scheduler.startRefused(handle, start.task, start.run, refusal, now);
     schedulePlan();
 }
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -298,7 +298,7 @@
             return true;
         }
         auto refused = takeCommand();
-        m_options.events.onStartReply(std::get<StartTask>(refused), TaskCommandOutcome::Unhealthy);
+        m_options.events.onStartReply(std::get<StartTask>(refused), TaskCommandOutcome::NotSent);
         if (!*m_alive)
             return false;
     }
--- a/Libraries/LibPlatform/TaskCommandReply.h
+++ b/Libraries/LibPlatform/TaskCommandReply.h
@@ -17,7 +17,9 @@
     Invalid,
     Unhealthy,
     /// Another incarnation of the worker replied at the address.
-    IncarnationMismatch
+    IncarnationMismatch,
+    /// The command was not sent, because it was no longer permitted.
+    NotSent
 };
 
 struct TaskCommandReply {
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -26,7 +26,7 @@
     void recordQuery(std::string_view kind, std::string_view result, std::chrono::milliseconds latency);
 
     /// Records the reply of a worker to a start command. Outcomes: accepted, fenced, superseded, too_late, no_room,
-    /// invalid, unhealthy, other_life.
+    /// invalid, unhealthy, other_life, not_sent.
     void recordStart(std::string_view outcome);
 
     /// Records a run end reported by a worker. Outcomes: done, failed, stopped, lease_lapsed, gang_broken,
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -428,6 +428,19 @@
     CHECK(fixture.scheduler().stateOf("j") == JobStage::Running);
 }
 
+// Guards against a pause of workers whose starts the leader itself withheld, for example while its leadership is
+// doubtful.
+TEST(TaskScheduler, WithheldStartDoesNotPauseTheWorker)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto start = fixture.planStarts().at(0);
+    scheduler.startRefused(1, start.task, start.run, TaskScheduler::StartRefusal::NotSent, fixture.now());
+    start = fixture.planStarts().at(0);
+    scheduler.startRefused(1, start.task, start.run, TaskScheduler::StartRefusal::NotStarted, fixture.now());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+}
+
 // Guards against pausing a worker for a single failed run, which it reports repeatedly until the end is acknowledged.
 TEST(TaskScheduler, FailedRunThatIsReportedAgainDoesNotPauseTheWorker)
 {
