--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -29,8 +29,8 @@
     : m_submissionResults({ "accepted", "refused", "unknown" })
     , m_queryKinds({ "state", "cancel", "pending" })
     , m_queryResults({ "found", "unknown", "unavailable" })
-    , m_startOutcomes(
-          { "accepted", "fenced", "superseded", "too_late", "no_room", "invalid", "unhealthy", "other_life", "not_sent" })
+    , m_startOutcomes({ "accepted", "fenced", "superseded", "too_late", "no_room", "invalid", "unhealthy", "other_life",
+          "not_sent" })
     , m_runOutcomes({ "done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete" })
     , m_taskCommandNames({ "stop", "pace" })
     , m_jobStates({ "completed", "failed", "cancelled" })
