--- a/Libraries/LibDecision/PlacementDelay.h
+++ b/Libraries/LibDecision/PlacementDelay.h
@@ -14,7 +14,9 @@
     /// No usable worker both has the free resources and meets the placement constraints of the step.
     NoWorker,
     /// The job is newer than the latest proof that no other node has been elected.
-    UnconfirmedLeadership
+    UnconfirmedLeadership,
+    /// Workers crashed under the task, and it waits until it can run without other suspects on its worker.
+    CrashSuspicion
 };
 
 }
--- /dev/null
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -0,0 +1,279 @@
+#include <LibDecision/TaskScheduler.h>
+#include <LibDecision/TaskWorkerEntry.h>
+#include <algorithm>
+#include <utility>
+
+// Keeps the record of the runs under which workers crashed. A loss counts as a crash only if the worker refused
+// connections or another incarnation took its place without notice: a worker that was cut off, paused or drained says
+// nothing about its tasks.
+
+namespace Bergamot {
+
+/// A run that was active for longer when its worker crashed is not suspected.
+static constexpr Milliseconds maxTimeToCrash { 10000 };
+
+/// Workers of a rack or zone that were lost within this time of each other may have a common cause.
+static constexpr Milliseconds sharedLossWindow { 1500 };
+static constexpr Milliseconds lossMemory { 10000 };
+
+/// The other workers of a rack or zone that have to be lost together before a common cause is assumed.
+static constexpr size_t minSharedLosses = 2;
+
+/// Returns the key under which crashes of the task are recorded: the members of a gang start together and share one.
+TaskRef TaskScheduler::crashKey(const TrackedJob& job, const TaskRef& ref)
+{
+    bool isGang = ref.step < job.spec.steps.size() && job.spec.steps[ref.step].gang;
+    return { ref.job, ref.occurrence, ref.step, isGang ? 0 : ref.index };
+}
+
+static TaskRef taskOf(const TrackedJob& job, const CrashedRun& crashed)
+{
+    return { job.spec.id, crashed.occurrence, crashed.step, crashed.index };
+}
+
+static bool isOnIncarnation(const CrashedRun& crashed, const TaskWorkerView& view)
+{
+    bool isSameStart
+        = crashed.workerStartedAtMs == 0 || view.startedAtMs == 0 || crashed.workerStartedAtMs == view.startedAtMs;
+    return crashed.worker == view.id && isSameStart;
+}
+
+CrashedRun TaskScheduler::describeCrash(
+    const WorkerEntry& worker, const TrackedJob& job, const TaskRef& ref, const TrackedRun& run) const
+{
+    auto key = crashKey(job, ref);
+    auto lostAt = worker.lostAt == neverInstant ? m_latestEventAt : worker.lostAt;
+    return { .occurrence = key.occurrence,
+        .step = key.step,
+        .index = key.index,
+        .run = run.run,
+        .worker = worker.view.id,
+        .workerStartedAtMs = worker.view.startedAtMs,
+        .runTimeMs = static_cast<uint32_t>(std::max<int64_t>(0, (lostAt - run.startedAt).count())),
+        .isolated = run.isolated };
+}
+
+void TaskScheduler::recordCrash(TrackedJob& job, const CrashedRun& crashed)
+{
+    job.crashes.record(crashed);
+    if (!crashed.confirmed)
+        m_unconfirmedCrashes[crashed.worker].insert(job.spec.id);
+    markChanged(job);
+}
+
+/// Removes the record of a run after which its worker lived on.
+void TaskScheduler::withdrawCrash(TrackedJob& job, const TaskRef& ref, uint64_t run)
+{
+    auto key = crashKey(job, ref);
+    const auto* crashed = job.crashes.find(key, run);
+    if (!crashed || crashed->confirmed)
+        return;
+    job.crashes.withdraw(key, run);
+    markChanged(job);
+}
+
+void TaskScheduler::clearCrashes(TrackedJob& job, const TaskRef& ref)
+{
+    if (!job.crashes.isEmpty() && job.crashes.clear(crashKey(job, ref)))
+        markChanged(job);
+}
+
+/// Clears a suspected task whose run has been active long enough.
+void TaskScheduler::clearIfProven(
+    TrackedJob& job, TrackedTask& task, const TaskRef& ref, const TrackedRun& run, Instant now)
+{
+    if (job.crashes.isEmpty() || now - run.startedAt < job.crashes.clearingTime(crashKey(job, ref)))
+        return;
+    clearCrashes(job, ref);
+    bool isGang = job.spec.steps[ref.step].gang;
+    for (auto& it : job.occurrences[ref.occurrence].steps[ref.step].tasks) {
+        if (!isGang && &it != &task)
+            continue;
+        for (auto& active : it.runs)
+            setIsolated(active, false);
+    }
+}
+
+void TaskScheduler::suspectCrash(WorkerHandle handle, Instant now)
+{
+    m_latestEventAt = now;
+    auto it = m_workers.find(handle);
+    if (it == m_workers.end())
+        return;
+    auto& worker = *it->second;
+    for (const auto& [key, active] : worker.runs) {
+        const auto* run = findRun(*active.task, key.second);
+        if (!run || active.job->hasEnded())
+            continue;
+        // The record of a gang names one of its workers, which may be another one.
+        const auto* recorded = active.job->crashes.find(crashKey(*active.job, key.first), key.second);
+        if (recorded && (recorded->confirmed || recorded->worker == worker.view.id))
+            continue;
+        auto crashed = describeCrash(worker, *active.job, key.first, *run);
+        if (Milliseconds { crashed.runTimeMs } <= maxTimeToCrash)
+            recordCrash(*active.job, crashed);
+    }
+}
+
+/// Returns copies, because callers change the records.
+std::vector<std::pair<TrackedJob*, CrashedRun>> TaskScheduler::unconfirmedCrashesOf(const WorkerId& worker)
+{
+    std::vector<std::pair<TrackedJob*, CrashedRun>> result;
+    auto entry = m_unconfirmedCrashes.find(worker);
+    if (entry == m_unconfirmedCrashes.end())
+        return result;
+    for (const auto& id : entry->second) {
+        auto* job = findJob(id);
+        if (!job)
+            continue;
+        for (const auto& crashed : job->crashes.runs()) {
+            if (!crashed.confirmed && crashed.worker == worker)
+                result.emplace_back(job, crashed);
+        }
+    }
+    return result;
+}
+
+void TaskScheduler::forgetResolvedCrashes(const WorkerId& worker)
+{
+    auto entry = m_unconfirmedCrashes.find(worker);
+    if (entry == m_unconfirmedCrashes.end())
+        return;
+    std::erase_if(entry->second, [&](const JobId& id) {
+        const auto* job = findJob(id);
+        return !job || std::ranges::none_of(job->crashes.runs(), [&](const CrashedRun& it) {
+            return !it.confirmed && it.worker == worker;
+        });
+    });
+    if (entry->second.empty())
+        m_unconfirmedCrashes.erase(entry);
+}
+
+/// Withdraws the unconfirmed crashes of an incarnation that lists its runs, except those of isolated runs, which are
+/// recorded before they start.
+void TaskScheduler::resolveUnconfirmedCrashes(const WorkerEntry& worker)
+{
+    if (!m_unconfirmedCrashes.contains(worker.view.id))
+        return;
+    for (const auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
+        auto ref = taskOf(*job, crashed);
+        auto* task = findTask(*job, ref);
+        const auto* run = task ? findRun(*task, crashed.run) : nullptr;
+        if ((!run || !run->isolated) && isOnIncarnation(crashed, worker.view))
+            withdrawCrash(*job, ref, crashed.run);
+    }
+    forgetResolvedCrashes(worker.view.id);
+}
+
+void TaskScheduler::withdrawUnconfirmedCrashes(const WorkerEntry& worker)
+{
+    for (const auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
+        if (isOnIncarnation(crashed, worker.view))
+            withdrawCrash(*job, taskOf(*job, crashed), crashed.run);
+    }
+    forgetResolvedCrashes(worker.view.id);
+}
+
+TaskScheduler::CrashEvent TaskScheduler::confirmCrash(TrackedJob& job, CrashedRun crashed, bool isShared)
+{
+    crashed.confirmed = true;
+    crashed.isolated = crashed.isolated && !isShared;
+    recordCrash(job, crashed);
+    auto task = taskOf(job, crashed);
+    CrashEvent event { .task = task, .run = crashed, .crashes = job.crashes.count(task) };
+    const auto* tracked = findTask(job, task);
+    if (!job.hasEnded() && tracked && !tracked->done && job.crashes.isCauseOfCrashes(task)) {
+        finishJob(job, JobStage::Failed);
+        event.failedJob = true;
+    }
+    return event;
+}
+
+std::vector<TaskScheduler::CrashEvent> TaskScheduler::confirmCrashes(const WorkerEntry& worker, bool isShared)
+{
+    std::vector<CrashEvent> events;
+    for (auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
+        if (!isOnIncarnation(crashed, worker.view))
+            continue;
+        auto ref = taskOf(*job, crashed);
+        auto* task = findTask(*job, ref);
+        if (const auto* run = task ? findRun(*task, crashed.run) : nullptr)
+            crashed.runTimeMs = describeCrash(worker, *job, ref, *run).runTimeMs;
+        events.push_back(confirmCrash(*job, crashed, isShared));
+    }
+    forgetResolvedCrashes(worker.view.id);
+    return events;
+}
+
+std::vector<TaskScheduler::CrashEvent> TaskScheduler::confirmInheritedCrashes(
+    const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown)
+{
+    std::vector<CrashEvent> events;
+    auto unconfirmed = m_unconfirmedCrashes;
+    for (const auto& [worker, jobs] : unconfirmed) {
+        for (const auto& [job, crashed] : unconfirmedCrashesOf(worker)) {
+            if (!isKnown(worker, crashed.workerStartedAtMs))
+                events.push_back(confirmCrash(*job, crashed, false));
+        }
+        forgetResolvedCrashes(worker);
+    }
+    return events;
+}
+
+std::vector<TaskScheduler::CrashEvent> TaskScheduler::removeWorker(WorkerHandle handle, WorkerEnd end, Instant now)
+{
+    m_latestEventAt = now;
+    auto it = m_workers.find(handle);
+    if (it == m_workers.end())
+        return {};
+    auto& worker = *it->second;
+    std::vector<CrashEvent> events;
+    if (end == WorkerEnd::Crashed) {
+        suspectCrash(handle, now);
+        events = confirmCrashes(worker, isLostWithItsGroup(worker));
+        rememberLoss(worker);
+    } else {
+        withdrawUnconfirmedCrashes(worker);
+    }
+    markRunsLost(handle, now);
+    m_workers.erase(handle);
+    return events;
+}
+
+void TaskScheduler::rememberLoss(const WorkerEntry& worker)
+{
+    std::erase_if(m_recentLosses, [&](const WorkerLoss& it) { return m_latestEventAt - it.at > lossMemory; });
+    auto lostAt = worker.lostAt == neverInstant ? m_latestEventAt : worker.lostAt;
+    m_recentLosses.push_back({ .rack = worker.view.rack, .zone = worker.view.zone, .at = lostAt });
+}
+
+/// Whether all workers of the rack or of the zone were lost together, so that no task is the cause.
+bool TaskScheduler::isLostWithItsGroup(const WorkerEntry& lost) const
+{
+    auto lostAt = lost.lostAt == neverInstant ? m_latestEventAt : lost.lostAt;
+    auto isNear = [&](Instant at) {
+        return at != neverInstant && at - lostAt <= sharedLossWindow && lostAt - at <= sharedLossWindow;
+    };
+    auto isGroupLost = [&](auto isInGroup) {
+        auto losses = static_cast<size_t>(std::ranges::count_if(
+            m_recentLosses, [&](const WorkerLoss& it) { return isInGroup(it.rack, it.zone) && isNear(it.at); }));
+        for (const auto& [handle, worker] : m_workers) {
+            if (handle == lost.handle || worker->view.service != lost.view.service
+                || !isInGroup(worker->view.rack, worker->view.zone))
+                continue;
+            if (isNear(worker->lostAt))
+                ++losses;
+            else if (worker->reachable && worker->knownSince < lostAt)
+                return false;
+        }
+        return losses >= minSharedLosses;
+    };
+    const auto& view = lost.view;
+    bool isRackLost
+        = !view.rack.empty() && isGroupLost([&](const std::string& rack, const ZoneId&) { return rack == view.rack; });
+    return isRackLost || (!view.zone.empty() && isGroupLost([&](const std::string&, const ZoneId& zone) {
+        return zone == view.zone;
+    }));
+}
+
+}
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -34,15 +34,29 @@
     if (!std::ranges::all_of(step.tasks, [&](const TrackedTask& it) { return canStart(it, now); }))
         return true;
     const auto& spec = ready.job->spec.steps[ready.step];
+    TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, 0 };
+    auto isolation = isolationOf(*ready.job, ref);
+    if (isolation != RunIsolation::None) {
+        step.delay = PlacementDelay::CrashSuspicion;
+        if (!mayStartSuspect(*ready.job, ref))
+            return true;
+        if (hasIsolationSlots(spec.count) && startGang(ready, {}, now, PlacementMode::Isolated))
+            return true;
+        if (isolation == RunIsolation::Required) {
+            for (const auto& task : step.tasks)
+                holdForIsolation(ready, task, now);
+            return true;
+        }
+    }
     if (spec.prefersSameRack) {
         for (const auto& rack : racksWithCapacity(*ready.job, spec)) {
-            if (startGang(ready, rack, now))
+            if (startGang(ready, rack, now, PlacementMode::Shared))
                 return true;
         }
     }
     // A gang that is spread over several racks runs slower, but does not have to wait for the only rack that is large
     // enough.
-    return startGang(ready, {}, now);
+    return startGang(ready, {}, now, PlacementMode::Shared);
 }
 
 /// Returns the racks whose total free processors and memory suffice for all members: the rack of the input data first,
@@ -68,7 +82,7 @@
     return names;
 }
 
-bool TaskScheduler::startGang(const ReadyStep& ready, const std::string& rack, Instant now)
+bool TaskScheduler::startGang(const ReadyStep& ready, const std::string& rack, Instant now, PlacementMode mode)
 {
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
     auto actionsBefore = m_actions.size();
@@ -79,12 +93,12 @@
     for (uint32_t i = 0; i < step.tasks.size(); ++i) {
         auto& task = step.tasks[i];
         task.starts = starts;
-        auto* worker = chooseWorker(*ready.job, ready, task, rack, now);
+        auto* worker = chooseWorker(*ready.job, ready, task, rack, now, mode);
         if (!worker) {
             undoStarts(ready, i, actionsBefore);
             return false;
         }
-        startRun(*worker, ready, i, now);
+        startRun(*worker, ready, i, now, mode);
     }
     step.waiting.clear();
     return true;
@@ -101,6 +115,8 @@
         release(run.worker, job, ref, run.run);
         if (!job.spec.steps[ready.step].bestEffort)
             m_freeCpuMillis += job.spec.steps[ready.step].size.cpuMillis;
+        std::erase_if(m_isolatedStarts, [&](const StartTask& it) { return it.task == ref && it.run == run.run; });
+        withdrawCrash(job, ref, run.run);
         task.runs.pop_back();
     }
     m_actions.resize(actionsBefore);
--- /dev/null
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -0,0 +1,127 @@
+#include <LibDecision/TaskScheduler.h>
+#include <LibDecision/TaskWorkerEntry.h>
+#include <algorithm>
+#include <utility>
+
+// Starts suspected tasks apart from each other. A run is isolated when no other run on its worker was recently started
+// or is isolated too; the worker takes no further starts until the run has ended or its task is cleared.
+
+namespace Bergamot {
+
+/// A run that has been active on a worker for this long is not suspected beside an isolated run that starts later.
+static constexpr Milliseconds settledRunTime { 500 };
+
+/// A held worker that is not used within this time takes other starts again.
+static constexpr Milliseconds holdTime { 1500 };
+
+/// Bounds of the number of isolated runs, each of which may take its worker down.
+static constexpr uint32_t minIsolatedRuns = 2;
+static constexpr uint32_t workersPerIsolatedRun = 16;
+
+void TaskScheduler::setIsolated(TrackedRun& run, bool isolated)
+{
+    if (run.isolated == isolated)
+        return;
+    run.isolated = isolated;
+    auto& worker = *m_workers.at(run.worker);
+    worker.isolatedRuns = isolated ? worker.isolatedRuns + 1 : worker.isolatedRuns - 1;
+    m_isolatedRuns = isolated ? m_isolatedRuns + 1 : m_isolatedRuns - 1;
+}
+
+bool TaskScheduler::areCrashesStored(const TrackedJob& job, const TaskRef& key)
+{
+    return std::ranges::all_of(job.crashes.runs(), [&](const CrashedRun& it) {
+        bool isOfTask = it.occurrence == key.occurrence && it.step == key.step && it.index == key.index;
+        return !isOfTask || job.storedCrashes.find(key, it.run);
+    });
+}
+
+RunIsolation TaskScheduler::isolationOf(const TrackedJob& job, const TaskRef& ref) const
+{
+    return job.crashes.isEmpty() ? RunIsolation::None : job.crashes.isolationOf(crashKey(job, ref));
+}
+
+/// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
+bool TaskScheduler::mayStartSuspect(const TrackedJob& job, const TaskRef& ref)
+{
+    auto key = crashKey(job, ref);
+    return areCrashesStored(job, key) && !job.crashes.awaitsConfirmation(key);
+}
+
+/// Whether further runs may start isolated. A gang that is larger than the limit runs isolated alone.
+bool TaskScheduler::hasIsolationSlots(uint32_t runs) const
+{
+    auto limit = std::max(minIsolatedRuns, static_cast<uint32_t>(m_workers.size()) / workersPerIsolatedRun);
+    return m_isolatedRuns == 0 || m_isolatedRuns + runs <= limit;
+}
+
+bool TaskScheduler::canIsolate(const WorkerEntry& worker, const TrackedJob& job, uint32_t step, Instant now)
+{
+    return std::ranges::all_of(worker.runs, [&](const auto& it) {
+        const auto& [key, active] = it;
+        if (active.job == &job && key.first.step == step && job.spec.steps[step].gang)
+            return true;
+        const auto* run = findRun(*active.task, key.second);
+        return !run || (!run->isolated && now - run->startedAt >= settledRunTime);
+    });
+}
+
+/// Starts the suspected task isolated if possible. Returns false if it has to wait or may start like other tasks.
+bool TaskScheduler::placeSuspect(const ReadyStep& ready, uint32_t index, Instant now)
+{
+    if (!hasIsolationSlots(1))
+        return false;
+    auto& task = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
+    auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Isolated);
+    if (!worker)
+        return false;
+    startRun(*worker, ready, index, now, PlacementMode::Isolated);
+    return true;
+}
+
+/// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs.
+void TaskScheduler::holdForIsolation(const ReadyStep& ready, const TrackedTask& task, Instant now)
+{
+    if (!hasIsolationSlots(1))
+        return;
+    auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Hold);
+    if (worker)
+        worker->heldForIsolationUntil = now + holdTime;
+}
+
+/// Sends the isolated starts whose records are stored.
+void TaskScheduler::sendIsolatedStarts(Instant now, const StartPermission& permission)
+{
+    if (m_isolatedStarts.empty())
+        return;
+    auto starts = std::exchange(m_isolatedStarts, {});
+    for (auto& start : starts) {
+        if (!sendIsolatedStart(start, now, permission))
+            m_isolatedStarts.push_back(std::move(start));
+    }
+}
+
+/// Returns false if the start has to wait. A start that is not wanted any more is dropped.
+bool TaskScheduler::sendIsolatedStart(const StartTask& start, Instant now, const StartPermission& permission)
+{
+    auto* job = findJob(start.task.job);
+    auto* task = job ? findTask(*job, start.task) : nullptr;
+    auto* run = task ? findRun(*task, start.run) : nullptr;
+    if (!run || run->phase != RunPhase::Starting)
+        return true;
+    if (!job->storedCrashes.find(crashKey(*job, start.task), start.run))
+        return false;
+    if (!permission.mayStart || job->knownAt > permission.knownBy)
+        return false;
+    auto worker = m_workers.find(start.worker);
+    if (worker != m_workers.end() && isUsable(*worker->second, now)) {
+        run->startedAt = now;
+        m_actions.push_back(start);
+        return true;
+    }
+    withdrawCrash(*job, start.task, start.run);
+    dropRun(*job, start.task, *task, start.run);
+    return true;
+}
+
+}
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -35,6 +35,12 @@
 static constexpr double slowPenalty = 5;
 static constexpr double failedBeforePenalty = 10;
 
+/// An isolated run may crash its worker, so it goes where few other runs would be lost.
+static constexpr double residentPenalty = 0.5;
+
+/// A worker that is held for an isolated run already is chosen before any other.
+static constexpr double heldWorkerWeight = 100;
+
 /// A best-effort task starts on a worker only if at least this share of its requested processors is expected to be idle
 /// there.
 static constexpr double minIdleCpuShare = 0.7;
@@ -49,6 +55,7 @@
     activateDueOccurrences(unixMs);
     collectCandidates(now);
     updateShortTaskDemand();
+    sendIsolatedStarts(now, permission);
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
     return std::exchange(m_actions, {});
@@ -208,6 +215,19 @@
             stillWaiting.push_back(index);
             continue;
         }
+        TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, index };
+        if (auto isolation = isolationOf(*ready.job, ref); isolation != RunIsolation::None) {
+            bool mayStart = mayStartSuspect(*ready.job, ref);
+            if (mayStart && placeSuspect(ready, index, now))
+                continue;
+            if (mayStart && isolation == RunIsolation::Required)
+                holdForIsolation(ready, task, now);
+            if (!mayStart || isolation == RunIsolation::Required) {
+                step.delay = PlacementDelay::CrashSuspicion;
+                stillWaiting.push_back(index);
+                continue;
+            }
+        }
         // The tasks after this one have not waited longer, so they have to wait for headroom too.
         if (keepTrying && mustWaitForHeadroom(spec, task, now)) {
             step.delay = PlacementDelay::Headroom;
@@ -236,8 +256,8 @@
 }
 
 /// Returns the best worker for the task, or nullptr. A non-empty `rack` limits the choice to its workers.
-TaskScheduler::WorkerEntry* TaskScheduler::chooseWorker(
-    const TrackedJob& job, const ReadyStep& ready, const TrackedTask& task, const std::string& rack, Instant now)
+TaskScheduler::WorkerEntry* TaskScheduler::chooseWorker(const TrackedJob& job, const ReadyStep& ready,
+    const TrackedTask& task, const std::string& rack, Instant now, PlacementMode mode)
 {
     const auto& spec = job.spec.steps[ready.step];
     const auto& service = policyOf(job).service;
@@ -270,6 +290,12 @@
             continue;
         if (!reserveSize.fitsIn(worker.freeResources()))
             continue;
+        if (mode == PlacementMode::Shared && worker.isHeldForIsolation(now))
+            continue;
+        if (mode == PlacementMode::Isolated && !canIsolate(worker, job, ready.step, now))
+            continue;
+        if (mode == PlacementMode::Hold && worker.isolatedRuns > 0)
+            continue;
         if (!spec.requiredLabel.empty() && !hasLabel(worker.view, spec.requiredLabel))
             continue;
         // A speculative copy on the worker of the slow run would be as slow.
@@ -309,6 +335,10 @@
             score -= slowPenalty;
         if (worker.view.warmUpRemainingMs > 0)
             score -= warmUpPenalty;
+        if (mode != PlacementMode::Shared)
+            score -= residentPenalty * static_cast<double>(worker.runs.size());
+        if (mode != PlacementMode::Shared && worker.heldForIsolationUntil > now)
+            score += heldWorkerWeight;
         if (score > bestScore) {
             bestScore = score;
             best = &worker;
@@ -331,7 +361,8 @@
     return all > 0 ? same / all : 0;
 }
 
-void TaskScheduler::startRun(WorkerEntry& worker, const ReadyStep& ready, uint32_t index, Instant now)
+void TaskScheduler::startRun(
+    WorkerEntry& worker, const ReadyStep& ready, uint32_t index, Instant now, PlacementMode mode)
 {
     auto& job = *ready.job;
     auto& step = job.occurrences[ready.occurrence].steps[ready.step];
@@ -352,13 +383,23 @@
     reserve(worker, job, ref, run);
     if (!job.spec.steps[ready.step].bestEffort)
         m_freeCpuMillis -= job.spec.steps[ready.step].size.cpuMillis;
-    m_actions.push_back(StartTask {
+    StartTask start {
         .worker = worker.handle,
         .task = ref,
         .run = run,
         .payload = job.spec.payload,
         .checkpoint = task.checkpoint,
-    });
+    };
+    if (mode == PlacementMode::Shared) {
+        m_actions.push_back(std::move(start));
+        return;
+    }
+    worker.heldForIsolationUntil = neverInstant;
+    setIsolated(task.runs.back(), true);
+    auto crashed = describeCrash(worker, job, ref, task.runs.back());
+    crashed.runTimeMs = 0;
+    recordCrash(job, crashed);
+    m_isolatedStarts.push_back(std::move(start));
 }
 
 }
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -18,6 +18,12 @@
         if (auto* task = findTask(job, { job.spec.id, failed.occurrence, failed.step, failed.index }))
             ++task->failures;
     }
+    job.crashes = CrashHistory(stored.crashedRuns);
+    job.storedCrashes = job.crashes;
+    for (const auto& crashed : stored.crashedRuns) {
+        if (!crashed.confirmed)
+            m_unconfirmedCrashes[crashed.worker].insert(job.spec.id);
+    }
     size_t position = 0;
     for (auto& occurrence : job.occurrences) {
         for (auto& step : occurrence.steps) {
@@ -70,6 +76,7 @@
                 }
             }
             progress.failedRuns.assign(job.failedRuns.begin(), job.failedRuns.end());
+            progress.crashedRuns = job.crashes.runs();
         }
         result.push_back(std::move(progress));
     }
@@ -79,8 +86,11 @@
 
 void TaskScheduler::progressStored(const JobProgress& progress)
 {
-    if (auto* job = findJob(progress.id))
-        job->storedState = std::max(job->storedState, progress.state);
+    auto* job = findJob(progress.id);
+    if (!job)
+        return;
+    job->storedState = std::max(job->storedState, progress.state);
+    job->storedCrashes = CrashHistory(progress.crashedRuns);
 }
 
 void TaskScheduler::releaseDetails(const JobId& id)
@@ -105,6 +115,8 @@
     std::erase_if(m_readySteps, [&](const auto& it) { return it.second.job == &job; });
     job.occurrences = {};
     job.failedRuns = {};
+    job.crashes = {};
+    job.storedCrashes = {};
     job.spec.payload = {};
     job.spec.steps = {};
     job.spec.policyAtAcceptance = {};
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -20,12 +20,6 @@
     it->second->stopRequests.clear();
 }
 
-void TaskScheduler::removeWorker(WorkerHandle handle, Instant now)
-{
-    markRunsLost(handle, now);
-    m_workers.erase(handle);
-}
-
 void TaskScheduler::dropRun(TrackedJob& job, const TaskRef& ref, TrackedTask& task, uint64_t run)
 {
     auto it = std::ranges::find(task.runs, run, &TrackedRun::run);
@@ -72,6 +66,7 @@
     if (auto it = m_workers.find(handle); it != m_workers.end() && refusal != StartRefusal::NotSent)
         it->second->startBackoffUntil
             = now + (refusal == StartRefusal::InsufficientResources ? insufficientResourcesBackoff : notStartedBackoff);
+    withdrawCrash(*job, ref, run);
     dropRun(*job, ref, *task, run);
 }
 
@@ -94,11 +89,13 @@
     if (task->done)
         return;
     job->started = true;
+    withdrawCrash(*job, end.task, end.run);
     auto worker = m_workers.find(handle);
     bool longRunning = job->spec.steps[end.task.step].longRunning;
     if (end.outcome == RunOutcome::Done && !longRunning) {
         if (worker != m_workers.end())
             worker->second->failures = 0;
+        clearCrashes(*job, end.task);
         if (job->spec.steps[end.task.step].gang)
             completeGang(*job, end.task);
         else
@@ -153,6 +150,7 @@
     WorkerHandle handle, TrackedJob& job, TrackedTask& task, const RunReport& report, Instant now)
 {
     auto& worker = *m_workers.at(handle);
+    const auto* crash = job.crashes.find(crashKey(job, report.task), report.run);
     task.runs.push_back({ .run = report.run,
         .worker = handle,
         .phase = RunPhase::Running,
@@ -163,6 +161,7 @@
     task.waitingSince = neverInstant;
     job.started = true;
     reserve(worker, job, report.task, report.run);
+    setIsolated(task.runs.back(), crash && crash->isolated);
     auto& step = job.occurrences[report.task.occurrence].steps[report.task.step];
     std::erase(step.waiting, report.task.index);
 }
@@ -206,12 +205,14 @@
         auto& task = *active->second.task;
         auto& run = *findRun(task, report.run);
         updateRun(job, task, run, report, now);
+        clearIfProven(job, task, report.task, run, now);
         if (run.phase == RunPhase::Stopping || job.hasEnded() || task.done)
             requestStop(handle, report.task, report.run, now);
     }
     std::erase_if(worker.stopRequests,
         [&](const auto& entry) { return !notAdopted.contains(entry.first) && !worker.runs.contains(entry.first); });
     dropUnlistedRuns(worker, requestSentAt);
+    resolveUnconfirmedCrashes(worker);
     superviseWorker(worker, now);
 }
 
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -229,7 +229,8 @@
     JobTimeline timeline { .queue = job.spec.queue,
         .objectiveUnixMs = job.objectiveUnixMs,
         .failedRuns = static_cast<uint32_t>(job.failedRuns.size()),
-        .maxAttempts = policyOf(job).maxAttempts };
+        .maxAttempts = policyOf(job).maxAttempts,
+        .crashedRuns = job.crashes.runs() };
     for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
         for (uint32_t i = 0; i < job.occurrences[k].steps.size(); ++i) {
             const auto& step = job.occurrences[k].steps[i];
@@ -279,9 +280,15 @@
 void TaskScheduler::release(WorkerHandle handle, const TrackedJob& job, const TaskRef& task, uint64_t run)
 {
     auto it = m_workers.find(handle);
-    if (it == m_workers.end() || it->second->runs.erase({ task, run }) == 0)
+    if (it == m_workers.end())
         return;
     auto& worker = *it->second;
+    auto active = worker.runs.find({ task, run });
+    if (active == worker.runs.end())
+        return;
+    if (auto* tracked = findRun(*active->second.task, run))
+        setIsolated(*tracked, false);
+    worker.runs.erase(active);
     worker.servingPressuresValid = false;
     const auto& step = job.spec.steps[task.step];
     auto size = step.size;
@@ -299,16 +306,25 @@
 void TaskScheduler::updateWorker(WorkerHandle handle, const TaskWorkerView& view)
 {
     auto& worker = m_workers[handle];
-    if (!worker)
+    if (!worker) {
         worker = std::make_unique<WorkerEntry>();
+        worker->knownSince = m_latestEventAt;
+    }
     worker->handle = handle;
     worker->view = view;
 }
 
-void TaskScheduler::setReachable(WorkerHandle handle, bool reachable)
+void TaskScheduler::setReachable(WorkerHandle handle, bool reachable, Instant now)
 {
-    if (auto it = m_workers.find(handle); it != m_workers.end())
-        it->second->reachable = reachable;
+    auto it = m_workers.find(handle);
+    if (it == m_workers.end())
+        return;
+    auto& worker = *it->second;
+    if (reachable)
+        worker.lostAt = neverInstant;
+    else if (worker.reachable)
+        worker.lostAt = now;
+    worker.reachable = reachable;
 }
 
 void TaskScheduler::stopActiveRuns(const TaskRef& ref, TrackedTask& task)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -9,8 +9,10 @@
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
 #include <LibDecision/TrackedJob.h>
+#include <LibDecision/WorkerEnd.h>
 #include <LibWire/QueuePolicy.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,6 +20,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Bergamot {
@@ -76,14 +79,34 @@
     bool acceptsRuns(WorkerHandle) const;
 
     /// An unreachable worker gets no new runs.
-    void setReachable(WorkerHandle, bool reachable);
+    void setReachable(WorkerHandle, bool reachable, Instant now);
 
-    /// Removes the worker and drops its runs. Called once all of them are proven to have ended.
-    void removeWorker(WorkerHandle, Instant now);
+    /// A run under which a worker crashed, with the number of crashes of its task.
+    struct CrashEvent {
+        TaskRef task {};
+        CrashedRun run {};
+        size_t crashes { 0 };
+
+        /// Whether the job failed because of this crash.
+        bool failedJob { false };
+    };
+
+    /// Removes the worker and drops its runs. Called once all of them are proven to have ended. If the worker crashed,
+    /// returns the runs that may be the cause.
+    std::vector<CrashEvent> removeWorker(WorkerHandle, WorkerEnd, Instant now);
 
     /// Drops the runs of the worker. Called once all of them are proven to have ended.
     void markRunsLost(WorkerHandle, Instant now);
 
+    /// The worker refuses connections, so it may have crashed. Its runs are recorded, so that the next leader knows
+    /// them if this one fails before the crash is confirmed.
+    void suspectCrash(WorkerHandle, Instant now);
+
+    /// Confirms the stored crashes of incarnations that an earlier leader has removed. `isKnown` tells whether an
+    /// incarnation is among the workers of this leader.
+    std::vector<CrashEvent> confirmInheritedCrashes(
+        const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown);
+
     /// The worker acknowledged a start or stop command for the run; from now on its list of runs decides whether the
     /// run exists.
     void commandAccepted(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
@@ -151,8 +174,8 @@
     const QueuePolicy& policyOf(const TrackedJob&) const;
     void enforceMaxAttempts(TrackedJob&, const TrackedTask&);
     void enforceMaxAttemptsOfAllTasks(TrackedJob&);
-    TrackedTask* findTask(TrackedJob&, const TaskRef&);
-    TrackedRun* findRun(TrackedTask&, uint64_t run);
+    static TrackedTask* findTask(TrackedJob&, const TaskRef&);
+    static TrackedRun* findRun(TrackedTask&, uint64_t run);
     void buildOccurrences(TrackedJob&);
     void applyStored(TrackedJob&, const JobProgress&);
     void activateOccurrence(TrackedJob&, uint32_t occurrence);
@@ -182,17 +205,49 @@
     bool mustWaitForHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
     static void setWaitingSince(TrackedStep&, Instant now);
-    WorkerEntry* chooseWorker(
-        const TrackedJob&, const ReadyStep&, const TrackedTask&, const std::string& rack, Instant now);
+    /// Which workers may take the run.
+    enum class PlacementMode : uint8_t {
+        Shared,
+        /// Only workers on which the run would be isolated.
+        Isolated,
+        /// Workers that may be held until the run would be isolated there.
+        Hold
+    };
+    WorkerEntry* chooseWorker(const TrackedJob&, const ReadyStep&, const TrackedTask&, const std::string& rack,
+        Instant now, PlacementMode = PlacementMode::Shared);
     void requeueGang(TrackedJob&, const TaskRef&);
     bool placeGang(const ReadyStep&, Instant now);
     std::vector<std::string> racksWithCapacity(const TrackedJob&, const StepSpec&) const;
-    bool startGang(const ReadyStep&, const std::string& rack, Instant now);
+    bool startGang(const ReadyStep&, const std::string& rack, Instant now, PlacementMode);
     void undoStarts(const ReadyStep&, uint32_t members, size_t actionsBefore);
     void completeGang(TrackedJob&, const TaskRef&);
     void breakGang(TrackedJob&, const TaskRef&);
     static void shareCheckpoint(TrackedJob&, const TaskRef&, const std::string& checkpoint);
-    void startRun(WorkerEntry&, const ReadyStep&, uint32_t index, Instant now);
+    void startRun(WorkerEntry&, const ReadyStep&, uint32_t index, Instant now, PlacementMode = PlacementMode::Shared);
+    static TaskRef crashKey(const TrackedJob&, const TaskRef&);
+    CrashedRun describeCrash(const WorkerEntry&, const TrackedJob&, const TaskRef&, const TrackedRun&) const;
+    void recordCrash(TrackedJob&, const CrashedRun&);
+    void withdrawCrash(TrackedJob&, const TaskRef&, uint64_t run);
+    void clearCrashes(TrackedJob&, const TaskRef&);
+    void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&, Instant now);
+    void resolveUnconfirmedCrashes(const WorkerEntry&);
+    std::vector<CrashEvent> confirmCrashes(const WorkerEntry&, bool isShared);
+    CrashEvent confirmCrash(TrackedJob&, CrashedRun, bool isShared);
+    void withdrawUnconfirmedCrashes(const WorkerEntry&);
+    std::vector<std::pair<TrackedJob*, CrashedRun>> unconfirmedCrashesOf(const WorkerId&);
+    void forgetResolvedCrashes(const WorkerId&);
+    bool isLostWithItsGroup(const WorkerEntry&) const;
+    void rememberLoss(const WorkerEntry&);
+    static bool areCrashesStored(const TrackedJob&, const TaskRef&);
+    RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
+    static bool mayStartSuspect(const TrackedJob&, const TaskRef&);
+    bool hasIsolationSlots(uint32_t runs) const;
+    static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
+    bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
+    void holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
+    void sendIsolatedStarts(Instant now, const StartPermission&);
+    bool sendIsolatedStart(const StartTask&, Instant now, const StartPermission&);
+    void setIsolated(TrackedRun&, bool isolated);
     void superviseWorker(WorkerEntry&, Instant now);
     void observeInterference(WorkerEntry&, Instant now);
     void updateOverTargetSince(WorkerEntry&, Instant now);
@@ -227,6 +282,21 @@
     std::set<JobId> m_changedJobs;
     std::vector<TaskAction> m_actions;
 
+    /// Jobs with unconfirmed crashes, by worker.
+    std::map<WorkerId, std::set<JobId>> m_unconfirmedCrashes;
+
+    /// Isolated starts that wait until their records are stored.
+    std::vector<StartTask> m_isolatedStarts;
+    uint32_t m_isolatedRuns { 0 };
+
+    /// A worker that crashed recently.
+    struct WorkerLoss {
+        std::string rack;
+        ZoneId zone;
+        Instant at;
+    };
+    std::vector<WorkerLoss> m_recentLosses;
+
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
     Instant m_unblockAt { neverInstant };
--- a/Libraries/LibDecision/TaskSpeed.cpp
+++ b/Libraries/LibDecision/TaskSpeed.cpp
@@ -83,6 +83,9 @@
 {
     if (task.runs.size() >= maxSimultaneousRuns || task.wantsSpeculativeCopy)
         return;
+    // A copy of a suspected task would put a second worker at risk.
+    if (job.crashes.count(crashKey(job, ref)) > 0)
+        return;
     task.wantsSpeculativeCopy = true;
     enqueue(job, ref);
 }
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -77,8 +77,19 @@
     uint32_t failures { 0 };
     Instant pausedUntil { neverInstant };
 
+    /// When the scheduler first knew the worker, and since when it has been unreachable; neverInstant while reachable.
+    Instant knownSince { neverInstant };
+    Instant lostAt { neverInstant };
+
+    /// Number of isolated runs. While there are any, no other run starts on the worker.
+    uint32_t isolatedRuns { 0 };
+
+    /// Until this time only an isolated run may start, so that the other runs get older.
+    Instant heldForIsolationUntil { neverInstant };
+
     double capacityMillis() const { return static_cast<double>(std::max<int64_t>(1, view.capacity.cpuMillis)); }
     Resources freeResources() const { return view.capacity - reserved; }
+    bool isHeldForIsolation(Instant now) const { return isolatedRuns > 0 || heldForIsolationUntil > now; }
 
     /// Processors that another best-effort task may expect to be idle.
     int64_t freeBestEffortMillis() const
--- a/Libraries/LibDecision/TaskWorkerView.h
+++ b/Libraries/LibDecision/TaskWorkerView.h
@@ -14,6 +14,9 @@
 /// Properties that a worker announces.
 struct TaskWorkerView {
     WorkerId id {};
+
+    /// Unix time at which this incarnation started; 0 if unknown.
+    int64_t startedAtMs { 0 };
     std::string service {};
     ZoneId zone {};
     std::vector<std::string> labels {};
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/CrashHistory.h>
 #include <LibDecision/TrackedOccurrence.h>
 #include <LibWire/JobProgress.h>
 #include <LibWire/JobSpec.h>
@@ -23,6 +24,10 @@
     std::vector<TrackedOccurrence> occurrences {};
     uint32_t remainingOccurrences { 0 };
     std::set<FailedRun> failedRuns {};
+    CrashHistory crashes {};
+
+    /// The records of `crashes` in the stored progress. A suspected task starts only once its records are stored.
+    CrashHistory storedCrashes {};
     bool started { false };
 
     /// Set when the task data may be freed once no run is active.
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -18,6 +18,9 @@
     /// Whether the run started from a checkpoint.
     bool resumed { false };
 
+    /// Whether the run is the only suspect on its worker, which takes no other starts until the run is cleared.
+    bool isolated { false };
+
     /// When the worker last acknowledged a command for the run or listed it. If a list that is requested later lacks
     /// the run, the run has ended.
     Instant confirmedAt { neverInstant };
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -25,9 +25,15 @@
 
 std::string_view nameOf(PlacementDelay delay)
 {
-    constexpr std::array<std::string_view, 5> names { "none", "earlier_leader", "headroom", "no_worker",
-        "unconfirmed_leadership" };
+    constexpr std::array<std::string_view, 6> names { "none", "earlier_leader", "headroom", "no_worker",
+        "unconfirmed_leadership", "crash_suspicion" };
     return names[static_cast<size_t>(delay)];
 }
 
+std::string_view nameOf(WorkerEnd end)
+{
+    constexpr std::array<std::string_view, 3> names { "crashed", "left", "lease_lapsed" };
+    return names[static_cast<size_t>(end)];
+}
+
 }
--- a/Libraries/LibNode/OutcomeNames.h
+++ b/Libraries/LibNode/OutcomeNames.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/RunEnd.h>
+#include <LibDecision/WorkerEnd.h>
 #include <LibPlatform/TaskCommandReply.h>
 #include <LibWire/JobStage.h>
 #include <string_view>
@@ -13,5 +14,6 @@
 std::string_view nameOf(TaskCommandOutcome);
 std::string_view nameOf(JobStage);
 std::string_view nameOf(PlacementDelay);
+std::string_view nameOf(WorkerEnd);
 
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -234,6 +234,7 @@
 void TaskLeader::handleJobsCaughtUp()
 {
     if (hasLoadedJobs() && !std::exchange(m_areSessionsStarted, true)) {
+        confirmInheritedCrashes();
         for (auto& [handle, worker] : m_workers)
             worker.session->start();
     }
@@ -264,10 +265,16 @@
     for (const auto& step : timeline.steps)
         fmt::format_to(std::back_inserter(steps), "{}{}.{}:wait={},run={}", steps.empty() ? "" : ";", step.occurrence,
             step.step, step.waitTime.count(), step.runTime.count());
+    std::string crashes;
+    for (const auto& crashed : timeline.crashedRuns)
+        fmt::format_to(std::back_inserter(crashes), "{}{}.{}.{}:run={},worker={}{}", crashes.empty() ? "" : ";",
+            crashed.occurrence, crashed.step, crashed.index, crashed.run, crashed.worker,
+            crashed.isolated ? ",isolated" : "");
     logInfo("job_ended",
         { { "job", progress.id }, { "queue", timeline.queue }, { "state", nameOf(progress.state) },
             { "late_ms", unixMsNow() - timeline.objectiveUnixMs }, { "failed_runs", timeline.failedRuns },
-            { "max_attempts", timeline.maxAttempts }, { "config_version", m_configVersion }, { "steps_ms", steps } });
+            { "max_attempts", timeline.maxAttempts }, { "crashes", crashes }, { "config_version", m_configVersion },
+            { "steps_ms", steps } });
 }
 
 void TaskLeader::handleProgressStored(const ProgressBatch& batch)
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -104,7 +104,10 @@
     static Milliseconds reportWaitFor(size_t workers);
     void addWorker(const WorkerIncarnation&, std::optional<WorkerAnnouncement>);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
-    void removeWorker(WorkerHandle);
+    void removeWorker(WorkerHandle, WorkerEnd);
+    WorkerEnd endOf(const Worker&) const;
+    void confirmInheritedCrashes();
+    static void logCrashes(const std::vector<TaskScheduler::CrashEvent>&);
     WorkerSession::Events makeSessionEvents(WorkerHandle);
     bool canAcknowledge(Worker&, const RenewLeaseReply&);
     void applyEndsOf(const JobId&);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -36,7 +36,7 @@
         // A record of an earlier incarnation does not apply to the current one.
         if (announcement->startedAtMs < worker.incarnation.startedAtMs)
             return;
-        removeWorker(*handle);
+        removeWorker(*handle, endOf(worker));
     }
     addWorker({ .id = record.key, .address = announcement->address, .startedAtMs = announcement->startedAtMs },
         *announcement);
@@ -76,6 +76,9 @@
     if (!worker.isStored)
         m_assignedWorkersChanged = true;
     m_reportWait = reportWaitFor(m_workers.size());
+    // An assigned worker that has not announced itself yet may still have runs, which the scheduler must know.
+    if (!worker.announcement)
+        m_scheduler.updateWorker(handle, { .id = incarnation.id, .startedAtMs = incarnation.startedAtMs });
     updateWorkerInScheduler(handle);
     // Reports of workers cannot be interpreted before the jobs are loaded.
     if (m_areSessionsStarted)
@@ -101,20 +104,58 @@
     const auto& worker = m_workers.at(handle);
     if (!worker.announcement)
         return;
-    m_scheduler.updateWorker(handle, worker.announcement->view);
+    auto view = worker.announcement->view;
+    view.startedAtMs = worker.incarnation.startedAtMs;
+    m_scheduler.updateWorker(handle, view);
     m_scheduler.setReachable(handle,
         worker.isStored && worker.session && worker.session->isReachable()
-            && m_listedWorkers.contains(worker.incarnation.id));
+            && m_listedWorkers.contains(worker.incarnation.id),
+        m_loop.now());
+}
+
+/// How an incarnation ended that is known to have ended.
+WorkerEnd TaskLeader::endOf(const Worker& worker) const
+{
+    if (worker.announcement && worker.announcement->view.draining)
+        return WorkerEnd::Left;
+    bool hasLeftQuietly = m_listedWorkers.hasLeft(worker.incarnation.id) && !worker.session->refusesConnections();
+    return hasLeftQuietly ? WorkerEnd::Left : WorkerEnd::Crashed;
+}
+
+void TaskLeader::logCrashes(const std::vector<TaskScheduler::CrashEvent>& crashes)
+{
+    for (const auto& [task, run, count, failedJob] : crashes)
+        logWarning("run_crashed",
+            { { "job", task.job }, { "occurrence", task.occurrence }, { "step", task.step }, { "index", task.index },
+                { "run", run.run }, { "worker", run.worker }, { "run_ms", run.runTimeMs }, { "isolated", run.isolated },
+                { "crashes", count }, { "gives_up", failedJob } });
 }
 
-void TaskLeader::removeWorker(WorkerHandle handle)
+/// An earlier leader may have removed a worker before it stored the crash of a run there.
+void TaskLeader::confirmInheritedCrashes()
+{
+    logCrashes(m_scheduler.confirmInheritedCrashes([this](const WorkerId& id, int64_t startedAtMs) {
+        return std::ranges::any_of(m_workers, [&](const auto& it) {
+            const auto& incarnation = it.second.incarnation;
+            return incarnation.id == id
+                && (startedAtMs == 0 || incarnation.startedAtMs == 0 || incarnation.startedAtMs == startedAtMs);
+        });
+    }));
+}
+
+void TaskLeader::removeWorker(WorkerHandle handle, WorkerEnd end)
 {
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
         return;
     m_listedWorkers.forget(it->second.incarnation.id);
-    logInfo("worker_gone", { { "worker", it->second.incarnation.id }, { "born", it->second.incarnation.startedAtMs } });
-    m_scheduler.removeWorker(handle, m_loop.now());
+    logInfo("worker_gone",
+        { { "worker", it->second.incarnation.id }, { "born", it->second.incarnation.startedAtMs },
+            { "end", nameOf(end) } });
+    auto crashes = m_scheduler.removeWorker(handle, end, m_loop.now());
+    logCrashes(crashes);
+    for (size_t n = 0; n < crashes.size(); ++n)
+        m_metrics.recordRunEnd("crashed");
     // This function may be called by the session itself, so the session is destroyed in a later turn of the event loop.
     // It is closed first, because further replies of the worker may be pending in this turn: when 3,000 workers
     // restarted at once, a second reply of a removed worker terminated the process.
@@ -140,7 +181,7 @@
             absent.push_back(handle);
     }
     for (auto handle : absent)
-        removeWorker(handle);
+        removeWorker(handle, endOf(m_workers.at(handle)));
 }
 
 void TaskLeader::handleWorkersCaughtUp()
@@ -168,6 +209,11 @@
                 updateWorkerInScheduler(handle);
                 schedulePlan();
             },
+        .onConnectionsRefused =
+            [this, handle] {
+                m_scheduler.suspectCrash(handle, m_loop.now());
+                m_journal.requestFlush();
+            },
         .onLeaseExpired =
             [this, handle] {
                 auto& worker = m_workers.at(handle);
@@ -175,10 +221,11 @@
                 m_scheduler.markRunsLost(handle, m_loop.now());
                 checkReconciled();
                 if (!m_listedWorkers.contains(worker.incarnation.id))
-                    return removeWorker(handle);
+                    return removeWorker(
+                        handle, worker.session->refusesConnections() ? endOf(worker) : WorkerEnd::LeaseExpired);
                 schedulePlan();
             },
-        .onIncarnationMismatch = [this, handle] { removeWorker(handle); },
+        .onIncarnationMismatch = [this, handle] { removeWorker(handle, endOf(m_workers.at(handle))); },
         .onFenced = [this] { m_loop.post([fenced = m_options.onFenced] { fenced(); }); },
     };
 }
@@ -228,9 +275,6 @@
             m_metrics.recordRunEnd(nameOf(end.outcome));
         m_scheduler.runEnded(handle, end, now);
     }
-    // An assigned worker that has not announced itself yet may still have runs, which the scheduler must know.
-    if (!worker.announcement)
-        m_scheduler.updateWorker(handle, { .id = worker.incarnation.id });
     m_scheduler.runsReported(handle, reply.running, requestSentAt, now);
     if (worker.session->lastEndSequence() > worker.lastHandledEndSequence && canAcknowledge(worker, reply)) {
         worker.lastHandledEndSequence = worker.session->lastEndSequence();
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -34,12 +34,7 @@
 
 WorkerSession::~WorkerSession() { *m_alive = false; }
 
-bool WorkerSession::refusesConnections() const
-{
-    // A single refusal may reach a worker that is just starting.
-    constexpr uint32_t minRefusals { 2 };
-    return m_refusedConnections >= minRefusals;
-}
+bool WorkerSession::refusesConnections() const { return m_refusedConnections >= minRefusals; }
 
 void WorkerSession::start()
 {
@@ -201,6 +196,8 @@
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
         recordFailure();
+        if (m_refusedConnections == minRefusals)
+            m_options.events.onConnectionsRefused();
         return scheduleLeaseRenewal(retryDelay);
     }
     if (!checkOutcome(reply->commandReply))
--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -31,7 +31,7 @@
     , m_queryResults({ "found", "unknown", "unavailable" })
     , m_startOutcomes({ "accepted", "fenced", "superseded", "too_late", "no_room", "invalid", "unhealthy", "other_life",
           "not_sent" })
-    , m_runOutcomes({ "done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete" })
+    , m_runOutcomes({ "done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete", "crashed" })
     , m_taskCommandNames({ "stop", "pace" })
     , m_jobStates({ "completed", "failed", "cancelled" })
     , m_submissionLatency(histogramFamily("bergamot_node_submission_seconds", "Time to accept or refuse a job."),
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -29,8 +29,8 @@
     /// invalid, unhealthy, other_life, not_sent.
     void recordStart(std::string_view outcome);
 
-    /// Records a run end reported by a worker. Outcomes: done, failed, stopped, lease_lapsed, gang_broken,
-    /// gang_incomplete.
+    /// Records a run end reported by a worker, or the crash of the worker of a suspected run. Outcomes: done, failed,
+    /// stopped, lease_lapsed, gang_broken, gang_incomplete, crashed.
     void recordRunEnd(std::string_view outcome);
 
     /// Records a stop or throttle command to a worker. Commands: stop, pace.
--- a/Libraries/LibWire/JobProgress.h
+++ b/Libraries/LibWire/JobProgress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibWire/CrashedRun.h>
 #include <LibWire/FailedRun.h>
 #include <LibWire/JobStage.h>
 #include <msgpack.hpp>
@@ -19,9 +20,10 @@
     /// job has ended.
     std::vector<std::string> done {};
     std::vector<FailedRun> failedRuns {};
+    std::vector<CrashedRun> crashedRuns {};
 
     bool operator==(const JobProgress&) const = default;
-    MSGPACK_DEFINE_ARRAY(id, state, done, failedRuns)
+    MSGPACK_DEFINE_ARRAY(id, state, done, failedRuns, crashedRuns)
 };
 
 }
--- /dev/null
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -0,0 +1,79 @@
+#include <CppUTest/TestHarness.h>
+#include <LibDecision/CrashHistory.h>
+
+using namespace Bergamot;
+
+TEST_GROUP(CrashHistory)
+{
+    CrashHistory history;
+    TaskRef task { "j", 0, 1, 2 };
+
+    void crash(uint64_t run, bool isolated, bool confirmed = true, uint32_t runTimeMs = 10)
+    {
+        history.record({ .occurrence = 0,
+            .step = 1,
+            .index = 2,
+            .run = run,
+            .worker = "w",
+            .runTimeMs = runTimeMs,
+            .isolated = isolated,
+            .confirmed = confirmed });
+    }
+};
+
+// Guards against giving up a job for a single crash, or for crashes that another run on the worker may have caused.
+TEST(CrashHistory, OnlyRepeatedIsolatedCrashesProveTheCause)
+{
+    crash(1, false);
+    crash(2, true);
+    CHECK(!history.isCauseOfCrashes(task));
+    crash(3, false);
+    CHECK(!history.isCauseOfCrashes(task));
+    crash(4, true);
+    CHECK(history.isCauseOfCrashes(task));
+}
+
+// Guards against counting one crash twice when it is recorded before its start and again when it is confirmed.
+TEST(CrashHistory, RepeatedRecordCountsOnce)
+{
+    crash(1, true, false);
+    crash(1, true);
+    crash(1, true);
+    CHECK_EQUAL(1, history.count(task));
+    CHECK(!history.isCauseOfCrashes(task));
+}
+
+// Guards against giving up a job while the crash of a worker is not confirmed, and against starts in that time.
+TEST(CrashHistory, UnconfirmedCrashesDelayStartsButProveNothing)
+{
+    for (uint64_t run = 1; run <= 4; ++run)
+        crash(run, true, false);
+    CHECK(!history.isCauseOfCrashes(task));
+    CHECK(history.awaitsConfirmation(task));
+}
+
+// Guards against isolating each long-running task that was on a crashed worker.
+TEST(CrashHistory, OldRunIsNotIsolatedAfterOneCrash)
+{
+    crash(1, false, true, 5000);
+    CHECK(history.isolationOf(task) == RunIsolation::None);
+    crash(2, false, true, 5000);
+    CHECK(history.isolationOf(task) == RunIsolation::Required);
+}
+
+// Guards against clearing a task that crashes its worker only after a while.
+TEST(CrashHistory, ClearingTimeExceedsTheTimeToTheCrash)
+{
+    crash(1, false, true, 4000);
+    CHECK(history.clearingTime(task) > Milliseconds { 4000 });
+}
+
+// Guards against crashes of one task that are held against another task of the job.
+TEST(CrashHistory, TasksAreCountedApart)
+{
+    crash(1, true);
+    crash(2, true);
+    CHECK(!history.isCauseOfCrashes({ "j", 0, 1, 3 }));
+    CHECK(history.clear(task));
+    CHECK(history.isEmpty());
+}
--- /dev/null
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -0,0 +1,325 @@
+#include "TaskSchedulerFixture.h"
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace Bergamot;
+
+// A task whose run crashes its worker is given up after few starts, and the tasks that ran beside it are not.
+
+static constexpr Milliseconds restartTime { 3000 };
+static constexpr Milliseconds planInterval { 100 };
+
+TEST_GROUP(TaskCrashes)
+{
+    TaskSchedulerFixture fixture;
+    TaskScheduler& scheduler { fixture.scheduler() };
+    WorkerHandle lastWorker { 0 };
+
+    /// Active runs by worker, and all starts of each task.
+    std::map<WorkerHandle, std::vector<StartTask>> active;
+    std::map<TaskRef, size_t> starts;
+
+    /// Tasks that crash each worker that starts them.
+    std::set<TaskRef> crashingTasks;
+    std::map<WorkerHandle, Instant> crashedAt;
+    std::map<WorkerHandle, std::string> racks;
+    size_t maxWorkersDown { 0 };
+
+    void addWorker(const std::string& rack = "", const std::string& zone = "a")
+    {
+        auto handle = ++lastWorker;
+        TaskWorkerView view { .id = "w" + std::to_string(handle),
+            .startedAtMs = 1000 + handle,
+            .service = "token",
+            .zone = zone,
+            .rack = rack };
+        view.capacity = { 32000, 125000, 0 };
+        scheduler.updateWorker(handle, view);
+        racks[handle] = rack;
+        active[handle];
+    }
+
+    void storeProgress()
+    {
+        for (const auto& progress : scheduler.takeChangedJobs())
+            scheduler.progressStored(progress);
+    }
+
+    void report(WorkerHandle worker)
+    {
+        std::vector<RunReport> reports;
+        for (const auto& start : active[worker])
+            reports.push_back({ .task = start.task, .run = start.run });
+        scheduler.runsReported(worker, reports, fixture.now(), fixture.now());
+    }
+
+    void crash(WorkerHandle worker)
+    {
+        if (crashedAt.contains(worker) || !active.contains(worker))
+            return;
+        crashedAt[worker] = fixture.now();
+        scheduler.setReachable(worker, false, fixture.now());
+        scheduler.suspectCrash(worker, fixture.now());
+        maxWorkersDown = std::max(maxWorkersDown, crashedAt.size());
+    }
+
+    void restartCrashedWorkers()
+    {
+        for (auto it = crashedAt.begin(); it != crashedAt.end();) {
+            if (fixture.now() - it->second < restartTime) {
+                ++it;
+                continue;
+            }
+            auto rack = racks[it->first];
+            scheduler.removeWorker(it->first, WorkerEnd::Crashed, fixture.now());
+            active.erase(it->first);
+            it = crashedAt.erase(it);
+            addWorker(rack);
+        }
+    }
+
+    void execute(const StartTask& start)
+    {
+        ++starts[start.task];
+        if (crashedAt.contains(start.worker))
+            return;
+        active[start.worker].push_back(start);
+        scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
+        if (crashingTasks.contains(start.task))
+            crash(start.worker);
+    }
+
+    /// Lets time pass while the workers execute all starts; runs of short steps never end by themselves.
+    void run(Milliseconds time)
+    {
+        for (Milliseconds passed { 0 }; passed < time; passed += planInterval) {
+            storeProgress();
+            for (const auto& start : fixture.planStarts())
+                execute(start);
+            fixture.advance(planInterval);
+            restartCrashedWorkers();
+            for (const auto& [worker, runs] : active) {
+                if (!crashedAt.contains(worker))
+                    report(worker);
+            }
+        }
+        storeProgress();
+    }
+
+    static StepSpec lasting(uint32_t count)
+    {
+        return { .count = count, .size = { 1000, 1000, 0 }, .longRunning = true };
+    }
+};
+
+// Guards against a task that takes down worker after worker: it was started again as often as a worker was free.
+TEST(TaskCrashes, TaskThatCrashesItsWorkersIsGivenUp)
+{
+    for (int i = 0; i < 6; ++i)
+        addWorker();
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    crashingTasks = { { "j", 0, 0, 0 } };
+    run(Milliseconds { 40000 });
+    CHECK(scheduler.stateOf("j") == JobStage::Failed);
+    CHECK_COMPARE((starts[TaskRef { "j", 0, 0, 0 }]), <=, 4);
+}
+
+// Guards against jobs that fail because their tasks ran beside a task that crashes its workers.
+TEST(TaskCrashes, TasksBesideTheCauseAreNotGivenUp)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker();
+    for (int i = 0; i < 8; ++i)
+        scheduler.addJob(fixture.job("innocent" + std::to_string(i), { fixture.step(2) }), std::nullopt, neverInstant);
+    scheduler.addJob(fixture.job("lasting", { lasting(4) }), std::nullopt, neverInstant);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    crashingTasks = { { "j", 0, 0, 0 } };
+    run(Milliseconds { 60000 });
+    CHECK(scheduler.stateOf("j") == JobStage::Failed);
+    CHECK_COMPARE((starts[TaskRef { "j", 0, 0, 0 }]), <=, 5);
+    for (int i = 0; i < 8; ++i)
+        CHECK(scheduler.stateOf("innocent" + std::to_string(i)) == JobStage::Running);
+    CHECK(scheduler.stateOf("lasting") == JobStage::Running);
+    CHECK_EQUAL(20, scheduler.totals().activeRuns);
+}
+
+// Guards against many workers that are down at once, because suspected tasks all start as soon as a worker is free.
+TEST(TaskCrashes, SuspectedTasksTakeDownFewWorkersAtOnce)
+{
+    for (int i = 0; i < 20; ++i)
+        addWorker();
+    scheduler.addJob(fixture.job("j", { fixture.step(4) }), std::nullopt, neverInstant);
+    scheduler.addJob(fixture.job("k", { fixture.step(4) }), std::nullopt, neverInstant);
+    for (uint32_t i = 0; i < 4; ++i) {
+        crashingTasks.insert({ "j", 0, 0, i });
+        crashingTasks.insert({ "k", 0, 0, i });
+    }
+    run(Milliseconds { 2 * restartTime });
+    maxWorkersDown = 0;
+    run(Milliseconds { 40000 });
+    CHECK_COMPARE(maxWorkersDown, <=, 2);
+    CHECK(scheduler.stateOf("j") == JobStage::Failed);
+    CHECK(scheduler.stateOf("k") == JobStage::Failed);
+}
+
+// Guards against jobs that fail because their rack lost power several times.
+TEST(TaskCrashes, LossOfAWholeRackGivesUpNoJob)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker("r1");
+    scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant);
+    for (int loss = 0; loss < 8; ++loss) {
+        run(Milliseconds { 1000 });
+        for (const auto& [worker, runs] : std::map(active))
+            crash(worker);
+        run(restartTime + Milliseconds { 500 });
+    }
+    run(Milliseconds { 4000 });
+    CHECK(scheduler.stateOf("j") == JobStage::Running);
+    CHECK_EQUAL(2, scheduler.totals().activeRuns);
+}
+
+// Guards against crashes that are counted although the worker was only cut off, paused or told to leave.
+TEST(TaskCrashes, LossWithoutACrashIsNotCounted)
+{
+    for (int i = 0; i < 2; ++i)
+        addWorker();
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    for (auto end : { WorkerEnd::Left, WorkerEnd::LeaseExpired, WorkerEnd::Left, WorkerEnd::LeaseExpired }) {
+        run(Milliseconds { 200 });
+        auto it = std::ranges::find_if(active, [](const auto& entry) { return !entry.second.empty(); });
+        CHECK(it != active.end());
+        auto worker = it->first;
+        scheduler.setReachable(worker, false, fixture.now());
+        scheduler.suspectCrash(worker, fixture.now());
+        scheduler.removeWorker(worker, end, fixture.now());
+        active.erase(worker);
+        addWorker();
+    }
+    storeProgress();
+    CHECK(scheduler.timelineOf("j")->crashedRuns.empty());
+    CHECK(scheduler.stateOf("j") == JobStage::Running);
+}
+
+// Guards against a worker that refused connections and came back being taken as crashed.
+TEST(TaskCrashes, WorkerThatComesBackWithItsRunsHasNotCrashed)
+{
+    addWorker();
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    run(Milliseconds { 200 });
+    scheduler.setReachable(1, false, fixture.now());
+    scheduler.suspectCrash(1, fixture.now());
+    CHECK_EQUAL(1, scheduler.timelineOf("j")->crashedRuns.size());
+    scheduler.setReachable(1, true, fixture.now());
+    report(1);
+    CHECK(scheduler.timelineOf("j")->crashedRuns.empty());
+}
+
+// Guards against a start of a suspected task while its crash is not stored: the next leader would not count it.
+TEST(TaskCrashes, SuspectedTaskWaitsUntilItsCrashIsStored)
+{
+    addWorker();
+    addWorker();
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto first = fixture.planStarts();
+    CHECK_EQUAL(1, first.size());
+    fixture.advance(Milliseconds { 10 });
+    scheduler.removeWorker(first[0].worker, WorkerEnd::Crashed, fixture.now());
+    fixture.advance(Milliseconds { 1000 });
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    storeProgress();
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    auto changed = scheduler.takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    CHECK_EQUAL(2, changed[0].crashedRuns.size());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler.progressStored(changed[0]);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+}
+
+// Guards against a crash that is not counted because the leader fails right after it gave the order.
+TEST(TaskCrashes, CrashesOutliveTheLeader)
+{
+    addWorker();
+    addWorker();
+    auto spec = fixture.job("j", { fixture.step(1) });
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = {
+        { .run = 100001,
+            .worker = "w7",
+            .workerStartedAtMs = 7,
+            .runTimeMs = 10,
+            .isolated = false,
+            .confirmed = true },
+        { .run = 100002, .worker = "w8", .workerStartedAtMs = 8, .runTimeMs = 10, .isolated = true, .confirmed = true },
+        { .run = 100003, .worker = "w9", .workerStartedAtMs = 9, .isolated = true, .confirmed = false },
+    };
+    scheduler.addJob(spec, stored, neverInstant);
+    auto events = scheduler.confirmInheritedCrashes([](const WorkerId&, int64_t) { return false; });
+    CHECK_EQUAL(1, events.size());
+    CHECK(events[0].failedJob);
+    storeProgress();
+    CHECK(scheduler.stateOf("j") == JobStage::Failed);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+}
+
+// Guards against counting an isolated start that the failed leader recorded but never sent.
+TEST(TaskCrashes, RecordedStartThatNoWorkerKnowsIsWithdrawn)
+{
+    addWorker();
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns
+        = { { .run = 100001, .worker = "w1", .workerStartedAtMs = 1001, .isolated = true, .confirmed = false } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    scheduler.confirmInheritedCrashes([](const WorkerId&, int64_t) { return true; });
+    CHECK_EQUAL(1, scheduler.timelineOf("j")->crashedRuns.size());
+    report(1);
+    CHECK(scheduler.timelineOf("j")->crashedRuns.empty());
+}
+
+// Guards against a gang that is started for ever because one of its members crashes its worker.
+TEST(TaskCrashes, GangThatCrashesAWorkerIsGivenUp)
+{
+    for (int i = 0; i < 8; ++i)
+        addWorker();
+    auto step = fixture.step(3);
+    step.gang = true;
+    step.maxPerWorker = 1;
+    scheduler.addJob(fixture.job("g", { step }), std::nullopt, neverInstant);
+    crashingTasks = { { "g", 0, 0, 2 } };
+    for (int i = 0; i < 40 && scheduler.stateOf("g") != JobStage::Failed; ++i) {
+        run(Milliseconds { 1000 });
+        // The workers end the other members, which cannot continue alone.
+        for (auto& [worker, runs] : active) {
+            if (crashedAt.empty() || crashedAt.contains(worker))
+                continue;
+            for (const auto& start : std::exchange(runs, {}))
+                fixture.endRun(start, RunOutcome::GangBroken);
+        }
+    }
+    CHECK(scheduler.stateOf("g") == JobStage::Failed);
+    CHECK_COMPARE((starts[TaskRef { "g", 0, 0, 2 }]), <=, 5);
+}
+
+// Guards against isolated starts that starve because every worker gets other starts all the time.
+TEST(TaskCrashes, SuspectedTaskRunsOnBusyWorkers)
+{
+    addWorker();
+    addWorker();
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = { { .run = 100001, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true },
+        { .run = 100002, .worker = "w8", .workerStartedAtMs = 8, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    for (int i = 0; i < 40; ++i) {
+        scheduler.addJob(fixture.job("k" + std::to_string(i), { fixture.step(2) }), std::nullopt, neverInstant);
+        run(planInterval);
+        for (auto& [worker, runs] : active) {
+            while (runs.size() > 20) {
+                fixture.endRun(runs.front(), RunOutcome::Done);
+                runs.erase(runs.begin());
+            }
+        }
+    }
+    CHECK_EQUAL(1, (starts[TaskRef { "j", 0, 0, 0 }]));
+}
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -155,7 +155,7 @@
     fixture.addWorker(1, { 32000, 125000, 0 }, "out");
     fixture.addWorker(2);
     scheduler.setExcludedZones({ "out" });
-    scheduler.setReachable(2, false);
+    scheduler.setReachable(2, false, fixture.now());
     TaskWorkerView drainingView { .id = "w3", .service = "token", .zone = "a", .draining = true };
     drainingView.capacity = { 32000, 125000, 0 };
     scheduler.updateWorker(3, drainingView);
