Weigh crashes by the time from the start to the crash

Cause: every run of up to 10 s on a crashed worker counted alike, also beside an isolated run, and a task was cleared only after twice its longest time to a crash, so that innocent long-running tasks held the few places for isolated runs.

Change: runs beside an isolated run are not recorded; a task runs isolated after two crashes directly after its starts, or three in all; it is cleared after twice the shortest confirmed time to a crash. A departure that was announced as a drain is the only planned one; a new incarnation without it is a crash.

Tests SlowCrashOnBusyWorkersIsGivenUp and RunsBesideAnIsolatedRunAreNotSuspected are new; the first failed while the record of an active isolated run counted.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -9,15 +9,16 @@
 /// Crashes after which one isolated crash proves the cause, and further starts wait for unconfirmed crashes.
 static constexpr size_t maxCrashes = 4;
 
-/// Crashes from which on a task runs isolated only.
-static constexpr size_t crashesUntilIsolated = 2;
-
 /// A run that was lost with its worker within this time of its start is a more likely cause than older runs.
 static constexpr Milliseconds promptCrashTime { 500 };
 
-/// A task is cleared when it has run for this multiple of the longest time to a crash, and at least for the minimum.
+/// Crashes from which on a task runs isolated only: those directly after a start, and all.
+static constexpr size_t promptCrashesUntilIsolated = 2;
+static constexpr size_t crashesUntilIsolated = 3;
+
+/// A task is cleared when it has run for this multiple of the shortest time to a crash, and at least for the minimum.
 static constexpr int clearingFactor = 2;
-static constexpr Milliseconds minClearingTime { 3000 };
+static constexpr Milliseconds minClearingTime { 2000 };
 
 static bool isOfTask(const CrashedRun& run, const TaskRef& task)
 {
@@ -59,12 +60,11 @@
 
 RunIsolation CrashHistory::isolationOf(const TaskRef& task) const
 {
-    auto crashes = count(task);
-    if (crashes >= crashesUntilIsolated)
+    auto promptCrashes = static_cast<size_t>(std::ranges::count_if(m_runs,
+        [&](const CrashedRun& it) { return isOfTask(it, task) && Milliseconds { it.runTimeMs } <= promptCrashTime; }));
+    if (promptCrashes >= promptCrashesUntilIsolated || count(task) >= crashesUntilIsolated)
         return RunIsolation::Required;
-    bool isPrompt = std::ranges::any_of(m_runs,
-        [&](const CrashedRun& it) { return isOfTask(it, task) && Milliseconds { it.runTimeMs } <= promptCrashTime; });
-    return isPrompt ? RunIsolation::Preferred : RunIsolation::None;
+    return promptCrashes > 0 ? RunIsolation::Preferred : RunIsolation::None;
 }
 
 bool CrashHistory::isCauseOfCrashes(const TaskRef& task) const
@@ -88,12 +88,13 @@
 
 Milliseconds CrashHistory::clearingTime(const TaskRef& task) const
 {
-    Milliseconds longest { 0 };
+    auto shortest = Milliseconds::max();
     for (const auto& it : m_runs) {
-        if (isOfTask(it, task))
-            longest = std::max(longest, Milliseconds { it.runTimeMs });
+        // The record of an isolated run that is active has no run time yet.
+        if (it.confirmed && isOfTask(it, task))
+            shortest = std::min(shortest, Milliseconds { it.runTimeMs });
     }
-    return std::max(minClearingTime, clearingFactor * longest);
+    return shortest == Milliseconds::max() ? minClearingTime : std::max(minClearingTime, clearingFactor * shortest);
 }
 
 }
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -105,6 +105,9 @@
         const auto* run = findRun(*active.task, key.second);
         if (!run || active.job->hasEnded())
             continue;
+        // An isolated run is the likely cause, and the other runs on its worker were active before.
+        if (worker.isolatedRuns > 0 && !run->isolated)
+            continue;
         // The record of a gang names one of its workers, which may be another one.
         const auto* recorded = active.job->crashes.find(crashKey(*active.job, key.first), key.second);
         if (recorded && (recorded->confirmed || recorded->worker == worker.view.id))
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -105,7 +105,7 @@
     void addWorker(const WorkerIncarnation&, std::optional<WorkerAnnouncement>);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void removeWorker(WorkerHandle, WorkerEnd);
-    WorkerEnd endOf(const Worker&) const;
+    static WorkerEnd endOf(const Worker&);
     void confirmInheritedCrashes();
     static void logCrashes(const std::vector<TaskScheduler::CrashEvent>&);
     WorkerSession::Events makeSessionEvents(WorkerHandle);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -113,13 +113,10 @@
         m_loop.now());
 }
 
-/// How an incarnation ended that is known to have ended.
-WorkerEnd TaskLeader::endOf(const Worker& worker) const
+/// How an incarnation ended that is known to have ended. A worker that leaves as planned announces it before.
+WorkerEnd TaskLeader::endOf(const Worker& worker)
 {
-    if (worker.announcement && worker.announcement->view.draining)
-        return WorkerEnd::Left;
-    bool hasLeftQuietly = m_listedWorkers.hasLeft(worker.incarnation.id) && !worker.session->refusesConnections();
-    return hasLeftQuietly ? WorkerEnd::Left : WorkerEnd::Crashed;
+    return worker.announcement && worker.announcement->view.draining ? WorkerEnd::Left : WorkerEnd::Crashed;
 }
 
 void TaskLeader::logCrashes(const std::vector<TaskScheduler::CrashEvent>& crashes)
@@ -173,15 +170,16 @@
 /// lease. A worker that is only silent may run on and keeps its runs until its lease has expired.
 void TaskLeader::removeAbsentWorkers()
 {
-    std::vector<WorkerHandle> absent;
+    std::vector<std::pair<WorkerHandle, WorkerEnd>> absent;
     for (const auto& [handle, worker] : m_workers) {
         const auto& id = worker.incarnation.id;
-        bool hasEnded = worker.session->refusesConnections() || m_listedWorkers.hasLeft(id);
-        if (hasEnded && !worker.session->isReachable() && !m_listedWorkers.contains(id))
-            absent.push_back(handle);
+        bool isRefusing = worker.session->refusesConnections();
+        if ((isRefusing || m_listedWorkers.hasLeft(id)) && !worker.session->isReachable()
+            && !m_listedWorkers.contains(id))
+            absent.emplace_back(handle, isRefusing ? endOf(worker) : WorkerEnd::Left);
     }
-    for (auto handle : absent)
-        removeWorker(handle, endOf(m_workers.at(handle)));
+    for (auto [handle, end] : absent)
+        removeWorker(handle, end);
 }
 
 void TaskLeader::handleWorkersCaughtUp()
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -58,6 +58,17 @@
     crash(1, false, true, 5000);
     CHECK(history.isolationOf(task) == RunIsolation::None);
     crash(2, false, true, 5000);
+    CHECK(history.isolationOf(task) == RunIsolation::None);
+    crash(3, false, true, 5000);
+    CHECK(history.isolationOf(task) == RunIsolation::Required);
+}
+
+// Guards against further crashes beside other runs when a task has crashed two workers directly after its starts.
+TEST(CrashHistory, RepeatedPromptCrashesRequireIsolation)
+{
+    crash(1, false);
+    CHECK(history.isolationOf(task) == RunIsolation::Preferred);
+    crash(2, false);
     CHECK(history.isolationOf(task) == RunIsolation::Required);
 }
 
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -23,6 +23,9 @@
     /// Tasks that crash each worker that starts them.
     std::set<TaskRef> crashingTasks;
     std::map<WorkerHandle, Instant> crashedAt;
+
+    /// Times of the starts, by task and run number.
+    std::map<std::pair<TaskRef, uint64_t>, Instant> startedAt;
     std::map<WorkerHandle, std::string> racks;
     size_t maxWorkersDown { 0 };
 
@@ -82,6 +85,7 @@
     void execute(const StartTask& start)
     {
         ++starts[start.task];
+        startedAt[{ start.task, start.run }] = fixture.now();
         if (crashedAt.contains(start.worker))
             return;
         active[start.worker].push_back(start);
@@ -90,6 +94,12 @@
             crash(start.worker);
     }
 
+    void end(WorkerHandle worker, const StartTask& start)
+    {
+        std::erase(active[worker], start);
+        fixture.endRun(start, RunOutcome::Done);
+    }
+
     /// Lets time pass while the workers execute all starts; runs of short steps never end by themselves.
     void run(Milliseconds time)
     {
@@ -278,6 +288,47 @@
     CHECK(scheduler.timelineOf("j")->crashedRuns.empty());
 }
 
+// Guards against long-running tasks that are held against a crash that another, isolated task caused.
+TEST(TaskCrashes, RunsBesideAnIsolatedRunAreNotSuspected)
+{
+    addWorker();
+    scheduler.addJob(fixture.job("lasting", { lasting(1) }), std::nullopt, neverInstant);
+    run(Milliseconds { 4000 });
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true },
+        { .run = 2, .worker = "w8", .workerStartedAtMs = 8, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    crashingTasks = { { "j", 0, 0, 0 } };
+    run(Milliseconds { 1000 });
+    CHECK_EQUAL(3, scheduler.timelineOf("j")->crashedRuns.size());
+    CHECK(scheduler.timelineOf("lasting")->crashedRuns.empty());
+}
+
+// Guards against a task that crashes its workers seconds after its starts, beside tasks that start all the time.
+TEST(TaskCrashes, SlowCrashOnBusyWorkersIsGivenUp)
+{
+    for (int i = 0; i < 6; ++i)
+        addWorker();
+    scheduler.addJob(fixture.job("j", { lasting(1) }), std::nullopt, neverInstant);
+    for (int i = 0; i < 600 && scheduler.stateOf("j") != JobStage::Failed; ++i) {
+        scheduler.addJob(fixture.job("k" + std::to_string(i), { fixture.step(2) }), std::nullopt, neverInstant);
+        run(planInterval);
+        for (auto& [worker, runs] : std::map(active)) {
+            for (const auto& start : runs) {
+                auto age = fixture.now() - startedAt[{ start.task, start.run }];
+                if (start.task.job == "j" && age > Milliseconds { 2500 })
+                    crash(worker);
+                else if (start.task.job != "j" && age > Milliseconds { 1000 } && !crashedAt.contains(worker))
+                    end(worker, start);
+            }
+        }
+    }
+    CHECK(scheduler.stateOf("j") == JobStage::Failed);
+    CHECK_COMPARE((starts[TaskRef { "j", 0, 0, 0 }]), <=, 5);
+    for (int i = 0; i < 600; ++i)
+        CHECK(scheduler.stateOf("k" + std::to_string(i)).value_or(JobStage::Completed) != JobStage::Failed);
+}
+
 // Guards against a gang that is started for ever because one of its members crashes its worker.
 TEST(TaskCrashes, GangThatCrashesAWorkerIsGivenUp)
 {
@@ -308,8 +359,8 @@
     addWorker();
     addWorker();
     JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
-    stored.crashedRuns = { { .run = 100001, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true },
-        { .run = 100002, .worker = "w8", .workerStartedAtMs = 8, .confirmed = true } };
+    stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true },
+        { .run = 2, .worker = "w8", .workerStartedAtMs = 8, .confirmed = true } };
     scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
     for (int i = 0; i < 40; ++i) {
         scheduler.addJob(fixture.job("k" + std::to_string(i), { fixture.step(2) }), std::nullopt, neverInstant);
