--- a/Libraries/LibAdmin/JobLogAnalysis.cpp
+++ b/Libraries/LibAdmin/JobLogAnalysis.cpp
@@ -88,8 +88,10 @@
         return;
     }
     const auto& end = *ends.back();
-    if (end.field("state") == "failed")
-        return explainFailedRuns(end);
+    if (end.field("state") == "failed") {
+        explainFailedRuns(end);
+        return explainCrashes(end);
+    }
     if (end.field("state") == "completed" && end.number("late_ms") > 0)
         explainDelay(end);
 }
@@ -143,6 +145,21 @@
             workers.size() == 1 ? ", so the worker may be at fault" : ", so the task is likely at fault"));
 }
 
+/// Names the workers that crashed under the job, if it was given up because of them. A leader that took over has no
+/// run_crashed lines of the crashes before, so the summary in the line of the end counts.
+void JobLogAnalysis::explainCrashes(const LogLine& end)
+{
+    auto crashes = end.field("crashes");
+    bool isGivenUp = std::ranges::any_of(
+        linesOf("run_crashed"), [](const LogLine* it) { return it->field("gives_up") == "true"; });
+    if (crashes.empty() || (!isGivenUp && end.number("failed_runs") >= end.number("max_attempts")))
+        return;
+    m_causes.push_back(fmt::format("workers crashed under runs of a task, so the job was given up "
+                                   "(occurrence.step.index, run and worker of each; isolated: no other run on the "
+                                   "worker was suspected): {}",
+        crashes));
+}
+
 /// Adds the leadership changes between the first and the last line of the job.
 void JobLogAnalysis::addLeadershipChanges()
 {
--- a/Libraries/LibAdmin/JobLogAnalysis.h
+++ b/Libraries/LibAdmin/JobLogAnalysis.h
@@ -24,6 +24,7 @@
     void explainReadDelay();
     void explainOutcome();
     void explainDelay(const LogLine& end);
+    void explainCrashes(const LogLine& end);
     void explainFailedRuns(const LogLine& end);
     void addLeadershipChanges();
 
--- a/Tests/LibAdmin/TestJobLogAnalysis.cpp
+++ b/Tests/LibAdmin/TestJobLogAnalysis.cpp
@@ -73,6 +73,22 @@
     checkContains(runner.runLine("explain a1 l").out, "2 runs failed on 2 workers, so the task is likely at fault");
 }
 
+// Guards against a job that was given up without the workers and runs that show why.
+TEST(JobLogAnalysis, GivenUpJobNamesTheCrashedWorkers)
+{
+    runner.files["l"]
+        = "ts=1.0 process=h event=job_submitted job=a1 result=accepted ms=1\n"
+          "ts=1.1 process=h event=job_known job=a1 queue=q age_ms=20 offset=1\n"
+          "ts=9.0 process=h event=run_crashed job=a1 occurrence=0 step=0 index=0 run=3 worker=w3 run_ms=20 "
+          "isolated=true crashes=3 gives_up=true\n"
+          "ts=9.1 process=h event=job_ended job=a1 queue=q state=failed late_ms=5 failed_runs=0 max_attempts=3 "
+          "crashes=\"0.0.0:run=2,worker=w2,isolated;0.0.0:run=3,worker=w3,isolated\" steps_ms=\n";
+    auto out = runner.runLine("explain a1 l").out;
+    checkContains(out, "workers crashed under runs of a task, so the job was given up");
+    checkContains(out, "0.0.0:run=2,worker=w2,isolated");
+    CHECK(out.find("used up its attempts") == std::string::npos);
+}
+
 // Guards against an analysis that does not report missing log lines.
 TEST(JobLogAnalysis, MissingLinesAreNamed)
 {
