Test copies of suspected tasks and progress records of older versions

Two answers of the counting of crashes had no test: a suspected task gets no speculative copy, and progress that an older leader stored has no crashes. With the condition in TaskScheduler::requestSpeculativeCopy() removed (mutant, not committed), SuspectedTaskGetsNoSpeculativeCopy fails; both pass on the code as it is.

--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -329,6 +329,29 @@
         CHECK(scheduler.stateOf("k" + std::to_string(i)).value_or(JobStage::Completed) != JobStage::Failed);
 }
 
+// Guards against a second worker that crashes because a suspected task gets a speculative copy.
+TEST(TaskCrashes, SuspectedTaskGetsNoSpeculativeCopy)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker();
+    auto step = fixture.step(2);
+    step.speculative = true;
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "00" } };
+    stored.crashedRuns
+        = { { .index = 1, .run = 1, .worker = "w7", .workerStartedAtMs = 7, .runTimeMs = 900, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { step }), stored, neverInstant);
+    auto runs = fixture.planStarts();
+    CHECK_EQUAL(2, runs.size());
+    for (const auto& it : runs)
+        scheduler.commandAccepted(it.worker, it.task, it.run, fixture.now());
+    fixture.advance(Milliseconds { 1000 });
+    fixture.endRun(runs[0], RunOutcome::Done);
+    fixture.advance(Milliseconds { 500 });
+    RunReport slow { .task = runs[1].task, .run = runs[1].run, .progressPercent = 20 };
+    scheduler.runsReported(runs[1].worker, { slow }, fixture.now(), fixture.now());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+}
+
 // Guards against a gang that is started for ever because one of its members crashes its worker.
 TEST(TaskCrashes, GangThatCrashesAWorkerIsGivenUp)
 {
--- /dev/null
+++ b/Tests/LibWire/TestJobProgress.cpp
@@ -0,0 +1,39 @@
+#include <CppUTest/TestHarness.h>
+#include <LibWire/JobProgress.h>
+#include <LibWire/ValueCodec.h>
+#include <string>
+#include <tuple>
+#include <vector>
+
+using namespace Bergamot;
+
+TEST_GROUP(JobProgress) {};
+
+// Guards against losing the crashes of a job when another leader reads its progress.
+TEST(JobProgress, CrashesSurviveTheRoundTrip)
+{
+    JobProgress progress { .id = "j", .state = JobStage::Running, .done = { "01" } };
+    progress.crashedRuns = { { .occurrence = 1,
+        .step = 2,
+        .index = 3,
+        .run = 4,
+        .worker = "w",
+        .workerStartedAtMs = 5,
+        .runTimeMs = 6,
+        .isolated = true,
+        .confirmed = true } };
+    auto decoded = decodeValue<JobProgress>(encodeValue(progress));
+    CHECK(decoded.ok());
+    CHECK(*decoded == progress);
+}
+
+// Guards against refusing the progress that a leader of an earlier version stored.
+TEST(JobProgress, RecordWithoutCrashesIsRead)
+{
+    std::tuple older { JobId("j"), JobStage::Running, std::vector<std::string> { "01" },
+        std::vector<FailedRun> { { 0, 0, 1, 7 } } };
+    auto decoded = decodeValue<JobProgress>(encodeValue(older));
+    CHECK(decoded.ok());
+    CHECK(decoded->crashedRuns.empty());
+    CHECK_EQUAL(1, decoded->failedRuns.size());
+}
