--- a/Tests/PlatformAdapter/TestPlatformJson.cpp
+++ b/Tests/PlatformAdapter/TestPlatformJson.cpp
@@ -91,6 +91,25 @@
         CHECK_FALSE(formats.readWorkerRecord({ .key = "i-2", .value = other }).ok());
 }
 
+// Guards against a capacity that is read once: a worker may announce another one while it runs, also only less
+// memory, and none at all.
+TEST(PlatformJson, ChangedCapacityIsRead)
+{
+    auto capacityOf = [this](const std::string& capacity) {
+        auto worker = formats.readWorkerRecord({ .key = "i-1",
+            .value
+            = R"({"service":"s","addr":"a","zone":"z","state":"ready","born":77,"capacity":)" + capacity + "}" });
+        CHECK(worker.ok());
+        CHECK_EQUAL(77, worker->startedAtMs);
+        return worker->view.capacity;
+    };
+    CHECK((capacityOf(R"({"cpu":16000,"memMb":32768,"gpu":2})") == Resources { 16000, 32768, 2 }));
+    CHECK((capacityOf(R"({"cpu":7000,"memMb":32768,"gpu":2})") == Resources { 7000, 32768, 2 }));
+    CHECK((capacityOf(R"({"cpu":16000,"memMb":900,"gpu":2})") == Resources { 16000, 900, 2 }));
+    CHECK((capacityOf(R"({"cpu":16000,"memMb":32768})") == Resources { 16000, 32768, 0 }));
+    CHECK((capacityOf(R"({"cpu":0,"memMb":0,"gpu":0})") == Resources {}));
+}
+
 // Guards against a configuration or a zone evacuation of the operators that is decoded incorrectly.
 TEST(PlatformJson, OperatorRecordsAreRead)
 {
