Send no queued start beyond a capacity that has shrunk meanwhile

Cause: the check directly before each start looked at drain, zones and leadership, but not at the room. Change: TaskLeader::canStart() also asks whether the known runs on the worker, with the start's own reservation, fit in its capacity. A start that is given up frees its reservation and waits again; one that may have arrived is replaced by a stop, as for drain and zones. Starts behind it that fit are still sent.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -136,6 +136,12 @@
     return worker.reachable && !worker.view.draining && !m_excludedZones.contains(worker.view.zone);
 }
 
+bool TaskScheduler::hasRoomForRuns(WorkerHandle handle) const
+{
+    auto it = m_workers.find(handle);
+    return it != m_workers.end() && !it->second->isOverFull();
+}
+
 bool TaskScheduler::isUsable(const WorkerEntry& worker, Instant now) const
 {
     return worker.startBackoffUntil <= now && worker.pausedUntil <= now && acceptsRuns(worker);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -75,6 +75,10 @@
     /// Whether the worker may get runs: it is reachable, not draining, and its zone is not excluded.
     bool acceptsRuns(WorkerHandle) const;
 
+    /// Whether the known runs on the worker fit in its capacity, including those that are being stopped and those whose
+    /// starts have not been sent.
+    bool hasRoomForRuns(WorkerHandle) const;
+
     /// An unreachable worker gets no new runs.
     void setReachable(WorkerHandle, bool reachable);
 
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -78,7 +78,10 @@
     Instant pausedUntil { neverInstant };
 
     double capacityMillis() const { return static_cast<double>(std::max<int64_t>(1, view.capacity.cpuMillis)); }
+
+    /// Negative where the capacity has shrunk below what runs on the worker.
     Resources freeResources() const { return view.capacity - reserved; }
+    bool isOverFull() const { return !Resources {}.fitsIn(freeResources()); }
 
     /// Processors that another best-effort task may expect to be idle.
     int64_t freeBestEffortMillis() const
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -345,7 +345,7 @@
 /// Whether the start may be sent now. The decision may be old: the command may have waited behind others.
 bool TaskLeader::canStart(const StartTask& start) const
 {
-    return canStart() && m_scheduler.acceptsRuns(start.worker)
+    return canStart() && m_scheduler.acceptsRuns(start.worker) && m_scheduler.hasRoomForRuns(start.worker)
         && m_scheduler.wasKnownAt(start.task.job, m_options.soleLeaderUntil());
 }
 
--- a/Tests/LibNode/TestTaskLeaderRoom.cpp
+++ b/Tests/LibNode/TestTaskLeaderRoom.cpp
@@ -109,3 +109,63 @@
         store.put(StreamName::Jobs, "j", {});
     }
 }
+
+// Guards against a start that was decided while the worker had room and is sent after its capacity has shrunk, because
+// it waited behind a command without a reply (LIMIT). It waits again, and starts once there is room.
+TEST(TaskLeaderRoom, QueuedStartIsNotSentBeyondAShrunkCapacity)
+{
+    for (const auto& shrunk : { Resources { 1000, 4000, 4 }, Resources { 4000, 1500, 4 }, Resources { 4000, 4000, 1 },
+             Resources { 0, 0, 0 } }) {
+        announce({ 4000, 4000, 4 });
+        putJob("j", 2);
+        lead();
+        auto first = awaitCommand("start");
+        announce(shrunk);
+        reportFor(Milliseconds { 600 });
+        first.reply(accepted());
+        std::vector<RunReport> running { { .task = first.start.task, .run = first.run } };
+        reportFor(Milliseconds { 1200 }, running);
+        CHECK(taskExecutor.commands.empty());
+        announce({ 2000, 2000, 2 });
+        auto second = awaitCommand("start", running);
+        CHECK(second.start.task != first.start.task);
+        leader.reset();
+        taskExecutor.renewLeaseCalls.clear();
+        store.put(StreamName::Jobs, "j", {});
+    }
+}
+
+// Guards against the repeat of a start whose answer was lost, after the capacity has shrunk (LIMIT): the worker may
+// never have seen the first attempt. A stop goes out instead, and the task waits again.
+TEST(TaskLeaderRoom, UnansweredStartIsNotRepeatedBeyondAShrunkCapacity)
+{
+    announce({ 1000, 4000, 4 });
+    putJob("j", 1);
+    lead();
+    auto first = awaitCommand("start");
+    announce({ 500, 4000, 4 });
+    reportFor(Milliseconds { 600 });
+    first.reply(absl::DeadlineExceededError("lost"));
+    auto stop = awaitCommand("stop");
+    CHECK_EQUAL(first.run, stop.run);
+    stop.reply(accepted());
+    reportFor(Milliseconds { 1500 });
+    CHECK(taskExecutor.commands.empty());
+    announce({ 1000, 4000, 4 });
+    CHECK(awaitCommand("start").run > first.run);
+}
+
+// Guards against giving up more queued starts than the shrunk capacity requires.
+TEST(TaskLeaderRoom, QueuedStartsThatFitAreSent)
+{
+    announce({ 4000, 4000, 4 });
+    putJob("j", 4);
+    lead();
+    auto first = awaitCommand("start");
+    announce({ 3000, 4000, 4 });
+    reportFor(Milliseconds { 600 });
+    first.reply(accepted());
+    for (int i = 0; i < 2; ++i)
+        awaitCommand("start").reply(accepted());
+    CHECK(taskExecutor.commands.empty());
+}
