Count listed runs that are only stopped

What callers would see: a worker that lists a run which the leader does not adopt (a second run of a task, a run of a task that is done or of a job that has ended or is unknown, mostly after a change of leader) got a start in its place while it was still being stopped. Cause: the scheduler reserves room for the runs that it tracks, and only requests the stop of the others. Change: each report sums up the listed runs that are not adopted, and their room is not free until the worker no longer lists them.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -144,7 +144,8 @@
 
 bool TaskScheduler::isUsable(const WorkerEntry& worker, Instant now) const
 {
-    return worker.startBackoffUntil <= now && worker.pausedUntil <= now && acceptsRuns(worker);
+    return !worker.listsRunOfUnknownSize && worker.startBackoffUntil <= now && worker.pausedUntil <= now
+        && acceptsRuns(worker);
 }
 
 /// Whether a task of the step may find no worker although other tasks of the same size do.
@@ -252,9 +253,7 @@
     if (service.empty() || candidates == m_candidates.end())
         return nullptr;
     auto image = job.occurrences[ready.occurrence].steps[ready.step].image;
-    auto reserveSize = spec.size;
-    if (spec.bestEffort)
-        reserveSize.cpuMillis = 0;
+    auto size = reservedSize(spec);
     // Runs of the same step per worker, to enforce `maxPerWorker` and to spread the step over workers.
     std::map<WorkerHandle, uint32_t> siblingRuns;
     std::set<std::string> racks;
@@ -274,7 +273,7 @@
         auto handle = worker.handle;
         if (!rack.empty() && worker.view.rack != rack)
             continue;
-        if (!reserveSize.fitsIn(worker.freeResources()))
+        if (!size.fitsIn(worker.freeResources()))
             continue;
         if (!spec.requiredLabel.empty() && !hasLabel(worker.view, spec.requiredLabel))
             continue;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -191,12 +191,15 @@
     m_latestEventAt = now;
     auto& worker = *it->second;
     ++worker.reportCount;
+    worker.unwantedSize = {};
+    worker.listsRunOfUnknownSize = false;
     std::set<std::pair<TaskRef, uint64_t>> notAdopted;
     for (const auto& report : reports) {
         auto active = worker.runs.find({ report.task, report.run });
         if (active == worker.runs.end()) {
             if (!adoptListedRun(worker, report, now)) {
                 notAdopted.emplace(report.task, report.run);
+                countUnwantedRun(worker, report.task);
                 continue;
             }
             active = worker.runs.find({ report.task, report.run });
@@ -233,6 +236,16 @@
     return false;
 }
 
+/// A run that is being stopped uses the worker's resources until the worker no longer lists it.
+void TaskScheduler::countUnwantedRun(WorkerEntry& worker, const TaskRef& ref)
+{
+    const auto* job = findJob(ref.job);
+    if (job && ref.step < job->spec.steps.size())
+        worker.unwantedSize = worker.unwantedSize + reservedSize(job->spec.steps[ref.step]);
+    else
+        worker.listsRunOfUnknownSize = true;
+}
+
 /// Drops runs that the worker confirmed before the list was requested and does not list any more: they have ended.
 void TaskScheduler::dropUnlistedRuns(WorkerEntry& worker, Instant requestSentAt)
 {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -172,6 +172,7 @@
     void markChanged(const TrackedJob&);
     static void updateCheckpoint(TrackedJob&, const TaskRef&, TrackedTask&, const std::string& checkpoint);
     bool adoptListedRun(WorkerEntry&, const RunReport&, Instant now);
+    void countUnwantedRun(WorkerEntry&, const TaskRef&);
     void dropUnlistedRuns(WorkerEntry&, Instant requestSentAt);
     void adoptRun(WorkerHandle, TrackedJob&, TrackedTask&, const RunReport&, Instant now);
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -10,6 +10,15 @@
 
 namespace Bergamot {
 
+/// Resources that a run reserves: a best-effort task uses processors that others leave idle.
+inline Resources reservedSize(const StepSpec& spec)
+{
+    auto size = spec.size;
+    if (spec.bestEffort)
+        size.cpuMillis = 0;
+    return size;
+}
+
 /// Scheduling state of one worker.
 struct TaskScheduler::WorkerEntry {
     WorkerHandle handle { 0 };
@@ -66,6 +75,12 @@
     /// unknown starts with the time at which the run was first listed.
     std::map<std::pair<TaskRef, uint64_t>, Instant> stopRequests {};
 
+    /// Resources of the runs in the latest report that are not in `runs` and are to be stopped.
+    Resources unwantedSize {};
+
+    /// Whether the latest report lists a run whose size is unknown, because its job is.
+    bool listsRunOfUnknownSize { false };
+
     /// The worker gets no starts before this time. A start that was refused for lack of resources shows that the known
     /// reservations are out of date.
     Instant startBackoffUntil { neverInstant };
@@ -80,8 +95,8 @@
     double capacityMillis() const { return static_cast<double>(std::max<int64_t>(1, view.capacity.cpuMillis)); }
 
     /// Negative where the capacity has shrunk below what runs on the worker.
-    Resources freeResources() const { return view.capacity - reserved; }
-    bool isOverFull() const { return !Resources {}.fitsIn(freeResources()); }
+    Resources freeResources() const { return view.capacity - reserved - unwantedSize; }
+    bool isOverFull() const { return listsRunOfUnknownSize || !Resources {}.fitsIn(freeResources()); }
 
     /// Processors that another best-effort task may expect to be idle.
     int64_t freeBestEffortMillis() const
@@ -89,7 +104,7 @@
         // Serving tasks use about this share of the processors that they reserve.
         constexpr double servingUse = 0.55;
         auto idle = static_cast<int64_t>((1 - servingUse) * static_cast<double>(servingCpuMillis));
-        return view.capacity.cpuMillis - reserved.cpuMillis + idle - bestEffortDemandMillis;
+        return freeResources().cpuMillis + idle - bestEffortDemandMillis;
     }
 };
 
--- a/Tests/LibDecision/TestTaskRoom.cpp
+++ b/Tests/LibDecision/TestTaskRoom.cpp
@@ -114,3 +114,41 @@
     addJob("b", fixture.step(1));
     CHECK_EQUAL(0, fixture.planStarts().size());
 }
+
+// Guards against a start in the place of a listed run that the scheduler only stops and does not adopt (LIMIT): the
+// second run of a task, a run of a task that is done, and a run of an ended job.
+TEST(TaskRoom, ListedRunThatIsOnlyStoppedCounts)
+{
+    fixture.addWorker(1, { 1000, 4000, 0 });
+    fixture.addWorker(2, { 1000, 4000, 0 });
+    auto step = fixture.step(1);
+    step.requiredLabel = "none";
+    for (bool isCancelled : { false, true }) {
+        auto id = isCancelled ? "ended" : "a";
+        addJob(id, step);
+        if (isCancelled)
+            scheduler.cancelJob(id);
+        report(1, { { .task = { id, 0, 0, 0 }, .run = 8 } });
+        report(2, { { .task = { id, 0, 0, 0 }, .run = 7 } });
+        auto waiting = std::string("waits-") + id;
+        addJob(waiting, fixture.step(1));
+        CHECK_EQUAL(0, fixture.planStarts().size());
+        report(2, {});
+        auto starts = fixture.planStarts();
+        CHECK_EQUAL(1, starts.size());
+        CHECK_EQUAL(2, starts[0].worker);
+        fixture.endRun(starts[0], RunOutcome::Done);
+        report(1, {});
+    }
+}
+
+// Guards against a start beside a run of a job that this leader has not read: its size is unknown (LIMIT).
+TEST(TaskRoom, NothingStartsBesideARunOfUnknownSize)
+{
+    fixture.addWorker(1);
+    report(1, { { .task = { "unknown", 0, 0, 0 }, .run = 7 } });
+    addJob("b", fixture.step(1));
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    report(1, {});
+    CHECK_EQUAL(1, fixture.planStarts().size());
+}
