Leave over-full workers out of sums of free room

What callers would see: where a worker's capacity had shrunk below what runs there, a gang that prefers one rack was spread although other workers of the rack had room, and tasks that last waited up to 2.5 s for headroom that there was. Cause: the negative free room of the over-full worker was added to the sums. Change: the sums leave over-full workers out. Result: OverFullWorkerHidesNoRoomOfItsRack and OverFullWorkerHidesNoFreeProcessors failed before and pass.

--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -51,8 +51,10 @@
 {
     std::map<std::string, Resources> freeByRack;
     if (auto it = m_candidates.find(policyOf(job).service); it != m_candidates.end()) {
-        for (const auto* worker : it->second)
-            freeByRack[worker->view.rack] = freeByRack[worker->view.rack] + worker->freeResources();
+        for (const auto* worker : it->second) {
+            if (!worker->isOverFull())
+                freeByRack[worker->view.rack] = freeByRack[worker->view.rack] + worker->freeResources();
+        }
     }
     std::vector<std::pair<int64_t, std::string>> racks;
     for (const auto& [rack, free] : freeByRack) {
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -89,7 +89,8 @@
             candidates = &m_candidates[*service];
         }
         candidates->push_back(worker.get());
-        m_freeCpuMillis += worker->freeResources().cpuMillis;
+        if (!worker->isOverFull())
+            m_freeCpuMillis += worker->freeResources().cpuMillis;
     }
 }
 
--- a/Tests/LibDecision/TestTaskRoom.cpp
+++ b/Tests/LibDecision/TestTaskRoom.cpp
@@ -1,4 +1,5 @@
 #include "TaskSchedulerFixture.h"
+#include <algorithm>
 
 using namespace Bergamot;
 
@@ -152,3 +153,41 @@
     report(1, {});
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
+
+// Guards against room of other workers that is hidden by an over-full worker of the rack: the gang was spread over
+// several racks, where it runs slower.
+TEST(TaskRoom, OverFullWorkerHidesNoRoomOfItsRack)
+{
+    auto addRackWorker = [&](WorkerHandle handle, const std::string& rack, int64_t cpuMillis) {
+        scheduler.updateWorker(handle,
+            { .id = "w" + std::to_string(handle),
+                .service = "token",
+                .rack = rack,
+                .capacity = { cpuMillis, 9000, 0 } });
+    };
+    addRackWorker(1, "r1", 2000);
+    startJob("a", taskOf({ 2000, 1000, 0 }));
+    addRackWorker(1, "r1", 0);
+    addRackWorker(3, "r2", 2000);
+    startJob("b", fixture.step(1));
+    addRackWorker(2, "r1", 2000);
+    auto gang = fixture.step(2);
+    gang.gang = true;
+    gang.prefersSameRack = true;
+    addJob("g", gang);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(2, starts.size());
+    CHECK(std::ranges::all_of(starts, [](const StartTask& it) { return it.worker == 2; }));
+}
+
+// Guards against tasks that last and wait for headroom although there is enough, because an over-full worker was
+// counted with less than no free processors.
+TEST(TaskRoom, OverFullWorkerHidesNoFreeProcessors)
+{
+    fixture.addWorker(1, { 2000, 4000, 0 });
+    startJob("a", taskOf({ 2000, 1000, 0 }));
+    fixture.addWorker(1, { 0, 0, 0 });
+    fixture.addWorker(2, { 1000, 4000, 0 });
+    CHECK(fixture.plan().empty());
+    CHECK_EQUAL(1000, scheduler.freeCpuMillis());
+}
