--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -96,7 +96,8 @@
             candidates = &m_candidates[*service];
         }
         candidates->push_back(worker.get());
-        m_freeCpuMillis += worker->freeResources().cpuMillis;
+        if (!worker->isOverFull())
+            m_freeCpuMillis += worker->freeResources().cpuMillis;
     }
 }
 
@@ -143,9 +144,16 @@
     return worker.reachable && !worker.view.draining && !m_excludedZones.contains(worker.view.zone);
 }
 
+bool TaskScheduler::hasRoomForRuns(WorkerHandle handle) const
+{
+    auto it = m_workers.find(handle);
+    return it != m_workers.end() && !it->second->isOverFull();
+}
+
 bool TaskScheduler::isUsable(const WorkerEntry& worker, Instant now) const
 {
-    return worker.startBackoffUntil <= now && worker.pausedUntil <= now && acceptsRuns(worker);
+    return !worker.listsRunOfUnknownSize && worker.startBackoffUntil <= now && worker.pausedUntil <= now
+        && acceptsRuns(worker);
 }
 
 /// Whether a task of the step may find no worker although other tasks of the same size do.
@@ -266,9 +274,7 @@
     if (service.empty() || candidates == m_candidates.end())
         return nullptr;
     auto image = job.occurrences[ready.occurrence].steps[ready.step].image;
-    auto reserveSize = spec.size;
-    if (spec.bestEffort)
-        reserveSize.cpuMillis = 0;
+    auto size = reservedSize(spec);
     // Runs of the same step per worker, to enforce `maxPerWorker` and to spread the step over workers.
     std::map<WorkerHandle, uint32_t> siblingRuns;
     std::set<std::string> racks;
@@ -288,7 +294,7 @@
         auto handle = worker.handle;
         if (!rack.empty() && worker.view.rack != rack)
             continue;
-        if (!reserveSize.fitsIn(worker.freeResources()))
+        if (!size.fitsIn(worker.freeResources()))
             continue;
         if (mode == PlacementMode::Shared && worker.isHeldForIsolation(now))
             continue;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -78,6 +78,10 @@
     /// Whether the worker may get runs: it is reachable, not draining, and its zone is not excluded.
     bool acceptsRuns(WorkerHandle) const;
 
+    /// Whether the known runs on the worker fit in its capacity, including those that are being stopped and those whose
+    /// starts have not been sent.
+    bool hasRoomForRuns(WorkerHandle) const;
+
     /// An unreachable worker gets no new runs.
     void setReachable(WorkerHandle, bool reachable, Instant now);
 
@@ -191,6 +195,7 @@
     void markChanged(const TrackedJob&);
     static void updateCheckpoint(TrackedJob&, const TaskRef&, TrackedTask&, const std::string& checkpoint);
     bool adoptListedRun(WorkerEntry&, const RunReport&, Instant now);
+    void countUnwantedRun(WorkerEntry&, const TaskRef&);
     void dropUnlistedRuns(WorkerEntry&, Instant requestSentAt);
     void adoptRun(WorkerHandle, TrackedJob&, TrackedTask&, const RunReport&, Instant now);
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
