Bound the memory that a stored value can make the decoder allocate

Cause: decodeValue() unpacked records of the store without a limit, while decodeBatch() and decodePeerMessage() had one. 40 bytes of nested array headers made msgpack ask for gigabytes, and each level of nesting took memory. Change: both decoders unpack through unpackBounded().

--- a/Libraries/LibWire/Codec.cpp
+++ b/Libraries/LibWire/Codec.cpp
@@ -1,14 +1,11 @@
 #include <LibWire/Codec.h>
-#include <algorithm>
+#include <LibWire/Unpack.h>
 #include <exception>
 #include <fmt/format.h>
 #include <utility>
 
 namespace Bergamot {
 
-static constexpr size_t maxElements = 1'000'000;
-static constexpr size_t maxNesting = 16;
-
 template <typename Variant> static void packVariant(msgpack::packer<msgpack::sbuffer>& packer, const Variant& value)
 {
     packer.pack_array(2);
@@ -36,20 +33,6 @@
     return convertAlternative<Variant>(parts[0].as<uint32_t>(), parts[1]);
 }
 
-static msgpack::object_handle unpackBounded(std::string_view bytes)
-{
-    // msgpack allocates an array as soon as it has read the length. Each element takes at least one byte, so an array
-    // of more elements than the input has bytes is malformed. With maxElements as the only bound, 80 bytes of nested
-    // array headers make msgpack allocate 380 MB.
-    const auto elements = std::min(maxElements, bytes.size());
-    const msgpack::unpack_limit limit(elements, elements, bytes.size(), bytes.size(), bytes.size(), maxNesting);
-    size_t offset = 0;
-    auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
-    if (offset != bytes.size())
-        throw msgpack::type_error();
-    return handle;
-}
-
 // msgpack throws on malformed input; the exceptions are converted to a status here.
 template <typename Result, typename Convert>
 static absl::StatusOr<Result> decodeToStatusOr(std::string_view bytes, std::string_view what, Convert&& convert)
--- a/Libraries/LibWire/ValueCodec.h
+++ b/Libraries/LibWire/ValueCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibWire/Codec.h>
+#include <LibWire/Unpack.h>
 #include <absl/status/statusor.h>
 #include <exception>
 #include <msgpack.hpp>
@@ -24,11 +25,7 @@
         return absl::InvalidArgumentError("encoded value is too large");
     // msgpack throws on malformed input; the exceptions are converted to a status here.
     try {
-        size_t offset = 0;
-        auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
-        if (offset != bytes.size())
-            return absl::InvalidArgumentError("unexpected bytes after the encoded value");
-        return handle.get().as<T>();
+        return unpackBounded(bytes).get().as<T>();
     } catch (const std::exception& error) {
         return absl::InvalidArgumentError(error.what());
     }
