Refuse stored jobs that a leader cannot hold or send

What it would cost: a job record of another shape in the store ends each leader in turn. One with 2^32 tasks or repeats ends it with std::bad_alloc, one whose payload is not UTF-8 with an exception of the JSON encoder; due times and objectives overflow. Cause: only the JSON body of a submission was checked, not the stored record that every leader reads, and the check of a body let intervals pass whose last due time overflows. Change: JobSpec::check() holds the limits (JobLimits.h), and decodeValue() calls check() of types that have it. PlatformJson uses the same limits, and counts a repeated dependency once.

--- a/Libraries/LibWire/JobSpec.h
+++ b/Libraries/LibWire/JobSpec.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <LibWire/QueuePolicy.h>
 #include <LibWire/StepSpec.h>
+#include <absl/status/status.h>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <optional>
@@ -35,6 +36,13 @@
     /// Policy of the queue when it accepted the job; it applies after the queue is removed from the configuration.
     std::optional<QueuePolicy> policyAtAcceptance {};
 
+    /// Returns InvalidArgument when a leader cannot hold or start the job: a value beyond the limits in JobLimits.h, or
+    /// text that cannot be sent to a worker.
+    absl::Status check() const;
+
+    /// The part of check() that covers the steps and the due times.
+    absl::Status checkWork() const;
+
     bool operator==(const JobSpec&) const = default;
     MSGPACK_DEFINE_ARRAY(id, queue, payload, steps, repeats, firstDueMs, intervalMs, acceptedAtMs, policyAtAcceptance)
 };
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -61,7 +61,7 @@
 
     void submit(Milliseconds deadline = Milliseconds { 3000 })
     {
-        request("POST", std::string("/q/") + id, encodeValue(JobSpec { .steps = { {} } }),
+        request("POST", std::string("/q/") + id, encodeValue(JobSpec { .id = "x", .steps = { {} } }),
             { { "X-Deadline-Ms", std::to_string(deadline.count()) } });
     }
 
@@ -120,7 +120,7 @@
         CHECK_EQUAL(200, status);
         STRCMP_EQUAL(queue, queries.at(0).subject.c_str());
     }
-    request("POST", std::string("/q/deep/") + id, encodeValue(JobSpec { .steps = { {} } }));
+    request("POST", std::string("/q/deep/") + id, encodeValue(JobSpec { .id = "x", .steps = { {} } }));
     advance(Milliseconds { 20 });
     STRCMP_EQUAL("long", storedJob().queue.c_str());
 }
@@ -140,11 +140,11 @@
 {
     for (auto bad : { "0123456789abcde", "0123456789abcdef0", "0123456789abcdeg", "0123456789abcde/", "x" }) {
         auto path = std::string("/q/") + bad;
-        CHECK_EQUAL(400, statusOf("POST", path, encodeValue(JobSpec { .steps = { {} } })));
+        CHECK_EQUAL(400, statusOf("POST", path, encodeValue(JobSpec { .id = "x", .steps = { {} } })));
         CHECK_EQUAL(410, statusOf("GET", path));
         CHECK_EQUAL(410, statusOf("DELETE", path));
     }
-    CHECK_EQUAL(400, statusOf("POST", "/q/", encodeValue(JobSpec { .steps = { {} } })));
+    CHECK_EQUAL(400, statusOf("POST", "/q/", encodeValue(JobSpec { .id = "x", .steps = { {} } })));
     CHECK(queries.empty());
     CHECK_EQUAL(0, store.appends);
 }
--- a/Tests/LibWire/TestValueCodec.cpp
+++ b/Tests/LibWire/TestValueCodec.cpp
@@ -47,3 +47,53 @@
     auto decoded = decodeValue<JobSpec>(std::string(100'000, '\x91'));
     STRCMP_CONTAINS("depth size overflow", statusText(decoded.status()).c_str());
 }
+
+// Guards against a stored job that ends each leader in turn: tasks without number, overflowing times, text that cannot
+// be sent to a worker.
+TEST(ValueCodec, UnusableJobsAreRefused)
+{
+    constexpr auto max32 = std::numeric_limits<uint32_t>::max();
+    constexpr auto max64 = std::numeric_limits<int64_t>::max();
+    const std::vector<std::function<void(JobSpec&)>> changes {
+        [](JobSpec& it) { it.id = ""; },
+        [](JobSpec& it) { it.id = "\xff\xfe"; },
+        [](JobSpec& it) { it.payload = "\xc3\x28"; },
+        [](JobSpec& it) { it.steps.clear(); },
+        [](JobSpec& it) { it.steps[0].count = 0; },
+        [](JobSpec& it) { it.steps[0].count = max32; },
+        [](JobSpec& it) { it.repeats = max32; },
+        [](JobSpec& it) { it.steps.resize(100'000, it.steps[0]); },
+        [](JobSpec& it) { it.steps[0].size.cpuMillis = -1; },
+        [](JobSpec& it) { it.steps[0].size.memoryMb = max64; },
+        [](JobSpec& it) { it.steps[0].size.accelerators = std::numeric_limits<int64_t>::min(); },
+        [](JobSpec& it) { it.steps[1].dependsOn = { 1 }; },
+        [](JobSpec& it) { it.steps[1].dependsOn = { max32 }; },
+        [](JobSpec& it) { it.firstDueMs = max64; },
+        [](JobSpec& it) { it.firstDueMs = -1; },
+        [](JobSpec& it) { it.intervalMs = -1; },
+        [](JobSpec& it) {
+            it.repeats = 5000;
+            it.intervalMs = int64_t { 1 } << 50;
+        },
+        [](JobSpec& it) { it.acceptedAtMs = max64; },
+        [](JobSpec& it) { it.policyAtAcceptance->stretch = std::numeric_limits<double>::quiet_NaN(); },
+        [](JobSpec& it) { it.policyAtAcceptance->stretch = std::numeric_limits<double>::infinity(); },
+        [](JobSpec& it) { it.policyAtAcceptance->stretch = -1; },
+    };
+    for (size_t i = 0; i < changes.size(); ++i)
+        CHECK_FALSE_TEXT(isReadAfter(changes[i]), std::to_string(i).c_str());
+}
+
+// Guards against accepted jobs that a new leader refuses to read.
+TEST(ValueCodec, JobsWithinTheLimitsAreRead)
+{
+    CHECK(isReadAfter([](JobSpec&) {}));
+    CHECK(isReadAfter([](JobSpec& it) { it.payload = "\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80"; }));
+    CHECK(isReadAfter([](JobSpec& it) { it.steps[0].count = 10'000; }));
+    CHECK(isReadAfter([](JobSpec& it) { it.policyAtAcceptance.reset(); }));
+    CHECK(isReadAfter([](JobSpec& it) {
+        it.repeats = 8000;
+        it.firstDueMs = int64_t { 1 } << 41;
+        it.intervalMs = 1000;
+    }));
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/TestMalformedDocuments.cpp
@@ -0,0 +1,43 @@
+#include <CppUTest/TestHarness.h>
+#include <cstdint>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <platform/PlatformJson.h>
+#include <platform/PlatformSettings.h>
+#include <string>
+#include <vector>
+
+using namespace Bergamot;
+
+TEST_GROUP(MalformedDocuments)
+{
+    Platform::PlatformJson formats;
+
+    const std::string requiredSettings
+        = "node=\"n\"\nzone=\"z\"\nip=\"10.0.0.1\"\nlisten={front=\"10.0.0.1:1\",ready=\"10.0.0.1:2\"}\n"
+          "platform={addr=\"10.0.0.2:3\"}\n";
+    const std::string ports = "portRange=[7720,7735]\n";
+};
+
+// Guards against a scheduled job whose due times overflow.
+TEST(MalformedDocuments, JobWhoseLastDueTimeOverflowsIsRejected)
+{
+    auto isRead = [&](int64_t repeats, int64_t intervalMs) {
+        return formats
+            .readJob(
+                fmt::format(R"({{"repeatCount":{},"startAtMs":1800000000000,"intervalMs":{},"steps":[{{"count":1}}]}})",
+                    repeats, intervalMs))
+            .ok();
+    };
+    CHECK(isRead(50000, 60000));
+    CHECK_FALSE(isRead(50000, int64_t { 1 } << 50));
+    CHECK_FALSE(isRead(2, int64_t { 1 } << 50));
+}
+
+// Guards against a body of some kilobytes whose repeated dependencies the leader counts whenever a step ends.
+TEST(MalformedDocuments, RepeatedDependenciesCountOnce)
+{
+    auto job = formats.readJob(R"({"steps":[{"count":1},{"count":1},{"count":1,"dependsOn":[1,0,1,1,0]}]})");
+    CHECK(job.ok());
+    CHECK((job->steps[2].dependsOn == std::vector<uint32_t> { 1, 0 }));
+}
