--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -112,8 +112,11 @@
 void LeadershipMonitor::applyRecord(const KeyedRecord& record)
 {
     auto decoded = decodeValue<LeadershipRecord>(record.value);
-    if (!decoded.ok())
+    if (!decoded.ok()) {
+        logWarning(
+            "leadership_record_unreadable", { { "offset", record.offset }, { "error", statusText(decoded.status()) } });
         return;
+    }
     m_maxCandidateCpuMillis = std::max(m_maxCandidateCpuMillis, decoded->cpuMillis);
     if (decoded->epoch == candidacyEpoch)
         return;
--- /dev/null
+++ b/Libraries/LibWire/LeadershipRecord.cpp
@@ -0,0 +1,12 @@
+#include <LibWire/LeadershipRecord.h>
+
+namespace Bergamot {
+
+absl::Status LeadershipRecord::check() const
+{
+    if (cpuMillis < 0 || cpuMillis > maxCandidateCpuMillis)
+        return absl::InvalidArgumentError("cpuMillis: out of range");
+    return absl::OkStatus();
+}
+
+}
--- a/Libraries/LibWire/LeadershipRecord.h
+++ b/Libraries/LibWire/LeadershipRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <absl/status/status.h>
 #include <cstdint>
 #include <limits>
 #include <msgpack.hpp>
@@ -12,6 +13,9 @@
 /// without this value treat the record as a keepalive of another epoch and ignore it.
 inline constexpr uint64_t candidacyEpoch = std::numeric_limits<uint64_t>::max();
 
+/// Limit of LeadershipRecord::cpuMillis.
+inline constexpr int64_t maxCandidateCpuMillis = int64_t { 1 } << 30;
+
 /// A record of the leadership stream. The epoch of a claim is its offset plus one, so epochs increase without being
 /// stored.
 struct LeadershipRecord {
@@ -29,6 +33,9 @@
     /// Processor capacity of the author in thousandths of a core, in claims and candidacies; 0 when it is unknown.
     int64_t cpuMillis { 0 };
 
+    /// Returns InvalidArgument when the processor capacity is out of range.
+    absl::Status check() const;
+
     bool operator==(const LeadershipRecord&) const = default;
     MSGPACK_DEFINE_ARRAY(member, incarnation, peerAddress, epoch, resigns, cpuMillis)
 };
--- a/Tests/LibWire/TestValueCodec.cpp
+++ b/Tests/LibWire/TestValueCodec.cpp
@@ -97,3 +97,27 @@
         it.intervalMs = 1000;
     }));
 }
+
+// Guards against stored estimates that turn every later estimate into a value that is no number.
+TEST(ValueCodec, UnusablePressuresAreRefused)
+{
+    auto isRead = [](double tail, double pressure) {
+        PressureRecord record { .baseTailLatencies = { { "a", tail } }, .pairs = { { "b", "a", pressure } } };
+        return decodeValue<PressureRecord>(encodeValue(record)).ok();
+    };
+    CHECK(isRead(18, 0.5));
+    for (auto value : { std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity(), -1.0 }) {
+        CHECK_FALSE(isRead(value, 0.5));
+        CHECK_FALSE(isRead(18, value));
+    }
+}
+
+// Guards against one record of the leadership stream that makes every node delay its claims for ever.
+TEST(ValueCodec, UnusableProcessorTimesOfCandidatesAreRefused)
+{
+    for (int64_t cpuMillis : { int64_t { -1 }, std::numeric_limits<int64_t>::max() }) {
+        auto bytes = encodeValue(LeadershipRecord { .member = "m", .cpuMillis = cpuMillis });
+        CHECK_FALSE(decodeValue<LeadershipRecord>(bytes).ok());
+    }
+    CHECK(decodeValue<LeadershipRecord>(encodeValue(LeadershipRecord { .member = "m", .cpuMillis = 64'000 })).ok());
+}
