Refuse a worker's reply whose list of runs is no list

What callers would see: a task that runs twice. A reply with "running": null counted as an empty list, and the leader starts every run that a worker no longer lists elsewhere.

--- a/Tests/PlatformAdapter/TestMalformedReplies.cpp
+++ b/Tests/PlatformAdapter/TestMalformedReplies.cpp
@@ -49,6 +49,16 @@
     }
 };
 
+// Guards against runs that count as lost, and start a second time, since the worker's list of them is no list.
+TEST(MalformedReplies, RunListsOfAnotherTypeAreRefused)
+{
+    CHECK(renewLease(R"({"clockMs":5,"running":[],"finished":[]})").ok());
+    for (const auto* other : { "null", "{}", "7", "\"\"", "true", R"({"a":["j.0.1.2",3,"cp",41]})" }) {
+        CHECK_FALSE_TEXT(renewLease(fmt::format(R"({{"clockMs":5,"running":{},"finished":[]}})", other)).ok(), other);
+        CHECK_FALSE_TEXT(renewLease(fmt::format(R"({{"clockMs":5,"running":[],"finished":{}}})", other)).ok(), other);
+    }
+}
+
 // Guards against a worker's clock or start time that overflows when leases are computed from it.
 TEST(MalformedReplies, TimesOutOfRangeAreIgnored)
 {
