--- a/Tests/PlatformAdapter/TestMalformedReplies.cpp
+++ b/Tests/PlatformAdapter/TestMalformedReplies.cpp
@@ -69,3 +69,16 @@
         CHECK_EQUAL_TEXT(0, reply->commandReply.startedAtMs, time);
     }
 }
+
+// Guards against a stored payload that is not UTF-8 and ends each leader that sends it to a worker.
+TEST(MalformedReplies, StartThatCannotBeEncodedIsInvalid)
+{
+    response = { .body = R"({"clockMs":5})" };
+    for (const auto& start : { StartTaskCommand { .task = { "j", 0, 0, 0 }, .run = 1, .payload = "\xff" },
+             StartTaskCommand { .task = { "j\xc3", 0, 0, 0 }, .run = 1 },
+             StartTaskCommand { .task = { "j", 0, 0, 0 }, .run = 1, .checkpoint = "\x80" } }) {
+        auto reply = wait<TaskCommandReply>([&](auto done) { workers.start(executor, { .epoch = 7 }, start, done); });
+        CHECK(reply.ok());
+        CHECK(reply->outcome == TaskCommandOutcome::Invalid);
+    }
+}
