Do not let one unreadable record stop the reading of a stream

What it would cost: one record of another writer without a readable key made every read at its position fail, for ever, at each node; one unreadable item made each load of its page fail, so that no new leader could begin. A page without "end" was read on from offset 0, whose records have expired. Change: a record without a readable key takes up its offset with an empty key and value; an item whose value cannot be read has an empty one; an item without a key is left out. A page without "end", or with a successor but without any key to continue from, is an error that is retried.

--- a/Tests/PlatformAdapter/TestMalformedReplies.cpp
+++ b/Tests/PlatformAdapter/TestMalformedReplies.cpp
@@ -82,3 +82,45 @@
         CHECK(reply->outcome == TaskCommandOutcome::Invalid);
     }
 }
+
+// Guards against one record without a readable key that stops every node at its position for ever.
+TEST(MalformedReplies, RecordsWithoutAReadableKeyDoNotStopARead)
+{
+    auto offsets = "\0\0\0\0\0\0\x03\x4c\0\0\0\0\0\0\0\x05"s;
+    auto reply = read(offsets + "\0\0\0\x04\x01kva"s + "\0\0\0\0"s + "\0\0\0\x02\xffk"s + "\0\0\0\x03\x01lv"s);
+    CHECK(reply.ok());
+    CHECK_EQUAL(4, reply->records.size());
+    CHECK((reply->records[0] == KeyedRecord { "k", "va", 840 }));
+    CHECK((reply->records[1] == KeyedRecord { "", "", 841 }));
+    CHECK((reply->records[2] == KeyedRecord { "", "", 842 }));
+    CHECK((reply->records[3] == KeyedRecord { "l", "v", 843 }));
+}
+
+// Guards against one unreadable item that keeps every new leader from loading the other items of its page.
+TEST(MalformedReplies, UnreadableItemsDoNotStopALoad)
+{
+    auto reply = readNewest(R"({"items":[{"key":"a","value":"dmE=","offset":4},7,null,{"value":"dmE="},)"
+                            R"({"key":9,"value":"dmE=","offset":5},{"key":"b","value":"?","offset":6},)"
+                            R"({"key":"c","value":{},"offset":7},{"key":"d","value":"dmE=","offset":8}],"end":9})");
+    CHECK(reply.ok());
+    CHECK_EQUAL(4, reply->records.size());
+    CHECK((reply->records[0] == KeyedRecord { "a", "va", 4 }));
+    CHECK((reply->records[1] == KeyedRecord { "b", "", 6 }));
+    CHECK((reply->records[2] == KeyedRecord { "c", "", 7 }));
+    CHECK((reply->records[3] == KeyedRecord { "d", "va", 8 }));
+}
+
+// Guards against a load that ends before its last page, since none of the items of a page could be read.
+TEST(MalformedReplies, PageWithoutAReadableKeyIsNoEnd)
+{
+    CHECK_FALSE(readNewest(R"({"items":[7,8],"more":true,"end":9})").ok());
+    CHECK_FALSE(readNewest(R"({"items":[],"more":true,"end":9})").ok());
+    CHECK(readNewest(R"({"items":[],"end":9})").ok());
+}
+
+// Guards against reading on from the start of a stream, whose records have expired, since a reply has no end.
+TEST(MalformedReplies, PageWithoutAnEndIsRefused)
+{
+    for (const auto* end : { "", R"(,"end":null)", R"(,"end":-1)", R"(,"end":"9")", R"(,"end":9223372036854775808)" })
+        CHECK_FALSE_TEXT(readNewest(fmt::format(R"({{"items":[]{}}})", end)).ok(), end);
+}
