--- a/Tests/PlatformAdapter/TestMalformedDocuments.cpp
+++ b/Tests/PlatformAdapter/TestMalformedDocuments.cpp
@@ -41,3 +41,16 @@
     CHECK(job.ok());
     CHECK((job->steps[2].dependsOn == std::vector<uint32_t> { 1, 0 }));
 }
+
+// Guards against a configuration whose factor makes the objective of each job overflow.
+TEST(MalformedDocuments, ConfigurationWithAnUnusableStretchIsRejected)
+{
+    auto isRead = [&](const char* stretch) {
+        auto text = fmt::format(R"({{"version":7,"routes":[{{"name":"q","service":"s","stretch":{}}}]}})", stretch);
+        return formats.readOperatorRecord({ .key = "config", .value = text }).ok();
+    };
+    CHECK(isRead("1.5"));
+    CHECK(isRead("0"));
+    for (const auto* stretch : { "-1", "1e300", "1e999", "\"2\"", "NaN" })
+        CHECK_FALSE_TEXT(isRead(stretch), stretch);
+}
