--- a/Tests/PlatformAdapter/TestMalformedDocuments.cpp
+++ b/Tests/PlatformAdapter/TestMalformedDocuments.cpp
@@ -54,3 +54,28 @@
     for (const auto* stretch : { "-1", "1e300", "1e999", "\"2\"", "NaN" })
         CHECK_FALSE_TEXT(isRead(stretch), stretch);
 }
+
+// Guards against starts on what another writer announced: a field of another type means that the entry names no worker.
+TEST(MalformedDocuments, WorkerWithAFieldOfAnotherTypeIsRejected)
+{
+    const auto entry = nlohmann::json::parse(
+        R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":5,
+            "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"seq":4,"born":77})");
+    auto isRead
+        = [&](const nlohmann::json& it) { return formats.readWorkerRecord({ .key = "i-1", .value = it.dump() }).ok(); };
+    CHECK(isRead(entry));
+    for (const auto& [field, value] : entry.items()) {
+        auto other = entry;
+        other[field] = value.is_boolean() ? nlohmann::json(7) : nlohmann::json(true);
+        CHECK_FALSE_TEXT(isRead(other), field.c_str());
+    }
+    auto other = entry;
+    other["labels"] = { "a", 7 };
+    CHECK_FALSE(isRead(other));
+    other = entry;
+    other["seq"] = -1;
+    CHECK_FALSE(isRead(other));
+    other = entry;
+    other["service"] = "";
+    CHECK_FALSE(isRead(other));
+}
