--- a/Tests/PlatformAdapter/TestMalformedDocuments.cpp
+++ b/Tests/PlatformAdapter/TestMalformedDocuments.cpp
@@ -79,3 +79,33 @@
     other["service"] = "";
     CHECK_FALSE(isRead(other));
 }
+
+// Guards against settings that overflow, or that give a negative lease, a port out of range or no time to stop.
+TEST(MalformedDocuments, SettingsOutOfRangeAreIgnoredOrRejected)
+{
+    const Platform::PlatformSettings defaults;
+    for (const auto* value : { "-1", "9223372036854775807", "-9223372036854775808" }) {
+        auto settings = Platform::parsePlatformSettings(fmt::format(
+            "heartbeatMs={0}\n{1}{2}bounds={{holdMaxMs={0},graceS={0}}}\nlimits={{maxFds={0},cpuShare={0}}}\n", value,
+            requiredSettings, ports));
+        CHECK_TEXT(settings.ok(), value);
+        CHECK_EQUAL_TEXT(defaults.maxLeaseMs, settings->maxLeaseMs, value);
+        CHECK_EQUAL_TEXT(defaults.workerSilenceMs, settings->workerSilenceMs, value);
+        CHECK_EQUAL_TEXT(defaults.cpuMillis, settings->cpuMillis, value);
+        CHECK_EQUAL_TEXT(defaults.gracePeriodMs, settings->gracePeriodMs, value);
+        CHECK_EQUAL_TEXT(defaults.maxSockets, settings->maxSockets, value);
+    }
+    for (const auto* value : { "nan", "inf", "-inf", "1e300" }) {
+        auto settings = Platform::parsePlatformSettings(fmt::format(
+            "{1}{2}bounds={{graceS={0}}}\nlimits={{cpuShare={0},cores={0}}}\n", value, requiredSettings, ports));
+        CHECK_TEXT(settings.ok(), value);
+        CHECK_EQUAL_TEXT(defaults.cpuMillis, settings->cpuMillis, value);
+        CHECK_EQUAL_TEXT(defaults.gracePeriodMs, settings->gracePeriodMs, value);
+    }
+    for (const auto* port : { "0", "-1", "65536", "9223372036854775807" })
+        CHECK_FALSE_TEXT(
+            Platform::parsePlatformSettings(requiredSettings + fmt::format("portRange=[{}]\n", port)).ok(), port);
+    CHECK(Platform::parsePlatformSettings(requiredSettings + ports).ok());
+    CHECK_FALSE(Platform::parsePlatformSettings("node = \"\xff\"\n").ok());
+    CHECK_FALSE(Platform::parsePlatformSettings("a = " + std::string(100'000, '[')).ok());
+}
