Pause before reading again what a reply of the store has left out

Cause: a reply that announces an end beyond the reader's position and has no records was read again without a pause, at the price of a call each time. Change: the read is repeated after the usual delay. Result: StreamReader.ReplyWithoutTheAnnouncedRecordsIsReadAgainLater failed before (10 reads or more in a second) and passes.

--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -106,6 +106,8 @@
         if (*alive)
             readNext();
     });
+    if (isBehind && reply.records.empty())
+        return retry([this] { readNext(); });
 }
 
 }
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -66,6 +66,7 @@
 void FakeRecordStore::read(
     StreamName stream, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply> callback)
 {
+    ++reads;
     if (fault == Fault::Refusing || unreadable.contains({ stream, partition }))
         return m_loop.callAfter(replyTime, [callback] { callback(absl::AbortedError("refused")); });
     if (fault == Fault::Unresponsive)
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -60,6 +60,7 @@
     Milliseconds readNewestTime { 4 };
     uint32_t appends { 0 };
     uint32_t loads { 0 };
+    uint32_t reads { 0 };
 
     /// Partitions for which read() and readNewest() fail with Aborted.
     std::set<std::pair<StreamName, uint32_t>> unreadable;
--- a/Tests/LibNode/TestStreamReader.cpp
+++ b/Tests/LibNode/TestStreamReader.cpp
@@ -2,8 +2,10 @@
 #include "NodeTestClock.h"
 #include <CppUTest/TestHarness.h>
 #include <LibNode/StreamReader.h>
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,8 @@
                     },
                 .onRecord =
                     [this](const KeyedRecord& it) {
+                        if (it.value == "throws")
+                            throw std::out_of_range("a fault in the processing of this record");
                         records.push_back(it.key + "=" + it.value);
                         known[it.key] = it.value;
                     },
@@ -255,3 +259,18 @@
     advance(Milliseconds { 500 });
     CHECK_EQUAL(loads, store.loads);
 }
+
+// Guards against reads without a pause, each of which has its price, when the store announces records and sends none.
+TEST(StreamReader, ReplyWithoutTheAnnouncedRecordsIsReadAgainLater)
+{
+    start();
+    advance(Milliseconds { 200 });
+    store.readRecords = 0;
+    put("a", "1");
+    auto before = store.reads;
+    advance(Milliseconds { 1000 });
+    CHECK(store.reads - before < 10);
+    store.readRecords = 500;
+    advance(Milliseconds { 400 });
+    CHECK((records == std::vector<std::string> { "a=1" }));
+}
