End an exception at the record, message or request that causes it

What it would cost: an exception in the processing of one record ends every process that reads it, each leader in turn. Change: guardedCall() logs it and goes on with the next record, peer message or request; the caller of such a request gets status 500. Timers and the replies of workers and the store outside the stream readers are not covered. Result: before, StreamReader.RecordWhoseProcessingFailsIsLeftOut, QueryRouter.MessageWhoseProcessingFailsIsLeftOut and NodeIngress.RequestWhoseProcessingFailsGetsAResponse ended the test program with "terminate called"; they pass.

--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
+#include <LibNode/GuardedCall.h>
 #include <LibNode/NodeIngress.h>
 #include <LibReport/NodeMetrics.h>
 #include <algorithm>
@@ -101,22 +102,28 @@
 }
 
 void NodeIngress::handle(const HttpRequest& request, HttpResponder responder)
+{
+    // After an exception, the destructor of the responder sends status 500.
+    guardedCall("request_failed", [&] { route(request, std::move(responder)); });
+}
+
+void NodeIngress::route(const HttpRequest& request, HttpResponder responder)
 {
     auto routing = m_options.routing();
     if (!routing)
         return respond(responder, 503, "no configuration yet");
-    const auto* route = routing->match(hostOf(request), request.path);
-    if (!route)
+    const auto* queueRoute = routing->match(hostOf(request), request.path);
+    if (!queueRoute)
         return respond(responder, 404, "no such queue");
     auto sharedResponder = std::make_shared<HttpResponder>(std::move(responder));
-    auto idText = std::string_view(request.path).substr(route->pathPrefix.size());
+    auto idText = std::string_view(request.path).substr(queueRoute->pathPrefix.size());
     if (request.method == "GET" && idText.empty())
-        return forwardQuery(JobQueryKind::Pending, route->queue, deadlineOf(request), sharedResponder);
+        return forwardQuery(JobQueryKind::Pending, queueRoute->queue, deadlineOf(request), sharedResponder);
     if (!isJobId(idText))
         return respond(*sharedResponder, request.method == "POST" ? 400 : 410, "the id is not 16 hexadecimal digits");
     JobId id(idText);
     if (request.method == "POST")
-        return submit(request, *route, id, sharedResponder);
+        return submit(request, *queueRoute, id, sharedResponder);
     if (request.method == "GET")
         return forwardQuery(JobQueryKind::State, id, deadlineOf(request), sharedResponder);
     if (request.method == "DELETE")
--- a/Libraries/LibNode/NodeIngress.h
+++ b/Libraries/LibNode/NodeIngress.h
@@ -33,6 +33,7 @@
 private:
     using SharedResponder = std::shared_ptr<HttpResponder>;
 
+    void route(const HttpRequest&, HttpResponder);
     void submit(const HttpRequest&, const QueueRoute&, const JobId&, SharedResponder);
     void forwardQuery(JobQueryKind, const std::string& subject, Instant deadline, SharedResponder);
     Instant deadlineOf(const HttpRequest&) const;
--- a/Libraries/LibNode/QueryRouter.cpp
+++ b/Libraries/LibNode/QueryRouter.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
+#include <LibNode/GuardedCall.h>
 #include <LibNode/QueryRouter.h>
 #include <LibPlatform/PeerTransport.h>
 #include <LibWire/Codec.h>
@@ -24,7 +25,7 @@
     m_transport.setReceiver([this, alive = m_alive](std::string_view bytes) {
         m_loop.post([this, alive, copy = std::string(bytes)] {
             if (*alive)
-                handleMessage(copy);
+                guardedCall("peer_message_failed", [&] { handleMessage(copy); });
         });
     });
 }
--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
+#include <LibNode/GuardedCall.h>
 #include <LibNode/StreamReader.h>
 #include <utility>
 
@@ -53,14 +54,20 @@
         m_isCaughtUp = false;
         m_options.onReload();
     }
-    for (const auto& record : reply.records)
-        m_options.onRecord(record);
+    deliver(reply.records);
     if (reply.hasMore && !reply.records.empty())
         return load(reply.records.back().key);
     m_hasLoaded = true;
     readNext();
 }
 
+/// A record that cannot be processed must not keep this node, and each later leader, from the records after it.
+void StreamReader::deliver(const std::vector<KeyedRecord>& records)
+{
+    for (const auto& record : records)
+        guardedCall("record_failed", [&] { m_options.onRecord(record); });
+}
+
 bool StreamReader::isLagging(Milliseconds maxAge) const
 {
     return !m_hasLastReadFailed && m_loop.now() - m_currentAsOf > maxAge;
@@ -91,8 +98,7 @@
         logInfo("stream_reload", { { "stream", static_cast<int>(m_options.stream) }, { "position", m_position } });
         return load({});
     }
-    for (const auto& record : reply.records)
-        m_options.onRecord(record);
+    deliver(reply.records);
     m_position += reply.records.size();
     if (m_position >= reply.end) {
         m_isCaughtUp = true;
@@ -100,14 +106,14 @@
         m_options.onCaughtUp();
     }
     bool isBehind = m_position < reply.end;
+    if (isBehind && reply.records.empty())
+        return retry([this] { readNext(); });
     if (isBehind || m_options.pollInterval.count() == 0)
         return readNext();
     m_loop.callAfter(m_options.pollInterval, [this, alive = m_alive] {
         if (*alive)
             readNext();
     });
-    if (isBehind && reply.records.empty())
-        return retry([this] { readNext(); });
 }
 
 }
--- a/Libraries/LibNode/StreamReader.h
+++ b/Libraries/LibNode/StreamReader.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Bergamot {
 
@@ -61,6 +62,7 @@
 private:
     void load(const std::string& afterKey);
     void handlePage(const ReadNewestReply&, bool isFirstPage);
+    void deliver(const std::vector<KeyedRecord>&);
     void readNext();
     void handleReadReply(const ReadReply&, Instant startedAt);
     void retry(std::function<void()>);
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -6,6 +6,7 @@
 #include <LibNode/NodeIngress.h>
 #include <LibReport/NodeMetrics.h>
 #include <memory>
+#include <new>
 #include <optional>
 #include <string>
 #include <vector>
@@ -249,3 +250,14 @@
     advance(Milliseconds { 4000 });
     CHECK_EQUAL(503, responses.at(0).status);
 }
+
+// Guards against a request whose processing fails and that ends the process, or leaves the caller without a response.
+TEST(NodeIngress, RequestWhoseProcessingFailsGetsAResponse)
+{
+    NodeIngress failing(*loop, acceptor, router, formats, metrics,
+        { .routing = []() -> std::shared_ptr<const RoutingTable> { throw std::bad_alloc(); } });
+    failing.handle(
+        { .method = "GET", .path = "/q/" }, HttpResponder([this](const HttpResponse& it) { responses.push_back(it); }));
+    CHECK_EQUAL(1, responses.size());
+    CHECK_EQUAL(500, responses[0].status);
+}
--- a/Tests/LibNode/TestQueryRouter.cpp
+++ b/Tests/LibNode/TestQueryRouter.cpp
@@ -6,6 +6,8 @@
 #include <LibWire/Codec.h>
 #include <memory>
 #include <optional>
+#include <stdexcept>
+#include <string>
 
 using namespace Bergamot;
 
@@ -124,3 +126,21 @@
     advance(Milliseconds { 10 });
     CHECK(receivedReply.has_value());
 }
+
+// Guards against a message whose processing fails and that ends the process.
+TEST(QueryRouter, MessageWhoseProcessingFailsIsLeftOut)
+{
+    QueryRouter router(*loop, transport,
+        { .peerAddress = "here",
+            .leaderAddress = [] { return std::optional<std::string>("leader"); },
+            .handleLocally =
+                [](const JobQuery& query, const QueryRouter::ReplyCallback& callback) {
+                    if (query.subject == "throws")
+                        throw std::out_of_range("a fault in the processing of this query");
+                    callback({ .queryId = query.queryId, .status = JobQueryStatus::Found });
+                } });
+    for (const auto* subject : { "throws", "job" })
+        transport.deliver(encodePeerMessage(JobQuery { .queryId = 5, .replyAddress = "there", .subject = subject }));
+    advance(Milliseconds { 20 });
+    CHECK_EQUAL(1, transport.sent.size());
+}
--- a/Tests/LibNode/TestStreamReader.cpp
+++ b/Tests/LibNode/TestStreamReader.cpp
@@ -260,6 +260,22 @@
     CHECK_EQUAL(loads, store.loads);
 }
 
+// Guards against one record whose processing fails and that ends each process that reads it, or hides later records.
+TEST(StreamReader, RecordWhoseProcessingFailsIsLeftOut)
+{
+    put("a", "1");
+    put("b", "throws");
+    put("c", "1");
+    start();
+    advance(Milliseconds { 20 });
+    put("d", "throws");
+    put("e", "1");
+    advance(Milliseconds { 50 });
+    CHECK((records == std::vector<std::string> { "a=1", "c=1", "e=1" }));
+    CHECK(reader->hasLoaded());
+    CHECK(catchUps > 0);
+}
+
 // Guards against reads without a pause, each of which has its price, when the store announces records and sends none.
 TEST(StreamReader, ReplyWithoutTheAnnouncedRecordsIsReadAgainLater)
 {
