Test a node with a malformed record in each stream

Each test puts records that cannot be read, or that do not fit, into one stream and starts the node twice: it must lead, start the good job and answer.

--- a/Tests/LibNode/TestNodePoison.cpp
+++ b/Tests/LibNode/TestNodePoison.cpp
@@ -40,6 +40,31 @@
     }
 };
 
+// Guards against a node without configuration because another record of the operators cannot be read.
+TEST(NodePoison, OperatorRecordsAreLeftOut)
+{
+    for (const auto& bytes : poison) {
+        store.put(StreamName::Operators, "config", bytes);
+        store.put(StreamName::Operators, "evacuate/\xff", bytes);
+        store.put(StreamName::Operators, "", bytes);
+    }
+    configure(8);
+    checkNodeWorks();
+    store.put(StreamName::Operators, "config", "later poison");
+    advance(Milliseconds { 1000 });
+    CHECK(node->routing() != nullptr);
+    CHECK_EQUAL(8, node->routing()->version);
+}
+
+// Guards against a leader that ends on a worker's entry, or that does not use the other workers.
+TEST(NodePoison, WorkerRecordsAreLeftOut)
+{
+    for (const auto& bytes : poison)
+        store.put(StreamName::Workers, "poison" + bytes.substr(0, 3), bytes);
+    store.put(StreamName::Workers, "", "x");
+    checkNodeWorks();
+}
+
 // Guards against each leader in turn ending on a job that cannot be read or held.
 TEST(NodePoison, JobRecordsAreLeftOut)
 {
@@ -65,3 +90,69 @@
     for (const auto* id : { "manyTasks", "manyTimes", "later", "negative", "times" })
         CHECK(ask(JobQueryKind::State, id)->status == JobQueryStatus::Unknown);
 }
+
+// Guards against each leader in turn ending on what an earlier one should have stored.
+TEST(NodePoison, ProgressRecordsAreLeftOut)
+{
+    for (const auto& bytes : poison) {
+        store.put(StreamName::Progress, fmt::format("{}poison", jobKeyPrefix), bytes);
+        store.put(StreamName::Progress, assignedWorkersKey, bytes);
+        store.put(StreamName::Progress, pressuresKey, bytes);
+        store.put(StreamName::Progress, "unknown" + bytes.substr(0, 3), bytes);
+    }
+    checkNodeWorks();
+}
+
+// Guards against a leader that ends on readable progress that does not match its job.
+TEST(NodePoison, ProgressOfAnotherShapeIsHandled)
+{
+    putJob("shape", 3);
+    JobProgress progress { .id = "shape", .state = JobStage::Running, .done = { "0000000000000", "11", "", "x" } };
+    constexpr auto max32 = std::numeric_limits<uint32_t>::max();
+    progress.failedRuns
+        = { { max32, 0, 0, 1 }, { 0, max32, 0, 1 }, { 0, 0, max32, 1 }, { 0, 7, 7, 1 }, { 0, 0, 3, 1 } };
+    putProgress(progress);
+    store.put(StreamName::Progress, assignedWorkersKey,
+        encodeValue(AssignedWorkers { .workers
+            = { { "", "", -1 }, { "\xff", "\n", 1 }, { "w1", "w1", workerStartMs }, { "w1", "w1", workerStartMs } } }));
+    store.put(StreamName::Progress, pressuresKey,
+        encodeValue(PressureRecord { .baseTailLatencies = { { "a", std::numeric_limits<double>::quiet_NaN() } },
+            .pairs = { { "b", "a", -1 } } }));
+    checkNodeWorks();
+}
+
+// Guards against a cluster without a leader because of a record of the leadership stream.
+TEST(NodePoison, LeadershipRecordsAreLeftOut)
+{
+    for (const auto& bytes : poison)
+        store.put(StreamName::Leadership, "", bytes);
+    for (uint64_t epoch : { uint64_t { 0 }, uint64_t { 5 }, candidacyEpoch - 1, candidacyEpoch })
+        store.put(StreamName::Leadership, "",
+            encodeValue(LeadershipRecord { .epoch = epoch, .cpuMillis = std::numeric_limits<int64_t>::max() }));
+    checkNodeWorks();
+    for (const auto& bytes : poison)
+        store.put(StreamName::Leadership, "", bytes);
+    advance(Milliseconds { 2000 });
+    CHECK(ask(JobQueryKind::State, job).has_value());
+}
+
+// Guards against a node that ends on a message from another node.
+TEST(NodePoison, PeerMessagesAreLeftOut)
+{
+    restartNode();
+    advance(Milliseconds { 3000 });
+    for (const auto& bytes : poison)
+        peers.deliver(bytes);
+    std::mt19937_64 random(5);
+    const auto valid = encodePeerMessage(
+        JobQuery { .queryId = 3, .replyAddress = "caller", .kind = JobQueryKind::Cancel, .subject = "unknown" });
+    for (int i = 0; i < 2000; ++i) {
+        auto bytes = valid;
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(bytes.size() - random() % 2);
+        peers.deliver(bytes);
+    }
+    advance(Milliseconds { 1000 });
+    peers.sent.clear();
+    CHECK(ask(JobQueryKind::State, job)->state == JobStage::Running);
+}
