--- a/Tests/LibNode/TestStreamReader.cpp
+++ b/Tests/LibNode/TestStreamReader.cpp
@@ -2,7 +2,6 @@
 #include "NodeTestClock.h"
 #include <CppUTest/TestHarness.h>
 #include <LibNode/StreamReader.h>
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <stdexcept>
@@ -290,3 +289,38 @@
     advance(Milliseconds { 400 });
     CHECK((records == std::vector<std::string> { "a=1" }));
 }
+
+// Guards against a key in use again: it was on a page of the load, and the record of its removal expired before it was
+// read.
+TEST(StreamReader, KeyDeletedBetweenTwoPagesAndExpiredIsDropped)
+{
+    for (auto key : { "a", "b", "c" })
+        put(key, "1");
+    store.pageRecords = 2;
+    start();
+    advance(Milliseconds { 6 });
+    CHECK_EQUAL(1, known.count("a"));
+    put("a", "");
+    store.expire(StreamName::Workers);
+    advance(Milliseconds { 60 });
+    CHECK((known == std::map<std::string, std::string> { { "b", "1" }, { "c", "1" } }));
+    CHECK_EQUAL(2, reloads);
+}
+
+// Guards against a key in use again after a second reload that begins before the first one has ended.
+TEST(StreamReader, KeyDeletedBeforeARepeatedReloadIsDropped)
+{
+    for (auto key : { "a", "b", "c" })
+        put(key, "1");
+    store.pageRecords = 1;
+    start(Milliseconds { 400 });
+    advance(Milliseconds { 200 });
+    store.expire(StreamName::Workers);
+    put("b", "2");
+    store.expire(StreamName::Workers);
+    advance(Milliseconds { 210 });
+    put("a", "");
+    store.expire(StreamName::Workers);
+    advance(Milliseconds { 600 });
+    CHECK((known == std::map<std::string, std::string> { { "b", "2" }, { "c", "1" } }));
+}
