--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -6,6 +6,7 @@
 #include <LibNode/NodeIngress.h>
 #include <LibReport/NodeMetrics.h>
 #include <memory>
+#include <new>
 #include <optional>
 #include <string>
 #include <vector>
@@ -61,7 +62,7 @@
 
     void submit(Milliseconds deadline = Milliseconds { 3000 })
     {
-        request("POST", std::string("/q/") + id, encodeValue(JobSpec { .steps = { {} } }),
+        request("POST", std::string("/q/") + id, encodeValue(JobSpec { .id = "x", .steps = { {} } }),
             { { "X-Deadline-Ms", std::to_string(deadline.count()) } });
     }
 
@@ -120,7 +121,7 @@
         CHECK_EQUAL(200, status);
         STRCMP_EQUAL(queue, queries.at(0).subject.c_str());
     }
-    request("POST", std::string("/q/deep/") + id, encodeValue(JobSpec { .steps = { {} } }));
+    request("POST", std::string("/q/deep/") + id, encodeValue(JobSpec { .id = "x", .steps = { {} } }));
     advance(Milliseconds { 20 });
     STRCMP_EQUAL("long", storedJob().queue.c_str());
 }
@@ -140,11 +141,11 @@
 {
     for (auto bad : { "0123456789abcde", "0123456789abcdef0", "0123456789abcdeg", "0123456789abcde/", "x" }) {
         auto path = std::string("/q/") + bad;
-        CHECK_EQUAL(400, statusOf("POST", path, encodeValue(JobSpec { .steps = { {} } })));
+        CHECK_EQUAL(400, statusOf("POST", path, encodeValue(JobSpec { .id = "x", .steps = { {} } })));
         CHECK_EQUAL(410, statusOf("GET", path));
         CHECK_EQUAL(410, statusOf("DELETE", path));
     }
-    CHECK_EQUAL(400, statusOf("POST", "/q/", encodeValue(JobSpec { .steps = { {} } })));
+    CHECK_EQUAL(400, statusOf("POST", "/q/", encodeValue(JobSpec { .id = "x", .steps = { {} } })));
     CHECK(queries.empty());
     CHECK_EQUAL(0, store.appends);
 }
@@ -249,3 +250,14 @@
     advance(Milliseconds { 4000 });
     CHECK_EQUAL(503, responses.at(0).status);
 }
+
+// Guards against a request whose processing fails and that ends the process, or leaves the caller without a response.
+TEST(NodeIngress, RequestWhoseProcessingFailsGetsAResponse)
+{
+    NodeIngress failing(*loop, acceptor, router, formats, metrics,
+        { .routing = []() -> std::shared_ptr<const RoutingTable> { throw std::bad_alloc(); } });
+    failing.handle(
+        { .method = "GET", .path = "/q/" }, HttpResponder([this](const HttpResponse& it) { responses.push_back(it); }));
+    CHECK_EQUAL(1, responses.size());
+    CHECK_EQUAL(500, responses[0].status);
+}
--- a/Tests/LibNode/TestStreamReader.cpp
+++ b/Tests/LibNode/TestStreamReader.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/StreamReader.h>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
                     },
                 .onRecord =
                     [this](const KeyedRecord& it) {
+                        if (it.value == "throws")
+                            throw std::out_of_range("a fault in the processing of this record");
                         records.push_back(it.key + "=" + it.value);
                         known[it.key] = it.value;
                     },
@@ -255,3 +258,69 @@
     advance(Milliseconds { 500 });
     CHECK_EQUAL(loads, store.loads);
 }
+
+// Guards against one record whose processing fails and that ends each process that reads it, or hides later records.
+TEST(StreamReader, RecordWhoseProcessingFailsIsLeftOut)
+{
+    put("a", "1");
+    put("b", "throws");
+    put("c", "1");
+    start();
+    advance(Milliseconds { 20 });
+    put("d", "throws");
+    put("e", "1");
+    advance(Milliseconds { 50 });
+    CHECK((records == std::vector<std::string> { "a=1", "c=1", "e=1" }));
+    CHECK(reader->hasLoaded());
+    CHECK(catchUps > 0);
+}
+
+// Guards against reads without a pause, each of which has its price, when the store announces records and sends none.
+TEST(StreamReader, ReplyWithoutTheAnnouncedRecordsIsReadAgainLater)
+{
+    start();
+    advance(Milliseconds { 200 });
+    store.readRecords = 0;
+    put("a", "1");
+    auto before = store.reads;
+    advance(Milliseconds { 1000 });
+    CHECK(store.reads - before < 10);
+    store.readRecords = 500;
+    advance(Milliseconds { 400 });
+    CHECK((records == std::vector<std::string> { "a=1" }));
+}
+
+// Guards against a key in use again: it was on a page of the load, and the record of its removal expired before it was
+// read.
+TEST(StreamReader, KeyDeletedBetweenTwoPagesAndExpiredIsDropped)
+{
+    for (auto key : { "a", "b", "c" })
+        put(key, "1");
+    store.pageRecords = 2;
+    start();
+    advance(Milliseconds { 6 });
+    CHECK_EQUAL(1, known.count("a"));
+    put("a", "");
+    store.expire(StreamName::Workers);
+    advance(Milliseconds { 60 });
+    CHECK((known == std::map<std::string, std::string> { { "b", "1" }, { "c", "1" } }));
+    CHECK_EQUAL(2, reloads);
+}
+
+// Guards against a key in use again after a second reload that begins before the first one has ended.
+TEST(StreamReader, KeyDeletedBeforeARepeatedReloadIsDropped)
+{
+    for (auto key : { "a", "b", "c" })
+        put(key, "1");
+    store.pageRecords = 1;
+    start(Milliseconds { 400 });
+    advance(Milliseconds { 200 });
+    store.expire(StreamName::Workers);
+    put("b", "2");
+    store.expire(StreamName::Workers);
+    advance(Milliseconds { 210 });
+    put("a", "");
+    store.expire(StreamName::Workers);
+    advance(Milliseconds { 600 });
+    CHECK((known == std::map<std::string, std::string> { { "b", "2" }, { "c", "1" } }));
+}
