Block the stop signals first thing in main()

Cause: the process blocked SIGTERM, SIGINT and SIGHUP only in NodeProcess::create(), after it had read its settings and initialised libcurl.

Change: main() blocks the signals before anything else. They stay pending until the event loop reads them from the signalfd, so a stop that came early is an orderly stop with status 0. The block also precedes the first thread now.

Test: a real process is held while it opens its settings (a FIFO), gets SIGTERM or SIGINT there, then reads the settings. Before: it ended by the signal; after: status 0 for both.

--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -71,14 +71,25 @@
         close(m_signalFd);
 }
 
-absl::Status NodeProcess::watchSignals()
+static sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+void NodeProcess::blockSignals()
+{
+    auto signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+absl::Status NodeProcess::watchSignals()
+{
+    auto signals = handledSignals();
     m_signalFd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     if (m_signalFd < 0)
         return absl::UnavailableError("cannot create a signal file descriptor");
--- a/Services/bergamot-node/NodeProcess.h
+++ b/Services/bergamot-node/NodeProcess.h
@@ -18,6 +18,10 @@
 /// Runs a node with its event loop and servers, and handles the signals of the process.
 class NodeProcess {
 public:
+    /// Keeps the signals that the process handles pending until run(), so that none of them ends the process by its
+    /// default action. Must be called first in main(), before any thread starts.
+    static void blockSignals();
+
     /// Opens all sockets. Returns Unavailable when an address is in use.
     static absl::StatusOr<std::unique_ptr<NodeProcess>> create(const Platform::PlatformSettings&, uint16_t metricsPort);
     ~NodeProcess();
--- a/Services/bergamot-node/main.cpp
+++ b/Services/bergamot-node/main.cpp
@@ -43,6 +43,7 @@
 
 int main(int argc, char** argv)
 {
+    NodeProcess::blockSignals();
     auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
     std::string path;
     if (arguments["--settings"])
