Send stops ahead of the other commands of their worker

Cause: the commands for a worker went out one at a time in the order of the decisions, and a command without a reply was repeated, each time after a time-out of 0.25 to 1 s, before the next one. The stop of a cancelled job waited behind them; three of them without reply delay it by more than 3 s. Each report could also add a pace for each filling task, and after 1 s another equal stop, so the queue of a worker that answers slowly grew.

Change: CommandQueue, taken out of WorkerSession. Stops go first. A command without a reply is repeated after all waiting stops, and a stop without a reply after the other stops; the number of attempts stays with its command, so a start that may have arrived still becomes a stop. A pace replaces a waiting one of its run, a stop is queued once and replaces the paces of its run. Starts that are not permitted any more leave the queue at once and not only when they come to its front.

No existing test is changed.

--- /dev/null
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -0,0 +1,122 @@
+#include <LibNode/CommandQueue.h>
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Bergamot {
+
+template <typename T, typename Other> static bool isOfRun(const TaskAction& action, const Other& other)
+{
+    const auto* command = std::get_if<T>(&action);
+    return command && command->run == other.run && command->task == other.task;
+}
+
+static StopTask stopOf(const StartTask& start)
+{
+    return { .worker = start.worker, .task = start.task, .run = start.run };
+}
+
+std::deque<CommandQueue::Command>::iterator CommandQueue::firstWaiting()
+{
+    return m_commands.begin() + (m_isInProgress ? 1 : 0);
+}
+
+void CommandQueue::moveStopsForward()
+{
+    std::stable_partition(firstWaiting(), m_commands.end(),
+        [](const Command& it) { return std::holds_alternative<StopTask>(it.action); });
+}
+
+void CommandQueue::push(TaskAction action)
+{
+    if (const auto* stop = std::get_if<StopTask>(&action)) {
+        if (std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, *stop); }))
+            return;
+        m_commands.erase(std::remove_if(firstWaiting(), m_commands.end(),
+                             [&](const Command& it) { return isOfRun<ThrottleRun>(it.action, *stop); }),
+            m_commands.end());
+        m_commands.push_back({ .action = std::move(action) });
+        return moveStopsForward();
+    }
+    if (const auto* pace = std::get_if<ThrottleRun>(&action)) {
+        if (std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, *pace); }))
+            return;
+        auto earlier = std::find_if(firstWaiting(), m_commands.end(),
+            [&](const Command& it) { return isOfRun<ThrottleRun>(it.action, *pace); });
+        if (earlier != m_commands.end()) {
+            *earlier = { .action = std::move(action) };
+            return;
+        }
+    }
+    m_commands.push_back({ .action = std::move(action) });
+}
+
+TaskAction CommandQueue::takeFront()
+{
+    m_isInProgress = false;
+    auto action = std::move(m_commands.front().action);
+    m_commands.pop_front();
+    return action;
+}
+
+uint32_t CommandQueue::recordFailure()
+{
+    m_isInProgress = false;
+    return ++m_commands.front().failures;
+}
+
+void CommandQueue::postponeFront()
+{
+    auto firstOther = std::find_if(std::next(m_commands.begin()), m_commands.end(),
+        [](const Command& it) { return !std::holds_alternative<StopTask>(it.action); });
+    std::rotate(m_commands.begin(), std::next(m_commands.begin()), firstOther);
+}
+
+void CommandQueue::stopFrontStart()
+{
+    auto& action = m_commands.front().action;
+    action = stopOf(std::get<StartTask>(action));
+}
+
+bool CommandQueue::hasStopOf(const StartTask& start) const
+{
+    return std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, start); });
+}
+
+CommandQueue::StartState CommandQueue::removeStartOf(const StopTask& stop, std::optional<StartTask>& removed)
+{
+    auto it = std::find_if(firstWaiting(), m_commands.end(),
+        [&](const Command& command) { return isOfRun<StartTask>(command.action, stop); });
+    if (it == m_commands.end())
+        return StartState::NotRemoved;
+    bool wasSent = it->failures > 0;
+    removed = std::get<StartTask>(std::move(it->action));
+    m_commands.erase(it);
+    return wasSent ? StartState::RemovedUnanswered : StartState::RemovedUnsent;
+}
+
+std::vector<StartTask> CommandQueue::removeStarts(const std::function<bool(const StartTask&)>& isForbidden)
+{
+    std::vector<StartTask> removed;
+    bool hasNewStops = false;
+    for (auto it = firstWaiting(); it != m_commands.end();) {
+        auto* start = std::get_if<StartTask>(&it->action);
+        if (!start || !isForbidden(*start)) {
+            ++it;
+        } else if (it->failures > 0) {
+            it->action = stopOf(*start);
+            hasNewStops = true;
+            ++it;
+        } else {
+            removed.push_back(std::move(*start));
+            it = m_commands.erase(it);
+        }
+    }
+    if (hasNewStops)
+        moveStopsForward();
+    return removed;
+}
+
+void CommandQueue::clearWaiting() { m_commands.erase(firstWaiting(), m_commands.end()); }
+
+}
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -157,42 +157,18 @@
 /// stop, which prevents the worker from executing it later.
 void WorkerSession::refuseQueuedStarts()
 {
-    std::vector<StartTask> refused;
-    std::deque<TaskAction> kept;
-    for (auto& action : m_commands) {
-        const auto* start = std::get_if<StartTask>(&action);
-        bool wasAttempted = kept.empty() && refused.empty() && (m_isCommandInProgress || m_commandFailures > 0);
-        if (start && !wasAttempted)
-            refused.push_back(*start);
-        else if (start && !m_isCommandInProgress)
-            kept.push_back(StopTask { .worker = start->worker, .task = start->task, .run = start->run });
-        else
-            kept.push_back(std::move(action));
-    }
-    m_commands = std::move(kept);
-    for (const auto& start : refused)
+    for (const auto& start : m_commands.removeStarts([](const StartTask&) { return true; }))
         m_options.events.onStartReply(start, TaskCommandOutcome::Unhealthy);
 }
 
 /// Removes the queued start that the stop cancels. Returns false if the stop must still be sent.
 bool WorkerSession::cancelQueuedStart(const StopTask& stop)
 {
-    for (size_t i = 0; i < m_commands.size(); ++i) {
-        const auto* start = std::get_if<StartTask>(&m_commands[i]);
-        if (!start || start->run != stop.run || start->task != stop.task)
-            continue;
-        bool inProgress = i == 0 && m_isCommandInProgress;
-        bool mayHaveArrived = i == 0 && m_commandFailures > 0;
-        if (inProgress)
-            return false;
-        auto removed = *start;
-        m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(i));
-        if (mayHaveArrived)
-            return false;
-        m_options.events.onStartReply(removed, TaskCommandOutcome::Unhealthy);
-        return true;
-    }
-    return false;
+    std::optional<StartTask> removed;
+    if (m_commands.removeStartOf(stop, removed) != CommandQueue::StartState::RemovedUnsent)
+        return false;
+    m_options.events.onStartReply(*removed, TaskCommandOutcome::Unhealthy);
+    return true;
 }
 
 void WorkerSession::handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply> reply, Instant requestSentAt)
@@ -251,8 +227,8 @@
     if (!m_isReachable && !m_isLeaseExpiryReported && m_loop.now() >= m_leasesExpireBy) {
         m_isLeaseExpiryReported = true;
         m_isReconciled = true;
-        m_commands.resize(m_isCommandInProgress ? 1 : 0);
-        m_discardsCommandReply = m_isCommandInProgress;
+        m_commands.clearWaiting();
+        m_discardsCommandReply = m_commands.isInProgress();
         m_options.events.onLeaseExpired();
         if (!*m_alive)
             return;
@@ -269,36 +245,15 @@
         return m_options.events.onStartReply(*start, TaskCommandOutcome::Unhealthy);
     if (const auto* stop = std::get_if<StopTask>(&action); stop && cancelQueuedStart(*stop))
         return;
-    m_commands.push_back(std::move(action));
+    m_commands.push(std::move(action));
     sendNextCommand();
 }
 
-/// Replaces the start at the front of the queue, which an earlier attempt may have delivered, with a stop. A worker
-/// that has accepted the stop no longer executes the start.
-void WorkerSession::stopUnansweredStart()
-{
-    auto& action = m_commands.front();
-    const auto& start = std::get<StartTask>(action);
-    action = StopTask { .worker = start.worker, .task = start.task, .run = start.run };
-}
-
-bool WorkerSession::isForbiddenStart(const TaskAction& action) const
-{
-    const auto* start = std::get_if<StartTask>(&action);
-    return start && !m_options.canStart(*start);
-}
-
-/// Takes the starts that are not permitted any more from the front of the queue. Returns false if the session was
-/// closed meanwhile.
+/// Takes the starts that are not permitted any more from the queue. Returns false if the session was closed meanwhile.
 bool WorkerSession::refuseForbiddenStarts()
 {
-    while (!m_commands.empty() && isForbiddenStart(m_commands.front())) {
-        if (m_commandFailures > 0) {
-            stopUnansweredStart();
-            return true;
-        }
-        auto refused = takeCommand();
-        m_options.events.onStartReply(std::get<StartTask>(refused), TaskCommandOutcome::NotSent);
+    for (const auto& start : m_commands.removeStarts([&](const StartTask& it) { return !m_options.canStart(it); })) {
+        m_options.events.onStartReply(start, TaskCommandOutcome::NotSent);
         if (!*m_alive)
             return false;
     }
@@ -307,9 +262,9 @@
 
 void WorkerSession::sendNextCommand()
 {
-    if (m_isCommandInProgress || !m_clockMs || !m_isReachable || !refuseForbiddenStarts() || m_commands.empty())
+    if (m_commands.isInProgress() || !m_clockMs || !m_isReachable || !refuseForbiddenStarts() || m_commands.isEmpty())
         return;
-    m_isCommandInProgress = true;
+    m_commands.beginFront();
     m_commandSentAt = m_loop.now();
     TaskCommandContext context { .epoch = m_options.epoch, .timeout = m_options.commandTimeout.current() };
     auto onReply = [this, alive = m_alive](absl::StatusOr<TaskCommandReply> reply) {
@@ -335,57 +290,62 @@
     }
 }
 
+void WorkerSession::sendNextCommandAfter(Milliseconds delay)
+{
+    m_loop.callAfter(delay, [this, alive = m_alive] {
+        if (*alive)
+            sendNextCommand();
+    });
+}
+
+/// Repeats the command at the front, or stops its run if it is a start.
+void WorkerSession::confirmLater()
+{
+    m_commands.recordFailure();
+    if (std::holds_alternative<StartTask>(m_commands.front()))
+        m_commands.stopFrontStart();
+    sendNextCommandAfter(retryDelay);
+}
+
 void WorkerSession::handleCommandReply(const absl::StatusOr<TaskCommandReply>& reply)
 {
-    m_isCommandInProgress = false;
     m_options.commandTimeout.recordResult(reply.status(), m_loop.now() - m_commandSentAt);
     if (std::exchange(m_discardsCommandReply, false)) {
-        m_commands.pop_front();
+        m_commands.takeFront();
         return sendNextCommand();
     }
     if (reply.ok()) {
         if (!checkOutcome(*reply))
             return;
-        if (mustConfirm(*reply)) {
-            if (std::holds_alternative<StartTask>(m_commands.front()))
-                stopUnansweredStart();
-            ++m_commandFailures;
-            m_loop.callAfter(retryDelay, [this, alive = m_alive] {
-                if (*alive)
-                    sendNextCommand();
-            });
-            return;
-        }
-        m_commandFailures = 0;
+        if (mustConfirm(*reply))
+            return confirmLater();
         // The command is removed from the queue first, because recordReply() sends the next command if the worker
         // becomes reachable.
-        auto action = takeCommand();
+        auto action = m_commands.takeFront();
         recordReply(*reply);
         reportCommandReply(action, *reply);
         return sendNextCommand();
     }
+    const auto* start = std::get_if<StartTask>(&m_commands.front());
     bool wasNotSent = absl::IsAborted(reply.status());
-    const auto& action = m_commands.front();
-    if (wasNotSent && std::holds_alternative<StartTask>(action) && m_commandFailures == 0) {
-        auto refused = takeCommand();
+    if (wasNotSent && start && m_commands.failuresOfFront() == 0) {
+        auto refused = m_commands.takeFront();
         recordFailure();
         reportCommandReply(refused, { .outcome = TaskCommandOutcome::Unhealthy });
         return sendNextCommand();
     }
     // Retries are idempotent; the reply to the retry gives the outcome of a command whose reply was lost.
-    ++m_commandFailures;
-    if (const auto* start = std::get_if<StartTask>(&action); start && hasQueuedStop(*start)) {
-        m_commands.pop_front();
-        m_commandFailures = 0;
-    } else if (m_commandFailures >= commandFailuresUntilCounted) {
-        recordFailure();
+    auto failures = m_commands.recordFailure();
+    if (start && m_commands.hasStopOf(*start)) {
+        m_commands.takeFront();
+    } else {
+        m_commands.postponeFront();
+        if (failures >= commandFailuresUntilCounted)
+            recordFailure();
     }
     // A timed-out command is retried immediately, because its time-out has already passed.
     auto delay = absl::IsDeadlineExceeded(reply.status()) ? Milliseconds { 0 } : retryDelay;
-    m_loop.callAfter(delay, [this, alive = m_alive] {
-        if (*alive)
-            sendNextCommand();
-    });
+    sendNextCommandAfter(delay);
 }
 
 /// Whether the reply leaves open what becomes of the run. The refusal of a repeated start says nothing about the
@@ -397,22 +357,7 @@
         return reply.outcome == TaskCommandOutcome::Unhealthy;
     bool isStartRefused = std::holds_alternative<StartTask>(m_commands.front())
         && reply.outcome != TaskCommandOutcome::Accepted && reply.outcome != TaskCommandOutcome::Superseded;
-    return isStartRefused && m_commandFailures > 0;
-}
-
-bool WorkerSession::hasQueuedStop(const StartTask& start) const
-{
-    return std::ranges::any_of(m_commands, [&](const TaskAction& action) {
-        const auto* stop = std::get_if<StopTask>(&action);
-        return stop && stop->run == start.run && stop->task == start.task;
-    });
-}
-
-TaskAction WorkerSession::takeCommand()
-{
-    auto action = std::move(m_commands.front());
-    m_commands.pop_front();
-    return action;
+    return isStartRefused && m_commands.failuresOfFront() > 0;
 }
 
 void WorkerSession::reportCommandReply(const TaskAction& action, const TaskCommandReply& reply)
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -3,15 +3,14 @@
 #include <LibCore/Time.h>
 #include <LibDecision/CallTimeout.h>
 #include <LibDecision/TaskAction.h>
+#include <LibNode/CommandQueue.h>
 #include <LibNode/ConcurrencyLimiter.h>
 #include <LibPlatform/TaskExecutor.h>
 #include <LibPlatform/WorkerAnnouncement.h>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <vector>
 
 namespace Bergamot {
 
@@ -102,12 +101,10 @@
     void recordFailure();
     void sendNextCommand();
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
-    TaskAction takeCommand();
-    bool isForbiddenStart(const TaskAction&) const;
+    void sendNextCommandAfter(Milliseconds delay);
+    void confirmLater();
     bool refuseForbiddenStarts();
-    void stopUnansweredStart();
     bool mustConfirm(const TaskCommandReply&) const;
-    bool hasQueuedStop(const StartTask&) const;
     bool cancelQueuedStart(const StopTask&);
     void refuseQueuedStarts();
     void reportCommandReply(const TaskAction&, const TaskCommandReply&);
@@ -140,13 +137,11 @@
     /// Consecutive lease renewals that failed because the connection was refused.
     uint32_t m_refusedConnections { 0 };
     bool m_isLeaseExpiryReported { false };
-    std::deque<TaskAction> m_commands;
-    bool m_isCommandInProgress { false };
+    CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
 
     /// The reply to the command in progress is ignored, because its run has ended.
     bool m_discardsCommandReply { false };
-    uint32_t m_commandFailures { 0 };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -69,6 +69,25 @@
         loop->runReady();
     }
 
+    static TaskAction stopOf(uint64_t run)
+    {
+        return StopTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
+    }
+
+    static TaskAction paceOf(uint64_t run, uint32_t speedPercent)
+    {
+        return ThrottleRun {
+            .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run, .speedPercent = speedPercent
+        };
+    }
+
+    void checkNext(const char* kind, uint64_t run)
+    {
+        CHECK_EQUAL(1, taskExecutor.commands.size());
+        STRCMP_EQUAL(kind, taskExecutor.commands.front().kind.c_str());
+        CHECK_EQUAL(run, taskExecutor.commands.front().run);
+    }
+
     static TaskAction startOf(uint64_t run)
     {
         return StartTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
@@ -341,3 +360,54 @@
     second->enqueueCommand(startOf(2));
     CHECK_EQUAL(2, taskExecutor.commands.size());
 }
+
+// Guards against a run of a cancelled job that goes on while its stop waits behind other commands of the worker.
+TEST(WorkerSession, StopIsSentBeforeWaitingCommands)
+{
+    connect();
+    session->enqueueCommand(startOf(1));
+    session->enqueueCommand(startOf(2));
+    session->enqueueCommand(paceOf(3, 50));
+    session->enqueueCommand(stopOf(8));
+    session->enqueueCommand(stopOf(9));
+    for (uint64_t run : { 1, 8, 9, 2, 3 }) {
+        CHECK_EQUAL(run, taskExecutor.commands.front().run);
+        taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    }
+    CHECK_EQUAL(2, acceptedStops);
+    CHECK(taskExecutor.commands.empty());
+}
+
+// Guards against a stop that waits until the worker has answered another command, which may take any number of retries.
+TEST(WorkerSession, CommandWithoutReplyDoesNotDelayAStop)
+{
+    connect();
+    session->enqueueCommand(paceOf(1, 50));
+    session->enqueueCommand(stopOf(8));
+    session->enqueueCommand(stopOf(9));
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    checkNext("stop", 8);
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    checkNext("stop", 8);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    checkNext("pace", 1);
+}
+
+// Guards against a start that may have arrived and is given up as unsent, because a stop was sent before its retry.
+TEST(WorkerSession, StartWithoutReplyIsStillStoppedAfterAnotherStop)
+{
+    connect();
+    session->enqueueCommand(startOf(1));
+    session->enqueueCommand(stopOf(9));
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    canStart = false;
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    CHECK(startedRuns.empty());
+    checkNext("stop", 1);
+}
