Send stops also to workers that are held for unreachable

Cause: after two failed lease renewals no command was sent until a renewal succeeded. Those of unreachable workers share a limit, so the next one of a worker that was only late waits behind those of all workers that are gone: with 250 calls of 1 s each, seconds. Until its lease has expired, up to 5.3 s, a run of a cancelled job went on there.

A reply makes the worker reachable. Starts and paces still wait.

Before: StopIsSentToAnUnreachableWorker and UnreachableWorkerReceivesOnlyStopsAtALowRate failed (no stop at all).

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -11,6 +11,9 @@
 static constexpr Milliseconds idleReportWait { 2000 };
 static constexpr Milliseconds retryDelay { 150 };
 
+/// Delay between stops to an unreachable worker. Each may need a new connection.
+static constexpr Milliseconds unreachableRetryDelay { 500 };
+
 /// Run ends within this time share a report.
 static constexpr Milliseconds endBatchDelay { 25 };
 static constexpr uint32_t failuresUntilUnreachable { 2 };
@@ -262,7 +265,11 @@
 
 void WorkerSession::sendNextCommand()
 {
-    if (m_commands.isInProgress() || !m_clockMs || !m_isReachable || !refuseForbiddenStarts() || m_commands.isEmpty())
+    if (m_commands.isInProgress() || !m_clockMs || !refuseForbiddenStarts() || m_commands.isEmpty())
+        return;
+    // A worker that is held for unreachable may only have been late, and its first lease renewal may have to wait
+    // behind those of other workers. Its runs go on until its lease has expired, so stops do not wait.
+    if (!m_isReachable && !std::holds_alternative<StopTask>(m_commands.front()))
         return;
     m_commands.beginFront();
     m_commandSentAt = m_loop.now();
@@ -345,7 +352,7 @@
     }
     // A timed-out command is retried immediately, because its time-out has already passed.
     auto delay = absl::IsDeadlineExceeded(reply.status()) ? Milliseconds { 0 } : retryDelay;
-    sendNextCommandAfter(delay);
+    sendNextCommandAfter(m_isReachable ? delay : unreachableRetryDelay);
 }
 
 /// Whether the reply leaves open what becomes of the run. The refusal of a repeated start says nothing about the
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -88,6 +88,18 @@
         CHECK_EQUAL(run, taskExecutor.commands.front().run);
     }
 
+    /// Lets the lease renewals fail until the session holds the worker for unreachable.
+    void disconnect()
+    {
+        for (int i = 0; i < 3; ++i) {
+            loop->runReady();
+            if (!taskExecutor.renewLeaseCalls.empty())
+                taskExecutor.takeRenewLeaseCall().reply(absl::DeadlineExceededError("lost"));
+            advance(Milliseconds { 200 });
+        }
+        CHECK_FALSE(session->isReachable());
+    }
+
     static TaskAction startOf(uint64_t run)
     {
         return StartTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
@@ -411,3 +423,41 @@
     CHECK(startedRuns.empty());
     checkNext("stop", 1);
 }
+
+// Guards against a stop that waits until a worker that is held for unreachable has replied to a lease renewal, which
+// waits behind those of other unreachable workers.
+TEST(WorkerSession, StopIsSentToAnUnreachableWorker)
+{
+    connect();
+    disconnect();
+    session->enqueueCommand(stopOf(9));
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    advance(Milliseconds { 600 });
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 3000, .startedAtMs = 50 });
+    CHECK_EQUAL(1, acceptedStops);
+    CHECK(session->isReachable());
+}
+
+// Guards against starts and paces to an unreachable worker after one of its stops, and against dozens of connections a
+// second to a worker that is gone.
+TEST(WorkerSession, UnreachableWorkerReceivesOnlyStopsAtALowRate)
+{
+    connect();
+    disconnect();
+    session->enqueueCommand(paceOf(1, 50));
+    CHECK(taskExecutor.commands.empty());
+    session->enqueueCommand(stopOf(9));
+    int sent = 0;
+    for (int i = 0; i < 40; ++i) {
+        while (!taskExecutor.commands.empty()) {
+            checkNext("stop", 9);
+            ++sent;
+            taskExecutor.takeCommand().reply(absl::AbortedError("refused"));
+        }
+        advance(Milliseconds { 50 });
+    }
+    CHECK(sent >= 3);
+    CHECK(sent <= 5);
+}
