Store the cancellation of an unknown job before confirming it

Cause: a leader that had not read a job 0.25 s after its cancel answered that no such job exists. Its job streams may be up to 2.5 s old then, and an append without reply may be carried out seconds later, so the job could still arrive and start: a confirmed cancel without effect.

Change: such a cancel is stored as the progress of the job, cancelled, and the answer (still 410) follows once it is stored. A job that is read later, by this leader or the next, counts as cancelled. The cost: one progress record for a cancel of an unknown id, in the append that is shared anyway, and its answer waits for the store.

Before: CancelledUnknownJobDoesNotStartLater failed (answered before it was stored; without that check, the job started). NextLeaderStopsTheRunOfACancelledJob is new and passed before too: it covers a change of leader between the confirmation and the stop.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -244,6 +244,9 @@
 {
     ProgressBatch batch { .jobs = m_scheduler.takeChangedJobs() };
     m_acknowledgementsInBatch = std::exchange(m_pendingAcknowledgements, {});
+    m_unknownJobsInBatch = std::exchange(m_cancellationsOfUnknownJobs, {});
+    for (const auto& cancel : m_unknownJobsInBatch)
+        batch.jobs.push_back({ .id = cancel.job, .state = JobStage::Cancelled });
     if (m_loop.now() - m_pressuresStoredAt >= pressuresInterval) {
         m_pressuresStoredAt = m_loop.now();
         batch.pressures = m_scheduler.savePressures();
@@ -274,7 +277,7 @@
 {
     for (const auto& progress : batch.jobs) {
         m_scheduler.progressStored(progress);
-        if (progress.state < JobStage::Completed)
+        if (progress.state < JobStage::Completed || !m_scheduler.stateOf(progress.id))
             continue;
         m_metrics.recordJobEnd(nameOf(progress.state));
         logJobEnd(progress);
@@ -299,6 +302,8 @@
         cancel.callback(cancel.reply);
         return true;
     });
+    for (const auto& cancel : std::exchange(m_unknownJobsInBatch, {}))
+        cancel.callback(cancel.reply);
     // Only run ends collected before this batch may be acknowledged: later ones are not stored yet.
     auto acknowledgements = std::exchange(m_acknowledgementsInBatch, {});
     for (auto [handle, sequence] : acknowledgements) {
@@ -412,6 +417,16 @@
 
 void TaskLeader::setExcludedZones(std::set<ZoneId> zones) { m_scheduler.setExcludedZones(std::move(zones)); }
 
+/// Stores the cancellation before it is confirmed. The job may be read later, because its append is carried out late.
+void TaskLeader::cancelUnknownJob(PendingCancellation cancellation)
+{
+    const auto& job = cancellation.job;
+    logInfo("unknown_job_cancelled", { { "job", job } });
+    m_storedProgress[job] = { .id = job, .state = JobStage::Cancelled };
+    m_cancellationsOfUnknownJobs.push_back(std::move(cancellation));
+    m_journal.requestFlush();
+}
+
 void TaskLeader::handleQuery(const JobQuery& query, std::function<void(const JobQueryReply&)> callback, bool isRetry)
 {
     JobQueryReply reply { .queryId = query.queryId };
@@ -434,7 +449,9 @@
     if (!state) {
         if (isCurrent && !m_jobsWithUnreadableProgress.contains(query.subject))
             reply.status = JobQueryStatus::Unknown;
-        return callback(reply);
+        if (query.kind != JobQueryKind::Cancel || reply.status != JobQueryStatus::Unknown)
+            return callback(reply);
+        return cancelUnknownJob({ .job = query.subject, .reply = reply, .callback = std::move(callback) });
     }
     reply.status = JobQueryStatus::Found;
     reply.state = *state;
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -54,8 +54,8 @@
     void setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy>);
     void setExcludedZones(std::set<ZoneId>);
 
-    /// Replies immediately, except that the cancellation of a job that has not ended is confirmed once it is stored,
-    /// and the cancellation of an unknown job is retried once after a short delay.
+    /// Replies immediately, except that the cancellation of a job that has not ended is confirmed once it is stored.
+    /// That of an unknown job is retried once after a short delay and then stored too, since the job may be read later.
     void handleQuery(const JobQuery&, std::function<void(const JobQueryReply&)>, bool isRetry = false);
 
 private:
@@ -112,6 +112,7 @@
     void handleStartReply(WorkerHandle, const StartTask&, TaskCommandOutcome);
     std::optional<WorkerHandle> findHandle(const WorkerId&) const;
     void updateWorkerInScheduler(WorkerHandle);
+    void cancelUnknownJob(PendingCancellation);
     ProgressBatch collectProgress();
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
@@ -159,6 +160,8 @@
     std::vector<std::pair<WorkerHandle, uint64_t>> m_pendingAcknowledgements;
     std::vector<std::pair<WorkerHandle, uint64_t>> m_acknowledgementsInBatch;
     std::vector<PendingCancellation> m_pendingCancellations;
+    std::vector<PendingCancellation> m_cancellationsOfUnknownJobs;
+    std::vector<PendingCancellation> m_unknownJobsInBatch;
     bool m_areSessionsStarted { false };
     bool m_isReconciled { false };
     bool m_isPlanScheduled { false };
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -661,6 +661,57 @@
     CHECK(taskExecutor.commands.empty());
 }
 
+// Guards against a job that starts after its cancellation was confirmed: the leader did not know it yet, because its
+// append was carried out late.
+TEST(TaskLeader, CancelledUnknownJobDoesNotStartLater)
+{
+    announce("w1", 50);
+    lead(false);
+    reportFor(Milliseconds { 1500 }, "w1", 50);
+    std::optional<JobQueryReply> reply;
+    leader->handleQuery(
+        { .kind = JobQueryKind::Cancel, .subject = "j" }, [&reply](const JobQueryReply& it) { reply = it; });
+    store.fault = FakeRecordStore::Fault::Refusing;
+    reportFor(Milliseconds { 600 }, "w1", 50);
+    CHECK_FALSE(reply.has_value());
+    store.fault = FakeRecordStore::Fault::None;
+    reportFor(Milliseconds { 400 }, "w1", 50);
+    CHECK(reply.has_value());
+    CHECK(reply->status == JobQueryStatus::Unknown);
+    putJob("j");
+    reportFor(Milliseconds { 2000 }, "w1", 50);
+    CHECK(taskExecutor.commands.empty());
+    CHECK(stageOf("j") == JobStage::Cancelled);
+    leader.reset();
+    taskExecutor.renewLeaseCalls.clear();
+    ++epoch;
+    lead(true);
+    reportFor(Milliseconds { 2000 }, "w1", 50);
+    CHECK(taskExecutor.commands.empty());
+    CHECK(stageOf("j") == JobStage::Cancelled);
+}
+
+// Guards against a run of a cancelled job that goes on because the leader that confirmed the cancellation has ended
+// before its stop, while the next leader reads the job late.
+TEST(TaskLeader, NextLeaderStopsTheRunOfACancelledJob)
+{
+    constexpr Milliseconds maxTimeUntilStop { 3000 };
+    auto run = leadWithOneRun();
+    RunReport running { .task = { "j", 0, 0, 0 }, .run = run };
+    leader->handleQuery({ .kind = JobQueryKind::Cancel, .subject = "j" }, [](const JobQueryReply&) {});
+    advance(Milliseconds { 40 });
+    CHECK(storedProgress("j")->state == JobStage::Cancelled);
+    leader.reset();
+    taskExecutor.renewLeaseCalls.clear();
+    taskExecutor.commands.clear();
+    ++epoch;
+    store.readNewestTime = Milliseconds { 200 };
+    lead(true);
+    reportFor(maxTimeUntilStop, "w1", 50, { running });
+    CHECK(
+        std::ranges::any_of(taskExecutor.commands, [&](const auto& it) { return it.kind == "stop" && it.run == run; }));
+}
+
 // Guards against a leader that continues after a worker has rejected a command because it has seen a later epoch.
 TEST(TaskLeader, FencedCommandDeposes)
 {
