Renew the lease of a worker at once when it replies to a stop

Cause: a reply to a stop makes an unreachable worker reachable, but its renewal still waited for its turn among those of unreachable workers, so its lease could end in the meantime and with it all runs there.

Change: a renewal that waits for its turn is sent when the worker becomes reachable.

Before: ReplyToAStopRenewsTheLease failed (no renewal).

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -69,8 +69,9 @@
     m_isRenewalScheduled = false;
     if (m_isReachable)
         return sendLeaseRenewal(nullptr);
+    m_isRenewalQueued = true;
     m_options.renewalLimiter->enqueue([this, alive = m_alive] {
-        if (!*alive)
+        if (!*alive || !std::exchange(m_isRenewalQueued, false))
             return false;
         sendLeaseRenewal(m_options.renewalLimiter);
         return true;
@@ -151,6 +152,9 @@
     if (std::exchange(m_isReachable, true))
         return;
     m_options.events.onReachabilityChanged(true);
+    // The reply to a stop came first. The lease may end before the turn of the renewal.
+    if (std::exchange(m_isRenewalQueued, false))
+        sendLeaseRenewal(nullptr);
     sendNextCommand();
 }
 
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -141,6 +141,9 @@
     bool m_isReachable { false };
     bool m_isRenewalInProgress { false };
     bool m_isRenewalScheduled { false };
+
+    /// The renewal in progress waits for its turn among those of unreachable workers.
+    bool m_isRenewalQueued { false };
     bool m_hasRuns { false };
     uint32_t m_failures { 0 };
 
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -461,3 +461,23 @@
     CHECK(sent >= 3);
     CHECK(sent <= 5);
 }
+
+// Guards against a lease that ends although the worker has replied to a stop, because its renewal waits behind those of
+// workers that are gone.
+TEST(WorkerSession, ReplyToAStopRenewsTheLease)
+{
+    connect();
+    disconnect();
+    if (!taskExecutor.renewLeaseCalls.empty())
+        taskExecutor.takeRenewLeaseCall().reply(absl::DeadlineExceededError("lost"));
+    renewalLimiter->enqueue([] { return true; });
+    advance(Milliseconds { 400 });
+    CHECK(taskExecutor.renewLeaseCalls.empty());
+    session->enqueueCommand(stopOf(9));
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 3000, .startedAtMs = 50 });
+    CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+    CHECK_EQUAL(9000, taskExecutor.renewLeaseCalls.front().request.leaseUntilMs.value_or(0));
+    renewalLimiter->callFinished();
+    loop->runReady();
+    CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+}
