End the proof of leadership with the resignation

Cause: the stored record of a resignation counted as a keepalive, so for 0.95 s the resigned leader held itself for the only one, while a successor may be elected as soon as the record is stored. Until it had read the successor's claim it could start jobs that were accepted after that election, on workers that the successor had not reached yet, and the successor starts those at once.

Change: a leader that resigns gives up its proof first, and no stored keepalive renews it. It goes on with the jobs that it knew.

Before: ResignationEndsTheProofOfLeadership failed.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -208,10 +208,10 @@
         [this, alive = m_alive, sentAt, epoch = m_leader->epoch](absl::StatusOr<AppendReply> reply) {
             if (!*alive || !m_isLeader || m_leader->epoch != epoch)
                 return;
-            if (reply.ok()) {
+            if (reply.ok() && !m_hasResigned) {
                 m_leaseExpiresAt = sentAt + leadershipLeaseDuration;
                 m_confirmedAt = sentAt;
-            } else {
+            } else if (!reply.ok()) {
                 logWarning("keepalive_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
             }
             m_loop.callAfter(keepaliveInterval, [this, alive, epoch] {
@@ -226,6 +226,8 @@
     if (std::exchange(m_hasResigned, true) || !m_isLeader)
         return;
     logInfo("leader_resigns", { { "epoch", m_leader->epoch } });
+    // A successor may be elected as soon as the record is stored.
+    m_leaseExpiresAt = neverInstant;
     sendKeepalive();
 }
 
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -110,6 +110,23 @@
     CHECK_EQUAL(1, leaders());
 }
 
+// Guards against a leader that starts new jobs after its resignation, because it takes the stored record of it for a
+// proof of leadership: its successor may be elected at once.
+TEST(LeadershipMonitor, ResignationEndsTheProofOfLeadership)
+{
+    addMember(1);
+    advance(Milliseconds { 1000 });
+    auto& monitor = *members[0]->monitor;
+    auto resignedAt = clock.now();
+    monitor.resign();
+    CHECK_FALSE(monitor.holdsLease(clock.now()));
+    advance(Milliseconds { 200 });
+    CHECK(monitor.isLeader());
+    CHECK_FALSE(monitor.holdsLease(clock.now()));
+    CHECK(monitor.soleLeaderUntil(clock.now()) <= resignedAt);
+    CHECK(monitor.soleLeaderUntil(clock.now()) > resignedAt - Milliseconds { 400 });
+}
+
 // Guards against an unrecognized election when the reply to the claim is lost: the claiming node must learn the result
 // from the stream.
 TEST(LeadershipMonitor, ClaimWithALostReplyStillElects)
