--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -3,15 +3,14 @@
 #include <LibCore/Time.h>
 #include <LibDecision/CallTimeout.h>
 #include <LibDecision/TaskAction.h>
+#include <LibNode/CommandQueue.h>
 #include <LibNode/ConcurrencyLimiter.h>
 #include <LibPlatform/TaskExecutor.h>
 #include <LibPlatform/WorkerAnnouncement.h>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <vector>
 
 namespace Bergamot {
 
@@ -60,6 +59,12 @@
         /// the decision may be seconds old, and the worker may have announced its drain since.
         std::function<bool(const StartTask&)> canStart {};
 
+        /// Whether no successor of this leader is elected for certain.
+        std::function<bool()> isSoleLeader { [] { return true; } };
+
+        /// Whether leases may be renewed. Asked before each lease renewal, which otherwise only fetches the report.
+        std::function<bool()> canRenewLeases { [] { return true; } };
+
         /// Shared by all sessions: limits concurrent lease renewals of unreachable workers, each of which may need a
         /// new connection. Commands are not limited: an overloaded leader would process the replies late and send too
         /// few commands.
@@ -89,6 +94,9 @@
     bool isReconciled() const { return m_isReconciled; }
     bool isReachable() const { return m_isReachable; }
 
+    /// Time of the last reply; neverInstant before the first one.
+    Instant lastReplyAt() const { return m_clockReadAt; }
+
     /// True when no process listens at the worker's address: consecutive lease renewals failed with refused
     /// connections.
     bool refusesConnections() const;
@@ -100,6 +108,7 @@
     static constexpr uint32_t minRefusals { 2 };
 
     void renewLease();
+    Milliseconds currentReportWait() const;
     void sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter>);
     void handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply>, Instant requestSentAt);
     void scheduleLeaseRenewal(Milliseconds delay);
@@ -108,12 +117,10 @@
     void recordFailure();
     void sendNextCommand();
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
-    TaskAction takeCommand();
-    bool isForbiddenStart(const TaskAction&) const;
+    void sendNextCommandAfter(Milliseconds delay);
+    void confirmLater();
     bool refuseForbiddenStarts();
-    void stopUnansweredStart();
     bool mustConfirm(const TaskCommandReply&) const;
-    bool hasQueuedStop(const StartTask&) const;
     bool cancelQueuedStart(const StopTask&);
     void refuseQueuedStarts();
     void reportCommandReply(const TaskAction&, const TaskCommandReply&);
@@ -140,19 +147,20 @@
     bool m_isReachable { false };
     bool m_isRenewalInProgress { false };
     bool m_isRenewalScheduled { false };
+
+    /// The renewal in progress waits for its turn among those of unreachable workers.
+    bool m_isRenewalQueued { false };
     bool m_hasRuns { false };
     uint32_t m_failures { 0 };
 
     /// Consecutive lease renewals that failed because the connection was refused.
     uint32_t m_refusedConnections { 0 };
     bool m_isLeaseExpiryReported { false };
-    std::deque<TaskAction> m_commands;
-    bool m_isCommandInProgress { false };
+    CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
 
     /// The reply to the command in progress is ignored, because its run has ended.
     bool m_discardsCommandReply { false };
-    uint32_t m_commandFailures { 0 };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -69,6 +69,37 @@
         loop->runReady();
     }
 
+    static TaskAction stopOf(uint64_t run)
+    {
+        return StopTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
+    }
+
+    static TaskAction paceOf(uint64_t run, uint32_t speedPercent)
+    {
+        return ThrottleRun {
+            .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run, .speedPercent = speedPercent
+        };
+    }
+
+    void checkNext(const char* kind, uint64_t run)
+    {
+        CHECK_EQUAL(1, taskExecutor.commands.size());
+        STRCMP_EQUAL(kind, taskExecutor.commands.front().kind.c_str());
+        CHECK_EQUAL(run, taskExecutor.commands.front().run);
+    }
+
+    /// Lets the lease renewals fail until the session holds the worker for unreachable.
+    void disconnect()
+    {
+        for (int i = 0; i < 3; ++i) {
+            loop->runReady();
+            if (!taskExecutor.renewLeaseCalls.empty())
+                taskExecutor.takeRenewLeaseCall().reply(absl::DeadlineExceededError("lost"));
+            advance(Milliseconds { 200 });
+        }
+        CHECK_FALSE(session->isReachable());
+    }
+
     static TaskAction startOf(uint64_t run)
     {
         return StartTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
@@ -341,3 +372,112 @@
     second->enqueueCommand(startOf(2));
     CHECK_EQUAL(2, taskExecutor.commands.size());
 }
+
+// Guards against a run of a cancelled job that goes on while its stop waits behind other commands of the worker.
+TEST(WorkerSession, StopIsSentBeforeWaitingCommands)
+{
+    connect();
+    session->enqueueCommand(startOf(1));
+    session->enqueueCommand(startOf(2));
+    session->enqueueCommand(paceOf(3, 50));
+    session->enqueueCommand(stopOf(8));
+    session->enqueueCommand(stopOf(9));
+    for (uint64_t run : { 1, 8, 9, 2, 3 }) {
+        CHECK_EQUAL(run, taskExecutor.commands.front().run);
+        taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    }
+    CHECK_EQUAL(2, acceptedStops);
+    CHECK(taskExecutor.commands.empty());
+}
+
+// Guards against a stop that waits until the worker has answered another command, which may take any number of retries.
+TEST(WorkerSession, CommandWithoutReplyDoesNotDelayAStop)
+{
+    connect();
+    session->enqueueCommand(paceOf(1, 50));
+    session->enqueueCommand(stopOf(8));
+    session->enqueueCommand(stopOf(9));
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    checkNext("stop", 8);
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    checkNext("stop", 8);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    checkNext("pace", 1);
+}
+
+// Guards against a start that may have arrived and is given up as unsent, because a stop was sent before its retry.
+TEST(WorkerSession, StartWithoutReplyIsStillStoppedAfterAnotherStop)
+{
+    connect();
+    session->enqueueCommand(startOf(1));
+    session->enqueueCommand(stopOf(9));
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    loop->runReady();
+    canStart = false;
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2000, .startedAtMs = 50 });
+    CHECK(startedRuns.empty());
+    checkNext("stop", 1);
+}
+
+// Guards against a stop that waits until a worker that is held for unreachable has replied to a lease renewal, which
+// waits behind those of other unreachable workers.
+TEST(WorkerSession, StopIsSentToAnUnreachableWorker)
+{
+    connect();
+    disconnect();
+    session->enqueueCommand(stopOf(9));
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(absl::DeadlineExceededError("lost"));
+    advance(Milliseconds { 600 });
+    checkNext("stop", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 3000, .startedAtMs = 50 });
+    CHECK_EQUAL(1, acceptedStops);
+    CHECK(session->isReachable());
+}
+
+// Guards against starts and paces to an unreachable worker after one of its stops, and against dozens of connections a
+// second to a worker that is gone.
+TEST(WorkerSession, UnreachableWorkerReceivesOnlyStopsAtALowRate)
+{
+    connect();
+    disconnect();
+    session->enqueueCommand(paceOf(1, 50));
+    CHECK(taskExecutor.commands.empty());
+    session->enqueueCommand(stopOf(9));
+    int sent = 0;
+    for (int i = 0; i < 40; ++i) {
+        while (!taskExecutor.commands.empty()) {
+            checkNext("stop", 9);
+            ++sent;
+            taskExecutor.takeCommand().reply(absl::AbortedError("refused"));
+        }
+        advance(Milliseconds { 50 });
+    }
+    CHECK(sent >= 3);
+    CHECK(sent <= 5);
+}
+
+// Guards against a lease that ends although the worker has replied to a stop, because its renewal waits behind those of
+// workers that are gone.
+TEST(WorkerSession, ReplyToAStopRenewsTheLease)
+{
+    connect();
+    disconnect();
+    if (!taskExecutor.renewLeaseCalls.empty())
+        taskExecutor.takeRenewLeaseCall().reply(absl::DeadlineExceededError("lost"));
+    renewalLimiter->enqueue([] { return true; });
+    advance(Milliseconds { 400 });
+    CHECK(taskExecutor.renewLeaseCalls.empty());
+    session->enqueueCommand(stopOf(9));
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 3000, .startedAtMs = 50 });
+    CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+    CHECK_EQUAL(9000, taskExecutor.renewLeaseCalls.front().request.leaseUntilMs.value_or(0));
+    renewalLimiter->callFinished();
+    loop->runReady();
+    CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+}
