--- a/Utilities/bergamot-node-soak/FaultSchedule.cpp
+++ b/Utilities/bergamot-node-soak/FaultSchedule.cpp
@@ -1,6 +1,6 @@
 #include "FaultSchedule.h"
-#include "Random.h"
 #include <LibCore/Digest.h>
+#include <PlatformStandIn/Random.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <fmt/format.h>
@@ -17,13 +17,20 @@
 absl::StatusOr<std::vector<FaultKind>> parseFaultKinds(const std::string& text)
 {
     std::vector<FaultKind> kinds;
-    for (const std::string& name : std::vector<std::string>(absl::StrSplit(text, ','))) {
+    for (std::string name : std::vector<std::string>(absl::StrSplit(text, ','))) {
+        bool isRemoved = name.starts_with('-');
+        if (isRemoved)
+            name.erase(0, 1);
+        if (name != "all" && std::ranges::find(faultNames, name) == faultNames.end())
+            return absl::InvalidArgumentError(fmt::format("unknown fault '{}'", name));
         for (size_t n = 0; n < faultNames.size(); ++n) {
-            if (name == "all" || name == faultNames[n])
+            if (name != "all" && name != faultNames[n])
+                continue;
+            if (isRemoved)
+                std::erase(kinds, static_cast<FaultKind>(n));
+            else
                 kinds.push_back(static_cast<FaultKind>(n));
         }
-        if (name != "all" && std::ranges::find(faultNames, name) == faultNames.end())
-            return absl::InvalidArgumentError(fmt::format("unknown fault '{}'", name));
     }
     return kinds;
 }
--- a/Utilities/bergamot-node-soak/JobTraffic.h
+++ b/Utilities/bergamot-node-soak/JobTraffic.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "JobChecker.h"
-#include "Random.h"
 #include <LibHttp/HttpCall.h>
 #include <LibHttp/HttpEngine.h>
+#include <PlatformStandIn/Random.h>
 #include <memory>
 #include <string>
 #include <vector>
--- a/Utilities/bergamot-node-soak/main.cpp
+++ b/Utilities/bergamot-node-soak/main.cpp
@@ -23,7 +23,7 @@
   --nodes=N        Number of node processes [default: 4].
   --workers=N      Number of worker stand-ins [default: 12].
   --rate=X         New jobs per second [default: 6].
-  --faults=LIST    Kinds of faults, separated by commas [default: all].
+  --faults=LIST    Kinds of faults, separated by commas; -NAME removes a kind [default: all].
   --list-faults    Print the kinds of faults, and exit.
 
 Exit status: 0 without a violation, 1 with at least one, 2 when the run cannot be started.
