Play tasks that crash their workers in the node soak, and check BUDGET and LOST for them

A job's spec can say that the first task of a step crashes its worker some milliseconds after its start. The worker stand-in loses its other runs too, refuses connections for 1.5 to 4 s, and returns as a new incarnation at its address, in 70 of 100 crashes under a new id; the entry of the old id goes after three heartbeats. The fault crashing-tasks gives up to four jobs of a run such a task. JobChecker counts the crashes that a task caused itself: the third start after the third one is a violation (BUDGET), whatever else disturbs the nodes; a job may be shown as failed once two workers of its crashing task have crashed, and one with such a task has to end and never completes. Other jobs still need a failed task to be shown as failed.

The tests of TaskWorker call the stand-in through the adapter, in virtual time; all three fail on a stand-in without crashes, and the last one on one that keeps old entries or answers for its old id.

--- /dev/null
+++ b/Tests/PlatformAdapter/TestTaskWorker.cpp
@@ -0,0 +1,163 @@
+#include <CppUTest/TestHarness.h>
+#include <LibHttp/EventLoop.h>
+#include <LibHttp/HttpEngine.h>
+#include <LibNode/NodeTestClock.h>
+#include <PlatformStandIn/PlatformMessages.h>
+#include <PlatformStandIn/StoreStandIn.h>
+#include <PlatformStandIn/TaskWorker.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <optional>
+#include <platform/PlatformStore.h>
+#include <platform/PlatformWorkers.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace Bergamot;
+
+namespace {
+
+constexpr uint16_t storePort = 8169;
+constexpr uint16_t workerPort = 9000;
+constexpr uint16_t serverPort = 9001;
+constexpr Milliseconds step { 10 };
+
+class CrashObserver final : public RunObserver {
+public:
+    void runStarted(const Run&, const std::string&) override { }
+    void runEnded(const Run&, const std::string& outcome) override { outcomes.push_back(outcome); }
+    void endAcknowledged(const Run&, const std::string&) override { }
+    void workerCrashed(const std::string& worker, const std::string& task) override
+    {
+        crashes.push_back(worker + " " + task);
+    }
+    uint32_t failedRuns(const std::string&) const override { return 0; }
+
+    std::vector<std::string> outcomes;
+    std::vector<std::string> crashes;
+};
+
+}
+
+/// A worker stand-in on loopback, whose time the tests advance, and the node's client for it.
+TEST_GROUP(TaskWorker)
+{
+    NodeTestClock clock;
+    std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
+    CrashObserver observer;
+
+    // Derived from the process id, so that concurrent test programs do not compete for ports.
+    std::string ip { fmt::format("127.{}.{}.1", 192 + getpid() / 256 % 32, getpid() % 256) };
+    std::unique_ptr<StoreStandIn> store { std::move(
+        *StoreStandIn::create(*loop, { .address = ip, .port = storePort })) };
+    std::unique_ptr<TaskWorker> worker;
+    std::unique_ptr<HttpEngine> engine { HttpEngine::create({}) };
+    Platform::PlatformWorkers workers { *engine };
+    Platform::PlatformStore records { *engine, { .address = fmt::format("{}:{}", ip, storePort) } };
+
+    void createWorker(int newIdPercent)
+    {
+        auto result = TaskWorker::create(*loop, *store, observer,
+            { .id = "w", .ip = ip, .publicPort = workerPort, .serverPort = serverPort, .newIdPercent = newIdPercent });
+        CHECK(result.ok());
+        worker = std::move(*result);
+    }
+
+    void teardown() override
+    {
+        store->stopServing();
+        if (worker)
+            worker->stopServing();
+    }
+
+    void advance(Milliseconds time)
+    {
+        for (auto passed = Milliseconds { 0 }; passed < time; passed += step) {
+            clock.advance(step);
+            loop->runReady();
+        }
+    }
+
+    /// Runs the loop without advancing the clock until the call has its reply.
+    template <typename Reply, typename Call> absl::StatusOr<Reply> wait(Call call)
+    {
+        std::mutex mutex;
+        std::optional<absl::StatusOr<Reply>> result;
+        call([&](absl::StatusOr<Reply> reply) {
+            std::lock_guard lock(mutex);
+            result = std::move(reply);
+        });
+        while (true) {
+            loop->runReady();
+            std::lock_guard lock(mutex);
+            if (result)
+                return *result;
+            std::this_thread::yield();
+        }
+    }
+
+    bool start(const std::string& id, uint32_t index, const StepPlan& plan)
+    {
+        auto reply = wait<TaskCommandReply>([&](auto done) {
+            workers.start({ .id = id, .address = fmt::format("{}:{}", ip, workerPort) }, { .epoch = 1 },
+                { .task = { .job = "00000000000000aa", .index = index },
+                    .run = 1,
+                    .payload = taskSpecText({ plan }),
+                    .leaseUntilMs = 5000 },
+                done);
+        });
+        return reply.ok() && reply->outcome == TaskCommandOutcome::Accepted;
+    }
+
+    std::vector<std::string> listedWorkers()
+    {
+        auto reply = wait<ReadNewestReply>(
+            [&](auto done) { records.readNewest(StreamName::Workers, 0, "", Milliseconds { 2000 }, done); });
+        std::vector<std::string> ids;
+        for (const auto& record : reply->records)
+            ids.push_back(record.key);
+        return ids;
+    }
+};
+
+static const StepPlan crashingStep { .count = 2, .durationMs = 300, .crashAfterMs = 50 };
+
+// Guards against a crashing task that ends like any other, and against other runs that survive the crash of their
+// worker.
+TEST(TaskWorker, CrashingTaskEndsAllRunsWithoutAnOutcome)
+{
+    createWorker(0);
+    CHECK(start("w", 0, crashingStep));
+    CHECK(start("w", 1, crashingStep));
+    advance(Milliseconds { 500 });
+    LONGS_EQUAL(1, observer.crashes.size());
+    STRCMP_EQUAL("w 00000000000000aa.0.0.0", observer.crashes.front().c_str());
+    LONGS_EQUAL(0, observer.outcomes.size());
+    CHECK_FALSE(start("w", 1, crashingStep));
+}
+
+// Guards against a worker that stays away after a crash by a task, or is back before its downtime is over.
+TEST(TaskWorker, CrashedWorkerReturnsWithinItsDowntime)
+{
+    createWorker(0);
+    CHECK(start("w", 0, crashingStep));
+    advance(Milliseconds { 1500 });
+    CHECK_FALSE(start("w", 1, crashingStep));
+    advance(Milliseconds { 2600 });
+    CHECK(start("w", 1, crashingStep));
+}
+
+// Guards against a new incarnation that answers for the old worker id, and against an old entry that stays for ever.
+TEST(TaskWorker, NewIdReplacesTheOldOneAfterThreeHeartbeats)
+{
+    createWorker(100);
+    CHECK(start("w", 0, crashingStep));
+    advance(Milliseconds { 2900 });
+    CHECK(std::ranges::count(listedWorkers(), "w") == 1);
+    advance(Milliseconds { 1300 });
+    auto ids = listedWorkers();
+    LONGS_EQUAL(1, ids.size());
+    STRCMP_EQUAL("w-1", ids.front().c_str());
+    CHECK_FALSE(start("w", 1, crashingStep));
+    CHECK(start("w-1", 1, crashingStep));
+}
--- a/Utilities/PlatformStandIn/PlatformMessages.cpp
+++ b/Utilities/PlatformStandIn/PlatformMessages.cpp
@@ -11,7 +11,7 @@
 {
     auto rows = json::array();
     for (const auto& step : steps)
-        rows.push_back({ step.durationMs, step.failingRuns, step.cpuMillis, step.memoryMb });
+        rows.push_back({ step.durationMs, step.failingRuns, step.cpuMillis, step.memoryMb, step.crashAfterMs });
     return rows.dump();
 }
 
--- a/Utilities/PlatformStandIn/PlatformMessages.h
+++ b/Utilities/PlatformStandIn/PlatformMessages.h
@@ -15,6 +15,10 @@
 
     /// Number of runs of each task that end as failed before a run succeeds.
     uint32_t failingRuns { 0 };
+
+    /// Time from its start until the first task of the step crashes its worker, at most `durationMs`. 0 for a step
+    /// without such a task.
+    int64_t crashAfterMs { 0 };
     bool dependsOnPreviousStep { false };
 };
 
--- a/Utilities/PlatformStandIn/RunObserver.h
+++ b/Utilities/PlatformStandIn/RunObserver.h
@@ -25,8 +25,9 @@
     /// Called when the leader acknowledges the end of a run to the worker.
     virtual void endAcknowledged(const Run&, const std::string& outcome) = 0;
 
-    /// Called when a worker crashes. All its runs are lost without runEnded().
-    virtual void workerCrashed(const std::string& worker) = 0;
+    /// Called when a worker crashes. All its runs are lost without runEnded(). `crashingTask` is the task that crashed
+    /// it, and empty for any other cause.
+    virtual void workerCrashed(const std::string& worker, const std::string& crashingTask) = 0;
 
     /// Number of runs of the task that have ended as failed, on all workers together.
     virtual uint32_t failedRuns(const std::string& task) const = 0;
--- a/Utilities/PlatformStandIn/TaskWorker.cpp
+++ b/Utilities/PlatformStandIn/TaskWorker.cpp
@@ -21,7 +21,14 @@
 static constexpr int maxMissedHeartbeats = 3;
 
 /// Columns of a row of the job's spec. Each row describes the task behaviour of one step; see taskSpecText().
-enum SpecColumn : uint8_t { DurationColumn, FailingRunsColumn, CpuColumn, MemoryColumn, SpecColumnCount };
+enum SpecColumn : uint8_t {
+    DurationColumn,
+    FailingRunsColumn,
+    CpuColumn,
+    MemoryColumn,
+    CrashAfterColumn,
+    SpecColumnCount
+};
 
 absl::StatusOr<std::unique_ptr<TaskWorker>> TaskWorker::create(
     EventLoop& loop, StoreStandIn& store, RunObserver& observer, TaskWorkerOptions options)
@@ -52,6 +59,8 @@
     , m_store(store)
     , m_observer(observer)
     , m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_id(m_options.id)
 {
 }
 
@@ -73,19 +82,33 @@
     m_isAlive = true;
 }
 
-void TaskWorker::crash()
+void TaskWorker::crash(Milliseconds downtime, const std::string& crashingTask)
 {
+    m_restartsAt = std::max(m_restartsAt, m_loop.now() + downtime);
     if (!std::exchange(m_isAlive, false))
         return;
     m_proxy->setRefusingConnections(true);
     m_activeRuns.clear();
     m_waitingRenewals.clear();
-    m_observer.workerCrashed(m_options.id);
+    m_observer.workerCrashed(m_id, crashingTask);
 }
 
-void TaskWorker::restart()
+bool TaskWorker::crashIfTaskIsDue()
 {
-    if (m_isAlive)
+    auto it
+        = std::ranges::find_if(m_activeRuns, [&](const auto& item) { return m_loop.now() >= item.second.crashesAt; });
+    if (it == m_activeRuns.end())
+        return false;
+    auto task = it->first;
+    crash(Milliseconds { m_random.between(m_options.minDowntime.count(), m_options.maxDowntime.count()) }, task);
+    if (m_random.chance(m_options.newIdPercent))
+        m_id = fmt::format("{}-{}", m_options.id, ++m_newIdCount);
+    return true;
+}
+
+void TaskWorker::restartIfDue()
+{
+    if (m_isAlive || m_loop.now() < m_restartsAt)
         return;
     startIncarnation();
     m_proxy->setRefusingConnections(false);
@@ -109,7 +132,7 @@
 {
     if (!m_isAlive)
         return;
-    if (headerValue(request.headers, "X-Bergamotbay-Expect-Instance") != m_options.id)
+    if (headerValue(request.headers, "X-Bergamotbay-Expect-Instance") != m_id)
         return reply(responder, 421, nullptr);
     auto command = parseJson(request.body);
     if (!command.is_object())
@@ -180,12 +203,14 @@
         return reply(responder, 409, "old");
     if (active != m_activeRuns.end() && runNumber < active->second.identity.runNumber)
         return reply(responder, 409, "old");
-    ActiveRun run { .identity = { .worker = m_options.id, .task = task, .runNumber = runNumber, .epoch = m_epoch },
+    ActiveRun run { .identity = { .worker = m_id, .task = task, .runNumber = runNumber, .epoch = m_epoch },
         .startedAt = m_loop.now(),
         .duration = Milliseconds { row[DurationColumn].get<int64_t>() },
         .failingRuns = row[FailingRunsColumn].get<uint32_t>(),
         .cpuMillis = row[CpuColumn].get<int64_t>(),
         .memoryMb = row[MemoryColumn].get<int64_t>() };
+    if (auto crashAfterMs = row[CrashAfterColumn].get<int64_t>(); crashAfterMs > 0 && task.ends_with(".0"))
+        run.crashesAt = m_loop.now() + Milliseconds { crashAfterMs };
     if (!hasCapacityFor(run))
         return reply(responder, 409, "room");
     m_observer.runStarted(run.identity, spec);
@@ -270,10 +295,13 @@
 void TaskWorker::tick()
 {
     m_loop.callAfter(tickInterval, [this] { tick(); });
+    restartIfDue();
     announce();
     if (!m_isAlive)
         return;
     endRunsIfLeaseExpired();
+    if (crashIfTaskIsDue())
+        return;
     auto now = m_loop.now();
     std::vector<std::pair<std::string, std::string>> due;
     for (const auto& [task, run] : m_activeRuns) {
@@ -297,23 +325,24 @@
     if (m_store.isDown())
         return;
     auto now = m_loop.now();
-    if (!m_isAlive) {
-        if (m_isAnnounced && now - m_lastAnnouncedAt > maxMissedHeartbeats * m_options.heartbeatInterval) {
-            m_store.putWorkerRecord(m_options.id, {});
-            m_isAnnounced = false;
-        }
-        return;
-    }
-    if (now - m_lastAnnouncedAt < m_options.heartbeatInterval)
+    std::erase_if(m_entries, [&](const auto& entry) {
+        const auto& [id, announcedAt] = entry;
+        bool isCurrent = m_isAlive && id == m_id;
+        if (isCurrent || now - announcedAt <= maxMissedHeartbeats * m_options.heartbeatInterval)
+            return false;
+        m_store.putWorkerRecord(id, {});
+        return true;
+    });
+    if (!m_isAlive || now - m_lastAnnouncedAt < m_options.heartbeatInterval)
         return;
     json entry { { "service", m_options.service }, { "addr", fmt::format("{}:{}", m_options.ip, m_options.publicPort) },
         { "zone", m_options.zone }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
         { "capacity", { { "cpu", m_options.cpuMillis }, { "memMb", m_options.memoryMb }, { "gpu", 0 } } },
         { "labels", { "general", m_options.rack } }, { "clockMs", clockMs() }, { "born", m_startedAtMs },
         { "seq", ++m_announcementSequence } };
-    m_store.putWorkerRecord(m_options.id, entry.dump());
+    m_store.putWorkerRecord(m_id, entry.dump());
     m_lastAnnouncedAt = now;
-    m_isAnnounced = true;
+    m_entries[m_id] = now;
 }
 
 }
--- a/Utilities/PlatformStandIn/TaskWorker.h
+++ b/Utilities/PlatformStandIn/TaskWorker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Random.h"
 #include "RunObserver.h"
 #include "TaskWorkerOptions.h"
 #include "TcpProxy.h"
@@ -20,19 +21,17 @@
 class StoreStandIn;
 
 /// Stand-in for a worker of the platform. It runs tasks under a lease that expires by its own clock, rejects outdated
-/// fencing tokens, reports finished runs until they are acknowledged, and announces itself in the store. crash() and
-/// restart() simulate the failure of the worker process.
+/// fencing tokens, reports finished runs until they are acknowledged, and announces itself in the store. Its process
+/// can crash, by a fault or by a task, and comes back as a new incarnation at the same address.
 class TaskWorker {
 public:
     static absl::StatusOr<std::unique_ptr<TaskWorker>> create(
         EventLoop&, StoreStandIn&, RunObserver&, TaskWorkerOptions);
     ~TaskWorker();
 
-    /// Loses all active runs and unacknowledged finished runs, and resets connections until restart().
-    void crash();
-
-    /// Starts a new incarnation under the same worker id.
-    void restart();
+    /// Loses all active runs and unacknowledged finished runs, and resets connections for `downtime`. A new incarnation
+    /// under the same worker id follows.
+    void crash(Milliseconds downtime) { crash(downtime, {}); }
 
     TcpProxy& proxy() { return *m_proxy; }
     const TaskWorkerOptions& options() const { return m_options; }
@@ -49,6 +48,7 @@
         int64_t cpuMillis { 0 };
         int64_t memoryMb { 0 };
         Instant stopsAt { Instant::max() };
+        Instant crashesAt { Instant::max() };
     };
 
     struct FinishedRun {
@@ -68,6 +68,9 @@
     TaskWorker(EventLoop&, StoreStandIn&, RunObserver&, TaskWorkerOptions);
     int64_t clockMs() const;
     void startIncarnation();
+    void crash(Milliseconds downtime, const std::string& crashingTask);
+    bool crashIfTaskIsDue();
+    void restartIfDue();
     void handle(const HttpRequest&, const Responder&);
     void start(const nlohmann::json& command, const Responder&);
     void stop(const nlohmann::json& command, const Responder&);
@@ -88,7 +91,13 @@
     StoreStandIn& m_store;
     RunObserver& m_observer;
     TaskWorkerOptions m_options;
+    Random m_random;
+
+    /// Id of this incarnation.
+    std::string m_id;
+    uint32_t m_newIdCount { 0 };
     bool m_isAlive { false };
+    Instant m_restartsAt { neverInstant };
     Instant m_incarnationStart { neverInstant };
 
     /// Start of this incarnation in milliseconds of Unix time.
@@ -105,7 +114,9 @@
     uint64_t m_nextFinishedSequence { 1 };
     uint64_t m_announcementSequence { 0 };
     Instant m_lastAnnouncedAt { neverInstant };
-    bool m_isAnnounced { false };
+
+    /// Ids of this and earlier incarnations with an entry in the store, with the time of their last announcement.
+    std::map<std::string, Instant> m_entries;
     std::vector<WaitingRenewal> m_waitingRenewals;
     std::unique_ptr<TcpProxy> m_proxy;
     std::unique_ptr<HttpServer> m_server;
--- a/Utilities/PlatformStandIn/TaskWorkerOptions.h
+++ b/Utilities/PlatformStandIn/TaskWorkerOptions.h
@@ -28,6 +28,14 @@
     int64_t maxLeaseMs { 6000 };
     Milliseconds stopDelay { 300 };
     Milliseconds heartbeatInterval { 1000 };
+
+    /// Seed of the downtime and the worker id after a crash by a task.
+    uint64_t seed { 1 };
+    Milliseconds minDowntime { 1500 };
+    Milliseconds maxDowntime { 4000 };
+
+    /// Share of the crashes by a task after which the worker returns under a new id.
+    int newIdPercent { 70 };
 };
 
 }
--- a/Utilities/bergamot-node-soak/Fault.h
+++ b/Utilities/bergamot-node-soak/Fault.h
@@ -8,8 +8,8 @@
 
 namespace Bergamot {
 
-/// Kinds of faults. The enumerators of nodes, store, links, workers and operator changes are contiguous in this order,
-/// which Soak::inject() relies on. faultNames holds the name of each on the command line.
+/// Kinds of faults. The enumerators of nodes, store, links, workers, operator changes and jobs are contiguous in this
+/// order, which Soak::inject() relies on. faultNames holds the name of each on the command line.
 enum class FaultKind : uint8_t {
     NodeKill,
     NodeTerminate,
@@ -34,15 +34,16 @@
     WorkerSilent,
     WorkerZoneSilent,
     NewConfiguration,
-    ZoneOut
+    ZoneOut,
+    CrashingTasks
 };
 
 /// Command-line names of the fault kinds, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 24> faultNames { "node-kill", "node-term", "node-freeze", "all-kill",
+inline constexpr std::array<std::string_view, 25> faultNames { "node-kill", "node-term", "node-freeze", "all-kill",
     "all-kill-operators-lost", "all-kill-operators-slow", "store-refuses", "store-silent", "store-slow",
     "store-loses-answers", "store-late", "store-operators-lost", "store-forgets", "link-delay", "link-reset",
     "link-silent-to-node", "link-silent-to-store", "worker-crash", "worker-delay", "worker-reset", "worker-silent",
-    "worker-zone-silent", "configuration", "zone-out" };
+    "worker-zone-silent", "configuration", "zone-out", "crashing-tasks" };
 
 /// One fault of the schedule. `target` modulo the number of nodes, workers or zones selects the affected one.
 struct Fault {
--- a/Utilities/bergamot-node-soak/JobChecker.cpp
+++ b/Utilities/bergamot-node-soak/JobChecker.cpp
@@ -12,6 +12,13 @@
 /// bound and the maximum delay of a start command by a faulty link.
 static constexpr Milliseconds cancelBound { 3000 + 2000 };
 
+/// Worker crashes by a task after which it may start `maxStartsAfterCrashLimit` times more.
+static constexpr uint32_t crashLimit = 3;
+static constexpr uint32_t maxStartsAfterCrashLimit = 2;
+
+/// Crashes of its workers after which a crashing task may be given up.
+static constexpr uint32_t crashesBeforeFailure = 2;
+
 /// Unfinished jobs that are reported at the end of a run.
 static constexpr size_t maxReportedUnfinishedJobs = 8;
 
@@ -142,10 +149,14 @@
             reportViolation(
                 &job, "shown as completed although its cancel was acknowledged before its last task was done");
     } else if (state == "failed") {
-        bool cause = std::ranges::any_of(
-            job.tasks, [&](const auto& task) { return task.second.failedRuns >= job.queue.maxAttempts; });
+        bool cause = std::ranges::any_of(job.tasks, [&](const auto& item) {
+            const auto& task = item.second;
+            return task.failedRuns >= job.queue.maxAttempts
+                || (task.causedCrashes > 0 && task.crashesWhileRunning >= crashesBeforeFailure);
+        });
         if (!cause)
-            reportViolation(&job, "shown as failed although no task has used its attempts");
+            reportViolation(
+                &job, "shown as failed although no task has used its attempts or crashed as many workers as it may");
     } else if (!job.cancelSentAt) {
         reportViolation(&job, "shown as cancelled although no cancel was sent");
     }
@@ -187,6 +198,16 @@
         reportViolation(&job, fmt::format("{} started after its job was cancelled", run.task));
     checkRejected(job);
     checkDependencies(job, run.task);
+    checkCrashLimit(job, task, run.task);
+}
+
+void JobChecker::checkCrashLimit(SoakJob& job, SoakTask& task, const std::string& name)
+{
+    if (task.causedCrashes < crashLimit || ++task.startsAfterCrashLimit <= maxStartsAfterCrashLimit)
+        return;
+    reportViolation(&job,
+        fmt::format(
+            "{} started {} times after {} workers had crashed under it", name, task.startsAfterCrashLimit, crashLimit));
 }
 
 void JobChecker::checkDependencies(SoakJob& job, const std::string& task)
@@ -233,13 +254,19 @@
     task.isDoneAcknowledged = true;
 }
 
-void JobChecker::workerCrashed(const std::string& worker)
+void JobChecker::workerCrashed(const std::string& worker, const std::string& crashingTask)
 {
+    if (auto* job = findJob(crashingTask)) {
+        ++job->tasks[crashingTask].causedCrashes;
+        recordEvent(*job, fmt::format("{} crashes {}", crashingTask, worker));
+    }
     for (auto& [id, job] : m_jobs) {
         for (auto& [name, task] : job->tasks) {
             auto lost = std::erase_if(task.activeRuns, [&](const auto& run) { return run.first == worker; });
-            if (lost > 0)
-                recordEvent(*job, fmt::format("{} is lost with {}", name, worker));
+            if (lost == 0)
+                continue;
+            ++task.crashesWhileRunning;
+            recordEvent(*job, fmt::format("{} is lost with {}", name, worker));
         }
     }
 }
@@ -275,6 +302,10 @@
             job->steps, [limit = job->queue.maxAttempts](const StepPlan& step) { return step.failingRuns >= limit; });
         if (alwaysFails && job->endState == "completed")
             reportViolation(job.get(), "shown as completed although a task always fails");
+        bool crashesWorkers
+            = std::ranges::any_of(job->steps, [](const StepPlan& step) { return step.crashAfterMs > 0; });
+        if (crashesWorkers && job->endState == "completed")
+            reportViolation(job.get(), "shown as completed although a task crashes its workers");
     }
 }
 
--- a/Utilities/bergamot-node-soak/JobChecker.h
+++ b/Utilities/bergamot-node-soak/JobChecker.h
@@ -36,7 +36,7 @@
     void runStarted(const Run&, const std::string& spec) override;
     void runEnded(const Run&, const std::string& outcome) override;
     void endAcknowledged(const Run&, const std::string& outcome) override;
-    void workerCrashed(const std::string& worker) override;
+    void workerCrashed(const std::string& worker, const std::string& crashingTask) override;
     uint32_t failedRuns(const std::string& task) const override;
 
     /// Adds a line to the history of the job.
@@ -49,7 +49,7 @@
     size_t countUnfinishedJobs() const;
 
     /// Reports a violation for each accepted job that has not ended, at most 8 of them, and for each job that completed
-    /// although one of its tasks always fails.
+    /// although one of its tasks always fails or crashes its workers.
     void checkAllEnded();
 
     /// One line with the counts of the run.
@@ -61,6 +61,7 @@
     SoakJob* findJob(const std::string& task) const;
     void checkStart(SoakJob&, SoakTask&, const Run&, const std::string& spec);
     void checkDependencies(SoakJob&, const std::string& task);
+    void checkCrashLimit(SoakJob&, SoakTask&, const std::string& name);
     void checkRejected(SoakJob&);
     static bool areTasksDone(const SoakJob&, size_t step);
     static bool areTasksDone(const SoakJob&);
--- a/Utilities/bergamot-node-soak/JobTraffic.cpp
+++ b/Utilities/bergamot-node-soak/JobTraffic.cpp
@@ -1,6 +1,7 @@
 #include "JobTraffic.h"
 #include <LibCore/Digest.h>
 #include <LibStandIn/JsonField.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
@@ -17,6 +18,13 @@
 static constexpr int longTaskPercent = 15;
 static constexpr uint32_t alwaysFailingRuns = 1000;
 
+static constexpr int crashingPercent = 30;
+
+/// Jobs of a run with a crashing task. Each crashes several workers, and the run still has to settle.
+static constexpr int maxCrashingJobs = 4;
+static constexpr int64_t minCrashAfterMs = 5;
+static constexpr int64_t maxCrashAfterMs = 1000;
+
 /// State queries that must be answered after the end of a job, to check that its end state does not change.
 static constexpr int requiredRepliesAfterEnd = 3;
 
@@ -31,6 +39,11 @@
 
 void JobTraffic::start() { submitNext(); }
 
+void JobTraffic::addCrashingTasks(Milliseconds duration)
+{
+    m_crashingTasksUntil = std::max(m_crashingTasksUntil, m_loop.now() + duration);
+}
+
 void JobTraffic::callAfterRandomDelay(int64_t minMs, int64_t maxMs, std::function<void()> task)
 {
     m_loop.callAfter(Milliseconds { m_random.between(minMs, maxMs) }, std::move(task));
@@ -61,6 +74,13 @@
     return step;
 }
 
+void JobTraffic::addCrashingTask(SoakJob& job)
+{
+    ++m_crashingJobs;
+    auto& step = job.steps[static_cast<size_t>(m_random.between(0, static_cast<int64_t>(job.steps.size()) - 1))];
+    step.crashAfterMs = m_random.between(minCrashAfterMs, std::min(maxCrashAfterMs, step.durationMs));
+}
+
 JobTraffic::JobHandle JobTraffic::generateJob()
 {
     auto job = std::make_shared<SoakJob>();
@@ -70,6 +90,9 @@
     auto steps = m_random.between(1, 2);
     for (int64_t n = 0; n < steps; ++n)
         job->steps.push_back(generateStep(job->queue, n > 0));
+    bool mayCrash = m_loop.now() < m_crashingTasksUntil && m_crashingJobs < maxCrashingJobs;
+    if (mayCrash && m_random.chance(crashingPercent))
+        addCrashingTask(*job);
     job->spec = taskSpecText(job->steps);
     job->body = jobText(job->steps);
     m_checker.add(job);
--- a/Utilities/bergamot-node-soak/JobTraffic.h
+++ b/Utilities/bergamot-node-soak/JobTraffic.h
@@ -30,12 +30,17 @@
     /// Stops submitting new jobs. Retries, state queries and cancels of the submitted jobs continue.
     void stop() { m_stopped = true; }
 
+    /// For `duration`, gives a share of the new jobs one task that crashes each worker that starts it. The number of
+    /// such jobs of a run is limited.
+    void addCrashingTasks(Milliseconds duration);
+
 private:
     using JobHandle = JobChecker::JobHandle;
 
     void submitNext();
     JobHandle generateJob();
     StepPlan generateStep(const QueuePlan&, bool dependsOnPreviousStep);
+    void addCrashingTask(SoakJob&);
     void submit(const JobHandle&);
     void handleSubmitReply(const JobHandle&, const absl::StatusOr<HttpReply>&);
     void followAcceptedJob(const JobHandle&);
@@ -53,6 +58,8 @@
     std::unique_ptr<HttpEngine> m_engine;
     uint64_t m_nextJob { 1 };
     bool m_stopped { false };
+    Instant m_crashingTasksUntil { neverInstant };
+    int m_crashingJobs { 0 };
 };
 
 }
--- a/Utilities/bergamot-node-soak/Soak.cpp
+++ b/Utilities/bergamot-node-soak/Soak.cpp
@@ -1,4 +1,5 @@
 #include "Soak.h"
+#include <LibCore/Digest.h>
 #include <LibHttp/EventLoop.h>
 #include <algorithm>
 #include <csignal>
@@ -114,7 +115,8 @@
                 .publicPort = workerPort,
                 .serverPort = workerServerPort,
                 .clockRate = 1.0 - 0.001 * static_cast<double>(random.between(0, 20)),
-                .clockOffsetMs = random.between(1000, 10'000'000) });
+                .clockOffsetMs = random.between(1000, 10'000'000),
+                .seed = mixDigest(m_options.seed, n) });
         if (!worker.ok())
             return worker.status();
         m_workers.push_back(std::move(*worker));
@@ -181,6 +183,8 @@
         return injectLinkFault(fault);
     if (fault.kind <= FaultKind::WorkerZoneSilent)
         return injectWorkerFault(fault);
+    if (fault.kind == FaultKind::CrashingTasks)
+        return m_traffic->addCrashingTasks(fault.duration);
     injectOperatorChange(fault);
 }
 
@@ -237,8 +241,7 @@
 {
     auto& worker = *m_workers[fault.target % m_workers.size()];
     if (fault.kind == FaultKind::WorkerCrash) {
-        worker.crash();
-        m_loop->callAfter(fault.duration, [&worker] { worker.restart(); });
+        worker.crash(fault.duration);
     } else if (fault.kind == FaultKind::WorkerDelay) {
         worker.proxy().delay(std::min(fault.delay, maxWorkerDelay), fault.duration);
     } else if (fault.kind == FaultKind::WorkerReset) {
--- a/Utilities/bergamot-node-soak/SoakJob.h
+++ b/Utilities/bergamot-node-soak/SoakJob.h
@@ -23,6 +23,11 @@
     /// leader acknowledges such an end, the end is lost and the task has to start again.
     std::map<uint64_t, uint32_t> startCountAtDone {};
     bool isDoneAcknowledged { false };
+
+    /// Worker crashes that this task caused, and crashes from any cause of workers that it ran on.
+    uint32_t causedCrashes { 0 };
+    uint32_t crashesWhileRunning { 0 };
+    uint32_t startsAfterCrashLimit { 0 };
 };
 
 /// State of one job as its caller and its workers observe it.
