Play workers whose capacity shrinks in the node soak, and check LIMIT

Half of the workers of the soak now start whatever they are told, and the configuration says so; the others reject what does not fit, as all did before. The fault worker-shrinks reduces the capacity of every fifth worker to 0 to 89% for up to 9 s, also below what runs there; the next heartbeat announces it. The worker tells the observer of each start with its use, which includes what is being stopped, and its capacity. A start that brings a worker without guard over the largest capacity of the last contactMs and one heartbeat is a violation. Within contactMs of a fault of nodes, store or connections, the largest capacity that the worker ever had counts instead, since bounds in time hold for nodes in touch only.

--- a/Tests/PlatformAdapter/TestTaskWorker.cpp
+++ b/Tests/PlatformAdapter/TestTaskWorker.cpp
@@ -24,7 +24,8 @@
 
 class CrashObserver final : public RunObserver {
 public:
-    void runStarted(const Run&, const std::string&) override { }
+    void runStarted(const Run&, const std::string&, const WorkerLoad& load) override { loads.push_back(load); }
+    void capacityChanged(const std::string&, const WorkerCapacity&) override { }
     void runEnded(const Run&, const std::string& outcome) override { outcomes.push_back(outcome); }
     void endAcknowledged(const Run&, const std::string&) override { }
     void workerCrashed(const std::string& worker, const std::string& task) override
@@ -33,6 +34,7 @@
     }
     uint32_t failedRuns(const std::string&) const override { return 0; }
 
+    std::vector<WorkerLoad> loads;
     std::vector<std::string> outcomes;
     std::vector<std::string> crashes;
 };
@@ -55,10 +57,15 @@
     Platform::PlatformWorkers workers { *engine };
     Platform::PlatformStore records { *engine, { .address = fmt::format("{}:{}", ip, storePort) } };
 
-    void createWorker(int newIdPercent)
+    void createWorker(int newIdPercent, bool guardsCapacity = true)
     {
         auto result = TaskWorker::create(*loop, *store, observer,
-            { .id = "w", .ip = ip, .publicPort = workerPort, .serverPort = serverPort, .newIdPercent = newIdPercent });
+            { .id = "w",
+                .ip = ip,
+                .publicPort = workerPort,
+                .serverPort = serverPort,
+                .guardsCapacity = guardsCapacity,
+                .newIdPercent = newIdPercent });
         CHECK(result.ok());
         worker = std::move(*result);
     }
@@ -109,12 +116,17 @@
         return reply.ok() && reply->outcome == TaskCommandOutcome::Accepted;
     }
 
-    std::vector<std::string> listedWorkers()
+    std::vector<KeyedRecord> readEntries()
     {
         auto reply = wait<ReadNewestReply>(
             [&](auto done) { records.readNewest(StreamName::Workers, 0, "", Milliseconds { 2000 }, done); });
+        return reply->records;
+    }
+
+    std::vector<std::string> listedWorkers()
+    {
         std::vector<std::string> ids;
-        for (const auto& record : reply->records)
+        for (const auto& record : readEntries())
             ids.push_back(record.key);
         return ids;
     }
@@ -161,3 +173,36 @@
     CHECK_FALSE(start("w", 1, crashingStep));
     CHECK(start("w-1", 1, crashingStep));
 }
+
+// Guards against a worker whose reduced capacity stays hidden, or stays for good.
+TEST(TaskWorker, ShrunkCapacityIsAnnouncedAndGrowsBack)
+{
+    createWorker(0);
+    worker->shrinkCapacity(25, Milliseconds { 3000 });
+    advance(Milliseconds { 1010 });
+    CHECK(readEntries().front().value.find("\"cpu\":2000") != std::string::npos);
+    advance(Milliseconds { 3000 });
+    CHECK(readEntries().front().value.find("\"cpu\":8000") != std::string::npos);
+}
+
+static const StepPlan largeStep { .count = 2, .cpuMillis = 3000, .durationMs = 60000 };
+
+// Guards against a worker that starts what does not fit although it guards its capacity.
+TEST(TaskWorker, GuardedCapacityRejectsWhatDoesNotFit)
+{
+    createWorker(0);
+    worker->shrinkCapacity(50, Milliseconds { 3000 });
+    CHECK(start("w", 0, largeStep));
+    CHECK_FALSE(start("w", 1, largeStep));
+}
+
+// Guards against a worker without guard that rejects a start, or whose report to the observer leaves out a run.
+TEST(TaskWorker, UnguardedCapacityStartsWhatDoesNotFit)
+{
+    createWorker(0, false);
+    worker->shrinkCapacity(50, Milliseconds { 3000 });
+    CHECK(start("w", 0, largeStep));
+    CHECK(start("w", 1, largeStep));
+    LONGS_EQUAL(6000, observer.loads.back().used.cpuMillis);
+    LONGS_EQUAL(4000, observer.loads.back().capacity.cpuMillis);
+}
--- a/Utilities/PlatformStandIn/PlatformMessages.cpp
+++ b/Utilities/PlatformStandIn/PlatformMessages.cpp
@@ -37,7 +37,7 @@
             { "priority", queue.priority }, { "service", taskService }, { "maxAttempts", queue.maxAttempts },
             { "stretch", 2.0 } });
     json service { { "name", taskService }, { "healthPath", "/healthz" }, { "maxConns", 64 }, { "protocol", "h1" },
-        { "tls", false }, { "coldStartS", 0.0 }, { "coldPerS", 0.0 }, { "admissionCheck", true }, { "spare", false } };
+        { "tls", false }, { "coldStartS", 0.0 }, { "coldPerS", 0.0 }, { "admissionCheck", false }, { "spare", false } };
     json limits { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 262144 }, { "headerTimeoutMs", 3000 },
         { "idleTimeoutMs", 15000 } };
     return json {
--- a/Utilities/PlatformStandIn/RunObserver.h
+++ b/Utilities/PlatformStandIn/RunObserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "WorkerLoad.h"
 #include <cstdint>
 #include <string>
 
@@ -17,7 +18,12 @@
 
     virtual ~RunObserver() = default;
 
-    virtual void runStarted(const Run&, const std::string& spec) = 0;
+    /// `load` includes the started run.
+    virtual void runStarted(const Run&, const std::string& spec, const WorkerLoad& load) = 0;
+
+    /// Called when a worker starts, and when its capacity changes. The worker announces the change with its next
+    /// heartbeat.
+    virtual void capacityChanged(const std::string& worker, const WorkerCapacity&) = 0;
 
     /// `outcome` is the outcome as the platform's protocol names it, such as "done" or "failed".
     virtual void runEnded(const Run&, const std::string& outcome) = 0;
--- a/Utilities/PlatformStandIn/TaskWorker.cpp
+++ b/Utilities/PlatformStandIn/TaskWorker.cpp
@@ -61,6 +61,7 @@
     , m_options(std::move(options))
     , m_random(m_options.seed)
     , m_id(m_options.id)
+    , m_capacity(m_options.capacity)
 {
 }
 
@@ -80,6 +81,7 @@
     m_announcementSequence = 0;
     m_lastAnnouncedAt = neverInstant;
     m_isAlive = true;
+    m_observer.capacityChanged(m_id, m_capacity);
 }
 
 void TaskWorker::crash(Milliseconds downtime, const std::string& crashingTask)
@@ -174,15 +176,28 @@
     return rows[step];
 }
 
-bool TaskWorker::hasCapacityFor(const ActiveRun& added) const
+WorkerLoad TaskWorker::loadWith(const ActiveRun& added) const
 {
-    auto cpu = added.cpuMillis;
-    auto memory = added.memoryMb;
+    WorkerLoad load { .used = added.used, .capacity = m_capacity, .guardsCapacity = m_options.guardsCapacity };
     for (const auto& [task, run] : m_activeRuns) {
-        cpu += run.cpuMillis;
-        memory += run.memoryMb;
+        load.used.cpuMillis += run.used.cpuMillis;
+        load.used.memoryMb += run.used.memoryMb;
     }
-    return cpu <= m_options.cpuMillis && memory <= m_options.memoryMb;
+    return load;
+}
+
+void TaskWorker::setCapacity(const WorkerCapacity& capacity)
+{
+    if (capacity == m_capacity)
+        return;
+    m_capacity = capacity;
+    m_observer.capacityChanged(m_id, m_capacity);
+}
+
+void TaskWorker::shrinkCapacity(int64_t percent, Milliseconds duration)
+{
+    m_shrunkUntil = std::max(m_shrunkUntil, m_loop.now() + duration);
+    setCapacity(m_options.capacity.scaledTo(percent));
 }
 
 void TaskWorker::start(const json& command, const Responder& responder)
@@ -207,13 +222,13 @@
         .startedAt = m_loop.now(),
         .duration = Milliseconds { row[DurationColumn].get<int64_t>() },
         .failingRuns = row[FailingRunsColumn].get<uint32_t>(),
-        .cpuMillis = row[CpuColumn].get<int64_t>(),
-        .memoryMb = row[MemoryColumn].get<int64_t>() };
+        .used = { row[CpuColumn].get<int64_t>(), row[MemoryColumn].get<int64_t>() } };
     if (auto crashAfterMs = row[CrashAfterColumn].get<int64_t>(); crashAfterMs > 0 && task.ends_with(".0"))
         run.crashesAt = m_loop.now() + Milliseconds { crashAfterMs };
-    if (!hasCapacityFor(run))
+    auto load = loadWith(run);
+    if (load.guardsCapacity && !load.used.fitsInto(load.capacity))
         return reply(responder, 409, "room");
-    m_observer.runStarted(run.identity, spec);
+    m_observer.runStarted(run.identity, spec, load);
     m_activeRuns[task] = std::move(run);
     reply(responder, 200, nullptr);
 }
@@ -256,7 +271,7 @@
     auto running = json::array();
     for (const auto& [task, run] : m_activeRuns) {
         auto percent = 100 * (m_loop.now() - run.startedAt) / std::max(run.duration, Milliseconds { 1 });
-        running.push_back({ task, run.identity.runNumber, "", std::min<int64_t>(percent, 100), run.cpuMillis });
+        running.push_back({ task, run.identity.runNumber, "", std::min<int64_t>(percent, 100), run.used.cpuMillis });
     }
     auto finished = json::array();
     for (const auto& finishedRun : m_finishedRuns) {
@@ -296,6 +311,8 @@
 {
     m_loop.callAfter(tickInterval, [this] { tick(); });
     restartIfDue();
+    if (m_loop.now() >= m_shrunkUntil)
+        setCapacity(m_options.capacity);
     announce();
     if (!m_isAlive)
         return;
@@ -337,7 +354,7 @@
         return;
     json entry { { "service", m_options.service }, { "addr", fmt::format("{}:{}", m_options.ip, m_options.publicPort) },
         { "zone", m_options.zone }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
-        { "capacity", { { "cpu", m_options.cpuMillis }, { "memMb", m_options.memoryMb }, { "gpu", 0 } } },
+        { "capacity", { { "cpu", m_capacity.cpuMillis }, { "memMb", m_capacity.memoryMb }, { "gpu", 0 } } },
         { "labels", { "general", m_options.rack } }, { "clockMs", clockMs() }, { "born", m_startedAtMs },
         { "seq", ++m_announcementSequence } };
     m_store.putWorkerRecord(m_id, entry.dump());
--- a/Utilities/PlatformStandIn/TaskWorker.h
+++ b/Utilities/PlatformStandIn/TaskWorker.h
@@ -33,6 +33,9 @@
     /// under the same worker id follows.
     void crash(Milliseconds downtime) { crash(downtime, {}); }
 
+    /// Reduces the capacity to a percentage of its full size for `duration`, also below what runs there.
+    void shrinkCapacity(int64_t percent, Milliseconds duration);
+
     TcpProxy& proxy() { return *m_proxy; }
     const TaskWorkerOptions& options() const { return m_options; }
     void stopServing() { m_server->shutdown(); }
@@ -45,8 +48,7 @@
         Instant startedAt;
         Milliseconds duration { 0 };
         uint32_t failingRuns { 0 };
-        int64_t cpuMillis { 0 };
-        int64_t memoryMb { 0 };
+        WorkerCapacity used {};
         Instant stopsAt { Instant::max() };
         Instant crashesAt { Instant::max() };
     };
@@ -81,7 +83,10 @@
     void tick();
     void endRunsIfLeaseExpired();
     void announce();
-    bool hasCapacityFor(const ActiveRun&) const;
+    void setCapacity(const WorkerCapacity&);
+
+    /// The load with the added run.
+    WorkerLoad loadWith(const ActiveRun& added) const;
     void reply(const Responder&, int status, const char* reason) const;
 
     /// Reply that lists the active runs and the unacknowledged finished runs.
@@ -98,6 +103,8 @@
     uint32_t m_newIdCount { 0 };
     bool m_isAlive { false };
     Instant m_restartsAt { neverInstant };
+    WorkerCapacity m_capacity;
+    Instant m_shrunkUntil { neverInstant };
     Instant m_incarnationStart { neverInstant };
 
     /// Start of this incarnation in milliseconds of Unix time.
--- a/Utilities/PlatformStandIn/TaskWorkerOptions.h
+++ b/Utilities/PlatformStandIn/TaskWorkerOptions.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "WorkerCapacity.h"
 #include <LibCore/Time.h>
 #include <cstdint>
 #include <string>
 
 namespace Bergamot {
 
+inline constexpr Milliseconds workerHeartbeatInterval { 1000 };
+
 /// Identity, addresses, capacity and timing of a worker stand-in.
 struct TaskWorkerOptions {
     std::string id {};
@@ -18,8 +21,10 @@
     /// HTTP server behind it.
     uint16_t publicPort { 0 };
     uint16_t serverPort { 0 };
-    int64_t cpuMillis { 8000 };
-    int64_t memoryMb { 16000 };
+    WorkerCapacity capacity { .cpuMillis = 8000, .memoryMb = 16000 };
+
+    /// Whether the worker rejects a start that does not fit. Otherwise it starts whatever it is told to start.
+    bool guardsCapacity { true };
 
     /// Speed of the worker's clock relative to the event loop's clock. The platform permits clocks that are up to 2%
     /// slow.
@@ -27,7 +32,7 @@
     int64_t clockOffsetMs { 0 };
     int64_t maxLeaseMs { 6000 };
     Milliseconds stopDelay { 300 };
-    Milliseconds heartbeatInterval { 1000 };
+    Milliseconds heartbeatInterval { workerHeartbeatInterval };
 
     /// Seed of the downtime and the worker id after a crash by a task.
     uint64_t seed { 1 };
--- a/Utilities/bergamot-node-soak/JobChecker.cpp
+++ b/Utilities/bergamot-node-soak/JobChecker.cpp
@@ -1,4 +1,5 @@
 #include "JobChecker.h"
+#include <PlatformStandIn/TaskWorkerOptions.h>
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -19,6 +20,13 @@
 /// Crashes of its workers after which a crashing task may be given up.
 static constexpr uint32_t crashesBeforeFailure = 2;
 
+/// Time after the last disturbance from which nodes must keep the bounds in time; `contactMs` of their settings.
+static constexpr Milliseconds contactTime { 3000 };
+
+/// Time for which a capacity that has shrunk may still be used: a node learns of it within contactTime after the next
+/// heartbeat of the worker.
+static constexpr Milliseconds shrunkCapacityBound { contactTime + workerHeartbeatInterval };
+
 /// Unfinished jobs that are reported at the end of a run.
 static constexpr size_t maxReportedUnfinishedJobs = 8;
 
@@ -169,7 +177,14 @@
         reportViolation(&job, "an accepted job was answered 410");
 }
 
-void JobChecker::runStarted(const Run& run, const std::string& spec)
+void JobChecker::nodesDisturbedUntil(Instant time) { m_disturbedUntil = std::max(m_disturbedUntil, time); }
+
+void JobChecker::capacityChanged(const std::string& worker, const WorkerCapacity& capacity)
+{
+    m_capacities[worker].record(m_loop.now(), capacity);
+}
+
+void JobChecker::runStarted(const Run& run, const std::string& spec, const WorkerLoad& load)
 {
     ++m_startCount;
     auto* job = findJob(run.task);
@@ -179,6 +194,7 @@
     auto& task = job->tasks[run.task];
     recordEvent(*job, fmt::format("{} run {} starts on {}, epoch {}", run.task, run.runNumber, run.worker, run.epoch));
     checkStart(*job, task, run, spec);
+    checkCapacity(*job, run, load);
     task.activeRuns.emplace_back(run.worker, run.runNumber);
     ++task.startCount;
 }
@@ -210,6 +226,20 @@
             "{} started {} times after {} workers had crashed under it", name, task.startsAfterCrashLimit, crashLimit));
 }
 
+void JobChecker::checkCapacity(SoakJob& job, const Run& run, const WorkerLoad& load)
+{
+    if (load.guardsCapacity)
+        return;
+    // Nodes that a fault cuts off from the worker's announcements may use any capacity that it has had.
+    bool isCalm = m_loop.now() - m_disturbedUntil >= contactTime;
+    auto limit = m_capacities[run.worker].largestSince(isCalm ? m_loop.now() - shrunkCapacityBound : neverInstant);
+    if (load.used.fitsInto(limit))
+        return;
+    reportViolation(&job,
+        fmt::format("{} brings {} to {} thousandths of a core and {} MB, and it has had at most {} and {}", run.task,
+            run.worker, load.used.cpuMillis, load.used.memoryMb, limit.cpuMillis, limit.memoryMb));
+}
+
 void JobChecker::checkDependencies(SoakJob& job, const std::string& task)
 {
     // Tasks are named JOB.OCCURRENCE.STEP.INDEX. The jobs of a soak run have a single occurrence, which is number 0.
--- a/Utilities/bergamot-node-soak/JobChecker.h
+++ b/Utilities/bergamot-node-soak/JobChecker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CapacityHistory.h"
 #include "SoakJob.h"
 #include <LibHttp/EventLoop.h>
 #include <PlatformStandIn/RunObserver.h>
@@ -32,8 +33,12 @@
     /// A request for the state or a cancel was answered with status 410.
     void goneReported(SoakJob&, Instant sentAt);
 
+    /// A fault interrupts nodes, the store or connections of the nodes until this time.
+    void nodesDisturbedUntil(Instant);
+
     /// RunObserver: the events that the workers report.
-    void runStarted(const Run&, const std::string& spec) override;
+    void runStarted(const Run&, const std::string& spec, const WorkerLoad&) override;
+    void capacityChanged(const std::string& worker, const WorkerCapacity&) override;
     void runEnded(const Run&, const std::string& outcome) override;
     void endAcknowledged(const Run&, const std::string& outcome) override;
     void workerCrashed(const std::string& worker, const std::string& crashingTask) override;
@@ -61,6 +66,7 @@
     SoakJob* findJob(const std::string& task) const;
     void checkStart(SoakJob&, SoakTask&, const Run&, const std::string& spec);
     void checkDependencies(SoakJob&, const std::string& task);
+    void checkCapacity(SoakJob&, const Run&, const WorkerLoad&);
     void checkCrashLimit(SoakJob&, SoakTask&, const std::string& name);
     void checkRejected(SoakJob&);
     static bool areTasksDone(const SoakJob&, size_t step);
@@ -70,6 +76,8 @@
     uint64_t m_seed;
     Instant m_startedAt;
     std::map<std::string, JobHandle> m_jobs;
+    std::map<std::string, CapacityHistory> m_capacities;
+    Instant m_disturbedUntil { neverInstant };
     uint32_t m_violations { 0 };
     uint64_t m_startCount { 0 };
 };
--- a/Utilities/bergamot-node-soak/Soak.cpp
+++ b/Utilities/bergamot-node-soak/Soak.cpp
@@ -25,6 +25,13 @@
 /// cancelled jobs.
 static constexpr Milliseconds maxWorkerDelay { 300 };
 
+/// A WorkerShrinks fault affects every fifth worker, some that guard their capacity and some that do not.
+static constexpr size_t shrinkStride = 5;
+static constexpr int64_t maxShrunkPercent = 90;
+
+/// Time within which a node ends after SIGTERM; `graceS` of its settings.
+static constexpr Milliseconds terminationGrace { 6000 };
+
 static constexpr uint16_t storePort = 8169;
 static constexpr uint16_t workerPort = 9000;
 static constexpr uint16_t workerServerPort = 9001;
@@ -114,6 +121,7 @@
                 .ip = hostAddress(firstWorkerHostNumber + n),
                 .publicPort = workerPort,
                 .serverPort = workerServerPort,
+                .guardsCapacity = n % 2 == 0,
                 .clockRate = 1.0 - 0.001 * static_cast<double>(random.between(0, 20)),
                 .clockOffsetMs = random.between(1000, 10'000'000),
                 .seed = mixDigest(m_options.seed, n) });
@@ -171,17 +179,23 @@
     m_store->putOperatorRecord(configurationKey, configurationText(m_configurationVersion, queues));
 }
 
+/// Whether a fault of this kind interrupts the processes of the nodes, the store, or connections of the nodes.
+static bool disturbsNodes(FaultKind kind) { return kind < FaultKind::WorkerShrinks && kind != FaultKind::WorkerCrash; }
+
 void Soak::inject(const Fault& fault)
 {
     fmt::print("{} ms: {} target={} duration_ms={} delay_ms={}\n", m_checker.elapsedMs(),
         faultNames[static_cast<size_t>(fault.kind)], fault.target, fault.duration.count(), fault.delay.count());
+    if (disturbsNodes(fault.kind))
+        m_checker.nodesDisturbedUntil(m_loop->now() + fault.duration + fault.delay
+            + (fault.kind == FaultKind::NodeTerminate ? terminationGrace : Milliseconds { 0 }));
     if (fault.kind <= FaultKind::AllKillOperatorsSlow)
         return injectNodeFault(fault);
     if (fault.kind <= FaultKind::StoreForgets)
         return injectStoreFault(fault);
     if (fault.kind <= FaultKind::LinkSilentToStore)
         return injectLinkFault(fault);
-    if (fault.kind <= FaultKind::WorkerZoneSilent)
+    if (fault.kind <= FaultKind::WorkerShrinks)
         return injectWorkerFault(fault);
     if (fault.kind == FaultKind::CrashingTasks)
         return m_traffic->addCrashingTasks(fault.duration);
@@ -251,6 +265,9 @@
         // in the zone.
         for (size_t n = fault.target % zones.size(); n < m_workers.size(); n += zones.size())
             m_workers[n]->proxy().stall(true, fault.duration);
+    } else if (fault.kind == FaultKind::WorkerShrinks) {
+        for (size_t n = fault.target % shrinkStride; n < m_workers.size(); n += shrinkStride)
+            m_workers[n]->shrinkCapacity(static_cast<int64_t>(fault.target) % maxShrunkPercent, fault.duration);
     } else {
         worker.proxy().stall(fault.target % 2 == 0, fault.duration);
     }
