--- a/Utilities/bergamot-node-soak/JobChecker.cpp
+++ b/Utilities/bergamot-node-soak/JobChecker.cpp
@@ -1,4 +1,5 @@
 #include "JobChecker.h"
+#include <PlatformStandIn/TaskWorkerOptions.h>
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -12,6 +13,20 @@
 /// bound and the maximum delay of a start command by a faulty link.
 static constexpr Milliseconds cancelBound { 3000 + 2000 };
 
+/// Worker crashes by a task after which it may start `maxStartsAfterCrashLimit` times more.
+static constexpr uint32_t crashLimit = 3;
+static constexpr uint32_t maxStartsAfterCrashLimit = 2;
+
+/// Crashes of its workers after which a crashing task may be given up.
+static constexpr uint32_t crashesBeforeFailure = 2;
+
+/// Time after the last disturbance from which nodes must keep the bounds in time; `contactMs` of their settings.
+static constexpr Milliseconds contactTime { 3000 };
+
+/// Time for which a capacity that has shrunk may still be used: a node learns of it within contactTime after the next
+/// heartbeat of the worker.
+static constexpr Milliseconds shrunkCapacityBound { contactTime + workerHeartbeatInterval };
+
 /// Unfinished jobs that are reported at the end of a run.
 static constexpr size_t maxReportedUnfinishedJobs = 8;
 
@@ -142,10 +157,14 @@
             reportViolation(
                 &job, "shown as completed although its cancel was acknowledged before its last task was done");
     } else if (state == "failed") {
-        bool cause = std::ranges::any_of(
-            job.tasks, [&](const auto& task) { return task.second.failedRuns >= job.queue.maxAttempts; });
+        bool cause = std::ranges::any_of(job.tasks, [&](const auto& item) {
+            const auto& task = item.second;
+            return task.failedRuns >= job.queue.maxAttempts
+                || (task.causedCrashes > 0 && task.crashesWhileRunning >= crashesBeforeFailure);
+        });
         if (!cause)
-            reportViolation(&job, "shown as failed although no task has used its attempts");
+            reportViolation(
+                &job, "shown as failed although no task has used its attempts or crashed as many workers as it may");
     } else if (!job.cancelSentAt) {
         reportViolation(&job, "shown as cancelled although no cancel was sent");
     }
@@ -158,7 +177,14 @@
         reportViolation(&job, "an accepted job was answered 410");
 }
 
-void JobChecker::runStarted(const Run& run, const std::string& spec)
+void JobChecker::nodesDisturbedUntil(Instant time) { m_disturbedUntil = std::max(m_disturbedUntil, time); }
+
+void JobChecker::capacityChanged(const std::string& worker, const WorkerCapacity& capacity)
+{
+    m_capacities[worker].record(m_loop.now(), capacity);
+}
+
+void JobChecker::runStarted(const Run& run, const std::string& spec, const WorkerLoad& load)
 {
     ++m_startCount;
     auto* job = findJob(run.task);
@@ -168,6 +194,7 @@
     auto& task = job->tasks[run.task];
     recordEvent(*job, fmt::format("{} run {} starts on {}, epoch {}", run.task, run.runNumber, run.worker, run.epoch));
     checkStart(*job, task, run, spec);
+    checkCapacity(*job, run, load);
     task.activeRuns.emplace_back(run.worker, run.runNumber);
     ++task.startCount;
 }
@@ -187,6 +214,30 @@
         reportViolation(&job, fmt::format("{} started after its job was cancelled", run.task));
     checkRejected(job);
     checkDependencies(job, run.task);
+    checkCrashLimit(job, task, run.task);
+}
+
+void JobChecker::checkCrashLimit(SoakJob& job, SoakTask& task, const std::string& name)
+{
+    if (task.causedCrashes < crashLimit || ++task.startsAfterCrashLimit <= maxStartsAfterCrashLimit)
+        return;
+    reportViolation(&job,
+        fmt::format(
+            "{} started {} times after {} workers had crashed under it", name, task.startsAfterCrashLimit, crashLimit));
+}
+
+void JobChecker::checkCapacity(SoakJob& job, const Run& run, const WorkerLoad& load)
+{
+    if (load.guardsCapacity)
+        return;
+    // Nodes that a fault cuts off from the worker's announcements may use any capacity that it has had.
+    bool isCalm = m_loop.now() - m_disturbedUntil >= contactTime;
+    auto limit = m_capacities[run.worker].largestSince(isCalm ? m_loop.now() - shrunkCapacityBound : neverInstant);
+    if (load.used.fitsInto(limit))
+        return;
+    reportViolation(&job,
+        fmt::format("{} brings {} to {} thousandths of a core and {} MB, and it has had at most {} and {}", run.task,
+            run.worker, load.used.cpuMillis, load.used.memoryMb, limit.cpuMillis, limit.memoryMb));
 }
 
 void JobChecker::checkDependencies(SoakJob& job, const std::string& task)
@@ -233,13 +284,19 @@
     task.isDoneAcknowledged = true;
 }
 
-void JobChecker::workerCrashed(const std::string& worker)
+void JobChecker::workerCrashed(const std::string& worker, const std::string& crashingTask)
 {
+    if (auto* job = findJob(crashingTask)) {
+        ++job->tasks[crashingTask].causedCrashes;
+        recordEvent(*job, fmt::format("{} crashes {}", crashingTask, worker));
+    }
     for (auto& [id, job] : m_jobs) {
         for (auto& [name, task] : job->tasks) {
             auto lost = std::erase_if(task.activeRuns, [&](const auto& run) { return run.first == worker; });
-            if (lost > 0)
-                recordEvent(*job, fmt::format("{} is lost with {}", name, worker));
+            if (lost == 0)
+                continue;
+            ++task.crashesWhileRunning;
+            recordEvent(*job, fmt::format("{} is lost with {}", name, worker));
         }
     }
 }
@@ -275,6 +332,10 @@
             job->steps, [limit = job->queue.maxAttempts](const StepPlan& step) { return step.failingRuns >= limit; });
         if (alwaysFails && job->endState == "completed")
             reportViolation(job.get(), "shown as completed although a task always fails");
+        bool crashesWorkers
+            = std::ranges::any_of(job->steps, [](const StepPlan& step) { return step.crashAfterMs > 0; });
+        if (crashesWorkers && job->endState == "completed")
+            reportViolation(job.get(), "shown as completed although a task crashes its workers");
     }
 }
 
