Give up a job of the daemon's engine that crashes its workers

Cause: a loss had no count there. A worker that was back within seconds got the same attempt again without any record, and a lost attempt was queued again. Change: a worker that has refused at least two connections and then does not know its tasks is a new process, so those attempts ended with the earlier one. Each is stopped first, which fences it against a delayed start, and ends with `crashedTasks`, the number of tasks placed there. JobState keeps the counts; a job is given up after two crashes alone or three in all, with the reason, and a service never. Silence, a lapsed lease, a drain, and a refusing worker that still lists its tasks count nothing.

--- a/Libraries/LibDecision/BatchSchedulerImpl.cpp
+++ b/Libraries/LibDecision/BatchSchedulerImpl.cpp
@@ -217,10 +217,14 @@
         .state = SchedulerJobState::Pending };
     job.kind = static_cast<KindIndex>(kind);
     job.team = static_cast<TeamIndex>(team);
+    job.crashes = view.crashes;
+    job.crashesAlone = view.crashesAlone;
     job.submittedAt = m_now;
     m_state.recordAcceleratorJob(view.size);
     auto index = m_state.addJob(std::move(job));
     enqueue(index);
+    if (view.crashes > 0)
+        m_submittedWithCrashes.push_back(index);
     return absl::OkStatus();
 }
 
@@ -428,6 +432,13 @@
     case AttemptOutcome::Failed:
         recordFailure(index, worker);
         return;
+    case AttemptOutcome::Crashed:
+    case AttemptOutcome::CrashedInCompany:
+        ++job.crashes;
+        job.crashesAlone += outcome == AttemptOutcome::Crashed ? 1 : 0;
+        if (giveUpAfterCrashes(index))
+            return;
+        [[fallthrough]];
     case AttemptOutcome::Lost:
         m_restartLimiter.recordLoss(m_now);
         job.isRecovering = true;
--- a/Libraries/LibDecision/BatchSchedulerImpl.h
+++ b/Libraries/LibDecision/BatchSchedulerImpl.h
@@ -62,6 +62,8 @@
     void removeJob(JobIndex);
     void recordOutcome(JobIndex, WorkerIndex, AttemptOutcome);
     void recordFailure(JobIndex, WorkerIndex);
+    bool giveUpAfterCrashes(JobIndex);
+    void giveUpSubmittedJobs();
     void markFailed(JobIndex, std::string reason);
     bool hasUntriedWorker(const JobRecord&) const;
 
@@ -113,6 +115,7 @@
     std::vector<JobIndex> m_migrations;
     std::vector<JobIndex> m_pendingEvictions;
     std::vector<JobIndex> m_failed;
+    std::vector<JobIndex> m_submittedWithCrashes;
     std::vector<JobIndex> m_reservedJobs;
     std::vector<Decision> m_pendingDecisions;
 
--- a/Libraries/LibDecision/BatchSchedulerTick.cpp
+++ b/Libraries/LibDecision/BatchSchedulerTick.cpp
@@ -42,6 +42,7 @@
     m_placements = m_evictions = m_failedPlacements = m_reservationPlans = 0;
     m_evictionPolicy.refillBudget(m_state.workerIds.size(), now);
     runTimers();
+    giveUpSubmittedJobs();
     releaseQuarantines();
     retryEvictions();
     placeLane(BatchQueue::urgentLane);
--- a/Libraries/LibDecision/JobRecord.h
+++ b/Libraries/LibDecision/JobRecord.h
@@ -35,6 +35,8 @@
     WorkerIndex worker { noIndex };
     uint32_t attempt { 0 };
     uint32_t failures { 0 };
+    uint32_t crashes { 0 };
+    uint32_t crashesAlone { 0 };
     Instant submittedAt {};
     Instant placedAt {};
     Instant retryAt {};
--- a/Libraries/LibDecision/JobView.h
+++ b/Libraries/LibDecision/JobView.h
@@ -22,6 +22,10 @@
     std::optional<Instant> deadline {};
     bool isService { false };
 
+    /// Earlier attempts that ended with the process of their worker, and those of them that ran there alone.
+    uint32_t crashes { 0 };
+    uint32_t crashesAlone { 0 };
+
     bool operator==(const JobView&) const = default;
 };
 
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <LibDecision/Rendezvous.h>
 #include <LibDecision/Timing.h>
 #include <LibEntry/Dispatcher.h>
+#include <LibHttp/ConnectionRefused.h>
 #include <algorithm>
 #include <utility>
 
@@ -82,13 +83,19 @@
     // not known.
     if (!link.hasClock())
         return;
+    // The next report shows whether another process answers at the address.
+    if (link.refusedConnections > 0)
+        return;
     for (const auto& id : worker.jobs) {
         const auto* job = m_region.state().findJob(id);
         if (!job)
             continue;
-        if (job->phase == JobPhase::Revoking || job->cancelRequested)
+        // A stop makes sure that no delayed start of a crashed attempt takes effect in the worker's new process.
+        if (job->phase == JobPhase::Revoking || job->cancelRequested
+            || link.crashedTasks.contains({ id, job->attempt }))
             stopTask(worker, link, *job);
-        else if (!link.runningTasks.contains({ id, job->attempt }))
+        else if (!link.runningTasks.contains({ id, job->attempt })
+            && !link.unansweredStarts.contains({ id, job->attempt }))
             startTask(worker, link, *job, now);
     }
 }
@@ -125,7 +132,7 @@
     auto& link = it->second;
     link.isPolling = false;
     if (!reply.ok()) {
-        ++link.failedCallsSinceReport;
+        recordFailedCall(link, reply.status());
         logDebug("poll_failed", { { "worker", id }, { "error", statusText(reply.status()) } });
         return;
     }
@@ -140,10 +147,51 @@
     link.lastReplyAt = link.clockReadAt;
 }
 
+void Dispatcher::recordFailedCall(WorkerLink& link, const absl::Status& status)
+{
+    ++link.failedCallsSinceReport;
+    link.refusedConnections += isConnectionRefused(status) ? 1 : 0;
+}
+
+/// A worker that has refused connections and does not know its tasks any more is a new process: the earlier one has
+/// ended, and its tasks with it. Silence or an unknown task alone do not prove that.
+void Dispatcher::findCrashedTasks(const WorkerId& id, WorkerLink& link, const LeaseReport& report)
+{
+    // A single refusal may reach a worker that is just starting.
+    constexpr uint32_t minRefusedConnections { 2 };
+    auto isRecorded = [&](const TaskId& task) {
+        const auto* job = m_region.state().findJob(task.job);
+        return !job || !job->holdsCommitment() || job->attempt != task.attempt;
+    };
+    std::erase_if(link.crashedTasks, [&](const auto& it) { return isRecorded(it.first); });
+    bool wasRefused = std::exchange(link.refusedConnections, 0) >= minRefusedConnections;
+    const auto* worker = m_region.state().findWorker(id);
+    if (!wasRefused || !worker)
+        return;
+    auto lost = link.runningTasks;
+    lost.insert(link.unansweredStarts.begin(), link.unansweredStarts.end());
+    for (const auto& usage : report.running)
+        lost.erase(usage.task);
+    for (const auto& ended : report.ended)
+        lost.erase(ended.task);
+    auto tasks = static_cast<uint32_t>(worker->jobs.size());
+    for (const auto& task : lost) {
+        if (isRecorded(task))
+            continue;
+        // A task that has not answered its start may not have run, so it is not held solely responsible.
+        bool hasRun = link.runningTasks.contains(task);
+        link.crashedTasks.emplace(task, hasRun ? tasks : tasks + 1);
+        logWarning(
+            "task_crashed", { { "job", task.job }, { "attempt", task.attempt }, { "worker", id }, { "tasks", tasks } });
+    }
+}
+
 void Dispatcher::processReport(const WorkerId& id, WorkerLink& link, const LeaseReport& report, Instant)
 {
+    findCrashedTasks(id, link, report);
     recordClockReading(link, report.workerClockMs);
     link.runningTasks.clear();
+    link.unansweredStarts.clear();
     for (const auto& usage : report.running)
         link.runningTasks.insert(usage.task);
     link.endedTasks.clear();
@@ -157,7 +205,8 @@
         m_reportObserver(id, report);
 }
 
-void Dispatcher::submitTaskEnd(const JobState& job, TaskOutcome outcome, std::string checkpoint, std::string result)
+void Dispatcher::submitTaskEnd(
+    const JobState& job, TaskOutcome outcome, std::string checkpoint, std::string result, uint32_t crashedTasks)
 {
     // Only the leader declares a task lost. A worker that reports the loss itself confirms that the task is not
     // running.
@@ -171,6 +220,7 @@
             .outcome = outcome,
             .checkpoint = std::move(checkpoint),
             .result = std::move(result),
+            .crashedTasks = crashedTasks,
         },
         {}, m_options.clock->now() + taskEndAppendTimeout);
 }
@@ -210,8 +260,11 @@
     const auto* job = m_region.state().findJob(task.job);
     if (!reply.ok()) {
         // The task may have started. The next poll shows whether it runs, and a start request is idempotent.
-        ++link.failedCallsSinceReport;
-        link.nextPoll = m_options.clock->now() + minPollInterval;
+        if (!isConnectionRefused(reply.status())) {
+            link.unansweredStarts.insert(task);
+            link.nextPoll = m_options.clock->now();
+        }
+        recordFailedCall(link, reply.status());
         return;
     }
     recordClockReading(link, reply->workerClockMs);
@@ -255,14 +308,19 @@
     auto& link = it->second;
     link.stoppingTasks.erase(task);
     if (!reply.ok()) {
-        ++link.failedCallsSinceReport;
+        recordFailedCall(link, reply.status());
         return;
     }
     recordClockReading(link, reply->workerClockMs);
     link.runningTasks.erase(task);
     link.endedTasks.insert(task);
     const auto* job = m_region.state().findJob(task.job);
-    if (job && job->holdsCommitment() && job->attempt == task.attempt)
+    if (!job || !job->holdsCommitment() || job->attempt != task.attempt)
+        return;
+    auto crashed = link.crashedTasks.find(task);
+    if (crashed != link.crashedTasks.end() && reply->ended.outcome == TaskOutcome::Refused)
+        submitTaskEnd(*job, TaskOutcome::Evicted, "", "", crashed->second);
+    else
         submitTaskEnd(*job, reply->ended.outcome, reply->ended.checkpoint, reply->ended.result);
 }
 
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -47,7 +47,10 @@
     void serveWorker(const WorkerInfo&, Instant now);
     void poll(const WorkerInfo&, WorkerLink&, Instant now);
     void pollFinished(const WorkerId&, const absl::StatusOr<LeaseReport>&);
-    void submitTaskEnd(const JobState&, TaskOutcome, std::string checkpoint, std::string result);
+    void submitTaskEnd(
+        const JobState&, TaskOutcome, std::string checkpoint, std::string result, uint32_t crashedTasks = 0);
+    void recordFailedCall(WorkerLink&, const absl::Status&);
+    void findCrashedTasks(const WorkerId&, WorkerLink&, const LeaseReport&);
     void processReport(const WorkerId&, WorkerLink&, const LeaseReport&, Instant now);
     void startTask(const WorkerInfo&, WorkerLink&, const JobState&, Instant now);
     void startFinished(const WorkerId&, const TaskId&, const absl::StatusOr<StartReply>&);
--- a/Libraries/LibEntry/SchedulerDriver.cpp
+++ b/Libraries/LibEntry/SchedulerDriver.cpp
@@ -42,9 +42,11 @@
         defineKindsAndTeams();
 }
 
-static AttemptOutcome toAttemptOutcome(TaskOutcome outcome)
+static AttemptOutcome toAttemptOutcome(const TaskEnded& ended)
 {
-    switch (outcome) {
+    if (ended.crashedTasks > 0 && ended.outcome != TaskOutcome::Completed)
+        return ended.crashedTasks == 1 ? AttemptOutcome::Crashed : AttemptOutcome::CrashedInCompany;
+    switch (ended.outcome) {
     case TaskOutcome::Completed:
         return AttemptOutcome::Completed;
     case TaskOutcome::Failed:
@@ -132,7 +134,9 @@
                       .runMs = job.spec.runMs,
                       .priority = job.spec.priority,
                       .urgent = job.spec.urgent,
-                      .isService = job.spec.isService }),
+                      .isService = job.spec.isService,
+                      .crashes = job.crashes,
+                      .crashesAlone = job.crashesAlone }),
         "job");
 }
 
@@ -227,8 +231,8 @@
         bool isAccepted = result.statuses[i].ok();
         if (const auto* ended = std::get_if<TaskEnded>(&batch.records[i])) {
             if (isAccepted)
-                logIfRejected(m_scheduler->taskEnded(ended->job, ended->attempt, toAttemptOutcome(ended->outcome),
-                                  result.findReleasedWorker(i)),
+                logIfRejected(m_scheduler->taskEnded(
+                                  ended->job, ended->attempt, toAttemptOutcome(*ended), result.findReleasedWorker(i)),
                     "ended task");
             continue;
         }
--- a/Libraries/LibStandIn/WorkerModel.cpp
+++ b/Libraries/LibStandIn/WorkerModel.cpp
@@ -338,6 +338,13 @@
         ended.acknowledged = true;
 }
 
+void WorkerModel::restart(Instant now)
+{
+    loseEverything(now);
+    m_ended.clear();
+    m_highestAttempt.clear();
+}
+
 void WorkerModel::setSlowFactor(double factor, Instant now)
 {
     advance(now);
--- a/Libraries/LibStandIn/WorkerModel.h
+++ b/Libraries/LibStandIn/WorkerModel.h
@@ -55,6 +55,9 @@
 
     /// Simulates a crash: all running tasks are lost and neither they nor earlier ended tasks are reported any more.
     void loseEverything(Instant now);
+
+    /// Simulates a new process, which knows no task of the one before.
+    void restart(Instant now);
     void setStartFault(StartFault fault) { m_startFault = fault; }
     void setSlowFactor(double factor, Instant now);
     void recordConnections(int64_t inUse);
--- a/Libraries/LibState/ClusterState.cpp
+++ b/Libraries/LibState/ClusterState.cpp
@@ -300,6 +300,7 @@
             ++job->failures;
         if (record.outcome == TaskOutcome::Evicted || record.outcome == TaskOutcome::Lost)
             ++job->evictions;
+        job->recordCrash(record.crashedTasks);
         setPhase(*job, job->cancelRequested ? JobPhase::Cancelled : JobPhase::Pending);
         return absl::OkStatus();
     }
--- a/Libraries/LibWire/TaskEnded.h
+++ b/Libraries/LibWire/TaskEnded.h
@@ -17,8 +17,11 @@
     std::string checkpoint {};
     std::string result {};
 
+    /// Tasks placed on the worker when its process ended and with it the attempt; 0 when the attempt ended otherwise.
+    uint32_t crashedTasks { 0 };
+
     bool operator==(const TaskEnded&) const = default;
-    MSGPACK_DEFINE_ARRAY(epoch, job, attempt, outcome, checkpoint, result)
+    MSGPACK_DEFINE_ARRAY(epoch, job, attempt, outcome, checkpoint, result, crashedTasks)
 };
 
 }
--- a/Tests/LibDecision/TestBatchScheduler.cpp
+++ b/Tests/LibDecision/TestBatchScheduler.cpp
@@ -178,6 +178,52 @@
     CHECK(cluster.scheduler->jobEnded("bad").ok());
 }
 
+// Guards against a job that is started without bound after crashes of its workers, and against one that is given up
+// after fewer crashes, after losses of other kinds, or although it is a service.
+TEST(BatchScheduler, JobIsGivenUpAfterItsCrashes)
+{
+    struct Case {
+        std::vector<AttemptOutcome> outcomes;
+        size_t failures;
+        std::string kind { "report" };
+    };
+    using enum AttemptOutcome;
+    for (const auto& it : { Case { { Crashed, Crashed }, 1 }, Case { { Crashed }, 0 },
+             Case { { CrashedInCompany, CrashedInCompany, CrashedInCompany }, 1 },
+             Case { { CrashedInCompany, CrashedInCompany }, 0 }, Case { { Crashed, CrashedInCompany }, 0 },
+             Case { { Lost, Lost, Lost, Evicted, Stopped, Refused, Lost }, 0 },
+             Case { { Crashed, Crashed, Crashed, Crashed }, 0, "web" } }) {
+        SchedulerFixture cluster;
+        cluster.submit(SchedulerFixture::job("j", it.kind, 1));
+        for (auto outcome : it.outcomes) {
+            for (int n = 0; n < 60 && SchedulerFixture::only<PlaceTask>(cluster.tickAndPlace(5)).empty(); ++n) { }
+            cluster.end("j", outcome);
+        }
+        auto failed = SchedulerFixture::only<FailJob>(cluster.tick());
+        UNSIGNED_LONGS_EQUAL(it.failures, failed.size());
+        for (const auto& decision : failed)
+            STRCMP_CONTAINS("workers crashed", decision.reason.c_str());
+    }
+}
+
+// Guards against a job that gets its crashes anew with each leader.
+TEST(BatchScheduler, EarlierCrashesOfASubmittedJobCount)
+{
+    SchedulerFixture cluster;
+    auto view = SchedulerFixture::job("j", "report", 1);
+    view.crashes = 2;
+    cluster.submit(view);
+    UNSIGNED_LONGS_EQUAL(1, SchedulerFixture::only<PlaceTask>(cluster.tickAndPlace()).size());
+    cluster.end("j", AttemptOutcome::CrashedInCompany);
+    UNSIGNED_LONGS_EQUAL(1, SchedulerFixture::only<FailJob>(cluster.tick()).size());
+    view.id = "k";
+    view.crashes = 3;
+    cluster.submit(view);
+    auto decisions = cluster.tick();
+    UNSIGNED_LONGS_EQUAL(1, SchedulerFixture::only<FailJob>(decisions).size());
+    CHECK(SchedulerFixture::only<PlaceTask>(decisions).empty());
+}
+
 // Guards against placements on a quarantined worker, and against jobs that are given up because of its failures.
 TEST(BatchScheduler, WorkerThatFailsEverythingIsQuarantined)
 {
--- a/Tests/LibEntry/VirtualCluster.cpp
+++ b/Tests/LibEntry/VirtualCluster.cpp
@@ -1,6 +1,7 @@
 #include "VirtualCluster.h"
 #include <LibConfig/SiteConfigCodec.h>
 #include <LibCore/Verify.h>
+#include <LibHttp/ConnectionRefused.h>
 #include <LibWire/Codec.h>
 #include <algorithm>
 #include <fmt/format.h>
@@ -12,6 +13,7 @@
 static constexpr Milliseconds workerDelay { 3 };
 static constexpr Milliseconds peerDelay { 2 };
 static constexpr Milliseconds callTimeout { 2000 };
+static constexpr Milliseconds crashDownTime { 8000 };
 
 struct VirtualCluster::Process {
     std::unique_ptr<LogService> log;
@@ -102,8 +104,12 @@
     void start(const std::string& address, const TaskStart& start, Callback<StartReply> callback) override
     {
         m_cluster.notifyStep(Step::StartTask, m_member);
-        call<StartReply>(
-            address, callback, [start](WorkerModel& worker, Instant now) { return worker.start(start, now); });
+        call<StartReply>(address, callback, [&cluster = m_cluster, address, start](WorkerModel& worker, Instant now) {
+            auto reply = worker.start(start, now);
+            if (cluster.jobsCrashingAtStart.contains(start.task.job))
+                cluster.crashWorker(address, crashDownTime);
+            return reply;
+        });
     }
 
     void renew(const std::string& address, const LeaseRenewal& renewal, Callback<LeaseReport> callback) override
@@ -148,7 +154,15 @@
                     failCall();
                     return;
                 }
+                auto failRefused = [&] {
+                    cluster.events.scheduleAfter(
+                        workerDelay, [callback] { callback(connectionRefusedError("no process listens")); });
+                };
+                if (cluster.refusingWorkers.contains(address))
+                    return failRefused();
                 Reply reply = effect(cluster.worker(address), cluster.events.now());
+                if (cluster.refusingWorkers.contains(address))
+                    return failCall();
                 if (cluster.workerRepliesToDrop > 0) {
                     --cluster.workerRepliesToDrop;
                     failCall();
@@ -311,6 +325,13 @@
     m_processes[member] = std::move(process);
 }
 
+void VirtualCluster::crashWorker(const WorkerId& id, Milliseconds downTime)
+{
+    worker(id).restart(events.now());
+    refusingWorkers.insert(id);
+    events.scheduleAfter(downTime, [this, id] { refusingWorkers.erase(id); });
+}
+
 void VirtualCluster::kill(const MemberId& member) { m_processes.erase(member); }
 
 void VirtualCluster::pause(const MemberId& member, Milliseconds length)
--- a/Tests/LibEntry/VirtualCluster.h
+++ b/Tests/LibEntry/VirtualCluster.h
@@ -50,6 +50,10 @@
     void setZoneOut(const ZoneId&, bool out);
     WorkerModel& worker(const WorkerId& id) { return *m_workers.at(id); }
 
+    /// Ends the worker's process. Its address refuses connections until a new process, which knows nothing, has
+    /// started.
+    void crashWorker(const WorkerId&, Milliseconds downTime);
+
     /// Expires the region's log entries below position `before`.
     void expireLog(LogPosition before) { m_log.expireBefore("region-main", before); }
 
@@ -76,7 +80,11 @@
     /// Calls of these members are dropped before they take effect, as when a process dies while sending.
     std::set<MemberId> membersWithDroppedCalls;
     std::set<WorkerId> unreachableWorkers;
+    std::set<WorkerId> refusingWorkers;
     std::set<WorkerId> leavingWorkers;
+
+    /// Jobs that crash their worker before it replies to the start.
+    std::set<JobId> jobsCrashingAtStart;
     std::set<WorkerId> goneWorkers;
 
 private:
--- a/Tests/LibState/TestClusterState.cpp
+++ b/Tests/LibState/TestClusterState.cpp
@@ -110,6 +110,23 @@
     STRCMP_EQUAL("c", log.state.findJob("j1")->checkpoint.c_str());
 }
 
+// Guards against crashes that are forgotten with the process that has seen them, and against counting other ends.
+TEST(ClusterState, CrashesAreKeptWithTheJob)
+{
+    CHECK(log.accepts("e2", job("j1")));
+    uint32_t attempt = 0;
+    for (uint32_t tasks : { 0u, 1u, 3u }) {
+        CHECK(log.accepts("e1", intent("j1", ++attempt, "w1")));
+        CHECK(log.accepts("e2",
+            TaskEnded { .job = "j1", .attempt = attempt, .outcome = TaskOutcome::Evicted, .crashedTasks = tasks }));
+    }
+    auto copy = ClusterState::decodeSnapshot(log.state.encodeSnapshot());
+    CHECK(copy.ok());
+    LONGS_EQUAL(2, copy->findJob("j1")->crashes);
+    LONGS_EQUAL(1, copy->findJob("j1")->crashesAlone);
+    CHECK(copy->findJob("j1")->phase == JobPhase::Pending);
+}
+
 // Guards against a job that completes twice, and against a loss that is declared by a member other than the leader.
 TEST(ClusterState, FirstCompletionIsTheOutcome)
 {
