Test innocent and guilty tasks beside each other's crashes (failing)

Measured on in virtual time: - IsolatedTaskIsNotBlamedForASlowCrashBesideIt: the innocent job is shown as failed after two isolated starts, because a task that crashes 1.5 s after its start is not recorded beside an isolated run; the cause itself is started six times. - QuickRestartsOfAWholeRackGiveUpNoJob: the job fails, because only the last of the workers is seen as lost with its rack. - GangThatCrashesAllWorkersOfItsZoneIsGivenUp: 20 starts in 60 s, as each of its crashes is taken for the loss of the zone. - TaskThatCrashesAtDifferentAgesIsGivenUp: 14 starts in 60 s, as the shortest crash decides when the task is cleared. - LossesOfAWholeRackDelayItsTasksForSecondsOnly: 10 of 60 tasks run 10 s after the last loss, all of them after 70 s.

--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -117,6 +117,17 @@
         storeProgress();
     }
 
+    /// Crashes the workers on which a run of the job has been active for the time.
+    void crashAtAge(const JobId& job, Milliseconds age)
+    {
+        for (const auto& [worker, runs] : std::map(active)) {
+            for (const auto& start : runs) {
+                if (start.task.job == job && fixture.now() - startedAt[{ start.task, start.run }] >= age)
+                    crash(worker);
+            }
+        }
+    }
+
     static StepSpec lasting(uint32_t count)
     {
         return { .count = count, .size = { 1000, 1000, 0 }, .longRunning = true };
@@ -397,3 +408,87 @@
     }
     CHECK_EQUAL(1, (starts[TaskRef { "j", 0, 0, 0 }]));
 }
+
+// Guards against an isolated innocent task that is given up for the crashes of a task that started shortly before it.
+TEST(TaskCrashes, IsolatedTaskIsNotBlamedForASlowCrashBesideIt)
+{
+    addWorker();
+    scheduler.addJob(fixture.job("d", { lasting(1) }), std::nullopt, neverInstant);
+    run(Milliseconds { 300 });
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true },
+        { .run = 2, .worker = "w8", .workerStartedAtMs = 8, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    for (int i = 0; i < 600; ++i) {
+        run(planInterval);
+        crashAtAge("d", Milliseconds { 1500 });
+    }
+    CHECK(scheduler.stateOf("j") != JobStage::Failed);
+    CHECK(scheduler.stateOf("d") == JobStage::Failed);
+    CHECK_COMPARE((starts[TaskRef { "d", 0, 0, 0 }]), <=, 5);
+}
+
+// Guards against a task of which only the later crashes come after the time at which it is cleared.
+TEST(TaskCrashes, TaskThatCrashesAtDifferentAgesIsGivenUp)
+{
+    for (int i = 0; i < 6; ++i)
+        addWorker();
+    scheduler.addJob(fixture.job("j", { lasting(1) }), std::nullopt, neverInstant);
+    TaskRef task { "j", 0, 0, 0 };
+    for (int i = 0; i < 600 && scheduler.stateOf("j") != JobStage::Failed; ++i) {
+        run(planInterval);
+        crashAtAge("j", Milliseconds { starts[task] % 2 == 1 ? 100 : 2500 });
+    }
+    CHECK(scheduler.stateOf("j") == JobStage::Failed);
+    CHECK_COMPARE(starts[task], <=, 5);
+}
+
+// Guards against a gang that is started for ever because it takes all workers of a zone down with it.
+TEST(TaskCrashes, GangThatCrashesAllWorkersOfItsZoneIsGivenUp)
+{
+    for (int i = 0; i < 3; ++i)
+        addWorker();
+    auto step = fixture.step(3);
+    step.gang = true;
+    step.maxPerWorker = 1;
+    scheduler.addJob(fixture.job("g", { step }), std::nullopt, neverInstant);
+    crashingTasks = { { "g", 0, 0, 0 }, { "g", 0, 0, 1 }, { "g", 0, 0, 2 } };
+    run(Milliseconds { 60000 });
+    CHECK(scheduler.stateOf("g") == JobStage::Failed);
+    CHECK_COMPARE((starts[TaskRef { "g", 0, 0, 0 }]), <=, 5);
+}
+
+// Guards against tasks that wait for minutes to run isolated after their rack lost power several times.
+TEST(TaskCrashes, LossesOfAWholeRackDelayItsTasksForSecondsOnly)
+{
+    for (int i = 0; i < 8; ++i)
+        addWorker("r1");
+    scheduler.addJob(fixture.job("j", { lasting(60) }), std::nullopt, neverInstant);
+    for (int loss = 0; loss < 3; ++loss) {
+        run(Milliseconds { 1000 });
+        for (const auto& [worker, runs] : std::map(active))
+            crash(worker);
+        run(restartTime + Milliseconds { 100 });
+    }
+    run(Milliseconds { 10000 });
+    CHECK_EQUAL(60, scheduler.totals().activeRuns);
+}
+
+// Guards against jobs that fail because their rack lost power for so short a time that no worker was seen as lost.
+TEST(TaskCrashes, QuickRestartsOfAWholeRackGiveUpNoJob)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker("r1");
+    scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant);
+    for (int loss = 0; loss < 8; ++loss) {
+        run(Milliseconds { 1000 });
+        for (const auto& [worker, runs] : std::map(active)) {
+            scheduler.removeWorker(worker, WorkerEnd::Crashed, fixture.now());
+            active.erase(worker);
+            addWorker("r1");
+        }
+    }
+    run(Milliseconds { 4000 });
+    CHECK(scheduler.stateOf("j") != JobStage::Failed);
+    CHECK_EQUAL(2, scheduler.totals().activeRuns);
+}
