Test leaders and workers that fail at slow, silent and late crashes (partly failing)

The fake worker may crash some time after the start, be silent, and stay down for a given time; the replacement of the leader is a function.

--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -25,6 +25,7 @@
     struct FakeWorker {
         int64_t startedAtMs { 1 };
         Instant backAt { neverInstant };
+        Instant crashesAt { neverInstant };
         std::vector<RunReport> running {};
     };
 
@@ -40,6 +41,13 @@
     std::map<JobId, size_t> starts;
     std::string crashingJob { "bad" };
 
+    /// Time from the start of a run of the crashing job to the crash.
+    Milliseconds timeToCrash { 0 };
+    Milliseconds downTime { restartTime };
+
+    /// Whether a crashed worker does not answer at all, as its host is down too.
+    bool isSilentAfterCrash { false };
+
     /// Called when a worker crashes.
     std::function<void()> onCrash;
 
@@ -78,18 +86,31 @@
         return { .clockMs = clock.now().time_since_epoch().count(), .startedAtMs = worker.startedAtMs };
     }
 
+    absl::Status errorOfCrashedWorker() const
+    {
+        return isSilentAfterCrash ? absl::DeadlineExceededError("timeout") : connectionRefusedError("refused");
+    }
+
+    void crash(FakeWorker & worker)
+    {
+        worker.crashesAt = neverInstant;
+        worker.backAt = clock.now() + downTime;
+        worker.running.clear();
+        if (onCrash)
+            onCrash();
+    }
+
     void execute(MockTaskExecutor::Command command)
     {
         auto& worker = workers[command.address];
         if (worker.backAt != neverInstant)
-            return command.reply(connectionRefusedError("refused"));
+            return command.reply(errorOfCrashedWorker());
         if (command.kind == "start") {
             ++starts[command.start.task.job];
-            if (command.start.task.job == crashingJob) {
-                worker.backAt = clock.now() + restartTime;
-                worker.running.clear();
-                if (onCrash)
-                    onCrash();
+            if (command.start.task.job == crashingJob && timeToCrash > Milliseconds { 0 }) {
+                worker.crashesAt = clock.now() + timeToCrash;
+            } else if (command.start.task.job == crashingJob) {
+                crash(worker);
                 return command.reply(absl::UnavailableError("connection reset"));
             }
             worker.running.push_back({ .task = command.start.task, .run = command.start.run });
@@ -101,7 +122,7 @@
     {
         auto& worker = workers[call.address];
         if (worker.backAt != neverInstant)
-            return call.reply(connectionRefusedError("refused"));
+            return call.reply(errorOfCrashedWorker());
         call.reply(RenewLeaseReply { .commandReply = accepted(worker), .running = worker.running });
     }
 
@@ -111,6 +132,8 @@
             clock.advance(tickTime);
             loop->runReady();
             for (auto& [id, worker] : workers) {
+                if (worker.crashesAt != neverInstant && clock.now() >= worker.crashesAt)
+                    crash(worker);
                 if (worker.backAt == neverInstant || clock.now() < worker.backAt)
                     continue;
                 worker.backAt = neverInstant;
@@ -134,6 +157,15 @@
         lead();
     }
 
+    void replaceLeader()
+    {
+        leader.reset();
+        taskExecutor.commands.clear();
+        taskExecutor.renewLeaseCalls.clear();
+        advance(Milliseconds { 1200 });
+        lead();
+    }
+
     JobStage storedState(const JobId& id)
     {
         JobStage state = JobStage::Queued;
@@ -164,13 +196,8 @@
     startWorkers(4);
     for (int i = 0; i < 6000; ++i) {
         advance(tickTime);
-        if (!std::exchange(isKilled, false))
-            continue;
-        leader.reset();
-        taskExecutor.commands.clear();
-        taskExecutor.renewLeaseCalls.clear();
-        advance(Milliseconds { 1200 });
-        lead();
+        if (std::exchange(isKilled, false))
+            replaceLeader();
     }
     CHECK_COMPARE(starts["bad"], <=, 5);
     CHECK(storedState("bad") == JobStage::Failed);
@@ -189,3 +216,106 @@
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
 }
+
+// Guards against a task that is started six times, because two leaders fail right after its first starts.
+TEST(TaskLeaderCrashes, TwoLeadersKilledAfterTheFirstStartsDoNotForgetTheCrashes)
+{
+    int kills = 0;
+    bool isKilled = false;
+    onCrash = [&] { isKilled = ++kills <= 2; };
+    startWorkers(4);
+    for (int i = 0; i < 6000; ++i) {
+        advance(tickTime);
+        if (std::exchange(isKilled, false))
+            replaceLeader();
+    }
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against crashes some time after the start that are lost with a leader that went on during an outage of the
+// store.
+TEST(TaskLeaderCrashes, CrashesDuringAStoreOutageOutliveTheLeader)
+{
+    timeToCrash = Milliseconds { 700 };
+    startWorkers(6);
+    advance(Milliseconds { 300 });
+    store.fault = FakeRecordStore::Fault::Refusing;
+    advance(Milliseconds { 10000 });
+    leader.reset();
+    store.fault = FakeRecordStore::Fault::None;
+    replaceLeader();
+    advance(Milliseconds { 60000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because its workers are silent until their leases have expired.
+TEST(TaskLeaderCrashes, SilentWorkerThatComesBackAfterItsLeaseHasCrashed)
+{
+    isSilentAfterCrash = true;
+    downTime = Milliseconds { 8000 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because its workers refuse connections until their leases have
+// expired.
+TEST(TaskLeaderCrashes, RefusingWorkerThatComesBackAfterItsLeaseHasCrashed)
+{
+    downTime = Milliseconds { 8000 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because its workers are back before they refuse connections.
+TEST(TaskLeaderCrashes, WorkerThatComesBackAtOnceHasCrashed)
+{
+    downTime = Milliseconds { 50 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because it crashes its workers seconds after its starts, and they are
+// back at once.
+TEST(TaskLeaderCrashes, WorkerThatCrashesLateAndComesBackAtOnceHasCrashed)
+{
+    downTime = Milliseconds { 50 };
+    timeToCrash = Milliseconds { 4000 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started six times, because leaders fail together with the workers that it crashes some
+// time after its starts.
+TEST(TaskLeaderCrashes, LeadersKilledAtSlowCrashesDoNotForgetThem)
+{
+    downTime = Milliseconds { 300 };
+    timeToCrash = Milliseconds { 700 };
+    int kills = 0;
+    bool isKilled = false;
+    onCrash = [&] { isKilled = ++kills <= 2; };
+    startWorkers(6);
+    for (int i = 0; i < 6000; ++i) {
+        advance(tickTime);
+        if (std::exchange(isKilled, false))
+            replaceLeader();
+    }
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
