--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -16,9 +16,10 @@
 static constexpr size_t promptCrashesUntilIsolated = 2;
 static constexpr size_t crashesUntilIsolated = 3;
 
-/// A task is cleared when it has run for this multiple of the shortest time to a crash, and at least for the minimum.
+/// A task is cleared when it has run for this multiple of the longest time to a crash, within these bounds.
 static constexpr int clearingFactor = 2;
 static constexpr Milliseconds minClearingTime { 2000 };
+static constexpr Milliseconds maxClearingTime { 10000 };
 
 static bool isOfTask(const CrashedRun& run, const TaskRef& task)
 {
@@ -88,13 +89,12 @@
 
 Milliseconds CrashHistory::clearingTime(const TaskRef& task) const
 {
-    auto shortest = Milliseconds::max();
+    Milliseconds longest { 0 };
     for (const auto& it : m_runs) {
-        // The record of a suspected run that is active has no run time yet.
-        if (it.confirmed && isOfTask(it, task))
-            shortest = std::min(shortest, Milliseconds { it.runTimeMs });
+        if (isOfTask(it, task))
+            longest = std::max(longest, Milliseconds { it.runTimeMs });
     }
-    return shortest == Milliseconds::max() ? minClearingTime : std::max(minClearingTime, clearingFactor * shortest);
+    return std::clamp(clearingFactor * longest, minClearingTime, maxClearingTime);
 }
 
 }
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -16,8 +16,9 @@
 static constexpr Milliseconds sharedLossWindow { 1500 };
 static constexpr Milliseconds lossMemory { 10000 };
 
-/// The other workers of a rack or zone that have to be lost together before a common cause is assumed.
-static constexpr size_t minSharedLosses = 2;
+/// The other workers of a rack or zone that have to be lost together before a common cause is assumed. The tasks of one
+/// job may take down fewer.
+static constexpr size_t minSharedLosses = 3;
 
 /// Returns the key under which crashes of the task are recorded: the members of a gang start together and share one.
 TaskRef TaskScheduler::crashKey(const TrackedJob& job, const TaskRef& ref)
@@ -72,6 +73,15 @@
     markChanged(job);
 }
 
+/// Removes the record of a run that ended on this worker. The record of a gang may name the worker of another member.
+void TaskScheduler::withdrawCrashOn(WorkerHandle handle, TrackedJob& job, const TaskRef& ref, uint64_t run)
+{
+    const auto* crashed = job.crashes.find(crashKey(job, ref), run);
+    auto it = m_workers.find(handle);
+    if (crashed && it != m_workers.end() && crashed->worker == it->second->view.id)
+        withdrawCrash(job, ref, run);
+}
+
 void TaskScheduler::clearCrashes(TrackedJob& job, const TaskRef& ref)
 {
     if (!job.crashes.isEmpty() && job.crashes.clear(crashKey(job, ref)))
@@ -202,7 +212,10 @@
         auto* task = findTask(*job, ref);
         if (const auto* run = task ? findRun(*task, crashed.run) : nullptr)
             crashed.runTimeMs = describeCrash(worker, *job, ref, *run).runTimeMs;
-        events.push_back(confirmCrash(*job, crashed, isShared));
+        if (isShared && !crashed.isolated)
+            withdrawCrash(*job, ref, crashed.run);
+        else
+            events.push_back(confirmCrash(*job, crashed, isShared));
     }
     forgetResolvedCrashes(worker.view.id);
     return events;
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -40,7 +40,7 @@
         step.delay = PlacementDelay::CrashSuspicion;
         if (!mayStartSuspect(*ready.job, ref))
             return true;
-        if (hasIsolationSlots(spec.count) && startGang(ready, {}, now, PlacementMode::Isolated))
+        if (hasIsolationSlots(*ready.job, spec.count) && startGang(ready, {}, now, PlacementMode::Isolated))
             return true;
         if (isolation == RunIsolation::Required) {
             for (const auto& task : step.tasks)
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -9,10 +9,13 @@
 namespace Bergamot {
 
 /// A run that has been active on a worker for this long is not suspected beside an isolated run that starts later.
-static constexpr Milliseconds settledRunTime { 500 };
+static constexpr Milliseconds settledRunTime { 2000 };
 
 /// A held worker that is not used within this time takes other starts again.
-static constexpr Milliseconds holdTime { 1500 };
+static constexpr Milliseconds holdTime { 3000 };
+
+/// Failed searches for a worker for an isolated run in one plan; each visits all workers and their runs.
+static constexpr uint32_t maxFailedSearches = 4;
 
 /// Bounds of the number of isolated runs, each of which may take its worker down.
 static constexpr uint32_t minIsolatedRuns = 3;
@@ -48,11 +51,18 @@
     return areCrashesStored(job, key) && !job.crashes.awaitsConfirmation(key);
 }
 
-/// Whether further runs may start isolated. A gang that is larger than the limit runs isolated alone.
-bool TaskScheduler::hasIsolationSlots(uint32_t runs) const
+/// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone. Half
+/// of the workers of a service stay free for other runs.
+bool TaskScheduler::hasIsolationSlots(const TrackedJob& job, uint32_t runs) const
 {
+    if (m_isolatedRuns == 0)
+        return true;
+    if (m_failedSearches >= maxFailedSearches)
+        return false;
+    auto candidates = m_candidates.find(policyOf(job).service);
+    auto workers = candidates == m_candidates.end() ? 0 : static_cast<uint32_t>(candidates->second.size());
     auto limit = std::max(minIsolatedRuns, static_cast<uint32_t>(m_workers.size()) / workersPerIsolatedRun);
-    return m_isolatedRuns == 0 || m_isolatedRuns + runs <= limit;
+    return m_isolatedRuns + runs <= std::min(limit, workers / 2);
 }
 
 bool TaskScheduler::canIsolate(const WorkerEntry& worker, const TrackedJob& job, uint32_t step, Instant now)
@@ -69,12 +79,14 @@
 /// Starts the suspected task isolated if possible. Returns false if it has to wait or may start like other tasks.
 bool TaskScheduler::placeSuspect(const ReadyStep& ready, uint32_t index, Instant now)
 {
-    if (!hasIsolationSlots(1))
+    if (!hasIsolationSlots(*ready.job, 1) || m_failedSearches >= maxFailedSearches)
         return false;
     auto& task = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Isolated);
-    if (!worker)
+    if (!worker) {
+        ++m_failedSearches;
         return false;
+    }
     startRun(*worker, ready, index, now, PlacementMode::Isolated);
     return true;
 }
@@ -82,7 +94,7 @@
 /// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs.
 void TaskScheduler::holdForIsolation(const ReadyStep& ready, const TrackedTask& task, Instant now)
 {
-    if (!hasIsolationSlots(1))
+    if (!hasIsolationSlots(*ready.job, 1) || m_failedSearches >= maxFailedSearches)
         return;
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Hold);
     if (worker)
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -55,6 +55,7 @@
     activateDueOccurrences(unixMs);
     collectCandidates(now);
     updateShortTaskDemand();
+    m_failedSearches = 0;
     sendSuspectedStarts(now, permission);
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -89,7 +89,7 @@
     if (task->done)
         return;
     job->started = true;
-    withdrawCrash(*job, end.task, end.run);
+    withdrawCrashOn(handle, *job, end.task, end.run);
     auto worker = m_workers.find(handle);
     bool longRunning = job->spec.steps[end.task.step].longRunning;
     if (end.outcome == RunOutcome::Done && !longRunning) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -233,6 +233,7 @@
     CrashedRun describeCrash(const WorkerEntry&, const TrackedJob&, const TaskRef&, const TrackedRun&) const;
     void recordCrash(TrackedJob&, const CrashedRun&);
     void withdrawCrash(TrackedJob&, const TaskRef&, uint64_t run);
+    void withdrawCrashOn(WorkerHandle, TrackedJob&, const TaskRef&, uint64_t run);
     void clearCrashes(TrackedJob&, const TaskRef&);
     void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&, Instant now);
     void resolveUnconfirmedCrashes(const WorkerEntry&);
@@ -246,7 +247,7 @@
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     static bool mayStartSuspect(const TrackedJob&, const TaskRef&);
-    bool hasIsolationSlots(uint32_t runs) const;
+    bool hasIsolationSlots(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
     void holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
@@ -291,10 +292,6 @@
     /// Jobs with unconfirmed crashes, by worker.
     std::map<WorkerId, std::set<JobId>> m_unconfirmedCrashes;
 
-    /// Starts of suspected tasks that wait until their records are stored.
-    std::vector<StartTask> m_suspectedStarts;
-    uint32_t m_isolatedRuns { 0 };
-
     /// A worker that crashed recently.
     struct WorkerLoss {
         std::string rack;
@@ -303,6 +300,13 @@
     };
     std::vector<WorkerLoss> m_recentLosses;
 
+    /// Starts of suspected tasks that wait until their records are stored.
+    std::vector<StartTask> m_suspectedStarts;
+    uint32_t m_isolatedRuns { 0 };
+
+    /// Searches of the current plan that found no worker for an isolated run.
+    uint32_t m_failedSearches { 0 };
+
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
     Instant m_unblockAt { neverInstant };
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -26,8 +26,8 @@
 {
     struct FakeWorker {
         int64_t startedAtMs { 1 };
-        Instant crashesAt { neverInstant };
         Instant backAt { neverInstant };
+        Instant crashesAt { neverInstant };
         std::vector<RunReport> running {};
     };
 
@@ -43,8 +43,12 @@
     std::map<JobId, size_t> starts;
     std::string crashingJob { "bad" };
 
-    /// Time from the start of the crashing task to the crash; with 0, the start has no answer.
-    Milliseconds crashDelay { 0 };
+    /// Time from the start of a run of the crashing job to the crash.
+    Milliseconds timeToCrash { 0 };
+    Milliseconds downTime { restartTime };
+
+    /// Whether a crashed worker does not answer at all, as its host is down too.
+    bool isSilentAfterCrash { false };
 
     /// Called when a worker crashes.
     std::function<void()> onCrash;
@@ -84,10 +88,15 @@
         return { .clockMs = clock.now().time_since_epoch().count(), .startedAtMs = worker.startedAtMs };
     }
 
+    absl::Status errorOfCrashedWorker() const
+    {
+        return isSilentAfterCrash ? absl::DeadlineExceededError("timeout") : connectionRefusedError("refused");
+    }
+
     void crash(FakeWorker & worker)
     {
         worker.crashesAt = neverInstant;
-        worker.backAt = clock.now() + restartTime;
+        worker.backAt = clock.now() + downTime;
         worker.running.clear();
         if (onCrash)
             onCrash();
@@ -97,15 +106,15 @@
     {
         auto& worker = workers[command.address];
         if (worker.backAt != neverInstant)
-            return command.reply(connectionRefusedError("refused"));
+            return command.reply(errorOfCrashedWorker());
         if (command.kind == "start") {
             ++starts[command.start.task.job];
-            if (command.start.task.job == crashingJob && crashDelay.count() == 0) {
+            if (command.start.task.job == crashingJob && timeToCrash > Milliseconds { 0 }) {
+                worker.crashesAt = clock.now() + timeToCrash;
+            } else if (command.start.task.job == crashingJob) {
                 crash(worker);
                 return command.reply(absl::UnavailableError("connection reset"));
             }
-            if (command.start.task.job == crashingJob)
-                worker.crashesAt = clock.now() + crashDelay;
             worker.running.push_back({ .task = command.start.task, .run = command.start.run });
         }
         command.reply(accepted(worker));
@@ -115,7 +124,7 @@
     {
         auto& worker = workers[call.address];
         if (worker.backAt != neverInstant)
-            return call.reply(connectionRefusedError("refused"));
+            return call.reply(errorOfCrashedWorker());
         call.reply(RenewLeaseReply { .commandReply = accepted(worker), .running = worker.running });
     }
 
@@ -150,6 +159,15 @@
         lead();
     }
 
+    void replaceLeader()
+    {
+        leader.reset();
+        taskExecutor.commands.clear();
+        taskExecutor.renewLeaseCalls.clear();
+        advance(Milliseconds { 1200 });
+        lead();
+    }
+
     /// Plays a minute in which the leader is killed together with the workers that crash for these times.
     void playWithKilledLeaders(const std::set<int>& crashes)
     {
@@ -159,13 +177,8 @@
         startWorkers(4);
         for (int i = 0; i < 6000; ++i) {
             advance(tickTime);
-            if (!std::exchange(isKilled, false))
-                continue;
-            leader.reset();
-            taskExecutor.commands.clear();
-            taskExecutor.renewLeaseCalls.clear();
-            advance(Milliseconds { 1200 });
-            lead();
+            if (std::exchange(isKilled, false))
+                replaceLeader();
         }
     }
 
@@ -194,7 +207,7 @@
 // start.
 TEST(TaskLeaderCrashes, LeadersKilledAfterSlowCrashesDoNotForgetThem)
 {
-    crashDelay = Milliseconds { 730 };
+    timeToCrash = Milliseconds { 730 };
     playWithKilledLeaders({ 1, 3, 4 });
     CHECK_COMPARE(starts["bad"], <=, 5);
     CHECK(storedState("bad") == JobStage::Failed);
@@ -204,7 +217,15 @@
 // Guards against crashes that nobody counts because the leader is killed right after the start that caused them.
 TEST(TaskLeaderCrashes, LeaderKilledAfterAStartDoesNotForgetTheCrash)
 {
-    playWithKilledLeaders({ 2, 3 });
+    int kills = 0;
+    bool isKilled = false;
+    onCrash = [&] { isKilled = ++kills >= 2 && kills <= 3; };
+    startWorkers(4);
+    for (int i = 0; i < 6000; ++i) {
+        advance(tickTime);
+        if (std::exchange(isKilled, false))
+            replaceLeader();
+    }
     CHECK_COMPARE(starts["bad"], <=, 5);
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
@@ -222,3 +243,106 @@
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
 }
+
+// Guards against a task that is started six times, because two leaders fail right after its first starts.
+TEST(TaskLeaderCrashes, TwoLeadersKilledAfterTheFirstStartsDoNotForgetTheCrashes)
+{
+    int kills = 0;
+    bool isKilled = false;
+    onCrash = [&] { isKilled = ++kills <= 2; };
+    startWorkers(4);
+    for (int i = 0; i < 6000; ++i) {
+        advance(tickTime);
+        if (std::exchange(isKilled, false))
+            replaceLeader();
+    }
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against crashes some time after the start that are lost with a leader that went on during an outage of the
+// store.
+TEST(TaskLeaderCrashes, CrashesDuringAStoreOutageOutliveTheLeader)
+{
+    timeToCrash = Milliseconds { 700 };
+    startWorkers(6);
+    advance(Milliseconds { 300 });
+    store.fault = FakeRecordStore::Fault::Refusing;
+    advance(Milliseconds { 10000 });
+    leader.reset();
+    store.fault = FakeRecordStore::Fault::None;
+    replaceLeader();
+    advance(Milliseconds { 60000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because its workers are silent until their leases have expired.
+TEST(TaskLeaderCrashes, SilentWorkerThatComesBackAfterItsLeaseHasCrashed)
+{
+    isSilentAfterCrash = true;
+    downTime = Milliseconds { 8000 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because its workers refuse connections until their leases have
+// expired.
+TEST(TaskLeaderCrashes, RefusingWorkerThatComesBackAfterItsLeaseHasCrashed)
+{
+    downTime = Milliseconds { 8000 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because its workers are back before they refuse connections.
+TEST(TaskLeaderCrashes, WorkerThatComesBackAtOnceHasCrashed)
+{
+    downTime = Milliseconds { 50 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started for ever because it crashes its workers seconds after its starts, and they are
+// back at once.
+TEST(TaskLeaderCrashes, WorkerThatCrashesLateAndComesBackAtOnceHasCrashed)
+{
+    downTime = Milliseconds { 50 };
+    timeToCrash = Milliseconds { 4000 };
+    startWorkers(6);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a task that is started six times, because leaders fail together with the workers that it crashes some
+// time after its starts.
+TEST(TaskLeaderCrashes, LeadersKilledAtSlowCrashesDoNotForgetThem)
+{
+    downTime = Milliseconds { 300 };
+    timeToCrash = Milliseconds { 700 };
+    int kills = 0;
+    bool isKilled = false;
+    onCrash = [&] { isKilled = ++kills <= 2; };
+    startWorkers(6);
+    for (int i = 0; i < 6000; ++i) {
+        advance(tickTime);
+        if (std::exchange(isKilled, false))
+            replaceLeader();
+    }
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
