Judge crashes when it is known which workers were lost together

Quick restarts of a whole rack gave a job up: while the first worker was removed the others still looked reachable, so its loss did not count as shared. A task waited without end when workers that refused connections stayed listed. A worker that crashed silently and came back after its lease was never counted: 22 starts in 120 s.

Measured: TestLibDecision passes (159 tests); QuickRestartsOfAWholeRackGiveUpNoJob and TaskDoesNotWaitForEverForWorkersThatRefuseConnections failed before. SilentWorkerThatComesBackAfterItsLeaseHasCrashed passes now. WorkerThatComesBackAtOnceHasCrashed fails since and is listed: the repeat of a start reaches the new incarnation.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -202,80 +202,103 @@
     return event;
 }
 
-std::vector<TaskScheduler::CrashEvent> TaskScheduler::confirmCrashes(const WorkerEntry& worker, bool isShared)
+void TaskScheduler::confirmCrashes(const WorkerLoss& loss)
 {
-    std::vector<CrashEvent> events;
-    for (auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
-        if (!isOnIncarnation(crashed, worker.view))
+    bool isShared = isLostWithItsGroup(loss);
+    for (const auto& [job, crashed] : unconfirmedCrashesOf(loss.view.id)) {
+        if (!isOnIncarnation(crashed, loss.view))
             continue;
-        auto ref = taskOf(*job, crashed);
-        auto* task = findTask(*job, ref);
-        if (const auto* run = task ? findRun(*task, crashed.run) : nullptr)
-            crashed.runTimeMs = describeCrash(worker, *job, ref, *run).runTimeMs;
         if (isShared && !crashed.isolated)
-            withdrawCrash(*job, ref, crashed.run);
+            withdrawCrash(*job, taskOf(*job, crashed), crashed.run);
         else
-            events.push_back(confirmCrash(*job, crashed, isShared));
+            m_crashEvents.push_back(confirmCrash(*job, crashed, isShared));
     }
-    forgetResolvedCrashes(worker.view.id);
-    return events;
+    forgetResolvedCrashes(loss.view.id);
 }
 
-std::vector<TaskScheduler::CrashEvent> TaskScheduler::confirmInheritedCrashes(
-    const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown)
+/// Confirms the crashes of workers that were lost long enough ago to know which other workers were lost with them.
+void TaskScheduler::confirmDueCrashes(Instant now)
+{
+    for (auto& loss : m_recentLosses) {
+        if (!loss.isJudged && now - loss.at >= sharedLossWindow) {
+            loss.isJudged = true;
+            confirmCrashes(loss);
+        }
+    }
+    std::erase_if(m_recentLosses, [&](const WorkerLoss& it) { return it.isJudged && now - it.at > lossMemory; });
+}
+
+/// Whether a crash under the task waits for its confirmation.
+bool TaskScheduler::hasDueCrash(const TrackedJob& job, const TaskRef& key) const
+{
+    return std::ranges::any_of(m_recentLosses, [&](const WorkerLoss& loss) {
+        return !loss.isJudged && std::ranges::any_of(job.crashes.runs(), [&](const CrashedRun& it) {
+            return !it.confirmed && taskOf(job, it) == key && isOnIncarnation(it, loss.view);
+        });
+    });
+}
+
+void TaskScheduler::confirmInheritedCrashes(const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown)
 {
-    std::vector<CrashEvent> events;
     auto unconfirmed = m_unconfirmedCrashes;
     for (const auto& [worker, jobs] : unconfirmed) {
         for (const auto& [job, crashed] : unconfirmedCrashesOf(worker)) {
             if (!isKnown(worker, crashed.workerStartedAtMs))
-                events.push_back(confirmCrash(*job, crashed, false));
+                m_crashEvents.push_back(confirmCrash(*job, crashed, false));
         }
         forgetResolvedCrashes(worker);
     }
-    return events;
 }
 
-std::vector<TaskScheduler::CrashEvent> TaskScheduler::removeWorker(WorkerHandle handle, WorkerEnd end, Instant now)
+std::vector<TaskScheduler::CrashEvent> TaskScheduler::takeCrashEvents() { return std::exchange(m_crashEvents, {}); }
+
+void TaskScheduler::removeWorker(WorkerHandle handle, WorkerEnd end, Instant now)
 {
     m_latestEventAt = now;
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
-        return {};
+        return;
     auto& worker = *it->second;
-    std::vector<CrashEvent> events;
     if (end == WorkerEnd::Crashed) {
         suspectCrash(handle, now);
-        events = confirmCrashes(worker, isLostWithItsGroup(worker));
-        rememberLoss(worker);
+        recordRunTimes(worker);
+        m_recentLosses.push_back({ .view = worker.view, .at = worker.lostAt == neverInstant ? now : worker.lostAt });
     } else {
         withdrawUnconfirmedCrashes(worker);
     }
     markRunsLost(handle, now);
     m_workers.erase(handle);
-    return events;
+    confirmDueCrashes(now);
 }
 
-void TaskScheduler::rememberLoss(const WorkerEntry& worker)
+/// Adds the time from the start to the loss to the records of suspected runs, which were made before their starts.
+void TaskScheduler::recordRunTimes(const WorkerEntry& worker)
 {
-    std::erase_if(m_recentLosses, [&](const WorkerLoss& it) { return m_latestEventAt - it.at > lossMemory; });
-    auto lostAt = worker.lostAt == neverInstant ? m_latestEventAt : worker.lostAt;
-    m_recentLosses.push_back({ .rack = worker.view.rack, .zone = worker.view.zone, .at = lostAt });
+    for (auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
+        auto ref = taskOf(*job, crashed);
+        auto* task = findTask(*job, ref);
+        const auto* run = task ? findRun(*task, crashed.run) : nullptr;
+        if (!run || run->worker != worker.handle)
+            continue;
+        crashed.runTimeMs = describeCrash(worker, *job, ref, *run).runTimeMs;
+        recordCrash(*job, crashed);
+    }
 }
 
 /// Whether all workers of the rack or of the zone were lost together, so that no task is the cause.
-bool TaskScheduler::isLostWithItsGroup(const WorkerEntry& lost) const
+bool TaskScheduler::isLostWithItsGroup(const WorkerLoss& lost) const
 {
-    auto lostAt = lost.lostAt == neverInstant ? m_latestEventAt : lost.lostAt;
+    auto lostAt = lost.at;
     auto isNear = [&](Instant at) {
         return at != neverInstant && at - lostAt <= sharedLossWindow && lostAt - at <= sharedLossWindow;
     };
     auto isGroupLost = [&](auto isInGroup) {
-        auto losses = static_cast<size_t>(std::ranges::count_if(
-            m_recentLosses, [&](const WorkerLoss& it) { return isInGroup(it.rack, it.zone) && isNear(it.at); }));
+        auto losses = static_cast<size_t>(std::ranges::count_if(m_recentLosses, [&](const WorkerLoss& it) {
+            return &it != &lost && it.view.service == lost.view.service && isInGroup(it.view.rack, it.view.zone)
+                && isNear(it.at);
+        }));
         for (const auto& [handle, worker] : m_workers) {
-            if (handle == lost.handle || worker->view.service != lost.view.service
-                || !isInGroup(worker->view.rack, worker->view.zone))
+            if (worker->view.service != lost.view.service || !isInGroup(worker->view.rack, worker->view.zone))
                 continue;
             if (isNear(worker->lostAt))
                 ++losses;
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -38,7 +38,7 @@
     auto isolation = isolationOf(*ready.job, ref);
     if (isolation != RunIsolation::None) {
         step.delay = PlacementDelay::CrashSuspicion;
-        if (!mayStartSuspect(*ready.job, ref))
+        if (!mayStartSuspect(*ready.job, ref, step.tasks.front(), now))
             return true;
         if (hasIsolationSlots(*ready.job, spec.count) && startGang(ready, {}, now, PlacementMode::Isolated))
             return true;
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -45,10 +45,18 @@
 }
 
 /// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
-bool TaskScheduler::mayStartSuspect(const TrackedJob& job, const TaskRef& ref)
+/// Whether a worker has crashed may never be known, so the wait for that is bounded.
+bool TaskScheduler::mayStartSuspect(
+    const TrackedJob& job, const TaskRef& ref, const TrackedTask& task, Instant now) const
 {
+    constexpr Milliseconds maxConfirmationWait { 10000 };
     auto key = crashKey(job, ref);
-    return areCrashesStored(job, key) && !job.crashes.awaitsConfirmation(key);
+    if (!areCrashesStored(job, key))
+        return false;
+    if (job.crashes.isolationOf(key) != RunIsolation::Required)
+        return true;
+    bool mustWait = job.crashes.awaitsConfirmation(key) && now - task.waitingSince < maxConfirmationWait;
+    return !mustWait && !hasDueCrash(job, key);
 }
 
 /// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone. Half
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -55,6 +55,7 @@
     activateDueOccurrences(unixMs);
     collectCandidates(now);
     updateShortTaskDemand();
+    confirmDueCrashes(now);
     m_failedSearches = 0;
     sendSuspectedStarts(now, permission);
     if (permission.mayStart)
@@ -226,7 +227,7 @@
         }
         TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, index };
         if (auto isolation = isolationOf(*ready.job, ref); isolation != RunIsolation::None) {
-            bool mayStart = mayStartSuspect(*ready.job, ref);
+            bool mayStart = mayStartSuspect(*ready.job, ref, task, now);
             if (mayStart && placeSuspect(ready, index, now))
                 continue;
             if (mayStart && isolation == RunIsolation::Required)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -95,9 +95,12 @@
         bool failedJob { false };
     };
 
-    /// Removes the worker and drops its runs. Called once all of them are proven to have ended. If the worker crashed,
-    /// returns the runs that may be the cause.
-    std::vector<CrashEvent> removeWorker(WorkerHandle, WorkerEnd, Instant now);
+    /// Removes the worker and drops its runs. Called once all of them are proven to have ended.
+    void removeWorker(WorkerHandle, WorkerEnd, Instant now);
+
+    /// Returns the crashes that were confirmed since the last call. A crash is confirmed when it is known whether other
+    /// workers of the rack or zone were lost with the worker.
+    std::vector<CrashEvent> takeCrashEvents();
 
     /// Drops the runs of the worker. Called once all of them are proven to have ended.
     void markRunsLost(WorkerHandle, Instant now);
@@ -108,8 +111,7 @@
 
     /// Confirms the stored crashes of incarnations that an earlier leader has removed. `isKnown` tells whether an
     /// incarnation is among the workers of this leader.
-    std::vector<CrashEvent> confirmInheritedCrashes(
-        const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown);
+    void confirmInheritedCrashes(const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown);
 
     /// The worker acknowledged a start or stop command for the run; from now on its list of runs decides whether the
     /// run exists.
@@ -174,6 +176,15 @@
         uint32_t step { 0 };
     };
 
+    /// The crash of a worker.
+    struct WorkerLoss {
+        TaskWorkerView view {};
+        Instant at { neverInstant };
+
+        /// Whether its crashes are confirmed or withdrawn.
+        bool isJudged { false };
+    };
+
     TrackedJob* findJob(const JobId&);
     const QueuePolicy& policyOf(const TrackedJob&) const;
     void enforceMaxAttempts(TrackedJob&, const TrackedTask&);
@@ -237,16 +248,18 @@
     void clearCrashes(TrackedJob&, const TaskRef&);
     void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&, Instant now);
     void resolveUnconfirmedCrashes(const WorkerEntry&);
-    std::vector<CrashEvent> confirmCrashes(const WorkerEntry&, bool isShared);
+    void confirmCrashes(const WorkerLoss&);
+    void confirmDueCrashes(Instant now);
+    bool hasDueCrash(const TrackedJob&, const TaskRef& key) const;
+    void recordRunTimes(const WorkerEntry&);
     CrashEvent confirmCrash(TrackedJob&, CrashedRun, bool isShared);
     void withdrawUnconfirmedCrashes(const WorkerEntry&);
     std::vector<std::pair<TrackedJob*, CrashedRun>> unconfirmedCrashesOf(const WorkerId&);
     void forgetResolvedCrashes(const WorkerId&);
-    bool isLostWithItsGroup(const WorkerEntry&) const;
-    void rememberLoss(const WorkerEntry&);
+    bool isLostWithItsGroup(const WorkerLoss&) const;
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
-    static bool mayStartSuspect(const TrackedJob&, const TaskRef&);
+    bool mayStartSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
@@ -292,13 +305,9 @@
     /// Jobs with unconfirmed crashes, by worker.
     std::map<WorkerId, std::set<JobId>> m_unconfirmedCrashes;
 
-    /// A worker that crashed recently.
-    struct WorkerLoss {
-        std::string rack;
-        ZoneId zone;
-        Instant at;
-    };
+    /// Workers that crashed in the last seconds.
     std::vector<WorkerLoss> m_recentLosses;
+    std::vector<CrashEvent> m_crashEvents;
 
     /// Starts of suspected tasks that wait until their records are stored.
     std::vector<StartTask> m_suspectedStarts;
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -378,6 +378,7 @@
         if (auto it = m_workers.find(handle); it != m_workers.end())
             it->second.session->enqueueCommand(std::move(action));
     }
+    reportCrashes();
     m_journal.requestFlush();
 }
 
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -107,7 +107,7 @@
     void removeWorker(WorkerHandle, WorkerEnd);
     static WorkerEnd endOf(const Worker&);
     void confirmInheritedCrashes();
-    static void logCrashes(const std::vector<TaskScheduler::CrashEvent>&);
+    void reportCrashes();
     WorkerSession::Events makeSessionEvents(WorkerHandle);
     bool canAcknowledge(Worker&, const RenewLeaseReply&);
     void applyEndsOf(const JobId&);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -156,25 +156,27 @@
     return worker.announcement && worker.announcement->view.draining ? WorkerEnd::Left : WorkerEnd::Crashed;
 }
 
-void TaskLeader::logCrashes(const std::vector<TaskScheduler::CrashEvent>& crashes)
+void TaskLeader::reportCrashes()
 {
-    for (const auto& [task, run, count, failedJob] : crashes)
+    for (const auto& [task, run, count, failedJob] : m_scheduler.takeCrashEvents()) {
+        m_metrics.recordRunEnd("crashed");
         logWarning("run_crashed",
             { { "job", task.job }, { "occurrence", task.occurrence }, { "step", task.step }, { "index", task.index },
                 { "run", run.run }, { "worker", run.worker }, { "run_ms", run.runTimeMs }, { "isolated", run.isolated },
                 { "crashes", count }, { "gives_up", failedJob } });
+    }
 }
 
 /// An earlier leader may have removed a worker before it stored the crash of a run there.
 void TaskLeader::confirmInheritedCrashes()
 {
-    logCrashes(m_scheduler.confirmInheritedCrashes([this](const WorkerId& id, int64_t startedAtMs) {
+    m_scheduler.confirmInheritedCrashes([this](const WorkerId& id, int64_t startedAtMs) {
         return std::ranges::any_of(m_workers, [&](const auto& it) {
             const auto& incarnation = it.second.incarnation;
             return incarnation.id == id
                 && (startedAtMs == 0 || incarnation.startedAtMs == 0 || incarnation.startedAtMs == startedAtMs);
         });
-    }));
+    });
 }
 
 void TaskLeader::removeWorker(WorkerHandle handle, WorkerEnd end)
@@ -186,10 +188,7 @@
     logInfo("worker_gone",
         { { "worker", it->second.incarnation.id }, { "born", it->second.incarnation.startedAtMs },
             { "end", nameOf(end) } });
-    auto crashes = m_scheduler.removeWorker(handle, end, m_loop.now());
-    logCrashes(crashes);
-    for (size_t n = 0; n < crashes.size(); ++n)
-        m_metrics.recordRunEnd("crashed");
+    m_scheduler.removeWorker(handle, end, m_loop.now());
     // This function may be called by the session itself, so the session is destroyed in a later turn of the event loop.
     // It is closed first, because further replies of the worker may be pending in this turn: when 3,000 workers
     // restarted at once, a second reply of a removed worker terminated the process.
@@ -253,6 +252,8 @@
             [this, handle] {
                 auto& worker = m_workers.at(handle);
                 logWarning("worker_lapsed", { { "worker", worker.incarnation.id } });
+                // The worker may come back as another incarnation, which then proves that it crashed.
+                m_scheduler.suspectCrash(handle, m_loop.now());
                 m_scheduler.markRunsLost(handle, m_loop.now());
                 checkReconciled();
                 if (!m_listedWorkers.contains(worker.incarnation.id))
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -277,7 +277,8 @@
         { .run = 100003, .worker = "w9", .workerStartedAtMs = 9, .isolated = true, .confirmed = false },
     };
     scheduler.addJob(spec, stored, neverInstant);
-    auto events = scheduler.confirmInheritedCrashes([](const WorkerId&, int64_t) { return false; });
+    scheduler.confirmInheritedCrashes([](const WorkerId&, int64_t) { return false; });
+    auto events = scheduler.takeCrashEvents();
     CHECK_EQUAL(1, events.size());
     CHECK(events[0].failedJob);
     storeProgress();
