--- a/Tests/LibEntry/TestFaultMatrix.cpp
+++ b/Tests/LibEntry/TestFaultMatrix.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
+#include <iterator>
+#include <string>
 
 using namespace Bergamot;
 
@@ -14,6 +16,15 @@
 }
 ;
 
+/// The sections of the page after the matrix, which are written by hand.
+static std::string laterSections(const char* path)
+{
+    std::ifstream file(path);
+    std::string page { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    auto begin = page.find("\n## ");
+    return begin == std::string::npos ? std::string {} : page.substr(begin);
+}
+
 // Guards against a fault at any step that violates P1 to P4, P7 or P10, loses a job or makes the states of members
 // differ.
 TEST(FaultMatrix, EveryFaultAtEveryStep)
@@ -42,7 +53,9 @@
         page += fmt::format("| {} |{}\n", fault.name, row);
     }
     std::cout << page << std::flush;
-    if (const char* path = std::getenv("BERGAMOT_FAULT_MATRIX_PAGE"))
-        std::ofstream(path) << page;
+    if (const char* path = std::getenv("BERGAMOT_FAULT_MATRIX_PAGE")) {
+        auto sections = laterSections(path);
+        std::ofstream(path) << page << sections;
+    }
     STRCMP_EQUAL("", failures.c_str());
 }
