Store a returning worker again before its next start

A worker that falls silent and is removed from the list leaves the stored assigned workers when its lease has expired. When it was listed again under the same leader, the leader looked it up among the assigned workers that it had loaded at its election, took it for stored and started tasks on it. The next leader would not have waited for these tasks.

The removal now also takes the worker out of the loaded list, so that it is stored again before its next start. Found by reading, while working on the wait for silent workers.

Measured: AssignedWorkers.ReturningWorkerIsStoredBeforeItsNextStart failed before the change (one start, not stored) and passes after it.

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -121,6 +121,9 @@
     it->second.session->close();
     m_loop.post([session = std::shared_ptr<WorkerSession>(std::move(it->second.session))] {});
     m_handles.erase({ it->second.incarnation.id, handle });
+    // A worker that returns is stored again before its next start.
+    std::erase_if(m_storedAssignedWorkers.workers,
+        [&](const WorkerIncarnation& stored) { return stored.id == it->second.incarnation.id; });
     m_workers.erase(it);
     m_assignedWorkersChanged = true;
     m_journal.requestFlush();
--- /dev/null
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "FakeRecordStore.h"
+#include "MockTaskExecutor.h"
+#include "NodeTestClock.h"
+#include "PlainFormats.h"
+#include <CppUTest/TestHarness.h>
+#include <LibNode/TaskLeader.h>
+#include <LibReport/NodeMetrics.h>
+#include <LibWire/ValueCodec.h>
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Bergamot {
+
+/// Leaders in virtual time that follow each other, on workers that answer lease renewals unless they are silent. All
+/// workers were started at `bornMs`, use the local clock, and leave starts without an answer.
+class TaskLeaderFixture : public Utest {
+public:
+    static constexpr int64_t bornMs { 50 };
+
+    /// The shortest time in which every lease of an earlier leader expires on the slowest worker clock.
+    static constexpr Milliseconds minLeaseWait { 5103 };
+
+    /// The longest time for which a leader holds back the tasks of its predecessors.
+    static constexpr Milliseconds maxLeaseWait { 5700 };
+
+    static WorkerIncarnation incarnationOf(const std::string& worker)
+    {
+        return { .id = worker, .address = worker, .startedAtMs = bornMs };
+    }
+
+    void announce(const std::string& worker)
+    {
+        formats.announcements[worker]
+            = { .view = { .id = worker, .service = "s", .zone = "z", .rack = "r", .capacity = { 4000, 8192, 0 } },
+                  .address = worker,
+                  .startedAtMs = bornMs };
+        store.put(StreamName::Workers, worker, worker);
+    }
+
+    void putAssignedWorkers(const std::vector<std::string>& ids)
+    {
+        AssignedWorkers assigned;
+        for (const auto& id : ids)
+            assigned.workers.push_back(incarnationOf(id));
+        store.put(StreamName::Progress, assignedWorkersKey, encodeValue(assigned));
+    }
+
+    void putJob(const std::string& id)
+    {
+        JobSpec spec { .id = id, .queue = "q", .steps = { { .size = { 1000, 128, 0 }, .estimateMs = 1000 } } };
+        store.put(StreamName::Jobs, id, encodeValue(spec));
+    }
+
+    std::unique_ptr<TaskLeader> createLeader()
+    {
+        auto created = std::make_unique<TaskLeader>(*loop, store, taskExecutor, formats, metrics,
+            TaskLeader::Options { .node = { .member = "m", .workerSilenceUntilRemoval = Milliseconds { 3000 } },
+                .epoch = epoch,
+                .onFenced = [this] { ++fencedCalls; },
+                .canStart = [] { return true; },
+                .soleLeaderUntil = [] { return Instant::max(); } });
+        created->setQueues(1, { { "q", { .service = "s", .maxAttempts = 3 } } });
+        created->start();
+        return created;
+    }
+
+    /// Replaces the leader, if there is one, by a leader with a higher epoch.
+    void elect()
+    {
+        leader.reset();
+        taskExecutor.renewLeaseCalls.clear();
+        taskExecutor.commands.clear();
+        ++epoch;
+        electedAt = clock.now();
+        leader = createLeader();
+    }
+
+    void advance(Milliseconds time)
+    {
+        constexpr Milliseconds step { 2 };
+        for (Milliseconds passed { 0 }; passed < time; passed += step) {
+            clock.advance(step);
+            loop->runReady();
+        }
+    }
+
+    /// Advances the clock by `time`, while the workers that are not silent answer.
+    void run(Milliseconds time)
+    {
+        constexpr Milliseconds step { 20 };
+        for (Milliseconds passed { 0 }; passed < time; passed += step) {
+            advance(step);
+            answerRenewals();
+        }
+    }
+
+    void answerRenewals()
+    {
+        for (auto left = taskExecutor.renewLeaseCalls.size(); left > 0; --left) {
+            auto call = taskExecutor.takeRenewLeaseCall();
+            if (call.request.leaseUntilMs)
+                grants.emplace_back(call.address, call.epoch);
+            if (silent.contains(call.address)) {
+                taskExecutor.renewLeaseCalls.push_back(std::move(call));
+                continue;
+            }
+            call.reply(RenewLeaseReply {
+                .commandReply = { .clockMs = clock.now().time_since_epoch().count(), .startedAtMs = bornMs } });
+        }
+        loop->runReady();
+    }
+
+    size_t grantsTo(const std::string& worker, uint64_t byEpoch) const
+    {
+        return static_cast<size_t>(std::ranges::count(grants, std::pair { worker, byEpoch }));
+    }
+
+    size_t startsOn(const std::string& worker) const
+    {
+        return static_cast<size_t>(std::ranges::count_if(taskExecutor.commands,
+            [&](const auto& it) { return it.kind == "start" && (worker.empty() || it.address == worker); }));
+    }
+
+    size_t starts() const { return startsOn({}); }
+
+    template <typename T> std::optional<T> storedValue(const std::string& key)
+    {
+        std::optional<T> result;
+        for (const auto& record : store.records(StreamName::Progress)) {
+            if (record.key == key)
+                result = *decodeValue<T>(record.value);
+        }
+        return result;
+    }
+
+    bool isStoredAsAssigned(const std::string& worker)
+    {
+        auto assigned = storedValue<AssignedWorkers>(assignedWorkersKey).value_or(AssignedWorkers {});
+        return std::ranges::find(assigned.workers, worker, &WorkerIncarnation::id) != assigned.workers.end();
+    }
+
+    void teardown() override { leader.reset(); }
+
+    uint64_t epoch { 7 };
+    NodeTestClock clock;
+    std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
+    FakeRecordStore store { *loop };
+    MockTaskExecutor taskExecutor;
+    PlainFormats formats;
+    NodeMetrics metrics;
+    int fencedCalls { 0 };
+    Instant electedAt { neverInstant };
+    std::set<std::string> silent;
+
+    /// The worker and the leader's epoch of each lease renewal seen so far.
+    std::vector<std::pair<std::string, uint64_t>> grants;
+    std::unique_ptr<TaskLeader> leader;
+};
+
+}
--- /dev/null
+++ b/Tests/LibNode/TestAssignedWorkers.cpp
@@ -0,0 +1,23 @@
+#include "TaskLeaderFixture.h"
+
+using namespace Bergamot;
+
+TEST_GROUP_BASE(AssignedWorkers, TaskLeaderFixture) {};
+
+// Guards against a start on a worker that the next leader does not wait for: a worker was removed after its silence and
+// listed again, and its absence from the stored assigned workers went unnoticed.
+TEST(AssignedWorkers, ReturningWorkerIsStoredBeforeItsNextStart)
+{
+    putAssignedWorkers({ "w1" });
+    silent = { "w1" };
+    elect();
+    run(maxLeaseWait);
+    CHECK_FALSE(isStoredAsAssigned("w1"));
+    silent.clear();
+    putJob("j");
+    announce("w1");
+    for (int i = 0; i < 100 && starts() == 0; ++i)
+        run(Milliseconds { 20 });
+    CHECK_EQUAL(1, starts());
+    CHECK(isStoredAsAssigned("w1"));
+}
