Remember when each election was learned of

A new leader that is to rely on what its predecessor stored must know which leader that was, and from when on its own clock may count. The leadership monitor now keeps the elections that it has read, with the local times at which it learned of them, and forgets all of them after a gap: records that the store has deleted, or that cannot be decoded.

LeadershipMonitor.ElectionsBeforeAGapInTheStreamAreForgotten fails without either of the two places that forget.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -99,6 +99,7 @@
     m_lastStoreReplyAt = now;
     if (reply.isExpired) {
         m_position = reply.firstRetained;
+        m_elections.clear();
     } else {
         for (const auto& record : reply.records)
             applyRecord(record);
@@ -113,7 +114,7 @@
 {
     auto decoded = decodeValue<LeadershipRecord>(record.value);
     if (!decoded.ok())
-        return;
+        return m_elections.clear();
     m_maxCandidateCpuMillis = std::max(m_maxCandidateCpuMillis, decoded->cpuMillis);
     if (decoded->epoch == candidacyEpoch)
         return;
@@ -129,6 +130,7 @@
 {
     bool hasPredecessor = m_leader.has_value() || epoch > 1;
     bool isKnown = m_leader && m_leader->epoch == epoch;
+    m_elections.add(epoch, m_loop.now());
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
     m_leaderSilentSince = m_loop.now();
     m_hasLeaderResigned = false;
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/ElectionHistory.h>
 #include <LibNode/NodeOptions.h>
 #include <LibPlatform/RecordStore.h>
 #include <LibWire/LeadershipRecord.h>
@@ -48,6 +49,7 @@
     void claimIfDue();
     const std::optional<Leader>& leader() const { return m_leader; }
     bool isLeader() const { return m_isLeader; }
+    const ElectionHistory& elections() const { return m_elections; }
 
     /// True while this node leads and its leadership lease guarantees that no other node has been elected.
     bool holdsLease(Instant now) const { return m_isLeader && now < m_leaseExpiresAt; }
@@ -84,6 +86,7 @@
     Options m_options;
     LogPosition m_position { 0 };
     std::optional<Leader> m_leader;
+    ElectionHistory m_elections;
     bool m_isLeader { false };
     bool m_hasLeaderResigned { false };
     bool m_hasResigned { false };
--- /dev/null
+++ b/Tests/LibDecision/TestElectionHistory.cpp
@@ -0,0 +1,45 @@
+#include <CppUTest/TestHarness.h>
+#include <LibDecision/ElectionHistory.h>
+
+using namespace Bergamot;
+using namespace std::chrono_literals;
+
+static constexpr Instant start { 100s };
+
+TEST_GROUP(ElectionHistory) { ElectionHistory elections; };
+
+// Guards against trusting a record of a leader that was not the last one, because a later election was missed.
+TEST(ElectionHistory, PredecessorIsUnknownAfterAGap)
+{
+    elections.add(3, start);
+    CHECK_FALSE(elections.predecessorOf(3).has_value());
+    elections.add(8, start + 2s);
+    CHECK_EQUAL(3, elections.predecessorOf(8).value_or(0));
+    CHECK_FALSE(elections.predecessorOf(9).has_value());
+    elections.clear();
+    elections.add(9, start + 4s);
+    CHECK_FALSE(elections.predecessorOf(9).has_value());
+    CHECK_FALSE(elections.learnedAt(10).has_value());
+}
+
+// Guards against counting from before an election: a time that was learned later, or that of an earlier election.
+TEST(ElectionHistory, TimeIsThatOfTheFirstKnownElectionSince)
+{
+    elections.add(3, start);
+    elections.add(8, start + 2s);
+    elections.add(8, start + 5s);
+    CHECK(elections.learnedAt(3) == start);
+    CHECK(elections.learnedAt(4) == start + 2s);
+    CHECK(elections.learnedAt(8) == start + 2s);
+    CHECK_FALSE(elections.learnedAt(9).has_value());
+}
+
+// Guards against a history that grows with each election, and against dropping the newest elections.
+TEST(ElectionHistory, OldElectionsAreForgotten)
+{
+    constexpr uint64_t elected { 1000 };
+    for (uint64_t epoch = 1; epoch <= elected; ++epoch)
+        elections.add(epoch, start + Milliseconds { static_cast<int64_t>(epoch) });
+    CHECK(elections.learnedAt(1) > start + Milliseconds { 1 });
+    CHECK_EQUAL(elected - 1, elections.predecessorOf(elected).value_or(0));
+}
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -2,6 +2,7 @@
 #include "NodeTestClock.h"
 #include <CppUTest/TestHarness.h>
 #include <LibNode/LeadershipMonitor.h>
+#include <LibWire/ValueCodec.h>
 #include <memory>
 #include <string>
 #include <vector>
@@ -243,3 +244,35 @@
     CHECK_EQUAL(first, leaderIndex());
     CHECK_EQUAL(0, members[first]->depositions);
 }
+
+// Guards against a leader that relies on records of a leader that is not its predecessor, because it could not read an
+// election: the store has deleted the record, or a newer version has written it.
+TEST(LeadershipMonitor, ElectionsBeforeAGapInTheStreamAreForgotten)
+{
+    enum class Gap : uint8_t { None, Expired, Unreadable };
+    for (auto gap : { Gap::None, Gap::Expired, Gap::Unreadable }) {
+        members.clear();
+        addMember(1);
+        addMember(2);
+        advance(Milliseconds { 2000 });
+        auto first = leaderIndex();
+        auto epoch = members[first]->elections.back();
+        auto successor = std::move(members[1 - first]);
+        members.clear();
+        if (gap == Gap::Unreadable)
+            store.put(StreamName::Leadership, {}, "unreadable");
+        if (gap == Gap::Expired) {
+            store.fault = FakeRecordStore::Fault::Refusing;
+            advance(Milliseconds { 800 });
+            store.put(StreamName::Leadership, {}, encodeValue(LeadershipRecord { .member = "m3", .incarnation = 3 }));
+            store.expire(StreamName::Leadership);
+            store.fault = FakeRecordStore::Fault::None;
+        }
+        advance(Milliseconds { 4000 });
+        CHECK(successor->monitor->isLeader());
+        const auto& elections = successor->monitor->elections();
+        auto predecessor = elections.predecessorOf(successor->elections.back());
+        CHECK_EQUAL(gap == Gap::None ? epoch : 0, predecessor.value_or(0));
+        CHECK(elections.learnedAt(successor->elections.back()).has_value());
+    }
+}
