Take a keepalive as proof of leadership only once it is read back

The leader had stood still for 2.4 s, and another node was elected meanwhile. The first read of the leadership stream after the pause timed out, but a keepalive was stored at once, behind the unread claim, and the leader took it for proof that no other node was elected. It answered from its old state, and by the same proof it could have started new tasks.

The monitor now counts a stored keepalive only when it has read the stream beyond it, since a claim before it would then have deposed this node. The reader waits at the end of the stream, so this needs no further store call.

Not measured: a slow store, where the proof arrives later than before if the read is answered later than the append.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -35,6 +35,9 @@
 /// leaderTimeout.
 static constexpr Milliseconds leadershipLeaseDuration { 950 };
 
+/// Keepalives that are kept until they are read back. An older one proves less than a newer one.
+static constexpr size_t maxStoredKeepalives { 32 };
+
 LeadershipMonitor::LeadershipMonitor(EventLoop& loop, RecordStore& store, Options options)
     : m_loop(loop)
     , m_store(store)
@@ -100,10 +103,12 @@
     if (reply.isExpired) {
         m_position = reply.firstRetained;
         m_elections.clear();
+        m_storedKeepalives.clear();
     } else {
         for (const auto& record : reply.records)
             applyRecord(record);
         m_position += reply.records.size();
+        confirmLeadership();
         if (m_position >= reply.end)
             claimIfDue();
     }
@@ -211,8 +216,10 @@
             if (!*alive || !m_isLeader || m_leader->epoch != epoch)
                 return;
             if (reply.ok()) {
-                m_leaseExpiresAt = sentAt + leadershipLeaseDuration;
-                m_confirmedAt = sentAt;
+                m_storedKeepalives.emplace(reply->offset, sentAt);
+                if (m_storedKeepalives.size() > maxStoredKeepalives)
+                    m_storedKeepalives.erase(m_storedKeepalives.begin());
+                confirmLeadership();
             } else {
                 logWarning("keepalive_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
             }
@@ -223,6 +230,17 @@
         });
 }
 
+/// A stored keepalive proves that no other node was elected before it was sent only once this node has read all records
+/// up to it: the claim of another node may precede it in the stream.
+void LeadershipMonitor::confirmLeadership()
+{
+    while (!m_storedKeepalives.empty() && m_storedKeepalives.begin()->first < m_position) {
+        m_confirmedAt = m_storedKeepalives.begin()->second;
+        m_leaseExpiresAt = m_confirmedAt + leadershipLeaseDuration;
+        m_storedKeepalives.erase(m_storedKeepalives.begin());
+    }
+}
+
 void LeadershipMonitor::resign()
 {
     if (std::exchange(m_hasResigned, true) || !m_isLeader)
@@ -237,6 +255,7 @@
         return;
     m_leaseExpiresAt = neverInstant;
     m_confirmedAt = neverInstant;
+    m_storedKeepalives.clear();
     logWarning("leader_deposed", { { "epoch", m_leader->epoch } });
     m_options.onDeposed();
 }
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -6,6 +6,7 @@
 #include <LibWire/LeadershipRecord.h>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,7 +56,7 @@
     bool holdsLease(Instant now) const { return m_isLeader && now < m_leaseExpiresAt; }
 
     /// Time up to which no other node has been elected for certain. While the leadership lease holds, this is `now`;
-    /// afterwards, the time at which the last stored keepalive was sent.
+    /// afterwards, the time at which the last keepalive was sent that this node has read back.
     Instant soleLeaderUntil(Instant now) const { return holdsLease(now) ? now : m_confirmedAt; }
 
     /// Time of the last successful reply to a read of the leadership stream.
@@ -80,6 +81,7 @@
     Milliseconds cpuClaimDelay() const;
     void claim();
     void sendKeepalive();
+    void confirmLeadership();
 
     EventLoop& m_loop;
     RecordStore& m_store;
@@ -101,7 +103,10 @@
     Instant m_leaderSilentSince { neverInstant };
     Instant m_leaseExpiresAt { neverInstant };
 
-    /// When the last stored keepalive of this leader was sent.
+    /// When the keepalives were sent that are stored but not read yet, by offset.
+    std::map<LogPosition, Instant> m_storedKeepalives;
+
+    /// When the last keepalive was sent that is stored and up to which this leader has read the stream.
     Instant m_confirmedAt { neverInstant };
     Instant m_lastStoreReplyAt { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -276,3 +276,27 @@
         CHECK(elections.learnedAt(successor->elections.back()).has_value());
     }
 }
+
+// Guards against a proof of leadership by a keepalive that the store appended after the claim of another node: a leader
+// that had stood still answered from its old state, since it had not read the claim yet (soak seed 7103).
+TEST(LeadershipMonitor, KeepaliveAfterAnUnreadClaimProvesNothing)
+{
+    addMember(1);
+    advance(Milliseconds { 2000 });
+    auto& monitor = *members[0]->monitor;
+    CHECK(monitor.holdsLease(clock.now()));
+    store.unreadable.insert({ StreamName::Leadership, 0 });
+    advance(Milliseconds { 700 });
+    constexpr Milliseconds halfOfThePause { 1200 };
+    clock.advance(halfOfThePause);
+    store.put(StreamName::Leadership, {}, encodeValue(LeadershipRecord { .member = "m2", .incarnation = 2 }));
+    auto claimedAt = clock.now();
+    clock.advance(halfOfThePause);
+    for (int i = 0; i < 40; ++i) {
+        advance(Milliseconds { 50 });
+        CHECK(monitor.soleLeaderUntil(clock.now()) <= claimedAt);
+    }
+    store.unreadable.clear();
+    advance(Milliseconds { 500 });
+    CHECK_EQUAL(1, members[0]->depositions);
+}
