Store no worker as unreached that has replied to any command

A worker counted as reached once it had reported its runs. A reply to another command gives its clock as well, and with it the session may renew the lease.

The collection of the record now asks the session itself.

--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -53,6 +53,9 @@
     UnreachedWorkers unreached { .epoch = m_options.epoch };
     ++m_unreachedRecords;
     for (auto& [handle, worker] : m_workers) {
+        // A worker that has replied may have been granted a lease, whatever it replied to.
+        if (!worker.session->isUnreached())
+            worker.unreachedSinceEpoch = 0;
         if (worker.unreachedSinceEpoch == 0)
             continue;
         unreached.workers.push_back({ .worker = worker.incarnation, .sinceEpoch = worker.unreachedSinceEpoch });
