--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -35,6 +35,9 @@
 /// leaderTimeout.
 static constexpr Milliseconds leadershipLeaseDuration { 950 };
 
+/// Keepalives that are kept until they are read back. An older one proves less than a newer one.
+static constexpr size_t maxStoredKeepalives { 32 };
+
 LeadershipMonitor::LeadershipMonitor(EventLoop& loop, RecordStore& store, Options options)
     : m_loop(loop)
     , m_store(store)
@@ -99,10 +102,13 @@
     m_lastStoreReplyAt = now;
     if (reply.isExpired) {
         m_position = reply.firstRetained;
+        m_elections.clear();
+        m_storedKeepalives.clear();
     } else {
         for (const auto& record : reply.records)
             applyRecord(record);
         m_position += reply.records.size();
+        confirmLeadership();
         if (m_position >= reply.end)
             claimIfDue();
     }
@@ -115,7 +121,7 @@
     if (!decoded.ok()) {
         logWarning(
             "leadership_record_unreadable", { { "offset", record.offset }, { "error", statusText(decoded.status()) } });
-        return;
+        return m_elections.clear();
     }
     m_maxCandidateCpuMillis = std::max(m_maxCandidateCpuMillis, decoded->cpuMillis);
     if (decoded->epoch == candidacyEpoch)
@@ -132,6 +138,7 @@
 {
     bool hasPredecessor = m_leader.has_value() || epoch > 1;
     bool isKnown = m_leader && m_leader->epoch == epoch;
+    m_elections.add(epoch, m_loop.now());
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
     m_leaderSilentSince = m_loop.now();
     m_hasLeaderResigned = false;
@@ -212,8 +219,10 @@
             if (!*alive || !m_isLeader || m_leader->epoch != epoch)
                 return;
             if (reply.ok() && !m_hasResigned) {
-                m_leaseExpiresAt = sentAt + leadershipLeaseDuration;
-                m_confirmedAt = sentAt;
+                m_storedKeepalives.emplace(reply->offset, sentAt);
+                if (m_storedKeepalives.size() > maxStoredKeepalives)
+                    m_storedKeepalives.erase(m_storedKeepalives.begin());
+                confirmLeadership();
             } else if (!reply.ok()) {
                 logWarning("keepalive_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
             }
@@ -224,6 +233,17 @@
         });
 }
 
+/// A stored keepalive proves that no other node was elected before it was sent only once this node has read all records
+/// up to it: the claim of another node may precede it in the stream.
+void LeadershipMonitor::confirmLeadership()
+{
+    while (!m_storedKeepalives.empty() && m_storedKeepalives.begin()->first < m_position) {
+        m_confirmedAt = m_storedKeepalives.begin()->second;
+        m_leaseExpiresAt = m_confirmedAt + leadershipLeaseDuration;
+        m_storedKeepalives.erase(m_storedKeepalives.begin());
+    }
+}
+
 void LeadershipMonitor::resign()
 {
     if (std::exchange(m_hasResigned, true) || !m_isLeader)
@@ -231,6 +251,7 @@
     logInfo("leader_resigns", { { "epoch", m_leader->epoch } });
     // A successor may be elected as soon as the record is stored.
     m_leaseExpiresAt = neverInstant;
+    m_storedKeepalives.clear();
     sendKeepalive();
 }
 
@@ -240,6 +261,7 @@
         return;
     m_leaseExpiresAt = neverInstant;
     m_confirmedAt = neverInstant;
+    m_storedKeepalives.clear();
     logWarning("leader_deposed", { { "epoch", m_leader->epoch } });
     m_options.onDeposed();
 }
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -54,7 +54,8 @@
     return std::clamp(wait, minWait, maxWait);
 }
 
-void TaskLeader::addWorker(const WorkerIncarnation& incarnation, std::optional<WorkerAnnouncement> announcement)
+void TaskLeader::addWorker(
+    const WorkerIncarnation& incarnation, std::optional<WorkerAnnouncement> announcement, uint64_t unreachedSinceEpoch)
 {
     auto handle = ++m_lastHandle;
     auto& worker = m_workers[handle];
@@ -68,6 +69,8 @@
             .startedAtMs = incarnation.startedAtMs,
             .epoch = m_options.epoch,
             .lease = leaseDuration(),
+            .earlierRenewalsEndedBy
+            = unreachedSinceEpoch ? m_options.elections.learnedAt(unreachedSinceEpoch) : std::nullopt,
             .commandTimeout = m_commandTimeout,
             .reportWait = m_reportWait,
             .canStart = [this](const StartTask& start) { return canStart(start); },
@@ -77,6 +80,16 @@
             .events = makeSessionEvents(handle) });
     if (!worker.isStored)
         m_assignedWorkersChanged = true;
+    worker.unreachedSinceEpoch = unreachedSinceEpoch;
+    if (unreachedSinceEpoch > 0)
+        m_unreachedWorkersChanged = true;
+    if (m_removedIds.contains(incarnation.id)) {
+        // The stored record of unreached workers may still contain this worker.
+        worker.isReturning = true;
+        worker.session->withholdLease();
+        worker.firstRecordWithout = m_unreachedRecords + 1;
+        m_unreachedWorkersChanged = true;
+    }
     m_reportWait = reportWaitFor(m_workers.size());
     // An assigned worker that has not announced itself yet may still have runs, which the scheduler must know.
     if (!worker.announcement)
@@ -145,7 +158,7 @@
     view.startedAtMs = worker.incarnation.startedAtMs;
     m_scheduler.updateWorker(handle, view);
     m_scheduler.setReachable(handle,
-        worker.isStored && worker.session && worker.session->isReachable()
+        worker.isStored && worker.session && worker.session->isReachable() && !worker.session->withholdsLease()
             && m_listedWorkers.contains(worker.incarnation.id),
         m_loop.now());
 }
@@ -185,6 +198,7 @@
     if (it == m_workers.end())
         return;
     m_listedWorkers.forget(it->second.incarnation.id);
+    m_removedIds.insert(it->second.incarnation.id);
     logInfo("worker_gone",
         { { "worker", it->second.incarnation.id }, { "born", it->second.incarnation.startedAtMs },
             { "end", nameOf(end) } });
@@ -195,24 +209,31 @@
     it->second.session->close();
     m_loop.post([session = std::shared_ptr<WorkerSession>(std::move(it->second.session))] {});
     m_handles.erase({ it->second.incarnation.id, handle });
+    // A worker that returns is stored again before its next start.
+    std::erase_if(m_storedAssignedWorkers.workers,
+        [&](const WorkerIncarnation& stored) { return stored.id == it->second.incarnation.id; });
     m_workers.erase(it);
     m_assignedWorkersChanged = true;
     m_journal.requestFlush();
     schedulePlan();
 }
 
-/// Removes workers that do not reply and that the platform no longer lists, if they have left according to the list or
-/// no process listens at their address: the worker has ended, and its runs with it, so nobody has to wait for its
+/// Removes workers that do not reply and that the platform no longer lists, if they have left according to the list, no
+/// process listens at their address, or their leases have expired: the runs have ended, so nobody has to wait for the
 /// lease. A worker that is only silent may run on and keeps its runs until its lease has expired.
 void TaskLeader::removeAbsentWorkers()
 {
     std::vector<std::pair<WorkerHandle, WorkerEnd>> absent;
     for (const auto& [handle, worker] : m_workers) {
         const auto& id = worker.incarnation.id;
-        bool isRefusing = worker.session->refusesConnections();
-        if ((isRefusing || m_listedWorkers.hasLeft(id)) && !worker.session->isReachable()
-            && !m_listedWorkers.contains(id))
-            absent.emplace_back(handle, isRefusing ? endOf(worker) : WorkerEnd::Left);
+        if (worker.session->isReachable() || m_listedWorkers.contains(id))
+            continue;
+        if (worker.session->refusesConnections())
+            absent.emplace_back(handle, endOf(worker));
+        else if (m_listedWorkers.hasLeft(id))
+            absent.emplace_back(handle, WorkerEnd::Left);
+        else if (worker.session->haveLeasesExpired())
+            absent.emplace_back(handle, WorkerEnd::LeaseExpired);
     }
     for (auto [handle, end] : absent)
         removeWorker(handle, end);
@@ -256,7 +277,7 @@
                 m_scheduler.suspectCrash(handle, m_loop.now());
                 m_scheduler.markRunsLost(handle, m_loop.now());
                 checkReconciled();
-                if (!m_listedWorkers.contains(worker.incarnation.id))
+                if (m_workerReader->hasLoaded() && !m_listedWorkers.contains(worker.incarnation.id))
                     return removeWorker(
                         handle, worker.session->refusesConnections() ? endOf(worker) : WorkerEnd::LeaseExpired);
                 schedulePlan();
@@ -301,6 +322,7 @@
     auto& worker = m_workers.at(handle);
     if (worker.incarnation.startedAtMs == 0)
         worker.incarnation.startedAtMs = worker.session->startedAtMs();
+    workerReached(worker);
     for (const auto& end : reply.ended) {
         bool isNew = end.sequence > worker.lastHandledEndSequence;
         if (isNew && (end.outcome == RunOutcome::Failed || end.outcome == RunOutcome::LeaseExpired))
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -31,8 +31,8 @@
     , m_options(std::move(options))
 {
     // An earlier leader may have renewed the lease just before.
-    m_leasesExpireBy
-        = m_loop.now() + std::chrono::duration_cast<Milliseconds>(m_options.lease / minClockRate) + leaseExpiryMargin;
+    m_leasesExpireBy = m_options.earlierRenewalsEndedBy.value_or(m_loop.now())
+        + std::chrono::duration_cast<Milliseconds>(m_options.lease / minClockRate) + leaseExpiryMargin;
 }
 
 WorkerSession::~WorkerSession() { *m_alive = false; }
@@ -46,8 +46,21 @@
 
 void WorkerSession::start()
 {
+    m_startedAt = m_loop.now();
     renewLease();
-    checkLeaseExpiry();
+    scheduleLeaseExpiryCheck();
+}
+
+bool WorkerSession::isUnreachedFor(Milliseconds time) const
+{
+    return m_startedAt != neverInstant && isUnreached() && m_loop.now() - m_startedAt >= time;
+}
+
+void WorkerSession::allowLease()
+{
+    m_isLeaseWithheld = false;
+    if (m_isReachable)
+        renewLease();
 }
 
 int64_t WorkerSession::leaseEndMs() const
@@ -80,7 +93,7 @@
 
 Milliseconds WorkerSession::currentReportWait() const
 {
-    if (!m_isReconciled)
+    if (!m_isReconciled || m_isLeaseWithheld)
         return Milliseconds { 0 };
     // A leader without proof of its leadership relies on frequent replies of all workers.
     return m_hasRuns || !m_options.isSoleLeader() ? m_options.reportWait : idleReportWait;
@@ -95,7 +108,7 @@
     if (m_storedEndSequence > m_acknowledgedEndSequence)
         request.acknowledgedSequence = m_storedEndSequence;
     // Requests to an unreachable worker do not renew its lease, so that its leases expire at a known time.
-    if (m_clockMs && m_isReachable && m_options.canRenewLeases()) {
+    if (m_clockMs && m_isReachable && !m_isLeaseWithheld && m_options.canRenewLeases()) {
         request.leaseUntilMs = leaseEndMs();
         m_latestLeaseEndMs = std::max(m_latestLeaseEndMs, *request.leaseUntilMs);
         m_leasesExpireBy = std::max(m_leasesExpireBy, m_clockReadAt + maxLocalTime(m_latestLeaseEndMs - *m_clockMs));
@@ -212,6 +225,9 @@
     m_options.events.onReport(*reply, requestSentAt);
     if (!*m_alive)
         return;
+    // allowLease() renews the lease sooner.
+    if (m_isLeaseWithheld)
+        return scheduleLeaseRenewal(m_options.reportWait);
     // A worker with unacknowledged run ends replies immediately. The next renewal is delayed, to leave time for
     // acknowledge().
     if (m_lastEndSequence > m_storedEndSequence) {
@@ -237,9 +253,17 @@
     }
 }
 
-void WorkerSession::checkLeaseExpiry()
+void WorkerSession::scheduleLeaseExpiryCheck()
 {
     constexpr Milliseconds checkInterval { 200 };
+    m_loop.callAfter(checkInterval, [this, alive = m_alive] {
+        if (*alive)
+            checkLeaseExpiry();
+    });
+}
+
+void WorkerSession::checkLeaseExpiry()
+{
     if (!m_isReachable && !m_isLeaseExpiryReported && m_loop.now() >= m_leasesExpireBy) {
         m_isLeaseExpiryReported = true;
         m_isReconciled = true;
@@ -249,10 +273,7 @@
         if (!*m_alive)
             return;
     }
-    m_loop.callAfter(checkInterval, [this, alive = m_alive] {
-        if (*alive)
-            checkLeaseExpiry();
-    });
+    scheduleLeaseExpiryCheck();
 }
 
 void WorkerSession::enqueueCommand(TaskAction action)
@@ -269,7 +290,7 @@
 /// in which a later one may be permitted. Returns false if the session was closed meanwhile.
 bool WorkerSession::refuseForbiddenStarts()
 {
-    auto isForbidden = [this](const StartTask& it) { return !m_options.canStart(it); };
+    auto isForbidden = [this](const StartTask& it) { return m_isLeaseWithheld || !m_options.canStart(it); };
     for (auto refused = m_commands.removeStarts(isForbidden, 1); !refused.empty();
          refused = m_commands.removeStarts(isForbidden, 1)) {
         m_options.events.onStartReply(refused.front(), TaskCommandOutcome::NotSent);
--- a/Tests/PlatformAdapter/NodeDecoders.cpp
+++ b/Tests/PlatformAdapter/NodeDecoders.cpp
@@ -34,7 +34,7 @@
     TaskScheduler scheduler({ .epoch = 7 });
     scheduler.setQueues({ { "q", { .service = "s", .maxAttempts = 2 } } });
     scheduler.updateWorker(1, { .id = "w", .service = "s", .zone = "z", .capacity = { 4000, 4000, 1 } });
-    scheduler.setReachable(1, true);
+    scheduler.setReachable(1, true, epochInstant);
     scheduler.addJob(job, std::move(progress), neverInstant, now);
     scheduler.plan(now, now.time_since_epoch().count());
     scheduler.takeChangedJobs();
