Record possible crashes as soon as connections to a worker break

The logs show no refused connection: the stand-in worker accepts and closes, so crashes were recorded only when the worker was back, 2 to 4 s later, and the leaders had been killed by then.

Change: two renewals on end that break their connections are as good as one refused one; a time-out is neither.

--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -105,8 +105,8 @@
     /// Drops the runs of the worker. Called once all of them are proven to have ended.
     void markRunsLost(WorkerHandle, Instant now);
 
-    /// The worker refuses connections, so it may have crashed. Its runs are recorded, so that the next leader knows
-    /// them if this one fails before the crash is confirmed.
+    /// The worker refuses or breaks connections, so it may have crashed. Its runs are recorded, so that the next leader
+    /// knows them if this one fails before the crash is confirmed.
     void suspectCrash(WorkerHandle, Instant now);
 
     /// Confirms the stored crashes of incarnations that an earlier leader has removed. `isKnown` tells whether an
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -264,8 +264,9 @@
                 updateWorkerInScheduler(handle);
                 schedulePlan();
             },
-        .onConnectionRefused =
+        .onConnectionsBroken =
             [this, handle] {
+                logInfo("worker_may_have_crashed", { { "worker", m_workers.at(handle).incarnation.id } });
                 m_scheduler.suspectCrash(handle, m_loop.now());
                 m_journal.requestFlush();
             },
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -161,6 +161,7 @@
         m_clockReadAt = m_loop.now();
     }
     m_failures = 0;
+    m_brokenConnections = 0;
     m_isLeaseExpiryReported = false;
     if (std::exchange(m_isReachable, true))
         return;
@@ -204,8 +205,11 @@
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
         recordFailure();
-        if (m_refusedConnections == 1)
-            m_options.events.onConnectionRefused();
+        // The first broken connection may be one that the network has reset; the second one is new.
+        constexpr uint32_t brokenUntilSuspected { 2 };
+        m_brokenConnections = absl::IsDeadlineExceeded(reply.status()) ? 0 : m_brokenConnections + 1;
+        if (m_refusedConnections == 1 || m_brokenConnections == brokenUntilSuspected)
+            m_options.events.onConnectionsBroken();
         return scheduleLeaseRenewal(retryDelay);
     }
     if (!checkOutcome(reply->commandReply))
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -27,8 +27,8 @@
         std::function<void(const TaskRef&, uint64_t run)> onStopAccepted {};
         std::function<void(bool reachable)> onReachabilityChanged {};
 
-        /// Called when the first of consecutive lease renewals fails with a refused connection.
-        std::function<void()> onConnectionRefused {};
+        /// Called when the worker may have crashed: a lease renewal was refused, or two on end broke their connections.
+        std::function<void()> onConnectionsBroken {};
 
         /// Called when every lease granted to the worker has expired, so that no run is active there.
         std::function<void()> onLeaseExpired {};
@@ -170,6 +170,9 @@
 
     /// Consecutive lease renewals that failed because the connection was refused.
     uint32_t m_refusedConnections { 0 };
+
+    /// Consecutive lease renewals that failed before their time-out.
+    uint32_t m_brokenConnections { 0 };
     bool m_isLeaseExpiryReported { false };
     CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
