Log the load of the leader and count stops by reason

Change: each stop carries a StopReason, counted in bergamot_node_stops_total; the leader writes one line leader_load a second with its starts, copies, stops by reason, throttles, reports, and queue and reply times of commands.

--- a/Libraries/LibDecision/StartTask.h
+++ b/Libraries/LibDecision/StartTask.h
@@ -14,6 +14,9 @@
     std::string payload {};
     std::string checkpoint {};
 
+    /// Whether another run of the task is active.
+    bool isSpeculativeCopy { false };
+
     bool operator==(const StartTask&) const = default;
 };
 
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -143,7 +143,7 @@
 {
     auto& step = job.occurrences[ref.occurrence].steps[ref.step];
     for (uint32_t i = 0; i < step.tasks.size(); ++i)
-        stopActiveRuns({ ref.job, ref.occurrence, ref.step, i }, step.tasks[i]);
+        stopActiveRuns({ ref.job, ref.occurrence, ref.step, i }, step.tasks[i], StopReason::GangBroken);
     requeueGang(job, ref);
 }
 
--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -44,10 +44,11 @@
 /// Measurements cover the last half second, so those of a run younger than this are ignored.
 static constexpr Milliseconds measurementDelay { 700 };
 
-void TaskScheduler::stopRun(const TaskRef& ref, TrackedRun& run)
+void TaskScheduler::stopRun(const TaskRef& ref, TrackedRun& run, StopReason reason)
 {
     run.phase = RunPhase::Stopping;
-    requestStop(run.worker, ref, run.run, m_latestEventAt);
+    run.stopReason = reason;
+    requestStop(run.worker, ref, run.run, reason, m_latestEventAt);
 }
 
 void TaskScheduler::superviseWorker(WorkerEntry& worker, Instant now)
@@ -62,8 +63,10 @@
         bool leavesDrainingWorker = worker.view.draining && (spec.longRunning || spec.checkpointing);
         bool migrates = spec.bestEffort && spec.checkpointing && run.throttledSince != neverInstant
             && now - run.throttledSince > migrationDelay;
-        if (run.phase == RunPhase::Running && (isStalled || leavesDrainingWorker || migrates))
-            stopRun(key.first, run);
+        if (run.phase == RunPhase::Running && (isStalled || leavesDrainingWorker || migrates)) {
+            auto reason = isStalled ? StopReason::Stalled : StopReason::Throttled;
+            stopRun(key.first, run, leavesDrainingWorker ? StopReason::WorkerDrains : reason);
+        }
         handleSlowRun(worker, key.first, *active.job, *active.task, run, now);
     }
 }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -381,6 +381,7 @@
         step.readyAt = now;
     TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
     uint64_t run = m_options.epoch * runsPerEpoch + ++task.starts;
+    bool isCopy = task.wantsSpeculativeCopy;
     task.waitingSince = neverInstant;
     task.wantsSpeculativeCopy = false;
     task.runs.push_back({ .run = run,
@@ -397,6 +398,7 @@
         .run = run,
         .payload = job.spec.payload,
         .checkpoint = task.checkpoint,
+        .isSpeculativeCopy = isCopy,
     };
     if (isolationOf(job, ref) == RunIsolation::None) {
         m_actions.push_back(std::move(start));
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -134,7 +134,7 @@
     task.checkpoint = checkpoint;
 }
 
-void TaskScheduler::requestStop(WorkerHandle handle, const TaskRef& ref, uint64_t run, Instant now)
+void TaskScheduler::requestStop(WorkerHandle handle, const TaskRef& ref, uint64_t run, StopReason reason, Instant now)
 {
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
@@ -143,7 +143,7 @@
     if (now - requestedAt < stopRetryInterval)
         return;
     requestedAt = now;
-    m_actions.push_back(StopTask { .worker = handle, .task = ref, .run = run });
+    m_actions.push_back(StopTask { .worker = handle, .task = ref, .run = run, .reason = reason });
 }
 
 void TaskScheduler::adoptRun(
@@ -210,8 +210,11 @@
         auto& run = *findRun(task, report.run);
         updateRun(job, task, run, report, now);
         clearIfProven(job, task, report.task, run, now);
-        if (run.phase == RunPhase::Stopping || job.hasEnded() || task.done)
-            requestStop(handle, report.task, report.run, now);
+        if (run.phase == RunPhase::Stopping)
+            requestStop(handle, report.task, report.run, run.stopReason, now);
+        else if (job.hasEnded() || task.done)
+            requestStop(
+                handle, report.task, report.run, job.hasEnded() ? StopReason::JobEnded : StopReason::TaskDone, now);
     }
     std::erase_if(worker.stopRequests,
         [&](const auto& entry) { return !notAdopted.contains(entry.first) && !worker.runs.contains(entry.first); });
@@ -234,7 +237,7 @@
     // The job may be so new that only an earlier leader has read it, so the stop waits for `stopRetryInterval`.
     if (!job)
         worker.stopRequests.try_emplace({ report.task, report.run }, now);
-    requestStop(worker.handle, report.task, report.run, now);
+    requestStop(worker.handle, report.task, report.run, StopReason::Unwanted, now);
     return false;
 }
 
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -327,11 +327,11 @@
     worker.reachable = reachable;
 }
 
-void TaskScheduler::stopActiveRuns(const TaskRef& ref, TrackedTask& task)
+void TaskScheduler::stopActiveRuns(const TaskRef& ref, TrackedTask& task, StopReason reason)
 {
     for (auto& run : task.runs) {
         if (run.phase != RunPhase::Stopping)
-            stopRun(ref, run);
+            stopRun(ref, run, reason);
     }
 }
 
@@ -339,7 +339,7 @@
 {
     task.done = true;
     task.checkpoint.clear();
-    stopActiveRuns(ref, task);
+    stopActiveRuns(ref, task, StopReason::TaskDone);
     markChanged(job);
     auto& step = job.occurrences[ref.occurrence].steps[ref.step];
     std::erase(step.waiting, ref.index);
@@ -375,7 +375,7 @@
         for (uint32_t s = 0; s < steps.size(); ++s) {
             steps[s].waiting.clear();
             for (uint32_t i = 0; i < steps[s].tasks.size(); ++i)
-                stopActiveRuns({ job.spec.id, k, s, i }, steps[s].tasks[i]);
+                stopActiveRuns({ job.spec.id, k, s, i }, steps[s].tasks[i], StopReason::JobEnded);
         }
     }
     markChanged(job);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -5,6 +5,7 @@
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunReport.h>
 #include <LibDecision/StepWait.h>
+#include <LibDecision/StopReason.h>
 #include <LibDecision/TaskAction.h>
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
@@ -200,7 +201,7 @@
     void completeTask(TrackedJob&, const TaskRef&, TrackedTask&);
     void completeStep(TrackedJob&, uint32_t occurrence, uint32_t step);
     void finishJob(TrackedJob&, JobStage);
-    void stopActiveRuns(const TaskRef&, TrackedTask&);
+    void stopActiveRuns(const TaskRef&, TrackedTask&, StopReason);
     void dropRun(TrackedJob&, const TaskRef&, TrackedTask&, uint64_t run);
     void releaseDetailsIfInactive(TrackedJob&);
     void markChanged(const TrackedJob&);
@@ -210,7 +211,7 @@
     void dropUnlistedRuns(WorkerEntry&, Instant requestSentAt);
     void adoptRun(WorkerHandle, TrackedJob&, TrackedTask&, const RunReport&, Instant now);
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
-    void requestStop(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
+    void requestStop(WorkerHandle, const TaskRef&, uint64_t run, StopReason, Instant now);
     void activateDueOccurrences(int64_t unixMs);
     void placeWaitingTasks(Instant now, Instant knownBy);
     void collectCandidates(Instant now);
@@ -273,7 +274,7 @@
     void updateOverTargetSince(WorkerEntry&, Instant now);
     void throttleBestEffortRuns(WorkerEntry&, Instant now);
     void setSpeedPercent(WorkerEntry&, const TaskRef&, TrackedRun&, uint32_t speedPercent, Instant now);
-    void stopRun(const TaskRef&, TrackedRun&);
+    void stopRun(const TaskRef&, TrackedRun&, StopReason);
     static void updateEffectiveRunTime(TrackedRun&, const StepSpec&, Instant now);
     static void recordRunTime(TrackedStep&, const StepSpec&, const TrackedRun&, Instant now);
     static bool isSlow(const WorkerEntry&, Instant now);
--- a/Libraries/LibDecision/TaskSpeed.cpp
+++ b/Libraries/LibDecision/TaskSpeed.cpp
@@ -76,7 +76,7 @@
         return;
     }
     if (*remaining > 2 * expected + stopDuration)
-        stopRun(ref, run);
+        stopRun(ref, run, StopReason::Slow);
 }
 
 void TaskScheduler::requestSpeculativeCopy(TrackedJob& job, const TaskRef& ref, TrackedTask& task)
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/StopReason.h>
 #include <LibDecision/TaskWorkerView.h>
 #include <cstdint>
 
@@ -13,6 +14,9 @@
     uint64_t run { 0 };
     WorkerHandle worker { 0 };
     RunPhase phase { RunPhase::Starting };
+
+    /// Why the run is being stopped, in the phase Stopping.
+    StopReason stopReason { StopReason::JobEnded };
     Instant startedAt { epochInstant };
 
     /// Whether the run started from a checkpoint.
--- a/Libraries/LibNode/CommandQueue.cpp
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -13,7 +13,7 @@
 
 static StopTask stopOf(const StartTask& start)
 {
-    return { .worker = start.worker, .task = start.task, .run = start.run };
+    return { .worker = start.worker, .task = start.task, .run = start.run, .reason = StopReason::StartWithdrawn };
 }
 
 std::deque<CommandQueue::Command>::iterator CommandQueue::firstWaiting()
@@ -27,7 +27,7 @@
         [](const Command& it) { return std::holds_alternative<StopTask>(it.action); });
 }
 
-void CommandQueue::push(TaskAction action)
+void CommandQueue::push(TaskAction action, Instant now)
 {
     if (const auto* stop = std::get_if<StopTask>(&action)) {
         if (std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, *stop); }))
@@ -35,7 +35,7 @@
         m_commands.erase(std::remove_if(firstWaiting(), m_commands.end(),
                              [&](const Command& it) { return isOfRun<ThrottleRun>(it.action, *stop); }),
             m_commands.end());
-        m_commands.push_back({ .action = std::move(action) });
+        m_commands.push_back({ .action = std::move(action), .queuedAt = now });
         return moveStopsForward();
     }
     if (const auto* pace = std::get_if<ThrottleRun>(&action)) {
@@ -44,11 +44,11 @@
         auto earlier = std::find_if(firstWaiting(), m_commands.end(),
             [&](const Command& it) { return isOfRun<ThrottleRun>(it.action, *pace); });
         if (earlier != m_commands.end()) {
-            *earlier = { .action = std::move(action) };
+            *earlier = { .action = std::move(action), .queuedAt = now };
             return;
         }
     }
-    m_commands.push_back({ .action = std::move(action) });
+    m_commands.push_back({ .action = std::move(action), .queuedAt = now });
 }
 
 TaskAction CommandQueue::takeFront()
--- a/Libraries/LibNode/CommandQueue.h
+++ b/Libraries/LibNode/CommandQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibDecision/TaskAction.h>
 #include <cstddef>
 #include <cstdint>
@@ -17,7 +18,7 @@
 public:
     /// Adds the command, unless one in the queue makes it needless: an equal stop, or for a pace a stop of its run. A
     /// pace replaces an earlier one of its run that waits.
-    void push(TaskAction);
+    void push(TaskAction, Instant now = neverInstant);
 
     bool isEmpty() const { return m_commands.empty(); }
     const TaskAction& front() const { return m_commands.front().action; }
@@ -25,6 +26,9 @@
     /// Number of attempts to send the first command that had no effect or no reply.
     uint32_t failuresOfFront() const { return m_commands.front().failures; }
 
+    /// When the first command was added.
+    Instant frontQueuedAt() const { return m_commands.front().queuedAt; }
+
     /// Whether the first command was sent and has no result yet.
     bool isInProgress() const { return m_isInProgress; }
     void beginFront() { m_isInProgress = true; }
@@ -66,6 +70,7 @@
     struct Command {
         TaskAction action;
         uint32_t failures { 0 };
+        Instant queuedAt { neverInstant };
     };
 
     std::deque<Command>::iterator firstWaiting();
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -30,6 +30,13 @@
     return names[static_cast<size_t>(delay)];
 }
 
+std::string_view nameOf(StopReason reason)
+{
+    constexpr std::array<std::string_view, 9> names { "job_ended", "task_done", "gang_broken", "unwanted", "stalled",
+        "worker_drains", "throttled", "slow", "start_withdrawn" };
+    return names[static_cast<size_t>(reason)];
+}
+
 std::string_view nameOf(WorkerEnd end)
 {
     constexpr std::array<std::string_view, 3> names { "crashed", "left", "lease_lapsed" };
--- a/Libraries/LibNode/OutcomeNames.h
+++ b/Libraries/LibNode/OutcomeNames.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/RunEnd.h>
+#include <LibDecision/StopReason.h>
 #include <LibDecision/WorkerEnd.h>
 #include <LibPlatform/TaskCommandReply.h>
 #include <LibWire/JobStage.h>
@@ -15,5 +16,6 @@
 std::string_view nameOf(JobStage);
 std::string_view nameOf(PlacementDelay);
 std::string_view nameOf(WorkerEnd);
+std::string_view nameOf(StopReason);
 
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -388,8 +388,7 @@
     for (auto& action : m_scheduler.plan(
              m_loop.now(), unixMsNow(), { .mayStart = canStart(), .knownBy = m_options.soleLeaderUntil() })) {
         auto handle = std::visit([](const auto& command) { return command.worker; }, action);
-        if (!std::holds_alternative<StartTask>(action))
-            m_metrics.recordTaskCommand(std::holds_alternative<StopTask>(action) ? "stop" : "pace");
+        recordCommand(action);
         if (auto it = m_workers.find(handle); it != m_workers.end())
             it->second.session->enqueueCommand(std::move(action));
     }
@@ -397,6 +396,20 @@
     m_journal.requestFlush();
 }
 
+void TaskLeader::recordCommand(const TaskAction& action)
+{
+    if (const auto* stop = std::get_if<StopTask>(&action)) {
+        m_metrics.recordTaskCommand("stop");
+        m_metrics.recordStop(nameOf(stop->reason));
+        m_load.recordStop(stop->reason);
+    } else if (std::holds_alternative<ThrottleRun>(action)) {
+        m_metrics.recordTaskCommand("pace");
+        m_load.recordThrottle();
+    } else {
+        m_load.recordStart(std::get<StartTask>(action).isSpeculativeCopy);
+    }
+}
+
 void TaskLeader::updateGauges()
 {
     auto totals = m_scheduler.totals();
@@ -426,10 +439,14 @@
 
 void TaskLeader::tick()
 {
+    if (m_nextTickAt != neverInstant)
+        m_load.recordTimerDelay(m_loop.now() - m_nextTickAt);
     markUnreachedWorkers();
     plan();
     updateGauges();
     logLongRunningStepWaits();
+    m_load.logIfDue(m_loop.now());
+    m_nextTickAt = m_loop.now() + tickInterval;
     m_loop.callAfter(tickInterval, [this, alive = m_alive] {
         if (*alive)
             tick();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -5,6 +5,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibNode/ConcurrencyLimiter.h>
 #include <LibNode/JobAcceptor.h>
+#include <LibNode/LeaderLoad.h>
 #include <LibNode/NodeOptions.h>
 #include <LibNode/ProgressJournal.h>
 #include <LibNode/StreamReader.h>
@@ -149,6 +150,7 @@
     Milliseconds leaseDuration() const;
     static size_t maxConcurrentRenewals(int64_t cpuMillis, Milliseconds timeout);
     void plan();
+    void recordCommand(const TaskAction&);
     void updateGauges();
     void logLongRunningStepWaits();
     void tick();
@@ -167,6 +169,8 @@
     CallTimeout m_commandTimeout { { .minTimeout = minCommandTimeout, .maxTimeout = maxCommandTimeout } };
     CallTimeout m_loadTimeout { stateLoadTimeout };
     std::shared_ptr<ConcurrencyLimiter> m_renewalLimiter;
+    LeaderLoad m_load;
+    Instant m_nextTickAt { neverInstant };
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobReaders;
     std::unique_ptr<StreamReader> m_workerReader;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -77,6 +77,7 @@
             .isSoleLeader = [this] { return isSoleLeader(); },
             .canRenewLeases = [this] { return canRenewLeases(); },
             .renewalLimiter = m_renewalLimiter,
+            .load = &m_load,
             .events = makeSessionEvents(handle) });
     if (!worker.isStored)
         m_assignedWorkersChanged = true;
@@ -320,6 +321,7 @@
 void TaskLeader::handleReport(WorkerHandle handle, const RenewLeaseReply& reply, Instant requestSentAt)
 {
     auto now = m_loop.now();
+    m_load.recordReport();
     auto& worker = m_workers.at(handle);
     if (worker.incarnation.startedAtMs == 0)
         worker.incarnation.startedAtMs = worker.session->startedAtMs();
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/StatusText.h>
 #include <LibHttp/ConnectionRefused.h>
 #include <LibHttp/EventLoop.h>
+#include <LibNode/LeaderLoad.h>
 #include <LibNode/WorkerSession.h>
 #include <algorithm>
 #include <utility>
@@ -286,7 +287,7 @@
         return m_options.events.onStartReply(*start, TaskCommandOutcome::Unhealthy);
     if (const auto* stop = std::get_if<StopTask>(&action); stop && cancelQueuedStart(*stop))
         return;
-    m_commands.push(std::move(action));
+    m_commands.push(std::move(action), m_loop.now());
     sendNextCommand();
 }
 
@@ -358,6 +359,9 @@
 void WorkerSession::handleCommandReply(const absl::StatusOr<TaskCommandReply>& reply)
 {
     m_options.commandTimeout.recordResult(reply.status(), m_loop.now() - m_commandSentAt);
+    if (m_options.load)
+        m_options.load->recordCommand(m_commandSentAt - m_commands.frontQueuedAt(), m_loop.now() - m_commandSentAt,
+            absl::IsDeadlineExceeded(reply.status()));
     if (std::exchange(m_discardsCommandReply, false)) {
         m_commands.takeFront();
         return sendNextCommand();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -15,6 +15,7 @@
 namespace Bergamot {
 
 class EventLoop;
+class LeaderLoad;
 
 /// The leader's session with one incarnation of a worker: renews its lease, receives its reports of active and ended
 /// runs, and sends task commands one at a time.
@@ -72,6 +73,9 @@
         /// new connection. Commands are not limited: an overloaded leader would process the replies late and send too
         /// few commands.
         std::shared_ptr<ConcurrencyLimiter> renewalLimiter {};
+
+        /// Shared by all sessions and optional. Must outlive the session.
+        LeaderLoad* load { nullptr };
         Events events {};
     };
 
--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -33,6 +33,8 @@
           "not_sent" })
     , m_runOutcomes({ "done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete", "crashed" })
     , m_taskCommandNames({ "stop", "pace" })
+    , m_stopReasons({ "job_ended", "task_done", "gang_broken", "unwanted", "stalled", "worker_drains", "throttled",
+          "slow", "start_withdrawn" })
     , m_jobStates({ "completed", "failed", "cancelled" })
     , m_submissionLatency(histogramFamily("bergamot_node_submission_seconds", "Time to accept or refuse a job."),
           { { "result", m_submissionResults } }, latencyBounds)
@@ -46,6 +48,7 @@
           { { "outcome", m_runOutcomes } })
     , m_taskCommands(counterFamily("bergamot_node_orders_total", "Stop and pace orders given to workers."),
           { { "order", m_taskCommandNames } })
+    , m_stops(counterFamily("bergamot_node_stops_total", "Stops of runs by reason."), { { "reason", m_stopReasons } })
     , m_jobEnds(
           counterFamily("bergamot_node_job_ends_total", "Jobs whose end was stored."), { { "state", m_jobStates } })
     , m_elections(counterFamily("bergamot_node_elections_total", "Times that this process became leader.").Add({}))
@@ -79,6 +82,8 @@
 
 void NodeMetrics::recordTaskCommand(std::string_view command) { m_taskCommands.at(command).Increment(); }
 
+void NodeMetrics::recordStop(std::string_view reason) { m_stops.at(reason).Increment(); }
+
 void NodeMetrics::recordJobEnd(std::string_view state) { m_jobEnds.at(state).Increment(); }
 
 void NodeMetrics::recordElection() { m_elections.Increment(); }
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -36,6 +36,10 @@
     /// Records a stop or throttle command to a worker. Commands: stop, pace.
     void recordTaskCommand(std::string_view command);
 
+    /// Records the reason of a stop command. Reasons: job_ended, task_done, gang_broken, unwanted, stalled,
+    /// worker_drains, throttled, slow, start_withdrawn.
+    void recordStop(std::string_view reason);
+
     /// Records the stored end of a job. States: completed, failed, cancelled.
     void recordJobEnd(std::string_view state);
     void recordElection();
@@ -65,6 +69,7 @@
     LabelValues m_startOutcomes;
     LabelValues m_runOutcomes;
     LabelValues m_taskCommandNames;
+    LabelValues m_stopReasons;
     LabelValues m_jobStates;
     SeriesTable<prometheus::Histogram> m_submissionLatency;
     SeriesTable<prometheus::Histogram> m_queryLatency;
@@ -72,6 +77,7 @@
     SeriesTable<prometheus::Counter> m_starts;
     SeriesTable<prometheus::Counter> m_runEnds;
     SeriesTable<prometheus::Counter> m_taskCommands;
+    SeriesTable<prometheus::Counter> m_stops;
     SeriesTable<prometheus::Counter> m_jobEnds;
     prometheus::Counter& m_elections;
     prometheus::Histogram& m_takeoverTime;
