--- a/Tests/LibNode/TestCommandQueue.cpp
+++ b/Tests/LibNode/TestCommandQueue.cpp
@@ -11,7 +11,10 @@
 
     static TaskRef task(uint64_t run) { return { "j", 0, 0, static_cast<uint32_t>(run) }; }
     static StartTask startOf(uint64_t run) { return { .worker = 1, .task = task(run), .run = run }; }
-    static StopTask stopOf(uint64_t run) { return { .worker = 1, .task = task(run), .run = run }; }
+    static StopTask stopOf(uint64_t run, StopReason reason = StopReason::JobEnded)
+    {
+        return { .worker = 1, .task = task(run), .run = run, .reason = reason };
+    }
     static ThrottleRun paceOf(uint64_t run, uint32_t speedPercent)
     {
         return { .worker = 1, .task = task(run), .run = run, .speedPercent = speedPercent };
@@ -64,7 +67,7 @@
     auto removed = queue.removeStarts([](const StartTask&) { return true; });
     CHECK_EQUAL(1, removed.size());
     CHECK_EQUAL(2, removed[0].run);
-    checkCommands({ stopOf(9), stopOf(1) });
+    checkCommands({ stopOf(9), stopOf(1, StopReason::StartWithdrawn) });
 }
 
 // Guards against taking a start that may have been delivered for one that needs no stop.
--- a/Tests/LibReport/TestNodeMetrics.cpp
+++ b/Tests/LibReport/TestNodeMetrics.cpp
@@ -24,6 +24,7 @@
     metrics.recordStart("accepted");
     metrics.recordRunEnd("done");
     metrics.recordTaskCommand("pace");
+    metrics.recordStop("slow");
     metrics.recordJobEnd("completed");
     metrics.recordElection();
     metrics.recordTakeover(std::chrono::milliseconds { 300 });
