Count run time from when the worker confirms the start

Cause: a run's time counted from the plan that assigned it. Behind other commands of its worker a start waits up to 6 s in a busy leader, so a healthy run looked slow when it was first listed, was stopped and started again, and each stop and start made the leader busier. Change: a run starts to count when its worker accepts the start or first lists the run. A report that is processed late can still add its own delay, which is at most the reply time.

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -44,6 +44,7 @@
     if (tracked->phase != RunPhase::Starting)
         return;
     tracked->phase = RunPhase::Running;
+    tracked->startedAt = now;
     job->started = true;
 }
 
@@ -170,8 +171,10 @@
 void TaskScheduler::updateRun(TrackedJob& job, TrackedTask& task, TrackedRun& run, const RunReport& report, Instant now)
 {
     run.confirmedAt = now;
-    if (run.phase == RunPhase::Starting)
+    if (run.phase == RunPhase::Starting) {
         run.phase = RunPhase::Running;
+        run.startedAt = now;
+    }
     if (report.progressPercent != run.progressPercent) {
         run.progressPercent = report.progressPercent;
         run.progressedAt = now;
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -17,6 +17,9 @@
 
     /// Why the run is being stopped, in the phase Stopping.
     StopReason stopReason { StopReason::JobEnded };
+
+    /// When the worker confirmed the start; before that, when the run was assigned to it. A start may wait behind other
+    /// commands for seconds.
     Instant startedAt { epochInstant };
 
     /// Whether the run started from a checkpoint.
