Do not hold a worker for unhealthy when the leader withdraws a start

Cause: a stop that removes a start from a worker's queue reported the start as refused by an unhealthy worker, after which the worker gets no start for 1 s. Whenever a first run ended while its speculative copy still waited, a healthy worker was lost for a second. Change: such a start is reported as not sent, like one that is no longer permitted; that says nothing about the worker. Result: WorkerSession.WithdrawnStartIsNoRefusalOfTheWorker failed before and passes.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -196,7 +196,7 @@
     std::optional<StartTask> removed;
     if (m_commands.removeStartOf(stop, removed) != CommandQueue::StartState::RemovedUnsent)
         return false;
-    m_options.events.onStartReply(*removed, TaskCommandOutcome::Unhealthy);
+    m_options.events.onStartReply(*removed, TaskCommandOutcome::NotSent);
     return true;
 }
 
