Test that a busy leader does not fetch reports twice (failing)

Cause: leader_load shows 1,450 reports a second for 1,150 ends; a worker with unacknowledged ends replies at once, and the session asks it again after 150 ms, which a busy leader needs for the acknowledgement. A scheduled renewal is also sent although an acknowledgement has brought it forward.

--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -515,3 +515,39 @@
     CHECK_EQUAL(1, startOutcomes.size());
     CHECK(startOutcomes[0] == TaskCommandOutcome::NotSent);
 }
+
+// Guards against a busy leader that fetches reports again because its own acknowledgements take long, which makes it
+// busier (SHORT on day trouble-1 of the large Riga site).
+TEST(WorkerSession, SlowAcknowledgementsDoNotCauseFurtherReports)
+{
+    constexpr uint64_t rounds { 12 };
+    constexpr uint64_t roundsUntilAdapted { 4 };
+    connect();
+    size_t repeated = 0;
+    for (uint64_t sequence = 1; sequence <= rounds; ++sequence) {
+        taskExecutor.takeRenewLeaseCall().reply(replyAt(1000, { { .sequence = sequence, .task = { "j", 0, 0, 0 } } }));
+        advance(Milliseconds { 250 });
+        while (!taskExecutor.renewLeaseCalls.empty()) {
+            taskExecutor.takeRenewLeaseCall().reply(
+                replyAt(1000, { { .sequence = sequence, .task = { "j", 0, 0, 0 } } }));
+            repeated += sequence > roundsUntilAdapted ? 1 : 0;
+        }
+        session->acknowledge(sequence);
+        advance(Milliseconds { 50 });
+        CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+    }
+    CHECK_EQUAL(0, repeated);
+}
+
+// Guards against a second report at the time for which a renewal was scheduled that an acknowledgement brought forward.
+TEST(WorkerSession, RenewalThatWasBroughtForwardIsSentOnce)
+{
+    connect();
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1000, { { .sequence = 1, .task = { "j", 0, 0, 0 } } }));
+    session->acknowledge(1);
+    advance(Milliseconds { 50 });
+    CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1000, { { .sequence = 2, .task = { "j", 0, 0, 1 } } }));
+    advance(Milliseconds { 100 });
+    CHECK(taskExecutor.renewLeaseCalls.empty());
+}
