Send a renewal that was brought forward only once

Callers saw: too little of topup served on the large site. Cause: an acknowledgement sends the scheduled renewal sooner, but its timer stayed and sent another one if the worker had replied meanwhile, so one end could cost two reports. Change: each renewal that is sent makes the timers of earlier schedules ineffective.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -81,6 +81,7 @@
         return;
     m_isRenewalInProgress = true;
     m_isRenewalScheduled = false;
+    ++m_renewalGeneration;
     if (m_isReachable)
         return sendLeaseRenewal(nullptr);
     m_isRenewalQueued = true;
@@ -132,8 +133,8 @@
 {
     if (std::exchange(m_isRenewalScheduled, true))
         return;
-    m_loop.callAfter(delay, [this, alive = m_alive] {
-        if (*alive)
+    m_loop.callAfter(delay, [this, alive = m_alive, generation = m_renewalGeneration] {
+        if (*alive && generation == m_renewalGeneration)
             renewLease();
     });
 }
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -167,6 +167,9 @@
     bool m_isRenewalInProgress { false };
     bool m_isRenewalScheduled { false };
 
+    /// Incremented when a renewal is sent, so that the timers of earlier schedules have no effect.
+    uint64_t m_renewalGeneration { 0 };
+
     /// The renewal in progress waits for its turn among those of unreachable workers.
     bool m_isRenewalQueued { false };
     bool m_hasRuns { false };
