Adapt the repeat of reports to the time until acknowledgements

Callers saw: too little of topup served on the large site. Cause: a worker with unacknowledged ends replies at once, and the session asked it again 150 ms after new ends. A leader that is 250 ms behind acknowledges later than that, so each end cost it a second report, which put it further behind. Change: the delay follows the usual time until the acknowledgement (CallTimeout, 150 to 800 ms). The price: while the store is down, ends are noticed up to 0.8 s later instead of 0.15 s.

--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -68,6 +68,11 @@
     static constexpr Milliseconds minCommandTimeout { 250 };
     static constexpr Milliseconds maxCommandTimeout { 1000 };
 
+    /// Bounds of the time after which a report of unacknowledged run ends is repeated. While the store is down, run
+    /// ends are noticed that much later.
+    static constexpr CallTimeout::Options acknowledgementTimeout { .minTimeout = Milliseconds { 150 },
+        .maxTimeout = Milliseconds { 800 } };
+
     /// Time-out of the first lease renewal of a worker.
     static constexpr Milliseconds firstRenewalTimeout { 1000 };
 
@@ -167,6 +172,7 @@
     uint64_t m_configVersion { 0 };
     Milliseconds m_reportWait { 500 };
     CallTimeout m_commandTimeout { { .minTimeout = minCommandTimeout, .maxTimeout = maxCommandTimeout } };
+    CallTimeout m_acknowledgementTimeout { acknowledgementTimeout };
     CallTimeout m_loadTimeout { stateLoadTimeout };
     std::shared_ptr<ConcurrencyLimiter> m_renewalLimiter;
     LeaderLoad m_load;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -72,6 +72,7 @@
             .earlierRenewalsEndedBy
             = unreachedSinceEpoch ? m_options.elections.learnedAt(unreachedSinceEpoch) : std::nullopt,
             .commandTimeout = m_commandTimeout,
+            .acknowledgementTimeout = m_acknowledgementTimeout,
             .reportWait = m_reportWait,
             .canStart = [this](const StartTask& start) { return canStart(start); },
             .isSoleLeader = [this] { return isSoleLeader(); },
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -237,11 +237,12 @@
     // A worker with unacknowledged run ends replies immediately. The next renewal is delayed, to leave time for
     // acknowledge().
     if (m_lastEndSequence > m_storedEndSequence) {
-        if (!hasNewEnds)
-            scheduleLeaseRenewal(m_options.reportWait);
-        else
-            scheduleLeaseRenewal(retryDelay);
-        return;
+        if (!hasNewEnds) {
+            m_options.acknowledgementTimeout.recordTimeout();
+            return scheduleLeaseRenewal(m_options.reportWait);
+        }
+        m_newEndsAt = m_loop.now();
+        return scheduleLeaseRenewal(m_options.acknowledgementTimeout.current());
     }
     scheduleLeaseRenewal(hasNewEnds ? endBatchDelay : Milliseconds { 0 });
 }
@@ -251,6 +252,8 @@
     if (sequence <= m_storedEndSequence)
         return;
     m_storedEndSequence = sequence;
+    if (m_storedEndSequence >= m_lastEndSequence && m_newEndsAt != neverInstant)
+        m_options.acknowledgementTimeout.recordReply(m_loop.now() - m_newEndsAt);
     if (m_storedEndSequence >= m_lastEndSequence && !m_isRenewalInProgress) {
         m_loop.callAfter(endBatchDelay, [this, alive = m_alive] {
             if (*alive)
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -55,6 +55,10 @@
         /// Time-out of commands, adapted to the response times of all workers. Must outlive the session.
         CallTimeout& commandTimeout;
 
+        /// Time after which the report of run ends that are not acknowledged is repeated, adapted to the time until the
+        /// acknowledgements of all workers. Must outlive the session.
+        CallTimeout& acknowledgementTimeout;
+
         /// Maximum time that a worker with active runs delays its report. The leader may change the value at any time.
         /// Must outlive the session.
         const Milliseconds& reportWait;
@@ -161,6 +165,9 @@
     uint64_t m_lastEndSequence { 0 };
     uint64_t m_storedEndSequence { 0 };
     uint64_t m_acknowledgedEndSequence { 0 };
+
+    /// When the latest new run ends were reported.
+    Instant m_newEndsAt { neverInstant };
     bool m_isReconciled { false };
     bool m_isReachable { false };
     bool m_isLeaseWithheld { false };
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -16,6 +16,7 @@
     Milliseconds reportWait { 500 };
     std::shared_ptr<ConcurrencyLimiter> renewalLimiter { std::make_shared<ConcurrencyLimiter>(1) };
     CallTimeout commandTimeout { { .minTimeout = Milliseconds { 250 }, .maxTimeout = Milliseconds { 1000 } } };
+    CallTimeout acknowledgementTimeout { { .minTimeout = Milliseconds { 150 }, .maxTimeout = Milliseconds { 800 } } };
     std::vector<uint64_t> startedRuns;
     std::vector<TaskCommandOutcome> startOutcomes;
     std::vector<bool> reachabilityChanges;
@@ -31,6 +32,7 @@
             .epoch = 3,
             .lease = Milliseconds { 6000 },
             .commandTimeout = commandTimeout,
+            .acknowledgementTimeout = acknowledgementTimeout,
             .reportWait = reportWait,
             .canStart = [this](const StartTask&) { return canStart; },
             .renewalLimiter = renewalLimiter,
@@ -341,6 +343,7 @@
                 .epoch = 3,
                 .lease = Milliseconds { 6000 },
                 .commandTimeout = commandTimeout,
+                .acknowledgementTimeout = acknowledgementTimeout,
                 .reportWait = reportWait,
                 .canStart = [](const StartTask&) { return true; },
                 .renewalLimiter = renewalLimiter,
