Raise the speed of a run once a second at most

Callers saw: too little of topup served on the large site. Cause: each run that starts or ends on a worker changes what the other best-effort runs there may use, so the leader sent 700 to 1,500 throttle commands a second beside 1,150 starts, and each start waits behind the commands of its worker. Change: a speed is raised 1 s after its last change at the earliest, and a small step up to full speed is not sent. Reductions are sent at once as before.

--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -38,6 +38,10 @@
 /// All best-effort tasks of the worker are paused once a serving task has been over its target for this long.
 static constexpr Milliseconds maxOverTargetTime { 1000 };
 
+/// Minimum time between a speed change of a run and a raise of its speed. Each run that starts or ends changes what the
+/// others on the worker may use, and each raise costs a command.
+static constexpr Milliseconds minRaiseInterval { 1000 };
+
 /// Added utilisation below this value does not count as interference.
 static constexpr double negligiblePressure = 0.02;
 
@@ -165,10 +169,13 @@
         run.throttledSince = now;
     auto difference
         = speedPercent > run.speedPercent ? speedPercent - run.speedPercent : run.speedPercent - speedPercent;
-    bool isExtreme = speedPercent == 0 || speedPercent == 100;
-    if (difference == 0 || (difference < minSpeedPercentChange && !isExtreme))
+    bool isRaise = speedPercent > run.speedPercent;
+    if (difference == 0 || (difference < minSpeedPercentChange && speedPercent != 0))
+        return;
+    if (isRaise && run.speedChangedAt != neverInstant && now - run.speedChangedAt < minRaiseInterval)
         return;
     run.speedPercent = speedPercent;
+    run.speedChangedAt = now;
     run.progressedAt = now;
     m_actions.push_back(
         ThrottleRun { .worker = worker.handle, .task = ref, .run = run.run, .speedPercent = speedPercent });
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -40,6 +40,9 @@
     Instant progressedAt { epochInstant };
     uint32_t progressPercent { 0 };
     uint32_t speedPercent { 100 };
+
+    /// When the speed was last changed.
+    Instant speedChangedAt { neverInstant };
     int64_t recentMeasurement { 0 };
 
     /// Run time; for a best-effort task scaled by the share of its requested processors that it used.
