Send starts before throttles that are not due

Callers saw: too little of topup served on the large site. Cause: the commands of a worker go out one at a time, and a start waited behind every throttle of its worker, each of which takes a round trip. Change: a start is queued before the throttles at the end of the queue that have waited for less than 0.5 s. A throttle that replaces an older one keeps the time of that one, so that none waits for ever.

--- a/Libraries/LibNode/CommandQueue.cpp
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -27,8 +27,22 @@
         [](const Command& it) { return std::holds_alternative<StopTask>(it.action); });
 }
 
+/// Adds a start before the throttles at the end of the queue that are not due.
+void CommandQueue::pushStart(TaskAction action, Instant now)
+{
+    auto isThrottleNotDue = [&](const Command& it) {
+        return std::holds_alternative<ThrottleRun>(it.action) && now - it.queuedAt < maxThrottleDelay;
+    };
+    auto position = m_commands.end();
+    while (position != firstWaiting() && isThrottleNotDue(*std::prev(position)))
+        --position;
+    m_commands.insert(position, { .action = std::move(action), .queuedAt = now });
+}
+
 void CommandQueue::push(TaskAction action, Instant now)
 {
+    if (std::holds_alternative<StartTask>(action))
+        return pushStart(std::move(action), now);
     if (const auto* stop = std::get_if<StopTask>(&action)) {
         if (std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, *stop); }))
             return;
@@ -44,7 +58,8 @@
         auto earlier = std::find_if(firstWaiting(), m_commands.end(),
             [&](const Command& it) { return isOfRun<ThrottleRun>(it.action, *pace); });
         if (earlier != m_commands.end()) {
-            *earlier = { .action = std::move(action), .queuedAt = now };
+            // The throttle keeps its time, so that newer ones do not delay it for ever.
+            *earlier = { .action = std::move(action), .queuedAt = earlier->queuedAt };
             return;
         }
     }
--- a/Libraries/LibNode/CommandQueue.h
+++ b/Libraries/LibNode/CommandQueue.h
@@ -13,9 +13,12 @@
 namespace Bergamot {
 
 /// The task commands for one worker, which are sent one at a time. Stops precede all other commands: a stop that is
-/// late leaves an unwanted run active, and worker and reservation occupied.
+/// late leaves an unwanted run active, and worker and reservation occupied. Starts precede throttles, because callers
+/// wait for them, but not those that have waited for `maxThrottleDelay`.
 class CommandQueue {
 public:
+    static constexpr Milliseconds maxThrottleDelay { 500 };
+
     /// Adds the command, unless one in the queue makes it needless: an equal stop, or for a pace a stop of its run. A
     /// pace replaces an earlier one of its run that waits.
     void push(TaskAction, Instant now = neverInstant);
@@ -74,6 +77,7 @@
     };
 
     std::deque<Command>::iterator firstWaiting();
+    void pushStart(TaskAction, Instant now);
     void moveStopsForward();
 
     std::deque<Command> m_commands;
--- a/Tests/LibNode/TestCommandQueue.cpp
+++ b/Tests/LibNode/TestCommandQueue.cpp
@@ -54,6 +54,30 @@
     checkCommands({ stopOf(9), paceOf(1, 50) });
 }
 
+// Guards against a start that waits behind throttles, each of which takes a round trip: at 900 throttles a second,
+// short tasks of the large Riga site waited for seconds (SHORT on day trouble-1).
+TEST(CommandQueue, StartPrecedesThrottlesThatAreNotDue)
+{
+    Instant now { Milliseconds { 10000 } };
+    queue.push(paceOf(1, 90), now);
+    queue.beginFront();
+    queue.push(paceOf(2, 80), now);
+    queue.push(startOf(3), now);
+    queue.push(paceOf(4, 70), now);
+    queue.push(startOf(5), now + Milliseconds { 100 });
+    checkCommands({ paceOf(1, 90), startOf(3), startOf(5), paceOf(2, 80), paceOf(4, 70) });
+}
+
+// Guards against throttles that never get their turn on a worker with many starts, while a serving task misses its
+// target.
+TEST(CommandQueue, ThrottleThatIsDueKeepsItsPlace)
+{
+    Instant now { Milliseconds { 10000 } };
+    queue.push(paceOf(1, 90), now);
+    queue.push(startOf(2), now + Milliseconds { 600 });
+    checkCommands({ paceOf(1, 90), startOf(2) });
+}
+
 // Guards against forgetting that an earlier attempt may have delivered a start, when other commands were sent
 // meanwhile.
 TEST(CommandQueue, StartWithoutReplyBecomesAStop)
