Test suspected tasks behind others that no worker can take

A plan makes at most four failed searches for a worker for an isolated run, always from the start of the queue. While four suspected tasks there find no worker, those behind them are never tried. The test fails: 0 starts in 1 s instead of 1, with four free workers.

--- /dev/null
+++ b/Tests/LibDecision/TestTaskIsolation.cpp
@@ -0,0 +1,59 @@
+#include "TaskSchedulerFixture.h"
+#include <map>
+#include <string>
+
+using namespace Bergamot;
+
+// Suspected tasks start within a bounded time, whatever becomes of other suspected tasks and of their own records.
+TEST_GROUP(TaskIsolation)
+{
+    TaskSchedulerFixture fixture;
+    TaskScheduler& scheduler { fixture.scheduler() };
+
+    void storeProgress()
+    {
+        for (const auto& progress : scheduler.takeChangedJobs())
+            scheduler.progressStored(progress);
+    }
+
+    /// Adds a job whose first task has crashed two workers directly after its start, so that it has to run isolated.
+    void addSuspectedJob(const std::string& id, StepSpec step)
+    {
+        JobProgress stored { .id = id, .state = JobStage::Running, .done = { std::string(step.count, '0') } };
+        stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true },
+            { .run = 2, .worker = "w8", .workerStartedAtMs = 8, .confirmed = true } };
+        scheduler.addJob(fixture.job(id, { std::move(step) }), stored, neverInstant);
+    }
+
+    /// Plans for the time and returns the number of starts of each job.
+    std::map<JobId, size_t> run(Milliseconds time)
+    {
+        constexpr Milliseconds planInterval { 100 };
+        std::map<JobId, size_t> starts;
+        for (Milliseconds passed { 0 }; passed < time; passed += planInterval) {
+            storeProgress();
+            for (const auto& start : fixture.planStarts()) {
+                ++starts[start.task.job];
+                scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
+            }
+            fixture.advance(planInterval);
+        }
+        return starts;
+    }
+};
+
+// Guards against suspected tasks that no worker can take and that use up the searches of each plan, so that those
+// behind them never start.
+TEST(TaskIsolation, SuspectedTasksWithoutAWorkerDoNotKeepOthersFromStarting)
+{
+    for (WorkerHandle handle = 1; handle <= 4; ++handle)
+        fixture.addWorker(handle);
+    for (int i = 0; i < 6; ++i) {
+        auto step = fixture.step(2);
+        step.requiredLabel = "missing";
+        step.estimateMs = 10;
+        addSuspectedJob("unplaceable" + std::to_string(i), step);
+    }
+    addSuspectedJob("j", fixture.step(1));
+    CHECK_EQUAL(1, run(Milliseconds { 1000 })["j"]);
+}
