Let suspected tasks start behind others that no worker can take

Cause: a plan makes at most four failed searches for a worker for an isolated run, and each plan began at the same step. Four suspected tasks that no worker can take, as long as they wait, kept all suspected tasks behind them from starting, however many workers were free.

Change: the next plan goes on with the step at which the searches of this plan ended, and a step costs one failed search at most, because its tasks need the same. The failed placements of gangs count too.

--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -40,11 +40,13 @@
         step.delay = PlacementDelay::CrashSuspicion;
         if (!mayStartSuspect(*ready.job, ref, step.tasks.front(), now))
             return true;
-        if (hasIsolationSlots(*ready.job, spec.count) && startGang(ready, {}, now, PlacementMode::Isolated))
+        bool mayIsolate = maySearchIsolated(ready) && hasIsolationSlots(*ready.job, spec.count);
+        if (mayIsolate && startGang(ready, {}, now, PlacementMode::Isolated))
             return true;
+        m_failedSearches += mayIsolate ? 1 : 0;
         if (isolation == RunIsolation::Required) {
-            for (const auto& task : step.tasks)
-                holdForIsolation(ready, task, now);
+            for (size_t i = 0; mayIsolate && i < step.tasks.size(); ++i)
+                holdForIsolation(ready, step.tasks[i], now);
             return true;
         }
     }
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -14,7 +14,8 @@
 /// A held worker that is not used within this time takes other starts again.
 static constexpr Milliseconds holdTime { 3000 };
 
-/// Failed searches for a worker for an isolated run in one plan; each visits all workers and their runs.
+/// Failed searches for a worker for an isolated run in one plan; each visits all workers and their runs. The next plan
+/// goes on where this one stopped.
 static constexpr uint32_t maxFailedSearches = 4;
 
 /// Bounds of the number of isolated runs, each of which may take its worker down.
@@ -65,14 +66,24 @@
 {
     if (m_isolatedRuns == 0)
         return true;
-    if (m_failedSearches >= maxFailedSearches)
-        return false;
     auto candidates = m_candidates.find(policyOf(job).service);
     auto workers = candidates == m_candidates.end() ? 0 : static_cast<uint32_t>(candidates->second.size());
     auto limit = std::max(minIsolatedRuns, static_cast<uint32_t>(m_workers.size()) / workersPerIsolatedRun);
     return m_isolatedRuns + runs <= std::min(limit, workers / 2);
 }
 
+/// Whether the current plan may search workers for isolated runs of the step.
+bool TaskScheduler::maySearchIsolated(const ReadyStep& ready)
+{
+    if (m_firstSearchedStep && ready.key < *m_firstSearchedStep)
+        return false;
+    if (m_failedSearches < maxFailedSearches)
+        return true;
+    if (!m_firstSkippedStep)
+        m_firstSkippedStep = ready.key;
+    return false;
+}
+
 bool TaskScheduler::canIsolate(const WorkerEntry& worker, const TrackedJob& job, uint32_t step, Instant now)
 {
     return std::ranges::all_of(worker.runs, [&](const auto& it) {
@@ -87,7 +98,7 @@
 /// Starts the suspected task isolated if possible. Returns false if it has to wait or may start like other tasks.
 bool TaskScheduler::placeSuspect(const ReadyStep& ready, uint32_t index, Instant now)
 {
-    if (!hasIsolationSlots(*ready.job, 1) || m_failedSearches >= maxFailedSearches)
+    if (!hasIsolationSlots(*ready.job, 1))
         return false;
     auto& task = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Isolated);
@@ -102,7 +113,7 @@
 /// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs.
 void TaskScheduler::holdForIsolation(const ReadyStep& ready, const TrackedTask& task, Instant now)
 {
-    if (!hasIsolationSlots(*ready.job, 1) || m_failedSearches >= maxFailedSearches)
+    if (!hasIsolationSlots(*ready.job, 1))
         return;
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Hold);
     if (worker)
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -57,6 +57,7 @@
     updateShortTaskDemand();
     confirmDueCrashes(now);
     m_failedSearches = 0;
+    m_firstSearchedStep = std::exchange(m_firstSkippedStep, std::nullopt);
     sendSuspectedStarts(now, permission);
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
@@ -213,6 +214,8 @@
     std::vector<uint32_t> stillWaiting;
     bool keepTrying = true;
     bool hasCapacity = true;
+    // The tasks of a step need the same, so after a failed search none of them is tried.
+    bool searchIsolated = true;
     for (auto index : step.waiting) {
         auto& task = step.tasks[index];
         if (task.done || (task.wantsSpeculativeCopy && task.runs.size() != 1)) {
@@ -228,10 +231,14 @@
         TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, index };
         if (auto isolation = isolationOf(*ready.job, ref); isolation != RunIsolation::None) {
             bool mayStart = mayStartSuspect(*ready.job, ref, task, now);
-            if (mayStart && placeSuspect(ready, index, now))
-                continue;
-            if (mayStart && isolation == RunIsolation::Required)
-                holdForIsolation(ready, task, now);
+            searchIsolated = searchIsolated && (!mayStart || maySearchIsolated(ready));
+            if (mayStart && searchIsolated) {
+                if (placeSuspect(ready, index, now))
+                    continue;
+                searchIsolated = false;
+                if (isolation == RunIsolation::Required)
+                    holdForIsolation(ready, task, now);
+            }
             if (!mayStart || isolation == RunIsolation::Required) {
                 step.delay = PlacementDelay::CrashSuspicion;
                 stillWaiting.push_back(index);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -167,7 +167,7 @@
     if (tracked.waiting.empty())
         return;
     StepKey key { policyOf(job).priority, job.objectiveUnixMs, ++m_readySequence };
-    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = occurrence, .step = step });
+    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = occurrence, .step = step, .key = key });
 }
 
 void TaskScheduler::requeue(TrackedJob& job, const TaskRef& ref)
@@ -196,7 +196,7 @@
     if (!wasEmpty)
         return;
     StepKey key { policyOf(job).priority, job.objectiveUnixMs, ++m_readySequence };
-    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = ref.occurrence, .step = ref.step });
+    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = ref.occurrence, .step = ref.step, .key = key });
 }
 
 std::optional<JobStage> TaskScheduler::cancelJob(const JobId& id)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -174,6 +174,9 @@
         TrackedJob* job { nullptr };
         uint32_t occurrence { 0 };
         uint32_t step { 0 };
+
+        /// Key of the step in `m_readySteps`.
+        StepKey key {};
     };
 
     /// The crash of a worker.
@@ -261,6 +264,7 @@
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     bool mayStartSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs) const;
+    bool maySearchIsolated(const ReadyStep&);
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
     void holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
@@ -316,6 +320,12 @@
     /// Searches of the current plan that found no worker for an isolated run.
     uint32_t m_failedSearches { 0 };
 
+    /// The current plan searches workers for isolated runs of this step and those after it, or of all steps.
+    std::optional<StepKey> m_firstSearchedStep;
+
+    /// The first step for which the current plan made no search, because too many had failed.
+    std::optional<StepKey> m_firstSkippedStep;
+
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
     Instant m_unblockAt { neverInstant };
