Test a copy whose record is cleared before it is stored

The start of a suspected run waits until its record is stored. Another run of its task may clear all records of the task before that, so the record never comes.

--- a/Tests/LibDecision/TestTaskIsolation.cpp
+++ b/Tests/LibDecision/TestTaskIsolation.cpp
@@ -57,3 +57,38 @@
     addSuspectedJob("j", fixture.step(1));
     CHECK_EQUAL(1, run(Milliseconds { 1000 })["j"]);
 }
+
+// Guards against a copy that waits for its record for ever, because the other run of its task cleared the task before
+// the record was stored: when that run was lost, the task never ran again.
+TEST(TaskIsolation, CopyWhoseRecordWasClearedStarts)
+{
+    for (WorkerHandle handle = 1; handle <= 4; ++handle)
+        fixture.addWorker(handle, { 1000, 125000, 0 });
+    auto step = fixture.step(2);
+    step.speculative = true;
+    step.estimateMs = 100;
+    scheduler.addJob(fixture.job("j", { step }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(2, starts.size());
+    const auto& slow = starts[0];
+    auto report = [&](uint32_t progressPercent) {
+        fixture.advance(Milliseconds { 400 });
+        scheduler.runsReported(slow.worker,
+            { { .task = slow.task, .run = slow.run, .progressPercent = progressPercent, .recentMeasurement = 1000 } },
+            fixture.now(), fixture.now());
+    };
+    for (const auto& start : starts)
+        scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
+    report(1);
+    fixture.endRun(starts[1], RunOutcome::Done);
+    report(2);
+    scheduler.suspectCrash(slow.worker, fixture.now());
+    storeProgress();
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_EQUAL(2, scheduler.totals().activeRuns);
+    for (uint32_t progressPercent = 3; progressPercent < 9; ++progressPercent)
+        report(progressPercent);
+    scheduler.markRunsLost(slow.worker, fixture.now());
+    storeProgress();
+    CHECK_EQUAL(1, fixture.planStarts().size());
+}
