Place a suspected start again whose record was cleared

Cause: a start of a suspected run waits in m_suspectedStarts until its record is stored. When another run of the task, its first one beside a copy, cleared the records of the task before that, the record was never stored. The run stayed in phase Starting for ever and kept its task from being queued when the other run was lost.

Change: a start whose record is gone is dropped, and its task is placed again.

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -151,7 +151,13 @@
     auto* run = task ? findRun(*task, start.run) : nullptr;
     if (!run || run->phase != RunPhase::Starting)
         return true;
-    if (!job->storedCrashes.find(crashKey(*job, start.task), start.run))
+    auto key = crashKey(*job, start.task);
+    // Another run of the task may have cleared the record, which is not stored then; the task is placed again.
+    if (!job->crashes.find(key, start.run)) {
+        dropRun(*job, start.task, *task, start.run);
+        return true;
+    }
+    if (!job->storedCrashes.find(key, start.run))
         return false;
     if (!permission.mayStart || job->knownAt > permission.knownBy)
         return false;
