Test a gang that the members left by a crash clear

A run that lasts for 2 s clears its task. For a gang the run of any member did so, also while the crash of another member's worker was not known yet. The test fails: 0 recorded crashes instead of 1.

--- a/Tests/LibDecision/TestTaskIsolation.cpp
+++ b/Tests/LibDecision/TestTaskIsolation.cpp
@@ -92,3 +92,31 @@
     storeProgress();
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
+
+// Guards against a gang that crashes its workers for ever: the members that were left cleared it while the crash of
+// another member's worker was not known yet.
+TEST(TaskIsolation, GangWithoutOneOfItsMembersIsNotCleared)
+{
+    constexpr Milliseconds restartTime { 3000 };
+    constexpr Milliseconds reportInterval { 500 };
+    for (WorkerHandle handle = 1; handle <= 3; ++handle)
+        fixture.addWorker(handle);
+    auto step = fixture.step(3);
+    step.gang = true;
+    step.maxPerWorker = 1;
+    scheduler.addJob(fixture.job("g", { step }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(3, starts.size());
+    for (const auto& start : starts)
+        scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
+    fixture.advance(Milliseconds { 100 });
+    scheduler.setReachable(starts[0].worker, false, fixture.now());
+    scheduler.suspectCrash(starts[0].worker, fixture.now());
+    for (Milliseconds passed { 0 }; passed < restartTime; passed += reportInterval) {
+        fixture.advance(reportInterval);
+        for (const auto& start : { starts[1], starts[2] })
+            scheduler.runsReported(
+                start.worker, { { .task = start.task, .run = start.run } }, fixture.now(), fixture.now());
+    }
+    CHECK_EQUAL(1, scheduler.timelineOf("g")->crashedRuns.size());
+}
