Clear a gang only once all of its members have run long enough

Cause: a suspected task is cleared when its run has lasted twice the longest time to a crash, 2 s at least. For a gang the run of any member counted. The members that a crash leaves are listed until the gang breaks, and the crash is known only when the worker is gone, so they cleared the gang first. Each crash then counted as the first one: the gang was never given up, took worker after worker down and broke the gangs beside it.

Change: each member has to be listed for that time under the same run number.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -88,15 +88,23 @@
         markChanged(job);
 }
 
-/// Clears a suspected task whose run has been active long enough.
-void TaskScheduler::clearIfProven(
-    TrackedJob& job, TrackedTask& task, const TaskRef& ref, const TrackedRun& run, Instant now)
+/// Clears a suspected task whose run has been active long enough. A gang is cleared only once all of its members have
+/// been: those that are left by a crash say nothing about the member that caused it.
+void TaskScheduler::clearIfProven(TrackedJob& job, TrackedTask& task, const TaskRef& ref, const TrackedRun& run)
 {
-    if (job.crashes.isEmpty() || now - run.startedAt < job.crashes.clearingTime(crashKey(job, ref)))
+    if (job.crashes.isEmpty())
         return;
-    clearCrashes(job, ref);
+    auto clearingTime = job.crashes.clearingTime(crashKey(job, ref));
+    auto isProven = [&](TrackedTask& it) {
+        const auto* active = findRun(it, run.run);
+        return active && active->reportedAt - active->startedAt >= clearingTime;
+    };
+    auto& tasks = job.occurrences[ref.occurrence].steps[ref.step].tasks;
     bool isGang = job.spec.steps[ref.step].gang;
-    for (auto& it : job.occurrences[ref.occurrence].steps[ref.step].tasks) {
+    if (isGang ? !std::ranges::all_of(tasks, isProven) : !isProven(task))
+        return;
+    clearCrashes(job, ref);
+    for (auto& it : tasks) {
         if (!isGang && &it != &task)
             continue;
         for (auto& active : it.runs)
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -209,7 +209,7 @@
         auto& task = *active->second.task;
         auto& run = *findRun(task, report.run);
         updateRun(job, task, run, report, now);
-        clearIfProven(job, task, report.task, run, now);
+        clearIfProven(job, task, report.task, run);
         if (run.phase == RunPhase::Stopping || job.hasEnded() || task.done)
             requestStop(handle, report.task, report.run, now);
     }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -249,7 +249,7 @@
     void withdrawCrash(TrackedJob&, const TaskRef&, uint64_t run);
     void withdrawCrashOn(WorkerHandle, TrackedJob&, const TaskRef&, uint64_t run);
     void clearCrashes(TrackedJob&, const TaskRef&);
-    void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&, Instant now);
+    void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&);
     void resolveUnconfirmedCrashes(const WorkerEntry&);
     void confirmCrashes(const WorkerLoss&);
     void confirmDueCrashes(Instant now);
