Log why any task waits for more than 3 s

Nor could a task be seen whose run exists in the leader's table only.

Change: task_waits covers all steps, still four lines a second at most. It names the task that has waited longest, and for a suspected one what holds it back: records not stored, a crash not confirmed, no isolation slot or no worker. A run that its worker has not listed for 3 s is a wait with the reason unlisted_run; records_not_stored there means that the start was never sent. longRunningStepWaits() is stepWaits() now. Its test expected the wait of the short task to be left out; it now checks that wait too.

--- a/Libraries/LibDecision/PlacementDelay.h
+++ b/Libraries/LibDecision/PlacementDelay.h
@@ -16,7 +16,9 @@
     /// The job is newer than the latest proof that no other node has been elected.
     UnconfirmedLeadership,
     /// Workers crashed under the task, and it waits until it can run without other suspects on its worker.
-    CrashSuspicion
+    CrashSuspicion,
+    /// The worker of its latest run has not listed that run for some time, and the run is not known to have ended.
+    UnlistedRun
 };
 
 }
--- a/Libraries/LibDecision/StepWait.h
+++ b/Libraries/LibDecision/StepWait.h
@@ -4,21 +4,24 @@
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
 #include <LibDecision/PlacementDelay.h>
+#include <LibDecision/SuspectDelay.h>
 #include <cstdint>
 
 namespace Bergamot {
 
-/// A step with tasks that are waiting for a worker.
+/// A step with tasks that no worker is known to run.
 struct StepWait {
     JobId job {};
     uint32_t occurrence { 0 };
     uint32_t step { 0 };
 
-    /// Number of waiting tasks, and the longest time that one of them has waited.
+    /// Number of waiting tasks, and the index and the wait of the one that has waited longest.
     uint32_t tasks { 0 };
+    uint32_t longestWaiting { 0 };
     Milliseconds longestWait { 0 };
     Resources size {};
     PlacementDelay reason { PlacementDelay::None };
+    SuspectDelay suspectDelay { SuspectDelay::None };
 
     bool operator==(const StepWait&) const = default;
 };
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -38,13 +38,15 @@
     auto isolation = isolationOf(*ready.job, ref);
     if (isolation != RunIsolation::None) {
         step.delay = PlacementDelay::CrashSuspicion;
-        if (!mayStartSuspect(*ready.job, ref, step.tasks.front(), now))
+        step.suspectDelay = delayOfSuspect(*ready.job, ref, step.tasks.front(), now);
+        if (step.suspectDelay != SuspectDelay::None)
             return true;
         bool mayIsolate = maySearchIsolated(ready) && hasIsolationSlots(*ready.job, spec.count);
         if (mayIsolate && startGang(ready, {}, now, PlacementMode::Isolated))
             return true;
         m_failedSearches += mayIsolate ? 1 : 0;
         if (isolation == RunIsolation::Required) {
+            step.suspectDelay = placementDelayOfSuspect(*ready.job, spec.count);
             for (size_t i = 0; mayIsolate && i < step.tasks.size(); ++i)
                 holdForIsolation(ready, step.tasks[i], now);
             return true;
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -46,18 +46,19 @@
 }
 
 /// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
-/// Whether a worker has crashed may never be known, so the wait for that is bounded.
-bool TaskScheduler::mayStartSuspect(
+/// Whether a worker has crashed may never be known, so the wait for that is bounded. Returns None if the task may
+/// start.
+SuspectDelay TaskScheduler::delayOfSuspect(
     const TrackedJob& job, const TaskRef& ref, const TrackedTask& task, Instant now) const
 {
     constexpr Milliseconds maxConfirmationWait { 10000 };
     auto key = crashKey(job, ref);
     if (!areCrashesStored(job, key))
-        return false;
+        return SuspectDelay::RecordsNotStored;
     if (job.crashes.isolationOf(key) != RunIsolation::Required)
-        return true;
+        return SuspectDelay::None;
     bool mustWait = job.crashes.awaitsConfirmation(key) && now - task.waitingSince < maxConfirmationWait;
-    return !mustWait && !hasDueCrash(job, key);
+    return mustWait || hasDueCrash(job, key) ? SuspectDelay::AwaitingConfirmation : SuspectDelay::None;
 }
 
 /// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone. Half
@@ -72,6 +73,12 @@
     return m_isolatedRuns + runs <= std::min(limit, workers / 2);
 }
 
+/// Why a task that may start, or a gang of `runs` members, was not placed isolated.
+SuspectDelay TaskScheduler::placementDelayOfSuspect(const TrackedJob& job, uint32_t runs) const
+{
+    return hasIsolationSlots(job, runs) ? SuspectDelay::NoWorker : SuspectDelay::NoIsolationSlot;
+}
+
 /// Whether the current plan may search workers for isolated runs of the step.
 bool TaskScheduler::maySearchIsolated(const ReadyStep& ready)
 {
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -230,7 +230,8 @@
         }
         TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, index };
         if (auto isolation = isolationOf(*ready.job, ref); isolation != RunIsolation::None) {
-            bool mayStart = mayStartSuspect(*ready.job, ref, task, now);
+            auto suspectDelay = delayOfSuspect(*ready.job, ref, task, now);
+            bool mayStart = suspectDelay == SuspectDelay::None;
             searchIsolated = searchIsolated && (!mayStart || maySearchIsolated(ready));
             if (mayStart && searchIsolated) {
                 if (placeSuspect(ready, index, now))
@@ -241,6 +242,7 @@
             }
             if (!mayStart || isolation == RunIsolation::Required) {
                 step.delay = PlacementDelay::CrashSuspicion;
+                step.suspectDelay = mayStart ? placementDelayOfSuspect(*ready.job, 1) : suspectDelay;
                 stillWaiting.push_back(index);
                 continue;
             }
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -404,30 +404,4 @@
     return totals;
 }
 
-std::vector<StepWait> TaskScheduler::longRunningStepWaits(Instant now, Milliseconds minWait, size_t maxCount) const
-{
-    std::vector<StepWait> waits;
-    for (const auto& [key, ready] : m_readySteps) {
-        if (ready.job->hasEnded() || !ready.job->spec.steps[ready.step].longRunning)
-            continue;
-        const auto& spec = ready.job->spec.steps[ready.step];
-        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-        StepWait wait { .job = ready.job->spec.id,
-            .occurrence = ready.occurrence,
-            .step = ready.step,
-            .tasks = static_cast<uint32_t>(step.waiting.size()),
-            .size = spec.size,
-            .reason = step.delay };
-        for (auto index : step.waiting) {
-            if (step.tasks[index].waitingSince != neverInstant)
-                wait.longestWait = std::max(wait.longestWait, now - step.tasks[index].waitingSince);
-        }
-        if (wait.longestWait >= minWait)
-            waits.push_back(std::move(wait));
-    }
-    std::ranges::sort(waits, std::ranges::greater {}, &StepWait::longestWait);
-    waits.resize(std::min(waits.size(), maxCount));
-    return waits;
-}
-
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -5,6 +5,7 @@
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunReport.h>
 #include <LibDecision/StepWait.h>
+#include <LibDecision/SuspectDelay.h>
 #include <LibDecision/TaskAction.h>
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
@@ -158,9 +159,9 @@
     };
     Totals totals() const;
 
-    /// Returns up to `maxCount` long-running steps with a task that has waited for at least `minWait`, longest wait
-    /// first.
-    std::vector<StepWait> longRunningStepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
+    /// Returns up to `maxCount` steps with a task that has waited for at least `minWait`, or with a run that its worker
+    /// has not listed for that long, longest wait first.
+    std::vector<StepWait> stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
 
     /// Processors that are free on usable workers, and those that are reserved for the demand of short tasks, in
     /// thousandths of a core.
@@ -224,6 +225,7 @@
     bool mustWaitForHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
     static void setWaitingSince(TrackedStep&, Instant now);
+    void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
     /// Which workers may take the run.
     enum class PlacementMode : uint8_t {
         Shared,
@@ -262,9 +264,10 @@
     bool isLostWithItsGroup(const WorkerLoss&) const;
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
-    bool mayStartSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
+    SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs) const;
     bool maySearchIsolated(const ReadyStep&);
+    SuspectDelay placementDelayOfSuspect(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
     void holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
--- /dev/null
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -0,0 +1,81 @@
+#include <LibDecision/TaskScheduler.h>
+#include <LibDecision/TaskWorkerEntry.h>
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+// Reports the tasks that have waited for long, with the reason, for the log.
+
+namespace Bergamot {
+
+static StepWait waitOf(const JobSpec& job, uint32_t occurrence, uint32_t step)
+{
+    return { .job = job.id, .occurrence = occurrence, .step = step, .size = job.steps[step].size };
+}
+
+static void addTask(StepWait& wait, uint32_t index, Milliseconds time)
+{
+    ++wait.tasks;
+    if (time <= wait.longestWait)
+        return;
+    wait.longestWait = time;
+    wait.longestWaiting = index;
+}
+
+std::vector<StepWait> TaskScheduler::stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const
+{
+    std::vector<StepWait> waits;
+    for (const auto& [key, ready] : m_readySteps) {
+        if (ready.job->hasEnded())
+            continue;
+        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+        auto wait = waitOf(ready.job->spec, ready.occurrence, ready.step);
+        wait.reason = step.delay;
+        if (step.delay == PlacementDelay::CrashSuspicion)
+            wait.suspectDelay = step.suspectDelay;
+        for (auto index : step.waiting) {
+            auto since = step.tasks[index].waitingSince;
+            addTask(wait, index, since == neverInstant ? Milliseconds { 0 } : now - since);
+        }
+        if (wait.longestWait >= minWait)
+            waits.push_back(std::move(wait));
+    }
+    addWaitsOfUnlistedRuns(waits, now, minWait);
+    std::ranges::sort(waits, [](const StepWait& a, const StepWait& b) {
+        return std::tie(b.longestWait, a.job, a.step) < std::tie(a.longestWait, b.job, b.step);
+    });
+    waits.resize(std::min(waits.size(), maxCount));
+    return waits;
+}
+
+/// A task with a run is not in a queue, although the run may never have started or may have ended.
+void TaskScheduler::addWaitsOfUnlistedRuns(std::vector<StepWait>& waits, Instant now, Milliseconds minWait) const
+{
+    std::map<std::tuple<JobId, uint32_t, uint32_t>, StepWait> unlisted;
+    for (const auto& [handle, worker] : m_workers) {
+        for (const auto& [key, active] : worker->runs) {
+            const auto& [ref, number] = key;
+            const auto* run = findRun(*active.task, number);
+            if (!run || active.job->hasEnded())
+                continue;
+            auto time = now - std::max(run->startedAt, run->reportedAt);
+            if (time < minWait)
+                continue;
+            auto& wait = unlisted
+                             .try_emplace({ ref.job, ref.occurrence, ref.step },
+                                 waitOf(active.job->spec, ref.occurrence, ref.step))
+                             .first->second;
+            wait.reason = PlacementDelay::UnlistedRun;
+            addTask(wait, ref.index, time);
+            bool waitsForRecord = run->suspected && run->phase == RunPhase::Starting
+                && !active.job->storedCrashes.find(crashKey(*active.job, ref), number);
+            if (waitsForRecord)
+                wait.suspectDelay = SuspectDelay::RecordsNotStored;
+        }
+    }
+    for (auto& [key, wait] : unlisted)
+        waits.push_back(std::move(wait));
+}
+
+}
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/SiblingRunTimes.h>
+#include <LibDecision/SuspectDelay.h>
 #include <LibDecision/TrackedTask.h>
 #include <cstdint>
 #include <vector>
@@ -32,6 +33,9 @@
 
     /// Why the latest plan did not start the waiting tasks.
     PlacementDelay delay { PlacementDelay::None };
+
+    /// What holds back the suspected tasks among them.
+    SuspectDelay suspectDelay { SuspectDelay::None };
 };
 
 }
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -25,8 +25,15 @@
 
 std::string_view nameOf(PlacementDelay delay)
 {
-    constexpr std::array<std::string_view, 6> names { "none", "earlier_leader", "headroom", "no_worker",
-        "unconfirmed_leadership", "crash_suspicion" };
+    constexpr std::array<std::string_view, 7> names { "none", "earlier_leader", "headroom", "no_worker",
+        "unconfirmed_leadership", "crash_suspicion", "unlisted_run" };
+    return names[static_cast<size_t>(delay)];
+}
+
+std::string_view nameOf(SuspectDelay delay)
+{
+    constexpr std::array<std::string_view, 5> names { "none", "records_not_stored", "awaiting_confirmation",
+        "no_isolation_slot", "no_worker" };
     return names[static_cast<size_t>(delay)];
 }
 
--- a/Libraries/LibNode/OutcomeNames.h
+++ b/Libraries/LibNode/OutcomeNames.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/RunEnd.h>
+#include <LibDecision/SuspectDelay.h>
 #include <LibDecision/WorkerEnd.h>
 #include <LibPlatform/TaskCommandReply.h>
 #include <LibWire/JobStage.h>
@@ -14,6 +15,7 @@
 std::string_view nameOf(TaskCommandOutcome);
 std::string_view nameOf(JobStage);
 std::string_view nameOf(PlacementDelay);
+std::string_view nameOf(SuspectDelay);
 std::string_view nameOf(WorkerEnd);
 
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -405,8 +405,8 @@
     m_metrics.setWorkers(static_cast<size_t>(reachable), m_workers.size());
 }
 
-/// Logs tasks of long-running steps that have waited for their start for more than `longWait`, with the reason.
-void TaskLeader::logLongRunningStepWaits()
+/// Logs tasks that have waited for their start for more than `longWait`, with the reason.
+void TaskLeader::logStepWaits()
 {
     constexpr Milliseconds interval { 1000 };
     constexpr Milliseconds longWait { 3000 };
@@ -415,10 +415,11 @@
     if (now - m_waitsLoggedAt < interval)
         return;
     m_waitsLoggedAt = now;
-    for (const auto& wait : m_scheduler.longRunningStepWaits(now, longWait, maxLines))
+    for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines))
         logInfo("task_waits",
             { { "job", wait.job }, { "occurrence", wait.occurrence }, { "step", wait.step }, { "tasks", wait.tasks },
-                { "longest_ms", wait.longestWait.count() }, { "reason", nameOf(wait.reason) },
+                { "index", wait.longestWaiting }, { "longest_ms", wait.longestWait.count() },
+                { "reason", nameOf(wait.reason) }, { "suspect", nameOf(wait.suspectDelay) },
                 { "cpu_millis", wait.size.cpuMillis }, { "memory_mb", wait.size.memoryMb },
                 { "free_millis", m_scheduler.freeCpuMillis() },
                 { "headroom_millis", m_scheduler.headroomCpuMillis() } });
@@ -429,7 +430,7 @@
     markUnreachedWorkers();
     plan();
     updateGauges();
-    logLongRunningStepWaits();
+    logStepWaits();
     m_loop.callAfter(tickInterval, [this, alive = m_alive] {
         if (*alive)
             tick();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -150,7 +150,7 @@
     static size_t maxConcurrentRenewals(int64_t cpuMillis, Milliseconds timeout);
     void plan();
     void updateGauges();
-    void logLongRunningStepWaits();
+    void logStepWaits();
     void tick();
 
     EventLoop& m_loop;
--- a/Tests/LibDecision/TestTaskIsolation.cpp
+++ b/Tests/LibDecision/TestTaskIsolation.cpp
@@ -120,3 +120,41 @@
     }
     CHECK_EQUAL(1, scheduler.timelineOf("g")->crashedRuns.size());
 }
+
+// Guards against a long wait that the log doesn't explain because the task has a run that was never sent.
+TEST(TaskIsolation, WaitForTheRecordOfAStartIsReported)
+{
+    fixture.addWorker(1);
+    addSuspectedJob("j", fixture.step(1));
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_EQUAL(1, scheduler.totals().activeRuns);
+    fixture.advance(Milliseconds { 3000 });
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    auto waits = scheduler.stepWaits(fixture.now(), Milliseconds { 3000 }, 4);
+    CHECK_EQUAL(1, waits.size());
+    CHECK(waits[0].reason == PlacementDelay::UnlistedRun);
+    CHECK(waits[0].suspectDelay == SuspectDelay::RecordsNotStored);
+    CHECK_EQUAL(3000, waits[0].longestWait.count());
+}
+
+// Guards against a long wait of a suspected task of which the log doesn't tell what holds it back.
+TEST(TaskIsolation, ReasonForTheWaitOfASuspectedTaskIsReported)
+{
+    for (WorkerHandle handle = 1; handle <= 4; ++handle)
+        fixture.addWorker(handle, { 1000, 125000, 0 });
+    auto delayOf = [&](const JobId& job) {
+        for (const auto& wait : scheduler.stepWaits(fixture.now(), Milliseconds { 3000 }, 4)) {
+            if (wait.job == job && wait.reason == PlacementDelay::CrashSuspicion)
+                return wait.suspectDelay;
+        }
+        return SuspectDelay::None;
+    };
+    addSuspectedJob("large", { .size = { 2000, 1000, 0 }, .estimateMs = 1000 });
+    run(Milliseconds { 3100 });
+    CHECK(delayOf("large") == SuspectDelay::NoWorker);
+    for (const auto* id : { "first", "second", "third" })
+        addSuspectedJob(id, fixture.step(1));
+    run(Milliseconds { 3100 });
+    CHECK_EQUAL(2, scheduler.totals().activeRuns);
+    CHECK(delayOf("third") == SuspectDelay::NoIsolationSlot);
+}
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -334,8 +334,8 @@
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
 
-// Guards against a long wait of a long-running task that the log does not explain.
-TEST(TaskScheduler, LongWaitsOfLongRunningTasksAreReported)
+// Guards against a long wait of a task that the log does not explain.
+TEST(TaskScheduler, LongWaitsAreReported)
 {
     fixture.addWorker(1, { 500, 125000, 0 });
     fixture.planStarts();
@@ -346,14 +346,17 @@
     fixture.planStarts();
     fixture.advance(Milliseconds { 3000 });
     CHECK_EQUAL(0, fixture.planStarts().size());
-    auto waits = scheduler.longRunningStepWaits(fixture.now(), Milliseconds { 3000 }, 4);
-    CHECK_EQUAL(1, waits.size());
+    auto waits = scheduler.stepWaits(fixture.now(), Milliseconds { 3000 }, 4);
+    CHECK_EQUAL(2, waits.size());
     STRCMP_EQUAL("long-running", waits[0].job.c_str());
+    STRCMP_EQUAL("short", waits[1].job.c_str());
+    CHECK_EQUAL(1, waits[1].tasks);
+    CHECK(waits[1].reason == PlacementDelay::NoWorker);
     CHECK_EQUAL(2, waits[0].tasks);
     CHECK_EQUAL(3000, waits[0].longestWait.count());
     CHECK(waits[0].reason == PlacementDelay::NoWorker);
-    CHECK(scheduler.longRunningStepWaits(fixture.now(), Milliseconds { 3001 }, 4).empty());
-    CHECK(scheduler.longRunningStepWaits(fixture.now(), Milliseconds { 3000 }, 0).empty());
+    CHECK(scheduler.stepWaits(fixture.now(), Milliseconds { 3001 }, 4).empty());
+    CHECK(scheduler.stepWaits(fixture.now(), Milliseconds { 3000 }, 0).empty());
 }
 
 // Guards against skipping a long-running task while others wait for headroom (recorded as LOST on day gangs-and-repeats
