--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -14,7 +14,8 @@
 /// A held worker that is not used within this time takes other starts again.
 static constexpr Milliseconds holdTime { 3000 };
 
-/// Failed searches for a worker for an isolated run in one plan; each visits all workers and their runs.
+/// Failed searches for a worker for an isolated run in one plan; each visits all workers and their runs. The next plan
+/// goes on where this one stopped.
 static constexpr uint32_t maxFailedSearches = 4;
 
 /// Bounds of the number of isolated runs, each of which may take its worker down.
@@ -45,18 +46,19 @@
 }
 
 /// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
-/// Whether a worker has crashed may never be known, so the wait for that is bounded.
-bool TaskScheduler::mayStartSuspect(
+/// Whether a worker has crashed may never be known, so the wait for that is bounded. Returns None if the task may
+/// start.
+SuspectDelay TaskScheduler::delayOfSuspect(
     const TrackedJob& job, const TaskRef& ref, const TrackedTask& task, Instant now) const
 {
     constexpr Milliseconds maxConfirmationWait { 10000 };
     auto key = crashKey(job, ref);
     if (!areCrashesStored(job, key))
-        return false;
+        return SuspectDelay::RecordsNotStored;
     if (job.crashes.isolationOf(key) != RunIsolation::Required)
-        return true;
+        return SuspectDelay::None;
     bool mustWait = job.crashes.awaitsConfirmation(key) && now - task.waitingSince < maxConfirmationWait;
-    return !mustWait && !hasDueCrash(job, key);
+    return mustWait || hasDueCrash(job, key) ? SuspectDelay::AwaitingConfirmation : SuspectDelay::None;
 }
 
 /// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone. Half
@@ -65,14 +67,30 @@
 {
     if (m_isolatedRuns == 0)
         return true;
-    if (m_failedSearches >= maxFailedSearches)
-        return false;
     auto candidates = m_candidates.find(policyOf(job).service);
     auto workers = candidates == m_candidates.end() ? 0 : static_cast<uint32_t>(candidates->second.size());
     auto limit = std::max(minIsolatedRuns, static_cast<uint32_t>(m_workers.size()) / workersPerIsolatedRun);
     return m_isolatedRuns + runs <= std::min(limit, workers / 2);
 }
 
+/// Why a task that may start, or a gang of `runs` members, was not placed isolated.
+SuspectDelay TaskScheduler::placementDelayOfSuspect(const TrackedJob& job, uint32_t runs) const
+{
+    return hasIsolationSlots(job, runs) ? SuspectDelay::NoWorker : SuspectDelay::NoIsolationSlot;
+}
+
+/// Whether the current plan may search workers for isolated runs of the step.
+bool TaskScheduler::maySearchIsolated(const ReadyStep& ready)
+{
+    if (m_firstSearchedStep && ready.key < *m_firstSearchedStep)
+        return false;
+    if (m_failedSearches < maxFailedSearches)
+        return true;
+    if (!m_firstSkippedStep)
+        m_firstSkippedStep = ready.key;
+    return false;
+}
+
 bool TaskScheduler::canIsolate(const WorkerEntry& worker, const TrackedJob& job, uint32_t step, Instant now)
 {
     return std::ranges::all_of(worker.runs, [&](const auto& it) {
@@ -87,7 +105,7 @@
 /// Starts the suspected task isolated if possible. Returns false if it has to wait or may start like other tasks.
 bool TaskScheduler::placeSuspect(const ReadyStep& ready, uint32_t index, Instant now)
 {
-    if (!hasIsolationSlots(*ready.job, 1) || m_failedSearches >= maxFailedSearches)
+    if (!hasIsolationSlots(*ready.job, 1))
         return false;
     auto& task = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Isolated);
@@ -102,7 +120,7 @@
 /// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs.
 void TaskScheduler::holdForIsolation(const ReadyStep& ready, const TrackedTask& task, Instant now)
 {
-    if (!hasIsolationSlots(*ready.job, 1) || m_failedSearches >= maxFailedSearches)
+    if (!hasIsolationSlots(*ready.job, 1))
         return;
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Hold);
     if (worker)
@@ -140,7 +158,13 @@
     auto* run = task ? findRun(*task, start.run) : nullptr;
     if (!run || run->phase != RunPhase::Starting)
         return true;
-    if (!job->storedCrashes.find(crashKey(*job, start.task), start.run))
+    auto key = crashKey(*job, start.task);
+    // Another run of the task may have cleared the record, which is not stored then; the task is placed again.
+    if (!job->crashes.find(key, start.run)) {
+        dropRun(*job, start.task, *task, start.run);
+        return true;
+    }
+    if (!job->storedCrashes.find(key, start.run))
         return false;
     if (!permission.mayStart || job->knownAt > permission.knownBy)
         return false;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -212,7 +212,7 @@
         auto& task = *active->second.task;
         auto& run = *findRun(task, report.run);
         updateRun(job, task, run, report, now);
-        clearIfProven(job, task, report.task, run, now);
+        clearIfProven(job, task, report.task, run);
         if (run.phase == RunPhase::Stopping)
             requestStop(handle, report.task, report.run, run.stopReason, now);
         else if (job.hasEnded() || task.done)
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -167,7 +167,7 @@
     if (tracked.waiting.empty())
         return;
     StepKey key { policyOf(job).priority, job.objectiveUnixMs, ++m_readySequence };
-    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = occurrence, .step = step });
+    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = occurrence, .step = step, .key = key });
 }
 
 void TaskScheduler::requeue(TrackedJob& job, const TaskRef& ref)
@@ -196,7 +196,7 @@
     if (!wasEmpty)
         return;
     StepKey key { policyOf(job).priority, job.objectiveUnixMs, ++m_readySequence };
-    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = ref.occurrence, .step = ref.step });
+    m_readySteps.emplace(key, ReadyStep { .job = &job, .occurrence = ref.occurrence, .step = ref.step, .key = key });
 }
 
 std::optional<JobStage> TaskScheduler::cancelJob(const JobId& id)
@@ -404,30 +404,4 @@
     return totals;
 }
 
-std::vector<StepWait> TaskScheduler::longRunningStepWaits(Instant now, Milliseconds minWait, size_t maxCount) const
-{
-    std::vector<StepWait> waits;
-    for (const auto& [key, ready] : m_readySteps) {
-        if (ready.job->hasEnded() || !ready.job->spec.steps[ready.step].longRunning)
-            continue;
-        const auto& spec = ready.job->spec.steps[ready.step];
-        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-        StepWait wait { .job = ready.job->spec.id,
-            .occurrence = ready.occurrence,
-            .step = ready.step,
-            .tasks = static_cast<uint32_t>(step.waiting.size()),
-            .size = spec.size,
-            .reason = step.delay };
-        for (auto index : step.waiting) {
-            if (step.tasks[index].waitingSince != neverInstant)
-                wait.longestWait = std::max(wait.longestWait, now - step.tasks[index].waitingSince);
-        }
-        if (wait.longestWait >= minWait)
-            waits.push_back(std::move(wait));
-    }
-    std::ranges::sort(waits, std::ranges::greater {}, &StepWait::longestWait);
-    waits.resize(std::min(waits.size(), maxCount));
-    return waits;
-}
-
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -6,6 +6,7 @@
 #include <LibDecision/RunReport.h>
 #include <LibDecision/StepWait.h>
 #include <LibDecision/StopReason.h>
+#include <LibDecision/SuspectDelay.h>
 #include <LibDecision/TaskAction.h>
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
@@ -159,9 +160,9 @@
     };
     Totals totals() const;
 
-    /// Returns up to `maxCount` long-running steps with a task that has waited for at least `minWait`, longest wait
-    /// first.
-    std::vector<StepWait> longRunningStepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
+    /// Returns up to `maxCount` steps with a task that has waited for at least `minWait`, or with a run that its worker
+    /// has not listed for that long, longest wait first.
+    std::vector<StepWait> stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
 
     /// Processors that are free on usable workers, and those that are reserved for the demand of short tasks, in
     /// thousandths of a core.
@@ -175,6 +176,9 @@
         TrackedJob* job { nullptr };
         uint32_t occurrence { 0 };
         uint32_t step { 0 };
+
+        /// Key of the step in `m_readySteps`.
+        StepKey key {};
     };
 
     /// The crash of a worker.
@@ -222,6 +226,7 @@
     bool mustWaitForHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
     static void setWaitingSince(TrackedStep&, Instant now);
+    void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
     /// Which workers may take the run.
     enum class PlacementMode : uint8_t {
         Shared,
@@ -247,7 +252,7 @@
     void withdrawCrash(TrackedJob&, const TaskRef&, uint64_t run);
     void withdrawCrashOn(WorkerHandle, TrackedJob&, const TaskRef&, uint64_t run);
     void clearCrashes(TrackedJob&, const TaskRef&);
-    void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&, Instant now);
+    void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&);
     void resolveUnconfirmedCrashes(const WorkerEntry&);
     void confirmCrashes(const WorkerLoss&);
     void confirmDueCrashes(Instant now);
@@ -260,8 +265,10 @@
     bool isLostWithItsGroup(const WorkerLoss&) const;
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
-    bool mayStartSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
+    SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs) const;
+    bool maySearchIsolated(const ReadyStep&);
+    SuspectDelay placementDelayOfSuspect(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
     void holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
@@ -317,6 +324,12 @@
     /// Searches of the current plan that found no worker for an isolated run.
     uint32_t m_failedSearches { 0 };
 
+    /// The current plan searches workers for isolated runs of this step and those after it, or of all steps.
+    std::optional<StepKey> m_firstSearchedStep;
+
+    /// The first step for which the current plan made no search, because too many had failed.
+    std::optional<StepKey> m_firstSkippedStep;
+
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
     Instant m_unblockAt { neverInstant };
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -157,7 +157,7 @@
     void plan();
     void recordCommand(const TaskAction&);
     void updateGauges();
-    void logLongRunningStepWaits();
+    void logStepWaits();
     void tick();
 
     EventLoop& m_loop;
