Send starts after a broken connection only to a proven incarnation

Cause: a task that crashes its worker loses the reply to its start. The session repeated the start 150 ms later, and a worker that was back within that time under its id got the repeat as a new incarnation, before the leader knew of it: each run crashed the worker twice and was counted once. The calls name the worker's id, not its incarnation, so the worker cannot refuse the repeat.

Change: after a connection of a command or a lease renewal has broken, the session sends no start (and no throttle) before the same incarnation has answered a request for its report that was sent later. The request is separate from the lease renewal in progress, which may take seconds and may have been answered before the crash. Stops do not wait: they start nothing, and their reply names the incarnation as well. Calls that time out are repeated as before. A start on a connection that the network has reset is repeated one round trip later than before.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -204,6 +204,7 @@
     m_isRenewalInProgress = false;
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
+        recordBrokenConnection(reply.status());
         recordFailure();
         // The first broken connection may be one that the network has reset; the second one is new.
         constexpr uint32_t brokenUntilSuspected { 2 };
@@ -218,6 +219,7 @@
         recordFailure();
         return scheduleLeaseRenewal(retryDelay);
     }
+    recordProof(requestSentAt);
     recordReply(reply->commandReply);
     m_isReconciled = true;
     m_hasRuns = !reply->running.empty();
@@ -227,6 +229,9 @@
         m_lastEndSequence = std::max(m_lastEndSequence, end.sequence);
     }
     m_options.events.onReport(*reply, requestSentAt);
+    if (!*m_alive)
+        return;
+    sendNextCommand();
     if (!*m_alive)
         return;
     // allowLease() renews the lease sooner.
@@ -310,8 +315,11 @@
         return;
     // A worker that is held for unreachable may only have been late, and its first lease renewal may have to wait
     // behind those of other workers. Its runs go on until its lease has expired, so stops do not wait.
-    if (!m_isReachable && !std::holds_alternative<StopTask>(m_commands.front()))
+    bool isStop = std::holds_alternative<StopTask>(m_commands.front());
+    if (!m_isReachable && !isStop)
         return;
+    if (!isIncarnationProven() && !isStop)
+        return proveIncarnation();
     m_commands.beginFront();
     m_commandSentAt = m_loop.now();
     TaskCommandContext context { .epoch = m_options.epoch, .timeout = m_options.commandTimeout.current() };
@@ -338,6 +346,42 @@
     }
 }
 
+/// A broken connection may be the end of the incarnation. A timed-out call says nothing about it.
+void WorkerSession::recordBrokenConnection(const absl::Status& status)
+{
+    if (!absl::IsDeadlineExceeded(status))
+        m_connectionBrokenAt = m_loop.now();
+}
+
+void WorkerSession::recordProof(Instant requestSentAt)
+{
+    if (requestSentAt > m_connectionBrokenAt)
+        m_connectionBrokenAt = neverInstant;
+}
+
+/// Asks the worker for a report, which carries the start time of its incarnation. The lease renewal in progress may
+/// take seconds, and it may have been answered before the connection broke.
+void WorkerSession::proveIncarnation()
+{
+    if (std::exchange(m_isProofInProgress, true))
+        return;
+    m_taskExecutor.renewLease(m_options.executor, m_options.epoch, {},
+        [this, alive = m_alive, requestSentAt = m_loop.now()](const absl::StatusOr<RenewLeaseReply>& reply) {
+            if (!*alive)
+                return;
+            m_isProofInProgress = false;
+            if (!reply.ok())
+                return sendNextCommandAfter(retryDelay);
+            if (!checkOutcome(reply->commandReply))
+                return;
+            if (reply->commandReply.outcome != TaskCommandOutcome::Accepted)
+                return sendNextCommandAfter(retryDelay);
+            recordProof(requestSentAt);
+            recordReply(reply->commandReply);
+            sendNextCommand();
+        });
+}
+
 void WorkerSession::sendNextCommandAfter(Milliseconds delay)
 {
     m_loop.callAfter(delay, [this, alive = m_alive] {
@@ -378,11 +422,14 @@
     bool wasNotSent = absl::IsAborted(reply.status());
     if (wasNotSent && start && m_commands.failuresOfFront() == 0) {
         auto refused = m_commands.takeFront();
+        recordBrokenConnection(reply.status());
         recordFailure();
         reportCommandReply(refused, { .outcome = TaskCommandOutcome::Unhealthy });
         return sendNextCommand();
     }
-    // Retries are idempotent; the reply to the retry gives the outcome of a command whose reply was lost.
+    // Retries to the same incarnation are idempotent; the reply to the retry gives the outcome of a command whose reply
+    // was lost.
+    recordBrokenConnection(reply.status());
     auto failures = m_commands.recordFailure();
     if (start && m_commands.hasStopOf(*start)) {
         m_commands.takeFront();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -128,6 +128,10 @@
     bool checkOutcome(const TaskCommandReply&);
     void recordFailure();
     void sendNextCommand();
+    void recordBrokenConnection(const absl::Status&);
+    bool isIncarnationProven() const { return m_connectionBrokenAt == neverInstant; }
+    void recordProof(Instant requestSentAt);
+    void proveIncarnation();
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
     void sendNextCommandAfter(Milliseconds delay);
     void confirmLater();
@@ -177,6 +181,11 @@
     CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
 
+    /// When the last connection to the worker broke; neverInstant if the incarnation has replied to a lease renewal
+    /// sent later. Until then a start could reach, and crash, a new incarnation.
+    Instant m_connectionBrokenAt { neverInstant };
+    bool m_isProofInProgress { false };
+
     /// The reply to the command in progress is ignored, because its run has ended.
     bool m_discardsCommandReply { false };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
