Show that a start which reached a new incarnation is repeated elsewhere

A worker is restarted under its id and the start of a task reaches the new incarnation. Its reply, a report or the list of workers then names another incarnation than the leader's session; the leader takes the run for lost and starts the task on another worker at once, while the new incarnation runs it.

--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -20,7 +20,8 @@
 namespace Bergamot {
 
 /// Leaders in virtual time that follow each other, on workers that answer lease renewals unless they are silent. All
-/// workers were started at `bornMs`, use the local clock, and leave starts without an answer.
+/// workers were started at `bornMs` unless the test restarts them, use the local clock, and leave commands without an
+/// answer.
 class TaskLeaderFixture : public Utest {
 public:
     static constexpr int64_t bornMs { 50 };
@@ -36,12 +37,18 @@
         return { .id = worker, .address = worker, .startedAtMs = bornMs };
     }
 
+    int64_t startedAtMsOf(const std::string& worker) const
+    {
+        auto it = restartedAtMs.find(worker);
+        return it == restartedAtMs.end() ? bornMs : it->second;
+    }
+
     void announce(const std::string& worker)
     {
         formats.announcements[worker]
             = { .view = { .id = worker, .service = "s", .zone = "z", .rack = "r", .capacity = { 4000, 8192, 0 } },
                   .address = worker,
-                  .startedAtMs = bornMs };
+                  .startedAtMs = startedAtMsOf(worker) };
         store.put(StreamName::Workers, worker, worker);
     }
 
@@ -110,6 +117,11 @@
         }
     }
 
+    TaskCommandReply replyOf(const std::string& worker) const
+    {
+        return { .clockMs = clock.now().time_since_epoch().count(), .startedAtMs = startedAtMsOf(worker) };
+    }
+
     void answerRenewals()
     {
         for (auto left = taskExecutor.renewLeaseCalls.size(); left > 0; --left) {
@@ -120,8 +132,7 @@
                 taskExecutor.renewLeaseCalls.push_back(std::move(call));
                 continue;
             }
-            call.reply(RenewLeaseReply {
-                .commandReply = { .clockMs = clock.now().time_since_epoch().count(), .startedAtMs = bornMs } });
+            call.reply(RenewLeaseReply { .commandReply = replyOf(call.address), .running = runs[call.address] });
         }
         loop->runReady();
     }
@@ -179,6 +190,12 @@
     ElectionHistory elections;
     std::set<std::string> silent;
 
+    /// The start times of workers that have been restarted.
+    std::map<std::string, int64_t> restartedAtMs;
+
+    /// The runs that the workers list.
+    std::map<std::string, std::vector<RunReport>> runs;
+
     /// Workers that do not answer the leader of the epoch.
     std::set<std::pair<std::string, uint64_t>> cutOff;
 
--- /dev/null
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -0,0 +1,112 @@
+#include "TaskLeaderFixture.h"
+
+using namespace Bergamot;
+
+/// The start of a task may reach a new incarnation of its worker, of which the leader knows nothing yet.
+TEST_GROUP_BASE(TaskLeaderRestartedWorkers, TaskLeaderFixture)
+{
+    MockTaskExecutor::Command start;
+
+    /// Has a leader start the only job on one of two workers. The start has no reply yet.
+    void startJob()
+    {
+        announce("w1");
+        announce("w2");
+        putJob("j");
+        elect();
+        CHECK(timeOfStart(clock.now(), Milliseconds { 2000 }).has_value());
+        start = taskExecutor.takeCommand();
+    }
+
+    /// Restarts the worker, which then runs the task.
+    void restartWithRun()
+    {
+        restartedAtMs[start.address] = 60;
+        runs[start.address] = { { .task = start.start.task, .run = start.run } };
+    }
+
+    /// Checks that the task is not started again before the new incarnation has stopped its run, and is then.
+    void checkRunIsStoppedFirst()
+    {
+        run(Milliseconds { 3000 });
+        CHECK_EQUAL(0, starts());
+        CHECK_EQUAL(1, taskExecutor.commands.size());
+        auto stop = taskExecutor.takeCommand();
+        STRCMP_EQUAL("stop", stop.kind.c_str());
+        CHECK_EQUAL(start.run, stop.run);
+        CHECK_EQUAL(start.address, stop.address);
+        run(Milliseconds { 1000 });
+        CHECK_EQUAL(0, starts());
+        runs.clear();
+        stop.reply(replyOf(stop.address));
+        CHECK(timeOfStart(clock.now(), Milliseconds { 2500 }).has_value());
+    }
+};
+
+// Guards against two runs of a task at once: a new incarnation of the worker has accepted the start.
+TEST(TaskLeaderRestartedWorkers, StartAcceptedByANewIncarnationIsStoppedBeforeTheNextStart)
+{
+    startJob();
+    restartWithRun();
+    start.reply(replyOf(start.address));
+    checkRunIsStoppedFirst();
+}
+
+// Guards against the same when the reply to the start is lost and a report names the new incarnation.
+TEST(TaskLeaderRestartedWorkers, LostReplyOfANewIncarnationDoesNotStartTheTaskTwice)
+{
+    startJob();
+    restartWithRun();
+    start.reply(absl::DeadlineExceededError("lost"));
+    advance(Milliseconds { 2 });
+    STRCMP_EQUAL("start", taskExecutor.takeCommand().kind.c_str());
+    checkRunIsStoppedFirst();
+}
+
+// Guards against the same when the list of workers names the new incarnation first.
+TEST(TaskLeaderRestartedWorkers, AnnouncedIncarnationMayRunTheTaskWithoutReply)
+{
+    startJob();
+    restartWithRun();
+    silent.insert(start.address);
+    announce(start.address);
+    run(Milliseconds { 1500 });
+    CHECK_EQUAL(0, starts());
+    silent.clear();
+    checkRunIsStoppedFirst();
+}
+
+// Guards against a task that waits for a stop on an incarnation that is gone as well.
+TEST(TaskLeaderRestartedWorkers, TaskStartsOnceTheNewIncarnationIsReplacedToo)
+{
+    startJob();
+    restartWithRun();
+    start.reply(replyOf(start.address));
+    run(Milliseconds { 300 });
+    CHECK_EQUAL(0, starts());
+    runs.clear();
+    taskExecutor.commands.clear();
+    restartedAtMs[start.address] = 70;
+    announce(start.address);
+    run(Milliseconds { 1000 });
+    for (auto left = taskExecutor.commands.size(); left > 0; --left) {
+        auto command = taskExecutor.takeCommand();
+        if (command.kind == "start")
+            taskExecutor.commands.push_back(std::move(command));
+        else
+            command.reply(replyOf(command.address));
+    }
+    CHECK(timeOfStart(clock.now(), Milliseconds { 2500 }).has_value());
+}
+
+// Guards against a task that waits for a new incarnation although its run ended with the former one.
+TEST(TaskLeaderRestartedWorkers, StartThatWasAcceptedByTheFormerIncarnationIsLostWithIt)
+{
+    startJob();
+    start.reply(replyOf(start.address));
+    restartedAtMs[start.address] = 60;
+    announce(start.address);
+    CHECK(timeOfStart(clock.now(), Milliseconds { 2500 }).has_value());
+    for (const auto& command : taskExecutor.commands)
+        STRCMP_EQUAL("start", command.kind.c_str());
+}
