Stop runs that a new incarnation may have before their tasks start again

Cause: a start whose reply was lost, or came from another incarnation than the session's, may be active on the new incarnation. The leader dropped all runs of the former incarnation and started the task elsewhere at once.

Change: when a reply or the list of workers names a later incarnation at the same address, TaskLeader::replaceWorker() counts the runs whose starts had no reply as runs of the new incarnation, in the phase Stopping, and has it stop them. The task starts again once the stop is accepted and a later list lacks the run, or once that incarnation is gone too. Runs that the former incarnation had confirmed ended with it, and starts that were never sent are not held back. The leader adds the new incarnation when it replies, before the platform lists it. Without unconfirmed runs nothing changes. An idle worker without such a run delays the task by up to two reports (4 s).

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -167,6 +167,27 @@
     std::erase(step.waiting, report.task.index);
 }
 
+bool TaskScheduler::isUnconfirmed(WorkerHandle handle, const TaskRef& ref, uint64_t run)
+{
+    auto* job = findJob(ref.job);
+    auto* task = job ? findTask(*job, ref) : nullptr;
+    const auto* tracked = task ? findRun(*task, run) : nullptr;
+    return tracked && tracked->worker == handle && tracked->confirmedAt == neverInstant;
+}
+
+void TaskScheduler::stopPossibleRun(WorkerHandle handle, const TaskRef& ref, uint64_t run, Instant now)
+{
+    auto* job = findJob(ref.job);
+    auto* task = job && !job->hasEnded() ? findTask(*job, ref) : nullptr;
+    if (!task || task->done || !m_workers.contains(handle))
+        return;
+    adoptRun(handle, *job, *task, { .task = ref, .run = run }, now);
+    // The worker's lists decide whether the run exists only after the worker has accepted the stop.
+    task->runs.back().phase = RunPhase::Stopping;
+    task->runs.back().confirmedAt = neverInstant;
+    requestStop(handle, ref, run, now);
+}
+
 void TaskScheduler::updateRun(TrackedJob& job, TrackedTask& task, TrackedRun& run, const RunReport& report, Instant now)
 {
     run.confirmedAt = now;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -117,6 +117,13 @@
     /// run exists.
     void commandAccepted(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
     void startRefused(WorkerHandle, const TaskRef&, uint64_t run, StartRefusal, Instant now);
+
+    /// Whether the run is known as one of the worker's, which has neither acknowledged nor listed it yet.
+    bool isUnconfirmed(WorkerHandle, const TaskRef&, uint64_t run);
+
+    /// The worker may have received the start of a run that was dropped: has it stop the run before the task starts
+    /// again.
+    void stopPossibleRun(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
     void runEnded(WorkerHandle, const RunEnd&, Instant now);
 
     /// Processes the complete list of runs on a worker, requested at `requestSentAt`. The first list after a takeover
--- a/Libraries/LibNode/CommandQueue.cpp
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -122,6 +122,19 @@
     return removed;
 }
 
+std::vector<StopTask> CommandQueue::stopsOfPossibleRuns() const
+{
+    std::vector<StopTask> stops;
+    for (const auto& it : m_commands) {
+        bool wasSent = it.failures > 0 || (m_isInProgress && &it == &m_commands.front());
+        if (const auto* stop = std::get_if<StopTask>(&it.action))
+            stops.push_back(*stop);
+        else if (const auto* start = std::get_if<StartTask>(&it.action); start && wasSent)
+            stops.push_back(stopOf(*start));
+    }
+    return stops;
+}
+
 void CommandQueue::clearWaiting() { m_commands.erase(firstWaiting(), m_commands.end()); }
 
 }
--- a/Libraries/LibNode/CommandQueue.h
+++ b/Libraries/LibNode/CommandQueue.h
@@ -59,6 +59,10 @@
     std::vector<StartTask> removeStarts(
         const std::function<bool(const StartTask&)>& isForbidden, size_t maxCount = std::numeric_limits<size_t>::max());
 
+    /// Stops of all runs that the worker may have started without the leader's knowledge: the starts without a reply,
+    /// and the queued stops, each of which may stand for such a start.
+    std::vector<StopTask> stopsOfPossibleRuns() const;
+
     /// Removes all commands but the one in progress.
     void clearWaiting();
 
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -117,7 +117,8 @@
     bool hasLoadedJobs() const;
     Instant jobsCurrentAsOf() const;
     static Milliseconds reportWaitFor(size_t workers);
-    void addWorker(const WorkerIncarnation&, std::optional<WorkerAnnouncement>, uint64_t unreachedSinceEpoch = 0);
+    WorkerHandle addWorker(
+        const WorkerIncarnation&, std::optional<WorkerAnnouncement>, uint64_t unreachedSinceEpoch = 0);
     std::map<WorkerIncarnation, uint64_t> reliableUnreachedWorkers() const;
     void markUnreachedWorkers();
     void workerReached(Worker&);
@@ -125,6 +126,8 @@
     void handleUnreachedWorkersStored();
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void removeWorker(WorkerHandle, WorkerEnd);
+    void replaceWorker(WorkerHandle, const WorkerIncarnation& successor, std::optional<WorkerAnnouncement>);
+    void handleIncarnationMismatch(WorkerHandle);
     static WorkerEnd endOf(const Worker&);
     void confirmInheritedCrashes();
     void reportCrashes();
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -26,6 +26,9 @@
     if (!announcement.ok())
         return;
     m_listedWorkers.announced(record.key, m_workerReader->appendedAfter());
+    WorkerIncarnation incarnation {
+        .id = record.key, .address = announcement->address, .startedAtMs = announcement->startedAtMs
+    };
     auto handle = findHandle(record.key);
     if (handle) {
         auto& worker = m_workers.at(*handle);
@@ -36,10 +39,9 @@
         // A record of an earlier incarnation does not apply to the current one.
         if (announcement->startedAtMs < worker.incarnation.startedAtMs)
             return;
-        removeWorker(*handle, endOf(worker));
+        return replaceWorker(*handle, incarnation, *announcement);
     }
-    addWorker({ .id = record.key, .address = announcement->address, .startedAtMs = announcement->startedAtMs },
-        *announcement);
+    addWorker(incarnation, *announcement);
 }
 
 /// Time that a worker delays a report. The minimum equals the interval at which workers take the measurements in the
@@ -54,7 +56,7 @@
     return std::clamp(wait, minWait, maxWait);
 }
 
-void TaskLeader::addWorker(
+WorkerHandle TaskLeader::addWorker(
     const WorkerIncarnation& incarnation, std::optional<WorkerAnnouncement> announcement, uint64_t unreachedSinceEpoch)
 {
     auto handle = ++m_lastHandle;
@@ -99,6 +101,7 @@
     if (m_areSessionsStarted)
         worker.session->start();
     m_journal.requestFlush();
+    return handle;
 }
 
 bool TaskLeader::isSoleLeader() const { return m_options.soleLeaderUntil() >= m_loop.now(); }
@@ -218,6 +221,37 @@
     schedulePlan();
 }
 
+/// Replaces a worker by a later incarnation. A start without a reply may have reached the later one, which is told to
+/// stop the run before the task may start again.
+void TaskLeader::replaceWorker(
+    WorkerHandle handle, const WorkerIncarnation& successor, std::optional<WorkerAnnouncement> announcement)
+{
+    const auto& worker = m_workers.at(handle);
+    std::vector<StopTask> stops;
+    if (worker.incarnation.address == successor.address)
+        stops = worker.session->stopsOfPossibleRuns();
+    std::erase_if(stops, [&](const StopTask& it) { return !m_scheduler.isUnconfirmed(handle, it.task, it.run); });
+    removeWorker(handle, endOf(worker));
+    auto successorHandle = addWorker(successor, std::move(announcement));
+    for (const auto& stop : stops) {
+        logInfo("run_may_be_on_successor",
+            { { "job", stop.task.job }, { "step", stop.task.step }, { "index", stop.task.index }, { "run", stop.run },
+                { "worker", successor.id } });
+        m_scheduler.stopPossibleRun(successorHandle, stop.task, stop.run, m_loop.now());
+    }
+}
+
+/// The platform may list the later incarnation only seconds after its first reply.
+void TaskLeader::handleIncarnationMismatch(WorkerHandle handle)
+{
+    const auto& worker = m_workers.at(handle);
+    auto successor = worker.incarnation;
+    successor.startedAtMs = worker.session->successorStartedAtMs();
+    if (successor.startedAtMs <= worker.incarnation.startedAtMs || worker.session->stopsOfPossibleRuns().empty())
+        return removeWorker(handle, endOf(worker));
+    replaceWorker(handle, successor, std::nullopt);
+}
+
 /// Removes workers that do not reply and that the platform no longer lists, if they have left according to the list, no
 /// process listens at their address, or their leases have expired: the runs have ended, so nobody has to wait for the
 /// lease. A worker that is only silent may run on and keeps its runs until its lease has expired.
@@ -283,7 +317,7 @@
                         handle, worker.session->refusesConnections() ? endOf(worker) : WorkerEnd::LeaseExpired);
                 schedulePlan();
             },
-        .onIncarnationMismatch = [this, handle] { removeWorker(handle, endOf(m_workers.at(handle))); },
+        .onIncarnationMismatch = [this, handle] { handleIncarnationMismatch(handle); },
         .onFenced = [this] { m_loop.post([fenced = m_options.onFenced] { fenced(); }); },
     };
 }
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -146,6 +146,9 @@
     bool isOtherIncarnation
         = reply.startedAtMs != 0 && m_options.startedAtMs != 0 && reply.startedAtMs != m_options.startedAtMs;
     if (reply.outcome == TaskCommandOutcome::IncarnationMismatch || isOtherIncarnation) {
+        // A process with another id has refused the command, and all starts before it.
+        if (reply.outcome != TaskCommandOutcome::IncarnationMismatch)
+            m_successorStartedAtMs = reply.startedAtMs;
         m_options.events.onIncarnationMismatch();
         return false;
     }
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace Bergamot {
 
@@ -118,6 +119,12 @@
     const TaskExecutorAddress& executor() const { return m_options.executor; }
     int64_t startedAtMs() const { return m_options.startedAtMs; }
 
+    /// Start time of the incarnation with the same id that has replied in place of this one; 0 if there is none.
+    int64_t successorStartedAtMs() const { return m_successorStartedAtMs; }
+
+    /// Stops of the runs that the worker, or a later incarnation at its address, may have started without a reply.
+    std::vector<StopTask> stopsOfPossibleRuns() const { return m_commands.stopsOfPossibleRuns(); }
+
 private:
     void renewLease();
     Milliseconds currentReportWait() const;
@@ -178,6 +185,7 @@
     /// Consecutive lease renewals that failed before their time-out.
     uint32_t m_brokenConnections { 0 };
     bool m_isLeaseExpiryReported { false };
+    int64_t m_successorStartedAtMs { 0 };
     CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
 
