Show that acknowledgements are repeated to new incarnations

A comment in WorkerSession says that an acknowledgement is not repeated, as it could apply to run ends of a later incarnation. After a lost reply it is: both tests fail with "expected <0> but was <4>" in the next renewal. The tests of starts after broken connections move from TestWorkerSession.cpp to a file of their own, unchanged.

--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -271,48 +271,6 @@
     CHECK_EQUAL(1, acceptedStops);
 }
 
-// Guards against a second crash by one start: its repeat reaches the new incarnation of the worker that it has crashed.
-TEST(WorkerSession, StartWithABrokenConnectionIsNotRepeatedToANewIncarnation)
-{
-    connect();
-    taskExecutor.renewLeaseCalls.clear();
-    session->enqueueCommand(startOf(1));
-    taskExecutor.takeCommand().reply(absl::UnavailableError("connection reset"));
-    session->enqueueCommand(startOf(2));
-    advance(Milliseconds { 200 });
-    CHECK(taskExecutor.commands.empty());
-    taskExecutor.takeRenewLeaseCall().reply(RenewLeaseReply { .commandReply = { .clockMs = 5, .startedAtMs = 60 } });
-    CHECK_EQUAL(1, incarnationMismatches);
-    CHECK(taskExecutor.commands.empty());
-}
-
-// Guards against a start that is never repeated, and against taking a report from before the crash for the proof that
-// the worker has not crashed.
-TEST(WorkerSession, StartWithABrokenConnectionIsRepeatedAfterALaterReport)
-{
-    connect();
-    session->enqueueCommand(startOf(1));
-    taskExecutor.takeCommand().reply(absl::UnavailableError("connection reset"));
-    advance(Milliseconds { 200 });
-    CHECK(taskExecutor.commands.empty());
-    taskExecutor.takeRenewLeaseCall().reply(replyAt(1190));
-    CHECK(taskExecutor.commands.empty());
-    taskExecutor.takeRenewLeaseCall().reply(replyAt(1200));
-    checkNext("start", 1);
-    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 1201, .startedAtMs = 50 });
-    CHECK_EQUAL(1, startedRuns.size());
-}
-
-// Guards against a stop that waits for a proof which its reply gives as well.
-TEST(WorkerSession, StopDoesNotWaitForAReportAfterABrokenConnection)
-{
-    connect();
-    session->enqueueCommand(stopOf(9));
-    taskExecutor.takeCommand().reply(absl::UnavailableError("connection reset"));
-    advance(Milliseconds { 200 });
-    checkNext("stop", 9);
-}
-
 // Guards against a lost reply that delays the start and all commands queued behind it by a second, as
 // seen on days with late commands.
 TEST(WorkerSession, CommandWithALostReplyIsRetriedAfterItsTimeout)
--- /dev/null
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -0,0 +1,156 @@
+#include "MockTaskExecutor.h"
+#include "NodeTestClock.h"
+#include <CppUTest/TestHarness.h>
+#include <LibHttp/EventLoop.h>
+#include <LibNode/WorkerSession.h>
+#include <memory>
+#include <vector>
+
+using namespace Bergamot;
+
+/// Calls to a worker that may have been restarted under its id since its last reply.
+TEST_GROUP(WorkerSessionIncarnations)
+{
+    NodeTestClock clock;
+    std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
+    MockTaskExecutor taskExecutor;
+    Milliseconds reportWait { 500 };
+    CallTimeout commandTimeout { { .minTimeout = Milliseconds { 250 }, .maxTimeout = Milliseconds { 1000 } } };
+    std::vector<uint64_t> startedRuns;
+    int incarnationMismatches { 0 };
+    WorkerSession session { *loop, taskExecutor,
+        WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
+            .startedAtMs = 50,
+            .epoch = 3,
+            .commandTimeout = commandTimeout,
+            .reportWait = reportWait,
+            .canStart = [](const StartTask&) { return true; },
+            .renewalLimiter = std::make_shared<ConcurrencyLimiter>(1),
+            .events = { .onReport = [](const RenewLeaseReply&, Instant) {},
+                .onStartReply
+                = [this](const StartTask& start, TaskCommandOutcome) { startedRuns.push_back(start.run); },
+                .onStopAccepted = [](const TaskRef&, uint64_t) {},
+                .onReachabilityChanged = [](bool) {},
+                .onConnectionsBroken = [] {},
+                .onLeaseExpired = [] {},
+                .onIncarnationMismatch = [this] { ++incarnationMismatches; },
+                .onFenced = [] {} } } };
+
+    void advance(Milliseconds time)
+    {
+        constexpr Milliseconds step { 50 };
+        for (Milliseconds passed { 0 }; passed < time; passed += step) {
+            clock.advance(step);
+            loop->runReady();
+        }
+    }
+
+    static RenewLeaseReply replyAt(int64_t clockMs, std::vector<RunEnd> ends = {})
+    {
+        return { .commandReply = { .clockMs = clockMs, .startedAtMs = 50 }, .ended = std::move(ends) };
+    }
+
+    void connect()
+    {
+        session.start();
+        loop->runReady();
+        taskExecutor.takeRenewLeaseCall().reply(replyAt(1000));
+        loop->runReady();
+    }
+
+    static TaskAction startOf(uint64_t run)
+    {
+        return StartTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
+    }
+
+    static TaskAction stopOf(uint64_t run)
+    {
+        return StopTask { .worker = 1, .task = { "j", 0, 0, static_cast<uint32_t>(run) }, .run = run };
+    }
+
+    void checkNext(const char* kind, uint64_t run)
+    {
+        CHECK_EQUAL(1, taskExecutor.commands.size());
+        STRCMP_EQUAL(kind, taskExecutor.commands.front().kind.c_str());
+        CHECK_EQUAL(run, taskExecutor.commands.front().run);
+    }
+
+    /// Has the reply to an acknowledgement lost, and checks that it is repeated after the next reply.
+    void checkAcknowledgementAfter(const absl::Status& error)
+    {
+        std::vector<RunEnd> ends { { .sequence = 4, .task = { "j", 0, 0, 0 }, .run = 1 } };
+        connect();
+        advance(Milliseconds { 50 });
+        taskExecutor.takeRenewLeaseCall().reply(replyAt(1100, ends));
+        session.acknowledge(4);
+        advance(Milliseconds { 200 });
+        auto call = taskExecutor.takeRenewLeaseCall();
+        CHECK_EQUAL(4, call.request.acknowledgedSequence);
+        call.reply(error);
+        advance(Milliseconds { 200 });
+        call = taskExecutor.takeRenewLeaseCall();
+        CHECK_EQUAL(0, call.request.acknowledgedSequence);
+        call.reply(replyAt(1500, ends));
+        advance(Milliseconds { 50 });
+        call = taskExecutor.takeRenewLeaseCall();
+        CHECK_EQUAL(4, call.request.acknowledgedSequence);
+        call.reply(replyAt(1550));
+        advance(Milliseconds { 50 });
+        CHECK_EQUAL(0, taskExecutor.takeRenewLeaseCall().request.acknowledgedSequence);
+    }
+};
+
+// Guards against a second crash by one start: its repeat reaches the new incarnation of the worker that it has crashed.
+TEST(WorkerSessionIncarnations, StartWithABrokenConnectionIsNotRepeatedToANewIncarnation)
+{
+    connect();
+    taskExecutor.renewLeaseCalls.clear();
+    session.enqueueCommand(startOf(1));
+    taskExecutor.takeCommand().reply(absl::UnavailableError("connection reset"));
+    session.enqueueCommand(startOf(2));
+    advance(Milliseconds { 200 });
+    CHECK(taskExecutor.commands.empty());
+    taskExecutor.takeRenewLeaseCall().reply(RenewLeaseReply { .commandReply = { .clockMs = 5, .startedAtMs = 60 } });
+    CHECK_EQUAL(1, incarnationMismatches);
+    CHECK(taskExecutor.commands.empty());
+}
+
+// Guards against a start that is never repeated, and against taking a report from before the crash for the proof that
+// the worker has not crashed.
+TEST(WorkerSessionIncarnations, StartWithABrokenConnectionIsRepeatedAfterALaterReport)
+{
+    connect();
+    session.enqueueCommand(startOf(1));
+    taskExecutor.takeCommand().reply(absl::UnavailableError("connection reset"));
+    advance(Milliseconds { 200 });
+    CHECK(taskExecutor.commands.empty());
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1190));
+    CHECK(taskExecutor.commands.empty());
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1200));
+    checkNext("start", 1);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 1201, .startedAtMs = 50 });
+    CHECK_EQUAL(1, startedRuns.size());
+}
+
+// Guards against a stop that waits for a proof which its reply gives as well.
+TEST(WorkerSessionIncarnations, StopDoesNotWaitForAReportAfterABrokenConnection)
+{
+    connect();
+    session.enqueueCommand(stopOf(9));
+    taskExecutor.takeCommand().reply(absl::UnavailableError("connection reset"));
+    advance(Milliseconds { 200 });
+    checkNext("stop", 9);
+}
+
+// Guards against an acknowledgement that is repeated after its reply was lost: it would discard run ends of a new
+// incarnation, whose tasks would run again.
+TEST(WorkerSessionIncarnations, AcknowledgementThatTimedOutIsNotRepeatedToANewIncarnation)
+{
+    checkAcknowledgementAfter(absl::DeadlineExceededError("lost"));
+}
+
+// Guards against the same after a broken connection.
+TEST(WorkerSessionIncarnations, AcknowledgementWithABrokenConnectionIsNotRepeatedToANewIncarnation)
+{
+    checkAcknowledgementAfter(absl::UnavailableError("connection reset"));
+}
