Repeat acknowledgements only to the incarnation that reported the run ends

Cause: a lease renewal without a reply left its acknowledgement to the next renewal, which may reach a new incarnation of the worker, and libcurl repeats the request by itself. The new incarnation would discard ends of its own runs with the same sequence numbers, and their tasks would run again.

The cost is one round trip after a lost reply, in which the worker lists the ends once more.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -103,9 +103,9 @@
 void WorkerSession::sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter> limiter)
 {
     RenewLeaseRequest request { .wait = currentReportWait() };
-    // An acknowledgement is not repeated: it could apply to run ends of a later incarnation, which may have
-    // the same sequence numbers.
-    if (m_storedEndSequence > m_acknowledgedEndSequence)
+    // An acknowledgement could apply to run ends of a later incarnation, which may have the same sequence numbers. So
+    // it is sent only after a reply of this incarnation, and repeated only after another one.
+    if (m_isLastRenewalAnswered && isIncarnationProven() && m_storedEndSequence > m_acknowledgedEndSequence)
         request.acknowledgedSequence = m_storedEndSequence;
     // Requests to an unreachable worker do not renew its lease, so that its leases expire at a known time.
     if (m_clockMs && m_isReachable && !m_isLeaseWithheld && m_options.canRenewLeases()) {
@@ -205,6 +205,7 @@
 void WorkerSession::handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply> reply, Instant requestSentAt)
 {
     m_isRenewalInProgress = false;
+    m_isLastRenewalAnswered = reply.ok();
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
         recordBrokenConnection(reply.status());
