--- a/Tests/LibNode/TestWorkerSessionIncarnations.cpp
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -75,8 +75,8 @@
         CHECK_EQUAL(run, taskExecutor.commands.front().run);
     }
 
-    /// Has the reply to an acknowledgement lost, and checks that it is repeated after the next reply.
-    void checkAcknowledgementAfter(const absl::Status& error)
+    /// Has an acknowledgement lost or refused, and checks that it is repeated after the next reply.
+    void checkAcknowledgementAfter(const absl::StatusOr<RenewLeaseReply>& failure)
     {
         std::vector<RunEnd> ends { { .sequence = 4, .task = { "j", 0, 0, 0 }, .run = 1 } };
         connect();
@@ -86,7 +86,7 @@
         advance(Milliseconds { 200 });
         auto call = taskExecutor.takeRenewLeaseCall();
         CHECK_EQUAL(4, call.request.acknowledgedSequence);
-        call.reply(error);
+        call.reply(failure);
         advance(Milliseconds { 200 });
         call = taskExecutor.takeRenewLeaseCall();
         CHECK_EQUAL(0, call.request.acknowledgedSequence);
@@ -154,3 +154,10 @@
 {
     checkAcknowledgementAfter(absl::UnavailableError("connection reset"));
 }
+
+// Guards against an acknowledgement that counts as received although the worker has refused it: the worker would answer
+// each lease renewal at once with the same run ends, and the leader would send the next one at once.
+TEST(WorkerSessionIncarnations, RefusedAcknowledgementIsRepeated)
+{
+    checkAcknowledgementAfter(RenewLeaseReply { .commandReply = { .outcome = TaskCommandOutcome::Unhealthy } });
+}
