--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -105,9 +105,9 @@
 void WorkerSession::sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter> limiter)
 {
     RenewLeaseRequest request { .wait = currentReportWait() };
-    // An acknowledgement is not repeated: it could apply to run ends of a later incarnation, which may have
-    // the same sequence numbers.
-    if (m_storedEndSequence > m_acknowledgedEndSequence)
+    // An acknowledgement could apply to run ends of a later incarnation, which may have the same sequence numbers. So
+    // it is sent only after a reply of this incarnation, and repeated only after another one.
+    if (m_isLastRenewalAnswered && isIncarnationProven() && m_storedEndSequence > m_acknowledgedEndSequence)
         request.acknowledgedSequence = m_storedEndSequence;
     // Requests to an unreachable worker do not renew its lease, so that its leases expire at a known time.
     if (m_clockMs && m_isReachable && !m_isLeaseWithheld && m_options.canRenewLeases()) {
@@ -148,6 +148,9 @@
     bool isOtherIncarnation
         = reply.startedAtMs != 0 && m_options.startedAtMs != 0 && reply.startedAtMs != m_options.startedAtMs;
     if (reply.outcome == TaskCommandOutcome::IncarnationMismatch || isOtherIncarnation) {
+        // A process with another id has refused the command, and all starts before it.
+        if (reply.outcome != TaskCommandOutcome::IncarnationMismatch)
+            m_successorStartedAtMs = reply.startedAtMs;
         m_options.events.onIncarnationMismatch();
         return false;
     }
@@ -204,8 +207,10 @@
 void WorkerSession::handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply> reply, Instant requestSentAt)
 {
     m_isRenewalInProgress = false;
+    m_isLastRenewalAnswered = reply.ok();
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
+        recordBrokenConnection(reply.status());
         recordFailure();
         // The first broken connection may be one that the network has reset; the second one is new.
         constexpr uint32_t brokenUntilSuspected { 2 };
@@ -220,6 +225,7 @@
         recordFailure();
         return scheduleLeaseRenewal(retryDelay);
     }
+    recordProof(requestSentAt);
     recordReply(reply->commandReply);
     m_isReconciled = true;
     m_hasRuns = !reply->running.empty();
@@ -229,6 +235,9 @@
         m_lastEndSequence = std::max(m_lastEndSequence, end.sequence);
     }
     m_options.events.onReport(*reply, requestSentAt);
+    if (!*m_alive)
+        return;
+    sendNextCommand();
     if (!*m_alive)
         return;
     // allowLease() renews the lease sooner.
@@ -315,8 +324,11 @@
         return;
     // A worker that is held for unreachable may only have been late, and its first lease renewal may have to wait
     // behind those of other workers. Its runs go on until its lease has expired, so stops do not wait.
-    if (!m_isReachable && !std::holds_alternative<StopTask>(m_commands.front()))
+    bool isStop = std::holds_alternative<StopTask>(m_commands.front());
+    if (!m_isReachable && !isStop)
         return;
+    if (!isIncarnationProven() && !isStop)
+        return proveIncarnation();
     m_commands.beginFront();
     m_commandSentAt = m_loop.now();
     TaskCommandContext context { .epoch = m_options.epoch, .timeout = m_options.commandTimeout.current() };
@@ -343,6 +355,42 @@
     }
 }
 
+/// A broken connection may be the end of the incarnation. A timed-out call says nothing about it.
+void WorkerSession::recordBrokenConnection(const absl::Status& status)
+{
+    if (!absl::IsDeadlineExceeded(status))
+        m_connectionBrokenAt = m_loop.now();
+}
+
+void WorkerSession::recordProof(Instant requestSentAt)
+{
+    if (requestSentAt > m_connectionBrokenAt)
+        m_connectionBrokenAt = neverInstant;
+}
+
+/// Asks the worker for a report, which carries the start time of its incarnation. The lease renewal in progress may
+/// take seconds, and it may have been answered before the connection broke.
+void WorkerSession::proveIncarnation()
+{
+    if (std::exchange(m_isProofInProgress, true))
+        return;
+    m_taskExecutor.renewLease(m_options.executor, m_options.epoch, {},
+        [this, alive = m_alive, requestSentAt = m_loop.now()](const absl::StatusOr<RenewLeaseReply>& reply) {
+            if (!*alive)
+                return;
+            m_isProofInProgress = false;
+            if (!reply.ok())
+                return sendNextCommandAfter(retryDelay);
+            if (!checkOutcome(reply->commandReply))
+                return;
+            if (reply->commandReply.outcome != TaskCommandOutcome::Accepted)
+                return sendNextCommandAfter(retryDelay);
+            recordProof(requestSentAt);
+            recordReply(reply->commandReply);
+            sendNextCommand();
+        });
+}
+
 void WorkerSession::sendNextCommandAfter(Milliseconds delay)
 {
     m_loop.callAfter(delay, [this, alive = m_alive] {
@@ -386,11 +434,14 @@
     bool wasNotSent = absl::IsAborted(reply.status());
     if (wasNotSent && start && m_commands.failuresOfFront() == 0) {
         auto refused = m_commands.takeFront();
+        recordBrokenConnection(reply.status());
         recordFailure();
         reportCommandReply(refused, { .outcome = TaskCommandOutcome::Unhealthy });
         return sendNextCommand();
     }
-    // Retries are idempotent; the reply to the retry gives the outcome of a command whose reply was lost.
+    // Retries to the same incarnation are idempotent; the reply to the retry gives the outcome of a command whose reply
+    // was lost.
+    recordBrokenConnection(reply.status());
     auto failures = m_commands.recordFailure();
     if (start && m_commands.hasStopOf(*start)) {
         m_commands.takeFront();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace Bergamot {
 
@@ -126,6 +127,12 @@
     const TaskExecutorAddress& executor() const { return m_options.executor; }
     int64_t startedAtMs() const { return m_options.startedAtMs; }
 
+    /// Start time of the incarnation with the same id that has replied in place of this one; 0 if there is none.
+    int64_t successorStartedAtMs() const { return m_successorStartedAtMs; }
+
+    /// Stops of the runs that the worker, or a later incarnation at its address, may have started without a reply.
+    std::vector<StopTask> stopsOfPossibleRuns() const { return m_commands.stopsOfPossibleRuns(); }
+
 private:
     void renewLease();
     Milliseconds currentReportWait() const;
@@ -136,6 +143,10 @@
     bool checkOutcome(const TaskCommandReply&);
     void recordFailure();
     void sendNextCommand();
+    void recordBrokenConnection(const absl::Status&);
+    bool isIncarnationProven() const { return m_connectionBrokenAt == neverInstant; }
+    void recordProof(Instant requestSentAt);
+    void proveIncarnation();
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
     void sendNextCommandAfter(Milliseconds delay);
     void confirmLater();
@@ -173,6 +184,7 @@
     bool m_isLeaseWithheld { false };
     bool m_isRenewalInProgress { false };
     bool m_isRenewalScheduled { false };
+    bool m_isLastRenewalAnswered { false };
 
     /// Incremented when a renewal is sent, so that the timers of earlier schedules have no effect.
     uint64_t m_renewalGeneration { 0 };
@@ -188,9 +200,15 @@
     /// Consecutive lease renewals that failed before their time-out.
     uint32_t m_brokenConnections { 0 };
     bool m_isLeaseExpiryReported { false };
+    int64_t m_successorStartedAtMs { 0 };
     CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
 
+    /// When the last connection to the worker broke; neverInstant if the incarnation has replied to a lease renewal
+    /// sent later. Until then a start could reach, and crash, a new incarnation.
+    Instant m_connectionBrokenAt { neverInstant };
+    bool m_isProofInProgress { false };
+
     /// The reply to the command in progress is ignored, because its run has ended.
     bool m_discardsCommandReply { false };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
