Send stops beside other commands once they have waited for a second

Cause: a worker gets one command at a time, so each stop without an answer, or with the slow answer of a slow leader, delays all stops behind it by up to the command time-out of 1 s, again at each of its repeats. The lease covers all runs of the worker, so nothing else ends the run of a cancelled job meanwhile. Change: a stop that has waited for 1 s for its turn is sent at once, beside the command in progress, while the worker is reachable. A failed one goes back to the queue and is watched again. Unreachable workers still get one command at a time: their leases are not renewed.

--- a/Libraries/LibNode/CommandQueue.cpp
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -30,7 +30,7 @@
 void CommandQueue::push(TaskAction action)
 {
     if (const auto* stop = std::get_if<StopTask>(&action)) {
-        if (std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, *stop); }))
+        if (contains(*stop))
             return;
         m_commands.erase(std::remove_if(firstWaiting(), m_commands.end(),
                              [&](const Command& it) { return isOfRun<ThrottleRun>(it.action, *stop); }),
@@ -83,6 +83,21 @@
     return std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, start); });
 }
 
+bool CommandQueue::contains(const StopTask& stop) const
+{
+    return std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<StopTask>(it.action, stop); });
+}
+
+bool CommandQueue::removeWaiting(const StopTask& stop)
+{
+    auto it = std::find_if(firstWaiting(), m_commands.end(),
+        [&](const Command& command) { return isOfRun<StopTask>(command.action, stop); });
+    if (it == m_commands.end())
+        return false;
+    m_commands.erase(it);
+    return true;
+}
+
 CommandQueue::StartState CommandQueue::removeStartOf(const StopTask& stop, std::optional<StartTask>& removed)
 {
     auto it = std::find_if(firstWaiting(), m_commands.end(),
--- a/Libraries/LibNode/CommandQueue.h
+++ b/Libraries/LibNode/CommandQueue.h
@@ -42,6 +42,11 @@
     /// Whether a stop of the start's run is in the queue.
     bool hasStopOf(const StartTask&) const;
 
+    bool contains(const StopTask&) const;
+
+    /// Removes the stop. Returns false if it is in progress or not in the queue.
+    bool removeWaiting(const StopTask&);
+
     enum class StartState : uint8_t {
         /// The queue has no start of the run, or the start is in progress and was not removed.
         NotRemoved,
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -14,6 +14,10 @@
 /// Delay between stops to an unreachable worker. Each may need a new connection.
 static constexpr Milliseconds unreachableRetryDelay { 500 };
 
+/// A stop that has waited for this long behind other commands is sent beside them. Its run goes on until then, because
+/// the lease is renewed for all runs of the worker.
+static constexpr Milliseconds maxStopWait { 1000 };
+
 /// Run ends within this time share a report.
 static constexpr Milliseconds endBatchDelay { 25 };
 static constexpr uint32_t failuresUntilUnreachable { 2 };
@@ -284,8 +288,11 @@
 {
     if (const auto* start = std::get_if<StartTask>(&action); start && !m_isReachable)
         return m_options.events.onStartReply(*start, TaskCommandOutcome::Unhealthy);
-    if (const auto* stop = std::get_if<StopTask>(&action); stop && cancelQueuedStart(*stop))
+    const auto* stop = std::get_if<StopTask>(&action);
+    if (stop && cancelQueuedStart(*stop))
         return;
+    if (stop && !m_commands.contains(*stop))
+        scheduleStopCheck(*stop);
     m_commands.push(std::move(action));
     sendNextCommand();
 }
@@ -314,7 +321,7 @@
         return;
     m_commands.beginFront();
     m_commandSentAt = m_loop.now();
-    TaskCommandContext context { .epoch = m_options.epoch, .timeout = m_options.commandTimeout.current() };
+    auto context = commandContext();
     auto onReply = [this, alive = m_alive](absl::StatusOr<TaskCommandReply> reply) {
         if (*alive)
             handleCommandReply(reply);
@@ -338,6 +345,46 @@
     }
 }
 
+TaskCommandContext WorkerSession::commandContext() const
+{
+    return { .epoch = m_options.epoch, .timeout = m_options.commandTimeout.current() };
+}
+
+void WorkerSession::scheduleStopCheck(const StopTask& stop)
+{
+    m_loop.callAfter(maxStopWait, [this, alive = m_alive, stop] {
+        if (*alive)
+            sendOverdueStop(stop);
+    });
+}
+
+/// Sends a stop that has waited too long, without waiting for the command in progress. An unreachable worker gets one
+/// command at a time: its lease is not renewed, and each command may need a new connection.
+void WorkerSession::sendOverdueStop(const StopTask& stop)
+{
+    if (!m_commands.contains(stop))
+        return;
+    if (!m_isReachable || !m_commands.removeWaiting(stop))
+        return scheduleStopCheck(stop);
+    m_taskExecutor.stop(m_options.executor, commandContext(), stop.task, stop.run,
+        [this, alive = m_alive, stop, sentAt = m_loop.now()](const absl::StatusOr<TaskCommandReply>& reply) {
+            if (*alive)
+                handleOverdueStopReply(stop, reply, sentAt);
+        });
+}
+
+void WorkerSession::handleOverdueStopReply(
+    const StopTask& stop, const absl::StatusOr<TaskCommandReply>& reply, Instant sentAt)
+{
+    m_options.commandTimeout.recordResult(reply.status(), m_loop.now() - sentAt);
+    if (reply.ok() && !checkOutcome(*reply))
+        return;
+    if (!reply.ok() || reply->outcome == TaskCommandOutcome::Unhealthy)
+        return enqueueCommand(stop);
+    recordReply(*reply);
+    m_options.events.onStopAccepted(stop.task, stop.run);
+}
+
 void WorkerSession::sendNextCommandAfter(Milliseconds delay)
 {
     m_loop.callAfter(delay, [this, alive = m_alive] {
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -17,7 +17,7 @@
 class EventLoop;
 
 /// The leader's session with one incarnation of a worker: renews its lease, receives its reports of active and ended
-/// runs, and sends task commands one at a time.
+/// runs, and sends task commands one at a time, except for stops that would be late.
 class WorkerSession {
 public:
     struct Events {
@@ -131,6 +131,10 @@
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
     void sendNextCommandAfter(Milliseconds delay);
     void confirmLater();
+    TaskCommandContext commandContext() const;
+    void scheduleStopCheck(const StopTask&);
+    void sendOverdueStop(const StopTask&);
+    void handleOverdueStopReply(const StopTask&, const absl::StatusOr<TaskCommandReply>&, Instant sentAt);
     bool refuseForbiddenStarts();
     bool mustConfirm(const TaskCommandReply&) const;
     bool cancelQueuedStart(const StopTask&);
