Confirm a cancellation only once the workers are contacted

Cause: a new leader confirms the cancellation of a job that it has read while other partitions of the jobs are still unread. Until they are, it sends no command to any worker, and a predecessor that is cut off from the store alone goes on renewing their leases, for as long as most workers answer it.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -465,6 +465,10 @@
         reply.pending = m_scheduler.pendingJobs(query.subject);
         return callback(reply);
     }
+    // Before this leader contacts the workers, nothing ends the runs of the job if a predecessor that does not know of
+    // its successor goes on renewing their leases. The requesting node retries.
+    if (query.kind == JobQueryKind::Cancel && !m_areSessionsStarted)
+        return callback(reply);
     auto state = m_scheduler.stateOf(query.subject);
     if (!state && isCurrent && query.kind == JobQueryKind::Cancel && !isRetry) {
         // The job may have been accepted by another node and not yet read by this one.
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -58,7 +58,8 @@
     void setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy>);
     void setExcludedZones(std::set<ZoneId>);
 
-    /// Replies immediately, except that the cancellation of a job that has not ended is confirmed once it is stored.
+    /// Replies immediately, except that the cancellation of a job that has not ended is confirmed once it is stored. No
+    /// cancellation is confirmed before the workers are contacted.
     /// That of an unknown job is retried once after a short delay and then stored too, since the job may be read later.
     void handleQuery(const JobQuery&, std::function<void(const JobQueryReply&)>, bool isRetry = false);
 
