--- a/Tests/LibNode/FakeWorkers.h
+++ b/Tests/LibNode/FakeWorkers.h
@@ -104,6 +104,9 @@
 
     std::set<std::string> unreachable;
 
+    /// How late the leader reads replies. One that it reads after the time-out of the call counts as lost.
+    Milliseconds readDelay { 0 };
+
 private:
     static TaskCommandReply& commandReplyOf(TaskCommandReply& reply) { return reply; }
     static TaskCommandReply& commandReplyOf(RenewLeaseReply& reply) { return reply.commandReply; }
@@ -112,7 +115,7 @@
     void call(const std::string& address, uint64_t epoch, Milliseconds timeout, Milliseconds wait,
         Callback<Reply> callback, std::function<void(FakeWorkers::Worker&, Reply&)> apply)
     {
-        constexpr Milliseconds responseTime { 2 };
+        static constexpr Milliseconds responseTime { 2 };
         if (unreachable.contains(address))
             return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("cut off")); });
         auto& worker = m_workers.at(address);
@@ -132,7 +135,12 @@
             commandReply.startedAtMs = 5;
             if (isFenced)
                 commandReply.outcome = TaskCommandOutcome::Fenced;
-            callback(reply);
+            if (readDelay == Milliseconds { 0 })
+                return callback(reply);
+            bool isLate = responseTime + wait + readDelay > timeout;
+            m_loop.callAfter(readDelay, [callback, reply, isLate] {
+                callback(isLate ? absl::StatusOr<Reply>(absl::DeadlineExceededError("read late")) : reply);
+            });
         });
     }
 
--- a/Tests/LibNode/TestCutOffLeader.cpp
+++ b/Tests/LibNode/TestCutOffLeader.cpp
@@ -73,3 +73,19 @@
     it.advance(Milliseconds { 20000 });
     CHECK_EQUAL(1, it.mostRuns);
 }
+
+// Guards against a task that runs twice when the cut-off leader goes on renewing the lease of a worker that its
+// successor cannot reach, until one of the workers that both reach rejects it.
+TEST(CutOffLeader, LeasesEndInTimeWhenTheSuccessorReachesMostWorkers)
+{
+    for (Milliseconds delay { 0 }; delay <= maxDelay; delay += delayStep) {
+        CutOffCluster it;
+        it.runTask(3);
+        it.advance(delay);
+        it.first.store.isCutOff = true;
+        it.second.executor.unreachable = { "w1" };
+        it.advance(Milliseconds { 20000 });
+        CHECK_EQUAL(1, it.mostRuns);
+        CHECK_EQUAL(1, it.workers.runsOf(it.task));
+    }
+}
