Grant shorter leases without proof of leadership

Cause: a leader that is cut off from the store alone renews leases of 5 s until a worker that its successor has reached rejects it, which an idle worker's report can delay by 2 s. The successor counts 5.28 s from its election for a worker that it does not reach, so the lease may outlast that. Change: without proof of its leadership, a leader grants 3 s in place of 5 s.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -25,6 +25,10 @@
 /// From this failure of a command on, each of its failures also counts as a failure of the worker.
 static constexpr uint32_t commandFailuresUntilCounted { 3 };
 
+/// Maximum duration of a lease from a leader without proof of its leadership. A successor counts the leases from its
+/// election, and such a leader renews until a worker that both reach has rejected it, up to `idleReportWait` later.
+static constexpr Milliseconds maxUnconfirmedLease { 3000 };
+
 /// Minimum rate of a worker's clock relative to the local clock.
 static constexpr double minClockRate = 0.975;
 static constexpr Milliseconds leaseExpiryMargin { 150 };
@@ -69,7 +73,8 @@
 
 int64_t WorkerSession::leaseEndMs() const
 {
-    return *m_clockMs + (m_loop.now() - m_clockReadAt).count() + m_options.lease.count();
+    auto lease = m_options.isSoleLeader() ? m_options.lease : std::min(m_options.lease, maxUnconfirmedLease);
+    return *m_clockMs + (m_loop.now() - m_clockReadAt).count() + lease.count();
 }
 
 /// Upper bound of the local time in which a worker's clock advances by `ms`, including a margin.
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -45,7 +45,7 @@
         int64_t startedAtMs { 0 };
         uint64_t epoch { 0 };
 
-        /// Duration of the requested leases.
+        /// Duration of the requested leases; without proof of leadership they are shorter.
         Milliseconds lease { 6000 };
 
         /// Local time after which no earlier leader has renewed the lease; the time of creation if it is not set.
--- a/Tests/LibNode/TestCutOffLeader.cpp
+++ b/Tests/LibNode/TestCutOffLeader.cpp
@@ -89,3 +89,22 @@
         CHECK_EQUAL(1, it.workers.runsOf(it.task));
     }
 }
+
+// Guards against running tasks that end in an outage of the store, with a zone without power, because leases without
+// proof of leadership are too short for a leader that reads replies late.
+TEST(CutOffLeader, RunningTasksSurviveAnOutageOfTheStoreUnderASlowLeader)
+{
+    for (Milliseconds readDelay { 100 }; readDelay <= Milliseconds { 700 }; readDelay += Milliseconds { 200 }) {
+        CutOffCluster it;
+        it.runTask(9);
+        it.first.executor.readDelay = readDelay;
+        it.advance(Milliseconds { 3000 });
+        it.first.store.isCutOff = true;
+        it.second.store.isCutOff = true;
+        it.first.executor.unreachable = { "w7", "w8", "w9" };
+        it.advance(Milliseconds { 5000 });
+        CHECK_EQUAL(1, it.fewestRuns);
+        it.advance(Milliseconds { 10000 });
+        CHECK_EQUAL(1, it.fewestRuns);
+    }
+}
