End a timed-out call only after the events that are ready

Cause: libcurl counts the time-out of a call while the event loop is busy. When a turn takes longer than the time-out, a call on a new connection ends before its request is sent, and a reply that has arrived is discarded with its connection, so that the next call needs a new one. Lease renewals have a longer time-out than commands and still pass, so a leader that is far behind goes on renewing the lease of a run whose stop it never sends. Change: the engine times calls itself. A call that is due ends in a task that is posted to the loop, behind the events that are ready; if this takes 20 ms or more, the loop is behind, and the call gets up to two more rounds.

--- a/Libraries/LibHttp/HttpEngine.cpp
+++ b/Libraries/LibHttp/HttpEngine.cpp
@@ -8,6 +8,13 @@
 
 namespace Bergamot {
 
+/// Number of times that a call outlives its time-out because the loop was late: once until its request is sent, and
+/// once until its reply is read.
+static constexpr uint32_t maxDeadlineExtensions = 2;
+
+/// Ordinary delays of the loop, which do not extend a call.
+static constexpr Milliseconds minLoopDelay { 20 };
+
 /// A libcurl multi handle with the connections to the addresses of this shard.
 struct HttpEngine::Shard {
     HttpEngine& engine;
@@ -23,6 +30,8 @@
         , multi(multiHandle)
     {
         curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+        // libcurl would count the time-out while the loop is busy; see endAfterReadyEvents().
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, 0L);
     }
 
     CurlRequest request;
@@ -142,9 +151,31 @@
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
     m_bodyBytes += call.body.size();
     auto* multi = shardFor(call.url).multi;
-    m_active.push_back(
-        std::make_unique<Transfer>(handle, std::move(call), std::move(callback), m_active.size(), multi));
+    auto timeout = call.timeout;
+    auto transfer = std::make_shared<Transfer>(handle, std::move(call), std::move(callback), m_active.size(), multi);
+    m_active.push_back(transfer);
     curl_multi_add_handle(multi, handle);
+    if (timeout <= Milliseconds { 0 })
+        return;
+    m_loop.callAfter(timeout, [this, timedOut = std::weak_ptr(transfer)] {
+        if (!timedOut.expired())
+            endAfterReadyEvents(timedOut, maxDeadlineExtensions);
+    });
+}
+
+/// Ends a call that has timed out. If the loop is behind, its connection may be open without the request having been
+/// sent, or the reply may wait to be read. A posted task runs after the events that are ready now, so the call is ended
+/// by one. `m_active` owns the transfers in progress; one that has expired has completed.
+void HttpEngine::endAfterReadyEvents(std::weak_ptr<Transfer> transfer, uint32_t extensions)
+{
+    m_loop.post([this, transfer = std::move(transfer), extensions, postedAt = m_loop.now()] {
+        auto active = transfer.lock();
+        if (!active)
+            return;
+        if (extensions > 0 && m_loop.now() - postedAt >= minLoopDelay)
+            return endAfterReadyEvents(active, extensions - 1);
+        complete(*active, CURLE_OPERATION_TIMEDOUT);
+    });
 }
 
 int HttpEngine::onSocketChange(CURL*, curl_socket_t socket, int action, void* self, void*)
--- a/Libraries/LibHttp/HttpEngine.h
+++ b/Libraries/LibHttp/HttpEngine.h
@@ -48,7 +48,8 @@
     /// thread of the loop or after the loop has ended.
     ~HttpEngine();
 
-    /// Starts a request. May be called from any thread. The callback runs exactly once, on the engine's thread.
+    /// Starts a request. May be called from any thread. The callback runs exactly once, on the engine's thread. While
+    /// the event loop is late, the call may take longer than its time-out.
     void submit(HttpCall, Callback);
 
     /// Total bytes of the request bodies sent and the reply bodies received.
@@ -69,6 +70,7 @@
     Shard& shardFor(std::string_view url);
     void handleSocketAction(Shard&, curl_socket_t, int curlEvents);
     void completeFinishedTransfers(Shard&);
+    void endAfterReadyEvents(std::weak_ptr<Transfer>, uint32_t extensions);
     void complete(Transfer&, CURLcode);
 
     SteadyClock m_clock;
@@ -78,7 +80,7 @@
 
     /// Each shard is created with the first request to one of its addresses.
     std::vector<std::unique_ptr<Shard>> m_shards;
-    std::vector<std::unique_ptr<Transfer>> m_active;
+    std::vector<std::shared_ptr<Transfer>> m_active;
     std::vector<CURL*> m_idleHandles;
     std::atomic<uint64_t> m_bodyBytes { 0 };
     std::atomic<uint64_t> m_connectionsOpened { 0 };
