--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -19,7 +19,7 @@
 class LeaderLoad;
 
 /// The leader's session with one incarnation of a worker: renews its lease, receives its reports of active and ended
-/// runs, and sends task commands one at a time.
+/// runs, and sends task commands one at a time, except for stops that would be late.
 class WorkerSession {
 public:
     struct Events {
@@ -47,7 +47,7 @@
         int64_t startedAtMs { 0 };
         uint64_t epoch { 0 };
 
-        /// Duration of the requested leases.
+        /// Duration of the requested leases; without proof of leadership they are shorter.
         Milliseconds lease { 6000 };
 
         /// Local time after which no earlier leader has renewed the lease; the time of creation if it is not set.
@@ -150,6 +150,10 @@
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
     void sendNextCommandAfter(Milliseconds delay);
     void confirmLater();
+    TaskCommandContext commandContext() const;
+    void scheduleStopCheck(const StopTask&);
+    void sendOverdueStop(const StopTask&);
+    void handleOverdueStopReply(const StopTask&, const absl::StatusOr<TaskCommandReply>&, Instant sentAt);
     bool refuseForbiddenStarts();
     bool mustConfirm(const TaskCommandReply&) const;
     bool cancelQueuedStart(const StopTask&);
