--- a/Tests/LibNode/TestStopDelivery.cpp
+++ b/Tests/LibNode/TestStopDelivery.cpp
@@ -74,12 +74,14 @@
     SlowCommandsExecutor executor { *loop };
     Milliseconds reportWait { 500 };
     CallTimeout commandTimeout { { .minTimeout = Milliseconds { 250 }, .maxTimeout = Milliseconds { 1000 } } };
+    CallTimeout acknowledgementTimeout { { .minTimeout = Milliseconds { 150 }, .maxTimeout = Milliseconds { 800 } } };
     int acceptedStops { 0 };
     std::unique_ptr<WorkerSession> session { std::make_unique<WorkerSession>(*loop, executor,
         WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
             .startedAtMs = 5,
             .epoch = 3,
             .commandTimeout = commandTimeout,
+            .acknowledgementTimeout = acknowledgementTimeout,
             .reportWait = reportWait,
             .canStart = [](const StartTask&) { return true; },
             .renewalLimiter = std::make_shared<ConcurrencyLimiter>(1),
--- a/Tests/LibNode/TestWorkerSessionIncarnations.cpp
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -16,6 +16,7 @@
     MockTaskExecutor taskExecutor;
     Milliseconds reportWait { 500 };
     CallTimeout commandTimeout { { .minTimeout = Milliseconds { 250 }, .maxTimeout = Milliseconds { 1000 } } };
+    CallTimeout acknowledgementTimeout { { .minTimeout = Milliseconds { 150 }, .maxTimeout = Milliseconds { 800 } } };
     std::vector<uint64_t> startedRuns;
     int incarnationMismatches { 0 };
     WorkerSession session { *loop, taskExecutor,
@@ -23,6 +24,7 @@
             .startedAtMs = 50,
             .epoch = 3,
             .commandTimeout = commandTimeout,
+            .acknowledgementTimeout = acknowledgementTimeout,
             .reportWait = reportWait,
             .canStart = [](const StartTask&) { return true; },
             .renewalLimiter = std::make_shared<ConcurrencyLimiter>(1),
