--- a/Utilities/bergamot-bench/DayBench.cpp
+++ b/Utilities/bergamot-bench/DayBench.cpp
@@ -27,7 +27,7 @@
 {
     bool known = false;
     std::vector<DaySize> sizes { DaySize::riga(), DaySize::sofia(), DaySize::rigaGrown(), DaySize::sofiaGrown(),
-        DaySize::rigaWide() };
+        DaySize::rigaWide(), DaySize::rigaLarge() };
     for (const auto& faultless : { DaySize::riga(), DaySize::sofia() }) {
         auto faulty = faultless;
         faulty.faults = true;
--- a/Utilities/bergamot-bench/DaySize.cpp
+++ b/Utilities/bergamot-bench/DaySize.cpp
@@ -2,7 +2,7 @@
 
 namespace Bergamot {
 
-// Rates, task counts and run times are those of the site files of the current and the grown deployments.
+// Rates, task counts and run times are those of the site files of the current, the grown and the large deployments.
 
 DaySize DaySize::riga()
 {
@@ -106,6 +106,32 @@
     return day;
 }
 
+DaySize DaySize::rigaLarge()
+{
+    auto day = rigaGrown();
+    day.name = "riga-large-day";
+    day.workers = 540;
+    day.zones = 5;
+    auto& quick = day.kinds[0];
+    quick.jobsPerSecond = 13.7;
+    quick.meanTasks = 9.4;
+    quick.meanWorkMs = 800;
+    quick.meanCpuMillis = 6100;
+    quick.meanMemoryMb = 12000;
+    auto& batch = day.kinds[1];
+    batch.jobsPerSecond = 12.1;
+    batch.meanTasks = 39;
+    batch.meanWorkMs = 2200;
+    batch.initialJobs = 33;
+    batch.images = 30;
+    auto& longRunningKind = day.kinds[2];
+    longRunningKind.jobsPerSecond = 0.583;
+    longRunningKind.meanTasks = 24;
+    longRunningKind.initialJobs = 105;
+    longRunningKind.images = 16;
+    return day;
+}
+
 DaySize DaySize::sofiaGrown()
 {
     auto day = sofia();
--- a/Utilities/bergamot-bench/DaySize.h
+++ b/Utilities/bergamot-bench/DaySize.h
@@ -67,6 +67,7 @@
 
     /// The load of the grown Riga site on 3000 workers.
     static DaySize rigaWide();
+    static DaySize rigaLarge();
 };
 
 }
--- a/Utilities/bergamot-bench/main.cpp
+++ b/Utilities/bergamot-bench/main.cpp
@@ -14,7 +14,7 @@
 Options:
   --seed N     Random seed of workload and faults [default: 1].
   --only NAME  One of riga, sofia, design, limits, days, riga-day, sofia-day, riga-grown-day, sofia-grown-day,
-               riga-wide-day, ablation. All but the ablation run by default.
+               riga-wide-day, riga-large-day, ablation. All but the ablation run by default.
 )";
 
 int main(int argc, char** argv)
