--- a/Tests/PlatformAdapter/TestMalformedReplies.cpp
+++ b/Tests/PlatformAdapter/TestMalformedReplies.cpp
@@ -59,6 +59,37 @@
     }
 }
 
+// Guards against values inside an element of a row, or after its last element, that count as elements of the row.
+TEST(MalformedReplies, NestedValuesAreNoElementsOfARow)
+{
+    auto row = R"(["j.0.1.2",3,{"a":["x",[7]]},[41],18,["y"]])";
+    auto reply = renewLease(fmt::format(R"({{"clockMs":5,"running":[{}],"finished":[]}})", row));
+    CHECK(reply.ok());
+    CHECK_EQUAL(1, reply->running.size());
+    CHECK((reply->running[0] == RunReport { .task = { "j", 0, 1, 2 }, .run = 3, .recentMeasurement = 18 }));
+    for (const auto* other :
+        { "7", "null", "{}", "[]", R"({"a":"j.0.1.2","b":3,"c":"cp","d":41})", R"(["j.0.1.2",3,"cp"])",
+            R"(["j.0.1.2",-3,"cp",41])", R"([["j.0.1.2"],3,"cp",41])", R"(["j.1.2",3,"cp",41])" })
+        CHECK_FALSE_TEXT(
+            renewLease(fmt::format(R"({{"clockMs":5,"running":[{},{}],"finished":[]}})", row, other)).ok(), other);
+}
+
+// Guards against lists that are read at another place of the reply, and against rows of a list that was replaced.
+TEST(MalformedReplies, OnlyTheLastListOfTheReplyCounts)
+{
+    constexpr const char* row = R"(["j.0.1.2",3,"cp",41])";
+    auto reply = renewLease(fmt::format(R"({{"running":[{0},7],"clockMs":6,"running":[{0}],"finished":[],)"
+                                        R"("more":{{"running":[{0},{0}],"finished":7}},"clockMs":null}})",
+        row));
+    CHECK(reply.ok());
+    CHECK_EQUAL(1, reply->running.size());
+    CHECK_FALSE(reply->commandReply.clockMs.has_value());
+    for (const auto* other : { R"({"more":{"running":[],"finished":[]}})", R"([{"running":[],"finished":[]}])",
+             R"({"running":[],"finished":[],"running":7})", R"({"running":[],"finished":[]}})",
+             R"({"running":[],"finished":[],"a":1e400})", R"({"running":[],"finished":[])" })
+        CHECK_FALSE_TEXT(renewLease(other).ok(), other);
+}
+
 // Guards against a worker's clock or start time that overflows when leases are computed from it.
 TEST(MalformedReplies, TimesOutOfRangeAreIgnored)
 {
