Compute the scores of a step's workers once

placeStep() searched all workers for each task of a step, although a start changes only the score of the worker that gets it. The scores are now computed once for a step and kept in a heap; before the next task, only the score of the last worker is computed again. Tasks whose scores differ from those of their siblings (copies, tasks with failed runs, steps that prefer one rack) and steps with suspected tasks are searched as before. The choice of workers moves to a file of its own.

TestLibDecision: 165 tests, no failure.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -1,50 +1,22 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
+#include <LibDecision/TaskWorkerSearch.h>
 #include <LibDecision/UnplacedSizes.h>
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
-#include <limits>
 #include <utility>
 
 namespace Bergamot {
 
 static constexpr uint64_t runsPerEpoch = 100000;
 
-/// A best-effort task starts only where it may run at this share of its full speed.
-static constexpr double minStartSpeedShare = 0.8;
-
 /// Maximum time that a long-running task waits to leave headroom for short tasks; it has to run again within seconds.
 static constexpr Milliseconds maxHeadroomWait { 2500 };
 
 /// The recorded peak demand of short tasks halves in this time.
 static constexpr double shortTaskDemandHalfLifeMs = 6000;
 
-/// Places serving tasks of one image on the same workers, so that each best-effort image finds workers whose serving
-/// tasks it does not slow down.
-static constexpr double sameImageWeight = 3;
-static constexpr double siblingWeight = 0.1;
-
-/// A rack that holds the input data, or other tasks of a step that prefers one rack, outweighs any difference in free
-/// processors.
-static constexpr double rackWeight = 1;
-
-/// Workers that are warming up, are slow, or ran the last failed run of the task are chosen only when there is no other
-/// worker, in this order of preference.
-static constexpr double warmUpPenalty = 1;
-static constexpr double slowPenalty = 5;
-static constexpr double failedBeforePenalty = 10;
-
-/// An isolated run may crash its worker, so it goes where few other runs would be lost.
-static constexpr double residentPenalty = 0.5;
-
-/// A worker that is held for an isolated run already is chosen before any other.
-static constexpr double heldWorkerWeight = 100;
-
-/// A best-effort task starts on a worker only if at least this share of its requested processors is expected to be idle
-/// there.
-static constexpr double minIdleCpuShare = 0.7;
-
 std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs, const StartPermission& permission)
 {
     m_latestEventAt = now;
@@ -211,6 +183,7 @@
         return placeGang(ready, now);
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
     std::vector<uint32_t> stillWaiting;
+    std::optional<StepRanking> ranking;
     bool keepTrying = true;
     bool hasCapacity = true;
     for (auto index : step.waiting) {
@@ -227,6 +200,7 @@
         }
         TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, index };
         if (auto isolation = isolationOf(*ready.job, ref); isolation != RunIsolation::None) {
+            ranking.reset();
             bool mayStart = mayStartSuspect(*ready.job, ref, task, now);
             if (mayStart && placeSuspect(ready, index, now))
                 continue;
@@ -243,7 +217,7 @@
             step.delay = PlacementDelay::Headroom;
             keepTrying = false;
         }
-        auto* worker = keepTrying ? chooseWorker(*ready.job, ready, task, {}, now) : nullptr;
+        auto* worker = keepTrying ? chooseNextWorker(ranking, ready, task, now) : nullptr;
         // A speculative copy may fail only for lack of a second worker, which says nothing about other tasks.
         if (!worker && keepTrying && !task.wantsSpeculativeCopy) {
             step.delay = PlacementDelay::NoWorker;
@@ -260,115 +234,6 @@
     return hasCapacity;
 }
 
-static bool hasLabel(const TaskWorkerView& view, const std::string& label)
-{
-    return std::ranges::find(view.labels, label) != view.labels.end();
-}
-
-/// Returns the best worker for the task, or nullptr. A non-empty `rack` limits the choice to its workers.
-TaskScheduler::WorkerEntry* TaskScheduler::chooseWorker(const TrackedJob& job, const ReadyStep& ready,
-    const TrackedTask& task, const std::string& rack, Instant now, PlacementMode mode)
-{
-    const auto& spec = job.spec.steps[ready.step];
-    const auto& service = policyOf(job).service;
-    auto candidates = m_candidates.find(service);
-    // A worker that has not announced itself has an empty service too and must not match.
-    if (service.empty() || candidates == m_candidates.end())
-        return nullptr;
-    auto image = job.occurrences[ready.occurrence].steps[ready.step].image;
-    auto size = reservedSize(spec);
-    // Runs of the same step per worker, to enforce `maxPerWorker` and to spread the step over workers.
-    std::map<WorkerHandle, uint32_t> siblingRuns;
-    std::set<std::string> racks;
-    if (spec.maxPerWorker > 0 || spec.longRunning || spec.prefersSameRack) {
-        for (const auto& other : job.occurrences[ready.occurrence].steps[ready.step].tasks) {
-            for (const auto& run : other.runs) {
-                ++siblingRuns[run.worker];
-                if (auto it = m_workers.find(run.worker); it != m_workers.end())
-                    racks.insert(it->second->view.rack);
-            }
-        }
-    }
-    WorkerEntry* best = nullptr;
-    double bestScore = -std::numeric_limits<double>::max();
-    for (auto* candidate : candidates->second) {
-        auto& worker = *candidate;
-        auto handle = worker.handle;
-        if (!rack.empty() && worker.view.rack != rack)
-            continue;
-        if (!size.fitsIn(worker.freeResources()))
-            continue;
-        if (mode == PlacementMode::Shared && worker.isHeldForIsolation(now))
-            continue;
-        if (mode == PlacementMode::Isolated && !canIsolate(worker, job, ready.step, now))
-            continue;
-        if (mode == PlacementMode::Hold && worker.isolatedRuns > 0)
-            continue;
-        if (!spec.requiredLabel.empty() && !hasLabel(worker.view, spec.requiredLabel))
-            continue;
-        // A speculative copy on the worker of the slow run would be as slow.
-        if (task.wantsSpeculativeCopy && std::ranges::count(task.runs, handle, &TrackedRun::worker) > 0)
-            continue;
-        auto siblingEntry = siblingRuns.find(handle);
-        uint32_t siblings = siblingEntry == siblingRuns.end() ? 0 : siblingEntry->second;
-        if (spec.maxPerWorker > 0 && siblings >= spec.maxPerWorker)
-            continue;
-        auto capacityCpu = static_cast<double>(std::max<int64_t>(1, worker.view.capacity.cpuMillis));
-        double score = 0;
-        if (spec.bestEffort) {
-            auto idleCpuMillis = static_cast<double>(worker.freeBestEffortMillis());
-            if (idleCpuMillis < minIdleCpuShare * static_cast<double>(spec.size.cpuMillis))
-                continue;
-            double allowed = allowedBestEffortShare(worker, spec, image);
-            if (allowed < minStartSpeedShare)
-                continue;
-            score = idleCpuMillis / capacityCpu + std::min(allowed, 3.0);
-        } else {
-            score = static_cast<double>(worker.freeResources().cpuMillis) / capacityCpu;
-            // Short tasks go to the worker with the smallest share of free processors, so that other workers keep
-            // capacity for large tasks.
-            if (!spec.longRunning)
-                score = -score;
-        }
-        if (spec.longRunning)
-            score += sameImageWeight * sameImageShare(worker, image);
-        score -= siblingWeight * static_cast<double>(siblings);
-        if (!spec.dataRack.empty() && worker.view.rack == spec.dataRack)
-            score += rackWeight;
-        if (spec.prefersSameRack && racks.contains(worker.view.rack))
-            score += rackWeight;
-        if (handle == task.lastFailedOn && task.failures > 0)
-            score -= failedBeforePenalty;
-        if (isSlow(worker, now))
-            score -= slowPenalty;
-        if (worker.view.warmUpRemainingMs > 0)
-            score -= warmUpPenalty;
-        if (mode != PlacementMode::Shared)
-            score -= residentPenalty * static_cast<double>(worker.runs.size());
-        if (mode != PlacementMode::Shared && worker.heldForIsolationUntil > now)
-            score += heldWorkerWeight;
-        if (score > bestScore) {
-            bestScore = score;
-            best = &worker;
-        }
-    }
-    return best;
-}
-
-/// Returns the share of the worker's serving tasks that have this image; 0 for a worker without serving tasks.
-double TaskScheduler::sameImageShare(const WorkerEntry& worker, uint32_t image) const
-{
-    double same = 0;
-    double all = 0;
-    for (const auto& [key, active] : worker.runs) {
-        if (!active.spec->longRunning)
-            continue;
-        all += 1;
-        same += active.image == image ? 1 : 0;
-    }
-    return all > 0 ? same / all : 0;
-}
-
 void TaskScheduler::startRun(
     WorkerEntry& worker, const ReadyStep& ready, uint32_t index, Instant now, PlacementMode mode)
 {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -230,6 +230,13 @@
         /// Workers that may be held until the run would be isolated there.
         Hold
     };
+    struct WorkerSearch;
+    struct StepRanking;
+    std::optional<WorkerSearch> beginSearch(
+        const TrackedJob&, const ReadyStep&, const std::string& rack, Instant now, PlacementMode) const;
+    static bool isAllowed(const WorkerSearch&, const TrackedTask&, const WorkerEntry&, uint32_t siblings);
+    std::optional<double> scoreOf(const WorkerSearch&, const TrackedTask&, WorkerEntry&) const;
+    WorkerEntry* chooseNextWorker(std::optional<StepRanking>&, const ReadyStep&, const TrackedTask&, Instant now);
     WorkerEntry* chooseWorker(const TrackedJob&, const ReadyStep&, const TrackedTask&, const std::string& rack,
         Instant now, PlacementMode = PlacementMode::Shared);
     void requeueGang(TrackedJob&, const TaskRef&);
