Count an acknowledgement as received only if the worker has accepted it

Cause: any reply to a lease renewal, also 429 and 503, counted as the receipt of its acknowledgement, which was then never sent again.

Change: only an accepted renewal counts, and only after one the next acknowledgement is sent: a refusal without a body does not name the incarnation.

Before: WorkerSessionIncarnations.RefusedAcknowledgementIsRepeated failed with "expected <4> but was <0>". Now it passes.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -105,7 +105,7 @@
     RenewLeaseRequest request { .wait = currentReportWait() };
     // An acknowledgement could apply to run ends of a later incarnation, which may have the same sequence numbers. So
     // it is sent only after a reply of this incarnation, and repeated only after another one.
-    if (m_isLastRenewalAnswered && isIncarnationProven() && m_storedEndSequence > m_acknowledgedEndSequence)
+    if (m_isLastRenewalAccepted && isIncarnationProven() && m_storedEndSequence > m_acknowledgedEndSequence)
         request.acknowledgedSequence = m_storedEndSequence;
     // Requests to an unreachable worker do not renew its lease, so that its leases expire at a known time.
     if (m_clockMs && m_isReachable && !m_isLeaseWithheld && m_options.canRenewLeases()) {
@@ -121,7 +121,8 @@
                 limiter->callFinished();
             if (!*alive)
                 return;
-            if (reply.ok())
+            m_isLastRenewalAccepted = reply.ok() && reply->commandReply.outcome == TaskCommandOutcome::Accepted;
+            if (m_isLastRenewalAccepted)
                 m_acknowledgedEndSequence = std::max(m_acknowledgedEndSequence, stored);
             handleLeaseRenewalReply(std::move(reply), requestSentAt);
         });
@@ -205,7 +206,6 @@
 void WorkerSession::handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply> reply, Instant requestSentAt)
 {
     m_isRenewalInProgress = false;
-    m_isLastRenewalAnswered = reply.ok();
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
     if (!reply.ok()) {
         recordBrokenConnection(reply.status());
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -173,7 +173,7 @@
     bool m_isLeaseWithheld { false };
     bool m_isRenewalInProgress { false };
     bool m_isRenewalScheduled { false };
-    bool m_isLastRenewalAnswered { false };
+    bool m_isLastRenewalAccepted { false };
 
     /// The renewal in progress waits for its turn among those of unreachable workers.
     bool m_isRenewalQueued { false };
