--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -233,9 +233,6 @@
         m_lastEndSequence = std::max(m_lastEndSequence, end.sequence);
     }
     m_options.events.onReport(*reply, requestSentAt);
-    if (!*m_alive)
-        return;
-    sendNextCommand();
     if (!*m_alive)
         return;
     // allowLease() renews the lease sooner.
