--- a/Tests/LibNode/TestCommandQueue.cpp
+++ b/Tests/LibNode/TestCommandQueue.cpp
@@ -81,3 +81,18 @@
     CHECK(queue.removeStartOf(stopOf(1), removed) == CommandQueue::StartState::RemovedUnanswered);
     CHECK(queue.isEmpty());
 }
+
+// Guards against a run that the leader tracks twice on a restarted worker, because its start and its stop are queued.
+TEST(CommandQueue, PossibleRunsAreListedOnce)
+{
+    queue.push(startOf(1));
+    queue.push(startOf(2));
+    queue.push(startOf(3));
+    queue.beginFront();
+    queue.push(stopOf(1));
+    queue.push(paceOf(9, 50));
+    CHECK((queue.stopsOfPossibleRuns() == std::vector { stopOf(1) }));
+    queue.recordFailure();
+    queue.postponeFront();
+    CHECK((queue.stopsOfPossibleRuns() == std::vector { stopOf(1) }));
+}
