Show that the end of an unknown job is lost with its worker

A leader may learn of a run's end before it has read the run's job, for example while the store is away. It keeps the end with the worker, and forgets it when the worker is replaced: the task runs again although its end was reported. TaskLeaderRestartedWorkers.EndOfAnUnknownJobOutlivesItsWorker fails with "expected <0> but was <1>" starts.

--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -132,7 +132,8 @@
                 taskExecutor.renewLeaseCalls.push_back(std::move(call));
                 continue;
             }
-            call.reply(RenewLeaseReply { .commandReply = replyOf(call.address), .running = runs[call.address] });
+            call.reply(RenewLeaseReply {
+                .commandReply = replyOf(call.address), .running = runs[call.address], .ended = ends[call.address] });
         }
         loop->runReady();
     }
@@ -196,6 +197,9 @@
     /// The runs that the workers list.
     std::map<std::string, std::vector<RunReport>> runs;
 
+    /// The run ends that the workers report.
+    std::map<std::string, std::vector<RunEnd>> ends;
+
     /// Workers that do not answer the leader of the epoch.
     std::set<std::pair<std::string, uint64_t>> cutOff;
 
--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -110,3 +110,23 @@
     for (const auto& command : taskExecutor.commands)
         STRCMP_EQUAL("start", command.kind.c_str());
 }
+
+// Guards against a second run of a task whose end was reported before its job was read, by a worker that is gone since.
+TEST(TaskLeaderRestartedWorkers, EndOfAnUnknownJobOutlivesItsWorker)
+{
+    announce("w1");
+    announce("w2");
+    elect();
+    run(Milliseconds { 100 });
+    store.fault = FakeRecordStore::Fault::Refusing;
+    run(Milliseconds { 2000 });
+    putJob("j");
+    ends["w1"] = { { .sequence = 1, .task = { "j", 0, 0, 0 }, .run = 700001, .outcome = RunOutcome::Done } };
+    run(Milliseconds { 600 });
+    ends.clear();
+    restartedAtMs["w1"] = 60;
+    run(Milliseconds { 1200 });
+    store.fault = FakeRecordStore::Fault::None;
+    run(Milliseconds { 3000 });
+    CHECK_EQUAL(0, starts());
+}
