--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -188,7 +188,7 @@
     bool m_isLeaseWithheld { false };
     bool m_isRenewalInProgress { false };
     bool m_isRenewalScheduled { false };
-    bool m_isLastRenewalAnswered { false };
+    bool m_isLastRenewalAccepted { false };
 
     /// Incremented when a renewal is sent, so that the timers of earlier schedules have no effect.
     uint64_t m_renewalGeneration { 0 };
