Log why a gang waits

Cause: placeGang() left the reason unset, so task_waits said reason=none for a gang that an earlier leader or the lack of workers held back (seen in virtual time beside other waits of the same new leader with reason=earlier_leader).

Change: the reason is earlier_leader, no_worker, or gang_member while a run of another member has not ended.

--- a/Libraries/LibDecision/PlacementDelay.h
+++ b/Libraries/LibDecision/PlacementDelay.h
@@ -18,7 +18,9 @@
     /// Workers crashed under the task, and it waits until it can run without other suspects on its worker.
     CrashSuspicion,
     /// The worker of its latest run has not listed that run for some time, and the run is not known to have ended.
-    UnlistedRun
+    UnlistedRun,
+    /// A run of another member of the gang has not ended.
+    GangMember
 };
 
 }
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -8,9 +8,14 @@
 // The tasks of a gang make progress only while all of them run, under one run number. They are placed all or none, end
 // together, and restart together once every run of the previous attempt has ended.
 
-static bool canStart(const TrackedTask& task, Instant now)
+/// Why the gang must not start yet; None if all members can start.
+static PlacementDelay delayOfGang(const TrackedStep& step, Instant now)
 {
-    return !task.done && task.runs.empty() && task.blockedUntil <= now;
+    if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return it.done || !it.runs.empty(); }))
+        return PlacementDelay::GangMember;
+    if (std::ranges::any_of(step.tasks, [&](const TrackedTask& it) { return it.blockedUntil > now; }))
+        return PlacementDelay::EarlierLeader;
+    return PlacementDelay::None;
 }
 
 /// Queues all members for placement once no run of the gang is left.
@@ -31,7 +36,8 @@
 bool TaskScheduler::placeGang(const ReadyStep& ready, Instant now)
 {
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-    if (!std::ranges::all_of(step.tasks, [&](const TrackedTask& it) { return canStart(it, now); }))
+    step.delay = delayOfGang(step, now);
+    if (step.delay != PlacementDelay::None)
         return true;
     const auto& spec = ready.job->spec.steps[ready.step];
     TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, 0 };
@@ -52,6 +58,7 @@
             return true;
         }
     }
+    step.delay = PlacementDelay::NoWorker;
     if (spec.prefersSameRack) {
         for (const auto& rack : racksWithCapacity(*ready.job, spec)) {
             if (startGang(ready, rack, now, PlacementMode::Shared))
--- a/Tests/LibDecision/TestTaskGangs.cpp
+++ b/Tests/LibDecision/TestTaskGangs.cpp
@@ -143,3 +143,21 @@
         1, { .sequence = 1, .task = report.task, .run = 5, .outcome = RunOutcome::GangIncomplete }, fixture.now());
     CHECK_EQUAL(2, fixture.planStarts().size());
 }
+
+// Guards against a long wait of a gang that the log doesn't explain.
+TEST(TaskGangs, ReasonForTheWaitOfAGangIsReported)
+{
+    auto reasonAfter = [&](Milliseconds time) {
+        fixture.planStarts();
+        fixture.advance(time);
+        fixture.planStarts();
+        auto waits = scheduler.stepWaits(fixture.now(), time, 1);
+        return waits.empty() ? PlacementDelay::None : waits[0].reason;
+    };
+    constexpr Milliseconds longWait { 3000 };
+    auto blockedUntil = fixture.now() + 2 * longWait;
+    scheduler.addJob(fixture.job("g", { gangOf(3) }), std::nullopt, blockedUntil);
+    CHECK(reasonAfter(longWait) == PlacementDelay::EarlierLeader);
+    fixture.advance(longWait);
+    CHECK(reasonAfter(longWait) == PlacementDelay::NoWorker);
+}
