--- /dev/null
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -0,0 +1,334 @@
+#pragma once
+
+#include <LibCore/Resources.h>
+#include <LibHttp/ConnectionRefused.h>
+#include <LibHttp/EventLoop.h>
+#include <LibPlatform/TaskExecutor.h>
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Bergamot {
+
+/// Workers in virtual time that execute tasks under a lease, with random faults of the network and of the workers. Run
+/// ends are listed until they are acknowledged. The members of a gang make progress only while all of them run.
+class FaultyWorkers final : public TaskExecutor {
+public:
+    struct TaskShape {
+        Milliseconds duration { 0 };
+        Resources size {};
+        bool longRunning { false };
+
+        /// Number of members; 0 for a task outside of a gang.
+        uint32_t gangSize { 0 };
+
+        /// Time from the start to the crash of the worker; not set for a task that does no harm.
+        std::optional<Milliseconds> timeToCrash {};
+    };
+
+    struct Run {
+        uint64_t run { 0 };
+        Instant startedAt { neverInstant };
+        Instant idleSince { neverInstant };
+        Milliseconds done { 0 };
+    };
+
+    struct Worker {
+        int64_t startedAtMs { 1 };
+        uint64_t epoch { 0 };
+        int64_t leaseUntilMs { 0 };
+        uint64_t lastSequence { 0 };
+        std::map<TaskRef, Run> runs {};
+        std::map<TaskRef, uint64_t> ended {};
+        std::vector<RunEnd> ends {};
+
+        /// Until these times the worker is down, is cut off, breaks connections, or is slow to answer.
+        Instant downUntil { neverInstant };
+        Instant cutUntil { neverInstant };
+        Instant resetUntil { neverInstant };
+        Instant slowUntil { neverInstant };
+        bool isDown { false };
+    };
+
+    FaultyWorkers(EventLoop& loop, std::mt19937& random)
+        : m_loop(loop)
+        , m_random(random)
+    {
+    }
+
+    std::map<std::string, Worker> workers;
+    std::function<TaskShape(const TaskRef&)> shapeOf;
+    std::function<void(const std::string&)> onBack;
+
+    /// Tasks that have ended as done, as far as the ends were not lost in a crash before they were acknowledged.
+    std::set<TaskRef> done;
+    Resources capacity { 8000, 32000, 0 };
+
+    /// Share of the calls that break a connection while a worker resets connections, in percent.
+    static constexpr uint32_t resetPercent { 60 };
+
+    void start(const TaskExecutorAddress& executor, const TaskCommandContext& context, const StartTaskCommand& command,
+        Callback<TaskCommandReply> callback) override
+    {
+        call<TaskCommandReply>(executor.address, context.epoch, context.timeout, callback,
+            [this, command](Worker& worker) { return executeStart(worker, command); });
+    }
+
+    void stop(const TaskExecutorAddress& executor, const TaskCommandContext& context, const TaskRef& task, uint64_t run,
+        Callback<TaskCommandReply> callback) override
+    {
+        call<TaskCommandReply>(
+            executor.address, context.epoch, context.timeout, callback, [this, task, run](Worker& worker) {
+                auto it = worker.runs.find(task);
+                if (it != worker.runs.end() && it->second.run <= run)
+                    end(worker, task, RunOutcome::Stopped);
+                worker.ended[task] = std::max(worker.ended[task], run);
+                return reply(worker, TaskCommandOutcome::Accepted);
+            });
+    }
+
+    void throttle(const TaskExecutorAddress& executor, const TaskCommandContext& context, const TaskRef&, uint64_t,
+        uint32_t, Callback<TaskCommandReply> callback) override
+    {
+        call<TaskCommandReply>(executor.address, context.epoch, context.timeout, callback,
+            [this](Worker& worker) { return reply(worker, TaskCommandOutcome::Accepted); });
+    }
+
+    void renewLease(const TaskExecutorAddress& executor, uint64_t epoch, const RenewLeaseRequest& request,
+        Callback<RenewLeaseReply> callback) override
+    {
+        constexpr Milliseconds timeoutSlack { 1000 };
+        auto address = executor.address;
+        call<RenewLeaseReply>(
+            address, epoch, request.wait + timeoutSlack, callback,
+            [this, request](Worker& worker) {
+                worker.leaseUntilMs = std::max(worker.leaseUntilMs, request.leaseUntilMs.value_or(0));
+                std::erase_if(
+                    worker.ends, [&](const RunEnd& it) { return it.sequence <= request.acknowledgedSequence; });
+                return RenewLeaseReply { .commandReply = reply(worker, TaskCommandOutcome::Accepted) };
+            },
+            request.wait);
+    }
+
+    /// Ends runs, breaks gangs and lets leases expire. Called at each tick.
+    void tick(Milliseconds passed)
+    {
+        for (auto& [id, worker] : workers) {
+            if (worker.isDown && m_loop.now() >= worker.downUntil) {
+                auto startedAtMs = worker.startedAtMs;
+                worker = { .startedAtMs = startedAtMs + 1 };
+                onBack(id);
+            }
+            if (clockMs() >= worker.leaseUntilMs) {
+                while (!worker.runs.empty())
+                    end(worker, TaskRef(worker.runs.begin()->first), RunOutcome::LeaseExpired);
+            }
+        }
+        std::map<std::pair<TaskRef, uint64_t>, uint32_t> members;
+        for (const auto& [id, worker] : workers) {
+            for (const auto& [task, run] : worker.runs)
+                ++members[{ gangOf(task), run.run }];
+        }
+        for (auto& [id, worker] : workers)
+            advanceRuns(worker, passed, members);
+    }
+
+    void crash(const std::string& id, Milliseconds downTime)
+    {
+        auto& worker = workers[id];
+        if (worker.isDown)
+            return;
+        takeDown(worker, downTime);
+    }
+
+    size_t runsOf(const TaskRef& task) const
+    {
+        return static_cast<size_t>(
+            std::ranges::count_if(workers, [&](const auto& it) { return it.second.runs.contains(task); }));
+    }
+
+private:
+    void takeDown(Worker& worker, Milliseconds downTime)
+    {
+        worker.isDown = true;
+        worker.downUntil = m_loop.now() + downTime;
+        worker.runs.clear();
+        for (const auto& it : worker.ends) {
+            if (it.outcome == RunOutcome::Done)
+                done.erase(it.task);
+        }
+        worker.ends.clear();
+    }
+
+    int64_t clockMs() const { return m_loop.now().time_since_epoch().count(); }
+
+    TaskRef gangOf(const TaskRef& task) const
+    {
+        return shapeOf(task).gangSize > 0 ? TaskRef { task.job, task.occurrence, task.step, 0 } : task;
+    }
+
+    void advanceRuns(
+        Worker& worker, Milliseconds passed, const std::map<std::pair<TaskRef, uint64_t>, uint32_t>& members)
+    {
+        constexpr Milliseconds maxIncompleteTime { 2500 };
+        std::vector<std::pair<TaskRef, RunOutcome>> over;
+        for (auto& [task, run] : worker.runs) {
+            auto shape = shapeOf(task);
+            bool isComplete = shape.gangSize == 0 || members.at({ gangOf(task), run.run }) == shape.gangSize;
+            if (!isComplete) {
+                if (run.idleSince == neverInstant)
+                    run.idleSince = m_loop.now();
+                if (m_loop.now() - run.idleSince >= maxIncompleteTime)
+                    over.emplace_back(task, run.done.count() > 0 ? RunOutcome::GangBroken : RunOutcome::GangIncomplete);
+                continue;
+            }
+            run.idleSince = neverInstant;
+            run.done += passed;
+            if (!shape.longRunning && run.done >= shape.duration)
+                over.emplace_back(task, RunOutcome::Done);
+        }
+        for (const auto& [task, outcome] : over)
+            end(worker, task, outcome);
+        constexpr Milliseconds restartTime { 3000 };
+        bool crashes = std::ranges::any_of(worker.runs, [&](const auto& it) {
+            auto shape = shapeOf(it.first);
+            return shape.timeToCrash && m_loop.now() - it.second.startedAt >= *shape.timeToCrash;
+        });
+        if (crashes)
+            takeDown(worker, restartTime);
+    }
+
+    void end(Worker& worker, const TaskRef& task, RunOutcome outcome)
+    {
+        auto run = worker.runs.at(task).run;
+        worker.runs.erase(task);
+        worker.ended[task] = std::max(worker.ended[task], run);
+        if (outcome == RunOutcome::Done)
+            done.insert(task);
+        worker.ends.push_back(
+            { .sequence = ++worker.lastSequence, .task = task, .run = run, .outcome = outcome, .checkpoint = {} });
+    }
+
+    TaskCommandReply reply(const Worker& worker, TaskCommandOutcome outcome) const
+    {
+        return { .outcome = outcome, .clockMs = clockMs(), .startedAtMs = worker.startedAtMs };
+    }
+
+    TaskCommandReply executeStart(Worker& worker, const StartTaskCommand& command)
+    {
+        auto it = worker.runs.find(command.task);
+        if (it != worker.runs.end() && it->second.run == command.run)
+            return reply(worker, TaskCommandOutcome::Accepted);
+        if (worker.ended.contains(command.task) && worker.ended[command.task] >= command.run)
+            return reply(worker, TaskCommandOutcome::Superseded);
+        if (command.leaseUntilMs <= clockMs())
+            return reply(worker, TaskCommandOutcome::LeaseExpired);
+        auto used = shapeOf(command.task).size;
+        for (const auto& [task, run] : worker.runs)
+            used = used + shapeOf(task).size;
+        if (!used.fitsIn(capacity))
+            return reply(worker, TaskCommandOutcome::InsufficientResources);
+        worker.leaseUntilMs = std::max(worker.leaseUntilMs, command.leaseUntilMs);
+        worker.runs[command.task] = { .run = command.run, .startedAt = m_loop.now() };
+        return reply(worker, TaskCommandOutcome::Accepted);
+    }
+
+    static TaskCommandReply& commandReplyOf(TaskCommandReply& reply) { return reply; }
+    static TaskCommandReply& commandReplyOf(RenewLeaseReply& reply) { return reply.commandReply; }
+    void list(TaskCommandReply&, const Worker&) const { }
+
+    void list(RenewLeaseReply& reply, const Worker& worker) const
+    {
+        for (const auto& [task, run] : worker.runs) {
+            reply.running.push_back({ .task = task,
+                .run = run.run,
+                .progressPercent = static_cast<uint32_t>(100 * run.done / shapeOf(task).duration) });
+        }
+        reply.ended = worker.ends;
+    }
+
+    template <typename Reply>
+    void call(const std::string& address, uint64_t epoch, Milliseconds timeout, Callback<Reply> callback,
+        std::function<Reply(Worker&)> execute, Milliseconds wait = Milliseconds { 0 })
+    {
+        // A call that is lost on its way, or whose reply is lost.
+        auto& worker = workers.at(address);
+        auto now = m_loop.now();
+        bool isCut = now < worker.cutUntil;
+        bool breaks = now < worker.resetUntil && m_random() % 100 < resetPercent;
+        bool isDelivered = !isCut && (!breaks || m_random() % 2 == 0);
+        auto latency = Milliseconds { 2 + m_random() % 6 };
+        if (now < worker.slowUntil)
+            latency += Milliseconds { m_random() % 1500 };
+        if (worker.isDown && !isCut)
+            return m_loop.callAfter(Milliseconds { 2 }, [callback] { callback(connectionRefusedError("refused")); });
+        if (!isDelivered) {
+            auto failsAfter = isCut ? timeout : Milliseconds { 3 };
+            return m_loop.callAfter(failsAfter, [callback, isCut] {
+                callback(isCut ? absl::DeadlineExceededError("cut off") : absl::UnavailableError("reset"));
+            });
+        }
+        m_loop.callAfter(latency, [this, address, epoch, timeout, callback, execute, wait, breaks, now] {
+            auto& worker = workers.at(address);
+            if (worker.isDown)
+                return callback(absl::UnavailableError("reset"));
+            Reply result;
+            if (epoch < worker.epoch) {
+                commandReplyOf(result) = reply(worker, TaskCommandOutcome::Fenced);
+            } else {
+                worker.epoch = epoch;
+                result = execute(worker);
+            }
+            bool isLate = m_loop.now() - now >= timeout;
+            if (breaks)
+                return callback(absl::UnavailableError("reset"));
+            if (isLate)
+                return callback(absl::DeadlineExceededError("late"));
+            if (wait.count() == 0 || !worker.ends.empty())
+                return answer<Reply>(address, result, callback, now + timeout);
+            poll<Reply>(address, result, callback, m_loop.now() + wait, now + timeout, worker.startedAtMs);
+        });
+    }
+
+    template <typename Reply>
+    void poll(const std::string& address, Reply result, Callback<Reply> callback, Instant until, Instant deadline,
+        int64_t startedAtMs)
+    {
+        constexpr Milliseconds pollInterval { 10 };
+        auto& worker = workers.at(address);
+        if (worker.isDown || worker.startedAtMs != startedAtMs)
+            return callback(absl::UnavailableError("reset"));
+        if (m_loop.now() >= until || !worker.ends.empty())
+            return answer<Reply>(address, result, callback, deadline);
+        m_loop.callAfter(pollInterval, [this, address, result, callback, until, deadline, startedAtMs] {
+            poll<Reply>(address, result, callback, until, deadline, startedAtMs);
+        });
+    }
+
+    template <typename Reply>
+    void answer(const std::string& address, Reply result, Callback<Reply> callback, Instant deadline)
+    {
+        auto& worker = workers.at(address);
+        if (m_loop.now() < worker.cutUntil) {
+            auto delay = std::max(Milliseconds { 0 }, deadline - m_loop.now());
+            return m_loop.callAfter(delay, [callback] { callback(absl::DeadlineExceededError("cut off")); });
+        }
+        auto& commandReply = commandReplyOf(result);
+        commandReply.clockMs = clockMs();
+        if (commandReply.outcome == TaskCommandOutcome::Accepted)
+            list(result, worker);
+        callback(result);
+    }
+
+    EventLoop& m_loop;
+    std::mt19937& m_random;
+};
+
+}
