Test a task that is slow on every worker

A run that is slower than expected is stopped and its task moves, without a bound. A task without copies and checkpoints that takes more than about five times its estimate never completes. The test fails: not done in 50 s with a run time of 10 s. Seen first in virtual time, where a task of 2 s had its 32nd run.

--- a/Tests/LibDecision/TestTaskSpeed.cpp
+++ b/Tests/LibDecision/TestTaskSpeed.cpp
@@ -2,6 +2,8 @@
 #include <LibDecision/SiblingRunTimes.h>
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <utility>
 
 using namespace Bergamot;
 
@@ -178,3 +180,40 @@
     runTimes.record(Milliseconds { 600 });
     CHECK_EQUAL(500, runTimes.expected(Milliseconds { 1000 }).count());
 }
+
+// Guards against a task that never completes because each of its runs is stopped as slow: it takes ten times its
+// estimate on every worker.
+TEST(TaskSpeed, TaskThatIsSlowEverywhereCompletes)
+{
+    constexpr Milliseconds runTime { 10000 };
+    constexpr Milliseconds reportInterval { 500 };
+    for (WorkerHandle handle = 1; handle <= 3; ++handle)
+        fixture.addWorker(handle, { 1000, 125000, 0 });
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    std::optional<StartTask> active;
+    Instant startedAt { neverInstant };
+    bool isDone = false;
+    for (Milliseconds passed { 0 }; passed < 5 * runTime && !isDone; passed += reportInterval) {
+        for (const auto& action : fixture.plan()) {
+            if (const auto* start = std::get_if<StartTask>(&action)) {
+                active = *start;
+                startedAt = fixture.now();
+                scheduler.commandAccepted(start->worker, start->task, start->run, startedAt);
+            } else if (std::holds_alternative<StopTask>(action)) {
+                fixture.endRun(*std::exchange(active, std::nullopt), RunOutcome::Stopped);
+            }
+        }
+        fixture.advance(reportInterval);
+        if (!active)
+            continue;
+        auto time = fixture.now() - startedAt;
+        isDone = time >= runTime;
+        if (isDone) {
+            fixture.endRun(*active, RunOutcome::Done);
+            break;
+        }
+        runs[active->worker] = *active;
+        report(active->worker, static_cast<uint32_t>(100 * time / runTime));
+    }
+    CHECK_TRUE(isDone);
+}
