Let a task run on that is slow on every worker

A task whose estimate is too low by a factor of five or more never completed.

Change: after two slow runs the task itself is taken for slow, and its next run is not stopped.

Result: TaskThatIsSlowEverywhereCompletes was not done after 50 s before and passes; TestLibDecision passes (169 tests).

--- a/Libraries/LibDecision/TaskSpeed.cpp
+++ b/Libraries/LibDecision/TaskSpeed.cpp
@@ -14,6 +14,9 @@
 /// Approximate time to stop a run, before its task may start on another worker.
 static constexpr Milliseconds stopDuration { 700 };
 
+/// Slow runs of a task after which the task itself is taken for slow, and its next run is not stopped.
+static constexpr uint32_t maxSlowRuns = 2;
+
 /// Maximum number of simultaneous runs of a task whose step allows speculative copies.
 static constexpr size_t maxSimultaneousRuns = 2;
 
@@ -75,8 +78,10 @@
             requestSpeculativeCopy(job, ref, task);
         return;
     }
-    if (*remaining > 2 * expected + stopDuration)
-        stopRun(ref, run);
+    if (*remaining <= 2 * expected + stopDuration || task.slowRuns >= maxSlowRuns)
+        return;
+    ++task.slowRuns;
+    stopRun(ref, run);
 }
 
 void TaskScheduler::requestSpeculativeCopy(TrackedJob& job, const TaskRef& ref, TrackedTask& task)
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -14,6 +14,10 @@
 
     /// Number of starts by this leader.
     uint32_t starts { 0 };
+
+    /// Number of runs that this leader stopped because they were slow.
+    uint32_t slowRuns { 0 };
+
     /// Whether a speculative copy is to be started beside the active run.
     bool wantsSpeculativeCopy { false };
     std::string checkpoint {};
