Test a gang that has to run isolated on busy workers

The members of a gang that waits to run isolated all hold the same worker, and an attempt to place the gang ends the hold. The test fails: 0 starts instead of 3 in 20 s.

--- a/Tests/LibDecision/TestTaskIsolation.cpp
+++ b/Tests/LibDecision/TestTaskIsolation.cpp
@@ -1,6 +1,8 @@
 #include "TaskSchedulerFixture.h"
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace Bergamot;
 
@@ -158,3 +160,43 @@
     CHECK_EQUAL(2, scheduler.totals().activeRuns);
     CHECK(delayOf("third") == SuspectDelay::NoIsolationSlot);
 }
+
+// Guards against a gang that never runs isolated on busy workers, because one worker only is held for all of its
+// members.
+TEST(TaskIsolation, GangStartsIsolatedOnBusyWorkers)
+{
+    constexpr WorkerHandle workers { 3 };
+    constexpr int rounds { 40 };
+    constexpr Milliseconds roundTime { 500 };
+    for (WorkerHandle handle = 1; handle <= workers; ++handle) {
+        TaskWorkerView view { .id = "w" + std::to_string(handle), .service = "token", .zone = "a" };
+        view.labels = { view.id };
+        view.capacity = { 4000, 125000, 0 };
+        scheduler.updateWorker(handle, view);
+    }
+    auto gang = fixture.step(3);
+    gang.gang = true;
+    gang.size.cpuMillis = 3000;
+    size_t gangStarts = 0;
+    std::vector<StartTask> active;
+    for (int i = 0; i < rounds && gangStarts == 0; ++i) {
+        if (i == 1)
+            addSuspectedJob("g", gang);
+        // Each worker gets a task of its own in each round, which ends in the next one.
+        for (WorkerHandle handle = 1; handle <= workers; ++handle) {
+            auto step = fixture.step(1);
+            step.requiredLabel = "w" + std::to_string(handle);
+            scheduler.addJob(fixture.job(std::to_string(i) + step.requiredLabel, { step }), std::nullopt, neverInstant);
+        }
+        storeProgress();
+        auto ended = std::exchange(active, fixture.planStarts());
+        for (const auto& start : active) {
+            gangStarts += start.task.job == "g" ? 1 : 0;
+            scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
+        }
+        for (const auto& start : ended)
+            fixture.endRun(start, RunOutcome::Done);
+        fixture.advance(roundTime);
+    }
+    CHECK_EQUAL(3, gangStarts);
+}
