Hold workers for all members of a gang that has to run isolated

Cause: a worker is held for each member, but a worker that is held already is chosen first, so all members held the same one. An attempt to place the gang, undone for lack of workers, also ended the holds of the workers tried. On busy workers such a gang waited without a bound.

Change: members that share a held worker get reservations on it while the others choose, so as many workers are held as the gang needs. A hold ends when the isolated start is sent, not when it is tried.

A member that no worker has resources for at the moment still holds none.

--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -53,8 +53,8 @@
         m_failedSearches += mayIsolate ? 1 : 0;
         if (isolation == RunIsolation::Required) {
             step.suspectDelay = placementDelayOfSuspect(*ready.job, spec.count);
-            for (size_t i = 0; mayIsolate && i < step.tasks.size(); ++i)
-                holdForIsolation(ready, step.tasks[i], now);
+            if (mayIsolate)
+                holdForGang(ready, now);
             return true;
         }
     }
@@ -117,6 +117,25 @@
     return true;
 }
 
+/// Holds as many workers as the members need. The members get reservations meanwhile, so that a worker is held for as
+/// many of them as it has resources for.
+void TaskScheduler::holdForGang(const ReadyStep& ready, Instant now)
+{
+    const auto& spec = ready.job->spec.steps[ready.step];
+    std::vector<std::pair<WorkerEntry*, Resources>> reserved;
+    std::map<WorkerHandle, uint32_t> members;
+    for (const auto& task : ready.job->occurrences[ready.occurrence].steps[ready.step].tasks) {
+        auto* worker = holdForIsolation(ready, task, now);
+        if (!worker)
+            break;
+        bool isFull = spec.maxPerWorker > 0 && ++members[worker->handle] >= spec.maxPerWorker;
+        reserved.emplace_back(worker, isFull ? worker->view.capacity : reservedSize(spec));
+        worker->reserved = worker->reserved + reserved.back().second;
+    }
+    for (const auto& [worker, size] : reserved)
+        worker->reserved = worker->reserved - size;
+}
+
 /// Reverts the starts of the first `members` members, whose start commands have not been sent.
 void TaskScheduler::undoStarts(const ReadyStep& ready, uint32_t members, size_t actionsBefore)
 {
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -117,14 +117,17 @@
     return true;
 }
 
-/// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs.
-void TaskScheduler::holdForIsolation(const ReadyStep& ready, const TrackedTask& task, Instant now)
+/// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs. Returns
+/// the worker, or nullptr.
+TaskScheduler::WorkerEntry* TaskScheduler::holdForIsolation(
+    const ReadyStep& ready, const TrackedTask& task, Instant now)
 {
     if (!hasIsolationSlots(*ready.job, 1))
-        return;
+        return nullptr;
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Hold);
     if (worker)
         worker->heldForIsolationUntil = now + holdTime;
+    return worker;
 }
 
 /// Records the start of a suspected task as a possible crash. The record is stored before the start is sent: a leader
@@ -171,6 +174,8 @@
     auto worker = m_workers.find(start.worker);
     if (worker != m_workers.end() && isUsable(*worker->second, now)) {
         run->startedAt = now;
+        if (run->isolated)
+            worker->second->heldForIsolationUntil = neverInstant;
         m_actions.push_back(start);
         return true;
     }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -411,10 +411,8 @@
         m_actions.push_back(std::move(start));
         return;
     }
-    if (mode == PlacementMode::Isolated) {
-        worker.heldForIsolationUntil = neverInstant;
+    if (mode == PlacementMode::Isolated)
         setIsolated(task.runs.back(), true);
-    }
     recordSuspectedStart(worker, job, ref, task.runs.back());
     m_suspectedStarts.push_back(std::move(start));
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -270,7 +270,8 @@
     SuspectDelay placementDelayOfSuspect(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
-    void holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
+    WorkerEntry* holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
+    void holdForGang(const ReadyStep&, Instant now);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
     void sendSuspectedStarts(Instant now, const StartPermission&);
     bool sendSuspectedStart(const StartTask&, Instant now, const StartPermission&);
