--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -8,9 +8,14 @@
 // The tasks of a gang make progress only while all of them run, under one run number. They are placed all or none, end
 // together, and restart together once every run of the previous attempt has ended.
 
-static bool canStart(const TrackedTask& task, Instant now)
+/// Why the gang must not start yet; None if all members can start.
+static PlacementDelay delayOfGang(const TrackedStep& step, Instant now)
 {
-    return !task.done && task.runs.empty() && task.blockedUntil <= now;
+    if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return it.done || !it.runs.empty(); }))
+        return PlacementDelay::GangMember;
+    if (std::ranges::any_of(step.tasks, [&](const TrackedTask& it) { return it.blockedUntil > now; }))
+        return PlacementDelay::EarlierLeader;
+    return PlacementDelay::None;
 }
 
 /// Queues all members for placement once no run of the gang is left.
@@ -31,7 +36,8 @@
 bool TaskScheduler::placeGang(const ReadyStep& ready, Instant now)
 {
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-    if (!std::ranges::all_of(step.tasks, [&](const TrackedTask& it) { return canStart(it, now); }))
+    step.delay = delayOfGang(step, now);
+    if (step.delay != PlacementDelay::None)
         return true;
     const auto& spec = ready.job->spec.steps[ready.step];
     TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, 0 };
@@ -47,11 +53,12 @@
         m_failedSearches += mayIsolate ? 1 : 0;
         if (isolation == RunIsolation::Required) {
             step.suspectDelay = placementDelayOfSuspect(*ready.job, spec.count);
-            for (size_t i = 0; mayIsolate && i < step.tasks.size(); ++i)
-                holdForIsolation(ready, step.tasks[i], now);
+            if (mayIsolate)
+                holdForGang(ready, now);
             return true;
         }
     }
+    step.delay = PlacementDelay::NoWorker;
     if (spec.prefersSameRack) {
         for (const auto& rack : racksWithCapacity(*ready.job, spec)) {
             if (startGang(ready, rack, now, PlacementMode::Shared))
@@ -110,6 +117,25 @@
     return true;
 }
 
+/// Holds as many workers as the members need. The members get reservations meanwhile, so that a worker is held for as
+/// many of them as it has resources for.
+void TaskScheduler::holdForGang(const ReadyStep& ready, Instant now)
+{
+    const auto& spec = ready.job->spec.steps[ready.step];
+    std::vector<std::pair<WorkerEntry*, Resources>> reserved;
+    std::map<WorkerHandle, uint32_t> members;
+    for (const auto& task : ready.job->occurrences[ready.occurrence].steps[ready.step].tasks) {
+        auto* worker = holdForIsolation(ready, task, now);
+        if (!worker)
+            break;
+        bool isFull = spec.maxPerWorker > 0 && ++members[worker->handle] >= spec.maxPerWorker;
+        reserved.emplace_back(worker, isFull ? worker->view.capacity : reservedSize(spec));
+        worker->reserved = worker->reserved + reserved.back().second;
+    }
+    for (const auto& [worker, size] : reserved)
+        worker->reserved = worker->reserved - size;
+}
+
 /// Reverts the starts of the first `members` members, whose start commands have not been sent.
 void TaskScheduler::undoStarts(const ReadyStep& ready, uint32_t members, size_t actionsBefore)
 {
