Wait for workers that announce themselves until half are reached

Cause: a leader that is cut off from the store, but reaches most workers, goes on renewing their leases. A successor that reaches only the others took those leases as expired 5.28 s after its election and started their tasks again. Change: a lease of a worker that this leader has never reached, and that announces itself, does not count as expired before half of the workers of earlier leaders are reached; most and half have one in common, which rejects the earlier leader. Half reached late, or a record of unreached workers that lists more than half, adds the time in which its leases expire. Measured: CutOffLeader.LeasesEndAlsoWhenMostWorkersAreReachable failed (2 workers ran the task) and passes, unchanged. Of the four new tests three fail without the change; UnlistedWorkersAreWaitedForNoLongerThanTheirLeases passes with and without.

--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -8,11 +8,6 @@
 // The tasks of a gang make progress only while all of them run, under one run number. They are placed all or none, end
 // together, and restart together once every run of the previous attempt has ended.
 
-static bool canStart(const TrackedTask& task, Instant now)
-{
-    return !task.done && task.runs.empty() && task.blockedUntil <= now;
-}
-
 /// Queues all members for placement once no run of the gang is left.
 void TaskScheduler::requeueGang(TrackedJob& job, const TaskRef& ref)
 {
@@ -31,7 +26,8 @@
 bool TaskScheduler::placeGang(const ReadyStep& ready, Instant now)
 {
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-    if (!std::ranges::all_of(step.tasks, [&](const TrackedTask& it) { return canStart(it, now); }))
+    auto canStart = [&](const TrackedTask& it) { return !it.done && it.runs.empty() && !isBlocked(it, now); };
+    if (!std::ranges::all_of(step.tasks, canStart))
         return true;
     const auto& spec = ready.job->spec.steps[ready.step];
     TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, 0 };
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -48,7 +48,8 @@
 std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs, const StartPermission& permission)
 {
     m_latestEventAt = now;
-    if (m_unblockAt != neverInstant && now >= m_unblockAt) {
+    m_mayUnblock = permission.mayUnblock;
+    if (m_mayUnblock && m_unblockAt != neverInstant && now >= m_unblockAt) {
         m_unblockAt = neverInstant;
         unblockTasks();
     }
@@ -63,6 +64,12 @@
     return std::exchange(m_actions, {});
 }
 
+/// Whether a run that an earlier leader started may be active.
+bool TaskScheduler::isBlocked(const TrackedTask& task, Instant now) const
+{
+    return task.blockedUntil > now || (!m_mayUnblock && task.blockedUntil != neverInstant);
+}
+
 void TaskScheduler::activateDueOccurrences(int64_t unixMs)
 {
     auto recurring = m_recurringJobs;
@@ -220,7 +227,7 @@
             if (task.done || !task.runs.empty())
                 continue;
         }
-        if (task.blockedUntil > now) {
+        if (isBlocked(task, now)) {
             step.delay = PlacementDelay::EarlierLeader;
             stillWaiting.push_back(index);
             continue;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -134,11 +134,15 @@
         /// its election without waiting for the workers of this one, so the jobs must be older than the latest proof
         /// that there is no later leader.
         Instant knownBy { Instant::max() };
+
+        /// Whether tasks start once the time passed to addJob() has come; false while an earlier leader may still renew
+        /// leases of workers that this leader has not reached.
+        bool mayUnblock { true };
     };
 
     /// Returns the commands that follow from all events so far. Stop and throttle commands need no permission: they are
     /// harmless after this leader has been replaced, because workers reject them.
-    std::vector<TaskAction> plan(Instant now, int64_t unixMs, const StartPermission& = { true, Instant::max() });
+    std::vector<TaskAction> plan(Instant now, int64_t unixMs, const StartPermission& = { true, Instant::max(), true });
 
     /// Returns the progress of the jobs that changed since the last call and must be stored.
     std::vector<JobProgress> takeChangedJobs();
@@ -211,6 +215,7 @@
     void adoptRun(WorkerHandle, TrackedJob&, TrackedTask&, const RunReport&, Instant now);
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
     void requestStop(WorkerHandle, const TaskRef&, uint64_t run, Instant now);
+    bool isBlocked(const TrackedTask&, Instant now) const;
     void activateDueOccurrences(int64_t unixMs);
     void placeWaitingTasks(Instant now, Instant knownBy);
     void collectCandidates(Instant now);
@@ -319,6 +324,9 @@
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
     Instant m_unblockAt { neverInstant };
+
+    /// StartPermission::mayUnblock of the latest plan.
+    bool m_mayUnblock { true };
     PressureModel m_pressure;
 
     /// Processors that short tasks reserve, and the recent peak of those that they reserve or wait for.
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -168,6 +168,7 @@
 void TaskLeader::handleProgressLoaded()
 {
     auto unreached = reliableUnreachedWorkers();
+    m_isUnreachedRecordDoubtful = 2 * unreached.size() > m_storedAssignedWorkers.workers.size();
     logInfo("progress_loaded",
         { { "epoch", m_options.epoch }, { "jobs", m_storedProgress.size() },
             { "workers", m_storedAssignedWorkers.workers.size() }, { "unreached", unreached.size() } });
@@ -385,8 +386,7 @@
     if (!hasLoadedJobs())
         return;
     m_lastPlanAt = m_loop.now();
-    for (auto& action : m_scheduler.plan(
-             m_loop.now(), unixMsNow(), { .mayStart = canStart(), .knownBy = m_options.soleLeaderUntil() })) {
+    for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow(), startPermission())) {
         auto handle = std::visit([](const auto& command) { return command.worker; }, action);
         if (!std::holds_alternative<StartTask>(action))
             m_metrics.recordTaskCommand(std::holds_alternative<StopTask>(action) ? "stop" : "pace");
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -82,6 +82,9 @@
         WorkerIncarnation incarnation;
         bool isStored { false };
 
+        /// An earlier leader stored the worker as assigned, so the worker may have a lease from it.
+        bool isFromEarlierLeader { false };
+
         /// Epoch since whose election no leader has renewed the worker's lease; 0 if the worker is not to be stored as
         /// unreached.
         uint64_t unreachedSinceEpoch { 0 };
@@ -141,10 +144,17 @@
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
     void checkReconciled();
+    bool hasReachedHalfOfEarlierWorkers() const;
+    void updateEarlierRenewals();
+    bool hasReachedHalfLate() const;
     bool canStart() const;
     bool canStart(const StartTask&) const;
     bool isSoleLeader() const;
     bool canRenewLeases() const;
+    bool mayObeyEarlierLeader(const Worker&) const;
+    bool mayEarlierLeaderRenew(const Worker&) const;
+    bool mayEarlierLeaderRenewAny() const;
+    TaskScheduler::StartPermission startPermission() const;
     bool doMostWorkersReply() const;
     void schedulePlan();
     Milliseconds leaseDuration() const;
@@ -199,6 +209,14 @@
     std::vector<PendingCancellation> m_unknownJobsInBatch;
     bool m_areSessionsStarted { false };
     bool m_isReconciled { false };
+
+    /// Time until which an earlier leader may renew leases of workers that this leader has not reached. Unlimited until
+    /// half of the workers of earlier leaders are reached.
+    Instant m_earlierRenewalsEndBy { Instant::max() };
+
+    /// Whether the author of the stored unreached workers had not reached half of the workers, so that a leader before
+    /// it may have renewed their leases.
+    bool m_isUnreachedRecordDoubtful { false };
     bool m_isPlanScheduled { false };
     Instant m_lastPlanAt { neverInstant };
     Instant m_earlierLeasesExpireAt { neverInstant };
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -61,6 +61,7 @@
     auto& worker = m_workers[handle];
     worker.incarnation = incarnation;
     m_handles.emplace(incarnation.id, handle);
+    worker.isFromEarlierLeader = !announcement;
     worker.announcement = std::move(announcement);
     worker.isStored
         = std::ranges::find(m_storedAssignedWorkers.workers, incarnation) != m_storedAssignedWorkers.workers.end();
@@ -76,6 +77,7 @@
             .canStart = [this](const StartTask& start) { return canStart(start); },
             .isSoleLeader = [this] { return isSoleLeader(); },
             .canRenewLeases = [this] { return canRenewLeases(); },
+            .mayEarlierLeaderRenew = [this, handle] { return mayEarlierLeaderRenew(m_workers.at(handle)); },
             .renewalLimiter = m_renewalLimiter,
             .events = makeSessionEvents(handle) });
     if (!worker.isStored)
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -277,7 +277,8 @@
 
 void WorkerSession::checkLeaseExpiry()
 {
-    if (!m_isReachable && !m_isLeaseExpiryReported && m_loop.now() >= m_leasesExpireBy) {
+    if (!m_isReachable && !m_isLeaseExpiryReported && m_loop.now() >= m_leasesExpireBy
+        && !(isUnreached() && m_options.mayEarlierLeaderRenew())) {
         m_isLeaseExpiryReported = true;
         m_isReconciled = true;
         m_commands.clearWaiting();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -68,6 +68,10 @@
         /// Whether leases may be renewed. Asked before each lease renewal, which otherwise only fetches the report.
         std::function<bool()> canRenewLeases { [] { return true; } };
 
+        /// Whether an earlier leader may still renew the lease of this worker. Asked before the leases of a worker that
+        /// has never replied count as expired.
+        std::function<bool()> mayEarlierLeaderRenew { [] { return false; } };
+
         /// Shared by all sessions: limits concurrent lease renewals of unreachable workers, each of which may need a
         /// new connection. Commands are not limited: an overloaded leader would process the replies late and send too
         /// few commands.
--- a/Tests/LibNode/TestCutOffLeader.cpp
+++ b/Tests/LibNode/TestCutOffLeader.cpp
@@ -108,3 +108,24 @@
         CHECK_EQUAL(1, it.fewestRuns);
     }
 }
+
+// Guards against the same at other moments, and against a task that does not run once all nodes have contact again.
+TEST(CutOffLeader, TaskRunsOnceUntilAndAfterContactIsRestored)
+{
+    for (Milliseconds delay { 0 }; delay <= maxDelay; delay += delayStep) {
+        CutOffCluster it;
+        it.runTask(3);
+        it.advance(delay);
+        it.first.store.isCutOff = true;
+        it.first.executor.unreachable = { "w3" };
+        it.second.executor.unreachable = { "w1", "w2" };
+        it.advance(Milliseconds { 20000 });
+        CHECK_EQUAL(1, it.mostRuns);
+        it.first.store.isCutOff = false;
+        it.first.executor.unreachable.clear();
+        it.second.executor.unreachable.clear();
+        it.advance(Milliseconds { 10000 });
+        CHECK_EQUAL(1, it.mostRuns);
+        CHECK_EQUAL(1, it.workers.runsOf(it.task));
+    }
+}
--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -267,3 +267,61 @@
     CHECK_FALSE(decodeValue<JobProgress>(encodeValue(unreached)).ok());
     CHECK(*decodeValue<UnreachedWorkers>(encodeValue(unreached)) == unreached);
 }
+
+// Guards against a second run of a task whose worker announces itself and obeys the previous leader, which is cut off
+// from the store and reaches most workers, while this leader reaches the others.
+TEST(UnreachedWorkers, ListedWorkersAreWaitedForUntilHalfAreReached)
+{
+    for (const auto* id : { "w1", "w2", "w3" })
+        announce(id);
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w2", "w3" };
+    elect();
+    run(Milliseconds { 20000 });
+    CHECK_EQUAL(0, starts());
+    silent = { "w3" };
+    CHECK(timeOfStart(clock.now(), maxLeaseWait).has_value());
+}
+
+// Guards against tasks that wait without end after most workers have lost power.
+TEST(UnreachedWorkers, UnlistedWorkersAreWaitedForNoLongerThanTheirLeases)
+{
+    announce("w1");
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w2", "w3" };
+    elect();
+    auto wait = timeOfStart(electedAt, Milliseconds { 10000 });
+    CHECK(wait.has_value());
+    CHECK(*wait >= minLeaseWait);
+    CHECK(*wait <= maxLeaseWait);
+}
+
+// Guards against a start before the leases have ended that the previous leader has renewed until half of the workers
+// were reached, also under a leader that follows then.
+TEST(UnreachedWorkers, LeasesAreCountedFromWhenHalfAreReached)
+{
+    constexpr Milliseconds minWait { 4000 };
+    for (bool isFollowed : { false, true }) {
+        for (const auto* id : { "w1", "w2", "w3" })
+            announce(id);
+        putAssignedWorkers({ "w1", "w2", "w3" });
+        putJob("j");
+        silent = { "w2", "w3" };
+        elect();
+        run(Milliseconds { 8000 });
+        silent = { "w3" };
+        auto reachedHalfAt = clock.now();
+        if (isFollowed) {
+            run(Milliseconds { 200 });
+            elect();
+        }
+        auto wait = timeOfStart(reachedHalfAt, Milliseconds { 10000 });
+        CHECK(wait.has_value());
+        CHECK(*wait >= minWait);
+        CHECK(*wait <= maxLeaseWait + Milliseconds { 200 });
+        leader.reset();
+        store.put(StreamName::Jobs, "j", {});
+    }
+}
