--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -9,11 +9,11 @@
 // together, and restart together once every run of the previous attempt has ended.
 
 /// Why the gang must not start yet; None if all members can start.
-static PlacementDelay delayOfGang(const TrackedStep& step, Instant now)
+PlacementDelay TaskScheduler::delayOfGang(const TrackedStep& step, Instant now) const
 {
     if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return it.done || !it.runs.empty(); }))
         return PlacementDelay::GangMember;
-    if (std::ranges::any_of(step.tasks, [&](const TrackedTask& it) { return it.blockedUntil > now; }))
+    if (std::ranges::any_of(step.tasks, [&](const TrackedTask& it) { return isBlocked(it, now); }))
         return PlacementDelay::EarlierLeader;
     return PlacementDelay::None;
 }
