Keep ends of unknown jobs when their worker is removed

Cause: ends of runs whose jobs the leader has not read yet are kept with the worker that reported them, and were dropped with it.

Change: the leader keeps them when it removes the worker, applies them to the job when it is read, and drops them once the job streams have been read again, as for acknowledgements.

Before: TaskLeaderRestartedWorkers.EndOfAnUnknownJobOutlivesItsWorker failed with "expected <0> but was <1>" starts. Now it passes.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -244,6 +244,7 @@
 
 void TaskLeader::handleJobsCaughtUp()
 {
+    dropOrphanedEnds();
     if (hasLoadedJobs() && !std::exchange(m_areSessionsStarted, true)) {
         confirmInheritedCrashes();
         for (auto& [handle, worker] : m_workers)
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -99,6 +99,12 @@
         uint64_t unknownEndSequence { 0 };
         Instant unknownEndSeenAt { neverInstant };
     };
+
+    /// Run ends of unknown jobs that a worker reported before it was removed.
+    struct OrphanedEnds {
+        std::vector<RunEnd> ends;
+        Instant seenAt { neverInstant };
+    };
     struct PendingCancellation {
         JobId job;
         JobQueryReply reply;
@@ -133,7 +139,9 @@
     void reportCrashes();
     WorkerSession::Events makeSessionEvents(WorkerHandle);
     bool canAcknowledge(Worker&, const RenewLeaseReply&);
+    void keepEndsOfUnknownJobs(Worker&);
     void applyEndsOf(const JobId&);
+    void dropOrphanedEnds();
     void handleReport(WorkerHandle, const RenewLeaseReply&, Instant requestSentAt);
     void handleStartReply(WorkerHandle, const StartTask&, TaskCommandOutcome);
     std::optional<WorkerHandle> findHandle(const WorkerId&) const;
@@ -194,6 +202,7 @@
 
     /// The ids of all workers that this leader has removed.
     std::set<WorkerId> m_removedIds;
+    std::vector<OrphanedEnds> m_orphanedEnds;
     std::vector<std::pair<WorkerHandle, uint64_t>> m_pendingAcknowledgements;
     std::vector<std::pair<WorkerHandle, uint64_t>> m_acknowledgementsInBatch;
     std::vector<PendingCancellation> m_pendingCancellations;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -205,6 +205,7 @@
     logInfo("worker_gone",
         { { "worker", it->second.incarnation.id }, { "born", it->second.incarnation.startedAtMs },
             { "end", nameOf(end) } });
+    keepEndsOfUnknownJobs(it->second);
     m_scheduler.removeWorker(handle, end, m_loop.now());
     // This function may be called by the session itself, so the session is destroyed in a later turn of the event loop.
     // It is closed first, because further replies of the worker may be pending in this turn: when 3,000 workers
@@ -341,8 +342,28 @@
     return jobsCurrentAsOf() > worker.unknownEndSeenAt;
 }
 
+/// The ends outlive their worker, which cannot report them again.
+void TaskLeader::keepEndsOfUnknownJobs(Worker& worker)
+{
+    if (!worker.endsOfUnknownJobs.empty())
+        m_orphanedEnds.push_back({ .ends = std::move(worker.endsOfUnknownJobs), .seenAt = worker.unknownEndSeenAt });
+}
+
+/// Drops the ends whose jobs are still unknown after the job streams have been read again.
+void TaskLeader::dropOrphanedEnds()
+{
+    std::erase_if(m_orphanedEnds, [&](const OrphanedEnds& it) { return jobsCurrentAsOf() > it.seenAt; });
+}
+
 void TaskLeader::applyEndsOf(const JobId& job)
 {
+    constexpr WorkerHandle removedWorker = 0;
+    for (const auto& orphaned : m_orphanedEnds) {
+        for (const auto& end : orphaned.ends) {
+            if (end.task.job == job)
+                m_scheduler.runEnded(removedWorker, end, m_loop.now());
+        }
+    }
     for (const auto& [handle, worker] : m_workers) {
         for (const auto& end : worker.endsOfUnknownJobs) {
             if (end.task.job == job)
