Find runs of a worker without copying the name of the job

Each listed run was looked up with a key made for it, which copies the name of its job to the heap; runs are now found by a reference to their task, in the same order. The pressure model no longer multiplies its sums by 1 when it decays twice at the same time.

TestLibDecision: 165 tests, no failure.

--- a/Libraries/LibDecision/PressureModel.cpp
+++ b/Libraries/LibDecision/PressureModel.cpp
@@ -80,6 +80,9 @@
         regression.decayedAt = now;
     auto elapsedMs = static_cast<double>((now - regression.decayedAt).count());
     regression.decayedAt = now;
+    // A report may contain several serving tasks of the image.
+    if (elapsedMs == 0)
+        return;
     double factor = std::exp2(-elapsedMs / halfLifeMs);
     for (auto& it : regression.products)
         it *= factor;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -198,14 +198,14 @@
     worker.listsRunOfUnknownSize = false;
     std::set<std::pair<TaskRef, uint64_t>> notAdopted;
     for (const auto& report : reports) {
-        auto active = worker.runs.find({ report.task, report.run });
+        auto active = worker.runs.find(RunOrder::KeyView { report.task, report.run });
         if (active == worker.runs.end()) {
             if (!adoptListedRun(worker, report, now)) {
                 notAdopted.emplace(report.task, report.run);
                 countUnwantedRun(worker, report.task);
                 continue;
             }
-            active = worker.runs.find({ report.task, report.run });
+            active = worker.runs.find(RunOrder::KeyView { report.task, report.run });
         }
         active->second.lastListedInReport = worker.reportCount;
         auto& job = *active->second.job;
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -283,7 +283,7 @@
     if (it == m_workers.end())
         return;
     auto& worker = *it->second;
-    auto active = worker.runs.find({ task, run });
+    auto active = worker.runs.find(RunOrder::KeyView { task, run });
     if (active == worker.runs.end())
         return;
     if (auto* tracked = findRun(*active->second.task, run))
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
+#include <LibDecision/RunOrder.h>
 #include <LibDecision/TaskScheduler.h>
 #include <algorithm>
 #include <map>
@@ -62,7 +63,7 @@
     Instant overTargetSince { neverInstant };
 
     /// Active runs, including those that are being stopped.
-    std::map<std::pair<TaskRef, uint64_t>, ActiveRun> runs {};
+    std::map<RunOrder::Key, ActiveRun, RunOrder> runs {};
 
     /// Number of reports received from the worker.
     uint64_t reportCount { 0 };
