Search no worker for sizes that no worker has room for

While the site is full, each plan searched all workers once for each waiting best-effort image, although none had room for any of them. A plan now remembers the sizes for which no worker had room, whatever the image. Starts only reduce the room in a plan; when a gang that does not fit is undone, the sizes are forgotten.

The gain is in a full site.

TestLibDecision: 166 tests, no failure; without the reset in undoStarts() two tests of TaskGangs fail, and without the new score of the last worker the property of WorkerChoice does.

--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -122,6 +122,7 @@
         task.runs.pop_back();
     }
     m_actions.resize(actionsBefore);
+    m_sizesWithoutRoom = {};
 }
 
 /// Completes all members: they end together, so one reported end is enough.
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -59,6 +59,7 @@
 {
     for (auto& [service, candidates] : m_candidates)
         candidates.clear();
+    m_sizesWithoutRoom = {};
     m_freeCpuMillis = 0;
     std::vector<WorkerEntry*>* candidates = nullptr;
     const std::string* service = nullptr;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/CandidateRanking.h>
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
 #include <LibDecision/RunEnd.h>
@@ -10,6 +11,7 @@
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
 #include <LibDecision/TrackedJob.h>
+#include <LibDecision/UnplacedSizes.h>
 #include <LibDecision/WorkerEnd.h>
 #include <LibWire/QueuePolicy.h>
 #include <cstdint>
@@ -234,8 +236,10 @@
     struct StepRanking;
     std::optional<WorkerSearch> beginSearch(
         const TrackedJob&, const ReadyStep&, const std::string& rack, Instant now, PlacementMode) const;
+    static bool hasRoom(const WorkerSearch&, const WorkerEntry&);
     static bool isAllowed(const WorkerSearch&, const TrackedTask&, const WorkerEntry&, uint32_t siblings);
     std::optional<double> scoreOf(const WorkerSearch&, const TrackedTask&, WorkerEntry&) const;
+    std::vector<CandidateRanking::Entry> scoreCandidates(const WorkerSearch&, const TrackedTask&);
     WorkerEntry* chooseNextWorker(std::optional<StepRanking>&, const ReadyStep&, const TrackedTask&, Instant now);
     WorkerEntry* chooseWorker(const TrackedJob&, const ReadyStep&, const TrackedTask&, const std::string& rack,
         Instant now, PlacementMode = PlacementMode::Shared);
@@ -304,6 +308,9 @@
 
     /// Usable workers by service, as of the latest plan.
     std::map<std::string, std::vector<WorkerEntry*>> m_candidates;
+
+    /// Sizes for which no worker has had room in the current plan, in which starts only reduce the room.
+    UnplacedSizes m_sizesWithoutRoom;
     std::map<StepKey, ReadyStep> m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
--- a/Libraries/LibDecision/TaskWorkerChoice.cpp
+++ b/Libraries/LibDecision/TaskWorkerChoice.cpp
@@ -1,8 +1,8 @@
+#include <LibDecision/PlacementClass.h>
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <LibDecision/TaskWorkerSearch.h>
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 // Chooses the workers on which tasks start.
@@ -42,7 +42,14 @@
     return std::ranges::find(view.labels, label) != view.labels.end();
 }
 
-/// Prepares the search for workers for tasks of the step, or returns nullopt if the service has no usable workers.
+/// The class of steps for which the same workers have room. Best-effort tasks need no processors of their own, so they
+/// are a class, whatever their image.
+static PlacementClass roomClassOf(const std::string& service, const StepSpec& spec)
+{
+    return { .service = service, .bestEffortImage = spec.bestEffort ? std::optional(0U) : std::nullopt };
+}
+
+/// Prepares the search for workers for tasks of the step, or returns nullopt if no usable worker has room.
 std::optional<TaskScheduler::WorkerSearch> TaskScheduler::beginSearch(
     const TrackedJob& job, const ReadyStep& ready, const std::string& rack, Instant now, PlacementMode mode) const
 {
@@ -52,6 +59,8 @@
     if (service.empty() || candidates == m_candidates.end())
         return std::nullopt;
     const auto& spec = job.spec.steps[ready.step];
+    if (m_sizesWithoutRoom.covers(roomClassOf(candidates->first, spec), spec.size))
+        return std::nullopt;
     const auto& step = job.occurrences[ready.occurrence].steps[ready.step];
     WorkerSearch search { .job = job,
         .ready = ready,
@@ -61,6 +70,7 @@
         .rack = rack,
         .image = step.image,
         .size = reservedSize(spec),
+        .service = candidates->first,
         .candidates = candidates->second,
         .countsSiblings = spec.maxPerWorker > 0 || spec.longRunning || spec.prefersSameRack };
     if (!search.countsSiblings)
@@ -75,6 +85,15 @@
     return search;
 }
 
+/// Whether the resources that the task needs are free on the worker, or are expected to be idle.
+bool TaskScheduler::hasRoom(const WorkerSearch& search, const WorkerEntry& worker)
+{
+    if (!search.size.fitsIn(worker.freeResources()))
+        return false;
+    auto minIdleMillis = minIdleCpuShare * static_cast<double>(search.spec.size.cpuMillis);
+    return !search.spec.bestEffort || static_cast<double>(worker.freeBestEffortMillis()) >= minIdleMillis;
+}
+
 /// Whether the worker may take the task, as far as that does not depend on the interference of best-effort tasks.
 bool TaskScheduler::isAllowed(
     const WorkerSearch& search, const TrackedTask& task, const WorkerEntry& worker, uint32_t siblings)
@@ -96,14 +115,11 @@
     return spec.maxPerWorker == 0 || siblings < spec.maxPerWorker;
 }
 
-/// Returns how well the worker suits the task, or nullopt if it cannot take it.
+/// Returns how well the worker, which has room, suits the task, or nullopt if it cannot take it.
 std::optional<double> TaskScheduler::scoreOf(
     const WorkerSearch& search, const TrackedTask& task, WorkerEntry& worker) const
 {
     const auto& spec = search.spec;
-    auto free = worker.freeResources();
-    if (!search.size.fitsIn(free))
-        return std::nullopt;
     uint32_t siblings = 0;
     if (search.countsSiblings) {
         auto it = search.siblingRuns.find(worker.handle);
@@ -113,15 +129,12 @@
         return std::nullopt;
     double score = 0;
     if (spec.bestEffort) {
-        auto idleCpuMillis = static_cast<double>(worker.freeBestEffortMillis());
-        if (idleCpuMillis < minIdleCpuShare * static_cast<double>(spec.size.cpuMillis))
-            return std::nullopt;
         double allowed = allowedBestEffortShare(worker, spec, search.image);
         if (allowed < minStartSpeedShare)
             return std::nullopt;
-        score = idleCpuMillis / worker.capacityMillis() + std::min(allowed, 3.0);
+        score = static_cast<double>(worker.freeBestEffortMillis()) / worker.capacityMillis() + std::min(allowed, 3.0);
     } else {
-        score = static_cast<double>(free.cpuMillis) / worker.capacityMillis();
+        score = static_cast<double>(worker.freeResources().cpuMillis) / worker.capacityMillis();
         // Short tasks go to the worker with the smallest share of free processors, so that other workers keep
         // capacity for large tasks.
         if (!spec.longRunning)
@@ -147,6 +160,24 @@
     return score;
 }
 
+/// Returns the scores of the workers that can take the task, in the order of the candidates.
+std::vector<CandidateRanking::Entry> TaskScheduler::scoreCandidates(const WorkerSearch& search, const TrackedTask& task)
+{
+    std::vector<CandidateRanking::Entry> scores;
+    bool foundRoom = false;
+    for (size_t i = 0; i < search.candidates.size(); ++i) {
+        auto& worker = *search.candidates[i];
+        if (!hasRoom(search, worker))
+            continue;
+        foundRoom = true;
+        if (auto score = scoreOf(search, task, worker))
+            scores.push_back({ *score, i });
+    }
+    if (!foundRoom)
+        m_sizesWithoutRoom.add(roomClassOf(search.service, search.spec), search.spec.size);
+    return scores;
+}
+
 /// Returns the best worker for the task, or nullptr. A non-empty `rack` limits the choice to its workers.
 TaskScheduler::WorkerEntry* TaskScheduler::chooseWorker(const TrackedJob& job, const ReadyStep& ready,
     const TrackedTask& task, const std::string& rack, Instant now, PlacementMode mode)
@@ -154,16 +185,9 @@
     auto search = beginSearch(job, ready, rack, now, mode);
     if (!search)
         return nullptr;
-    WorkerEntry* best = nullptr;
-    double bestScore = -std::numeric_limits<double>::max();
-    for (auto* candidate : search->candidates) {
-        auto score = scoreOf(*search, task, *candidate);
-        if (!score || *score <= bestScore)
-            continue;
-        bestScore = *score;
-        best = candidate;
-    }
-    return best;
+    auto scores = scoreCandidates(*search, task);
+    auto best = std::ranges::max_element(scores, {}, &CandidateRanking::Entry::score);
+    return best == scores.end() ? nullptr : search->candidates[best->position];
 }
 
 /// Returns the best worker for the next task of a step, or nullptr. The task must be started there before the next
@@ -182,17 +206,14 @@
         auto search = beginSearch(*ready.job, ready, {}, now, PlacementMode::Shared);
         if (!search)
             return nullptr;
-        std::vector<CandidateRanking::Entry> entries;
-        for (size_t i = 0; i < search->candidates.size(); ++i) {
-            if (auto score = scoreOf(*search, task, *search->candidates[i]))
-                entries.push_back({ *score, i });
-        }
-        ranking.emplace(StepRanking { std::move(*search), CandidateRanking(std::move(entries)) });
+        CandidateRanking scores(scoreCandidates(*search, task));
+        ranking.emplace(StepRanking { std::move(*search), std::move(scores) });
     } else if (!ranking->ranking.isEmpty()) {
         auto& worker = *ranking->search.candidates[ranking->ranking.best()];
         if (ranking->search.countsSiblings)
             ++ranking->search.siblingRuns[worker.handle];
-        ranking->ranking.updateBest(scoreOf(ranking->search, task, worker));
+        ranking->ranking.updateBest(
+            hasRoom(ranking->search, worker) ? scoreOf(ranking->search, task, worker) : std::nullopt);
     }
     return ranking->ranking.isEmpty() ? nullptr : ranking->search.candidates[ranking->ranking.best()];
 }
--- a/Libraries/LibDecision/TaskWorkerSearch.h
+++ b/Libraries/LibDecision/TaskWorkerSearch.h
@@ -27,7 +27,8 @@
     /// Resources that a run reserves.
     Resources size {};
 
-    /// Usable workers of the job's service.
+    /// The job's service and its usable workers.
+    const std::string& service;
     const std::vector<WorkerEntry*>& candidates;
 
     /// Runs of the same step per worker, to enforce `maxPerWorker` and to spread the step over workers; empty for steps
--- a/Tests/LibDecision/TestTaskGangs.cpp
+++ b/Tests/LibDecision/TestTaskGangs.cpp
@@ -118,6 +118,25 @@
         CHECK_EQUAL(0, start.worker % 2);
 }
 
+// Guards against a task that has to wait for the next plan, since a gang that did not start took its room in this one.
+TEST(TaskGangs, RoomOfAGangThatDoesNotStartIsFreeInTheSamePlan)
+{
+    for (bool bestEffort : { false, true }) {
+        TaskSchedulerFixture local;
+        local.addWorker(1, { 2000, 125000, 0 });
+        auto gang = gangOf(3);
+        auto single = TaskSchedulerFixture::step(2);
+        gang.bestEffort = bestEffort;
+        single.bestEffort = bestEffort;
+        local.scheduler().addJob(local.job("g", { gang }), std::nullopt, neverInstant);
+        local.scheduler().addJob(local.job("s", { single }, "batch"), std::nullopt, neverInstant);
+        auto starts = local.planStarts();
+        CHECK_EQUAL(2, starts.size());
+        for (const auto& start : starts)
+            STRCMP_EQUAL("s", start.task.job.c_str());
+    }
+}
+
 // Guards against a gang that waits indefinitely for a rack that is large enough.
 TEST(TaskGangs, GangIsSpreadWhenNoRackHasCapacity)
 {
