Test the restart of a worker while a start and its stop are in progress (failing)

Cause: a session lists a start without a reply and the queued stop of the same run as two possible runs. The leader tracks the run twice on the new incarnation; only one of the two ever ends, and the task is never queued again. Change: tests of the queue and, with a gang whose other member was refused, of the leader.

--- a/Tests/LibNode/TestCommandQueue.cpp
+++ b/Tests/LibNode/TestCommandQueue.cpp
@@ -108,3 +108,15 @@
     CHECK(queue.removeStartOf(stopOf(1), removed) == CommandQueue::StartState::RemovedUnanswered);
     CHECK(queue.isEmpty());
 }
+
+// Guards against two stops of one run, which the scheduler would take for two runs of its task.
+TEST(CommandQueue, EachPossibleRunHasOneStop)
+{
+    queue.push(startOf(1));
+    queue.beginFront();
+    queue.push(stopOf(1));
+    queue.push(stopOf(9));
+    auto stops = queue.stopsOfPossibleRuns();
+    CHECK_EQUAL(2, stops.size());
+    CHECK(stops[0].run != stops[1].run);
+}
--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -110,3 +110,35 @@
     for (const auto& command : taskExecutor.commands)
         STRCMP_EQUAL("start", command.kind.c_str());
 }
+
+// Guards against a gang that never runs again: the start and the stop of one member are both without a reply when its
+// worker restarts, and the leader counts them as two runs, of which only one ever ends.
+TEST(TaskLeaderRestartedWorkers, GangWhoseMemberWasToBeStoppedStartsAgain)
+{
+    announce("w1");
+    announce("w2");
+    StepSpec step { .count = 2, .size = { 1000, 128, 0 }, .estimateMs = 1000 };
+    step.gang = true;
+    step.maxPerWorker = 1;
+    store.put(StreamName::Jobs, "g", encodeValue(JobSpec { .id = "g", .queue = "q", .steps = { step } }));
+    elect();
+    CHECK(timeOfStart(clock.now(), Milliseconds { 2000 }).has_value());
+    CHECK_EQUAL(2, starts());
+    start = taskExecutor.takeCommand();
+    auto other = taskExecutor.takeCommand();
+    auto refusal = replyOf(other.address);
+    refusal.outcome = TaskCommandOutcome::InsufficientResources;
+    other.reply(refusal);
+    run(Milliseconds { 100 });
+    CHECK_EQUAL(0, taskExecutor.commands.size());
+    restartedAtMs[start.address] = 60;
+    constexpr int steps { 50 };
+    for (int i = 0; i < steps && starts() == 0; ++i) {
+        run(Milliseconds { 100 });
+        if (!taskExecutor.commands.empty() && taskExecutor.commands.front().kind == "stop") {
+            auto stop = taskExecutor.takeCommand();
+            stop.reply(replyOf(stop.address));
+        }
+    }
+    CHECK_EQUAL(2, starts());
+}
