Test that a stop beside other commands is kept for a new incarnation (failing)

Cause: a stop that is sent beside the command in progress is in no queue until its reply arrives. If a new incarnation answers meanwhile, nobody stops the run that it may have, and the task starts elsewhere at once. Change: tests with a report of the new incarnation, and with its refusal of the stop.

--- a/Tests/LibNode/TestWorkerSessionIncarnations.cpp
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -19,6 +19,7 @@
     CallTimeout acknowledgementTimeout { { .minTimeout = Milliseconds { 150 }, .maxTimeout = Milliseconds { 800 } } };
     std::vector<uint64_t> startedRuns;
     int incarnationMismatches { 0 };
+    std::vector<StopTask> possibleRuns;
     WorkerSession session { *loop, taskExecutor,
         WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
             .startedAtMs = 50,
@@ -35,7 +36,11 @@
                 .onReachabilityChanged = [](bool) {},
                 .onConnectionsBroken = [] {},
                 .onLeaseExpired = [] {},
-                .onIncarnationMismatch = [this] { ++incarnationMismatches; },
+                .onIncarnationMismatch =
+                    [this] {
+                        ++incarnationMismatches;
+                        possibleRuns = session.stopsOfPossibleRuns();
+                    },
                 .onFenced = [] {} } } };
 
     void advance(Milliseconds time)
@@ -144,6 +149,34 @@
     checkNext("stop", 9);
 }
 
+// Guards against a run that a new incarnation may have and that nobody stops, because its stop was sent beside another
+// command: the task would start elsewhere at once.
+TEST(WorkerSessionIncarnations, StopSentBesideAnotherIsKeptForANewIncarnation)
+{
+    connect();
+    session.enqueueCommand(stopOf(1));
+    session.enqueueCommand(stopOf(2));
+    advance(Milliseconds { 1100 });
+    CHECK_EQUAL(2, taskExecutor.commands.size());
+    taskExecutor.takeRenewLeaseCall().reply(RenewLeaseReply { .commandReply = { .clockMs = 5, .startedAtMs = 60 } });
+    CHECK_EQUAL(1, incarnationMismatches);
+    CHECK_EQUAL(2, possibleRuns.size());
+}
+
+// Guards against the same when the new incarnation refuses the stop.
+TEST(WorkerSessionIncarnations, StopSentBesideAnotherThatANewIncarnationRefusesIsKept)
+{
+    connect();
+    session.enqueueCommand(stopOf(1));
+    session.enqueueCommand(stopOf(2));
+    advance(Milliseconds { 1100 });
+    CHECK_EQUAL(2, taskExecutor.commands.size());
+    taskExecutor.commands.back().reply(
+        TaskCommandReply { .outcome = TaskCommandOutcome::Unhealthy, .clockMs = 5, .startedAtMs = 60 });
+    CHECK_EQUAL(1, incarnationMismatches);
+    CHECK_EQUAL(2, possibleRuns.size());
+}
+
 // Guards against an acknowledgement that is repeated after its reply was lost: it would discard run ends of a new
 // incarnation, whose tasks would run again.
 TEST(WorkerSessionIncarnations, AcknowledgementThatTimedOutIsNotRepeatedToANewIncarnation)
