Test that a new leader resumes paused runs (failing)

Cause: workers do not report the speed of a run, and a leader assumes that adopted runs have full speed. A run that the predecessor paused gets no command, makes no progress and is stopped as stalled. Change: a test of paused runs, and one that runs at full speed get no command. Result: 0 instead of 2 commands; the second passes.

--- a/Tests/LibDecision/TestTaskThrottling.cpp
+++ b/Tests/LibDecision/TestTaskThrottling.cpp
@@ -9,6 +9,7 @@
 {
     static constexpr double targetLatencyMs { 40 };
     static constexpr Milliseconds reportInterval { 400 };
+    static constexpr int64_t bestEffortMillis { 8000 };
 
     TaskSchedulerFixture fixture;
     TaskScheduler& scheduler { fixture.scheduler() };
@@ -25,15 +26,35 @@
         servingStep.targetLatencyMs = targetLatencyMs;
         scheduler.addJob(fixture.job("serving", { servingStep }), std::nullopt, neverInstant);
         serving = fixture.planStarts().at(0);
-        auto bestEffortStep = fixture.step(2);
-        bestEffortStep.bestEffort = true;
-        bestEffortStep.image = "f";
-        bestEffortStep.size.cpuMillis = 8000;
-        scheduler.addJob(fixture.job("best-effort", { bestEffortStep }, "batch"), std::nullopt, neverInstant);
+        scheduler.addJob(fixture.job("best-effort", { bestEffortStep() }, "batch"), std::nullopt, neverInstant);
         bestEffort = fixture.planStarts();
         CHECK_EQUAL(2, bestEffort.size());
     }
 
+    static StepSpec bestEffortStep()
+    {
+        auto step = TaskSchedulerFixture::step(2);
+        step.bestEffort = true;
+        step.image = "f";
+        step.size.cpuMillis = bestEffortMillis;
+        return step;
+    }
+
+    /// Has a new leader adopt the best-effort runs, each of which uses `usedMillis` and has no serving task beside it.
+    std::vector<TaskAction> adoptByNewLeader(int64_t usedMillis)
+    {
+        TaskSchedulerFixture successor(2);
+        successor.addWorker(1);
+        successor.scheduler().addJob(
+            successor.job("best-effort", { bestEffortStep() }, "batch"), std::nullopt, neverInstant);
+        successor.advance(reportInterval);
+        successor.scheduler().runsReported(1,
+            { { bestEffort[0].task, bestEffort[0].run, "", 30, usedMillis },
+                { bestEffort[1].task, bestEffort[1].run, "", 30, usedMillis } },
+            successor.now(), successor.now());
+        return successor.plan();
+    }
+
     /// Reports a tail latency of the serving task. The best-effort tasks use what their speed allows.
     void report(int64_t tailLatencyMs, int64_t usedMillis)
     {
@@ -95,3 +116,22 @@
     CHECK_EQUAL(2, throttles.size());
     CHECK(throttles[0].speedPercent <= 10);
 }
+
+// Guards against runs that stay paused under a new leader, which assumes that they run at full speed and stops them as
+// stalled after 3 s.
+TEST(TaskThrottling, NewLeaderResumesRunsThatItsPredecessorPaused)
+{
+    auto actions = adoptByNewLeader(0);
+    CHECK_EQUAL(2, actions.size());
+    for (const auto& action : actions) {
+        const auto* throttle = std::get_if<ThrottleRun>(&action);
+        CHECK(throttle != nullptr);
+        CHECK_EQUAL(100, throttle->speedPercent);
+    }
+}
+
+// Guards against a throttle command for each run at a change of the leader.
+TEST(TaskThrottling, NewLeaderSendsNoThrottleToRunsAtFullSpeed)
+{
+    CHECK_EQUAL(0, adoptByNewLeader(bestEffortMillis).size());
+}
