--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -277,6 +277,21 @@
     CHECK_EQUAL(1, acceptedStops);
 }
 
+// Guards against taking the refusal of a throttle for its acceptance: the run would stay at its old speed, and one that
+// stays paused would be stopped as stalled.
+TEST(WorkerSession, RefusedThrottleIsRepeated)
+{
+    connect();
+    session->enqueueCommand(paceOf(9, 100));
+    taskExecutor.takeCommand().reply(
+        TaskCommandReply { .outcome = TaskCommandOutcome::Unhealthy, .clockMs = 2000, .startedAtMs = 50 });
+    advance(Milliseconds { 200 });
+    checkNext("pace", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2200, .startedAtMs = 50 });
+    advance(Milliseconds { 200 });
+    CHECK(taskExecutor.commands.empty());
+}
+
 // Guards against a lost reply that delays the start and all commands queued behind it by a second, as
 // seen on days with late commands.
 TEST(WorkerSession, CommandWithALostReplyIsRetriedAfterItsTimeout)
