--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -132,6 +132,8 @@
     run(Milliseconds { 100 });
     CHECK_EQUAL(0, taskExecutor.commands.size());
     restartedAtMs[start.address] = 60;
+    run(Milliseconds { 1000 });
+    announce(start.address);
     constexpr int steps { 50 };
     for (int i = 0; i < steps && starts() == 0; ++i) {
         run(Milliseconds { 100 });
