Count a start and its stop as one possible run

Cause: a start without a reply and the queued stop of its run were two possible runs of a new incarnation. The leader tracked the run twice, and only one of the two ended, so the task was never queued again. Change: the queue gives one stop for each run, and the scheduler does not adopt a run that it tracks. Result: EachPossibleRunHasOneStop (3 stops instead of 2) and GangWhoseMemberWasToBeStoppedStartsAgain (0 starts instead of 2) pass.

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -180,7 +180,7 @@
 {
     auto* job = findJob(ref.job);
     auto* task = job && !job->hasEnded() ? findTask(*job, ref) : nullptr;
-    if (!task || task->done || !m_workers.contains(handle))
+    if (!task || task->done || findRun(*task, run) || !m_workers.contains(handle))
         return;
     adoptRun(handle, *job, *task, { .task = ref, .run = run }, now);
     // The worker's lists decide whether the run exists only after the worker has accepted the stop.
--- a/Libraries/LibNode/CommandQueue.cpp
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -159,7 +159,7 @@
         bool wasSent = it.failures > 0 || (m_isInProgress && &it == &m_commands.front());
         if (const auto* stop = std::get_if<StopTask>(&it.action))
             stops.push_back(*stop);
-        else if (const auto* start = std::get_if<StartTask>(&it.action); start && wasSent)
+        else if (const auto* start = std::get_if<StartTask>(&it.action); start && wasSent && !hasStopOf(*start))
             stops.push_back(stopOf(*start));
     }
     return stops;
