Keep stops beside other commands for a new incarnation

Cause: a stop that was sent beside the command in progress was in no queue until its reply arrived, and lost if a new incarnation answered meanwhile or refused it. Change: the session keeps these stops until their replies and lists them among the possible runs, each run once.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -425,6 +425,7 @@
         return;
     if (!m_isReachable || !m_commands.removeWaiting(stop))
         return scheduleStopCheck(stop);
+    m_overdueStops.push_back(stop);
     m_taskExecutor.stop(m_options.executor, commandContext(), stop.task, stop.run,
         [this, alive = m_alive, stop, sentAt = m_loop.now()](const absl::StatusOr<TaskCommandReply>& reply) {
             if (*alive)
@@ -438,12 +439,25 @@
     m_options.commandTimeout.recordResult(reply.status(), m_loop.now() - sentAt);
     if (reply.ok() && !checkOutcome(*reply))
         return;
+    m_overdueStops.erase(std::ranges::find(m_overdueStops, stop));
     if (!reply.ok() || reply->outcome == TaskCommandOutcome::Unhealthy)
         return enqueueCommand(stop);
     recordReply(*reply);
     m_options.events.onStopAccepted(stop.task, stop.run);
 }
 
+std::vector<StopTask> WorkerSession::stopsOfPossibleRuns() const
+{
+    auto stops = m_commands.stopsOfPossibleRuns();
+    for (const auto& stop : m_overdueStops) {
+        bool isListed = std::ranges::any_of(
+            stops, [&](const StopTask& it) { return it.run == stop.run && it.task == stop.task; });
+        if (!isListed)
+            stops.push_back(stop);
+    }
+    return stops;
+}
+
 void WorkerSession::sendNextCommandAfter(Milliseconds delay)
 {
     m_loop.callAfter(delay, [this, alive = m_alive] {
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -131,7 +131,7 @@
     int64_t successorStartedAtMs() const { return m_successorStartedAtMs; }
 
     /// Stops of the runs that the worker, or a later incarnation at its address, may have started without a reply.
-    std::vector<StopTask> stopsOfPossibleRuns() const { return m_commands.stopsOfPossibleRuns(); }
+    std::vector<StopTask> stopsOfPossibleRuns() const;
 
 private:
     void renewLease();
@@ -208,6 +208,9 @@
     CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
 
+    /// Stops without a reply that were sent beside other commands.
+    std::vector<StopTask> m_overdueStops;
+
     /// When the last connection to the worker broke; neverInstant if the incarnation has replied to a lease renewal
     /// sent later. Until then a start could reach, and crash, a new incarnation.
     Instant m_connectionBrokenAt { neverInstant };
