Tell the speed of adopted runs to their workers

Cause: a new leader assumed full speed for the runs that it adopts. Those that its predecessor had paused got no command and were stopped as stalled after 3 s. Change: the speed of an adopted run is unknown, unless the run uses 90 % of the processors that it requested. An unknown speed is always sent, behind starts as any throttle. Result: NewLeaderResumesRunsThatItsPredecessorPaused (0 instead of 2 commands) passes.

--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -160,6 +160,17 @@
     return allowed;
 }
 
+/// Whether the change from the known speed of the run is sent to its worker.
+static bool isWorthACommand(const TrackedRun& run, uint32_t speedPercent, Instant now)
+{
+    auto difference
+        = speedPercent > run.speedPercent ? speedPercent - run.speedPercent : run.speedPercent - speedPercent;
+    if (difference == 0 || (difference < minSpeedPercentChange && speedPercent != 0))
+        return false;
+    bool isRaise = speedPercent > run.speedPercent;
+    return !isRaise || run.speedChangedAt == neverInstant || now - run.speedChangedAt >= minRaiseInterval;
+}
+
 void TaskScheduler::setSpeedPercent(
     WorkerEntry& worker, const TaskRef& ref, TrackedRun& run, uint32_t speedPercent, Instant now)
 {
@@ -167,13 +178,9 @@
         run.throttledSince = neverInstant;
     else if (run.throttledSince == neverInstant)
         run.throttledSince = now;
-    auto difference
-        = speedPercent > run.speedPercent ? speedPercent - run.speedPercent : run.speedPercent - speedPercent;
-    bool isRaise = speedPercent > run.speedPercent;
-    if (difference == 0 || (difference < minSpeedPercentChange && speedPercent != 0))
-        return;
-    if (isRaise && run.speedChangedAt != neverInstant && now - run.speedChangedAt < minRaiseInterval)
+    if (run.isSpeedKnown && !isWorthACommand(run, speedPercent, now))
         return;
+    run.isSpeedKnown = true;
     run.speedPercent = speedPercent;
     run.speedChangedAt = now;
     run.progressedAt = now;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -147,6 +147,14 @@
     m_actions.push_back(StopTask { .worker = handle, .task = ref, .run = run, .reason = reason });
 }
 
+/// Whether the run uses nearly all of the processors that it requested, so that its worker does not throttle it.
+static bool isAtFullSpeed(const RunReport& report, const StepSpec& spec)
+{
+    constexpr int64_t minUsePercent = 90;
+    constexpr int64_t percent = 100;
+    return percent * report.recentMeasurement >= minUsePercent * spec.size.cpuMillis;
+}
+
 void TaskScheduler::adoptRun(
     WorkerHandle handle, TrackedJob& job, TrackedTask& task, const RunReport& report, Instant now)
 {
@@ -158,7 +166,8 @@
         .startedAt = now,
         .resumed = true,
         .confirmedAt = now,
-        .progressedAt = now });
+        .progressedAt = now,
+        .isSpeedKnown = isAtFullSpeed(report, job.spec.steps[report.task.step]) });
     task.waitingSince = neverInstant;
     job.started = true;
     reserve(worker, job, report.task, report.run);
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -41,6 +41,9 @@
     uint32_t progressPercent { 0 };
     uint32_t speedPercent { 100 };
 
+    /// Whether the worker is known to run it at `speedPercent`. An earlier leader may have set another speed.
+    bool isSpeedKnown { true };
+
     /// When the speed was last changed.
     Instant speedChangedAt { neverInstant };
     int64_t recentMeasurement { 0 };
