--- a/Libraries/LibNode/CommandQueue.cpp
+++ b/Libraries/LibNode/CommandQueue.cpp
@@ -87,6 +87,16 @@
     std::rotate(m_commands.begin(), std::next(m_commands.begin()), firstOther);
 }
 
+void CommandQueue::repeatThrottleLater(Instant now)
+{
+    auto action = takeFront();
+    const auto& throttle = std::get<ThrottleRun>(action);
+    bool isReplaced
+        = std::ranges::any_of(m_commands, [&](const Command& it) { return isOfRun<ThrottleRun>(it.action, throttle); });
+    if (!isReplaced)
+        push(std::move(action), now);
+}
+
 void CommandQueue::stopFrontStart()
 {
     auto& action = m_commands.front().action;
--- a/Libraries/LibNode/CommandQueue.h
+++ b/Libraries/LibNode/CommandQueue.h
@@ -43,6 +43,9 @@
     /// Moves the first command, whose attempt has failed, behind all stops.
     void postponeFront();
 
+    /// Moves the throttle at the front, which had no effect, to the end, unless a newer one or a stop of its run waits.
+    void repeatThrottleLater(Instant now);
+
     /// Replaces the start at the front with a stop of its run.
     void stopFrontStart();
 
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -466,9 +466,13 @@
     });
 }
 
-/// Repeats the command at the front, or stops its run if it is a start.
+/// Repeats the command at the front, or stops its run if it is a start. A throttle lets other commands pass.
 void WorkerSession::confirmLater()
 {
+    if (std::holds_alternative<ThrottleRun>(m_commands.front())) {
+        m_commands.repeatThrottleLater(m_loop.now());
+        return sendNextCommandAfter(retryDelay);
+    }
     m_commands.recordFailure();
     if (std::holds_alternative<StartTask>(m_commands.front()))
         m_commands.stopFrontStart();
@@ -524,13 +528,13 @@
 
 /// Whether the reply leaves open what becomes of the run. The refusal of a repeated start says nothing about the
 /// earlier attempt without a reply, which the worker may still execute, and an unhealthy worker has not carried out a
-/// stop.
+/// stop or a throttle.
 bool WorkerSession::mustConfirm(const TaskCommandReply& reply) const
 {
-    if (std::holds_alternative<StopTask>(m_commands.front()))
+    if (!std::holds_alternative<StartTask>(m_commands.front()))
         return reply.outcome == TaskCommandOutcome::Unhealthy;
-    bool isStartRefused = std::holds_alternative<StartTask>(m_commands.front())
-        && reply.outcome != TaskCommandOutcome::Accepted && reply.outcome != TaskCommandOutcome::Superseded;
+    bool isStartRefused
+        = reply.outcome != TaskCommandOutcome::Accepted && reply.outcome != TaskCommandOutcome::Superseded;
     return isStartRefused && m_commands.failuresOfFront() > 0;
 }
 
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -292,6 +292,25 @@
     CHECK(taskExecutor.commands.empty());
 }
 
+// Guards against starts that wait for a throttle which the worker goes on refusing, and against an old speed that
+// replaces a new one.
+TEST(WorkerSession, RefusedThrottleDelaysNoStartAndNoNewerThrottle)
+{
+    connect();
+    session->enqueueCommand(paceOf(9, 100));
+    session->enqueueCommand(startOf(1));
+    session->enqueueCommand(paceOf(9, 50));
+    taskExecutor.takeCommand().reply(
+        TaskCommandReply { .outcome = TaskCommandOutcome::Unhealthy, .clockMs = 2000, .startedAtMs = 50 });
+    advance(Milliseconds { 200 });
+    checkNext("start", 1);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2200, .startedAtMs = 50 });
+    checkNext("pace", 9);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 2210, .startedAtMs = 50 });
+    advance(Milliseconds { 200 });
+    CHECK(taskExecutor.commands.empty());
+}
+
 // Guards against a lost reply that delays the start and all commands queued behind it by a second, as
 // seen on days with late commands.
 TEST(WorkerSession, CommandWithALostReplyIsRetriedAfterItsTimeout)
