--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -423,6 +423,7 @@
         return;
     if (!m_isReachable || !m_commands.removeWaiting(stop))
         return scheduleStopCheck(stop);
+    m_overdueStops.push_back(stop);
     m_taskExecutor.stop(m_options.executor, commandContext(), stop.task, stop.run,
         [this, alive = m_alive, stop, sentAt = m_loop.now()](const absl::StatusOr<TaskCommandReply>& reply) {
             if (*alive)
@@ -436,12 +437,25 @@
     m_options.commandTimeout.recordResult(reply.status(), m_loop.now() - sentAt);
     if (reply.ok() && !checkOutcome(*reply))
         return;
+    m_overdueStops.erase(std::ranges::find(m_overdueStops, stop));
     if (!reply.ok() || reply->outcome == TaskCommandOutcome::Unhealthy)
         return enqueueCommand(stop);
     recordReply(*reply);
     m_options.events.onStopAccepted(stop.task, stop.run);
 }
 
+std::vector<StopTask> WorkerSession::stopsOfPossibleRuns() const
+{
+    auto stops = m_commands.stopsOfPossibleRuns();
+    for (const auto& stop : m_overdueStops) {
+        bool isListed = std::ranges::any_of(
+            stops, [&](const StopTask& it) { return it.run == stop.run && it.task == stop.task; });
+        if (!isListed)
+            stops.push_back(stop);
+    }
+    return stops;
+}
+
 void WorkerSession::sendNextCommandAfter(Milliseconds delay)
 {
     m_loop.callAfter(delay, [this, alive = m_alive] {
@@ -450,9 +464,13 @@
     });
 }
 
-/// Repeats the command at the front, or stops its run if it is a start.
+/// Repeats the command at the front, or stops its run if it is a start. A throttle lets other commands pass.
 void WorkerSession::confirmLater()
 {
+    if (std::holds_alternative<ThrottleRun>(m_commands.front())) {
+        m_commands.repeatThrottleLater(m_loop.now());
+        return sendNextCommandAfter(retryDelay);
+    }
     m_commands.recordFailure();
     if (std::holds_alternative<StartTask>(m_commands.front()))
         m_commands.stopFrontStart();
@@ -508,13 +526,13 @@
 
 /// Whether the reply leaves open what becomes of the run. The refusal of a repeated start says nothing about the
 /// earlier attempt without a reply, which the worker may still execute, and an unhealthy worker has not carried out a
-/// stop.
+/// stop or a throttle.
 bool WorkerSession::mustConfirm(const TaskCommandReply& reply) const
 {
-    if (std::holds_alternative<StopTask>(m_commands.front()))
+    if (!std::holds_alternative<StartTask>(m_commands.front()))
         return reply.outcome == TaskCommandOutcome::Unhealthy;
-    bool isStartRefused = std::holds_alternative<StartTask>(m_commands.front())
-        && reply.outcome != TaskCommandOutcome::Accepted && reply.outcome != TaskCommandOutcome::Superseded;
+    bool isStartRefused
+        = reply.outcome != TaskCommandOutcome::Accepted && reply.outcome != TaskCommandOutcome::Superseded;
     return isStartRefused && m_commands.failuresOfFront() > 0;
 }
 
--- a/Tests/LibNode/TestCommandQueue.cpp
+++ b/Tests/LibNode/TestCommandQueue.cpp
@@ -123,3 +123,15 @@
     queue.postponeFront();
     CHECK((queue.stopsOfPossibleRuns() == std::vector { stopOf(1) }));
 }
+
+// Guards against two stops of one run, which the scheduler would take for two runs of its task.
+TEST(CommandQueue, EachPossibleRunHasOneStop)
+{
+    queue.push(startOf(1));
+    queue.beginFront();
+    queue.push(stopOf(1));
+    queue.push(stopOf(9));
+    auto stops = queue.stopsOfPossibleRuns();
+    CHECK_EQUAL(2, stops.size());
+    CHECK(stops[0].run != stops[1].run);
+}
