--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -138,6 +138,9 @@
     std::vector<StopTask> stopsOfPossibleRuns() const;
 
 private:
+    /// Delay before a failed call is repeated.
+    static constexpr Milliseconds retryDelay { 150 };
+
     void renewLease();
     Milliseconds currentReportWait() const;
     void sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter>);
@@ -164,6 +167,7 @@
     void refuseQueuedStarts();
     void reportCommandReply(const TaskAction&, const TaskCommandReply&);
     int64_t leaseEndMs() const;
+    void recordGrantedLease(int64_t endMs);
     void scheduleLeaseExpiryCheck();
     void checkLeaseExpiry();
 
