--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/EventLoop.h>
 #include <LibNode/LeaderLoad.h>
 #include <LibNode/WorkerSession.h>
+#include <algorithm>
 #include <utility>
 
 // Sends the task commands of a session to its worker.
