--- a/review/standin/Store.cpp
+++ b/review/standin/Store.cpp
@@ -1,6 +1,7 @@
 #include "Store.h"
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 namespace Review {
@@ -204,6 +205,8 @@
     }
     if (request.query.contains("at") && std::stoull(request.query.at("at")) != end)
         return { .status = 412, .body = json { { "end", end } }.dump() };
+    if (auto name = request.body.find("front-"); request.query.contains("at") && name != std::string::npos)
+        m_lastConditionalAuthor = std::atoi(request.body.c_str() + name + 6);
     if (storedBytesLocked() + request.body.size() > maxStoredBytes)
         return { .status = 507 };
     for (auto& record : records)
--- a/review/standin/Store.h
+++ b/review/standin/Store.h
@@ -58,6 +58,9 @@
     void setDown(bool down) { m_isDown = down; }
     bool isDown() const { return m_isDown; }
 
+    /// The number in the name `front-N` of the author of the last conditional append; 0 if there is none.
+    int lastConditionalAuthor() const { return m_lastConditionalAuthor; }
+
     /// Bytes of all records that the store keeps.
     size_t storedBytes();
 
@@ -94,6 +97,7 @@
     std::map<std::pair<std::string, uint64_t>, Partition> m_partitions;
     std::function<Fate(const Request&)> m_fate;
     std::atomic<bool> m_isDown { false };
+    std::atomic<int> m_lastConditionalAuthor { 0 };
     std::atomic<bool> m_isClosed { false };
     HttpServer m_server;
 };
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -29,6 +29,8 @@
             verdict = playFalseRefusal(deployment, isTrouble);
         else if (name == "failed-without-cause")
             verdict = playFailedWithoutCause(deployment, isTrouble);
+        else if (name == "history")
+            verdict = playHistory(deployment, isTrouble);
         else if (name == "two-runs")
             verdict = playTwoRuns(deployment, isTrouble);
     }
