--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 root=$(cd "$here/../.." && pwd)
 program=$root/target/review/review-case
 [[ -x $program && -x $root/target/bergamot-node ]] || exit 2
-exec "$program" failed-without-cause "$root" "$here/record.txt"
+exec "$program" two-runs "$root" "$here/record.txt"
--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -12,6 +12,7 @@
 Verdict playFalseRefusal(Deployment&, bool trouble);
 Verdict playFailedWithoutCause(Deployment&, bool trouble);
 Verdict playTwoRuns(Deployment&, bool trouble);
+Verdict playManyEnds(Deployment&, bool trouble);
 Verdict playHistory(Deployment&, bool trouble);
 
 }
--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -133,7 +133,8 @@
     m_active.erase(it);
     auto& closed = m_closedRuns[task];
     closed = std::max(closed, run.number);
-    m_finished.push_back({ m_nextSequence++, run.index, task, run.number, how });
+    m_finished.push_back(
+        { .sequence = m_nextSequence++, .index = run.index, .task = task, .number = run.number, .how = how });
     m_runs.end(run.index, how, m_record.now());
     m_record.add("worker " + id() + ": run " + std::to_string(run.number) + " of " + task + " ends " + how);
     m_changed.notify_all();
@@ -163,6 +164,10 @@
         else if (now >= run.stopsAt)
             due.emplace_back(task, "stopped");
     }
+    if (clockMs() >= m_leaseUntil) {
+        for (auto& end : m_finished)
+            end.hasLapsed = true;
+    }
     for (const auto& [task, how] : due)
         endRun(task, how);
 }
@@ -281,7 +286,8 @@
         extendLease(command["untilMs"].get<int64_t>());
     auto noted = command.value("ackedSeq", uint64_t { 0 });
     while (!m_finished.empty() && m_finished.front().sequence <= noted) {
-        m_runs.note(m_finished.front().index, m_record.now());
+        if (!m_finished.front().hasLapsed)
+            m_runs.note(m_finished.front().index, m_record.now());
         m_finished.pop_front();
     }
     auto waitMs = std::min<int64_t>(command.value("waitMs", int64_t { 0 }), 2000);
--- a/review/standin/Worker.h
+++ b/review/standin/Worker.h
@@ -95,6 +95,9 @@
         std::string task;
         uint64_t number;
         std::string how;
+
+        /// The lease lapsed after the end, so that its acknowledgement does not count.
+        bool hasLapsed { false };
     };
 
     Response handle(const Request&);
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -22,7 +22,8 @@
         return 2;
     auto verdict = Verdict::CouldNotRun;
     {
-        Deployment deployment({ .root = argv[2], .folder = folder, .recordPath = argv[3] });
+        Deployment deployment(
+            { .root = argv[2], .folder = folder, .recordPath = argv[3], .workers = name == "many-ends" ? 4 : 8 });
         if (!deployment.start())
             deployment.record().add("the deployment is not ready");
         else if (name == "false-refusal")
@@ -31,6 +32,8 @@
             verdict = playFailedWithoutCause(deployment, isTrouble);
         else if (name == "history")
             verdict = playHistory(deployment, isTrouble);
+        else if (name == "many-ends")
+            verdict = playManyEnds(deployment, isTrouble);
         else if (name == "two-runs")
             verdict = playTwoRuns(deployment, isTrouble);
     }
