--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -13,6 +13,7 @@
 Verdict playFailedWithoutCause(Deployment&, bool trouble);
 Verdict playTwoRuns(Deployment&, bool trouble);
 Verdict playManyEnds(Deployment&, bool trouble);
+Verdict playRegions(Deployment&, bool trouble);
 Verdict playHistory(Deployment&, bool trouble);
 
 }
--- a/review/standin/Deployment.cpp
+++ b/review/standin/Deployment.cpp
@@ -24,6 +24,9 @@
     , m_record(m_options.recordPath)
 {
     m_store = std::make_unique<Store>(m_record, m_base + "11.1", storePort);
+    m_pids.resize(static_cast<size_t>(m_options.nodes), 0);
+    if (m_options.hasTwoRegions)
+        return;
     for (int i = 0; i < m_options.workers; ++i) {
         auto zone = std::to_string(i % 3 + 1);
         m_workers.push_back(std::make_unique<Worker>(m_record, *m_store, m_runs,
@@ -33,7 +36,22 @@
                 .rack = "r" + zone,
                 .stopMs = m_options.stopMs }));
     }
-    m_pids.resize(static_cast<size_t>(m_options.nodes), 0);
+}
+
+bool Deployment::startWorkers(int inFirst)
+{
+    for (int i = 0; i < m_options.workers; ++i) {
+        auto zone = std::string(i < inFirst ? "1" : "3");
+        m_workers.push_back(std::make_unique<Worker>(m_record, *m_store, m_runs,
+            Worker::Options { .id = "w" + std::to_string(i + 1),
+                .ip = m_base + "12." + std::to_string(i + 1),
+                .zone = "zone-" + zone,
+                .rack = "r" + zone,
+                .stopMs = m_options.stopMs }));
+        if (!m_workers.back()->start())
+            return false;
+    }
+    return true;
 }
 
 Deployment::~Deployment()
@@ -70,18 +88,26 @@
 {
     auto ip = nodeIp(node);
     auto zone = "zone-" + std::to_string(node % 3 + 1);
+    if (m_options.hasTwoRegions)
+        zone = regionOf(node) == 1 ? "zone-1" : "zone-3";
+    auto region = m_options.hasTwoRegions ? "region-" + std::to_string(regionOf(node)) : std::string("main");
+    std::string lastRegion = m_options.hasTwoRegions ? "region-2" : "main";
+    std::string firstRegion = m_options.hasTwoRegions ? "region-1" : "main";
+    auto storeIp = m_base + "11." + std::to_string(regionOf(node));
     std::ofstream(m_options.folder + "/node-" + std::to_string(node) + ".toml")
         << "node = \"front-" << node + 1
         << "\"\nrole = \"node\"\nmachineClass = \"front\"\nserves = [\"front\"]\nip = \"" << ip << "\"\nzone = \""
-        << zone << "\"\nregion = \"main\"\nportRange = [7720,7735]\nseeds = []\n"
+        << zone << "\"\nregion = \"" << region << "\"\nportRange = [7720,7735]\nseeds = []\n"
         << "bootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1500\n"
-        << "commands = \"rpc\"\n[zones]\nzone-1 = \"main\"\nzone-2 = \"main\"\nzone-3 = \"main\"\n"
+        << "commands = \"rpc\"\n[zones]\nzone-1 = \"" << firstRegion << "\"\nzone-2 = \"" << firstRegion
+        << "\"\nzone-3 = \"" << lastRegion << "\"\n"
         << "[listen]\nfront = \"" << ip << ":" << frontPort << "\"\nready = \"" << ip << ":" << readyPort << "\"\n"
         << "[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
+        << "[faultTolerance]\nmachines = 2\nzones = 1\nregions = " << (m_options.hasTwoRegions ? 1 : 0) << "\n"
         << "[bounds]\ncontactMs = 3000\nackMs = 4000\ndrainMs = 2000\ngraceS = 6\nholdMaxMs = 6000\nstopMs = "
         << m_options.stopMs << "\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nfinish_s = 14\n"
         << "status_s = 120\nenforceFencing = true\nleaseMs = 3000\n"
-        << "[platform]\naddr = \"" << m_base << "11.1:" << storePort
+        << "[platform]\naddr = \"" << storeIp << ":" << storePort
         << "\"\nform = \"log\"\nwritesPerS = 800\nreadsPerS = 2000\nparts = 12\nappendMs = 2.0\npartMbPerS = 20.0\n"
         << "readMbPerS = 80.0\nrecordBytes = 262144\ncallBytes = 2097152\nkeep_s = 20\npartMb = 200\nttlMinMs = 1000\n";
 }
@@ -168,7 +194,7 @@
 
 bool Deployment::start()
 {
-    if (!m_store->open())
+    if (!m_store->open() || (m_options.hasTwoRegions && !m_store->openSecond(m_base + "11.2", storePort)))
         return false;
     m_store->put("keyed.op", "config", configuration());
     for (auto& worker : m_workers) {
--- a/review/standin/Deployment.h
+++ b/review/standin/Deployment.h
@@ -23,6 +23,10 @@
         int nodes { 3 };
         int workers { 8 };
         int64_t stopMs { 400 };
+
+        /// With two regions, the second half of the nodes is in region-2 and reaches the store at an address of its
+        /// own, and the workers are started by startWorkers().
+        bool hasTwoRegions { false };
     };
 
     explicit Deployment(Options);
@@ -31,6 +35,10 @@
     /// Starts everything and waits until all nodes report ready. Returns false if they don't.
     bool start();
 
+    /// Starts the workers, with the first `inFirst` of them in region-1 and the others in region-2.
+    bool startWorkers(int inFirst);
+    int regionOf(int node) const { return m_options.hasTwoRegions && 2 * node >= m_options.nodes ? 2 : 1; }
+
     Record& record() { return m_record; }
     Store& store() { return *m_store; }
     Runs& runs() { return m_runs; }
--- a/review/standin/Store.cpp
+++ b/review/standin/Store.cpp
@@ -45,11 +45,27 @@
 {
 }
 
+bool Store::openSecond(const std::string& ip, uint16_t port)
+{
+    m_secondServer = std::make_unique<HttpServer>(ip, port, [this](const Request& request) -> Response {
+        if (m_isSecondCutOff)
+            return { .delivery = Response::Delivery::Never };
+        auto response = handle(request);
+        // A response that a cut holds up is lost.
+        if (m_isSecondCutOff)
+            response.delivery = Response::Delivery::Never;
+        return response;
+    });
+    return m_secondServer->open();
+}
+
 void Store::close()
 {
     m_isClosed = true;
     m_changed.notify_all();
     m_server.close();
+    if (m_secondServer)
+        m_secondServer->close();
 }
 
 void Store::setFate(std::function<Fate(const Request&)> fate)
--- a/review/standin/Store.h
+++ b/review/standin/Store.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -31,6 +32,10 @@
     Store(Record& record, std::string ip, uint16_t port);
 
     bool open() { return m_server.open(); }
+
+    /// Serves the same store at one more address, which can be cut off.
+    bool openSecond(const std::string& ip, uint16_t port);
+    void setSecondCutOff(bool isCutOff) { m_isSecondCutOff = isCutOff; }
     void close();
 
     /// Asked for each call of the system, before it is carried out.
@@ -99,7 +104,9 @@
     std::atomic<bool> m_isDown { false };
     std::atomic<int> m_lastConditionalAuthor { 0 };
     std::atomic<bool> m_isClosed { false };
+    std::atomic<bool> m_isSecondCutOff { false };
     HttpServer m_server;
+    std::unique_ptr<HttpServer> m_secondServer;
 };
 
 }
--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -51,6 +51,18 @@
 
 std::string Worker::id() const { return m_options.id + "-" + std::to_string(m_life); }
 
+void Worker::setReachedBy(std::function<bool(uint64_t fencingToken)> isReachedBy)
+{
+    std::scoped_lock lock(m_mutex);
+    m_isReachedBy = std::move(isReachedBy);
+}
+
+uint64_t Worker::fencingToken() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_fencingToken;
+}
+
 size_t Worker::activeRuns() const
 {
     std::scoped_lock lock(m_mutex);
@@ -184,13 +196,13 @@
         return;
     }
     std::erase_if(m_entries, [&](const auto& entry) {
-        bool isCurrent = m_isAlive && entry.first == id();
+        bool isCurrent = m_isAlive && m_isStoreReached && entry.first == id();
         if (isCurrent || now - entry.second <= heartbeatsUntilRemoval * m_options.heartbeatMs)
             return false;
         m_store.put("keyed.servers", entry.first, "");
         return true;
     });
-    if (!isDue)
+    if (!isDue || !m_isStoreReached)
         return;
     m_announcedAt = now;
     m_entries[id()] = now;
@@ -239,8 +251,10 @@
     auto command = json::parse(request.body, nullptr, false);
     if (!command.is_object())
         return reply(400);
-    tick();
     auto token = command.value("fencingToken", uint64_t { 0 });
+    if (m_isReachedBy && !m_isReachedBy(token))
+        return { .delivery = Response::Delivery::Never };
+    tick();
     if (token < m_fencingToken)
         return reply(409, "fence");
     m_fencingToken = token;
@@ -294,6 +308,8 @@
     m_changed.wait_for(lock, std::chrono::milliseconds(waitMs), [&] { return isGone() || !m_finished.empty(); });
     if (isGone())
         return { .delivery = Response::Delivery::Reset };
+    if (m_isReachedBy && !m_isReachedBy(token))
+        return { .delivery = Response::Delivery::Never };
     return { .body = lists() };
 }
 
--- a/review/standin/Worker.h
+++ b/review/standin/Worker.h
@@ -76,6 +76,16 @@
     /// The machines of the system get a reset in place of a connection; the worker runs on.
     void setCutOff(bool isCutOff);
 
+    /// Leaves all calls unanswered and undone whose fencing token this function refuses. Each leader has one token, so
+    /// it tells from which machine a call comes.
+    void setReachedBy(std::function<bool(uint64_t fencingToken)> isReachedBy);
+
+    /// Whether the worker can write its entry.
+    void setStoreReached(bool isStoreReached) { m_isStoreReached = isStoreReached; }
+
+    /// The highest fencing token that the worker has seen.
+    uint64_t fencingToken() const;
+
     std::string id() const;
     size_t activeRuns() const;
     const Options& options() const { return m_options; }
@@ -120,6 +130,8 @@
     std::atomic<bool> m_isStopping { false };
     bool m_isAlive { false };
     bool m_isCutOff { false };
+    std::atomic<bool> m_isStoreReached { true };
+    std::function<bool(uint64_t)> m_isReachedBy;
     uint64_t m_life { 0 };
     int64_t m_bornUnix { 0 };
     int64_t m_bornSteady { 0 };
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -22,8 +22,12 @@
         return 2;
     auto verdict = Verdict::CouldNotRun;
     {
-        Deployment deployment(
-            { .root = argv[2], .folder = folder, .recordPath = argv[3], .workers = name == "many-ends" ? 4 : 8 });
+        Deployment deployment({ .root = argv[2],
+            .folder = folder,
+            .recordPath = argv[3],
+            .nodes = name == "regions" ? 4 : 3,
+            .workers = name == "many-ends" ? 4 : 8,
+            .hasTwoRegions = name == "regions" });
         if (!deployment.start())
             deployment.record().add("the deployment is not ready");
         else if (name == "false-refusal")
@@ -32,6 +36,8 @@
             verdict = playFailedWithoutCause(deployment, isTrouble);
         else if (name == "history")
             verdict = playHistory(deployment, isTrouble);
+        else if (name == "regions")
+            verdict = playRegions(deployment, isTrouble);
         else if (name == "many-ends")
             verdict = playManyEnds(deployment, isTrouble);
         else if (name == "two-runs")
