--- a/review/standin/ManyEnds.cpp
+++ b/review/standin/ManyEnds.cpp
@@ -12,7 +12,7 @@
 
 static std::string jobBody(int tasks, int64_t workMs)
 {
-    json step { { "count", tasks }, { "cpu", 500 }, { "memMb", 256 }, { "estRuntimeMs", workMs } };
+    json step { { "count", tasks }, { "cpu", 250 }, { "memMb", 256 }, { "estRuntimeMs", workMs } };
     return json { { "spec", std::to_string(workMs) }, { "steps", json::array({ step }) } }.dump();
 }
 
@@ -28,7 +28,7 @@
 {
     constexpr uint32_t jobs = 150;
     constexpr int tasks = 32;
-    constexpr int64_t workMs = 250;
+    constexpr int64_t workMs = 500;
     constexpr int64_t downAtMs = 1000;
     constexpr int64_t downMs = 4500;
     constexpr int64_t restMs = 25'000;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -26,7 +26,7 @@
             .folder = folder,
             .recordPath = argv[3],
             .nodes = name == "regions" ? 4 : 3,
-            .workers = name == "many-ends" ? 4 : 8,
+            .workers = name == "many-ends" ? 2 : 8,
             .hasTwoRegions = name == "regions" });
         if (!deployment.start())
             deployment.record().add("the deployment is not ready");
