Keep the history of the review's store as long as the sites do

Cause: the stand-in of the store dropped history after 20 s, and its settings file said so; the sites have keep_s = 300.

--- a/review/standin/Store.cpp
+++ b/review/standin/Store.cpp
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 // Figures of DEPLOY.md and PROTOCOL.md.
-static constexpr int64_t keepMs = 20'000;
+static constexpr int64_t keepMs = 300'000;
 static constexpr size_t maxRecordBytes = 262'144;
 static constexpr size_t maxCallBytes = 2'097'152;
 static constexpr size_t maxStoredBytes = size_t { 400 } * 1000 * 1000;
