Format the review's deployment

Cause: the longer value of keep_s made a line too long for the formatter. Change: the line is broken in two.

--- a/review/standin/Deployment.cpp
+++ b/review/standin/Deployment.cpp
@@ -109,7 +109,8 @@
         << "status_s = 120\nenforceFencing = true\nleaseMs = 3000\n"
         << "[platform]\naddr = \"" << storeIp << ":" << storePort
         << "\"\nform = \"log\"\nwritesPerS = 800\nreadsPerS = 2000\nparts = 12\nappendMs = 2.0\npartMbPerS = 20.0\n"
-        << "readMbPerS = 80.0\nrecordBytes = 262144\ncallBytes = 2097152\nkeep_s = 300\npartMb = 200\nttlMinMs = 1000\n";
+        << "readMbPerS = 80.0\nrecordBytes = 262144\ncallBytes = 2097152\nkeep_s = 300\npartMb = 200\nttlMinMs = "
+           "1000\n";
 }
 
 /// The words of the line `run` of the deploy file.
