Log the evidence from which the end of a worker or run is concluded

It now has whether the platform listed the worker, whether it refused connections, the start time of a successor, the time since its last reply, and how much of its lease is left. A line runs_unlisted tells that runs were dropped because a report no longer lists them.

Logic is unchanged; runsReported() returns the number of dropped runs.

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -216,12 +216,12 @@
     job.started = true;
 }
 
-void TaskScheduler::runsReported(
+size_t TaskScheduler::runsReported(
     WorkerHandle handle, const std::vector<RunReport>& reports, Instant requestSentAt, Instant now)
 {
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
-        return;
+        return 0;
     m_latestEventAt = now;
     auto& worker = *it->second;
     ++worker.reportCount;
@@ -252,9 +252,10 @@
     }
     std::erase_if(worker.stopRequests,
         [&](const auto& entry) { return !notAdopted.contains(entry.first) && !worker.runs.contains(entry.first); });
-    dropUnlistedRuns(worker, requestSentAt);
+    auto dropped = dropUnlistedRuns(worker, requestSentAt);
     resolveUnconfirmedCrashes(worker);
     superviseWorker(worker, now);
+    return dropped;
 }
 
 /// Adopts a listed run of an earlier leader. Requests the stop of a run that is not wanted and returns false.
@@ -286,7 +287,8 @@
 }
 
 /// Drops runs that the worker confirmed before the list was requested and does not list any more: they have ended.
-void TaskScheduler::dropUnlistedRuns(WorkerEntry& worker, Instant requestSentAt)
+/// Returns their number.
+size_t TaskScheduler::dropUnlistedRuns(WorkerEntry& worker, Instant requestSentAt)
 {
     std::vector<std::pair<std::pair<TaskRef, uint64_t>, WorkerEntry::ActiveRun>> unlisted;
     for (const auto& [key, active] : worker.runs) {
@@ -298,6 +300,7 @@
     }
     for (const auto& [key, active] : unlisted)
         dropRun(*active.job, key.first, *active.task, key.second);
+    return unlisted.size();
 }
 
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -131,8 +131,9 @@
     void runEnded(WorkerHandle, const RunEnd&, Instant now);
 
     /// Processes the complete list of runs on a worker, requested at `requestSentAt`. The first list after a takeover
-    /// contains runs that earlier leaders started.
-    void runsReported(WorkerHandle, const std::vector<RunReport>&, Instant requestSentAt, Instant now);
+    /// contains runs that earlier leaders started. Returns the number of runs that were dropped, because the worker no
+    /// longer lists them.
+    size_t runsReported(WorkerHandle, const std::vector<RunReport>&, Instant requestSentAt, Instant now);
 
     /// Lets tasks start that no worker has listed. Called once all workers have replied to the new leader.
     void unblockTasks();
@@ -225,7 +226,7 @@
     static void updateCheckpoint(TrackedJob&, const TaskRef&, TrackedTask&, const std::string& checkpoint);
     bool adoptListedRun(WorkerEntry&, const RunReport&, Instant now);
     void countUnwantedRun(WorkerEntry&, const TaskRef&);
-    void dropUnlistedRuns(WorkerEntry&, Instant requestSentAt);
+    size_t dropUnlistedRuns(WorkerEntry&, Instant requestSentAt);
     void adoptRun(WorkerHandle, TrackedJob&, TrackedTask&, const RunReport&, Instant now);
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
     void requestStop(WorkerHandle, const TaskRef&, uint64_t run, StopReason, Instant now);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -199,6 +199,20 @@
     });
 }
 
+/// Logs what the end of a worker was concluded from.
+void TaskLeader::logWorkerEnd(const Worker& worker, WorkerEnd end) const
+{
+    const auto& session = *worker.session;
+    bool hasReplied = session.lastReplyAt() != neverInstant;
+    logInfo("worker_gone",
+        { { "worker", worker.incarnation.id }, { "born", worker.incarnation.startedAtMs }, { "end", nameOf(end) },
+            { "listed", m_listedWorkers.contains(worker.incarnation.id) },
+            { "refuses_connections", session.refusesConnections() },
+            { "successor_born", session.successorStartedAtMs() },
+            { "silent_ms", hasReplied ? (m_loop.now() - session.lastReplyAt()).count() : -1 },
+            { "lease_left_ms", session.remainingLease().count() } });
+}
+
 void TaskLeader::removeWorker(WorkerHandle handle, WorkerEnd end)
 {
     auto it = m_workers.find(handle);
@@ -206,9 +220,7 @@
         return;
     m_listedWorkers.forget(it->second.incarnation.id);
     m_removedIds.insert(it->second.incarnation.id);
-    logInfo("worker_gone",
-        { { "worker", it->second.incarnation.id }, { "born", it->second.incarnation.startedAtMs },
-            { "end", nameOf(end) } });
+    logWorkerEnd(it->second, end);
     keepEndsOfUnknownJobs(it->second);
     m_scheduler.removeWorker(handle, end, m_loop.now());
     // This function may be called by the session itself, so the session is destroyed in a later turn of the event loop.
@@ -394,7 +406,10 @@
             m_metrics.recordRunEnd(nameOf(end.outcome));
         m_scheduler.runEnded(handle, end, now);
     }
-    m_scheduler.runsReported(handle, reply.running, requestSentAt, now);
+    if (auto dropped = m_scheduler.runsReported(handle, reply.running, requestSentAt, now); dropped > 0)
+        logInfo("runs_unlisted",
+            { { "worker", worker.incarnation.id }, { "runs", dropped }, { "listed_runs", reply.running.size() },
+                { "listed_ends", reply.ended.size() } });
     if (worker.session->lastEndSequence() > worker.lastHandledEndSequence && canAcknowledge(worker, reply)) {
         worker.lastHandledEndSequence = worker.session->lastEndSequence();
         m_pendingAcknowledgements.emplace_back(handle, worker.lastHandledEndSequence);
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -39,6 +39,11 @@
     return m_refusedConnections >= minRefusals;
 }
 
+Milliseconds WorkerSession::remainingLease() const
+{
+    return std::max(Milliseconds { 0 }, m_leasesExpireBy - m_loop.now());
+}
+
 void WorkerSession::start()
 {
     m_startedAt = m_loop.now();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -125,6 +125,9 @@
     /// True when every lease granted to the worker has expired and it has not replied since.
     bool haveLeasesExpired() const { return m_isLeaseExpiryReported; }
 
+    /// Upper bound of the time until every lease granted to the worker has expired.
+    Milliseconds remainingLease() const;
+
     /// True when no process listens at the worker's address: consecutive lease renewals failed with refused
     /// connections.
     bool refusesConnections() const;
