Reproduce two runs of one task on a worker that is cut off

FaultyWorkers can now be cut off by a network that refuses connections, and the entry of a worker that runs on can expire.

--- a/Tests/LibNode/FaultyWorkers.h
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -49,9 +49,11 @@
         std::map<TaskRef, uint64_t> ended {};
         std::vector<RunEnd> ends {};
 
-        /// Until these times the worker is down, is cut off, breaks connections, or is slow to answer.
+        /// Until these times the worker is down, is cut off, is cut off by a network that refuses connections, breaks
+        /// connections, or is slow to answer.
         Instant downUntil { neverInstant };
         Instant cutUntil { neverInstant };
+        Instant refusedUntil { neverInstant };
         Instant resetUntil { neverInstant };
         Instant slowUntil { neverInstant };
         bool isDown { false };
@@ -267,7 +269,7 @@
         auto latency = Milliseconds { 2 + m_random() % 6 };
         if (now < worker.slowUntil)
             latency += Milliseconds { m_random() % 1500 };
-        if (worker.isDown && !isCut)
+        if ((worker.isDown || now < worker.refusedUntil) && !isCut)
             return m_loop.callAfter(Milliseconds { 2 }, [callback] { callback(connectionRefusedError("refused")); });
         if (!isDelivered) {
             auto failsAfter = isCut ? timeout : Milliseconds { 3 };
@@ -277,7 +279,7 @@
         }
         m_loop.callAfter(latency, [this, address, epoch, timeout, callback, execute, wait, breaks, now] {
             auto& worker = workers.at(address);
-            if (worker.isDown)
+            if (worker.isDown || m_loop.now() < worker.refusedUntil)
                 return callback(absl::UnavailableError("reset"));
             Reply result;
             if (epoch < worker.epoch) {
@@ -303,7 +305,7 @@
     {
         constexpr Milliseconds pollInterval { 10 };
         auto& worker = workers.at(address);
-        if (worker.isDown || worker.startedAtMs != startedAtMs)
+        if (worker.isDown || worker.startedAtMs != startedAtMs || m_loop.now() < worker.refusedUntil)
             return callback(absl::UnavailableError("reset"));
         if (m_loop.now() >= until || !worker.ends.empty())
             return answer<Reply>(address, result, callback, deadline);
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -154,9 +154,9 @@
         return start.run;
     }
 
-    /// Lets worker w1 fall silent with the only run of a job and removes it from the list after `silence`. Returns how
-    /// many starts w2 has received one second later.
-    size_t startsAfterRemoval(Milliseconds silence)
+    /// Lets calls to worker w1 fail with the only run of a job and removes it from the list after `silence`. Returns
+    /// how many starts w2 has received one second later.
+    size_t startsAfterRemoval(Milliseconds silence, const absl::Status& failure = absl::DeadlineExceededError("silent"))
     {
         auto run = leadWithOneRun();
         announce("w1", 50);
@@ -172,7 +172,7 @@
                 for (auto left = taskExecutor.renewLeaseCalls.size(); left > 0; --left) {
                     auto call = taskExecutor.takeRenewLeaseCall();
                     if (call.address == "w1")
-                        call.reply(absl::DeadlineExceededError("silent"));
+                        call.reply(failure);
                     else
                         taskExecutor.renewLeaseCalls.push_back(std::move(call));
                 }
@@ -338,6 +338,13 @@
     CHECK_EQUAL(0, startsAfterRemoval(Milliseconds { 3500 }));
 }
 
+// Guards against a second run of a task whose worker is cut off by a network that refuses connections, while its entry
+// has expired.
+TEST(TaskLeader, RunsOfACutOffWorkerAreKeptWhileConnectionsAreRefused)
+{
+    CHECK_EQUAL(0, startsAfterRemoval(Milliseconds { 3500 }, connectionRefusedError("refused")));
+}
+
 // Guards against starting a task that is still running under a command of an earlier leader.
 TEST(TaskLeader, RunsOfAnEarlierLeaderContinue)
 {
--- a/Tests/LibNode/TestTaskLeaderLiveness.cpp
+++ b/Tests/LibNode/TestTaskLeaderLiveness.cpp
@@ -42,6 +42,16 @@
     std::map<TaskRef, Instant> idleSince;
     bool hasDeadlyJobs { true };
 
+    /// Whether workers are also cut off by a network that refuses connections, and their entries in the platform's list
+    /// expire although they run.
+    bool hasFalseEvidence { false };
+
+    /// Until when the entry of a worker is missing in the platform's list.
+    std::map<std::string, Instant> unlistedUntil;
+
+    /// Tasks without speculative copies that ran on two workers at once.
+    std::set<TaskRef> ranTwice;
+
     uint32_t pick(uint32_t n) { return random() % n; }
 
     void announce(const std::string& id)
@@ -108,6 +118,7 @@
             clock.advance(tickTime);
             loop->runReady();
             executor.tick(tickTime);
+            recordDoubleRuns();
             if (clock.now() >= storeFaultUntil)
                 store.fault = FakeRecordStore::Fault::None;
             if (!leader && clock.now() >= leaderBackAt)
@@ -116,19 +127,36 @@
                 continue;
             announcedAt = clock.now();
             for (const auto& [id, worker] : executor.workers) {
-                if (!worker.isDown)
+                if (!worker.isDown && clock.now() >= unlistedUntil[id])
                     announce(id);
             }
         }
     }
 
+    void recordDoubleRuns()
+    {
+        std::set<TaskRef> running;
+        for (const auto& [id, worker] : executor.workers) {
+            for (const auto& [task, run] : worker.runs) {
+                if (!running.insert(task).second && !jobs.at(task.job).steps[task.step].speculative)
+                    ranTwice.insert(task);
+            }
+        }
+    }
+
+    void expireEntry(const std::string& id, Instant until)
+    {
+        unlistedUntil[id] = until;
+        store.put(StreamName::Workers, id, {});
+    }
+
     std::string randomWorker() { return fmt::format("w{}", pick(static_cast<uint32_t>(executor.workers.size()))); }
 
     void injectRandomFault()
     {
         auto now = clock.now();
         auto until = now + Milliseconds { 200 + pick(6000) };
-        switch (pick(8)) {
+        switch (pick(hasFalseEvidence ? 11 : 8)) {
         case 0:
             executor.crash(randomWorker(), Milliseconds { 50 + pick(6000) });
             break;
@@ -153,6 +181,21 @@
                 leaderBackAt = now + Milliseconds { 300 + pick(9000) };
             }
             break;
+        case 8:
+            for (uint32_t n = 1 + pick(3); n > 0; --n)
+                executor.workers[randomWorker()].refusedUntil = until;
+            break;
+        case 9:
+            for (const auto& [id, worker] : executor.workers)
+                expireEntry(id, now + Milliseconds { pick(2000) });
+            break;
+        case 10:
+            for (uint32_t n = 1 + pick(3); n > 0; --n) {
+                auto id = randomWorker();
+                executor.workers[id].refusedUntil = until;
+                expireEntry(id, until);
+            }
+            break;
         default:
             putRandomJob();
         }
@@ -182,7 +225,7 @@
     void endNetworkFaults()
     {
         for (auto& [id, worker] : executor.workers)
-            worker.cutUntil = worker.resetUntil = worker.slowUntil = neverInstant;
+            worker.cutUntil = worker.refusedUntil = worker.resetUntil = worker.slowUntil = neverInstant;
     }
 
     JobStage storedState(const JobId& id)
@@ -261,6 +304,22 @@
     }
 }
 
+// Guards against two runs of a task at once, because a worker that runs on is taken for ended: its entry has expired
+// and the network refuses connections to it.
+TEST(TaskLeaderLiveness, NoTaskRunsTwiceUnderFalseEvidence)
+{
+    constexpr uint32_t days { 40 };
+    for (uint32_t seed = 1; seed <= days; ++seed) {
+        Day day;
+        day.hasFalseEvidence = true;
+        day.startDay(seed, 8, 6);
+        std::string twice;
+        for (const auto& task : day.ranTwice)
+            twice += fmt::format("{}.{}.{} ", task.job, task.step, task.index);
+        STRCMP_EQUAL_TEXT("", twice.c_str(), fmt::format("seed {}", seed).c_str());
+    }
+}
+
 // Guards against tasks that wait, although workers are free, after all nodes were without power for up to 16 s (LOST in
 // the record of issue 32).
 TEST(TaskLeaderLiveness, NoTaskWaitsForLongAfterTheLossOfAllNodes)
