--- a/Tests/LibNode/TestTaskLeaderLiveness.cpp
+++ b/Tests/LibNode/TestTaskLeaderLiveness.cpp
@@ -18,6 +18,7 @@
 
 static constexpr Milliseconds tickTime { 10 };
 static constexpr Milliseconds announcementInterval { 1000 };
+static constexpr Milliseconds silenceUntilRemoval { 3000 };
 
 // Jobs with several steps on workers with random faults, under leaders that follow each other. After the last fault all
 // jobs end, and no task waits for long.
@@ -46,8 +47,9 @@
     /// expire although they run.
     bool hasFalseEvidence { false };
 
-    /// Until when the entry of a worker is missing in the platform's list.
-    std::map<std::string, Instant> unlistedUntil;
+    /// Until when a worker does not announce itself, and when it last did. Its entry expires after the time of silence.
+    std::map<std::string, Instant> unannouncedUntil;
+    std::map<std::string, Instant> lastAnnouncedAt;
 
     /// Tasks without speculative copies that ran on two workers at once.
     std::set<TaskRef> ranTwice;
@@ -71,7 +73,7 @@
         ++epoch;
         elections.add(epoch, clock.now());
         leader = std::make_unique<TaskLeader>(*loop, store, executor, formats, metrics,
-            TaskLeader::Options { .node = { .member = "m", .workerSilenceUntilRemoval = Milliseconds { 3000 } },
+            TaskLeader::Options { .node = { .member = "m", .workerSilenceUntilRemoval = silenceUntilRemoval },
                 .epoch = epoch,
                 .elections = elections,
                 .onFenced = [] {},
@@ -126,13 +128,21 @@
             if (clock.now() - announcedAt < announcementInterval)
                 continue;
             announcedAt = clock.now();
-            for (const auto& [id, worker] : executor.workers) {
-                if (!worker.isDown && clock.now() >= unlistedUntil[id])
-                    announce(id);
-            }
+            for (const auto& [id, worker] : executor.workers)
+                announceOrExpire(id, worker.isDown);
         }
     }
 
+    void announceOrExpire(const std::string& id, bool isDown)
+    {
+        if (!isDown && clock.now() >= unannouncedUntil[id]) {
+            lastAnnouncedAt[id] = clock.now();
+            return announce(id);
+        }
+        if (hasFalseEvidence && clock.now() - lastAnnouncedAt[id] >= silenceUntilRemoval)
+            store.put(StreamName::Workers, id, {});
+    }
+
     void recordDoubleRuns()
     {
         std::set<TaskRef> running;
@@ -144,12 +154,6 @@
         }
     }
 
-    void expireEntry(const std::string& id, Instant until)
-    {
-        unlistedUntil[id] = until;
-        store.put(StreamName::Workers, id, {});
-    }
-
     std::string randomWorker() { return fmt::format("w{}", pick(static_cast<uint32_t>(executor.workers.size()))); }
 
     void injectRandomFault()
@@ -187,13 +191,13 @@
             break;
         case 9:
             for (const auto& [id, worker] : executor.workers)
-                expireEntry(id, now + Milliseconds { pick(2000) });
+                unannouncedUntil[id] = now + Milliseconds { 3000 + pick(3000) };
             break;
         case 10:
             for (uint32_t n = 1 + pick(3); n > 0; --n) {
                 auto id = randomWorker();
-                executor.workers[id].refusedUntil = until;
-                expireEntry(id, until);
+                executor.workers[id].refusedUntil = now + Milliseconds { 3000 + pick(3000) };
+                unannouncedUntil[id] = executor.workers[id].refusedUntil;
             }
             break;
         default:
