--- a/Utilities/PlatformStandIn/TaskWorker.cpp
+++ b/Utilities/PlatformStandIn/TaskWorker.cpp
@@ -95,6 +95,21 @@
     m_observer.workerCrashed(m_id, crashingTask);
 }
 
+void TaskWorker::cutOff(Milliseconds duration)
+{
+    m_cutOffUntil = std::max(m_cutOffUntil, m_loop.now() + duration);
+    m_proxy->stopListening();
+}
+
+/// The attempt is repeated at each tick until it succeeds.
+void TaskWorker::reconnectIfDue()
+{
+    if (m_cutOffUntil == neverInstant || m_loop.now() < m_cutOffUntil)
+        return;
+    if (m_proxy->startListening().ok())
+        m_cutOffUntil = neverInstant;
+}
+
 bool TaskWorker::crashIfTaskIsDue()
 {
     auto it
@@ -311,6 +326,7 @@
 {
     m_loop.callAfter(tickInterval, [this] { tick(); });
     restartIfDue();
+    reconnectIfDue();
     if (m_loop.now() >= m_shrunkUntil)
         setCapacity(m_options.capacity);
     announce();
@@ -342,15 +358,16 @@
     if (m_store.isDown())
         return;
     auto now = m_loop.now();
+    bool isCutOff = m_cutOffUntil != neverInstant;
     std::erase_if(m_entries, [&](const auto& entry) {
         const auto& [id, announcedAt] = entry;
-        bool isCurrent = m_isAlive && id == m_id;
+        bool isCurrent = m_isAlive && !isCutOff && id == m_id;
         if (isCurrent || now - announcedAt <= maxMissedHeartbeats * m_options.heartbeatInterval)
             return false;
         m_store.putWorkerRecord(id, {});
         return true;
     });
-    if (!m_isAlive || now - m_lastAnnouncedAt < m_options.heartbeatInterval)
+    if (!m_isAlive || isCutOff || now - m_lastAnnouncedAt < m_options.heartbeatInterval)
         return;
     json entry { { "service", m_options.service }, { "addr", fmt::format("{}:{}", m_options.ip, m_options.publicPort) },
         { "zone", m_options.zone }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
--- a/Utilities/PlatformStandIn/TaskWorker.h
+++ b/Utilities/PlatformStandIn/TaskWorker.h
@@ -33,6 +33,10 @@
     /// under the same worker id follows.
     void crash(Milliseconds downtime) { crash(downtime, {}); }
 
+    /// For `duration`, the worker runs on, but its announcements do not reach the store, and connections to it are
+    /// refused as if its process had ended.
+    void cutOff(Milliseconds duration);
+
     /// Reduces the capacity to a percentage of its full size for `duration`, also below what runs there.
     void shrinkCapacity(int64_t percent, Milliseconds duration);
 
@@ -73,6 +77,7 @@
     void crash(Milliseconds downtime, const std::string& crashingTask);
     bool crashIfTaskIsDue();
     void restartIfDue();
+    void reconnectIfDue();
     void handle(const HttpRequest&, const Responder&);
     void start(const nlohmann::json& command, const Responder&);
     void stop(const nlohmann::json& command, const Responder&);
@@ -103,6 +108,7 @@
     uint32_t m_newIdCount { 0 };
     bool m_isAlive { false };
     Instant m_restartsAt { neverInstant };
+    Instant m_cutOffUntil { neverInstant };
     WorkerCapacity m_capacity;
     Instant m_shrunkUntil { neverInstant };
     Instant m_incarnationStart { neverInstant };
--- a/Utilities/PlatformStandIn/TcpProxy.cpp
+++ b/Utilities/PlatformStandIn/TcpProxy.cpp
@@ -42,32 +42,47 @@
 
 absl::StatusOr<std::unique_ptr<TcpProxy>> TcpProxy::create(EventLoop& loop, const Endpoint& listenAt, Endpoint target)
 {
-    std::unique_ptr<TcpProxy> proxy(new TcpProxy(loop, std::move(target)));
-    proxy->m_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    int on = 1;
-    setsockopt(proxy->m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    auto address = socketAddress(listenAt);
-    if (bind(proxy->m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0
-        || listen(proxy->m_listener, listenBacklog) != 0)
-        return absl::UnavailableError(fmt::format("cannot listen on {}:{}", listenAt.ip, listenAt.port));
-    loop.watch(proxy->m_listener, EPOLLIN, [self = proxy.get()](uint32_t) { self->acceptNext(); });
+    std::unique_ptr<TcpProxy> proxy(new TcpProxy(loop, listenAt, std::move(target)));
+    if (auto status = proxy->startListening(); !status.ok())
+        return status;
     return proxy;
 }
 
-TcpProxy::TcpProxy(EventLoop& loop, Endpoint target)
+TcpProxy::TcpProxy(EventLoop& loop, Endpoint listenAt, Endpoint target)
     : m_loop(loop)
+    , m_listenAt(std::move(listenAt))
     , m_target(std::move(target))
 {
 }
 
-TcpProxy::~TcpProxy()
+absl::Status TcpProxy::startListening()
+{
+    if (m_listener >= 0)
+        return absl::OkStatus();
+    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    auto address = socketAddress(m_listenAt);
+    if (bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0
+        || listen(m_listener, listenBacklog) != 0)
+        return absl::UnavailableError(fmt::format("cannot listen on {}:{}", m_listenAt.ip, m_listenAt.port));
+    m_loop.watch(m_listener, EPOLLIN, [this](uint32_t) { acceptNext(); });
+    return absl::OkStatus();
+}
+
+void TcpProxy::stopListening()
 {
-    *m_alive = false;
-    resetConnections();
     if (m_listener < 0)
         return;
     m_loop.unwatch(m_listener);
-    ::close(m_listener);
+    ::close(std::exchange(m_listener, -1));
+    resetConnections();
+}
+
+TcpProxy::~TcpProxy()
+{
+    *m_alive = false;
+    stopListening();
 }
 
 void TcpProxy::delay(Milliseconds delay, Milliseconds duration)
--- a/Utilities/PlatformStandIn/TcpProxy.h
+++ b/Utilities/PlatformStandIn/TcpProxy.h
@@ -35,6 +35,10 @@
     /// Resets all open connections, and each new connection on arrival until refusing is switched off.
     void setRefusingConnections(bool);
 
+    /// Resets all open connections and closes the listening socket, so that the network stack refuses new connections.
+    void stopListening();
+    absl::Status startListening();
+
 private:
     struct Chunk {
         Instant dueAt;
@@ -56,7 +60,7 @@
         Direction toCaller;
     };
 
-    TcpProxy(EventLoop&, Endpoint target);
+    TcpProxy(EventLoop&, Endpoint listen, Endpoint target);
     void acceptNext();
     void watchDirection(uint64_t id, bool towardsCaller);
     void handleReadable(uint64_t id, bool towardsCaller);
@@ -66,6 +70,7 @@
     void close(uint64_t id, bool reset);
 
     EventLoop& m_loop;
+    Endpoint m_listenAt;
     Endpoint m_target;
     int m_listener { -1 };
     bool m_isRefusing { false };
--- a/Utilities/bergamot-node-soak/FaultSchedule.cpp
+++ b/Utilities/bergamot-node-soak/FaultSchedule.cpp
@@ -50,6 +50,9 @@
     case FaultKind::WorkerZoneSilent:
         // Long enough for the election of a new leader and the expiry of the leases in the zone.
         return 7000;
+    case FaultKind::WorkersCutOff:
+        // Long enough that entries expire in the platform's list, and that leases expire.
+        return 6500;
     case FaultKind::WorkerShrinks:
         // Long enough that JobChecker applies the smaller capacity.
         return 9000;
--- a/Utilities/bergamot-node-soak/Soak.cpp
+++ b/Utilities/bergamot-node-soak/Soak.cpp
@@ -29,6 +29,9 @@
 static constexpr size_t shrinkStride = 5;
 static constexpr int64_t maxShrunkPercent = 90;
 
+/// A WorkersCutOff fault affects every fourth worker.
+static constexpr size_t cutOffStride = 4;
+
 /// Time within which a node ends after SIGTERM; `graceS` of its settings.
 static constexpr Milliseconds terminationGrace { 6000 };
 
@@ -265,6 +268,9 @@
         // in the zone.
         for (size_t n = fault.target % zones.size(); n < m_workers.size(); n += zones.size())
             m_workers[n]->proxy().stall(true, fault.duration);
+    } else if (fault.kind == FaultKind::WorkersCutOff) {
+        for (size_t n = fault.target % cutOffStride; n < m_workers.size(); n += cutOffStride)
+            m_workers[n]->cutOff(fault.duration);
     } else if (fault.kind == FaultKind::WorkerShrinks) {
         for (size_t n = fault.target % shrinkStride; n < m_workers.size(); n += shrinkStride)
             m_workers[n]->shrinkCapacity(static_cast<int64_t>(fault.target) % maxShrunkPercent, fault.duration);
