Extend no lease between a broken connection and the next reply

Since refused connections no longer end the wait for a worker's lease, the tasks of a crashed worker start again when the lease has expired. The first renewal after the connection broke extended it once more. It is now sent without a lease and without a wait; after its reply the lease is renewed at once.

LeaseIsNotExtendedBetweenABrokenConnectionAndTheNextReply failed before.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -110,13 +110,16 @@
 /// `limiter` is notified when the call has finished; it is null if the call is not limited.
 void WorkerSession::sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter> limiter)
 {
-    RenewLeaseRequest request { .wait = currentReportWait() };
+    // A worker whose connection has broken may have ended. Its lease is not extended before it has replied, so that a
+    // crashed worker is not waited for longer than since the last contact.
+    bool mayHaveEnded = m_brokenConnections > 0;
+    RenewLeaseRequest request { .wait = mayHaveEnded ? Milliseconds { 0 } : currentReportWait() };
     // An acknowledgement could apply to run ends of a later incarnation, which may have the same sequence numbers. So
     // it is sent only after a reply of this incarnation, and repeated only after another one.
     if (m_isLastRenewalAccepted && isIncarnationProven() && m_storedEndSequence > m_acknowledgedEndSequence)
         request.acknowledgedSequence = m_storedEndSequence;
     // Requests to an unreachable worker do not renew its lease, so that its leases expire at a known time.
-    if (m_clockMs && m_isReachable && !m_isLeaseWithheld && m_options.canRenewLeases()) {
+    if (m_clockMs && m_isReachable && !mayHaveEnded && !m_isLeaseWithheld && m_options.canRenewLeases()) {
         request.leaseUntilMs = leaseEndMs();
         recordGrantedLease(*request.leaseUntilMs);
     }
--- a/Tests/LibNode/TestWorkerSessionIncarnations.cpp
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -196,3 +196,22 @@
 {
     checkAcknowledgementAfter(RenewLeaseReply { .commandReply = { .outcome = TaskCommandOutcome::Unhealthy } });
 }
+
+// Guards against tasks of a crashed worker that wait for a lease which was extended after its connection had broken.
+TEST(WorkerSessionIncarnations, LeaseIsNotExtendedBetweenABrokenConnectionAndTheNextReply)
+{
+    connect();
+    auto renewal = taskExecutor.takeRenewLeaseCall();
+    CHECK(renewal.request.leaseUntilMs.has_value());
+    auto remainingLease = session.remainingLease();
+    renewal.reply(absl::UnavailableError("connection reset"));
+    advance(Milliseconds { 200 });
+    CHECK(session.isReachable());
+    CHECK(session.remainingLease() < remainingLease);
+    auto inquiry = taskExecutor.takeRenewLeaseCall();
+    CHECK_FALSE(inquiry.request.leaseUntilMs.has_value());
+    CHECK_EQUAL(0, inquiry.request.wait.count());
+    inquiry.reply(replyAt(1200));
+    loop->runReady();
+    CHECK(taskExecutor.takeRenewLeaseCall().request.leaseUntilMs.has_value());
+}
