Extend no lease after a failed call before the incarnation has answered

A renewal that is sent after a failed call may reach a new incarnation under the same id. If the worker is then cut off, its tasks run twice.

After any failed call, time-outs included, the next renewal carries no lease and does not wait; the one after its reply renews the lease.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -110,9 +110,9 @@
 /// `limiter` is notified when the call has finished; it is null if the call is not limited.
 void WorkerSession::sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter> limiter)
 {
-    // A worker whose connection has broken may have ended. Its lease is not extended before it has replied, so that a
-    // crashed worker is not waited for longer than since the last contact.
-    bool mayHaveEnded = m_brokenConnections > 0;
+    // After a failed call, another incarnation may be there. Its clock starts anew, so that a lease by the clock of the
+    // former one would last up to the longest lease. A crashed worker would also be waited for longer.
+    bool mayHaveEnded = m_failures > 0 || !isIncarnationProven();
     RenewLeaseRequest request { .wait = mayHaveEnded ? Milliseconds { 0 } : currentReportWait() };
     // An acknowledgement could apply to run ends of a later incarnation, which may have the same sequence numbers. So
     // it is sent only after a reply of this incarnation, and repeated only after another one.
--- a/Tests/LibNode/TestWorkerSessionIncarnations.cpp
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -199,21 +199,25 @@
     checkAcknowledgementAfter(RenewLeaseReply { .commandReply = { .outcome = TaskCommandOutcome::Unhealthy } });
 }
 
-// Guards against tasks of a crashed worker that wait for a lease which was extended after its connection had broken.
-TEST(WorkerSessionIncarnations, LeaseIsNotExtendedBetweenABrokenConnectionAndTheNextReply)
+// Guards against a lease of a new incarnation that nobody knows of: a renewal that is sent after a failed call may
+// reach it, and by its clock, which starts anew, the lease lasts longer than by that of the former one. Tasks of a
+// crashed worker would also wait for a lease that was extended after the crash.
+TEST(WorkerSessionIncarnations, LeaseIsNotExtendedBetweenAFailedCallAndTheNextReply)
 {
     connect();
-    auto renewal = taskExecutor.takeRenewLeaseCall();
-    CHECK(renewal.request.leaseUntilMs.has_value());
-    auto remainingLease = session.remainingLease();
-    renewal.reply(absl::UnavailableError("connection reset"));
-    advance(Milliseconds { 200 });
-    CHECK(session.isReachable());
-    CHECK(session.remainingLease() < remainingLease);
-    auto inquiry = taskExecutor.takeRenewLeaseCall();
-    CHECK_FALSE(inquiry.request.leaseUntilMs.has_value());
-    CHECK_EQUAL(0, inquiry.request.wait.count());
-    inquiry.reply(replyAt(1200));
-    loop->runReady();
+    for (const auto& failure : { absl::UnavailableError("connection reset"), absl::DeadlineExceededError("silent") }) {
+        auto renewal = taskExecutor.takeRenewLeaseCall();
+        CHECK(renewal.request.leaseUntilMs.has_value());
+        auto remainingLease = session.remainingLease();
+        renewal.reply(failure);
+        advance(Milliseconds { 200 });
+        CHECK(session.isReachable());
+        CHECK(session.remainingLease() < remainingLease);
+        auto inquiry = taskExecutor.takeRenewLeaseCall();
+        CHECK_FALSE(inquiry.request.leaseUntilMs.has_value());
+        CHECK_EQUAL(0, inquiry.request.wait.count());
+        inquiry.reply(replyAt(1200));
+        loop->runReady();
+    }
     CHECK(taskExecutor.takeRenewLeaseCall().request.leaseUntilMs.has_value());
 }
