Take the departure of an incarnation for no departure of the next one

A worker restarts under its id while a start has no reply, and its reply names the new incarnation, which may run the task. Then the removal of the entry of the former incarnation is read: it has left. ListedWorkers kept departures by id, so the new incarnation was removed with its possible run 5 s before its lease had expired, and the task started elsewhere.

Entries and departures now have the start time of their incarnation, and only the departure of the same incarnation counts.

--- a/Libraries/LibDecision/ListedWorkers.cpp
+++ b/Libraries/LibDecision/ListedWorkers.cpp
@@ -2,22 +2,22 @@
 
 namespace Bergamot {
 
-void ListedWorkers::clear() { m_writtenAfter.clear(); }
+void ListedWorkers::clear() { m_entries.clear(); }
 
-void ListedWorkers::announced(const WorkerId& id, Instant writtenAfter)
+void ListedWorkers::announced(const WorkerId& id, int64_t startedAtMs, Instant writtenAfter)
 {
-    m_writtenAfter[id] = writtenAfter;
+    m_entries[id] = { .startedAtMs = startedAtMs, .writtenAfter = writtenAfter };
     m_left.erase(id);
 }
 
 void ListedWorkers::removed(const WorkerId& id, Instant now)
 {
-    auto it = m_writtenAfter.find(id);
-    if (it == m_writtenAfter.end())
+    auto it = m_entries.find(id);
+    if (it == m_entries.end())
         return;
-    if (now - it->second < m_silenceUntilRemoval)
-        m_left.insert(id);
-    m_writtenAfter.erase(it);
+    if (now - it->second.writtenAfter < m_silenceUntilRemoval)
+        m_left[id] = it->second.startedAtMs;
+    m_entries.erase(it);
 }
 
 }
--- a/Libraries/LibDecision/ListedWorkers.h
+++ b/Libraries/LibDecision/ListedWorkers.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Ids.h>
 #include <LibCore/Time.h>
+#include <cstdint>
 #include <map>
-#include <set>
 
 namespace Bergamot {
 
@@ -21,15 +21,20 @@
     /// Must be called before the whole list is read again.
     void clear();
 
-    /// Processes an announcement that was written after `writtenAfter`; neverInstant if that is unknown.
-    void announced(const WorkerId&, Instant writtenAfter);
+    /// Processes an announcement that was written after `writtenAfter`; neverInstant if that is unknown. `startedAtMs`
+    /// is the start time of the incarnation in milliseconds of Unix time.
+    void announced(const WorkerId&, int64_t startedAtMs, Instant writtenAfter);
     void removed(const WorkerId&, Instant now);
 
-    bool contains(const WorkerId& id) const { return m_writtenAfter.contains(id); }
+    bool contains(const WorkerId& id) const { return m_entries.contains(id); }
 
-    /// True when the worker is not listed because it has left: it was removed sooner after its last announcement than
-    /// silence would explain.
-    bool hasLeft(const WorkerId& id) const { return m_left.contains(id); }
+    /// True when the incarnation is not listed because it has left: it was removed sooner after its last announcement
+    /// than silence would explain. A later incarnation may run although an earlier one has left.
+    bool hasLeft(const WorkerId& id, int64_t startedAtMs) const
+    {
+        auto it = m_left.find(id);
+        return it != m_left.end() && it->second == startedAtMs;
+    }
 
     /// Forgets that the worker has left.
     void forget(const WorkerId& id) { m_left.erase(id); }
@@ -37,9 +42,17 @@
 private:
     Milliseconds m_silenceUntilRemoval;
 
-    /// Lower bounds of the times at which the listed workers wrote their last announcements.
-    std::map<WorkerId, Instant> m_writtenAfter;
-    std::set<WorkerId> m_left;
+    struct Entry {
+        int64_t startedAtMs { 0 };
+
+        /// Lower bound of the time at which the worker wrote its last announcement.
+        Instant writtenAfter { neverInstant };
+    };
+
+    std::map<WorkerId, Entry> m_entries;
+
+    /// The start times of the incarnations that have left.
+    std::map<WorkerId, int64_t> m_left;
 };
 
 }
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -25,7 +25,7 @@
     auto announcement = m_formats.readWorkerRecord(record);
     if (!announcement.ok())
         return;
-    m_listedWorkers.announced(record.key, m_workerReader->appendedAfter());
+    m_listedWorkers.announced(record.key, announcement->startedAtMs, m_workerReader->appendedAfter());
     WorkerIncarnation incarnation {
         .id = record.key, .address = announcement->address, .startedAtMs = announcement->startedAtMs
     };
@@ -288,7 +288,7 @@
             continue;
         if (worker.session->haveLeasesExpired())
             absent.emplace_back(handle, endAfterLease(worker));
-        else if (m_listedWorkers.hasLeft(id))
+        else if (m_listedWorkers.hasLeft(id, worker.incarnation.startedAtMs))
             absent.emplace_back(handle, WorkerEnd::Left);
     }
     for (auto [handle, end] : absent)
--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -222,3 +222,17 @@
     CHECK_EQUAL(1, startsOn("w2"));
     CHECK_COMPARE((clock.now() - restartedAt).count(), >=, (leaseEndsAt - restartedAt).count());
 }
+// Guards against two runs of a task at once: the entry of the former incarnation is removed because that one has left,
+// and the new one, which may run the task, is taken for departed.
+TEST(TaskLeaderRestartedWorkers, DepartureOfTheFormerIncarnationDoesNotEndTheNewOne)
+{
+    startJob();
+    announce(start.address);
+    run(Milliseconds { 500 });
+    restartWithRun();
+    start.reply(replyOf(start.address));
+    silent.insert(start.address);
+    store.put(StreamName::Workers, start.address, {});
+    run(Milliseconds { 4000 });
+    CHECK_EQUAL(0, starts());
+}
