State for each kind of call whether it may be sent twice

The store carried out an append of jobs, reset the connection and went down. libcurl repeats a request when a reused connection is closed without an answer, so PlatformStore::append saw only the 503 to the repeat, and JobAcceptor took it for a definite refusal.

The flag is replaced by SendLimit, which has no default constructor: an HttpCall that does not state its limit does not compile. Appends to the store are sent once, so a broken connection is an unknown effect, and JobAcceptor answers 504 unless a later append succeeds. The appends of ProgressJournal and LeadershipMonitor go through the same call: a refused append of progress is repeated with its sequence number, and a refused claim or keepalive decides nothing, so none of them read such a refusal as "nothing was done". Stops, throttles, renewals without an acknowledgement and reads may be repeated, as before.

--- a/Libraries/LibEntry/ServicePath.cpp
+++ b/Libraries/LibEntry/ServicePath.cpp
@@ -166,9 +166,8 @@
         .url = attempt.address + "/service/" + m_options.service.name,
         .body = request.body,
         .timeout = std::clamp(remaining, Milliseconds { 1 }, m_options.service.timeout),
-        // libcurl resends a request if a reused connection turns out to be closed. A non-idempotent request must not be
-        // sent twice, so it gets a new connection.
         .freshConnection = request.nonIdempotent,
+        .sendLimit = request.nonIdempotent ? SendLimit::once() : SendLimit::unlimited(),
         .requestId = m_options.requestIds->next(),
     };
     if (!request.idempotencyKey.empty())
--- a/Libraries/LibHttp/CurlRequest.cpp
+++ b/Libraries/LibHttp/CurlRequest.cpp
@@ -53,7 +53,7 @@
 {
     auto& request = *static_cast<CurlRequest*>(self);
     bool isRepeat = std::exchange(request.m_mayHaveBeenSent, true);
-    return isRepeat && request.m_call.isSentOnce ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    return isRepeat && request.m_call.sendLimit.isOnce() ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 size_t CurlRequest::onBody(char* data, size_t size, size_t count, void* self)
--- a/Libraries/LibHttp/HttpCall.h
+++ b/Libraries/LibHttp/HttpCall.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHttp/HttpHeaders.h>
+#include <LibHttp/SendLimit.h>
 #include <string>
 
 namespace Bergamot {
@@ -14,14 +15,11 @@
     std::string body {};
     Milliseconds timeout { 5000 };
 
-    /// Sends the request on a new connection. When a reused connection turns out to be closed, libcurl retries the
-    /// request although the server may have executed it, so a non-idempotent request needs a new connection.
+    /// Sends the request on a new connection, which no server has closed as idle. For a call that is sent once and must
+    /// not fail for that reason.
     bool freshConnection { false };
 
-    /// The call fails with Unavailable where libcurl would send the request again: a reused connection was closed
-    /// without an answer. Unlike a new connection, this costs nothing, but a server that closes idle connections fails
-    /// some calls.
-    bool isSentOnce { false };
+    SendLimit sendLimit;
 
     /// When not empty, it is sent as X-Request-Id. A reply with another X-Request-Id, or with none, belongs to another
     /// request, so the call fails with Unavailable.
--- a/Libraries/LibPlatform/HttpHostListService.cpp
+++ b/Libraries/LibPlatform/HttpHostListService.cpp
@@ -38,8 +38,10 @@
 
 void HttpHostListService::list(Callback callback)
 {
-    m_engine->submit(
-        { .url = m_baseUrl + "/v1/hosts", .timeout = Milliseconds { 2000 }, .requestId = m_requestIds->next() },
+    m_engine->submit({ .url = m_baseUrl + "/v1/hosts",
+                         .timeout = Milliseconds { 2000 },
+                         .sendLimit = SendLimit::unlimited(),
+                         .requestId = m_requestIds->next() },
         [callback = std::move(callback)](const absl::StatusOr<HttpReply>& reply) {
             if (!reply.ok())
                 callback(reply.status());
--- a/Libraries/LibPlatform/HttpLogService.cpp
+++ b/Libraries/LibPlatform/HttpLogService.cpp
@@ -61,6 +61,8 @@
         .headers = { { "X-Member", m_options.member }, { "Content-Type", "application/octet-stream" } },
         .body = std::move(bytes),
         .timeout = m_options.timeout,
+        // A refusal of a repeat would hide that the first append was stored.
+        .sendLimit = SendLimit::once(),
         .requestId = m_options.requestIds->next(),
     };
     m_options.engine->submit(std::move(call), [callback = std::move(callback)](const absl::StatusOr<HttpReply>& reply) {
@@ -75,6 +77,7 @@
             maxReadBytes, wait.count()),
         .headers = { { "X-Member", m_options.member } },
         .timeout = m_options.timeout + wait,
+        .sendLimit = SendLimit::unlimited(),
         .requestId = m_options.requestIds->next(),
     };
     m_options.engine->submit(std::move(call), [callback = std::move(callback)](const absl::StatusOr<HttpReply>& reply) {
--- a/Libraries/LibPlatform/HttpWorkerService.cpp
+++ b/Libraries/LibPlatform/HttpWorkerService.cpp
@@ -9,7 +9,8 @@
 static constexpr Milliseconds workerCallTimeout { 2000 };
 
 template <typename Reply, typename Decode>
-void HttpWorkerService::post(const std::string& url, std::string body, Decode decode, Callback<Reply> callback)
+void HttpWorkerService::post(
+    const std::string& url, std::string body, SendLimit limit, Decode decode, Callback<Reply> callback)
 {
     HttpCall call {
         .method = "POST",
@@ -17,6 +18,7 @@
         .headers = { { "Content-Type", "application/json" } },
         .body = std::move(body),
         .timeout = workerCallTimeout,
+        .sendLimit = limit,
         .requestId = m_requestIds->next(),
     };
     m_engine->submit(std::move(call), [decode, callback = std::move(callback)](const absl::StatusOr<HttpReply>& reply) {
@@ -31,18 +33,21 @@
 
 void HttpWorkerService::start(const std::string& address, const TaskStart& start, Callback<StartReply> callback)
 {
-    post<StartReply>(address + "/v1/tasks/start", encodeTaskStart(start), &decodeStartReply, std::move(callback));
+    post<StartReply>(
+        address + "/v1/tasks/start", encodeTaskStart(start), SendLimit::once(), &decodeStartReply, std::move(callback));
 }
 
 void HttpWorkerService::renew(const std::string& address, const LeaseRenewal& renewal, Callback<LeaseReport> callback)
 {
-    post<LeaseReport>(address + "/v1/leases", encodeLeaseRenewal(renewal), &decodeLeaseReport, std::move(callback));
+    post<LeaseReport>(address + "/v1/leases", encodeLeaseRenewal(renewal), SendLimit::unlimited(), &decodeLeaseReport,
+        std::move(callback));
 }
 
 void HttpWorkerService::stop(
     const std::string& address, const TaskId& task, bool checkpoint, Callback<StopReply> callback)
 {
-    post<StopReply>(address + "/v1/tasks/stop", encodeStop(task, checkpoint), &decodeStopReply, std::move(callback));
+    post<StopReply>(address + "/v1/tasks/stop", encodeStop(task, checkpoint), SendLimit::unlimited(), &decodeStopReply,
+        std::move(callback));
 }
 
 void HttpWorkerService::throttle(
@@ -60,6 +65,7 @@
                          .url = address + "/v1/tasks/throttle",
                          .body = encodeThrottle(task, cpuPercent),
                          .timeout = workerCallTimeout,
+                         .sendLimit = SendLimit::unlimited(),
                          .requestId = m_requestIds->next() },
         std::move(onReply));
 }
--- a/Libraries/LibPlatform/HttpWorkerService.h
+++ b/Libraries/LibPlatform/HttpWorkerService.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Forward.h>
 #include <LibHttp/RequestIds.h>
+#include <LibHttp/SendLimit.h>
 #include <LibPlatform/WorkerService.h>
 #include <memory>
 #include <string_view>
@@ -25,7 +26,7 @@
 
 private:
     template <typename Reply, typename Decode>
-    void post(const std::string& url, std::string body, Decode, Callback<Reply>);
+    void post(const std::string& url, std::string body, SendLimit, Decode, Callback<Reply>);
 
     std::shared_ptr<HttpEngine> m_engine;
     std::shared_ptr<RequestIds> m_requestIds;
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -29,7 +29,7 @@
 
 HttpCall callTo(const HttpServer& server, std::string path)
 {
-    return { .url = fmt::format("http://127.0.0.1:{}{}", server.port(), path) };
+    return { .url = fmt::format("http://127.0.0.1:{}{}", server.port(), path), .sendLimit = SendLimit::unlimited() };
 }
 }
 ;
@@ -95,7 +95,8 @@
         auto server = startServer([](HttpRequest, HttpResponder responder) { responder.send({}); });
         port = server->port();
     }
-    auto reply = HttpClient().call({ .url = fmt::format("http://127.0.0.1:{}/", port) });
+    auto reply
+        = HttpClient().call({ .url = fmt::format("http://127.0.0.1:{}/", port), .sendLimit = SendLimit::unlimited() });
     CHECK(absl::IsAborted(reply.status()));
     CHECK(isConnectionRefused(reply.status()));
 }
@@ -103,7 +104,7 @@
 // Guards against taking another failure for a refused connection, which proves that no process listens.
 TEST(Http, OtherFailuresAreNoRefusedConnections)
 {
-    auto unsupported = HttpClient().call({ .url = "unsupported://127.0.0.1/" });
+    auto unsupported = HttpClient().call({ .url = "unsupported://127.0.0.1/", .sendLimit = SendLimit::unlimited() });
     CHECK(absl::IsAborted(unsupported.status()));
     CHECK_FALSE(isConnectionRefused(unsupported.status()));
     int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -112,8 +113,9 @@
     CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&address), size));
     CHECK_EQUAL(0, listen(listener, 1));
     getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-    auto silent = HttpClient().call(
-        { .url = fmt::format("http://127.0.0.1:{}/", ntohs(address.sin_port)), .timeout = Milliseconds { 200 } });
+    auto silent = HttpClient().call({ .url = fmt::format("http://127.0.0.1:{}/", ntohs(address.sin_port)),
+        .timeout = Milliseconds { 200 },
+        .sendLimit = SendLimit::unlimited() });
     close(listener);
     CHECK(absl::IsDeadlineExceeded(silent.status()));
     CHECK_FALSE(isConnectionRefused(silent.status()));
@@ -163,7 +165,8 @@
             for (int i = 0; i < calls; ++i) {
                 auto promise = std::make_shared<std::promise<bool>>();
                 results.push_back(promise->get_future());
-                engine->submit({ .url = fmt::format("http://127.0.0.1:{}/", (*server)->port()) },
+                engine->submit({ .url = fmt::format("http://127.0.0.1:{}/", (*server)->port()),
+                                   .sendLimit = SendLimit::unlimited() },
                     [promise](auto reply) { promise->set_value(reply.ok()); });
             }
             for (auto& result : results)
@@ -197,7 +200,8 @@
             auto promise = std::make_shared<std::promise<bool>>();
             results.push_back(promise->get_future());
             auto path = fmt::format("/{}", i);
-            engine->submit({ .url = fmt::format("http://127.0.0.{}:{}{}", i, (*server)->port(), path) },
+            engine->submit({ .url = fmt::format("http://127.0.0.{}:{}{}", i, (*server)->port(), path),
+                               .sendLimit = SendLimit::unlimited() },
                 [promise, path](auto reply) { promise->set_value(reply.ok() && reply->body == path); });
         }
         for (auto& result : results)
@@ -240,7 +244,8 @@
         close(connection);
     });
     HttpClient client;
-    HttpCall call { .url = fmt::format("http://127.0.0.1:{}/", ntohs(address.sin_port)) };
+    HttpCall call { .url = fmt::format("http://127.0.0.1:{}/", ntohs(address.sin_port)),
+        .sendLimit = SendLimit::unlimited() };
     CHECK(client.call(call).ok());
     auto status = client.call(call).status();
     serverThread.join();
--- a/Tests/LibHttp/TestSingleSend.cpp
+++ b/Tests/LibHttp/TestSingleSend.cpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <sys/socket.h>
 #include <thread>
+#include <type_traits>
 #include <unistd.h>
 
 using namespace Bergamot;
@@ -70,13 +71,13 @@
         return true;
     }
 
-    HttpCall call() const
+    HttpCall call(SendLimit limit) const
     {
         return { .method = "POST",
             .url = fmt::format("http://127.0.0.1:{}/", port),
             .body = "body",
             .timeout = Milliseconds { 2000 },
-            .isSentOnce = true };
+            .sendLimit = limit };
     }
 };
 
@@ -86,10 +87,25 @@
 {
     {
         HttpClient client;
-        CHECK(client.call(call()).ok());
-        auto reply = client.call(call());
+        CHECK(client.call(call(SendLimit::once())).ok());
+        auto reply = client.call(call(SendLimit::once()));
         CHECK(absl::IsUnavailable(reply.status()));
     }
     stop();
     CHECK_EQUAL(2, requests);
 }
+
+// Guards against failures of calls that may be repeated when a server closes idle connections.
+TEST(SingleSend, ClosedConnectionRepeatsARequestWithoutLimit)
+{
+    {
+        HttpClient client;
+        CHECK(client.call(call(SendLimit::unlimited())).ok());
+        CHECK(client.call(call(SendLimit::unlimited())).ok());
+    }
+    stop();
+    CHECK_EQUAL(3, requests);
+}
+
+// A call that doesn't state its limit must not compile.
+static_assert(!std::is_default_constructible_v<HttpCall>);
--- a/Tests/LibHttp/TestSlowEventLoop.cpp
+++ b/Tests/LibHttp/TestSlowEventLoop.cpp
@@ -44,7 +44,8 @@
         engine->submit({ .method = "POST",
                            .url = fmt::format("http://127.0.0.1:{}/", server.port()),
                            .body = "request",
-                           .timeout = callTimeout },
+                           .timeout = callTimeout,
+                           .sendLimit = SendLimit::unlimited() },
             [this](absl::StatusOr<HttpReply> reply) { result = std::move(reply); });
     }
 
--- a/Utilities/bergamot-load/CheckCommand.cpp
+++ b/Utilities/bergamot-load/CheckCommand.cpp
@@ -35,7 +35,8 @@
 
 static absl::Status addUrl(RunRecords& records, const std::string& url)
 {
-    auto reply = HttpClient().call({ .url = url + "/records", .timeout = recordsTimeout });
+    auto reply = HttpClient().call(
+        { .url = url + "/records", .timeout = recordsTimeout, .sendLimit = SendLimit::unlimited() });
     if (!reply.ok())
         return reply.status();
     if (reply->status != 200)
--- a/Utilities/bergamot-load/ConfigWatch.cpp
+++ b/Utilities/bergamot-load/ConfigWatch.cpp
@@ -19,7 +19,8 @@
         for (size_t i = 0; i < clients.size(); ++i) {
             auto reply = clients[i].call({ .url = options.operators[i] + "/admin/config",
                 .headers = { { "Authorization", "Bearer " + options.token } },
-                .timeout = Milliseconds(500) });
+                .timeout = Milliseconds(500),
+                .sendLimit = SendLimit::unlimited() });
             if (!reply.ok() || reply->status != 200)
                 continue;
             ++samples;
--- a/Utilities/bergamot-load/JobLoad.cpp
+++ b/Utilities/bergamot-load/JobLoad.cpp
@@ -78,7 +78,8 @@
                          .url = entry + "/v1/jobs",
                          .headers = { { "Content-Type", "application/json" }, { "X-Client", m_options.client } },
                          .body = job->body,
-                         .timeout = callTimeout },
+                         .timeout = callTimeout,
+                         .sendLimit = SendLimit::once() },
         [this, job](const auto& reply) { onSubmitted(job, reply); });
 }
 
@@ -115,13 +116,14 @@
         ++m_callsInFlight;
     }
     auto url = fmt::format("{}/v1/jobs/{}", job->record.entry, job->record.job);
-    m_engine->submit({ .method = "DELETE", .url = url, .timeout = callTimeout }, [this, job](const auto& reply) {
-        {
-            std::lock_guard lock(m_mutex);
-            job->record.cancelled = reply.ok() && reply->status < 300;
-        }
-        finishCall();
-    });
+    m_engine->submit({ .method = "DELETE", .url = url, .timeout = callTimeout, .sendLimit = SendLimit::unlimited() },
+        [this, job](const auto& reply) {
+            {
+                std::lock_guard lock(m_mutex);
+                job->record.cancelled = reply.ok() && reply->status < 300;
+            }
+            finishCall();
+        });
 }
 
 void JobLoad::finishCall()
@@ -164,7 +166,9 @@
     // Every entry host can reply for every job. The requests rotate over all entry hosts, so that polling continues
     // while some of them are stopped.
     auto entry = m_options.entries[m_nextEntry++ % m_options.entries.size()];
-    m_engine->submit({ .url = fmt::format("{}/v1/jobs/{}", entry, job->record.job), .timeout = callTimeout },
+    m_engine->submit({ .url = fmt::format("{}/v1/jobs/{}", entry, job->record.job),
+                         .timeout = callTimeout,
+                         .sendLimit = SendLimit::unlimited() },
         [this, job](const auto& reply) { recordState(job, reply); });
 }
 
--- a/Utilities/bergamot-load/QuickLoad.cpp
+++ b/Utilities/bergamot-load/QuickLoad.cpp
@@ -93,7 +93,8 @@
             { "X-Client", m_options.client } },
         .body = request->body,
         .timeout = Milliseconds(m_options.deadlineMs) + deadlineMargin,
-        .freshConnection = record.nonIdempotent };
+        .freshConnection = record.nonIdempotent,
+        .sendLimit = record.nonIdempotent ? SendLimit::once() : SendLimit::unlimited() };
     if (record.nonIdempotent)
         call.headers.push_back({ "X-Non-Idempotent", "1" });
     if (m_options.isDirect)
--- a/Utilities/bergamot-load/main.cpp
+++ b/Utilities/bergamot-load/main.cpp
@@ -132,7 +132,8 @@
     HttpCall call { .method = text(arguments, "METHOD"),
         .url = text(arguments, "URL"),
         .body = text(arguments, "--body"),
-        .timeout = Milliseconds(arguments.at("--timeout-ms").asLong()) };
+        .timeout = Milliseconds(arguments.at("--timeout-ms").asLong()),
+        .sendLimit = SendLimit::once() };
     if (auto token = readToken(arguments); !token.empty())
         call.headers.push_back({ "Authorization", "Bearer " + token });
     auto reply = HttpClient().call(call);
--- a/Utilities/bergamot-node-soak/JobTraffic.cpp
+++ b/Utilities/bergamot-node-soak/JobTraffic.cpp
@@ -104,10 +104,13 @@
     const auto& nodeUrl
         = m_options
               .nodeUrls[static_cast<size_t>(m_random.between(0, static_cast<int64_t>(m_options.nodeUrls.size()) - 1))];
+    // A client counts a job as refused if the node refuses all of its submissions, so none of them may be hidden.
+    auto limit = method == "POST" ? SendLimit::once() : SendLimit::unlimited();
     return { .method = std::move(method),
         .url = nodeUrl + job.queue.pathPrefix + job.id,
         .headers = { { "Host", queueHost }, { deadlineHeaderName, std::to_string(callTimeout.count()) } },
-        .timeout = callTimeout };
+        .timeout = callTimeout,
+        .sendLimit = limit };
 }
 
 void JobTraffic::submit(const JobHandle& job)
