Keep only the end states of ended jobs in the leader

The leader kept the decoded progress of every job in the store until it read the job, and a TrackedJob with the whole specification afterwards; a job that ended under it kept its TrackedJob without the steps.

TaskScheduler now keeps an ended job in EndedJobs: 16 bytes and its share of a hash table's free space for an id of 16 hexadecimal digits; other ids are kept as text. Stored ends go there as the pages of progress arrive, and the record of an ended job is not decoded. A job that ends under the leader moves there after its end is stored and its last run has ended. A job whose end is stored but whose record was not read stays unknown to clients, as before. Queries, cancellations, repeated requests, stops of late runs and acknowledgements of late ends work on the table.

Differences: job_known is not logged for a job that had ended before the leader read it, and a listed run of such a job counts as one of unknown size until it has stopped, as that of a job that ended under the leader.

The records themselves are still never removed from the store.

--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -81,9 +81,20 @@
         result.push_back(std::move(progress));
     }
     m_changedJobs.clear();
+    removeReleasedJobs();
     return result;
 }
 
+/// Called when no job is marked as changed.
+void TaskScheduler::removeReleasedJobs()
+{
+    for (const auto& id : std::exchange(m_releasedJobs, {})) {
+        auto it = m_jobs.find(id);
+        m_endedJobs.set(id, { .state = it->second->storedState, .isKnown = true });
+        m_jobs.erase(it);
+    }
+}
+
 void TaskScheduler::progressStored(const JobProgress& progress)
 {
     auto* job = findJob(progress.id);
@@ -120,6 +131,7 @@
     job.spec.payload = {};
     job.spec.steps = {};
     job.spec.policyAtAcceptance = {};
+    m_releasedJobs.insert(job.spec.id);
 }
 
 }
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -270,7 +270,7 @@
         return true;
     }
     // The job may be so new that only an earlier leader has read it, so the stop waits for `stopRetryInterval`.
-    if (!job)
+    if (!stateOf(report.task.job))
         worker.stopRequests.try_emplace({ report.task, report.run }, now);
     requestStop(worker.handle, report.task, report.run, StopReason::Unwanted, now);
     return false;
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -98,21 +98,36 @@
     return it != m_jobs.end() && it->second->knownAt <= time;
 }
 
+void TaskScheduler::restoreEnd(const JobId& id, JobStage state) { m_endedJobs.set(id, { .state = state }); }
+
+bool TaskScheduler::addEndedJob(const JobId& id)
+{
+    auto* ended = m_endedJobs.find(id);
+    if (!ended)
+        return false;
+    ended->isKnown = true;
+    return true;
+}
+
 bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt)
 {
     auto id = spec.id;
     if (m_jobs.contains(id))
         return false;
+    if (const auto* ended = m_endedJobs.find(id)) {
+        bool isNew = !ended->isKnown;
+        addEndedJob(id);
+        return isNew;
+    }
+    if (stored && stored->state >= JobStage::Completed) {
+        restoreEnd(id, stored->state);
+        return addEndedJob(id);
+    }
     auto job = std::make_unique<TrackedJob>();
     job->spec = std::move(spec);
     job->knownAt = knownAt;
     auto& tracked = *job;
     m_jobs.emplace(id, std::move(job));
-    if (stored && stored->state >= JobStage::Completed) {
-        tracked.state = stored->state;
-        tracked.storedState = stored->state;
-        return true;
-    }
     buildOccurrences(tracked);
     if (stored)
         applyStored(tracked, *stored);
@@ -203,7 +218,7 @@
 {
     auto* job = findJob(id);
     if (!job)
-        return std::nullopt;
+        return stateOf(id);
     if (!job->hasEnded())
         finishJob(*job, JobStage::Cancelled);
     return job->state;
@@ -212,8 +227,10 @@
 std::optional<JobStage> TaskScheduler::stateOf(const JobId& id) const
 {
     auto it = m_jobs.find(id);
-    if (it == m_jobs.end())
-        return std::nullopt;
+    if (it == m_jobs.end()) {
+        const auto* ended = m_endedJobs.find(id);
+        return ended && ended->isKnown ? std::optional(ended->state) : std::nullopt;
+    }
     const auto& job = *it->second;
     if (job.storedState >= JobStage::Completed)
         return job.storedState;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/CandidateRanking.h>
+#include <LibDecision/EndedJobs.h>
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
 #include <LibDecision/RunEnd.h>
@@ -60,7 +61,15 @@
     /// earlier leader started may still be active. `knownAt` is when this leader read the job.
     bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant);
 
-    /// Whether this leader knew the job at `time`.
+    /// An end that an earlier leader stored, or the cancellation of an unknown job. The job stays unknown until it is
+    /// added.
+    void restoreEnd(const JobId&, JobStage);
+
+    /// Returns false if the job is not known to have ended. Otherwise the job counts as added from now on, without its
+    /// specification.
+    bool addEndedJob(const JobId&);
+
+    /// Whether this leader knew the job at `time`. False once the data of the job is freed after its end.
     bool wasKnownAt(const JobId&, Instant time) const;
 
     /// Cancels the job unless it has ended, and returns its state; std::nullopt for an unknown job.
@@ -70,11 +79,14 @@
     /// stored.
     std::optional<JobStage> stateOf(const JobId&) const;
 
-    /// Returns std::nullopt for an unknown job. Steps that ended under an earlier leader are left out.
+    /// Returns std::nullopt for a job that is unknown or whose data is freed. Steps that ended under an earlier leader
+    /// are left out.
     std::optional<JobTimeline> timelineOf(const JobId&) const;
 
     /// Returns the number of jobs of the queue that have neither started nor ended; repeating jobs are not counted.
     uint32_t pendingJobs(const std::string& queue) const;
+
+    /// Number of jobs whose data is kept.
     size_t jobCount() const { return m_jobs.size(); }
 
     void updateWorker(WorkerHandle, const TaskWorkerView&);
@@ -160,8 +172,8 @@
     std::vector<JobProgress> takeChangedJobs();
     void progressStored(const JobProgress&);
 
-    /// Frees the task data of a job whose end is stored, but keeps its state. While a run may be active, the data is
-    /// kept until the last run has ended.
+    /// Frees the data of a job whose end is stored, but keeps its state. While a run may be active, the data is kept
+    /// until the last run has ended.
     void releaseDetails(const JobId&);
 
     /// Learned interference between images.
@@ -222,6 +234,7 @@
     void stopActiveRuns(const TaskRef&, TrackedTask&, StopReason);
     void dropRun(TrackedJob&, const TaskRef&, TrackedTask&, uint64_t run);
     void releaseDetailsIfInactive(TrackedJob&);
+    void removeReleasedJobs();
     void markChanged(const TrackedJob&);
     static void updateCheckpoint(TrackedJob&, const TaskRef&, TrackedTask&, const std::string& checkpoint);
     bool adoptListedRun(WorkerEntry&, const RunReport&, Instant now);
@@ -326,6 +339,10 @@
     std::map<std::string, QueuePolicy> m_queues;
     std::set<ZoneId> m_excludedZones;
     std::unordered_map<JobId, std::unique_ptr<TrackedJob>> m_jobs;
+    EndedJobs m_endedJobs;
+
+    /// Jobs of `m_jobs` that move to `m_endedJobs` once no event or plan refers to them.
+    std::set<JobId> m_releasedJobs;
     std::map<WorkerHandle, std::unique_ptr<WorkerEntry>> m_workers;
 
     /// Usable workers by service, as of the latest plan.
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -146,10 +146,12 @@
         return;
     }
     auto progress = decodeValue<JobProgress>(record.value);
-    if (progress.ok())
-        m_storedProgress[progress->id] = std::move(*progress);
+    if (!progress.ok())
+        return handleUnreadableProgress(record.key, progress.status());
+    if (progress->state >= JobStage::Completed)
+        m_scheduler.restoreEnd(progress->id, progress->state);
     else
-        handleUnreadableProgress(record.key, progress.status());
+        m_storedProgress[progress->id] = std::move(*progress);
 }
 
 void TaskLeader::handleUnreadableProgress(const std::string& key, const absl::Status& status)
@@ -197,6 +199,9 @@
 {
     if (record.value.empty())
         return;
+    // The store may hold far more ended jobs than fit in memory with their specifications.
+    if (m_scheduler.addEndedJob(record.key))
+        return;
     auto spec = decodeValue<JobSpec>(record.value);
     if (!spec.ok()) {
         logError("job_unreadable", { { "job", record.key }, { "error", statusText(spec.status()) } });
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -204,6 +204,8 @@
     ProgressJournal m_journal;
     std::vector<std::unique_ptr<StreamReader>> m_jobReaders;
     std::unique_ptr<StreamReader> m_workerReader;
+
+    /// The stored progress of jobs that have not ended and whose records have not been read.
     std::map<JobId, JobProgress> m_storedProgress;
 
     /// Jobs in this set are not run. Queries for them get the reply Unavailable instead of Unknown.
--- a/Libraries/LibNode/TaskLeaderQueries.cpp
+++ b/Libraries/LibNode/TaskLeaderQueries.cpp
@@ -16,7 +16,7 @@
 {
     const auto& job = cancellation.job;
     logInfo("unknown_job_cancelled", { { "job", job } });
-    m_storedProgress[job] = { .id = job, .state = JobStage::Cancelled };
+    m_scheduler.restoreEnd(job, JobStage::Cancelled);
     m_cancellationsOfUnknownJobs.push_back(std::move(cancellation));
     m_journal.requestFlush();
 }
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -317,6 +317,43 @@
     CHECK_FALSE(scheduler.addJob(fixture.job("j", { fixture.step(2) }), std::nullopt, neverInstant));
 }
 
+// Guards against a leader that keeps the data of each job that has ended under it.
+TEST(TaskScheduler, EndedJobIsFreedAndStaysKnown)
+{
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    fixture.endRun(starts[0], RunOutcome::Done);
+    for (const auto& progress : scheduler.takeChangedJobs()) {
+        scheduler.progressStored(progress);
+        scheduler.releaseDetails(progress.id);
+    }
+    CHECK(scheduler.takeChangedJobs().empty());
+    CHECK_EQUAL(0, scheduler.jobCount());
+    CHECK(scheduler.stateOf("j") == JobStage::Completed);
+    CHECK(scheduler.cancelJob("j") == JobStage::Completed);
+    CHECK_FALSE(scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant));
+    fixture.endRun(starts[0], RunOutcome::Failed, 2);
+    CHECK(scheduler.takeChangedJobs().empty());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+}
+
+// Guards against an end that is known without its job: such a job is unknown to clients until its record is read, and
+// does not run then.
+TEST(TaskScheduler, RestoredEndAppliesOnceTheJobIsRead)
+{
+    fixture.addWorker(1);
+    scheduler.restoreEnd("j", JobStage::Cancelled);
+    CHECK_FALSE(scheduler.stateOf("j"));
+    CHECK_FALSE(scheduler.cancelJob("j"));
+    CHECK(scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant));
+    CHECK_FALSE(scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant));
+    CHECK(scheduler.stateOf("j") == JobStage::Cancelled);
+    CHECK_EQUAL(0, scheduler.jobCount());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_FALSE(scheduler.addEndedJob("other"));
+}
+
 // Guards against runs that continue after their job was cancelled because the leader cannot confirm its leadership: on
 // the enlarged Sofia site (day trouble-2, seed 661965882003), four runs continued for 9.6 s after the reply to the
 // cancellation.
