Split a batch of progress that exceeds the store's limit of a call

All jobs that change during an outage of the store share one batch, so large jobs can reach the 2 MB.

ProgressJournal sends a batch in appends of at most 1 MB, each with its own sequence number, and reports the batch as stored after the last one. Acknowledgements, lease renewals and starts that wait for the batch thus wait for all of it. A successor may load the first part only: the records of a batch have different keys, and none relies on another.

A single record above `recordBytes` (256 KB) is still repeated for ever.

ProgressJournal.LargeBatchTakesSeveralAppends failed with the limit lifted to 1 TB, which is the behaviour before. The fake store now refuses appends above 2 MB; no test got less strict.

--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/ProgressJournal.h>
+#include <LibPlatform/RecordLimits.h>
 #include <LibWire/ValueCodec.h>
 #include <utility>
 
@@ -64,17 +65,28 @@
         m_options.onStored(m_batch);
         return;
     }
-    m_request = { .stream = StreamName::Progress,
-        .fence = WriterFence { .writer = writerName, .epoch = m_options.epoch, .sequence = ++m_sequence } };
     for (const auto& job : m_batch.jobs)
-        m_request.records.push_back({ .key = jobKeyPrefix + job.id, .value = encodeValue(job) });
+        m_unsentRecords.push_back({ .key = jobKeyPrefix + job.id, .value = encodeValue(job) });
     if (m_batch.assignedWorkers)
-        m_request.records.push_back({ .key = assignedWorkersKey, .value = encodeValue(*m_batch.assignedWorkers) });
+        m_unsentRecords.push_back({ .key = assignedWorkersKey, .value = encodeValue(*m_batch.assignedWorkers) });
     if (m_batch.pressures)
-        m_request.records.push_back({ .key = pressuresKey, .value = encodeValue(*m_batch.pressures) });
+        m_unsentRecords.push_back({ .key = pressuresKey, .value = encodeValue(*m_batch.pressures) });
     if (m_batch.unreachedWorkers)
-        m_request.records.push_back({ .key = unreachedWorkersKey, .value = encodeValue(*m_batch.unreachedWorkers) });
+        m_unsentRecords.push_back({ .key = unreachedWorkersKey, .value = encodeValue(*m_batch.unreachedWorkers) });
     m_isSending = true;
+    sendNextAppend();
+}
+
+void ProgressJournal::sendNextAppend()
+{
+    m_request = { .stream = StreamName::Progress,
+        .fence = WriterFence { .writer = writerName, .epoch = m_options.epoch, .sequence = ++m_sequence } };
+    size_t bytes = 0;
+    do {
+        bytes += encodedSizeOf(m_unsentRecords.front());
+        m_request.records.push_back(std::move(m_unsentRecords.front()));
+        m_unsentRecords.pop_front();
+    } while (!m_unsentRecords.empty() && bytes + encodedSizeOf(m_unsentRecords.front()) <= maxAppendBytes);
     sendAppend();
 }
 
@@ -107,6 +119,8 @@
                 { "outcome", static_cast<int>(reply->outcome) } });
         return m_options.onFenced();
     }
+    if (!m_unsentRecords.empty())
+        return sendNextAppend();
     m_isSending = false;
     m_options.onStored(std::exchange(m_batch, {}));
     if (std::exchange(m_isFlushRequested, false))
--- a/Libraries/LibNode/ProgressJournal.h
+++ b/Libraries/LibNode/ProgressJournal.h
@@ -4,6 +4,7 @@
 #include <LibNode/ProgressBatch.h>
 #include <LibPlatform/RecordStore.h>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -12,7 +13,8 @@
 class EventLoop;
 
 /// Writes the leader's state to the progress stream, one append at a time, fenced by the leader's epoch. Each batch
-/// holds all changes made during the previous append.
+/// holds all changes made during the previous one. A large batch takes several appends, so a leader that loads the
+/// state may find a part of it.
 class ProgressJournal {
 public:
     struct Options {
@@ -43,6 +45,7 @@
 
 private:
     void flush();
+    void sendNextAppend();
     void sendAppend();
     void handleReply(absl::StatusOr<AppendReply>);
 
@@ -50,6 +53,9 @@
     RecordStore& m_store;
     Options m_options;
     ProgressBatch m_batch;
+
+    /// The records of the batch that are in no append yet.
+    std::deque<KeyedRecord> m_unsentRecords;
     AppendRequest m_request;
     uint64_t m_sequence { 0 };
     uint64_t m_appendCount { 0 };
--- /dev/null
+++ b/Libraries/LibPlatform/RecordLimits.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibPlatform/KeyedRecord.h>
+#include <cstddef>
+
+namespace Bergamot {
+
+/// Maximum size of the records of one append, in bytes: half of what the stores accept in one call. They refuse a larger
+/// call each time that it is repeated.
+inline constexpr size_t maxAppendBytes = size_t { 1 } << 20;
+
+/// Size of the record in an append, with its length fields.
+inline size_t encodedSizeOf(const KeyedRecord& record)
+{
+    constexpr size_t lengthFields = 5;
+    return lengthFields + record.key.size() + record.value.size();
+}
+
+}
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -1,4 +1,5 @@
 #include "FakeRecordStore.h"
+#include <LibPlatform/RecordLimits.h>
 #include <algorithm>
 
 namespace Bergamot {
@@ -38,6 +39,11 @@
         return m_loop.callAfter(replyTime, [callback] { callback(absl::AbortedError("refused")); });
     if (fault == Fault::Unresponsive)
         return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("silent")); });
+    size_t bytes = 0;
+    for (const auto& record : request.records)
+        bytes += encodedSizeOf(record);
+    if (bytes > maxCallBytes)
+        return m_loop.callAfter(replyTime, [callback] { callback(absl::InvalidArgumentError("too large")); });
     auto reply = apply(partition, request);
     if (fault == Fault::LosingReplies)
         return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("lost")); });
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -65,6 +65,9 @@
     /// Partitions for which read() and readNewest() fail with Aborted.
     std::set<std::pair<StreamName, uint32_t>> unreadable;
 
+    /// Larger appends fail with InvalidArgument.
+    size_t maxCallBytes { 2 << 20 };
+
     /// Maximum number of records in a page of readNewest().
     size_t pageRecords { 500 };
 
--- a/Tests/LibNode/TestProgressJournal.cpp
+++ b/Tests/LibNode/TestProgressJournal.cpp
@@ -88,6 +88,33 @@
     CHECK_EQUAL(2, store.appends);
 }
 
+// Guards against a batch that exceeds the limit of a call: the store refuses it each time, so the leader would store
+// nothing any more. A part with a lost reply is repeated, and the batch is reported as stored after its last part.
+TEST(ProgressJournal, LargeBatchTakesSeveralAppends)
+{
+    constexpr size_t jobs = 300;
+    constexpr size_t tasks = 10000;
+    for (size_t i = 0; i < jobs; ++i)
+        changed.push_back({ .id = "j" + std::to_string(i), .done = { std::string(tasks, '1') } });
+    change("small");
+    advance(Milliseconds { 9 });
+    CHECK_EQUAL(1, store.appends);
+    CHECK(recordCount() < jobs);
+    store.fault = FakeRecordStore::Fault::LosingReplies;
+    advance(Milliseconds { 30 });
+    CHECK_EQUAL(2, store.appends);
+    CHECK(stored.empty());
+    change("next");
+    store.fault = FakeRecordStore::Fault::None;
+    advance(Milliseconds { 3000 });
+    CHECK_EQUAL(jobs + 2, stored.size());
+    CHECK_EQUAL(jobs + 2, recordCount());
+    CHECK_EQUAL("next", stored.back());
+    CHECK_EQUAL(5, store.appends);
+    CHECK_EQUAL(2, collections);
+    CHECK_EQUAL(0, fencedCalls);
+}
+
 // Guards against reporting progress as stored before the store has replied.
 TEST(ProgressJournal, NothingIsReportedStoredWhileTheStoreIsUnresponsive)
 {
