Spread large jobs over several appends

JobAcceptor ends an append before the job with which it would exceed 1 MB.

JobAcceptor.LargeJobsAreSpreadOverAppends failed with the limit lifted to 1 TB, which is the behaviour before.

--- a/Libraries/LibNode/JobAcceptor.cpp
+++ b/Libraries/LibNode/JobAcceptor.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/JobAcceptor.h>
+#include <LibPlatform/RecordLimits.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
 #include <utility>
@@ -52,7 +53,12 @@
     if (m_pendingJobs.empty() || !m_jobsInAppend.empty())
         return;
     AppendRequest request { .stream = StreamName::Jobs, .partition = m_partition };
-    auto n = std::min(m_pendingJobs.size(), maxJobsPerAppend);
+    size_t n = 0;
+    for (size_t bytes = 0; n < std::min(m_pendingJobs.size(), maxJobsPerAppend); ++n) {
+        bytes += encodedSizeOf(m_pendingJobs[n].record);
+        if (n > 0 && bytes > maxAppendBytes)
+            break;
+    }
     for (size_t i = 0; i < n; ++i) {
         request.records.push_back(m_pendingJobs[i].record);
         m_jobsInAppend.push_back(std::move(m_pendingJobs[i]));
--- a/Tests/LibNode/TestJobAcceptor.cpp
+++ b/Tests/LibNode/TestJobAcceptor.cpp
@@ -2,6 +2,7 @@
 #include "NodeTestClock.h"
 #include <CppUTest/TestHarness.h>
 #include <LibNode/JobAcceptor.h>
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -41,6 +42,20 @@
     CHECK_EQUAL(20, store.records(StreamName::Jobs).size());
 }
 
+// Guards against jobs that together exceed the limit of a call: the store would refuse them until their deadlines.
+TEST(JobAcceptor, LargeJobsAreSpreadOverAppends)
+{
+    constexpr size_t jobs = 40;
+    constexpr size_t payloadBytes = 200000;
+    for (size_t i = 0; i < jobs; ++i)
+        acceptor.accept({ .id = "j" + std::to_string(i), .payload = std::string(payloadBytes, 'p') },
+            clock.now() + Milliseconds { 3000 }, [this](AcceptResult it) { results.push_back(it); });
+    advance(Milliseconds { 200 });
+    CHECK_EQUAL(jobs, results.size());
+    CHECK(std::ranges::all_of(results, [](auto it) { return it == AcceptResult::Accepted; }));
+    CHECK_EQUAL(jobs, store.records(StreamName::Jobs).size());
+}
+
 // Guards against refusing a job that may be stored: the caller would conclude that the job never runs.
 TEST(JobAcceptor, JobWithALostReplyIsNeverRefused)
 {
