--- a/Libraries/LibPlatform/RecordLimits.h
+++ b/Libraries/LibPlatform/RecordLimits.h
@@ -5,8 +5,8 @@
 
 namespace Bergamot {
 
-/// Maximum size of the records of one append, in bytes: half of what the stores accept in one call. They refuse a larger
-/// call each time that it is repeated.
+/// Maximum size of the records of one append, in bytes: half of what the stores accept in one call. They refuse a
+/// larger call each time that it is repeated.
 inline constexpr size_t maxAppendBytes = size_t { 1 } << 20;
 
 /// Size of the record in an append, with its length fields.
