--- a/Tests/LibNode/TestTaskLeaderLiveness.cpp
+++ b/Tests/LibNode/TestTaskLeaderLiveness.cpp
@@ -54,9 +54,6 @@
     /// Whether workers and their network have faults, beside those of the store and of leaders.
     bool hasWorkerFaults { true };
 
-    /// Whether workers and their network have faults, beside those of the store and of leaders.
-    bool hasWorkerFaults { true };
-
     /// Tasks without speculative copies that ran on two workers at once.
     std::set<TaskRef> ranTwice;
 
--- a/Tests/PlatformAdapter/TestBrokenConnections.cpp
+++ b/Tests/PlatformAdapter/TestBrokenConnections.cpp
@@ -162,6 +162,14 @@
 
 // Guards against failures of calls that change nothing or whose repeat has the same effect, when a server closes idle
 // connections: workers would count as silent, and stops would be late.
+// Guards against a lease that a new incarnation gets by a repeat, and that nobody knows of: its clock starts anew, so
+// the lease lasts longer there.
+TEST(BrokenConnections, LeaseIsGrantedOnce)
+{
+    Platform::PlatformWorkers workers(*engine);
+    checkSentOnce<RenewLeaseReply>([&](auto done) { workers.renewLease(executor, 7, { .leaseUntilMs = 5000 }, done); });
+}
+
 TEST(BrokenConnections, RenewalWithoutAcknowledgementIsRepeated)
 {
     Platform::PlatformWorkers workers(*engine);
