Wait for half of the assigned workers, whether they are listed or not

The successor took an assigned worker that it had not reached and that was not listed for ended. The list proves nothing: the entries of workers that are cut off from the store expire too.

An unreached worker of an earlier leader now counts as expired only after half of the workers assigned at the election have been reached. Workers that have ended (another incarnation answers, or they have left) drop out of the count. A leader without proof of its leadership renews leases for 5 minutes at most, and a successor that does not reach half goes on after 309 s and 4.25 s. A leader that changes the assigned workers before it has reached half stores, in the same append, which workers it had not reached; its successor must reach half of these too, since the added workers do not reject the older leader.

These tests fail without the change: CutOffLeader.TaskRunsOnceWhileTwoRegionsHaveLostEachOther (2 runs), UnreachedWorkers.UnlistedWorkersAreWaitedForUntilNoEarlierLeaderCanRenew, WorkersAddedSinceDoNotDecide, RestartedWorkersHoldNothingBack.

UnreachedWorkers.UnlistedWorkersAreWaitedForNoLongerThanTheirLeases demanded a start 5.1 to 5.7 s after the election while two of three workers, unlisted, had not been reached: the false conclusion. It is replaced by UnlistedWorkersAreWaitedForUntilNoEarlierLeaderCanRenew (no start before 303 s, a start by 315 s) and RestartedWorkersHoldNothingBack (workers back after a loss of power, start within 5.7 s).

Five tests had no or one assigned worker that answered, which now holds all others back. They have further assigned workers that answer, so that the leader has reached half as before, and their checks are unchanged: AssignedWorkers.ReturningWorkerIsStoredBeforeItsNextStart, Node.LeaderCountsLeasesFromTheElectionThatTheNodeHasSeen, UnreachedWorkers.NothingIsPlannedOnAWorkerWhoseLeaseIsWithheld (one check more), UnlistedWorkerIsRemovedOnceTheListIsRead, WorkersThatReturnTogetherShareAnAppend.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -36,8 +36,7 @@
 /// that leader wait longer for workers that are gone. All versions that run together must use the same duration.
 static constexpr Milliseconds maxLeaseDuration { 5000 };
 
-/// Allowances for the slowest worker clock (a factor of the lease duration) and for the delivery time of commands.
-static constexpr double leaseClockFactor = 1.03;
+/// Allowance for the delivery time of commands.
 static constexpr Milliseconds leaseExpiryMargin { 300 };
 
 static int64_t unixMsNow()
@@ -92,8 +91,9 @@
     m_metrics.recordElection();
     if (m_options.hasPredecessor) {
         m_earlierLeasesExpireAt = m_loop.now()
-            + std::chrono::duration_cast<Milliseconds>(leaseDuration() * leaseClockFactor) + leaseExpiryMargin;
+            + std::chrono::duration_cast<Milliseconds>(leaseDuration() * clockRateFactor) + leaseExpiryMargin;
     }
+    beginExcludingEarlierLeaders();
     m_journal.fencePredecessors([this] { loadProgress({}); });
 }
 
@@ -170,6 +170,7 @@
         auto it = unreached.find(incarnation);
         addWorker(incarnation, std::nullopt, it == unreached.end() ? 0 : it->second);
     }
+    restoreDoubtfulWorkers();
     for (uint32_t partition = 0; partition < jobPartitions; ++partition) {
         m_jobReaders.push_back(std::make_unique<StreamReader>(m_loop, m_store,
             StreamReader::Options { .stream = StreamName::Jobs,
@@ -259,7 +260,11 @@
         m_pressuresStoredAt = m_loop.now();
         batch.pressures = m_scheduler.savePressures();
     }
-    if (std::exchange(m_assignedWorkersChanged, false)) {
+    // With workers added, half of the assigned workers need not include one that an earlier leader relies on. So the
+    // change is stored together with the workers that decide, and not while an older list of them is in force.
+    bool canStoreAssignedWorkers = m_areEarlierLeadersExcluded || !hasInheritedDoubt();
+    if (canStoreAssignedWorkers && std::exchange(m_assignedWorkersChanged, false)) {
+        m_unreachedWorkersChanged = m_unreachedWorkersChanged || !m_areEarlierLeadersExcluded;
         batch.assignedWorkers.emplace();
         for (const auto& [handle, worker] : m_workers)
             batch.assignedWorkers->workers.push_back(worker.incarnation);
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -74,6 +74,13 @@
     static constexpr CallTimeout::Options acknowledgementTimeout { .minTimeout = Milliseconds { 150 },
         .maxTimeout = Milliseconds { 800 } };
 
+    /// Longest time after the last proof of its leadership in which a leader renews leases. Work survives outages of
+    /// the store up to this length; a successor that reaches too few workers waits for it.
+    static constexpr Milliseconds maxUnprovenRenewalTime { 300'000 };
+
+    /// Allowance for the rates of clocks, as a factor of a duration.
+    static constexpr double clockRateFactor = 1.03;
+
     /// Time-out of the first lease renewal of a worker.
     static constexpr Milliseconds firstRenewalTimeout { 1000 };
 
@@ -91,6 +98,10 @@
         /// An earlier leader stored the worker as assigned, so the worker may have a lease from it.
         bool isFromEarlierLeader { false };
 
+        /// The earlier leader that stored the assigned workers had not reached this one, nor excluded the leaders
+        /// before it.
+        bool mayObeyOlderLeader { false };
+
         /// Epoch since whose election no leader has renewed the worker's lease; 0 if the worker is not to be stored as
         /// unreached.
         uint64_t unreachedSinceEpoch { 0 };
@@ -163,9 +174,12 @@
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
     void checkReconciled();
+    void beginExcludingEarlierLeaders();
+    void restoreDoubtfulWorkers();
+    bool hasInheritedDoubt() const;
     bool hasReachedHalfOfEarlierWorkers() const;
     void updateEarlierRenewals();
-    bool hasReachedHalfLate() const;
+    bool wereEarlierLeadersExcludedLate() const;
     bool canStart() const;
     bool canStart(const StartTask&) const;
     bool isSoleLeader() const;
@@ -234,9 +248,14 @@
     bool m_areSessionsStarted { false };
     bool m_isReconciled { false };
 
-    /// Time until which an earlier leader may renew leases of workers that this leader has not reached. Unlimited until
-    /// half of the workers of earlier leaders are reached.
-    Instant m_earlierRenewalsEndBy { Instant::max() };
+    /// Time until which an earlier leader may renew leases of workers that this leader has not reached.
+    Instant m_earlierRenewalsEndBy { neverInstant };
+
+    /// Whether no earlier leader can find most workers replying any more.
+    bool m_areEarlierLeadersExcluded { false };
+
+    /// The stored record of unreached workers may contain workers that may obey an older leader.
+    bool m_isDoubtStored { false };
 
     /// Whether the author of the stored unreached workers had not reached half of the workers, so that a leader before
     /// it may have renewed their leases.
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -2,6 +2,9 @@
 #include <LibHttp/EventLoop.h>
 #include <LibNode/TaskLeader.h>
 #include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
 
 namespace Bergamot {
 
@@ -26,8 +29,10 @@
     std::map<WorkerIncarnation, uint64_t> unreached;
     if (m_options.elections.predecessorOf(m_options.epoch) != m_storedUnreachedWorkers.epoch)
         return unreached;
-    for (const auto& it : m_storedUnreachedWorkers.workers)
-        unreached.emplace(it.worker, it.sinceEpoch);
+    for (const auto& it : m_storedUnreachedWorkers.workers) {
+        if (!it.isDoubtful())
+            unreached.emplace(it.worker, it.sinceEpoch);
+    }
     return unreached;
 }
 
@@ -38,7 +43,9 @@
     for (auto& [handle, worker] : m_workers) {
         if (worker.unreachedSinceEpoch > 0 || worker.isReturning || !worker.session->isUnreachedFor(silenceUntilStored))
             continue;
-        if (hasReachedHalfLate() && mayObeyEarlierLeader(worker))
+        // An earlier leader may renew, or may have renewed, the lease since the election of this one.
+        bool isExcludedInTime = m_areEarlierLeadersExcluded && !wereEarlierLeadersExcludedLate();
+        if (!isExcludedInTime && mayObeyEarlierLeader(worker))
             continue;
         worker.unreachedSinceEpoch = m_options.epoch;
         ++marked;
@@ -76,6 +83,16 @@
         worker.session->withholdLease();
         worker.firstRecordWithout = m_unreachedRecords + 1;
     }
+    m_isDoubtStored = false;
+    if (m_areEarlierLeadersExcluded)
+        return unreached;
+    auto doubtful = hasInheritedDoubt() ? &Worker::mayObeyOlderLeader : &Worker::isFromEarlierLeader;
+    for (const auto& [handle, worker] : m_workers) {
+        if (!(worker.*doubtful) || !worker.session->isUnreached())
+            continue;
+        unreached.workers.push_back({ .worker = worker.incarnation, .sinceEpoch = UnreachedWorker::doubtful });
+        m_isDoubtStored = true;
+    }
     return unreached;
 }
 
@@ -91,47 +108,84 @@
     schedulePlan();
 }
 
-bool TaskLeader::hasReachedHalfOfEarlierWorkers() const
+void TaskLeader::beginExcludingEarlierLeaders()
 {
-    size_t workers = 0;
-    size_t reached = 0;
-    for (const auto& [handle, worker] : m_workers) {
-        workers += worker.isFromEarlierLeader ? 1 : 0;
-        reached += worker.isFromEarlierLeader && !worker.session->isUnreached() ? 1 : 0;
+    m_areEarlierLeadersExcluded = !m_options.hasPredecessor;
+    if (m_options.hasPredecessor) {
+        m_earlierRenewalsEndBy = m_electedAt
+            + std::chrono::duration_cast<Milliseconds>(maxUnprovenRenewalTime * clockRateFactor)
+            + maxUnconfirmedRenewalTime;
+    }
+}
+
+/// The author of the record need not be the leader directly before this one: a leader in between may have stored
+/// nothing.
+void TaskLeader::restoreDoubtfulWorkers()
+{
+    std::set<WorkerIncarnation> doubtful;
+    for (const auto& it : m_storedUnreachedWorkers.workers) {
+        if (it.isDoubtful())
+            doubtful.insert(it.worker);
     }
-    return 2 * reached >= workers;
+    for (auto& [handle, worker] : m_workers)
+        worker.mayObeyOlderLeader = doubtful.contains(worker.incarnation);
+    m_isDoubtStored = hasInheritedDoubt();
+}
+
+bool TaskLeader::hasInheritedDoubt() const
+{
+    return std::ranges::any_of(m_workers, [](const auto& it) { return it.second.mayObeyOlderLeader; });
+}
+
+/// Whether half of the workers have been reached that were assigned at the election, and half of those that decide
+/// about older leaders. An earlier leader renews leases while most of them reply to it, so it relies on a worker that
+/// rejects it. Workers that are removed before do not count: they have ended, or reject an earlier leader.
+bool TaskLeader::hasReachedHalfOfEarlierWorkers() const
+{
+    auto hasReachedHalf = [this](bool Worker::*isCounted) {
+        size_t workers = 0;
+        size_t reached = 0;
+        for (const auto& [handle, worker] : m_workers) {
+            workers += worker.*isCounted ? 1 : 0;
+            reached += worker.*isCounted && !worker.session->isUnreached() ? 1 : 0;
+        }
+        return 2 * reached >= workers;
+    };
+    return hasReachedHalf(&Worker::isFromEarlierLeader) && hasReachedHalf(&Worker::mayObeyOlderLeader);
 }
 
 void TaskLeader::updateEarlierRenewals()
 {
-    if (m_earlierRenewalsEndBy != Instant::max() || !hasReachedHalfOfEarlierWorkers())
-        return;
     auto now = m_loop.now();
-    m_earlierRenewalsEndBy = now - m_electedAt <= maxTimeToReachHalf ? neverInstant : now + maxUnconfirmedRenewalTime;
-    if (!hasReachedHalfLate())
+    if (m_areEarlierLeadersExcluded || (now < m_earlierRenewalsEndBy && !hasReachedHalfOfEarlierWorkers()))
         return;
-    // An earlier leader may have renewed the leases of these workers since the election of this one.
-    for (auto& [handle, worker] : m_workers) {
-        if (worker.unreachedSinceEpoch == 0 || !mayObeyEarlierLeader(worker))
-            continue;
-        worker.unreachedSinceEpoch = 0;
-        m_unreachedWorkersChanged = true;
+    m_areEarlierLeadersExcluded = true;
+    m_earlierRenewalsEndBy = now - m_electedAt <= maxTimeToReachHalf
+        ? neverInstant
+        : std::min(m_earlierRenewalsEndBy, now + maxUnconfirmedRenewalTime);
+    m_unreachedWorkersChanged = m_unreachedWorkersChanged || m_isDoubtStored;
+    if (wereEarlierLeadersExcludedLate()) {
+        // An earlier leader may have renewed the leases of these workers since the election of this one.
+        for (auto& [handle, worker] : m_workers) {
+            if (worker.unreachedSinceEpoch == 0 || !mayObeyEarlierLeader(worker))
+                continue;
+            worker.unreachedSinceEpoch = 0;
+            m_unreachedWorkersChanged = true;
+        }
     }
     m_journal.requestFlush();
 }
 
-bool TaskLeader::hasReachedHalfLate() const
+bool TaskLeader::wereEarlierLeadersExcludedLate() const
 {
-    return m_earlierRenewalsEndBy != neverInstant && m_earlierRenewalsEndBy != Instant::max();
+    return m_areEarlierLeadersExcluded && m_earlierRenewalsEndBy != neverInstant;
 }
 
-/// Whether the worker may obey an earlier leader that is cut off from the store. A worker that announces itself runs;
-/// one that is silent has most likely ended.
+/// Whether the worker may obey an earlier leader that is cut off from the store. That the platform does not list it
+/// proves nothing: the entry of a worker that is cut off from the store expires too.
 bool TaskLeader::mayObeyEarlierLeader(const Worker& worker) const
 {
-    if (!m_options.hasPredecessor || !worker.isFromEarlierLeader)
-        return false;
-    return !m_workerReader->hasLoaded() || m_listedWorkers.contains(worker.incarnation.id);
+    return m_options.hasPredecessor && worker.isFromEarlierLeader;
 }
 
 /// Whether an earlier leader may still renew the worker's lease, which must then not be taken as expired. Such a leader
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -112,12 +112,15 @@
 
 /// Whether the leases of workers may be renewed, so that they end before a successor starts their tasks elsewhere. A
 /// leader without proof of its leadership may have a successor, or the store may be down for all nodes, in which case
-/// the running tasks must go on. Replies of most workers show that this node is not the one that is cut off.
+/// the running tasks must go on. Replies of most workers show that no successor has reached half of them. A successor
+/// that never does waits for `maxUnprovenRenewalTime`.
 bool TaskLeader::canRenewLeases() const
 {
     constexpr Milliseconds countInterval { 100 };
     if (isSoleLeader())
         return true;
+    if (m_loop.now() - m_options.soleLeaderUntil() > maxUnprovenRenewalTime)
+        return false;
     if (m_loop.now() - m_repliesCountedAt >= countInterval) {
         m_repliesCountedAt = m_loop.now();
         m_doMostWorkersReply = doMostWorkersReply();
--- a/Tests/LibNode/TestAssignedWorkers.cpp
+++ b/Tests/LibNode/TestAssignedWorkers.cpp
@@ -8,7 +8,7 @@
 // listed again, and its absence from the stored assigned workers went unnoticed.
 TEST(AssignedWorkers, ReturningWorkerIsStoredBeforeItsNextStart)
 {
-    putAssignedWorkers({ "w1" });
+    putAssignedWorkers({ "reached", "w1" });
     silent = { "w1" };
     elect();
     run(maxLeaseWait);
--- a/Tests/LibNode/TestCutOffLeader.cpp
+++ b/Tests/LibNode/TestCutOffLeader.cpp
@@ -129,3 +129,27 @@
         CHECK_EQUAL(1, it.workers.runsOf(it.task));
     }
 }
+
+// Guards against a task that runs twice while two regions have lost each other: the store and a quarter of the workers
+// are in one, the leader and the others in the other, whose entries expire.
+TEST(CutOffLeader, TaskRunsOnceWhileTwoRegionsHaveLostEachOther)
+{
+    constexpr Milliseconds longCut { 330'000 };
+    constexpr Milliseconds silenceUntilRemoval { 3000 };
+    for (Milliseconds delay { 0 }; delay <= maxDelay; delay += 5 * delayStep) {
+        CutOffCluster it;
+        it.runTask(8);
+        it.advance(delay);
+        it.first.store.isCutOff = true;
+        it.first.executor.unreachable = { "w7", "w8" };
+        it.second.executor.unreachable = { "w1", "w2", "w3", "w4", "w5", "w6" };
+        it.advance(silenceUntilRemoval);
+        CHECK_EQUAL(1, it.mostRuns);
+        for (const auto& id : it.second.executor.unreachable)
+            it.store.put(StreamName::Workers, id, {});
+        it.advance(delay == Milliseconds { 0 } ? longCut : Milliseconds { 30'000 });
+        CHECK_EQUAL(1, it.mostRuns);
+        CHECK_EQUAL(1, it.workers.runsOf(it.task));
+        CHECK(delay == Milliseconds { 0 } || it.workers.at("w1").runs.contains(it.task));
+    }
+}
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -292,8 +292,10 @@
     constexpr Milliseconds maxLeaseWait { 5700 };
     constexpr uint64_t earlierEpoch { 1 };
     WorkerIncarnation silent { .id = "x", .address = "x", .startedAtMs = 5 };
+    WorkerIncarnation reached { .id = "y", .address = "y", .startedAtMs = 5 };
     store.put(StreamName::Leadership, {}, encodeValue(LeadershipRecord { .member = "other", .incarnation = 9 }));
-    store.put(StreamName::Progress, assignedWorkersKey, encodeValue(AssignedWorkers { .workers = { silent } }));
+    store.put(
+        StreamName::Progress, assignedWorkersKey, encodeValue(AssignedWorkers { .workers = { silent, reached } }));
     store.put(StreamName::Progress, unreachedWorkersKey,
         encodeValue(UnreachedWorkers {
             .epoch = earlierEpoch, .workers = { { .worker = silent, .sinceEpoch = earlierEpoch } } }));
--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -180,11 +180,12 @@
 TEST(UnreachedWorkers, NothingIsPlannedOnAWorkerWhoseLeaseIsWithheld)
 {
     announce("w2");
-    putAssignedWorkers({ "w2" });
+    putAssignedWorkers({ "reached", "w2" });
     putJob("j");
     silent = { "w2" };
     elect();
     run(Milliseconds { 2000 });
+    CHECK(isStoredAsUnreached("w2"));
     store.fault = FakeRecordStore::Fault::LosingReplies;
     silent.clear();
     run(Milliseconds { 1500 });
@@ -199,12 +200,12 @@
 // was read.
 TEST(UnreachedWorkers, UnlistedWorkerIsRemovedOnceTheListIsRead)
 {
-    putAssignedWorkers({ "w2" });
+    putAssignedWorkers({ "reached", "w2" });
     silent = { "w2" };
     elect();
     run(maxLeaseWait);
     elect();
-    putAssignedWorkers({ "w2" });
+    putAssignedWorkers({ "reached", "w2" });
     store.unreadable.insert({ StreamName::Workers, 0 });
     run(Milliseconds { 1000 });
     CHECK(isStoredAsAssigned("w2"));
@@ -246,7 +247,10 @@
         announce(ids.back());
         silent.insert(ids.back());
     }
-    putAssignedWorkers(ids);
+    auto assigned = ids;
+    for (int i = 0; i < 50; ++i)
+        assigned.push_back("reached" + std::to_string(i));
+    putAssignedWorkers(assigned);
     auto appends = store.appends;
     elect();
     run(Milliseconds { 1500 });
@@ -284,18 +288,72 @@
     CHECK(timeOfStart(clock.now(), maxLeaseWait).has_value());
 }
 
-// Guards against tasks that wait without end after most workers have lost power.
-TEST(UnreachedWorkers, UnlistedWorkersAreWaitedForNoLongerThanTheirLeases)
+// Guards against a second run of a task whose worker obeys the previous leader and whose entry has expired, and against
+// tasks that wait without end after most workers have lost power.
+TEST(UnreachedWorkers, UnlistedWorkersAreWaitedForUntilNoEarlierLeaderCanRenew)
 {
+    constexpr Milliseconds longestRenewals { 300'000 };
+    constexpr Milliseconds shortestUnconfirmedLease { 3000 };
+    constexpr Milliseconds maxWait { 315'000 };
     announce("w1");
     putAssignedWorkers({ "w1", "w2", "w3" });
     putJob("j");
     silent = { "w2", "w3" };
     elect();
-    auto wait = timeOfStart(electedAt, Milliseconds { 10000 });
+    auto wait = timeOfStart(electedAt, Milliseconds { 400'000 });
     CHECK(wait.has_value());
-    CHECK(*wait >= minLeaseWait);
-    CHECK(*wait <= maxLeaseWait);
+    CHECK(*wait >= longestRenewals + shortestUnconfirmedLease);
+    CHECK(*wait <= maxWait);
+}
+
+// Guards against tasks that wait for workers that have lost power and come back, of which some are not listed yet.
+TEST(UnreachedWorkers, RestartedWorkersHoldNothingBack)
+{
+    for (auto outage : { Milliseconds { 0 }, Milliseconds { 8000 } }) {
+        announce("w1");
+        putAssignedWorkers({ "w1", "w2", "w3", "w4" });
+        putJob("j");
+        silent = { "w2", "w3", "w4" };
+        elect();
+        run(outage);
+        CHECK_EQUAL(0, starts());
+        restartedAtMs = { { "w2", bornMs + 1000 }, { "w3", bornMs + 1000 } };
+        announce("w2");
+        silent = { "w4" };
+        CHECK(timeOfStart(clock.now(), maxLeaseWait).has_value());
+        leader.reset();
+        store.put(StreamName::Jobs, "j", {});
+        restartedAtMs.clear();
+    }
+}
+
+// Guards against a second run under a further leader, which takes workers that were added since for half of those on
+// which the cut-off leader relies.
+TEST(UnreachedWorkers, WorkersAddedSinceDoNotDecide)
+{
+    const std::vector<std::string> added { "w4", "w5", "w6", "w7" };
+    announce("w1");
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w2", "w3" };
+    elect();
+    run(Milliseconds { 300 });
+    for (const auto& id : added)
+        announce(id);
+    run(Milliseconds { 500 });
+    for (const auto& id : added)
+        CHECK(isStoredAsAssigned(id));
+    for (int i = 0; i < 3; ++i) {
+        elect();
+        run(Milliseconds { 10'000 });
+        CHECK_EQUAL(0, starts());
+        announce("w8" + std::to_string(i));
+    }
+    silent = { "w3" };
+    CHECK(timeOfStart(clock.now(), maxLeaseWait).has_value());
+    run(Milliseconds { 1000 });
+    CHECK(isStoredAsAssigned("w80"));
+    CHECK_FALSE(isStoredAsUnreached("w3"));
 }
 
 // Guards against a start before the leases have ended that the previous leader has renewed until half of the workers
