Take leases as expired only with proof that no successor could renew them

A session now takes leases as expired only if the leader's latest proof of leadership is later than their end. Until then no other leader had been elected, so none had renewed them. While the store is down, lost tasks wait for it.

CutOffLeader.CutOffLeaderDoesNotRestartTasksOfWorkersThatItsSuccessorReaches fails without the change (2 runs).

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -79,6 +79,7 @@
             .reportWait = m_reportWait,
             .canStart = [this](const StartTask& start) { return canStart(start); },
             .isSoleLeader = [this] { return isSoleLeader(); },
+            .wasSoleLeaderAt = [this](Instant time) { return m_options.soleLeaderUntil() >= time; },
             .canRenewLeases = [this] { return canRenewLeases(); },
             .mayEarlierLeaderRenew = [this, handle] { return mayEarlierLeaderRenew(m_workers.at(handle)); },
             .renewalLimiter = m_renewalLimiter,
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -286,7 +286,7 @@
 void WorkerSession::checkLeaseExpiry()
 {
     if (!m_isReachable && !m_isLeaseExpiryReported && m_loop.now() >= m_leasesExpireBy
-        && !(isUnreached() && m_options.mayEarlierLeaderRenew())) {
+        && m_options.wasSoleLeaderAt(m_leasesExpireBy) && !(isUnreached() && m_options.mayEarlierLeaderRenew())) {
         m_isLeaseExpiryReported = true;
         m_isReconciled = true;
         m_commands.clearWaiting();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -71,6 +71,10 @@
         /// Whether no successor of this leader is elected for certain.
         std::function<bool()> isSoleLeader { [] { return true; } };
 
+        /// Whether no successor of this leader had been elected at that time for certain. Asked before leases count as
+        /// expired: a successor may have renewed them.
+        std::function<bool(Instant)> wasSoleLeaderAt { [](Instant) { return true; } };
+
         /// Whether leases may be renewed. Asked before each lease renewal, which otherwise only fetches the report.
         std::function<bool()> canRenewLeases { [] { return true; } };
 
@@ -122,7 +126,7 @@
     /// Time of the last reply; neverInstant before the first one.
     Instant lastReplyAt() const { return m_clockReadAt; }
 
-    /// True when every lease granted to the worker has expired and it has not replied since.
+    /// True when every lease granted to the worker has expired for certain and it has not replied since.
     bool haveLeasesExpired() const { return m_isLeaseExpiryReported; }
 
     /// Upper bound of the time until every lease granted to the worker has expired.
--- a/Tests/LibNode/TestCutOffLeader.cpp
+++ b/Tests/LibNode/TestCutOffLeader.cpp
@@ -153,3 +153,26 @@
         CHECK(delay == Milliseconds { 0 } || it.workers.at("w1").runs.contains(it.task));
     }
 }
+
+// Guards against a cut-off leader that takes a lease as expired which its successor has renewed, and starts the task
+// again on the workers that it still reaches.
+TEST(CutOffLeader, CutOffLeaderDoesNotRestartTasksOfWorkersThatItsSuccessorReaches)
+{
+    for (Milliseconds delay { 0 }; delay <= maxDelay; delay += 5 * delayStep) {
+        CutOffCluster it;
+        it.runTask(8);
+        it.advance(delay);
+        it.first.store.isCutOff = true;
+        it.first.executor.unreachable = { "w1", "w2" };
+        it.second.executor.unreachable = { "w3", "w4", "w5", "w6", "w7", "w8" };
+        it.advance(Milliseconds { 30'000 });
+        CHECK_EQUAL(1, it.mostRuns);
+        CHECK(it.workers.at("w1").runs.contains(it.task));
+        it.first.store.isCutOff = false;
+        it.first.executor.unreachable.clear();
+        it.second.executor.unreachable.clear();
+        it.advance(Milliseconds { 10'000 });
+        CHECK_EQUAL(1, it.mostRuns);
+        CHECK_EQUAL(1, it.workers.runsOf(it.task));
+    }
+}
