Do not count replies from before a pause as replies of most workers

A leader without proof of its leadership renews leases while most workers have replied within 1.1 s. It counted when a reply was read, so a process that had stood still for seconds read replies from before the pause, took them for recent, and renewed leases that its successor had counted as expired.

Once a timer of the leader is more than 0.5 s late, only replies to requests that were sent later count. This is checked directly before each renewal or start, whichever of timers and replies comes first after the pause. A successor that reaches half of the workers late waits 0.5 s longer, for replies read late without being noticed.

The other permissions hold, by reading: the leadership lease, its last proof, the age of the list of workers and the proof of an incarnation count from when a request was sent; a lease is computed from the worker's clock in a reply and becomes shorter if that is read late, while the local bound of its end becomes later.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -440,6 +440,7 @@
 
 void TaskLeader::tick()
 {
+    detectPause();
     if (m_nextTickAt != neverInstant)
         m_load.recordTimerDelay(m_loop.now() - m_nextTickAt);
     markUnreachedWorkers();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -188,6 +188,7 @@
     bool mayEarlierLeaderRenew(const Worker&) const;
     bool mayEarlierLeaderRenewAny() const;
     TaskScheduler::StartPermission startPermission() const;
+    void detectPause() const;
     bool doMostWorkersReply() const;
     void schedulePlan();
     Milliseconds leaseDuration() const;
@@ -267,6 +268,9 @@
     /// The latest result of doMostWorkersReply() and its time.
     mutable bool m_doMostWorkersReply { false };
     mutable Instant m_repliesCountedAt { neverInstant };
+
+    /// When this process was last found to have stood still, or to have read replies late.
+    mutable Instant m_resumedAt { neverInstant };
     Instant m_electedAt { neverInstant };
     Instant m_pressuresStoredAt { neverInstant };
     Instant m_waitsLoggedAt { neverInstant };
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -17,9 +17,9 @@
 static constexpr Milliseconds maxTimeToReachHalf { 1200 };
 
 /// Time until an earlier leader without proof of its leadership is rejected by a worker that this leader has reached,
-/// and until the leases that it has granted by then expire: a report of a second, and a lease of 3 s by the slowest
-/// clock.
-static constexpr Milliseconds maxUnconfirmedRenewalTime { 4250 };
+/// and until the leases that it has granted by then expire: a report of a second that is read 0.5 s late, and a lease
+/// of 3 s by the slowest clock.
+static constexpr Milliseconds maxUnconfirmedRenewalTime { 4750 };
 
 /// The stored unreached workers, with the epochs since which they are unreached. Empty unless the leader directly
 /// before this one has written the record: another leader in between may have renewed leases, and this node must know
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -118,6 +118,7 @@
 bool TaskLeader::canRenewLeases() const
 {
     constexpr Milliseconds countInterval { 100 };
+    detectPause();
     if (isSoleLeader())
         return true;
     if (m_loop.now() - m_options.soleLeaderUntil() > maxUnprovenRenewalTime)
@@ -129,8 +130,17 @@
     return m_doMostWorkersReply;
 }
 
+/// Detects that replies may have waited unread: a timer of 100 ms is late. The replies that are read then may be from
+/// before the election of a successor.
+void TaskLeader::detectPause() const
+{
+    constexpr Milliseconds maxTimerDelay { 500 };
+    if (m_nextTickAt != neverInstant && m_loop.now() - m_nextTickAt > maxTimerDelay)
+        m_resumedAt = m_loop.now();
+}
+
 /// Whether most workers that held a lease at the last proof of leadership, or have replied since, have replied within
-/// `maxReplyAge`.
+/// `maxReplyAge`, each to a request that was sent after the last pause of this process.
 bool TaskLeader::doMostWorkersReply() const
 {
     // A successor is elected 1.05 s after the last keepalive at the earliest and waits 5.28 s more for a silent worker.
@@ -142,7 +152,9 @@
     for (const auto& [handle, worker] : m_workers) {
         auto lastReplyAt = worker.session->lastReplyAt();
         workers += lastReplyAt >= heldLeaseSince ? 1 : 0;
-        replying += m_loop.now() - lastReplyAt <= maxReplyAge ? 1 : 0;
+        bool isRecent
+            = m_loop.now() - lastReplyAt <= maxReplyAge && worker.session->answeredRequestSentAt() >= m_resumedAt;
+        replying += isRecent ? 1 : 0;
     }
     return 2 * replying > workers;
 }
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -163,8 +163,9 @@
     return true;
 }
 
-void WorkerSession::recordReply(const TaskCommandReply& reply)
+void WorkerSession::recordReply(const TaskCommandReply& reply, Instant requestSentAt)
 {
+    m_answeredRequestSentAt = std::max(m_answeredRequestSentAt, requestSentAt);
     if (m_options.startedAtMs == 0)
         m_options.startedAtMs = reply.startedAtMs;
     if (reply.clockMs) {
@@ -231,7 +232,7 @@
         return scheduleLeaseRenewal(retryDelay);
     }
     recordProof(requestSentAt);
-    recordReply(reply->commandReply);
+    recordReply(reply->commandReply, requestSentAt);
     m_isReconciled = true;
     m_hasRuns = !reply->running.empty();
     bool hasNewEnds = false;
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -126,6 +126,9 @@
     /// Time of the last reply; neverInstant before the first one.
     Instant lastReplyAt() const { return m_clockReadAt; }
 
+    /// When the latest request was sent that the worker has answered. A reply may be read long after it has arrived.
+    Instant answeredRequestSentAt() const { return m_answeredRequestSentAt; }
+
     /// True when every lease granted to the worker has expired for certain and it has not replied since.
     bool haveLeasesExpired() const { return m_isLeaseExpiryReported; }
 
@@ -153,7 +156,7 @@
     void sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter>);
     void handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply>, Instant requestSentAt);
     void scheduleLeaseRenewal(Milliseconds delay);
-    void recordReply(const TaskCommandReply&);
+    void recordReply(const TaskCommandReply&, Instant requestSentAt);
     bool checkOutcome(const TaskCommandReply&);
     void recordFailure();
     void sendNextCommand();
@@ -186,6 +189,7 @@
     /// The worker's clock in its last reply, and the local time of that reply.
     std::optional<int64_t> m_clockMs;
     Instant m_clockReadAt { neverInstant };
+    Instant m_answeredRequestSentAt { neverInstant };
 
     /// Local time by which every lease granted so far has expired.
     Instant m_leasesExpireBy { neverInstant };
--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -112,7 +112,7 @@
             if (reply->commandReply.outcome != TaskCommandOutcome::Accepted)
                 return sendNextCommandAfter(retryDelay);
             recordProof(requestSentAt);
-            recordReply(reply->commandReply);
+            recordReply(reply->commandReply, requestSentAt);
             sendNextCommand();
         });
 }
@@ -155,7 +155,7 @@
     m_overdueStops.erase(std::ranges::find(m_overdueStops, stop));
     if (!reply.ok() || reply->outcome == TaskCommandOutcome::Unhealthy)
         return enqueueCommand(stop);
-    recordReply(*reply);
+    recordReply(*reply, sentAt);
     m_options.events.onStopAccepted(stop.task, stop.run);
 }
 
@@ -210,7 +210,7 @@
         // The command is removed from the queue first, because recordReply() sends the next command if the worker
         // becomes reachable.
         auto action = m_commands.takeFront();
-        recordReply(*reply);
+        recordReply(*reply, m_commandSentAt);
         reportCommandReply(action, *reply);
         return sendNextCommand();
     }
--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -74,7 +74,7 @@
                 .elections = elections,
                 .onFenced = [this] { ++fencedCalls; },
                 .canStart = [] { return true; },
-                .soleLeaderUntil = [] { return Instant::max(); } });
+                .soleLeaderUntil = [this] { return soleLeaderUntil; } });
         created->setQueues(1, { { "q", { .service = "s", .maxAttempts = 3 } } });
         created->start();
         return created;
@@ -189,6 +189,7 @@
     int fencedCalls { 0 };
     Instant electedAt { neverInstant };
     ElectionHistory elections;
+    Instant soleLeaderUntil { Instant::max() };
     std::set<std::string> silent;
 
     /// The start times of workers that have been restarted.
