--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -166,8 +166,9 @@
     return true;
 }
 
-void WorkerSession::recordReply(const TaskCommandReply& reply)
+void WorkerSession::recordReply(const TaskCommandReply& reply, Instant requestSentAt)
 {
+    m_answeredRequestSentAt = std::max(m_answeredRequestSentAt, requestSentAt);
     if (m_options.startedAtMs == 0)
         m_options.startedAtMs = reply.startedAtMs;
     if (reply.clockMs) {
@@ -234,7 +235,7 @@
         return scheduleLeaseRenewal(retryDelay);
     }
     recordProof(requestSentAt);
-    recordReply(reply->commandReply);
+    recordReply(reply->commandReply, requestSentAt);
     m_hasUnreadEnds = reply->endCoverage != RunEndCoverage::All;
     // The end of a run of an earlier leader may be among those that the report leaves out.
     m_isReconciled = m_isReconciled || !m_hasUnreadEnds;
@@ -291,7 +292,7 @@
 void WorkerSession::checkLeaseExpiry()
 {
     if (!m_isReachable && !m_isLeaseExpiryReported && m_loop.now() >= m_leasesExpireBy
-        && !(isUnreached() && m_options.mayEarlierLeaderRenew())) {
+        && m_options.wasSoleLeaderAt(m_leasesExpireBy) && !(isUnreached() && m_options.mayEarlierLeaderRenew())) {
         m_isLeaseExpiryReported = true;
         m_isReconciled = true;
         m_commands.clearWaiting();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -71,6 +71,10 @@
         /// Whether no successor of this leader is elected for certain.
         std::function<bool()> isSoleLeader { [] { return true; } };
 
+        /// Whether no successor of this leader had been elected at that time for certain. Asked before leases count as
+        /// expired: a successor may have renewed them.
+        std::function<bool(Instant)> wasSoleLeaderAt { [](Instant) { return true; } };
+
         /// Whether leases may be renewed. Asked before each lease renewal, which otherwise only fetches the report.
         std::function<bool()> canRenewLeases { [] { return true; } };
 
@@ -125,7 +129,10 @@
     /// Time of the last reply; neverInstant before the first one.
     Instant lastReplyAt() const { return m_clockReadAt; }
 
-    /// True when every lease granted to the worker has expired and it has not replied since.
+    /// When the latest request was sent that the worker has answered. A reply may be read long after it has arrived.
+    Instant answeredRequestSentAt() const { return m_answeredRequestSentAt; }
+
+    /// True when every lease granted to the worker has expired for certain and it has not replied since.
     bool haveLeasesExpired() const { return m_isLeaseExpiryReported; }
 
     /// Upper bound of the time until every lease granted to the worker has expired.
@@ -152,7 +159,7 @@
     void sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter>);
     void handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply>, Instant requestSentAt);
     void scheduleLeaseRenewal(Milliseconds delay);
-    void recordReply(const TaskCommandReply&);
+    void recordReply(const TaskCommandReply&, Instant requestSentAt);
     bool checkOutcome(const TaskCommandReply&);
     void recordFailure();
     void sendNextCommand();
@@ -185,6 +192,7 @@
     /// The worker's clock in its last reply, and the local time of that reply.
     std::optional<int64_t> m_clockMs;
     Instant m_clockReadAt { neverInstant };
+    Instant m_answeredRequestSentAt { neverInstant };
 
     /// Local time by which every lease granted so far has expired.
     Instant m_leasesExpireBy { neverInstant };
