Keep the process alive when a task of the event loop throws

Here, records, peer messages and requests were guarded, but an exception in a timer, a posted task, the watcher of a descriptor or the callback of an HTTP reply ended the process. The posted tasks and finished replies after it would have been lost as well.

EventLoop now logs and counts such an exception and goes on with the next task, and HttpEngine does so for each callback. guardedCall() moves to LibCore for it.

FailingTasks.* failed before: the process ended with "terminate called after throwing".

--- a/Libraries/LibNode/GuardedCall.h
+++ b/Libraries/LibCore/GuardedCall.h
@@ -7,14 +7,16 @@
 
 namespace Bergamot {
 
-/// Calls `task`, which processes one message from outside. An exception ends this message and is logged under `event`;
-/// the process and the later messages go on.
-template <typename Task> void guardedCall(std::string_view event, Task&& task)
+/// Calls `task`, for example one that processes a message from outside. An exception ends only this task and is logged
+/// under `event`. Returns false after an exception.
+template <typename Task> bool guardedCall(std::string_view event, Task&& task)
 {
     try {
         std::forward<Task>(task)();
+        return true;
     } catch (const std::exception& error) {
         logError(event, { { "error", error.what() } });
+        return false;
     }
 }
 
--- a/Libraries/LibHttp/EventLoop.cpp
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Clock.h>
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Verify.h>
 #include <LibHttp/EventLoop.h>
 #include <algorithm>
@@ -7,6 +8,7 @@
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Bergamot {
 
@@ -84,6 +86,12 @@
         it->second.watcher.reset();
 }
 
+template <typename Callable> void EventLoop::runGuarded(Callable&& callable)
+{
+    if (!guardedCall("task_failed", std::forward<Callable>(callable)))
+        ++m_failedTasks;
+}
+
 void EventLoop::runPosted()
 {
     std::vector<Task> posted;
@@ -92,7 +100,7 @@
         posted.swap(m_posted);
     }
     for (auto& task : posted)
-        task();
+        runGuarded(task);
 }
 
 void EventLoop::runTimers()
@@ -100,7 +108,7 @@
     auto time = now();
     while (!m_timers.empty() && m_timers.begin()->first.first <= time) {
         auto node = m_timers.extract(m_timers.begin());
-        node.mapped()();
+        runGuarded(node.mapped());
     }
 }
 
@@ -132,7 +140,7 @@
             continue;
         }
         auto watcher = it->second.watcher;
-        (*watcher)(events[i].events);
+        runGuarded([&] { (*watcher)(events[i].events); });
     }
 }
 
--- a/Libraries/LibHttp/EventLoop.h
+++ b/Libraries/LibHttp/EventLoop.h
@@ -16,7 +16,8 @@
 
 class Clock;
 
-/// Runs tasks, timers and file descriptor callbacks on the thread that calls run(). Based on epoll.
+/// Runs tasks, timers and file descriptor callbacks on the thread that calls run(). Based on epoll. An exception ends
+/// the task, timer or callback that throws it; it is logged and counted, and the later ones run.
 class EventLoop {
 public:
     using Task = std::function<void()>;
@@ -53,18 +54,23 @@
     /// May be called from any thread.
     void stop();
 
+    /// Number of tasks, timers and callbacks that ended with an exception.
+    uint64_t failedTasks() const { return m_failedTasks; }
+
 private:
     explicit EventLoop(const Clock&);
     void runPosted();
     void dispatchEvents(int waitMs);
     void runTimers();
     int millisecondsToNextTimer() const;
+    template <typename Callable> void runGuarded(Callable&&);
 
     const Clock& m_clock;
     int m_epoll { -1 };
     int m_wakeup { -1 };
     std::atomic<std::thread::id> m_threadId {};
     std::atomic<bool> m_stopping { false };
+    std::atomic<uint64_t> m_failedTasks { 0 };
     std::mutex m_mutex;
     std::vector<Task> m_posted;
     uint64_t m_lastTimerSequence { 0 };
--- a/Libraries/LibHttp/HttpEngine.cpp
+++ b/Libraries/LibHttp/HttpEngine.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/GuardedCall.h>
 #include <LibHttp/CurlRequest.h>
 #include <LibHttp/EventLoop.h>
 #include <LibHttp/HttpEngine.h>
@@ -252,7 +253,8 @@
     m_idleHandles.push_back(handle);
     if (result.ok())
         m_bodyBytes += result->body.size();
-    callback(std::move(result));
+    // Further transfers may have finished, whose callbacks would otherwise be called late or not at all.
+    guardedCall("reply_failed", [&] { callback(std::move(result)); });
 }
 
 }
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -1,7 +1,7 @@
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
-#include <LibNode/GuardedCall.h>
 #include <LibNode/NodeIngress.h>
 #include <LibReport/NodeMetrics.h>
 #include <algorithm>
--- a/Libraries/LibNode/QueryRouter.cpp
+++ b/Libraries/LibNode/QueryRouter.cpp
@@ -1,7 +1,7 @@
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
-#include <LibNode/GuardedCall.h>
 #include <LibNode/QueryRouter.h>
 #include <LibPlatform/PeerTransport.h>
 #include <LibWire/Codec.h>
