Reject entries of workers whose address or id cannot be used

An entry must now have HOST:PORT with a port from 1 to 65535, and an id of visible ASCII characters. Any other names no worker, and the others hold.

WorkerWithAnUnusableAddressIsRejected and WorkerWithAnUnusableIdIsRejected failed before. OddValuesInAnyFieldOfAWorkerAreRejected passed at once: JSON nested 200,000 deep, numbers out of range, a megabyte in a field and text that is not UTF-8 do no harm in this reader. TestPlatformJson used "a" as the address of workers; "a:1" replaces it, so that its cases still reach the checks of state and capacity. The check of the fuzz target demands a usable address as well.

--- a/Tests/PlatformAdapter/NodeDecoders.cpp
+++ b/Tests/PlatformAdapter/NodeDecoders.cpp
@@ -19,6 +19,7 @@
 #include <platform/PlatformNames.h>
 #include <platform/PlatformSettings.h>
 #include <platform/StoreReplies.h>
+#include <platform/WorkerAddress.h>
 #include <platform/WorkerReplies.h>
 
 namespace Bergamot {
@@ -90,7 +91,7 @@
         return false;
     const auto& capacity = worker->view.capacity;
     VERIFY(std::min({ capacity.cpuMillis, capacity.memoryMb, capacity.accelerators }) >= 0);
-    VERIFY(!worker->address.empty() && !worker->view.service.empty());
+    VERIFY(Platform::isHostAndPort(worker->address) && !worker->view.service.empty());
     VERIFY(worker->startedAtMs >= 0 && worker->startedAtMs <= maxUnixMs);
     TaskScheduler scheduler({ .epoch = 7 });
     scheduler.updateWorker(1, worker->view);
--- a/Tests/PlatformAdapter/TestMalformedDocuments.cpp
+++ b/Tests/PlatformAdapter/TestMalformedDocuments.cpp
@@ -80,6 +80,74 @@
     CHECK_FALSE(isRead(other));
 }
 
+// Guards against a session with an address that no process can have: the leader would wait for it, and ask the network
+// for a host of that name. Also against an address that changes the path or the host of a call.
+TEST(MalformedDocuments, WorkerWithAnUnusableAddressIsRejected)
+{
+    auto isRead = [&](const std::string& address) {
+        nlohmann::json entry { { "service", "s" }, { "addr", address }, { "zone", "z" }, { "state", "ready" },
+            { "capacity", { { "cpu", 1 }, { "memMb", 1 } } } };
+        return formats.readWorkerRecord({ .key = "i-1", .value = entry.dump() }).ok();
+    };
+    for (const auto* address : { "10.0.0.1:1", "10.0.0.1:65535", "[::1]:80", "worker-7.example_1:80" })
+        CHECK_TRUE_TEXT(isRead(address), address);
+    for (const auto* address : { "", ":", ":80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1",
+             "10.0.0.1:+80", "10.0.0.1: 80", "10.0.0.1:80 ", "10.0.0.1:8x", "10.0.0.1:99999999999999999999",
+             "10.0.0.1:080000", "10.0.0.1:80/x", "10.0.0.1:80?x", "a/b:80", "a@b:80", "a#b:80", "a b:80", "a\n:80",
+             "a%41:80", "::1:80", "[::1:80", "[]:80", "[::1]80", "[zz]:80", "\u00e4:80" })
+        CHECK_FALSE_TEXT(isRead(address), address);
+}
+
+// Guards against an id that ends the header in which each call names its worker.
+TEST(MalformedDocuments, WorkerWithAnUnusableIdIsRejected)
+{
+    constexpr auto* entry = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready",
+                                "capacity":{"cpu":1,"memMb":1}})";
+    CHECK(formats.readWorkerRecord({ .key = "i-1", .value = entry }).ok());
+    for (const auto* id : { "", "i\r\nX-A: b", "i\n", "i 1", "\x7f", "\xff" })
+        CHECK_FALSE_TEXT(formats.readWorkerRecord({ .key = id, .value = entry }).ok(), id);
+    CHECK_FALSE(formats.readWorkerRecord({ .key = std::string("i\0j", 3), .value = entry }).ok());
+}
+
+// Guards against a process that ends on a document, and against numbers that wrap around into the permitted range.
+TEST(MalformedDocuments, OddValuesInAnyFieldOfAWorkerAreRejected)
+{
+    const auto entry = nlohmann::json::parse(
+        R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":5,
+            "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"seq":4,"born":77})");
+    constexpr size_t depth = 200'000;
+    constexpr size_t megabyte = size_t { 1 } << 20;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    std::string nestedObjects;
+    for (size_t i = 0; i < depth; ++i)
+        nestedObjects += R"({"a":)";
+    nestedObjects += '1' + std::string(depth, '}');
+    const std::vector<std::string> odd { nested, nestedObjects, std::string(depth, '['), "1e999", "-1e999", "-1", "0.5",
+        "9223372036854775808", "18446744073709551615", "18446744073709551616", "18446744073709551617",
+        "-9223372036854775809", std::string(1000, '9'), "\"\xff\"", "\"\\ud800\"", "{}", "[[]]", "true" };
+    for (const auto& [field, value] : entry.items()) {
+        for (const auto& text : odd) {
+            auto other = entry;
+            other[field] = "PLACE";
+            auto document = other.dump();
+            document.replace(document.find("\"PLACE\""), 7, text);
+            auto shown = fmt::format("{} {}", field, text.substr(0, 30));
+            CHECK_FALSE_TEXT(formats.readWorkerRecord({ .key = "i-1", .value = document }).ok(), shown.c_str());
+        }
+    }
+    for (const auto& text : odd)
+        CHECK_FALSE_TEXT(formats.readWorkerRecord({ .key = "i-1", .value = text }).ok(), text.substr(0, 30).c_str());
+    for (const auto* field : { "service", "addr", "zone", "state", "version" }) {
+        auto other = entry;
+        other[field] = std::string(megabyte, 'a');
+        CHECK_FALSE_TEXT(formats.readWorkerRecord({ .key = "i-1", .value = other.dump() }).ok(), field);
+    }
+    // An unknown field may have any value.
+    auto unknown = entry.dump();
+    unknown.insert(1, "\"" + std::string(megabyte, 'k') + "\":" + nested + ",");
+    CHECK(formats.readWorkerRecord({ .key = "i-1", .value = unknown }).ok());
+}
+
 // Guards against settings that overflow, or that give a negative lease, a port out of range or no time to stop.
 TEST(MalformedDocuments, SettingsOutOfRangeAreIgnoredOrRejected)
 {
--- a/Tests/PlatformAdapter/TestPlatformJson.cpp
+++ b/Tests/PlatformAdapter/TestPlatformJson.cpp
@@ -85,9 +85,9 @@
     CHECK((worker->view.capacity == Resources { 16000, 32768, 0 }));
     CHECK_EQUAL(2, worker->view.labels.size());
     for (const auto* other :
-        { "", "\xff\x00", "{}", "[1]", R"({"service":"s","addr":"a","zone":"z","state":"odd","capacity":{}})",
-            R"({"service":"s","addr":"a","zone":"z","state":"ready","capacity":7})",
-            R"({"service":3,"addr":"a","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1}})" })
+        { "", "\xff\x00", "{}", "[1]", R"({"service":"s","addr":"a:1","zone":"z","state":"odd","capacity":{}})",
+            R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":7})",
+            R"({"service":3,"addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1}})" })
         CHECK_FALSE(formats.readWorkerRecord({ .key = "i-2", .value = other }).ok());
 }
 
@@ -98,7 +98,7 @@
     auto capacityOf = [this](const std::string& capacity) {
         auto worker = formats.readWorkerRecord({ .key = "i-1",
             .value
-            = R"({"service":"s","addr":"a","zone":"z","state":"ready","born":77,"capacity":)" + capacity + "}" });
+            = R"({"service":"s","addr":"a:1","zone":"z","state":"ready","born":77,"capacity":)" + capacity + "}" });
         CHECK(worker.ok());
         CHECK_EQUAL(77, worker->startedAtMs);
         return worker->view.capacity;
