Conclude the end of a worker only from a later incarnation's reply

Its runs were lost as crashed and started elsewhere, while the worker might run on.

A reply with a lower start time is now treated like a lost one: it is late, or it shows that the announced incarnation has never replied, in which case the session takes over the start time of the process that does reply. A 421 proves the end if the other process started later, or if its start time is unknown and the worker has replied at this address before; else the announced address may never have been the worker's. Once every lease has expired, any other process counts, because nothing runs then that could start twice. An acknowledgement that another incarnation has accepted no longer counts as received.

All five new tests failed before, two of them by ending the test process.

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Logger.h>
 #include <LibHttp/ConnectionRefused.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/WorkerSession.h>
@@ -128,7 +129,8 @@
                 limiter->callFinished();
             if (!*alive)
                 return;
-            m_isLastRenewalAccepted = reply.ok() && reply->commandReply.outcome == TaskCommandOutcome::Accepted;
+            m_isLastRenewalAccepted = reply.ok() && reply->commandReply.outcome == TaskCommandOutcome::Accepted
+                && originOf(reply->commandReply) == ReplyOrigin::ThisIncarnation;
             if (m_isLastRenewalAccepted)
                 m_acknowledgedEndSequence = std::max(m_acknowledgedEndSequence, stored);
             handleLeaseRenewalReply(std::move(reply), requestSentAt);
@@ -145,28 +147,51 @@
     });
 }
 
-bool WorkerSession::checkOutcome(const TaskCommandReply& reply)
+/// Only a later process proves that this incarnation has ended. A reply of an earlier one is late, or the announcement
+/// of this one is false. Once all leases have expired, nothing runs that a false conclusion could start twice.
+WorkerSession::ReplyOrigin WorkerSession::originOf(const TaskCommandReply& reply) const
+{
+    auto startedAtMs = m_options.startedAtMs;
+    bool hasOtherId = reply.outcome == TaskCommandOutcome::IncarnationMismatch;
+    bool areBothKnown = reply.startedAtMs != 0 && startedAtMs != 0;
+    if (!hasOtherId && (!areBothKnown || reply.startedAtMs == startedAtMs))
+        return ReplyOrigin::ThisIncarnation;
+    if (m_isLeaseExpiryReported || (areBothKnown && reply.startedAtMs > startedAtMs))
+        return ReplyOrigin::Successor;
+    // The worker's own word counts more than an announcement, which another writer may have left.
+    if (!hasOtherId)
+        return m_hasReplied ? ReplyOrigin::Unproven : ReplyOrigin::ThisIncarnation;
+    // The announced address may never have been that of the worker.
+    return m_hasReplied && !areBothKnown ? ReplyOrigin::Successor : ReplyOrigin::Unproven;
+}
+
+WorkerSession::ReplyCheck WorkerSession::checkReply(const TaskCommandReply& reply)
 {
     if (reply.outcome == TaskCommandOutcome::Fenced) {
         m_options.events.onFenced();
-        return false;
+        return ReplyCheck::SessionEnded;
     }
-    bool isOtherIncarnation
-        = reply.startedAtMs != 0 && m_options.startedAtMs != 0 && reply.startedAtMs != m_options.startedAtMs;
-    if (reply.outcome == TaskCommandOutcome::IncarnationMismatch || isOtherIncarnation) {
-        // A process with another id has refused the command, and all starts before it.
-        if (reply.outcome != TaskCommandOutcome::IncarnationMismatch)
-            m_successorStartedAtMs = reply.startedAtMs;
-        m_options.events.onIncarnationMismatch();
-        return false;
+    auto origin = originOf(reply);
+    if (origin == ReplyOrigin::ThisIncarnation)
+        return ReplyCheck::Valid;
+    if (origin == ReplyOrigin::Unproven) {
+        logInfo("reply_of_other_incarnation",
+            { { "worker", m_options.executor.id }, { "born", m_options.startedAtMs },
+                { "reply_born", reply.startedAtMs } });
+        return ReplyCheck::Ignored;
     }
-    return true;
+    // A process with another id has refused the command, and all starts before it.
+    if (reply.outcome != TaskCommandOutcome::IncarnationMismatch)
+        m_successorStartedAtMs = reply.startedAtMs;
+    m_options.events.onIncarnationMismatch();
+    return ReplyCheck::SessionEnded;
 }
 
 void WorkerSession::recordReply(const TaskCommandReply& reply)
 {
-    if (m_options.startedAtMs == 0)
+    if (reply.startedAtMs != 0)
         m_options.startedAtMs = reply.startedAtMs;
+    m_hasReplied = true;
     if (reply.clockMs) {
         m_clockMs = reply.clockMs;
         m_clockReadAt = m_loop.now();
@@ -224,9 +249,10 @@
             m_options.events.onConnectionsBroken();
         return scheduleLeaseRenewal(retryDelay);
     }
-    if (!checkOutcome(reply->commandReply))
+    auto check = checkReply(reply->commandReply);
+    if (check == ReplyCheck::SessionEnded)
         return;
-    if (reply->commandReply.outcome != TaskCommandOutcome::Accepted) {
+    if (check == ReplyCheck::Ignored || reply->commandReply.outcome != TaskCommandOutcome::Accepted) {
         recordFailure();
         return scheduleLeaseRenewal(retryDelay);
     }
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -35,7 +35,8 @@
         /// Called when every lease granted to the worker has expired, so that no run is active there.
         std::function<void()> onLeaseExpired {};
 
-        /// Called when another incarnation of the worker replies at the address, so that this one has ended.
+        /// Called when another incarnation of the worker, or a process with another id, replies at the address, so that
+        /// this one has ended.
         std::function<void()> onIncarnationMismatch {};
 
         /// Called when the worker has seen a higher epoch.
@@ -132,6 +133,8 @@
     /// partitioned network may refuse connections too.
     bool refusesConnections() const;
     const TaskExecutorAddress& executor() const { return m_options.executor; }
+
+    /// Start time of the incarnation: the announced one until the worker has replied.
     int64_t startedAtMs() const { return m_options.startedAtMs; }
 
     /// Start time of the incarnation with the same id that has replied in place of this one; 0 if there is none.
@@ -140,7 +143,22 @@
     /// Stops of the runs that the worker, or a later incarnation at its address, may have started without a reply.
     std::vector<StopTask> stopsOfPossibleRuns() const;
 
+    /// Asks the worker for a report, which carries the start time of its incarnation.
+    void proveIncarnation();
+
 private:
+    enum class ReplyOrigin : uint8_t {
+        ThisIncarnation,
+        Unproven, ///< Another process, whose reply does not prove that this incarnation has ended.
+        Successor,
+    };
+
+    enum class ReplyCheck : uint8_t {
+        Valid,
+        Ignored, ///< To be treated like a lost reply.
+        SessionEnded,
+    };
+
     /// Delay before a failed call is repeated.
     static constexpr Milliseconds retryDelay { 150 };
 
@@ -150,14 +168,15 @@
     void handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply>, Instant requestSentAt);
     void scheduleLeaseRenewal(Milliseconds delay);
     void recordReply(const TaskCommandReply&);
-    bool checkOutcome(const TaskCommandReply&);
+    ReplyOrigin originOf(const TaskCommandReply&) const;
+    ReplyCheck checkReply(const TaskCommandReply&);
     void recordFailure();
     void sendNextCommand();
     void recordBrokenConnection(const absl::Status&);
     bool isIncarnationProven() const { return m_connectionBrokenAt == neverInstant; }
     void recordProof(Instant requestSentAt);
-    void proveIncarnation();
     void handleCommandReply(const absl::StatusOr<TaskCommandReply>&);
+    void handleLostCommandReply(const absl::Status&);
     void sendNextCommandAfter(Milliseconds delay);
     void confirmLater();
     TaskCommandContext commandContext() const;
@@ -216,6 +235,9 @@
     uint32_t m_brokenConnections { 0 };
     bool m_isLeaseExpiryReported { false };
     int64_t m_successorStartedAtMs { 0 };
+
+    /// The worker has replied, so that the start time is not only an announced one.
+    bool m_hasReplied { false };
     CommandQueue m_commands;
     Instant m_commandSentAt { neverInstant };
 
--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -94,8 +94,7 @@
         m_connectionBrokenAt = neverInstant;
 }
 
-/// Asks the worker for a report, which carries the start time of its incarnation. The lease renewal in progress may
-/// take seconds, and it may have been answered before the connection broke.
+/// The lease renewal in progress may take seconds, and it may have been answered before the connection broke.
 void WorkerSession::proveIncarnation()
 {
     if (std::exchange(m_isProofInProgress, true))
@@ -107,9 +106,10 @@
             m_isProofInProgress = false;
             if (!reply.ok())
                 return sendNextCommandAfter(retryDelay);
-            if (!checkOutcome(reply->commandReply))
+            auto check = checkReply(reply->commandReply);
+            if (check == ReplyCheck::SessionEnded)
                 return;
-            if (reply->commandReply.outcome != TaskCommandOutcome::Accepted)
+            if (check == ReplyCheck::Ignored || reply->commandReply.outcome != TaskCommandOutcome::Accepted)
                 return sendNextCommandAfter(retryDelay);
             recordProof(requestSentAt);
             recordReply(reply->commandReply);
@@ -150,10 +150,11 @@
     const StopTask& stop, const absl::StatusOr<TaskCommandReply>& reply, Instant sentAt)
 {
     m_options.commandTimeout.recordResult(reply.status(), m_loop.now() - sentAt);
-    if (reply.ok() && !checkOutcome(*reply))
+    auto check = reply.ok() ? checkReply(*reply) : ReplyCheck::Ignored;
+    if (check == ReplyCheck::SessionEnded)
         return;
     m_overdueStops.erase(std::ranges::find(m_overdueStops, stop));
-    if (!reply.ok() || reply->outcome == TaskCommandOutcome::Unhealthy)
+    if (check == ReplyCheck::Ignored || reply->outcome == TaskCommandOutcome::Unhealthy)
         return enqueueCommand(stop);
     recordReply(*reply);
     m_options.events.onStopAccepted(stop.task, stop.run);
@@ -202,30 +203,37 @@
         m_commands.takeFront();
         return sendNextCommand();
     }
-    if (reply.ok()) {
-        if (!checkOutcome(*reply))
-            return;
-        if (mustConfirm(*reply))
-            return confirmLater();
-        // The command is removed from the queue first, because recordReply() sends the next command if the worker
-        // becomes reachable.
-        auto action = m_commands.takeFront();
-        recordReply(*reply);
-        reportCommandReply(action, *reply);
-        return sendNextCommand();
-    }
+    if (!reply.ok())
+        return handleLostCommandReply(reply.status());
+    auto check = checkReply(*reply);
+    if (check == ReplyCheck::SessionEnded)
+        return;
+    if (check == ReplyCheck::Ignored)
+        return handleLostCommandReply(absl::UnavailableError("reply of another incarnation"));
+    if (mustConfirm(*reply))
+        return confirmLater();
+    // The command is removed from the queue first, because recordReply() sends the next command if the worker becomes
+    // reachable.
+    auto action = m_commands.takeFront();
+    recordReply(*reply);
+    reportCommandReply(action, *reply);
+    sendNextCommand();
+}
+
+void WorkerSession::handleLostCommandReply(const absl::Status& status)
+{
     const auto* start = std::get_if<StartTask>(&m_commands.front());
-    bool wasNotSent = absl::IsAborted(reply.status());
+    bool wasNotSent = absl::IsAborted(status);
     if (wasNotSent && start && m_commands.failuresOfFront() == 0) {
         auto refused = m_commands.takeFront();
-        recordBrokenConnection(reply.status());
+        recordBrokenConnection(status);
         recordFailure();
         reportCommandReply(refused, { .outcome = TaskCommandOutcome::Unhealthy });
         return sendNextCommand();
     }
     // Retries to the same incarnation are idempotent; the reply to the retry gives the outcome of a command whose reply
     // was lost.
-    recordBrokenConnection(reply.status());
+    recordBrokenConnection(status);
     auto failures = m_commands.recordFailure();
     if (start && m_commands.hasStopOf(*start)) {
         m_commands.takeFront();
@@ -235,7 +243,7 @@
             recordFailure();
     }
     // A timed-out command is retried immediately, because its time-out has already passed.
-    auto delay = absl::IsDeadlineExceeded(reply.status()) ? Milliseconds { 0 } : retryDelay;
+    auto delay = absl::IsDeadlineExceeded(status) ? Milliseconds { 0 } : retryDelay;
     sendNextCommandAfter(m_isReachable ? delay : unreachableRetryDelay);
 }
 
--- a/Tests/LibNode/TestWorkerSessionIncarnations.cpp
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -196,3 +196,82 @@
 {
     checkAcknowledgementAfter(RenewLeaseReply { .commandReply = { .outcome = TaskCommandOutcome::Unhealthy } });
 }
+
+// Guards against runs that are started elsewhere while they go on, because a late reply of an incarnation from before
+// is taken for the word of a later one.
+TEST(WorkerSessionIncarnations, ReplyOfAnEarlierIncarnationProvesNothing)
+{
+    connect();
+    session.enqueueCommand(startOf(1));
+    taskExecutor.takeRenewLeaseCall().reply(RenewLeaseReply { .commandReply = { .clockMs = 5, .startedAtMs = 40 } });
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 5, .startedAtMs = 40 });
+    CHECK_EQUAL(0, incarnationMismatches);
+    CHECK(startedRuns.empty());
+    CHECK_EQUAL(50, session.startedAtMs());
+    // The start was not answered, so it is repeated after a report.
+    for (int i = 0; i < 20 && taskExecutor.commands.empty(); ++i) {
+        advance(Milliseconds { 50 });
+        while (!taskExecutor.renewLeaseCalls.empty() && taskExecutor.commands.empty())
+            taskExecutor.takeRenewLeaseCall().reply(replyAt(1300));
+    }
+    checkNext("start", 1);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 1400, .startedAtMs = 50 });
+    CHECK_EQUAL(1, startedRuns.size());
+    CHECK(session.isReachable());
+}
+
+// Guards against run ends that count as acknowledged because an earlier incarnation has accepted the acknowledgement.
+TEST(WorkerSessionIncarnations, AcknowledgementAnsweredByAnEarlierIncarnationIsRepeated)
+{
+    checkAcknowledgementAfter(RenewLeaseReply { .commandReply = { .clockMs = 5, .startedAtMs = 40 } });
+}
+
+// Guards against a worker that is lost for good, because its entry named an incarnation that does not exist.
+TEST(WorkerSessionIncarnations, AnnouncedIncarnationGivesWayToTheOneThatReplies)
+{
+    session.start();
+    loop->runReady();
+    taskExecutor.takeRenewLeaseCall().reply(RenewLeaseReply { .commandReply = { .clockMs = 5, .startedAtMs = 40 } });
+    CHECK_EQUAL(0, incarnationMismatches);
+    CHECK_EQUAL(40, session.startedAtMs());
+    CHECK(session.isReachable());
+}
+
+// Guards against runs that are started elsewhere because an entry named the address of another process, or because a
+// process from before at the address replies late.
+TEST(WorkerSessionIncarnations, RefusalByAnotherProcessProvesTheEndOnlyOfAWorkerThatHasReplied)
+{
+    session.start();
+    loop->runReady();
+    auto refusalOf = [](int64_t startedAtMs) {
+        return RenewLeaseReply { .commandReply
+            = { .outcome = TaskCommandOutcome::IncarnationMismatch, .startedAtMs = startedAtMs } };
+    };
+    taskExecutor.takeRenewLeaseCall().reply(refusalOf(0));
+    advance(Milliseconds { 200 });
+    taskExecutor.takeRenewLeaseCall().reply(refusalOf(40));
+    CHECK_EQUAL(0, incarnationMismatches);
+    advance(Milliseconds { 200 });
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1000));
+    loop->runReady();
+    taskExecutor.takeRenewLeaseCall().reply(refusalOf(40));
+    CHECK_EQUAL(0, incarnationMismatches);
+    advance(Milliseconds { 200 });
+    taskExecutor.takeRenewLeaseCall().reply(refusalOf(0));
+    CHECK_EQUAL(1, incarnationMismatches);
+}
+
+// Guards against a worker that stays unusable: its leases have expired, so nothing runs that a false proof could
+// double.
+TEST(WorkerSessionIncarnations, AnyOtherIncarnationCountsOnceTheLeasesHaveExpired)
+{
+    connect();
+    for (int i = 0; i < 200 && incarnationMismatches == 0; ++i) {
+        advance(Milliseconds { 50 });
+        while (!taskExecutor.renewLeaseCalls.empty() && incarnationMismatches == 0)
+            taskExecutor.takeRenewLeaseCall().reply(
+                RenewLeaseReply { .commandReply = { .clockMs = 5, .startedAtMs = 40 } });
+    }
+    CHECK_EQUAL(1, incarnationMismatches);
+    CHECK(session.haveLeasesExpired());
+}
