Ask a worker before an entry replaces it by a later incarnation

The leader then took the worker, which ran on, for crashed and started its tasks elsewhere; its true entries counted as those of an earlier incarnation from then on. An entry with another address that came first kept the leader on that address for good.

An entry whose start time is more than an hour ahead names no worker. For a worker that is reachable, the leader asks for a report first: a reply of the known incarnation contradicts the entry, one of the later incarnation confirms it, and without any reply within 1 s the entry holds. What was announced of a worker that has never replied gives way to the next entry once its lease has expired.

EntryOfALaterIncarnationDoesNotEndAWorkerThatReplies and WorkerIsUsedAfterAnEntryThatNamesAnotherIncarnation failed before. TaskOfAWorkerThatMovedStartsAgainSoon passed before: it bounds the new wait.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -40,7 +40,7 @@
 static constexpr double leaseClockFactor = 1.03;
 static constexpr Milliseconds leaseExpiryMargin { 300 };
 
-static int64_t unixMsNow()
+int64_t TaskLeader::unixMsNow()
 {
     auto now = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<Milliseconds>(now).count();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -108,6 +108,10 @@
         std::vector<RunEnd> endsOfUnknownJobs;
         uint64_t unknownEndSequence { 0 };
         Instant unknownEndSeenAt { neverInstant };
+
+        /// The announcement of a later incarnation that this one, which is reachable, has yet to contradict.
+        std::optional<WorkerAnnouncement> announcedSuccessor;
+        Instant successorAnnouncedAt { neverInstant };
     };
 
     /// Run ends of unknown jobs that a worker reported before it was removed.
@@ -143,7 +147,10 @@
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void removeWorker(WorkerHandle, WorkerEnd);
     void replaceWorker(WorkerHandle, const WorkerIncarnation& successor, std::optional<WorkerAnnouncement>);
+    void checkAnnouncedSuccessor(WorkerHandle, const WorkerAnnouncement&);
+    void decideOnAnnouncedSuccessor(WorkerHandle);
     void handleIncarnationMismatch(WorkerHandle);
+    static int64_t unixMsNow();
     static WorkerEnd endOf(const Worker&);
     static WorkerEnd endAfterLease(const Worker&);
     void logWorkerEnd(const Worker&, WorkerEnd) const;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -16,6 +16,9 @@
     return it->second;
 }
 
+/// The clocks of hosts differ by seconds; an entry that is further ahead is not a worker's.
+static constexpr Milliseconds maxClockDifference { 3'600'000 };
+
 void TaskLeader::applyWorkerRecord(const KeyedRecord& record)
 {
     if (record.value.empty()) {
@@ -23,7 +26,9 @@
         return;
     }
     auto announcement = m_formats.readWorkerRecord(record);
-    if (!announcement.ok())
+    // Such an entry comes from another writer and names no worker. With a start time in the future, the true entries
+    // of the worker would count as those of earlier incarnations.
+    if (!announcement.ok() || announcement->startedAtMs > unixMsNow() + maxClockDifference.count())
         return;
     m_listedWorkers.announced(record.key, m_workerReader->appendedAfter());
     WorkerIncarnation incarnation {
@@ -34,11 +39,15 @@
         auto& worker = m_workers.at(*handle);
         bool sameIncarnation = worker.incarnation.startedAtMs == 0 || announcement->startedAtMs == 0
             || worker.incarnation.startedAtMs == announcement->startedAtMs;
-        if (sameIncarnation)
+        // What another writer has announced of this worker gives way once nothing can be running there.
+        bool isNeverReached = worker.session->isUnreached() && worker.session->haveLeasesExpired();
+        if (sameIncarnation && !(isNeverReached && worker.incarnation.address != announcement->address))
             return updateAnnouncement(*handle, *announcement);
         // A record of an earlier incarnation does not apply to the current one.
-        if (announcement->startedAtMs < worker.incarnation.startedAtMs)
+        if (announcement->startedAtMs < worker.incarnation.startedAtMs && !isNeverReached)
             return;
+        if (worker.session->isReachable())
+            return checkAnnouncedSuccessor(*handle, *announcement);
         return replaceWorker(*handle, incarnation, *announcement);
     }
     addWorker(incarnation, *announcement);
@@ -143,6 +152,41 @@
     return 2 * replying > workers;
 }
 
+/// An entry may come from another writer, so a reachable worker is asked first. Its reply contradicts the entry, or
+/// proves the later incarnation.
+void TaskLeader::checkAnnouncedSuccessor(WorkerHandle handle, const WorkerAnnouncement& announcement)
+{
+    constexpr Milliseconds replyTime { 1000 };
+    auto& worker = m_workers.at(handle);
+    if (worker.announcedSuccessor)
+        return;
+    worker.announcedSuccessor = announcement;
+    worker.successorAnnouncedAt = m_loop.now();
+    m_loop.callAfter(replyTime, [this, alive = m_alive, handle] {
+        if (*alive)
+            decideOnAnnouncedSuccessor(handle);
+    });
+    worker.session->proveIncarnation();
+}
+
+void TaskLeader::decideOnAnnouncedSuccessor(WorkerHandle handle)
+{
+    auto it = m_workers.find(handle);
+    if (it == m_workers.end())
+        return;
+    auto& worker = it->second;
+    auto announcement = *std::exchange(worker.announcedSuccessor, std::nullopt);
+    if (worker.session->lastReplyAt() <= worker.successorAnnouncedAt) {
+        WorkerIncarnation successor {
+            .id = worker.incarnation.id, .address = announcement.address, .startedAtMs = announcement.startedAtMs
+        };
+        return replaceWorker(handle, successor, std::move(announcement));
+    }
+    logWarning("announced_incarnation_contradicted",
+        { { "worker", worker.incarnation.id }, { "born", worker.incarnation.startedAtMs },
+            { "announced_born", announcement.startedAtMs }, { "announced_address", announcement.address } });
+}
+
 void TaskLeader::updateAnnouncement(WorkerHandle handle, const WorkerAnnouncement& announcement)
 {
     auto& worker = m_workers.at(handle);
@@ -271,6 +315,11 @@
     const auto& worker = m_workers.at(handle);
     auto successor = worker.incarnation;
     successor.startedAtMs = worker.session->successorStartedAtMs();
+    if (auto announced = worker.announcedSuccessor;
+        announced && announced->startedAtMs == successor.startedAtMs && successor.startedAtMs != 0) {
+        successor.address = announced->address;
+        return replaceWorker(handle, successor, std::move(announced));
+    }
     if (successor.startedAtMs <= worker.incarnation.startedAtMs || worker.session->stopsOfPossibleRuns().empty())
         return removeWorker(handle, endOf(worker));
     replaceWorker(handle, successor, std::nullopt);
@@ -397,8 +446,11 @@
     auto now = m_loop.now();
     m_load.recordReport();
     auto& worker = m_workers.at(handle);
-    if (worker.incarnation.startedAtMs == 0)
+    if (worker.incarnation.startedAtMs != worker.session->startedAtMs()) {
+        m_assignedWorkersChanged = m_assignedWorkersChanged || worker.incarnation.startedAtMs != 0;
         worker.incarnation.startedAtMs = worker.session->startedAtMs();
+        updateWorkerInScheduler(handle);
+    }
     workerReached(worker);
     for (const auto& end : reply.ended) {
         bool isNew = end.sequence > worker.lastHandledEndSequence;
--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -164,3 +164,71 @@
     }
     CHECK_EQUAL(2, starts());
 }
+
+// Guards against two runs of a task at once: an entry names a later incarnation of a worker that runs on.
+TEST(TaskLeaderRestartedWorkers, EntryOfALaterIncarnationDoesNotEndAWorkerThatReplies)
+{
+    startJob();
+    start.reply(replyOf(start.address));
+    runs[start.address]
+        = { { .task = start.start.task, .run = start.run, .progressPercent = 90, .recentMeasurement = 1000 } };
+    run(Milliseconds { 100 });
+    for (int64_t startedAtMs : { int64_t { 60 }, int64_t { 1 } << 50 }) {
+        announce(start.address);
+        formats.announcements[start.address].startedAtMs = startedAtMs;
+        run(Milliseconds { 1100 });
+        CHECK(taskExecutor.commands.empty());
+    }
+    // The worker is used further on, as it must be when the other one is not listed any more.
+    runs.clear();
+    ends[start.address] = { { .sequence = 1, .task = start.start.task, .run = start.run } };
+    announce(start.address);
+    store.put(StreamName::Workers, start.address == "w1" ? "w2" : "w1", "");
+    run(Milliseconds { 500 });
+    putJob("k");
+    CHECK(timeOfStart(clock.now(), Milliseconds { 2000 }).has_value());
+    CHECK_EQUAL(1, startsOn(start.address));
+}
+
+// Guards against a worker that is lost for good, because an entry of another writer named an incarnation that does not
+// exist, or another address, before the leader knew the worker.
+TEST(TaskLeaderRestartedWorkers, WorkerIsUsedAfterAnEntryThatNamesAnotherIncarnation)
+{
+    struct Entry {
+        std::string address;
+        int64_t startedAtMs { 0 };
+    };
+    const std::vector<Entry> entries { { "w1", 60 }, { "w1", int64_t { 1 } << 50 }, { "nowhere", bornMs },
+        { "nowhere", 60 }, { "nowhere", int64_t { 1 } << 50 }, { "nowhere", 0 } };
+    silent.insert("nowhere");
+    for (const auto& [address, startedAtMs] : entries) {
+        announce("w1");
+        formats.announcements["w1"].address = address;
+        formats.announcements["w1"].startedAtMs = startedAtMs;
+        elect();
+        run(Milliseconds { 3000 });
+        for (int i = 0; i < 10; ++i) {
+            announce("w1");
+            run(Milliseconds { 1000 });
+        }
+        putJob(fmt::format("j{}{}", address, startedAtMs));
+        CHECK_TRUE_TEXT(timeOfStart(clock.now(), Milliseconds { 2000 }).has_value(),
+            fmt::format("{} {}", address, startedAtMs).c_str());
+        STRCMP_EQUAL("w1", taskExecutor.commands.front().address.c_str());
+    }
+}
+
+// Guards against tasks that wait for a worker whose host is gone, and that has started elsewhere under its id.
+TEST(TaskLeaderRestartedWorkers, TaskOfAWorkerThatMovedStartsAgainSoon)
+{
+    startJob();
+    start.reply(replyOf(start.address));
+    runs[start.address] = { { .task = start.start.task, .run = start.run } };
+    run(Milliseconds { 500 });
+    silent.insert(start.address);
+    announce(start.address);
+    formats.announcements[start.address].address = "elsewhere";
+    formats.announcements[start.address].startedAtMs = 60;
+    restartedAtMs["elsewhere"] = 60;
+    CHECK(timeOfStart(clock.now(), Milliseconds { 2500 }).has_value());
+}
