Count a step of a recurring job as completed once

A recurring job was shown as completed while one of its tasks ran (MIXED), and steps started before those that they depend on (ORDER).

Completion is now a state of the step that is set once. A dependent of such a step is made ready by activateOccurrence(), not before the occurrence is due.

--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -142,7 +142,7 @@
 {
     auto& tracked = job.occurrences[occurrence];
     tracked.due = true;
-    // Steps may already be finished in the stored progress; completeStep() makes their dependents ready.
+    // The tasks of a step may all be done in the stored progress.
     for (uint32_t i = 0; i < tracked.steps.size(); ++i) {
         if (tracked.steps[i].remainingTasks == 0)
             completeStep(job, occurrence, i);
@@ -350,6 +350,9 @@
 void TaskScheduler::completeStep(TrackedJob& job, uint32_t k, uint32_t step)
 {
     auto& occurrence = job.occurrences[k];
+    // Runs of an earlier leader, whose clock may have been ahead, can complete the step before its occurrence is due.
+    if (std::exchange(occurrence.steps[step].isCompleted, true))
+        return;
     occurrence.steps[step].doneAt = m_latestEventAt;
     for (uint32_t i = step + 1; i < occurrence.steps.size(); ++i) {
         auto waits = std::ranges::count(job.spec.steps[i].dependsOn, step);
@@ -357,7 +360,8 @@
             continue;
         auto& dependent = occurrence.steps[i];
         dependent.pendingDependencies -= static_cast<uint32_t>(waits);
-        if (dependent.pendingDependencies == 0 && dependent.remainingTasks > 0)
+        // Otherwise activateOccurrence() makes it ready.
+        if (occurrence.due && dependent.pendingDependencies == 0 && dependent.remainingTasks > 0)
             makeStepReady(job, k, i);
     }
     if (--occurrence.remainingSteps > 0)
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -14,6 +14,9 @@
     std::vector<TrackedTask> tasks {};
     uint32_t remainingTasks { 0 };
 
+    /// The step counts as completed in its occurrence and for its dependents.
+    bool isCompleted { false };
+
     /// Number of dependencies that are not completed.
     uint32_t pendingDependencies { 0 };
 
