Go on with the leader's periodic work after a failure in it

The event loop now survives an exception in a timer, but a timer that throws before it schedules itself again does not run again: a leader whose plan failed once would no longer store which workers it does not reach, nor plan without a report. The parts of tick() are guarded, and the next tick is always scheduled.

PeriodicWorkGoesOnAfterAFailedPlan failed before.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
@@ -437,11 +438,14 @@
 {
     if (m_nextTickAt != neverInstant)
         m_load.recordTimerDelay(m_loop.now() - m_nextTickAt);
-    markUnreachedWorkers();
-    plan();
-    updateGauges();
-    logStepWaits();
-    m_load.logIfDue(m_loop.now());
+    // A failure must not end the periodic work.
+    guardedCall("tick_failed", [&] { markUnreachedWorkers(); });
+    guardedCall("plan_failed", [&] { plan(); });
+    guardedCall("tick_failed", [&] {
+        updateGauges();
+        logStepWaits();
+        m_load.logIfDue(m_loop.now());
+    });
     m_nextTickAt = m_loop.now() + tickInterval;
     m_loop.callAfter(tickInterval, [this, alive = m_alive] {
         if (*alive)
--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -73,7 +74,12 @@
                 .epoch = epoch,
                 .elections = elections,
                 .onFenced = [this] { ++fencedCalls; },
-                .canStart = [] { return true; },
+                .canStart =
+                    [this] {
+                        if (failsToPlan)
+                            throw std::runtime_error("value out of range");
+                        return true;
+                    },
                 .soleLeaderUntil = [] { return Instant::max(); } });
         created->setQueues(1, { { "q", { .service = "s", .maxAttempts = 3 } } });
         created->start();
@@ -187,6 +193,9 @@
     PlainFormats formats;
     NodeMetrics metrics;
     int fencedCalls { 0 };
+
+    /// Each plan of the leader ends with an exception.
+    bool failsToPlan { false };
     Instant electedAt { neverInstant };
     ElectionHistory elections;
     std::set<std::string> silent;
--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -325,3 +325,20 @@
         store.put(StreamName::Jobs, "j", {});
     }
 }
+
+// Guards against a leader that does its periodic work no longer after one failure in it.
+TEST(UnreachedWorkers, PeriodicWorkGoesOnAfterAFailedPlan)
+{
+    announce("w1");
+    putAssignedWorkers({ "w1", "w2" });
+    putJob("j");
+    silent = { "w2" };
+    failsToPlan = true;
+    elect();
+    run(Milliseconds { 300 });
+    CHECK(loop->failedTasks() > 0);
+    CHECK_FALSE(isStoredAsUnreached("w2"));
+    failsToPlan = false;
+    run(Milliseconds { 2000 });
+    CHECK(isStoredAsUnreached("w2"));
+}
