--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
@@ -39,7 +40,7 @@
 /// Allowance for the delivery time of commands.
 static constexpr Milliseconds leaseExpiryMargin { 300 };
 
-static int64_t unixMsNow()
+int64_t TaskLeader::unixMsNow()
 {
     auto now = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<Milliseconds>(now).count();
@@ -448,11 +449,14 @@
     detectPause();
     if (m_nextTickAt != neverInstant)
         m_load.recordTimerDelay(m_loop.now() - m_nextTickAt);
-    markUnreachedWorkers();
-    plan();
-    updateGauges();
-    logStepWaits();
-    m_load.logIfDue(m_loop.now());
+    // A failure must not end the periodic work.
+    guardedCall("tick_failed", [&] { markUnreachedWorkers(); });
+    guardedCall("plan_failed", [&] { plan(); });
+    guardedCall("tick_failed", [&] {
+        updateGauges();
+        logStepWaits();
+        m_load.logIfDue(m_loop.now());
+    });
     m_nextTickAt = m_loop.now() + tickInterval;
     m_loop.callAfter(tickInterval, [this, alive = m_alive] {
         if (*alive)
--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -75,7 +76,12 @@
                 .epoch = epoch,
                 .elections = elections,
                 .onFenced = [this] { ++fencedCalls; },
-                .canStart = [] { return true; },
+                .canStart =
+                    [this] {
+                        if (failsToPlan)
+                            throw std::runtime_error("value out of range");
+                        return true;
+                    },
                 .soleLeaderUntil = [this] { return soleLeaderUntil; } });
         created->setQueues(1, { { "q", { .service = "s", .maxAttempts = 3 } } });
         created->start();
@@ -200,6 +206,9 @@
     PlainFormats formats;
     NodeMetrics metrics;
     int fencedCalls { 0 };
+
+    /// Each plan of the leader ends with an exception.
+    bool failsToPlan { false };
     Instant electedAt { neverInstant };
     ElectionHistory elections;
     Instant soleLeaderUntil { Instant::max() };
