--- a/Tests/PlatformAdapter/TestMalformedReplies.cpp
+++ b/Tests/PlatformAdapter/TestMalformedReplies.cpp
@@ -62,18 +62,18 @@
 // Guards against a list of ended runs that is taken for complete although the worker returns 500 at a time.
 TEST(MalformedReplies, FullListOfEndedRunsHoldsOnlyTheOldest)
 {
-    auto listEnds = [&](int count) {
+    auto listEnds = [&](size_t count) {
         std::string rows;
-        for (int i = 1; i <= count; ++i)
+        for (size_t i = 1; i <= count; ++i)
             rows += fmt::format(R"({}[{},"j.0.1.{}",1,"done",""])", i == 1 ? "" : ",", i, i);
         return renewLease(fmt::format(R"({{"clockMs":5,"running":[],"finished":[{}]}})", rows));
     };
-    for (int count : { 0, 1, 499 }) {
+    for (size_t count : { 0, 1, 499 }) {
         auto reply = listEnds(count);
         CHECK_EQUAL(count, reply->ended.size());
         CHECK(reply->endCoverage == RunEndCoverage::All);
     }
-    for (int count : { 500, 501 })
+    for (size_t count : { 500, 501 })
         CHECK(listEnds(count)->endCoverage == RunEndCoverage::Oldest);
 }
 
