Test a node with odd entries under the key of a worker it uses

A whole node goes on starting tasks on a worker while entries of another writer replace the worker's own: bytes that cannot be read, and later incarnations that do not exist, also in the far future.

--- a/Tests/LibNode/TestNodePoison.cpp
+++ b/Tests/LibNode/TestNodePoison.cpp
@@ -65,6 +65,35 @@
     checkNodeWorks();
 }
 
+// Guards against a leader that gives up a worker, or no longer starts tasks on it, because another writer has left an
+// entry under its key: one that cannot be read, or one of a later incarnation that does not exist.
+TEST(NodePoison, WorkerRecordsUnderTheKeyOfAWorkerAreLeftOut)
+{
+    restartNode();
+    advance(Milliseconds { 9000 });
+    CHECK_EQUAL(2, startsOf(job));
+    auto entries = poison;
+    for (int64_t startedAtMs : { workerStartMs + 1, int64_t { 1 } << 50 }) {
+        auto text = fmt::format("worker started at {}", startedAtMs);
+        formats.workers[text]
+            = { .view = { .id = "w1", .service = "token", .zone = "z", .capacity = { 30000, 30000, 0 } },
+                  .address = "w1",
+                  .startedAtMs = startedAtMs };
+        entries.push_back(text);
+    }
+    int n = 0;
+    for (const auto& text : entries) {
+        store.put(StreamName::Workers, "w1", text);
+        advance(Milliseconds { 1500 });
+        auto id = fmt::format("after{}", ++n);
+        putJob(id);
+        advance(Milliseconds { 1500 });
+        CHECK_EQUAL_TEXT(2, startsOf(id), id.c_str());
+    }
+    CHECK_EQUAL(2, startsOf(job));
+    CHECK(ask(JobQueryKind::State, job)->state == JobStage::Running);
+}
+
 // Guards against each leader in turn ending on a job that cannot be read or held.
 TEST(NodePoison, JobRecordsAreLeftOut)
 {
