Withdraw the crash of a worker whose incarnation replies again

An innocent job was given up as the cause of crashes after its workers had been cut off one after the other: a partitioned network refuses connections, and once the lease has expired an unlisted worker that refuses connections counts as crashed. When the same incarnation (id and start time) replied later, only unconfirmed records were withdrawn; the confirmed one stayed and counted towards giving up, also under a successor.

The scheduler now indexes confirmed crashes by worker, and withdraws those of an incarnation as soon as it lists its runs. Records without a start time stay, since the replying process may be a later one.

A job that has been given up before its workers are back stays failed.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -54,11 +54,16 @@
         .isolated = run.isolated };
 }
 
+void TaskScheduler::indexCrash(const TrackedJob& job, const CrashedRun& crashed)
+{
+    auto& index = crashed.confirmed ? m_confirmedCrashes : m_unconfirmedCrashes;
+    index[crashed.worker].insert(job.spec.id);
+}
+
 void TaskScheduler::recordCrash(TrackedJob& job, const CrashedRun& crashed)
 {
     job.crashes.record(crashed);
-    if (!crashed.confirmed)
-        m_unconfirmedCrashes[crashed.worker].insert(job.spec.id);
+    indexCrash(job, crashed);
     markChanged(job);
 }
 
@@ -186,6 +191,30 @@
     forgetResolvedCrashes(worker.view.id);
 }
 
+/// Withdraws the confirmed crashes of an incarnation that replies. Its lease had expired while a partitioned network
+/// refused connections to it.
+void TaskScheduler::withdrawFalseCrashes(const WorkerEntry& worker)
+{
+    auto entry = m_confirmedCrashes.find(worker.view.id);
+    if (entry == m_confirmedCrashes.end() || worker.view.startedAtMs == 0)
+        return;
+    std::erase_if(entry->second, [&](const JobId& id) {
+        auto* job = findJob(id);
+        if (!job || job->hasEnded())
+            return true;
+        auto runs = job->crashes.runs();
+        std::erase_if(runs, [&](const CrashedRun& it) { return !it.confirmed || it.worker != worker.view.id; });
+        auto isFalse = [&](const CrashedRun& it) { return it.workerStartedAtMs == worker.view.startedAtMs; };
+        for (const auto& crashed : runs) {
+            if (isFalse(crashed) && job->crashes.withdraw(taskOf(*job, crashed), crashed.run))
+                markChanged(*job);
+        }
+        return std::ranges::all_of(runs, isFalse);
+    });
+    if (entry->second.empty())
+        m_confirmedCrashes.erase(entry);
+}
+
 void TaskScheduler::withdrawUnconfirmedCrashes(const WorkerEntry& worker)
 {
     for (const auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -20,10 +20,8 @@
     }
     job.crashes = CrashHistory(stored.crashedRuns);
     job.storedCrashes = job.crashes;
-    for (const auto& crashed : stored.crashedRuns) {
-        if (!crashed.confirmed)
-            m_unconfirmedCrashes[crashed.worker].insert(job.spec.id);
-    }
+    for (const auto& crashed : stored.crashedRuns)
+        indexCrash(job, crashed);
     size_t position = 0;
     for (auto& occurrence : job.occurrences) {
         for (auto& step : occurrence.steps) {
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -254,6 +254,7 @@
         [&](const auto& entry) { return !notAdopted.contains(entry.first) && !worker.runs.contains(entry.first); });
     auto dropped = dropUnlistedRuns(worker, requestSentAt);
     resolveUnconfirmedCrashes(worker);
+    withdrawFalseCrashes(worker);
     superviseWorker(worker, now);
     return dropped;
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -278,7 +278,9 @@
     void withdrawCrashOn(WorkerHandle, TrackedJob&, const TaskRef&, uint64_t run);
     void clearCrashes(TrackedJob&, const TaskRef&);
     void clearIfProven(TrackedJob&, TrackedTask&, const TaskRef&, const TrackedRun&);
+    void indexCrash(const TrackedJob&, const CrashedRun&);
     void resolveUnconfirmedCrashes(const WorkerEntry&);
+    void withdrawFalseCrashes(const WorkerEntry&);
     void confirmCrashes(const WorkerLoss&);
     void confirmDueCrashes(Instant now);
     bool hasDueCrash(const TrackedJob&, const TaskRef& key) const;
@@ -339,8 +341,9 @@
     std::set<JobId> m_changedJobs;
     std::vector<TaskAction> m_actions;
 
-    /// Jobs with unconfirmed crashes, by worker.
+    /// Jobs with unconfirmed and with confirmed crashes, by worker.
     std::map<WorkerId, std::set<JobId>> m_unconfirmedCrashes;
+    std::map<WorkerId, std::set<JobId>> m_confirmedCrashes;
 
     /// Workers that crashed in the last seconds.
     std::vector<WorkerLoss> m_recentLosses;
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -28,6 +28,9 @@
         int64_t startedAtMs { 1 };
         Instant backAt { neverInstant };
         Instant crashesAt { neverInstant };
+
+        /// Whether a partitioned network refuses connections to the worker, which lives on.
+        bool isCutOff { false };
         std::vector<RunReport> running {};
     };
 
@@ -53,6 +56,9 @@
     /// Called when a worker crashes.
     std::function<void()> onCrash;
 
+    /// Called before a worker that was cut off is reached again.
+    std::function<void()> beforeCutEnds;
+
     void announce(const std::string& id)
     {
         auto startedAtMs = workers[id].startedAtMs;
@@ -107,6 +113,8 @@
         auto& worker = workers[command.address];
         if (worker.backAt != neverInstant)
             return command.reply(errorOfCrashedWorker());
+        if (worker.isCutOff)
+            return command.reply(connectionRefusedError("refused"));
         if (command.kind == "start") {
             ++starts[command.start.task.job];
             if (command.start.task.job == crashingJob && timeToCrash > Milliseconds { 0 }) {
@@ -125,6 +133,8 @@
         auto& worker = workers[call.address];
         if (worker.backAt != neverInstant)
             return call.reply(errorOfCrashedWorker());
+        if (worker.isCutOff)
+            return call.reply(connectionRefusedError("refused"));
         call.reply(RenewLeaseReply { .commandReply = accepted(worker), .running = worker.running });
     }
 
@@ -182,14 +192,50 @@
         }
     }
 
-    JobStage storedState(const JobId& id)
+    JobProgress storedProgress(const JobId& id)
     {
-        JobStage state = JobStage::Queued;
+        JobProgress progress;
         for (const auto& record : store.records(StreamName::Progress)) {
             if (record.key == jobKeyPrefix + id)
-                state = decodeValue<JobProgress>(record.value)->state;
+                progress = *decodeValue<JobProgress>(record.value);
         }
-        return state;
+        return progress;
+    }
+
+    std::ptrdiff_t confirmedCrashes(const JobId& id)
+    {
+        return std::ranges::count_if(storedProgress(id).crashedRuns, [](const CrashedRun& it) { return it.confirmed; });
+    }
+
+    JobStage storedState(const JobId& id) { return storedProgress(id).state; }
+
+    std::string workerOf(const JobId& job)
+    {
+        for (const auto& [id, worker] : workers) {
+            auto isOfJob = [&](const RunReport& it) { return it.task.job == job; };
+            if (!worker.isCutOff && std::ranges::any_of(worker.running, isOfJob))
+                return id;
+        }
+        return {};
+    }
+
+    /// Cuts off the worker that runs the job until another worker has started it. The runs on the worker end with its
+    /// lease, and the platform removes it from the list in the meantime.
+    void cutOffWorkerOf(const JobId& job)
+    {
+        auto id = workerOf(job);
+        CHECK(!id.empty());
+        auto& worker = workers[id];
+        worker.isCutOff = true;
+        advance(Milliseconds { 3000 });
+        store.put(StreamName::Workers, id, "");
+        for (int i = 0; i < 200 && workerOf(job).empty(); ++i)
+            advance(Milliseconds { 50 });
+        if (beforeCutEnds)
+            beforeCutEnds();
+        worker.running.clear();
+        worker.isCutOff = false;
+        announce(id);
     }
 };
 
@@ -346,3 +392,34 @@
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
 }
+
+// Guards against an innocent task that is given up because a partitioned network refused connections to its workers for
+// longer than their leases, one after the other.
+TEST(TaskLeaderCrashes, WorkerThatReturnsAfterItsLeaseHasNotCrashed)
+{
+    crashingJob = "none";
+    startWorkers(6);
+    advance(Milliseconds { 1000 });
+    for (int i = 0; i < 5; ++i) {
+        cutOffWorkerOf("bad");
+        advance(Milliseconds { 1200 });
+        LONGS_EQUAL(0, confirmedCrashes("bad"));
+    }
+    CHECK(storedState("bad") != JobStage::Failed);
+}
+
+// Guards against a crash that was concluded by an earlier leader and is counted although its worker answers the
+// successor.
+TEST(TaskLeaderCrashes, SuccessorWithdrawsTheCrashOfAWorkerThatReturns)
+{
+    crashingJob = "none";
+    startWorkers(6);
+    advance(Milliseconds { 1000 });
+    beforeCutEnds = [&] {
+        LONGS_EQUAL(1, confirmedCrashes("bad"));
+        replaceLeader();
+    };
+    cutOffWorkerOf("bad");
+    advance(Milliseconds { 1200 });
+    LONGS_EQUAL(0, confirmedCrashes("bad"));
+}
