Store crashes while an earlier append has no reply

An append may now follow one that has no reply, for urgent changes: possible crashes and removed workers. At most five appends are unanswered, since the store recognizes a repeat of the last five, and none follows the first append of an epoch, since the store takes any first number. What follows from a stored batch (acknowledgements, cancellations, assigned and unreached workers) is kept by batch now.

FakeRecordStore keeps the last five replies and takes any first sequence number of an epoch, as the protocol says.

--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/EventLoop.h>
 #include <LibNode/ProgressJournal.h>
 #include <LibWire/ValueCodec.h>
+#include <algorithm>
 #include <utility>
 
 namespace Bergamot {
@@ -14,6 +15,12 @@
 /// Changes made within this time share an append.
 static constexpr Milliseconds batchDelay { 8 };
 
+/// Time after which urgent changes no longer wait for the reply to the append before them.
+static constexpr Milliseconds maxWaitForReply { 100 };
+
+/// The store recognizes a repeat of one of the last five appends.
+static constexpr size_t maxAppends = 5;
+
 ProgressJournal::ProgressJournal(EventLoop& loop, RecordStore& store, Options options)
     : m_loop(loop)
     , m_store(store)
@@ -42,9 +49,21 @@
     });
 }
 
+/// The first append of an epoch must not be followed by another before its reply: the store accepts any sequence number
+/// from a new epoch, and would then reject the first one.
+bool ProgressJournal::mayCollect() const
+{
+    if (m_isFenced)
+        return false;
+    if (m_appends.empty())
+        return true;
+    return m_isUrgent && m_storedSequence > 0 && m_sequence - m_storedSequence < maxAppends
+        && m_loop.now() - m_appends.back().collectedAt >= maxWaitForReply;
+}
+
 void ProgressJournal::requestFlush()
 {
-    if (m_isSending) {
+    if (!mayCollect()) {
         m_isFlushRequested = true;
         return;
     }
@@ -56,60 +75,108 @@
     });
 }
 
+void ProgressJournal::requestUrgentFlush()
+{
+    m_isUrgent = true;
+    requestFlush();
+}
+
 void ProgressJournal::flush()
 {
     m_isFlushScheduled = false;
-    m_batch = m_options.collect();
-    if (m_batch.isEmpty()) {
-        m_options.onStored(m_batch);
+    m_isFlushRequested = false;
+    m_isUrgent = false;
+    auto batch = m_options.collect();
+    if (batch.isEmpty() && m_appends.empty())
+        return m_options.onStored(batch);
+    m_loop.callAfter(maxWaitForReply, [this, alive = m_alive] {
+        if (*alive && m_isFlushRequested)
+            requestFlush();
+    });
+    if (batch.isEmpty()) {
+        m_appends.push_back({ .sequence = m_sequence, .batch = std::move(batch), .collectedAt = m_loop.now() });
         return;
     }
-    m_request = { .stream = StreamName::Progress,
+    AppendRequest request { .stream = StreamName::Progress,
         .fence = WriterFence { .writer = writerName, .epoch = m_options.epoch, .sequence = ++m_sequence } };
-    for (const auto& job : m_batch.jobs)
-        m_request.records.push_back({ .key = jobKeyPrefix + job.id, .value = encodeValue(job) });
-    if (m_batch.assignedWorkers)
-        m_request.records.push_back({ .key = assignedWorkersKey, .value = encodeValue(*m_batch.assignedWorkers) });
-    if (m_batch.pressures)
-        m_request.records.push_back({ .key = pressuresKey, .value = encodeValue(*m_batch.pressures) });
-    if (m_batch.unreachedWorkers)
-        m_request.records.push_back({ .key = unreachedWorkersKey, .value = encodeValue(*m_batch.unreachedWorkers) });
-    m_isSending = true;
-    sendAppend();
+    for (const auto& job : batch.jobs)
+        request.records.push_back({ .key = jobKeyPrefix + job.id, .value = encodeValue(job) });
+    if (batch.assignedWorkers)
+        request.records.push_back({ .key = assignedWorkersKey, .value = encodeValue(*batch.assignedWorkers) });
+    if (batch.pressures)
+        request.records.push_back({ .key = pressuresKey, .value = encodeValue(*batch.pressures) });
+    if (batch.unreachedWorkers)
+        request.records.push_back({ .key = unreachedWorkersKey, .value = encodeValue(*batch.unreachedWorkers) });
+    m_appends.push_back({ .sequence = m_sequence,
+        .batch = std::move(batch),
+        .request = std::move(request),
+        .collectedAt = m_loop.now() });
+    send(m_appends.back());
 }
 
-void ProgressJournal::sendAppend()
+void ProgressJournal::send(Append& append)
 {
     ++m_appendCount;
-    m_sentAt = m_loop.now();
-    m_store.append(m_request, m_timeout.current(), [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
-        if (*alive)
-            handleReply(std::move(reply));
-    });
+    append.isInProgress = true;
+    append.sentAt = m_loop.now();
+    m_store.append(append.request, m_timeout.current(),
+        [this, alive = m_alive, sequence = append.sequence](absl::StatusOr<AppendReply> reply) {
+            if (*alive)
+                handleReply(sequence, std::move(reply));
+        });
+}
+
+void ProgressJournal::repeatFirst()
+{
+    if (!m_isFenced && !m_appends.empty() && !m_appends.front().isInProgress)
+        send(m_appends.front());
 }
 
-void ProgressJournal::handleReply(absl::StatusOr<AppendReply> reply)
+void ProgressJournal::handleReply(uint64_t sequence, absl::StatusOr<AppendReply> reply)
 {
-    m_timeout.recordResult(reply.status(), m_loop.now() - m_sentAt);
+    auto append = std::ranges::find(m_appends, sequence, &Append::sequence);
+    // A later append has been stored, and this one before it.
+    if (append == m_appends.end() || m_isFenced)
+        return;
+    append->isInProgress = false;
+    m_timeout.recordResult(reply.status(), m_loop.now() - append->sentAt);
+    bool isFirst = append == m_appends.begin();
     if (!reply.ok()) {
         // Retries are idempotent: the store recognizes the sequence number if the first append took effect.
         logWarning("progress_append_failed",
-            { { "epoch", m_options.epoch }, { "sequence", m_sequence }, { "error", statusText(reply.status()) } });
+            { { "epoch", m_options.epoch }, { "sequence", sequence }, { "error", statusText(reply.status()) } });
+        if (!isFirst)
+            return;
         m_loop.callAfter(retryDelay, [this, alive = m_alive] {
             if (*alive)
-                sendAppend();
+                repeatFirst();
         });
         return;
     }
+    // The store lacks an append before this one, which is repeated after it.
+    if (reply->outcome == AppendOutcome::WrongSequence && !isFirst)
+        return;
     if (reply->outcome != AppendOutcome::Appended) {
         logError("progress_append_refused",
-            { { "epoch", m_options.epoch }, { "sequence", m_sequence },
+            { { "epoch", m_options.epoch }, { "sequence", sequence },
                 { "outcome", static_cast<int>(reply->outcome) } });
+        m_isFenced = true;
         return m_options.onFenced();
     }
-    m_isSending = false;
-    m_options.onStored(std::exchange(m_batch, {}));
-    if (std::exchange(m_isFlushRequested, false))
+    handleStored(sequence);
+}
+
+/// The store accepts an append only after the one before it, so all earlier ones are stored too.
+void ProgressJournal::handleStored(uint64_t sequence)
+{
+    m_storedSequence = sequence;
+    while (!m_appends.empty() && m_appends.front().sequence <= sequence) {
+        auto batch = std::move(m_appends.front().batch);
+        m_appends.pop_front();
+        m_options.onStored(batch);
+    }
+    repeatFirst();
+    if (m_isFlushRequested)
         requestFlush();
 }
 
--- a/Libraries/LibNode/ProgressJournal.h
+++ b/Libraries/LibNode/ProgressJournal.h
@@ -4,6 +4,7 @@
 #include <LibNode/ProgressBatch.h>
 #include <LibPlatform/RecordStore.h>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -11,8 +12,10 @@
 
 class EventLoop;
 
-/// Writes the leader's state to the progress stream, one append at a time, fenced by the leader's epoch. Each batch
-/// holds all changes made during the previous append.
+/// Writes the leader's state to the progress stream, in order and fenced by the leader's epoch. A batch holds all
+/// changes since the previous one. It is appended once the previous append is answered. Urgent changes wait for that
+/// reply for a limited time only: the store may have executed the append and lost the reply, and it rejects an append
+/// after a missing one.
 class ProgressJournal {
 public:
     struct Options {
@@ -21,7 +24,8 @@
         /// Returns the changes that are not in an earlier batch.
         std::function<ProgressBatch()> collect {};
 
-        /// Called when the batch is stored, and also for an empty batch, which is not appended.
+        /// Called when the batch is stored, in the order of collection, and also for an empty batch, which is not
+        /// appended.
         std::function<void(const ProgressBatch&)> onStored {};
 
         /// Called when the store rejects an append because it has seen a later epoch.
@@ -39,25 +43,44 @@
     /// Collects and stores the changes after a short batching delay, or after the append in progress.
     void requestFlush();
 
+    /// As above, but also while an append has no reply, for changes that a successor must know of.
+    void requestUrgentFlush();
+
     uint64_t appendCount() const { return m_appendCount; }
 
 private:
+    /// A batch that is not known to be stored.
+    struct Append {
+        /// An empty batch has the sequence number of the batch before it, with which it counts as stored.
+        uint64_t sequence { 0 };
+        ProgressBatch batch;
+        AppendRequest request;
+        Instant collectedAt { neverInstant };
+        Instant sentAt { neverInstant };
+        bool isInProgress { false };
+    };
+
+    bool mayCollect() const;
     void flush();
-    void sendAppend();
-    void handleReply(absl::StatusOr<AppendReply>);
+    void send(Append&);
+    void repeatFirst();
+    void handleReply(uint64_t sequence, absl::StatusOr<AppendReply>);
+    void handleStored(uint64_t sequence);
 
     EventLoop& m_loop;
     RecordStore& m_store;
     Options m_options;
-    ProgressBatch m_batch;
-    AppendRequest m_request;
+
+    /// By sequence number. Only the first one is repeated.
+    std::deque<Append> m_appends;
     uint64_t m_sequence { 0 };
+    uint64_t m_storedSequence { 0 };
     uint64_t m_appendCount { 0 };
     CallTimeout m_timeout { {} };
-    Instant m_sentAt { neverInstant };
     bool m_isFlushScheduled { false };
-    bool m_isSending { false };
+    bool m_isFenced { false };
     bool m_isFlushRequested { false };
+    bool m_isUrgent { false };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -251,9 +251,10 @@
 ProgressBatch TaskLeader::collectProgress()
 {
     ProgressBatch batch { .jobs = m_scheduler.takeChangedJobs() };
-    m_acknowledgementsInBatch = std::exchange(m_pendingAcknowledgements, {});
-    m_unknownJobsInBatch = std::exchange(m_cancellationsOfUnknownJobs, {});
-    for (const auto& cancel : m_unknownJobsInBatch)
+    auto& collected = m_collectedBatches.emplace_back();
+    collected.acknowledgements = std::exchange(m_pendingAcknowledgements, {});
+    collected.cancellationsOfUnknownJobs = std::exchange(m_cancellationsOfUnknownJobs, {});
+    for (const auto& cancel : collected.cancellationsOfUnknownJobs)
         batch.jobs.push_back({ .id = cancel.job, .state = JobStage::Cancelled });
     if (m_loop.now() - m_pressuresStoredAt >= pressuresInterval) {
         m_pressuresStoredAt = m_loop.now();
@@ -261,11 +262,14 @@
     }
     if (std::exchange(m_assignedWorkersChanged, false)) {
         batch.assignedWorkers.emplace();
+        ++m_assignedRecords;
         for (const auto& [handle, worker] : m_workers)
             batch.assignedWorkers->workers.push_back(worker.incarnation);
     }
     if (std::exchange(m_unreachedWorkersChanged, false))
         batch.unreachedWorkers = collectUnreachedWorkers();
+    collected.assignedRecords = m_assignedRecords;
+    collected.unreachedRecords = m_unreachedRecords;
     return batch;
 }
 
@@ -291,6 +295,8 @@
 
 void TaskLeader::handleProgressStored(const ProgressBatch& batch)
 {
+    auto collected = std::move(m_collectedBatches.front());
+    m_collectedBatches.pop_front();
     for (const auto& progress : batch.jobs) {
         m_scheduler.progressStored(progress);
         if (progress.state < JobStage::Completed || !m_scheduler.stateOf(progress.id))
@@ -301,7 +307,7 @@
     }
     if (batch.assignedWorkers) {
         for (auto& [handle, worker] : m_workers) {
-            if (worker.isStored
+            if (worker.isStored || collected.assignedRecords < worker.firstAssignedRecord
                 || std::ranges::find(batch.assignedWorkers->workers, worker.incarnation)
                     == batch.assignedWorkers->workers.end())
                 continue;
@@ -311,7 +317,7 @@
         schedulePlan();
     }
     if (batch.unreachedWorkers)
-        handleUnreachedWorkersStored();
+        handleUnreachedWorkersStored(collected.unreachedRecords);
     std::erase_if(m_pendingCancellations, [&](PendingCancellation& cancel) {
         auto stored = m_scheduler.stateOf(cancel.job);
         if (stored && *stored < JobStage::Completed)
@@ -320,11 +326,10 @@
         cancel.callback(cancel.reply);
         return true;
     });
-    for (const auto& cancel : std::exchange(m_unknownJobsInBatch, {}))
+    for (const auto& cancel : collected.cancellationsOfUnknownJobs)
         cancel.callback(cancel.reply);
     // Only run ends collected before this batch may be acknowledged: later ones are not stored yet.
-    auto acknowledgements = std::exchange(m_acknowledgementsInBatch, {});
-    for (auto [handle, sequence] : acknowledgements) {
+    for (auto [handle, sequence] : collected.acknowledgements) {
         if (auto it = m_workers.find(handle); it != m_workers.end())
             it->second.session->acknowledge(sequence);
     }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -14,6 +14,7 @@
 #include <LibWire/JobQuery.h>
 #include <LibWire/JobQueryReply.h>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -88,6 +89,9 @@
         WorkerIncarnation incarnation;
         bool isStored { false };
 
+        /// The first record of the assigned workers that can contain this worker.
+        uint64_t firstAssignedRecord { 0 };
+
         /// An earlier leader stored the worker as assigned, so the worker may have a lease from it.
         bool isFromEarlierLeader { false };
 
@@ -121,6 +125,16 @@
         std::function<void(const JobQueryReply&)> callback;
     };
 
+    /// What follows once a collected batch is stored.
+    struct CollectedBatch {
+        std::vector<std::pair<WorkerHandle, uint64_t>> acknowledgements;
+        std::vector<PendingCancellation> cancellationsOfUnknownJobs;
+
+        /// Numbers of records that had been collected, including those in this batch.
+        uint64_t assignedRecords { 0 };
+        uint64_t unreachedRecords { 0 };
+    };
+
     void loadProgress(const std::string& afterKey);
     void handleProgressLoaded();
     void applyProgressRecord(const KeyedRecord&);
@@ -139,7 +153,7 @@
     void markUnreachedWorkers();
     void workerReached(Worker&);
     UnreachedWorkers collectUnreachedWorkers();
-    void handleUnreachedWorkersStored();
+    void handleUnreachedWorkersStored(uint64_t record);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void removeWorker(WorkerHandle, WorkerEnd);
     void replaceWorker(WorkerHandle, const WorkerIncarnation& successor, std::optional<WorkerAnnouncement>);
@@ -220,17 +234,19 @@
     bool m_assignedWorkersChanged { false };
     bool m_unreachedWorkersChanged { false };
 
-    /// Number of records of unreached workers that this leader has collected for storage.
+    /// Numbers of records of assigned and of unreached workers that this leader has collected for storage.
+    uint64_t m_assignedRecords { 0 };
     uint64_t m_unreachedRecords { 0 };
 
     /// The ids of all workers that this leader has removed.
     std::set<WorkerId> m_removedIds;
     std::vector<OrphanedEnds> m_orphanedEnds;
     std::vector<std::pair<WorkerHandle, uint64_t>> m_pendingAcknowledgements;
-    std::vector<std::pair<WorkerHandle, uint64_t>> m_acknowledgementsInBatch;
     std::vector<PendingCancellation> m_pendingCancellations;
     std::vector<PendingCancellation> m_cancellationsOfUnknownJobs;
-    std::vector<PendingCancellation> m_unknownJobsInBatch;
+
+    /// The batches that the journal has collected and not stored yet, in that order.
+    std::deque<CollectedBatch> m_collectedBatches;
     bool m_areSessionsStarted { false };
     bool m_isReconciled { false };
 
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -79,11 +79,10 @@
     return unreached;
 }
 
-/// The stored record is the newest one collected, because the journal sends one batch at a time.
-void TaskLeader::handleUnreachedWorkersStored()
+void TaskLeader::handleUnreachedWorkersStored(uint64_t record)
 {
     for (auto& [handle, worker] : m_workers) {
-        if (!worker.session->withholdsLease() || m_unreachedRecords < worker.firstRecordWithout)
+        if (!worker.session->withholdsLease() || record < worker.firstRecordWithout)
             continue;
         worker.session->allowLease();
         updateWorkerInScheduler(handle);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -84,6 +84,7 @@
             .renewalLimiter = m_renewalLimiter,
             .load = &m_load,
             .events = makeSessionEvents(handle) });
+    worker.firstAssignedRecord = m_assignedRecords + 1;
     if (!worker.isStored)
         m_assignedWorkersChanged = true;
     worker.unreachedSinceEpoch = unreachedSinceEpoch;
@@ -241,7 +242,8 @@
         [&](const WorkerIncarnation& stored) { return stored.id == it->second.incarnation.id; });
     m_workers.erase(it);
     m_assignedWorkersChanged = true;
-    m_journal.requestFlush();
+    // A crash may have been concluded.
+    m_journal.requestUrgentFlush();
     schedulePlan();
 }
 
@@ -324,7 +326,7 @@
             [this, handle] {
                 logInfo("worker_may_have_crashed", { { "worker", m_workers.at(handle).incarnation.id } });
                 m_scheduler.suspectCrash(handle, m_loop.now());
-                m_journal.requestFlush();
+                m_journal.requestUrgentFlush();
             },
         .onLeaseExpired =
             [this, handle] {
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -6,6 +6,7 @@
 static constexpr Milliseconds replyTime { 4 };
 static constexpr Milliseconds pollInterval { 5 };
 static constexpr Milliseconds unresponsiveReadTime { 1500 };
+static constexpr size_t maxRecentReplies = 5;
 
 AppendReply FakeRecordStore::apply(Partition& partition, const AppendRequest& request)
 {
@@ -16,12 +17,22 @@
         auto& writer = partition.writers[request.fence->writer];
         if (request.fence->epoch < writer.epoch)
             return { .outcome = AppendOutcome::Fenced };
-        bool sameEpoch = request.fence->epoch == writer.epoch;
-        if (sameEpoch && request.fence->sequence == writer.sequence)
-            return writer.lastReply;
-        if (sameEpoch && request.fence->sequence != writer.sequence + 1)
+        if (request.fence->epoch > writer.epoch)
+            writer = { .epoch = request.fence->epoch };
+        // An empty append only registers the epoch, which may then start at any sequence number.
+        if (request.records.empty())
+            return { .offset = end };
+        auto sequence = request.fence->sequence;
+        for (const auto& [recentSequence, reply] : writer.recentReplies) {
+            if (recentSequence == sequence)
+                return reply;
+        }
+        if (writer.lastSequence && sequence != *writer.lastSequence + 1)
             return { .outcome = AppendOutcome::WrongSequence };
-        writer = { .epoch = request.fence->epoch, .sequence = request.fence->sequence, .lastReply = { .offset = end } };
+        writer.lastSequence = sequence;
+        writer.recentReplies.emplace_back(sequence, AppendReply { .offset = end });
+        if (writer.recentReplies.size() > maxRecentReplies)
+            writer.recentReplies.pop_front();
     }
     for (auto record : request.records) {
         record.offset = static_cast<LogPosition>(partition.records.size());
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/EventLoop.h>
 #include <LibPlatform/RecordStore.h>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -74,8 +75,10 @@
 private:
     struct Writer {
         uint64_t epoch { 0 };
-        uint64_t sequence { 0 };
-        AppendReply lastReply;
+        std::optional<uint64_t> lastSequence {};
+
+        /// Sequence numbers and replies of the last appends; a repeat of one gets the reply again.
+        std::deque<std::pair<uint64_t, AppendReply>> recentReplies {};
     };
     struct Partition {
         std::vector<KeyedRecord> records;
--- a/Tests/LibNode/TestProgressJournal.cpp
+++ b/Tests/LibNode/TestProgressJournal.cpp
@@ -18,6 +18,7 @@
     std::vector<JobProgress> changed;
     std::vector<std::string> stored;
     int collections { 0 };
+    int storedBatches { 0 };
     int fencedCalls { 0 };
     std::unique_ptr<ProgressJournal> journal { makeJournal(5) };
 
@@ -32,6 +33,7 @@
                     },
                 .onStored =
                     [this](const ProgressBatch& batch) {
+                        ++storedBatches;
                         for (const auto& job : batch.jobs)
                             stored.push_back(job.id);
                     },
@@ -119,6 +121,101 @@
     CHECK_EQUAL(0, fencedCalls);
 }
 
+// Guards against crashes that wait behind an append whose reply is lost, and are not stored when the leader is
+// replaced.
+TEST(ProgressJournal, ChangesDoNotWaitForALostReply)
+{
+    change("j1");
+    advance(Milliseconds { 30 });
+    store.fault = FakeRecordStore::Fault::LosingReplies;
+    change("j2");
+    advance(Milliseconds { 30 });
+    change("j3");
+    journal->requestUrgentFlush();
+    advance(Milliseconds { 120 });
+    CHECK_EQUAL(3, recordCount());
+    CHECK((stored == std::vector<std::string> { "j1" }));
+    store.fault = FakeRecordStore::Fault::None;
+    advance(Milliseconds { 1000 });
+    CHECK((stored == std::vector<std::string> { "j1", "j2", "j3" }));
+    CHECK_EQUAL(3, recordCount());
+    CHECK_EQUAL(0, fencedCalls);
+}
+
+// Guards against a batch that is lost, or a leader that resigns, because the store has not executed the append before.
+TEST(ProgressJournal, AppendAfterAMissingOneIsRepeatedInOrder)
+{
+    change("j1");
+    advance(Milliseconds { 30 });
+    store.fault = FakeRecordStore::Fault::Unresponsive;
+    change("j2");
+    advance(Milliseconds { 30 });
+    store.fault = FakeRecordStore::Fault::None;
+    change("j3");
+    journal->requestUrgentFlush();
+    advance(Milliseconds { 120 });
+    CHECK_EQUAL(1, recordCount());
+    advance(Milliseconds { 1000 });
+    CHECK((stored == std::vector<std::string> { "j1", "j2", "j3" }));
+    CHECK_EQUAL(3, recordCount());
+    CHECK_EQUAL(0, fencedCalls);
+}
+
+// Guards against losing the first batch of a leader: the store accepts any sequence number from a new epoch, and then
+// rejects the one before.
+TEST(ProgressJournal, SecondAppendWaitsForTheReplyToTheFirst)
+{
+    journal->fencePredecessors([] {});
+    advance(Milliseconds { 30 });
+    store.fault = FakeRecordStore::Fault::Unresponsive;
+    change("j1");
+    advance(Milliseconds { 30 });
+    store.fault = FakeRecordStore::Fault::None;
+    change("j2");
+    journal->requestUrgentFlush();
+    advance(Milliseconds { 1000 });
+    CHECK((stored == std::vector<std::string> { "j1", "j2" }));
+    CHECK_EQUAL(2, recordCount());
+    CHECK_EQUAL(0, fencedCalls);
+}
+
+// Guards against more unanswered appends than the store recognizes when they are repeated.
+TEST(ProgressJournal, ManyAppendsWithLostRepliesAreStoredOnce)
+{
+    change("j0");
+    advance(Milliseconds { 30 });
+    store.fault = FakeRecordStore::Fault::LosingReplies;
+    for (int i = 1; i < 20; ++i) {
+        change("j" + std::to_string(i));
+        journal->requestUrgentFlush();
+        advance(Milliseconds { 150 });
+    }
+    CHECK_EQUAL(6, recordCount());
+    store.fault = FakeRecordStore::Fault::None;
+    advance(Milliseconds { 4000 });
+    CHECK_EQUAL(20, stored.size());
+    CHECK_EQUAL(20, recordCount());
+    CHECK_EQUAL(0, fencedCalls);
+}
+
+// Guards against run ends that are acknowledged before the batch with their effects is stored.
+TEST(ProgressJournal, EmptyBatchCountsAsStoredAfterTheBatchBeforeIt)
+{
+    change("j1");
+    advance(Milliseconds { 30 });
+    store.fault = FakeRecordStore::Fault::LosingReplies;
+    change("j2");
+    advance(Milliseconds { 150 });
+    auto reports = storedBatches;
+    journal->requestUrgentFlush();
+    advance(Milliseconds { 50 });
+    CHECK_EQUAL(3, collections);
+    CHECK_EQUAL(reports, storedBatches);
+    store.fault = FakeRecordStore::Fault::None;
+    advance(Milliseconds { 1000 });
+    CHECK_EQUAL(reports + 2, storedBatches);
+}
+
 // Guards against dropping a batch, or skipping its sequence number, when the store rejects the append.
 TEST(ProgressJournal, RejectedAppendIsRetriedUntilItIsStored)
 {
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -393,6 +393,29 @@
     CHECK(storedState("good") != JobStage::Failed);
 }
 
+// Guards against crashes that wait behind an append whose reply is lost, until the leader is replaced.
+TEST(TaskLeaderCrashes, CrashesWhileTheStoreLosesRepliesOutliveTheLeader)
+{
+    timeToCrash = Milliseconds { 700 };
+    startWorkers(6);
+    size_t handledStarts = 0;
+    for (int i = 0; i < 6000; ++i) {
+        advance(tickTime);
+        if (starts["bad"] == handledStarts || handledStarts == 2)
+            continue;
+        // The new worker is stored in an append whose reply is lost, before the leader knows of the crash.
+        handledStarts = starts["bad"];
+        store.fault = FakeRecordStore::Fault::LosingReplies;
+        announce("new" + std::to_string(handledStarts));
+        advance(Milliseconds { 1400 });
+        store.fault = FakeRecordStore::Fault::None;
+        replaceLeader();
+    }
+    CHECK_COMPARE(starts["bad"], <=, 4);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
 // Guards against an innocent task that is given up because a partitioned network refused connections to its workers for
 // longer than their leases, one after the other.
 TEST(TaskLeaderCrashes, WorkerThatReturnsAfterItsLeaseHasNotCrashed)
