Notice the crash of a worker with unacknowledged run ends sooner

A leader noticed the crash of a worker up to 0.8 s late while run ends of that worker were unacknowledged: the worker replies to such a request at once, so no request is open that the crash would break, and the next report was requested after the backoff of up to 0.8 s.

The wait is limited to 150 ms, or longer with many workers, so that all of them together send 600 reports a second at most, as before; from 480 workers on nothing changes.

Test: TaskLeaderCrashes.CrashOfAWorkerWithAnUnacknowledgedEndIsStoredSoon; it failed while the limit stayed at 0.8 s.

--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -146,7 +146,9 @@
     void handleJobsCaughtUp();
     bool hasLoadedJobs() const;
     Instant jobsCurrentAsOf() const;
+    static Milliseconds reportIntervalFor(size_t workers);
     static Milliseconds reportWaitFor(size_t workers);
+    static Milliseconds maxUnacknowledgedWaitFor(size_t workers);
     WorkerHandle addWorker(
         const WorkerIncarnation&, std::optional<WorkerAnnouncement>, uint64_t unreachedSinceEpoch = 0);
     std::map<WorkerIncarnation, uint64_t> reliableUnreachedWorkers() const;
@@ -209,6 +211,7 @@
     /// Version of the configuration in use; 0 before the first one.
     uint64_t m_configVersion { 0 };
     Milliseconds m_reportWait { 500 };
+    Milliseconds m_maxUnacknowledgedWait { WorkerSession::defaultUnacknowledgedWait };
     CallTimeout m_commandTimeout { { .minTimeout = minCommandTimeout, .maxTimeout = maxCommandTimeout } };
     CallTimeout m_acknowledgementTimeout { acknowledgementTimeout };
     CallTimeout m_loadTimeout { stateLoadTimeout };
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -44,16 +44,27 @@
     addWorker(incarnation, *announcement);
 }
 
+/// Interval of the reports of each worker with which the CPU that the leader spends on reports stays limited.
+Milliseconds TaskLeader::reportIntervalFor(size_t workers)
+{
+    constexpr double maxReportsPerSecond = 600;
+    constexpr double msPerSecond = 1000;
+    return Milliseconds { static_cast<int64_t>(static_cast<double>(workers) / maxReportsPerSecond * msPerSecond) };
+}
+
 /// Time that a worker delays a report. The minimum equals the interval at which workers take the measurements in the
-/// report. With more workers the interval grows, to limit the CPU that the leader spends on reports.
+/// report. With more workers the interval grows.
 Milliseconds TaskLeader::reportWaitFor(size_t workers)
 {
     constexpr Milliseconds minWait { 500 };
     constexpr Milliseconds maxWait { 1000 };
-    constexpr double maxReportsPerSecond = 600;
-    constexpr double msPerSecond = 1000;
-    auto wait = Milliseconds { static_cast<int64_t>(static_cast<double>(workers) / maxReportsPerSecond * msPerSecond) };
-    return std::clamp(wait, minWait, maxWait);
+    return std::clamp(reportIntervalFor(workers), minWait, maxWait);
+}
+
+Milliseconds TaskLeader::maxUnacknowledgedWaitFor(size_t workers)
+{
+    return std::clamp(
+        reportIntervalFor(workers), acknowledgementTimeout.minTimeout, WorkerSession::defaultUnacknowledgedWait);
 }
 
 WorkerHandle TaskLeader::addWorker(
@@ -77,6 +88,7 @@
             .commandTimeout = m_commandTimeout,
             .acknowledgementTimeout = m_acknowledgementTimeout,
             .reportWait = m_reportWait,
+            .maxUnacknowledgedWait = m_maxUnacknowledgedWait,
             .canStart = [this](const StartTask& start) { return canStart(start); },
             .isSoleLeader = [this] { return isSoleLeader(); },
             .canRenewLeases = [this] { return canRenewLeases(); },
@@ -98,6 +110,7 @@
         m_unreachedWorkersChanged = true;
     }
     m_reportWait = reportWaitFor(m_workers.size());
+    m_maxUnacknowledgedWait = maxUnacknowledgedWaitFor(m_workers.size());
     // An assigned worker that has not announced itself yet may still have runs, which the scheduler must know.
     if (!worker.announcement)
         m_scheduler.updateWorker(handle, { .id = incarnation.id, .startedAtMs = incarnation.startedAtMs });
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -250,10 +250,11 @@
     if (m_lastEndSequence > m_storedEndSequence) {
         if (!hasNewEnds) {
             m_options.acknowledgementTimeout.recordTimeout();
-            return scheduleLeaseRenewal(m_options.reportWait);
+            return scheduleLeaseRenewal(std::min(m_options.reportWait, m_options.maxUnacknowledgedWait));
         }
         m_newEndsAt = m_loop.now();
-        return scheduleLeaseRenewal(m_options.acknowledgementTimeout.current());
+        return scheduleLeaseRenewal(
+            std::min(m_options.acknowledgementTimeout.current(), m_options.maxUnacknowledgedWait));
     }
     scheduleLeaseRenewal(hasNewEnds ? endBatchDelay : Milliseconds { 0 });
 }
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -42,6 +42,8 @@
         std::function<void()> onFenced {};
     };
 
+    static constexpr Milliseconds defaultUnacknowledgedWait { 800 };
+
     struct Options {
         TaskExecutorAddress executor {};
         int64_t startedAtMs { 0 };
@@ -64,6 +66,11 @@
         /// Must outlive the session.
         const Milliseconds& reportWait;
 
+        /// Maximum time until the report of run ends that are not acknowledged is repeated. The worker replies to it at
+        /// once, so its crash is noticed only by the next one. The leader may change the value at any time. Must
+        /// outlive the session.
+        const Milliseconds& maxUnacknowledgedWait { defaultUnacknowledgedWait };
+
         /// Whether the start may be sent now. Asked directly before each start command is sent, also before a retry:
         /// the decision may be seconds old, and the worker may have announced its drain since.
         std::function<bool(const StartTask&)> canStart {};
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -32,6 +32,7 @@
         /// Whether a partitioned network refuses connections to the worker, which lives on.
         bool isCutOff { false };
         std::vector<RunReport> running {};
+        std::vector<RunEnd> ended {};
     };
 
     NodeTestClock clock;
@@ -135,7 +136,8 @@
             return call.reply(errorOfCrashedWorker());
         if (worker.isCutOff)
             return call.reply(connectionRefusedError("refused"));
-        call.reply(RenewLeaseReply { .commandReply = accepted(worker), .running = worker.running });
+        call.reply(
+            RenewLeaseReply { .commandReply = accepted(worker), .running = worker.running, .ended = worker.ended });
     }
 
     void advance(Milliseconds time)
@@ -416,6 +418,34 @@
     CHECK(storedState("good") != JobStage::Failed);
 }
 
+// Guards against a crash that is noticed too late for the successor, because the worker has reported a run end that is
+// not acknowledged, and the next report is requested only after the backoff.
+TEST(TaskLeaderCrashes, CrashOfAWorkerWithAnUnacknowledgedEndIsStoredSoon)
+{
+    crashingJob = "none";
+    startWorkers(6);
+    advance(Milliseconds { 3000 });
+    for (int time = 700; time <= 900; time += 100) {
+        auto job = "bad" + std::to_string(time);
+        crashingJob = job;
+        timeToCrash = Milliseconds { time };
+        store.fault = FakeRecordStore::Fault::None;
+        putJob(job);
+        while (workerOf(job).empty())
+            advance(tickTime);
+        store.fault = FakeRecordStore::Fault::LosingReplies;
+        announce("new" + std::to_string(time));
+        advance(Milliseconds { 450 });
+        auto& worker = workers[workerOf(job)];
+        worker.ended = { { .sequence = 1, .task = { "good", 0, 0, 0 }, .run = 1, .outcome = RunOutcome::Stopped } };
+        while (worker.backAt == neverInstant)
+            advance(tickTime);
+        worker.ended.clear();
+        advance(Milliseconds { 450 });
+        UNSIGNED_LONGS_EQUAL(1, storedProgress(job).crashedRuns.size());
+    }
+}
+
 // Guards against an innocent task that is given up because a partitioned network refused connections to its workers for
 // longer than their leases, one after the other.
 TEST(TaskLeaderCrashes, WorkerThatReturnsAfterItsLeaseHasNotCrashed)
