Take losses for shared only if one window of 1.5 s covers them

A crash was withdrawn as the loss of a whole zone although the other workers of the zone were lost up to 1.2 s before and 0.8 s after it. Losses within 1.5 s of the crash were counted, so they could be 3 s apart, while the rule is that all workers of a rack or zone, four at least, are lost within 1.5 s.

The four losses now have to lie in one window of 1.5 s that contains the crash.

Test: TaskCrashes.LossesOfAZoneSecondsApartHaveNoCommonCause; it failed without the change (no crash counted).

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -2,6 +2,7 @@
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 // Keeps the record of the runs under which workers crashed. A loss counts as a crash only if the worker refused
 // connections or another incarnation took its place without notice: a worker that was cut off, paused or drained says
@@ -330,19 +331,29 @@
         return at != neverInstant && at - lostAt <= sharedLossWindow && lostAt - at <= sharedLossWindow;
     };
     auto isGroupLost = [&](auto isInGroup) {
-        auto losses = static_cast<size_t>(std::ranges::count_if(m_recentLosses, [&](const WorkerLoss& it) {
-            return &it != &lost && it.view.service == lost.view.service && isInGroup(it.view.rack, it.view.zone)
-                && isNear(it.at);
-        }));
+        std::vector<Instant> losses;
+        for (const auto& it : m_recentLosses) {
+            if (&it != &lost && it.view.service == lost.view.service && isInGroup(it.view.rack, it.view.zone)
+                && isNear(it.at))
+                losses.push_back(it.at);
+        }
         for (const auto& [handle, worker] : m_workers) {
             if (worker->view.service != lost.view.service || !isInGroup(worker->view.rack, worker->view.zone))
                 continue;
             if (isNear(worker->lostAt))
-                ++losses;
+                losses.push_back(worker->lostAt);
             else if (worker->reachable && worker->knownSince < lostAt)
                 return false;
         }
-        return losses >= minSharedLosses;
+        // Losses before and after this one may be up to two windows apart.
+        auto lossesInWindowFrom = [&](Instant start) {
+            return std::ranges::count_if(
+                losses, [&](Instant at) { return at >= start && at - start <= sharedLossWindow; });
+        };
+        auto isSharedFrom = [&](Instant start) {
+            return start <= lostAt && std::cmp_greater_equal(lossesInWindowFrom(start), minSharedLosses);
+        };
+        return isSharedFrom(lostAt) || std::ranges::any_of(losses, isSharedFrom);
     };
     const auto& view = lost.view;
     bool isRackLost
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -444,6 +444,33 @@
     CHECK_COMPARE(starts[task], <=, 5);
 }
 
+// Guards against a crash that is not counted because the other workers of a small zone were lost before and after it,
+// some seconds apart.
+TEST(TaskCrashes, LossesOfAZoneSecondsApartHaveNoCommonCause)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker();
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    run(Milliseconds { 200 });
+    auto crashed = std::ranges::find_if(active, [](const auto& entry) { return !entry.second.empty(); })->first;
+    std::vector<WorkerHandle> others;
+    for (const auto& [worker, runs] : active) {
+        if (worker != crashed)
+            others.push_back(worker);
+    }
+    crash(others[0]);
+    run(Milliseconds { 1200 });
+    crash(crashed);
+    run(Milliseconds { 800 });
+    crash(others[1]);
+    run(Milliseconds { 400 });
+    crash(others[2]);
+    run(2 * restartTime);
+    auto events = scheduler.takeCrashEvents();
+    CHECK_EQUAL(1, events.size());
+    CHECK((events[0].task == TaskRef { "j", 0, 0, 0 }));
+}
+
 // Guards against a gang that is started for ever because it takes all workers of a zone down with it.
 TEST(TaskCrashes, GangThatCrashesAllWorkersOfItsZoneIsGivenUp)
 {
