--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -2,6 +2,7 @@
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 // Keeps the record of the runs under which workers crashed. A loss counts as a crash only if the worker refused
 // connections or another incarnation took its place without notice: a worker that was cut off, paused or drained says
@@ -54,11 +55,16 @@
         .isolated = run.isolated };
 }
 
+void TaskScheduler::indexCrash(const TrackedJob& job, const CrashedRun& crashed)
+{
+    auto& index = crashed.confirmed ? m_confirmedCrashes : m_unconfirmedCrashes;
+    index[crashed.worker].insert(job.spec.id);
+}
+
 void TaskScheduler::recordCrash(TrackedJob& job, const CrashedRun& crashed)
 {
     job.crashes.record(crashed);
-    if (!crashed.confirmed)
-        m_unconfirmedCrashes[crashed.worker].insert(job.spec.id);
+    indexCrash(job, crashed);
     markChanged(job);
 }
 
@@ -186,6 +192,30 @@
     forgetResolvedCrashes(worker.view.id);
 }
 
+/// Withdraws the confirmed crashes of an incarnation that replies. Its lease had expired while a partitioned network
+/// refused connections to it.
+void TaskScheduler::withdrawFalseCrashes(const WorkerEntry& worker)
+{
+    auto entry = m_confirmedCrashes.find(worker.view.id);
+    if (entry == m_confirmedCrashes.end() || worker.view.startedAtMs == 0)
+        return;
+    std::erase_if(entry->second, [&](const JobId& id) {
+        auto* job = findJob(id);
+        if (!job || job->hasEnded())
+            return true;
+        auto runs = job->crashes.runs();
+        std::erase_if(runs, [&](const CrashedRun& it) { return !it.confirmed || it.worker != worker.view.id; });
+        auto isFalse = [&](const CrashedRun& it) { return it.workerStartedAtMs == worker.view.startedAtMs; };
+        for (const auto& crashed : runs) {
+            if (isFalse(crashed) && job->crashes.withdraw(taskOf(*job, crashed), crashed.run))
+                markChanged(*job);
+        }
+        return std::ranges::all_of(runs, isFalse);
+    });
+    if (entry->second.empty())
+        m_confirmedCrashes.erase(entry);
+}
+
 void TaskScheduler::withdrawUnconfirmedCrashes(const WorkerEntry& worker)
 {
     for (const auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
@@ -301,19 +331,29 @@
         return at != neverInstant && at - lostAt <= sharedLossWindow && lostAt - at <= sharedLossWindow;
     };
     auto isGroupLost = [&](auto isInGroup) {
-        auto losses = static_cast<size_t>(std::ranges::count_if(m_recentLosses, [&](const WorkerLoss& it) {
-            return &it != &lost && it.view.service == lost.view.service && isInGroup(it.view.rack, it.view.zone)
-                && isNear(it.at);
-        }));
+        std::vector<Instant> losses;
+        for (const auto& it : m_recentLosses) {
+            if (&it != &lost && it.view.service == lost.view.service && isInGroup(it.view.rack, it.view.zone)
+                && isNear(it.at))
+                losses.push_back(it.at);
+        }
         for (const auto& [handle, worker] : m_workers) {
             if (worker->view.service != lost.view.service || !isInGroup(worker->view.rack, worker->view.zone))
                 continue;
             if (isNear(worker->lostAt))
-                ++losses;
+                losses.push_back(worker->lostAt);
             else if (worker->reachable && worker->knownSince < lostAt)
                 return false;
         }
-        return losses >= minSharedLosses;
+        // Losses before and after this one may be up to two windows apart.
+        auto lossesInWindowFrom = [&](Instant start) {
+            return std::ranges::count_if(
+                losses, [&](Instant at) { return at >= start && at - start <= sharedLossWindow; });
+        };
+        auto isSharedFrom = [&](Instant start) {
+            return start <= lostAt && std::cmp_greater_equal(lossesInWindowFrom(start), minSharedLosses);
+        };
+        return isSharedFrom(lostAt) || std::ranges::any_of(losses, isSharedFrom);
     };
     const auto& view = lost.view;
     bool isRackLost
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -256,6 +256,7 @@
     auto dropped = coverage == RunEndCoverage::All ? dropUnlistedRuns(worker, requestSentAt) : 0;
     // This rests on the reply of the incarnation and on its active runs, which all reports list.
     resolveUnconfirmedCrashes(worker);
+    withdrawFalseCrashes(worker);
     superviseWorker(worker, now);
     return dropped;
 }
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -53,16 +53,27 @@
     addWorker(incarnation, *announcement);
 }
 
+/// Interval of the reports of each worker with which the CPU that the leader spends on reports stays limited.
+Milliseconds TaskLeader::reportIntervalFor(size_t workers)
+{
+    constexpr double maxReportsPerSecond = 600;
+    constexpr double msPerSecond = 1000;
+    return Milliseconds { static_cast<int64_t>(static_cast<double>(workers) / maxReportsPerSecond * msPerSecond) };
+}
+
 /// Time that a worker delays a report. The minimum equals the interval at which workers take the measurements in the
-/// report. With more workers the interval grows, to limit the CPU that the leader spends on reports.
+/// report. With more workers the interval grows.
 Milliseconds TaskLeader::reportWaitFor(size_t workers)
 {
     constexpr Milliseconds minWait { 500 };
     constexpr Milliseconds maxWait { 1000 };
-    constexpr double maxReportsPerSecond = 600;
-    constexpr double msPerSecond = 1000;
-    auto wait = Milliseconds { static_cast<int64_t>(static_cast<double>(workers) / maxReportsPerSecond * msPerSecond) };
-    return std::clamp(wait, minWait, maxWait);
+    return std::clamp(reportIntervalFor(workers), minWait, maxWait);
+}
+
+Milliseconds TaskLeader::maxUnacknowledgedWaitFor(size_t workers)
+{
+    return std::clamp(
+        reportIntervalFor(workers), acknowledgementTimeout.minTimeout, WorkerSession::defaultUnacknowledgedWait);
 }
 
 WorkerHandle TaskLeader::addWorker(
@@ -86,6 +97,7 @@
             .commandTimeout = m_commandTimeout,
             .acknowledgementTimeout = m_acknowledgementTimeout,
             .reportWait = m_reportWait,
+            .maxUnacknowledgedWait = m_maxUnacknowledgedWait,
             .canStart = [this](const StartTask& start) { return canStart(start); },
             .isSoleLeader = [this] { return isSoleLeader(); },
             .wasSoleLeaderAt = [this](Instant time) { return m_options.soleLeaderUntil() >= time; },
@@ -94,6 +106,7 @@
             .renewalLimiter = m_renewalLimiter,
             .load = &m_load,
             .events = makeSessionEvents(handle) });
+    worker.firstAssignedRecord = m_assignedRecords + 1;
     if (!worker.isStored)
         m_assignedWorkersChanged = true;
     worker.unreachedSinceEpoch = unreachedSinceEpoch;
@@ -107,6 +120,7 @@
         m_unreachedWorkersChanged = true;
     }
     m_reportWait = reportWaitFor(m_workers.size());
+    m_maxUnacknowledgedWait = maxUnacknowledgedWaitFor(m_workers.size());
     // An assigned worker that has not announced itself yet may still have runs, which the scheduler must know.
     if (!worker.announcement)
         m_scheduler.updateWorker(handle, { .id = incarnation.id, .startedAtMs = incarnation.startedAtMs });
@@ -301,7 +315,8 @@
         [&](const WorkerIncarnation& stored) { return stored.id == it->second.incarnation.id; });
     m_workers.erase(it);
     m_assignedWorkersChanged = true;
-    m_journal.requestFlush();
+    // A crash may have been concluded.
+    m_journal.requestUrgentFlush();
     schedulePlan();
 }
 
@@ -389,7 +404,7 @@
             [this, handle] {
                 logInfo("worker_may_have_crashed", { { "worker", m_workers.at(handle).incarnation.id } });
                 m_scheduler.suspectCrash(handle, m_loop.now());
-                m_journal.requestFlush();
+                m_journal.requestUrgentFlush();
             },
         .onLeaseExpired =
             [this, handle] {
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -28,7 +28,11 @@
         int64_t startedAtMs { 1 };
         Instant backAt { neverInstant };
         Instant crashesAt { neverInstant };
+
+        /// Whether a partitioned network refuses connections to the worker, which lives on.
+        bool isCutOff { false };
         std::vector<RunReport> running {};
+        std::vector<RunEnd> ended {};
     };
 
     NodeTestClock clock;
@@ -53,6 +57,9 @@
     /// Called when a worker crashes.
     std::function<void()> onCrash;
 
+    /// Called before a worker that was cut off is reached again.
+    std::function<void()> beforeCutEnds;
+
     void announce(const std::string& id)
     {
         auto startedAtMs = workers[id].startedAtMs;
@@ -107,6 +114,8 @@
         auto& worker = workers[command.address];
         if (worker.backAt != neverInstant)
             return command.reply(errorOfCrashedWorker());
+        if (worker.isCutOff)
+            return command.reply(connectionRefusedError("refused"));
         if (command.kind == "start") {
             ++starts[command.start.task.job];
             if (command.start.task.job == crashingJob && timeToCrash > Milliseconds { 0 }) {
@@ -125,8 +134,12 @@
         auto& worker = workers[call.address];
         if (worker.backAt != neverInstant)
             return call.reply(errorOfCrashedWorker());
-        call.reply(RenewLeaseReply {
-            .commandReply = accepted(worker), .running = worker.running, .endCoverage = RunEndCoverage::All });
+        if (worker.isCutOff)
+            return call.reply(connectionRefusedError("refused"));
+        call.reply(RenewLeaseReply { .commandReply = accepted(worker),
+            .running = worker.running,
+            .ended = worker.ended,
+            .endCoverage = RunEndCoverage::All });
     }
 
     void advance(Milliseconds time)
@@ -183,14 +196,50 @@
         }
     }
 
-    JobStage storedState(const JobId& id)
+    JobProgress storedProgress(const JobId& id)
     {
-        JobStage state = JobStage::Queued;
+        JobProgress progress;
         for (const auto& record : store.records(StreamName::Progress)) {
             if (record.key == jobKeyPrefix + id)
-                state = decodeValue<JobProgress>(record.value)->state;
+                progress = *decodeValue<JobProgress>(record.value);
         }
-        return state;
+        return progress;
+    }
+
+    std::ptrdiff_t confirmedCrashes(const JobId& id)
+    {
+        return std::ranges::count_if(storedProgress(id).crashedRuns, [](const CrashedRun& it) { return it.confirmed; });
+    }
+
+    JobStage storedState(const JobId& id) { return storedProgress(id).state; }
+
+    std::string workerOf(const JobId& job)
+    {
+        for (const auto& [id, worker] : workers) {
+            auto isOfJob = [&](const RunReport& it) { return it.task.job == job; };
+            if (!worker.isCutOff && std::ranges::any_of(worker.running, isOfJob))
+                return id;
+        }
+        return {};
+    }
+
+    /// Cuts off the worker that runs the job until another worker has started it. The runs on the worker end with its
+    /// lease, and the platform removes it from the list in the meantime.
+    void cutOffWorkerOf(const JobId& job)
+    {
+        auto id = workerOf(job);
+        CHECK(!id.empty());
+        auto& worker = workers[id];
+        worker.isCutOff = true;
+        advance(Milliseconds { 3000 });
+        store.put(StreamName::Workers, id, "");
+        for (int i = 0; i < 200 && workerOf(job).empty(); ++i)
+            advance(Milliseconds { 50 });
+        if (beforeCutEnds)
+            beforeCutEnds();
+        worker.running.clear();
+        worker.isCutOff = false;
+        announce(id);
     }
 };
 
@@ -347,3 +396,85 @@
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
 }
+
+// Guards against crashes that wait behind an append whose reply is lost, until the leader is replaced.
+TEST(TaskLeaderCrashes, CrashesWhileTheStoreLosesRepliesOutliveTheLeader)
+{
+    timeToCrash = Milliseconds { 700 };
+    startWorkers(6);
+    size_t handledStarts = 0;
+    for (int i = 0; i < 6000; ++i) {
+        advance(tickTime);
+        if (starts["bad"] == handledStarts || handledStarts == 2)
+            continue;
+        // The new worker is stored in an append whose reply is lost, before the leader knows of the crash.
+        handledStarts = starts["bad"];
+        store.fault = FakeRecordStore::Fault::LosingReplies;
+        announce("new" + std::to_string(handledStarts));
+        advance(Milliseconds { 1400 });
+        store.fault = FakeRecordStore::Fault::None;
+        replaceLeader();
+    }
+    CHECK_COMPARE(starts["bad"], <=, 4);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
+
+// Guards against a crash that is noticed too late for the successor, because the worker has reported a run end that is
+// not acknowledged, and the next report is requested only after the backoff.
+TEST(TaskLeaderCrashes, CrashOfAWorkerWithAnUnacknowledgedEndIsStoredSoon)
+{
+    crashingJob = "none";
+    startWorkers(6);
+    advance(Milliseconds { 3000 });
+    for (int time = 700; time <= 900; time += 100) {
+        auto job = "bad" + std::to_string(time);
+        crashingJob = job;
+        timeToCrash = Milliseconds { time };
+        store.fault = FakeRecordStore::Fault::None;
+        putJob(job);
+        while (workerOf(job).empty())
+            advance(tickTime);
+        store.fault = FakeRecordStore::Fault::LosingReplies;
+        announce("new" + std::to_string(time));
+        advance(Milliseconds { 450 });
+        auto& worker = workers[workerOf(job)];
+        worker.ended = { { .sequence = 1, .task = { "good", 0, 0, 0 }, .run = 1, .outcome = RunOutcome::Stopped } };
+        while (worker.backAt == neverInstant)
+            advance(tickTime);
+        worker.ended.clear();
+        advance(Milliseconds { 450 });
+        UNSIGNED_LONGS_EQUAL(1, storedProgress(job).crashedRuns.size());
+    }
+}
+
+// Guards against an innocent task that is given up because a partitioned network refused connections to its workers for
+// longer than their leases, one after the other.
+TEST(TaskLeaderCrashes, WorkerThatReturnsAfterItsLeaseHasNotCrashed)
+{
+    crashingJob = "none";
+    startWorkers(6);
+    advance(Milliseconds { 1000 });
+    for (int i = 0; i < 5; ++i) {
+        cutOffWorkerOf("bad");
+        advance(Milliseconds { 1200 });
+        LONGS_EQUAL(0, confirmedCrashes("bad"));
+    }
+    CHECK(storedState("bad") != JobStage::Failed);
+}
+
+// Guards against a crash that was concluded by an earlier leader and is counted although its worker answers the
+// successor.
+TEST(TaskLeaderCrashes, SuccessorWithdrawsTheCrashOfAWorkerThatReturns)
+{
+    crashingJob = "none";
+    startWorkers(6);
+    advance(Milliseconds { 1000 });
+    beforeCutEnds = [&] {
+        LONGS_EQUAL(1, confirmedCrashes("bad"));
+        replaceLeader();
+    };
+    cutOffWorkerOf("bad");
+    advance(Milliseconds { 1200 });
+    LONGS_EQUAL(0, confirmedCrashes("bad"));
+}
