Count all assigned workers before renewing leases without proof

A leader without proof of its leadership renews leases while most workers reply. It counted only those that had held a lease at its last proof, whereas its successor needs half of all assigned workers. With three of six workers silent before the cut, the leader went on beside the other three, its successor reached the silent ones, which are half, and a task ran twice.

The leader now counts the workers that it has stored as assigned, as its successor does, and while the append of another list has no answer, it needs most of either list: the successor reads one of them.

No test shows the append in progress.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -168,7 +168,8 @@
             { "workers", m_storedAssignedWorkers.workers.size() }, { "unreached", unreached.size() } });
     for (const auto& incarnation : m_storedAssignedWorkers.workers) {
         auto it = unreached.find(incarnation);
-        addWorker(incarnation, std::nullopt, it == unreached.end() ? 0 : it->second);
+        auto handle = addWorker(incarnation, std::nullopt, it == unreached.end() ? 0 : it->second);
+        m_assignedWorkers.push_back(handle);
     }
     restoreDoubtfulWorkers();
     for (uint32_t partition = 0; partition < jobPartitions; ++partition) {
@@ -266,8 +267,11 @@
     if (canStoreAssignedWorkers && std::exchange(m_assignedWorkersChanged, false)) {
         m_unreachedWorkersChanged = m_unreachedWorkersChanged || !m_areEarlierLeadersExcluded;
         batch.assignedWorkers.emplace();
-        for (const auto& [handle, worker] : m_workers)
+        m_assignedWorkersInBatch.emplace();
+        for (const auto& [handle, worker] : m_workers) {
             batch.assignedWorkers->workers.push_back(worker.incarnation);
+            m_assignedWorkersInBatch->push_back(handle);
+        }
     }
     if (std::exchange(m_unreachedWorkersChanged, false))
         batch.unreachedWorkers = collectUnreachedWorkers();
@@ -305,6 +309,7 @@
         m_scheduler.releaseDetails(progress.id);
     }
     if (batch.assignedWorkers) {
+        m_assignedWorkers = *std::exchange(m_assignedWorkersInBatch, std::nullopt);
         for (auto& [handle, worker] : m_workers) {
             if (worker.isStored
                 || std::ranges::find(batch.assignedWorkers->workers, worker.incarnation)
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -190,6 +190,7 @@
     TaskScheduler::StartPermission startPermission() const;
     void detectPause() const;
     bool doMostWorkersReply() const;
+    bool doMostReply(const std::vector<WorkerHandle>&) const;
     void schedulePlan();
     Milliseconds leaseDuration() const;
     static size_t maxConcurrentRenewals(int64_t cpuMillis, Milliseconds timeout);
@@ -232,6 +233,11 @@
     std::set<std::pair<WorkerId, WorkerHandle>> m_handles;
     ListedWorkers m_listedWorkers;
     WorkerHandle m_lastHandle { 0 };
+
+    /// The assigned workers according to the record that is stored for certain, and to the one whose append is in
+    /// progress, which a successor may read in its place.
+    std::vector<WorkerHandle> m_assignedWorkers;
+    std::optional<std::vector<WorkerHandle>> m_assignedWorkersInBatch;
     bool m_assignedWorkersChanged { false };
     bool m_unreachedWorkersChanged { false };
 
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -139,24 +139,27 @@
         m_resumedAt = m_loop.now();
 }
 
-/// Whether most workers that held a lease at the last proof of leadership, or have replied since, have replied within
-/// `maxReplyAge`, each to a request that was sent after the last pause of this process.
+/// Whether most of the assigned workers reply. A successor counts the same workers: those in the record that it reads.
 bool TaskLeader::doMostWorkersReply() const
+{
+    return doMostReply(m_assignedWorkers) && (!m_assignedWorkersInBatch || doMostReply(*m_assignedWorkersInBatch));
+}
+
+/// Whether most of the workers have replied within `maxReplyAge`, each to a request that was sent after the last pause
+/// of this process. A worker that has been removed does not reply.
+bool TaskLeader::doMostReply(const std::vector<WorkerHandle>& workers) const
 {
     // A successor is elected 1.05 s after the last keepalive at the earliest and waits 5.28 s more for a silent worker.
     // A lease of 5 s lasts 5.1 s by the slowest clock, so it may be renewed up to 1.23 s after the loss of all contact.
     constexpr Milliseconds maxReplyAge { 1100 };
-    auto heldLeaseSince = m_options.soleLeaderUntil() - leaseDuration();
-    size_t workers = 0;
-    size_t replying = 0;
-    for (const auto& [handle, worker] : m_workers) {
-        auto lastReplyAt = worker.session->lastReplyAt();
-        workers += lastReplyAt >= heldLeaseSince ? 1 : 0;
-        bool isRecent
-            = m_loop.now() - lastReplyAt <= maxReplyAge && worker.session->answeredRequestSentAt() >= m_resumedAt;
-        replying += isRecent ? 1 : 0;
-    }
-    return 2 * replying > workers;
+    auto replying = std::ranges::count_if(workers, [&](WorkerHandle handle) {
+        auto it = m_workers.find(handle);
+        if (it == m_workers.end())
+            return false;
+        const auto& session = *it->second.session;
+        return m_loop.now() - session.lastReplyAt() <= maxReplyAge && session.answeredRequestSentAt() >= m_resumedAt;
+    });
+    return 2 * static_cast<size_t>(replying) > workers.size();
 }
 
 void TaskLeader::updateAnnouncement(WorkerHandle handle, const WorkerAnnouncement& announcement)
--- a/Tests/LibNode/TestCutOffLeader.cpp
+++ b/Tests/LibNode/TestCutOffLeader.cpp
@@ -176,3 +176,21 @@
         CHECK_EQUAL(1, it.workers.runsOf(it.task));
     }
 }
+
+// Guards against a task that runs twice because the cut-off leader leaves assigned workers out of its count that have
+// been silent to it for long, while its successor counts them among the half that it has reached.
+TEST(CutOffLeader, WorkersThatWereSilentBeforeTheCutCount)
+{
+    constexpr Milliseconds silenceBeforeTheCut { 12'000 };
+    for (Milliseconds delay { 0 }; delay <= maxDelay; delay += 5 * delayStep) {
+        CutOffCluster it;
+        it.runTask(6);
+        it.first.executor.unreachable = { "w4", "w5", "w6" };
+        it.advance(silenceBeforeTheCut + delay);
+        it.first.store.isCutOff = true;
+        it.second.executor.unreachable = { "w1", "w2", "w3" };
+        it.advance(Milliseconds { 20'000 });
+        CHECK_EQUAL(1, it.mostRuns);
+        CHECK_EQUAL(1, it.workers.runsOf(it.task));
+    }
+}
