--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -171,7 +171,8 @@
             { "workers", m_storedAssignedWorkers.workers.size() }, { "unreached", unreached.size() } });
     for (const auto& incarnation : m_storedAssignedWorkers.workers) {
         auto it = unreached.find(incarnation);
-        addWorker(incarnation, std::nullopt, it == unreached.end() ? 0 : it->second);
+        auto handle = addWorker(incarnation, std::nullopt, it == unreached.end() ? 0 : it->second);
+        m_assignedWorkers.push_back(handle);
     }
     restoreDoubtfulWorkers();
     for (uint32_t partition = 0; partition < jobPartitions; ++partition) {
@@ -274,8 +275,11 @@
         m_unreachedWorkersChanged = m_unreachedWorkersChanged || !m_areEarlierLeadersExcluded;
         batch.assignedWorkers.emplace();
         ++m_assignedRecords;
-        for (const auto& [handle, worker] : m_workers)
+        collected.assignedWorkers.emplace();
+        for (const auto& [handle, worker] : m_workers) {
             batch.assignedWorkers->workers.push_back(worker.incarnation);
+            collected.assignedWorkers->push_back(handle);
+        }
     }
     if (std::exchange(m_unreachedWorkersChanged, false))
         batch.unreachedWorkers = collectUnreachedWorkers();
@@ -317,6 +321,7 @@
         m_scheduler.releaseDetails(progress.id);
     }
     if (batch.assignedWorkers) {
+        m_assignedWorkers = std::move(*collected.assignedWorkers);
         for (auto& [handle, worker] : m_workers) {
             if (worker.isStored || collected.assignedRecords < worker.firstAssignedRecord
                 || std::ranges::find(batch.assignedWorkers->workers, worker.incarnation)
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -145,6 +145,10 @@
         std::vector<std::pair<WorkerHandle, uint64_t>> acknowledgements;
         std::vector<PendingCancellation> cancellationsOfUnknownJobs;
 
+        /// The assigned workers according to the record in this batch. A successor may read it before this leader knows
+        /// that it is stored.
+        std::optional<std::vector<WorkerHandle>> assignedWorkers;
+
         /// Numbers of records that had been collected, including those in this batch.
         uint64_t assignedRecords { 0 };
         uint64_t unreachedRecords { 0 };
@@ -214,6 +218,7 @@
     TaskScheduler::StartPermission startPermission() const;
     void detectPause() const;
     bool doMostWorkersReply() const;
+    bool doMostReply(const std::vector<WorkerHandle>&) const;
     void schedulePlan();
     Milliseconds leaseDuration() const;
     static size_t maxConcurrentRenewals(int64_t cpuMillis, Milliseconds timeout);
@@ -259,6 +264,9 @@
     std::set<std::pair<WorkerId, WorkerHandle>> m_handles;
     ListedWorkers m_listedWorkers;
     WorkerHandle m_lastHandle { 0 };
+
+    /// The assigned workers according to the latest record that is stored for certain.
+    std::vector<WorkerHandle> m_assignedWorkers;
     bool m_assignedWorkersChanged { false };
     bool m_unreachedWorkersChanged { false };
 
