Let an unlisted later incarnation report before a new leader settles

A worker restarts under an earlier leader, takes a start of it, and its entry is missing, since the store is down or the worker is cut off from it. The first reply to a new leader names the later incarnation. The leader removed the worker with the runs that this reply listed, counted all workers as reported, and started the tasks again.

Until all workers have reported, the later incarnation now takes the place of the former one and must report first.

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -356,7 +356,9 @@
         successor.address = announced->address;
         return replaceWorker(handle, successor, std::move(announced));
     }
-    if (successor.startedAtMs <= worker.incarnation.startedAtMs || worker.session->stopsOfPossibleRuns().empty())
+    // Until all workers have reported, the later incarnation may run tasks of an earlier leader.
+    bool mayRunTasks = !m_isReconciled || !worker.session->stopsOfPossibleRuns().empty();
+    if (successor.startedAtMs <= worker.incarnation.startedAtMs || !mayRunTasks)
         return removeWorker(handle, endOf(worker));
     replaceWorker(handle, successor, std::nullopt);
 }
--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -305,3 +305,20 @@
     restartedAtMs["elsewhere"] = 60;
     CHECK(timeOfStart(clock.now(), Milliseconds { 2500 }).has_value());
 }
+// Guards against two runs of a task at once after a change of leader: a worker has restarted under the earlier leader
+// and runs a task of it, but has not announced its new incarnation yet.
+TEST(TaskLeaderRestartedWorkers, NewLeaderWaitsForAnIncarnationThatIsNotListedYet)
+{
+    announce("w1");
+    announce("w2");
+    putAssignedWorkers({ "w1", "w2" });
+    putJob("j");
+    restartedAtMs["w1"] = 60;
+    runs["w1"] = { { .task = { "j", 0, 0, 0 }, .run = 700001 } };
+    elect();
+    run(Milliseconds { 1000 });
+    CHECK_EQUAL(0, starts());
+    announce("w1");
+    run(Milliseconds { 2000 });
+    CHECK_EQUAL(0, starts());
+}
