Keep the review's test of workers that are cut off after each start

CutOffWorkersThatComeBackHaveNotCrashed failed on: a job was given up after three cuts of its workers.

--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -33,6 +33,7 @@
         bool isCutOff { false };
         std::vector<RunReport> running {};
         std::vector<RunEnd> ended {};
+        bool hasExpired { false };
     };
 
     NodeTestClock clock;
@@ -54,6 +55,10 @@
     /// Whether a crashed worker does not answer at all, as its host is down too.
     bool isSilentAfterCrash { false };
 
+    /// Whether the workers do not crash but are cut off by a network that refuses connections, and their entries expire
+    /// meanwhile.
+    bool areCutOff { false };
+
     /// Called when a worker crashes.
     std::function<void()> onCrash;
 
@@ -150,10 +155,16 @@
             for (auto& [id, worker] : workers) {
                 if (worker.crashesAt != neverInstant && clock.now() >= worker.crashesAt)
                     crash(worker);
+                constexpr Milliseconds timeToExpiry { 3500 };
+                bool expires = areCutOff && worker.backAt != neverInstant
+                    && clock.now() >= worker.backAt - downTime + timeToExpiry;
+                if (expires && !std::exchange(worker.hasExpired, true))
+                    store.put(StreamName::Workers, id, {});
                 if (worker.backAt == neverInstant || clock.now() < worker.backAt)
                     continue;
                 worker.backAt = neverInstant;
-                ++worker.startedAtMs;
+                worker.hasExpired = false;
+                worker.startedAtMs += areCutOff ? 0 : 1;
                 announce(id);
             }
             for (auto n = taskExecutor.commands.size(); n > 0; --n)
@@ -478,3 +489,15 @@
     advance(Milliseconds { 1200 });
     LONGS_EQUAL(0, confirmedCrashes("bad"));
 }
+
+// Guards against a job that fails although its task crashes nothing: refused connections and an expired entry tell
+// nothing about a worker that is cut off and comes back as the same incarnation.
+TEST(TaskLeaderCrashes, CutOffWorkersThatComeBackHaveNotCrashed)
+{
+    areCutOff = true;
+    timeToCrash = Milliseconds { 500 };
+    downTime = Milliseconds { 8000 };
+    startWorkers(4);
+    advance(Milliseconds { 60000 });
+    CHECK(storedState("bad") != JobStage::Failed);
+}
