Learn who leads from keepalives when the claim is deleted

The store keeps 20 to 300 s of history. A node that started later read keepalives whose claim was deleted, ignored them, and deposed the sound leader 0.5 s after its start, so each restart cost a change of leader with its wait for leases.

A keepalive now carries the leader's address, and one of a higher or unknown epoch names the leader; the known elections are forgotten then, since others may lie between. Keepalives of older versions have no address and are ignored as before.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -128,6 +128,8 @@
         return;
     if (decoded->epoch == 0)
         return applyClaim(*decoded, record.offset + 1);
+    if (!m_leader || decoded->epoch > m_leader->epoch)
+        applyKeepaliveOfUnknownLeader(*decoded);
     if (!m_leader || decoded->epoch != m_leader->epoch)
         return;
     m_leaderSilentSince = m_loop.now();
@@ -155,6 +157,19 @@
     sendKeepalive();
 }
 
+/// The store has deleted the claim of a leader that has led for longer than the history lasts. Elections between the
+/// known ones and this one may be unknown too.
+void LeadershipMonitor::applyKeepaliveOfUnknownLeader(const LeadershipRecord& record)
+{
+    // Older versions send keepalives without an address, to which no query can be sent.
+    if (record.peerAddress.empty())
+        return;
+    m_elections.clear();
+    m_leader = Leader { record.epoch, record.member, record.incarnation, record.peerAddress };
+    logInfo("leader_changed", { { "epoch", record.epoch }, { "leader", record.member }, { "self", false } });
+    stepDown();
+}
+
 bool LeadershipMonitor::canClaim() const
 {
     return !m_isLeader && !m_hasResigned && (!m_options.canClaim || m_options.canClaim());
@@ -211,6 +226,7 @@
     auto sentAt = m_loop.now();
     LeadershipRecord record { .member = m_options.node.member,
         .incarnation = m_options.node.incarnation,
+        .peerAddress = m_options.node.peerAddress,
         .epoch = m_leader->epoch,
         .resigns = m_hasResigned };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -73,6 +73,7 @@
     void handleReadReply(const ReadReply&);
     void applyRecord(const KeyedRecord&);
     void applyClaim(const LeadershipRecord&, uint64_t epoch);
+    void applyKeepaliveOfUnknownLeader(const LeadershipRecord&);
     void announceCandidacy();
     bool canClaim() const;
     Instant claimDueAt() const;
