--- a/Tests/LibHttp/TestFailingTasks.cpp
+++ b/Tests/LibHttp/TestFailingTasks.cpp
@@ -67,7 +67,8 @@
     auto engine = HttpEngine::create(*loop, HttpEngine::Options {});
     constexpr int calls = 8;
     for (int i = 0; i < calls; ++i) {
-        engine->submit({ .url = fmt::format("http://127.0.0.1:{}/", (*server)->port()) },
+        engine->submit(
+            { .url = fmt::format("http://127.0.0.1:{}/", (*server)->port()), .sendLimit = SendLimit::unlimited() },
             [this, i](const absl::StatusOr<HttpReply>&) {
                 ++finished;
                 if (i % 2 == 0)
--- a/Utilities/bergamot-bench/DayModel.cpp
+++ b/Utilities/bergamot-bench/DayModel.cpp
@@ -326,7 +326,7 @@
     auto startedAt = threadMicros();
     for (const auto& end : ends)
         m_scheduler.runEnded(worker.handle, end, now());
-    m_scheduler.runsReported(worker.handle, running, now(), now());
+    m_scheduler.runsReported(worker.handle, running, RunEndCoverage::All, now(), now());
     m_result.decisionMicros += threadMicros() - startedAt;
     m_eventsSincePlan = true;
 }
