--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <set>
 
+// Decides which leases this leader may renew, and which ones an earlier leader may still renew.
+
 namespace Bergamot {
 
 /// A worker that has not replied within this time is stored as unreached. A usual take-over reaches all workers sooner
@@ -221,4 +223,59 @@
         = m_loop.now() < m_earlierLeasesExpireAt || (!mayEarlierLeaderRenewAny() && !hasUnreadEndsOfEarlierRuns()) };
 }
 
+bool TaskLeader::isSoleLeader() const { return m_options.soleLeaderUntil() >= m_loop.now(); }
+
+/// Whether the leases of workers may be renewed, so that they end before a successor starts their tasks elsewhere. A
+/// leader without proof of its leadership may have a successor, or the store may be down for all nodes, in which case
+/// the running tasks must go on. Replies of most workers show that no successor has reached half of them. A successor
+/// that never does waits for `maxUnprovenRenewalTime`.
+bool TaskLeader::canRenewLeases() const
+{
+    constexpr Milliseconds countInterval { 100 };
+    detectPause();
+    if (isSoleLeader())
+        return true;
+    if (m_loop.now() - m_options.soleLeaderUntil() > maxUnprovenRenewalTime)
+        return false;
+    if (m_loop.now() - m_repliesCountedAt >= countInterval) {
+        m_repliesCountedAt = m_loop.now();
+        m_doMostWorkersReply = doMostWorkersReply();
+    }
+    return m_doMostWorkersReply;
+}
+
+/// Detects that replies may have waited unread: a timer of 100 ms is late. The replies that are read then may be from
+/// before the election of a successor.
+void TaskLeader::detectPause() const
+{
+    constexpr Milliseconds maxTimerDelay { 500 };
+    if (m_nextTickAt != neverInstant && m_loop.now() - m_nextTickAt > maxTimerDelay)
+        m_resumedAt = m_loop.now();
+}
+
+/// Whether most of the assigned workers reply. A successor counts the same workers: those in the record that it reads.
+bool TaskLeader::doMostWorkersReply() const
+{
+    return doMostReply(m_assignedWorkers) && std::ranges::all_of(m_collectedBatches, [this](const auto& it) {
+        return !it.assignedWorkers || doMostReply(*it.assignedWorkers);
+    });
+}
+
+/// Whether most of the workers have replied within `maxReplyAge`, each to a request that was sent after the last pause
+/// of this process. A worker that has been removed does not reply.
+bool TaskLeader::doMostReply(const std::vector<WorkerHandle>& workers) const
+{
+    // A successor is elected 1.05 s after the last keepalive at the earliest and waits 5.28 s more for a silent worker.
+    // A lease of 5 s lasts 5.1 s by the slowest clock, so it may be renewed up to 1.23 s after the loss of all contact.
+    constexpr Milliseconds maxReplyAge { 1100 };
+    auto replying = std::ranges::count_if(workers, [&](WorkerHandle handle) {
+        auto it = m_workers.find(handle);
+        if (it == m_workers.end())
+            return false;
+        const auto& session = *it->second.session;
+        return m_loop.now() - session.lastReplyAt() <= maxReplyAge && session.answeredRequestSentAt() >= m_resumedAt;
+    });
+    return 2 * static_cast<size_t>(replying) > workers.size();
+}
+
 }
