Count the crash of a worker that refused connections before it fell silent

Refused connections now count until the next reply. The field of worker_gone is named refused_connections.

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -166,10 +166,10 @@
 }
 
 /// How an unlisted worker ended whose leases have expired. Refused connections prove no end, but after that of the
-/// lease they tell a crash from a silent host.
+/// lease they tell a crash from a silent host, also if the host has fallen silent since.
 WorkerEnd TaskLeader::endAfterLease(const Worker& worker)
 {
-    return worker.session->refusesConnections() ? endOf(worker) : WorkerEnd::LeaseExpired;
+    return worker.session->hasRefusedConnections() ? endOf(worker) : WorkerEnd::LeaseExpired;
 }
 
 void TaskLeader::reportCrashes()
@@ -203,7 +203,7 @@
     logInfo("worker_gone",
         { { "worker", worker.incarnation.id }, { "born", worker.incarnation.startedAtMs }, { "end", nameOf(end) },
             { "listed", m_listedWorkers.contains(worker.incarnation.id) },
-            { "refuses_connections", session.refusesConnections() },
+            { "refused_connections", session.hasRefusedConnections() },
             { "successor_born", session.successorStartedAtMs() },
             { "silent_ms", hasReplied ? (m_loop.now() - session.lastReplyAt()).count() : -1 },
             { "lease_left_ms", session.remainingLease().count() } });
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -201,6 +201,7 @@
         m_clockReadAt = m_loop.now();
     }
     m_failures = 0;
+    m_hasRefusedConnections = false;
     m_brokenConnections = 0;
     m_isLeaseExpiryReported = false;
     if (std::exchange(m_isReachable, true))
@@ -243,6 +244,7 @@
 {
     m_isRenewalInProgress = false;
     m_refusedConnections = isConnectionRefused(reply.status()) ? m_refusedConnections + 1 : 0;
+    m_hasRefusedConnections = m_hasRefusedConnections || refusesConnections();
     if (!reply.ok()) {
         recordBrokenConnection(reply.status());
         recordFailure();
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -149,6 +149,9 @@
     /// True when consecutive lease renewals failed with refused connections. The worker has most likely ended, but a
     /// partitioned network may refuse connections too.
     bool refusesConnections() const;
+
+    /// True when refusesConnections() was true at some time since the last reply.
+    bool hasRefusedConnections() const { return m_hasRefusedConnections; }
     const TaskExecutorAddress& executor() const { return m_options.executor; }
 
     /// Start time of the incarnation: the announced one until the worker has replied.
@@ -249,6 +252,7 @@
 
     /// Consecutive lease renewals that failed because the connection was refused.
     uint32_t m_refusedConnections { 0 };
+    bool m_hasRefusedConnections { false };
 
     /// Consecutive lease renewals that failed before their time-out.
     uint32_t m_brokenConnections { 0 };
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -55,6 +55,10 @@
     /// Whether a crashed worker does not answer at all, as its host is down too.
     bool isSilentAfterCrash { false };
 
+    /// Whether crashed workers never come back, refuse connections first and are silent once their entries have
+    /// expired.
+    bool areLostForGood { false };
+
     /// Whether the workers do not crash but are cut off by a network that refuses connections, and their entries expire
     /// meanwhile.
     bool areCutOff { false };
@@ -100,9 +104,10 @@
         return { .clockMs = clock.now().time_since_epoch().count(), .startedAtMs = worker.startedAtMs };
     }
 
-    absl::Status errorOfCrashedWorker() const
+    absl::Status errorOf(const FakeWorker& worker) const
     {
-        return isSilentAfterCrash ? absl::DeadlineExceededError("timeout") : connectionRefusedError("refused");
+        bool isSilent = isSilentAfterCrash || (areLostForGood && worker.hasExpired);
+        return isSilent ? absl::DeadlineExceededError("timeout") : connectionRefusedError("refused");
     }
 
     void crash(FakeWorker & worker)
@@ -118,7 +123,7 @@
     {
         auto& worker = workers[command.address];
         if (worker.backAt != neverInstant)
-            return command.reply(errorOfCrashedWorker());
+            return command.reply(errorOf(worker));
         if (worker.isCutOff)
             return command.reply(connectionRefusedError("refused"));
         if (command.kind == "start") {
@@ -138,7 +143,7 @@
     {
         auto& worker = workers[call.address];
         if (worker.backAt != neverInstant)
-            return call.reply(errorOfCrashedWorker());
+            return call.reply(errorOf(worker));
         if (worker.isCutOff)
             return call.reply(connectionRefusedError("refused"));
         call.reply(RenewLeaseReply { .commandReply = accepted(worker),
@@ -156,7 +161,7 @@
                 if (worker.crashesAt != neverInstant && clock.now() >= worker.crashesAt)
                     crash(worker);
                 constexpr Milliseconds timeToExpiry { 3500 };
-                bool expires = areCutOff && worker.backAt != neverInstant
+                bool expires = (areCutOff || areLostForGood) && worker.backAt != neverInstant
                     && clock.now() >= worker.backAt - downTime + timeToExpiry;
                 if (expires && !std::exchange(worker.hasExpired, true))
                     store.put(StreamName::Workers, id, {});
@@ -501,3 +506,16 @@
     advance(Milliseconds { 60000 });
     CHECK(storedState("bad") != JobStage::Failed);
 }
+
+// Guards against crashes that are not counted because the host of a worker that is lost for good has fallen silent when
+// the lease expires.
+TEST(TaskLeaderCrashes, WorkerThatRefusedConnectionsBeforeItFellSilentHasCrashed)
+{
+    areLostForGood = true;
+    downTime = Milliseconds { 1'000'000 };
+    startWorkers(12);
+    advance(Milliseconds { 120000 });
+    CHECK_COMPARE(starts["bad"], <=, 5);
+    CHECK(storedState("bad") == JobStage::Failed);
+    CHECK(storedState("good") != JobStage::Failed);
+}
