Take another process at a stored worker's address for the end of the worker

Another process gets the address of a crashed worker after 2 s, and its refusal names no start time.

The rule guards against an entry of another writer with a false address. The address of a worker that an earlier leader has stored is not only an announced one, so the refusal counts there. EarlierWorkerIsNotWaitedFor- OnceAnotherProcessHasItsAddress failed before (no start within 1 s).

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -91,6 +91,7 @@
         WorkerSession::Options { .executor = { .id = incarnation.id, .address = incarnation.address },
             .startedAtMs = incarnation.startedAtMs,
             .epoch = m_options.epoch,
+            .isAddressStored = worker.isFromEarlierLeader,
             .lease = leaseDuration(),
             .earlierRenewalsEndedBy
             = unreachedSinceEpoch ? m_options.elections.learnedAt(unreachedSinceEpoch) : std::nullopt,
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -165,7 +165,8 @@
     if (!hasOtherId)
         return m_hasReplied ? ReplyOrigin::Unproven : ReplyOrigin::ThisIncarnation;
     // The announced address may never have been that of the worker.
-    return m_hasReplied && !areBothKnown ? ReplyOrigin::Successor : ReplyOrigin::Unproven;
+    bool isAddressKnown = m_hasReplied || m_options.isAddressStored;
+    return isAddressKnown && !areBothKnown ? ReplyOrigin::Successor : ReplyOrigin::Unproven;
 }
 
 WorkerSession::ReplyCheck WorkerSession::checkReply(const TaskCommandReply& reply)
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -50,6 +50,10 @@
         int64_t startedAtMs { 0 };
         uint64_t epoch { 0 };
 
+        /// Whether an earlier leader has stored the worker with this address, so that the address is not only an
+        /// announced one.
+        bool isAddressStored { false };
+
         /// Duration of the requested leases; without proof of leadership they are shorter.
         Milliseconds lease { 6000 };
 
--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -322,3 +322,25 @@
     run(Milliseconds { 2000 });
     CHECK_EQUAL(0, starts());
 }
+
+// Guards against tasks that wait for the lease of a worker whose address another process has taken over, and against
+// crashes of such workers that are not counted.
+TEST(TaskLeaderRestartedWorkers, EarlierWorkerIsNotWaitedForOnceAnotherProcessHasItsAddress)
+{
+    announce("w1");
+    putAssignedWorkers({ "w1", "w2" });
+    putJob("j");
+    elect();
+    for (int i = 0; i < 50 && starts() == 0; ++i) {
+        advance(Milliseconds { 20 });
+        for (auto left = taskExecutor.renewLeaseCalls.size(); left > 0; --left) {
+            auto call = taskExecutor.takeRenewLeaseCall();
+            bool isTaken = call.address == "w2";
+            call.reply(RenewLeaseReply { .commandReply = isTaken
+                    ? TaskCommandReply { .outcome = TaskCommandOutcome::IncarnationMismatch }
+                    : replyOf(call.address),
+                .endCoverage = RunEndCoverage::All });
+        }
+    }
+    CHECK_EQUAL(1, startsOn("w1"));
+}
