Reproduce two runs of a task after the restart of its worker

And the removal of the former incarnation's entry counts as the departure of the new one, which may run the task.

--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -69,7 +69,8 @@
     std::unique_ptr<TaskLeader> createLeader()
     {
         auto created = std::make_unique<TaskLeader>(*loop, store, taskExecutor, formats, metrics,
-            TaskLeader::Options { .node = { .member = "m", .workerSilenceUntilRemoval = Milliseconds { 3000 } },
+            TaskLeader::Options {
+                .node = { .member = "m", .workerSilenceUntilRemoval = Milliseconds { 3000 }, .maxLease = maxLease },
                 .epoch = epoch,
                 .elections = elections,
                 .onFenced = [this] { ++fencedCalls; },
@@ -180,6 +181,9 @@
     void teardown() override { leader.reset(); }
 
     uint64_t epoch { 7 };
+
+    /// The longest lease that workers grant.
+    Milliseconds maxLease { 6000 };
     NodeTestClock clock;
     std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
     FakeRecordStore store { *loop };
--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -164,3 +164,76 @@
     }
     CHECK_EQUAL(2, starts());
 }
+
+// Guards against two runs of a task at once: a lease renewal meant for the former incarnation of a worker reaches the
+// new one, whose clock starts anew, so that it grants the longest lease, which is longer than those of the leader.
+TEST(TaskLeaderRestartedWorkers, LeaseThatReachedANewIncarnationIsWaitedFor)
+{
+    maxLease = Milliseconds { 10000 };
+    announce("w1");
+    elect();
+    run(Milliseconds { 20000 });
+
+    // The worker restarts at once, and one connection breaks.
+    auto restartedAt = clock.now();
+    auto leaseEndsAt = restartedAt;
+    restartedAtMs["w1"] = 60;
+    auto broken = taskExecutor.takeRenewLeaseCall();
+    STRCMP_EQUAL("w1", broken.address.c_str());
+    broken.reply(absl::UnavailableError("connection reset"));
+    auto reply = [&](std::optional<int64_t> leaseUntilMs) {
+        auto clockMs = (clock.now() - restartedAt).count();
+        if (leaseUntilMs)
+            leaseEndsAt
+                = std::max(leaseEndsAt, clock.now() + std::min(maxLease, Milliseconds { *leaseUntilMs - clockMs }));
+        return TaskCommandReply { .clockMs = clockMs, .startedAtMs = 60 };
+    };
+    auto answer = [&] {
+        advance(Milliseconds { 20 });
+        for (auto left = taskExecutor.renewLeaseCalls.size(); left > 0; --left) {
+            auto call = taskExecutor.takeRenewLeaseCall();
+            if (call.address == "w1" && silent.contains("w1"))
+                call.reply(absl::DeadlineExceededError("cut off"));
+            else if (call.address == "w1")
+                call.reply(RenewLeaseReply { .commandReply = reply(call.request.leaseUntilMs), .running = runs["w1"] });
+            else
+                call.reply(RenewLeaseReply { .commandReply = replyOf(call.address) });
+        }
+        loop->runReady();
+    };
+    for (int i = 0; i < 10; ++i)
+        answer();
+    announce("w1");
+    putJob("j");
+    for (int i = 0; i < 200 && starts() == 0; ++i)
+        answer();
+    CHECK_EQUAL(1, startsOn("w1"));
+    start = taskExecutor.takeCommand();
+    runs["w1"] = { { .task = start.start.task, .run = start.run } };
+    start.reply(reply(start.start.leaseUntilMs));
+    for (int i = 0; i < 5; ++i)
+        answer();
+
+    // The worker is cut off, while another one could run the task.
+    silent.insert("w1");
+    announce("w2");
+    while (starts() == 0 && clock.now() < restartedAt + Milliseconds { 15000 })
+        answer();
+    CHECK_EQUAL(1, startsOn("w2"));
+    CHECK_COMPARE((clock.now() - restartedAt).count(), >=, (leaseEndsAt - restartedAt).count());
+}
+
+// Guards against two runs of a task at once: the entry of the former incarnation is removed because that one has left,
+// and the new one, which may run the task, is taken for departed.
+TEST(TaskLeaderRestartedWorkers, DepartureOfTheFormerIncarnationDoesNotEndTheNewOne)
+{
+    startJob();
+    announce(start.address);
+    run(Milliseconds { 500 });
+    restartWithRun();
+    start.reply(replyOf(start.address));
+    silent.insert(start.address);
+    store.put(StreamName::Workers, start.address, {});
+    run(Milliseconds { 4000 });
+    CHECK_EQUAL(0, starts());
+}
