--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -29,6 +29,7 @@
         Instant backAt { neverInstant };
         Instant crashesAt { neverInstant };
         std::vector<RunReport> running {};
+        bool hasExpired { false };
     };
 
     NodeTestClock clock;
@@ -50,6 +51,10 @@
     /// Whether a crashed worker does not answer at all, as its host is down too.
     bool isSilentAfterCrash { false };
 
+    /// Whether the workers do not crash but are cut off by a network that refuses connections, and their entries expire
+    /// meanwhile.
+    bool areCutOff { false };
+
     /// Called when a worker crashes.
     std::function<void()> onCrash;
 
@@ -136,10 +141,16 @@
             for (auto& [id, worker] : workers) {
                 if (worker.crashesAt != neverInstant && clock.now() >= worker.crashesAt)
                     crash(worker);
+                constexpr Milliseconds timeToExpiry { 3500 };
+                bool expires = areCutOff && worker.backAt != neverInstant
+                    && clock.now() >= worker.backAt - downTime + timeToExpiry;
+                if (expires && !std::exchange(worker.hasExpired, true))
+                    store.put(StreamName::Workers, id, {});
                 if (worker.backAt == neverInstant || clock.now() < worker.backAt)
                     continue;
                 worker.backAt = neverInstant;
-                ++worker.startedAtMs;
+                worker.hasExpired = false;
+                worker.startedAtMs += areCutOff ? 0 : 1;
                 announce(id);
             }
             for (auto n = taskExecutor.commands.size(); n > 0; --n)
@@ -346,3 +357,15 @@
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
 }
+
+// Guards against a job that fails although its task crashes nothing: refused connections and an expired entry tell
+// nothing about a worker that is cut off and comes back as the same incarnation.
+TEST(TaskLeaderCrashes, CutOffWorkersThatComeBackHaveNotCrashed)
+{
+    areCutOff = true;
+    timeToCrash = Milliseconds { 500 };
+    downTime = Milliseconds { 8000 };
+    startWorkers(4);
+    advance(Milliseconds { 60000 });
+    CHECK(storedState("bad") != JobStage::Failed);
+}
