Reproduce a node that deposes the leader when it starts

The store keeps 20 s of history; a node that starts later reads keepalives without their claim, ignores them, and claims 0.5 s after its start.

--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -190,6 +190,21 @@
     CHECK_EQUAL(1, leaders());
 }
 
+// Guards against a node that deposes the leader when it starts, because the store has deleted the claim of the leader
+// and holds its keepalives only.
+TEST(LeadershipMonitor, NewNodeKeepsALeaderWhoseClaimIsDeleted)
+{
+    addMember(1);
+    advance(Milliseconds { 2000 });
+    store.expire(StreamName::Leadership);
+    advance(Milliseconds { 2000 });
+    addMember(2);
+    advance(Milliseconds { 4000 });
+    CHECK_EQUAL(0, members[0]->depositions);
+    CHECK_EQUAL(1, members[0]->elections.size());
+    CHECK(members[1]->elections.empty());
+}
+
 // Guards against a leader on a small host, which limits the whole cluster, while larger hosts are available.
 TEST(LeadershipMonitor, HostWithMostCpuIsElected)
 {
