Reproduce a new leader that drops an incarnation that is not listed yet

A worker of the stored list has restarted and runs a task of the earlier leader; its first reply names the new incarnation. The new leader removes the worker, counts all others as reported after 20 ms, and starts the task elsewhere.

--- a/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
+++ b/Tests/LibNode/TestTaskLeaderRestartedWorkers.cpp
@@ -237,3 +237,21 @@
     run(Milliseconds { 4000 });
     CHECK_EQUAL(0, starts());
 }
+
+// Guards against two runs of a task at once after a change of leader: a worker has restarted under the earlier leader
+// and runs a task of it, but has not announced its new incarnation yet.
+TEST(TaskLeaderRestartedWorkers, NewLeaderWaitsForAnIncarnationThatIsNotListedYet)
+{
+    announce("w1");
+    announce("w2");
+    putAssignedWorkers({ "w1", "w2" });
+    putJob("j");
+    restartedAtMs["w1"] = 60;
+    runs["w1"] = { { .task = { "j", 0, 0, 0 }, .run = 700001 } };
+    elect();
+    run(Milliseconds { 1000 });
+    CHECK_EQUAL(0, starts());
+    announce("w1");
+    run(Milliseconds { 2000 });
+    CHECK_EQUAL(0, starts());
+}
