Let the number of isolated runs follow how often they crash

Besides, all waiting tasks on busy workers waited for the same held worker, so that they started one after the other.

Change: IsolationLimit divides the number of workers that isolated runs may be expected to take down by the share of them that did. It starts at the old limit, which also holds while suspected tasks do crash their workers (SuspectedTasksTakeDownFewWorkersAtOnce is unchanged). Each step has workers of its own held, and held workers count against the limit.

Tests: HarmlessSuspectsDoNotWaitForEachOther and EachSuspectOnBusyWorkersHasAWorkerHeld failed before (a wait over 3 s; 1 of 3 starts), and pass now.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -110,6 +110,8 @@
     if (isGang ? !std::ranges::all_of(tasks, isProven) : !isProven(task))
         return;
     clearCrashes(job, ref);
+    if (run.isolated)
+        m_isolationLimit.recordHarmlessRun(m_latestEventAt);
     for (auto& it : tasks) {
         if (!isGang && &it != &task)
             continue;
@@ -229,6 +231,8 @@
 {
     crashed.confirmed = true;
     crashed.isolated = crashed.isolated && !isShared;
+    if (crashed.isolated)
+        m_isolationLimit.recordCrash(m_latestEventAt);
     recordCrash(job, crashed);
     auto task = taskOf(job, crashed);
     CrashEvent event { .task = task, .run = crashed, .crashes = job.crashes.count(task) };
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -18,10 +18,6 @@
 /// goes on where this one stopped.
 static constexpr uint32_t maxFailedSearches = 4;
 
-/// Bounds of the number of isolated runs, each of which may take its worker down.
-static constexpr uint32_t minIsolatedRuns = 3;
-static constexpr uint32_t workersPerIsolatedRun = 12;
-
 void TaskScheduler::setIsolated(TrackedRun& run, bool isolated)
 {
     if (run.isolated == isolated)
@@ -61,16 +57,19 @@
     return mustWait || hasDueCrash(job, key) ? SuspectDelay::AwaitingConfirmation : SuspectDelay::None;
 }
 
-/// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone. Half
-/// of the workers of a service stay free for other runs.
-bool TaskScheduler::hasIsolationSlots(const TrackedJob& job, uint32_t runs) const
+/// Half of the workers of a service stay free for other runs.
+uint32_t TaskScheduler::maxIsolatedRuns(const TrackedJob& job) const
 {
-    if (m_isolatedRuns == 0)
-        return true;
     auto candidates = m_candidates.find(policyOf(job).service);
     auto workers = candidates == m_candidates.end() ? 0 : static_cast<uint32_t>(candidates->second.size());
-    auto limit = std::max(minIsolatedRuns, static_cast<uint32_t>(m_workers.size()) / workersPerIsolatedRun);
-    return m_isolatedRuns + runs <= std::min(limit, workers / 2);
+    auto limit = m_isolationLimit.limitFor(static_cast<uint32_t>(m_workers.size()), m_latestEventAt);
+    return std::min(limit, workers / 2);
+}
+
+/// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone.
+bool TaskScheduler::hasIsolationSlots(const TrackedJob& job, uint32_t runs) const
+{
+    return m_isolatedRuns == 0 || m_isolatedRuns + runs <= maxIsolatedRuns(job);
 }
 
 /// Why a task that may start, or a gang of `runs` members, was not placed isolated.
@@ -117,16 +116,33 @@
     return true;
 }
 
-/// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs. Returns
-/// the worker, or nullptr.
+/// Whether the worker may be held for the step. Workers that are held and have no isolated run yet use slots too.
+bool TaskScheduler::mayHold(const ReadyStep& ready, const WorkerEntry& worker) const
+{
+    if (worker.isolatedRuns > 0)
+        return false;
+    if (worker.heldForIsolationUntil > m_latestEventAt)
+        return worker.heldFor == ready.key;
+    auto usedSlots = m_isolatedRuns + m_heldWorkers;
+    // A gang that is larger than the limit needs all of its workers at once.
+    bool mayExceedLimit = usedSlots == 0 || (m_isolatedRuns == 0 && ready.job->spec.steps[ready.step].gang);
+    return mayExceedLimit || usedSlots < maxIsolatedRuns(*ready.job);
+}
+
+/// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs. Each
+/// step has workers of its own held. Returns the worker, or nullptr.
 TaskScheduler::WorkerEntry* TaskScheduler::holdForIsolation(
     const ReadyStep& ready, const TrackedTask& task, Instant now)
 {
     if (!hasIsolationSlots(*ready.job, 1))
         return nullptr;
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Hold);
-    if (worker)
-        worker->heldForIsolationUntil = now + holdTime;
+    if (!worker)
+        return nullptr;
+    if (worker->heldForIsolationUntil <= now)
+        ++m_heldWorkers;
+    worker->heldForIsolationUntil = now + holdTime;
+    worker->heldFor = ready.key;
     return worker;
 }
 
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -69,6 +69,7 @@
         candidates.clear();
     m_sizesWithoutRoom = {};
     m_freeCpuMillis = 0;
+    m_heldWorkers = 0;
     std::vector<WorkerEntry*>* candidates = nullptr;
     const std::string* service = nullptr;
     for (const auto& [handle, worker] : m_workers) {
@@ -79,6 +80,7 @@
             candidates = &m_candidates[*service];
         }
         candidates->push_back(worker.get());
+        m_heldWorkers += worker->isolatedRuns == 0 && worker->heldForIsolationUntil > now ? 1 : 0;
         if (!worker->isOverFull())
             m_freeCpuMillis += worker->freeResources().cpuMillis;
     }
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -82,6 +82,8 @@
         if (end.outcome == RunOutcome::Done)
             recordRunTime(
                 job->occurrences[end.task.occurrence].steps[end.task.step], job->spec.steps[end.task.step], *run, now);
+        if (run->isolated && (end.outcome == RunOutcome::Done || end.outcome == RunOutcome::Failed))
+            m_isolationLimit.recordHarmlessRun(now);
         release(run->worker, *job, end.task, end.run);
         std::erase_if(task->runs, [&](const TrackedRun& it) { return it.run == end.run; });
     }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/CandidateRanking.h>
 #include <LibDecision/EndedJobs.h>
+#include <LibDecision/IsolationLimit.h>
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
 #include <LibDecision/RunEnd.h>
@@ -270,7 +271,7 @@
     std::optional<WorkerSearch> beginSearch(
         const TrackedJob&, const ReadyStep&, const std::string& rack, Instant now, PlacementMode) const;
     static bool hasRoom(const WorkerSearch&, const WorkerEntry&);
-    static bool isAllowed(const WorkerSearch&, const TrackedTask&, const WorkerEntry&, uint32_t siblings);
+    bool isAllowed(const WorkerSearch&, const TrackedTask&, const WorkerEntry&, uint32_t siblings) const;
     std::optional<double> scoreOf(const WorkerSearch&, const TrackedTask&, WorkerEntry&) const;
     std::vector<CandidateRanking::Entry> scoreCandidates(const WorkerSearch&, const TrackedTask&);
     WorkerEntry* chooseNextWorker(std::optional<StepRanking>&, const ReadyStep&, const TrackedTask&, Instant now);
@@ -308,7 +309,9 @@
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
+    uint32_t maxIsolatedRuns(const TrackedJob&) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs) const;
+    bool mayHold(const ReadyStep&, const WorkerEntry&) const;
     bool maySearchIsolated(const ReadyStep&);
     SuspectDelay placementDelayOfSuspect(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
@@ -371,6 +374,10 @@
     /// Starts of suspected tasks that wait until their records are stored.
     std::vector<StartTask> m_suspectedStarts;
     uint32_t m_isolatedRuns { 0 };
+    IsolationLimit m_isolationLimit;
+
+    /// Workers that are held for isolated runs and have none yet, as of the latest plan and its holds.
+    uint32_t m_heldWorkers { 0 };
 
     /// Searches of the current plan that found no worker for an isolated run.
     uint32_t m_failedSearches { 0 };
--- a/Libraries/LibDecision/TaskWorkerChoice.cpp
+++ b/Libraries/LibDecision/TaskWorkerChoice.cpp
@@ -96,7 +96,7 @@
 
 /// Whether the worker may take the task, as far as that does not depend on the interference of best-effort tasks.
 bool TaskScheduler::isAllowed(
-    const WorkerSearch& search, const TrackedTask& task, const WorkerEntry& worker, uint32_t siblings)
+    const WorkerSearch& search, const TrackedTask& task, const WorkerEntry& worker, uint32_t siblings) const
 {
     const auto& spec = search.spec;
     if (!search.rack.empty() && worker.view.rack != search.rack)
@@ -105,7 +105,7 @@
         return false;
     if (search.mode == PlacementMode::Isolated && !canIsolate(worker, search.job, search.ready.step, search.now))
         return false;
-    if (search.mode == PlacementMode::Hold && worker.isolatedRuns > 0)
+    if (search.mode == PlacementMode::Hold && !mayHold(search.ready, worker))
         return false;
     if (!spec.requiredLabel.empty() && !hasLabel(worker.view, spec.requiredLabel))
         return false;
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -103,6 +103,9 @@
     /// Until this time only an isolated run may start, so that the other runs get older.
     Instant heldForIsolationUntil { neverInstant };
 
+    /// The step for whose runs the worker is held.
+    StepKey heldFor {};
+
     double capacityMillis() const { return static_cast<double>(std::max<int64_t>(1, view.capacity.cpuMillis)); }
 
     /// Negative where the capacity has shrunk below what runs on the worker.
--- a/Tests/LibDecision/TestTaskIsolation.cpp
+++ b/Tests/LibDecision/TestTaskIsolation.cpp
@@ -200,3 +200,80 @@
     }
     CHECK_EQUAL(3, gangStarts);
 }
+
+// Guards against a queue of suspected tasks that grows without bound while nearly all isolated runs are harmless: the
+// number of isolated runs was fixed, although workers crashed for other reasons than their tasks.
+TEST(TaskIsolation, HarmlessSuspectsDoNotWaitForEachOther)
+{
+    constexpr WorkerHandle workers { 48 };
+    constexpr int rounds { 60 };
+    constexpr int roundsPerRun { 4 };
+    constexpr int settledAfter { 20 };
+    constexpr Milliseconds roundTime { 500 };
+    constexpr Milliseconds maxWait { 3000 };
+    for (WorkerHandle handle = 1; handle <= workers; ++handle)
+        fixture.addWorker(handle);
+    std::vector<std::vector<StartTask>> started;
+    for (int i = 0; i < rounds; ++i) {
+        for (const auto* half : { "a", "b" })
+            addSuspectedJob(half + std::to_string(i), fixture.step(1));
+        storeProgress();
+        fixture.planStarts();
+        storeProgress();
+        started.push_back(fixture.planStarts());
+        for (const auto& start : started.back())
+            scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
+        if (i >= roundsPerRun) {
+            for (const auto& start : started[i - roundsPerRun])
+                fixture.endRun(start, RunOutcome::Done);
+        }
+        if (i >= settledAfter)
+            CHECK_EQUAL(0, scheduler.stepWaits(fixture.now(), maxWait, 1).size());
+        fixture.advance(roundTime);
+    }
+}
+
+// Guards against suspected tasks that start one after the other on busy workers, because all of them wait for the same
+// worker to become free of young runs.
+TEST(TaskIsolation, EachSuspectOnBusyWorkersHasAWorkerHeld)
+{
+    constexpr WorkerHandle workers { 24 };
+    constexpr int rounds { 11 };
+    constexpr int roundsPerRun { 4 };
+    constexpr int firstSuspectedRound { 4 };
+    constexpr Milliseconds roundTime { 500 };
+    for (WorkerHandle handle = 1; handle <= workers; ++handle) {
+        TaskWorkerView view { .id = "w" + std::to_string(handle), .service = "token", .zone = "a" };
+        view.labels = { view.id };
+        view.capacity = { 8000, 125000, 0 };
+        scheduler.updateWorker(handle, view);
+    }
+    size_t suspectedStarts = 0;
+    std::vector<std::vector<StartTask>> started;
+    for (int i = 0; i < rounds; ++i) {
+        if (i == firstSuspectedRound) {
+            for (const auto* id : { "s1", "s2", "s3" })
+                addSuspectedJob(id, fixture.step(1));
+        }
+        // Each worker gets a task of its own in each round.
+        for (WorkerHandle handle = 1; handle <= workers; ++handle) {
+            auto step = fixture.step(1);
+            step.requiredLabel = "w" + std::to_string(handle);
+            scheduler.addJob(fixture.job(std::to_string(i) + step.requiredLabel, { step }), std::nullopt, neverInstant);
+        }
+        storeProgress();
+        started.push_back(fixture.planStarts());
+        for (const auto& start : started.back()) {
+            suspectedStarts += start.task.job.starts_with("s") ? 1 : 0;
+            scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
+        }
+        if (i >= roundsPerRun) {
+            for (const auto& start : started[i - roundsPerRun]) {
+                if (!start.task.job.starts_with("s"))
+                    fixture.endRun(start, RunOutcome::Done);
+            }
+        }
+        fixture.advance(roundTime);
+    }
+    CHECK_EQUAL(3, suspectedStarts);
+}
