Weigh the suspicion of a task by how many workers crash anyhow

Cause: a task was isolated after two prompt crashes or three in all, and given up after four with one isolated, whatever the rate of crashes. The log of run_crashed had the counts only.

Change: CrashHistory computes the probability that the workers would have crashed without the task, from the run times and from the recent crashes in which it had no part. It is a further condition, beside the earlier counts, for isolating a task and for giving it up. Starts of suspected tasks are recorded before they are sent as before. run_crashed names the probability.

--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -12,8 +12,9 @@
 
 /// The runs of one job under which workers crashed, and what follows from them for each task. All runs on a crashed
 /// worker are suspected, but at most one of them is the cause. A suspected task therefore runs isolated from other
-/// suspects until it either has run long enough to be cleared or has crashed workers while isolated. In all functions,
-/// the job of a TaskRef is ignored.
+/// suspects until it either has run long enough to be cleared or has crashed workers while isolated. Crashes that are
+/// likely anyhow at the rate at which workers crash say little of a task. In all functions, the job of a TaskRef is
+/// ignored, and `crashRate` is the number of crashes a second and worker in which the task had no part.
 class CrashHistory {
 public:
     CrashHistory() = default;
@@ -39,10 +40,16 @@
 
     /// Number of recorded runs of the task, confirmed or not.
     size_t count(const TaskRef&) const;
-    RunIsolation isolationOf(const TaskRef&) const;
+
+    /// Whether a worker has crashed directly after a start of the task, or several workers have crashed under it.
+    bool isSuspected(const TaskRef&) const;
+    RunIsolation isolationOf(const TaskRef&, double crashRate) const;
+
+    /// Probability that the workers would have crashed without the task.
+    double coincidence(const TaskRef&, double crashRate) const;
 
     /// Whether the job of the task has to be given up, because the task crashes the workers that start it.
-    bool isCauseOfCrashes(const TaskRef&) const;
+    bool isCauseOfCrashes(const TaskRef&, double crashRate) const;
 
     /// Whether the task must not start before its unconfirmed crashes are confirmed or withdrawn.
     bool awaitsConfirmation(const TaskRef&) const;
@@ -51,6 +58,8 @@
     Milliseconds clearingTime(const TaskRef&) const;
 
 private:
+    size_t countPromptCrashes(const TaskRef&) const;
+
     std::vector<CrashedRun> m_runs {};
 };
 
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -235,15 +235,36 @@
         m_isolationLimit.recordCrash(m_latestEventAt);
     recordCrash(job, crashed);
     auto task = taskOf(job, crashed);
-    CrashEvent event { .task = task, .run = crashed, .crashes = job.crashes.count(task) };
+    auto crashRate = otherCrashRate(job, task);
+    CrashEvent event { .task = task,
+        .run = crashed,
+        .crashes = job.crashes.count(task),
+        .coincidence = job.crashes.coincidence(task, crashRate) };
     const auto* tracked = findTask(job, task);
-    if (!job.hasEnded() && tracked && !tracked->done && job.crashes.isCauseOfCrashes(task)) {
+    if (!job.hasEnded() && tracked && !tracked->done && job.crashes.isCauseOfCrashes(task, crashRate)) {
         finishJob(job, JobStage::Failed);
         event.failedJob = true;
     }
     return event;
 }
 
+/// Returns the recent crashes a second and worker, without those under the task.
+double TaskScheduler::otherCrashRate(const TrackedJob& job, const TaskRef& key) const
+{
+    auto isUnderTask = [&](const WorkerLoss& loss) {
+        return std::ranges::any_of(job.crashes.runs(),
+            [&](const CrashedRun& it) { return taskOf(job, it) == key && isOnIncarnation(it, loss.view); });
+    };
+    auto crashes = static_cast<size_t>(std::ranges::count_if(m_recentLosses, isUnderTask));
+    // The record of a gang names one worker, but each of its members may have crashed one.
+    bool isGang = key.step < job.spec.steps.size() && job.spec.steps[key.step].gang;
+    auto workersPerCrash = isGang ? job.spec.steps[key.step].count : 1;
+    auto others = m_recentLosses.size() - std::min(m_recentLosses.size(), crashes * workersPerCrash);
+    constexpr double msPerSecond = 1000;
+    auto seconds = static_cast<double>(lossMemory.count()) / msPerSecond;
+    return static_cast<double>(others) / (seconds * static_cast<double>(std::max<size_t>(1, m_workers.size())));
+}
+
 void TaskScheduler::confirmCrashes(const WorkerLoss& loss)
 {
     bool isShared = isLostWithItsGroup(loss);
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -38,7 +38,10 @@
 
 RunIsolation TaskScheduler::isolationOf(const TrackedJob& job, const TaskRef& ref) const
 {
-    return job.crashes.isEmpty() ? RunIsolation::None : job.crashes.isolationOf(crashKey(job, ref));
+    if (job.crashes.isEmpty())
+        return RunIsolation::None;
+    auto key = crashKey(job, ref);
+    return job.crashes.isSuspected(key) ? job.crashes.isolationOf(key, otherCrashRate(job, key)) : RunIsolation::None;
 }
 
 /// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
@@ -51,7 +54,7 @@
     auto key = crashKey(job, ref);
     if (!areCrashesStored(job, key))
         return SuspectDelay::RecordsNotStored;
-    if (job.crashes.isolationOf(key) != RunIsolation::Required)
+    if (isolationOf(job, ref) != RunIsolation::Required)
         return SuspectDelay::None;
     bool mustWait = job.crashes.awaitsConfirmation(key) && now - task.waitingSince < maxConfirmationWait;
     return mustWait || hasDueCrash(job, key) ? SuspectDelay::AwaitingConfirmation : SuspectDelay::None;
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -284,7 +284,7 @@
         .checkpoint = task.checkpoint,
         .isSpeculativeCopy = isCopy,
     };
-    if (isolationOf(job, ref) == RunIsolation::None) {
+    if (!job.crashes.isSuspected(crashKey(job, ref))) {
         m_actions.push_back(std::move(start));
         return;
     }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -109,6 +109,9 @@
         CrashedRun run {};
         size_t crashes { 0 };
 
+        /// Probability that the workers would have crashed without the task.
+        double coincidence { 1 };
+
         /// Whether the job failed because of this crash.
         bool failedJob { false };
     };
@@ -299,6 +302,7 @@
     void withdrawFalseCrashes(const WorkerEntry&);
     void confirmCrashes(const WorkerLoss&);
     void confirmDueCrashes(Instant now);
+    double otherCrashRate(const TrackedJob&, const TaskRef& key) const;
     bool hasDueCrash(const TrackedJob&, const TaskRef& key) const;
     void recordRunTimes(const WorkerEntry&);
     CrashEvent confirmCrash(TrackedJob&, CrashedRun, bool isShared);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/TaskLeader.h>
 #include <LibReport/NodeMetrics.h>
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace Bergamot {
@@ -175,12 +176,13 @@
 
 void TaskLeader::reportCrashes()
 {
-    for (const auto& [task, run, count, failedJob] : m_scheduler.takeCrashEvents()) {
+    for (const auto& [task, run, count, coincidence, failedJob] : m_scheduler.takeCrashEvents()) {
         m_metrics.recordRunEnd("crashed");
         logWarning("run_crashed",
             { { "job", task.job }, { "occurrence", task.occurrence }, { "step", task.step }, { "index", task.index },
                 { "run", run.run }, { "worker", run.worker }, { "run_ms", run.runTimeMs }, { "isolated", run.isolated },
-                { "crashes", count }, { "gives_up", failedJob } });
+                { "crashes", count }, { "coincidence", fmt::format("{:.1e}", coincidence) },
+                { "gives_up", failedJob } });
     }
 }
 
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -520,3 +520,46 @@
     CHECK(scheduler.stateOf("j") != JobStage::Failed);
     CHECK_EQUAL(2, scheduler.totals().activeRuns);
 }
+
+// Guards against jobs that fail, or wait for isolated runs, because workers crash in turn under tasks that are not the
+// cause, and against a cause that is not found among them.
+TEST(TaskCrashes, WavesOfCrashesGiveUpNoInnocentJob)
+{
+    constexpr int workers { 48 };
+    constexpr int workersPerWave { 7 };
+    constexpr Milliseconds waveInterval { 1500 };
+    constexpr Milliseconds jobInterval { 500 };
+    constexpr Milliseconds runTime { 2000 };
+    constexpr Milliseconds wavesEnd { 60000 };
+    constexpr Milliseconds testEnd { 75000 };
+    for (int i = 0; i < workers; ++i)
+        addWorker();
+    int jobs = 0;
+    uint32_t seed = 1;
+    for (Milliseconds passed { 0 }; passed < testEnd; passed += planInterval) {
+        if (passed < wavesEnd && passed % jobInterval == Milliseconds { 0 }) {
+            StepSpec step { .count = 20, .size = { 8000, 8000, 0 }, .estimateMs = 2000 };
+            scheduler.addJob(fixture.job("innocent" + std::to_string(jobs++), { step }), std::nullopt, neverInstant);
+        }
+        if (passed == wavesEnd / 2) {
+            scheduler.addJob(fixture.job("cause", { fixture.step(1) }), std::nullopt, neverInstant);
+            crashingTasks = { { "cause", 0, 0, 0 } };
+        }
+        for (int i = 0; passed < wavesEnd && passed % waveInterval == Milliseconds { 0 } && i < workersPerWave; ++i) {
+            seed = seed * 1664525 + 1013904223;
+            auto it = std::next(active.begin(), static_cast<std::ptrdiff_t>((seed >> 16) % active.size()));
+            crash(it->first);
+        }
+        run(planInterval);
+        for (const auto& [worker, runs] : std::map(active)) {
+            for (const auto& start : runs) {
+                if (!crashedAt.contains(worker) && fixture.now() - startedAt[{ start.task, start.run }] >= runTime)
+                    end(worker, start);
+            }
+        }
+    }
+    for (int i = 0; i < jobs; ++i)
+        CHECK(scheduler.stateOf("innocent" + std::to_string(i)) == JobStage::Completed);
+    CHECK(scheduler.stateOf("cause") == JobStage::Failed);
+    CHECK_COMPARE((starts[TaskRef { "cause", 0, 0, 0 }]), <=, 5);
+}
