Reset the store's connections in the node soak, and report each try

Reproduced: the soak's new fault store-resets resets the connections of all nodes while the store has carried out appends that it has not answered, and the store rejects requests from then on.

A client now also submits 15 of 100 jobs to two nodes at once, with a random generator of its own, and the history of a job names the node that answered each try. Meta/node-soak.sh passes further options on.

--- a/Meta/node-soak.sh
+++ b/Meta/node-soak.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # Runs node processes under random faults. The seed determines jobs, workers and faults.
-# Exit status: 0 without a violation. Usage: Meta/node-soak.sh BUILD SEED SECONDS [FAULTS]
+# Exit status: 0 without a violation. Usage: Meta/node-soak.sh BUILD SEED SECONDS [FAULTS [OPTIONS...]]
 set -u
 build=$(realpath "${1:-Build}")
 seed=${2:-1} run_seconds=${3:-30} faults=${4:-all}
+options=("${@:5}")
 folder=$(mktemp -d)
 soak=
 
@@ -20,13 +21,13 @@
 trap 'exit 1' INT TERM
 
 "$build/bergamot-node-soak" --node="$build/bergamot-node" --folder="$folder" --seed="$seed" --seconds="$run_seconds" \
-    --faults="$faults" >"$folder/out" 2>&1 &
+    --faults="$faults" "${options[@]}" >"$folder/out" 2>&1 &
 soak=$!
 wait "$soak"
 status=$?
 soak=
 cat "$folder/out"
-echo "command: Meta/node-soak.sh BUILD $seed $run_seconds $faults"
+echo "command: Meta/node-soak.sh BUILD $seed $run_seconds $faults ${options[*]}"
 if ((status == 0)); then
     rm -r "$folder"
 else
--- a/Tests/NodeSoakParts/JobCheckerFixture.h
+++ b/Tests/NodeSoakParts/JobCheckerFixture.h
@@ -18,7 +18,7 @@
         job->spec = taskSpecText(job->steps);
         checker.add(job);
         checker.submissionSent(*job);
-        checker.submissionAccepted(*job);
+        checker.submissionAccepted(*job, "node");
     }
 
     std::string task(int index) const { return job->id + ".0.0." + std::to_string(index); }
--- a/Utilities/bergamot-node-soak/JobChecker.cpp
+++ b/Utilities/bergamot-node-soak/JobChecker.cpp
@@ -66,29 +66,29 @@
 
 void JobChecker::submissionSent(SoakJob& job) { ++job.pendingSubmissions; }
 
-void JobChecker::submissionAccepted(SoakJob& job)
+void JobChecker::submissionAccepted(SoakJob& job, std::string_view node)
 {
     --job.pendingSubmissions;
-    recordEvent(job, "accepted");
+    recordEvent(job, fmt::format("accepted by {}", node));
     if (!job.acceptedAt)
         job.acceptedAt = m_loop.now();
 }
 
-void JobChecker::submissionRejected(SoakJob& job, int status)
+void JobChecker::submissionRejected(SoakJob& job, std::string_view node, int status)
 {
     --job.pendingSubmissions;
     ++job.rejectedSubmissions;
-    recordEvent(job, fmt::format("rejected with {}", status));
+    recordEvent(job, fmt::format("rejected with {} by {}", status, node));
     if (status == 400 || status == 404)
         reportViolation(&job, fmt::format("a valid job on an existing queue was answered {}", status));
     checkRejected(job);
 }
 
-void JobChecker::submissionUnanswered(SoakJob& job, std::string_view why)
+void JobChecker::submissionUnanswered(SoakJob& job, std::string_view node, std::string_view why)
 {
     --job.pendingSubmissions;
     job.hasUnansweredSubmission = true;
-    recordEvent(job, fmt::format("no reply: {}", why));
+    recordEvent(job, fmt::format("no reply from {}: {}", node, why));
 }
 
 void JobChecker::checkRejected(SoakJob& job)
--- a/Utilities/bergamot-node-soak/JobChecker.h
+++ b/Utilities/bergamot-node-soak/JobChecker.h
@@ -23,9 +23,9 @@
 
     /// Events that the callers observe. `sentAt` is the time at which the request was sent.
     void submissionSent(SoakJob&);
-    void submissionAccepted(SoakJob&);
-    void submissionRejected(SoakJob&, int status);
-    void submissionUnanswered(SoakJob&, std::string_view why);
+    void submissionAccepted(SoakJob&, std::string_view node);
+    void submissionRejected(SoakJob&, std::string_view node, int status);
+    void submissionUnanswered(SoakJob&, std::string_view node, std::string_view why);
     void cancelSent(SoakJob&);
     void cancelAcknowledged(SoakJob&);
     void stateReported(SoakJob&, const std::string& state, Instant sentAt);
--- a/Utilities/bergamot-node-soak/JobTraffic.cpp
+++ b/Utilities/bergamot-node-soak/JobTraffic.cpp
@@ -11,6 +11,9 @@
 static constexpr int maxRejections = 8;
 static constexpr int cancelPercent = 20;
 static constexpr int resubmitPercent = 10;
+
+/// Share of the jobs that their clients submit to two nodes at once.
+static constexpr int duplicatePercent = 15;
 static constexpr int failingPercent = 35;
 static constexpr int alwaysFailingPercent = 3;
 
@@ -33,6 +36,7 @@
     , m_checker(checker)
     , m_options(std::move(options))
     , m_random(mixDigest(m_options.seed, 1))
+    , m_duplicateRandom(mixDigest(m_options.seed, 3))
     , m_engine(HttpEngine::create(loop, {}))
 {
 }
@@ -53,7 +57,10 @@
 {
     if (m_stopped)
         return;
-    submit(generateJob());
+    auto job = generateJob();
+    submit(job);
+    if (m_duplicateRandom.chance(duplicatePercent))
+        submit(job);
     auto gap = static_cast<int64_t>(1000 / m_options.jobsPerSecond);
     callAfterRandomDelay(gap / 2, gap + gap / 2, [this] { submitNext(); });
 }
@@ -99,11 +106,14 @@
     return job;
 }
 
-HttpCall JobTraffic::makeCall(const SoakJob& job, std::string method)
+const std::string& JobTraffic::chooseNode()
+{
+    auto last = static_cast<int64_t>(m_options.nodeUrls.size()) - 1;
+    return m_options.nodeUrls[static_cast<size_t>(m_random.between(0, last))];
+}
+
+HttpCall JobTraffic::makeCall(const SoakJob& job, std::string method, const std::string& nodeUrl)
 {
-    const auto& nodeUrl
-        = m_options
-              .nodeUrls[static_cast<size_t>(m_random.between(0, static_cast<int64_t>(m_options.nodeUrls.size()) - 1))];
     // A client counts a job as refused if the node refuses all of its submissions, so none of them may be hidden.
     auto limit = method == "POST" ? SendLimit::once() : SendLimit::unlimited();
     return { .method = std::move(method),
@@ -115,29 +125,31 @@
 
 void JobTraffic::submit(const JobHandle& job)
 {
-    auto call = makeCall(*job, "POST");
+    const auto& nodeUrl = chooseNode();
+    auto call = makeCall(*job, "POST", nodeUrl);
     call.headers.push_back({ "Content-Type", "application/json" });
     call.body = job->body;
     m_checker.submissionSent(*job);
-    m_engine->submit(
-        std::move(call), [this, job](const absl::StatusOr<HttpReply>& reply) { handleSubmitReply(job, reply); });
+    m_engine->submit(std::move(call),
+        [this, job, nodeUrl](const absl::StatusOr<HttpReply>& reply) { handleSubmitReply(job, nodeUrl, reply); });
 }
 
-void JobTraffic::handleSubmitReply(const JobHandle& job, const absl::StatusOr<HttpReply>& reply)
+void JobTraffic::handleSubmitReply(
+    const JobHandle& job, const std::string& nodeUrl, const absl::StatusOr<HttpReply>& reply)
 {
     if (reply.ok() && reply->status / 100 == 2) {
         bool isFirst = !job->acceptedAt;
-        m_checker.submissionAccepted(*job);
+        m_checker.submissionAccepted(*job, nodeUrl);
         if (isFirst)
             followAcceptedJob(job);
         return;
     }
     bool rejected = reply.ok() && reply->status != 502 && reply->status != 504;
     if (rejected)
-        m_checker.submissionRejected(*job, reply->status);
+        m_checker.submissionRejected(*job, nodeUrl, reply->status);
     else
-        m_checker.submissionUnanswered(
-            *job, reply.ok() ? fmt::format("status {}", reply->status) : std::string(reply.status().message()));
+        m_checker.submissionUnanswered(*job, nodeUrl,
+            reply.ok() ? fmt::format("status {}", reply->status) : std::string(reply.status().message()));
     if (job->acceptedAt || (!job->hasUnansweredSubmission && job->rejectedSubmissions >= maxRejections))
         return;
     callAfterRandomDelay(150, 600, [this, job] { submit(job); });
@@ -154,23 +166,24 @@
 
 void JobTraffic::queryState(const JobHandle& job)
 {
-    m_engine->submit(makeCall(*job, "GET"), [this, job, sentAt = m_loop.now()](const absl::StatusOr<HttpReply>& reply) {
-        if (reply.ok() && reply->status == 200)
-            m_checker.stateReported(*job, jsonText(parseJson(reply->body), "state"), sentAt);
-        else if (reply.ok() && reply->status == 410)
-            m_checker.goneReported(*job, sentAt);
-        else if (reply.ok() && reply->status == 404)
-            m_checker.reportViolation(job.get(), "a state query on an existing queue was answered 404");
-        if (job->repliesAfterEnd < requiredRepliesAfterEnd)
-            callAfterRandomDelay(300, 1800, [this, job] { queryState(job); });
-    });
+    m_engine->submit(makeCall(*job, "GET", chooseNode()),
+        [this, job, sentAt = m_loop.now()](const absl::StatusOr<HttpReply>& reply) {
+            if (reply.ok() && reply->status == 200)
+                m_checker.stateReported(*job, jsonText(parseJson(reply->body), "state"), sentAt);
+            else if (reply.ok() && reply->status == 410)
+                m_checker.goneReported(*job, sentAt);
+            else if (reply.ok() && reply->status == 404)
+                m_checker.reportViolation(job.get(), "a state query on an existing queue was answered 404");
+            if (job->repliesAfterEnd < requiredRepliesAfterEnd)
+                callAfterRandomDelay(300, 1800, [this, job] { queryState(job); });
+        });
 }
 
 void JobTraffic::cancel(const JobHandle& job)
 {
     m_checker.cancelSent(*job);
-    m_engine->submit(
-        makeCall(*job, "DELETE"), [this, job, sentAt = m_loop.now()](const absl::StatusOr<HttpReply>& reply) {
+    m_engine->submit(makeCall(*job, "DELETE", chooseNode()),
+        [this, job, sentAt = m_loop.now()](const absl::StatusOr<HttpReply>& reply) {
             if (reply.ok() && reply->status / 100 == 2)
                 return m_checker.cancelAcknowledged(*job);
             if (reply.ok() && reply->status == 410)
--- a/Utilities/bergamot-node-soak/JobTraffic.h
+++ b/Utilities/bergamot-node-soak/JobTraffic.h
@@ -42,11 +42,12 @@
     StepPlan generateStep(const QueuePlan&, bool dependsOnPreviousStep);
     void addCrashingTask(SoakJob&);
     void submit(const JobHandle&);
-    void handleSubmitReply(const JobHandle&, const absl::StatusOr<HttpReply>&);
+    void handleSubmitReply(const JobHandle&, const std::string& nodeUrl, const absl::StatusOr<HttpReply>&);
     void followAcceptedJob(const JobHandle&);
     void queryState(const JobHandle&);
     void cancel(const JobHandle&);
-    HttpCall makeCall(const SoakJob&, std::string method);
+    const std::string& chooseNode();
+    HttpCall makeCall(const SoakJob&, std::string method, const std::string& nodeUrl);
 
     /// Runs the task after a random delay between these bounds.
     void callAfterRandomDelay(int64_t minMs, int64_t maxMs, std::function<void()> task);
@@ -55,6 +56,9 @@
     JobChecker& m_checker;
     Options m_options;
     Random m_random;
+
+    /// Decides which jobs are submitted to two nodes at once.
+    Random m_duplicateRandom;
     std::unique_ptr<HttpEngine> m_engine;
     uint64_t m_nextJob { 1 };
     bool m_stopped { false };
--- a/Utilities/bergamot-node-soak/Soak.cpp
+++ b/Utilities/bergamot-node-soak/Soak.cpp
@@ -25,6 +25,9 @@
 /// cancelled jobs.
 static constexpr Milliseconds maxWorkerDelay { 300 };
 
+/// Time for which the store answers slowly before a StoreResets fault resets its connections.
+static constexpr Milliseconds maxDelayBeforeReset { 200 };
+
 /// A WorkerShrinks fault affects every fifth worker, some that guard their capacity and some that do not.
 static constexpr size_t shrinkStride = 5;
 static constexpr int64_t maxShrunkPercent = 90;
@@ -194,6 +197,8 @@
             + (fault.kind == FaultKind::NodeTerminate ? terminationGrace : Milliseconds { 0 }));
     if (fault.kind <= FaultKind::AllKillOperatorsSlow)
         return injectNodeFault(fault);
+    if (fault.kind == FaultKind::StoreResets)
+        return injectStoreResets(fault);
     if (fault.kind <= FaultKind::StoreForgets)
         return injectStoreFault(fault);
     if (fault.kind <= FaultKind::LinkSilentToStore)
@@ -243,6 +248,19 @@
     m_store->apply({ .kind = kind, .duration = fault.duration, .delay = fault.delay });
 }
 
+/// Resets the connections of all nodes while the store has carried out requests that it has not answered yet, and lets
+/// it reject all requests from then on.
+void Soak::injectStoreResets(const Fault& fault)
+{
+    auto slowTime = std::min(fault.delay, maxDelayBeforeReset);
+    m_store->apply({ .kind = StoreFault::Kind::Slow, .duration = slowTime, .delay = slowTime });
+    m_loop->callAfter(slowTime, [this, duration = fault.duration] {
+        m_store->apply({ .kind = StoreFault::Kind::Unavailable, .duration = duration });
+        for (auto& link : m_storeLinks)
+            link->resetConnections();
+    });
+}
+
 void Soak::injectLinkFault(const Fault& fault)
 {
     auto& link = *m_storeLinks[fault.target % m_storeLinks.size()];
--- a/Utilities/bergamot-node-soak/Soak.h
+++ b/Utilities/bergamot-node-soak/Soak.h
@@ -46,6 +46,7 @@
     void inject(const Fault&);
     void injectNodeFault(const Fault&);
     void injectStoreFault(const Fault&);
+    void injectStoreResets(const Fault&);
     void injectLinkFault(const Fault&);
     void injectWorkerFault(const Fault&);
     void injectOperatorChange(const Fault&);
