Judge each crash by the rate of crashes of its time

Cause: crashes of a task were judged by the rate of the last 10 s at the time of the decision, not of the crash. Tasks that need not run isolated took all slots of the grown limit.

Change: CrashedRun stores the rate of other crashes around the loss, so that a new leader knows it too, and the higher of it and the recent rate counts. Two crashes are left out of the rate, as a task may have crashed workers under leaders that failed before they stored it (without that, two tests of TaskLeaderCrashes saw a sixth start). Five crashes directly after a start prove the cause at any rate, so that the number of starts stays bounded. At most a quarter of the workers has isolated runs, and tasks that only prefer isolation use no more slots than before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -19,7 +19,7 @@
 
 /// Crashes that are more likely than this without the task do not prove that it is the cause, do not force it to run
 /// isolated, and do not reserve a worker for it.
-static constexpr double maxCoincidenceOfCause = 1e-4;
+static constexpr double maxCoincidenceOfCause = 1e-5;
 static constexpr double maxCoincidenceOfRequiredIsolation = 1e-3;
 static constexpr double maxCoincidenceOfPreferredIsolation = 0.03;
 
@@ -29,6 +29,9 @@
 /// A worker may have crashed this long before its loss was noticed, also before the start of the run.
 static constexpr Milliseconds crashDetectionTime { 1000 };
 
+/// Crashes directly after a start that prove the cause however many workers crash, with one of them isolated.
+static constexpr size_t maxPromptCrashes = 5;
+
 /// A task is cleared when it has run for this multiple of the longest time to a crash, within these bounds.
 static constexpr int clearingFactor = 2;
 static constexpr Milliseconds minClearingTime { 2000 };
@@ -97,27 +100,30 @@
 double CrashHistory::coincidence(const TaskRef& task, double crashRate) const
 {
     constexpr double msPerSecond = 1000;
-    auto ratePerMs = std::max(crashRate, minCrashRate) / msPerSecond;
     double probability = 1;
     for (const auto& it : m_runs) {
-        if (isOfTask(it, task))
-            probability *= -std::expm1(-ratePerMs * static_cast<double>(it.runTimeMs + crashDetectionTime.count()));
+        if (!isOfTask(it, task))
+            continue;
+        auto ratePerMs = std::max({ it.otherCrashRate, crashRate, minCrashRate }) / msPerSecond;
+        probability *= -std::expm1(-ratePerMs * static_cast<double>(it.runTimeMs + crashDetectionTime.count()));
     }
     return probability;
 }
 
 bool CrashHistory::isCauseOfCrashes(const TaskRef& task, double crashRate) const
 {
-    if (coincidence(task, crashRate) > maxCoincidenceOfCause)
-        return false;
     size_t crashes = 0;
     size_t isolatedCrashes = 0;
+    size_t promptCrashes = 0;
     for (const auto& it : m_runs) {
         if (!it.confirmed || !isOfTask(it, task))
             continue;
         ++crashes;
         isolatedCrashes += it.isolated ? 1 : 0;
+        promptCrashes += Milliseconds { it.runTimeMs } <= promptCrashTime ? 1 : 0;
     }
+    if (promptCrashes < maxPromptCrashes && coincidence(task, crashRate) > maxCoincidenceOfCause)
+        return false;
     return isolatedCrashes >= isolatedCrashesUntilGivenUp || (crashes >= maxCrashes && isolatedCrashes > 0);
 }
 
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -14,7 +14,7 @@
 /// worker are suspected, but at most one of them is the cause. A suspected task therefore runs isolated from other
 /// suspects until it either has run long enough to be cleared or has crashed workers while isolated. Crashes that are
 /// likely anyhow at the rate at which workers crash say little of a task. In all functions, the job of a TaskRef is
-/// ignored, and `crashRate` is the number of crashes a second and worker in which the task had no part.
+/// ignored, and `crashRate` is the recent number of crashes a second and worker in which the task had no part.
 class CrashHistory {
 public:
     CrashHistory() = default;
--- a/Libraries/LibDecision/IsolationLimit.cpp
+++ b/Libraries/LibDecision/IsolationLimit.cpp
@@ -4,10 +4,12 @@
 
 namespace Bergamot {
 
-/// The limit while every isolated run may crash its worker.
 static constexpr uint32_t minIsolatedRuns = 3;
 static constexpr uint32_t workersPerIsolatedRun = 12;
 
+/// Workers with an isolated run take no other starts, so most of them stay free of isolated runs.
+static constexpr uint32_t minWorkersPerIsolatedRun = 4;
+
 /// Weight of the latest outcome in the share of runs that crash.
 static constexpr double outcomeWeight = 0.125;
 
@@ -32,11 +34,16 @@
     m_updatedAt = now;
 }
 
+uint32_t IsolationLimit::initialLimitFor(uint32_t workers)
+{
+    return std::max(minIsolatedRuns, workers / workersPerIsolatedRun);
+}
+
 uint32_t IsolationLimit::limitFor(uint32_t workers, Instant now) const
 {
-    auto expectedCrashes = std::max(minIsolatedRuns, workers / workersPerIsolatedRun);
-    auto share = std::max(minCrashShare, crashShareAt(now));
-    return static_cast<uint32_t>(static_cast<double>(expectedCrashes) / share);
+    auto initial = initialLimitFor(workers);
+    auto limit = static_cast<uint32_t>(static_cast<double>(initial) / std::max(minCrashShare, crashShareAt(now)));
+    return std::min(limit, std::max(initial, workers / minWorkersPerIsolatedRun));
 }
 
 }
--- a/Libraries/LibDecision/IsolationLimit.h
+++ b/Libraries/LibDecision/IsolationLimit.h
@@ -13,6 +13,9 @@
     void recordHarmlessRun(Instant now) { recordOutcome(0, now); }
     void recordCrash(Instant now) { recordOutcome(1, now); }
 
+    /// The limit while every isolated run may crash its worker, for `workers` workers of all services.
+    static uint32_t initialLimitFor(uint32_t workers);
+
     /// The limit for `workers` workers of all services.
     uint32_t limitFor(uint32_t workers, Instant now) const;
 
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -21,6 +21,9 @@
 /// job may take down fewer.
 static constexpr size_t minSharedLosses = 3;
 
+/// Crashes under a task that may have no record, because leaders failed right after them.
+static constexpr size_t maxUnrecordedCrashes = 2;
+
 /// Returns the key under which crashes of the task are recorded: the members of a gang start together and share one.
 TaskRef TaskScheduler::crashKey(const TrackedJob& job, const TaskRef& ref)
 {
@@ -233,22 +236,22 @@
     crashed.isolated = crashed.isolated && !isShared;
     if (crashed.isolated)
         m_isolationLimit.recordCrash(m_latestEventAt);
-    recordCrash(job, crashed);
     auto task = taskOf(job, crashed);
-    auto crashRate = otherCrashRate(job, task);
+    crashed.otherCrashRate = otherCrashRate(job, task);
+    recordCrash(job, crashed);
     CrashEvent event { .task = task,
         .run = crashed,
         .crashes = job.crashes.count(task),
-        .coincidence = job.crashes.coincidence(task, crashRate) };
+        .coincidence = job.crashes.coincidence(task, crashed.otherCrashRate) };
     const auto* tracked = findTask(job, task);
-    if (!job.hasEnded() && tracked && !tracked->done && job.crashes.isCauseOfCrashes(task, crashRate)) {
+    if (!job.hasEnded() && tracked && !tracked->done && job.crashes.isCauseOfCrashes(task, crashed.otherCrashRate)) {
         finishJob(job, JobStage::Failed);
         event.failedJob = true;
     }
     return event;
 }
 
-/// Returns the recent crashes a second and worker, without those under the task.
+/// Returns the recent crashes a second and worker, without those that may have happened under the task.
 double TaskScheduler::otherCrashRate(const TrackedJob& job, const TaskRef& key) const
 {
     auto isUnderTask = [&](const WorkerLoss& loss) {
@@ -259,7 +262,8 @@
     // The record of a gang names one worker, but each of its members may have crashed one.
     bool isGang = key.step < job.spec.steps.size() && job.spec.steps[key.step].gang;
     auto workersPerCrash = isGang ? job.spec.steps[key.step].count : 1;
-    auto others = m_recentLosses.size() - std::min(m_recentLosses.size(), crashes * workersPerCrash);
+    auto own = crashes * workersPerCrash + maxUnrecordedCrashes;
+    auto others = m_recentLosses.size() - std::min(m_recentLosses.size(), own);
     constexpr double msPerSecond = 1000;
     auto seconds = static_cast<double>(lossMemory.count()) / msPerSecond;
     return static_cast<double>(others) / (seconds * static_cast<double>(std::max<size_t>(1, m_workers.size())));
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -47,7 +47,7 @@
         step.suspectDelay = delayOfSuspect(*ready.job, ref, step.tasks.front(), now);
         if (step.suspectDelay != SuspectDelay::None)
             return true;
-        bool mayIsolate = maySearchIsolated(ready) && hasIsolationSlots(*ready.job, spec.count);
+        bool mayIsolate = maySearchIsolated(ready) && hasIsolationSlots(*ready.job, spec.count, isolation);
         if (mayIsolate && startGang(ready, {}, now, PlacementMode::Isolated))
             return true;
         m_failedSearches += mayIsolate ? 1 : 0;
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -69,16 +69,23 @@
     return std::min(limit, workers / 2);
 }
 
-/// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone.
-bool TaskScheduler::hasIsolationSlots(const TrackedJob& job, uint32_t runs) const
+/// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone. Tasks
+/// that need not run isolated leave the slots beyond the initial limit to those that have to.
+bool TaskScheduler::hasIsolationSlots(const TrackedJob& job, uint32_t runs, RunIsolation isolation) const
 {
-    return m_isolatedRuns == 0 || m_isolatedRuns + runs <= maxIsolatedRuns(job);
+    if (m_isolatedRuns == 0)
+        return true;
+    auto limit = maxIsolatedRuns(job);
+    if (isolation == RunIsolation::Preferred)
+        limit = std::min(limit, IsolationLimit::initialLimitFor(static_cast<uint32_t>(m_workers.size())));
+    return m_isolatedRuns + runs <= limit;
 }
 
 /// Why a task that may start, or a gang of `runs` members, was not placed isolated.
 SuspectDelay TaskScheduler::placementDelayOfSuspect(const TrackedJob& job, uint32_t runs) const
 {
-    return hasIsolationSlots(job, runs) ? SuspectDelay::NoWorker : SuspectDelay::NoIsolationSlot;
+    return hasIsolationSlots(job, runs, RunIsolation::Required) ? SuspectDelay::NoWorker
+                                                                : SuspectDelay::NoIsolationSlot;
 }
 
 /// Whether the current plan may search workers for isolated runs of the step.
@@ -105,9 +112,9 @@
 }
 
 /// Starts the suspected task isolated if possible. Returns false if it has to wait or may start like other tasks.
-bool TaskScheduler::placeSuspect(const ReadyStep& ready, uint32_t index, Instant now)
+bool TaskScheduler::placeSuspect(const ReadyStep& ready, uint32_t index, RunIsolation isolation, Instant now)
 {
-    if (!hasIsolationSlots(*ready.job, 1))
+    if (!hasIsolationSlots(*ready.job, 1, isolation))
         return false;
     auto& task = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Isolated);
@@ -137,7 +144,7 @@
 TaskScheduler::WorkerEntry* TaskScheduler::holdForIsolation(
     const ReadyStep& ready, const TrackedTask& task, Instant now)
 {
-    if (!hasIsolationSlots(*ready.job, 1))
+    if (!hasIsolationSlots(*ready.job, 1, RunIsolation::Required))
         return nullptr;
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Hold);
     if (!worker)
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -218,7 +218,7 @@
             bool mayStart = suspectDelay == SuspectDelay::None;
             searchIsolated = searchIsolated && (!mayStart || maySearchIsolated(ready));
             if (mayStart && searchIsolated) {
-                if (placeSuspect(ready, index, now))
+                if (placeSuspect(ready, index, isolation, now))
                     continue;
                 searchIsolated = false;
                 if (isolation == RunIsolation::Required)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -314,12 +314,12 @@
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     uint32_t maxIsolatedRuns(const TrackedJob&) const;
-    bool hasIsolationSlots(const TrackedJob&, uint32_t runs) const;
+    bool hasIsolationSlots(const TrackedJob&, uint32_t runs, RunIsolation) const;
     bool mayHold(const ReadyStep&, const WorkerEntry&) const;
     bool maySearchIsolated(const ReadyStep&);
     SuspectDelay placementDelayOfSuspect(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
-    bool placeSuspect(const ReadyStep&, uint32_t index, Instant now);
+    bool placeSuspect(const ReadyStep&, uint32_t index, RunIsolation, Instant now);
     WorkerEntry* holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
     void holdForGang(const ReadyStep&, Instant now);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
--- a/Libraries/LibWire/CrashedRun.h
+++ b/Libraries/LibWire/CrashedRun.h
@@ -27,8 +27,12 @@
     /// before its start, any other when its worker refuses connections.
     bool confirmed { false };
 
+    /// Crashes a second and worker around the loss, without those under the task; 0 if unknown.
+    double otherCrashRate { 0 };
+
     bool operator==(const CrashedRun&) const = default;
-    MSGPACK_DEFINE_ARRAY(occurrence, step, index, run, worker, workerStartedAtMs, runTimeMs, isolated, confirmed)
+    MSGPACK_DEFINE_ARRAY(
+        occurrence, step, index, run, worker, workerStartedAtMs, runTimeMs, isolated, confirmed, otherCrashRate)
 };
 
 }
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -12,7 +12,7 @@
     CrashHistory history;
     TaskRef task { "j", 0, 1, 2 };
 
-    void crash(uint64_t run, bool isolated, bool confirmed = true, uint32_t runTimeMs = 10)
+    void crash(uint64_t run, bool isolated, bool confirmed = true, uint32_t runTimeMs = 10, double otherCrashRate = 0)
     {
         history.record({ .occurrence = 0,
             .step = 1,
@@ -21,7 +21,8 @@
             .worker = "w",
             .runTimeMs = runTimeMs,
             .isolated = isolated,
-            .confirmed = confirmed });
+            .confirmed = confirmed,
+            .otherCrashRate = otherCrashRate });
     }
 };
 
@@ -93,14 +94,17 @@
     CHECK(history.isEmpty());
 }
 
-// Guards against giving up a job, or keeping it waiting for a worker of its own, while workers crash anyhow.
+// Guards against giving up a job, or keeping it waiting for a worker of its own, because of crashes of a time at which
+// workers crashed anyhow.
 TEST(CrashHistory, CrashesAtTheRateOfAllWorkersProveNothing)
 {
-    for (uint64_t run = 1; run <= 3; ++run)
-        crash(run, false, true, 1000);
-    CHECK(history.isolationOf(task, stormRate) != RunIsolation::Required);
-    crash(4, true, true, 1000);
-    CHECK(!history.isCauseOfCrashes(task, stormRate));
+    for (uint64_t run = 1; run <= 4; ++run) {
+        crash(run, run == 4, true, 1000, stormRate);
+        CHECK(run == 4 || history.isolationOf(task, quietRate) != RunIsolation::Required);
+    }
+    CHECK(!history.isCauseOfCrashes(task, quietRate));
+    for (uint64_t run = 1; run <= 4; ++run)
+        crash(run, run == 4, true, 1000, quietRate);
     CHECK(history.isCauseOfCrashes(task, quietRate));
 }
 
@@ -109,8 +113,8 @@
 TEST(CrashHistory, RepeatedPromptCrashesProveTheCauseWhileWorkersCrash)
 {
     for (uint64_t run = 1; run <= 4; ++run)
-        crash(run, false);
+        crash(run, false, true, 10, stormRate);
     CHECK(history.isolationOf(task, stormRate) == RunIsolation::Required);
-    crash(5, true);
-    CHECK(history.isCauseOfCrashes(task, stormRate));
+    crash(5, true, true, 10, stormRate);
+    CHECK(history.isCauseOfCrashes(task, quietRate));
 }
--- a/Tests/LibDecision/TestIsolationLimit.cpp
+++ b/Tests/LibDecision/TestIsolationLimit.cpp
@@ -18,12 +18,13 @@
     CHECK_EQUAL(3, limit.limitFor(8, now));
 }
 
-// Guards against a limit that keeps harmless tasks waiting, and against one that stays large when tasks do crash.
+// Guards against a limit that keeps harmless tasks waiting, against one that takes most workers out of use, and against
+// one that stays large when tasks do crash.
 TEST(IsolationLimit, GrowsWithHarmlessRunsAndShrinksWithCrashes)
 {
     for (int i = 0; i < 16; ++i)
         limit.recordHarmlessRun(now);
-    CHECK_COMPARE(limit.limitFor(workers, now), >=, 24U);
+    CHECK_EQUAL(workers / 4, limit.limitFor(workers, now));
     for (int i = 0; i < 16; ++i)
         limit.recordCrash(now);
     CHECK_COMPARE(limit.limitFor(workers, now), <=, 5U);
