Compute the rate of other crashes without a search

Cause: the rate was computed for each suspected task in each plan over all recent crashes, several hundred there, so the leader was short of processor time and lost its leadership. Only the logs could not tell this from isolated runs that block workers: task_waits now has usable_workers and isolated_workers, which excluded that.

Change: the crashes of a task are counted from its own records.

The tests of LibDecision and LibNode pass.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -251,18 +251,14 @@
     return event;
 }
 
-/// Returns the recent crashes a second and worker, without those that may have happened under the task.
+/// Returns the recent crashes a second and worker, without those that may have happened under the task. Called for each
+/// waiting task, so it does not look for the crashes of the task among all recent ones.
 double TaskScheduler::otherCrashRate(const TrackedJob& job, const TaskRef& key) const
 {
-    auto isUnderTask = [&](const WorkerLoss& loss) {
-        return std::ranges::any_of(job.crashes.runs(),
-            [&](const CrashedRun& it) { return taskOf(job, it) == key && isOnIncarnation(it, loss.view); });
-    };
-    auto crashes = static_cast<size_t>(std::ranges::count_if(m_recentLosses, isUnderTask));
     // The record of a gang names one worker, but each of its members may have crashed one.
     bool isGang = key.step < job.spec.steps.size() && job.spec.steps[key.step].gang;
     auto workersPerCrash = isGang ? job.spec.steps[key.step].count : 1;
-    auto own = crashes * workersPerCrash + maxUnrecordedCrashes;
+    auto own = job.crashes.count(key) * workersPerCrash + maxUnrecordedCrashes;
     auto others = m_recentLosses.size() - std::min(m_recentLosses.size(), own);
     constexpr double msPerSecond = 1000;
     auto seconds = static_cast<double>(lossMemory.count()) / msPerSecond;
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -28,6 +28,17 @@
     m_isolatedRuns = isolated ? m_isolatedRuns + 1 : m_isolatedRuns - 1;
 }
 
+TaskScheduler::WorkerUse TaskScheduler::workerUse() const
+{
+    WorkerUse use;
+    for (const auto& [service, candidates] : m_candidates) {
+        use.usable += static_cast<uint32_t>(candidates.size());
+        use.isolated += static_cast<uint32_t>(std::ranges::count_if(
+            candidates, [&](const WorkerEntry* it) { return it->isHeldForIsolation(m_latestEventAt); }));
+    }
+    return use;
+}
+
 bool TaskScheduler::areCrashesStored(const TrackedJob& job, const TaskRef& key)
 {
     return std::ranges::all_of(job.crashes.runs(), [&](const CrashedRun& it) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -196,6 +196,13 @@
     /// has not listed for that long, longest wait first.
     std::vector<StepWait> stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
 
+    /// Usable workers as of the latest plan, and those of them that take isolated runs only.
+    struct WorkerUse {
+        uint32_t usable { 0 };
+        uint32_t isolated { 0 };
+    };
+    WorkerUse workerUse() const;
+
     /// Processors that are free on usable workers, and those that are reserved for the demand of short tasks, in
     /// thousandths of a core.
     int64_t freeCpuMillis() const { return m_freeCpuMillis; }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -444,14 +444,15 @@
     if (now - m_waitsLoggedAt < interval)
         return;
     m_waitsLoggedAt = now;
+    auto use = m_scheduler.workerUse();
     for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines))
         logInfo("task_waits",
             { { "job", wait.job }, { "occurrence", wait.occurrence }, { "step", wait.step }, { "tasks", wait.tasks },
                 { "index", wait.longestWaiting }, { "longest_ms", wait.longestWait.count() },
                 { "reason", nameOf(wait.reason) }, { "suspect", nameOf(wait.suspectDelay) },
                 { "cpu_millis", wait.size.cpuMillis }, { "memory_mb", wait.size.memoryMb },
-                { "free_millis", m_scheduler.freeCpuMillis() },
-                { "headroom_millis", m_scheduler.headroomCpuMillis() } });
+                { "free_millis", m_scheduler.freeCpuMillis() }, { "headroom_millis", m_scheduler.headroomCpuMillis() },
+                { "usable_workers", use.usable }, { "isolated_workers", use.isolated } });
 }
 
 void TaskLeader::tick()
