Isolate tasks after one prompt crash at usual rates of crashes

Cause: the probability of a coincidence allowed 1 s for the notice of a crash, which made prompt crashes look twice as likely as they are, and the bound for preferred isolation was 0.03.

Change: 0.5 s and 0.1. Preferred isolation uses the initial slots only, so the higher bound costs no capacity while workers crash in waves.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -21,13 +21,13 @@
 /// isolated, and do not reserve a worker for it.
 static constexpr double maxCoincidenceOfCause = 1e-5;
 static constexpr double maxCoincidenceOfRequiredIsolation = 1e-3;
-static constexpr double maxCoincidenceOfPreferredIsolation = 0.03;
+static constexpr double maxCoincidenceOfPreferredIsolation = 0.1;
 
 /// Crashes a second and worker that are assumed while none were seen.
 static constexpr double minCrashRate = 1e-4;
 
 /// A worker may have crashed this long before its loss was noticed, also before the start of the run.
-static constexpr Milliseconds crashDetectionTime { 1000 };
+static constexpr Milliseconds crashDetectionTime { 500 };
 
 /// Crashes directly after a start that prove the cause however many workers crash, with one of them isolated.
 static constexpr size_t maxPromptCrashes = 5;
