Count the usable workers among those that still exist

Found while reading the diff: workerUse() read the candidates of the latest plan, which may have been removed since, for a line of the log. It walks the workers now. The tests of LibDecision pass.

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -31,10 +31,12 @@
 TaskScheduler::WorkerUse TaskScheduler::workerUse() const
 {
     WorkerUse use;
-    for (const auto& [service, candidates] : m_candidates) {
-        use.usable += static_cast<uint32_t>(candidates.size());
-        use.isolated += static_cast<uint32_t>(std::ranges::count_if(
-            candidates, [&](const WorkerEntry* it) { return it->isHeldForIsolation(m_latestEventAt); }));
+    // The candidates of the latest plan may have been removed since.
+    for (const auto& [handle, worker] : m_workers) {
+        if (!isUsable(*worker, m_latestEventAt))
+            continue;
+        ++use.usable;
+        use.isolated += worker->isHeldForIsolation(m_latestEventAt) ? 1 : 0;
     }
     return use;
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -196,7 +196,7 @@
     /// has not listed for that long, longest wait first.
     std::vector<StepWait> stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
 
-    /// Usable workers as of the latest plan, and those of them that take isolated runs only.
+    /// Workers that may get starts, and those of them that get isolated runs only.
     struct WorkerUse {
         uint32_t usable { 0 };
         uint32_t isolated { 0 };
