Log whether a worker answered the start of a run under which it crashed

CrashedRun has a field for it, at the end, so that older records read as before. run_crashed prints answered=, and job_ended prints run_ms and unanswered for each crash of the job. No decision depends on it yet.

TestLibDecision, TestLibNode, TestLibWire and TestPlatformAdapter pass (535 tests).

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -55,7 +55,8 @@
         .worker = worker.view.id,
         .workerStartedAtMs = worker.view.startedAtMs,
         .runTimeMs = static_cast<uint32_t>(std::max<int64_t>(0, (lostAt - run.startedAt).count())),
-        .isolated = run.isolated };
+        .isolated = run.isolated,
+        .unanswered = run.confirmedAt == neverInstant };
 }
 
 void TaskScheduler::indexCrash(const TrackedJob& job, const CrashedRun& crashed)
@@ -334,7 +335,7 @@
     confirmDueCrashes(now);
 }
 
-/// Adds the time from the start to the loss to the records of suspected runs, which were made before their starts.
+/// Adds what is known at the loss to the records of suspected runs, which were made before their starts.
 void TaskScheduler::recordRunTimes(const WorkerEntry& worker)
 {
     for (auto& [job, crashed] : unconfirmedCrashesOf(worker.view.id)) {
@@ -343,7 +344,9 @@
         const auto* run = task ? findRun(*task, crashed.run) : nullptr;
         if (!run || run->worker != worker.handle)
             continue;
-        crashed.runTimeMs = describeCrash(worker, *job, ref, *run).runTimeMs;
+        auto described = describeCrash(worker, *job, ref, *run);
+        crashed.runTimeMs = described.runTimeMs;
+        crashed.unanswered = described.unanswered;
         recordCrash(*job, crashed);
     }
 }
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -177,6 +177,8 @@
     run.suspected = true;
     auto crashed = describeCrash(worker, job, ref, run);
     crashed.runTimeMs = 0;
+    // A leader that learns of the crash from this record cannot know whether the worker had answered.
+    crashed.unanswered = false;
     recordCrash(job, crashed);
 }
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -298,9 +298,9 @@
             step.step, step.waitTime.count(), step.runTime.count());
     std::string crashes;
     for (const auto& crashed : timeline.crashedRuns)
-        fmt::format_to(std::back_inserter(crashes), "{}{}.{}.{}:run={},worker={}{}", crashes.empty() ? "" : ";",
-            crashed.occurrence, crashed.step, crashed.index, crashed.run, crashed.worker,
-            crashed.isolated ? ",isolated" : "");
+        fmt::format_to(std::back_inserter(crashes), "{}{}.{}.{}:run={},worker={},run_ms={}{}{}",
+            crashes.empty() ? "" : ";", crashed.occurrence, crashed.step, crashed.index, crashed.run, crashed.worker,
+            crashed.runTimeMs, crashed.unanswered ? ",unanswered" : "", crashed.isolated ? ",isolated" : "");
     logInfo("job_ended",
         { { "job", progress.id }, { "queue", timeline.queue }, { "state", nameOf(progress.state) },
             { "late_ms", unixMsNow() - timeline.objectiveUnixMs }, { "failed_runs", timeline.failedRuns },
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -180,9 +180,9 @@
         m_metrics.recordRunEnd("crashed");
         logWarning("run_crashed",
             { { "job", task.job }, { "occurrence", task.occurrence }, { "step", task.step }, { "index", task.index },
-                { "run", run.run }, { "worker", run.worker }, { "run_ms", run.runTimeMs }, { "isolated", run.isolated },
-                { "crashes", count }, { "coincidence", fmt::format("{:.1e}", coincidence) },
-                { "gives_up", failedJob } });
+                { "run", run.run }, { "worker", run.worker }, { "run_ms", run.runTimeMs },
+                { "answered", !run.unanswered }, { "isolated", run.isolated }, { "crashes", count },
+                { "coincidence", fmt::format("{:.1e}", coincidence) }, { "gives_up", failedJob } });
     }
 }
 
--- a/Libraries/LibWire/CrashedRun.h
+++ b/Libraries/LibWire/CrashedRun.h
@@ -30,9 +30,12 @@
     /// Crashes a second and worker around the loss, without those under the task; 0 if unknown.
     double otherCrashRate { 0 };
 
+    /// Whether the worker is known not to have answered since the start was sent, so that it may have crashed before.
+    bool unanswered { false };
+
     bool operator==(const CrashedRun&) const = default;
-    MSGPACK_DEFINE_ARRAY(
-        occurrence, step, index, run, worker, workerStartedAtMs, runTimeMs, isolated, confirmed, otherCrashRate)
+    MSGPACK_DEFINE_ARRAY(occurrence, step, index, run, worker, workerStartedAtMs, runTimeMs, isolated, confirmed,
+        otherCrashRate, unanswered)
 };
 
 }
