Judge the crashes of a task by a probability that does not shrink with their number

Cause: CrashHistory multiplied the probabilities of the crashes of a task. Each crash that happens anyhow multiplies by a number below one, so that the product falls below any bound for a task that lasts, of which every run ends with its worker. Records that were not confirmed counted too. The mean rate of 10 s also takes crashes as independent, but they come in bursts.

Change: coincidence() is the probability that as many runs would have crashed, as early: for each run, the probability of a crash in the whole run, times the distribution of the product of uniform variables for the shares of the runs. CrashedRun::expectedCrashes stores what was to be expected until the loss: the share of the workers that were lost in that time without a known cause. Only confirmed crashes can give up a job. The class: a product of probabilities that is compared with a fixed bound, whatever the number of its factors.

Test: CrashWaves.LongRunningJobsOutliveThem failed before (a job was given up).

--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -14,9 +14,18 @@
 /// worker are suspected, but at most one of them is the cause. A suspected task therefore runs isolated from other
 /// suspects until it either has run long enough to be cleared or has crashed workers while isolated. Crashes that are
 /// likely anyhow at the rate at which workers crash say little of a task. In all functions, the job of a TaskRef is
-/// ignored, and `crashRate` is the recent number of crashes a second and worker in which the task had no part.
+/// ignored, `crashRate` is the recent number of crashes a second and worker in which the task had no part, and
+/// `runTime` is the expected time of a run that no crash ends, `unlimitedRunTime` for a long-running task.
 class CrashHistory {
 public:
+    static constexpr Milliseconds unlimitedRunTime { Milliseconds::max() };
+
+    /// A worker may have crashed this long before its loss was noticed, also before the start of the run.
+    static constexpr Milliseconds crashDetectionTime { 500 };
+
+    /// Crashes a second and worker that are assumed while none were seen.
+    static constexpr double minCrashRate { 1e-4 };
+
     CrashHistory() = default;
     explicit CrashHistory(std::vector<CrashedRun> runs)
         : m_runs(std::move(runs))
@@ -43,13 +52,17 @@
 
     /// Whether a worker has crashed directly after a start of the task, or several workers have crashed under it.
     bool isSuspected(const TaskRef&) const;
-    RunIsolation isolationOf(const TaskRef&, double crashRate) const;
+    RunIsolation isolationOf(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }) const;
+
+    /// Which crashes are judged.
+    enum class Scope : uint8_t { All, Confirmed };
 
-    /// Probability that the workers would have crashed without the task.
-    double coincidence(const TaskRef&, double crashRate) const;
+    /// Probability that as many workers would have crashed as early in the runs of the task if it were not the cause.
+    double coincidence(
+        const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }, Scope = Scope::All) const;
 
     /// Whether the job of the task has to be given up, because the task crashes the workers that start it.
-    bool isCauseOfCrashes(const TaskRef&, double crashRate) const;
+    bool isCauseOfCrashes(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }) const;
 
     /// Whether the task must not start before its unconfirmed crashes are confirmed or withdrawn.
     bool awaitsConfirmation(const TaskRef&) const;
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -231,27 +231,61 @@
     forgetResolvedCrashes(worker.view.id);
 }
 
-TaskScheduler::CrashEvent TaskScheduler::confirmCrash(TrackedJob& job, CrashedRun crashed, bool isShared)
+/// Returns the time that a run of the task takes unless a crash ends it.
+Milliseconds TaskScheduler::expectedRunTime(const TrackedJob& job, const TaskRef& task)
+{
+    if (task.step >= job.spec.steps.size())
+        return Milliseconds { 0 };
+    const auto& spec = job.spec.steps[task.step];
+    return spec.longRunning ? CrashHistory::unlimitedRunTime : Milliseconds { spec.estimateMs };
+}
+
+/// `loss` is null if an earlier leader removed the worker.
+TaskScheduler::CrashEvent TaskScheduler::confirmCrash(TrackedJob& job, CrashedRun crashed, const WorkerLoss* loss)
 {
     crashed.confirmed = true;
-    crashed.isolated = crashed.isolated && !isShared;
+    crashed.isolated = crashed.isolated && !(loss && loss->isShared);
     if (crashed.isolated)
         m_isolationLimit.recordCrash(m_latestEventAt);
     auto task = taskOf(job, crashed);
     crashed.otherCrashRate = otherCrashRate(job, task);
+    if (loss)
+        crashed.expectedCrashes = expectedCrashes(job, crashed, *loss);
     recordCrash(job, crashed);
+    auto runTime = expectedRunTime(job, task);
     CrashEvent event { .task = task,
         .run = crashed,
         .crashes = job.crashes.count(task),
-        .coincidence = job.crashes.coincidence(task, crashed.otherCrashRate) };
+        .coincidence = job.crashes.coincidence(task, crashed.otherCrashRate, runTime, CrashHistory::Scope::Confirmed) };
     const auto* tracked = findTask(job, task);
-    if (!job.hasEnded() && tracked && !tracked->done && job.crashes.isCauseOfCrashes(task, crashed.otherCrashRate)) {
+    if (!job.hasEnded() && tracked && !tracked->done
+        && job.crashes.isCauseOfCrashes(task, crashed.otherCrashRate, runTime)) {
         finishJob(job, JobStage::Failed);
         event.failedJob = true;
     }
     return event;
 }
 
+/// Returns the crashes of the worker to be expected while the run was active, without the task: the share of the
+/// workers that were lost in that time for no known cause. Workers crash in bursts, so the rate over a longer time says
+/// less.
+double TaskScheduler::expectedCrashes(const TrackedJob& job, const CrashedRun& crashed, const WorkerLoss& loss) const
+{
+    auto exposure = Milliseconds { crashed.runTimeMs } + CrashHistory::crashDetectionTime;
+    auto others = std::ranges::count_if(m_recentLosses, [&](const WorkerLoss& it) {
+        return &it != &loss && !it.hadIsolatedRun && it.at >= loss.at - exposure && it.at <= loss.at + sharedLossWindow;
+    });
+    // The other members of a gang may have crashed their workers too.
+    const auto& steps = job.spec.steps;
+    bool isGang = crashed.step < steps.size() && steps[crashed.step].gang;
+    if (isGang)
+        others -= std::min<int64_t>(others, steps[crashed.step].count - 1);
+    constexpr double msPerSecond = 1000;
+    auto minExpected = CrashHistory::minCrashRate * static_cast<double>(exposure.count()) / msPerSecond;
+    return std::max(
+        minExpected, static_cast<double>(others) / static_cast<double>(std::max<size_t>(1, m_workers.size())));
+}
+
 /// Returns the recent crashes a second and worker, without those that may have happened under the task. Called for each
 /// waiting task, so it does not look for the crashes of the task among all recent ones.
 double TaskScheduler::otherCrashRate(const TrackedJob& job, const TaskRef& key) const
@@ -266,16 +300,16 @@
     return static_cast<double>(others) / (seconds * static_cast<double>(std::max<size_t>(1, m_workers.size())));
 }
 
-void TaskScheduler::confirmCrashes(const WorkerLoss& loss)
+void TaskScheduler::confirmCrashes(WorkerLoss& loss)
 {
-    bool isShared = isLostWithItsGroup(loss);
+    loss.isShared = isLostWithItsGroup(loss);
     for (const auto& [job, crashed] : unconfirmedCrashesOf(loss.view.id)) {
         if (!isOnIncarnation(crashed, loss.view))
             continue;
-        if (isShared && !crashed.isolated)
+        if (loss.isShared && !crashed.isolated)
             withdrawCrash(*job, taskOf(*job, crashed), crashed.run);
         else
-            m_crashEvents.push_back(confirmCrash(*job, crashed, isShared));
+            m_crashEvents.push_back(confirmCrash(*job, crashed, &loss));
     }
     forgetResolvedCrashes(loss.view.id);
 }
@@ -308,7 +342,7 @@
     for (const auto& [worker, jobs] : unconfirmed) {
         for (const auto& [job, crashed] : unconfirmedCrashesOf(worker)) {
             if (!isKnown(worker, crashed.workerStartedAtMs))
-                m_crashEvents.push_back(confirmCrash(*job, crashed, false));
+                m_crashEvents.push_back(confirmCrash(*job, crashed, nullptr));
         }
         forgetResolvedCrashes(worker);
     }
@@ -326,7 +360,9 @@
     if (end == WorkerEnd::Crashed) {
         suspectCrash(handle, now);
         recordRunTimes(worker);
-        m_recentLosses.push_back({ .view = worker.view, .at = worker.lostAt == neverInstant ? now : worker.lostAt });
+        m_recentLosses.push_back({ .view = worker.view,
+            .at = worker.lostAt == neverInstant ? now : worker.lostAt,
+            .hadIsolatedRun = worker.isolatedRuns > 0 });
     } else {
         withdrawUnconfirmedCrashes(worker);
     }
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -54,7 +54,9 @@
     if (job.crashes.isEmpty())
         return RunIsolation::None;
     auto key = crashKey(job, ref);
-    return job.crashes.isSuspected(key) ? job.crashes.isolationOf(key, otherCrashRate(job, key)) : RunIsolation::None;
+    if (!job.crashes.isSuspected(key))
+        return RunIsolation::None;
+    return job.crashes.isolationOf(key, otherCrashRate(job, key), expectedRunTime(job, key));
 }
 
 /// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -225,6 +225,12 @@
         TaskWorkerView view {};
         Instant at { neverInstant };
 
+        /// Whether an isolated run was active, which is the likely cause.
+        bool hadIsolatedRun { false };
+
+        /// Whether all workers of its rack or zone were lost with it.
+        bool isShared { false };
+
         /// Whether its crashes are confirmed or withdrawn.
         bool isJudged { false };
     };
@@ -307,16 +313,18 @@
     void indexCrash(const TrackedJob&, const CrashedRun&);
     void resolveUnconfirmedCrashes(const WorkerEntry&);
     void withdrawFalseCrashes(const WorkerEntry&);
-    void confirmCrashes(const WorkerLoss&);
+    void confirmCrashes(WorkerLoss&);
     void confirmDueCrashes(Instant now);
     double otherCrashRate(const TrackedJob&, const TaskRef& key) const;
+    double expectedCrashes(const TrackedJob&, const CrashedRun&, const WorkerLoss&) const;
     bool hasDueCrash(const TrackedJob&, const TaskRef& key) const;
     void recordRunTimes(const WorkerEntry&);
-    CrashEvent confirmCrash(TrackedJob&, CrashedRun, bool isShared);
+    CrashEvent confirmCrash(TrackedJob&, CrashedRun, const WorkerLoss*);
     void withdrawUnconfirmedCrashes(const WorkerEntry&);
     std::vector<std::pair<TrackedJob*, CrashedRun>> unconfirmedCrashesOf(const WorkerId&);
     void forgetResolvedCrashes(const WorkerId&);
     bool isLostWithItsGroup(const WorkerLoss&) const;
+    static Milliseconds expectedRunTime(const TrackedJob&, const TaskRef&);
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
--- a/Libraries/LibWire/CrashedRun.h
+++ b/Libraries/LibWire/CrashedRun.h
@@ -33,9 +33,13 @@
     /// Whether the worker is known not to have answered since the start was sent, so that it may have crashed before.
     bool unanswered { false };
 
+    /// Expected number of crashes of the worker in the time in which one would have hit the run, without the task; 0 if
+    /// unknown.
+    double expectedCrashes { 0 };
+
     bool operator==(const CrashedRun&) const = default;
     MSGPACK_DEFINE_ARRAY(occurrence, step, index, run, worker, workerStartedAtMs, runTimeMs, isolated, confirmed,
-        otherCrashRate, unanswered)
+        otherCrashRate, unanswered, expectedCrashes)
 };
 
 }
--- /dev/null
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -0,0 +1,81 @@
+#include "TaskCrashFixture.h"
+#include <algorithm>
+
+using namespace Bergamot;
+
+// Workers crash in waves for a cause of their own, beside tasks that are or are not the cause of further crashes.
+
+TEST_GROUP_BASE(CrashWaves, TaskCrashFixture)
+{
+    static constexpr int workers { 48 };
+    static constexpr int workersPerWave { 7 };
+    static constexpr Milliseconds waveInterval { 1500 };
+    static constexpr Milliseconds wavesEnd { 60000 };
+    static constexpr Milliseconds jobInterval { 500 };
+    static constexpr Milliseconds runTime { 2000 };
+
+    Milliseconds passed { 0 };
+    uint32_t seed { 1 };
+    int jobs { 0 };
+
+    void addWorkers()
+    {
+        for (int i = 0; i < workers; ++i)
+            addWorker();
+    }
+
+    WorkerHandle randomWorker()
+    {
+        seed = seed * 1664525 + 1013904223;
+        return std::next(active.begin(), static_cast<std::ptrdiff_t>((seed >> 16) % active.size()))->first;
+    }
+
+    void endDueRuns()
+    {
+        for (const auto& [worker, runs] : std::map(active)) {
+            if (crashedAt.contains(worker) || silentSince.contains(worker))
+                continue;
+            for (const auto& start : runs) {
+                bool isShort = start.task.job.starts_with("short");
+                if (isShort && fixture.now() - startedAt[{ start.task, start.run }] >= runTime)
+                    end(worker, start);
+            }
+        }
+    }
+
+    /// Lets time pass, with jobs of short tasks and waves of crashes until `wavesEnd`.
+    void runWaves(Milliseconds time)
+    {
+        for (auto until = passed + time; passed < until; passed += planInterval) {
+            bool hasWaves = passed < wavesEnd;
+            if (hasWaves && passed % jobInterval == Milliseconds { 0 }) {
+                StepSpec step { .count = 20, .size = { 4000, 4000, 0 }, .estimateMs = 2000 };
+                scheduler.addJob(fixture.job("short" + std::to_string(jobs++), { step }), std::nullopt, neverInstant);
+            }
+            for (int i = 0; hasWaves && passed % waveInterval == Milliseconds { 0 } && i < workersPerWave; ++i)
+                crashSilently(randomWorker());
+            run(planInterval);
+            endDueRuns();
+        }
+    }
+
+    void checkShortJobsCompleted()
+    {
+        for (int i = 0; i < jobs; ++i)
+            CHECK(scheduler.stateOf("short" + std::to_string(i)) == JobStage::Completed);
+    }
+};
+
+// Guards against long-running jobs that are given up because the probabilities of their many crashes multiply to
+// nothing.
+TEST(CrashWaves, LongRunningJobsOutliveThem)
+{
+    addWorkers();
+    constexpr int longRunningJobs { 30 };
+    for (int i = 0; i < longRunningJobs; ++i)
+        scheduler.addJob(fixture.job("long" + std::to_string(i), { lasting(6) }), std::nullopt, neverInstant);
+    runWaves(wavesEnd + Milliseconds { 15000 });
+    for (int i = 0; i < longRunningJobs; ++i)
+        CHECK(scheduler.stateOf("long" + std::to_string(i)) == JobStage::Running);
+    CHECK_EQUAL(6 * longRunningJobs, scheduler.totals().activeRuns);
+}
