Do not count starts that a silent worker never received as crashes of the task

Cause: a worker that has fallen silent is noticed 1.2 to 1.9 s later. Starts that were sent to it meanwhile, or still waited in its queue, counted as crashes directly after the start, two of them as isolated ones. A task whose runs are lost in that way starts again just when the next workers have fallen silent.

Change: a worker is asked for a sign of life before each start of a task under which workers crashed (StartTask::isSuspected). Starts that wait in the queue of a removed worker are withdrawn first. A crash under a start without an answer does not count as one directly after the start, and the time since the last reply of the worker counts as the time in which it may have crashed anyhow. The class: silence taken for evidence about what was sent into it.

Tests: CrashWaves.StartsOnSilentWorkersProveNothing, .ShortJobsOutliveThem, WorkerSession.StartOfASuspectedTaskFollowsAReply, .UnsentStartsAreWithdrawnFrom- AnEndedWorker and TaskLeaderCrashes.UnsentStartIsNoCrash.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -154,7 +154,7 @@
             continue;
         ++crashes;
         isolatedCrashes += it.isolated ? 1 : 0;
-        promptCrashes += Milliseconds { it.runTimeMs } <= promptCrashTime ? 1 : 0;
+        promptCrashes += !it.unanswered && Milliseconds { it.runTimeMs } <= promptCrashTime ? 1 : 0;
     }
     if (promptCrashes < maxPromptCrashes
         && coincidence(task, crashRate, runTime, Scope::Confirmed) > maxCoincidenceOfCause)
--- a/Libraries/LibDecision/StartTask.h
+++ b/Libraries/LibDecision/StartTask.h
@@ -17,6 +17,10 @@
     /// Whether another run of the task is active.
     bool isSpeculativeCopy { false };
 
+    /// Whether workers crashed under the task before. The start is sent to a worker that has just replied only: one
+    /// that has crashed without notice would look like another crash under the task.
+    bool isSuspected { false };
+
     bool operator==(const StartTask&) const = default;
 };
 
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -240,17 +240,15 @@
     return spec.longRunning ? CrashHistory::unlimitedRunTime : Milliseconds { spec.estimateMs };
 }
 
-/// `loss` is null if an earlier leader removed the worker.
-TaskScheduler::CrashEvent TaskScheduler::confirmCrash(TrackedJob& job, CrashedRun crashed, const WorkerLoss* loss)
+/// `expectedCrashes` is 0 if an earlier leader removed the worker.
+TaskScheduler::CrashEvent TaskScheduler::confirmCrash(TrackedJob& job, CrashedRun crashed, double expectedCrashes)
 {
     crashed.confirmed = true;
-    crashed.isolated = crashed.isolated && !(loss && loss->isShared);
+    crashed.expectedCrashes = expectedCrashes;
     if (crashed.isolated)
         m_isolationLimit.recordCrash(m_latestEventAt);
     auto task = taskOf(job, crashed);
     crashed.otherCrashRate = otherCrashRate(job, task);
-    if (loss)
-        crashed.expectedCrashes = expectedCrashes(job, crashed, *loss);
     recordCrash(job, crashed);
     auto runTime = expectedRunTime(job, task);
     CrashEvent event { .task = task,
@@ -266,24 +264,46 @@
     return event;
 }
 
+/// Returns the losses of other workers that have no known cause, of workers that this leader has reached: crashes of a
+/// task on the others may have gone unrecorded. Workers that are not removed yet count too.
+std::vector<TaskScheduler::OtherLoss> TaskScheduler::otherLosses(const WorkerLoss& loss) const
+{
+    std::vector<OtherLoss> others;
+    for (const auto& it : m_recentLosses) {
+        if (&it != &loss && !it.hadIsolatedRun && it.lastReplyAt != neverInstant)
+            others.push_back({ .view = &it.view, .at = it.at });
+    }
+    for (const auto& [handle, worker] : m_workers) {
+        if (worker->lostAt != neverInstant && worker->isolatedRuns == 0 && worker->lastReplyAt != neverInstant)
+            others.push_back({ .view = &worker->view, .at = worker->lostAt });
+    }
+    return others;
+}
+
 /// Returns the crashes of the worker to be expected while the run was active, without the task: the share of the
-/// workers that were lost in that time for no known cause. Workers crash in bursts, so the rate over a longer time says
+/// workers that were lost in that time for other causes. Workers crash in bursts, so the rate over a longer time says
 /// less.
-double TaskScheduler::expectedCrashes(const TrackedJob& job, const CrashedRun& crashed, const WorkerLoss& loss) const
+double TaskScheduler::expectedCrashes(const TrackedJob& job, const CrashedRun& crashed, const WorkerLoss& loss,
+    const std::vector<OtherLoss>& otherLosses) const
 {
     auto exposure = Milliseconds { crashed.runTimeMs } + CrashHistory::crashDetectionTime;
-    auto others = std::ranges::count_if(m_recentLosses, [&](const WorkerLoss& it) {
-        return &it != &loss && !it.hadIsolatedRun && it.at >= loss.at - exposure && it.at <= loss.at + sharedLossWindow;
+    // Such a start may have been sent to a worker that had crashed at any time since its last reply.
+    if (crashed.unanswered && loss.lastReplyAt != neverInstant)
+        exposure = std::max(exposure, loss.at - loss.lastReplyAt);
+    auto key = taskOf(job, crashed);
+    auto others = std::ranges::count_if(otherLosses, [&](const OtherLoss& it) {
+        auto isOwn = [&](const CrashedRun& own) { return taskOf(job, own) == key && isOnIncarnation(own, *it.view); };
+        return it.at >= loss.at - exposure && it.at <= loss.at + sharedLossWindow
+            && std::ranges::none_of(job.crashes.runs(), isOwn);
     });
     // The other members of a gang may have crashed their workers too.
     const auto& steps = job.spec.steps;
-    bool isGang = crashed.step < steps.size() && steps[crashed.step].gang;
-    if (isGang)
+    if (crashed.step < steps.size() && steps[crashed.step].gang)
         others -= std::min<int64_t>(others, steps[crashed.step].count - 1);
     constexpr double msPerSecond = 1000;
     auto minExpected = CrashHistory::minCrashRate * static_cast<double>(exposure.count()) / msPerSecond;
-    return std::max(
-        minExpected, static_cast<double>(others) / static_cast<double>(std::max<size_t>(1, m_workers.size())));
+    auto workers = std::max<size_t>(1, m_workers.size());
+    return std::max(minExpected, static_cast<double>(others) / static_cast<double>(workers));
 }
 
 /// Returns the recent crashes a second and worker, without those that may have happened under the task. Called for each
@@ -300,16 +320,22 @@
     return static_cast<double>(others) / (seconds * static_cast<double>(std::max<size_t>(1, m_workers.size())));
 }
 
-void TaskScheduler::confirmCrashes(WorkerLoss& loss)
+void TaskScheduler::confirmCrashes(const WorkerLoss& loss)
 {
-    loss.isShared = isLostWithItsGroup(loss);
-    for (const auto& [job, crashed] : unconfirmedCrashesOf(loss.view.id)) {
+    auto unconfirmed = unconfirmedCrashesOf(loss.view.id);
+    if (unconfirmed.empty())
+        return;
+    bool isShared = isLostWithItsGroup(loss);
+    auto others = otherLosses(loss);
+    for (auto& [job, crashed] : unconfirmed) {
         if (!isOnIncarnation(crashed, loss.view))
             continue;
-        if (loss.isShared && !crashed.isolated)
+        if (isShared && !crashed.isolated) {
             withdrawCrash(*job, taskOf(*job, crashed), crashed.run);
-        else
-            m_crashEvents.push_back(confirmCrash(*job, crashed, &loss));
+            continue;
+        }
+        crashed.isolated = crashed.isolated && !isShared;
+        m_crashEvents.push_back(confirmCrash(*job, crashed, expectedCrashes(*job, crashed, loss, others)));
     }
     forgetResolvedCrashes(loss.view.id);
 }
@@ -342,7 +368,7 @@
     for (const auto& [worker, jobs] : unconfirmed) {
         for (const auto& [job, crashed] : unconfirmedCrashesOf(worker)) {
             if (!isKnown(worker, crashed.workerStartedAtMs))
-                m_crashEvents.push_back(confirmCrash(*job, crashed, nullptr));
+                m_crashEvents.push_back(confirmCrash(*job, crashed, 0));
         }
         forgetResolvedCrashes(worker);
     }
@@ -362,6 +388,7 @@
         recordRunTimes(worker);
         m_recentLosses.push_back({ .view = worker.view,
             .at = worker.lostAt == neverInstant ? now : worker.lostAt,
+            .lastReplyAt = worker.lastReplyAt,
             .hadIsolatedRun = worker.isolatedRuns > 0 });
     } else {
         withdrawUnconfirmedCrashes(worker);
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -288,6 +288,7 @@
         m_actions.push_back(std::move(start));
         return;
     }
+    start.isSuspected = true;
     if (mode == PlacementMode::Isolated)
         setIsolated(task.runs.back(), true);
     recordSuspectedStart(worker, job, ref, task.runs.back());
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -32,8 +32,10 @@
     requeue(job, ref);
 }
 
-void TaskScheduler::commandAccepted(WorkerHandle, const TaskRef& ref, uint64_t run, Instant now)
+void TaskScheduler::commandAccepted(WorkerHandle handle, const TaskRef& ref, uint64_t run, Instant now)
 {
+    if (auto it = m_workers.find(handle); it != m_workers.end())
+        it->second->lastReplyAt = now;
     auto* job = findJob(ref.job);
     auto* task = job ? findTask(*job, ref) : nullptr;
     auto* tracked = task ? findRun(*task, run) : nullptr;
@@ -227,6 +229,7 @@
     m_latestEventAt = now;
     auto& worker = *it->second;
     ++worker.reportCount;
+    worker.lastReplyAt = now;
     worker.unwantedSize = {};
     worker.listsRunOfUnknownSize = false;
     std::set<std::pair<TaskRef, uint64_t>> notAdopted;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -224,17 +224,21 @@
     struct WorkerLoss {
         TaskWorkerView view {};
         Instant at { neverInstant };
+        Instant lastReplyAt { neverInstant };
 
         /// Whether an isolated run was active, which is the likely cause.
         bool hadIsolatedRun { false };
 
-        /// Whether all workers of its rack or zone were lost with it.
-        bool isShared { false };
-
         /// Whether its crashes are confirmed or withdrawn.
         bool isJudged { false };
     };
 
+    /// The loss of a worker without a known cause.
+    struct OtherLoss {
+        const TaskWorkerView* view { nullptr };
+        Instant at { neverInstant };
+    };
+
     TrackedJob* findJob(const JobId&);
     const QueuePolicy& policyOf(const TrackedJob&) const;
     void enforceMaxAttempts(TrackedJob&, const TrackedTask&);
@@ -313,13 +317,15 @@
     void indexCrash(const TrackedJob&, const CrashedRun&);
     void resolveUnconfirmedCrashes(const WorkerEntry&);
     void withdrawFalseCrashes(const WorkerEntry&);
-    void confirmCrashes(WorkerLoss&);
+    void confirmCrashes(const WorkerLoss&);
     void confirmDueCrashes(Instant now);
     double otherCrashRate(const TrackedJob&, const TaskRef& key) const;
-    double expectedCrashes(const TrackedJob&, const CrashedRun&, const WorkerLoss&) const;
+    std::vector<OtherLoss> otherLosses(const WorkerLoss&) const;
+    double expectedCrashes(
+        const TrackedJob&, const CrashedRun&, const WorkerLoss&, const std::vector<OtherLoss>&) const;
     bool hasDueCrash(const TrackedJob&, const TaskRef& key) const;
     void recordRunTimes(const WorkerEntry&);
-    CrashEvent confirmCrash(TrackedJob&, CrashedRun, const WorkerLoss*);
+    CrashEvent confirmCrash(TrackedJob&, CrashedRun, double expectedCrashes);
     void withdrawUnconfirmedCrashes(const WorkerEntry&);
     std::vector<std::pair<TrackedJob*, CrashedRun>> unconfirmedCrashesOf(const WorkerId&);
     void forgetResolvedCrashes(const WorkerId&);
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -97,6 +97,9 @@
     Instant knownSince { neverInstant };
     Instant lostAt { neverInstant };
 
+    /// When the worker last reported its runs or accepted a command.
+    Instant lastReplyAt { neverInstant };
+
     /// Number of isolated runs. While there are any, no other run starts on the worker.
     uint32_t isolatedRuns { 0 };
 
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -221,6 +221,8 @@
     m_removedIds.insert(it->second.incarnation.id);
     logWorkerEnd(it->second, end);
     keepEndsOfUnknownJobs(it->second);
+    // Otherwise their tasks would count as active when the worker crashed.
+    it->second.session->withdrawUnsentStarts();
     m_scheduler.removeWorker(handle, end, m_loop.now());
     // This function may be called by the session itself, so the session is destroyed in a later turn of the event loop.
     // It is closed first, because further replies of the worker may be pending in this turn: when 3,000 workers
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -231,6 +231,12 @@
         m_options.events.onStartReply(start, TaskCommandOutcome::Unhealthy);
 }
 
+void WorkerSession::withdrawUnsentStarts()
+{
+    for (const auto& start : m_commands.removeStarts([](const StartTask&) { return true; }))
+        m_options.events.onStartReply(start, TaskCommandOutcome::NotSent);
+}
+
 /// Removes the queued start that the stop cancels. Returns false if the stop must still be sent.
 bool WorkerSession::cancelQueuedStart(const StopTask& stop)
 {
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -115,6 +115,9 @@
     /// called by the session and therefore cannot destroy it yet.
     void close() { *m_alive = false; }
 
+    /// Takes back the starts that have not been sent. Called before the worker is removed.
+    void withdrawUnsentStarts();
+
     /// Acknowledges all run ends up to this sequence number; they must be stored.
     void acknowledge(uint64_t sequence);
 
@@ -276,6 +279,9 @@
     Instant m_connectionBrokenAt { neverInstant };
     bool m_isProofInProgress { false };
 
+    /// The worker has replied to a proof since the last command was sent.
+    bool m_hasProofForFront { false };
+
     /// The reply to the command in progress is ignored, because its run has ended.
     bool m_discardsCommandReply { false };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -54,8 +54,11 @@
     bool isStop = std::holds_alternative<StopTask>(m_commands.front());
     if (!m_isReachable && !isStop)
         return;
-    if (!isIncarnationProven() && !isStop)
+    const auto* nextStart = std::get_if<StartTask>(&m_commands.front());
+    bool mustProve = !isIncarnationProven() || (nextStart && nextStart->isSuspected && !m_hasProofForFront);
+    if (mustProve && !isStop)
         return proveIncarnation();
+    m_hasProofForFront = false;
     m_commands.beginFront();
     m_commandSentAt = m_loop.now();
     auto context = commandContext();
@@ -99,6 +102,7 @@
 {
     if (std::exchange(m_isProofInProgress, true))
         return;
+    m_hasProofForFront = false;
     m_taskExecutor.renewLease(m_options.executor, m_options.epoch, {},
         [this, alive = m_alive, requestSentAt = m_loop.now()](const absl::StatusOr<RenewLeaseReply>& reply) {
             if (!*alive)
@@ -112,6 +116,7 @@
             if (check == ReplyCheck::Ignored || reply->commandReply.outcome != TaskCommandOutcome::Accepted)
                 return sendNextCommandAfter(retryDelay);
             recordProof(requestSentAt);
+            m_hasProofForFront = true;
             recordReply(reply->commandReply, requestSentAt);
             sendNextCommand();
         });
--- a/Tests/LibDecision/TaskCrashFixture.h
+++ b/Tests/LibDecision/TaskCrashFixture.h
@@ -64,6 +64,14 @@
         scheduler.runsReported(worker, reports, RunEndCoverage::All, fixture.now(), fixture.now());
     }
 
+    void reportAll()
+    {
+        for (const auto& [worker, runs] : active) {
+            if (!crashedAt.contains(worker) && !silentSince.contains(worker))
+                report(worker);
+        }
+    }
+
     void crash(WorkerHandle worker)
     {
         if (crashedAt.contains(worker) || !active.contains(worker))
@@ -133,10 +141,7 @@
             fixture.advance(planInterval);
             noticeSilentWorkers();
             restartCrashedWorkers();
-            for (const auto& [worker, runs] : active) {
-                if (!crashedAt.contains(worker) && !silentSince.contains(worker))
-                    report(worker);
-            }
+            reportAll();
         }
         storeProgress();
     }
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -59,6 +59,28 @@
         }
     }
 
+    /// Lets time pass without starts.
+    void letTimePass()
+    {
+        storeProgress();
+        fixture.advance(planInterval);
+        noticeSilentWorkers();
+        restartCrashedWorkers();
+        reportAll();
+    }
+
+    /// Lets time pass until tasks start, which are not executed yet.
+    std::vector<StartTask> nextStarts()
+    {
+        constexpr int maxPlans { 1000 };
+        std::vector<StartTask> planned;
+        for (int i = 0; i < maxPlans && planned.empty(); ++i) {
+            letTimePass();
+            planned = fixture.planStarts();
+        }
+        return planned;
+    }
+
     void checkShortJobsCompleted()
     {
         for (int i = 0; i < jobs; ++i)
@@ -79,3 +101,31 @@
         CHECK(scheduler.stateOf("long" + std::to_string(i)) == JobStage::Running);
     CHECK_EQUAL(6 * longRunningJobs, scheduler.totals().activeRuns);
 }
+
+// Guards against jobs that are given up because their starts went to workers that had crashed without notice.
+TEST(CrashWaves, ShortJobsOutliveThem)
+{
+    addWorkers();
+    runWaves(wavesEnd + Milliseconds { 15000 });
+    checkShortJobsCompleted();
+}
+
+// Guards against counting starts that no worker answered as crashes directly after the start (LOST, issue 45).
+TEST(CrashWaves, StartsOnSilentWorkersProveNothing)
+{
+    addWorkers();
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    constexpr int crashes { 6 };
+    for (int i = 0; i < crashes; ++i) {
+        auto planned = nextStarts();
+        CHECK_EQUAL(1, planned.size());
+        // The worker has crashed with others a moment before the start.
+        crashSilently(planned[0].worker);
+        for (int k = 1; k < workersPerWave; ++k)
+            crashSilently(randomWorker());
+        execute(planned[0]);
+        while (!crashedAt.empty() || !silentSince.empty())
+            letTimePass();
+        CHECK(scheduler.stateOf("j") != JobStage::Failed);
+    }
+}
--- a/Tests/LibNode/TestTaskLeaderCrashes.cpp
+++ b/Tests/LibNode/TestTaskLeaderCrashes.cpp
@@ -519,3 +519,24 @@
     CHECK(storedState("bad") == JobStage::Failed);
     CHECK(storedState("good") != JobStage::Failed);
 }
+
+// Guards against a crash that is counted under a task whose start still waited behind one without a reply.
+TEST(TaskLeaderCrashes, UnsentStartIsNoCrash)
+{
+    announce("w0");
+    putJob("first");
+    putJob("second");
+    lead();
+    advance(Milliseconds { 1000 });
+    CHECK_EQUAL(1, starts["first"]);
+    CHECK_EQUAL(1, starts["second"]);
+    auto& worker = workers["w0"];
+    isSilentAfterCrash = true;
+    downTime = Milliseconds { 400 };
+    crash(worker);
+    putJob("third");
+    putJob("fourth");
+    advance(Milliseconds { 5000 });
+    CHECK_EQUAL(0, storedProgress("fourth").crashedRuns.size());
+    CHECK_EQUAL(1, starts["fourth"]);
+}
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -592,3 +592,38 @@
     advance(Milliseconds { 100 });
     CHECK(taskExecutor.renewLeaseCalls.empty());
 }
+
+// Guards against a start that reaches a worker which has crashed without notice, and counts as another crash under its
+// task.
+TEST(WorkerSession, StartOfASuspectedTaskFollowsAReply)
+{
+    connect();
+    taskExecutor.renewLeaseCalls.clear();
+    StartTask start { .worker = 1, .task = { "j", 0, 0, 1 }, .run = 1, .isSuspected = true };
+    session->enqueueCommand(start);
+    loop->runReady();
+    CHECK_EQUAL(0, taskExecutor.commands.size());
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1100));
+    loop->runReady();
+    checkNext("start", 1);
+    taskExecutor.takeCommand().reply(TaskCommandReply { .clockMs = 1200, .startedAtMs = 50 });
+    start.run = 2;
+    session->enqueueCommand(start);
+    loop->runReady();
+    CHECK_EQUAL(0, taskExecutor.commands.size());
+    taskExecutor.takeRenewLeaseCall().reply(absl::DeadlineExceededError("lost"));
+    advance(Milliseconds { 200 });
+    CHECK_EQUAL(0, taskExecutor.commands.size());
+}
+
+// Guards against starts that wait in the queue of a crashed worker and count as active when it crashed.
+TEST(WorkerSession, UnsentStartsAreWithdrawnFromAnEndedWorker)
+{
+    connect();
+    session->enqueueCommand(startOf(1));
+    session->enqueueCommand(startOf(2));
+    session->withdrawUnsentStarts();
+    CHECK_EQUAL(1, startedRuns.size());
+    CHECK_EQUAL(2, startedRuns[0]);
+    CHECK(startOutcomes[0] == TaskCommandOutcome::NotSent);
+}
