Wait for a quiet moment before a task starts after its third crash

Cause: each start after the third crash was given to the next free worker, also in the middle of a wave, where another crash proves nothing. Two starts are left then. A crash on a rack of which three other workers were lost was withdrawn even if the task had crashed workers before, so that a cause had a start more.

Change: CrashHistory::restartBackoff(): with three crashes whose coincidence is below 0.05, the next start waits until few workers were lost for no known cause in the last 3 s, for 10 s at most, and for 60 s after further crashes. Losses of workers with such a task are no sign of a wave. What is to be expected around a loss is counted from the losses within 0.75 s, in which workers that crash at one moment are noticed, and from the rate of 3 s; workers that are unreachable and not removed yet count. After four prompt crashes a task runs isolated only. Crashes in a shared loss stay on the record of a task that has others, with little weight. task_waits names the back-off.

Test: CrashWaves.CauseIsNotStartedWhileItsCrashesProveNothing: 6 starts of a cause before, 5 at most now.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -23,6 +23,19 @@
 static constexpr double maxCoincidenceOfRequiredIsolation = 1e-3;
 static constexpr double maxCoincidenceOfPreferredIsolation = 0.1;
 
+/// The same for required isolation after more crashes directly after a start than start a back-off.
+static constexpr double maxCoincidenceOfLateIsolation = 0.01;
+
+/// From this number of crashes on, further starts wait for a time at which they prove something, if the crashes are
+/// less likely than this without the task. A task that crashes its workers must not start three times after three
+/// crashes.
+static constexpr size_t crashesUntilBackoff = 3;
+static constexpr double maxCoincidenceOfBackoff = 0.05;
+
+/// Maximum waits of the start after the third crash and of those after it.
+static constexpr Milliseconds firstBackoff { 10000 };
+static constexpr Milliseconds laterBackoff { 60000 };
+
 /// Crashes directly after a start that prove the cause however many workers crash, with one of them isolated.
 static constexpr size_t maxPromptCrashes = 5;
 
@@ -88,6 +101,9 @@
     auto probability = coincidence(task, crashRate, runTime);
     if (isRepeated && probability <= maxCoincidenceOfRequiredIsolation)
         return RunIsolation::Required;
+    // Few starts are left, so a crash beside other runs would waste one.
+    if (countPromptCrashes(task) > crashesUntilBackoff && probability <= maxCoincidenceOfLateIsolation)
+        return RunIsolation::Required;
     return probability <= maxCoincidenceOfPreferredIsolation ? RunIsolation::Preferred : RunIsolation::None;
 }
 
@@ -168,6 +184,14 @@
         && std::ranges::any_of(m_runs, [&](const CrashedRun& it) { return !it.confirmed && isOfTask(it, task); });
 }
 
+Milliseconds CrashHistory::restartBackoff(const TaskRef& task, double crashRate, Milliseconds runTime) const
+{
+    auto crashes = count(task);
+    if (crashes < crashesUntilBackoff || coincidence(task, crashRate, runTime) > maxCoincidenceOfBackoff)
+        return Milliseconds { 0 };
+    return crashes == crashesUntilBackoff ? firstBackoff : laterBackoff;
+}
+
 Milliseconds CrashHistory::clearingTime(const TaskRef& task) const
 {
     Milliseconds longest { 0 };
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -67,6 +67,10 @@
     /// Whether the task must not start before its unconfirmed crashes are confirmed or withdrawn.
     bool awaitsConfirmation(const TaskRef&) const;
 
+    /// Maximum time for which the next start waits until few other workers crash, so that a further crash would prove
+    /// that the task is the cause. 0 while the task may start at once.
+    Milliseconds restartBackoff(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }) const;
+
     /// Run time after which a run shows that its task is not the cause.
     Milliseconds clearingTime(const TaskRef&) const;
 
--- a/Libraries/LibDecision/SuspectDelay.h
+++ b/Libraries/LibDecision/SuspectDelay.h
@@ -14,7 +14,10 @@
     /// As many isolated runs as allowed are active.
     NoIsolationSlot,
     /// No worker with free resources could run it isolated, or it is the turn of other tasks to search for one.
-    NoWorker
+    NoWorker,
+    /// Workers crash for other causes, so that a crash under it would prove nothing; its restart back-off has not
+    /// passed.
+    Backoff
 };
 
 }
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -21,6 +21,9 @@
 /// job may take down fewer.
 static constexpr size_t minSharedLosses = 3;
 
+/// Crashes of a worker that are expected without its tasks when its rack or zone was lost.
+static constexpr double expectedCrashesInSharedLoss = 1;
+
 /// Crashes under a task that may have no record, because leaders failed right after them.
 static constexpr size_t maxUnrecordedCrashes = 2;
 
@@ -240,15 +243,12 @@
     return spec.longRunning ? CrashHistory::unlimitedRunTime : Milliseconds { spec.estimateMs };
 }
 
-/// `expectedCrashes` is 0 if an earlier leader removed the worker.
-TaskScheduler::CrashEvent TaskScheduler::confirmCrash(TrackedJob& job, CrashedRun crashed, double expectedCrashes)
+TaskScheduler::CrashEvent TaskScheduler::confirmCrash(TrackedJob& job, CrashedRun crashed)
 {
     crashed.confirmed = true;
-    crashed.expectedCrashes = expectedCrashes;
     if (crashed.isolated)
         m_isolationLimit.recordCrash(m_latestEventAt);
     auto task = taskOf(job, crashed);
-    crashed.otherCrashRate = otherCrashRate(job, task);
     recordCrash(job, crashed);
     auto runTime = expectedRunTime(job, task);
     CrashEvent event { .task = task,
@@ -264,46 +264,74 @@
     return event;
 }
 
+/// Whether an isolated run is active on the worker, or one of a task that has to back off.
+bool TaskScheduler::hasLikelyCause(const WorkerEntry& worker) const
+{
+    return worker.isolatedRuns > 0 || std::ranges::any_of(worker.runs, [&](const auto& it) {
+        const auto& job = *it.second.job;
+        if (job.crashes.isEmpty())
+            return false;
+        auto key = crashKey(job, it.first.first);
+        return job.crashes.restartBackoff(key, otherCrashRate(job, key), expectedRunTime(job, key))
+            > Milliseconds { 0 };
+    });
+}
+
 /// Returns the losses of other workers that have no known cause, of workers that this leader has reached: crashes of a
 /// task on the others may have gone unrecorded. Workers that are not removed yet count too.
 std::vector<TaskScheduler::OtherLoss> TaskScheduler::otherLosses(const WorkerLoss& loss) const
 {
     std::vector<OtherLoss> others;
     for (const auto& it : m_recentLosses) {
-        if (&it != &loss && !it.hadIsolatedRun && it.lastReplyAt != neverInstant)
+        if (&it != &loss && !it.hasLikelyCause && it.lastReplyAt != neverInstant)
             others.push_back({ .view = &it.view, .at = it.at });
     }
     for (const auto& [handle, worker] : m_workers) {
-        if (worker->lostAt != neverInstant && worker->isolatedRuns == 0 && worker->lastReplyAt != neverInstant)
+        if (worker->lostAt != neverInstant && worker->lastReplyAt != neverInstant && !hasLikelyCause(*worker))
             others.push_back({ .view = &worker->view, .at = worker->lostAt });
     }
     return others;
 }
 
-/// Returns the crashes of the worker to be expected while the run was active, without the task: the share of the
-/// workers that were lost in that time for other causes. Workers crash in bursts, so the rate over a longer time says
-/// less.
-double TaskScheduler::expectedCrashes(const TrackedJob& job, const CrashedRun& crashed, const WorkerLoss& loss,
-    const std::vector<OtherLoss>& otherLosses) const
+/// Workers that crash at the same moment are noticed within this time of each other.
+static constexpr Milliseconds maxNoticeDifference { 750 };
+
+/// Returns how many of the losses may have happened in the `time` before the loss, without those under the task.
+size_t TaskScheduler::countOtherLosses(const TrackedJob& job, const TaskRef& key, const WorkerLoss& loss,
+    const std::vector<OtherLoss>& otherLosses, Milliseconds time)
 {
-    auto exposure = Milliseconds { crashed.runTimeMs } + CrashHistory::crashDetectionTime;
-    // Such a start may have been sent to a worker that had crashed at any time since its last reply.
-    if (crashed.unanswered && loss.lastReplyAt != neverInstant)
-        exposure = std::max(exposure, loss.at - loss.lastReplyAt);
-    auto key = taskOf(job, crashed);
     auto others = std::ranges::count_if(otherLosses, [&](const OtherLoss& it) {
         auto isOwn = [&](const CrashedRun& own) { return taskOf(job, own) == key && isOnIncarnation(own, *it.view); };
-        return it.at >= loss.at - exposure && it.at <= loss.at + sharedLossWindow
+        return it.at >= loss.at - time - maxNoticeDifference && it.at <= loss.at + maxNoticeDifference
             && std::ranges::none_of(job.crashes.runs(), isOwn);
     });
     // The other members of a gang may have crashed their workers too.
     const auto& steps = job.spec.steps;
-    if (crashed.step < steps.size() && steps[crashed.step].gang)
-        others -= std::min<int64_t>(others, steps[crashed.step].count - 1);
+    if (key.step < steps.size() && steps[key.step].gang)
+        others -= std::min<int64_t>(others, steps[key.step].count - 1);
+    return static_cast<size_t>(others);
+}
+
+/// Adds what was to be expected without the task: the share of the workers that were lost for other causes while the
+/// run was active, and their rate around the loss. Workers crash in bursts, so the rate over a longer time says less.
+void TaskScheduler::addExpectedCrashes(
+    const TrackedJob& job, CrashedRun& crashed, const WorkerLoss& loss, const std::vector<OtherLoss>& otherLosses) const
+{
+    constexpr Milliseconds rateWindow { 3000 };
     constexpr double msPerSecond = 1000;
-    auto minExpected = CrashHistory::minCrashRate * static_cast<double>(exposure.count()) / msPerSecond;
-    auto workers = std::max<size_t>(1, m_workers.size());
-    return std::max(minExpected, static_cast<double>(others) / static_cast<double>(workers));
+    Milliseconds exposure { crashed.runTimeMs };
+    // Such a start may have been sent to a worker that had crashed at any time since its last reply.
+    if (crashed.unanswered && loss.lastReplyAt != neverInstant)
+        exposure = std::max(exposure, loss.at - loss.lastReplyAt);
+    auto key = taskOf(job, crashed);
+    auto workers = static_cast<double>(std::max<size_t>(1, m_workers.size()));
+    auto shareLostWithin = [&](Milliseconds time) {
+        return static_cast<double>(countOtherLosses(job, key, loss, otherLosses, time)) / workers;
+    };
+    auto seconds = [](Milliseconds time) { return static_cast<double>(time.count()) / msPerSecond; };
+    crashed.otherCrashRate = shareLostWithin(rateWindow) / seconds(rateWindow + 2 * maxNoticeDifference);
+    auto minExpected = CrashHistory::minCrashRate * seconds(exposure + CrashHistory::crashDetectionTime);
+    crashed.expectedCrashes = std::max(minExpected, shareLostWithin(exposure));
 }
 
 /// Returns the recent crashes a second and worker, without those that may have happened under the task. Called for each
@@ -330,12 +358,17 @@
     for (auto& [job, crashed] : unconfirmed) {
         if (!isOnIncarnation(crashed, loss.view))
             continue;
-        if (isShared && !crashed.isolated) {
-            withdrawCrash(*job, taskOf(*job, crashed), crashed.run);
+        auto task = taskOf(*job, crashed);
+        if (isShared && !crashed.isolated && job->crashes.count(task) == 1) {
+            withdrawCrash(*job, task, crashed.run);
             continue;
         }
         crashed.isolated = crashed.isolated && !isShared;
-        m_crashEvents.push_back(confirmCrash(*job, crashed, expectedCrashes(*job, crashed, loss, others)));
+        addExpectedCrashes(*job, crashed, loss, others);
+        // It says little of the task, but counts among its crashes: a small rack may seem lost in a burst.
+        if (isShared)
+            crashed.expectedCrashes = std::max(crashed.expectedCrashes, expectedCrashesInSharedLoss);
+        m_crashEvents.push_back(confirmCrash(*job, crashed));
     }
     forgetResolvedCrashes(loss.view.id);
 }
@@ -366,9 +399,11 @@
 {
     auto unconfirmed = m_unconfirmedCrashes;
     for (const auto& [worker, jobs] : unconfirmed) {
-        for (const auto& [job, crashed] : unconfirmedCrashesOf(worker)) {
-            if (!isKnown(worker, crashed.workerStartedAtMs))
-                m_crashEvents.push_back(confirmCrash(*job, crashed, 0));
+        for (auto& [job, crashed] : unconfirmedCrashesOf(worker)) {
+            if (isKnown(worker, crashed.workerStartedAtMs))
+                continue;
+            crashed.otherCrashRate = otherCrashRate(*job, taskOf(*job, crashed));
+            m_crashEvents.push_back(confirmCrash(*job, crashed));
         }
         forgetResolvedCrashes(worker);
     }
@@ -389,7 +424,7 @@
         m_recentLosses.push_back({ .view = worker.view,
             .at = worker.lostAt == neverInstant ? now : worker.lostAt,
             .lastReplyAt = worker.lastReplyAt,
-            .hadIsolatedRun = worker.isolatedRuns > 0 });
+            .hasLikelyCause = hasLikelyCause(worker) });
     } else {
         withdrawUnconfirmedCrashes(worker);
     }
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -59,6 +59,30 @@
     return job.crashes.isolationOf(key, otherCrashRate(job, key), expectedRunTime(job, key));
 }
 
+/// Whether a start has to wait because it could not show whether the task is the cause of its crashes.
+bool TaskScheduler::mustBackOff(const TrackedJob& job, const TaskRef& key, const TrackedTask& task, Instant now) const
+{
+    if (!m_areWorkersCrashing)
+        return false;
+    auto backoff = job.crashes.restartBackoff(key, otherCrashRate(job, key), expectedRunTime(job, key));
+    return now - task.waitingSince < backoff;
+}
+
+/// Returns whether so many workers were lost lately for no known cause that one more would prove nothing.
+bool TaskScheduler::areWorkersCrashing(Instant now) const
+{
+    constexpr Milliseconds window { 3000 };
+    constexpr size_t workersPerLoss { 50 };
+    auto isRecent = [&](Instant at) { return at != neverInstant && now - at < window; };
+    auto losses = std::ranges::count_if(
+        m_recentLosses, [&](const WorkerLoss& it) { return !it.hasLikelyCause && isRecent(it.at); });
+    losses += std::ranges::count_if(m_workers, [&](const auto& it) {
+        const auto& worker = *it.second;
+        return !worker.reachable && isRecent(worker.lostAt) && !hasLikelyCause(worker);
+    });
+    return static_cast<size_t>(losses) * workersPerLoss > m_workers.size();
+}
+
 /// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
 /// Whether a worker has crashed may never be known, so the wait for that is bounded. Returns None if the task may
 /// start.
@@ -69,6 +93,8 @@
     auto key = crashKey(job, ref);
     if (!areCrashesStored(job, key))
         return SuspectDelay::RecordsNotStored;
+    if (mustBackOff(job, key, task, now))
+        return SuspectDelay::Backoff;
     if (isolationOf(job, ref) != RunIsolation::Required)
         return SuspectDelay::None;
     bool mustWait = job.crashes.awaitsConfirmation(key) && now - task.waitingSince < maxConfirmationWait;
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -70,6 +70,7 @@
     m_sizesWithoutRoom = {};
     m_freeCpuMillis = 0;
     m_heldWorkers = 0;
+    m_areWorkersCrashing = areWorkersCrashing(now);
     std::vector<WorkerEntry*>* candidates = nullptr;
     const std::string* service = nullptr;
     for (const auto& [handle, worker] : m_workers) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -226,8 +226,8 @@
         Instant at { neverInstant };
         Instant lastReplyAt { neverInstant };
 
-        /// Whether an isolated run was active, which is the likely cause.
-        bool hadIsolatedRun { false };
+        /// Whether a run was active that is the likely cause.
+        bool hasLikelyCause { false };
 
         /// Whether its crashes are confirmed or withdrawn.
         bool isJudged { false };
@@ -320,12 +320,14 @@
     void confirmCrashes(const WorkerLoss&);
     void confirmDueCrashes(Instant now);
     double otherCrashRate(const TrackedJob&, const TaskRef& key) const;
+    bool hasLikelyCause(const WorkerEntry&) const;
     std::vector<OtherLoss> otherLosses(const WorkerLoss&) const;
-    double expectedCrashes(
-        const TrackedJob&, const CrashedRun&, const WorkerLoss&, const std::vector<OtherLoss>&) const;
+    static size_t countOtherLosses(
+        const TrackedJob&, const TaskRef& key, const WorkerLoss&, const std::vector<OtherLoss>&, Milliseconds time);
+    void addExpectedCrashes(const TrackedJob&, CrashedRun&, const WorkerLoss&, const std::vector<OtherLoss>&) const;
     bool hasDueCrash(const TrackedJob&, const TaskRef& key) const;
     void recordRunTimes(const WorkerEntry&);
-    CrashEvent confirmCrash(TrackedJob&, CrashedRun, double expectedCrashes);
+    CrashEvent confirmCrash(TrackedJob&, CrashedRun);
     void withdrawUnconfirmedCrashes(const WorkerEntry&);
     std::vector<std::pair<TrackedJob*, CrashedRun>> unconfirmedCrashesOf(const WorkerId&);
     void forgetResolvedCrashes(const WorkerId&);
@@ -334,6 +336,8 @@
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
+    bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
+    bool areWorkersCrashing(Instant now) const;
     uint32_t maxIsolatedRuns(const TrackedJob&) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs, RunIsolation) const;
     bool mayHold(const ReadyStep&, const WorkerEntry&) const;
@@ -404,6 +408,9 @@
     /// Workers that are held for isolated runs and have none yet, as of the latest plan and its holds.
     uint32_t m_heldWorkers { 0 };
 
+    /// Whether workers crash for other causes than isolated runs, as of the latest plan.
+    bool m_areWorkersCrashing { false };
+
     /// Searches of the current plan that found no worker for an isolated run.
     uint32_t m_failedSearches { 0 };
 
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -32,8 +32,8 @@
 
 std::string_view nameOf(SuspectDelay delay)
 {
-    constexpr std::array<std::string_view, 5> names { "none", "records_not_stored", "awaiting_confirmation",
-        "no_isolation_slot", "no_worker" };
+    constexpr std::array<std::string_view, 6> names { "none", "records_not_stored", "awaiting_confirmation",
+        "no_isolation_slot", "no_worker", "backoff" };
     return names[static_cast<size_t>(delay)];
 }
 
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -99,6 +99,7 @@
     runWaves(wavesEnd + Milliseconds { 15000 });
     for (int i = 0; i < longRunningJobs; ++i)
         CHECK(scheduler.stateOf("long" + std::to_string(i)) == JobStage::Running);
+    checkShortJobsCompleted();
     CHECK_EQUAL(6 * longRunningJobs, scheduler.totals().activeRuns);
 }
 
@@ -129,3 +130,23 @@
         CHECK(scheduler.stateOf("j") != JobStage::Failed);
     }
 }
+
+// Guards against a cause that is started three times more after three workers crashed under it, in waves of other
+// crashes.
+TEST(CrashWaves, CauseIsNotStartedWhileItsCrashesProveNothing)
+{
+    addWorkers();
+    constexpr int causes { 8 };
+    runWaves(wavesEnd / 2);
+    for (int i = 0; i < causes; ++i) {
+        scheduler.addJob(fixture.job("cause" + std::to_string(i), { fixture.step(1) }), std::nullopt, neverInstant);
+        crashingTasks.insert({ "cause" + std::to_string(i), 0, 0, 0 });
+        runWaves(Milliseconds { 1000 });
+    }
+    runWaves(wavesEnd);
+    for (int i = 0; i < causes; ++i) {
+        CHECK_COMPARE((starts[TaskRef { "cause" + std::to_string(i), 0, 0, 0 }]), <=, 5);
+        CHECK(scheduler.stateOf("cause" + std::to_string(i)) == JobStage::Failed);
+    }
+    checkShortJobsCompleted();
+}
