Store, count and log the end of a job once

Each crash that is confirmed or withdrawn marks its job as changed, also after the end was collected for storage: other tasks of a job that is given up have crashes that are judged 1.5 s after their workers' loss. Each mark stored the end again and was handled as an end. If the details were freed when one record of the end was stored while the next one waited in a batch, that next one was logged without queue and crashes, and a cancelled job that was unknown and read meanwhile took the same way.

The end is now the last record that is collected of a job, and progressStored() tells whether a batch has stored the end of a known job for the first time.

--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -54,16 +54,21 @@
     }
 }
 
-void TaskScheduler::markChanged(const TrackedJob& job) { m_changedJobs.insert(job.spec.id); }
+void TaskScheduler::markChanged(const TrackedJob& job)
+{
+    if (!job.isEndCollected)
+        m_changedJobs.insert(job.spec.id);
+}
 
 std::vector<JobProgress> TaskScheduler::takeChangedJobs()
 {
     std::vector<JobProgress> result;
     for (const auto& id : m_changedJobs) {
-        const auto& job = *m_jobs.at(id);
+        auto& job = *m_jobs.at(id);
         JobProgress progress { .id = id, .state = job.started ? JobStage::Running : JobStage::Queued };
         if (job.hasEnded()) {
             progress.state = job.state;
+            job.isEndCollected = true;
         } else {
             for (const auto& occurrence : job.occurrences) {
                 for (const auto& step : occurrence.steps) {
@@ -93,13 +98,15 @@
     }
 }
 
-void TaskScheduler::progressStored(const JobProgress& progress)
+bool TaskScheduler::progressStored(const JobProgress& progress)
 {
     auto* job = findJob(progress.id);
     if (!job)
-        return;
+        return false;
+    bool wasEndStored = job->storedState >= JobStage::Completed;
     job->storedState = std::max(job->storedState, progress.state);
     job->storedCrashes = CrashHistory(progress.crashedRuns);
+    return !wasEndStored && job->storedState >= JobStage::Completed;
 }
 
 void TaskScheduler::releaseDetails(const JobId& id)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -176,7 +176,9 @@
 
     /// Returns the progress of the jobs that changed since the last call and must be stored.
     std::vector<JobProgress> takeChangedJobs();
-    void progressStored(const JobProgress&);
+
+    /// Returns whether this is the end of a job that this leader knows; true once for each job.
+    bool progressStored(const JobProgress&);
 
     /// Frees the data of a job whose end is stored, but keeps its state. While a run may be active, the data is kept
     /// until the last run has ended.
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -30,6 +30,9 @@
     CrashHistory storedCrashes {};
     bool started { false };
 
+    /// Whether the end was returned for storage. It is the last record of the job.
+    bool isEndCollected { false };
+
     /// Set when the task data may be freed once no run is active.
     bool detailsReleasable { false };
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -313,8 +313,7 @@
     auto collected = std::move(m_collectedBatches.front());
     m_collectedBatches.pop_front();
     for (const auto& progress : batch.jobs) {
-        m_scheduler.progressStored(progress);
-        if (progress.state < JobStage::Completed || !m_scheduler.stateOf(progress.id))
+        if (!m_scheduler.progressStored(progress))
             continue;
         m_metrics.recordJobEnd(nameOf(progress.state));
         logJobEnd(progress);
--- a/Tests/LibDecision/TestTaskCrashRecords.cpp
+++ b/Tests/LibDecision/TestTaskCrashRecords.cpp
@@ -85,6 +85,28 @@
     CHECK_COMPARE(attempts, <=, 5);
 }
 
+// Guards against an end that is stored again for each crash that is confirmed after it (issue 45).
+TEST(TaskCrashRecords, EndedJobIsNotStoredAgain)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto runs = awaitStarts(fixture);
+    CHECK_EQUAL(1, runs.size());
+    fixture.advance(Milliseconds { 100 });
+    refuseConnections(fixture, runs[0].worker);
+    storeProgress(scheduler);
+    scheduler.cancelJob("j");
+    auto ends = scheduler.takeChangedJobs();
+    CHECK_EQUAL(1, ends.size());
+    scheduler.removeWorker(runs[0].worker, WorkerEnd::Crashed, fixture.now());
+    fixture.advance(Milliseconds { 2000 });
+    fixture.plan();
+    CHECK(scheduler.takeChangedJobs().empty());
+    scheduler.progressStored(ends[0]);
+    CHECK(scheduler.stateOf("j") == JobStage::Cancelled);
+}
+
 // Guards against crashes some time after the start that are lost with the leader, because it went on without the store.
 TEST(TaskCrashRecords, CrashesDuringAStoreOutageOutliveTheLeader)
 {
--- a/Tests/LibNode/FaultyWorkers.h
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -32,6 +32,10 @@
 
         /// Time from the start to the crash of the worker; not set for a task that does no harm.
         std::optional<Milliseconds> timeToCrash {};
+
+        /// How long the worker is down after the crash, and whether its host is then silent and refuses nothing.
+        Milliseconds downTime { 3000 };
+        bool isSilentAfterCrash { false };
     };
 
     struct Run {
@@ -58,6 +62,7 @@
         Instant resetUntil { neverInstant };
         Instant slowUntil { neverInstant };
         bool isDown { false };
+        bool isSilentWhileDown { false };
     };
 
     FaultyWorkers(EventLoop& loop, std::mt19937& random)
@@ -70,6 +75,10 @@
     std::function<TaskShape(const TaskRef&)> shapeOf;
     std::function<void(const std::string&)> onBack;
 
+    /// Called when a worker begins a run, and when a run has crashed its worker.
+    std::function<void(const TaskRef&, uint64_t run)> onStart { [](const TaskRef&, uint64_t) {} };
+    std::function<void(const TaskRef&, uint64_t run)> onCrash { [](const TaskRef&, uint64_t) {} };
+
     /// Tasks that have ended as done, as far as the ends were not lost in a crash before they were acknowledged.
     std::set<TaskRef> done;
     Resources capacity { 8000, 32000, 0 };
@@ -164,6 +173,7 @@
     void takeDown(Worker& worker, Milliseconds downTime)
     {
         worker.isDown = true;
+        worker.isSilentWhileDown = false;
         worker.downUntil = m_loop.now() + downTime;
         worker.runs.clear();
         for (const auto& it : worker.ends) {
@@ -202,13 +212,17 @@
         }
         for (const auto& [task, outcome] : over)
             end(worker, task, outcome);
-        constexpr Milliseconds restartTime { 3000 };
-        bool crashes = std::ranges::any_of(worker.runs, [&](const auto& it) {
+        auto cause = std::ranges::find_if(worker.runs, [&](const auto& it) {
             auto shape = shapeOf(it.first);
             return shape.timeToCrash && m_loop.now() - it.second.startedAt >= *shape.timeToCrash;
         });
-        if (crashes)
-            takeDown(worker, restartTime);
+        if (cause == worker.runs.end())
+            return;
+        auto [task, run] = *cause;
+        auto shape = shapeOf(task);
+        takeDown(worker, shape.downTime);
+        worker.isSilentWhileDown = shape.isSilentAfterCrash;
+        onCrash(task, run.run);
     }
 
     void end(Worker& worker, const TaskRef& task, RunOutcome outcome)
@@ -243,6 +257,7 @@
             return reply(worker, TaskCommandOutcome::InsufficientResources);
         worker.leaseUntilMs = std::max(worker.leaseUntilMs, command.leaseUntilMs);
         worker.runs[command.task] = { .run = command.run, .startedAt = m_loop.now() };
+        onStart(command.task, command.run);
         return reply(worker, TaskCommandOutcome::Accepted);
     }
 
@@ -269,7 +284,7 @@
         // A call that is lost on its way, or whose reply is lost.
         auto& worker = workers.at(address);
         auto now = m_loop.now();
-        bool isCut = now < worker.cutUntil;
+        bool isCut = now < worker.cutUntil || (worker.isDown && worker.isSilentWhileDown);
         bool breaks = now < worker.resetUntil && m_random() % 100 < resetPercent;
         bool isDelivered = !isCut && (!breaks || m_random() % 2 == 0);
         auto latency = Milliseconds { 2 + m_random() % 6 };
