Keep the crashes of an ended job until its end is logged

job_ended could name no crash of a job that was given up for crashes. While the store is slow, runs of the ended job that are still being stopped can last until their task counts as cleared, and its records were removed before the end was stored and logged.

Evidence: TaskCrashRecords.CrashesOfAnEndedJobAreKeptForItsLog failed before. No decision reads the records of an ended job.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -95,9 +95,10 @@
         withdrawCrash(job, ref, run);
 }
 
+/// The records of an ended job are kept: they may be the cause of its end, which is logged once it is stored.
 void TaskScheduler::clearCrashes(TrackedJob& job, const TaskRef& ref)
 {
-    if (!job.crashes.isEmpty() && job.crashes.clear(crashKey(job, ref)))
+    if (!job.hasEnded() && !job.crashes.isEmpty() && job.crashes.clear(crashKey(job, ref)))
         markChanged(job);
 }
 
--- a/Tests/LibDecision/TestTaskCrashRecords.cpp
+++ b/Tests/LibDecision/TestTaskCrashRecords.cpp
@@ -107,6 +107,25 @@
     CHECK(scheduler.stateOf("j") == JobStage::Cancelled);
 }
 
+// Guards against an end that is logged without its cause, because a run that is being stopped clears its task.
+TEST(TaskCrashRecords, CrashesOfAnEndedJobAreKeptForItsLog)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    auto runs = awaitStarts(fixture);
+    CHECK_EQUAL(1, runs.size());
+    scheduler.cancelJob("j");
+    fixture.advance(Milliseconds { 5000 });
+    scheduler.runsReported(runs[0].worker, { { .task = runs[0].task, .run = runs[0].run } }, RunEndCoverage::All,
+        fixture.now(), fixture.now());
+    auto timeline = scheduler.timelineOf("j");
+    CHECK(timeline.has_value());
+    CHECK(timeline->crashedRuns.size() == 2);
+}
+
 // Guards against crashes some time after the start that are lost with the leader, because it went on without the store.
 TEST(TaskCrashRecords, CrashesDuringAStoreOutageOutliveTheLeader)
 {
