Count all crashes but one of a task whose leaders are killed

A first start has no record. A leader that is killed before it notices the crash leaves it uncounted: some 200 ms if the worker refuses connections, up to 3 s or the rest of the lease if its host is silent. The successor finds the worker gone without ever having had a reply from it, knows no run there, and makes a first start of its own, again without a record. So each killed leader hid one crash.

The successor does know that a worker was lost before it replied. Now the scheduler is told so and marks the steps of inherited jobs that wait at that time: the first start of each of their tasks is recorded before it is sent, as that of a suspected task is. It is not isolated. So one crash at most is hidden by this, however many leaders are killed. Starts after a takeover without such a loss, of jobs accepted later and of steps that become ready later cost nothing; the others cost a record, in the batches that are stored anyway.

Evidence: TaskCrashRecords.FirstStartAfterAnInheritedLossIsRecordedFirst failed before.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -26,6 +26,7 @@
         unblockTasks();
     }
     activateDueOccurrences(unixMs);
+    markPossiblyLostSteps();
     collectCandidates(now);
     updateShortTaskDemand();
     confirmDueCrashes(now);
@@ -285,11 +286,11 @@
         .checkpoint = task.checkpoint,
         .isSpeculativeCopy = isCopy,
     };
-    if (!job.crashes.isSuspected(crashKey(job, ref))) {
+    if (!mustRecordStart(job, ref, task)) {
         m_actions.push_back(std::move(start));
         return;
     }
-    start.isSuspected = true;
+    start.isSuspected = job.crashes.isSuspected(crashKey(job, ref));
     if (mode == PlacementMode::Isolated)
         setIsolated(task.runs.back(), true);
     recordSuspectedStart(worker, job, ref, task.runs.back());
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -126,6 +126,7 @@
     auto job = std::make_unique<TrackedJob>();
     job->spec = std::move(spec);
     job->knownAt = knownAt;
+    job->isInherited = blockedUntil != neverInstant;
     auto& tracked = *job;
     m_jobs.emplace(id, std::move(job));
     buildOccurrences(tracked);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -119,6 +119,11 @@
     /// Removes the worker and drops its runs. Called once all of them are proven to have ended.
     void removeWorker(WorkerHandle, WorkerEnd, Instant now);
 
+    /// A worker was lost before it replied to this leader. It may have crashed under a run that an earlier leader
+    /// started and did not record, so the first starts of all tasks that may have been that run are recorded before
+    /// they are sent: however many leaders fail, one crash at most stays unrecorded.
+    void inheritedWorkerLost();
+
     /// Returns the crashes that were confirmed since the last call. A crash is confirmed when it is known whether other
     /// workers of the rack or zone were lost with the worker.
     std::vector<CrashEvent> takeCrashEvents();
@@ -349,6 +354,8 @@
     bool placeSuspect(const ReadyStep&, uint32_t index, RunIsolation, Instant now);
     WorkerEntry* holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
     void holdForGang(const ReadyStep&, Instant now);
+    void markPossiblyLostSteps();
+    static bool mustRecordStart(const TrackedJob&, const TaskRef&, const TrackedTask&);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
     void sendSuspectedStarts(Instant now, const StartPermission&);
     bool sendSuspectedStart(const StartTask&, Instant now, const StartPermission&);
@@ -402,6 +409,9 @@
     std::vector<WorkerLoss> m_recentLosses;
     std::vector<CrashEvent> m_crashEvents;
 
+    /// Whether a worker was lost before it replied to this leader, since the latest plan.
+    bool m_hasLostInheritedWorker { false };
+
     /// Starts of suspected tasks that wait until their records are stored.
     std::vector<StartTask> m_suspectedStarts;
     uint32_t m_isolatedRuns { 0 };
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -19,6 +19,9 @@
     Instant knownAt { neverInstant };
     JobStage state { JobStage::Queued };
 
+    /// Whether an earlier leader may have started tasks of the job.
+    bool isInherited { false };
+
     /// The stored state. Clients see the end of the job only once it is stored.
     JobStage storedState { JobStage::Queued };
     std::vector<TrackedOccurrence> occurrences {};
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -31,6 +31,9 @@
     Instant lastStartAt { neverInstant };
     Instant doneAt { neverInstant };
 
+    /// Whether unrecorded runs of an earlier leader may have been lost with their workers.
+    bool mayHaveLostRuns { false };
+
     /// Indices of tasks that wait for a worker.
     std::vector<uint32_t> waiting {};
 
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -177,6 +177,7 @@
     void handleUnreachedWorkersStored(uint64_t record);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
     void removeWorker(WorkerHandle, WorkerEnd);
+    void reportInheritedLoss(const Worker&);
     void replaceWorker(WorkerHandle, const WorkerIncarnation& successor, std::optional<WorkerAnnouncement>);
     void checkAnnouncedSuccessor(WorkerHandle, const WorkerAnnouncement&);
     void decideOnAnnouncedSuccessor(WorkerHandle);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -212,6 +212,12 @@
             { "lease_left_ms", session.remainingLease().count() } });
 }
 
+void TaskLeader::reportInheritedLoss(const Worker& worker)
+{
+    if (worker.isFromEarlierLeader && worker.session->isUnreached())
+        m_scheduler.inheritedWorkerLost();
+}
+
 void TaskLeader::removeWorker(WorkerHandle handle, WorkerEnd end)
 {
     auto it = m_workers.find(handle);
@@ -223,6 +229,8 @@
     keepEndsOfUnknownJobs(it->second);
     // Otherwise their tasks would count as active when the worker crashed.
     it->second.session->withdrawUnsentStarts();
+    if (end == WorkerEnd::Crashed)
+        reportInheritedLoss(it->second);
     m_scheduler.removeWorker(handle, end, m_loop.now());
     // This function may be called by the session itself, so the session is destroyed in a later turn of the event loop.
     // It is closed first, because further replies of the worker may be pending in this turn: when 3,000 workers
@@ -297,6 +305,7 @@
                 // The worker may come back as another incarnation, which then proves that it crashed.
                 m_scheduler.suspectCrash(handle, m_loop.now());
                 m_scheduler.markRunsLost(handle, m_loop.now());
+                reportInheritedLoss(worker);
                 checkReconciled();
                 if (m_workerReader->hasLoaded() && !m_listedWorkers.contains(worker.incarnation.id))
                     return removeWorker(handle, endAfterLease(worker));
--- a/Tests/LibDecision/TestTaskCrashRecords.cpp
+++ b/Tests/LibDecision/TestTaskCrashRecords.cpp
@@ -85,6 +85,26 @@
     CHECK_COMPARE(attempts, <=, 5);
 }
 
+// Guards against a first start under a new leader whose crash is lost with it, after an earlier crash that was lost
+// with the leader before.
+TEST(TaskCrashRecords, FirstStartAfterAnInheritedLossIsRecordedFirst)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    scheduler.addJob(fixture.job("inherited", { fixture.step(1) }), std::nullopt, fixture.now() + Milliseconds { 50 });
+    fixture.plan();
+    scheduler.inheritedWorkerLost();
+    fixture.plan();
+    scheduler.addJob(fixture.job("new", { fixture.step(1) }), std::nullopt, neverInstant);
+    fixture.advance(Milliseconds { 100 });
+    auto starts = awaitStarts(fixture, false);
+    CHECK_EQUAL(1, starts.size());
+    STRCMP_EQUAL("new", starts[0].task.job.c_str());
+    starts = awaitStarts(fixture);
+    CHECK_EQUAL(1, starts.size());
+    STRCMP_EQUAL("inherited", starts[0].task.job.c_str());
+}
+
 // Guards against an end that is stored again for each crash that is confirmed after it (issue 45).
 TEST(TaskCrashRecords, EndedJobIsNotStoredAgain)
 {
