Record the start after a crash that was noticed late before it is sent

A crash within 1.2 s of a start makes a task suspected, and each later start of it is recorded before it is sent. A worker whose host is silent is found unreachable seconds after its crash, and the run seems that much longer. So the next start had no record either, and its crash was lost with its leader: a task was started six or seven times when leaders were killed between the crashes.

A start is now recorded first after any crash that was noticed within 4 s of a start, as it may have happened directly after it. How such a crash counts, and who runs isolated, is unchanged.

Evidence: TaskCrashRecords.StartAfterACrashOfASilentWorkerIsRecordedFirst failed before.

--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -355,6 +355,7 @@
     WorkerEntry* holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
     void holdForGang(const ReadyStep&, Instant now);
     void markPossiblyLostSteps();
+    static bool mayHaveCrashedAtStart(const TrackedJob&, const TaskRef& key);
     static bool mustRecordStart(const TrackedJob&, const TaskRef&, const TrackedTask&);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
     void sendSuspectedStarts(Instant now, const StartPermission&);
--- a/Libraries/LibDecision/TaskStartRecords.cpp
+++ b/Libraries/LibDecision/TaskStartRecords.cpp
@@ -1,4 +1,5 @@
 #include <LibDecision/TaskScheduler.h>
+#include <algorithm>
 #include <utility>
 
 // Decides which starts are recorded as possible crashes before they are sent, so that the crash is counted even if the
@@ -6,6 +7,10 @@
 
 namespace Bergamot {
 
+/// A silent worker is found unreachable seconds after its crash. So a crash that was noticed within this time of a
+/// start may have happened directly after it.
+static constexpr Milliseconds maxTimeToNotice { 4000 };
+
 void TaskScheduler::inheritedWorkerLost() { m_hasLostInheritedWorker = true; }
 
 /// Marks the steps that wait now. Those that become ready later had no run on the lost worker.
@@ -19,11 +24,19 @@
     }
 }
 
+bool TaskScheduler::mayHaveCrashedAtStart(const TrackedJob& job, const TaskRef& key)
+{
+    return std::ranges::any_of(job.crashes.runs(), [&](const CrashedRun& it) {
+        bool isOfTask = it.occurrence == key.occurrence && it.step == key.step && it.index == key.index;
+        return isOfTask && Milliseconds { it.runTimeMs } <= maxTimeToNotice;
+    });
+}
+
 /// Whether a start, which is among the starts of the task already, has to be recorded before it is sent.
 bool TaskScheduler::mustRecordStart(const TrackedJob& job, const TaskRef& ref, const TrackedTask& task)
 {
     auto key = crashKey(job, ref);
-    if (job.crashes.isSuspected(key))
+    if (job.crashes.isSuspected(key) || mayHaveCrashedAtStart(job, key))
         return true;
     bool isFirstStart = task.starts == 1;
     return isFirstStart && job.occurrences[ref.occurrence].steps[ref.step].mayHaveLostRuns;
--- a/Tests/LibDecision/TestTaskCrashRecords.cpp
+++ b/Tests/LibDecision/TestTaskCrashRecords.cpp
@@ -85,6 +85,24 @@
     CHECK_COMPARE(attempts, <=, 5);
 }
 
+// Guards against a start whose crash is lost with the leader, because the crash before it was noticed late and did not
+// count as directly after its start.
+TEST(TaskCrashRecords, StartAfterACrashOfASilentWorkerIsRecordedFirst)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto first = awaitStarts(fixture);
+    CHECK_EQUAL(1, first.size());
+    fixture.advance(Milliseconds { 2500 });
+    refuseConnections(fixture, first[0].worker);
+    storeProgress(scheduler);
+    scheduler.removeWorker(first[0].worker, WorkerEnd::Crashed, fixture.now());
+    CHECK(awaitStarts(fixture, false).empty());
+    CHECK_EQUAL(1, awaitStarts(fixture).size());
+    CHECK_EQUAL(2, scheduler.timelineOf("j")->crashedRuns.size());
+}
+
 // Guards against a first start under a new leader whose crash is lost with it, after an earlier crash that was lost
 // with the leader before.
 TEST(TaskCrashRecords, FirstStartAfterAnInheritedLossIsRecordedFirst)
