--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -119,6 +119,11 @@
     /// Removes the worker and drops its runs. Called once all of them are proven to have ended.
     void removeWorker(WorkerHandle, WorkerEnd, Instant now);
 
+    /// A worker was lost before it replied to this leader. It may have crashed under a run that an earlier leader
+    /// started and did not record, so the first starts of all tasks that may have been that run are recorded before
+    /// they are sent: however many leaders fail, one crash at most stays unrecorded.
+    void inheritedWorkerLost();
+
     /// Returns the crashes that were confirmed since the last call. A crash is confirmed when it is known whether other
     /// workers of the rack or zone were lost with the worker.
     std::vector<CrashEvent> takeCrashEvents();
@@ -176,7 +181,9 @@
 
     /// Returns the progress of the jobs that changed since the last call and must be stored.
     std::vector<JobProgress> takeChangedJobs();
-    void progressStored(const JobProgress&);
+
+    /// Returns whether this is the end of a job that this leader knows; true once for each job.
+    bool progressStored(const JobProgress&);
 
     /// Frees the data of a job whose end is stored, but keeps its state. While a run may be active, the data is kept
     /// until the last run has ended.
@@ -347,6 +354,9 @@
     bool placeSuspect(const ReadyStep&, uint32_t index, RunIsolation, Instant now);
     WorkerEntry* holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
     void holdForGang(const ReadyStep&, Instant now);
+    void markPossiblyLostSteps();
+    static bool mayHaveCrashedAtStart(const TrackedJob&, const TaskRef& key);
+    static bool mustRecordStart(const TrackedJob&, const TaskRef&, const TrackedTask&);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
     void sendSuspectedStarts(Instant now, const StartPermission&);
     bool sendSuspectedStart(const StartTask&, Instant now, const StartPermission&);
@@ -400,6 +410,9 @@
     std::vector<WorkerLoss> m_recentLosses;
     std::vector<CrashEvent> m_crashEvents;
 
+    /// Whether a worker was lost before it replied to this leader, since the latest plan.
+    bool m_hasLostInheritedWorker { false };
+
     /// Starts of suspected tasks that wait until their records are stored.
     std::vector<StartTask> m_suspectedStarts;
     uint32_t m_isolatedRuns { 0 };
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -19,6 +19,9 @@
     Instant knownAt { neverInstant };
     JobStage state { JobStage::Queued };
 
+    /// Whether an earlier leader may have started tasks of the job.
+    bool isInherited { false };
+
     /// The stored state. Clients see the end of the job only once it is stored.
     JobStage storedState { JobStage::Queued };
     std::vector<TrackedOccurrence> occurrences {};
@@ -30,6 +33,9 @@
     CrashHistory storedCrashes {};
     bool started { false };
 
+    /// Whether the end was returned for storage. It is the last record of the job.
+    bool isEndCollected { false };
+
     /// Set when the task data may be freed once no run is active.
     bool detailsReleasable { false };
 
--- a/Tests/LibDecision/TestTaskCrashRecords.cpp
+++ b/Tests/LibDecision/TestTaskCrashRecords.cpp
@@ -85,6 +85,85 @@
     CHECK_COMPARE(attempts, <=, 5);
 }
 
+// Guards against a start whose crash is lost with the leader, because the crash before it was noticed late and did not
+// count as directly after its start.
+TEST(TaskCrashRecords, StartAfterACrashOfASilentWorkerIsRecordedFirst)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto first = awaitStarts(fixture);
+    CHECK_EQUAL(1, first.size());
+    fixture.advance(Milliseconds { 2500 });
+    refuseConnections(fixture, first[0].worker);
+    storeProgress(scheduler);
+    scheduler.removeWorker(first[0].worker, WorkerEnd::Crashed, fixture.now());
+    CHECK(awaitStarts(fixture, false).empty());
+    CHECK_EQUAL(1, awaitStarts(fixture).size());
+    CHECK_EQUAL(2, scheduler.timelineOf("j")->crashedRuns.size());
+}
+
+// Guards against a first start under a new leader whose crash is lost with it, after an earlier crash that was lost
+// with the leader before.
+TEST(TaskCrashRecords, FirstStartAfterAnInheritedLossIsRecordedFirst)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    scheduler.addJob(fixture.job("inherited", { fixture.step(1) }), std::nullopt, fixture.now() + Milliseconds { 50 });
+    fixture.plan();
+    scheduler.inheritedWorkerLost();
+    fixture.plan();
+    scheduler.addJob(fixture.job("new", { fixture.step(1) }), std::nullopt, neverInstant);
+    fixture.advance(Milliseconds { 100 });
+    auto starts = awaitStarts(fixture, false);
+    CHECK_EQUAL(1, starts.size());
+    STRCMP_EQUAL("new", starts[0].task.job.c_str());
+    starts = awaitStarts(fixture);
+    CHECK_EQUAL(1, starts.size());
+    STRCMP_EQUAL("inherited", starts[0].task.job.c_str());
+}
+
+// Guards against an end that is stored again for each crash that is confirmed after it (issue 45).
+TEST(TaskCrashRecords, EndedJobIsNotStoredAgain)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    auto runs = awaitStarts(fixture);
+    CHECK_EQUAL(1, runs.size());
+    fixture.advance(Milliseconds { 100 });
+    refuseConnections(fixture, runs[0].worker);
+    storeProgress(scheduler);
+    scheduler.cancelJob("j");
+    auto ends = scheduler.takeChangedJobs();
+    CHECK_EQUAL(1, ends.size());
+    scheduler.removeWorker(runs[0].worker, WorkerEnd::Crashed, fixture.now());
+    fixture.advance(Milliseconds { 2000 });
+    fixture.plan();
+    CHECK(scheduler.takeChangedJobs().empty());
+    scheduler.progressStored(ends[0]);
+    CHECK(scheduler.stateOf("j") == JobStage::Cancelled);
+}
+
+// Guards against an end that is logged without its cause, because a run that is being stopped clears its task.
+TEST(TaskCrashRecords, CrashesOfAnEndedJobAreKeptForItsLog)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    auto runs = awaitStarts(fixture);
+    CHECK_EQUAL(1, runs.size());
+    scheduler.cancelJob("j");
+    fixture.advance(Milliseconds { 5000 });
+    scheduler.runsReported(runs[0].worker, { { .task = runs[0].task, .run = runs[0].run } }, RunEndCoverage::All,
+        fixture.now(), fixture.now());
+    auto timeline = scheduler.timelineOf("j");
+    CHECK(timeline.has_value());
+    CHECK(timeline->crashedRuns.size() == 2);
+}
+
 // Guards against crashes some time after the start that are lost with the leader, because it went on without the store.
 TEST(TaskCrashRecords, CrashesDuringAStoreOutageOutliveTheLeader)
 {
