Give a free isolation slot to the task that has waited longest

Cause: suspected tasks were placed in the order of the steps (priority, objective, sequence), so a free slot went to the first step in that order. A step whose size was known to have no room was skipped even if a worker was held for it.

Change: tasks and gangs that have to run isolated are placed before all others, longest wait first. Searches that fail are limited for them and for the tasks that only prefer isolation, each on its own.

--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -47,16 +47,13 @@
         step.suspectDelay = delayOfSuspect(*ready.job, ref, step.tasks.front(), now);
         if (step.suspectDelay != SuspectDelay::None)
             return true;
-        bool mayIsolate = maySearchIsolated(ready) && hasIsolationSlots(*ready.job, spec.count, isolation);
-        if (mayIsolate && startGang(ready, {}, now, PlacementMode::Isolated))
-            return true;
-        m_failedSearches += mayIsolate ? 1 : 0;
+        // Gangs that have to run isolated were placed before all other tasks.
         if (isolation == RunIsolation::Required) {
             step.suspectDelay = placementDelayOfSuspect(*ready.job, spec.count);
-            if (mayIsolate)
-                holdForGang(ready, now);
             return true;
         }
+        if (placeGangIsolated(ready, isolation, now))
+            return true;
     }
     step.delay = PlacementDelay::NoWorker;
     if (spec.prefersSameRack) {
@@ -70,6 +67,19 @@
     return startGang(ready, {}, now, PlacementMode::Shared);
 }
 
+/// Starts the suspected gang isolated if possible. Returns false if it has to wait or may start like other gangs.
+bool TaskScheduler::placeGangIsolated(const ReadyStep& ready, RunIsolation isolation, Instant now)
+{
+    if (!maySearchIsolated() || !hasIsolationSlots(*ready.job, ready.job->spec.steps[ready.step].count, isolation))
+        return false;
+    if (startGang(ready, {}, now, PlacementMode::Isolated))
+        return true;
+    ++m_failedSearches;
+    if (isolation == RunIsolation::Required)
+        holdForGang(ready, now);
+    return false;
+}
+
 /// Returns the racks whose total free processors and memory suffice for all members: the rack of the input data first,
 /// then those with the fewest free processors.
 std::vector<std::string> TaskScheduler::racksWithCapacity(const TrackedJob& job, const StepSpec& spec) const
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -14,10 +14,6 @@
 /// A held worker that is not used within this time takes other starts again.
 static constexpr Milliseconds holdTime { 3000 };
 
-/// Failed searches for a worker for an isolated run in one plan; each visits all workers and their runs. The next plan
-/// goes on where this one stopped.
-static constexpr uint32_t maxFailedSearches = 4;
-
 void TaskScheduler::setIsolated(TrackedRun& run, bool isolated)
 {
     if (run.isolated == isolated)
@@ -129,18 +125,6 @@
                                                                 : SuspectDelay::NoIsolationSlot;
 }
 
-/// Whether the current plan may search workers for isolated runs of the step.
-bool TaskScheduler::maySearchIsolated(const ReadyStep& ready)
-{
-    if (m_firstSearchedStep && ready.key < *m_firstSearchedStep)
-        return false;
-    if (m_failedSearches < maxFailedSearches)
-        return true;
-    if (!m_firstSkippedStep)
-        m_firstSkippedStep = ready.key;
-    return false;
-}
-
 bool TaskScheduler::canIsolate(const WorkerEntry& worker, const TrackedJob& job, uint32_t step, Instant now)
 {
     return std::ranges::all_of(worker.runs, [&](const auto& it) {
@@ -155,7 +139,7 @@
 /// Starts the suspected task isolated if possible. Returns false if it has to wait or may start like other tasks.
 bool TaskScheduler::placeSuspect(const ReadyStep& ready, uint32_t index, RunIsolation isolation, Instant now)
 {
-    if (!hasIsolationSlots(*ready.job, 1, isolation))
+    if (!maySearchIsolated() || !hasIsolationSlots(*ready.job, 1, isolation))
         return false;
     auto& task = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Isolated);
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -29,8 +29,7 @@
     collectCandidates(now);
     updateShortTaskDemand();
     confirmDueCrashes(now);
-    m_failedSearches = 0;
-    m_firstSearchedStep = std::exchange(m_firstSkippedStep, std::nullopt);
+    m_firstSearchedSuspect = std::exchange(m_firstSkippedSuspect, std::nullopt);
     sendSuspectedStarts(now, permission);
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
@@ -150,6 +149,7 @@
 
 void TaskScheduler::placeWaitingTasks(Instant now, Instant knownBy)
 {
+    placeSuspects(now, knownBy);
     UnplacedSizes unplaced;
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
         const auto& ready = it->second;
@@ -217,14 +217,12 @@
             ranking.reset();
             auto suspectDelay = delayOfSuspect(*ready.job, ref, task, now);
             bool mayStart = suspectDelay == SuspectDelay::None;
-            searchIsolated = searchIsolated && (!mayStart || maySearchIsolated(ready));
-            if (mayStart && searchIsolated) {
+            if (mayStart && isolation == RunIsolation::Preferred && searchIsolated) {
                 if (placeSuspect(ready, index, isolation, now))
                     continue;
                 searchIsolated = false;
-                if (isolation == RunIsolation::Required)
-                    holdForIsolation(ready, task, now);
             }
+            // Tasks that have to run isolated were placed before all others.
             if (!mayStart || isolation == RunIsolation::Required) {
                 step.delay = PlacementDelay::CrashSuspicion;
                 step.suspectDelay = mayStart ? placementDelayOfSuspect(*ready.job, 1) : suspectDelay;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -300,6 +300,7 @@
     void requeueGang(TrackedJob&, const TaskRef&);
     PlacementDelay delayOfGang(const TrackedStep&, Instant now) const;
     bool placeGang(const ReadyStep&, Instant now);
+    bool placeGangIsolated(const ReadyStep&, RunIsolation, Instant now);
     std::vector<std::string> racksWithCapacity(const TrackedJob&, const StepSpec&) const;
     bool startGang(const ReadyStep&, const std::string& rack, Instant now, PlacementMode);
     void undoStarts(const ReadyStep&, uint32_t members, size_t actionsBefore);
@@ -341,7 +342,14 @@
     uint32_t maxIsolatedRuns(const TrackedJob&) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs, RunIsolation) const;
     bool mayHold(const ReadyStep&, const WorkerEntry&) const;
-    bool maySearchIsolated(const ReadyStep&);
+    using SuspectOrder = std::pair<Instant, StepKey>;
+    struct WaitingSuspect;
+    std::vector<WaitingSuspect> suspectsByWait(Instant now, Instant knownBy);
+    bool mayStartIsolated(const ReadyStep&, uint32_t index, Instant now) const;
+    bool maySearchIsolated() const;
+    bool maySearchFor(const WaitingSuspect&);
+    void placeSuspects(Instant now, Instant knownBy);
+    bool placeRequiredIsolation(const WaitingSuspect&, Instant now);
     SuspectDelay placementDelayOfSuspect(const TrackedJob&, uint32_t runs) const;
     static bool canIsolate(const WorkerEntry&, const TrackedJob&, uint32_t step, Instant now);
     bool placeSuspect(const ReadyStep&, uint32_t index, RunIsolation, Instant now);
@@ -411,14 +419,15 @@
     /// Whether workers crash for other causes than isolated runs, as of the latest plan.
     bool m_areWorkersCrashing { false };
 
-    /// Searches of the current plan that found no worker for an isolated run.
+    /// Searches of the current plan that found no worker for an isolated run, since it placed the tasks that have to
+    /// run isolated.
     uint32_t m_failedSearches { 0 };
 
-    /// The current plan searches workers for isolated runs of this step and those after it, or of all steps.
-    std::optional<StepKey> m_firstSearchedStep;
+    /// The current plan searches workers for this task that has to run isolated and those after it, or for all.
+    std::optional<SuspectOrder> m_firstSearchedSuspect;
 
-    /// The first step for which the current plan made no search, because too many had failed.
-    std::optional<StepKey> m_firstSkippedStep;
+    /// The first task for which the current plan made no search, because too many had failed.
+    std::optional<SuspectOrder> m_firstSkippedSuspect;
 
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
--- a/Tests/LibDecision/TestTaskIsolation.cpp
+++ b/Tests/LibDecision/TestTaskIsolation.cpp
@@ -12,6 +12,9 @@
     TaskSchedulerFixture fixture;
     TaskScheduler& scheduler { fixture.scheduler() };
 
+    /// The latest start of each job, in run().
+    std::map<JobId, StartTask> started;
+
     void storeProgress()
     {
         for (const auto& progress : scheduler.takeChangedJobs())
@@ -19,12 +22,12 @@
     }
 
     /// Adds a job whose first task has crashed two workers directly after its start, so that it has to run isolated.
-    void addSuspectedJob(const std::string& id, StepSpec step)
+    void addSuspectedJob(const std::string& id, StepSpec step, const std::string& queue = "quick")
     {
         JobProgress stored { .id = id, .state = JobStage::Running, .done = { std::string(step.count, '0') } };
         stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true },
             { .run = 2, .worker = "w8", .workerStartedAtMs = 8, .confirmed = true } };
-        scheduler.addJob(fixture.job(id, { std::move(step) }), stored, neverInstant);
+        scheduler.addJob(fixture.job(id, { std::move(step) }, queue), stored, neverInstant);
     }
 
     /// Plans for the time and returns the number of starts of each job.
@@ -36,6 +39,7 @@
             storeProgress();
             for (const auto& start : fixture.planStarts()) {
                 ++starts[start.task.job];
+                started.insert_or_assign(start.task.job, start);
                 scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
             }
             fixture.advance(planInterval);
@@ -277,3 +281,22 @@
     }
     CHECK_EQUAL(3, suspectedStarts);
 }
+
+// Guards against a suspected task that never starts, because newer ones with a higher priority get each free slot.
+TEST(TaskIsolation, SuspectThatHasWaitedLongestStartsNext)
+{
+    for (WorkerHandle handle = 1; handle <= 4; ++handle)
+        fixture.addWorker(handle);
+    for (const auto* id : { "first", "second" })
+        addSuspectedJob(id, fixture.step(1));
+    run(Milliseconds { 200 });
+    CHECK_EQUAL(2, started.size());
+    addSuspectedJob("old", fixture.step(1), "batch");
+    run(Milliseconds { 500 });
+    for (const auto* id : { "third", "fourth" })
+        addSuspectedJob(id, fixture.step(1));
+    run(Milliseconds { 500 });
+    CHECK_EQUAL(2, started.size());
+    fixture.endRun(started.at("first"), RunOutcome::Done);
+    CHECK_EQUAL(1, run(Milliseconds { 500 })["old"]);
+}
