Log why no worker takes a task that waits, and the worker of an unlisted run

Cause, traced with the new fields: the tasks that wait are best-effort ones, and free_millis leaves out the processors that other best-effort tasks use. So there is no room for them. unlisted_run: the run is on a worker that has crashed; the time since its last list (each 2 s without news) is added to the time until its crash is known.

Change: task_waits logs idle_millis, the usable workers by the reason for which they cannot take the task, and the worker of an unlisted run. docs/OPERATIONS.md lists them.

Tests: TaskWaits.ProcessorsThatBestEffortTasksUseAreNotIdle, .WorkersWithoutRoomOrLabelAreTold (new functions, so neither builds before).

--- a/Libraries/LibDecision/StepWait.h
+++ b/Libraries/LibDecision/StepWait.h
@@ -5,6 +5,7 @@
 #include <LibCore/Time.h>
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/SuspectDelay.h>
+#include <LibDecision/TaskWorkerView.h>
 #include <cstdint>
 
 namespace Bergamot {
@@ -20,6 +21,9 @@
     uint32_t longestWaiting { 0 };
     Milliseconds longestWait { 0 };
     Resources size {};
+
+    /// The worker of the run that has been unlisted longest; 0 for other reasons.
+    WorkerHandle worker { 0 };
     PlacementDelay reason { PlacementDelay::None };
     SuspectDelay suspectDelay { SuspectDelay::None };
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -17,6 +17,7 @@
 #include <LibDecision/TrackedJob.h>
 #include <LibDecision/UnplacedSizes.h>
 #include <LibDecision/WorkerEnd.h>
+#include <LibDecision/WorkerRefusals.h>
 #include <LibWire/QueuePolicy.h>
 #include <cstdint>
 #include <functional>
@@ -196,6 +197,9 @@
     /// has not listed for that long, longest wait first.
     std::vector<StepWait> stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
 
+    /// Why the usable workers cannot take the task of the step that has waited longest. The job must be known.
+    WorkerRefusals refusalsOf(const StepWait&) const;
+
     /// Workers that may get starts, and those of them that get isolated runs only.
     struct WorkerUse {
         uint32_t usable { 0 };
@@ -208,6 +212,9 @@
     int64_t freeCpuMillis() const { return m_freeCpuMillis; }
     int64_t headroomCpuMillis() const { return static_cast<int64_t>(m_shortTaskDemandMillis) - m_shortTaskCpuMillis; }
 
+    /// Processors of usable workers that further best-effort tasks may expect to be idle, in thousandths of a core.
+    int64_t idleCpuMillis() const;
+
 private:
     struct WorkerEntry;
     using StepKey = std::tuple<uint32_t, int64_t, uint64_t>;
@@ -290,6 +297,8 @@
     struct StepRanking;
     std::optional<WorkerSearch> beginSearch(
         const TrackedJob&, const ReadyStep&, const std::string& rack, Instant now, PlacementMode) const;
+    std::optional<WorkerSearch> prepareSearch(
+        const TrackedJob&, const ReadyStep&, const std::string& rack, Instant now, PlacementMode) const;
     static bool hasRoom(const WorkerSearch&, const WorkerEntry&);
     bool isAllowed(const WorkerSearch&, const TrackedTask&, const WorkerEntry&, uint32_t siblings) const;
     std::optional<double> scoreOf(const WorkerSearch&, const TrackedTask&, WorkerEntry&) const;
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -1,5 +1,6 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
+#include <LibDecision/TaskWorkerSearch.h>
 #include <algorithm>
 #include <map>
 #include <tuple>
@@ -67,6 +68,8 @@
                                  waitOf(active.job->spec, ref.occurrence, ref.step))
                              .first->second;
             wait.reason = PlacementDelay::UnlistedRun;
+            if (time > wait.longestWait)
+                wait.worker = handle;
             addTask(wait, ref.index, time);
             bool waitsForRecord = run->suspected && run->phase == RunPhase::Starting
                 && !active.job->storedCrashes.find(crashKey(*active.job, ref), number);
@@ -78,4 +81,39 @@
         waits.push_back(std::move(wait));
 }
 
+int64_t TaskScheduler::idleCpuMillis() const
+{
+    int64_t idle = 0;
+    for (const auto& [handle, worker] : m_workers) {
+        if (isUsable(*worker, m_latestEventAt))
+            idle += std::max<int64_t>(0, worker->freeBestEffortMillis());
+    }
+    return idle;
+}
+
+WorkerRefusals TaskScheduler::refusalsOf(const StepWait& wait) const
+{
+    WorkerRefusals refusals;
+    const auto& job = *m_jobs.at(wait.job);
+    ReadyStep ready { .occurrence = wait.occurrence, .step = wait.step };
+    auto search = prepareSearch(job, ready, {}, m_latestEventAt, PlacementMode::Shared);
+    if (!search)
+        return refusals;
+    const auto& task = job.occurrences[wait.occurrence].steps[wait.step].tasks[wait.longestWaiting];
+    for (auto* worker : search->candidates) {
+        auto siblings = search->siblingRuns.find(worker->handle);
+        if (!search->size.fitsIn(worker->freeResources()))
+            ++refusals.noRoom;
+        else if (!hasRoom(*search, *worker))
+            ++refusals.notIdle;
+        else if (worker->isHeldForIsolation(search->now))
+            ++refusals.held;
+        else if (!isAllowed(*search, task, *worker, siblings == search->siblingRuns.end() ? 0 : siblings->second))
+            ++refusals.constraint;
+        else if (!scoreOf(*search, task, *worker))
+            ++refusals.servingPressure;
+    }
+    return refusals;
+}
+
 }
--- a/Libraries/LibDecision/TaskWorkerChoice.cpp
+++ b/Libraries/LibDecision/TaskWorkerChoice.cpp
@@ -49,8 +49,8 @@
     return { .service = service, .bestEffortImage = spec.bestEffort ? std::optional(0U) : std::nullopt };
 }
 
-/// Prepares the search for workers for tasks of the step, or returns nullopt if no usable worker has room.
-std::optional<TaskScheduler::WorkerSearch> TaskScheduler::beginSearch(
+/// Prepares the search for workers for tasks of the step, or returns nullopt if the service has no usable workers.
+std::optional<TaskScheduler::WorkerSearch> TaskScheduler::prepareSearch(
     const TrackedJob& job, const ReadyStep& ready, const std::string& rack, Instant now, PlacementMode mode) const
 {
     const auto& service = policyOf(job).service;
@@ -59,8 +59,6 @@
     if (service.empty() || candidates == m_candidates.end())
         return std::nullopt;
     const auto& spec = job.spec.steps[ready.step];
-    if (m_sizesWithoutRoom.covers(roomClassOf(candidates->first, spec), spec.size))
-        return std::nullopt;
     const auto& step = job.occurrences[ready.occurrence].steps[ready.step];
     WorkerSearch search { .job = job,
         .ready = ready,
@@ -85,6 +83,16 @@
     return search;
 }
 
+/// Prepares the search, or returns nullopt if no usable worker is known to have room.
+std::optional<TaskScheduler::WorkerSearch> TaskScheduler::beginSearch(
+    const TrackedJob& job, const ReadyStep& ready, const std::string& rack, Instant now, PlacementMode mode) const
+{
+    const auto& spec = job.spec.steps[ready.step];
+    if (m_sizesWithoutRoom.covers(roomClassOf(policyOf(job).service, spec), spec.size))
+        return std::nullopt;
+    return prepareSearch(job, ready, rack, now, mode);
+}
+
 /// Whether the resources that the task needs are free on the worker, or are expected to be idle.
 bool TaskScheduler::hasRoom(const WorkerSearch& search, const WorkerEntry& worker)
 {
--- /dev/null
+++ b/Libraries/LibDecision/WorkerRefusals.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Bergamot {
+
+/// How many usable workers cannot take a waiting task, by the first reason that applies.
+struct WorkerRefusals {
+    /// The free resources do not suffice.
+    uint32_t noRoom { 0 };
+
+    /// The processors that a best-effort task may expect to be idle do not suffice.
+    uint32_t notIdle { 0 };
+
+    /// The worker is held for an isolated run.
+    uint32_t held { 0 };
+
+    /// The placement constraints of the step exclude the worker.
+    uint32_t constraint { 0 };
+
+    /// A best-effort task would slow the serving tasks on the worker.
+    uint32_t servingPressure { 0 };
+
+    bool operator==(const WorkerRefusals&) const = default;
+};
+
+}
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -445,14 +445,23 @@
         return;
     m_waitsLoggedAt = now;
     auto use = m_scheduler.workerUse();
-    for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines))
+    for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines)) {
+        auto refusals = m_scheduler.refusalsOf(wait);
+        auto worker = m_workers.find(wait.worker);
         logInfo("task_waits",
             { { "job", wait.job }, { "occurrence", wait.occurrence }, { "step", wait.step }, { "tasks", wait.tasks },
                 { "index", wait.longestWaiting }, { "longest_ms", wait.longestWait.count() },
                 { "reason", nameOf(wait.reason) }, { "suspect", nameOf(wait.suspectDelay) },
+                { "worker",
+                    worker == m_workers.end() ? std::string_view {}
+                                              : std::string_view { worker->second.incarnation.id } },
                 { "cpu_millis", wait.size.cpuMillis }, { "memory_mb", wait.size.memoryMb },
                 { "free_millis", m_scheduler.freeCpuMillis() }, { "headroom_millis", m_scheduler.headroomCpuMillis() },
-                { "usable_workers", use.usable }, { "isolated_workers", use.isolated } });
+                { "idle_millis", m_scheduler.idleCpuMillis() }, { "usable_workers", use.usable },
+                { "isolated_workers", use.isolated }, { "workers_without_room", refusals.noRoom },
+                { "workers_not_idle", refusals.notIdle }, { "workers_held", refusals.held },
+                { "workers_excluded", refusals.constraint }, { "workers_serving", refusals.servingPressure } });
+    }
 }
 
 void TaskLeader::tick()
--- /dev/null
+++ b/Tests/LibDecision/TestTaskWaits.cpp
@@ -0,0 +1,54 @@
+#include "TaskSchedulerFixture.h"
+#include <algorithm>
+#include <utility>
+
+using namespace Bergamot;
+
+// What the log tells of tasks that wait.
+TEST_GROUP(TaskWaits)
+{
+    TaskSchedulerFixture fixture;
+    TaskScheduler& scheduler { fixture.scheduler() };
+
+    static StepSpec bestEffort()
+    {
+        auto step = TaskSchedulerFixture::step(1);
+        step.size.cpuMillis = 4000;
+        step.bestEffort = true;
+        return step;
+    }
+
+    /// Adds a job and returns why no worker can take its task.
+    WorkerRefusals refusalsOf(StepSpec step)
+    {
+        scheduler.addJob(fixture.job("waiting", { std::move(step) }), std::nullopt, neverInstant);
+        fixture.planStarts();
+        constexpr size_t maxWaits { 4 };
+        auto waits = scheduler.stepWaits(fixture.now(), Milliseconds { 0 }, maxWaits);
+        auto wait = std::ranges::find(waits, PlacementDelay::NoWorker, &StepWait::reason);
+        CHECK(wait != waits.end());
+        return scheduler.refusalsOf(*wait);
+    }
+};
+
+// Guards against a log that shows processors as free that other best-effort tasks use (issue 45, no_worker).
+TEST(TaskWaits, ProcessorsThatBestEffortTasksUseAreNotIdle)
+{
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_EQUAL(4000, scheduler.idleCpuMillis());
+    scheduler.addJob(fixture.job("j", { bestEffort() }), std::nullopt, neverInstant);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+    CHECK_EQUAL(4000, scheduler.freeCpuMillis());
+    CHECK_EQUAL(0, scheduler.idleCpuMillis());
+    CHECK((refusalsOf(bestEffort()) == WorkerRefusals { .notIdle = 1 }));
+}
+
+TEST(TaskWaits, WorkersWithoutRoomOrLabelAreTold)
+{
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    fixture.addWorker(2, { 500, 125000, 0 });
+    auto step = fixture.step(1);
+    step.requiredLabel = "missing";
+    CHECK((refusalsOf(step) == WorkerRefusals { .noRoom = 1, .constraint = 1 }));
+}
