Read the workers of a waiting task from those that exist

refusalsOf() went through the candidates of the latest plan, which may have been removed since: a worker that is removed between a plan and the log line would have been read after it was freed. Found while reading the merge; workerUse() had the same fault before.

--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -100,8 +100,11 @@
     if (!search)
         return refusals;
     const auto& task = job.occurrences[wait.occurrence].steps[wait.step].tasks[wait.longestWaiting];
-    for (auto* worker : search->candidates) {
-        auto siblings = search->siblingRuns.find(worker->handle);
+    // The candidates of the latest plan may have been removed since.
+    for (const auto& [handle, worker] : m_workers) {
+        if (worker->view.service != search->service || !isUsable(*worker, m_latestEventAt))
+            continue;
+        auto siblings = search->siblingRuns.find(handle);
         if (!search->size.fitsIn(worker->freeResources()))
             ++refusals.noRoom;
         else if (!hasRoom(*search, *worker))
