Use each push socket of a peer connection for one pipe only

Cause: libnng 1.5.2 keeps a pipe in the list of a push socket if a send completes while the pipe is being closed, and frees the pipe. The next nng_send() writes through the freed node.

That the soak run ended at the same place is not proved.

Change: NngPushConnection owns a socket that gets one pipe. The callback of nng that precedes the release of the pipe marks the connection as lost and waits for a send in progress; the next send opens a new connection. Messages that were queued in the old socket are lost with it, which the callers' retries cover.

--- a/Libraries/LibPlatform/NngPeerTransport.cpp
+++ b/Libraries/LibPlatform/NngPeerTransport.cpp
@@ -1,18 +1,12 @@
 #include <LibPlatform/NngPeerTransport.h>
+#include <LibPlatform/NngStatus.h>
 #include <LibWire/Codec.h>
-#include <fmt/format.h>
 #include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
 #include <string>
 #include <utility>
 
 namespace Bergamot {
 
-static absl::Status nngStatus(int ec, std::string_view problem)
-{
-    return absl::UnavailableError(fmt::format("{}: {}", problem, nng_strerror(ec)));
-}
-
 absl::StatusOr<std::unique_ptr<NngPeerTransport>> NngPeerTransport::create(const std::string& listenAddress)
 {
     std::unique_ptr<NngPeerTransport> transport(new NngPeerTransport());
@@ -29,8 +23,6 @@
     nng_close(m_listener);
     if (m_thread.joinable())
         m_thread.join();
-    for (const auto& [address, socket] : m_peers)
-        nng_close(socket);
 }
 
 void NngPeerTransport::setReceiver(Receiver receiver)
@@ -55,49 +47,29 @@
     }
 }
 
-absl::StatusOr<nng_socket> NngPeerTransport::findOrOpenSocket(const std::string& address)
+NngPushConnection* NngPeerTransport::findOrOpenConnection(const std::string& address)
 {
-    auto it = m_peers.find(address);
-    if (it != m_peers.end())
-        return it->second;
-    nng_socket socket {};
-    if (int ec = nng_push0_open(&socket); ec != 0)
-        return nngStatus(ec, "cannot open a push socket for a peer");
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, 100);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, 1000);
-    // Messages are queued while the connection opens; without a queue, the first message to each peer would be dropped.
-    constexpr int sendQueueLength = 64;
-    if (int ec = nng_socket_set_int(socket, NNG_OPT_SENDBUF, sendQueueLength); ec != 0) {
-        nng_close(socket);
-        return nngStatus(ec, "cannot set the send queue length of a peer socket");
-    }
-    if (int ec = nng_dial(socket, ("tcp://" + address).c_str(), nullptr, NNG_FLAG_NONBLOCK); ec != 0) {
-        nng_close(socket);
-        return nngStatus(ec, "cannot dial " + address);
-    }
-    m_peers.emplace(address, socket);
-    return socket;
+    if (auto it = m_connections.find(address); it != m_connections.end())
+        return it->second.get();
+    auto connection = NngPushConnection::open(address);
+    if (!connection.ok())
+        return nullptr;
+    return m_connections.emplace(address, std::move(*connection)).first->second.get();
 }
 
 void NngPeerTransport::disconnect(const std::string& address)
 {
     std::lock_guard lock(m_mutex);
-    auto it = m_peers.find(address);
-    if (it == m_peers.end())
-        return;
-    nng_close(it->second);
-    m_peers.erase(it);
+    m_connections.erase(address);
 }
 
 void NngPeerTransport::send(const std::string& address, std::string_view bytes)
 {
     std::lock_guard lock(m_mutex);
-    auto socket = findOrOpenSocket(address);
-    if (!socket.ok())
-        return;
-    std::string buf(bytes);
-    if (nng_send(*socket, buf.data(), buf.size(), NNG_FLAG_NONBLOCK) == 0)
-        m_bytesSent += buf.size();
+    std::erase_if(m_connections, [](const auto& it) { return it.second->isLost(); });
+    auto* connection = findOrOpenConnection(address);
+    if (connection && connection->send(bytes))
+        m_bytesSent += bytes.size();
 }
 
 }
--- a/Libraries/LibPlatform/NngPeerTransport.h
+++ b/Libraries/LibPlatform/NngPeerTransport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPlatform/NngPushConnection.h>
 #include <LibPlatform/PeerTransport.h>
 #include <absl/status/statusor.h>
 #include <atomic>
@@ -12,7 +13,8 @@
 
 namespace Bergamot {
 
-/// PeerTransport on nng push and pull sockets: one pull socket that listens, and one push socket for each peer.
+/// PeerTransport on nng push and pull sockets: one pull socket that listens, and one push socket for each connection to
+/// a peer.
 class NngPeerTransport final : public PeerTransport {
 public:
     /// `listenAddress` is IP:port. Returns Unavailable when it is in use.
@@ -21,7 +23,8 @@
 
     void setReceiver(Receiver) override;
 
-    /// Queues messages while the connection to the peer opens. Drops the message when this short queue is full.
+    /// Opens a connection if there is none or the last one is lost. Queues messages while the connection opens. Drops
+    /// the message when this short queue is full.
     void send(const std::string& address, std::string_view bytes) override;
 
     void disconnect(const std::string& address) override;
@@ -32,11 +35,13 @@
 private:
     NngPeerTransport() = default;
     void receiveLoop();
-    absl::StatusOr<nng_socket> findOrOpenSocket(const std::string& address);
+
+    /// Returns null if no connection can be opened.
+    NngPushConnection* findOrOpenConnection(const std::string& address);
 
     nng_socket m_listener {};
     std::mutex m_mutex;
-    std::map<std::string, nng_socket> m_peers;
+    std::map<std::string, std::unique_ptr<NngPushConnection>> m_connections;
     Receiver m_receiver;
     std::thread m_thread;
     std::atomic<uint64_t> m_bytesSent { 0 };
