Keep a run that two workers list with the first of them

Seen: a leader ends with SIGSEGV when two workers list the same run of a task that may have a speculative copy, after the run ends on one of them. Found by reading; not seen in a soak.

Cause: the listed run was adopted twice under one number. The end of the first one removed both from the task, and the second worker kept an entry whose run could not be found.

Change: a listed run is not adopted if its task already has a run of that number; the worker that lists it later is told to stop it.

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -272,7 +272,8 @@
     auto* job = findJob(report.task.job);
     auto* task = job ? findTask(*job, report.task) : nullptr;
     bool isWanted = task && !job->hasEnded() && !task->done;
-    bool allowsCopy = isWanted && job->spec.steps[report.task.step].speculative;
+    // Run numbers are unique, so a worker that lists a run of another worker is wrong.
+    bool allowsCopy = isWanted && job->spec.steps[report.task.step].speculative && !findRun(*task, report.run);
     if (isWanted && (task->runs.empty() || allowsCopy)) {
         adoptRun(worker.handle, *job, *task, report, now);
         return true;
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -514,3 +514,29 @@
     scheduler.addJob(fixture.job("j", { step }, "unknown"), std::nullopt, neverInstant);
     CHECK(fixture.planStarts().empty());
 }
+
+// Guards against a leader that ends with SIGSEGV because two workers list the same run of a task that may have two.
+TEST(TaskScheduler, RunListedByTwoWorkersBelongsToTheFirst)
+{
+    fixture.addWorker(1);
+    fixture.addWorker(2);
+    auto step = fixture.step(1);
+    step.speculative = true;
+    scheduler.addJob(fixture.job("j", { step }), std::nullopt, neverInstant);
+    const TaskRef task { "j", 0, 0, 0 };
+    auto report = [&](WorkerHandle worker) {
+        scheduler.runsReported(
+            worker, { { .task = task, .run = 9 } }, RunEndCoverage::All, fixture.now(), fixture.now());
+    };
+    report(1);
+    report(2);
+    scheduler.runEnded(1, { .sequence = 1, .task = task, .run = 9, .outcome = RunOutcome::Failed }, fixture.now());
+    scheduler.runsReported(2, {}, RunEndCoverage::Oldest, fixture.now(), fixture.now());
+    // The run on the second worker is stopped, and the task starts anew.
+    auto actions = fixture.plan();
+    CHECK_EQUAL(1, fixture.startsOf(actions).size());
+    CHECK(std::ranges::any_of(actions, [](const TaskAction& it) {
+        const auto* stop = std::get_if<StopTask>(&it);
+        return stop && stop->worker == 2 && stop->run == 9;
+    }));
+}
