Guard the limits of a server by a mutex

Seen: ThreadSanitizer reports a data race in each node of each soak run, between HttpServer::setLimits() on the event loop and the reads of the limits on the threads of Pistache. No crash is known to come from it.

Cause: std::atomic<std::shared_ptr> in the library of GCC 12 releases its lock after a load with relaxed order. On a machine with weakly ordered memory, such as arm64, a store at the same time may tear the loaded pointer.

Change: a mutex guards the pointer.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -45,7 +45,7 @@
 
 uint16_t HttpServer::port() const { return static_cast<uint16_t>(m_listener->getPort()); }
 
-void HttpServer::setLimits(const HttpLimits& limits) { m_state->limits = std::make_shared<const HttpLimits>(limits); }
+void HttpServer::setLimits(const HttpLimits& limits) { m_state->setLimits(limits); }
 
 void HttpServer::shutdown()
 {
--- a/Libraries/LibHttp/ServerTransport.cpp
+++ b/Libraries/LibHttp/ServerTransport.cpp
@@ -146,7 +146,7 @@
     auto& connection = connectionOf(*peer);
     if (connection.input.empty() || !connection.canReceive())
         return;
-    auto limits = m_state->limits.load();
+    auto limits = m_state->limits();
     auto result = connection.parser.parse(connection.input, *limits);
     if (const auto* incomplete = std::get_if<RequestParser::Incomplete>(&result)) {
         connection.input.clear();
@@ -264,7 +264,7 @@
     uint64_t expirations = 0;
     if (read(m_timer, &expirations, sizeof(expirations)) < 0)
         return;
-    auto limits = m_state->limits.load();
+    auto limits = m_state->limits();
     // A phase that begins after this check lasts at least as long as the shortest time-out.
     auto nextCheck
         = std::min({ maxTimeoutCheckInterval, limits->headerTimeout, limits->bodyTimeout, limits->idleTimeout });
--- a/Libraries/LibHttp/SharedServerState.h
+++ b/Libraries/LibHttp/SharedServerState.h
@@ -7,20 +7,40 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <utility>
 
 namespace Bergamot {
 
 /// State shared by the transports of one server. Accessed from all threads of the server.
-struct SharedServerState {
+class SharedServerState {
+public:
     using Handler = std::function<void(HttpRequest, HttpResponder)>;
 
     Handler handler;
 
-    /// May be replaced while the server runs.
-    std::atomic<std::shared_ptr<const HttpLimits>> limits;
-
     /// Number of requests that have been received but not answered.
     std::atomic<size_t> requestsInProgress { 0 };
+
+    std::shared_ptr<const HttpLimits> limits() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_limits;
+    }
+
+    /// May be called while the server runs.
+    void setLimits(const HttpLimits& limits)
+    {
+        auto replacement = std::make_shared<const HttpLimits>(limits);
+        std::lock_guard lock(m_mutex);
+        m_limits = std::move(replacement);
+    }
+
+private:
+    /// Guards the pointer: in the library of GCC 12, std::atomic<std::shared_ptr> releases its lock after a load with
+    /// relaxed order, so that a concurrent store may tear the loaded pointer.
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const HttpLimits> m_limits { std::make_shared<const HttpLimits>() };
 };
 
 }
--- a/Tests/LibHttp/TestHttpServerEdge.cpp
+++ b/Tests/LibHttp/TestHttpServerEdge.cpp
@@ -417,3 +417,19 @@
     CHECK(nonReadingConnection.readToClose(quietMs).size() < responseBytes);
     CHECK(nonReadingConnection.isClosed());
 }
+
+// Guards against limits that are replaced while they are read: ThreadSanitizer reports the race.
+TEST(HttpServerEdge, LimitsAreReplacedWhileRequestsAreParsed)
+{
+    constexpr int requests = 50;
+    constexpr int replacementsPerRequest = 200;
+    serve();
+    RawConnection connection(server->port());
+    for (int i = 0; i < requests; ++i) {
+        connection.send("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+        for (int n = 0; n < replacementsPerRequest; ++n)
+            server->setLimits({ .maxRequestBytes = 4096 });
+    }
+    while (handled.load() < requests)
+        std::this_thread::yield();
+}
