Go on with reads and lease renewals after an exception

Seen: by reading. An exception in a callback of a reply ends only this callback, but it was also the one that scheduled the next call. So one failure ended the reads of a stream, those of the leadership stream, or the lease renewals of a worker for the rest of the process.

Change: the calls that process a report, a leadership record, a due claim, a reload and the end of a stream are guarded each.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Digest.h>
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
@@ -105,12 +106,13 @@
         m_elections.clear();
         m_storedKeepalives.clear();
     } else {
+        // A failure must not end the reads: a leader that does not read them would not learn of its successor.
         for (const auto& record : reply.records)
-            applyRecord(record);
+            guardedCall("leadership_record_failed", [&] { applyRecord(record); });
         m_position += reply.records.size();
         confirmLeadership();
         if (m_position >= reply.end)
-            claimIfDue();
+            guardedCall("claim_failed", [&] { claimIfDue(); });
     }
     readNext();
 }
--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -52,7 +52,7 @@
     if (isFirstPage) {
         m_position = reply.end;
         m_isCaughtUp = false;
-        m_options.onReload();
+        guardedCall("reload_failed", m_options.onReload);
     }
     deliver(reply.records);
     if (reply.hasMore && !reply.records.empty())
@@ -103,7 +103,8 @@
     if (m_position >= reply.end) {
         m_isCaughtUp = true;
         m_currentAsOf = startedAt;
-        m_options.onCaughtUp();
+        // The reads go on, because later records need not depend on what failed.
+        guardedCall("catch_up_failed", m_options.onCaughtUp);
     }
     bool isBehind = m_position < reply.end;
     if (isBehind && reply.records.empty())
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibHttp/ConnectionRefused.h>
 #include <LibHttp/EventLoop.h>
@@ -280,7 +281,8 @@
         hasNewEnds = hasNewEnds || end.sequence > m_lastEndSequence;
         m_lastEndSequence = std::max(m_lastEndSequence, end.sequence);
     }
-    m_options.events.onReport(*reply, requestSentAt);
+    // After a failure, the lease is renewed nevertheless: nothing else would end the runs of a reachable worker.
+    guardedCall("report_failed", [&] { m_options.events.onReport(*reply, requestSentAt); });
     if (!*m_alive)
         return;
     // allowLease() renews the lease sooner.
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/LeadershipMonitor.h>
 #include <LibWire/ValueCodec.h>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
         std::unique_ptr<LeadershipMonitor> monitor;
         std::vector<uint64_t> elections;
         bool canClaim { true };
+        bool failsWhenElected { false };
         int depositions { 0 };
     };
     FakeRecordStore store { *loop };
@@ -34,7 +36,12 @@
                     .peerAddress = "a" + std::to_string(incarnation),
                     .cpuMillis = cpuMillis },
                 .canClaim = [it] { return it->canClaim; },
-                .onElected = [it](uint64_t epoch, bool) { it->elections.push_back(epoch); },
+                .onElected =
+                    [it](uint64_t epoch, bool) {
+                        it->elections.push_back(epoch);
+                        if (it->failsWhenElected)
+                            throw std::out_of_range("a fault in the start of the leader");
+                    },
                 .onDeposed = [it] { ++it->depositions; },
             });
         it->monitor->start();
@@ -332,3 +339,17 @@
     advance(Milliseconds { 500 });
     CHECK_EQUAL(1, members[0]->depositions);
 }
+
+// Guards against a node that considers itself the leader for ever because a failure at its election ended its reads.
+TEST(LeadershipMonitor, NodeThatFailsAtItsElectionLearnsOfItsSuccessor)
+{
+    addMember(1);
+    members[0]->failsWhenElected = true;
+    advance(Milliseconds { 1000 });
+    CHECK_EQUAL(1, members[0]->elections.size());
+    addMember(2);
+    advance(Milliseconds { 4000 });
+    CHECK_EQUAL(1, members[1]->elections.size());
+    CHECK_EQUAL(1, members[0]->depositions);
+    CHECK_EQUAL(1, leaders());
+}
--- a/Tests/LibNode/TestStreamReader.cpp
+++ b/Tests/LibNode/TestStreamReader.cpp
@@ -22,6 +22,7 @@
     std::vector<std::string> records;
     int reloads { 0 };
     int catchUps { 0 };
+    bool failsToCatchUp { false };
 
     void start(Milliseconds interval = Milliseconds { 0 })
     {
@@ -41,7 +42,12 @@
                         records.push_back(it.key + "=" + it.value);
                         known[it.key] = it.value;
                     },
-                .onCaughtUp = [this] { ++catchUps; } });
+                .onCaughtUp =
+                    [this] {
+                        ++catchUps;
+                        if (failsToCatchUp)
+                            throw std::out_of_range("a fault in what follows the last record");
+                    } });
         reader->start();
     }
 
@@ -275,6 +281,18 @@
     CHECK(catchUps > 0);
 }
 
+// Guards against a node that reads no more records because what follows the last one fails.
+TEST(StreamReader, ReadsGoOnAfterAFailureAtTheEndOfTheStream)
+{
+    failsToCatchUp = true;
+    start();
+    advance(Milliseconds { 20 });
+    CHECK(catchUps > 0);
+    put("a", "1");
+    advance(Milliseconds { 50 });
+    CHECK((records == std::vector<std::string> { "a=1" }));
+}
+
 // Guards against reads without a pause, each of which has its price, when the store announces records and sends none.
 TEST(StreamReader, ReplyWithoutTheAnnouncedRecordsIsReadAgainLater)
 {
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -1,9 +1,11 @@
 #include "MockTaskExecutor.h"
 #include "NodeTestClock.h"
 #include <CppUTest/TestHarness.h>
+#include <LibCore/GuardedCall.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/WorkerSession.h>
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 using namespace Bergamot;
@@ -24,6 +26,7 @@
     int incarnationMismatches { 0 };
     bool closesAtIncarnationMismatch { false };
     int fencedCalls { 0 };
+    bool failsAtReports { false };
     bool canStart { true };
     int acceptedStops { 0 };
     std::unique_ptr<WorkerSession> session { std::make_unique<WorkerSession>(*loop, taskExecutor,
@@ -36,7 +39,11 @@
             .reportWait = reportWait,
             .canStart = [this](const StartTask&) { return canStart; },
             .renewalLimiter = renewalLimiter,
-            .events = { .onReport = [](const RenewLeaseReply&, Instant) {},
+            .events = { .onReport =
+                            [this](const RenewLeaseReply&, Instant) {
+                                if (failsAtReports)
+                                    throw std::out_of_range("a fault in the processing of this report");
+                            },
                 .onStartReply =
                     [this](const StartTask& start, TaskCommandOutcome outcome) {
                         startedRuns.push_back(start.run);
@@ -627,3 +634,15 @@
     CHECK_EQUAL(2, startedRuns[0]);
     CHECK(startOutcomes[0] == TaskCommandOutcome::NotSent);
 }
+
+// Guards against a worker whose lease is never renewed nor ended because the processing of one report has failed.
+TEST(WorkerSession, LeaseIsRenewedAfterAFailureAtAReport)
+{
+    connect();
+    failsAtReports = true;
+    // The engine ends only the callback in which an exception is thrown.
+    guardedCall("reply_failed", [&] { taskExecutor.takeRenewLeaseCall().reply(replyAt(1500)); });
+    advance(Milliseconds { 1000 });
+    CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+    CHECK(taskExecutor.takeRenewLeaseCall().request.leaseUntilMs.has_value());
+}
