Give the lists of a worker to a scheduler that knows their job

The decoder of lease replies passed them to a scheduler without jobs, so that each listed run was unknown and the faults of known runs were not found. Now the job has steps with speculative copies, gangs and services, and two workers send the same lists.

--- a/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
+++ b/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
@@ -47,7 +47,9 @@
                  R"("capacity":{"cpu":1000,"memMb":5,"gpu":0},"labels":["a","r1"],"born":7})" };
     case 4:
         return {
-            R"({"clockMs":5,"born":3,"running":[["j.0.1.2",3,"cp",41,18]],"finished":[[58,"j.0.1.9",1,"done",""]]})"
+            R"({"clockMs":5,"born":3,"running":[["j.0.1.2",3,"cp",41,18]],"finished":[[58,"j.0.1.9",1,"done",""]]})",
+            R"({"running":[["j.0.1.2",3,"cp",41,18],["j.1.0.0",4,"",9,0],["j.0.2.1",5,"c",3,1],["j.0.3.0",6,"",100,7]],)"
+            R"("finished":[[58,"j.0.1.2",3,"failed",""],[59,"j.0.2.1",5,"broken","c"],[60,"j.1.0.0",4,"done",""]]})"
         };
     case 5:
         return { R"({"clockMs":5,"born":3,"reason":"fence"})" };
--- a/Tests/PlatformAdapter/NodeDecoders.cpp
+++ b/Tests/PlatformAdapter/NodeDecoders.cpp
@@ -21,6 +21,7 @@
 #include <platform/StoreReplies.h>
 #include <platform/WorkerAddress.h>
 #include <platform/WorkerReplies.h>
+#include <string>
 
 namespace Bergamot {
 
@@ -104,6 +105,39 @@
     VERIFY(reply.startedAtMs >= 0 && reply.startedAtMs <= maxUnixMs);
 }
 
+/// A job "j", whose tasks the seeds name, of steps whose runs are treated differently.
+static JobSpec jobOfReports()
+{
+    JobSpec job { .id = "j", .queue = "q", .payload = "p", .repeats = 2, .intervalMs = 1 };
+    job.steps = { { .count = 3, .size = { 1, 1, 0 } }, { .count = 3, .size = { 1, 1, 0 }, .speculative = true },
+        { .count = 2, .size = { 1, 1, 0 }, .gang = true }, { .count = 1, .size = { 1, 1, 0 }, .longRunning = true } };
+    return job;
+}
+
+/// A leader must bear the lists of a worker, for a job that it knows too and when another worker sends the same lists.
+static void reportTwice(const RenewLeaseReply& reply)
+{
+    TaskScheduler scheduler({ .epoch = 7 });
+    scheduler.setQueues({ { "q", { .service = "s", .maxAttempts = 2 } } });
+    for (WorkerHandle worker : { 1, 2 })
+        scheduler.updateWorker(
+            worker, { .id = std::to_string(worker), .service = "s", .zone = "z", .capacity = { 4000, 4000, 1 } });
+    scheduler.addJob(jobOfReports(), std::nullopt, neverInstant, now);
+    auto time = now;
+    for (bool withEnds : { false, true }) {
+        for (WorkerHandle worker : { 1, 2 }) {
+            for (size_t i = 0; withEnds && i < reply.ended.size(); ++i)
+                scheduler.runEnded(worker, reply.ended[i], time);
+            scheduler.runsReported(worker, reply.running, reply.endCoverage, time, time);
+            time += Milliseconds { 1000 };
+        }
+        scheduler.plan(time, time.time_since_epoch().count());
+    }
+    scheduler.removeWorker(2, WorkerEnd::Crashed, time);
+    scheduler.plan(time, time.time_since_epoch().count());
+    scheduler.takeChangedJobs();
+}
+
 static bool decodeRenewLeaseReply(std::string_view text)
 {
     auto reply = Platform::parseRenewLeaseReply({ .status = 200, .body = std::string(text) });
@@ -114,11 +148,7 @@
         VERIFY(run.progressPercent <= 100 && run.recentMeasurement >= 0);
         VERIFY(*Platform::parseTaskName(Platform::formatTaskName(run.task)) == run.task);
     }
-    TaskScheduler scheduler({ .epoch = 7 });
-    scheduler.updateWorker(1, { .id = "w", .service = "s", .capacity = { 4000, 4000, 1 } });
-    for (const auto& end : reply->ended)
-        scheduler.runEnded(1, end, now);
-    scheduler.runsReported(1, reply->running, reply->endCoverage, now, now);
+    reportTwice(*reply);
     return true;
 }
 
