Ask for a new reply before each start of a suspected task

What callers could see: a start of a suspected task that goes to a worker which has crashed without notice, and counts as another crash under the task.

Cause: WorkerSession keeps that a proof was answered until the next command is sent. If the start that the proof was for is withdrawn meanwhile, the answer stands for the next suspected start, however much later that comes.

Change: a suspected start that enters the queue needs a reply that comes later.

Test: WorkerSession.StartOfASuspectedTaskDoesNotFollowAnOldReply; without the change it fails, as a start is sent 5 s after the reply.

--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -20,8 +20,12 @@
 
 void WorkerSession::enqueueCommand(TaskAction action)
 {
-    if (const auto* start = std::get_if<StartTask>(&action); start && !m_isReachable)
-        return m_options.events.onStartReply(*start, TaskCommandOutcome::Unhealthy);
+    if (const auto* start = std::get_if<StartTask>(&action)) {
+        if (!m_isReachable)
+            return m_options.events.onStartReply(*start, TaskCommandOutcome::Unhealthy);
+        // An earlier proof may be old.
+        m_hasProofForFront = m_hasProofForFront && !start->isSuspected;
+    }
     const auto* stop = std::get_if<StopTask>(&action);
     if (stop && cancelQueuedStart(*stop))
         return;
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -627,3 +627,22 @@
     CHECK_EQUAL(2, startedRuns[0]);
     CHECK(startOutcomes[0] == TaskCommandOutcome::NotSent);
 }
+
+// Guards against a start of a suspected task that follows an old reply, because the start that the reply was for had
+// been withdrawn.
+TEST(WorkerSession, StartOfASuspectedTaskDoesNotFollowAnOldReply)
+{
+    connect();
+    taskExecutor.renewLeaseCalls.clear();
+    StartTask start { .worker = 1, .task = { "j", 0, 0, 1 }, .run = 1, .isSuspected = true };
+    session->enqueueCommand(start);
+    session->enqueueCommand(stopOf(1));
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1100));
+    advance(Milliseconds { 5000 });
+    taskExecutor.renewLeaseCalls.clear();
+    start.run = 2;
+    session->enqueueCommand(start);
+    loop->runReady();
+    CHECK_EQUAL(0, taskExecutor.commands.size());
+    CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+}
