Compute the probability of very many crashes without overflow

What callers could see: a long-running job that is given up after some 750 crashes on end, however likely each of them was.

Cause: the sum in probabilityOfProduct() overflows and exp() underflows, so that their product is no number. Every comparison with it is false, which counts as a proof.

Change: the terms are computed from their logarithms.

Test: CrashHistory.CoincidenceOfVeryManyCrashesIsAProbability; without the change it fails.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -133,13 +133,16 @@
 /// would fall below any bound as crashes are added.
 static double probabilityOfProduct(size_t count, double exponent)
 {
-    double term = 1;
+    if (exponent <= 0)
+        return 1;
+    // The terms are computed from their logarithms, because the factors of those of many crashes exceed all numbers.
+    double logTerm = -exponent;
     double sum = 0;
     for (size_t i = 0; i < count; ++i) {
-        sum += term;
-        term *= exponent / static_cast<double>(i + 1);
+        sum += std::exp(logTerm);
+        logTerm += std::log(exponent / static_cast<double>(i + 1));
     }
-    return std::exp(-exponent) * sum;
+    return std::min(1.0, sum);
 }
 
 double CrashHistory::coincidence(const TaskRef& task, double crashRate, Milliseconds runTime, Scope scope) const
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -118,3 +118,15 @@
     crash(5, true, true, 10, stormRate);
     CHECK(history.isCauseOfCrashes(task, quietRate));
 }
+
+// Guards against a job that is given up because the probability of very many crashes is no number.
+TEST(CrashHistory, CoincidenceOfVeryManyCrashesIsAProbability)
+{
+    constexpr uint64_t crashes { 1000 };
+    constexpr uint32_t runTimeMs { 5000 };
+    for (uint64_t run = 1; run <= crashes; ++run)
+        crash(run, run <= 2, true, runTimeMs, stormRate);
+    auto probability = history.coincidence(task, quietRate, CrashHistory::unlimitedRunTime);
+    CHECK(probability >= 0 && probability <= 1);
+    CHECK(!history.isCauseOfCrashes(task, quietRate, CrashHistory::unlimitedRunTime));
+}
