Take back starts whose records are not stored when their worker is lost

What callers could see: a job that is given up for crashes under starts that were never sent, most likely while the store is slow.

Cause: the start of a suspected task waits in the scheduler until its record is stored. If its worker crashes in that time and is removed before the record is stored, the run counts as active there, and its crash as one of an isolated run.

Change: TaskScheduler::removeWorker() takes them back first.

Test: TaskCrashes.StartThatWaitsForItsRecordIsNoCrash; without the change it fails with a second crash on record.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -418,6 +418,8 @@
     if (it == m_workers.end())
         return;
     auto& worker = *it->second;
+    // Otherwise their tasks would count as active when the worker crashed.
+    withdrawSuspectedStarts(handle, now);
     if (end == WorkerEnd::Crashed) {
         suspectCrash(handle, now);
         recordRunTimes(worker);
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -2,6 +2,7 @@
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 // Starts suspected tasks apart from each other. A run is isolated when no other run on its worker was recently started
 // or is isolated too; the worker takes no further starts until the run has ended or its task is cleared.
@@ -222,6 +223,17 @@
     }
 }
 
+/// Takes back the starts on the worker whose records are not stored yet.
+void TaskScheduler::withdrawSuspectedStarts(WorkerHandle handle, Instant now)
+{
+    auto firstWithdrawn = std::stable_partition(
+        m_suspectedStarts.begin(), m_suspectedStarts.end(), [&](const StartTask& it) { return it.worker != handle; });
+    std::vector<StartTask> withdrawn(firstWithdrawn, m_suspectedStarts.end());
+    m_suspectedStarts.erase(firstWithdrawn, m_suspectedStarts.end());
+    for (const auto& start : withdrawn)
+        startRefused(handle, start.task, start.run, StartRefusal::NotSent, now);
+}
+
 /// Returns false if the start has to wait. A start that is not wanted any more is dropped.
 bool TaskScheduler::sendSuspectedStart(const StartTask& start, Instant now, const StartPermission& permission)
 {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -349,6 +349,7 @@
     void holdForGang(const ReadyStep&, Instant now);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
     void sendSuspectedStarts(Instant now, const StartPermission&);
+    void withdrawSuspectedStarts(WorkerHandle, Instant now);
     bool sendSuspectedStart(const StartTask&, Instant now, const StartPermission&);
     void setIsolated(TrackedRun&, bool isolated);
     void superviseWorker(WorkerEntry&, Instant now);
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -437,3 +437,19 @@
     CHECK(scheduler.stateOf("cause") == JobStage::Failed);
     CHECK_COMPARE((starts[TaskRef { "cause", 0, 0, 0 }]), <=, 5);
 }
+
+// Guards against a start that counts as a crash because its worker was lost while the record of the start was stored.
+TEST(TaskCrashes, StartThatWaitsForItsRecordIsNoCrash)
+{
+    addWorker();
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_EQUAL(2, scheduler.timelineOf("j")->crashedRuns.size());
+    crash(1);
+    scheduler.removeWorker(1, WorkerEnd::Crashed, fixture.now());
+    fixture.advance(restartTime);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_EQUAL(1, scheduler.timelineOf("j")->crashedRuns.size());
+}
