Judge the losses of a wave without a search of the job's records for each pair

What callers could see: with many workers, a leader that is busy for so long with the losses of one wave that it misses its keepalives.

Cause: countOtherLosses() compares each other loss with all crash records of the job, and copies the job's id for each comparison. In a wave the others are all workers of the wave, so the cost grows with the square of their number and with the number of tasks lost on each.

Change: the task's own records are looked up once.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -300,10 +300,14 @@
 size_t TaskScheduler::countOtherLosses(const TrackedJob& job, const TaskRef& key, const WorkerLoss& loss,
     const std::vector<OtherLoss>& otherLosses, Milliseconds time)
 {
+    std::vector<const CrashedRun*> own;
+    for (const auto& it : job.crashes.runs()) {
+        if (taskOf(job, it) == key)
+            own.push_back(&it);
+    }
     auto others = std::ranges::count_if(otherLosses, [&](const OtherLoss& it) {
-        auto isOwn = [&](const CrashedRun& own) { return taskOf(job, own) == key && isOnIncarnation(own, *it.view); };
         return it.at >= loss.at - time - maxNoticeDifference && it.at <= loss.at + maxNoticeDifference
-            && std::ranges::none_of(job.crashes.runs(), isOwn);
+            && std::ranges::none_of(own, [&](const CrashedRun* run) { return isOnIncarnation(*run, *it.view); });
     });
     // The other members of a gang may have crashed their workers too.
     const auto& steps = job.spec.steps;
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -1,5 +1,6 @@
 #include "TaskCrashFixture.h"
 #include <algorithm>
+#include <ctime>
 
 using namespace Bergamot;
 
@@ -150,3 +151,26 @@
     }
     checkShortJobsCompleted();
 }
+
+// Guards against a leader that stops renewing its own leadership while it judges the losses of a wave.
+TEST(CrashWaves, LossesOfManyWorkersAreJudgedWithinAKeepalive)
+{
+    constexpr double keepaliveSeconds { 0.3 };
+    constexpr int manyWorkers { 1000 };
+    constexpr int lost { manyWorkers / workersPerWave };
+    for (int i = 0; i < manyWorkers; ++i)
+        addWorker();
+    for (int i = 0; i < manyWorkers / 10; ++i) {
+        StepSpec step { .count = 100, .size = { 2000, 2000, 0 }, .estimateMs = 5000 };
+        scheduler.addJob(fixture.job("0123456789abc" + std::to_string(100 + i), { step }), std::nullopt, neverInstant);
+    }
+    for (int wave = 0; wave < 3; ++wave) {
+        run(waveInterval);
+        for (int i = 0; i < lost; ++i)
+            crash(randomWorker());
+        fixture.advance(restartTime);
+        auto start = std::clock();
+        restartCrashedWorkers();
+        CHECK_COMPARE(static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC, <, keepaliveSeconds);
+    }
+}
