--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -376,6 +376,7 @@
     static bool mustRecordStart(const TrackedJob&, const TaskRef&, const TrackedTask&);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
     void sendSuspectedStarts(Instant now, const StartPermission&);
+    void withdrawSuspectedStarts(WorkerHandle, Instant now);
     bool sendSuspectedStart(const StartTask&, Instant now, const StartPermission&);
     void setIsolated(TrackedRun&, bool isolated);
     void superviseWorker(WorkerEntry&, Instant now);
