Record first starts after the wait for earlier leases before they are sent

When the tasks start because of that time, some worker has not replied, so the steps that wait are marked then as well. The time is forgotten when all workers have replied before.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -22,7 +22,8 @@
     m_latestEventAt = now;
     m_mayUnblock = permission.mayUnblock;
     if (m_mayUnblock && m_unblockAt != neverInstant && now >= m_unblockAt) {
-        m_unblockAt = neverInstant;
+        // Some workers have not replied to this leader.
+        inheritedWorkerLost();
         unblockTasks();
     }
     activateDueOccurrences(unixMs);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -405,6 +405,7 @@
 
 void TaskScheduler::unblockTasks()
 {
+    m_unblockAt = neverInstant;
     for (auto& [id, job] : m_jobs) {
         for (auto& occurrence : job->occurrences) {
             for (auto& step : occurrence.steps) {
--- a/Tests/LibDecision/TestTaskCrashRecords.cpp
+++ b/Tests/LibDecision/TestTaskCrashRecords.cpp
@@ -123,6 +123,18 @@
     STRCMP_EQUAL("inherited", starts[0].task.job.c_str());
 }
 
+// Guards against the same when the tasks may start before the session of the lost worker takes its lease for expired.
+TEST(TaskCrashRecords, FirstStartAfterTheWaitForEarlierLeasesIsRecordedFirst)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    scheduler.addJob(fixture.job("inherited", { fixture.step(1) }), std::nullopt, fixture.now() + Milliseconds { 50 });
+    fixture.plan();
+    fixture.advance(Milliseconds { 100 });
+    CHECK(awaitStarts(fixture, false).empty());
+    CHECK_EQUAL(1, awaitStarts(fixture).size());
+}
+
 // Guards against an end that is stored again for each crash that is confirmed after it (issue 45).
 TEST(TaskCrashRecords, EndedJobIsNotStoredAgain)
 {
