Keep what is known of a suspected run when its worker's lease expires

The record that is made before the start of a suspected task says that the worker crashed at once, and nothing of whether it had answered. At a crash that is noticed by itself this is put right, but not when the lease of a silent worker expires first: the run is dropped then, and if the worker turns out to have crashed later, a start that it never received counts as an answered crash directly after the start.

What is known is now recorded when the runs of a worker are dropped, whatever the cause.

Evidence: TaskCrashRecords.UnansweredStartOfASuspectIsKnownAsSuchAfterTheLease failed before.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -421,7 +421,6 @@
     auto& worker = *it->second;
     if (end == WorkerEnd::Crashed) {
         suspectCrash(handle, now);
-        recordRunTimes(worker);
         m_recentLosses.push_back({ .view = worker.view,
             .at = worker.lostAt == neverInstant ? now : worker.lostAt,
             .lastReplyAt = worker.lastReplyAt,
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -14,6 +14,7 @@
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
         return;
+    recordRunTimes(*it->second);
     auto runs = it->second->runs;
     for (const auto& [key, active] : runs)
         dropRun(*active.job, key.first, *active.task, key.second);
--- a/Tests/LibDecision/TestTaskCrashRecords.cpp
+++ b/Tests/LibDecision/TestTaskCrashRecords.cpp
@@ -135,6 +135,34 @@
     CHECK_EQUAL(1, awaitStarts(fixture).size());
 }
 
+// Guards against an innocent task that is given up for a start that a silent worker never received: when its lease
+// expires, the record made before the start would say that the worker crashed at once.
+TEST(TaskCrashRecords, UnansweredStartOfASuspectIsKnownAsSuchAfterTheLease)
+{
+    for (lastWorker = 1; lastWorker <= 6; ++lastWorker)
+        addWorker(scheduler, lastWorker);
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns = { { .run = 1, .worker = "w7", .workerStartedAtMs = 7, .confirmed = true } };
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    fixture.plan();
+    storeProgress(scheduler);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    auto worker = starts[0].worker;
+    constexpr Milliseconds timeUntilNoticed { 1800 };
+    fixture.advance(timeUntilNoticed);
+    scheduler.setReachable(worker, false, fixture.now());
+    fixture.advance(leaseTime);
+    scheduler.suspectCrash(worker, fixture.now());
+    scheduler.markRunsLost(worker, fixture.now());
+    scheduler.removeWorker(worker, WorkerEnd::Crashed, fixture.now());
+    auto timeline = scheduler.timelineOf("j");
+    CHECK(timeline.has_value());
+    CHECK(timeline->crashedRuns.size() == 2);
+    CHECK(timeline->crashedRuns[1].unanswered);
+    CHECK(Milliseconds { timeline->crashedRuns[1].runTimeMs } == timeUntilNoticed);
+}
+
 // Guards against an end that is stored again for each crash that is confirmed after it (issue 45).
 TEST(TaskCrashRecords, EndedJobIsNotStoredAgain)
 {
