--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -427,7 +427,6 @@
     withdrawSuspectedStarts(handle, now);
     if (end == WorkerEnd::Crashed) {
         suspectCrash(handle, now);
-        recordRunTimes(worker);
         m_recentLosses.push_back({ .view = worker.view,
             .at = worker.lostAt == neverInstant ? now : worker.lostAt,
             .lastReplyAt = worker.lastReplyAt,
