Judge crashes by the other workers of the same service

What callers could see: jobs shown as failed without a failed run, when the workers of one service crash in waves and those of the other services do not.

Cause: what is to be expected of a worker was the share of all workers that were lost, of any service. With one service in waves among ten, each crash seemed ten times less likely than it was. For the same reason the waves of a small service started no back-off, and those of another service did.

Change: the losses of workers of the same service count, among the workers of that service; the back-off looks at the service of the job.

Test: CrashWaves.JobsOfOneServiceOutliveThem (48 workers in waves, 432 of another service): fails without the change.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -278,18 +278,24 @@
     });
 }
 
-/// Returns the losses of other workers that have no known cause, of workers that this leader has reached: crashes of a
-/// task on the others may have gone unrecorded. Workers that are not removed yet count too.
-std::vector<TaskScheduler::OtherLoss> TaskScheduler::otherLosses(const WorkerLoss& loss) const
+/// Returns the losses of other workers of the service that have no known cause, of workers that this leader has
+/// reached: crashes of a task on the others may have gone unrecorded. Workers that are not removed yet count too.
+TaskScheduler::OtherLosses TaskScheduler::otherLosses(const WorkerLoss& loss) const
 {
-    std::vector<OtherLoss> others;
+    OtherLosses others;
+    // A worker that has not announced itself yet may be of any service.
+    auto isOfService
+        = [&](const TaskWorkerView& view) { return loss.view.service.empty() || view.service == loss.view.service; };
     for (const auto& it : m_recentLosses) {
-        if (&it != &loss && !it.hasLikelyCause && it.lastReplyAt != neverInstant)
-            others.push_back({ .view = &it.view, .at = it.at });
+        if (&it != &loss && isOfService(it.view) && !it.hasLikelyCause && it.lastReplyAt != neverInstant)
+            others.losses.push_back({ .view = &it.view, .at = it.at });
     }
     for (const auto& [handle, worker] : m_workers) {
+        if (!isOfService(worker->view))
+            continue;
+        ++others.workers;
         if (worker->lostAt != neverInstant && worker->lastReplyAt != neverInstant && !hasLikelyCause(*worker))
-            others.push_back({ .view = &worker->view, .at = worker->lostAt });
+            others.losses.push_back({ .view = &worker->view, .at = worker->lostAt });
     }
     return others;
 }
@@ -299,14 +305,14 @@
 
 /// Returns how many of the losses may have happened in the `time` before the loss, without those under the task.
 size_t TaskScheduler::countOtherLosses(const TrackedJob& job, const TaskRef& key, const WorkerLoss& loss,
-    const std::vector<OtherLoss>& otherLosses, Milliseconds time)
+    const OtherLosses& otherLosses, Milliseconds time)
 {
     std::vector<const CrashedRun*> own;
     for (const auto& it : job.crashes.runs()) {
         if (taskOf(job, it) == key)
             own.push_back(&it);
     }
-    auto others = std::ranges::count_if(otherLosses, [&](const OtherLoss& it) {
+    auto others = std::ranges::count_if(otherLosses.losses, [&](const OtherLoss& it) {
         return it.at >= loss.at - time - maxNoticeDifference && it.at <= loss.at + maxNoticeDifference
             && std::ranges::none_of(own, [&](const CrashedRun* run) { return isOnIncarnation(*run, *it.view); });
     });
@@ -317,10 +323,11 @@
     return static_cast<size_t>(others);
 }
 
-/// Adds what was to be expected without the task: the share of the workers that were lost for other causes while the
-/// run was active, and their rate around the loss. Workers crash in bursts, so the rate over a longer time says less.
+/// Adds what was to be expected without the task: the share of the service's workers that were lost for other causes
+/// while the run was active, and their rate around the loss. Workers crash in bursts, so the rate over a longer time
+/// says less.
 void TaskScheduler::addExpectedCrashes(
-    const TrackedJob& job, CrashedRun& crashed, const WorkerLoss& loss, const std::vector<OtherLoss>& otherLosses) const
+    const TrackedJob& job, CrashedRun& crashed, const WorkerLoss& loss, const OtherLosses& otherLosses) const
 {
     constexpr Milliseconds rateWindow { 3000 };
     constexpr double msPerSecond = 1000;
@@ -329,7 +336,7 @@
     if (crashed.unanswered && loss.lastReplyAt != neverInstant)
         exposure = std::max(exposure, loss.at - loss.lastReplyAt);
     auto key = taskOf(job, crashed);
-    auto workers = static_cast<double>(std::max<size_t>(1, m_workers.size()));
+    auto workers = static_cast<double>(std::max<size_t>(1, otherLosses.workers));
     auto shareLostWithin = [&](Milliseconds time) {
         return static_cast<double>(countOtherLosses(job, key, loss, otherLosses, time)) / workers;
     };
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -1,6 +1,9 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -59,25 +62,35 @@
 /// Whether a start has to wait because it could not show whether the task is the cause of its crashes.
 bool TaskScheduler::mustBackOff(const TrackedJob& job, const TaskRef& key, const TrackedTask& task, Instant now) const
 {
-    if (!m_areWorkersCrashing)
+    if (!m_crashingServices.contains(policyOf(job).service))
         return false;
     auto backoff = job.crashes.restartBackoff(key, otherCrashRate(job, key), expectedRunTime(job, key));
     return now - task.waitingSince < backoff;
 }
 
-/// Returns whether so many workers were lost lately for no known cause that one more would prove nothing.
-bool TaskScheduler::areWorkersCrashing(Instant now) const
+/// Returns the services of which so many workers were lost lately for no known cause that one more would prove nothing.
+std::set<std::string> TaskScheduler::crashingServices(Instant now) const
 {
     constexpr Milliseconds window { 3000 };
     constexpr size_t workersPerLoss { 50 };
     auto isRecent = [&](Instant at) { return at != neverInstant && now - at < window; };
-    auto losses = std::ranges::count_if(
-        m_recentLosses, [&](const WorkerLoss& it) { return !it.hasLikelyCause && isRecent(it.at); });
-    losses += std::ranges::count_if(m_workers, [&](const auto& it) {
-        const auto& worker = *it.second;
-        return !worker.reachable && isRecent(worker.lostAt) && !hasLikelyCause(worker);
-    });
-    return static_cast<size_t>(losses) * workersPerLoss > m_workers.size();
+    std::map<std::string, size_t> losses;
+    for (const auto& it : m_recentLosses) {
+        if (!it.hasLikelyCause && isRecent(it.at))
+            ++losses[it.view.service];
+    }
+    for (const auto& [handle, worker] : m_workers) {
+        if (!worker->reachable && isRecent(worker->lostAt) && !hasLikelyCause(*worker))
+            ++losses[worker->view.service];
+    }
+    std::set<std::string> crashing;
+    for (const auto& [service, lost] : losses) {
+        auto workers
+            = std::ranges::count_if(m_workers, [&](const auto& it) { return it.second->view.service == service; });
+        if (std::cmp_greater(lost * workersPerLoss, workers))
+            crashing.insert(service);
+    }
+    return crashing;
 }
 
 /// The crashes have to be stored first: a leader that fails after the start would otherwise leave them uncounted.
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -71,7 +71,7 @@
     m_sizesWithoutRoom = {};
     m_freeCpuMillis = 0;
     m_heldWorkers = 0;
-    m_areWorkersCrashing = areWorkersCrashing(now);
+    m_crashingServices = crashingServices(now);
     std::vector<WorkerEntry*>* candidates = nullptr;
     const std::string* service = nullptr;
     for (const auto& [handle, worker] : m_workers) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -253,6 +253,14 @@
         Instant at { neverInstant };
     };
 
+    /// The losses of the workers of one service.
+    struct OtherLosses {
+        std::vector<OtherLoss> losses {};
+
+        /// Number of workers of the service.
+        size_t workers { 0 };
+    };
+
     TrackedJob* findJob(const JobId&);
     const QueuePolicy& policyOf(const TrackedJob&) const;
     void enforceMaxAttempts(TrackedJob&, const TrackedTask&);
@@ -338,10 +346,10 @@
     void confirmDueCrashes(Instant now);
     double otherCrashRate(const TrackedJob&, const TaskRef& key) const;
     bool hasLikelyCause(const WorkerEntry&) const;
-    std::vector<OtherLoss> otherLosses(const WorkerLoss&) const;
+    OtherLosses otherLosses(const WorkerLoss&) const;
     static size_t countOtherLosses(
-        const TrackedJob&, const TaskRef& key, const WorkerLoss&, const std::vector<OtherLoss>&, Milliseconds time);
-    void addExpectedCrashes(const TrackedJob&, CrashedRun&, const WorkerLoss&, const std::vector<OtherLoss>&) const;
+        const TrackedJob&, const TaskRef& key, const WorkerLoss&, const OtherLosses&, Milliseconds time);
+    void addExpectedCrashes(const TrackedJob&, CrashedRun&, const WorkerLoss&, const OtherLosses&) const;
     bool hasDueCrash(const TrackedJob&, const TaskRef& key) const;
     void recordRunTimes(const WorkerEntry&);
     CrashEvent confirmCrash(TrackedJob&, CrashedRun);
@@ -354,7 +362,7 @@
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
-    bool areWorkersCrashing(Instant now) const;
+    std::set<std::string> crashingServices(Instant now) const;
     uint32_t maxIsolatedRuns(const TrackedJob&) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs, RunIsolation) const;
     bool mayHold(const ReadyStep&, const WorkerEntry&) const;
@@ -439,8 +447,8 @@
     /// Workers that are held for isolated runs and have none yet, as of the latest plan and its holds.
     uint32_t m_heldWorkers { 0 };
 
-    /// Whether workers crash for other causes than isolated runs, as of the latest plan.
-    bool m_areWorkersCrashing { false };
+    /// Services whose workers crash for no known cause, as of the latest plan.
+    std::set<std::string> m_crashingServices {};
 
     /// Searches of the current plan that found no worker for an isolated run, since it placed the tasks that have to
     /// run isolated.
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -174,3 +174,17 @@
         CHECK_COMPARE(static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC, <, keepaliveSeconds);
     }
 }
+
+// Guards against jobs that are given up because the workers of other services, which do not crash, count too.
+TEST(CrashWaves, JobsOfOneServiceOutliveThem)
+{
+    constexpr int workersOfOtherService { 432 };
+    for (int i = 0; i < workersOfOtherService; ++i) {
+        auto handle = ++lastWorker;
+        scheduler.updateWorker(handle, { .id = "w" + std::to_string(handle), .service = "other", .zone = "a" });
+    }
+    addWorkers();
+    run(Milliseconds { 1000 });
+    runWaves(wavesEnd + Milliseconds { 15000 });
+    checkShortJobsCompleted();
+}
