Add a failing test of a new leader amid waves of crashes

What callers could see: jobs shown as failed without a failed run, when a leader fails while workers crash in waves.

Cause: the start of a suspected task is recorded as an unconfirmed crash before it is sent, with a run time of 0. A new leader confirms each such record whose worker is gone (TaskScheduler::confirmInheritedCrashes), without knowing whether the start was sent, and with the rate of crashes that it has seen itself: none. So the crash counts as one in 20,000, and as isolated, however many workers were lost.

Evidence: CrashWaves.NewLeaderDoesNotGiveUpJobsForThem fails: seven jobs with three crashes in waves each are given up when seven workers are gone. What a fix can use: the rates stored with the earlier crashes, and how many workers of the stored records are gone. TaskCrashes.CrashesOutliveTheLeader must go on to hold.

--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -188,3 +188,25 @@
     runWaves(wavesEnd + Milliseconds { 15000 });
     checkShortJobsCompleted();
 }
+
+// Guards against jobs that a new leader gives up because it counts the losses of a wave as crashes under their tasks.
+TEST(CrashWaves, NewLeaderDoesNotGiveUpJobsForThem)
+{
+    addWorkers();
+    CrashedRun earlier { .runTimeMs = 500, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.15 };
+    for (int i = 0; i < workersPerWave; ++i) {
+        auto id = "j" + std::to_string(i);
+        JobProgress stored { .id = id, .state = JobStage::Running, .done = { "0" } };
+        for (uint64_t run = 1; run <= 3; ++run) {
+            stored.crashedRuns.push_back(earlier);
+            stored.crashedRuns.back().run = run;
+            stored.crashedRuns.back().worker = id + "w" + std::to_string(run);
+        }
+        stored.crashedRuns.push_back({ .run = 4, .worker = id + "w4", .workerStartedAtMs = 4, .isolated = true });
+        scheduler.addJob(fixture.job(id, { fixture.step(1) }), stored, neverInstant);
+    }
+    scheduler.confirmInheritedCrashes([](const WorkerId&, int64_t) { return false; });
+    storeProgress();
+    for (int i = 0; i < workersPerWave; ++i)
+        CHECK(scheduler.stateOf("j" + std::to_string(i)) != JobStage::Failed);
+}
