Add a failing test of a cause among crashes of whole racks

What callers could see: BUDGET, a task that crashes its workers is started three times more after three workers have crashed under it, while racks crash in waves.

Cause, from the records of trials: a crash under the task on a rack of which three other workers are lost within 1.5 s is withdrawn if it is the first on record, and else counts with an expected number of 1 and as not isolated, also if the isolated task was the cause. Each such crash is one start that proves nothing.

--- a/Tests/LibDecision/TaskCrashFixture.h
+++ b/Tests/LibDecision/TaskCrashFixture.h
@@ -26,6 +26,9 @@
 
     /// Tasks that crash each worker that starts them.
     std::set<TaskRef> crashingTasks;
+
+    /// How many workers each of them has crashed.
+    std::map<TaskRef, size_t> crashesByTask;
     std::map<WorkerHandle, Instant> crashedAt;
 
     /// Workers that have crashed without notice: they answer nothing, and the leader still takes them for alive.
@@ -121,8 +124,10 @@
             return;
         active[start.worker].push_back(start);
         scheduler.commandAccepted(start.worker, start.task, start.run, fixture.now());
-        if (crashingTasks.contains(start.task))
-            crash(start.worker);
+        if (!crashingTasks.contains(start.task))
+            return;
+        ++crashesByTask[start.task];
+        crash(start.worker);
     }
 
     void end(WorkerHandle worker, const StartTask& start)
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -19,12 +19,31 @@
     uint32_t seed { 1 };
     int jobs { 0 };
 
+    /// Racks that each wave takes down, in place of single workers.
+    int racksPerWave { 0 };
+
     void addWorkers()
     {
         for (int i = 0; i < workers; ++i)
             addWorker();
     }
 
+    void crashRack(const std::string& rack)
+    {
+        for (const auto& [worker, name] : racks) {
+            if (name == rack)
+                crashSilently(worker);
+        }
+    }
+
+    void startWave()
+    {
+        for (int i = 0; i < racksPerWave; ++i)
+            crashRack(racks[randomWorker()]);
+        for (int i = 0; racksPerWave == 0 && i < workersPerWave; ++i)
+            crashSilently(randomWorker());
+    }
+
     WorkerHandle randomWorker()
     {
         seed = seed * 1664525 + 1013904223;
@@ -53,8 +72,8 @@
                 StepSpec step { .count = 20, .size = { 4000, 4000, 0 }, .estimateMs = 2000 };
                 scheduler.addJob(fixture.job("short" + std::to_string(jobs++), { step }), std::nullopt, neverInstant);
             }
-            for (int i = 0; hasWaves && passed % waveInterval == Milliseconds { 0 } && i < workersPerWave; ++i)
-                crashSilently(randomWorker());
+            if (hasWaves && passed % waveInterval == Milliseconds { 0 })
+                startWave();
             run(planInterval);
             endDueRuns();
         }
@@ -210,3 +229,26 @@
     for (int i = 0; i < workersPerWave; ++i)
         CHECK(scheduler.stateOf("j" + std::to_string(i)) != JobStage::Failed);
 }
+
+// Guards against a cause that is started three times more after three workers crashed under it, while racks crash.
+TEST(CrashWaves, CauseIsGivenUpWhileRacksCrash)
+{
+    constexpr int rackCount { 8 };
+    constexpr int causes { 8 };
+    constexpr size_t maxCrashesOfCause { 5 };
+    seed = 3;
+    racksPerWave = 2;
+    for (int i = 0; i < workers; ++i)
+        addWorker("r" + std::to_string(i % rackCount));
+    run(Milliseconds { 1000 });
+    runWaves(wavesEnd / 2);
+    for (int i = 0; i < causes; ++i) {
+        scheduler.addJob(fixture.job("cause" + std::to_string(i), { fixture.step(1) }), std::nullopt, neverInstant);
+        crashingTasks.insert({ "cause" + std::to_string(i), 0, 0, 0 });
+        runWaves(Milliseconds { 1000 });
+    }
+    runWaves(wavesEnd);
+    for (const auto& [task, crashes] : crashesByTask)
+        CHECK_COMPARE(crashes, <=, maxCrashesOfCause);
+    checkShortJobsCompleted();
+}
