Keep the losses of workers that are removed late

What callers could see: jobs shown as failed without a failed run, when workers crash in waves and are removed long after they were lost, as during an outage of the store.

Cause: a loss was forgotten 10 s after the worker was found lost. A worker that is removed later was judged at once and forgotten at once, so that the next ones that had crashed in the same moment seemed alone.

Change: a loss is kept for 10 s after the removal.

Test: CrashWaves.LateRemovalDoesNotHideTheOtherLosses: fails without the change.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -394,7 +394,7 @@
             confirmCrashes(loss);
         }
     }
-    std::erase_if(m_recentLosses, [&](const WorkerLoss& it) { return it.isJudged && now - it.at > lossMemory; });
+    std::erase_if(m_recentLosses, [&](const WorkerLoss& it) { return it.isJudged && now - it.removedAt > lossMemory; });
 }
 
 /// Whether a crash under the task waits for its confirmation.
@@ -436,6 +436,7 @@
         suspectCrash(handle, now);
         m_recentLosses.push_back({ .view = worker.view,
             .at = worker.lostAt == neverInstant ? now : worker.lostAt,
+            .removedAt = now,
             .lastReplyAt = worker.lastReplyAt,
             .hasLikelyCause = hasLikelyCause(worker) });
     } else {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -238,6 +238,7 @@
     struct WorkerLoss {
         TaskWorkerView view {};
         Instant at { neverInstant };
+        Instant removedAt { neverInstant };
         Instant lastReplyAt { neverInstant };
 
         /// Whether a run was active that is the likely cause.
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -252,3 +252,22 @@
         CHECK_COMPARE(crashes, <=, maxCrashesOfCause);
     checkShortJobsCompleted();
 }
+
+// Guards against crashes of one wave that prove a cause because the workers are removed late, as during a store outage.
+TEST(CrashWaves, LateRemovalDoesNotHideTheOtherLosses)
+{
+    constexpr Milliseconds removalDelay { 12000 };
+    constexpr double minExpectedCrashes { 0.1 };
+    addWorkers();
+    scheduler.addJob(fixture.job("j", { fixture.step(workers * 2) }), std::nullopt, neverInstant);
+    run(Milliseconds { 500 });
+    for (WorkerHandle worker = 1; worker <= workersPerWave; ++worker)
+        crash(worker);
+    fixture.advance(removalDelay);
+    for (WorkerHandle worker = 1; worker <= workersPerWave; ++worker)
+        scheduler.removeWorker(worker, WorkerEnd::Crashed, fixture.now());
+    auto timeline = scheduler.timelineOf("j");
+    CHECK(!timeline->crashedRuns.empty());
+    for (const auto& it : timeline->crashedRuns)
+        CHECK_COMPARE(it.expectedCrashes, >, minExpectedCrashes);
+}
