Do not back off for workers that leave as planned

What callers could see: a task with three crashes waits for 10 s, or 60 s after more, while workers drain and leave one after the other, although none crashes.

Cause: areWorkersCrashing(), now crashingServices(), counts each worker that has become unreachable, also one that has announced that it leaves. Below 50 workers one of them is enough.

Change: draining workers do not count.

Test: TaskCrashes.PlannedDeparturesDoNotDelaySuspects: fails without the change.

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -80,7 +80,7 @@
             ++losses[it.view.service];
     }
     for (const auto& [handle, worker] : m_workers) {
-        if (!worker->reachable && isRecent(worker->lostAt) && !hasLikelyCause(*worker))
+        if (!worker->reachable && !worker->view.draining && isRecent(worker->lostAt) && !hasLikelyCause(*worker))
             ++losses[worker->view.service];
     }
     std::set<std::string> crashing;
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -453,3 +453,20 @@
     CHECK_EQUAL(0, fixture.planStarts().size());
     CHECK_EQUAL(1, scheduler.timelineOf("j")->crashedRuns.size());
 }
+
+// Guards against a task that waits for a quiet moment while workers leave as planned.
+TEST(TaskCrashes, PlannedDeparturesDoNotDelaySuspects)
+{
+    constexpr int workers { 8 };
+    for (int i = 0; i < workers; ++i)
+        addWorker();
+    scheduler.updateWorker(1, { .id = "w1", .startedAtMs = 1001, .service = "token", .zone = "a", .draining = true });
+    scheduler.setReachable(1, false, fixture.now());
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    for (uint64_t run = 1; run <= 3; ++run)
+        stored.crashedRuns.push_back(
+            { .run = run, .worker = "old" + std::to_string(run), .runTimeMs = 10, .confirmed = true });
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    run(Milliseconds { 500 });
+    CHECK_EQUAL(1, (starts[TaskRef { "j", 0, 0, 0 }]));
+}
