Let a new leader expect crashes by how many recorded workers are gone

Cause: the start of a suspected task is recorded as an unconfirmed crash before it is sent. A new leader confirmed each such record whose worker is gone with its own rate of crashes, which is 0, so that it counted as one in 20,000.

Change: the share of the workers in the records that are gone stands for those that were lost for other causes.

Test: CrashWaves.NewLeaderDoesNotGiveUpJobsForThem failed before and passes. TestLibDecision 218 of 218, TestLibNode 279 of 279, among them the tests of crash counts over killed leaders.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -407,18 +408,30 @@
     });
 }
 
+/// Whether the crashes of an earlier leader's workers were under this task or others is not known, so the share of the
+/// workers in its records that are gone stands for those that were lost for other causes.
 void TaskScheduler::confirmInheritedCrashes(const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown)
 {
-    auto unconfirmed = m_unconfirmedCrashes;
-    for (const auto& [worker, jobs] : unconfirmed) {
+    std::vector<std::pair<TrackedJob*, CrashedRun>> lost;
+    std::set<std::pair<WorkerId, int64_t>> lostWorkers;
+    for (const auto& [worker, jobs] : m_unconfirmedCrashes) {
         for (auto& [job, crashed] : unconfirmedCrashesOf(worker)) {
             if (isKnown(worker, crashed.workerStartedAtMs))
                 continue;
-            crashed.otherCrashRate = otherCrashRate(*job, taskOf(*job, crashed));
-            m_crashEvents.push_back(confirmCrash(*job, crashed));
+            lostWorkers.emplace(worker, crashed.workerStartedAtMs);
+            lost.emplace_back(job, std::move(crashed));
         }
-        forgetResolvedCrashes(worker);
     }
+    auto workers = static_cast<double>(m_workers.size() + lostWorkers.size());
+    for (auto& [job, crashed] : lost) {
+        crashed.otherCrashRate = otherCrashRate(*job, taskOf(*job, crashed));
+        auto others = static_cast<double>(lostWorkers.size() - 1);
+        if (others > 0)
+            crashed.expectedCrashes = others / workers;
+        m_crashEvents.push_back(confirmCrash(*job, crashed));
+    }
+    for (const auto& [worker, startedAtMs] : lostWorkers)
+        forgetResolvedCrashes(worker);
 }
 
 std::vector<TaskScheduler::CrashEvent> TaskScheduler::takeCrashEvents() { return std::exchange(m_crashEvents, {}); }
