--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -204,6 +204,9 @@
     /// has not listed for that long, longest wait first.
     std::vector<StepWait> stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const;
 
+    /// Returns the longest wait for each reason for which a task waits.
+    std::map<PlacementDelay, Milliseconds> oldestWaits(Instant now) const;
+
     /// Why the usable workers cannot take the task of the step that has waited longest. The job must be known.
     WorkerRefusals refusalsOf(const StepWait&) const;
 
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -2,6 +2,7 @@
 #include <LibDecision/TaskWorkerEntry.h>
 #include <LibDecision/TaskWorkerSearch.h>
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -50,6 +51,16 @@
     return waits;
 }
 
+std::map<PlacementDelay, Milliseconds> TaskScheduler::oldestWaits(Instant now) const
+{
+    std::map<PlacementDelay, Milliseconds> oldest;
+    for (const auto& wait : stepWaits(now, Milliseconds { 0 }, std::numeric_limits<size_t>::max())) {
+        auto& longest = oldest[wait.reason];
+        longest = std::max(longest, wait.longestWait);
+    }
+    return oldest;
+}
+
 /// A task with a run is not in a queue, although the run may never have started or may have ended.
 void TaskScheduler::addWaitsOfUnlistedRuns(std::vector<StepWait>& waits, Instant now, Milliseconds minWait) const
 {
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -433,6 +433,16 @@
     m_metrics.setWorkers(static_cast<size_t>(reachable), m_workers.size());
 }
 
+void TaskLeader::updateOldestWaits()
+{
+    auto oldest = m_scheduler.oldestWaits(m_loop.now());
+    for (auto reason = PlacementDelay::EarlierLeader; reason <= PlacementDelay::GangMember;
+         reason = static_cast<PlacementDelay>(static_cast<uint8_t>(reason) + 1)) {
+        auto wait = oldest.find(reason);
+        m_metrics.setOldestWait(nameOf(reason), wait == oldest.end() ? Milliseconds { 0 } : wait->second);
+    }
+}
+
 /// Logs tasks that have waited for their start for more than `longWait`, with the reason.
 void TaskLeader::logStepWaits()
 {
@@ -443,6 +453,7 @@
     if (now - m_waitsLoggedAt < interval)
         return;
     m_waitsLoggedAt = now;
+    updateOldestWaits();
     auto use = m_scheduler.workerUse();
     for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines)) {
         auto refusals = m_scheduler.refusalsOf(wait);
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -226,6 +226,7 @@
     void plan();
     void recordCommand(const TaskAction&);
     void updateGauges();
+    void updateOldestWaits();
     void logStepWaits();
     void tick();
 
--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -36,6 +36,8 @@
     , m_stopReasons({ "job_ended", "task_done", "gang_broken", "unwanted", "stalled", "worker_drains", "throttled",
           "slow", "start_withdrawn" })
     , m_jobStates({ "completed", "failed", "cancelled" })
+    , m_waitReasons({ "earlier_leader", "headroom", "no_worker", "unconfirmed_leadership", "crash_suspicion",
+          "unlisted_run", "gang_member" })
     , m_submissionLatency(histogramFamily("bergamot_node_submission_seconds", "Time to accept or refuse a job."),
           { { "result", m_submissionResults } }, latencyBounds)
     , m_queryLatency(histogramFamily("bergamot_node_query_seconds", "Time to answer a question about jobs."),
@@ -51,6 +53,9 @@
     , m_stops(counterFamily("bergamot_node_stops_total", "Stops of runs by reason."), { { "reason", m_stopReasons } })
     , m_jobEnds(
           counterFamily("bergamot_node_job_ends_total", "Jobs whose end was stored."), { { "state", m_jobStates } })
+    , m_oldestWaits(
+          gaugeFamily("bergamot_node_oldest_wait_seconds", "Longest current wait of a task for its start, by reason."),
+          { { "reason", m_waitReasons } })
     , m_elections(counterFamily("bergamot_node_elections_total", "Times that this process became leader.").Add({}))
     , m_takeoverTime(histogramFamily("bergamot_node_takeover_seconds",
           "Time from the election until all workers have answered or their leases have lapsed.")
@@ -102,6 +107,11 @@
     m_activeRuns.Set(activeRuns);
 }
 
+void NodeMetrics::setOldestWait(std::string_view reason, std::chrono::milliseconds wait)
+{
+    m_oldestWaits.at(reason).Set(toSeconds(wait));
+}
+
 void NodeMetrics::setWorkers(size_t reachable, size_t known)
 {
     m_workersReachable.Set(static_cast<double>(reachable));
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -48,6 +48,10 @@
     void recordTakeover(std::chrono::milliseconds duration);
     void setLeader(bool isLeader, uint64_t epoch);
     void setQueue(uint32_t waitingTasks, uint32_t activeRuns);
+
+    /// Sets the longest current wait of a task for the reason. Reasons: earlier_leader, headroom, no_worker,
+    /// unconfirmed_leadership, crash_suspicion, unlisted_run, gang_member.
+    void setOldestWait(std::string_view reason, std::chrono::milliseconds wait);
     void setWorkers(size_t reachable, size_t known);
     void setConfigVersion(uint64_t version);
 
@@ -71,6 +75,7 @@
     LabelValues m_taskCommandNames;
     LabelValues m_stopReasons;
     LabelValues m_jobStates;
+    LabelValues m_waitReasons;
     SeriesTable<prometheus::Histogram> m_submissionLatency;
     SeriesTable<prometheus::Histogram> m_queryLatency;
     SeriesTable<prometheus::Counter> m_queries;
@@ -79,6 +84,7 @@
     SeriesTable<prometheus::Counter> m_taskCommands;
     SeriesTable<prometheus::Counter> m_stops;
     SeriesTable<prometheus::Counter> m_jobEnds;
+    SeriesTable<prometheus::Gauge> m_oldestWaits;
     prometheus::Counter& m_elections;
     prometheus::Histogram& m_takeoverTime;
     prometheus::Gauge& m_leader;
--- a/Tests/LibDecision/TestTaskWaits.cpp
+++ b/Tests/LibDecision/TestTaskWaits.cpp
@@ -52,3 +52,20 @@
     step.requiredLabel = "missing";
     CHECK((refusalsOf(step) == WorkerRefusals { .noRoom = 1, .constraint = 1 }));
 }
+
+// Guards against a metric that lacks the wait of a task, or shows it under another reason.
+TEST(TaskWaits, OldestWaitOfEachReasonIsKnown)
+{
+    constexpr Milliseconds wait { 1500 };
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    auto step = fixture.step(1);
+    step.requiredLabel = "missing";
+    scheduler.addJob(fixture.job("old", { step }), std::nullopt, neverInstant);
+    fixture.planStarts();
+    fixture.advance(wait);
+    scheduler.addJob(fixture.job("new", { step }), std::nullopt, neverInstant);
+    fixture.planStarts();
+    auto oldest = scheduler.oldestWaits(fixture.now());
+    CHECK_EQUAL(1, oldest.size());
+    CHECK_EQUAL(wait.count(), oldest.at(PlacementDelay::NoWorker).count());
+}
--- a/Tests/LibReport/TestNodeMetrics.cpp
+++ b/Tests/LibReport/TestNodeMetrics.cpp
@@ -26,6 +26,7 @@
     metrics.recordTaskCommand("pace");
     metrics.recordStop("slow");
     metrics.recordJobEnd("completed");
+    metrics.setOldestWait("no_worker", std::chrono::milliseconds { 2500 });
     metrics.recordElection();
     metrics.recordTakeover(std::chrono::milliseconds { 300 });
 }
@@ -65,3 +66,14 @@
     metrics.recordStart("made up too");
     CHECK(metrics.text().find(R"(bergamot_node_starts_total{outcome="other"} 2)") != std::string::npos);
 }
+
+// Guards against a wait that operators see with another unit or under another reason.
+TEST(NodeMetrics, OldestWaitIsInSeconds)
+{
+    NodeMetrics metrics;
+    metrics.setOldestWait("crash_suspicion", std::chrono::milliseconds { 2500 });
+    metrics.setOldestWait("no_worker", std::chrono::milliseconds { 0 });
+    CHECK(
+        metrics.text().find(R"(bergamot_node_oldest_wait_seconds{reason="crash_suspicion"} 2.5)") != std::string::npos);
+    CHECK(metrics.text().find(R"(bergamot_node_oldest_wait_seconds{reason="no_worker"} 0)") != std::string::npos);
+}
