Move the judgement of losses to a file of its own

TaskLosses.cpp has what tells how likely a worker was lost for another cause than its tasks. No logic changes.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -14,20 +14,9 @@
 /// A run that was active for longer when its worker crashed is not suspected.
 static constexpr Milliseconds maxTimeToCrash { 10000 };
 
-/// Workers of a rack or zone that were lost within this time of each other may have a common cause.
-static constexpr Milliseconds sharedLossWindow { 1500 };
-static constexpr Milliseconds lossMemory { 10000 };
-
-/// The other workers of a rack or zone that have to be lost together before a common cause is assumed. The tasks of one
-/// job may take down fewer.
-static constexpr size_t minSharedLosses = 3;
-
 /// Crashes of a worker that are expected without its tasks when its rack or zone was lost.
 static constexpr double expectedCrashesInSharedLoss = 1;
 
-/// Crashes under a task that may have no record, because leaders failed right after them.
-static constexpr size_t maxUnrecordedCrashes = 2;
-
 /// Returns the key under which crashes of the task are recorded: the members of a gang start together and share one.
 TaskRef TaskScheduler::crashKey(const TrackedJob& job, const TaskRef& ref)
 {
@@ -35,12 +24,12 @@
     return { ref.job, ref.occurrence, ref.step, isGang ? 0 : ref.index };
 }
 
-static TaskRef taskOf(const TrackedJob& job, const CrashedRun& crashed)
+TaskRef TaskScheduler::taskOf(const TrackedJob& job, const CrashedRun& crashed)
 {
     return { job.spec.id, crashed.occurrence, crashed.step, crashed.index };
 }
 
-static bool isOnIncarnation(const CrashedRun& crashed, const TaskWorkerView& view)
+bool TaskScheduler::isOnIncarnation(const CrashedRun& crashed, const TaskWorkerView& view)
 {
     bool isSameStart
         = crashed.workerStartedAtMs == 0 || view.startedAtMs == 0 || crashed.workerStartedAtMs == view.startedAtMs;
@@ -266,101 +255,6 @@
     return event;
 }
 
-/// Whether an isolated run is active on the worker, or one of a task that has to back off.
-bool TaskScheduler::hasLikelyCause(const WorkerEntry& worker) const
-{
-    return worker.isolatedRuns > 0 || std::ranges::any_of(worker.runs, [&](const auto& it) {
-        const auto& job = *it.second.job;
-        if (job.crashes.isEmpty())
-            return false;
-        auto key = crashKey(job, it.first.first);
-        return job.crashes.restartBackoff(key, otherCrashRate(job, key), expectedRunTime(job, key))
-            > Milliseconds { 0 };
-    });
-}
-
-/// Returns the losses of other workers of the service that have no known cause, of workers that this leader has
-/// reached: crashes of a task on the others may have gone unrecorded. Workers that are not removed yet count too.
-TaskScheduler::OtherLosses TaskScheduler::otherLosses(const WorkerLoss& loss) const
-{
-    OtherLosses others;
-    // A worker that has not announced itself yet may be of any service.
-    auto isOfService
-        = [&](const TaskWorkerView& view) { return loss.view.service.empty() || view.service == loss.view.service; };
-    for (const auto& it : m_recentLosses) {
-        if (&it != &loss && isOfService(it.view) && !it.hasLikelyCause && it.lastReplyAt != neverInstant)
-            others.losses.push_back({ .view = &it.view, .at = it.at });
-    }
-    for (const auto& [handle, worker] : m_workers) {
-        if (!isOfService(worker->view))
-            continue;
-        ++others.workers;
-        if (worker->lostAt != neverInstant && worker->lastReplyAt != neverInstant && !hasLikelyCause(*worker))
-            others.losses.push_back({ .view = &worker->view, .at = worker->lostAt });
-    }
-    return others;
-}
-
-/// Workers that crash at the same moment are noticed within this time of each other.
-static constexpr Milliseconds maxNoticeDifference { 750 };
-
-/// Returns how many of the losses may have happened in the `time` before the loss, without those under the task.
-size_t TaskScheduler::countOtherLosses(const TrackedJob& job, const TaskRef& key, const WorkerLoss& loss,
-    const OtherLosses& otherLosses, Milliseconds time)
-{
-    std::vector<const CrashedRun*> own;
-    for (const auto& it : job.crashes.runs()) {
-        if (taskOf(job, it) == key)
-            own.push_back(&it);
-    }
-    auto others = std::ranges::count_if(otherLosses.losses, [&](const OtherLoss& it) {
-        return it.at >= loss.at - time - maxNoticeDifference && it.at <= loss.at + maxNoticeDifference
-            && std::ranges::none_of(own, [&](const CrashedRun* run) { return isOnIncarnation(*run, *it.view); });
-    });
-    // The other members of a gang may have crashed their workers too.
-    const auto& steps = job.spec.steps;
-    if (key.step < steps.size() && steps[key.step].gang)
-        others -= std::min<int64_t>(others, steps[key.step].count - 1);
-    return static_cast<size_t>(others);
-}
-
-/// Adds what was to be expected without the task: the share of the service's workers that were lost for other causes
-/// while the run was active, and their rate around the loss. Workers crash in bursts, so the rate over a longer time
-/// says less.
-void TaskScheduler::addExpectedCrashes(
-    const TrackedJob& job, CrashedRun& crashed, const WorkerLoss& loss, const OtherLosses& otherLosses) const
-{
-    constexpr Milliseconds rateWindow { 3000 };
-    constexpr double msPerSecond = 1000;
-    Milliseconds exposure { crashed.runTimeMs };
-    // Such a start may have been sent to a worker that had crashed at any time since its last reply.
-    if (crashed.unanswered && loss.lastReplyAt != neverInstant)
-        exposure = std::max(exposure, loss.at - loss.lastReplyAt);
-    auto key = taskOf(job, crashed);
-    auto workers = static_cast<double>(std::max<size_t>(1, otherLosses.workers));
-    auto shareLostWithin = [&](Milliseconds time) {
-        return static_cast<double>(countOtherLosses(job, key, loss, otherLosses, time)) / workers;
-    };
-    auto seconds = [](Milliseconds time) { return static_cast<double>(time.count()) / msPerSecond; };
-    crashed.otherCrashRate = shareLostWithin(rateWindow) / seconds(rateWindow + 2 * maxNoticeDifference);
-    auto minExpected = CrashHistory::minCrashRate * seconds(exposure + CrashHistory::crashDetectionTime);
-    crashed.expectedCrashes = std::max(minExpected, shareLostWithin(exposure));
-}
-
-/// Returns the recent crashes a second and worker, without those that may have happened under the task. Called for each
-/// waiting task, so it does not look for the crashes of the task among all recent ones.
-double TaskScheduler::otherCrashRate(const TrackedJob& job, const TaskRef& key) const
-{
-    // The record of a gang names one worker, but each of its members may have crashed one.
-    bool isGang = key.step < job.spec.steps.size() && job.spec.steps[key.step].gang;
-    auto workersPerCrash = isGang ? job.spec.steps[key.step].count : 1;
-    auto own = job.crashes.count(key) * workersPerCrash + maxUnrecordedCrashes;
-    auto others = m_recentLosses.size() - std::min(m_recentLosses.size(), own);
-    constexpr double msPerSecond = 1000;
-    auto seconds = static_cast<double>(lossMemory.count()) / msPerSecond;
-    return static_cast<double>(others) / (seconds * static_cast<double>(std::max<size_t>(1, m_workers.size())));
-}
-
 void TaskScheduler::confirmCrashes(const WorkerLoss& loss)
 {
     auto unconfirmed = unconfirmedCrashesOf(loss.view.id);
@@ -390,12 +284,13 @@
 void TaskScheduler::confirmDueCrashes(Instant now)
 {
     for (auto& loss : m_recentLosses) {
-        if (!loss.isJudged && now - loss.at >= sharedLossWindow) {
+        if (!loss.isJudged && now - loss.at >= WorkerLoss::sharedWindow) {
             loss.isJudged = true;
             confirmCrashes(loss);
         }
     }
-    std::erase_if(m_recentLosses, [&](const WorkerLoss& it) { return it.isJudged && now - it.removedAt > lossMemory; });
+    std::erase_if(
+        m_recentLosses, [&](const WorkerLoss& it) { return it.isJudged && now - it.removedAt > WorkerLoss::memory; });
 }
 
 /// Whether a crash under the task waits for its confirmation.
@@ -476,44 +371,4 @@
     }
 }
 
-/// Whether all workers of the rack or of the zone were lost together, so that no task is the cause.
-bool TaskScheduler::isLostWithItsGroup(const WorkerLoss& lost) const
-{
-    auto lostAt = lost.at;
-    auto isNear = [&](Instant at) {
-        return at != neverInstant && at - lostAt <= sharedLossWindow && lostAt - at <= sharedLossWindow;
-    };
-    auto isGroupLost = [&](auto isInGroup) {
-        std::vector<Instant> losses;
-        for (const auto& it : m_recentLosses) {
-            if (&it != &lost && it.view.service == lost.view.service && isInGroup(it.view.rack, it.view.zone)
-                && isNear(it.at))
-                losses.push_back(it.at);
-        }
-        for (const auto& [handle, worker] : m_workers) {
-            if (worker->view.service != lost.view.service || !isInGroup(worker->view.rack, worker->view.zone))
-                continue;
-            if (isNear(worker->lostAt))
-                losses.push_back(worker->lostAt);
-            else if (worker->reachable && worker->knownSince < lostAt)
-                return false;
-        }
-        // Losses before and after this one may be up to two windows apart.
-        auto lossesInWindowFrom = [&](Instant start) {
-            return std::ranges::count_if(
-                losses, [&](Instant at) { return at >= start && at - start <= sharedLossWindow; });
-        };
-        auto isSharedFrom = [&](Instant start) {
-            return start <= lostAt && std::cmp_greater_equal(lossesInWindowFrom(start), minSharedLosses);
-        };
-        return isSharedFrom(lostAt) || std::ranges::any_of(losses, isSharedFrom);
-    };
-    const auto& view = lost.view;
-    bool isRackLost
-        = !view.rack.empty() && isGroupLost([&](const std::string& rack, const ZoneId&) { return rack == view.rack; });
-    return isRackLost || (!view.zone.empty() && isGroupLost([&](const std::string&, const ZoneId& zone) {
-        return zone == view.zone;
-    }));
-}
-
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -239,6 +239,10 @@
 
     /// The crash of a worker.
     struct WorkerLoss {
+        /// Workers of a rack or zone that were lost within this time of each other may have a common cause.
+        static constexpr Milliseconds sharedWindow { 1500 };
+        static constexpr Milliseconds memory { 10000 };
+
         TaskWorkerView view {};
         Instant at { neverInstant };
         Instant removedAt { neverInstant };
@@ -337,6 +341,8 @@
     static void shareCheckpoint(TrackedJob&, const TaskRef&, const std::string& checkpoint);
     void startRun(WorkerEntry&, const ReadyStep&, uint32_t index, Instant now, PlacementMode = PlacementMode::Shared);
     static TaskRef crashKey(const TrackedJob&, const TaskRef&);
+    static TaskRef taskOf(const TrackedJob&, const CrashedRun&);
+    static bool isOnIncarnation(const CrashedRun&, const TaskWorkerView&);
     CrashedRun describeCrash(const WorkerEntry&, const TrackedJob&, const TaskRef&, const TrackedRun&) const;
     void recordCrash(TrackedJob&, const CrashedRun&);
     void withdrawCrash(TrackedJob&, const TaskRef&, uint64_t run);
