Let workers that survived a loss count when it is judged late

Cause: a crash counts as shared, and a first one is withdrawn, if no worker of the rack survived it. Workers that had been lost in later waves did not count any more.

Change: a worker that was known before the loss and lost after it has survived it (WorkerLoss::knownSince).

Test: TaskCrashes.LaterLossesOfARackExcuseNoEarlierCrash fails without the rule.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -345,6 +345,7 @@
         m_recentLosses.push_back({ .view = worker.view,
             .at = worker.lostAt == neverInstant ? now : worker.lostAt,
             .removedAt = now,
+            .knownSince = worker.knownSince,
             .lastReplyAt = worker.lastReplyAt,
             .hasLikelyCause = hasLikelyCause(worker) });
     } else {
--- a/Libraries/LibDecision/TaskLosses.cpp
+++ b/Libraries/LibDecision/TaskLosses.cpp
@@ -117,19 +117,24 @@
     auto isNear = [&](Instant at) {
         return at != neverInstant && at - lostAt <= WorkerLoss::sharedWindow && lostAt - at <= WorkerLoss::sharedWindow;
     };
+    // A loss may be judged seconds later, when workers that survived it have been lost too.
+    auto isSurvivor = [&](Instant knownSince, Instant at) { return knownSince < lostAt && at > lostAt; };
     auto isGroupLost = [&](auto isInGroup) {
         std::vector<Instant> losses;
         for (const auto& it : m_recentLosses) {
-            if (&it != &lost && it.view.service == lost.view.service && isInGroup(it.view.rack, it.view.zone)
-                && isNear(it.at))
+            if (&it == &lost || it.view.service != lost.view.service || !isInGroup(it.view.rack, it.view.zone))
+                continue;
+            if (isNear(it.at))
                 losses.push_back(it.at);
+            else if (isSurvivor(it.knownSince, it.at))
+                return false;
         }
         for (const auto& [handle, worker] : m_workers) {
             if (worker->view.service != lost.view.service || !isInGroup(worker->view.rack, worker->view.zone))
                 continue;
             if (isNear(worker->lostAt))
                 losses.push_back(worker->lostAt);
-            else if (worker->reachable && worker->knownSince < lostAt)
+            else if (worker->reachable ? worker->knownSince < lostAt : isSurvivor(worker->knownSince, worker->lostAt))
                 return false;
         }
         // Losses before and after this one may be up to two windows apart.
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -246,6 +246,7 @@
         TaskWorkerView view {};
         Instant at { neverInstant };
         Instant removedAt { neverInstant };
+        Instant knownSince { neverInstant };
         Instant lastReplyAt { neverInstant };
 
         /// Whether a run was active that is the likely cause.
--- a/Tests/LibDecision/TestTaskCrashes.cpp
+++ b/Tests/LibDecision/TestTaskCrashes.cpp
@@ -345,6 +345,33 @@
     CHECK((events[0].task == TaskRef { "j", 0, 0, 0 }));
 }
 
+// Guards against a first crash that is not counted because the workers of its rack that survived it are lost before it
+// is judged.
+TEST(TaskCrashes, LaterLossesOfARackExcuseNoEarlierCrash)
+{
+    constexpr int rackSize { 8 };
+    for (int i = 0; i < rackSize; ++i)
+        addWorker("r1");
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), std::nullopt, neverInstant);
+    run(Milliseconds { 200 });
+    auto crashed = std::ranges::find_if(active, [](const auto& entry) { return !entry.second.empty(); })->first;
+    std::vector<WorkerHandle> others;
+    for (const auto& [worker, runs] : active) {
+        if (worker != crashed)
+            others.push_back(worker);
+    }
+    crash(crashed);
+    for (size_t i = 0; i < 3; ++i)
+        crash(others[i]);
+    run(Milliseconds { 2000 });
+    for (size_t i = 3; i < others.size(); ++i)
+        crash(others[i]);
+    run(2 * restartTime);
+    auto events = scheduler.takeCrashEvents();
+    CHECK_EQUAL(1, events.size());
+    CHECK((events[0].task == TaskRef { "j", 0, 0, 0 }));
+}
+
 // Guards against a gang that is started for ever because it takes all workers of a zone down with it.
 TEST(TaskCrashes, GangThatCrashesAllWorkersOfItsZoneIsGivenUp)
 {
