Take workers that a new leader finds gone for lost together

Cause: losses of workers that a leader has not reached do not count as other losses. So each worker that a new leader finds gone seemed to be lost alone, at one moment, and its crash counted as one in 20,000.

Change: beside the loss of such a worker, the others of that kind count too, over the 10 s for which losses are remembered. crashingServices() captures no structured binding any more, which the linter's compiler refuses.

Test: CrashWaves.WorkersThatANewLeaderFindsGoneMayHaveBeenLostTogether fails without the change.

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -85,8 +85,8 @@
     }
     std::set<std::string> crashing;
     for (const auto& [service, lost] : losses) {
-        auto workers
-            = std::ranges::count_if(m_workers, [&](const auto& it) { return it.second->view.service == service; });
+        auto workers = std::ranges::count_if(
+            m_workers, [&name = service](const auto& it) { return it.second->view.service == name; });
         if (std::cmp_greater(lost * workersPerLoss, workers))
             crashing.insert(service);
     }
--- a/Libraries/LibDecision/TaskLosses.cpp
+++ b/Libraries/LibDecision/TaskLosses.cpp
@@ -28,24 +28,32 @@
     });
 }
 
-/// Returns the losses of other workers of the service that have no known cause, of workers that this leader has
-/// reached: crashes of a task on the others may have gone unrecorded. Workers that are not removed yet count too.
+/// Returns the losses of other workers of the service that have no known cause. Workers that are not removed yet count
+/// too. Those that this leader has not reached count only beside another one of them: a crash of the task there may
+/// have gone unrecorded, but if this one is not known to have lived under this leader, they may have been lost with it.
 TaskScheduler::OtherLosses TaskScheduler::otherLosses(const WorkerLoss& loss) const
 {
     OtherLosses others;
+    bool countsUnreached = loss.lastReplyAt == neverInstant;
     // A worker that has not announced itself yet may be of any service.
     auto isOfService
         = [&](const TaskWorkerView& view) { return loss.view.service.empty() || view.service == loss.view.service; };
     for (const auto& it : m_recentLosses) {
-        if (&it != &loss && isOfService(it.view) && !it.hasLikelyCause && it.lastReplyAt != neverInstant)
+        bool counts = countsUnreached || it.lastReplyAt != neverInstant;
+        if (&it != &loss && isOfService(it.view) && !it.hasLikelyCause && counts)
             others.losses.push_back({ .view = &it.view, .at = it.at });
     }
     for (const auto& [handle, worker] : m_workers) {
         if (!isOfService(worker->view))
             continue;
         ++others.workers;
-        if (worker->lostAt != neverInstant && worker->lastReplyAt != neverInstant && !hasLikelyCause(*worker))
+        bool isReached = worker->lastReplyAt != neverInstant;
+        if (worker->reachable || hasLikelyCause(*worker))
+            continue;
+        if (isReached && worker->lostAt != neverInstant)
             others.losses.push_back({ .view = &worker->view, .at = worker->lostAt });
+        else if (!isReached && countsUnreached)
+            others.losses.push_back({ .view = &worker->view, .at = loss.at });
     }
     return others;
 }
@@ -85,6 +93,9 @@
     // Such a start may have been sent to a worker that had crashed at any time since its last reply.
     if (crashed.unanswered && loss.lastReplyAt != neverInstant)
         exposure = std::max(exposure, loss.at - loss.lastReplyAt);
+    // It may have crashed long before this leader found it gone.
+    if (loss.lastReplyAt == neverInstant)
+        exposure = std::max(exposure, WorkerLoss::memory);
     auto key = taskOf(job, crashed);
     auto workers = static_cast<double>(std::max<size_t>(1, otherLosses.workers));
     auto shareLostWithin = [&](Milliseconds time) {
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -271,3 +271,31 @@
     for (const auto& it : timeline->crashedRuns)
         CHECK_COMPARE(it.expectedCrashes, >, minExpectedCrashes);
 }
+
+// Guards against jobs that a new leader gives up because it takes each worker that it finds gone for lost alone.
+TEST(CrashWaves, WorkersThatANewLeaderFindsGoneMayHaveBeenLostTogether)
+{
+    addWorkers();
+    CrashedRun earlier { .runTimeMs = 3000, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.3 };
+    for (int i = 0; i < workersPerWave; ++i) {
+        auto id = "j" + std::to_string(i);
+        JobProgress stored { .id = id, .state = JobStage::Running, .done = { "0" } };
+        for (uint64_t run = 1; run <= 3; ++run) {
+            stored.crashedRuns.push_back(earlier);
+            stored.crashedRuns.back().run = run;
+            stored.crashedRuns.back().worker = id + "w" + std::to_string(run);
+        }
+        stored.crashedRuns.push_back(
+            { .run = 4, .worker = "w" + std::to_string(i + 1), .workerStartedAtMs = 1001 + i, .isolated = true });
+        scheduler.addJob(fixture.job(id, { fixture.step(1) }), stored, fixture.now() + Milliseconds { 5000 });
+        scheduler.setReachable(static_cast<WorkerHandle>(i + 1), false, fixture.now());
+    }
+    fixture.advance(Milliseconds { 3000 });
+    for (int i = 0; i < workersPerWave; ++i)
+        scheduler.removeWorker(static_cast<WorkerHandle>(i + 1), WorkerEnd::Crashed, fixture.now());
+    fixture.advance(Milliseconds { 2000 });
+    fixture.plan();
+    storeProgress();
+    for (int i = 0; i < workersPerWave; ++i)
+        CHECK(scheduler.stateOf("j" + std::to_string(i)) != JobStage::Failed);
+}
