Back off as if one crash more was recorded where an earlier leader may have hidden one

The successor counted two crashes, so its third start came in mid-wave, without the back-off that follows three crashes, and its fourth in mid-wave after 10 s beside other runs.

Cause: the starts that are left were counted from the recorded crashes, although the leader knows which tasks may have an unrecorded one (TrackedStep::mayHaveLostRuns) and already records their first starts for it. The back-off and the required isolation of late starts now count that crash too. CrashWaves.CauseWithAnUnrecordedCrashIsStartedOnceLess failed before (5 starts, 4 allowed); with the back-off alone it still failed, since three causes used their last start beside other runs.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -93,7 +93,8 @@
     return countPromptCrashes(task) > 0 || count(task) >= crashesUntilIsolated;
 }
 
-RunIsolation CrashHistory::isolationOf(const TaskRef& task, double crashRate, Milliseconds runTime) const
+RunIsolation CrashHistory::isolationOf(
+    const TaskRef& task, double crashRate, Milliseconds runTime, size_t unrecordedCrashes) const
 {
     if (!isSuspected(task))
         return RunIsolation::None;
@@ -102,7 +103,8 @@
     if (isRepeated && probability <= maxCoincidenceOfRequiredIsolation)
         return RunIsolation::Required;
     // Few starts are left, so a crash beside other runs would waste one.
-    if (countPromptCrashes(task) > crashesUntilBackoff && probability <= maxCoincidenceOfLateIsolation)
+    if (countPromptCrashes(task) + unrecordedCrashes > crashesUntilBackoff
+        && probability <= maxCoincidenceOfLateIsolation)
         return RunIsolation::Required;
     return probability <= maxCoincidenceOfPreferredIsolation ? RunIsolation::Preferred : RunIsolation::None;
 }
@@ -187,9 +189,11 @@
         && std::ranges::any_of(m_runs, [&](const CrashedRun& it) { return !it.confirmed && isOfTask(it, task); });
 }
 
-Milliseconds CrashHistory::restartBackoff(const TaskRef& task, double crashRate, Milliseconds runTime) const
+Milliseconds CrashHistory::restartBackoff(
+    const TaskRef& task, double crashRate, Milliseconds runTime, size_t unrecordedCrashes) const
 {
-    auto crashes = count(task);
+    auto recorded = count(task);
+    auto crashes = recorded == 0 ? 0 : recorded + unrecordedCrashes;
     if (crashes < crashesUntilBackoff || coincidence(task, crashRate, runTime) > maxCoincidenceOfBackoff)
         return Milliseconds { 0 };
     return crashes == crashesUntilBackoff ? firstBackoff : laterBackoff;
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -15,7 +15,8 @@
 /// suspects until it either has run long enough to be cleared or has crashed workers while isolated. Crashes that are
 /// likely anyhow at the rate at which workers crash say little of a task. In all functions, the job of a TaskRef is
 /// ignored, `crashRate` is the recent number of crashes a second and worker in which the task had no part, and
-/// `runTime` is the expected time of a run that no crash ends, `unlimitedRunTime` for a long-running task.
+/// `runTime` is the expected time of a run that no crash ends, `unlimitedRunTime` for a long-running task, and
+/// `unrecordedCrashes` is the number of crashes that may have happened before the recorded ones.
 class CrashHistory {
 public:
     static constexpr Milliseconds unlimitedRunTime { Milliseconds::max() };
@@ -52,7 +53,8 @@
 
     /// Whether a worker has crashed directly after a start of the task, or several workers have crashed under it.
     bool isSuspected(const TaskRef&) const;
-    RunIsolation isolationOf(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }) const;
+    RunIsolation isolationOf(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 },
+        size_t unrecordedCrashes = 0) const;
 
     /// Which crashes are judged.
     enum class Scope : uint8_t { All, Confirmed };
@@ -69,7 +71,8 @@
 
     /// Maximum time for which the next start waits until few other workers crash, so that a further crash would prove
     /// that the task is the cause. 0 while the task may start at once.
-    Milliseconds restartBackoff(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }) const;
+    Milliseconds restartBackoff(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 },
+        size_t unrecordedCrashes = 0) const;
 
     /// Run time after which a run shows that its task is not the cause.
     Milliseconds clearingTime(const TaskRef&) const;
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -56,7 +56,17 @@
     auto key = crashKey(job, ref);
     if (!job.crashes.isSuspected(key))
         return RunIsolation::None;
-    return job.crashes.isolationOf(key, otherCrashRate(job, key), expectedRunTime(job, key));
+    return job.crashes.isolationOf(
+        key, otherCrashRate(job, key), expectedRunTime(job, key), maxUnrecordedCrashesOf(job, key));
+}
+
+/// Returns for how long the next start of the task waits at most, while other workers crash.
+Milliseconds TaskScheduler::restartBackoff(const TrackedJob& job, const TaskRef& key) const
+{
+    if (job.crashes.isEmpty())
+        return Milliseconds { 0 };
+    return job.crashes.restartBackoff(
+        key, otherCrashRate(job, key), expectedRunTime(job, key), maxUnrecordedCrashesOf(job, key));
 }
 
 /// Whether a start has to wait because it could not show whether the task is the cause of its crashes.
@@ -64,8 +74,7 @@
 {
     if (!m_crashingServices.contains(policyOf(job).service))
         return false;
-    auto backoff = job.crashes.restartBackoff(key, otherCrashRate(job, key), expectedRunTime(job, key));
-    return now - task.waitingSince < backoff;
+    return now - task.waitingSince < restartBackoff(job, key);
 }
 
 /// Returns the services of which so many workers were lost lately for no known cause that one more would prove nothing.
--- a/Libraries/LibDecision/TaskLosses.cpp
+++ b/Libraries/LibDecision/TaskLosses.cpp
@@ -20,11 +20,7 @@
 {
     return worker.isolatedRuns > 0 || std::ranges::any_of(worker.runs, [&](const auto& it) {
         const auto& job = *it.second.job;
-        if (job.crashes.isEmpty())
-            return false;
-        auto key = crashKey(job, it.first.first);
-        return job.crashes.restartBackoff(key, otherCrashRate(job, key), expectedRunTime(job, key))
-            > Milliseconds { 0 };
+        return restartBackoff(job, crashKey(job, it.first.first)) > Milliseconds { 0 };
     });
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -372,6 +372,7 @@
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
+    Milliseconds restartBackoff(const TrackedJob&, const TaskRef& key) const;
     bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
     std::set<std::string> crashingServices(Instant now) const;
     uint32_t maxIsolatedRuns(const TrackedJob&) const;
@@ -391,6 +392,7 @@
     WorkerEntry* holdForIsolation(const ReadyStep&, const TrackedTask&, Instant now);
     void holdForGang(const ReadyStep&, Instant now);
     void markPossiblyLostSteps();
+    static size_t maxUnrecordedCrashesOf(const TrackedJob&, const TaskRef& key);
     static bool mayHaveCrashedAtStart(const TrackedJob&, const TaskRef& key);
     static bool mustRecordStart(const TrackedJob&, const TaskRef&, const TrackedTask&);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
--- a/Libraries/LibDecision/TaskStartRecords.cpp
+++ b/Libraries/LibDecision/TaskStartRecords.cpp
@@ -32,6 +32,11 @@
     });
 }
 
+size_t TaskScheduler::maxUnrecordedCrashesOf(const TrackedJob& job, const TaskRef& key)
+{
+    return job.occurrences[key.occurrence].steps[key.step].mayHaveLostRuns ? 1 : 0;
+}
+
 /// Whether a start, which is among the starts of the task already, has to be recorded before it is sent.
 bool TaskScheduler::mustRecordStart(const TrackedJob& job, const TaskRef& ref, const TrackedTask& task)
 {
@@ -39,7 +44,7 @@
     if (job.crashes.isSuspected(key) || mayHaveCrashedAtStart(job, key))
         return true;
     bool isFirstStart = task.starts == 1;
-    return isFirstStart && job.occurrences[ref.occurrence].steps[ref.step].mayHaveLostRuns;
+    return isFirstStart && maxUnrecordedCrashesOf(job, ref) > 0;
 }
 
 }
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -171,6 +171,28 @@
     checkShortJobsCompleted();
 }
 
+// Guards against a cause that is started three times more after three workers crashed under it, of which an earlier
+// leader did not record the first.
+TEST(CrashWaves, CauseWithAnUnrecordedCrashIsStartedOnceLess)
+{
+    addWorkers();
+    constexpr int causes { 8 };
+    constexpr size_t maxStarts { 4 };
+    runWaves(wavesEnd / 2);
+    for (int i = 0; i < causes; ++i) {
+        auto id = "cause" + std::to_string(i);
+        scheduler.addJob(fixture.job(id, { fixture.step(1) }), std::nullopt, fixture.now() + planInterval);
+        crashingTasks.insert({ id, 0, 0, 0 });
+    }
+    scheduler.inheritedWorkerLost();
+    runWaves(wavesEnd);
+    for (int i = 0; i < causes; ++i) {
+        CHECK_COMPARE((starts[TaskRef { "cause" + std::to_string(i), 0, 0, 0 }]), <=, maxStarts);
+        CHECK(scheduler.stateOf("cause" + std::to_string(i)) == JobStage::Failed);
+    }
+    checkShortJobsCompleted();
+}
+
 // Guards against a leader that stops renewing its own leadership while it judges the losses of a wave.
 TEST(CrashWaves, LossesOfManyWorkersAreJudgedWithinAKeepalive)
 {
