Wait with suspected tasks until the losses of a wave no longer count

Upstreams would see a start too many, and callers a job that ends later: the back-off ended 3 s after the last loss of a wave, but a crash is judged by the losses of the 3.75 s before it (3 s, and 0.75 s by which losses of one moment are noticed apart).

The back-off now lasts for as long as losses count, by the same constants, which moved to WorkerLoss. A suspected task waits 0.75 s longer after the last wave.

CrashAfterTheBackoffIsJudgedWithoutTheWaves failed before (five crashes until the job is given up, four now).

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -77,10 +77,11 @@
     return now - task.waitingSince < restartBackoff(job, key);
 }
 
-/// Returns the services of which so many workers were lost lately for no known cause that one more would prove nothing.
+/// Returns the services of which so many workers were lost lately for no known cause that one more would prove nothing:
+/// those that count when a crash that happens now is judged.
 std::set<std::string> TaskScheduler::crashingServices(Instant now) const
 {
-    constexpr Milliseconds window { 3000 };
+    constexpr auto window = WorkerLoss::rateWindow + WorkerLoss::maxNoticeDifference;
     constexpr size_t workersPerLoss { 50 };
     auto isRecent = [&](Instant at) { return at != neverInstant && now - at < window; };
     std::map<std::string, size_t> losses;
--- a/Libraries/LibDecision/TaskLosses.cpp
+++ b/Libraries/LibDecision/TaskLosses.cpp
@@ -54,9 +54,6 @@
     return others;
 }
 
-/// Workers that crash at the same moment are noticed within this time of each other.
-static constexpr Milliseconds maxNoticeDifference { 750 };
-
 /// Returns how many of the losses may have happened in the `time` before the loss, without those under the task.
 size_t TaskScheduler::countOtherLosses(const TrackedJob& job, const TaskRef& key, const WorkerLoss& loss,
     const OtherLosses& otherLosses, Milliseconds time)
@@ -67,7 +64,8 @@
             own.push_back(&it);
     }
     auto others = std::ranges::count_if(otherLosses.losses, [&](const OtherLoss& it) {
-        return it.at >= loss.at - time - maxNoticeDifference && it.at <= loss.at + maxNoticeDifference
+        return it.at >= loss.at - time - WorkerLoss::maxNoticeDifference
+            && it.at <= loss.at + WorkerLoss::maxNoticeDifference
             && std::ranges::none_of(own, [&](const CrashedRun* run) { return isOnIncarnation(*run, *it.view); });
     });
     // The other members of a gang may have crashed their workers too.
@@ -83,7 +81,6 @@
 void TaskScheduler::addExpectedCrashes(
     const TrackedJob& job, CrashedRun& crashed, const WorkerLoss& loss, const OtherLosses& otherLosses) const
 {
-    constexpr Milliseconds rateWindow { 3000 };
     constexpr double msPerSecond = 1000;
     Milliseconds exposure { crashed.runTimeMs };
     // Such a start may have been sent to a worker that had crashed at any time since its last reply.
@@ -98,7 +95,8 @@
         return static_cast<double>(countOtherLosses(job, key, loss, otherLosses, time)) / workers;
     };
     auto seconds = [](Milliseconds time) { return static_cast<double>(time.count()) / msPerSecond; };
-    crashed.otherCrashRate = shareLostWithin(rateWindow) / seconds(rateWindow + 2 * maxNoticeDifference);
+    crashed.otherCrashRate = shareLostWithin(WorkerLoss::rateWindow)
+        / seconds(WorkerLoss::rateWindow + 2 * WorkerLoss::maxNoticeDifference);
     auto minExpected = CrashHistory::minCrashRate * seconds(exposure + CrashHistory::crashDetectionTime);
     crashed.expectedCrashes = std::max(minExpected, shareLostWithin(exposure));
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -17,6 +17,7 @@
 #include <LibDecision/TrackedJob.h>
 #include <LibDecision/UnplacedSizes.h>
 #include <LibDecision/WorkerEnd.h>
+#include <LibDecision/WorkerLoss.h>
 #include <LibDecision/WorkerRefusals.h>
 #include <LibWire/QueuePolicy.h>
 #include <cstdint>
@@ -237,25 +238,6 @@
         StepKey key {};
     };
 
-    /// The crash of a worker.
-    struct WorkerLoss {
-        /// Workers of a rack or zone that were lost within this time of each other may have a common cause.
-        static constexpr Milliseconds sharedWindow { 1500 };
-        static constexpr Milliseconds memory { 10000 };
-
-        TaskWorkerView view {};
-        Instant at { neverInstant };
-        Instant removedAt { neverInstant };
-        Instant knownSince { neverInstant };
-        Instant lastReplyAt { neverInstant };
-
-        /// Whether a run was active that is the likely cause.
-        bool hasLikelyCause { false };
-
-        /// Whether its crashes are confirmed or withdrawn.
-        bool isJudged { false };
-    };
-
     /// The loss of a worker without a known cause.
     struct OtherLoss {
         const TaskWorkerView* view { nullptr };
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -215,6 +215,30 @@
     checkShortJobsCompleted();
 }
 
+// Guards against a start after the last wave whose crash proves nothing because the losses of that wave count.
+TEST(CrashWaves, CrashAfterTheBackoffIsJudgedWithoutTheWaves)
+{
+    addWorkers();
+    JobProgress stored { .id = "cause", .state = JobStage::Running, .done = { "0" } };
+    for (uint64_t run = 1; run <= 3; ++run) {
+        stored.crashedRuns.push_back({ .run = run, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.15 });
+        stored.crashedRuns.back().worker = "earlier" + std::to_string(run);
+    }
+    run(Milliseconds { 1000 });
+    startWave();
+    while (crashedAt.empty())
+        letTimePass();
+    scheduler.addJob(fixture.job("cause", { fixture.step(1) }), stored, neverInstant);
+    crashingTasks.insert({ "cause", 0, 0, 0 });
+    auto planned = nextStarts();
+    CHECK_EQUAL(1, planned.size());
+    execute(planned[0]);
+    run(Milliseconds { 2 * restartTime });
+    CHECK_EQUAL(4, scheduler.timelineOf("cause")->crashedRuns.size());
+    DOUBLES_EQUAL(0, scheduler.timelineOf("cause")->crashedRuns.back().otherCrashRate, 0);
+    CHECK(scheduler.stateOf("cause") == JobStage::Failed);
+}
+
 // Guards against a leader that stops renewing its own leadership while it judges the losses of a wave.
 TEST(CrashWaves, LossesOfManyWorkersAreJudgedWithinAKeepalive)
 {
