Do not give up a job for a crash that another run on the worker may have caused

Callers would see a job shown as failed that could be done (LOST): in calm after a wave, a task under which workers had crashed was started beside other suspects, since no isolated slot was free. One of them crashed the worker at once, and as no other worker was lost, each of the innocent tasks got a crash of probability 1e-4 without it. With their crashes in the waves that was a proof.

Class: evidence counted in full against each of several candidates.

At least 0.05 crashes are now assumed in a run that was not isolated when a job is to be given up. Isolation and back-off, which are waits, are judged as before, and a cause has a crash of an isolated run, which counts in full. CrashBesideOtherRunsAloneProvesNothing failed before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -26,6 +26,10 @@
 /// The same for required isolation after more crashes directly after a start than start a back-off.
 static constexpr double maxCoincidenceOfLateIsolation = 0.01;
 
+/// Crashes that are assumed, before a job is given up, in a run that was not isolated: another run on its worker may be
+/// the cause.
+static constexpr double minExpectedCrashesBesideOthers = 0.05;
+
 /// From this number of crashes on, further starts wait for a time at which they prove something, if the crashes are
 /// less likely than this without the task. A task that crashes its workers must not start three times after three
 /// crashes.
@@ -158,8 +162,12 @@
     for (const auto& it : m_runs) {
         if (!isOfTask(it, task) || (scope == Scope::Confirmed && !it.confirmed))
             continue;
-        auto untilLoss = -std::expm1(-expectedCrashes(it, crashRate));
-        auto inWholeRun = -std::expm1(-expectedCrashesInWholeRun(it, crashRate, runTime));
+        auto expected = expectedCrashes(it, crashRate);
+        auto besideOthers = 0.0;
+        if (scope == Scope::Confirmed && !it.isolated)
+            besideOthers = std::max(0.0, minExpectedCrashesBesideOthers - expected);
+        auto untilLoss = -std::expm1(-expected - besideOthers);
+        auto inWholeRun = -std::expm1(-expectedCrashesInWholeRun(it, crashRate, runTime) - besideOthers);
         allRunsCrash *= inWholeRun;
         exponentOfShares += std::log(inWholeRun / untilLoss);
         ++crashes;
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -130,3 +130,24 @@
     CHECK(probability >= 0 && probability <= 1);
     CHECK(!history.isCauseOfCrashes(task, quietRate, CrashHistory::unlimitedRunTime));
 }
+
+// Guards against giving up an innocent job because its start shared a worker with the cause of the crash.
+TEST(CrashHistory, CrashBesideOtherRunsAloneProvesNothing)
+{
+    constexpr Milliseconds runTime { 2000 };
+    constexpr double waveRate { 0.06 };
+    auto crashInWave = [&](uint64_t run, uint32_t runTimeMs, double expectedCrashes, bool isolated) {
+        crash(run, isolated, true, runTimeMs, waveRate);
+        auto recorded = *history.find(task, run);
+        recorded.expectedCrashes = expectedCrashes;
+        history.record(recorded);
+    };
+    crashInWave(1, 800, 0.11, false);
+    crashInWave(2, 2900, 0.3, false);
+    crashInWave(3, 2900, 0.32, true);
+    crashInWave(4, 400, 0.15, false);
+    crash(5, false, true, 0);
+    CHECK(!history.isCauseOfCrashes(task, quietRate, runTime));
+    crash(5, true, true, 0);
+    CHECK(history.isCauseOfCrashes(task, quietRate, runTime));
+}
