Count isolated runs by how many workers they are expected to take down

Callers would see a task that could run and does not (LOST): tasks waited for a slot behind isolated runs that had been active for seconds. The limit bounds the workers that suspects have down at a time, but each isolated run kept a whole slot until it was cleared, up to 10 s after its start, also when it had outlived every earlier crash of its task, or when its task takes 5 s to a crash. The probe of TaskWaitProperties showed two tasks that waited for 3.5 s and more behind three runs that had lived for 3 s.

An active isolated run now counts for the workers that are to be expected down because of it: the share of its task's crashes that came later after a start, each weighed by the restart time over it and the time to the crash. A worker that is down counts as one, and half of the workers of a service stay free of isolated runs, as before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -43,6 +43,9 @@
 /// Crashes directly after a start that prove the cause however many workers crash, with one of them isolated.
 static constexpr size_t maxPromptCrashes = 5;
 
+/// Time for which a crashed worker takes no runs.
+static constexpr Milliseconds workerRestartTime { 3000 };
+
 /// A task is cleared when it has run for this multiple of the longest time to a crash, within these bounds.
 static constexpr int clearingFactor = 2;
 static constexpr Milliseconds minClearingTime { 2000 };
@@ -209,6 +212,22 @@
     return crashes == crashesUntilBackoff ? firstBackoff : laterBackoff;
 }
 
+double CrashHistory::expectedWorkersDown(const TaskRef& task, uint64_t activeRun, Milliseconds runTime) const
+{
+    size_t crashes = 0;
+    double down = 0;
+    for (const auto& it : m_runs) {
+        if (!isOfTask(it, task) || it.run == activeRun)
+            continue;
+        ++crashes;
+        Milliseconds timeToCrash { it.runTimeMs };
+        if (timeToCrash >= runTime)
+            down += static_cast<double>(workerRestartTime.count())
+                / static_cast<double>((workerRestartTime + timeToCrash).count());
+    }
+    return crashes == 0 ? 1 : down / static_cast<double>(crashes);
+}
+
 Milliseconds CrashHistory::clearingTime(const TaskRef& task) const
 {
     Milliseconds longest { 0 };
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -77,6 +77,11 @@
     Milliseconds restartBackoff(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 },
         size_t unrecordedCrashes = 0) const;
 
+    /// Workers to be expected down at a time because of the task, if it is the cause of its crashes and its active run
+    /// has lasted for `runTime`: the share of its crashes that came later than that, each weighed by the share of the
+    /// time that the worker is down if it crashes that often. 1 if no crash of another run is recorded.
+    double expectedWorkersDown(const TaskRef&, uint64_t activeRun, Milliseconds runTime) const;
+
     /// Run time after which a run shows that its task is not the cause.
     Milliseconds clearingTime(const TaskRef&) const;
 
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <string>
@@ -26,6 +27,23 @@
     auto& worker = *m_workers.at(run.worker);
     worker.isolatedRuns = isolated ? worker.isolatedRuns + 1 : worker.isolatedRuns - 1;
     m_isolatedRuns = isolated ? m_isolatedRuns + 1 : m_isolatedRuns - 1;
+    m_usedIsolationSlots += isolated ? 1 : 0;
+}
+
+/// Returns how many workers are to be expected down at a time because of the isolated runs of the worker.
+double TaskScheduler::usedIsolationSlots(const WorkerEntry& worker)
+{
+    double used = 0;
+    for (const auto& [key, active] : worker.runs) {
+        const auto* run = findRun(*active.task, key.second);
+        if (!run || !run->isolated)
+            continue;
+        bool isActive = worker.reachable && run->reportedAt != neverInstant;
+        used += isActive ? active.job->crashes.expectedWorkersDown(
+                    crashKey(*active.job, key.first), run->run, run->reportedAt - run->startedAt)
+                         : 1;
+    }
+    return used;
 }
 
 TaskScheduler::WorkerUse TaskScheduler::workerUse() const
@@ -121,25 +139,27 @@
     return mustWait || hasDueCrash(job, key) ? SuspectDelay::AwaitingConfirmation : SuspectDelay::None;
 }
 
-/// Half of the workers of a service stay free for other runs.
-uint32_t TaskScheduler::maxIsolatedRuns(const TrackedJob& job) const
+/// Whether further isolated runs of the job leave half of the workers of its service to other runs.
+bool TaskScheduler::leavesSharedWorkers(const TrackedJob& job, uint32_t isolatedRuns) const
 {
     auto candidates = m_candidates.find(policyOf(job).service);
-    auto workers = candidates == m_candidates.end() ? 0 : static_cast<uint32_t>(candidates->second.size());
-    auto limit = m_isolationLimit.limitFor(static_cast<uint32_t>(m_workers.size()), m_latestEventAt);
-    return std::min(limit, workers / 2);
+    auto workers = candidates == m_candidates.end() ? 0 : candidates->second.size();
+    return m_isolatedRuns + isolatedRuns <= workers / 2;
 }
 
-/// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone. Tasks
-/// that need not run isolated leave the slots beyond the initial limit to those that have to.
+/// Tasks that need not run isolated leave the slots beyond the initial limit to those that have to.
+bool TaskScheduler::isWithinIsolationLimit(const TrackedJob& job, uint32_t newRuns, RunIsolation isolation) const
+{
+    auto workers = static_cast<uint32_t>(m_workers.size());
+    auto limit = isolation == RunIsolation::Preferred ? IsolationLimit::initialLimitFor(workers)
+                                                      : m_isolationLimit.limitFor(workers, m_latestEventAt);
+    return std::floor(m_usedIsolationSlots) + newRuns <= limit && leavesSharedWorkers(job, newRuns);
+}
+
+/// Whether further runs of the job may start isolated. A gang that is larger than the limit runs isolated alone.
 bool TaskScheduler::hasIsolationSlots(const TrackedJob& job, uint32_t runs, RunIsolation isolation) const
 {
-    if (m_isolatedRuns == 0)
-        return true;
-    auto limit = maxIsolatedRuns(job);
-    if (isolation == RunIsolation::Preferred)
-        limit = std::min(limit, IsolationLimit::initialLimitFor(static_cast<uint32_t>(m_workers.size())));
-    return m_isolatedRuns + runs <= limit;
+    return m_isolatedRuns == 0 || isWithinIsolationLimit(job, runs, isolation);
 }
 
 /// Why a task that may start, or a gang of `runs` members, was not placed isolated.
@@ -182,10 +202,11 @@
         return false;
     if (worker.heldForIsolationUntil > m_latestEventAt)
         return worker.heldFor == ready.key;
-    auto usedSlots = m_isolatedRuns + m_heldWorkers;
     // A gang that is larger than the limit needs all of its workers at once.
-    bool mayExceedLimit = usedSlots == 0 || (m_isolatedRuns == 0 && ready.job->spec.steps[ready.step].gang);
-    return mayExceedLimit || usedSlots < maxIsolatedRuns(*ready.job);
+    bool isGang = ready.job->spec.steps[ready.step].gang;
+    if (m_isolatedRuns == 0 && (m_heldWorkers == 0 || isGang))
+        return true;
+    return isWithinIsolationLimit(*ready.job, m_heldWorkers + 1, RunIsolation::Required);
 }
 
 /// Holds a worker for a task that has to run isolated, while every suitable worker has recently started runs. Each
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -71,10 +71,13 @@
     m_sizesWithoutRoom = {};
     m_freeCpuMillis = 0;
     m_heldWorkers = 0;
+    m_usedIsolationSlots = 0;
     m_crashingServices = crashingServices(now);
     std::vector<WorkerEntry*>* candidates = nullptr;
     const std::string* service = nullptr;
     for (const auto& [handle, worker] : m_workers) {
+        if (worker->isolatedRuns > 0)
+            m_usedIsolationSlots += usedIsolationSlots(*worker);
         if (!isUsable(*worker, now))
             continue;
         if (!service || worker->view.service != *service) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -358,7 +358,9 @@
     Milliseconds restartBackoff(const TrackedJob&, const TaskRef& key) const;
     bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
     std::set<std::string> crashingServices(Instant now) const;
-    uint32_t maxIsolatedRuns(const TrackedJob&) const;
+    static double usedIsolationSlots(const WorkerEntry&);
+    bool isWithinIsolationLimit(const TrackedJob&, uint32_t newRuns, RunIsolation) const;
+    bool leavesSharedWorkers(const TrackedJob&, uint32_t isolatedRuns) const;
     bool hasIsolationSlots(const TrackedJob&, uint32_t runs, RunIsolation) const;
     bool mayHold(const ReadyStep&, const WorkerEntry&) const;
     using SuspectOrder = std::pair<Instant, StepKey>;
@@ -439,6 +441,9 @@
     /// Starts of suspected tasks that wait until their records are stored.
     std::vector<StartTask> m_suspectedStarts;
     uint32_t m_isolatedRuns { 0 };
+
+    /// Workers that isolated runs may take down, as of the latest plan and its starts.
+    double m_usedIsolationSlots { 0 };
     IsolationLimit m_isolationLimit;
 
     /// Workers that are held for isolated runs and have none yet, as of the latest plan and its holds.
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -151,3 +151,21 @@
     crash(5, true, true, 0);
     CHECK(history.isCauseOfCrashes(task, quietRate, runTime));
 }
+
+// Guards against slots that are kept by runs which have outlived the earlier crashes of their tasks, or which seldom
+// crash a worker.
+TEST(CrashHistory, FewWorkersAreExpectedDownBecauseOfRunsThatLast)
+{
+    constexpr uint64_t activeRun { 9 };
+    auto expectedDown
+        = [&](int64_t activeMs) { return history.expectedWorkersDown(task, activeRun, Milliseconds { activeMs }); };
+    crash(activeRun, true, false);
+    DOUBLES_EQUAL(1, expectedDown(5000), 0);
+    crash(1, false, true, 0);
+    DOUBLES_EQUAL(1, expectedDown(0), 0);
+    DOUBLES_EQUAL(0, expectedDown(100), 0);
+    crash(2, false, true, 3000);
+    DOUBLES_EQUAL(0.75, expectedDown(0), 0.001);
+    DOUBLES_EQUAL(0.25, expectedDown(100), 0.001);
+    DOUBLES_EQUAL(0, expectedDown(3100), 0);
+}
