Let tasks that are lost late start again while workers crash

Cause: after three crashes with a coincidence below 0.05 a task waits for a quiet moment, for up to 60 s. The others were lost 1.3 to 9 s after their starts (3e-3 to 5e-2). Workers with such a run also did not count as lost in a wave, since the task was taken for the known cause, so the waves looked smaller than they were and further tasks were suspected.

Change: the limit of 0.05 holds after repeated crashes directly after a start, and 0.0001 otherwise. Starts that no worker answered and crashes that may have gone unrecorded count as directly after a start only if no run lasted longer.

Measured: CrashWaves.TasksThatAreLostLateDoNotWaitForTheirEnd and CrashHistory.LateCrashesInAWaveStartNoBackoff failed before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -32,9 +32,11 @@
 
 /// From this number of crashes on, further starts wait for a time at which they prove something, if the crashes are
 /// less likely than this without the task. A task that crashes its workers must not start three times after three
-/// crashes.
+/// crashes. While many workers crash for other causes, some tasks are lost as often by chance, most of them long after
+/// their starts. So the limit is lower without repeated crashes directly after a start.
 static constexpr size_t crashesUntilBackoff = 3;
 static constexpr double maxCoincidenceOfBackoff = 0.05;
+static constexpr double maxCoincidenceOfBackoffAfterLateCrashes = 1e-4;
 
 /// Maximum waits of the start after the third crash and of those after it.
 static constexpr Milliseconds firstBackoff { 10000 };
@@ -97,6 +99,25 @@
         std::ranges::count_if(m_runs, [&](const CrashedRun& it) { return isOfTask(it, task) && isPrompt(it); }));
 }
 
+/// Whether several workers crashed directly after starts of the task. A worker that did not answer the start may have
+/// crashed before, and a crash that an earlier leader left unrecorded may not have happened; both count only if no
+/// other run of the task has lasted longer.
+bool CrashHistory::hasRepeatedPromptCrashes(const TaskRef& task, size_t unrecordedCrashes) const
+{
+    size_t prompt = 0;
+    size_t uncertain = unrecordedCrashes;
+    bool hasLateCrash = false;
+    for (const auto& it : m_runs) {
+        if (!isOfTask(it, task))
+            continue;
+        if (isPrompt(it))
+            ++(it.unanswered ? uncertain : prompt);
+        else
+            hasLateCrash = hasLateCrash || !it.unanswered;
+    }
+    return prompt + (hasLateCrash ? 0 : uncertain) >= promptCrashesUntilIsolated;
+}
+
 bool CrashHistory::isSuspected(const TaskRef& task) const
 {
     return countPromptCrashes(task) > 0 || count(task) >= crashesUntilIsolated;
@@ -207,7 +228,11 @@
 {
     auto recorded = count(task);
     auto crashes = recorded == 0 ? 0 : recorded + unrecordedCrashes;
-    if (crashes < crashesUntilBackoff || coincidence(task, crashRate, runTime) > maxCoincidenceOfBackoff)
+    if (crashes < crashesUntilBackoff)
+        return Milliseconds { 0 };
+    auto maxCoincidence = hasRepeatedPromptCrashes(task, unrecordedCrashes) ? maxCoincidenceOfBackoff
+                                                                            : maxCoincidenceOfBackoffAfterLateCrashes;
+    if (coincidence(task, crashRate, runTime) > maxCoincidence)
         return Milliseconds { 0 };
     return crashes == crashesUntilBackoff ? firstBackoff : laterBackoff;
 }
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -87,6 +87,7 @@
 
 private:
     size_t countPromptCrashes(const TaskRef&) const;
+    bool hasRepeatedPromptCrashes(const TaskRef&, size_t unrecordedCrashes) const;
 
     std::vector<CrashedRun> m_runs {};
 };
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -77,6 +77,28 @@
     CHECK(history.isolationOf(task, quietRate) == RunIsolation::Required);
 }
 
+// Guards against back-offs of a minute after crashes that are as frequent without the task (LOST, issue 45).
+TEST(CrashHistory, LateCrashesInAWaveStartNoBackoff)
+{
+    auto crashInWave = [&](uint64_t run, uint32_t runTimeMs, double expectedCrashes, bool unanswered) {
+        CrashedRun crashed { .step = 1, .index = 2, .run = run, .runTimeMs = runTimeMs, .unanswered = unanswered };
+        crashed.expectedCrashes = expectedCrashes;
+        history.record(crashed);
+    };
+    for (uint64_t run = 1; run <= 4; ++run)
+        crashInWave(run, 3500, 0.3, false);
+    CHECK(history.restartBackoff(task, quietRate) == Milliseconds { 0 });
+    history.clear(task);
+    crashInWave(1, 3500, 0.3, false);
+    crashInWave(2, 10, 0.15, true);
+    crashInWave(3, 10, 0.15, true);
+    CHECK(history.restartBackoff(task, quietRate) == Milliseconds { 0 });
+    history.clear(task);
+    for (uint64_t run = 1; run <= 3; ++run)
+        crashInWave(run, 160, 0.15, false);
+    CHECK(history.restartBackoff(task, quietRate) > Milliseconds { 0 });
+}
+
 // Guards against clearing a task that crashes its worker only after a while.
 TEST(CrashHistory, ClearingTimeExceedsTheTimeToTheCrash)
 {
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -215,6 +215,21 @@
     checkShortJobsCompleted();
 }
 
+// Guards against tasks that wait for the end of the waves, until after the time at which they are asked for, because
+// workers were lost seconds after their starts (LOST, issue 45).
+TEST(CrashWaves, TasksThatAreLostLateDoNotWaitForTheirEnd)
+{
+    constexpr Milliseconds maxWait { 3000 };
+    addWorkers();
+    while (passed < wavesEnd) {
+        runWaves(planInterval);
+        for (const auto& wait : scheduler.stepWaits(fixture.now(), maxWait, SIZE_MAX))
+            CHECK(wait.suspectDelay != SuspectDelay::Backoff);
+    }
+    runWaves(Milliseconds { 15000 });
+    checkShortJobsCompleted();
+}
+
 // Guards against a start after the last wave whose crash proves nothing because the losses of that wave count.
 TEST(CrashWaves, CrashAfterTheBackoffIsJudgedWithoutTheWaves)
 {
