Isolate the fifth start of a task whose crashes were not all noticed at once

The task crashed its workers 160 ms after each start; the third crash was one of a wave, noticed 1.4 s after the start.

Cause: isolation is required from the fourth crash directly after a start on (or below a coincidence of 0.001). The one that was noticed late did not count, so the fifth start, after the waves, ran beside others (coincidence 1.0e-3) and did not prove the cause.

Change: from the fourth crash on, if two of them were directly after a start.

Measured: CrashHistory.FifthStartAfterRepeatedPromptCrashesRequiresIsolation failed before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -23,7 +23,7 @@
 static constexpr double maxCoincidenceOfRequiredIsolation = 1e-3;
 static constexpr double maxCoincidenceOfPreferredIsolation = 0.1;
 
-/// The same for required isolation after more crashes directly after a start than start a back-off.
+/// The same for required isolation after more crashes than start a back-off, several of them directly after a start.
 static constexpr double maxCoincidenceOfLateIsolation = 0.01;
 
 /// Crashes that are assumed, before a job is given up, in a run that was not isolated: another run on its worker may be
@@ -133,7 +133,7 @@
     if (isRepeated && probability <= maxCoincidenceOfRequiredIsolation)
         return RunIsolation::Required;
     // Few starts are left, so a crash beside other runs would waste one.
-    if (countPromptCrashes(task) + unrecordedCrashes > crashesUntilBackoff
+    if (count(task) + unrecordedCrashes > crashesUntilBackoff && hasRepeatedPromptCrashes(task, unrecordedCrashes)
         && probability <= maxCoincidenceOfLateIsolation)
         return RunIsolation::Required;
     return probability <= maxCoincidenceOfPreferredIsolation ? RunIsolation::Preferred : RunIsolation::None;
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -77,6 +77,17 @@
     CHECK(history.isolationOf(task, quietRate) == RunIsolation::Required);
 }
 
+// Guards against a start beside other runs after four crashes, one of which was noticed late, in a wave.
+TEST(CrashHistory, FifthStartAfterRepeatedPromptCrashesRequiresIsolation)
+{
+    for (uint64_t run = 1; run <= 4; ++run) {
+        CrashedRun crashed { .step = 1, .index = 2, .run = run, .runTimeMs = run == 3 ? 1400u : 160u };
+        crashed.expectedCrashes = 0.22;
+        history.record(crashed);
+    }
+    CHECK(history.isolationOf(task, quietRate) == RunIsolation::Required);
+}
+
 // Guards against back-offs of a minute after crashes that are as frequent without the task (LOST, issue 45).
 TEST(CrashHistory, LateCrashesInAWaveStartNoBackoff)
 {
