Log the crashes of a task that waits because of them

task_waits said that a task waits for a back-off, but not why it is suspected. The line of the task that has waited longest in its step now has crashes, as job_ended does, and coincidence. TaskWaits.CrashesOfAWaitingTaskAreTold guards it.

--- a/Libraries/LibDecision/StepWait.h
+++ b/Libraries/LibDecision/StepWait.h
@@ -6,7 +6,9 @@
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/SuspectDelay.h>
 #include <LibDecision/TaskWorkerView.h>
+#include <LibWire/CrashedRun.h>
 #include <cstdint>
+#include <vector>
 
 namespace Bergamot {
 
@@ -27,6 +29,10 @@
     PlacementDelay reason { PlacementDelay::None };
     SuspectDelay suspectDelay { SuspectDelay::None };
 
+    /// The runs under which workers crashed of a task that waits because of them, and `CrashHistory::coincidence`.
+    std::vector<CrashedRun> crashedRuns {};
+    double coincidence { 1 };
+
     bool operator==(const StepWait&) const = default;
 };
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -291,6 +291,7 @@
     bool placeStep(const ReadyStep&, Instant now);
     static void setWaitingSince(TrackedStep&, Instant now);
     void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
+    void addCrashedRuns(StepWait&) const;
     /// Which workers may take the run.
     enum class PlacementMode : uint8_t {
         Shared,
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -2,6 +2,7 @@
 #include <LibDecision/TaskWorkerEntry.h>
 #include <LibDecision/TaskWorkerSearch.h>
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -48,9 +49,22 @@
         return std::tie(b.longestWait, a.job, a.step) < std::tie(a.longestWait, b.job, b.step);
     });
     waits.resize(std::min(waits.size(), maxCount));
+    for (auto& wait : waits)
+        addCrashedRuns(wait);
     return waits;
 }
 
+void TaskScheduler::addCrashedRuns(StepWait& wait) const
+{
+    if (wait.reason != PlacementDelay::CrashSuspicion)
+        return;
+    const auto& job = *m_jobs.at(wait.job);
+    auto key = crashKey(job, { wait.job, wait.occurrence, wait.step, wait.longestWaiting });
+    std::ranges::copy_if(job.crashes.runs(), std::back_inserter(wait.crashedRuns),
+        [&](const CrashedRun& it) { return taskOf(job, it) == key; });
+    wait.coincidence = job.crashes.coincidence(key, otherCrashRate(job, key), expectedRunTime(job, key));
+}
+
 std::map<PlacementDelay, Milliseconds> TaskScheduler::oldestWaits(Instant now) const
 {
     std::map<PlacementDelay, Milliseconds> oldest;
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -288,6 +288,16 @@
     return batch;
 }
 
+static std::string describeCrashes(const std::vector<CrashedRun>& runs)
+{
+    std::string text;
+    for (const auto& crashed : runs)
+        fmt::format_to(std::back_inserter(text), "{}{}.{}.{}:run={},worker={},run_ms={}{}{}", text.empty() ? "" : ";",
+            crashed.occurrence, crashed.step, crashed.index, crashed.run, crashed.worker, crashed.runTimeMs,
+            crashed.unanswered ? ",unanswered" : "", crashed.isolated ? ",isolated" : "");
+    return text;
+}
+
 /// Logs the timeline of a job: for each step, the time until its last start and the time from that start to its end.
 void TaskLeader::logJobEnd(const JobProgress& progress)
 {
@@ -296,16 +306,11 @@
     for (const auto& step : timeline.steps)
         fmt::format_to(std::back_inserter(steps), "{}{}.{}:wait={},run={}", steps.empty() ? "" : ";", step.occurrence,
             step.step, step.waitTime.count(), step.runTime.count());
-    std::string crashes;
-    for (const auto& crashed : timeline.crashedRuns)
-        fmt::format_to(std::back_inserter(crashes), "{}{}.{}.{}:run={},worker={},run_ms={}{}{}",
-            crashes.empty() ? "" : ";", crashed.occurrence, crashed.step, crashed.index, crashed.run, crashed.worker,
-            crashed.runTimeMs, crashed.unanswered ? ",unanswered" : "", crashed.isolated ? ",isolated" : "");
     logInfo("job_ended",
         { { "job", progress.id }, { "queue", timeline.queue }, { "state", nameOf(progress.state) },
             { "late_ms", unixMsNow() - timeline.objectiveUnixMs }, { "failed_runs", timeline.failedRuns },
-            { "max_attempts", timeline.maxAttempts }, { "crashes", crashes }, { "config_version", m_configVersion },
-            { "steps_ms", steps } });
+            { "max_attempts", timeline.maxAttempts }, { "crashes", describeCrashes(timeline.crashedRuns) },
+            { "config_version", m_configVersion }, { "steps_ms", steps } });
 }
 
 void TaskLeader::handleProgressStored(const ProgressBatch& batch)
@@ -470,7 +475,9 @@
                 { "idle_millis", m_scheduler.idleCpuMillis() }, { "usable_workers", use.usable },
                 { "isolated_workers", use.isolated }, { "workers_without_room", refusals.noRoom },
                 { "workers_not_idle", refusals.notIdle }, { "workers_held", refusals.held },
-                { "workers_excluded", refusals.constraint }, { "workers_serving", refusals.servingPressure } });
+                { "workers_excluded", refusals.constraint }, { "workers_serving", refusals.servingPressure },
+                { "crashes", describeCrashes(wait.crashedRuns) },
+                { "coincidence", fmt::format("{:.1e}", wait.coincidence) } });
     }
 }
 
--- a/Tests/LibDecision/TestTaskWaits.cpp
+++ b/Tests/LibDecision/TestTaskWaits.cpp
@@ -69,3 +69,22 @@
     CHECK_EQUAL(1, oldest.size());
     CHECK_EQUAL(wait.count(), oldest.at(PlacementDelay::NoWorker).count());
 }
+
+// Guards against a log of waiting tasks that does not tell causes of crashes from tasks that were lost by chance.
+TEST(TaskWaits, CrashesOfAWaitingTaskAreTold)
+{
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    for (uint64_t run = 1; run <= 2; ++run)
+        stored.crashedRuns.push_back({ .index = 0, .run = run, .runTimeMs = 160, .confirmed = true });
+    stored.crashedRuns.push_back({ .step = 1, .run = 3, .runTimeMs = 160, .confirmed = true });
+    auto step = fixture.step(1);
+    step.size.cpuMillis = 5000;
+    scheduler.addJob(fixture.job("j", { step }), stored, neverInstant);
+    fixture.planStarts();
+    auto waits = scheduler.stepWaits(fixture.now(), Milliseconds { 0 }, 1);
+    CHECK_EQUAL(1, waits.size());
+    CHECK(waits[0].reason == PlacementDelay::CrashSuspicion);
+    CHECK_EQUAL(2, waits[0].crashedRuns.size());
+    CHECK_COMPARE(waits[0].coincidence, <, 1e-3);
+}
