Forget the crash of a lost rack once the task has run on

What callers would see: a task that lasts waits up to 10 s for a quiet moment after two crashes in place of three, for ever after a rack was lost under it.

Cause: the mark of a crash that was excused by the loss of its rack was taken off together with recorded crashes only, and a job without any returned before that.

Change: a run that lasts for the clearing time takes the mark off, too.

Measured: CrashWaves.TaskThatRanOnAfterTheLossOfItsRackHasAllStarts failed before. By reading; not seen in a play.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -85,15 +85,20 @@
         withdrawCrash(job, ref, run);
 }
 
+/// Returns the task that holds the state of crashes, like `crashKey`.
+static TrackedTask& crashTaskOf(TrackedJob& job, const TaskRef& ref)
+{
+    auto& tasks = job.occurrences[ref.occurrence].steps[ref.step].tasks;
+    return tasks[job.spec.steps[ref.step].gang ? 0 : ref.index];
+}
+
 /// The records of an ended job are kept: they may be the cause of its end, which is logged once it is stored.
 void TaskScheduler::clearCrashes(TrackedJob& job, const TaskRef& ref)
 {
-    if (job.hasEnded() || job.crashes.isEmpty())
+    if (job.hasEnded())
         return;
-    auto key = crashKey(job, ref);
-    if (auto* task = findTask(job, key))
-        task->hasExcusedCrash = false;
-    if (job.crashes.clear(key))
+    crashTaskOf(job, ref).hasExcusedCrash = false;
+    if (!job.crashes.isEmpty() && job.crashes.clear(crashKey(job, ref)))
         markChanged(job);
 }
 
@@ -101,7 +106,7 @@
 /// been: those that are left by a crash say nothing about the member that caused it.
 void TaskScheduler::clearIfProven(TrackedJob& job, TrackedTask& task, const TaskRef& ref, const TrackedRun& run)
 {
-    if (job.crashes.isEmpty())
+    if (job.crashes.isEmpty() && !crashTaskOf(job, ref).hasExcusedCrash)
         return;
     auto clearingTime = job.crashes.clearingTime(crashKey(job, ref));
     auto isProven = [&](TrackedTask& it) {
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -230,6 +230,38 @@
     checkShortJobsCompleted();
 }
 
+// Guards against a crash of a lost rack that counts against a task for ever, although the task has run on since.
+TEST(CrashWaves, TaskThatRanOnAfterTheLossOfItsRackHasAllStarts)
+{
+    constexpr int rackCount { 12 };
+    for (int i = 0; i < workers; ++i)
+        addWorker("r" + std::to_string(i % rackCount));
+    scheduler.addJob(fixture.job("long", { lasting(1) }), std::nullopt, neverInstant);
+    run(planInterval);
+    auto workerOfTask = [&] {
+        return std::ranges::find_if(active, [&](const auto& it) {
+            return !it.second.empty() && !crashedAt.contains(it.first);
+        })->first;
+    };
+    auto rackOfTask = racks[workerOfTask()];
+    for (const auto& [worker, rack] : std::map(racks)) {
+        if (rack == rackOfTask)
+            crash(worker);
+    }
+    run(Milliseconds { 20000 });
+    TaskRef task { "long", 0, 0, 0 };
+    for (size_t expectedStarts = 3; expectedStarts <= 5; ++expectedStarts) {
+        crash(workerOfTask());
+        for (int i = 1; i < workersPerWave / 2; ++i)
+            crash(randomWorker());
+        while (starts[task] < expectedStarts) {
+            run(planInterval);
+            for (const auto& wait : scheduler.stepWaits(fixture.now(), Milliseconds { 0 }, 1))
+                CHECK(wait.suspectDelay != SuspectDelay::Backoff);
+        }
+    }
+}
+
 // Guards against a start after the last wave whose crash proves nothing because the losses of that wave count.
 TEST(CrashWaves, CrashAfterTheBackoffIsJudgedWithoutTheWaves)
 {
