Judge by its own pace whether a run makes no progress

Progress is reported in whole percents, and a run without a new one for 3 s was stopped.

Change: the timeout is three times the time that the run took for each percent so far, or a hundredth of the estimate if that is longer, and 3 s at least. It doubles with each stalled run of a task after the first, since the estimate may be too low. Progress before the first report, after a checkpoint or a change of leader, is no pace.

--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -8,8 +8,14 @@
 
 namespace Bergamot {
 
-/// A run without progress for this long is stopped, so that its task can start on another worker.
-static constexpr Milliseconds stallTimeout { 3000 };
+/// A run without progress for this long is stopped, so that its task can start on another worker. Progress is reported
+/// in whole percents, so long runs get this multiple of the time for one percent.
+static constexpr Milliseconds minStallTimeout { 3000 };
+static constexpr int stallTimeoutFactor { 3 };
+
+/// The timeout doubles with each stalled run of the task after the first, this often at most: the estimate of the run
+/// time may be much too low.
+static constexpr uint32_t maxStallTimeoutDoublings { 12 };
 
 /// Runs that are throttled below this speed may legitimately report no progress and are not considered stalled.
 static constexpr uint32_t minStallSpeedPercent = 50;
@@ -55,6 +61,20 @@
     requestStop(run.worker, ref, run.run, reason, m_latestEventAt);
 }
 
+/// Returns the time without progress after which the run counts as stalled, from the time in which it made its percents
+/// so far, or from the estimate if that is longer.
+static Milliseconds stallTimeoutOf(const TrackedRun& run, const TrackedTask& task, const StepSpec& spec)
+{
+    constexpr int wholeProgress { 100 };
+    Milliseconds timePerPercent { spec.estimateMs / wholeProgress };
+    if (run.progressPercent > run.firstProgressPercent) {
+        auto percents = run.progressPercent - run.firstProgressPercent;
+        timePerPercent = std::max(timePerPercent, (run.progressedAt - run.startedAt) / percents);
+    }
+    auto doublings = std::min(maxStallTimeoutDoublings, std::max(task.stalledRuns, 1U) - 1);
+    return std::max(minStallTimeout, stallTimeoutFactor * timePerPercent) * (1U << doublings);
+}
+
 void TaskScheduler::superviseWorker(WorkerEntry& worker, Instant now)
 {
     observeInterference(worker, now);
@@ -65,12 +85,13 @@
         // A run that a report does not list may have ended, with an end that the report leaves out.
         bool isListed = active.lastListedInReport == worker.reportCount;
         bool isStalled = isListed && !spec.longRunning && run.speedPercent >= minStallSpeedPercent
-            && now - run.progressedAt > stallTimeout;
+            && now - run.progressedAt > stallTimeoutOf(run, *active.task, spec);
         bool leavesDrainingWorker = worker.view.draining && (spec.longRunning || spec.checkpointing);
         bool migrates = spec.bestEffort && spec.checkpointing && run.throttledSince != neverInstant
             && now - run.throttledSince > migrationDelay;
         if (run.phase == RunPhase::Running && (isStalled || leavesDrainingWorker || migrates)) {
             auto reason = isStalled ? StopReason::Stalled : StopReason::Throttled;
+            active.task->stalledRuns += isStalled && !leavesDrainingWorker ? 1 : 0;
             stopRun(key.first, run, leavesDrainingWorker ? StopReason::WorkerDrains : reason);
         }
         handleSlowRun(worker, key.first, *active.job, *active.task, run, now);
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -211,6 +211,8 @@
         run.phase = RunPhase::Running;
         run.startedAt = now;
     }
+    if (run.reportedAt == neverInstant)
+        run.firstProgressPercent = report.progressPercent;
     if (report.progressPercent != run.progressPercent) {
         run.progressPercent = report.progressPercent;
         run.progressedAt = now;
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -39,6 +39,9 @@
     Instant reportedAt { neverInstant };
     Instant progressedAt { epochInstant };
     uint32_t progressPercent { 0 };
+
+    /// Progress at the first report to this leader; the run may have resumed from a checkpoint.
+    uint32_t firstProgressPercent { 0 };
     uint32_t speedPercent { 100 };
 
     /// Whether the worker is known to run it at `speedPercent`. An earlier leader may have set another speed.
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -18,6 +18,9 @@
     /// Number of runs that this leader stopped because they were slow.
     uint32_t slowRuns { 0 };
 
+    /// Number of runs that this leader stopped because they made no progress.
+    uint32_t stalledRuns { 0 };
+
     /// Whether a speculative copy is to be started beside the active run.
     bool wantsSpeculativeCopy { false };
     std::string checkpoint {};
