Add the causes of two tests of crash waves in one place

The set-up of CauseIsNotStartedWhileItsCrashesProveNothing and of the worlds with racks was the same code twice. Both tests demand what they did.

--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -101,11 +101,23 @@
         return planned;
     }
 
+    /// Adds jobs whose only task crashes each worker that starts it, one a second, while waves go on.
+    void addCausesInTurn(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            auto id = "cause" + std::to_string(i);
+            scheduler.addJob(fixture.job(id, { fixture.step(1) }), std::nullopt, neverInstant);
+            crashingTasks.insert({ id, 0, 0, 0 });
+            runWaves(Milliseconds { 1000 });
+        }
+    }
+
     void checkShortJobsCompleted()
     {
         for (int i = 0; i < jobs; ++i)
             CHECK(scheduler.stateOf("short" + std::to_string(i)) == JobStage::Completed);
     }
+
     /// Plays causes among racks that crash, and checks that each of them is given up in time.
     void checkCausesAmongRacks(uint32_t randomSeed)
     {
@@ -118,11 +130,7 @@
             addWorker("r" + std::to_string(i % rackCount));
         run(Milliseconds { 1000 });
         runWaves(wavesEnd / 2);
-        for (int i = 0; i < causes; ++i) {
-            scheduler.addJob(fixture.job("cause" + std::to_string(i), { fixture.step(1) }), std::nullopt, neverInstant);
-            crashingTasks.insert({ "cause" + std::to_string(i), 0, 0, 0 });
-            runWaves(Milliseconds { 1000 });
-        }
+        addCausesInTurn(causes);
         runWaves(wavesEnd);
         for (const auto& [task, crashes] : crashesByTask)
             CHECK_COMPARE(crashes, <=, maxCrashesOfCause);
@@ -180,11 +188,7 @@
     addWorkers();
     constexpr int causes { 8 };
     runWaves(wavesEnd / 2);
-    for (int i = 0; i < causes; ++i) {
-        scheduler.addJob(fixture.job("cause" + std::to_string(i), { fixture.step(1) }), std::nullopt, neverInstant);
-        crashingTasks.insert({ "cause" + std::to_string(i), 0, 0, 0 });
-        runWaves(Milliseconds { 1000 });
-    }
+    addCausesInTurn(causes);
     runWaves(wavesEnd);
     for (int i = 0; i < causes; ++i) {
         CHECK_COMPARE((starts[TaskRef { "cause" + std::to_string(i), 0, 0, 0 }]), <=, 5);
