--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -177,9 +177,11 @@
 {
     auto unreached = reliableUnreachedWorkers();
     m_isUnreachedRecordDoubtful = 2 * unreached.size() > m_storedAssignedWorkers.workers.size();
+    auto doubtful = std::ranges::count_if(m_storedUnreachedWorkers.workers, &UnreachedWorker::isDoubtful);
     logInfo("progress_loaded",
         { { "epoch", m_options.epoch }, { "jobs", m_storedProgress.size() },
-            { "workers", m_storedAssignedWorkers.workers.size() }, { "unreached", unreached.size() } });
+            { "workers", m_storedAssignedWorkers.workers.size() }, { "unreached", unreached.size() },
+            { "doubtful", doubtful } });
     dropReplacedIncarnations();
     for (const auto& incarnation : m_storedAssignedWorkers.workers) {
         auto it = unreached.find(incarnation);
@@ -473,6 +475,7 @@
         return;
     m_waitsLoggedAt = now;
     updateOldestWaits();
+    logUnsettledWorkers();
     auto use = m_scheduler.workerUse();
     for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines)) {
         auto refusals = m_scheduler.refusalsOf(wait);
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -223,6 +223,33 @@
             || (!mayEarlierLeaderRenewAny() && !hasUnreadEndsOfEarlierRuns() && !mayMisdirectedLeaseLast()) };
 }
 
+/// Logs the workers for which tasks of earlier leaders still wait after the time that leases of such leaders last.
+void TaskLeader::logUnsettledWorkers()
+{
+    constexpr size_t maxLines { 4 };
+    auto now = m_loop.now();
+    if (m_isReconciled || !m_options.hasPredecessor || now < m_earlierLeasesExpireAt)
+        return;
+    size_t lines = 0;
+    for (const auto& [handle, worker] : m_workers) {
+        const auto& session = *worker.session;
+        if (session.isReconciled() || ++lines > maxLines)
+            continue;
+        logInfo("takeover_waits",
+            { { "worker", worker.incarnation.id }, { "born", worker.incarnation.startedAtMs },
+                { "ms", (now - m_electedAt).count() }, { "session_started", worker.isSessionStarted },
+                { "reachable", session.isReachable() }, { "unreached", session.isUnreached() },
+                { "unread_ends", session.hasUnreadEnds() }, { "last_end", session.lastEndSequence() },
+                { "stored_end", session.storedEndSequence() },
+                { "acknowledged_end", session.acknowledgedEndSequence() },
+                { "ends_of_unknown_jobs", worker.endsOfUnknownJobs.size() },
+                { "lease_left_ms", session.remainingLease().count() },
+                { "earlier_leader_may_renew", mayEarlierLeaderRenew(worker) },
+                { "doubtful", worker.mayObeyOlderLeader },
+                { "may_hold_misdirected_lease", session.mayHoldMisdirectedLease() } });
+    }
+}
+
 bool TaskLeader::isSoleLeader() const { return m_options.soleLeaderUntil() >= m_loop.now(); }
 
 /// Whether the leases of workers may be renewed, so that they end before a successor starts their tasks elsewhere. A
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -146,6 +146,11 @@
     /// The highest sequence number of a reported run end.
     uint64_t lastEndSequence() const { return m_lastEndSequence; }
 
+    /// The highest sequence number up to which all run ends are stored, and the one up to which the worker has
+    /// confirmed their acknowledgement.
+    uint64_t storedEndSequence() const { return m_storedEndSequence; }
+    uint64_t acknowledgedEndSequence() const { return m_acknowledgedEndSequence; }
+
     /// True once the worker has reported its runs and all of its run ends to this leader, or all leases granted by
     /// earlier leaders have expired.
     bool isReconciled() const { return m_isReconciled; }
