Count workers that earlier leaders have reached when older leaders are excluded

Cause: a leader stores the workers that an older leader may still renew, less those that it has reached itself, and its successor waited until it had reached half of the rest. With several short leaders in a row the rest shrinks to the workers that crashed for good (42, 36, 33, 31, 29 of 66), of which half can never be reached, so inherited tasks waited for 300 s. Those that leaders in between reached reject the older leader as well, but did not count any more.

Change: the record has the number of workers that decide, so the ones that were reached before count as reached. They hold a fencing token above that of the older leader, so it cannot find most of its workers replying once half of all have been reached. Records of older versions have no number and are judged as before.

Evidence: UnreachedWorkers.TasksDoNotWaitForHalfOfTheWorkersThatAreStillDoubtful failed before (no start within 5.7 s) and passes; TestLibNode passes (300 tests).

--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -139,6 +139,15 @@
         Instant successorAnnouncedAt { neverInstant };
     };
 
+    /// How many of the workers on whose replies an earlier leader counts have been reached since, so that they reject
+    /// it.
+    struct ReachedWorkers {
+        size_t counted { 0 };
+        size_t reached { 0 };
+
+        bool isHalfReached() const { return 2 * reached >= counted; }
+    };
+
     /// Run ends of unknown jobs that a worker reported before it was removed.
     struct OrphanedEnds {
         std::vector<RunEnd> ends;
@@ -223,6 +232,9 @@
     void beginExcludingEarlierLeaders();
     void restoreDoubtfulWorkers();
     bool hasInheritedDoubt() const;
+    ReachedWorkers countReached(bool Worker::*isCounted) const;
+    ReachedWorkers earlierWorkers() const;
+    ReachedWorkers olderWorkers() const;
     bool hasReachedHalfOfEarlierWorkers() const;
     void updateEarlierRenewals();
     bool wereEarlierLeadersExcludedLate() const;
@@ -322,6 +334,9 @@
     /// Whether no earlier leader can find most workers replying any more.
     bool m_areEarlierLeadersExcluded { false };
 
+    /// Number of workers that decide about older leaders and that leaders before this one have reached.
+    size_t m_olderWorkersReachedBefore { 0 };
+
     /// The stored record of unreached workers may contain workers that may obey an older leader.
     bool m_isDoubtStored { false };
 
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -95,6 +95,7 @@
         unreached.workers.push_back({ .worker = worker.incarnation, .sinceEpoch = UnreachedWorker::doubtful });
         m_isDoubtStored = true;
     }
+    unreached.decidingWorkers = hasInheritedDoubt() ? olderWorkers().counted : earlierWorkers().counted;
     return unreached;
 }
 
@@ -131,6 +132,8 @@
     for (auto& [handle, worker] : m_workers)
         worker.mayObeyOlderLeader = doubtful.contains(worker.incarnation);
     m_isDoubtStored = hasInheritedDoubt();
+    if (m_storedUnreachedWorkers.decidingWorkers > doubtful.size())
+        m_olderWorkersReachedBefore = m_storedUnreachedWorkers.decidingWorkers - doubtful.size();
 }
 
 bool TaskLeader::hasInheritedDoubt() const
@@ -138,21 +141,35 @@
     return std::ranges::any_of(m_workers, [](const auto& it) { return it.second.mayObeyOlderLeader; });
 }
 
+TaskLeader::ReachedWorkers TaskLeader::countReached(bool Worker::*isCounted) const
+{
+    ReachedWorkers workers;
+    for (const auto& [handle, worker] : m_workers) {
+        workers.counted += worker.*isCounted ? 1 : 0;
+        workers.reached += worker.*isCounted && !worker.session->isUnreached() ? 1 : 0;
+    }
+    return workers;
+}
+
+/// The workers that were assigned at the election.
+TaskLeader::ReachedWorkers TaskLeader::earlierWorkers() const { return countReached(&Worker::isFromEarlierLeader); }
+
+/// The workers that decide about older leaders. Those that leaders in between have reached reject the older ones too:
+/// if they did not count, the half to be reached would be one of ever fewer workers, in the end of the crashed ones.
+TaskLeader::ReachedWorkers TaskLeader::olderWorkers() const
+{
+    auto workers = countReached(&Worker::mayObeyOlderLeader);
+    workers.counted += m_olderWorkersReachedBefore;
+    workers.reached += m_olderWorkersReachedBefore;
+    return workers;
+}
+
 /// Whether half of the workers have been reached that were assigned at the election, and half of those that decide
 /// about older leaders. An earlier leader renews leases while most of them reply to it, so it relies on a worker that
 /// rejects it. Workers that are removed before do not count: they have ended, or reject an earlier leader.
 bool TaskLeader::hasReachedHalfOfEarlierWorkers() const
 {
-    auto hasReachedHalf = [this](bool Worker::*isCounted) {
-        size_t workers = 0;
-        size_t reached = 0;
-        for (const auto& [handle, worker] : m_workers) {
-            workers += worker.*isCounted ? 1 : 0;
-            reached += worker.*isCounted && !worker.session->isUnreached() ? 1 : 0;
-        }
-        return 2 * reached >= workers;
-    };
-    return hasReachedHalf(&Worker::isFromEarlierLeader) && hasReachedHalf(&Worker::mayObeyOlderLeader);
+    return earlierWorkers().isHalfReached() && olderWorkers().isHalfReached();
 }
 
 void TaskLeader::updateEarlierRenewals()
--- a/Libraries/LibWire/UnreachedWorkers.h
+++ b/Libraries/LibWire/UnreachedWorkers.h
@@ -14,8 +14,12 @@
     uint64_t epoch { 0 };
     std::vector<UnreachedWorker> workers {};
 
+    /// Number of workers on whose replies the earlier leaders count, of which those that are not doubtful here have
+    /// been reached. 0 from versions without this field.
+    uint64_t decidingWorkers { 0 };
+
     bool operator==(const UnreachedWorkers&) const = default;
-    MSGPACK_DEFINE_ARRAY(epoch, workers)
+    MSGPACK_DEFINE_ARRAY(epoch, workers, decidingWorkers)
 };
 
 }
--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -356,6 +356,31 @@
     CHECK_FALSE(isStoredAsUnreached("w3"));
 }
 
+// Guards against tasks that wait for 300 s because the workers that earlier leaders have reached no longer count.
+TEST(UnreachedWorkers, TasksDoNotWaitForHalfOfTheWorkersThatAreStillDoubtful)
+{
+    const std::set<std::string> crashed { "w6", "w7", "w8", "w9" };
+    announce("w1");
+    putAssignedWorkers({ "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8", "w9" });
+    putJob("j");
+    // Each leader stores the workers in doubt together with an added worker, and reaches one of them.
+    for (std::set<std::string> cutOff : { std::set<std::string> { "w4", "w5" }, { "w5" } }) {
+        silent = crashed;
+        silent.merge(cutOff);
+        elect();
+        run(Milliseconds { 300 });
+        auto added = "added" + std::to_string(silent.size());
+        announce(added);
+        silent.insert(added);
+        run(Milliseconds { 2000 });
+        CHECK(isStoredAsUnreached("w5"));
+        CHECK_EQUAL(0, starts());
+    }
+    silent = crashed;
+    elect();
+    CHECK(timeOfStart(electedAt, maxLeaseWait).has_value());
+}
+
 // Guards against a start before the leases have ended that the previous leader has renewed until half of the workers
 // were reached, also under a leader that follows then.
 TEST(UnreachedWorkers, LeasesAreCountedFromWhenHalfAreReached)
