Let the store stand-in decode the key after which a page starts

A node that took over beside more than 500 records of progress loaded the first page without end: it sends the key "job/..." with "/" encoded, and the stand-in compared the encoded text, which sorts before all of these keys. Soaks have fewer jobs, so none showed it. The stand-in now decodes the key.

--- a/Utilities/PlatformStandIn/StoreStandIn.cpp
+++ b/Utilities/PlatformStandIn/StoreStandIn.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/escaping.h>
 #include <algorithm>
 #include <charconv>
+#include <curl/curl.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -33,6 +34,18 @@
     return value;
 }
 
+/// Decodes the escape sequences of a query parameter.
+static std::string urlUnescape(std::string_view text)
+{
+    // libcurl takes the length 0 as unknown.
+    if (text.empty())
+        return {};
+    int length = 0;
+    std::unique_ptr<char, decltype(&curl_free)> decoded(
+        curl_easy_unescape(nullptr, text.data(), static_cast<int>(text.size()), &length), curl_free);
+    return decoded ? std::string(decoded.get(), static_cast<size_t>(length)) : std::string(text);
+}
+
 absl::StatusOr<std::unique_ptr<StoreStandIn>> StoreStandIn::create(EventLoop& loop, Options options)
 {
     std::unique_ptr<StoreStandIn> store(new StoreStandIn(loop));
@@ -196,7 +209,7 @@
         return responder->send({ .status = 400, .body = "{}" });
     const auto& log = partition(topic, *part);
     json body { { "items", json::array() }, { "more", false }, { "end", log.endOffset() } };
-    for (auto it = log.newestRecords().upper_bound(std::string(headerValue(request.query, "dependsOn")));
+    for (auto it = log.newestRecords().upper_bound(urlUnescape(headerValue(request.query, "dependsOn")));
          it != log.newestRecords().end(); ++it) {
         if (body["items"].size() == maxNewestItemsPerPage) {
             body["more"] = true;
