--- a/Utilities/PlatformStandIn/LogPartition.cpp
+++ b/Utilities/PlatformStandIn/LogPartition.cpp
@@ -105,6 +105,14 @@
     addRecord(record);
 }
 
+uint64_t LogPartition::newestBytes() const
+{
+    uint64_t bytes = 0;
+    for (const auto& [key, record] : m_newestRecords)
+        bytes += key.size() + record.value.size();
+    return bytes;
+}
+
 void LogPartition::trim(size_t retainedCount)
 {
     while (m_records.size() > retainedCount) {
--- a/Utilities/PlatformStandIn/LogPartition.h
+++ b/Utilities/PlatformStandIn/LogPartition.h
@@ -55,6 +55,9 @@
 
     const std::map<std::string, NewestRecord>& newestRecords() const { return m_newestRecords; }
 
+    /// Bytes of the keys and values of newestRecords().
+    uint64_t newestBytes() const;
+
 private:
     struct ProducerState {
         uint64_t epoch { 0 };
--- a/Utilities/PlatformStandIn/StoreStandIn.cpp
+++ b/Utilities/PlatformStandIn/StoreStandIn.cpp
@@ -92,8 +92,17 @@
     return findFault(StoreFault::Kind::Unavailable) || findFault(StoreFault::Kind::Unresponsive);
 }
 
+uint64_t StoreStandIn::newestBytes() const
+{
+    uint64_t bytes = 0;
+    for (const auto& [key, partition] : m_partitions)
+        bytes += partition.newestBytes();
+    return bytes;
+}
+
 void StoreStandIn::handle(const HttpRequest& request, Responder responder)
 {
+    ++m_traffic.calls;
     const auto* slow = findFault(StoreFault::Kind::Slow);
     if (!slow)
         return serve(request, std::move(responder));
@@ -230,6 +239,7 @@
 
 void StoreStandIn::send(const Responder& responder, HttpResponse response)
 {
+    m_traffic.replyBytes += response.body.size();
     const auto* slow = findFault(StoreFault::Kind::Slow);
     if (!slow)
         return responder->send(response);
--- a/Utilities/PlatformStandIn/StoreStandIn.h
+++ b/Utilities/PlatformStandIn/StoreStandIn.h
@@ -2,6 +2,7 @@
 
 #include "LogPartition.h"
 #include "StoreFault.h"
+#include "StoreTraffic.h"
 #include <LibHttp/HttpRequest.h>
 #include <LibHttp/HttpResponder.h>
 #include <LibHttp/HttpServer.h>
@@ -40,6 +41,11 @@
     void putOperatorRecord(std::string_view key, std::string_view value);
     void putWorkerRecord(std::string_view key, std::string_view value);
 
+    const StoreTraffic& traffic() const { return m_traffic; }
+
+    /// Bytes of the newest records of all topics, without the history.
+    uint64_t newestBytes() const;
+
     void stopServing() { m_server->shutdown(); }
 
 private:
@@ -82,6 +88,7 @@
     std::vector<WaitingRead> m_waitingReads;
     std::vector<Responder> m_unanswered;
     uint64_t m_nextReadId { 1 };
+    StoreTraffic m_traffic;
     std::unique_ptr<HttpServer> m_server;
 };
 
--- /dev/null
+++ b/Utilities/bergamot-bench/StartRecorder.cpp
@@ -0,0 +1,16 @@
+#include "StartRecorder.h"
+#include <chrono>
+
+namespace Bergamot {
+
+void StartRecorder::runStarted(const Run& run, const std::string&, const WorkerLoad&)
+{
+    if (!m_tasks.insert(run.task).second)
+        return;
+    auto now = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    if (!m_firstStartAt)
+        m_firstStartAt = now;
+    m_lastNewStartAt = now;
+}
+
+}
--- a/Utilities/bergamot-node-soak/NodeGroup.h
+++ b/Utilities/bergamot-node-soak/NodeGroup.h
@@ -43,6 +43,9 @@
     size_t size() const { return m_nodes.size(); }
     bool allRunning() const;
 
+    /// Process id of a node, or 0 while it does not run.
+    pid_t pid(size_t node) const { return m_nodes[node].pid; }
+
 private:
     struct NodeState {
         pid_t pid { 0 };
