Show when a recovering node has read the progress

The assigned workers lie behind the progress of all jobs, so no lease is renewed before the progress is read: this bounds how many ended jobs the running tasks survive.

--- a/Tests/BenchParts/TestRecoveryRun.cpp
+++ b/Tests/BenchParts/TestRecoveryRun.cpp
@@ -30,7 +30,9 @@
     auto result = run.run();
     CHECK(result.ok());
     LONGS_EQUAL(1, result->elections);
+    CHECK(result->progressLoaded.has_value());
     CHECK(result->settled.has_value());
+    CHECK(*result->progressLoaded <= *result->settled);
     CHECK(result->firstStart.has_value());
     CHECK(result->allStarted.has_value());
     CHECK(*result->firstStart <= *result->allStarted);
--- a/Utilities/bergamot-bench/RecoveryBench.cpp
+++ b/Utilities/bergamot-bench/RecoveryBench.cpp
@@ -33,6 +33,7 @@
         { "peak_mb", static_cast<double>(result.peakBytes) / bytesPerMegabyte },
         { "read_mb", static_cast<double>(result.readBytes) / bytesPerMegabyte }, { "store_calls", result.storeCalls },
         { "stored_mb", static_cast<double>(result.storedBytes) / bytesPerMegabyte },
+        { "progress_loaded_ms", millisOrNull(result.progressLoaded) },
         { "first_start_ms", millisOrNull(result.firstStart) }, { "settled_ms", millisOrNull(result.settled) },
         { "all_started_ms", millisOrNull(result.allStarted) } };
 }
--- a/Utilities/bergamot-bench/RecoveryResult.h
+++ b/Utilities/bergamot-bench/RecoveryResult.h
@@ -25,6 +25,9 @@
 
     /// Keys and values of the newest records in the store.
     uint64_t storedBytes { 0 };
+
+    /// When the progress had been read. Until then the node does not renew the leases of the workers.
+    std::optional<Milliseconds> progressLoaded {};
     std::optional<Milliseconds> firstStart {};
     std::optional<Milliseconds> settled {};
 
--- a/Utilities/bergamot-bench/RecoveryRun.cpp
+++ b/Utilities/bergamot-bench/RecoveryRun.cpp
@@ -213,6 +213,8 @@
     m_result.elections = elections.size();
     if (elections.empty())
         return;
+    if (auto loaded = m_log.timesOf("progress_loaded"); !loaded.empty())
+        m_result.progressLoaded = loaded.front() - elections.front();
     if (auto settled = m_log.timesOf("leader_settled"); !settled.empty())
         m_result.settled = settled.front() - elections.front();
     if (auto start = m_starts.firstStartAt())
--- a/Utilities/bergamot-bench/main.cpp
+++ b/Utilities/bergamot-bench/main.cpp
@@ -26,7 +26,7 @@
   --node PATH  The program bergamot-node for the recovery; by default the one beside this program.
   --ended N    Number of ended jobs of a single recovery; by default several recoveries run, up to 1,000,000.
 
-The recovery starts processes of the node on loopback, and needs up to 4 GB of memory. "recovery" includes "store-size".
+The recovery starts processes of the node on loopback, and needs up to 1.5 GB of memory. "recovery" includes "store-size".
 )";
 
 static int runRecoveryBench(uint64_t seed, std::map<std::string, docopt::value>& arguments, bool withRecoveries)
