Let the measured recovery take over running tasks

The node that took over found no running tasks, so a recovery that ends them cost nothing. The first leader now loads the ended jobs and starts 900 of the 1,000 live ones before it is killed; the other 100 wait for the second. "restarted_tasks" counts the runs that were lost.

--- a/Tests/BenchParts/TestRecoveryRun.cpp
+++ b/Tests/BenchParts/TestRecoveryRun.cpp
@@ -36,6 +36,7 @@
     CHECK(result->firstStart.has_value());
     CHECK(result->allStarted.has_value());
     CHECK(*result->firstStart <= *result->allStarted);
+    LONGS_EQUAL(0, result->restartedTasks);
     CHECK(result->peakBytes > 1'000'000);
     CHECK(result->storedBytes > 1000 * 100);
     CHECK(result->readBytes > result->storedBytes);
--- a/Utilities/bergamot-bench/RecoveryBench.cpp
+++ b/Utilities/bergamot-bench/RecoveryBench.cpp
@@ -35,7 +35,7 @@
         { "stored_mb", static_cast<double>(result.storedBytes) / bytesPerMegabyte },
         { "progress_loaded_ms", millisOrNull(result.progressLoaded) },
         { "first_start_ms", millisOrNull(result.firstStart) }, { "settled_ms", millisOrNull(result.settled) },
-        { "all_started_ms", millisOrNull(result.allStarted) } };
+        { "all_started_ms", millisOrNull(result.allStarted) }, { "restarted_tasks", result.restartedTasks } };
 }
 
 /// The cost of one ended job, from two runs with different numbers of ended jobs.
--- a/Utilities/bergamot-bench/RecoveryResult.h
+++ b/Utilities/bergamot-bench/RecoveryResult.h
@@ -16,7 +16,7 @@
     /// Elections of the node during the run; more than one means that it lost its leadership.
     size_t elections { 0 };
 
-    /// Largest resident size of the node's process (VmHWM) up to the start of the last live job.
+    /// Largest resident size of the node's process (VmHWM) up to two seconds after the recovery.
     uint64_t peakBytes { 0 };
 
     /// Calls to the store and bytes of its replies, from the start of the process on.
@@ -26,7 +26,7 @@
     /// Keys and values of the newest records in the store.
     uint64_t storedBytes { 0 };
 
-    /// When the progress had been read. Until then the node does not renew the leases of the workers.
+    /// When the progress had been read. The records of the jobs follow.
     std::optional<Milliseconds> progressLoaded {};
     std::optional<Milliseconds> firstStart {};
     std::optional<Milliseconds> settled {};
@@ -34,6 +34,9 @@
     /// When all live jobs had been started.
     std::optional<Milliseconds> allStarted {};
 
+    /// Running tasks of the earlier leader that were started again, because their leases had expired.
+    size_t restartedTasks { 0 };
+
     bool operator==(const RecoveryResult&) const = default;
 };
 
--- a/Utilities/bergamot-bench/RecoveryRun.cpp
+++ b/Utilities/bergamot-bench/RecoveryRun.cpp
@@ -30,10 +30,12 @@
 static constexpr uint64_t jobsPerAppend = 250;
 static constexpr Milliseconds appendTimeout { 10'000 };
 static constexpr Milliseconds checkInterval { 20 };
-static constexpr Milliseconds maxElectionTime { 30'000 };
 static constexpr Milliseconds maxFillTime { 300'000 };
 static constexpr Milliseconds maxRecoveryTime { 600'000 };
 
+/// Time in which tasks are started again whose leases expired during the recovery.
+static constexpr Milliseconds observationTime { 2000 };
+
 /// A killed node is not started again during the run.
 static constexpr Milliseconds nodeDowntime { 24 * 3'600'000 };
 
@@ -71,8 +73,8 @@
         return status;
     m_store->putOperatorRecord(
         configurationKey, configurationText(1, { { .name = "batch", .pathPrefix = "/batch/" } }));
-    m_stageEndsAt = m_loop->now() + maxElectionTime;
-    startNode("first");
+    enter(Stage::Filling, maxFillTime);
+    fill(0, m_options.endedJobs + jobsOfFirstLeader(), [this] { startFirstLeader(); });
     checkStage();
     m_loop->run();
     if (!m_status.ok())
@@ -123,33 +125,35 @@
         fail(absl::UnavailableError("the node cannot be started"));
 }
 
+void RecoveryRun::enter(Stage stage, Milliseconds maxTime)
+{
+    m_stage = stage;
+    m_stageEndsAt = m_loop->now() + maxTime;
+}
+
 void RecoveryRun::checkStage()
 {
     bool hasTimedOut = m_loop->now() >= m_stageEndsAt;
-    if (m_stage == Stage::FirstLeader && !m_log.timesOf("leader_settled").empty()) {
-        m_nodes.back()->kill(0, nodeDowntime);
-        m_stage = Stage::Filling;
-        m_stageEndsAt = m_loop->now() + maxFillTime;
-        fill(0);
-    } else if (m_stage == Stage::Recovery && (isRecovered() || hasTimedOut)) {
-        measure();
-        close();
-    } else if (m_stage == Stage::Closing && hasTimedOut) {
+    if (m_stage == Stage::Closing && hasTimedOut)
         return m_loop->stop();
-    } else if (hasTimedOut) {
+    if (m_stage == Stage::FirstLeader && hasSettled(jobsOfFirstLeader()))
+        killFirstLeader();
+    else if (m_stage == Stage::Recovery && (hasSettled(m_options.liveJobs) || hasTimedOut))
+        enter(Stage::Observing, observationTime);
+    else if (m_stage == Stage::Observing && hasTimedOut)
+        measure();
+    else if (hasTimedOut)
         fail(absl::DeadlineExceededError("the run does not reach its recovery"));
-    }
     m_loop->callAfter(checkInterval, [this] { checkStage(); });
 }
 
-/// Stores the records of ended jobs from `firstJob` on and then those of the live jobs. Each group of jobs goes to one
-/// partition, as if one node had accepted it.
-void RecoveryRun::fill(uint64_t firstJob)
+/// Stores the records of these jobs, those of the ended jobs first. Each group of jobs goes to one partition, as if one
+/// node had accepted it.
+void RecoveryRun::fill(uint64_t firstJob, uint64_t endJob, std::function<void()> onDone)
 {
-    auto jobs = m_options.endedJobs + m_options.liveJobs;
-    if (firstJob >= jobs)
-        return startRecovery();
-    auto end = std::min(firstJob + jobsPerAppend, jobs);
+    if (firstJob >= endJob)
+        return onDone();
+    auto end = std::min(firstJob + jobsPerAppend, endJob);
     std::vector<KeyedRecord> accepted;
     std::vector<KeyedRecord> ends;
     for (auto n = firstJob; n < end; ++n) {
@@ -159,9 +163,11 @@
             ends.push_back(m_records.end(n));
     }
     auto partition = static_cast<uint32_t>(firstJob / jobsPerAppend % jobPartitions);
-    append(StreamName::Progress, 0, std::move(ends), [this, partition, end, accepted = std::move(accepted)] {
-        append(StreamName::Jobs, partition, accepted, [this, end] { fill(end); });
-    });
+    auto continueFilling = [this, end, endJob, onDone = std::move(onDone)] { fill(end, endJob, onDone); };
+    append(
+        StreamName::Progress, 0, std::move(ends), [this, partition, accepted = std::move(accepted), continueFilling] {
+            append(StreamName::Jobs, partition, accepted, continueFilling);
+        });
 }
 
 void RecoveryRun::append(
@@ -177,17 +183,31 @@
         });
 }
 
-void RecoveryRun::startRecovery()
+/// The others are waiting when the second leader takes over.
+uint64_t RecoveryRun::jobsOfFirstLeader() const { return m_options.liveJobs - m_options.liveJobs / 10; }
+
+void RecoveryRun::startFirstLeader()
+{
+    enter(Stage::FirstLeader, maxRecoveryTime);
+    startNode("first");
+}
+
+void RecoveryRun::killFirstLeader()
 {
-    m_stage = Stage::Recovery;
-    m_stageEndsAt = m_loop->now() + maxRecoveryTime;
-    m_trafficBefore = m_store->traffic();
-    startNode("second");
+    m_nodes.back()->kill(0, nodeDowntime);
+    m_starts.forgetTimes();
+    enter(Stage::Recovery, maxRecoveryTime);
+    auto jobs = m_options.endedJobs + m_options.liveJobs;
+    fill(m_options.endedJobs + jobsOfFirstLeader(), jobs, [this] {
+        m_trafficBefore = m_store->traffic();
+        startNode("second");
+    });
 }
 
-bool RecoveryRun::isRecovered() const
+/// Whether the current node has settled, and this many live jobs have been started.
+bool RecoveryRun::hasSettled(uint64_t startedJobs) const
 {
-    return m_starts.startedTasks() >= m_options.liveJobs && !m_log.timesOf("leader_settled").empty();
+    return m_starts.startedTasks() >= startedJobs && !m_log.timesOf("leader_settled").empty();
 }
 
 /// Returns the largest resident size of a process so far, from the kernel's line "VmHWM: N kB".
@@ -212,7 +232,8 @@
     auto elections = m_log.timesOf("leadership_begins");
     m_result.elections = elections.size();
     if (elections.empty())
-        return;
+        return fail(absl::DeadlineExceededError("the node is not elected"));
+    close();
     if (auto loaded = m_log.timesOf("progress_loaded"); !loaded.empty())
         m_result.progressLoaded = loaded.front() - elections.front();
     if (auto settled = m_log.timesOf("leader_settled"); !settled.empty())
@@ -220,7 +241,8 @@
     if (auto start = m_starts.firstStartAt())
         m_result.firstStart = *start - elections.front();
     if (m_starts.startedTasks() >= m_options.liveJobs)
-        m_result.allStarted = *m_starts.lastNewStartAt() - elections.front();
+        m_result.allStarted = *m_starts.lastStartAt() - elections.front();
+    m_result.restartedTasks = m_starts.repeatedStarts();
 }
 
 void RecoveryRun::fail(absl::Status status)
@@ -232,9 +254,9 @@
 /// Kills the node, and ends the run once its calls have been answered.
 void RecoveryRun::close()
 {
-    m_nodes.back()->kill(0, nodeDowntime);
-    m_stage = Stage::Closing;
-    m_stageEndsAt = m_loop->now() + closingTime;
+    if (!m_nodes.empty())
+        m_nodes.back()->kill(0, nodeDowntime);
+    enter(Stage::Closing, closingTime);
 }
 
 }
--- a/Utilities/bergamot-bench/RecoveryRun.h
+++ b/Utilities/bergamot-bench/RecoveryRun.h
@@ -27,8 +27,9 @@
 class StoreStandIn;
 class TaskWorker;
 
-/// Measures one recovery: a node process leads and is killed, the store is filled with the records of ended and live
-/// jobs, and a second process takes over. The store and the workers are stand-ins in the process of the caller.
+/// Measures one recovery: the store is filled with the records of ended jobs, a node process starts most of the live
+/// jobs and is killed, and a second process takes over. The store and the workers are stand-ins in the process of the
+/// caller.
 class RecoveryRun {
 public:
     struct Options {
@@ -50,16 +51,19 @@
     absl::StatusOr<RecoveryResult> run();
 
 private:
-    enum class Stage : uint8_t { FirstLeader, Filling, Recovery, Closing };
+    enum class Stage : uint8_t { Filling, FirstLeader, Recovery, Observing, Closing };
 
     std::string hostAddress(size_t number) const;
     absl::Status startStandIns();
     void startNode(const std::string& name);
     void checkStage();
-    void fill(uint64_t firstJob);
+    void enter(Stage, Milliseconds maxTime);
+    void fill(uint64_t firstJob, uint64_t endJob, std::function<void()> onDone);
     void append(StreamName, uint32_t partition, std::vector<KeyedRecord>, std::function<void()> onDone);
-    void startRecovery();
-    bool isRecovered() const;
+    uint64_t jobsOfFirstLeader() const;
+    void startFirstLeader();
+    void killFirstLeader();
+    bool hasSettled(uint64_t startedJobs) const;
     void measure();
     void fail(absl::Status);
     void close();
@@ -77,7 +81,7 @@
     /// One group for each process that was started, the current one last.
     std::vector<std::unique_ptr<NodeGroup>> m_nodes;
     NodeLog m_log { {} };
-    Stage m_stage { Stage::FirstLeader };
+    Stage m_stage { Stage::Filling };
     Instant m_stageEndsAt { neverInstant };
     StoreTraffic m_trafficBefore;
     RecoveryResult m_result;
