Show that running tasks end while a new leader reads ended jobs

Not mended here: sessions that start before the jobs are known report runs and ends of unknown jobs, and the assigned workers lie behind the progress of all jobs in the key order.

--- a/Tests/LibNode/NodeFixture.h
+++ b/Tests/LibNode/NodeFixture.h
@@ -133,6 +133,9 @@
     std::map<std::string, std::vector<RunReport>> runs;
     std::vector<std::pair<TaskRef, std::string>> starts;
 
+    /// When a lease renewal was last sent to each worker.
+    std::map<std::string, Instant> lastRenewals;
+
 private:
     TaskCommandReply accepted() const
     {
@@ -143,6 +146,7 @@
     {
         for (auto n = taskExecutor.renewLeaseCalls.size(); n > 0; --n) {
             auto call = taskExecutor.takeRenewLeaseCall();
+            lastRenewals[call.address] = clock.now();
             if (!silent.contains(call.address))
                 call.reply(RenewLeaseReply {
                     .commandReply = accepted(), .running = runs[call.address], .endCoverage = RunEndCoverage::All });
