--- a/Utilities/bergamot-bench/RecoveryBench.cpp
+++ b/Utilities/bergamot-bench/RecoveryBench.cpp
@@ -1,9 +1,11 @@
 #include "RecoveryBench.h"
 #include "RecoveryRun.h"
 #include "StoreGrowth.h"
+#include <LibCore/StatusText.h>
 #include <array>
 #include <cstdlib>
 #include <filesystem>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <ostream>
@@ -72,7 +74,8 @@
         auto result = run.run();
         // The logs are kept, since they show what went wrong.
         if (!result.ok())
-            return result.status();
+            return absl::Status(
+                result.status().code(), fmt::format("{}; logs in {}", statusText(result.status()), folder));
         results.push_back(*result);
         out << toJson(*result, m_options.seed).dump() << '\n' << std::flush;
     }
