Call a job unknown only after a read that began after the query

What callers saw: a job whose acceptance had been answered with 200 was answered with 410, "no such job", which callers do not ask about again; a cancellation of it was stored and answered in the same way.

Cause: the leader took the job streams for current for 2.5 s after the last read that reached their end. A job that was accepted since then, and that a failed or late read had not delivered yet, counted as one that does not exist. The cancellation waited 250 ms, a guess at the time until the job is read.

Fix: such a query waits until each job stream has been read to its end by a read that began after the query arrived. An accepted job is stored before its caller can ask, so that read has it. StreamReader::checkEnd() sends a read that does not wait for records, so the answer about a job that does not exist takes as long as one read instead of a long poll.

TaskLeader.AcceptedJobIsNotCalledUnknownBeforeTheNextRead fails on the code before ("statusAfterNextRead("x") == Unavailable failed") and passes now. In TaskLeader.UnknownJobIsReportedOnlyByACurrentLeader the answer about the unknown job is awaited, because it no longer comes within the call.

--- a/Libraries/LibNode/StreamReader.cpp
+++ b/Libraries/LibNode/StreamReader.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/StatusText.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/StreamReader.h>
+#include <algorithm>
 #include <utility>
 
 namespace Bergamot {
@@ -92,6 +93,23 @@
         });
 }
 
+/// The read in progress delivers any records at the end, so that they stay in order.
+void StreamReader::checkEnd()
+{
+    if (!m_isCaughtUp || std::exchange(m_isCheckingEnd, true))
+        return;
+    m_store.read(m_options.stream, m_options.partition, m_position, Milliseconds { 0 },
+        [this, alive = m_alive, startedAt = m_loop.now()](absl::StatusOr<ReadReply> reply) {
+            if (!*alive)
+                return;
+            m_isCheckingEnd = false;
+            if (!reply.ok() || reply->isExpired || !m_isCaughtUp || m_position < reply->end)
+                return;
+            m_currentAsOf = std::max(m_currentAsOf, startedAt);
+            guardedCall("catch_up_failed", m_options.onCaughtUp);
+        });
+}
+
 void StreamReader::handleReadReply(const ReadReply& reply, Instant startedAt)
 {
     if (reply.isExpired) {
@@ -102,7 +120,7 @@
     m_position += reply.records.size();
     if (m_position >= reply.end) {
         m_isCaughtUp = true;
-        m_currentAsOf = startedAt;
+        m_currentAsOf = std::max(m_currentAsOf, startedAt);
         // The reads go on, because later records need not depend on what failed.
         guardedCall("catch_up_failed", m_options.onCaughtUp);
     }
--- a/Libraries/LibNode/StreamReader.h
+++ b/Libraries/LibNode/StreamReader.h
@@ -48,6 +48,10 @@
     void start();
     bool hasLoaded() const { return m_hasLoaded; }
 
+    /// Sends a read that does not wait for a record, so that `currentAsOf` advances if the end of the stream has been
+    /// reached. Without effect while the records are loaded or while such a read is in progress.
+    void checkEnd();
+
     /// Start time of the last read that reached the end of the stream.
     Instant currentAsOf() const { return m_currentAsOf; }
 
@@ -75,6 +79,7 @@
     bool m_hasLoaded { false };
     bool m_isCaughtUp { false };
     bool m_hasLastReadFailed { false };
+    bool m_isCheckingEnd { false };
     Instant m_currentAsOf { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -260,6 +260,7 @@
 void TaskLeader::handleJobsCaughtUp()
 {
     dropOrphanedEnds();
+    answerQueriesOfUnknownJobs();
     if (hasLoadedJobs() && !std::exchange(m_areSessionsStarted, true)) {
         confirmInheritedCrashes();
         startDueSessions();
@@ -505,6 +506,8 @@
         startDueSessions();
         markUnreachedWorkers();
         dropExpiredMisdirectedLeases();
+        answerQueriesOfUnknownJobs();
+        checkJobStreamsForQueries();
     });
     guardedCall("plan_failed", [&] { plan(); });
     guardedCall("tick_failed", [&] {
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -65,8 +65,9 @@
 
     /// Replies immediately, except that the cancellation of a job that has not ended is confirmed once it is stored. No
     /// cancellation is confirmed before the workers are contacted.
-    /// That of an unknown job is retried once after a short delay and then stored too, since the job may be read later.
-    void handleQuery(const JobQuery&, std::function<void(const JobQueryReply&)>, bool isRetry = false);
+    /// That of an unknown job is stored too, since the job may be read later. A job is called unknown only once the job
+    /// streams have been read since the query arrived: it may have been accepted after an earlier read.
+    void handleQuery(const JobQuery&, std::function<void(const JobQueryReply&)>);
 
 private:
     /// Bounds of the time-out after which a command without a reply is retried. Retries are idempotent.
@@ -150,6 +151,13 @@
         std::function<void(const JobQueryReply&)> callback;
     };
 
+    /// A query whose job this leader has not read.
+    struct UnansweredQuery {
+        JobQuery query;
+        Instant receivedAt { neverInstant };
+        std::function<void(const JobQueryReply&)> callback;
+    };
+
     /// What follows once a collected batch is stored.
     struct CollectedBatch {
         std::vector<std::pair<WorkerHandle, uint64_t>> acknowledgements;
@@ -215,6 +223,11 @@
     void handleStartReply(WorkerHandle, const StartTask&, TaskCommandOutcome);
     std::optional<WorkerHandle> findHandle(const WorkerId&) const;
     void updateWorkerInScheduler(WorkerHandle);
+    bool isJobStreamCurrent() const;
+    void answerOnceRead(const JobQuery&, std::function<void(const JobQueryReply&)>);
+    void checkJobStreamsForQueries();
+    void answerQueriesOfUnknownJobs();
+    void answerAsUnknown(const JobQuery&, std::function<void(const JobQueryReply&)>);
     void cancelUnknownJob(PendingCancellation);
     ProgressBatch collectProgress();
     void handleProgressStored(const ProgressBatch&);
@@ -310,6 +323,9 @@
     std::vector<PendingCancellation> m_pendingCancellations;
     std::vector<PendingCancellation> m_cancellationsOfUnknownJobs;
 
+    /// Queries that wait for the next read of the job streams.
+    std::vector<UnansweredQuery> m_queriesOfUnknownJobs;
+
     /// The batches that the journal has collected and not stored yet, in that order.
     std::deque<CollectedBatch> m_collectedBatches;
     bool m_areSessionsStarted { false };
--- a/Libraries/LibNode/TaskLeaderQueries.cpp
+++ b/Libraries/LibNode/TaskLeaderQueries.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Logger.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/TaskLeader.h>
+#include <algorithm>
 #include <utility>
 
 namespace Bergamot {
@@ -8,9 +9,6 @@
 /// A leader that has not read the end of the job streams for this long cannot tell whether a job exists.
 static constexpr Milliseconds maxJobStreamAge { 2500 };
 
-/// Time within which the leader has read an accepted job from the job streams.
-static constexpr Milliseconds acceptedJobReadDelay { 250 };
-
 /// Stores the cancellation before it is confirmed. The job may be read later, because its append is carried out late.
 void TaskLeader::cancelUnknownJob(PendingCancellation cancellation)
 {
@@ -21,12 +19,66 @@
     m_journal.requestFlush();
 }
 
-void TaskLeader::handleQuery(const JobQuery& query, std::function<void(const JobQueryReply&)> callback, bool isRetry)
+bool TaskLeader::isJobStreamCurrent() const
+{
+    return hasLoadedJobs() && m_loop.now() - jobsCurrentAsOf() < maxJobStreamAge;
+}
+
+/// Keeps the query until the job streams have been read again. The requesting node repeats it meanwhile.
+void TaskLeader::answerOnceRead(const JobQuery& query, std::function<void(const JobQueryReply&)> callback)
+{
+    auto it = std::ranges::find_if(m_queriesOfUnknownJobs, [&](const UnansweredQuery& other) {
+        return other.query.queryId == query.queryId && other.query.replyAddress == query.replyAddress;
+    });
+    if (it != m_queriesOfUnknownJobs.end())
+        it->callback = std::move(callback);
+    else
+        m_queriesOfUnknownJobs.push_back({ query, m_loop.now(), std::move(callback) });
+    checkJobStreamsForQueries();
+}
+
+void TaskLeader::checkJobStreamsForQueries()
+{
+    if (m_queriesOfUnknownJobs.empty())
+        return;
+    for (auto& reader : m_jobReaders) {
+        if (reader->currentAsOf() < m_queriesOfUnknownJobs.back().receivedAt)
+            reader->checkEnd();
+    }
+}
+
+void TaskLeader::answerQueriesOfUnknownJobs()
+{
+    std::vector<UnansweredQuery> due;
+    std::erase_if(m_queriesOfUnknownJobs, [&](UnansweredQuery& it) {
+        bool isOutdated = m_loop.now() - it.receivedAt >= maxJobStreamAge;
+        if (!isOutdated && jobsCurrentAsOf() >= it.receivedAt)
+            due.push_back(std::move(it));
+        else if (!isOutdated)
+            return false;
+        return true;
+    });
+    for (auto& it : due) {
+        if (m_scheduler.stateOf(it.query.subject))
+            handleQuery(it.query, std::move(it.callback));
+        else
+            answerAsUnknown(it.query, std::move(it.callback));
+    }
+}
+
+void TaskLeader::answerAsUnknown(const JobQuery& query, std::function<void(const JobQueryReply&)> callback)
+{
+    JobQueryReply reply { .queryId = query.queryId, .status = JobQueryStatus::Unknown };
+    if (query.kind == JobQueryKind::Cancel)
+        return cancelUnknownJob({ .job = query.subject, .reply = reply, .callback = std::move(callback) });
+    callback(reply);
+}
+
+void TaskLeader::handleQuery(const JobQuery& query, std::function<void(const JobQueryReply&)> callback)
 {
     JobQueryReply reply { .queryId = query.queryId };
-    bool isCurrent = hasLoadedJobs() && m_loop.now() - jobsCurrentAsOf() < maxJobStreamAge;
     if (query.kind == JobQueryKind::Pending) {
-        if (isCurrent)
+        if (isJobStreamCurrent())
             reply.status = JobQueryStatus::Found;
         reply.pending = m_scheduler.pendingJobs(query.subject);
         return callback(reply);
@@ -36,20 +88,10 @@
     if (query.kind == JobQueryKind::Cancel && !m_areSessionsStarted)
         return callback(reply);
     auto state = m_scheduler.stateOf(query.subject);
-    if (!state && isCurrent && query.kind == JobQueryKind::Cancel && !isRetry) {
-        // The job may have been accepted by another node and not yet read by this one.
-        m_loop.callAfter(acceptedJobReadDelay, [this, alive = m_alive, query, callback = std::move(callback)] {
-            if (*alive)
-                handleQuery(query, callback, true);
-        });
-        return;
-    }
     if (!state) {
-        if (isCurrent && !m_jobsWithUnreadableProgress.contains(query.subject))
-            reply.status = JobQueryStatus::Unknown;
-        if (query.kind != JobQueryKind::Cancel || reply.status != JobQueryStatus::Unknown)
+        if (!isJobStreamCurrent() || m_jobsWithUnreadableProgress.contains(query.subject))
             return callback(reply);
-        return cancelUnknownJob({ .job = query.subject, .reply = reply, .callback = std::move(callback) });
+        return answerOnceRead(query, std::move(callback));
     }
     reply.status = JobQueryStatus::Found;
     reply.state = *state;
--- a/Tests/LibNode/TestStreamReader.cpp
+++ b/Tests/LibNode/TestStreamReader.cpp
@@ -342,3 +342,28 @@
     advance(Milliseconds { 600 });
     CHECK((known == std::map<std::string, std::string> { { "b", "2" }, { "c", "1" } }));
 }
+
+// Guards against replies about unknown jobs that wait for the end of a read which waits for records, and against a
+// reader that passes for current although the store holds a record that it has not delivered.
+TEST(StreamReader, CheckOfTheEndDoesNotWaitAndDeliversNothing)
+{
+    start();
+    advance(Milliseconds { 50 });
+    auto askedAt = clock.now();
+    reader->checkEnd();
+    advance(Milliseconds { 6 });
+    CHECK(reader->currentAsOf() >= askedAt);
+
+    store.unreadable.insert({ StreamName::Workers, 0 });
+    advance(Milliseconds { 200 });
+    put("a", "1");
+    store.unreadable.clear();
+    askedAt = clock.now();
+    reader->checkEnd();
+    advance(Milliseconds { 6 });
+    CHECK(reader->currentAsOf() < askedAt);
+    CHECK(records.empty());
+    advance(Milliseconds { 400 });
+    CHECK_EQUAL(1, records.size());
+    CHECK(reader->currentAsOf() >= askedAt);
+}
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -27,6 +27,7 @@
     PlainFormats formats;
     NodeMetrics metrics;
     int fencedCalls { 0 };
+    uint64_t lastQueryId { 0 };
     bool canStart { true };
     Instant soleLeaderUntil { Instant::max() };
     ElectionHistory elections;
@@ -191,9 +192,20 @@
 
     std::optional<JobQueryReply> query(JobQueryKind kind, const std::string& subject)
     {
-        std::optional<JobQueryReply> result;
-        leader->handleQuery({ .kind = kind, .subject = subject }, [&result](const JobQueryReply& it) { result = it; });
-        return result;
+        auto result = std::make_shared<std::optional<JobQueryReply>>();
+        leader->handleQuery({ .kind = kind, .subject = subject }, [result](const JobQueryReply& it) { *result = it; });
+        return *result;
+    }
+
+    /// Asks for a job, and gives the leader time to read the job streams again.
+    JobQueryStatus statusAfterNextRead(const std::string& job)
+    {
+        constexpr Milliseconds maxReadInterval { 900 };
+        auto result = std::make_shared<JobQueryStatus>(JobQueryStatus::Unavailable);
+        leader->handleQuery({ .queryId = ++lastQueryId, .kind = JobQueryKind::State, .subject = job },
+            [result](const JobQueryReply& it) { *result = it.status; });
+        advance(maxReadInterval);
+        return *result;
     }
 
     JobStage stageOf(const std::string& id)
@@ -786,13 +798,28 @@
     CHECK(query(JobQueryKind::Pending, "q")->status == JobQueryStatus::Unavailable);
     store.unreadable.clear();
     advance(Milliseconds { 2000 });
-    CHECK(query(JobQueryKind::State, "x")->status == JobQueryStatus::Unknown);
+    CHECK(statusAfterNextRead("x") == JobQueryStatus::Unknown);
     CHECK(query(JobQueryKind::Pending, "q")->status == JobQueryStatus::Found);
     store.unreadable.insert({ StreamName::Jobs, 1 });
     advance(Milliseconds { 4000 });
     CHECK(query(JobQueryKind::State, "x")->status == JobQueryStatus::Unavailable);
 }
 
+// Guards against an accepted job that is called unknown, because the leader has read its stream a second before, but
+// not since (issue 55).
+TEST(TaskLeader, AcceptedJobIsNotCalledUnknownBeforeTheNextRead)
+{
+    lead(false);
+    advance(Milliseconds { 2000 });
+    store.unreadable.insert({ StreamName::Jobs, 0 });
+    // Lets the read in progress end.
+    advance(Milliseconds { 1000 });
+    putJob("x");
+    CHECK(statusAfterNextRead("x") == JobQueryStatus::Unavailable);
+    store.unreadable.clear();
+    CHECK(statusAfterNextRead("x") == JobQueryStatus::Found);
+}
+
 // Guards against a leader that never schedules because a call failed while it was loading its state.
 TEST(TaskLeader, FailedLoadIsRetried)
 {
