Show the cancellation of an unknown job only once it is stored

What callers saw: a job was shown as cancelled while no cancellation of it was stored. Had the leader ended then, the next one would have run it.

Cause: the leader put the end of the unknown job among those that earlier leaders had stored as soon as the cancellation arrived. A job that it read before the append was stored got that end at once.

Fix: the end counts as stored only when it is. If the job is read before, it is added and cancelled like any known job, whose end is shown once it is stored and which starts no task.

TaskLeader.CancellationOfAnUnknownJobIsShownOnceItIsStored fails on the code before ("stageOf("j") == JobStage::Queued failed") and passes now.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -240,6 +240,8 @@
         return;
     logInfo("job_known",
         { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
+    if (isBeingCancelled(id))
+        m_scheduler.cancelJob(id);
     applyEndsOf(id);
 }
 
@@ -361,8 +363,11 @@
         cancel.callback(cancel.reply);
         return true;
     });
-    for (const auto& cancel : collected.cancellationsOfUnknownJobs)
+    for (const auto& cancel : collected.cancellationsOfUnknownJobs) {
+        if (!m_scheduler.stateOf(cancel.job))
+            m_scheduler.restoreEnd(cancel.job, JobStage::Cancelled);
         cancel.callback(cancel.reply);
+    }
     // Only run ends collected before this batch may be acknowledged: later ones are not stored yet.
     for (auto [handle, sequence] : collected.acknowledgements) {
         if (auto it = m_workers.find(handle); it != m_workers.end())
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -229,6 +229,7 @@
     void answerQueriesOfUnknownJobs();
     void answerAsUnknown(const JobQuery&, std::function<void(const JobQueryReply&)>);
     void cancelUnknownJob(PendingCancellation);
+    bool isBeingCancelled(const JobId&) const;
     ProgressBatch collectProgress();
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
--- a/Libraries/LibNode/TaskLeaderQueries.cpp
+++ b/Libraries/LibNode/TaskLeaderQueries.cpp
@@ -9,16 +9,26 @@
 /// A leader that has not read the end of the job streams for this long cannot tell whether a job exists.
 static constexpr Milliseconds maxJobStreamAge { 2500 };
 
-/// Stores the cancellation before it is confirmed. The job may be read later, because its append is carried out late.
+/// Stores the cancellation before it is confirmed or shown. The job may be read later, because its append is carried
+/// out late.
 void TaskLeader::cancelUnknownJob(PendingCancellation cancellation)
 {
-    const auto& job = cancellation.job;
-    logInfo("unknown_job_cancelled", { { "job", job } });
-    m_scheduler.restoreEnd(job, JobStage::Cancelled);
+    logInfo("unknown_job_cancelled", { { "job", cancellation.job } });
     m_cancellationsOfUnknownJobs.push_back(std::move(cancellation));
     m_journal.requestFlush();
 }
 
+/// Whether the cancellation of the job, which was unknown when it arrived, is not stored yet.
+bool TaskLeader::isBeingCancelled(const JobId& job) const
+{
+    auto contains = [&](const std::vector<PendingCancellation>& cancellations) {
+        return std::ranges::find(cancellations, job, &PendingCancellation::job) != cancellations.end();
+    };
+    return contains(m_cancellationsOfUnknownJobs) || std::ranges::any_of(m_collectedBatches, [&](const auto& it) {
+        return contains(it.cancellationsOfUnknownJobs);
+    });
+}
+
 bool TaskLeader::isJobStreamCurrent() const
 {
     return hasLoadedJobs() && m_loop.now() - jobsCurrentAsOf() < maxJobStreamAge;
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -722,6 +722,29 @@
     CHECK(stageOf("j") == JobStage::Cancelled);
 }
 
+// Guards against a job that is shown as cancelled before its cancellation is stored: the leader reads the job only
+// then, and may end before that (issue 55).
+TEST(TaskLeader, CancellationOfAnUnknownJobIsShownOnceItIsStored)
+{
+    announce("w1", 50);
+    lead(false);
+    reportFor(Milliseconds { 1500 }, "w1", 50);
+    store.maxCallBytes = 0;
+    auto isConfirmed = std::make_shared<bool>(false);
+    leader->handleQuery({ .queryId = ++lastQueryId, .kind = JobQueryKind::Cancel, .subject = "j" },
+        [isConfirmed](const JobQueryReply&) { *isConfirmed = true; });
+    reportFor(Milliseconds { 300 }, "w1", 50);
+    putJob("j");
+    reportFor(Milliseconds { 1000 }, "w1", 50);
+    CHECK_FALSE(*isConfirmed);
+    CHECK(stageOf("j") == JobStage::Queued);
+    store.maxCallBytes = size_t { 2 } << 20U;
+    reportFor(Milliseconds { 1000 }, "w1", 50);
+    CHECK(*isConfirmed);
+    CHECK(stageOf("j") == JobStage::Cancelled);
+    CHECK(taskExecutor.commands.empty());
+}
+
 // Guards against a run of a cancelled job that goes on because the leader that confirmed the cancellation has ended
 // before its stop, while the next leader reads the job late.
 TEST(TaskLeader, NextLeaderStopsTheRunOfACancelledJob)
