Judge a job by no older configuration than the one that accepted it

What callers saw: a job was shown as failed after one failed run, although the configuration under which it was accepted allows three.

Cause: a queue of the leader's table stood for the queue's policy whatever version the table had. A node that had read a newer configuration accepted the job; the leader, whose read of the operators' stream was lost or late, ended it by the limit before. The policy at acceptance, which the job carries, applied only if the leader's table lacked the queue.

Fix: the job also carries the version that its policy comes from (a new field at the end; 0, "not sent", in jobs of older processes). The leader takes the newer of the two policies, so the limit, the service and the priority of a job are never older than at its acceptance.

TaskScheduler.JobIsJudgedByNoOlderConfigurationThanItsOwn fails on the code before (no second start after the first failed run) and passes now.

--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -14,9 +14,10 @@
 
 TaskScheduler::~TaskScheduler() = default;
 
-void TaskScheduler::setQueues(std::map<std::string, QueuePolicy> queues)
+void TaskScheduler::setQueues(std::map<std::string, QueuePolicy> queues, uint64_t configVersion)
 {
     m_queues = std::move(queues);
+    m_configVersion = configVersion;
     for (auto& [id, job] : m_jobs)
         enforceMaxAttemptsOfAllTasks(*job);
 }
@@ -33,9 +34,11 @@
 {
     // Without a service, no task of an unknown queue starts; its failures are counted but do not fail the job.
     static const QueuePolicy unknownQueuePolicy { .maxAttempts = std::numeric_limits<uint32_t>::max() };
-    if (auto it = m_queues.find(job.spec.queue); it != m_queues.end())
+    const auto& atAcceptance = job.spec.policyAtAcceptance;
+    bool isOwnPolicyNewer = atAcceptance && job.spec.configVersionAtAcceptance > m_configVersion;
+    if (auto it = m_queues.find(job.spec.queue); it != m_queues.end() && !isOwnPolicyNewer)
         return it->second;
-    return job.spec.policyAtAcceptance ? *job.spec.policyAtAcceptance : unknownQueuePolicy;
+    return atAcceptance ? *atAcceptance : unknownQueuePolicy;
 }
 
 TrackedTask* TaskScheduler::findTask(TrackedJob& job, const TaskRef& task)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -58,7 +58,8 @@
     explicit TaskScheduler(Options);
     ~TaskScheduler();
 
-    void setQueues(std::map<std::string, QueuePolicy>);
+    /// The queues of this version of the configuration. Jobs that were accepted under a newer version keep its policy.
+    void setQueues(std::map<std::string, QueuePolicy>, uint64_t configVersion = 0);
     void setExcludedZones(std::set<ZoneId>);
 
     /// Returns false if the job is known already. Its tasks do not start before `blockedUntil`, because runs that an
@@ -416,6 +417,7 @@
 
     Options m_options;
     std::map<std::string, QueuePolicy> m_queues;
+    uint64_t m_configVersion { 0 };
     std::set<ZoneId> m_excludedZones;
     std::unordered_map<JobId, std::unique_ptr<TrackedJob>> m_jobs;
     EndedJobs m_endedJobs;
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -123,7 +123,7 @@
         return respond(*sharedResponder, request.method == "POST" ? 400 : 410, "the id is not 16 hexadecimal digits");
     JobId id(idText);
     if (request.method == "POST")
-        return submit(request, *queueRoute, id, sharedResponder);
+        return submit(request, *queueRoute, routing->version, id, sharedResponder);
     if (request.method == "GET")
         return forwardQuery(JobQueryKind::State, id, deadlineOf(request), sharedResponder);
     if (request.method == "DELETE")
@@ -131,8 +131,8 @@
     respond(*sharedResponder, 405, "method not allowed");
 }
 
-void NodeIngress::submit(
-    const HttpRequest& request, const QueueRoute& route, const JobId& id, SharedResponder responder)
+void NodeIngress::submit(const HttpRequest& request, const QueueRoute& route, uint64_t configVersion, const JobId& id,
+    SharedResponder responder)
 {
     auto job = m_formats.readJob(request.body);
     if (!job.ok()) {
@@ -143,6 +143,7 @@
     job->id = id;
     job->queue = route.queue;
     job->policyAtAcceptance = route.policy;
+    job->configVersionAtAcceptance = configVersion;
     job->acceptedAtMs = std::chrono::duration_cast<Milliseconds>(now).count();
     m_acceptor.accept(*job, deadlineOf(request), [this, id, responder, startedAt = m_loop.now()](AcceptResult result) {
         logInfo("job_submitted",
--- a/Libraries/LibNode/NodeIngress.h
+++ b/Libraries/LibNode/NodeIngress.h
@@ -6,6 +6,7 @@
 #include <LibNode/QueryRouter.h>
 #include <LibPlatform/PlatformFormats.h>
 #include <LibPlatform/RoutingTable.h>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,7 +35,7 @@
     using SharedResponder = std::shared_ptr<HttpResponder>;
 
     void route(const HttpRequest&, HttpResponder);
-    void submit(const HttpRequest&, const QueueRoute&, const JobId&, SharedResponder);
+    void submit(const HttpRequest&, const QueueRoute&, uint64_t configVersion, const JobId&, SharedResponder);
     void forwardQuery(JobQueryKind, const std::string& subject, Instant deadline, SharedResponder);
     Instant deadlineOf(const HttpRequest&) const;
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -530,7 +530,7 @@
 void TaskLeader::setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy> queues)
 {
     m_configVersion = configVersion;
-    m_scheduler.setQueues(std::move(queues));
+    m_scheduler.setQueues(std::move(queues), configVersion);
     schedulePlan();
 }
 
--- a/Libraries/LibWire/JobSpec.h
+++ b/Libraries/LibWire/JobSpec.h
@@ -36,6 +36,9 @@
     /// Policy of the queue when it accepted the job; it applies after the queue is removed from the configuration.
     std::optional<QueuePolicy> policyAtAcceptance {};
 
+    /// Version of the configuration that `policyAtAcceptance` comes from; 0 if unknown.
+    uint64_t configVersionAtAcceptance { 0 };
+
     /// Returns InvalidArgument when a leader cannot hold or start the job: a value beyond the limits in JobLimits.h, or
     /// text that cannot be sent to a worker.
     absl::Status check() const;
@@ -44,7 +47,8 @@
     absl::Status checkWork() const;
 
     bool operator==(const JobSpec&) const = default;
-    MSGPACK_DEFINE_ARRAY(id, queue, payload, steps, repeats, firstDueMs, intervalMs, acceptedAtMs, policyAtAcceptance)
+    MSGPACK_DEFINE_ARRAY(id, queue, payload, steps, repeats, firstDueMs, intervalMs, acceptedAtMs, policyAtAcceptance,
+        configVersionAtAcceptance)
 };
 
 }
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -103,6 +103,27 @@
     CHECK(scheduler.takeChangedJobs().back().state == JobStage::Failed);
 }
 
+// Guards against a job that is shown as failed because the leader has not read the configuration under which another
+// node accepted it, and applies the limit before (issue 55).
+TEST(TaskScheduler, JobIsJudgedByNoOlderConfigurationThanItsOwn)
+{
+    fixture.addWorker(1);
+    scheduler.setQueues({ { "quick", { .service = "token", .maxAttempts = 1 } } }, 7);
+    auto job = fixture.job("j", { fixture.step(1) });
+    job.policyAtAcceptance = QueuePolicy { .service = "token", .maxAttempts = 3 };
+    job.configVersionAtAcceptance = 8;
+    scheduler.addJob(job, std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    fixture.endRun(starts[0], RunOutcome::Failed);
+    starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    fixture.endRun(starts[0], RunOutcome::Failed, 2);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+    scheduler.setQueues({ { "quick", { .service = "token", .maxAttempts = 2 } } }, 9);
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Failed);
+}
+
 // Guards against a new leader that starts a task which a worker may still run for an earlier leader.
 TEST(TaskScheduler, StoredJobWaitsUntilAllWorkersHaveReplied)
 {
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -168,6 +168,7 @@
     STRCMP_EQUAL(id, storedJob().id.c_str());
     STRCMP_EQUAL("short", storedJob().queue.c_str());
     CHECK(storedJob().acceptedAtMs > 0);
+    CHECK_EQUAL(1, storedJob().configVersionAtAcceptance);
 }
 
 // Guards against 504 for a job that is definitely not stored: the caller would wait before it submits the job
--- a/Tests/LibWire/TestJobSpec.cpp
+++ b/Tests/LibWire/TestJobSpec.cpp
@@ -14,6 +14,7 @@
     JobSpec job { .id = "a", .queue = "q", .steps = { {} } };
     job.policyAtAcceptance
         = QueuePolicy { .service = "s", .priority = 2, .maxAttempts = 3, .stretch = 1.5, .targetLatencyMs = 250 };
+    job.configVersionAtAcceptance = 81;
     auto decoded = decodeValue<JobSpec>(encodeValue(job));
     CHECK(decoded.ok());
     CHECK(*decoded == job);
@@ -28,4 +29,5 @@
     CHECK(decoded.ok());
     CHECK_EQUAL(9, decoded->acceptedAtMs);
     CHECK_FALSE(decoded->policyAtAcceptance.has_value());
+    CHECK_EQUAL(0, decoded->configVersionAtAcceptance);
 }
