Fail no job by a configuration that may have been replaced

What callers saw: a job was shown as failed by a limit of attempts that the operators had raised long before.

Cause: a node may lead once it has read the operators' records, however long ago, and the leader judged failed runs by its table whatever the age of that table. A leader whose reads of the operators' stream fail for longer than the 17 s within which a configuration is to be in force ended jobs by a limit that no longer was.

Fix: a job fails for its failed runs only while the operators' records have been read to their end within 5 s. Until then the failed runs are counted and stored, and the job starts no task, so it makes no attempt beyond a limit that may still hold; `task_waits` calls the reason outdated_configuration. The judgement follows with the next read.

With the age taken as always recent, Node.FirstFailureDoesNotFailAJobByAnOutdated- Configuration fails ("CHECK_FALSE(isStoredAsFailed) failed"); with the fix it passes, as does TaskScheduler.AttemptsAreJudgedByACurrentConfiguration- Only.

--- a/Libraries/LibDecision/PlacementDelay.h
+++ b/Libraries/LibDecision/PlacementDelay.h
@@ -20,7 +20,9 @@
     /// The worker of its latest run has not listed that run for some time, and the run is not known to have ended.
     UnlistedRun,
     /// A run of another member of the gang has not ended.
-    GangMember
+    GangMember,
+    /// A task of the job has used up its attempts by a configuration that may be outdated.
+    OutdatedConfiguration
 };
 
 }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -173,6 +173,11 @@
             ++it;
             continue;
         }
+        if (ready.job->awaitsConfiguration) {
+            tracked.delay = PlacementDelay::OutdatedConfiguration;
+            ++it;
+            continue;
+        }
         if (unplaced.covers(placementClass, spec.size))
             tracked.delay = PlacementDelay::NoWorker;
         else if (!placeStep(ready, now) && !hasPlacementConstraint(spec))
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -39,15 +39,26 @@
     }
 }
 
-/// Fails the job when the task has used up the attempts that its queue allows.
+/// Fails the job when the task has used up the attempts that its queue allows, once the limit is known to be in force.
 void TaskScheduler::enforceMaxAttempts(TrackedJob& job, const TrackedTask& task)
 {
-    if (!task.done && task.failures >= policyOf(job).maxAttempts)
+    if (task.done || task.failures < policyOf(job).maxAttempts)
+        return;
+    if (m_isConfigurationCurrent)
         finishJob(job, JobStage::Failed);
+    else
+        job.awaitsConfiguration = true;
+}
+
+void TaskScheduler::enforceMaxAttemptsOfAllJobs()
+{
+    for (auto& [id, job] : m_jobs)
+        enforceMaxAttemptsOfAllTasks(*job);
 }
 
 void TaskScheduler::enforceMaxAttemptsOfAllTasks(TrackedJob& job)
 {
+    job.awaitsConfiguration = false;
     for (auto it = job.failedRuns.begin(); it != job.failedRuns.end() && !job.hasEnded(); ++it) {
         if (const auto* task = findTask(job, { job.spec.id, it->occurrence, it->step, it->index }))
             enforceMaxAttempts(job, *task);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -18,8 +18,13 @@
 {
     m_queues = std::move(queues);
     m_configVersion = configVersion;
-    for (auto& [id, job] : m_jobs)
-        enforceMaxAttemptsOfAllTasks(*job);
+    enforceMaxAttemptsOfAllJobs();
+}
+
+void TaskScheduler::setConfigurationCurrent(bool current)
+{
+    if (!std::exchange(m_isConfigurationCurrent, current) && current)
+        enforceMaxAttemptsOfAllJobs();
 }
 
 void TaskScheduler::setExcludedZones(std::set<ZoneId> zones) { m_excludedZones = std::move(zones); }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -62,6 +62,10 @@
     void setQueues(std::map<std::string, QueuePolicy>, uint64_t configVersion = 0);
     void setExcludedZones(std::set<ZoneId>);
 
+    /// Whether the queues are those of a recent read of the operators' records. While they are not, a job whose task
+    /// has used up its attempts neither fails nor starts tasks, because the limit may have been raised.
+    void setConfigurationCurrent(bool);
+
     /// Returns false if the job is known already. Its tasks do not start before `blockedUntil`, because runs that an
     /// earlier leader started may still be active. `knownAt` is when this leader read the job.
     bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant);
@@ -261,6 +265,7 @@
     const QueuePolicy& policyOf(const TrackedJob&) const;
     void enforceMaxAttempts(TrackedJob&, const TrackedTask&);
     void enforceMaxAttemptsOfAllTasks(TrackedJob&);
+    void enforceMaxAttemptsOfAllJobs();
     static TrackedTask* findTask(TrackedJob&, const TaskRef&);
     static TrackedRun* findRun(TrackedTask&, uint64_t run);
     const TrackedRun* findRunOn(WorkerHandle, const TaskRef&, uint64_t run);
@@ -418,6 +423,7 @@
     Options m_options;
     std::map<std::string, QueuePolicy> m_queues;
     uint64_t m_configVersion { 0 };
+    bool m_isConfigurationCurrent { true };
     std::set<ZoneId> m_excludedZones;
     std::unordered_map<JobId, std::unique_ptr<TrackedJob>> m_jobs;
     EndedJobs m_endedJobs;
--- a/Libraries/LibDecision/TaskSuspects.cpp
+++ b/Libraries/LibDecision/TaskSuspects.cpp
@@ -55,7 +55,8 @@
 {
     std::vector<WaitingSuspect> suspects;
     for (const auto& [key, ready] : m_readySteps) {
-        if (ready.job->crashes.isEmpty() || ready.job->hasEnded() || ready.job->knownAt > knownBy)
+        bool isHeldBack = ready.job->knownAt > knownBy || ready.job->awaitsConfiguration;
+        if (ready.job->crashes.isEmpty() || ready.job->hasEnded() || isHeldBack)
             continue;
         auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
         setWaitingSince(step, now);
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -33,6 +33,10 @@
     CrashHistory storedCrashes {};
     bool started { false };
 
+    /// A task has used up its attempts by a limit that may be outdated. The job starts no task until the limit is
+    /// known.
+    bool awaitsConfiguration { false };
+
     /// Whether the end was returned for storage. It is the last record of the job.
     bool isEndCollected { false };
 
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -19,6 +19,10 @@
 /// be elected while the store is down, and workers reject the commands of a leader that has been replaced.
 static constexpr Milliseconds maxUnconfirmedLeadership { 12000 };
 
+/// Operators expect a new configuration to be in force within 17 s. A decision that cannot be taken back rests on a
+/// configuration that was read within this time, so that it may wait for the store as long again.
+static constexpr Milliseconds maxConfigurationAge { 5000 };
+
 Node::Node(Services services, NodeOptions options)
     : m_services(services)
     , m_options(std::move(options))
@@ -121,6 +125,7 @@
                         m_leadership.stepDown();
                 },
             .canStart = [this] { return canStart(); },
+            .isConfigurationCurrent = [this] { return isConfigurationCurrent(); },
             .soleLeaderUntil = [this] { return m_leadership.soleLeaderUntil(m_services.loop.now()); },
             .fenceToken = [this] { return m_leadership.fenceToken(); } });
     m_metrics.setLeader(true, epoch);
@@ -149,6 +154,11 @@
     return isConfirmedSinceSuspension() && isStoreRecent;
 }
 
+bool Node::isConfigurationCurrent() const
+{
+    return m_services.loop.now() - m_operators.currentAsOf() < maxConfigurationAge;
+}
+
 bool Node::isConfirmedSinceSuspension()
 {
     auto now = m_services.loop.now();
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -68,6 +68,7 @@
     void handleElected(uint64_t epoch, bool hasPredecessor);
     void handleDeposed();
     bool canStart();
+    bool isConfigurationCurrent() const;
 
     /// False if another node may have been elected since this process was suspended.
     bool isConfirmedSinceSuspension();
--- a/Libraries/LibNode/OutcomeNames.cpp
+++ b/Libraries/LibNode/OutcomeNames.cpp
@@ -25,8 +25,8 @@
 
 std::string_view nameOf(PlacementDelay delay)
 {
-    constexpr std::array<std::string_view, 8> names { "none", "earlier_leader", "headroom", "no_worker",
-        "unconfirmed_leadership", "crash_suspicion", "unlisted_run", "gang_member" };
+    constexpr std::array<std::string_view, 9> names { "none", "earlier_leader", "headroom", "no_worker",
+        "unconfirmed_leadership", "crash_suspicion", "unlisted_run", "gang_member", "outdated_configuration" };
     return names[static_cast<size_t>(delay)];
 }
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -236,6 +236,7 @@
     // A job accepted after this leader has read the streams was never started by an earlier leader, so its tasks do not
     // have to wait for earlier leases to expire.
     auto blockedUntil = m_isReconciled || hasLoadedJobs() ? neverInstant : m_earlierLeasesExpireAt;
+    updateConfigurationAge();
     if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now()))
         return;
     logInfo("job_known",
@@ -426,6 +427,7 @@
     if (!hasLoadedJobs())
         return;
     m_lastPlanAt = m_loop.now();
+    updateConfigurationAge();
     for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow(), startPermission())) {
         auto handle = std::visit([](const auto& command) { return command.worker; }, action);
         recordCommand(action);
@@ -461,7 +463,7 @@
 void TaskLeader::updateOldestWaits()
 {
     auto oldest = m_scheduler.oldestWaits(m_loop.now());
-    for (auto reason = PlacementDelay::EarlierLeader; reason <= PlacementDelay::GangMember;
+    for (auto reason = PlacementDelay::EarlierLeader; reason <= PlacementDelay::OutdatedConfiguration;
          reason = static_cast<PlacementDelay>(static_cast<uint8_t>(reason) + 1)) {
         auto wait = oldest.find(reason);
         m_metrics.setOldestWait(nameOf(reason), wait == oldest.end() ? Milliseconds { 0 } : wait->second);
@@ -530,10 +532,18 @@
 void TaskLeader::setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy> queues)
 {
     m_configVersion = configVersion;
+    // Jobs that wait for a current configuration must not be judged by the queues before.
     m_scheduler.setQueues(std::move(queues), configVersion);
+    updateConfigurationAge();
     schedulePlan();
 }
 
+/// Must precede each event after which a job may fail.
+void TaskLeader::updateConfigurationAge()
+{
+    m_scheduler.setConfigurationCurrent(!m_options.isConfigurationCurrent || m_options.isConfigurationCurrent());
+}
+
 void TaskLeader::setExcludedZones(std::set<ZoneId> zones) { m_scheduler.setExcludedZones(std::move(zones)); }
 
 }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -48,6 +48,9 @@
         /// Whether this node may start tasks now.
         std::function<bool()> canStart {};
 
+        /// Whether the queues come from a recent read of the operators' records. Not set for queues that do not change.
+        std::function<bool()> isConfigurationCurrent {};
+
         /// Time up to which no other node has been elected for certain.
         std::function<Instant()> soleLeaderUntil {};
 
@@ -219,6 +222,7 @@
     void keepEndsOfUnknownJobs(Worker&);
     void applyEndsOf(const JobId&);
     void dropOrphanedEnds();
+    void updateConfigurationAge();
     void handleReport(WorkerHandle, const RenewLeaseReply&, Instant requestSentAt);
     void handleStartReply(WorkerHandle, const StartTask&, TaskCommandOutcome);
     std::optional<WorkerHandle> findHandle(const WorkerId&) const;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -376,6 +376,7 @@
 {
     auto now = m_loop.now();
     m_load.recordReport();
+    updateConfigurationAge();
     auto& worker = m_workers.at(handle);
     if (worker.incarnation.startedAtMs != worker.session->startedAtMs()) {
         m_assignedWorkersChanged = m_assignedWorkersChanged || worker.incarnation.startedAtMs != 0;
--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -37,7 +37,7 @@
           "slow", "start_withdrawn" })
     , m_jobStates({ "completed", "failed", "cancelled" })
     , m_waitReasons({ "earlier_leader", "headroom", "no_worker", "unconfirmed_leadership", "crash_suspicion",
-          "unlisted_run", "gang_member" })
+          "unlisted_run", "gang_member", "outdated_configuration" })
     , m_submissionLatency(histogramFamily("bergamot_node_submission_seconds", "Time to accept or refuse a job."),
           { { "result", m_submissionResults } }, latencyBounds)
     , m_queryLatency(histogramFamily("bergamot_node_query_seconds", "Time to answer a question about jobs."),
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -50,7 +50,7 @@
     void setQueue(uint32_t waitingTasks, uint32_t activeRuns);
 
     /// Sets the longest current wait of a task for the reason. Reasons: earlier_leader, headroom, no_worker,
-    /// unconfirmed_leadership, crash_suspicion, unlisted_run, gang_member.
+    /// unconfirmed_leadership, crash_suspicion, unlisted_run, gang_member, outdated_configuration.
     void setOldestWait(std::string_view reason, std::chrono::milliseconds wait);
     void setWorkers(size_t reachable, size_t known);
     void setConfigVersion(uint64_t version);
--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -124,6 +124,35 @@
     CHECK(scheduler.takeChangedJobs().back().state == JobStage::Failed);
 }
 
+// Guards against a job that is shown as failed by a limit that has been raised since the leader could last read the
+// configuration (issue 55), and against attempts beyond the limit meanwhile.
+TEST(TaskScheduler, AttemptsAreJudgedByACurrentConfigurationOnly)
+{
+    fixture.addWorker(1);
+    auto fail = [&](const JobId& id) {
+        scheduler.addJob(fixture.job(id, { fixture.step(1) }), std::nullopt, neverInstant);
+        auto starts = fixture.planStarts();
+        CHECK_EQUAL(1, starts.size());
+        scheduler.setConfigurationCurrent(false);
+        fixture.endRun(starts[0], RunOutcome::Failed);
+        CHECK_EQUAL(0, fixture.planStarts().size());
+        CHECK(scheduler.takeChangedJobs().back().state == JobStage::Running);
+    };
+    scheduler.setQueues({ { "quick", { .service = "token", .maxAttempts = 1 } } }, 7);
+    fail("raised");
+    scheduler.setQueues({ { "quick", { .service = "token", .maxAttempts = 2 } } }, 8);
+    scheduler.setConfigurationCurrent(true);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    fixture.endRun(starts[0], RunOutcome::Done, 2);
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Completed);
+
+    scheduler.setQueues({ { "quick", { .service = "token", .maxAttempts = 1 } } }, 9);
+    fail("unchanged");
+    scheduler.setConfigurationCurrent(true);
+    CHECK(scheduler.takeChangedJobs().back().state == JobStage::Failed);
+}
+
 // Guards against a new leader that starts a task which a worker may still run for an earlier leader.
 TEST(TaskScheduler, StoredJobWaitsUntilAllWorkersHaveReplied)
 {
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -125,6 +125,37 @@
     CHECK_FALSE(taskExecutor.commands.empty());
 }
 
+// Guards against a job that is shown as failed by a limit that the operators have raised while the leader could not
+// read their records (issue 55).
+TEST(Node, FirstFailureDoesNotFailAJobByAnOutdatedConfiguration)
+{
+    formats.changes["strict"] = RoutingTable { .version = 8,
+        .routes = { { .queue = "batch", .pathPrefix = "/b/", .policy = { .service = "token", .maxAttempts = 1 } } } };
+    formats.changes["lenient"] = RoutingTable { .version = 9,
+        .routes = { { .queue = "batch", .pathPrefix = "/b/", .policy = { .service = "token", .maxAttempts = 3 } } } };
+    store.put(StreamName::Operators, "config", "strict");
+    startNode();
+    advance(Milliseconds { 300 });
+    store.unreadable.insert({ StreamName::Operators, 0 });
+    // Lets the read in progress end.
+    advance(Milliseconds { 1000 });
+    store.put(StreamName::Operators, "config", "lenient");
+    advance(Milliseconds { 6000 });
+    constexpr uint64_t runOfAnEarlierLeader = 1;
+    for (int i = 0; i < 20; ++i) {
+        advance(Milliseconds { 100 });
+        answerRenewLeaseCalls(runOfAnEarlierLeader);
+    }
+    CHECK_FALSE(isStoredAsFailed(firstTask.job));
+    store.unreadable.clear();
+    for (int i = 0; i < 40; ++i) {
+        advance(Milliseconds { 100 });
+        answerRenewLeaseCalls(runOfAnEarlierLeader);
+    }
+    CHECK_FALSE(isStoredAsFailed(firstTask.job));
+    CHECK_FALSE(taskExecutor.commands.empty());
+}
+
 // Guards against seconds without configuration and leader after a restart when the first replies of the store are lost.
 TEST(Node, LostRepliesToTheFirstReadsCostLessThanASecond)
 {
