--- a/Tests/LibNode/FakeFormats.h
+++ b/Tests/LibNode/FakeFormats.h
@@ -7,7 +7,7 @@
 namespace Bergamot {
 
 /// Looks up the parsed form of each record by its text, in maps filled by the test.
-class FakeFormats final : public PlatformFormats {
+class FakeFormats : public PlatformFormats {
 public:
     absl::StatusOr<OperatorChange> readOperatorRecord(const KeyedRecord& record) const override
     {
--- a/Tests/LibNode/FaultyWorkers.h
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -92,6 +92,15 @@
     std::function<void(const TaskRef&, uint64_t run)> onStart { [](const TaskRef&, uint64_t) {} };
     std::function<void(const TaskRef&, uint64_t run)> onCrash { [](const TaskRef&, uint64_t) {} };
 
+    /// How a run ends that has run for its whole duration.
+    std::function<RunOutcome(const TaskRef&, uint64_t run)> outcomeOf { [](const TaskRef&, uint64_t) {
+        return RunOutcome::Done;
+    } };
+
+    /// Called when a run has ended, and when its end has been acknowledged.
+    std::function<void(const RunEnd&)> onEnd { [](const RunEnd&) {} };
+    std::function<void(const RunEnd&)> onAcknowledged { [](const RunEnd&) {} };
+
     /// Tasks that have ended as done, as far as the ends were not lost in a crash before they were acknowledged.
     std::set<TaskRef> done;
     Resources capacity { 8000, 32000, 0 };
@@ -241,6 +250,7 @@
                 return false;
             if (it.outcome == RunOutcome::Done)
                 acknowledged.emplace(it.task, m_loop.now());
+            onAcknowledged(it);
             return true;
         });
     }
@@ -268,7 +278,7 @@
             run.idleSince = neverInstant;
             run.done += passed;
             if (!shape.longRunning && run.done >= shape.duration)
-                over.emplace_back(task, RunOutcome::Done);
+                over.emplace_back(task, outcomeOf(task, run.run));
         }
         for (const auto& [task, outcome] : over)
             end(worker, task, outcome);
@@ -294,6 +304,7 @@
             done.insert(task);
         worker.ends.push_back(
             { .sequence = ++worker.lastSequence, .task = task, .run = run, .outcome = outcome, .checkpoint = {} });
+        onEnd(worker.ends.back());
     }
 
     TaskCommandReply reply(const Worker& worker, TaskCommandOutcome outcome) const
