--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -238,10 +238,13 @@
     // A job accepted after this leader has read the streams was never started by an earlier leader, so its tasks do not
     // have to wait for earlier leases to expire.
     auto blockedUntil = m_isReconciled || hasLoadedJobs() ? neverInstant : m_earlierLeasesExpireAt;
+    updateConfigurationAge();
     if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now()))
         return;
     logInfo("job_known",
         { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
+    if (isBeingCancelled(id))
+        m_scheduler.cancelJob(id);
     applyEndsOf(id);
 }
 
@@ -262,6 +265,7 @@
 void TaskLeader::handleJobsCaughtUp()
 {
     dropOrphanedEnds();
+    answerQueriesOfUnknownJobs();
     if (hasLoadedJobs() && !std::exchange(m_areSessionsStarted, true)) {
         confirmInheritedCrashes();
         startDueSessions();
@@ -362,8 +366,11 @@
         cancel.callback(cancel.reply);
         return true;
     });
-    for (const auto& cancel : collected.cancellationsOfUnknownJobs)
+    for (const auto& cancel : collected.cancellationsOfUnknownJobs) {
+        if (!m_scheduler.stateOf(cancel.job))
+            m_scheduler.restoreEnd(cancel.job, JobStage::Cancelled);
         cancel.callback(cancel.reply);
+    }
     // Only run ends collected before this batch may be acknowledged: later ones are not stored yet.
     for (auto [handle, sequence] : collected.acknowledgements) {
         if (auto it = m_workers.find(handle); it != m_workers.end())
@@ -422,6 +429,7 @@
     if (!hasLoadedJobs())
         return;
     m_lastPlanAt = m_loop.now();
+    updateConfigurationAge();
     for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow(), startPermission())) {
         auto handle = std::visit([](const auto& command) { return command.worker; }, action);
         recordCommand(action);
@@ -457,7 +465,7 @@
 void TaskLeader::updateOldestWaits()
 {
     auto oldest = m_scheduler.oldestWaits(m_loop.now());
-    for (auto reason = PlacementDelay::EarlierLeader; reason <= PlacementDelay::GangMember;
+    for (auto reason = PlacementDelay::EarlierLeader; reason <= PlacementDelay::OutdatedConfiguration;
          reason = static_cast<PlacementDelay>(static_cast<uint8_t>(reason) + 1)) {
         auto wait = oldest.find(reason);
         m_metrics.setOldestWait(nameOf(reason), wait == oldest.end() ? Milliseconds { 0 } : wait->second);
@@ -508,6 +516,8 @@
         startDueSessions();
         markUnreachedWorkers();
         dropExpiredMisdirectedLeases();
+        answerQueriesOfUnknownJobs();
+        checkJobStreamsForQueries();
     });
     guardedCall("plan_failed", [&] { plan(); });
     guardedCall("tick_failed", [&] {
@@ -525,10 +535,18 @@
 void TaskLeader::setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy> queues)
 {
     m_configVersion = configVersion;
-    m_scheduler.setQueues(std::move(queues));
+    // Jobs that wait for a current configuration must not be judged by the queues before.
+    m_scheduler.setQueues(std::move(queues), configVersion);
+    updateConfigurationAge();
     schedulePlan();
 }
 
+/// Must precede each event after which a job may fail.
+void TaskLeader::updateConfigurationAge()
+{
+    m_scheduler.setConfigurationCurrent(!m_options.isConfigurationCurrent || m_options.isConfigurationCurrent());
+}
+
 void TaskLeader::setExcludedZones(std::set<ZoneId> zones) { m_scheduler.setExcludedZones(std::move(zones)); }
 
 }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -52,6 +52,9 @@
         /// Whether this node may start tasks now.
         std::function<bool()> canStart {};
 
+        /// Whether the queues come from a recent read of the operators' records. Not set for queues that do not change.
+        std::function<bool()> isConfigurationCurrent {};
+
         /// Time up to which no other node has been elected for certain.
         std::function<Instant()> soleLeaderUntil {};
 
@@ -69,8 +72,9 @@
 
     /// Replies immediately, except that the cancellation of a job that has not ended is confirmed once it is stored. No
     /// cancellation is confirmed before the workers are contacted.
-    /// That of an unknown job is retried once after a short delay and then stored too, since the job may be read later.
-    void handleQuery(const JobQuery&, std::function<void(const JobQueryReply&)>, bool isRetry = false);
+    /// That of an unknown job is stored too, since the job may be read later. A job is called unknown only once the job
+    /// streams have been read since the query arrived: it may have been accepted after an earlier read.
+    void handleQuery(const JobQuery&, std::function<void(const JobQueryReply&)>);
 
 private:
     /// Bounds of the time-out after which a command without a reply is retried. Retries are idempotent.
@@ -163,6 +167,13 @@
         std::function<void(const JobQueryReply&)> callback;
     };
 
+    /// A query whose job this leader has not read.
+    struct UnansweredQuery {
+        JobQuery query;
+        Instant receivedAt { neverInstant };
+        std::function<void(const JobQueryReply&)> callback;
+    };
+
     /// What follows once a collected batch is stored.
     struct CollectedBatch {
         std::vector<std::pair<WorkerHandle, uint64_t>> acknowledgements;
@@ -224,11 +235,18 @@
     void keepEndsOfUnknownJobs(Worker&);
     void applyEndsOf(const JobId&);
     void dropOrphanedEnds();
+    void updateConfigurationAge();
     void handleReport(WorkerHandle, const RenewLeaseReply&, Instant requestSentAt);
     void handleStartReply(WorkerHandle, const StartTask&, TaskCommandOutcome);
     std::optional<WorkerHandle> findHandle(const WorkerId&) const;
     void updateWorkerInScheduler(WorkerHandle);
+    bool isJobStreamCurrent() const;
+    void answerOnceRead(const JobQuery&, std::function<void(const JobQueryReply&)>);
+    void checkJobStreamsForQueries();
+    void answerQueriesOfUnknownJobs();
+    void answerAsUnknown(const JobQuery&, std::function<void(const JobQueryReply&)>);
     void cancelUnknownJob(PendingCancellation);
+    bool isBeingCancelled(const JobId&) const;
     ProgressBatch collectProgress();
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
@@ -329,6 +347,9 @@
     std::vector<PendingCancellation> m_pendingCancellations;
     std::vector<PendingCancellation> m_cancellationsOfUnknownJobs;
 
+    /// Queries that wait for the next read of the job streams.
+    std::vector<UnansweredQuery> m_queriesOfUnknownJobs;
+
     /// The batches that the journal has collected and not stored yet, in that order.
     std::deque<CollectedBatch> m_collectedBatches;
     bool m_areSessionsStarted { false };
