--- a/Tests/LibNode/RestartDay.h
+++ b/Tests/LibNode/RestartDay.h
@@ -223,12 +223,28 @@
         request("POST", id, encodeValue(spec), [this, id](const HttpResponse& response) {
             model.jobs[id].isAccepted = response.status == 200;
             model.jobs[id].isRefused = response.status == 503 || response.status == 404;
+            if (model.jobs[id].isAccepted && pick(2) == 0)
+                askSoon(id);
         });
     }
 
+    /// The caller of an accepted job asks for it while the leader may not have read it.
+    void askSoon(const JobId& id)
+    {
+        loop->callAfter(pickTime(0, 300), [this, id, isOver = isOver] {
+            if (!*isOver)
+                askFor("GET", id);
+        });
+    }
+
+    /// The job may be the one that is submitted next.
     void askForRandomJob(const std::string& method)
     {
-        auto id = fmt::format("{:016x}", 1 + pick(static_cast<uint32_t>(plans.size()) + 1));
+        askFor(method, fmt::format("{:016x}", 1 + pick(static_cast<uint32_t>(plans.size()) + 1)));
+    }
+
+    void askFor(const std::string& method, const JobId& id)
+    {
         if (method == "DELETE")
             model.jobs[id].isCancelRequested = true;
         bool wasAccepted = model.jobs[id].isAccepted;
