--- a/Tests/LibNode/RestartDay.h
+++ b/Tests/LibNode/RestartDay.h
@@ -348,7 +348,9 @@
         case 2:
             return injectStoreFaults();
         case 3:
-            return makeUnreadable(StreamName::Operators, 0, pickTime(1000, 40000));
+            makeUnreadable(StreamName::Operators, 0, pickTime(1000, 40000));
+            // Some nodes know the next configuration and others do not.
+            return configureRandomly();
         case 4:
             return makeUnreadable(StreamName::Jobs, pick(jobPartitions), pickTime(500, 6000));
         default:
