Ask the workers before earlier leaders that have ended are excluded

What callers would have seen: a task that was done, and whose end a worker still held, ran again after a restart of all hosts.

Cause: the announced ends of earlier leaders excluded them before the leader had contacted any worker, which takes seconds while job streams cannot be read. Inherited tasks were then unblocked by time alone.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -267,6 +267,7 @@
     dropOrphanedEnds();
     answerQueriesOfUnknownJobs();
     if (hasLoadedJobs() && !std::exchange(m_areSessionsStarted, true)) {
+        m_sessionsStartedAt = m_loop.now();
         confirmInheritedCrashes();
         startDueSessions();
     }
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -353,6 +353,7 @@
     /// The batches that the journal has collected and not stored yet, in that order.
     std::deque<CollectedBatch> m_collectedBatches;
     bool m_areSessionsStarted { false };
+    Instant m_sessionsStartedAt { neverInstant };
     bool m_isReconciled { false };
 
     /// Time until which an earlier leader may renew leases of workers that this leader has not reached.
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -181,9 +181,12 @@
     return std::ranges::any_of(stored.workers, &UnreachedWorker::isDoubtful) ? stored.oldestEpoch : stored.epoch;
 }
 
-/// A leader that has ended renews no lease, however few workers this leader reaches.
+/// A leader that has ended renews no lease, however few workers this leader reaches. The workers are asked first: they
+/// may hold ends of runs, whose tasks would start again.
 bool TaskLeader::haveEarlierLeadersStopped() const
 {
+    if (!m_areSessionsStarted || m_loop.now() - m_sessionsStartedAt < silenceUntilStored)
+        return false;
     return m_options.haveLeadersStopped && m_options.haveLeadersStopped(oldestUnexcludedEpoch(), m_options.epoch);
 }
 
