Wait for leaders that the author of the stored record had not excluded

A further leader took a stored record without doubtful workers for proof that its author had excluded all leaders before it. The author also stores such a record when it has reached all workers that decide about older leaders, but not half of the assigned ones, on which the leader directly before it relies. Once the author had stopped, the further leader did not wait for that one, which may go on renewing leases without the store: a task could run twice.

The record now always names the first leader that its author had not excluded. In records of older versions it is unknown, so that all leaders since the first election must have stopped.

--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -240,7 +240,6 @@
     ReachedWorkers earlierWorkers() const;
     ReachedWorkers olderWorkers() const;
     bool hasReachedHalfOfEarlierWorkers() const;
-    uint64_t oldestUnexcludedEpoch() const;
     bool haveEarlierLeadersStopped() const;
     void updateEarlierRenewals();
     bool wereEarlierLeadersExcludedLate() const;
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -73,7 +73,8 @@
 /// From here on the record may be stored, so the leases of its workers are withheld.
 UnreachedWorkers TaskLeader::collectUnreachedWorkers()
 {
-    UnreachedWorkers unreached { .epoch = m_options.epoch };
+    UnreachedWorkers unreached { .epoch = m_options.epoch,
+        .oldestEpoch = m_areEarlierLeadersExcluded ? m_options.epoch : m_storedUnreachedWorkers.oldestEpoch };
     ++m_unreachedRecords;
     for (auto& [handle, worker] : m_workers) {
         // A worker that has replied may have been granted a lease, whatever it replied to.
@@ -96,7 +97,6 @@
         m_isDoubtStored = true;
     }
     unreached.decidingWorkers = hasInheritedDoubt() ? olderWorkers().counted : earlierWorkers().counted;
-    unreached.oldestEpoch = oldestUnexcludedEpoch();
     return unreached;
 }
 
@@ -173,18 +173,11 @@
     return earlierWorkers().isHalfReached() && olderWorkers().isHalfReached();
 }
 
-/// Epoch of the first leader that may still renew leases, according to the stored record; 0 if it is unknown. The
-/// author of a record without doubtful workers had excluded all leaders before it.
-uint64_t TaskLeader::oldestUnexcludedEpoch() const
-{
-    const auto& stored = m_storedUnreachedWorkers;
-    return std::ranges::any_of(stored.workers, &UnreachedWorker::isDoubtful) ? stored.oldestEpoch : stored.epoch;
-}
-
 /// A leader that has ended renews no lease, however few workers this leader reaches.
 bool TaskLeader::haveEarlierLeadersStopped() const
 {
-    return m_options.haveLeadersStopped && m_options.haveLeadersStopped(oldestUnexcludedEpoch(), m_options.epoch);
+    return m_options.haveLeadersStopped
+        && m_options.haveLeadersStopped(m_storedUnreachedWorkers.oldestEpoch, m_options.epoch);
 }
 
 void TaskLeader::updateEarlierRenewals()
--- a/Libraries/LibWire/UnreachedWorkers.h
+++ b/Libraries/LibWire/UnreachedWorkers.h
@@ -18,7 +18,8 @@
     /// been reached. 0 from versions without this field.
     uint64_t decidingWorkers { 0 };
 
-    /// With doubtful workers: the epoch of the first leader that may still renew leases; 0 if it is unknown.
+    /// Epoch of the first leader that may still renew leases: that of the author once it has excluded all earlier ones;
+    /// 0 if it is unknown. A record without doubtful workers may come from an author that has not excluded them.
     uint64_t oldestEpoch { 0 };
 
     bool operator==(const UnreachedWorkers&) const = default;
--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -10,6 +10,7 @@
 #include <LibReport/NodeMetrics.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -76,6 +77,7 @@
                 .node = { .member = "m", .workerSilenceUntilRemoval = Milliseconds { 3000 }, .maxLease = maxLease },
                 .epoch = epoch,
                 .elections = elections,
+                .haveLeadersStopped = haveLeadersStopped,
                 .onFenced = [this] { ++fencedCalls; },
                 .canStart =
                     [this] {
@@ -213,6 +215,9 @@
     bool failsToPlan { false };
     Instant electedAt { neverInstant };
     ElectionHistory elections;
+
+    /// Empty unless the test lets leaders stop: no elections are known before the first leader of the test.
+    std::function<bool(uint64_t, uint64_t)> haveLeadersStopped;
     Instant soleLeaderUntil { Instant::max() };
     std::set<std::string> silent;
 
--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -381,6 +381,43 @@
     CHECK(timeOfStart(electedAt, maxLeaseWait).has_value());
 }
 
+// Guards against a second run of a task: the previous leader has stopped, but the one before it may go on, which relies
+// on workers that were added and that neither successor reaches.
+TEST(UnreachedWorkers, StoppedLeaderDoesNotStandForOneThatItHasNotExcluded)
+{
+    elections.clear();
+    haveLeadersStopped = [this](uint64_t first, uint64_t end) { return elections.haveLeadersStopped(first, end); };
+    const std::set<std::string> reliedOn { "w1", "added2", "added3", "added4", "added5" };
+    for (const auto* id : { "w1", "w2", "w3" })
+        announce(id);
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w2", "w3", "added1" };
+    elect();
+    run(Milliseconds { 300 });
+    for (const auto* id : { "added1", "added2", "added3", "added4", "added5" })
+        announce(id);
+    run(Milliseconds { 2000 });
+    CHECK(isStoredAsUnreached("w2"));
+    CHECK(isStoredAsUnreached("added1"));
+    CHECK(isStoredAsAssigned("added5"));
+    silent = reliedOn;
+    silent.insert("added1");
+    elect();
+    run(Milliseconds { 500 });
+    // The record is stored again, now without doubtful workers.
+    silent = reliedOn;
+    run(Milliseconds { 1500 });
+    CHECK_FALSE(isStoredAsUnreached("added1"));
+    CHECK_FALSE(isStoredAsUnreached("w2"));
+    CHECK_FALSE(isStoredAsUnreached("w3"));
+    elections.leaderStopped(epoch, {}, 0);
+    CHECK(elections.haveLeadersStopped(epoch, epoch + 1));
+    elect();
+    run(Milliseconds { 20'000 });
+    CHECK_EQUAL(0, starts());
+}
+
 // Guards against a start before the leases have ended that the previous leader has renewed until half of the workers
 // were reached, also under a leader that follows then.
 TEST(UnreachedWorkers, LeasesAreCountedFromWhenHalfAreReached)
