--- /dev/null
+++ b/Libraries/LibNode/TaskLeaderRecords.cpp
@@ -0,0 +1,65 @@
+#include <LibCore/Logger.h>
+#include <LibCore/StatusText.h>
+#include <LibNode/TaskLeader.h>
+#include <LibWire/ValueCodec.h>
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+// Reads the state that earlier leaders have stored in the progress stream.
+
+namespace Bergamot {
+
+void TaskLeader::applyProgressRecord(const KeyedRecord& record)
+{
+    if (record.key == assignedWorkersKey) {
+        auto assignedWorkers = decodeValue<AssignedWorkers>(record.value);
+        if (assignedWorkers.ok())
+            m_storedAssignedWorkers = std::move(*assignedWorkers);
+        else
+            logError("roster_unreadable", { { "error", statusText(assignedWorkers.status()) } });
+        return;
+    }
+    if (record.key == unreachedWorkersKey) {
+        // Without this record, the leader waits for all leases from its own election on.
+        if (auto unreached = decodeValue<UnreachedWorkers>(record.value); unreached.ok())
+            m_storedUnreachedWorkers = std::move(*unreached);
+        else
+            logError("unreached_workers_unreadable", { { "error", statusText(unreached.status()) } });
+        return;
+    }
+    if (record.key == pressuresKey) {
+        if (auto pressures = decodeValue<PressureRecord>(record.value); pressures.ok())
+            m_scheduler.restorePressures(*pressures);
+        else
+            logError("pressures_unreadable", { { "error", statusText(pressures.status()) } });
+        return;
+    }
+    auto progress = decodeValue<JobProgress>(record.value);
+    if (!progress.ok())
+        return handleUnreadableProgress(record.key, progress.status());
+    if (progress->state >= JobStage::Completed)
+        m_scheduler.restoreEnd(progress->id, progress->state);
+    else
+        m_storedProgress[progress->id] = std::move(*progress);
+}
+
+void TaskLeader::handleUnreadableProgress(const std::string& key, const absl::Status& status)
+{
+    logError("progress_unreadable", { { "key", key }, { "error", statusText(status) } });
+    if (key.starts_with(jobKeyPrefix))
+        m_jobsWithUnreadableProgress.insert(key.substr(std::string_view(jobKeyPrefix).size()));
+}
+
+/// A worker has one session. Of several stored incarnations, the former ones have ended.
+void TaskLeader::dropReplacedIncarnations()
+{
+    auto& workers = m_storedAssignedWorkers.workers;
+    auto isReplaced = [stored = workers](const WorkerIncarnation& former) {
+        return std::ranges::any_of(stored,
+            [&](const WorkerIncarnation& it) { return it.id == former.id && it.startedAtMs > former.startedAtMs; });
+    };
+    m_assignedWorkersChanged = std::erase_if(workers, isReplaced) > 0 || m_assignedWorkersChanged;
+}
+
+}
