Hold back tasks whose start by a killed leader may be executed late

A worker starts again under its id at 37.4 s, the leader is killed at 38.4 s, and the worker is cut off from 39.5 to 46.7 s. A start of the killed leader without a reply is executed there up to 12 s late, while the next leader starts the task elsewhere once the leases, counted from its election, have expired.

Cause: the starts without a reply were known to the leader that sent them only. The protocol cannot make such a start harmless: the deadline in it is a time by the clock of the former incarnation, the new one has seen no fencing token before its first contact, and the header names the id only.

The leader now stores these starts 0.1 to 0.2 s after they were sent (keys "unanswered/N" of the progress stream), in 32 lists of 64 starts, of which only the changed ones are written, 40 KB/s at most and together with the other progress. The next leader holds back exactly their tasks while a later incarnation of the worker than the one called is known and has not replied: a reply proves that the late start is refused from then on, and lists the run if it was executed before. Without a reply the wait ends after the delay of a call and the longest lease. All other tasks wait as before.

TestLibNode, TestLibDecision, TestLibWire and TestPlatformAdapter pass.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -41,7 +41,7 @@
 /// Whether a run that an earlier leader started may be active.
 bool TaskScheduler::isBlocked(const TrackedTask& task, Instant now) const
 {
-    return task.blockedUntil > now || (!m_mayUnblock && task.blockedUntil != neverInstant);
+    return task.isHeld || task.blockedUntil > now || (!m_mayUnblock && task.blockedUntil != neverInstant);
 }
 
 void TaskScheduler::activateDueOccurrences(int64_t unixMs)
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -215,6 +215,20 @@
     requestStop(handle, ref, run, StopReason::StartWithdrawn, now);
 }
 
+bool TaskScheduler::isUnfinished(const TaskRef& ref)
+{
+    auto* job = findJob(ref.job);
+    const auto* task = job && !job->hasEnded() ? findTask(*job, ref) : nullptr;
+    return task && !task->done;
+}
+
+void TaskScheduler::setHeld(const TaskRef& ref, bool isHeld)
+{
+    auto* job = findJob(ref.job);
+    if (auto* task = job ? findTask(*job, ref) : nullptr)
+        task->isHeld = isHeld;
+}
+
 void TaskScheduler::updateRun(TrackedJob& job, TrackedTask& task, TrackedRun& run, const RunReport& report, Instant now)
 {
     run.confirmedAt = now;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -163,6 +163,12 @@
     size_t runsReported(
         WorkerHandle, const std::vector<RunReport>&, RunEndCoverage, Instant requestSentAt, Instant now);
 
+    /// Whether the job is known and neither it nor the task has ended.
+    bool isUnfinished(const TaskRef&);
+
+    /// While it is held, no run of the task starts: a start that an earlier leader sent may still be executed.
+    void setHeld(const TaskRef&, bool isHeld);
+
     /// Lets tasks start that no worker has listed. Called once all workers have replied to the new leader.
     void unblockTasks();
 
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -33,6 +33,9 @@
     /// A run that an earlier leader started may be active until this time.
     Instant blockedUntil { neverInstant };
 
+    /// A start that an earlier leader sent may still be executed, whatever `blockedUntil` says.
+    bool isHeld { false };
+
     /// Whether a crash directly after a start was withdrawn because the rack or zone of the worker was lost too.
     bool hasExcusedCrash { false };
 };
--- a/Libraries/LibNode/ProgressBatch.h
+++ b/Libraries/LibNode/ProgressBatch.h
@@ -3,7 +3,10 @@
 #include <LibWire/AssignedWorkers.h>
 #include <LibWire/JobProgress.h>
 #include <LibWire/PressureRecord.h>
+#include <LibWire/UnansweredStarts.h>
 #include <LibWire/UnreachedWorkers.h>
+#include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -16,7 +19,13 @@
     std::optional<PressureRecord> pressures {};
     std::optional<UnreachedWorkers> unreachedWorkers {};
 
-    bool isEmpty() const { return jobs.empty() && !assignedWorkers && !pressures && !unreachedWorkers; }
+    /// The changed lists, by number.
+    std::map<size_t, UnansweredStarts> unansweredStarts {};
+
+    bool isEmpty() const
+    {
+        return jobs.empty() && !assignedWorkers && !pressures && !unreachedWorkers && unansweredStarts.empty();
+    }
 };
 
 }
--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -5,6 +5,7 @@
 #include <LibPlatform/RecordLimits.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace Bergamot {
@@ -121,6 +122,8 @@
         records.push_back({ .key = pressuresKey, .value = encodeValue(*batch.pressures) });
     if (batch.unreachedWorkers)
         records.push_back({ .key = unreachedWorkersKey, .value = encodeValue(*batch.unreachedWorkers) });
+    for (const auto& [list, starts] : batch.unansweredStarts)
+        records.push_back({ .key = unansweredStartsKeyPrefix + std::to_string(list), .value = encodeValue(starts) });
     auto firstSequence = m_sequence + 1;
     while (!records.empty())
         m_appends.push_back({ .sequence = ++m_sequence,
--- a/Libraries/LibNode/ProgressJournal.h
+++ b/Libraries/LibNode/ProgressJournal.h
@@ -88,10 +88,11 @@
 };
 
 /// Keys of the progress stream: the assigned workers, those that the leader has not reached, the interference model,
-/// and the prefix for the progress of a job.
+/// and the prefixes for the progress of a job and for a list of starts without a reply.
 inline constexpr const char* assignedWorkersKey = "roster";
 inline constexpr const char* unreachedWorkersKey = "unreached";
 inline constexpr const char* pressuresKey = "pressures";
 inline constexpr const char* jobKeyPrefix = "job/";
+inline constexpr const char* unansweredStartsKeyPrefix = "unanswered/";
 
 }
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -129,6 +129,7 @@
         { { "epoch", m_options.epoch }, { "jobs", m_storedProgress.size() },
             { "workers", m_storedAssignedWorkers.workers.size() }, { "unreached", unreached.size() } });
     dropReplacedIncarnations();
+    restoreLateStarts();
     for (const auto& incarnation : m_storedAssignedWorkers.workers) {
         auto it = unreached.find(incarnation);
         auto handle = addWorker(incarnation, std::nullopt, it == unreached.end() ? 0 : it->second);
@@ -245,6 +246,8 @@
     }
     if (std::exchange(m_unreachedWorkersChanged, false))
         batch.unreachedWorkers = collectUnreachedWorkers();
+    if (m_lateStarts.isDue(m_loop.now()))
+        batch.unansweredStarts = m_lateStarts.collect(m_loop.now());
     collected.assignedRecords = m_assignedRecords;
     collected.unreachedRecords = m_unreachedRecords;
     return batch;
@@ -453,6 +456,7 @@
         startDueSessions();
         markUnreachedWorkers();
         dropExpiredMisdirectedLeases();
+        updateLateStarts();
     });
     guardedCall("plan_failed", [&] { plan(); });
     guardedCall("tick_failed", [&] {
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -5,6 +5,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibNode/ConcurrencyLimiter.h>
 #include <LibNode/JobAcceptor.h>
+#include <LibNode/LateStarts.h>
 #include <LibNode/LeaderLoad.h>
 #include <LibNode/NodeOptions.h>
 #include <LibNode/ProgressJournal.h>
@@ -168,6 +169,7 @@
     void dropReplacedIncarnations();
     void handleProgressLoaded();
     void applyProgressRecord(const KeyedRecord&);
+    void applyUnansweredStarts(const KeyedRecord&);
     void handleUnreadableProgress(const std::string& key, const absl::Status&);
     void applyJobRecord(const KeyedRecord&);
     void applyWorkerRecord(const KeyedRecord&);
@@ -200,6 +202,12 @@
     void startDueSessions();
     void dropExpiredMisdirectedLeases();
     bool mayMisdirectedLeaseLast() const;
+    void restoreLateStarts();
+    void recordUnansweredStart(const WorkerIncarnation&, const TaskRef&, uint64_t run);
+    void updateLateStarts();
+    void updateLateStart(LateStarts::Entry&) const;
+    bool mayBeRunning(const LateStarts::Entry&) const;
+    void holdTasksOfLateStarts();
     static int64_t unixMsNow();
     static WorkerEnd endOf(const Worker&);
     static WorkerEnd endAfterLease(const Worker&);
@@ -277,6 +285,11 @@
     std::set<JobId> m_jobsWithUnreadableProgress;
     AssignedWorkers m_storedAssignedWorkers;
     UnreachedWorkers m_storedUnreachedWorkers;
+    std::map<size_t, UnansweredStarts> m_storedUnansweredStarts;
+    LateStarts m_lateStarts;
+
+    /// Tasks that do not start, because a start of an earlier leader may be executed late.
+    std::set<TaskRef> m_heldTasks;
     std::map<WorkerHandle, Worker> m_workers;
 
     /// The handles of all workers in `m_workers`, by worker id.
--- a/Libraries/LibNode/TaskLeaderIncarnations.cpp
+++ b/Libraries/LibNode/TaskLeaderIncarnations.cpp
@@ -66,6 +66,8 @@
     if (worker.incarnation.address == successor.address)
         stops = stopsOfRunsOnSuccessor(handle);
     bool mayRunEarlierTasks = worker.mayRunEarlierTasks;
+    for (const auto& stop : stops)
+        recordUnansweredStart(worker.incarnation, stop.task, stop.run);
     removeWorker(handle, endOf(worker));
     auto successorHandle = addWorker(successor, std::move(announcement));
     m_workers.at(successorHandle).mayRunEarlierTasks = mayRunEarlierTasks;
--- a/Libraries/LibNode/TaskLeaderRecords.cpp
+++ b/Libraries/LibNode/TaskLeaderRecords.cpp
@@ -3,7 +3,9 @@
 #include <LibNode/TaskLeader.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
+#include <charconv>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 // Reads the state that earlier leaders have stored in the progress stream.
@@ -28,6 +30,8 @@
             logError("unreached_workers_unreadable", { { "error", statusText(unreached.status()) } });
         return;
     }
+    if (record.key.starts_with(unansweredStartsKeyPrefix))
+        return applyUnansweredStarts(record);
     if (record.key == pressuresKey) {
         if (auto pressures = decodeValue<PressureRecord>(record.value); pressures.ok())
             m_scheduler.restorePressures(*pressures);
@@ -44,6 +48,17 @@
         m_storedProgress[progress->id] = std::move(*progress);
 }
 
+void TaskLeader::applyUnansweredStarts(const KeyedRecord& record)
+{
+    auto number = std::string_view(record.key).substr(std::string_view(unansweredStartsKeyPrefix).size());
+    size_t list = 0;
+    auto parsed = std::from_chars(number.begin(), number.end(), list);
+    auto starts = decodeValue<UnansweredStarts>(record.value);
+    if (parsed.ec != std::errc {} || !starts.ok())
+        return logError("unanswered_starts_unreadable", { { "key", record.key } });
+    m_storedUnansweredStarts[list] = std::move(*starts);
+}
+
 void TaskLeader::handleUnreadableProgress(const std::string& key, const absl::Status& status)
 {
     logError("progress_unreadable", { { "key", key }, { "error", statusText(status) } });
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -290,6 +290,10 @@
                         Instant requestSentAt) { handleReport(handle, reply, requestSentAt); },
         .onStartReply = [this, handle](const StartTask& start,
                             TaskCommandOutcome outcome) { handleStartReply(handle, start, outcome); },
+        .onStartUnanswered =
+            [this, handle](const StartTask& start) {
+                recordUnansweredStart(m_workers.at(handle).incarnation, start.task, start.run);
+            },
         .onStopAccepted = [this, handle](const TaskRef& task,
                               uint64_t run) { m_scheduler.commandAccepted(handle, task, run, m_loop.now()); },
         .onReachabilityChanged =
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -28,6 +28,9 @@
         /// Called with the runs that the worker reports in its reply to a lease renewal sent at `requestSentAt`.
         std::function<void(const RenewLeaseReply&, Instant requestSentAt)> onReport {};
         std::function<void(const StartTask&, TaskCommandOutcome)> onStartReply {};
+
+        /// Called when a start got no reply, for each attempt.
+        std::function<void(const StartTask&)> onStartUnanswered { [](const StartTask&) {} };
         std::function<void(const TaskRef&, uint64_t run)> onStopAccepted {};
         std::function<void(bool reachable)> onReachabilityChanged {};
 
@@ -197,6 +200,9 @@
     /// Stops of the runs of which a start may be executed by the next incarnation, whether or not it was accepted.
     std::vector<StopTask> stopsOfUnprovenRuns() const;
 
+    /// The start in progress if it was sent at least this long ago, or nullptr.
+    const StartTask* startWithoutReplyFor(Milliseconds) const;
+
     /// Asks the worker for a report, which carries the start time of its incarnation.
     void proveIncarnation();
 
--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -193,6 +193,13 @@
 
 std::vector<StopTask> WorkerSession::stopsOfUnprovenRuns() const { return m_unprovenStarts.stops(m_loop.now()); }
 
+const StartTask* WorkerSession::startWithoutReplyFor(Milliseconds time) const
+{
+    if (!m_commands.isInProgress() || m_loop.now() - m_commandSentAt < time)
+        return nullptr;
+    return std::get_if<StartTask>(&m_commands.front());
+}
+
 void WorkerSession::sendNextCommandAfter(Milliseconds delay)
 {
     m_loop.callAfter(delay, [this, alive = m_alive] {
@@ -255,8 +262,10 @@
     // Retries to the same incarnation are idempotent; the reply to the retry gives the outcome of a command whose reply
     // was lost.
     recordBrokenConnection(status);
-    if (start)
+    if (start) {
         m_unprovenStarts.addUnanswered(*start, m_loop.now());
+        m_options.events.onStartUnanswered(*start);
+    }
     auto failures = m_commands.recordFailure();
     if (start && m_commands.hasStopOf(*start)) {
         m_commands.takeFront();
--- a/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
+++ b/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
@@ -5,6 +5,7 @@
 #include <LibWire/JobSpec.h>
 #include <LibWire/LeadershipRecord.h>
 #include <LibWire/PressureRecord.h>
+#include <LibWire/UnansweredStarts.h>
 #include <LibWire/ValueCodec.h>
 #include <fmt/format.h>
 #include <limits>
@@ -86,10 +87,18 @@
         };
     case 17:
         return { "5c0e7a21d94b36f8.0.1.17", "j.0.1.99999999999", "....", "\xff.0.0.0" };
-    default:
+    case 18:
         return { "POST /p/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h\r\nX-Bergamotbay-Deadline-Ms: 99\r\nContent-Length: "
                  "2\r\n\r\n{}",
             "GET /p/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n" };
+    default:
+        return { encodeValue(UnansweredStarts { .starts = { { .epoch = 3,
+                                                    .worker = "w",
+                                                    .workerStartedAtMs = 7,
+                                                    .job = "j",
+                                                    .step = 1,
+                                                    .index = std::numeric_limits<uint32_t>::max(),
+                                                    .run = 300'001 } } }) };
     }
 }
 
--- a/Tests/PlatformAdapter/NodeDecoders.cpp
+++ b/Tests/PlatformAdapter/NodeDecoders.cpp
@@ -10,6 +10,7 @@
 #include <LibWire/JobSpec.h>
 #include <LibWire/LeadershipRecord.h>
 #include <LibWire/PressureRecord.h>
+#include <LibWire/UnansweredStarts.h>
 #include <LibWire/Utf8.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
@@ -283,8 +284,8 @@
 static constexpr std::array decoders { &decodeJobBody, &decodeOperatorRecord, &decodeOtherOperatorRecord,
     &decodeWorkerRecord, &decodeRenewLeaseReply, &decodeTaskCommandReply, &decodeAppendReply, &decodeReadReply,
     &decodeExpiredReply, &decodeReadNewestReply, &decodeJobRecord, &decodeProgressRecord, &roundTrips<AssignedWorkers>,
-    &decodePressureRecord, &decodeLeadershipRecord, &decodePeerInput, &decodeSettings, &decodeTaskName,
-    &decodeRequest };
+    &decodePressureRecord, &decodeLeadershipRecord, &decodePeerInput, &decodeSettings, &decodeTaskName, &decodeRequest,
+    &roundTrips<UnansweredStarts> };
 
 size_t nodeDecoderCount() { return decoders.size(); }
 
