Isolate the fifth start of a task that had to wait for a quiet moment

Cause: after four crashes, some of them directly after a start, a task waits for a quiet moment if their coincidence is at most 0.05, but it had to run isolated only if it was at most 0.01. Between the two, the fifth start waited and then ran beside others. Its crash then counts as one that another run may have caused, so it did not prove the cause, and a sixth start followed.

Change: both use the same limit.

Test: CrashHistory.FifthStartThatWaitsForAQuietMomentRequiresIsolation failed before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -23,9 +23,6 @@
 static constexpr double maxCoincidenceOfRequiredIsolation = 1e-3;
 static constexpr double maxCoincidenceOfPreferredIsolation = 0.1;
 
-/// The same for required isolation after more crashes than start a back-off, several of them directly after a start.
-static constexpr double maxCoincidenceOfLateIsolation = 0.01;
-
 /// Crashes that are assumed, before a job is given up, in a run that was not isolated: another run on its worker may be
 /// the cause.
 static constexpr double minExpectedCrashesBesideOthers = 0.05;
@@ -132,9 +129,9 @@
     auto probability = coincidence(task, crashRate, runTime);
     if (isRepeated && probability <= maxCoincidenceOfRequiredIsolation)
         return RunIsolation::Required;
-    // Few starts are left, so a crash beside other runs would waste one.
+    // Such a start has waited for a quiet moment, and a crash beside other runs would prove too little all the same.
     if (count(task) + unrecordedCrashes > crashesUntilBackoff && hasRepeatedPromptCrashes(task, unrecordedCrashes)
-        && probability <= maxCoincidenceOfLateIsolation)
+        && probability <= maxCoincidenceOfBackoff)
         return RunIsolation::Required;
     return probability <= maxCoincidenceOfPreferredIsolation ? RunIsolation::Preferred : RunIsolation::None;
 }
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -88,6 +88,18 @@
     CHECK(history.isolationOf(task, quietRate) == RunIsolation::Required);
 }
 
+// Guards against a sixth start of a cause, because the fifth waits for a quiet moment and then starts beside other
+// runs, where its crash proves too little (BUDGET, issue 29).
+TEST(CrashHistory, FifthStartThatWaitsForAQuietMomentRequiresIsolation)
+{
+    for (uint64_t run = 1; run <= 4; ++run) {
+        CrashedRun crashed { .step = 1, .index = 2, .run = run, .runTimeMs = 160, .expectedCrashes = 0.4 };
+        history.record(crashed);
+    }
+    CHECK(history.restartBackoff(task, quietRate) > Milliseconds { 0 });
+    CHECK(history.isolationOf(task, quietRate) == RunIsolation::Required);
+}
+
 // Guards against back-offs of a minute after crashes that are as frequent without the task (LOST, issue 45).
 TEST(CrashHistory, LateCrashesInAWaveStartNoBackoff)
 {
