Judge a crash that only an earlier leader saw by the stored rate of crashes

What callers would see: LOST, a job that is given up although none of its tasks crashes its workers.

Cause: a leader keeps the recent losses of workers in memory, and judges a crash 1.5 s after the loss. If it is killed between, its successor finds the worker gone and knows of no other losses, so it takes the isolated run on it for a crash that has a probability of 5e-5 without the task, in the middle of a wave.

Change: the successor takes the highest rate of other crashes that is stored with the earlier crashes of the task, for the run time in the record or, if that is not known, the clearing time of the task.

Test: CrashWaves.LossThatOnlyAnEarlierLeaderSawIsJudgedByTheRateOfItsTime failed before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -90,6 +90,16 @@
     return static_cast<size_t>(std::ranges::count_if(m_runs, [&](const CrashedRun& it) { return isOfTask(it, task); }));
 }
 
+double CrashHistory::highestOtherCrashRate(const TaskRef& task) const
+{
+    double highest = 0;
+    for (const auto& it : m_runs) {
+        if (isOfTask(it, task))
+            highest = std::max(highest, it.otherCrashRate);
+    }
+    return highest;
+}
+
 size_t CrashHistory::countPromptCrashes(const TaskRef& task) const
 {
     return static_cast<size_t>(
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -54,6 +54,9 @@
     /// Number of recorded runs of the task, confirmed or not.
     size_t count(const TaskRef&) const;
 
+    /// The highest rate of other crashes that is stored with a crash of the task.
+    double highestOtherCrashRate(const TaskRef&) const;
+
     /// Whether a worker has crashed directly after a start of the task, or several workers have crashed under it.
     bool isSuspected(const TaskRef&) const;
     RunIsolation isolationOf(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 },
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -337,6 +337,17 @@
     });
 }
 
+/// Returns the crashes to be expected without the task at the stored rate of its earlier crashes. This leader has not
+/// seen which other workers were lost at that time, nor how long the run had lasted if its record does not say; a run
+/// that lasts for the clearing time has no record any more.
+static double expectedInheritedCrashes(const CrashHistory& crashes, const TaskRef& task, const CrashedRun& crashed)
+{
+    constexpr double msPerSecond = 1000;
+    auto runTime = crashed.runTimeMs == 0 ? crashes.clearingTime(task) : Milliseconds { crashed.runTimeMs };
+    auto exposure = runTime + CrashHistory::crashDetectionTime;
+    return crashes.highestOtherCrashRate(task) * static_cast<double>(exposure.count()) / msPerSecond;
+}
+
 /// Whether the crashes of an earlier leader's workers were under this task or others is not known, so the share of the
 /// workers in its records that are gone stands for those that were lost for other causes.
 void TaskScheduler::confirmInheritedCrashes(const std::function<bool(const WorkerId&, int64_t startedAtMs)>& isKnown)
@@ -353,10 +364,10 @@
     }
     auto workers = static_cast<double>(m_workers.size() + lostWorkers.size());
     for (auto& [job, crashed] : lost) {
-        crashed.otherCrashRate = otherCrashRate(*job, taskOf(*job, crashed));
+        auto task = taskOf(*job, crashed);
+        crashed.otherCrashRate = std::max(otherCrashRate(*job, task), job->crashes.highestOtherCrashRate(task));
         auto others = static_cast<double>(lostWorkers.size() - 1);
-        if (others > 0)
-            crashed.expectedCrashes = others / workers;
+        crashed.expectedCrashes = std::max(others / workers, expectedInheritedCrashes(job->crashes, task, crashed));
         m_crashEvents.push_back(confirmCrash(*job, crashed));
     }
     for (const auto& [worker, startedAtMs] : lostWorkers)
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -349,6 +349,23 @@
         CHECK(scheduler.stateOf("j" + std::to_string(i)) != JobStage::Failed);
 }
 
+// Guards against a job that a new leader gives up because it knows of no other losses than that of the task's worker.
+TEST(CrashWaves, LossThatOnlyAnEarlierLeaderSawIsJudgedByTheRateOfItsTime)
+{
+    addWorkers();
+    JobProgress stored { .id = "j", .state = JobStage::Running, .done = { "0" } };
+    for (uint64_t run = 1; run <= 3; ++run) {
+        stored.crashedRuns.push_back(
+            { .run = run, .runTimeMs = 1400, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.3 });
+        stored.crashedRuns.back().worker = "earlier" + std::to_string(run);
+    }
+    stored.crashedRuns.push_back({ .run = 4, .worker = "earlier4", .workerStartedAtMs = 4, .isolated = true });
+    scheduler.addJob(fixture.job("j", { fixture.step(1) }), stored, neverInstant);
+    scheduler.confirmInheritedCrashes([](const WorkerId&, int64_t) { return false; });
+    storeProgress();
+    CHECK(scheduler.stateOf("j") != JobStage::Failed);
+}
+
 // Guards against a cause that is started three times more after three workers crashed under it, while racks crash.
 TEST(CrashWaves, CauseIsGivenUpWhileRacksCrash) { checkCausesAmongRacks(3); }
 
