Give a job up when its last start crashes a worker at a quiet moment

Cause: a task with four crashes waits for a quiet moment, so that a fifth one proves that it is the cause. After four crashes in a wave, one of them by another cause, it is 1.1e-5 to 1.9e-5, so that a sixth start followed.

Change: a fifth crash in an isolated run, at a time with at most 1e-3 expected crashes, is proof if the earlier ones called for the wait.

Test: CrashHistory.FifthCrashAtAQuietMomentProvesTheCause failed before.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -42,6 +42,12 @@
 /// Crashes directly after a start that prove the cause however many workers crash, with one of them isolated.
 static constexpr size_t maxPromptCrashes = 5;
 
+/// Crashes of which the last comes from a start that had to wait for a quiet moment, and those to be expected in an
+/// isolated run then. Few tasks wait for such a moment, so a crash in it need not be as unlikely as those that are
+/// looked for among all tasks.
+static constexpr size_t crashesWithLastStart = 5;
+static constexpr double maxExpectedCrashesAtQuietMoment = 1e-3;
+
 /// Time for which a crashed worker takes no runs.
 static constexpr Milliseconds workerRestartTime { 3000 };
 
@@ -206,6 +212,21 @@
     return crashes == 0 ? 1 : allRunsCrash * probabilityOfProduct(crashes, exponentOfShares);
 }
 
+/// Whether an isolated run crashed its worker at a quiet moment, after so many crashes that its start had to wait for
+/// one.
+bool CrashHistory::hasCrashAtQuietMoment(const TaskRef& task, double crashRate, Milliseconds runTime) const
+{
+    return std::ranges::any_of(m_runs, [&](const CrashedRun& it) {
+        if (!isOfTask(it, task) || !it.confirmed || !it.isolated
+            || expectedCrashes(it, crashRate) > maxExpectedCrashesAtQuietMoment)
+            return false;
+        CrashHistory earlier(m_runs);
+        earlier.withdraw(task, it.run);
+        return earlier.hasRepeatedPromptCrashes(task, 0)
+            && earlier.coincidence(task, crashRate, runTime, Scope::Confirmed) <= maxCoincidenceOfBackoff;
+    });
+}
+
 bool CrashHistory::isCauseOfCrashes(const TaskRef& task, double crashRate, Milliseconds runTime) const
 {
     size_t crashes = 0;
@@ -218,6 +239,8 @@
         isolatedCrashes += it.isolated ? 1 : 0;
         promptCrashes += !it.unanswered && isPrompt(it) ? 1 : 0;
     }
+    if (crashes >= crashesWithLastStart && hasCrashAtQuietMoment(task, crashRate, runTime))
+        return true;
     if (promptCrashes < maxPromptCrashes
         && coincidence(task, crashRate, runTime, Scope::Confirmed) > maxCoincidenceOfCause)
         return false;
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -91,6 +91,7 @@
 private:
     size_t countPromptCrashes(const TaskRef&) const;
     bool hasRepeatedPromptCrashes(const TaskRef&, size_t unrecordedCrashes) const;
+    bool hasCrashAtQuietMoment(const TaskRef&, double crashRate, Milliseconds runTime) const;
 
     std::vector<CrashedRun> m_runs {};
 };
--- a/Tests/LibDecision/TestCrashHistory.cpp
+++ b/Tests/LibDecision/TestCrashHistory.cpp
@@ -100,6 +100,29 @@
     CHECK(history.isolationOf(task, quietRate) == RunIsolation::Required);
 }
 
+// Guards against a sixth start of a cause, four crashes of which were in a wave (BUDGET, issue 29).
+TEST(CrashHistory, FifthCrashAtAQuietMomentProvesTheCause)
+{
+    constexpr Milliseconds runTime { 5000 };
+    auto crash = [&](uint64_t run, uint32_t runTimeMs, double expectedCrashes) {
+        history.record({ .step = 1, .index = 2, .run = run, .runTimeMs = runTimeMs, .confirmed = true });
+        auto crashed = *history.find(task, run);
+        crashed.expectedCrashes = expectedCrashes;
+        crashed.otherCrashRate = expectedCrashes / 3;
+        crashed.isolated = run == 5;
+        history.record(crashed);
+    };
+    crash(1, 1010, 0.42);
+    crash(2, 1010, 0.21);
+    crash(3, 1010, 0.17);
+    crash(4, 1580, 0.25);
+    CHECK(history.restartBackoff(task, quietRate, runTime) > Milliseconds { 0 });
+    crash(5, 1010, 0.2);
+    CHECK(!history.isCauseOfCrashes(task, quietRate, runTime));
+    crash(5, 1010, 0);
+    CHECK(history.isCauseOfCrashes(task, quietRate, runTime));
+}
+
 // Guards against back-offs of a minute after crashes that are as frequent without the task (LOST, issue 45).
 TEST(CrashHistory, LateCrashesInAWaveStartNoBackoff)
 {
