Let a new leader watch the workers before a back-off ends

What callers would see: BUDGET, a start too many of a task that crashes its workers.

Cause: the next start of a task with three or more crashes waits while other workers crash.

Change: if other workers crashed around earlier crashes of the task, by their stored rate, a leader waits from its first plan on for the time in which losses count, 3.75 s, before it takes the service for quiet.

Test: CrashWaves.NewLeaderWatchesTheWorkersBeforeABackoffEnds failed before.

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -87,21 +87,32 @@
         key, otherCrashRate(job, key), expectedRunTime(job, key), maxUnrecordedCrashesOf(job, key));
 }
 
+/// Time in which losses of other workers count when a crash that happens now is judged.
+static constexpr auto lossWindow = WorkerLoss::rateWindow + WorkerLoss::maxNoticeDifference;
+
+/// Whether workers of the service were lost lately for no known cause, or may have been before this leader could notice
+/// it.
+bool TaskScheduler::mayWorkersCrash(const std::string& service, Instant now) const
+{
+    return now - m_planningSince < lossWindow || m_crashingServices.contains(service);
+}
+
 /// Whether a start has to wait because it could not show whether the task is the cause of its crashes.
 bool TaskScheduler::mustBackOff(const TrackedJob& job, const TaskRef& key, const TrackedTask& task, Instant now) const
 {
-    if (!m_crashingServices.contains(policyOf(job).service))
-        return false;
-    return now - task.waitingSince < restartBackoff(job, key);
+    const auto& service = policyOf(job).service;
+    // A new leader does not know yet whether a wave lasts in which the task has crashed.
+    bool mayCrash = job.crashes.highestOtherCrashRate(key) > 0 ? mayWorkersCrash(service, now)
+                                                               : m_crashingServices.contains(service);
+    return mayCrash && now - task.waitingSince < restartBackoff(job, key);
 }
 
 /// Returns the services of which so many workers were lost lately for no known cause that one more would prove nothing:
 /// those that count when a crash that happens now is judged.
 std::set<std::string> TaskScheduler::crashingServices(Instant now) const
 {
-    constexpr auto window = WorkerLoss::rateWindow + WorkerLoss::maxNoticeDifference;
     constexpr size_t workersPerLoss { 50 };
-    auto isRecent = [&](Instant at) { return at != neverInstant && now - at < window; };
+    auto isRecent = [&](Instant at) { return at != neverInstant && now - at < lossWindow; };
     std::map<std::string, size_t> losses;
     for (const auto& it : m_recentLosses) {
         if (!it.hasLikelyCause && isRecent(it.at))
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -72,6 +72,8 @@
     m_freeCpuMillis = 0;
     m_heldWorkers = 0;
     m_usedIsolationSlots = 0;
+    if (m_planningSince == neverInstant)
+        m_planningSince = now;
     m_crashingServices = crashingServices(now);
     std::vector<WorkerEntry*>* candidates = nullptr;
     const std::string* service = nullptr;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -366,6 +366,7 @@
     Milliseconds restartBackoff(const TrackedJob&, const TaskRef& key) const;
     bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
     std::set<std::string> crashingServices(Instant now) const;
+    bool mayWorkersCrash(const std::string& service, Instant now) const;
     static double usedIsolationSlots(const WorkerEntry&);
     bool isWithinIsolationLimit(const TrackedJob&, uint32_t newRuns, RunIsolation) const;
     bool leavesSharedWorkers(const TrackedJob&, uint32_t isolatedRuns) const;
@@ -460,6 +461,9 @@
     /// Services whose workers crash for no known cause, as of the latest plan.
     std::set<std::string> m_crashingServices {};
 
+    /// Time of the first plan, from which on losses of workers are noticed.
+    Instant m_planningSince { neverInstant };
+
     /// Searches of the current plan that found no worker for an isolated run, since it placed the tasks that have to
     /// run isolated.
     uint32_t m_failedSearches { 0 };
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -366,6 +366,24 @@
     CHECK(scheduler.stateOf("j") != JobStage::Failed);
 }
 
+// Guards against a start in the middle of a wave whose losses only an earlier leader has seen (BUDGET, issue 29).
+TEST(CrashWaves, NewLeaderWatchesTheWorkersBeforeABackoffEnds)
+{
+    constexpr Milliseconds watchTime { 3700 };
+    addWorkers();
+    JobProgress stored { .id = "cause", .state = JobStage::Running, .done = { "0" } };
+    for (uint64_t run = 1; run <= 4; ++run) {
+        stored.crashedRuns.push_back({ .run = run, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.15 });
+        stored.crashedRuns.back().worker = "earlier" + std::to_string(run);
+    }
+    scheduler.addJob(fixture.job("cause", { fixture.step(1) }), stored, neverInstant);
+    TaskRef task { "cause", 0, 0, 0 };
+    run(watchTime);
+    CHECK_EQUAL(0, starts[task]);
+    run(Milliseconds { 1000 });
+    CHECK_EQUAL(1, starts[task]);
+}
+
 // Guards against a cause that is started three times more after three workers crashed under it, while racks crash.
 TEST(CrashWaves, CauseIsGivenUpWhileRacksCrash) { checkCausesAmongRacks(3); }
 
