Count a crash without record when the last start is judged

Cause: the first start of a task has no record before it is sent. If the leader is killed before it stores the crash, the successor knows that one crash may be missing: it waits and isolates as if it had been counted, but it did not count it when it judged the crash of the last start, so another start followed.

Change: the proof by a crash at a quiet moment counts the crash that may have happened too.

Test: TaskLeaderCrashWaves plays seeded worlds in virtual time: causes beside waves, up to three leaders that are killed at any moment, a store that loses and delays replies.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -217,7 +217,8 @@
 
 /// Whether an isolated run crashed its worker at a quiet moment, after so many crashes that its start had to wait for
 /// one.
-bool CrashHistory::hasCrashAtQuietMoment(const TaskRef& task, double crashRate, Milliseconds runTime) const
+bool CrashHistory::hasCrashAtQuietMoment(
+    const TaskRef& task, double crashRate, Milliseconds runTime, size_t unrecordedCrashes) const
 {
     return std::ranges::any_of(m_runs, [&](const CrashedRun& it) {
         if (!isOfTask(it, task) || !it.confirmed || !it.isolated
@@ -225,12 +226,13 @@
             return false;
         CrashHistory earlier(m_runs);
         earlier.withdraw(task, it.run);
-        return earlier.hasRepeatedPromptCrashes(task, 0)
+        return earlier.hasRepeatedPromptCrashes(task, unrecordedCrashes)
             && earlier.coincidence(task, crashRate, runTime, Scope::Confirmed) <= maxCoincidenceOfLaterBackoff;
     });
 }
 
-bool CrashHistory::isCauseOfCrashes(const TaskRef& task, double crashRate, Milliseconds runTime) const
+bool CrashHistory::isCauseOfCrashes(
+    const TaskRef& task, double crashRate, Milliseconds runTime, size_t unrecordedCrashes) const
 {
     size_t crashes = 0;
     size_t isolatedCrashes = 0;
@@ -242,7 +244,8 @@
         isolatedCrashes += it.isolated ? 1 : 0;
         promptCrashes += !it.unanswered && isPrompt(it) ? 1 : 0;
     }
-    if (crashes >= crashesWithLastStart && hasCrashAtQuietMoment(task, crashRate, runTime))
+    if (crashes + unrecordedCrashes >= crashesWithLastStart
+        && hasCrashAtQuietMoment(task, crashRate, runTime, unrecordedCrashes))
         return true;
     if (promptCrashes < maxPromptCrashes
         && coincidence(task, crashRate, runTime, Scope::Confirmed) > maxCoincidenceOfCause)
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -70,7 +70,8 @@
         const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }, Scope = Scope::All) const;
 
     /// Whether the job of the task has to be given up, because the task crashes the workers that start it.
-    bool isCauseOfCrashes(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 }) const;
+    bool isCauseOfCrashes(const TaskRef&, double crashRate, Milliseconds runTime = Milliseconds { 0 },
+        size_t unrecordedCrashes = 0) const;
 
     /// Whether the task must not start before its unconfirmed crashes are confirmed or withdrawn.
     bool awaitsConfirmation(const TaskRef&) const;
@@ -91,7 +92,7 @@
 private:
     size_t countPromptCrashes(const TaskRef&) const;
     bool hasRepeatedPromptCrashes(const TaskRef&, size_t unrecordedCrashes) const;
-    bool hasCrashAtQuietMoment(const TaskRef&, double crashRate, Milliseconds runTime) const;
+    bool hasCrashAtQuietMoment(const TaskRef&, double crashRate, Milliseconds runTime, size_t unrecordedCrashes) const;
 
     std::vector<CrashedRun> m_runs {};
 };
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -258,7 +258,7 @@
         .coincidence = job.crashes.coincidence(task, crashed.otherCrashRate, runTime, CrashHistory::Scope::Confirmed) };
     const auto* tracked = findTask(job, task);
     if (!job.hasEnded() && tracked && !tracked->done
-        && job.crashes.isCauseOfCrashes(task, crashed.otherCrashRate, runTime)) {
+        && job.crashes.isCauseOfCrashes(task, crashed.otherCrashRate, runTime, maxUnrecordedCrashesOf(job, task))) {
         finishJob(job, JobStage::Failed);
         event.failedJob = true;
     }
