Name the long-running tasks that wait, and the room that they do not get

It now names them before other waits, eight lines a second at most, and tells whether the task ran before, the largest free piece, the room of held workers, workers held by preference only, and workers whose best-effort tasks are in the way. long_running_task_started tells how long the wait was. No decision changes.

--- a/Libraries/LibDecision/StartTask.h
+++ b/Libraries/LibDecision/StartTask.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibDecision/TaskRef.h>
 #include <LibDecision/TaskWorkerView.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Bergamot {
@@ -21,6 +23,12 @@
     /// that has crashed without notice would look like another crash under the task.
     bool isSuspected { false };
 
+    /// For a long-running task: how long it has waited for this start.
+    std::optional<Milliseconds> longRunningWait {};
+
+    /// Whether the task has run before, or may have run under an earlier leader.
+    bool isRestart { false };
+
     bool operator==(const StartTask&) const = default;
 };
 
--- a/Libraries/LibDecision/StepWait.h
+++ b/Libraries/LibDecision/StepWait.h
@@ -23,6 +23,10 @@
     uint32_t longestWaiting { 0 };
     Milliseconds longestWait { 0 };
     Resources size {};
+    bool longRunning { false };
+
+    /// Whether the task that has waited longest has run before, or may have run under an earlier leader.
+    bool hasRun { false };
 
     /// The worker of the run that has been unlisted longest; 0 for other reasons.
     WorkerHandle worker { 0 };
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -72,8 +72,11 @@
 {
     if (!maySearchIsolated() || !hasIsolationSlots(*ready.job, ready.job->spec.steps[ready.step].count, isolation))
         return false;
-    if (startGang(ready, {}, now, PlacementMode::Isolated))
+    if (startGang(ready, {}, now, PlacementMode::Isolated)) {
+        for (auto& task : ready.job->occurrences[ready.occurrence].steps[ready.step].tasks)
+            task.runs.back().isolatedByPreference = isolation == RunIsolation::Preferred;
         return true;
+    }
     ++m_failedSearches;
     if (isolation == RunIsolation::Required)
         holdForGang(ready, now);
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -46,19 +46,6 @@
     return used;
 }
 
-TaskScheduler::WorkerUse TaskScheduler::workerUse() const
-{
-    WorkerUse use;
-    // The candidates of the latest plan may have been removed since.
-    for (const auto& [handle, worker] : m_workers) {
-        if (!isUsable(*worker, m_latestEventAt))
-            continue;
-        ++use.usable;
-        use.isolated += worker->isHeldForIsolation(m_latestEventAt) ? 1 : 0;
-    }
-    return use;
-}
-
 bool TaskScheduler::areCrashesStored(const TrackedJob& job, const TaskRef& key)
 {
     return std::ranges::all_of(job.crashes.runs(), [&](const CrashedRun& it) {
@@ -78,6 +65,15 @@
         key, otherCrashRate(job, key), expectedRunTime(job, key), maxUnrecordedCrashesOf(job, key));
 }
 
+/// Whether the worker is held for isolated runs, all of them isolated by preference.
+bool TaskScheduler::isHeldByPreference(const WorkerEntry& worker)
+{
+    return worker.isolatedRuns > 0 && std::ranges::all_of(worker.runs, [](const auto& it) {
+        const auto* run = findRun(*it.second.task, it.first.second);
+        return !run || !run->isolated || run->isolatedByPreference;
+    });
+}
+
 /// Returns for how long the next start of the task waits at most, while other workers crash.
 Milliseconds TaskScheduler::restartBackoff(const TrackedJob& job, const TaskRef& key) const
 {
@@ -192,6 +188,7 @@
         return false;
     }
     startRun(*worker, ready, index, now, PlacementMode::Isolated);
+    task.runs.back().isolatedByPreference = isolation == RunIsolation::Preferred;
     return true;
 }
 
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -270,7 +270,7 @@
     TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
     uint64_t run = m_options.epoch * runsPerEpoch + ++task.starts;
     bool isCopy = task.wantsSpeculativeCopy;
-    task.waitingSince = neverInstant;
+    auto waitingSince = std::exchange(task.waitingSince, neverInstant);
     task.wantsSpeculativeCopy = false;
     task.runs.push_back({ .run = run,
         .worker = worker.handle,
@@ -287,7 +287,10 @@
         .payload = job.spec.payload,
         .checkpoint = task.checkpoint,
         .isSpeculativeCopy = isCopy,
+        .isRestart = hasRunBefore(job, task),
     };
+    if (job.spec.steps[ready.step].longRunning && waitingSince != neverInstant)
+        start.longRunningWait = now - waitingSince;
     if (!mustRecordStart(job, ref, task)) {
         m_actions.push_back(std::move(start));
         return;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -48,6 +48,7 @@
         return;
     tracked->phase = RunPhase::Running;
     tracked->startedAt = now;
+    task->hasRun = true;
     job->started = true;
 }
 
@@ -174,6 +175,7 @@
         .progressedAt = now,
         .isSpeedKnown = isAtFullSpeed(report, job.spec.steps[report.task.step]) });
     task.waitingSince = neverInstant;
+    task.hasRun = true;
     job.started = true;
     reserve(worker, job, report.task, report.run);
     task.runs.back().suspected = crash != nullptr;
@@ -221,6 +223,7 @@
     if (run.phase == RunPhase::Starting) {
         run.phase = RunPhase::Running;
         run.startedAt = now;
+        task.hasRun = true;
     }
     if (run.reportedAt == neverInstant)
         run.firstProgressPercent = report.progressPercent;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -19,6 +19,7 @@
 #include <LibDecision/WorkerEnd.h>
 #include <LibDecision/WorkerLoss.h>
 #include <LibDecision/WorkerRefusals.h>
+#include <LibDecision/WorkerUse.h>
 #include <LibWire/QueuePolicy.h>
 #include <cstdint>
 #include <functional>
@@ -215,11 +216,6 @@
     /// Why the usable workers cannot take the task of the step that has waited longest. The job must be known.
     WorkerRefusals refusalsOf(const StepWait&) const;
 
-    /// Workers that may get starts, and those of them that get isolated runs only.
-    struct WorkerUse {
-        uint32_t usable { 0 };
-        uint32_t isolated { 0 };
-    };
     WorkerUse workerUse() const;
 
     /// Processors that are free on usable workers, and those that are reserved for the demand of short tasks, in
@@ -295,6 +291,7 @@
     bool mustWaitForHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
     static void setWaitingSince(TrackedStep&, Instant now);
+    static bool hasRunBefore(const TrackedJob&, const TrackedTask&);
     void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
     void moveLongestOfEachKindToFront(std::vector<StepWait>&) const;
     void addCrashedRuns(StepWait&) const;
@@ -362,6 +359,7 @@
     static Milliseconds expectedRunTime(const TrackedJob&, const TaskRef&);
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
+    static bool isHeldByPreference(const WorkerEntry&);
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     Milliseconds restartBackoff(const TrackedJob&, const TaskRef& key) const;
     bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -15,7 +15,11 @@
 
 static StepWait waitOf(const JobSpec& job, uint32_t occurrence, uint32_t step)
 {
-    return { .job = job.id, .occurrence = occurrence, .step = step, .size = job.steps[step].size };
+    return { .job = job.id,
+        .occurrence = occurrence,
+        .step = step,
+        .size = job.steps[step].size,
+        .longRunning = job.steps[step].longRunning };
 }
 
 static void addTask(StepWait& wait, uint32_t index, Milliseconds time)
@@ -27,6 +31,11 @@
     wait.longestWaiting = index;
 }
 
+bool TaskScheduler::hasRunBefore(const TrackedJob& job, const TrackedTask& task)
+{
+    return task.hasRun || job.isInherited;
+}
+
 std::vector<StepWait> TaskScheduler::stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const
 {
     std::vector<StepWait> waits;
@@ -42,8 +51,10 @@
             auto since = step.tasks[index].waitingSince;
             addTask(wait, index, since == neverInstant ? Milliseconds { 0 } : now - since);
         }
-        if (wait.longestWait >= minWait)
-            waits.push_back(std::move(wait));
+        if (wait.longestWait < minWait)
+            continue;
+        wait.hasRun = !step.waiting.empty() && hasRunBefore(*ready.job, step.tasks[wait.longestWaiting]);
+        waits.push_back(std::move(wait));
     }
     addWaitsOfUnlistedRuns(waits, now, minWait);
     std::ranges::sort(waits, [](const StepWait& a, const StepWait& b) {
@@ -56,14 +67,16 @@
     return waits;
 }
 
-/// Otherwise the waits of best-effort tasks, which may last as long as a worker is busy, would hide all others.
+/// Otherwise the waits of best-effort tasks, which may last as long as a worker is busy, would hide all others. The
+/// long-running tasks that ran before come next, because they have to run again within seconds.
 void TaskScheduler::moveLongestOfEachKindToFront(std::vector<StepWait>& waits) const
 {
     std::set<std::tuple<bool, bool, PlacementDelay, SuspectDelay>> kinds;
-    std::stable_partition(waits.begin(), waits.end(), [&](const StepWait& wait) {
+    auto others = std::stable_partition(waits.begin(), waits.end(), [&](const StepWait& wait) {
         const auto& spec = m_jobs.at(wait.job)->spec.steps[wait.step];
         return kinds.emplace(spec.longRunning, spec.bestEffort, wait.reason, wait.suspectDelay).second;
     });
+    std::stable_partition(others, waits.end(), [](const StepWait& wait) { return wait.longRunning && wait.hasRun; });
 }
 
 void TaskScheduler::addCrashedRuns(StepWait& wait) const
@@ -128,6 +141,25 @@
     return idle;
 }
 
+WorkerUse TaskScheduler::workerUse() const
+{
+    WorkerUse use;
+    // The candidates of the latest plan may have been removed since.
+    for (const auto& [handle, worker] : m_workers) {
+        if (!isUsable(*worker, m_latestEventAt))
+            continue;
+        ++use.usable;
+        bool isHeld = worker->isHeldForIsolation(m_latestEventAt);
+        use.isolated += isHeld ? 1 : 0;
+        auto free = std::max<int64_t>(0, worker->freeResources().cpuMillis);
+        if (isHeld)
+            use.heldFreeMillis += free;
+        else
+            use.largestFreeMillis = std::max(use.largestFreeMillis, free);
+    }
+    return use;
+}
+
 WorkerRefusals TaskScheduler::refusalsOf(const StepWait& wait) const
 {
     WorkerRefusals refusals;
@@ -142,12 +174,14 @@
         if (worker->view.service != search->service || !isUsable(*worker, m_latestEventAt))
             continue;
         auto siblings = search->siblingRuns.find(handle);
-        if (!search->size.fitsIn(worker->freeResources()))
+        if (!search->size.fitsIn(worker->freeResources() + worker->bestEffortSize()))
             ++refusals.noRoom;
+        else if (!search->size.fitsIn(worker->freeResources()))
+            ++refusals.behindBestEffort;
         else if (!hasRoom(*search, *worker))
             ++refusals.notIdle;
         else if (worker->isHeldForIsolation(search->now))
-            ++refusals.held;
+            ++(isHeldByPreference(*worker) ? refusals.heldByPreference : refusals.held);
         else if (!isAllowed(*search, task, *worker, siblings == search->siblingRuns.end() ? 0 : siblings->second))
             ++refusals.constraint;
         else if (!scoreOf(*search, task, *worker))
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -116,6 +116,15 @@
     bool isOverFull() const { return listsRunOfUnknownSize || !Resources {}.fitsIn(freeResources()); }
     bool isHeldForIsolation(Instant now) const { return isolatedRuns > 0 || heldForIsolationUntil > now; }
 
+    /// Resources that the best-effort tasks on the worker reserve.
+    Resources bestEffortSize() const
+    {
+        Resources size;
+        for (const auto& [key, active] : runs)
+            size = active.spec->bestEffort ? size + reservedSize(*active.spec) : size;
+        return size;
+    }
+
     /// Processors that another best-effort task may expect to be idle.
     int64_t freeBestEffortMillis() const
     {
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -31,6 +31,9 @@
     /// Whether the run is the only suspect on its worker, which takes no other starts until the run is cleared.
     bool isolated { false };
 
+    /// Whether the run is isolated by preference only. False for the runs of earlier leaders, of which it is not known.
+    bool isolatedByPreference { false };
+
     /// When the worker last acknowledged a command for the run or listed it. If a list that is requested later lacks
     /// the run, the run has ended.
     Instant confirmedAt { neverInstant };
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -15,6 +15,9 @@
     /// Number of starts by this leader.
     uint32_t starts { 0 };
 
+    /// Whether a worker is known to have run the task.
+    bool hasRun { false };
+
     /// Number of runs that this leader stopped because they were slow.
     uint32_t slowRuns { 0 };
 
--- a/Libraries/LibDecision/WorkerRefusals.h
+++ b/Libraries/LibDecision/WorkerRefusals.h
@@ -9,12 +9,18 @@
     /// The free resources do not suffice.
     uint32_t noRoom { 0 };
 
+    /// The free resources would suffice without the best-effort tasks on the worker.
+    uint32_t behindBestEffort { 0 };
+
     /// The processors that a best-effort task may expect to be idle do not suffice.
     uint32_t notIdle { 0 };
 
-    /// The worker is held for an isolated run.
+    /// The worker is held for a run that has to be isolated.
     uint32_t held { 0 };
 
+    /// The worker is held for runs that are isolated by preference.
+    uint32_t heldByPreference { 0 };
+
     /// The placement constraints of the step exclude the worker.
     uint32_t constraint { 0 };
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -440,10 +440,28 @@
         m_metrics.recordTaskCommand("pace");
         m_load.recordThrottle();
     } else {
-        m_load.recordStart(std::get<StartTask>(action).isSpeculativeCopy);
+        const auto& start = std::get<StartTask>(action);
+        m_load.recordStart(start.isSpeculativeCopy);
+        logLongRunningStart(start);
     }
 }
 
+/// Logs the start of a long-running task that has run before, or has waited for long.
+void TaskLeader::logLongRunningStart(const StartTask& start)
+{
+    constexpr Milliseconds longWait { 1000 };
+    if (!start.longRunningWait || (!start.isRestart && *start.longRunningWait < longWait))
+        return;
+    auto worker = m_workers.find(start.worker);
+    logInfo("long_running_task_started",
+        { { "job", start.task.job }, { "occurrence", start.task.occurrence }, { "step", start.task.step },
+            { "index", start.task.index }, { "run", start.run }, { "waited_ms", start.longRunningWait->count() },
+            { "has_run", start.isRestart },
+            { "worker",
+                worker == m_workers.end() ? std::string_view {}
+                                          : std::string_view { worker->second.incarnation.id } } });
+}
+
 void TaskLeader::updateGauges()
 {
     auto totals = m_scheduler.totals();
@@ -467,7 +485,7 @@
 {
     constexpr Milliseconds interval { 1000 };
     constexpr Milliseconds longWait { 3000 };
-    constexpr size_t maxLines { 4 };
+    constexpr size_t maxLines { 8 };
     auto now = m_loop.now();
     if (now - m_waitsLoggedAt < interval)
         return;
@@ -485,10 +503,14 @@
                     worker == m_workers.end() ? std::string_view {}
                                               : std::string_view { worker->second.incarnation.id } },
                 { "cpu_millis", wait.size.cpuMillis }, { "memory_mb", wait.size.memoryMb },
-                { "free_millis", m_scheduler.freeCpuMillis() }, { "headroom_millis", m_scheduler.headroomCpuMillis() },
-                { "idle_millis", m_scheduler.idleCpuMillis() }, { "usable_workers", use.usable },
-                { "isolated_workers", use.isolated }, { "workers_without_room", refusals.noRoom },
-                { "workers_not_idle", refusals.notIdle }, { "workers_held", refusals.held },
+                { "long_running", wait.longRunning }, { "has_run", wait.hasRun },
+                { "free_millis", m_scheduler.freeCpuMillis() }, { "held_free_millis", use.heldFreeMillis },
+                { "largest_free_millis", use.largestFreeMillis },
+                { "headroom_millis", m_scheduler.headroomCpuMillis() }, { "idle_millis", m_scheduler.idleCpuMillis() },
+                { "usable_workers", use.usable }, { "isolated_workers", use.isolated },
+                { "workers_without_room", refusals.noRoom },
+                { "workers_behind_best_effort", refusals.behindBestEffort }, { "workers_not_idle", refusals.notIdle },
+                { "workers_held", refusals.held }, { "workers_held_by_preference", refusals.heldByPreference },
                 { "workers_excluded", refusals.constraint }, { "workers_serving", refusals.servingPressure },
                 { "crashes", describeCrashes(wait.crashedRuns) },
                 { "coincidence", fmt::format("{:.1e}", wait.coincidence) } });
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -246,6 +246,7 @@
     void updateGauges();
     void updateOldestWaits();
     void logStepWaits();
+    void logLongRunningStart(const StartTask&);
     void tick();
 
     EventLoop& m_loop;
--- a/Tests/LibDecision/TestTaskWaits.cpp
+++ b/Tests/LibDecision/TestTaskWaits.cpp
@@ -117,3 +117,64 @@
     STRCMP_EQUAL("short", waits[2].job.c_str());
     STRCMP_EQUAL("best-effort1", waits[3].job.c_str());
 }
+
+// Guards against a log in which longer waits of the same kind hide a long-running task that has to run again (issue
+// 55).
+TEST(TaskWaits, LongRunningTaskThatLostItsWorkerIsTold)
+{
+    constexpr int otherJobs { 5 };
+    constexpr size_t maxWaits { 2 };
+    auto step = fixture.step(1);
+    step.longRunning = true;
+    fixture.addWorker(1, { 1000, 125000, 0 });
+    scheduler.addJob(fixture.job("restarts", { step }), std::nullopt, neverInstant);
+    auto start = fixture.planStarts().at(0);
+    CHECK_FALSE(start.isRestart);
+    scheduler.commandAccepted(1, start.task, start.run, fixture.now());
+    for (int i = 0; i < otherJobs; ++i)
+        scheduler.addJob(fixture.job("new" + std::to_string(i), { step }), std::nullopt, neverInstant);
+    fixture.planStarts();
+    fixture.advance(Milliseconds { 100 });
+    scheduler.removeWorker(1, WorkerEnd::Left, fixture.now());
+    fixture.planStarts();
+    auto waits = scheduler.stepWaits(fixture.now(), Milliseconds { 0 }, maxWaits);
+    CHECK_EQUAL(maxWaits, waits.size());
+    STRCMP_EQUAL("restarts", waits[1].job.c_str());
+    CHECK(waits[1].hasRun && waits[1].longRunning);
+    CHECK_FALSE(waits[0].hasRun);
+}
+
+// Guards against a log that cannot tell room on held workers from room in small pieces, or what is in the way (issue
+// 55).
+TEST(TaskWaits, RoomOnHeldWorkersAndBehindBestEffortTasksIsTold)
+{
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    fixture.addWorker(2, { 2000, 1000, 0 });
+    JobProgress stored { .id = "suspected", .state = JobStage::Running, .done = { "0" } };
+    stored.crashedRuns.push_back({ .index = 0, .run = 1, .runTimeMs = 160, .confirmed = true });
+    auto suspected = fixture.step(1);
+    suspected.size.memoryMb = 2000;
+    scheduler.addJob(fixture.job("suspected", { suspected }), stored, neverInstant);
+    auto small = bestEffort();
+    small.size = { 1000, 1000, 0 };
+    scheduler.addJob(fixture.job("best-effort", { small }), std::nullopt, neverInstant);
+    fixture.planStarts();
+    CHECK((scheduler.workerUse()
+        == WorkerUse { .usable = 2, .isolated = 1, .heldFreeMillis = 3000, .largestFreeMillis = 2000 }));
+    CHECK((refusalsOf(fixture.step(1)) == WorkerRefusals { .behindBestEffort = 1, .heldByPreference = 1 }));
+}
+
+// Guards against starts of long-running tasks of which the log cannot tell how long they waited (issue 55).
+TEST(TaskWaits, StartOfALongRunningTaskTellsItsWait)
+{
+    constexpr Milliseconds wait { 1500 };
+    auto step = fixture.step(1);
+    step.longRunning = true;
+    scheduler.addJob(fixture.job("j", { step }), std::nullopt, neverInstant);
+    fixture.planStarts();
+    fixture.advance(wait);
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    auto start = fixture.planStarts().at(0);
+    CHECK(start.longRunningWait == wait);
+    CHECK_FALSE(start.isRestart);
+}
