Keep room for long-running tasks that have to run again

Cause: each free piece went to whichever task fitted in it.

A long-running task that ran before now goes before all others from 2.5 s on. Otherwise the worker that is expected to have room first is reserved for it, for 5 s at most, one in eight of a service. A reservation ends with the wait, and when the worker drains, is lost or held, or its zone is excluded. Best-effort work is not stopped: it reserves no processors, and its memory was in the way of no task.

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -74,6 +74,21 @@
     });
 }
 
+/// Whether the worker has isolated runs, and the task has run for longer before than they remain suspected. Then a
+/// crash in that time is not due to the task, so that it proves as much as without it.
+bool TaskScheduler::mayStartBesideIsolated(const TrackedTask& task, const WorkerEntry& worker)
+{
+    return worker.isolatedRuns > 0 && std::ranges::all_of(worker.runs, [&](const auto& it) {
+        const auto& [key, active] = it;
+        const auto* run = findRun(*active.task, key.second);
+        if (!run || !run->isolated)
+            return true;
+        auto clearingTime = active.job->crashes.clearingTime(crashKey(*active.job, key.first));
+        auto activeTime = run->reportedAt == neverInstant ? Milliseconds { 0 } : run->reportedAt - run->startedAt;
+        return task.longestRunTime >= clearingTime - activeTime;
+    });
+}
+
 /// Returns for how long the next start of the task waits at most, while other workers crash.
 Milliseconds TaskScheduler::restartBackoff(const TrackedJob& job, const TaskRef& key) const
 {
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -146,16 +146,11 @@
         && acceptsRuns(worker);
 }
 
-/// Whether a task of the step may find no worker although other tasks of the same size do.
-static bool hasPlacementConstraint(const StepSpec& spec)
-{
-    return spec.gang || spec.maxPerWorker > 0 || !spec.requiredLabel.empty();
-}
-
 void TaskScheduler::placeWaitingTasks(Instant now, Instant knownBy)
 {
-    placeSuspects(now, knownBy);
     UnplacedSizes unplaced;
+    placeOverdueTasks(unplaced, now, knownBy);
+    placeSuspects(now, knownBy);
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
         const auto& ready = it->second;
         auto& tracked = ready.job->occurrences[ready.occurrence].steps[ready.step];
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -304,8 +304,11 @@
     auto active = worker.runs.find(RunOrder::KeyView { task, run });
     if (active == worker.runs.end())
         return;
-    if (auto* tracked = findRun(*active->second.task, run))
+    if (auto* tracked = findRun(*active->second.task, run)) {
         setIsolated(*tracked, false);
+        auto& longest = active->second.task->longestRunTime;
+        longest = std::max(longest, tracked->reportedAt - tracked->startedAt);
+    }
     worker.runs.erase(active);
     worker.servingPressuresValid = false;
     const auto& step = job.spec.steps[task.step];
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -5,6 +5,7 @@
 #include <LibDecision/IsolationLimit.h>
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
+#include <LibDecision/RoomReservations.h>
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunEndCoverage.h>
 #include <LibDecision/RunReport.h>
@@ -290,6 +291,8 @@
     bool leavesHeadroom(const StepSpec&) const;
     bool mustWaitForHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
+    class OverduePlacement;
+    void placeOverdueTasks(UnplacedSizes&, Instant now, Instant knownBy);
     static void setWaitingSince(TrackedStep&, Instant now);
     static bool hasRunBefore(const TrackedJob&, const TrackedTask&);
     void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
@@ -301,7 +304,11 @@
         /// Only workers on which the run would be isolated.
         Isolated,
         /// Workers that may be held until the run would be isolated there.
-        Hold
+        Hold,
+        /// Only the worker that is reserved for the task.
+        Reserved,
+        /// Only workers with isolated runs, for which the task cannot be mistaken.
+        BesideIsolated
     };
     struct WorkerSearch;
     struct StepRanking;
@@ -360,6 +367,7 @@
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
     static bool isHeldByPreference(const WorkerEntry&);
+    static bool mayStartBesideIsolated(const TrackedTask&, const WorkerEntry&);
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     Milliseconds restartBackoff(const TrackedJob&, const TaskRef& key) const;
     bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
@@ -427,6 +435,9 @@
 
     /// Sizes for which no worker has had room in the current plan, in which starts only reduce the room.
     UnplacedSizes m_sizesWithoutRoom;
+
+    /// Workers that are reserved for tasks that fit on none.
+    RoomReservations m_reservations;
     std::map<StepKey, ReadyStep> m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
--- a/Libraries/LibDecision/TaskWorkerChoice.cpp
+++ b/Libraries/LibDecision/TaskWorkerChoice.cpp
@@ -109,7 +109,12 @@
     const auto& spec = search.spec;
     if (!search.rack.empty() && worker.view.rack != search.rack)
         return false;
-    if (search.mode == PlacementMode::Shared && worker.isHeldForIsolation(search.now))
+    if (search.mode != PlacementMode::Reserved && m_reservations.find(worker.handle))
+        return false;
+    if (search.mode == PlacementMode::BesideIsolated && !mayStartBesideIsolated(task, worker))
+        return false;
+    bool isShared = search.mode == PlacementMode::Shared || search.mode == PlacementMode::Reserved;
+    if (isShared && worker.isHeldForIsolation(search.now))
         return false;
     if (search.mode == PlacementMode::Isolated && !canIsolate(worker, search.job, search.ready.step, search.now))
         return false;
@@ -161,9 +166,10 @@
         score -= slowPenalty;
     if (worker.view.warmUpRemainingMs > 0)
         score -= warmUpPenalty;
-    if (search.mode != PlacementMode::Shared)
+    bool isIsolated = search.mode == PlacementMode::Isolated || search.mode == PlacementMode::Hold;
+    if (isIsolated)
         score -= residentPenalty * static_cast<double>(worker.runs.size());
-    if (search.mode != PlacementMode::Shared && worker.heldForIsolationUntil > search.now)
+    if (isIsolated && worker.heldForIsolationUntil > search.now)
         score += heldWorkerWeight;
     return score;
 }
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -6,6 +6,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -116,6 +117,9 @@
     bool isOverFull() const { return listsRunOfUnknownSize || !Resources {}.fitsIn(freeResources()); }
     bool isHeldForIsolation(Instant now) const { return isolatedRuns > 0 || heldForIsolationUntil > now; }
 
+    /// Returns when the runs on the worker are expected to leave room for the size, or nullopt if they will not.
+    std::optional<Milliseconds> expectedTimeUntilRoom(const Resources& size, Instant now) const;
+
     /// Resources that the best-effort tasks on the worker reserve.
     Resources bestEffortSize() const
     {
--- a/Libraries/LibDecision/TaskWorkerSearch.h
+++ b/Libraries/LibDecision/TaskWorkerSearch.h
@@ -12,6 +12,12 @@
 
 namespace Bergamot {
 
+/// Whether a task of the step may find no worker although other tasks of the same size do.
+inline bool hasPlacementConstraint(const StepSpec& spec)
+{
+    return spec.gang || spec.maxPerWorker > 0 || !spec.requiredLabel.empty();
+}
+
 /// What the score of a worker depends on, apart from the worker and the task: the step and its active runs.
 struct TaskScheduler::WorkerSearch {
     const TrackedJob& job;
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -18,6 +18,9 @@
     /// Whether a worker is known to have run the task.
     bool hasRun { false };
 
+    /// The longest time from the start of an earlier run to the last report of its worker that listed it.
+    Milliseconds longestRunTime { 0 };
+
     /// Number of runs that this leader stopped because they were slow.
     uint32_t slowRuns { 0 };
 
--- /dev/null
+++ b/Tests/LibDecision/TestTaskReservations.cpp
@@ -0,0 +1,218 @@
+#include "../CheckProperty.h"
+#include "BusyService.h"
+#include <LibDecision/ExpectedRoom.h>
+#include <LibDecision/RoomReservations.h>
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace Bergamot;
+
+namespace {
+
+/// A long-running task has to run again this long after its last run, however full the service is.
+constexpr Milliseconds maxTimeToRestart { 6000 };
+
+/// Largest long-running task of the random loads; it fits on a worker beside others.
+constexpr int64_t maxLongRunningMillis { 5000 };
+
+constexpr Milliseconds warmUp { 5000 };
+constexpr Milliseconds searchLimit { 60000 };
+
+/// A worker with a long-running task, and another one that is held for an isolated run.
+class HeldWorker {
+public:
+    /// The long-running task runs for `runTime` before its worker leaves.
+    explicit HeldWorker(Milliseconds runTime)
+    {
+        service.addJob(lasting.job, BusyService::longRunning(cpuMillis));
+        // Isolated runs go where few others would be lost.
+        service.addJob("other", BusyService::longRunning(otherMillis));
+        service.passFor(runTime);
+        service.addWorker();
+        service.addSuspect("suspect", suspectMillis);
+        // The record of the start is stored first.
+        service.passFor(Milliseconds { 300 });
+        CHECK_EQUAL(2, service.workerOf({ .job = "suspect" }));
+        service.removeWorker(1);
+    }
+
+    Milliseconds timeUntilRestart() { return service.timeUntilRunning(lasting, searchLimit); }
+
+private:
+    static constexpr int64_t cpuMillis { 4400 };
+    static constexpr int64_t otherMillis { 500 };
+    static constexpr int64_t suspectMillis { 1000 };
+    BusyService service { { .workers = 1, .backlog = 0 } };
+    TaskRef lasting { .job = "lasting" };
+};
+
+/// A service in which workers are lost, drain and lapse, and isolated runs hold others, at random.
+class RandomDay {
+public:
+    explicit RandomDay(uint32_t seed)
+        : m_random(seed)
+        , m_service({ .workers = workerCount, .seed = seed })
+    {
+        constexpr int jobs { 8 };
+        for (int i = 0; i < jobs; ++i) {
+            auto id = "lasting" + std::to_string(i);
+            m_service.addJob(id, BusyService::longRunning(1000 + draw(maxLongRunningMillis - 1000)));
+            m_tasks.push_back({ .job = id });
+        }
+        m_service.passFor(warmUp);
+    }
+
+    void passFor(Milliseconds time)
+    {
+        for (auto end = m_service.now() + time; m_service.now() < end;) {
+            m_service.pass();
+            recordWaits();
+        }
+    }
+
+    void disturb()
+    {
+        switch (draw(4)) {
+        case 0:
+            return m_service.replaceWorker(anyWorker());
+        case 1:
+            return m_service.lapseWorker(anyWorker());
+        case 2:
+            m_service.drain(anyWorker());
+            return m_service.addWorker();
+        default:
+            m_service.addSuspect("suspect" + std::to_string(++m_suspects), 500 + draw(1500));
+        }
+    }
+
+    Milliseconds longestTimeWithoutRun() const { return m_longest; }
+    int64_t mostUsedMillis() const { return m_service.mostUsedMillis(); }
+
+private:
+    static constexpr WorkerHandle workerCount { 16 };
+
+    int64_t draw(int64_t n) { return static_cast<int64_t>(m_random() % static_cast<uint64_t>(n)); }
+
+    WorkerHandle anyWorker()
+    {
+        const auto& runs = m_service.runs();
+        return std::next(runs.begin(), draw(static_cast<int64_t>(runs.size())))->first;
+    }
+
+    void recordWaits()
+    {
+        for (const auto& task : m_tasks) {
+            auto [it, isNew] = m_lastRunning.try_emplace(task, m_service.now());
+            if (isNew || m_service.workerOf(task) != 0)
+                it->second = m_service.now();
+            m_longest = std::max(m_longest, m_service.now() - it->second);
+        }
+    }
+
+    std::mt19937 m_random;
+    BusyService m_service;
+    std::vector<TaskRef> m_tasks {};
+    std::map<TaskRef, Instant> m_lastRunning {};
+    Milliseconds m_longest { 0 };
+    int m_suspects { 0 };
+};
+
+}
+
+TEST_GROUP(TaskReservations) {};
+
+// Guards against a long-running task whose room goes to small tasks piece by piece after a loss (LOST, issue 55).
+TEST(TaskReservations, LongRunningTaskRunsAgainWhileSmallTasksTakeEachFreePiece)
+{
+    constexpr int64_t cpuMillis { 4400 };
+    BusyService service({});
+    TaskRef task { .job = "lasting" };
+    service.addJob(task.job, BusyService::longRunning(cpuMillis));
+    service.passFor(warmUp);
+    service.lapseWorker(service.workerOf(task));
+    auto time = service.timeUntilRunning(task, searchLimit);
+    CHECK_COMPARE(time.count(), <=, maxTimeToRestart.count());
+    CHECK_COMPARE(service.mostUsedMillis(), <=, BusyService::workerSize.cpuMillis);
+}
+
+// Guards against a long-running task that waits while all room is on a worker held for an isolated run (LOST, issue
+// 39).
+TEST(TaskReservations, LongRunningTaskRunsAgainBesideIsolatedRun)
+{
+    HeldWorker cluster(Milliseconds { 9000 });
+    auto time = cluster.timeUntilRestart();
+    CHECK_COMPARE(time.count(), <=, maxTimeToRestart.count());
+}
+
+// Guards against a crash that is blamed on an isolated run, although the task that started beside it may be the cause.
+TEST(TaskReservations, TaskThatMayCrashTheWorkerDoesNotStartBesideIsolatedRun)
+{
+    HeldWorker cluster(Milliseconds { 1000 });
+    auto time = cluster.timeUntilRestart();
+    CHECK_COMPARE(time.count(), >, maxTimeToRestart.count());
+}
+
+// Guards against two runs of a task whose step is queued twice, because its only run was listed again and lost (TWICE).
+TEST(TaskReservations, TaskOfAStepThatIsQueuedTwiceStartsOnce)
+{
+    TaskSchedulerFixture fixture;
+    auto& scheduler = fixture.scheduler();
+    scheduler.addJob(fixture.job("lasting", { BusyService::longRunning(1000) }), std::nullopt, neverInstant);
+    fixture.addWorker(1);
+    auto start = fixture.planStarts().at(0);
+    for (int i = 0; i < 2; ++i) {
+        scheduler.runsReported(
+            1, { { .task = start.task, .run = start.run } }, RunEndCoverage::All, fixture.now(), fixture.now());
+        scheduler.markRunsLost(1, fixture.now());
+    }
+    scheduler.setReachable(1, false, fixture.now());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    fixture.advance(maxTimeToRestart);
+    fixture.addWorker(2);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+}
+
+// Guards against any mix of losses, drains and isolated runs after which a long-running task waits beyond its bound.
+TEST(TaskReservations, LongRunningTasksRunAgainWithinTheirBound)
+{
+    constexpr Milliseconds gap { 4000 };
+    constexpr int disturbances { 10 };
+    checkProperty("long-running tasks run again within their bound", [&] {
+        RandomDay day(*rc::gen::noShrink(rc::gen::arbitrary<uint32_t>()));
+        for (int i = 0; i < disturbances; ++i) {
+            day.disturb();
+            day.passFor(gap);
+            RC_ASSERT(day.longestTimeWithoutRun() <= maxTimeToRestart);
+        }
+        RC_ASSERT(day.mostUsedMillis() <= BusyService::workerSize.cpuMillis);
+    });
+}
+
+// Guards against a reservation on a worker whose long-running tasks leave no room, or on one that is slower to empty.
+TEST(TaskReservations, RoomIsExpectedOnceEnoughRunsHaveEnded)
+{
+    std::vector<ExpectedRelease> releases { { Milliseconds { 3000 }, { 2000, 0, 0 } },
+        { Milliseconds { 1000 }, { 1000, 500, 0 } } };
+    CHECK(timeUntilRoom({ 500, 0, 0 }, { 500, 0, 0 }, releases) == Milliseconds { 0 });
+    CHECK(timeUntilRoom({ 1500, 0, 0 }, { 500, 0, 0 }, releases) == Milliseconds { 1000 });
+    CHECK(timeUntilRoom({ 2000, 0, 0 }, { 500, 0, 0 }, releases) == Milliseconds { 3000 });
+    CHECK(timeUntilRoom({ 500, 600, 0 }, { 500, 0, 0 }, releases) == std::nullopt);
+}
+
+// Guards against a task that keeps two workers from others.
+TEST(TaskReservations, TaskHasOneReservation)
+{
+    RoomReservations reservations;
+    TaskRef task { .job = "j" };
+    reservations.reserve(1, { .task = task });
+    reservations.reserve(2, { .task = task });
+    CHECK_EQUAL(1, reservations.count());
+    CHECK(reservations.workerFor(task) == 2);
+    CHECK(reservations.find(2));
+    CHECK_FALSE(reservations.find(1));
+    reservations.releaseIf([](WorkerHandle, const RoomReservations::Reservation& it) { return it.task.job == "j"; });
+    CHECK_EQUAL(0, reservations.count());
+}
