Bound the wait of large short tasks behind small ones

The most urgent short tasks that have waited for 10 s without a worker now have one reserved, one in 32 of a service at a time. Tasks of more urgent queues may still start there, so that no queue gets before another.

--- a/Libraries/LibDecision/RoomReservations.cpp
+++ b/Libraries/LibDecision/RoomReservations.cpp
@@ -26,6 +26,12 @@
     return it == m_reservations.end() ? nullptr : &it->second;
 }
 
+bool RoomReservations::excludes(WorkerHandle handle, uint32_t priority) const
+{
+    const auto* reservation = find(handle);
+    return reservation && (!reservation->priority || priority >= *reservation->priority);
+}
+
 void RoomReservations::releaseIf(const std::function<bool(WorkerHandle, const Reservation&)>& predicate)
 {
     for (auto it = m_reservations.begin(); it != m_reservations.end();) {
--- a/Libraries/LibDecision/TaskReservations.cpp
+++ b/Libraries/LibDecision/TaskReservations.cpp
@@ -6,9 +6,9 @@
 #include <utility>
 #include <vector>
 
-// Starts long-running tasks that have to run again before all others, and reserves workers for those that fit nowhere.
-// Otherwise each piece of room that becomes free goes to the waiting task that fits in it, and a larger one waits until
-// a worker happens to be empty.
+// Starts long-running tasks that have to run again before all others, and reserves workers for those that fit nowhere,
+// and for short tasks that have waited for long. Otherwise each piece of room that becomes free goes to the waiting
+// task that fits in it, and a larger one waits until a worker happens to be empty.
 
 namespace Bergamot {
 
@@ -16,17 +16,24 @@
 /// Until then it leaves headroom for short tasks.
 static constexpr Milliseconds maxRestartWait { 2500 };
 
+/// A short task that finds no worker has one reserved after this wait: smaller tasks may keep arriving without end.
+static constexpr Milliseconds maxShortTaskWait { 10000 };
+
 /// A reservation ends after this time, because the runs on the worker last longer than expected.
 static constexpr Milliseconds maxReservationTime { 5000 };
 
-/// One of this many workers of a service may be reserved.
+/// One of this many workers of a service may be reserved for long-running tasks, and for short ones.
 static constexpr size_t workersPerReservation = 8;
+static constexpr size_t workersPerShortTaskReservation = 32;
+
+/// Short tasks for which workers are reserved at a time; the others follow.
+static constexpr size_t maxReservingShortTasks = 4;
 
 /// Searches of one plan for workers to reserve, or for room beside isolated runs. Each visits all workers and their
 /// runs.
 static constexpr size_t maxSearches = 8;
 
-/// Places the tasks that have to run again, in one plan.
+/// Places the tasks that have to run again, and large short tasks that have waited for long, in one plan.
 class TaskScheduler::OverduePlacement {
 public:
     OverduePlacement(TaskScheduler& scheduler, UnplacedSizes& unplaced, Instant now)
@@ -39,9 +46,12 @@
     void place(Instant knownBy)
     {
         auto steps = overdueSteps(knownBy);
+        auto shortTasks = delayedShortTasks(knownBy);
         releaseReservations();
         for (const auto& step : steps)
             placeStep(step);
+        for (const auto& [ready, index] : shortTasks)
+            placeShortTask(*ready, index);
     }
 
 private:
@@ -53,6 +63,12 @@
         std::vector<uint32_t> tasks {};
     };
 
+    /// A short task that has waited for long.
+    struct ShortTask {
+        const ReadyStep* ready { nullptr };
+        uint32_t index { 0 };
+    };
+
     static TaskRef refOf(const ReadyStep& ready, uint32_t index)
     {
         return { ready.job->spec.id, ready.occurrence, ready.step, index };
@@ -65,8 +81,10 @@
 
     bool isOverdue(const ReadyStep&, uint32_t index, Milliseconds maxWait) const;
     std::vector<OverdueStep> overdueSteps(Instant knownBy) const;
+    std::vector<ShortTask> delayedShortTasks(Instant knownBy) const;
     void releaseReservations();
     void placeStep(const OverdueStep&);
+    void placeShortTask(const ReadyStep&, uint32_t index);
     bool maySearch() { return ++m_searches <= maxSearches; }
     WorkerEntry* reservedWorkerWithRoom(const ReadyStep&, uint32_t index);
     bool reserveWorker(const ReadyStep&, uint32_t index);
@@ -111,6 +129,27 @@
     return steps;
 }
 
+/// Returns the most urgent short tasks that have waited long for a worker.
+std::vector<TaskScheduler::OverduePlacement::ShortTask> TaskScheduler::OverduePlacement::delayedShortTasks(
+    Instant knownBy) const
+{
+    std::vector<ShortTask> tasks;
+    for (const auto& [key, ready] : m_scheduler.m_readySteps) {
+        const auto& spec = ready.job->spec.steps[ready.step];
+        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+        bool isShort = !spec.longRunning && !spec.bestEffort && !spec.gang;
+        if (!isShort || step.delay != PlacementDelay::NoWorker || step.waiting.empty() || ready.job->hasEnded()
+            || ready.job->knownAt > knownBy)
+            continue;
+        auto index = step.waiting.front();
+        if (isOverdue(ready, index, maxShortTaskWait))
+            tasks.push_back({ .ready = &ready, .index = index });
+        if (tasks.size() >= maxReservingShortTasks)
+            break;
+    }
+    return tasks;
+}
+
 /// Ends the reservations of workers that may not take the task any more, and of tasks that do not wait.
 void TaskScheduler::OverduePlacement::releaseReservations()
 {
@@ -159,6 +198,17 @@
     }
 }
 
+/// Starts the task on its reserved worker once that has room. It is placed like others besides.
+void TaskScheduler::OverduePlacement::placeShortTask(const ReadyStep& ready, uint32_t index)
+{
+    if (!taskOf(ready, index).runs.empty())
+        return;
+    if (auto* worker = reservedWorkerWithRoom(ready, index))
+        start(*worker, ready, index);
+    else if (!m_scheduler.m_reservations.workerFor(refOf(ready, index)) && maySearch())
+        reserveWorker(ready, index);
+}
+
 void TaskScheduler::OverduePlacement::start(WorkerEntry& worker, const ReadyStep& ready, uint32_t index)
 {
     if (auto reserved = m_scheduler.m_reservations.workerFor(refOf(ready, index)))
@@ -187,9 +237,16 @@
     if (!search)
         return false;
     auto& reservations = m_scheduler.m_reservations;
-    auto reserved = std::ranges::count_if(
-        search->candidates, [&](const WorkerEntry* it) { return reservations.find(it->handle) != nullptr; });
-    if (std::cmp_greater_equal(reserved, std::max<size_t>(1, search->candidates.size() / workersPerReservation)))
+    RoomReservations::Reservation reservation { .task = refOf(ready, index), .since = m_now };
+    bool isShort = !search->spec.longRunning;
+    if (isShort)
+        reservation.priority = std::get<0>(ready.key);
+    auto reserved = std::ranges::count_if(search->candidates, [&](const WorkerEntry* it) {
+        const auto* other = reservations.find(it->handle);
+        return other && other->priority.has_value() == isShort;
+    });
+    auto workers = search->candidates.size() / (isShort ? workersPerShortTaskReservation : workersPerReservation);
+    if (std::cmp_greater_equal(reserved, std::max<size_t>(1, workers)))
         return false;
     const WorkerEntry* best = nullptr;
     auto shortest = Milliseconds::max();
@@ -206,7 +263,7 @@
         best = worker;
     }
     if (best)
-        reservations.reserve(best->handle, { .task = refOf(ready, index), .since = m_now });
+        reservations.reserve(best->handle, reservation);
     return best != nullptr;
 }
 
--- a/Libraries/LibDecision/TaskWorkerChoice.cpp
+++ b/Libraries/LibDecision/TaskWorkerChoice.cpp
@@ -109,7 +109,8 @@
     const auto& spec = search.spec;
     if (!search.rack.empty() && worker.view.rack != search.rack)
         return false;
-    if (search.mode != PlacementMode::Reserved && m_reservations.find(worker.handle))
+    auto priority = std::get<0>(search.ready.key);
+    if (search.mode != PlacementMode::Reserved && m_reservations.excludes(worker.handle, priority))
         return false;
     if (search.mode == PlacementMode::BesideIsolated && !mayStartBesideIsolated(task, worker))
         return false;
--- a/Tests/LibDecision/TestTaskReservations.cpp
+++ b/Tests/LibDecision/TestTaskReservations.cpp
@@ -211,8 +211,30 @@
     reservations.reserve(2, { .task = task });
     CHECK_EQUAL(1, reservations.count());
     CHECK(reservations.workerFor(task) == 2);
-    CHECK(reservations.find(2));
-    CHECK_FALSE(reservations.find(1));
+    CHECK(reservations.excludes(2, 0));
+    CHECK_FALSE(reservations.excludes(1, 0));
     reservations.releaseIf([](WorkerHandle, const RoomReservations::Reservation& it) { return it.task.job == "j"; });
     CHECK_EQUAL(0, reservations.count());
 }
+
+// Guards against a reservation that keeps more urgent tasks from starting.
+TEST(TaskReservations, MoreUrgentTasksMayUseTheReservedWorkerOfAShortTask)
+{
+    RoomReservations reservations;
+    reservations.reserve(1, { .task = { .job = "j" }, .priority = 2 });
+    CHECK_FALSE(reservations.excludes(1, 1));
+    CHECK(reservations.excludes(1, 2));
+    CHECK(reservations.excludes(1, 3));
+}
+
+// Guards against a large task that waits as long as small ones keep arriving (issue 39, waits that end).
+TEST(TaskReservations, LargeShortTaskDoesNotWaitWithoutEndBehindSmallOnes)
+{
+    constexpr Milliseconds maxWait { 15000 };
+    constexpr uint32_t estimateMs { 2000 };
+    BusyService service({});
+    service.passFor(warmUp);
+    TaskRef task { .job = "large" };
+    service.addJob(task.job, { .size = { 6000, 1000, 0 }, .estimateMs = estimateMs });
+    CHECK_COMPARE(service.timeUntilRunning(task, searchLimit).count(), <=, maxWait.count());
+}
