--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -148,16 +148,11 @@
         && acceptsRuns(worker);
 }
 
-/// Whether a task of the step may find no worker although other tasks of the same size do.
-static bool hasPlacementConstraint(const StepSpec& spec)
-{
-    return spec.gang || spec.maxPerWorker > 0 || !spec.requiredLabel.empty();
-}
-
 void TaskScheduler::placeWaitingTasks(Instant now, Instant knownBy)
 {
-    placeSuspects(now, knownBy);
     UnplacedSizes unplaced;
+    placeOverdueTasks(unplaced, now, knownBy);
+    placeSuspects(now, knownBy);
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
         const auto& ready = it->second;
         auto& tracked = ready.job->occurrences[ready.occurrence].steps[ready.step];
@@ -277,7 +272,7 @@
     TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
     uint64_t run = m_options.epoch * runsPerEpoch + ++task.starts;
     bool isCopy = task.wantsSpeculativeCopy;
-    task.waitingSince = neverInstant;
+    auto waitingSince = std::exchange(task.waitingSince, neverInstant);
     task.wantsSpeculativeCopy = false;
     task.runs.push_back({ .run = run,
         .worker = worker.handle,
@@ -294,7 +289,10 @@
         .payload = job.spec.payload,
         .checkpoint = task.checkpoint,
         .isSpeculativeCopy = isCopy,
+        .isRestart = hasRunBefore(job, task),
     };
+    if (job.spec.steps[ready.step].longRunning && waitingSince != neverInstant)
+        start.longRunningWait = now - waitingSince;
     if (!mustRecordStart(job, ref, task)) {
         m_actions.push_back(std::move(start));
         return;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -5,6 +5,7 @@
 #include <LibDecision/IsolationLimit.h>
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
+#include <LibDecision/RoomReservations.h>
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunEndCoverage.h>
 #include <LibDecision/RunReport.h>
@@ -19,6 +20,7 @@
 #include <LibDecision/WorkerEnd.h>
 #include <LibDecision/WorkerLoss.h>
 #include <LibDecision/WorkerRefusals.h>
+#include <LibDecision/WorkerUse.h>
 #include <LibWire/QueuePolicy.h>
 #include <cstdint>
 #include <functional>
@@ -226,11 +228,6 @@
     /// Why the usable workers cannot take the task of the step that has waited longest. The job must be known.
     WorkerRefusals refusalsOf(const StepWait&) const;
 
-    /// Workers that may get starts, and those of them that get isolated runs only.
-    struct WorkerUse {
-        uint32_t usable { 0 };
-        uint32_t isolated { 0 };
-    };
     WorkerUse workerUse() const;
 
     /// Processors that are free on usable workers, and those that are reserved for the demand of short tasks, in
@@ -306,7 +303,10 @@
     bool leavesHeadroom(const StepSpec&) const;
     bool mustWaitForHeadroom(const StepSpec&, const TrackedTask&, Instant now) const;
     bool placeStep(const ReadyStep&, Instant now);
+    class OverduePlacement;
+    void placeOverdueTasks(UnplacedSizes&, Instant now, Instant knownBy);
     static void setWaitingSince(TrackedStep&, Instant now);
+    static bool hasRunBefore(const TrackedJob&, const TrackedTask&);
     void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
     void moveLongestOfEachKindToFront(std::vector<StepWait>&) const;
     void addCrashedRuns(StepWait&) const;
@@ -316,7 +316,11 @@
         /// Only workers on which the run would be isolated.
         Isolated,
         /// Workers that may be held until the run would be isolated there.
-        Hold
+        Hold,
+        /// Only the worker that is reserved for the task.
+        Reserved,
+        /// Only workers with isolated runs, for which the task cannot be mistaken.
+        BesideIsolated
     };
     struct WorkerSearch;
     struct StepRanking;
@@ -374,6 +378,8 @@
     static Milliseconds expectedRunTime(const TrackedJob&, const TaskRef&);
     static bool areCrashesStored(const TrackedJob&, const TaskRef&);
     RunIsolation isolationOf(const TrackedJob&, const TaskRef&) const;
+    static bool isHeldByPreference(const WorkerEntry&);
+    static bool mayStartBesideIsolated(const TrackedTask&, const WorkerEntry&);
     SuspectDelay delayOfSuspect(const TrackedJob&, const TaskRef&, const TrackedTask&, Instant now) const;
     Milliseconds restartBackoff(const TrackedJob&, const TaskRef& key) const;
     bool mustBackOff(const TrackedJob&, const TaskRef& key, const TrackedTask&, Instant now) const;
@@ -444,6 +450,9 @@
 
     /// Sizes for which no worker has had room in the current plan, in which starts only reduce the room.
     UnplacedSizes m_sizesWithoutRoom;
+
+    /// Workers that are reserved for tasks that fit on none.
+    RoomReservations m_reservations;
     std::map<StepKey, ReadyStep> m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -15,6 +15,12 @@
     /// Number of starts by this leader.
     uint32_t starts { 0 };
 
+    /// Whether a worker is known to have run the task.
+    bool hasRun { false };
+
+    /// The longest time from the start of an earlier run to the last report of its worker that listed it.
+    Milliseconds longestRunTime { 0 };
+
     /// Number of runs that this leader stopped because they were slow.
     uint32_t slowRuns { 0 };
 
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -290,6 +290,7 @@
     void updateOldestWaits();
     void logStepWaits();
     void logUnsettledWorkers();
+    void logLongRunningStart(const StartTask&);
     void tick();
 
     EventLoop& m_loop;
