Answer 404 only by a configuration that is known to be in force

What callers saw: 404, "no such queue", after which they do not retry, for a queue that every configuration of the last 17 s has, also when they asked for a job that had been accepted.

Requests for queues of its table are served as before.

Evidence: RestartDay checks each 404 now. NodeIngress.QueueIsNotCalledUnknownByAnOutdated- Configuration fails without it (404 in place of 503) and passes now.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -54,7 +54,8 @@
                           m_leader->handleQuery(query, std::move(callback));
                   } })
     , m_ingress(services.loop, m_acceptor, m_queries, services.formats, m_metrics,
-          { .routing = [this] { return m_routing; } })
+          { .routing = [this] { return m_routing; },
+              .isConfigurationCurrent = [this] { return isConfigurationCurrent(); } })
 {
 }
 
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -113,6 +113,8 @@
     if (!routing)
         return respond(responder, 503, "no configuration yet");
     const auto* queueRoute = routing->match(hostOf(request), request.path);
+    if (!queueRoute && !m_options.isConfigurationCurrent())
+        return respond(responder, 503, "the configuration may be outdated");
     if (!queueRoute)
         return respond(responder, 404, "no such queue");
     auto sharedResponder = std::make_shared<HttpResponder>(std::move(responder));
--- a/Libraries/LibNode/NodeIngress.h
+++ b/Libraries/LibNode/NodeIngress.h
@@ -24,6 +24,9 @@
     struct Options {
         /// Returns the current configuration, or null if none has been loaded.
         std::function<std::shared_ptr<const RoutingTable>()> routing {};
+
+        /// Whether the configuration comes from a recent read of the operators' records.
+        std::function<bool()> isConfigurationCurrent {};
     };
 
     /// All references must outlive the ingress.
--- a/Tests/LibNode/DecisionModel.h
+++ b/Tests/LibNode/DecisionModel.h
@@ -143,6 +143,16 @@
             add(now, id, "is called unknown although it was accepted");
     }
 
+    /// That a queue does not exist may follow only from a version that was in force within `configurationDelay`.
+    void answeredNoQueue(const JobId& id, const std::string& queue, Instant now)
+    {
+        for (size_t i = 0; i < versions.size(); ++i) {
+            if (!wasReplacedBefore(i, now - configurationDelay) && !findPolicy(versions[i].table, queue))
+                return;
+        }
+        add(now, id, "is answered with 'no such queue' although the queue exists");
+    }
+
     void answeredState(const JobId& id, JobStage state, Instant now)
     {
         const auto& stored = jobs[id].stored;
@@ -196,13 +206,17 @@
         return most;
     }
 
+    bool wasReplacedBefore(size_t version, Instant time) const
+    {
+        return version + 1 < versions.size() && versions[version + 1].storedAt < time;
+    }
+
     /// Whether a task has used up the attempts of a version that was in force within `configurationDelay`, and that is
     /// not older than the one under which the job was accepted.
     bool mayFail(const Job& job, Instant now) const
     {
         for (size_t i = 0; i < versions.size(); ++i) {
-            bool isReplaced = i + 1 < versions.size() && versions[i + 1].storedAt < now - configurationDelay;
-            if (!isReplaced && versions[i].table.version >= job.versionAtAcceptance
+            if (!wasReplacedBefore(i, now - configurationDelay) && versions[i].table.version >= job.versionAtAcceptance
                 && mostFailures(job) >= attemptsUnder(versions[i].table, job))
                 return true;
         }
--- a/Tests/LibNode/RestartDay.h
+++ b/Tests/LibNode/RestartDay.h
@@ -223,6 +223,8 @@
         request("POST", id, encodeValue(spec), [this, id](const HttpResponse& response) {
             model.jobs[id].isAccepted = response.status == 200;
             model.jobs[id].isRefused = response.status == 503 || response.status == 404;
+            if (response.status == 404)
+                model.answeredNoQueue(id, "batch", clock.now());
             if (model.jobs[id].isAccepted && pick(2) == 0)
                 askSoon(id);
         });
@@ -250,6 +252,8 @@
         bool wasAccepted = model.jobs[id].isAccepted;
         request(method, id, {}, [this, id, method, wasAccepted](const HttpResponse& response) {
             readStoredRecords();
+            if (response.status == 404)
+                model.answeredNoQueue(id, "batch", clock.now());
             if (response.status == 410)
                 model.answeredUnknown(id, wasAccepted, clock.now());
             if (response.status == 200)
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -41,7 +41,9 @@
         .routes = { { .queue = "short", .host = "h.example", .pathPrefix = "/q/" },
             { .queue = "long", .host = "h.example", .pathPrefix = "/q/deep/" },
             { .queue = "other", .host = "o.example", .pathPrefix = "/q/deep/er/" } } }) };
-    NodeIngress ingress { *loop, acceptor, router, formats, metrics, { .routing = [this] { return routing; } } };
+    NodeIngress ingress { *loop, acceptor, router, formats, metrics,
+        { .routing = [this] { return routing; }, .isConfigurationCurrent = [this] { return isCurrent; } } };
+    bool isCurrent { true };
     std::vector<HttpResponse> responses;
 
     void request(const std::string& method, const std::string& path, std::string body = {}, HttpHeaders headers = {})
@@ -108,6 +110,16 @@
     CHECK_EQUAL(0, store.appends);
 }
 
+// Guards against status 404, after which callers do not retry, for a queue that a newer configuration has (issue 55).
+TEST(NodeIngress, QueueIsNotCalledUnknownByAnOutdatedConfiguration)
+{
+    isCurrent = false;
+    for (auto method : { "POST", "GET", "DELETE" })
+        CHECK_EQUAL(503, statusOf(method, std::string("/elsewhere/") + id));
+    isCurrent = true;
+    CHECK_EQUAL(404, statusOf("GET", std::string("/elsewhere/") + id));
+}
+
 // Guards against routing a job to the queue of a shorter prefix, or of a longer prefix of another host.
 TEST(NodeIngress, LongestPrefixOfTheHostSelectsTheQueue)
 {
