Wait for a lease when the stored list of workers cannot be decoded

A task could run twice after a takeover.

Cause: assigned workers that cannot be decoded counted as none. The leader took over as soon as the workers that the platform lists had replied, and started the task of a worker that was not listed and still ran it.

Fix: without the list, the tasks of earlier leaders start only once the leases that these have granted have expired. A leader before this one that goes on renewing them without proof of its leadership is not covered: its workers are not known.

Evidence: AssignedWorkers.UnreadableListIsWaitedForAsLongAsALease fails without it (the first start came before 5,103 ms) and passes now, as do the other 306 tests of TestLibNode.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -125,6 +125,7 @@
 {
     if (record.key == assignedWorkersKey) {
         auto assignedWorkers = decodeValue<AssignedWorkers>(record.value);
+        m_areAssignedWorkersUnreadable = !assignedWorkers.ok();
         if (assignedWorkers.ok())
             m_storedAssignedWorkers = std::move(*assignedWorkers);
         else
@@ -380,6 +381,8 @@
 {
     if (m_isReconciled || !m_workerReader || !m_workerReader->hasLoaded())
         return;
+    if (m_areAssignedWorkersUnreadable && m_loop.now() < m_earlierLeasesExpireAt)
+        return;
     for (const auto& [handle, worker] : m_workers) {
         if (!worker.session->isReconciled())
             return;
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -294,6 +294,9 @@
     /// Jobs in this set are not run. Queries for them get the reply Unavailable instead of Unknown.
     std::set<JobId> m_jobsWithUnreadableProgress;
     AssignedWorkers m_storedAssignedWorkers;
+
+    /// The stored assigned workers cannot be decoded, so workers that are not known may hold leases of earlier leaders.
+    bool m_areAssignedWorkersUnreadable { false };
     UnreachedWorkers m_storedUnreachedWorkers;
     std::map<WorkerHandle, Worker> m_workers;
 
--- a/Tests/LibNode/TestAssignedWorkers.cpp
+++ b/Tests/LibNode/TestAssignedWorkers.cpp
@@ -21,3 +21,16 @@
     CHECK_EQUAL(1, starts());
     CHECK(isStoredAsAssigned("w1"));
 }
+
+// Guards against a second run of a task after a takeover: the stored list of workers cannot be decoded, and the worker
+// that runs the task is not listed by the platform, so the leader took the workers that it knew for all (issue 55).
+TEST(AssignedWorkers, UnreadableListIsWaitedForAsLongAsALease)
+{
+    announce("w1");
+    putJob("j");
+    store.put(StreamName::Progress, assignedWorkersKey, "not a list of workers");
+    elect();
+    auto time = timeOfStart(electedAt, Milliseconds { 8000 });
+    CHECK(time.has_value());
+    CHECK(*time >= minLeaseWait);
+}
