Require that the end of an unread job stays on its worker

With canAcknowledge() taken as always true, all 307 tests of TestLibNode passed: the leader that acknowledged the end keeps it in memory, so only a change of leader would lose it. Node.RunEndOfAnUnreadJobIsKept now requires that the end is not acknowledged while the job stream cannot be read; with that mutant it fails ("CHECK_FALSE(acknowledged) failed"), without it passes.

--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -296,8 +296,11 @@
     bool startedAgain = false;
     for (int i = 0; i < 60; ++i) {
         advance(Milliseconds { 100 });
-        if (i == 30)
+        if (i == 30) {
+            // The next leader could not learn of an end that the worker has dropped.
+            CHECK_FALSE(acknowledged);
             store.unreadable.clear();
+        }
         for (auto n = taskExecutor.renewLeaseCalls.size(); n > 0; --n) {
             auto call = taskExecutor.takeRenewLeaseCall();
             RenewLeaseReply reply { .commandReply = accepted(), .endCoverage = RunEndCoverage::All };
