--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -334,6 +334,8 @@
 {
     if (m_isReconciled || !m_workerReader || !m_workerReader->hasLoaded())
         return;
+    if (m_areAssignedWorkersUnreadable && m_loop.now() < m_earlierLeasesExpireAt)
+        return;
     for (const auto& [handle, worker] : m_workers) {
         if (!worker.session->isReconciled())
             return;
--- a/Libraries/LibNode/TaskLeaderRecords.cpp
+++ b/Libraries/LibNode/TaskLeaderRecords.cpp
@@ -16,6 +16,7 @@
 {
     if (record.key == assignedWorkersKey) {
         auto assignedWorkers = decodeValue<AssignedWorkers>(record.value);
+        m_areAssignedWorkersUnreadable = !assignedWorkers.ok();
         if (assignedWorkers.ok())
             m_storedAssignedWorkers = std::move(*assignedWorkers);
         else
