Restart long-running tasks before all workers have replied once their run was listed

Their workers drained, so the leader stopped their runs, but the task then waited until all workers of earlier leaders had replied or their leases had expired. With a new leader every 2.5 s it waited with each of them.

A run that its worker lists to a new leader is the only one of its task, and the worker rejects earlier leaders from then on. So the task need not wait for other workers. Speculative tasks may have copies there, and tasks with limited attempts failed runs that count, so these still wait.

--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -118,6 +118,32 @@
     CHECK(scheduler.takeChangedJobs().back().state == JobStage::Completed);
 }
 
+// Guards against tasks that last and wait anew with each of several leaders after the end of their only run, and
+// against a start of a task that may have a copy, or failed runs that count, on a worker that has not replied.
+TEST(TaskScheduler, OnlyLongRunningTasksMayStartAfterTheirListedRunBeforeAllWorkersHaveReplied)
+{
+    auto longRunning = fixture.step(2);
+    longRunning.longRunning = true;
+    auto speculative = longRunning;
+    speculative.speculative = true;
+    auto blockedUntil = fixture.now() + Milliseconds { 6000 };
+    fixture.addWorker(1);
+    scheduler.addJob(fixture.job("long", { longRunning }), std::nullopt, blockedUntil);
+    scheduler.addJob(fixture.job("copies", { speculative }), std::nullopt, blockedUntil);
+    scheduler.addJob(fixture.job("short", { fixture.step(2) }), std::nullopt, blockedUntil);
+    std::vector<RunReport> listed;
+    for (const auto* id : { "long", "copies", "short" })
+        listed.push_back({ .task = { id, 0, 0, 0 }, .run = 9, .progressPercent = 10 });
+    scheduler.runsReported(1, listed, RunEndCoverage::All, fixture.now(), fixture.now());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    for (const auto& it : listed)
+        scheduler.runEnded(
+            1, { .sequence = 1, .task = it.task, .run = it.run, .outcome = RunOutcome::Stopped }, fixture.now());
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(1, starts.size());
+    CHECK(starts.front().task == (TaskRef { "long", 0, 0, 0 }));
+}
+
 // Guards against runs that continue after their job was cancelled.
 TEST(TaskScheduler, CancelledJobIsStoppedAndNotRestarted)
 {
