Test that leaders count as stopped only with sufficient evidence

Three changes survived the tests: a history that drops its first election still counts as complete, candidacies prove the end of leaders elected after their author had read the stream, and claims prove nothing. Two more made tasks wait for leaders that the author of the stored record had excluded.

--- a/Tests/LibDecision/TestElectionHistory.cpp
+++ b/Tests/LibDecision/TestElectionHistory.cpp
@@ -91,3 +91,16 @@
     CHECK(elections.haveLeadersStopped(8, 9));
     CHECK_FALSE(elections.haveLeadersStopped(0, 9));
 }
+
+// Guards against a leader that is overlooked because it was dropped from a history without a gap.
+TEST(ElectionHistory, DroppedLeadersHaveNotStopped)
+{
+    constexpr uint64_t elected = 100;
+    elections.add(1, start, firstProcess);
+    for (uint64_t epoch = 2; epoch <= elected; ++epoch) {
+        elections.add(epoch, start, { "m2", 21, "a2" });
+        elections.leaderStopped(epoch, "m2", 21);
+    }
+    CHECK_FALSE(elections.haveLeadersStopped(0, elected + 1));
+    CHECK(elections.haveLeadersStopped(elected, elected + 1));
+}
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -390,3 +390,29 @@
     CHECK(elections.haveLeadersStopped(epoch, epoch + 1));
     CHECK_FALSE(elections.haveLeadersStopped(epoch, members[leaderIndex()]->elections.back() + 1));
 }
+
+// Guards against a leader that counts as ended because of a candidacy that may have been sent before its election, and
+// against a wait for one whose host runs a later process.
+TEST(LeadershipMonitor, LaterProcessOfItsHostShowsThatALeaderHasEnded)
+{
+    enum class Evidence : uint8_t { EarlyCandidacy, Candidacy, Claim };
+    for (auto evidence : { Evidence::EarlyCandidacy, Evidence::Candidacy, Evidence::Claim }) {
+        members.clear();
+        addMember(1);
+        addMember(2);
+        advance(Milliseconds { 2000 });
+        auto first = leaderIndex();
+        auto follower = std::move(members[1 - first]);
+        members.clear();
+        auto leader = *follower->monitor->leader();
+        LeadershipRecord record { .member = leader.member, .incarnation = 3, .peerAddress = leader.peerAddress };
+        if (evidence != Evidence::Claim) {
+            record.epoch = candidacyEpoch;
+            record.readUpTo = evidence == Evidence::Candidacy ? leader.epoch : leader.epoch - 1;
+        }
+        store.put(StreamName::Leadership, {}, encodeValue(record));
+        advance(Milliseconds { 100 });
+        const auto& elections = follower->monitor->elections();
+        CHECK_EQUAL(evidence != Evidence::EarlyCandidacy, elections.haveLeadersStopped(leader.epoch, leader.epoch + 1));
+    }
+}
--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -381,6 +381,30 @@
     CHECK(timeOfStart(electedAt, maxLeaseWait).has_value());
 }
 
+// Guards against tasks that wait for 300 s because leaders are unknown that the author of the record had excluded, and
+// against a second run while that author may go on.
+TEST(UnreachedWorkers, ExcludedLeadersNeedNotBeKnownToHaveStopped)
+{
+    for (bool hasStopped : { true, false }) {
+        elections.clear();
+        haveLeadersStopped = [this](uint64_t first, uint64_t end) { return elections.haveLeadersStopped(first, end); };
+        for (const auto* id : { "w1", "w2", "w3", "w4", "w5" })
+            announce(id);
+        putAssignedWorkers({ "w1", "w2", "w3", "w4", "w5" });
+        putJob("j");
+        silent = { "w5" };
+        elect();
+        run(Milliseconds { 2000 });
+        CHECK(isStoredAsUnreached("w5"));
+        CHECK_EQUAL(0, starts());
+        if (hasStopped)
+            elections.leaderStopped(epoch, {}, 0);
+        silent = { "w2", "w3", "w4", "w5" };
+        elect();
+        CHECK_EQUAL(hasStopped, timeOfStart(electedAt, maxLeaseWait).has_value());
+    }
+}
+
 // Guards against a second run of a task: the previous leader has stopped, but the one before it may go on, which relies
 // on workers that were added and that neither successor reaches.
 TEST(UnreachedWorkers, StoppedLeaderDoesNotStandForOneThatItHasNotExcluded)
