Use a new process in each round of a test of elections

Members with the numbers of former ones took their old claims for their own, so that the test passed although claims proved nothing.

--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -396,16 +396,19 @@
 TEST(LeadershipMonitor, LaterProcessOfItsHostShowsThatALeaderHasEnded)
 {
     enum class Evidence : uint8_t { EarlyCandidacy, Candidacy, Claim };
+    uint64_t incarnation = 0;
     for (auto evidence : { Evidence::EarlyCandidacy, Evidence::Candidacy, Evidence::Claim }) {
         members.clear();
-        addMember(1);
-        addMember(2);
+        addMember(++incarnation);
+        addMember(++incarnation);
         advance(Milliseconds { 2000 });
         auto first = leaderIndex();
         auto follower = std::move(members[1 - first]);
         members.clear();
         auto leader = *follower->monitor->leader();
-        LeadershipRecord record { .member = leader.member, .incarnation = 3, .peerAddress = leader.peerAddress };
+        LeadershipRecord record {
+            .member = leader.member, .incarnation = ++incarnation, .peerAddress = leader.peerAddress
+        };
         if (evidence != Evidence::Claim) {
             record.epoch = candidacyEpoch;
             record.readUpTo = evidence == Evidence::Candidacy ? leader.epoch : leader.epoch - 1;
