Announce the end of processes whose claims are carried out late

What callers may see: inherited tasks that wait for up to 300 s after the loss of half of the workers, because a leader seems never to have ended.

Cause: a process announced only once that earlier processes of its host have ended; a claim of such a process that the store carries out after that stayed unanswered. So did the claim of a process that had resigned before it was carried out: it never led, so it never said that it had stopped.

Fix: the announcement may be repeated once it has been read back, and a process that reads its own claim after its resignation stores that it has stopped. LeaderProcess::excludes() has a name that does not clash with excluded leaders.

--- a/Libraries/LibDecision/ElectionHistory.cpp
+++ b/Libraries/LibDecision/ElectionHistory.cpp
@@ -40,7 +40,7 @@
 {
     auto end = m_elections.upper_bound(epoch);
     for (auto it = m_elections.begin(); it != end; ++it)
-        it->second.hasStopped = it->second.hasStopped || process.excludes(it->second.leader);
+        it->second.hasStopped = it->second.hasStopped || process.isOtherProcessOfHostOf(it->second.leader);
 }
 
 void ElectionHistory::leaderStopped(uint64_t epoch, const MemberId& member, uint64_t incarnation)
@@ -54,8 +54,8 @@
 
 bool ElectionHistory::mayLeadEarlierProcessOf(const LeaderProcess& process) const
 {
-    return std::ranges::any_of(
-        m_elections, [&](const auto& it) { return !it.second.hasStopped && process.excludes(it.second.leader); });
+    return std::ranges::any_of(m_elections,
+        [&](const auto& it) { return !it.second.hasStopped && process.isOtherProcessOfHostOf(it.second.leader); });
 }
 
 bool ElectionHistory::haveLeadersStopped(uint64_t first, uint64_t end) const
--- a/Libraries/LibDecision/ElectionHistory.h
+++ b/Libraries/LibDecision/ElectionHistory.h
@@ -10,7 +10,8 @@
 namespace Bergamot {
 
 /// The latest elections that this node has read from the leadership stream without a gap, with the local times at which
-/// it learned of them. An election precedes that time, so whatever ended with the election had ended by then.
+/// it learned of them. An election precedes that time, so whatever ended with the election had ended by then. Also
+/// tracks which of their leaders are known to have stopped.
 class ElectionHistory {
 public:
     /// An epoch that is already known keeps its time and its leader.
--- a/Libraries/LibDecision/LeaderProcess.h
+++ b/Libraries/LibDecision/LeaderProcess.h
@@ -13,7 +13,7 @@
     std::string peerAddress {};
 
     /// Whether this process and the other one run on the same host, so that one of them has ended.
-    bool excludes(const LeaderProcess& other) const
+    bool isOtherProcessOfHostOf(const LeaderProcess& other) const
     {
         return member == other.member && peerAddress == other.peerAddress && incarnation != other.incarnation;
     }
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -164,8 +164,7 @@
     }
     m_maxCandidateCpuMillis = std::max(m_maxCandidateCpuMillis, decoded->cpuMillis);
     if (decoded->epoch == candidacyEpoch)
-        return m_elections.processSeenAfter(
-            decoded->readUpTo, { decoded->member, decoded->incarnation, decoded->peerAddress });
+        return applyCandidacy(*decoded);
     if (decoded->hasStopped)
         return m_elections.leaderStopped(decoded->epoch, decoded->member, decoded->incarnation);
     if (decoded->epoch == 0)
@@ -178,6 +177,14 @@
     m_hasLeaderResigned = decoded->resigns;
 }
 
+void LeadershipMonitor::applyCandidacy(const LeadershipRecord& record)
+{
+    m_elections.processSeenAfter(record.readUpTo, { record.member, record.incarnation, record.peerAddress });
+    // A claim of an earlier process of this host may have been carried out since it was sent.
+    if (record.incarnation == m_options.node.incarnation)
+        m_isRestartAnnounced = false;
+}
+
 void LeadershipMonitor::applyClaim(const LeadershipRecord& record, uint64_t epoch)
 {
     bool hasPredecessor = m_leader.has_value() || epoch > 1;
@@ -195,6 +202,8 @@
     logInfo("leader_changed", { { "epoch", epoch }, { "leader", record.member }, { "self", isOwn } });
     if (m_isLeader && !isOwn)
         stepDown();
+    if (isOwn && m_hasResigned)
+        announceStop(epoch);
     if (!isOwn || m_hasResigned)
         return;
     m_isLeader = true;
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -77,6 +77,7 @@
     void readNext();
     void handleReadReply(const ReadReply&);
     void applyRecord(const KeyedRecord&);
+    void applyCandidacy(const LeadershipRecord&);
     void applyClaim(const LeadershipRecord&, uint64_t epoch);
     void applyKeepaliveOfUnknownLeader(const LeadershipRecord&);
     void announceCandidacy();
@@ -102,6 +103,8 @@
     bool m_hasLeaderResigned { false };
     bool m_hasResigned { false };
     bool m_isClaiming { false };
+
+    /// The announcement that earlier processes of this host have ended is sent and not yet read back.
     bool m_isRestartAnnounced { false };
 
     /// The latest epoch in which this node has led.
--- a/Libraries/LibWire/UnreachedWorkers.h
+++ b/Libraries/LibWire/UnreachedWorkers.h
@@ -8,8 +8,8 @@
 namespace Bergamot {
 
 /// The workers that the leader of `epoch` and its predecessors have not reached. That leader stores a new record
-/// without a worker before it renews the worker's lease. Only the next leader after it may rely on the record: leaders
-/// of versions without this record renew leases without storing one.
+/// without a worker before it renews the worker's lease. Only the next leader after it may rely on the workers that are
+/// not doubtful: leaders of versions without this record renew leases without storing one.
 struct UnreachedWorkers {
     uint64_t epoch { 0 };
     std::vector<UnreachedWorker> workers {};
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -419,3 +419,36 @@
         CHECK_EQUAL(evidence != Evidence::EarlyCandidacy, elections.haveLeadersStopped(leader.epoch, leader.epoch + 1));
     }
 }
+
+// Guards against a wait for a process that has ended and whose claim is carried out after its successor on the host has
+// announced itself.
+TEST(LeadershipMonitor, LateClaimOfAnEarlierProcessIsAnsweredToo)
+{
+    LeadershipRecord claim { .member = "m1", .incarnation = 99, .peerAddress = "a1" };
+    store.put(StreamName::Leadership, {}, encodeValue(claim));
+    addMember(1);
+    members[0]->canClaim = false;
+    advance(Milliseconds { 500 });
+    const auto& elections = members[0]->monitor->elections();
+    CHECK(elections.haveLeadersStopped(1, 2));
+    store.put(StreamName::Leadership, {}, encodeValue(claim));
+    advance(Milliseconds { 500 });
+    auto epoch = members[0]->monitor->leader()->epoch;
+    CHECK(epoch > 1);
+    CHECK(elections.haveLeadersStopped(1, epoch + 1));
+}
+
+// Guards against a wait for a process whose claim is carried out after it has resigned, so that it never leads.
+TEST(LeadershipMonitor, LateClaimOfAResignedProcessIsKnownToHaveStopped)
+{
+    addMember(1);
+    members[0]->canClaim = false;
+    advance(Milliseconds { 500 });
+    members[0]->monitor->resign();
+    store.put(StreamName::Leadership, {},
+        encodeValue(LeadershipRecord { .member = "m1", .incarnation = 1, .peerAddress = "a1" }));
+    advance(Milliseconds { 500 });
+    auto epoch = members[0]->monitor->leader()->epoch;
+    CHECK_EQUAL(0, leaders());
+    CHECK(members[0]->monitor->elections().haveLeadersStopped(epoch, epoch + 1));
+}
