--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -8,8 +8,6 @@
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
 #include <chrono>
-#include <fmt/format.h>
-#include <iterator>
 #include <string>
 #include <utility>
 
