--- a/Tests/LibDecision/TestTaskScheduler.cpp
+++ b/Tests/LibDecision/TestTaskScheduler.cpp
@@ -168,8 +168,8 @@
     CHECK(scheduler.takeChangedJobs().back().state == JobStage::Completed);
 }
 
-// Guards against a second run of a task whose listed run an earlier leader has stopped: that leader may learn of the end
-// too, and start the task on a worker that has not replied to this one.
+// Guards against a second run of a task whose listed run an earlier leader has stopped: that leader may learn of the
+// end too, and start the task on a worker that has not replied to this one.
 TEST(TaskScheduler, NoTaskStartsAfterItsListedRunBeforeAllWorkersHaveReplied)
 {
     auto longRunning = fixture.step(2);
