--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -127,7 +127,7 @@
     logInfo("progress_loaded",
         { { "epoch", m_options.epoch }, { "jobs", m_storedProgress.size() },
             { "workers", m_storedAssignedWorkers.workers.size() }, { "unreached", unreached.size() },
-            { "doubtful", doubtful } });
+            { "unreached_ms", longestUnreachedTime(unreached).count() }, { "doubtful", doubtful } });
     dropReplacedIncarnations();
     restoreLateStarts();
     for (const auto& incarnation : m_storedAssignedWorkers.workers) {
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -208,6 +208,7 @@
     WorkerHandle addWorker(
         const WorkerIncarnation&, std::optional<WorkerAnnouncement>, uint64_t unreachedSinceEpoch = 0);
     std::map<WorkerIncarnation, uint64_t> reliableUnreachedWorkers() const;
+    Milliseconds longestUnreachedTime(const std::map<WorkerIncarnation, uint64_t>&) const;
     void markUnreachedWorkers();
     void workerReached(Worker&);
     UnreachedWorkers collectUnreachedWorkers();
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -38,6 +38,17 @@
     return unreached;
 }
 
+/// The longest time for which this process counts the lease of one of the unreached workers.
+Milliseconds TaskLeader::longestUnreachedTime(const std::map<WorkerIncarnation, uint64_t>& unreached) const
+{
+    Milliseconds longest { 0 };
+    for (const auto& [worker, sinceEpoch] : unreached) {
+        if (auto since = m_options.elections.learnedAt(sinceEpoch))
+            longest = std::max(longest, m_loop.now() - *since);
+    }
+    return longest;
+}
+
 void TaskLeader::markUnreachedWorkers()
 {
     updateEarlierRenewals();
