Let the record of unreached workers hold under leaders that store none

A leader that ended within 0.8 s to 1 s of its election stored no record, so the next one counted the leases of all silent workers from its own election.

A leader now renews no lease of an inherited worker, and starts nothing there, before a record of its own without that worker is stored. Its claim says so (storesReachedWorkers), and a successor relies on a record if all leaders since its author have claimed in this way. Leaders of older versions claim without the field, so the chain ends with them as before. The first record waits for all workers to reply, for 100 ms once half of them have, or for 300 ms, and shares its append with the first pressures, so a take-over still needs two appends (TakeOverThatReachesAllWorkersNeedsTwoAppends).

Workers that a record lists are waited for no longer than their leases even while earlier leaders are not excluded, since the author of the record had excluded them.

The price: a leader whose first record the store does not take renews no inherited lease.

LeadersThatStoreNothingDoNotRestartTheWait: 20 leaders of 100 ms, then one that stays. NoLeaseOfAnEarlierLeaderIsRenewedBeforeTheFirstRecordIsStored guards the other side. PeriodicWorkGoesOnAfterAFailedPlan looks at an added worker now, whose mark depends on the periodic work alone: that of an inherited one no longer waits for 0.8 s. It checks the same points in time.

--- /dev/null
+++ b/Libraries/LibDecision/ElectionClaim.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+namespace Bergamot {
+
+/// What a leader stated when it claimed leadership.
+struct ElectionClaim {
+    /// The least time between this election and the one before it, by the clock of another host.
+    Milliseconds sincePredecessor { 0 };
+
+    /// The leader stores which workers it has reached before it renews their leases.
+    bool storesReachedWorkers { false };
+
+    bool operator==(const ElectionClaim&) const = default;
+};
+
+}
--- a/Libraries/LibDecision/ElectionHistory.cpp
+++ b/Libraries/LibDecision/ElectionHistory.cpp
@@ -13,11 +13,9 @@
     return std::chrono::duration_cast<Milliseconds>(age / fastestClockRate);
 }
 
-void ElectionHistory::add(uint64_t epoch, Instant learnedAt, LeaderProcess leader, Milliseconds sincePredecessor)
+void ElectionHistory::add(uint64_t epoch, Instant learnedAt, LeaderProcess leader, ElectionClaim claim)
 {
-    m_elections.try_emplace(epoch,
-        Election {
-            .knownBy = learnedAt, .sincePredecessor = leastTimeOf(sincePredecessor), .leader = std::move(leader) });
+    m_elections.try_emplace(epoch, Election { .knownBy = learnedAt, .leader = std::move(leader), .claim = claim });
     if (m_elections.size() <= maxElections)
         return;
     m_elections.erase(m_elections.begin());
@@ -44,6 +42,14 @@
         it->second.knownBy = std::min(it->second.knownBy, readAt - leastTimeOf(age));
 }
 
+bool ElectionHistory::doLeadersStoreReachedWorkers(uint64_t author, uint64_t epoch) const
+{
+    auto first = m_elections.find(author);
+    return author < epoch && first != m_elections.end() && m_elections.contains(epoch)
+        && std::all_of(std::next(first), m_elections.lower_bound(epoch),
+            [](const auto& it) { return it.second.claim.storesReachedWorkers; });
+}
+
 std::optional<Instant> ElectionHistory::electedBy(uint64_t epoch) const
 {
     auto first = m_elections.lower_bound(epoch);
@@ -51,7 +57,7 @@
         return std::nullopt;
     auto electedBy = m_elections.rbegin()->second.knownBy;
     for (auto it = std::prev(m_elections.end()); it != first;) {
-        auto sincePredecessor = it->second.sincePredecessor;
+        auto sincePredecessor = leastTimeOf(it->second.claim.sincePredecessor);
         --it;
         electedBy = std::min(it->second.knownBy, electedBy - sincePredecessor);
     }
--- a/Libraries/LibDecision/ElectionHistory.h
+++ b/Libraries/LibDecision/ElectionHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/ElectionClaim.h>
 #include <LibDecision/LeaderProcess.h>
 #include <cstddef>
 #include <cstdint>
@@ -14,10 +15,8 @@
 /// known to have stopped.
 class ElectionHistory {
 public:
-    /// `sincePredecessor` is the least time between this election and the one before it, by the clock of another host.
-    /// An epoch that is already known keeps its times and its leader.
-    void add(uint64_t epoch, Instant learnedAt, LeaderProcess leader = {},
-        Milliseconds sincePredecessor = Milliseconds { 0 });
+    /// An epoch that is already known keeps its times, its leader and its claim.
+    void add(uint64_t epoch, Instant learnedAt, LeaderProcess leader = {}, ElectionClaim claim = {});
 
     /// Must be called for a record that was read at `readAt` and written at least `age` after the election, by the
     /// clock of another host.
@@ -29,6 +28,11 @@
     /// Epoch of the election directly before that of `epoch`; nullopt if it is unknown.
     std::optional<uint64_t> predecessorOf(uint64_t epoch) const;
 
+    /// Whether each leader elected after `author` and before `epoch` stores which workers it has reached before it
+    /// renews their leases, so that what `author` has stored about unreached workers holds until a later record. False
+    /// if an election in that range may be unknown.
+    bool doLeadersStoreReachedWorkers(uint64_t author, uint64_t epoch) const;
+
     /// Local time by which the first known election with this epoch or a later one had taken place; nullopt if none is
     /// known. A process that has just started reads all elections at once, and places them by the times that their
     /// records state.
@@ -53,8 +57,8 @@
     struct Election {
         /// Earliest local time by which records about this election itself show that it had taken place.
         Instant knownBy { neverInstant };
-        Milliseconds sincePredecessor { 0 };
         LeaderProcess leader {};
+        ElectionClaim claim {};
         bool hasStopped { false };
     };
 
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -193,7 +193,9 @@
     LeaderProcess process { record.member, record.incarnation, record.peerAddress };
     // The claim was stored only because its author had read all earlier ones.
     m_elections.processSeenAfter(epoch - 1, process);
-    m_elections.add(epoch, m_loop.now(), std::move(process), Milliseconds { record.electionAgeMs });
+    m_elections.add(epoch, m_loop.now(), std::move(process),
+        { .sincePredecessor = Milliseconds { record.electionAgeMs },
+            .storesReachedWorkers = record.storesReachedWorkers });
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
     m_leaderSilentSince = m_loop.now();
     m_hasLeaderResigned = false;
@@ -273,7 +275,8 @@
         .incarnation = m_options.node.incarnation,
         .peerAddress = m_options.node.peerAddress,
         .cpuMillis = m_options.node.cpuMillis,
-        .electionAgeMs = electionAge().count() };
+        .electionAgeMs = electionAge().count(),
+        .storesReachedWorkers = true };
     AppendRequest request { .stream = StreamName::Leadership,
         .records = { { .value = encodeValue(record) } },
         .expectedEndOffset = m_position };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -122,7 +122,10 @@
 void TaskLeader::handleProgressLoaded()
 {
     auto unreached = reliableUnreachedWorkers();
-    m_isUnreachedRecordDoubtful = 2 * unreached.size() > m_storedAssignedWorkers.workers.size();
+    // Older versions do not store which leaders they have excluded.
+    bool haveEarlierLeadersBeenExcluded = m_storedUnreachedWorkers.oldestEpoch > 0;
+    m_isUnreachedRecordDoubtful
+        = !haveEarlierLeadersBeenExcluded && 2 * unreached.size() > m_storedAssignedWorkers.workers.size();
     auto doubtful = std::ranges::count_if(m_storedUnreachedWorkers.workers, &UnreachedWorker::isDoubtful);
     logInfo("progress_loaded",
         { { "epoch", m_options.epoch }, { "jobs", m_storedProgress.size() },
@@ -133,6 +136,11 @@
     for (const auto& incarnation : m_storedAssignedWorkers.workers) {
         auto it = unreached.find(incarnation);
         auto handle = addWorker(incarnation, std::nullopt, it == unreached.end() ? 0 : it->second);
+        auto& worker = m_workers.at(handle);
+        worker.areEarlierRenewalsOver = haveEarlierLeadersBeenExcluded && it != unreached.end();
+        // Without a record of its own, a leader that ends soon has renewed no lease.
+        worker.session->withholdLease();
+        worker.firstRecordWithout = m_unreachedRecords + 1;
         m_assignedWorkers.push_back(handle);
     }
     restoreDoubtfulWorkers();
@@ -229,15 +237,19 @@
     collected.cancellationsOfUnknownJobs = std::exchange(m_cancellationsOfUnknownJobs, {});
     for (const auto& cancel : collected.cancellationsOfUnknownJobs)
         batch.jobs.push_back({ .id = cancel.job, .state = JobStage::Cancelled });
-    if (m_loop.now() - m_pressuresStoredAt >= pressuresInterval) {
+    // At a take-over, they share the append of the first record of unreached workers.
+    bool mayStorePressures = m_unreachedRecords > 0 || isUnreachedRecordDue() || earlierWorkers().counted == 0;
+    if (mayStorePressures && m_loop.now() - m_pressuresStoredAt >= pressuresInterval) {
         m_pressuresStoredAt = m_loop.now();
         batch.pressures = m_scheduler.savePressures();
     }
+    bool mustStoreUnreachedWorkers = false;
     // With workers added, half of the assigned workers need not include one that an earlier leader relies on. So the
     // change is stored together with the workers that decide, and not while an older list of them is in force.
-    bool canStoreAssignedWorkers = m_areEarlierLeadersExcluded || !hasInheritedDoubt();
+    // A worker may be given tasks once it is stored as assigned, so that a record of this leader must precede.
+    bool canStoreAssignedWorkers = (m_areEarlierLeadersExcluded || !hasInheritedDoubt()) && isFirstUnreachedRecordDue();
     if (canStoreAssignedWorkers && std::exchange(m_assignedWorkersChanged, false)) {
-        m_unreachedWorkersChanged = m_unreachedWorkersChanged || !m_areEarlierLeadersExcluded;
+        mustStoreUnreachedWorkers = !m_areEarlierLeadersExcluded || m_unreachedRecords == 0;
         batch.assignedWorkers.emplace();
         ++m_assignedRecords;
         collected.assignedWorkers.emplace();
@@ -249,8 +261,10 @@
                 batch.assignedWorkers->withMisdirectedLeases.push_back(worker.incarnation);
         }
     }
-    if (std::exchange(m_unreachedWorkersChanged, false))
+    if (mustStoreUnreachedWorkers || isUnreachedRecordDue()) {
+        m_unreachedWorkersChanged = false;
         batch.unreachedWorkers = collectUnreachedWorkers();
+    }
     if (m_lateStarts.isDue(m_loop.now()))
         batch.unansweredStarts = m_lateStarts.collect(m_loop.now());
     collected.assignedRecords = m_assignedRecords;
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -119,6 +119,9 @@
         /// before it.
         bool mayObeyOlderLeader { false };
 
+        /// The stored record of unreached workers shows that no earlier leader can renew the worker's lease any more.
+        bool areEarlierRenewalsOver { false };
+
         /// Epoch since whose election no leader has renewed the worker's lease; 0 if the worker is not to be stored as
         /// unreached.
         uint64_t unreachedSinceEpoch { 0 };
@@ -209,6 +212,9 @@
         const WorkerIncarnation&, std::optional<WorkerAnnouncement>, uint64_t unreachedSinceEpoch = 0);
     std::map<WorkerIncarnation, uint64_t> reliableUnreachedWorkers() const;
     Milliseconds longestUnreachedTime(const std::map<WorkerIncarnation, uint64_t>&) const;
+    bool isUnreachedSinceElection(const Worker&) const;
+    bool isFirstUnreachedRecordDue() const;
+    bool isUnreachedRecordDue() const;
     void markUnreachedWorkers();
     void workerReached(Worker&);
     UnreachedWorkers collectUnreachedWorkers();
@@ -275,6 +281,7 @@
     bool isSoleLeader() const;
     bool canRenewLeases() const;
     bool mayObeyEarlierLeader(const Worker&) const;
+    bool mayReplyToEarlierLeader(const Worker&) const;
     bool mayEarlierLeaderRenew(const Worker&) const;
     bool mayEarlierLeaderRenewAny() const;
     bool hasUnreadEndsOfEarlierRuns() const;
@@ -347,6 +354,9 @@
     uint64_t m_assignedRecords { 0 };
     uint64_t m_unreachedRecords { 0 };
 
+    /// When the last record of unreached workers was collected.
+    Instant m_unreachedCollectedAt { neverInstant };
+
     struct LastSession {
         uint64_t fenceToken { 0 };
 
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -10,10 +10,12 @@
 
 namespace Bergamot {
 
-/// A worker that has not replied within this time is stored as unreached. A usual take-over reaches all workers sooner
-/// and stores none.
+/// A worker that has not replied within this time is stored as unreached.
 static constexpr Milliseconds silenceUntilStored { 800 };
 
+/// Least time between two records of unreached workers while some are still unreached.
+static constexpr Milliseconds unreachedRecordInterval { 100 };
+
 /// If half of the workers are reached within this time after the election, leases from an earlier leader end within the
 /// wait that counts from the election.
 static constexpr Milliseconds maxTimeToReachHalf { 1200 };
@@ -23,13 +25,13 @@
 /// of 3 s by the slowest clock.
 static constexpr Milliseconds maxUnconfirmedRenewalTime { 4750 };
 
-/// The stored unreached workers, with the epochs since which they are unreached. Empty unless the leader directly
-/// before this one has written the record: another leader in between may have renewed leases, and this node must know
-/// of all elections to tell.
+/// The stored unreached workers, with the epochs since which they are unreached. Empty unless all leaders since the
+/// author of the record would have stored another one before they renewed a lease. This node must know of all elections
+/// to tell.
 std::map<WorkerIncarnation, uint64_t> TaskLeader::reliableUnreachedWorkers() const
 {
     std::map<WorkerIncarnation, uint64_t> unreached;
-    if (m_options.elections.predecessorOf(m_options.epoch) != m_storedUnreachedWorkers.epoch)
+    if (!m_options.elections.doLeadersStoreReachedWorkers(m_storedUnreachedWorkers.epoch, m_options.epoch))
         return unreached;
     for (const auto& it : m_storedUnreachedWorkers.workers) {
         if (!it.isDoubtful())
@@ -49,16 +51,23 @@
     return longest;
 }
 
+/// Whether no leader has renewed the lease of the worker since the election of this one, as far as this leader knows.
+bool TaskLeader::isUnreachedSinceElection(const Worker& worker) const
+{
+    if (worker.isReturning || !worker.session->isUnreached())
+        return false;
+    // An earlier leader may renew, or may have renewed, the lease since the election of this one.
+    bool isExcludedInTime = m_areEarlierLeadersExcluded && !wereEarlierLeadersExcludedLate();
+    return isExcludedInTime || !mayObeyEarlierLeader(worker);
+}
+
 void TaskLeader::markUnreachedWorkers()
 {
     updateEarlierRenewals();
     size_t marked = 0;
     for (auto& [handle, worker] : m_workers) {
-        if (worker.unreachedSinceEpoch > 0 || worker.isReturning || !worker.session->isUnreachedFor(silenceUntilStored))
-            continue;
-        // An earlier leader may renew, or may have renewed, the lease since the election of this one.
-        bool isExcludedInTime = m_areEarlierLeadersExcluded && !wereEarlierLeadersExcludedLate();
-        if (!isExcludedInTime && mayObeyEarlierLeader(worker))
+        if (worker.unreachedSinceEpoch > 0 || !worker.session->isUnreachedFor(silenceUntilStored)
+            || !isUnreachedSinceElection(worker))
             continue;
         worker.unreachedSinceEpoch = m_options.epoch;
         ++marked;
@@ -72,25 +81,50 @@
 
 void TaskLeader::workerReached(Worker& worker)
 {
-    if (worker.unreachedSinceEpoch == 0 || worker.session->isUnreached())
+    if (worker.session->isUnreached())
         return;
     worker.unreachedSinceEpoch = 0;
-    if (!worker.session->withholdsLease())
+    bool isRecordCollected = m_unreachedRecords >= worker.firstRecordWithout;
+    if (!worker.session->withholdsLease() || isRecordCollected)
         return;
     m_unreachedWorkersChanged = true;
     m_journal.requestFlush();
 }
 
+/// Whether the first record of unreached workers need not wait for more replies. It says more once half of the workers
+/// have been reached, because earlier leaders are excluded then.
+bool TaskLeader::isFirstUnreachedRecordDue() const
+{
+    constexpr Milliseconds maxWait { 300 };
+    auto workers = earlierWorkers();
+    if (m_unreachedRecords > 0 || workers.reached == workers.counted)
+        return true;
+    auto wait = m_areEarlierLeadersExcluded ? unreachedRecordInterval : maxWait;
+    return m_areSessionsStarted && m_loop.now() - m_sessionsStartedAt >= wait;
+}
+
+/// Workers that reply one after the other share a record.
+bool TaskLeader::isUnreachedRecordDue() const
+{
+    if (!m_unreachedWorkersChanged || !isFirstUnreachedRecordDue())
+        return false;
+    auto workers = earlierWorkers();
+    return workers.reached == workers.counted || m_loop.now() - m_unreachedCollectedAt >= unreachedRecordInterval;
+}
+
 /// From here on the record may be stored, so the leases of its workers are withheld.
 UnreachedWorkers TaskLeader::collectUnreachedWorkers()
 {
     UnreachedWorkers unreached { .epoch = m_options.epoch,
         .oldestEpoch = m_areEarlierLeadersExcluded ? m_options.epoch : m_storedUnreachedWorkers.oldestEpoch };
     ++m_unreachedRecords;
+    m_unreachedCollectedAt = m_loop.now();
     for (auto& [handle, worker] : m_workers) {
-        // A worker that has replied may have been granted a lease, whatever it replied to.
+        // A worker that has replied may be granted a lease, whatever it replied to.
         if (!worker.session->isUnreached())
             worker.unreachedSinceEpoch = 0;
+        else if (worker.unreachedSinceEpoch == 0 && worker.isFromEarlierLeader && isUnreachedSinceElection(worker))
+            worker.unreachedSinceEpoch = m_options.epoch;
         if (worker.unreachedSinceEpoch == 0)
             continue;
         unreached.workers.push_back({ .worker = worker.incarnation, .sinceEpoch = worker.unreachedSinceEpoch });
@@ -229,10 +263,20 @@
     return m_options.hasPredecessor && worker.isFromEarlierLeader;
 }
 
+/// Whether an earlier leader that is not excluded yet may count on the replies of the worker, which then still counts
+/// among those of which half must be reached. Its leases may have expired all the same.
+bool TaskLeader::mayReplyToEarlierLeader(const Worker& worker) const
+{
+    return !m_areEarlierLeadersExcluded && worker.session->isUnreached() && worker.session->haveLeasesExpired()
+        && mayObeyEarlierLeader(worker);
+}
+
 /// Whether an earlier leader may still renew the worker's lease, which must then not be taken as expired. Such a leader
 /// renews while most workers reply to it, until one of them has been reached by this leader and rejects it.
 bool TaskLeader::mayEarlierLeaderRenew(const Worker& worker) const
 {
+    if (worker.areEarlierRenewalsOver)
+        return false;
     auto mayRenewUntil = m_isUnreachedRecordDoubtful ? std::max(m_earlierRenewalsEndBy, m_earlierLeasesExpireAt)
                                                      : m_earlierRenewalsEndBy;
     return m_loop.now() < mayRenewUntil && mayObeyEarlierLeader(worker);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -263,7 +263,7 @@
     std::vector<std::pair<WorkerHandle, WorkerEnd>> absent;
     for (const auto& [handle, worker] : m_workers) {
         const auto& id = worker.incarnation.id;
-        if (worker.session->isReachable() || m_listedWorkers.contains(id))
+        if (worker.session->isReachable() || m_listedWorkers.contains(id) || mayReplyToEarlierLeader(worker))
             continue;
         if (worker.session->haveLeasesExpired())
             absent.emplace_back(handle, endAfterLease(worker));
@@ -318,7 +318,8 @@
                 m_scheduler.markRunsLost(handle, m_loop.now());
                 reportInheritedLoss(worker);
                 checkReconciled();
-                if (m_workerReader->hasLoaded() && !m_listedWorkers.contains(worker.incarnation.id))
+                if (m_workerReader->hasLoaded() && !m_listedWorkers.contains(worker.incarnation.id)
+                    && !mayReplyToEarlierLeader(worker))
                     return removeWorker(handle, endAfterLease(worker));
                 schedulePlan();
             },
--- a/Libraries/LibWire/LeadershipRecord.h
+++ b/Libraries/LibWire/LeadershipRecord.h
@@ -48,12 +48,15 @@
     /// before. A lower bound by the author's clock, since it learns of an election after it; 0 when it is unknown.
     int64_t electionAgeMs { 0 };
 
+    /// In claims: the author stores which workers it has reached before it renews their leases.
+    bool storesReachedWorkers { false };
+
     /// Returns InvalidArgument when the processor capacity or the age is out of range.
     absl::Status check() const;
 
     bool operator==(const LeadershipRecord&) const = default;
-    MSGPACK_DEFINE_ARRAY(
-        member, incarnation, peerAddress, epoch, resigns, cpuMillis, readUpTo, hasStopped, electionAgeMs)
+    MSGPACK_DEFINE_ARRAY(member, incarnation, peerAddress, epoch, resigns, cpuMillis, readUpTo, hasStopped,
+        electionAgeMs, storesReachedWorkers)
 };
 
 }
--- a/Tests/LibDecision/TestElectionHistory.cpp
+++ b/Tests/LibDecision/TestElectionHistory.cpp
@@ -39,8 +39,8 @@
 TEST(ElectionHistory, TimeFollowsFromTheAgesThatRecordsState)
 {
     elections.add(3, start);
-    elections.add(8, start, {}, 1030ms);
-    elections.add(9, start, {}, 2060ms);
+    elections.add(8, start, {}, { .sincePredecessor = 1030ms });
+    elections.add(9, start, {}, { .sincePredecessor = 2060ms });
     elections.electedBefore(9, start, 515ms);
     elections.electedBefore(9, start + 1s, 309ms);
     elections.electedBefore(7, start, 9s);
@@ -52,6 +52,23 @@
     CHECK(elections.electedBy(8) == start - 2500ms);
 }
 
+// Guards against trusting a record that a leader of an older version, or one that was missed, does not keep to.
+TEST(ElectionHistory, RecordsOutliveOnlyLeadersThatKeepToThem)
+{
+    elections.add(3, start);
+    elections.add(8, start, {}, { .storesReachedWorkers = true });
+    elections.add(9, start);
+    CHECK(elections.doLeadersStoreReachedWorkers(3, 9));
+    CHECK(elections.doLeadersStoreReachedWorkers(8, 9));
+    CHECK_FALSE(elections.doLeadersStoreReachedWorkers(2, 9));
+    CHECK_FALSE(elections.doLeadersStoreReachedWorkers(3, 10));
+    CHECK_FALSE(elections.doLeadersStoreReachedWorkers(9, 9));
+    elections.add(12, start);
+    CHECK_FALSE(elections.doLeadersStoreReachedWorkers(3, 12));
+    CHECK_FALSE(elections.doLeadersStoreReachedWorkers(8, 12));
+    CHECK(elections.doLeadersStoreReachedWorkers(9, 12));
+}
+
 // Guards against a history that grows with each election, and against dropping the newest elections.
 TEST(ElectionHistory, OldElectionsAreForgotten)
 {
--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -106,7 +106,7 @@
     {
         ++epoch;
         electedAt = clock.now();
-        elections.add(epoch, electedAt);
+        elections.add(epoch, electedAt, {}, { .storesReachedWorkers = true });
         leader = createLeader();
     }
 
--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -121,6 +121,45 @@
     }
 }
 
+// Guards against tasks that wait anew after leaders that end before they have stored a record of their own.
+TEST(UnreachedWorkers, LeadersThatStoreNothingDoNotRestartTheWait)
+{
+    leadWithoutReachingW2();
+    auto firstElectedAt = electedAt;
+    for (int i = 0; i < 20; ++i) {
+        elect();
+        run(Milliseconds { 100 });
+        CHECK_EQUAL(0, starts());
+    }
+    elect();
+    checkStartIsHeldBackSince(firstElectedAt);
+}
+
+// Guards against a lease that a leader renews although its successors conclude from the missing record that it has
+// renewed none.
+TEST(UnreachedWorkers, NoLeaseOfAnEarlierLeaderIsRenewedBeforeTheFirstRecordIsStored)
+{
+    for (auto fault : { FakeRecordStore::Fault::Refusing, FakeRecordStore::Fault::Unresponsive,
+             FakeRecordStore::Fault::LosingReplies }) {
+        announce("w1");
+        announce("w2");
+        putAssignedWorkers({ "w1", "w2" });
+        putJob("j");
+        silent = { "w1", "w2" };
+        elect();
+        run(Milliseconds { 100 });
+        store.fault = fault;
+        silent.clear();
+        run(Milliseconds { 1500 });
+        CHECK_EQUAL(0, grantsTo("w1", epoch) + grantsTo("w2", epoch));
+        CHECK_EQUAL(0, starts());
+        store.fault = FakeRecordStore::Fault::None;
+        run(Milliseconds { 1500 });
+        CHECK(grantsTo("w1", epoch) > 0);
+        CHECK(grantsTo("w2", epoch) > 0);
+    }
+}
+
 // Guards against relying on a record that outlived another leader, which may have renewed the lease: a leader of an
 // older version does not write such records.
 TEST(UnreachedWorkers, RecordOfAnEarlierPredecessorIsIgnored)
@@ -474,15 +513,16 @@
 TEST(UnreachedWorkers, PeriodicWorkGoesOnAfterAFailedPlan)
 {
     announce("w1");
+    announce("added");
     putAssignedWorkers({ "w1", "w2" });
     putJob("j");
-    silent = { "w2" };
+    silent = { "w2", "added" };
     failsToPlan = true;
     elect();
     run(Milliseconds { 300 });
     CHECK(loop->failedTasks() > 0);
-    CHECK_FALSE(isStoredAsUnreached("w2"));
+    CHECK_FALSE(isStoredAsUnreached("added"));
     failsToPlan = false;
     run(Milliseconds { 2000 });
-    CHECK(isStoredAsUnreached("w2"));
+    CHECK(isStoredAsUnreached("added"));
 }
