--- a/Libraries/LibDecision/ElectionHistory.h
+++ b/Libraries/LibDecision/ElectionHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/ElectionClaim.h>
 #include <LibDecision/LeaderProcess.h>
 #include <cstddef>
 #include <cstdint>
@@ -9,13 +10,17 @@
 
 namespace Bergamot {
 
-/// The latest elections that this node has read from the leadership stream without a gap, with the local times at which
-/// it learned of them. An election precedes that time, so whatever ended with the election had ended by then. Also
-/// tracks which of their leaders are known to have stopped.
+/// The latest elections that this node has read from the leadership stream without a gap, with local times by which
+/// they had taken place. Whatever ended with an election had ended by then. Also tracks which of their leaders are
+/// known to have stopped.
 class ElectionHistory {
 public:
-    /// An epoch that is already known keeps its time and its leader.
-    void add(uint64_t epoch, Instant learnedAt, LeaderProcess leader = {});
+    /// An epoch that is already known keeps its times, its leader and its claim.
+    void add(uint64_t epoch, Instant learnedAt, LeaderProcess leader = {}, ElectionClaim claim = {});
+
+    /// Must be called for a record that was read at `readAt` and written at least `age` after the election, by the
+    /// clock of another host.
+    void electedBefore(uint64_t epoch, Instant readAt, Milliseconds age);
 
     /// Must be called when the node may have missed elections.
     void clear();
@@ -23,8 +28,15 @@
     /// Epoch of the election directly before that of `epoch`; nullopt if it is unknown.
     std::optional<uint64_t> predecessorOf(uint64_t epoch) const;
 
-    /// When this node first learned of an election with this epoch or a later one; nullopt if it knows of none.
-    std::optional<Instant> learnedAt(uint64_t epoch) const;
+    /// Whether each leader elected after `author` and before `epoch` stores which workers it has reached before it
+    /// renews their leases, so that what `author` has stored about unreached workers holds until a later record. False
+    /// if an election in that range may be unknown.
+    bool doLeadersStoreReachedWorkers(uint64_t author, uint64_t epoch) const;
+
+    /// Local time by which the first known election with this epoch or a later one had taken place; nullopt if none is
+    /// known. A process that has just started reads all elections at once, and places them by the times that their
+    /// records state.
+    std::optional<Instant> electedBy(uint64_t epoch) const;
 
     /// The process was running after all elections up to `epoch`.
     void processSeenAfter(uint64_t epoch, const LeaderProcess&);
@@ -43,8 +55,10 @@
     static constexpr size_t maxElections { 64 };
 
     struct Election {
-        Instant learnedAt { neverInstant };
+        /// Earliest local time by which records about this election itself show that it had taken place.
+        Instant knownBy { neverInstant };
         LeaderProcess leader {};
+        ElectionClaim claim {};
         bool hasStopped { false };
     };
 
