Take drained workers out of the assigned workers before they leave

A leader waits for the workers that its predecessor has stored as assigned, because they may run tasks. A worker that drains, lists no run, has all of its run ends stored and no start that may still be executed runs none and gets none. The leader now stores the assigned workers without it, and again with it before its next start, if it stops draining. The price is one more append for a group of workers that drain.

LeaderDoesNotWaitForADrainedWorkerThatHasLeft and WorkerThatNoLongerDrainsIsStoredBeforeItsNextStart fail without the change. DrainingWorkerStaysAssignedWhileItMayHoldRunsOrEnds guards its conditions.

--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -343,6 +343,12 @@
     worker->view = view;
 }
 
+bool TaskScheduler::hasRuns(WorkerHandle handle) const
+{
+    auto it = m_workers.find(handle);
+    return it != m_workers.end() && !it->second->runs.empty();
+}
+
 void TaskScheduler::setReachable(WorkerHandle handle, bool reachable, Instant now)
 {
     auto it = m_workers.find(handle);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -109,6 +109,9 @@
     /// starts have not been sent.
     bool hasRoomForRuns(WorkerHandle) const;
 
+    /// Whether the worker has known runs, including those whose starts have not been sent.
+    bool hasRuns(WorkerHandle) const;
+
     /// An unreachable worker gets no new runs.
     void setReachable(WorkerHandle, bool reachable, Instant now);
 
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -254,6 +254,8 @@
         ++m_assignedRecords;
         collected.assignedWorkers.emplace();
         for (auto& [handle, worker] : m_workers) {
+            if (worker.isRetired)
+                continue;
             batch.assignedWorkers->workers.push_back(worker.incarnation);
             collected.assignedWorkers->push_back(handle);
             worker.isMisdirectedLeaseStored = worker.session->mayHoldMisdirectedLease();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -107,6 +107,10 @@
         std::optional<WorkerAnnouncement> announcement;
         WorkerIncarnation incarnation;
         bool isStored { false };
+
+        /// The worker drains and has no runs, so it is not stored as assigned any more: successors need not wait for
+        /// it.
+        bool isRetired { false };
         bool isSessionStarted { false };
 
         /// The first record of the assigned workers that can contain this worker.
@@ -220,6 +224,7 @@
     UnreachedWorkers collectUnreachedWorkers();
     void handleUnreachedWorkersStored(uint64_t record);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
+    void retireIfDrained(WorkerHandle);
     void removeWorker(WorkerHandle, WorkerEnd);
     void reportInheritedLoss(const Worker&);
     std::vector<StopTask> stopsOfRunsOnSuccessor(WorkerHandle);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -5,6 +5,7 @@
 #include <LibReport/NodeMetrics.h>
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 #include <utility>
 
 namespace Bergamot {
@@ -147,9 +148,31 @@
     if (worker.announcement && announcement.view.draining && !worker.announcement->view.draining)
         logInfo("worker_drains", { { "worker", worker.incarnation.id } });
     worker.announcement = announcement;
+    if (!announcement.view.draining && std::exchange(worker.isRetired, false)) {
+        worker.firstAssignedRecord = m_assignedRecords + 1;
+        m_assignedWorkersChanged = true;
+        m_journal.requestFlush();
+    }
     updateWorkerInScheduler(handle);
 }
 
+/// Takes a worker that drains out of the stored assigned workers once nothing runs there. Otherwise a successor that is
+/// elected after the worker has left waits for its lease.
+void TaskLeader::retireIfDrained(WorkerHandle handle)
+{
+    auto& worker = m_workers.at(handle);
+    bool isDraining = worker.announcement && worker.announcement->view.draining;
+    if (worker.isRetired || !worker.isStored || !isDraining || !worker.session->isIdle()
+        || worker.session->mayHoldMisdirectedLease() || m_scheduler.hasRuns(handle))
+        return;
+    worker.isRetired = true;
+    worker.isStored = false;
+    // No record that is collected already may make the worker count as stored again.
+    worker.firstAssignedRecord = std::numeric_limits<uint64_t>::max();
+    m_assignedWorkersChanged = true;
+    m_journal.requestFlush();
+}
+
 /// Passes the state of a worker to the scheduler. A worker may receive tasks once it has announced itself and is stored
 /// among the assigned workers.
 void TaskLeader::updateWorkerInScheduler(WorkerHandle handle)
@@ -161,8 +184,8 @@
     view.startedAtMs = worker.incarnation.startedAtMs;
     m_scheduler.updateWorker(handle, view);
     m_scheduler.setReachable(handle,
-        worker.isStored && worker.session && worker.session->isReachable() && !worker.session->withholdsLease()
-            && m_listedWorkers.contains(worker.incarnation.id),
+        (worker.isStored || worker.isRetired) && worker.session && worker.session->isReachable()
+            && !worker.session->withholdsLease() && m_listedWorkers.contains(worker.incarnation.id),
         m_loop.now());
 }
 
@@ -248,8 +271,8 @@
     // A worker that returns is stored again before its next start.
     std::erase_if(m_storedAssignedWorkers.workers,
         [&](const WorkerIncarnation& stored) { return stored.id == it->second.incarnation.id; });
+    m_assignedWorkersChanged = m_assignedWorkersChanged || !it->second.isRetired;
     m_workers.erase(it);
-    m_assignedWorkersChanged = true;
     // A crash may have been concluded.
     m_journal.requestUrgentFlush();
     schedulePlan();
@@ -410,6 +433,7 @@
         m_journal.requestFlush();
     }
     checkReconciled();
+    retireIfDrained(handle);
     schedulePlan();
 }
 
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -70,6 +70,12 @@
     return m_startedAt != neverInstant && isUnreached() && m_loop.now() - m_startedAt >= time;
 }
 
+bool WorkerSession::isIdle() const
+{
+    return m_isReachable && m_isReconciled && !m_hasRuns && !m_hasUnreadEnds && m_storedEndSequence >= m_lastEndSequence
+        && m_commands.isEmpty() && stopsOfPossibleRuns().empty() && stopsOfUnprovenRuns().empty();
+}
+
 void WorkerSession::allowLease()
 {
     m_isLeaseWithheld = false;
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -158,6 +158,10 @@
     /// earlier leaders have expired.
     bool isReconciled() const { return m_isReconciled; }
 
+    /// Whether the worker has listed no run, all of its run ends are stored, and no start is to be sent to it or may
+    /// still be executed.
+    bool isIdle() const;
+
     /// Whether the last report left out run ends. The worker reports them once the earlier ones are acknowledged.
     bool hasUnreadEnds() const { return m_hasUnreadEnds; }
     bool isReachable() const { return m_isReachable; }
--- a/Tests/LibNode/TestAssignedWorkers.cpp
+++ b/Tests/LibNode/TestAssignedWorkers.cpp
@@ -2,7 +2,12 @@
 
 using namespace Bergamot;
 
-TEST_GROUP_BASE(AssignedWorkers, TaskLeaderFixture) {};
+TEST_GROUP_BASE(AssignedWorkers, TaskLeaderFixture) { void setDraining(const std::string& worker, bool isDraining) {
+    formats.announcements[worker].view.draining = isDraining;
+store.put(StreamName::Workers, worker, worker);
+}
+}
+;
 
 // Guards against a start on a worker that the next leader does not wait for: a worker was removed after its silence and
 // listed again, and its absence from the stored assigned workers went unnoticed.
@@ -34,3 +39,74 @@
     CHECK(time.has_value());
     CHECK(*time >= minLeaseWait);
 }
+
+// Guards against tasks that wait for the lease of a worker that has left after its runs had ended: its successor in
+// office finds it neither listed nor reachable.
+TEST(AssignedWorkers, LeaderDoesNotWaitForADrainedWorkerThatHasLeft)
+{
+    announce("w1");
+    announce("w2");
+    putAssignedWorkers({ "w1", "w2" });
+    elect();
+    run(Milliseconds { 1000 });
+    setDraining("w2", true);
+    run(Milliseconds { 3000 });
+    CHECK_FALSE(isStoredAsAssigned("w2"));
+    CHECK(isStoredAsAssigned("w1"));
+    store.put(StreamName::Workers, "w2", {});
+    silent = { "w2" };
+    putJob("j");
+    elect();
+    auto time = timeOfStart(electedAt, maxLeaseWait);
+    CHECK(time.has_value());
+    CHECK(*time <= Milliseconds { 500 });
+}
+
+// Guards against a second run of a task: the worker drains, but a run is listed there, or the end of one is not stored.
+TEST(AssignedWorkers, DrainingWorkerStaysAssignedWhileItMayHoldRunsOrEnds)
+{
+    TaskRef task { .job = "j", .occurrence = 0, .step = 0, .index = 0 };
+    putJob("j");
+    for (bool isEnded : { false, true }) {
+        announce("w1");
+        announce("w2");
+        putAssignedWorkers({ "w1", "w2" });
+        runs["w2"] = { { .task = task, .run = 1 } };
+        elect();
+        run(Milliseconds { 1000 });
+        if (isEnded) {
+            store.fault = FakeRecordStore::Fault::LosingReplies;
+            runs.clear();
+            ends["w2"] = { { .sequence = 1, .task = task, .run = 1, .outcome = RunOutcome::Stopped } };
+        }
+        formats.announcements["w2"].view.draining = true;
+        store.put(StreamName::Workers, "w2", "w2");
+        run(Milliseconds { 3000 });
+        CHECK(isStoredAsAssigned("w2"));
+        store.fault = FakeRecordStore::Fault::None;
+        ends.clear();
+        runs.clear();
+    }
+}
+
+// Guards against a start on a worker that no successor waits for, because it no longer drains.
+TEST(AssignedWorkers, WorkerThatNoLongerDrainsIsStoredBeforeItsNextStart)
+{
+    announce("w2");
+    putAssignedWorkers({ "w2" });
+    elect();
+    run(Milliseconds { 1000 });
+    setDraining("w2", true);
+    run(Milliseconds { 3000 });
+    CHECK_FALSE(isStoredAsAssigned("w2"));
+    store.fault = FakeRecordStore::Fault::LosingReplies;
+    setDraining("w2", false);
+    putJob("j");
+    run(Milliseconds { 2000 });
+    CHECK_EQUAL(0, starts());
+    store.fault = FakeRecordStore::Fault::None;
+    for (int i = 0; i < 100 && starts() == 0; ++i)
+        run(Milliseconds { 20 });
+    CHECK_EQUAL(1, starts());
+    CHECK(isStoredAsAssigned("w2"));
+}
