Count the waits of tasks across leaders

So a leader of less than 2.5 s starts none of them while short tasks wait, however many leaders follow. In the traces most of these tasks start after waited_ms of 2501 to 2514. A large short task, for which a worker is reserved after 10 s, waits anew in the same way.

A new leader now takes a task that it has not seen running as waiting since the acceptance of its job (or since its occurrence was due), for 9 s at most. Tasks of a new job, tasks lost under the present leader and steps that become ready under it leave headroom as before. Back-off and the wait for confirmed crashes, in which a leader gathers evidence, still count from its own first plan, so no start of a suspected task comes earlier. The log tells the waits under one leader as before.

--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -115,7 +115,7 @@
     // A new leader does not know yet whether a wave lasts in which the task has crashed.
     bool mayCrash = job.crashes.highestOtherCrashRate(key) > 0 ? mayWorkersCrash(service, now)
                                                                : m_crashingServices.contains(service);
-    return mayCrash && now - task.waitingSince < restartBackoff(job, key);
+    return mayCrash && now - task.foundWaitingAt < restartBackoff(job, key);
 }
 
 /// Returns the services of which so many workers were lost lately for no known cause that one more would prove nothing:
@@ -157,7 +157,7 @@
         return SuspectDelay::Backoff;
     if (isolationOf(job, ref) != RunIsolation::Required)
         return SuspectDelay::None;
-    bool mustWait = job.crashes.awaitsConfirmation(key) && now - task.waitingSince < maxConfirmationWait;
+    bool mustWait = job.crashes.awaitsConfirmation(key) && now - task.foundWaitingAt < maxConfirmationWait;
     return mustWait || hasDueCrash(job, key) ? SuspectDelay::AwaitingConfirmation : SuspectDelay::None;
 }
 
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -14,12 +14,17 @@
 /// Maximum time that a long-running task waits to leave headroom for short tasks; it has to run again within seconds.
 static constexpr Milliseconds maxHeadroomWait { 2500 };
 
+/// Longest wait under earlier leaders that a task is credited with: a second less than the wait after which a short
+/// task has a worker reserved, because a new leader has to see first whether there is room.
+static constexpr Milliseconds maxCreditedWait { 9000 };
+
 /// The recorded peak demand of short tasks halves in this time.
 static constexpr double shortTaskDemandHalfLifeMs = 6000;
 
 std::vector<TaskAction> TaskScheduler::plan(Instant now, int64_t unixMs, const StartPermission& permission)
 {
     m_latestEventAt = now;
+    m_latestUnixMs = unixMs;
     m_mayUnblock = permission.mayUnblock;
     if (m_mayUnblock && m_unblockAt != neverInstant && now >= m_unblockAt) {
         // Some workers have not replied to this leader.
@@ -164,7 +169,7 @@
         PlacementClass placementClass { .service = policyOf(*ready.job).service, .longRunning = spec.longRunning };
         if (spec.bestEffort)
             placementClass.bestEffortImage = tracked.image;
-        setWaitingSince(tracked, now);
+        setWaitingSince(ready, now);
         if (ready.job->knownAt > knownBy) {
             tracked.delay = PlacementDelay::UnconfirmedLeadership;
             ++it;
@@ -183,14 +188,34 @@
     }
 }
 
+/// Returns for how long a task of the step may have waited under earlier leaders, which have stored no waits: since the
+/// acceptance of the job, or since its occurrence was due. Otherwise a delay would begin anew under each leader, and a
+/// task would wait as long as leaders change faster than the delay ends.
+Milliseconds TaskScheduler::maxInheritedWait(const ReadyStep& ready) const
+{
+    const auto& job = *ready.job;
+    const auto& occurrence = job.occurrences[ready.occurrence];
+    if (!occurrence.steps[ready.step].wasReadyBefore)
+        return Milliseconds { 0 };
+    auto readyAtUnixMs
+        = job.spec.repeats > 0 ? std::max(job.spec.acceptedAtMs, occurrence.dueUnixMs) : job.spec.acceptedAtMs;
+    // The clock of the host that accepted the job may be ahead.
+    return std::clamp(Milliseconds { m_latestUnixMs - readyAtUnixMs }, Milliseconds { 0 }, maxCreditedWait);
+}
+
 /// Sets the start of the wait for tasks that were queued since the last plan; these are at the end of the queue.
-void TaskScheduler::setWaitingSince(TrackedStep& step, Instant now)
+void TaskScheduler::setWaitingSince(const ReadyStep& ready, Instant now) const
 {
+    auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+    auto inheritedWait = maxInheritedWait(ready);
     for (auto it = step.waiting.rbegin(); it != step.waiting.rend(); ++it) {
         auto& task = step.tasks[*it];
         if (task.waitingSince != neverInstant)
             return;
-        task.waitingSince = now;
+        // The wait of a task that has run under this leader began under this leader.
+        bool isFirstWait = !task.hasRun && task.starts == 0;
+        task.waitingSince = isFirstWait ? now - inheritedWait : now;
+        task.foundWaitingAt = now;
     }
 }
 
@@ -272,7 +297,7 @@
     TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
     uint64_t run = m_options.epoch * runsPerEpoch + ++task.starts;
     bool isCopy = task.wantsSpeculativeCopy;
-    auto waitingSince = std::exchange(task.waitingSince, neverInstant);
+    bool wasFoundWaiting = std::exchange(task.waitingSince, neverInstant) != neverInstant;
     task.wantsSpeculativeCopy = false;
     task.runs.push_back({ .run = run,
         .worker = worker.handle,
@@ -291,8 +316,8 @@
         .isSpeculativeCopy = isCopy,
         .isRestart = hasRunBefore(job, task),
     };
-    if (job.spec.steps[ready.step].longRunning && waitingSince != neverInstant)
-        start.longRunningWait = now - waitingSince;
+    if (job.spec.steps[ready.step].longRunning && wasFoundWaiting)
+        start.longRunningWait = now - task.foundWaitingAt;
     if (!mustRecordStart(job, ref, task)) {
         m_actions.push_back(std::move(start));
         return;
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -178,6 +178,8 @@
             && tracked.steps[i].waiting.empty())
             makeStepReady(job, occurrence, i);
     }
+    for (auto& step : tracked.steps)
+        step.wasReadyBefore = job.isInherited && !step.waiting.empty();
 }
 
 void TaskScheduler::makeStepReady(TrackedJob& job, uint32_t occurrence, uint32_t step)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -305,7 +305,8 @@
     bool placeStep(const ReadyStep&, Instant now);
     class OverduePlacement;
     void placeOverdueTasks(UnplacedSizes&, Instant now, Instant knownBy);
-    static void setWaitingSince(TrackedStep&, Instant now);
+    Milliseconds maxInheritedWait(const ReadyStep&) const;
+    void setWaitingSince(const ReadyStep&, Instant now) const;
     static bool hasRunBefore(const TrackedJob&, const TrackedTask&);
     void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
     void moveLongestOfEachKindToFront(std::vector<StepWait>&) const;
@@ -499,6 +500,9 @@
 
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
+
+    /// Unix time of the latest plan.
+    int64_t m_latestUnixMs { 0 };
     Instant m_unblockAt { neverInstant };
 
     /// StartPermission::mayUnblock of the latest plan.
--- a/Libraries/LibDecision/TaskSuspects.cpp
+++ b/Libraries/LibDecision/TaskSuspects.cpp
@@ -59,7 +59,7 @@
         if (ready.job->crashes.isEmpty() || ready.job->hasEnded() || isHeldBack)
             continue;
         auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-        setWaitingSince(step, now);
+        setWaitingSince(ready, now);
         bool isGang = ready.job->spec.steps[ready.step].gang;
         for (auto index : step.waiting) {
             if (mayStartIsolated(ready, index, now))
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -48,8 +48,8 @@
         if (step.delay == PlacementDelay::CrashSuspicion)
             wait.suspectDelay = step.suspectDelay;
         for (auto index : step.waiting) {
-            auto since = step.tasks[index].waitingSince;
-            addTask(wait, index, since == neverInstant ? Milliseconds { 0 } : now - since);
+            const auto& task = step.tasks[index];
+            addTask(wait, index, task.waitingSince == neverInstant ? Milliseconds { 0 } : now - task.foundWaitingAt);
         }
         if (wait.longestWait < minWait)
             continue;
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -34,6 +34,9 @@
     /// Whether unrecorded runs of an earlier leader may have been lost with their workers.
     bool mayHaveLostRuns { false };
 
+    /// Whether the tasks were ready under an earlier leader already.
+    bool wasReadyBefore { false };
+
     /// Indices of tasks that wait for a worker.
     std::vector<uint32_t> waiting {};
 
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -33,9 +33,13 @@
     std::vector<TrackedRun> runs {};
     WorkerHandle lastFailedOn { 0 };
 
-    /// Time of the first plan that found the task waiting, whether or not that plan tried to place it.
+    /// Since when the task waits, for the delays that end after some time. The first plan that found the task waiting,
+    /// whether or not that plan tried to place it; earlier for a task that may have waited under earlier leaders.
     Instant waitingSince { neverInstant };
 
+    /// Time of that plan, for the delays in which this leader gathers evidence.
+    Instant foundWaitingAt { neverInstant };
+
     /// A run that an earlier leader started may be active until this time.
     Instant blockedUntil { neverInstant };
 
