Let no new leader assign drained workers again

A worker that drains and is not stored as assigned has been given nothing by any leader, and is given nothing while it drains. A new leader does not assign it, and does not wait for its reply either.

DrainedWorkerIsNotAssignedAgainByTheNextLeader fails without the change.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -326,7 +326,8 @@
     if (m_areAssignedWorkersUnreadable && m_loop.now() < m_earlierLeasesExpireAt)
         return;
     for (const auto& [handle, worker] : m_workers) {
-        if (!worker.session->isReconciled())
+        bool mayHaveRuns = !worker.isRetired || worker.mayRunEarlierTasks;
+        if (mayHaveRuns && !worker.session->isReconciled())
             return;
     }
     m_isReconciled = true;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -115,7 +115,12 @@
     worker.firstAssignedRecord = m_assignedRecords + 1;
     worker.isMisdirectedLeaseStored = worker.isStored && worker.session->mayHoldMisdirectedLease();
     worker.mayRunEarlierTasks = worker.isStored;
-    if (!worker.isStored)
+    bool isDraining = worker.announcement && worker.announcement->view.draining;
+    // No leader has started anything on a worker that is not stored, and none will while it drains.
+    worker.isRetired = !worker.isStored && isDraining && !m_removedIds.contains(incarnation.id);
+    if (worker.isRetired)
+        worker.firstAssignedRecord = std::numeric_limits<uint64_t>::max();
+    else if (!worker.isStored)
         m_assignedWorkersChanged = true;
     worker.unreachedSinceEpoch = unreachedSinceEpoch;
     if (unreachedSinceEpoch > 0)
--- a/Tests/LibNode/TestAssignedWorkers.cpp
+++ b/Tests/LibNode/TestAssignedWorkers.cpp
@@ -62,6 +62,31 @@
     CHECK(*time <= Milliseconds { 500 });
 }
 
+// Guards against tasks that wait for a drained worker because a new leader, which finds it listed still, assigns it
+// again.
+TEST(AssignedWorkers, DrainedWorkerIsNotAssignedAgainByTheNextLeader)
+{
+    announce("w1");
+    announce("w2");
+    putAssignedWorkers({ "w1", "w2" });
+    elect();
+    run(Milliseconds { 1000 });
+    setDraining("w2", true);
+    run(Milliseconds { 3000 });
+    silent = { "w2" };
+    for (bool isListed : { true, false }) {
+        if (!isListed)
+            store.put(StreamName::Workers, "w2", {});
+        putJob(isListed ? "j1" : "j2");
+        elect();
+        auto time = timeOfStart(electedAt, maxLeaseWait);
+        CHECK(time.has_value());
+        CHECK(*time <= Milliseconds { 500 });
+        run(Milliseconds { 300 });
+        CHECK_FALSE(isStoredAsAssigned("w2"));
+    }
+}
+
 // Guards against a second run of a task: the worker drains, but a run is listed there, or the end of one is not stored.
 TEST(AssignedWorkers, DrainingWorkerStaysAssignedWhileItMayHoldRunsOrEnds)
 {
