Ask leaving workers for further run ends before the earlier ones are stored

Callers see a task that runs a second time although its worker had listed its end as done (TWICE). After a report with new ends, the leader asked the worker again only once these were stored, or after 150 ms (66 workers) to 800 ms (480 workers and more). A worker that left in that time took further ends with it. With no disruption near, an end counts as taken note of 100 ms after the worker has listed it.

A worker that drains and has active runs is now asked again after 50 ms, less often while more than 30 drain at once, so that these reports stay below 600 a second. Without active runs, and on workers that do not drain, nothing changes.

WorkerSession.LeavingWorkerIsAskedForFurtherEndsBeforeTheEarlierOnesAreStored failed before with "expected <1> but was <0>".

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -407,6 +407,7 @@
     // A failure must not end the periodic work.
     guardedCall("tick_failed", [&] {
         startDueSessions();
+        updateLeavingReportInterval();
         markUnreachedWorkers();
         dropExpiredMisdirectedLeases();
         answerQueriesOfUnknownJobs();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -205,6 +205,9 @@
     static Milliseconds reportIntervalFor(size_t workers);
     static Milliseconds reportWaitFor(size_t workers);
     static Milliseconds maxUnacknowledgedWaitFor(size_t workers);
+    static Milliseconds leavingReportIntervalFor(size_t leavingWorkers);
+    static bool isLeaving(const Worker&);
+    void updateLeavingReportInterval();
     WorkerHandle addWorker(
         const WorkerIncarnation&, std::optional<WorkerAnnouncement>, uint64_t unreachedSinceEpoch = 0);
     std::map<WorkerIncarnation, uint64_t> reliableUnreachedWorkers() const;
@@ -305,6 +308,7 @@
     uint64_t m_configVersion { 0 };
     Milliseconds m_reportWait { 500 };
     Milliseconds m_maxUnacknowledgedWait { WorkerSession::defaultUnacknowledgedWait };
+    Milliseconds m_leavingReportInterval { WorkerSession::defaultLeavingReportInterval };
     CallTimeout m_commandTimeout { { .minTimeout = minCommandTimeout, .maxTimeout = maxCommandTimeout } };
     CallTimeout m_acknowledgementTimeout { acknowledgementTimeout };
     CallTimeout m_loadTimeout { stateLoadTimeout };
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -77,6 +77,21 @@
         reportIntervalFor(workers), acknowledgementTimeout.minTimeout, WorkerSession::defaultUnacknowledgedWait);
 }
 
+/// Many workers that leave at once are asked less often, with the CPU that the leader spends on reports in mind.
+Milliseconds TaskLeader::leavingReportIntervalFor(size_t leavingWorkers)
+{
+    return std::clamp(reportIntervalFor(leavingWorkers), WorkerSession::defaultLeavingReportInterval,
+        WorkerSession::defaultUnacknowledgedWait);
+}
+
+bool TaskLeader::isLeaving(const Worker& worker) { return worker.announcement && worker.announcement->view.draining; }
+
+void TaskLeader::updateLeavingReportInterval()
+{
+    auto leaving = std::ranges::count_if(m_workers, [](const auto& it) { return isLeaving(it.second); });
+    m_leavingReportInterval = leavingReportIntervalFor(static_cast<size_t>(leaving));
+}
+
 WorkerHandle TaskLeader::addWorker(
     const WorkerIncarnation& incarnation, std::optional<WorkerAnnouncement> announcement, uint64_t unreachedSinceEpoch)
 {
@@ -103,6 +118,8 @@
             .acknowledgementTimeout = m_acknowledgementTimeout,
             .reportWait = m_reportWait,
             .maxUnacknowledgedWait = m_maxUnacknowledgedWait,
+            .isLeaving = [this, handle] { return isLeaving(m_workers.at(handle)); },
+            .leavingReportInterval = m_leavingReportInterval,
             .canStart = [this](const StartTask& start) { return canStart(start); },
             .isSoleLeader = [this] { return isSoleLeader(); },
             .wasSoleLeaderAt = [this](Instant time) { return m_options.soleLeaderUntil() >= time; },
@@ -167,10 +184,7 @@
 }
 
 /// How an incarnation ended that is known to have ended. A worker that leaves as planned announces it before.
-WorkerEnd TaskLeader::endOf(const Worker& worker)
-{
-    return worker.announcement && worker.announcement->view.draining ? WorkerEnd::Left : WorkerEnd::Crashed;
-}
+WorkerEnd TaskLeader::endOf(const Worker& worker) { return isLeaving(worker) ? WorkerEnd::Left : WorkerEnd::Crashed; }
 
 /// How an unlisted worker ended whose leases have expired. Refused connections prove no end, but after that of the
 /// lease they tell a crash from a silent host, also if the host has fallen silent since.
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -339,17 +339,23 @@
     // A worker with unacknowledged run ends replies immediately. The next renewal is delayed, to leave time for
     // acknowledge().
     if (m_lastEndSequence > m_storedEndSequence) {
+        if (hasNewEnds)
+            m_newEndsAt = m_loop.now();
+        if (mayLoseUnreportedEnds())
+            return scheduleLeaseRenewal(m_options.leavingReportInterval);
         if (!hasNewEnds) {
             m_options.acknowledgementTimeout.recordTimeout();
             return scheduleLeaseRenewal(std::min(m_options.reportWait, m_options.maxUnacknowledgedWait));
         }
-        m_newEndsAt = m_loop.now();
         return scheduleLeaseRenewal(
             std::min(m_options.acknowledgementTimeout.current(), m_options.maxUnacknowledgedWait));
     }
     scheduleLeaseRenewal(hasNewEnds ? endBatchDelay : Milliseconds { 0 });
 }
 
+/// Whether runs of the worker may end that it cannot report any more when it has left.
+bool WorkerSession::mayLoseUnreportedEnds() const { return m_hasRuns && m_options.isLeaving(); }
+
 void WorkerSession::acknowledge(uint64_t sequence)
 {
     if (sequence <= m_storedEndSequence)
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -50,6 +50,9 @@
 
     static constexpr Milliseconds defaultUnacknowledgedWait { 800 };
 
+    /// An end counts as known 100 ms after its worker has listed it, so a leaving worker is asked more often.
+    static constexpr Milliseconds defaultLeavingReportInterval { 50 };
+
     struct Options {
         TaskExecutorAddress executor {};
         int64_t startedAtMs { 0 };
@@ -90,6 +93,14 @@
         /// outlive the session.
         const Milliseconds& maxUnacknowledgedWait { defaultUnacknowledgedWait };
 
+        /// Whether the worker has announced that it leaves. Run ends that it has not reported by then are lost with it,
+        /// so it is asked for further ones before the reported ones are stored.
+        std::function<bool()> isLeaving { [] { return false; } };
+
+        /// The time after which a leaving worker with active runs is asked for further run ends. The leader may change
+        /// the value at any time. Must outlive the session.
+        const Milliseconds& leavingReportInterval { defaultLeavingReportInterval };
+
         /// Whether the start may be sent now. Asked directly before each start command is sent, also before a retry:
         /// the decision may be seconds old, and the worker may have announced its drain since.
         std::function<bool(const StartTask&)> canStart {};
@@ -232,6 +243,7 @@
     void sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter>);
     void handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply>, Instant requestSentAt);
     void scheduleLeaseRenewal(Milliseconds delay);
+    bool mayLoseUnreportedEnds() const;
     void recordReply(const TaskCommandReply&, Instant requestSentAt);
     void recordFirstReply(const TaskCommandReply&);
     void recordCommandReply(const TaskCommandReply&, Instant requestSentAt);
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -58,7 +58,9 @@
     auto reply = apply(partition, request);
     if (fault == Fault::LosingReplies)
         return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("lost")); });
-    m_loop.callAfter(replyTime, [callback, reply] { callback(reply); });
+    if (appendTime >= timeout)
+        return m_loop.callAfter(timeout, [callback] { callback(absl::DeadlineExceededError("slow")); });
+    m_loop.callAfter(appendTime, [callback, reply] { callback(reply); });
 }
 
 void FakeRecordStore::poll(
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -57,6 +57,9 @@
     /// Additional response time of read() by stream.
     std::map<StreamName, Milliseconds> readDelays {};
 
+    /// Response time of append().
+    Milliseconds appendTime { 4 };
+
     /// Response time of readNewest().
     Milliseconds readNewestTime { 4 };
     uint32_t appends { 0 };
--- a/Tests/LibNode/FaultyWorkers.h
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -101,6 +102,9 @@
     std::function<void(const RunEnd&)> onEnd { [](const RunEnd&) {} };
     std::function<void(const RunEnd&)> onAcknowledged { [](const RunEnd&) {} };
 
+    /// Called for each run end in a list that has reached its caller.
+    std::function<void(const RunEnd&)> onListed { [](const RunEnd&) {} };
+
     /// Tasks that have ended as done, as far as the ends were not lost in a crash before they were acknowledged.
     std::set<TaskRef> done;
     Resources capacity { 8000, 32000, 0 };
@@ -124,6 +128,11 @@
     uint32_t latePercent { 0 };
     static constexpr Milliseconds maxCallDelay { 12000 };
 
+    /// Longest time that a list of runs is under way. A worker that ends meanwhile cuts off this share of its lists, in
+    /// percent.
+    Milliseconds maxReplyDelay { 0 };
+    uint32_t cutOffReplyPercent { 0 };
+
     /// Number of late calls for a former incarnation that have reached a later one.
     size_t misdirectedCalls { 0 };
 
@@ -214,6 +223,13 @@
         worker.isSilentWhileDown = isSilent;
     }
 
+    /// Ends the worker for good, as after a planned shutdown.
+    void leave(const std::string& id, bool isSilent)
+    {
+        constexpr Milliseconds forGood { 3'600'000 };
+        crash(id, forGood, isSilent);
+    }
+
     size_t runsOf(const TaskRef& task) const
     {
         return static_cast<size_t>(
@@ -469,7 +485,25 @@
         commandReply.clockMs = clockMs(worker);
         if (commandReply.outcome == TaskCommandOutcome::Accepted)
             list(result, worker);
+        if (maxReplyDelay.count() == 0)
+            return deliver(result, callback);
+        bool isCutOff = m_random() % 100 < cutOffReplyPercent;
+        auto delay = Milliseconds { m_random() % maxReplyDelay.count() };
+        bool isLate = m_loop.now() + delay >= deadline;
+        m_loop.callAfter(isLate ? deadline - m_loop.now() : delay, [this, address, result, callback, isCutOff, isLate] {
+            if (isLate)
+                return callback(absl::DeadlineExceededError("late"));
+            if (isCutOff && workers.at(address).isDown)
+                return callback(absl::UnavailableError("reset"));
+            deliver(result, callback);
+        });
+    }
+
+    template <typename Reply> void deliver(const Reply& result, const Callback<Reply>& callback)
+    {
         callback(result);
+        if constexpr (std::is_same_v<Reply, RenewLeaseReply>)
+            std::ranges::for_each(result.ended, onListed);
     }
 
     EventLoop& m_loop;
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -28,6 +28,7 @@
     int fencedCalls { 0 };
     bool failsAtReports { false };
     bool canStart { true };
+    bool isLeaving { false };
     int acceptedStops { 0 };
     std::unique_ptr<WorkerSession> session { std::make_unique<WorkerSession>(*loop, taskExecutor,
         WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
@@ -36,6 +37,7 @@
             .commandTimeout = commandTimeout,
             .acknowledgementTimeout = acknowledgementTimeout,
             .reportWait = reportWait,
+            .isLeaving = [this] { return isLeaving; },
             .canStart = [this](const StartTask&) { return canStart; },
             .renewalLimiter = renewalLimiter,
             .events = { .onReport =
@@ -585,6 +587,27 @@
     CHECK_EQUAL(0, repeated);
 }
 
+// Guards against run ends that are lost with a worker that leaves while it waits for the acknowledgement of earlier
+// ones, so that their tasks run again (TWICE in issue 58).
+TEST(WorkerSession, LeavingWorkerIsAskedForFurtherEndsBeforeTheEarlierOnesAreStored)
+{
+    isLeaving = true;
+    connect();
+    auto listed = replyAt(1000, { { .sequence = 1, .task = { "j", 0, 0, 0 } } });
+    listed.running = { { .task = { "j", 0, 0, 1 }, .run = 1 } };
+    for (int i = 0; i < 3; ++i) {
+        taskExecutor.takeRenewLeaseCall().reply(listed);
+        CHECK(taskExecutor.renewLeaseCalls.empty());
+        advance(Milliseconds { 50 });
+        CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+    }
+    // Without active runs, it has no further ends to report.
+    listed.running.clear();
+    taskExecutor.takeRenewLeaseCall().reply(listed);
+    advance(Milliseconds { 100 });
+    CHECK(taskExecutor.renewLeaseCalls.empty());
+}
+
 // Guards against a second report at the time for which a renewal was scheduled that an acknowledgement brought forward.
 TEST(WorkerSession, RenewalThatWasBroughtForwardIsSentOnce)
 {
