Take note of ends as done in replies that arrive after the removal of their worker

The leader removes a worker that does not reply and has left its list. A reply that was on its way then was ignored with all ends in it, and the tasks of runs that it listed as done ran a second time. The renewal and proof in progress now pass these ends on after the session was closed, and the leader applies those as done: run numbers are unique, so such an end holds whichever incarnation lists it. Other outcomes are left out: their tasks run again anyway, and their checkpoints may be older than those of a newer run.

--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -249,6 +249,7 @@
     void updateConfigurationAge();
     void handleReport(WorkerHandle, const RenewLeaseReply&, Instant requestSentAt);
     void handleListedEnds(WorkerHandle, const std::vector<RunEnd>&);
+    void handleLateEnds(const std::vector<RunEnd>&);
     void handleStartReply(WorkerHandle, const StartTask&, TaskCommandOutcome);
     std::optional<WorkerHandle> findHandle(const WorkerId&) const;
     void updateWorkerInScheduler(WorkerHandle);
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -303,6 +303,11 @@
         .onReport = [this, handle](const RenewLeaseReply& reply,
                         Instant requestSentAt) { handleReport(handle, reply, requestSentAt); },
         .onEndsListed = [this, handle](const std::vector<RunEnd>& ends) { handleListedEnds(handle, ends); },
+        .onLateEnds =
+            [this, alive = m_alive](const std::vector<RunEnd>& ends) {
+                if (*alive)
+                    handleLateEnds(ends);
+            },
         .onStartReply = [this, handle](const StartTask& start,
                             TaskCommandOutcome outcome) { handleStartReply(handle, start, outcome); },
         .onStartUnanswered =
@@ -440,6 +445,19 @@
     schedulePlan();
 }
 
+/// Applies the ends as done in a reply that arrives after its worker was removed. Each run has its own number, so such
+/// an end holds whichever incarnation reports it.
+void TaskLeader::handleLateEnds(const std::vector<RunEnd>& ends)
+{
+    constexpr WorkerHandle removedWorker = 0;
+    for (const auto& end : ends) {
+        if (end.outcome == RunOutcome::Done)
+            m_scheduler.runEnded(removedWorker, end, m_loop.now());
+    }
+    m_journal.requestFlush();
+    schedulePlan();
+}
+
 void TaskLeader::handleStartReply(WorkerHandle handle, const StartTask& start, TaskCommandOutcome outcome)
 {
     auto now = m_loop.now();
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -134,12 +134,12 @@
     auto requestSentAt = m_loop.now();
     ++m_callsInProgress;
     m_taskExecutor.renewLease(m_options.executor, m_fenceToken, request,
-        [this, alive = m_alive, requestSentAt, stored = request.acknowledgedSequence, limiter = std::move(limiter)](
-            absl::StatusOr<RenewLeaseReply> reply) {
+        [this, alive = m_alive, requestSentAt, stored = request.acknowledgedSequence, limiter = std::move(limiter),
+            onLateEnds = m_options.events.onLateEnds](absl::StatusOr<RenewLeaseReply> reply) {
             if (limiter)
                 limiter->callFinished();
             if (!*alive)
-                return;
+                return reply.ok() ? onLateEnds(reply->ended) : void();
             recordCallResult(reply.status());
             m_isLastRenewalAccepted = reply.ok() && reply->commandReply.outcome == TaskCommandOutcome::Accepted
                 && originOf(reply->commandReply, requestSentAt) == ReplyOrigin::ThisIncarnation;
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -31,6 +31,10 @@
         /// Called with the run ends that a worker lists in its reply to a proof of its incarnation. Its next report
         /// lists them too, unless the worker has left by then.
         std::function<void(const std::vector<RunEnd>&)> onEndsListed { [](const std::vector<RunEnd>&) {} };
+
+        /// Called with the run ends in a reply that arrives after the session was closed. May be called after the
+        /// session and its owner have been destroyed.
+        std::function<void(const std::vector<RunEnd>&)> onLateEnds { [](const std::vector<RunEnd>&) {} };
         std::function<void(const StartTask&, TaskCommandOutcome)> onStartReply {};
 
         /// Called when a start got no reply, for each attempt.
@@ -142,8 +146,8 @@
     void start(uint64_t fenceToken);
     void enqueueCommand(TaskAction);
 
-    /// Suppresses all further events, including events from replies that have already arrived. For an owner that is
-    /// called by the session and therefore cannot destroy it yet.
+    /// Suppresses all further events but onLateEnds, including events from replies that have already arrived. For an
+    /// owner that is called by the session and therefore cannot destroy it yet.
     void close() { *m_alive = false; }
 
     /// Takes back the starts that have not been sent. Called before the worker is removed.
--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -115,9 +115,10 @@
     m_hasProofForFront = false;
     ++m_callsInProgress;
     m_taskExecutor.renewLease(m_options.executor, m_fenceToken, {},
-        [this, alive = m_alive, requestSentAt = m_loop.now()](const absl::StatusOr<RenewLeaseReply>& reply) {
+        [this, alive = m_alive, requestSentAt = m_loop.now(), onLateEnds = m_options.events.onLateEnds](
+            const absl::StatusOr<RenewLeaseReply>& reply) {
             if (!*alive)
-                return;
+                return reply.ok() ? onLateEnds(reply->ended) : void();
             recordCallResult(reply.status());
             m_isProofInProgress = false;
             if (!reply.ok())
--- a/Tests/LibNode/TestDrainedWorkers.cpp
+++ b/Tests/LibNode/TestDrainedWorkers.cpp
@@ -38,5 +38,5 @@
 // cut off.
 TEST(DrainedWorkers, NoTaskStartsAgainAfterItsNotedEndOnAFaultyNetwork)
 {
-    checkDays(dayCount / 2, { .isNetworkFaulty = true });
+    checkDays(dayCount, { .isNetworkFaulty = true });
 }
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -31,6 +31,7 @@
     bool isLeaving { false };
     int acceptedStops { 0 };
     std::vector<RunEnd> endsListedInProofs;
+    std::vector<RunEnd> lateEnds;
     std::unique_ptr<WorkerSession> session { std::make_unique<WorkerSession>(*loop, taskExecutor,
         WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
             .startedAtMs = 50,
@@ -47,6 +48,7 @@
                                     throw std::out_of_range("a fault in the processing of this report");
                             },
                 .onEndsListed = [this](const std::vector<RunEnd>& ends) { endsListedInProofs = ends; },
+                .onLateEnds = [this](const std::vector<RunEnd>& ends) { lateEnds = ends; },
                 .onStartReply =
                     [this](const StartTask& start, TaskCommandOutcome outcome) {
                         startedRuns.push_back(start.run);
@@ -622,6 +624,19 @@
     CHECK_EQUAL(0, session->lastEndSequence());
 }
 
+// Guards against a run end that is ignored, because the reply that lists it arrives after the worker was removed.
+TEST(WorkerSession, EndsInTheRepliesToAClosedSessionAreReported)
+{
+    connect();
+    session->proveIncarnation();
+    session->close();
+    for (uint64_t sequence = 1; sequence <= 2; ++sequence) {
+        taskExecutor.takeRenewLeaseCall().reply(replyAt(1000, { { .sequence = sequence, .task = { "j", 0, 0, 0 } } }));
+        CHECK_EQUAL(1, lateEnds.size());
+        CHECK_EQUAL(sequence, lateEnds.front().sequence);
+    }
+}
+
 // Guards against a second report at the time for which a renewal was scheduled that an acknowledgement brought forward.
 TEST(WorkerSession, RenewalThatWasBroughtForwardIsSentOnce)
 {
