--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -78,6 +78,21 @@
         reportIntervalFor(workers), acknowledgementTimeout.minTimeout, WorkerSession::defaultUnacknowledgedWait);
 }
 
+/// Many workers that leave at once are asked less often, with the CPU that the leader spends on reports in mind.
+Milliseconds TaskLeader::leavingReportIntervalFor(size_t leavingWorkers)
+{
+    return std::clamp(reportIntervalFor(leavingWorkers), WorkerSession::defaultLeavingReportInterval,
+        WorkerSession::defaultUnacknowledgedWait);
+}
+
+bool TaskLeader::isLeaving(const Worker& worker) { return worker.announcement && worker.announcement->view.draining; }
+
+void TaskLeader::updateLeavingReportInterval()
+{
+    auto leaving = std::ranges::count_if(m_workers, [](const auto& it) { return isLeaving(it.second); });
+    m_leavingReportInterval = leavingReportIntervalFor(static_cast<size_t>(leaving));
+}
+
 WorkerHandle TaskLeader::addWorker(
     const WorkerIncarnation& incarnation, std::optional<WorkerAnnouncement> announcement, uint64_t unreachedSinceEpoch)
 {
@@ -104,6 +119,8 @@
             .acknowledgementTimeout = m_acknowledgementTimeout,
             .reportWait = m_reportWait,
             .maxUnacknowledgedWait = m_maxUnacknowledgedWait,
+            .isLeaving = [this, handle] { return isLeaving(m_workers.at(handle)); },
+            .leavingReportInterval = m_leavingReportInterval,
             .canStart = [this](const StartTask& start) { return canStart(start); },
             .isSoleLeader = [this] { return isSoleLeader(); },
             .wasSoleLeaderAt = [this](Instant time) { return m_options.soleLeaderUntil() >= time; },
@@ -195,10 +212,7 @@
 }
 
 /// How an incarnation ended that is known to have ended. A worker that leaves as planned announces it before.
-WorkerEnd TaskLeader::endOf(const Worker& worker)
-{
-    return worker.announcement && worker.announcement->view.draining ? WorkerEnd::Left : WorkerEnd::Crashed;
-}
+WorkerEnd TaskLeader::endOf(const Worker& worker) { return isLeaving(worker) ? WorkerEnd::Left : WorkerEnd::Crashed; }
 
 /// How an unlisted worker ended whose leases have expired. Refused connections prove no end, but after that of the
 /// lease they tell a crash from a silent host, also if the host has fallen silent since.
@@ -316,6 +330,12 @@
     return {
         .onReport = [this, handle](const RenewLeaseReply& reply,
                         Instant requestSentAt) { handleReport(handle, reply, requestSentAt); },
+        .onEndsListed = [this, handle](const std::vector<RunEnd>& ends) { handleListedEnds(handle, ends); },
+        .onLateEnds =
+            [this, alive = m_alive](const std::vector<RunEnd>& ends) {
+                if (*alive)
+                    handleLateEnds(ends);
+            },
         .onStartReply = [this, handle](const StartTask& start,
                             TaskCommandOutcome outcome) { handleStartReply(handle, start, outcome); },
         .onStartUnanswered =
@@ -442,6 +462,32 @@
     schedulePlan();
 }
 
+/// Applies the run ends that no report has listed yet. They are acknowledged only after a report.
+void TaskLeader::handleListedEnds(WorkerHandle handle, const std::vector<RunEnd>& ends)
+{
+    updateConfigurationAge();
+    auto lastReported = m_workers.at(handle).session->lastEndSequence();
+    for (const auto& end : ends) {
+        if (end.sequence > lastReported)
+            m_scheduler.runEnded(handle, end, m_loop.now());
+    }
+    m_journal.requestFlush();
+    schedulePlan();
+}
+
+/// Applies the ends as done in a reply that arrives after its worker was removed. Each run has its own number, so such
+/// an end holds whichever incarnation reports it.
+void TaskLeader::handleLateEnds(const std::vector<RunEnd>& ends)
+{
+    constexpr WorkerHandle removedWorker = 0;
+    for (const auto& end : ends) {
+        if (end.outcome == RunOutcome::Done)
+            m_scheduler.runEnded(removedWorker, end, m_loop.now());
+    }
+    m_journal.requestFlush();
+    schedulePlan();
+}
+
 void TaskLeader::handleStartReply(WorkerHandle handle, const StartTask& start, TaskCommandOutcome outcome)
 {
     auto now = m_loop.now();
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -28,7 +28,10 @@
     int fencedCalls { 0 };
     bool failsAtReports { false };
     bool canStart { true };
+    bool isLeaving { false };
     int acceptedStops { 0 };
+    std::vector<RunEnd> endsListedInProofs;
+    std::vector<RunEnd> lateEnds;
     std::unique_ptr<WorkerSession> session { std::make_unique<WorkerSession>(*loop, taskExecutor,
         WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
             .startedAtMs = 50,
@@ -36,6 +39,7 @@
             .commandTimeout = commandTimeout,
             .acknowledgementTimeout = acknowledgementTimeout,
             .reportWait = reportWait,
+            .isLeaving = [this] { return isLeaving; },
             .canStart = [this](const StartTask&) { return canStart; },
             .renewalLimiter = renewalLimiter,
             .events = { .onReport =
@@ -43,6 +47,8 @@
                                 if (failsAtReports)
                                     throw std::out_of_range("a fault in the processing of this report");
                             },
+                .onEndsListed = [this](const std::vector<RunEnd>& ends) { endsListedInProofs = ends; },
+                .onLateEnds = [this](const std::vector<RunEnd>& ends) { lateEnds = ends; },
                 .onStartReply =
                     [this](const StartTask& start, TaskCommandOutcome outcome) {
                         startedRuns.push_back(start.run);
@@ -585,6 +591,52 @@
     CHECK_EQUAL(0, repeated);
 }
 
+// Guards against run ends that are lost with a worker that leaves while it waits for the acknowledgement of earlier
+// ones, so that their tasks run again (TWICE in issue 58).
+TEST(WorkerSession, LeavingWorkerIsAskedForFurtherEndsBeforeTheEarlierOnesAreStored)
+{
+    isLeaving = true;
+    connect();
+    auto listed = replyAt(1000, { { .sequence = 1, .task = { "j", 0, 0, 0 } } });
+    listed.running = { { .task = { "j", 0, 0, 1 }, .run = 1 } };
+    for (int i = 0; i < 3; ++i) {
+        taskExecutor.takeRenewLeaseCall().reply(listed);
+        CHECK(taskExecutor.renewLeaseCalls.empty());
+        advance(Milliseconds { 50 });
+        CHECK_EQUAL(1, taskExecutor.renewLeaseCalls.size());
+    }
+    // Without active runs, it has no further ends to report.
+    listed.running.clear();
+    taskExecutor.takeRenewLeaseCall().reply(listed);
+    advance(Milliseconds { 100 });
+    CHECK(taskExecutor.renewLeaseCalls.empty());
+}
+
+// Guards against a run end that a worker lists only in its reply to a proof, before its connections break and it leaves
+// (TWICE in issue 58).
+TEST(WorkerSession, EndsInTheReplyToAProofAreReported)
+{
+    connect();
+    taskExecutor.renewLeaseCalls.clear();
+    session->proveIncarnation();
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1000, { { .sequence = 1, .task = { "j", 0, 0, 0 }, .run = 1 } }));
+    CHECK_EQUAL(1, endsListedInProofs.size());
+    CHECK_EQUAL(0, session->lastEndSequence());
+}
+
+// Guards against a run end that is ignored, because the reply that lists it arrives after the worker was removed.
+TEST(WorkerSession, EndsInTheRepliesToAClosedSessionAreReported)
+{
+    connect();
+    session->proveIncarnation();
+    session->close();
+    for (uint64_t sequence = 1; sequence <= 2; ++sequence) {
+        taskExecutor.takeRenewLeaseCall().reply(replyAt(1000, { { .sequence = sequence, .task = { "j", 0, 0, 0 } } }));
+        CHECK_EQUAL(1, lateEnds.size());
+        CHECK_EQUAL(sequence, lateEnds.front().sequence);
+    }
+}
+
 // Guards against a second report at the time for which a renewal was scheduled that an acknowledgement brought forward.
 TEST(WorkerSession, RenewalThatWasBroughtForwardIsSentOnce)
 {
