Keep room for long-running tasks before the leases of lost workers end

When a seventh of a large service was lost or left at once, long-running tasks waited for up to 19 s beside short tasks that took each free piece (LOST, grown Riga and grown Sofia). There were three causes.

All searches for workers to reserve (8 in a plan) went to the tasks that had waited longest. Tasks that fit nowhere, even without short runs, used them up in each plan, and no task behind them had a worker reserved. A size that fits nowhere is now searched for once, and the next search begins with the first task that was left out. Searches take place once in 100 ms and share one forecast of the room on each worker.

Room was kept only from 2.5 s after the lease of a lost worker had ended, and by then most of the 6 s within which a task has to run again are over. Workers are now reserved from 2.5 s after the leader last reached the worker, and the tasks start as soon as they may. Reservations end once the worker is reached again.

One worker in eight could be reserved; now one in four can. Short tasks keep the others.

RoomIsExpectedOnceEnoughRunsHaveEnded makes the same checks through the new RoomForecast.

--- a/Libraries/LibDecision/ExpectedRoom.h
+++ b/Libraries/LibDecision/ExpectedRoom.h
@@ -15,8 +15,22 @@
     bool operator==(const ExpectedRelease&) const = default;
 };
 
-/// Returns when `size` is expected to fit if nothing else starts, or nullopt if it does not fit even after all
-/// releases.
-std::optional<Milliseconds> timeUntilRoom(const Resources& size, Resources free, std::vector<ExpectedRelease>);
+/// The room that a worker is expected to have over time if nothing else starts there.
+class RoomForecast {
+public:
+    static RoomForecast create(Resources free, std::vector<ExpectedRelease>);
+
+    /// Returns when `size` is expected to fit, or nullopt if it does not fit even after all releases.
+    std::optional<Milliseconds> timeUntil(const Resources& size) const;
+
+private:
+    struct Room {
+        Milliseconds time { 0 };
+        Resources free {};
+    };
+
+    /// Rising room by time, starting with the room that is free now.
+    std::vector<Room> m_rooms {};
+};
 
 }
--- a/Libraries/LibDecision/RoomReservations.cpp
+++ b/Libraries/LibDecision/RoomReservations.cpp
@@ -43,6 +43,19 @@
     }
 }
 
+void RoomReservations::removeUrgentIf(const std::function<bool(const TaskRef&)>& predicate)
+{
+    std::erase_if(m_urgentTasks, predicate);
+}
+
+bool RoomReservations::beginSearch(Instant now, Milliseconds interval)
+{
+    if (m_searchedAt != neverInstant && now - m_searchedAt < interval)
+        return false;
+    m_searchedAt = now;
+    return true;
+}
+
 std::optional<WorkerHandle> RoomReservations::workerFor(const TaskRef& task) const
 {
     auto it = m_workers.find(task);
--- a/Libraries/LibDecision/RoomReservations.h
+++ b/Libraries/LibDecision/RoomReservations.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace Bergamot {
 
@@ -36,10 +38,26 @@
     bool excludes(WorkerHandle, uint32_t priority) const;
     std::optional<WorkerHandle> workerFor(const TaskRef&) const;
     size_t count() const { return m_reservations.size(); }
+    const std::map<WorkerHandle, Reservation>& all() const { return m_reservations; }
+
+    /// A task whose worker has been out of contact for long has to run again as soon as its lease has expired.
+    void addUrgent(const TaskRef& task) { m_urgentTasks.insert(task); }
+    bool isUrgent(const TaskRef& task) const { return m_urgentTasks.contains(task); }
+    void removeUrgentIf(const std::function<bool(const TaskRef&)>&);
+
+    /// Whether the last search for workers to reserve began at least `interval` ago. If so, one begins now.
+    bool beginSearch(Instant now, Milliseconds interval);
+
+    /// The task with which the next plan begins its searches for workers to reserve.
+    const std::optional<TaskRef>& nextSearch() const { return m_nextSearch; }
+    void setNextSearch(std::optional<TaskRef> task) { m_nextSearch = std::move(task); }
 
 private:
     std::map<WorkerHandle, Reservation> m_reservations;
     std::map<TaskRef, WorkerHandle> m_workers;
+    std::set<TaskRef> m_urgentTasks;
+    std::optional<TaskRef> m_nextSearch;
+    Instant m_searchedAt { neverInstant };
 };
 
 }
--- a/Libraries/LibDecision/TaskReservations.cpp
+++ b/Libraries/LibDecision/TaskReservations.cpp
@@ -3,6 +3,10 @@
 #include <LibDecision/TaskWorkerEntry.h>
 #include <LibDecision/TaskWorkerSearch.h>
 #include <algorithm>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -22,17 +26,21 @@
 /// A reservation ends after this time, because the runs on the worker last longer than expected.
 static constexpr Milliseconds maxReservationTime { 5000 };
 
-/// One of this many workers of a service may be reserved for long-running tasks, and for short ones.
-static constexpr size_t workersPerReservation = 8;
+/// One of this many workers of a service may be reserved for long-running tasks, and for short ones. Short tasks keep
+/// the room that becomes free on the others, however many long-running tasks wait.
+static constexpr size_t workersPerReservation = 4;
 static constexpr size_t workersPerShortTaskReservation = 32;
 
 /// Short tasks for which workers are reserved at a time; the others follow.
 static constexpr size_t maxReservingShortTasks = 4;
 
-/// Searches of one plan for workers to reserve, or for room beside isolated runs. Each visits all workers and their
-/// runs.
+/// Searches of one plan for room beside isolated runs. Each visits all workers and their runs.
 static constexpr size_t maxSearches = 8;
 
+/// Workers to reserve are searched in one plan of this time, with this many searches, each of which visits all workers.
+static constexpr Milliseconds reservationInterval { 100 };
+static constexpr size_t maxReservationSearches = 32;
+
 /// Places the tasks that have to run again, and large short tasks that have waited for long, in one plan.
 class TaskScheduler::OverduePlacement {
 public:
@@ -45,13 +53,15 @@
 
     void place(Instant knownBy)
     {
-        auto steps = overdueSteps(knownBy);
-        auto shortTasks = delayedShortTasks(knownBy);
         releaseReservations();
-        for (const auto& step : steps)
+        auto expected = expectedRestarts(knownBy);
+        for (const auto& step : overdueSteps(knownBy))
             placeStep(step);
-        for (const auto& [ready, index] : shortTasks)
-            placeShortTask(*ready, index);
+        for (const auto& [ready, index] : delayedShortTasks(knownBy))
+            placeShortTask(ready, index);
+        std::ranges::move(expected, std::back_inserter(m_withoutWorker));
+        if (m_scheduler.m_reservations.beginSearch(m_now, reservationInterval))
+            reserveWorkers();
     }
 
 private:
@@ -59,13 +69,12 @@
     struct OverdueStep {
         /// Start of the longest wait.
         Instant since { Instant::max() };
-        const ReadyStep* ready { nullptr };
+        ReadyStep ready {};
         std::vector<uint32_t> tasks {};
     };
 
-    /// A short task that has waited for long.
-    struct ShortTask {
-        const ReadyStep* ready { nullptr };
+    struct ReadyTask {
+        ReadyStep ready {};
         uint32_t index { 0 };
     };
 
@@ -79,23 +88,63 @@
         return ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     }
 
+    bool isLongOutOfContact(const WorkerEntry&) const;
+    bool hasToRunAgain(const TaskRef&) const;
     bool isOverdue(const ReadyStep&, uint32_t index, Milliseconds maxWait) const;
+    std::vector<ReadyTask> expectedRestarts(Instant knownBy);
     std::vector<OverdueStep> overdueSteps(Instant knownBy) const;
-    std::vector<ShortTask> delayedShortTasks(Instant knownBy) const;
+    std::vector<ReadyTask> delayedShortTasks(Instant knownBy) const;
     void releaseReservations();
+    void reserveWorkers();
     void placeStep(const OverdueStep&);
     void placeShortTask(const ReadyStep&, uint32_t index);
     bool maySearch() { return ++m_searches <= maxSearches; }
     WorkerEntry* reservedWorkerWithRoom(const ReadyStep&, uint32_t index);
     bool reserveWorker(const ReadyStep&, uint32_t index);
+    const RoomForecast& expectedRoom(const WorkerEntry&);
+    size_t& reservedWorkers(const std::string& service, bool forShortTasks)
+    {
+        return m_reservedWorkers[{ service, forShortTasks }];
+    }
     void start(WorkerEntry&, const ReadyStep&, uint32_t index);
 
     TaskScheduler& m_scheduler;
     UnplacedSizes& m_unplaced;
     Instant m_now;
     size_t m_searches { 0 };
+
+    /// Number of reserved workers by service, for long-running and for short tasks.
+    std::map<std::pair<std::string, bool>, size_t> m_reservedWorkers {};
+
+    /// Forecasts of the workers on which this plan has started nothing since.
+    std::map<WorkerHandle, RoomForecast> m_forecasts {};
+
+    /// Tasks that fit nowhere and have no reserved worker.
+    std::vector<ReadyTask> m_withoutWorker {};
+
+    /// Sizes that fit nowhere even once all short runs have ended.
+    UnplacedSizes m_withoutExpectedRoom {};
 };
 
+/// Whether the leader has not reached the worker for so long that it has probably been lost with its runs.
+bool TaskScheduler::OverduePlacement::isLongOutOfContact(const WorkerEntry& worker) const
+{
+    return !worker.reachable && worker.lostAt != neverInstant && m_now - worker.lostAt >= maxRestartWait;
+}
+
+/// Whether the task waits, or is expected to once the lease of its worker has expired.
+bool TaskScheduler::OverduePlacement::hasToRunAgain(const TaskRef& ref) const
+{
+    auto* job = m_scheduler.findJob(ref.job);
+    const auto* task = job && !job->hasEnded() ? findTask(*job, ref) : nullptr;
+    if (!task || task->done)
+        return false;
+    return std::ranges::all_of(task->runs, [&](const TrackedRun& run) {
+        auto it = m_scheduler.m_workers.find(run.worker);
+        return it != m_scheduler.m_workers.end() && isLongOutOfContact(*it->second);
+    });
+}
+
 /// Whether the task may start like others and has waited for longer than it should.
 bool TaskScheduler::OverduePlacement::isOverdue(const ReadyStep& ready, uint32_t index, Milliseconds maxWait) const
 {
@@ -103,7 +152,35 @@
     if (task.done || !task.runs.empty() || m_scheduler.isBlocked(task, m_now))
         return false;
     bool hasWaited = task.waitingSince != neverInstant && m_now - task.waitingSince >= maxWait;
-    return hasWaited && m_scheduler.isolationOf(*ready.job, refOf(ready, index)) == RunIsolation::None;
+    auto ref = refOf(ready, index);
+    return (hasWaited || m_scheduler.m_reservations.isUrgent(ref))
+        && m_scheduler.isolationOf(*ready.job, ref) == RunIsolation::None;
+}
+
+/// Returns the long-running tasks whose workers have probably been lost. Room for them is kept while their leases last:
+/// once these have expired, little is left of the time within which the tasks have to run again.
+std::vector<TaskScheduler::OverduePlacement::ReadyTask> TaskScheduler::OverduePlacement::expectedRestarts(
+    Instant knownBy)
+{
+    std::vector<ReadyTask> tasks;
+    for (const auto& [handle, worker] : m_scheduler.m_workers) {
+        if (!isLongOutOfContact(*worker))
+            continue;
+        for (const auto& [key, active] : worker->runs) {
+            const auto& ref = key.first;
+            auto& job = *active.job;
+            if (!active.spec->longRunning || active.spec->gang || job.knownAt > knownBy || !hasToRunAgain(ref)
+                || m_scheduler.isolationOf(job, ref) != RunIsolation::None)
+                continue;
+            m_scheduler.m_reservations.addUrgent(ref);
+            if (m_scheduler.m_reservations.workerFor(ref))
+                continue;
+            ReadyStep ready { .job = &job, .occurrence = ref.occurrence, .step = ref.step };
+            std::get<0>(ready.key) = m_scheduler.policyOf(job).priority;
+            tasks.push_back({ .ready = ready, .index = ref.index });
+        }
+    }
+    return tasks;
 }
 
 /// Returns the steps with tasks that have to run again, longest wait first.
@@ -115,7 +192,7 @@
         const auto& spec = ready.job->spec.steps[ready.step];
         if (!spec.longRunning || spec.gang || ready.job->hasEnded() || ready.job->knownAt > knownBy)
             continue;
-        OverdueStep overdue { .ready = &ready };
+        OverdueStep overdue { .ready = ready };
         for (auto index : ready.job->occurrences[ready.occurrence].steps[ready.step].waiting) {
             if (!hasRunBefore(*ready.job, taskOf(ready, index)) || !isOverdue(ready, index, maxRestartWait))
                 continue;
@@ -130,10 +207,10 @@
 }
 
 /// Returns the most urgent short tasks that have waited long for a worker.
-std::vector<TaskScheduler::OverduePlacement::ShortTask> TaskScheduler::OverduePlacement::delayedShortTasks(
+std::vector<TaskScheduler::OverduePlacement::ReadyTask> TaskScheduler::OverduePlacement::delayedShortTasks(
     Instant knownBy) const
 {
-    std::vector<ShortTask> tasks;
+    std::vector<ReadyTask> tasks;
     for (const auto& [key, ready] : m_scheduler.m_readySteps) {
         const auto& spec = ready.job->spec.steps[ready.step];
         const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
@@ -143,7 +220,7 @@
             continue;
         auto index = step.waiting.front();
         if (isOverdue(ready, index, maxShortTaskWait))
-            tasks.push_back({ .ready = &ready, .index = index });
+            tasks.push_back({ .ready = ready, .index = index });
         if (tasks.size() >= maxReservingShortTasks)
             break;
     }
@@ -153,28 +230,28 @@
 /// Ends the reservations of workers that may not take the task any more, and of tasks that do not wait.
 void TaskScheduler::OverduePlacement::releaseReservations()
 {
-    m_scheduler.m_reservations.releaseIf([&](WorkerHandle handle, const RoomReservations::Reservation& reservation) {
+    auto& reservations = m_scheduler.m_reservations;
+    reservations.removeUrgentIf([&](const TaskRef& ref) { return !hasToRunAgain(ref); });
+    reservations.releaseIf([&](WorkerHandle handle, const RoomReservations::Reservation& reservation) {
         auto it = m_scheduler.m_workers.find(handle);
         bool mayTakeRuns = it != m_scheduler.m_workers.end() && m_scheduler.isUsable(*it->second, m_now)
             && !it->second->isHeldForIsolation(m_now);
-        auto* job = m_scheduler.findJob(reservation.task.job);
-        const auto* task = job && !job->hasEnded() ? findTask(*job, reservation.task) : nullptr;
-        bool isWaiting = task && !task->done && task->runs.empty();
-        return !mayTakeRuns || !isWaiting || m_now - reservation.since >= maxReservationTime;
+        return !mayTakeRuns || m_now - reservation.since >= maxReservationTime || !hasToRunAgain(reservation.task);
     });
+    for (const auto& [handle, reservation] : reservations.all())
+        ++reservedWorkers(m_scheduler.m_workers.at(handle)->view.service, reservation.priority.has_value());
 }
 
-/// Starts the tasks that fit, and reserves workers for the others.
+/// Starts the tasks that fit.
 void TaskScheduler::OverduePlacement::placeStep(const OverdueStep& overdue)
 {
-    const auto& ready = *overdue.ready;
+    const auto& ready = overdue.ready;
     const auto& spec = ready.job->spec.steps[ready.step];
     PlacementClass placementClass { .service = m_scheduler.policyOf(*ready.job).service, .longRunning = true };
     std::optional<StepRanking> ranking;
     bool mayFit = !m_unplaced.covers(placementClass, spec.size);
     // The tasks of a step need the same, so after a failed search none of them is tried.
     bool mayFitBesideIsolated = m_scheduler.m_isolatedRuns > 0;
-    bool mayReserve = true;
     for (auto index : overdue.tasks) {
         const auto& task = taskOf(ready, index);
         // A step whose last waiting task was adopted and lost again since the last plan is queued twice.
@@ -193,8 +270,8 @@
         }
         if (worker)
             start(*worker, ready, index);
-        else if (mayReserve && !m_scheduler.m_reservations.workerFor(refOf(ready, index)) && maySearch())
-            mayReserve = reserveWorker(ready, index);
+        else if (!m_scheduler.m_reservations.workerFor(refOf(ready, index)))
+            m_withoutWorker.push_back({ .ready = ready, .index = index });
     }
 }
 
@@ -205,15 +282,24 @@
         return;
     if (auto* worker = reservedWorkerWithRoom(ready, index))
         start(*worker, ready, index);
-    else if (!m_scheduler.m_reservations.workerFor(refOf(ready, index)) && maySearch())
-        reserveWorker(ready, index);
+    else if (!m_scheduler.m_reservations.workerFor(refOf(ready, index)))
+        m_withoutWorker.push_back({ .ready = ready, .index = index });
 }
 
 void TaskScheduler::OverduePlacement::start(WorkerEntry& worker, const ReadyStep& ready, uint32_t index)
 {
-    if (auto reserved = m_scheduler.m_reservations.workerFor(refOf(ready, index)))
-        m_scheduler.m_reservations.release(*reserved);
+    auto& reservations = m_scheduler.m_reservations;
+    if (auto reserved = reservations.workerFor(refOf(ready, index))) {
+        --reservedWorkers(
+            m_scheduler.m_workers.at(*reserved)->view.service, reservations.find(*reserved)->priority.has_value());
+        reservations.release(*reserved);
+    }
+    auto& task = taskOf(ready, index);
+    // A task that starts in the first plan that finds it waiting has waited for no time.
+    if (task.waitingSince == neverInstant)
+        task.waitingSince = m_now;
     m_scheduler.startRun(worker, ready, index, m_now);
+    m_forecasts.erase(worker.handle);
     std::erase(ready.job->occurrences[ready.occurrence].steps[ready.step].waiting, index);
 }
 
@@ -224,50 +310,90 @@
     auto handle = m_scheduler.m_reservations.workerFor(refOf(ready, index));
     if (!handle)
         return nullptr;
-    auto search = m_scheduler.prepareSearch(*ready.job, ready, {}, m_now, PlacementMode::Reserved);
     auto& worker = *m_scheduler.m_workers.at(*handle);
+    if (!reservedSize(ready.job->spec.steps[ready.step]).fitsIn(worker.freeResources()))
+        return nullptr;
+    auto search = m_scheduler.prepareSearch(*ready.job, ready, {}, m_now, PlacementMode::Reserved);
     bool fits = search && hasRoom(*search, worker) && m_scheduler.scoreOf(*search, taskOf(ready, index), worker);
     return fits ? &worker : nullptr;
 }
 
+/// Reserves workers for the tasks that have none, beginning with the first one that the last plan left out.
+void TaskScheduler::OverduePlacement::reserveWorkers()
+{
+    auto& reservations = m_scheduler.m_reservations;
+    auto first = std::ranges::find_if(
+        m_withoutWorker, [&](const ReadyTask& it) { return reservations.nextSearch() == refOf(it.ready, it.index); });
+    if (first != m_withoutWorker.end())
+        std::rotate(m_withoutWorker.begin(), first, m_withoutWorker.end());
+    reservations.setNextSearch(std::nullopt);
+    size_t searches = 0;
+    const ReadyTask* failed = nullptr;
+    for (const auto& it : m_withoutWorker) {
+        // The tasks of a step need the same, so after a failed search none of them is tried.
+        if (failed && failed->ready.job == it.ready.job && failed->ready.occurrence == it.ready.occurrence
+            && failed->ready.step == it.ready.step)
+            continue;
+        const auto& spec = it.ready.job->spec.steps[it.ready.step];
+        PlacementClass placementClass { .service = m_scheduler.policyOf(*it.ready.job).service,
+            .longRunning = spec.longRunning };
+        if (m_withoutExpectedRoom.covers(placementClass, spec.size))
+            continue;
+        if (++searches > maxReservationSearches)
+            return reservations.setNextSearch(refOf(it.ready, it.index));
+        if (reserveWorker(it.ready, it.index))
+            continue;
+        failed = &it;
+        if (!hasPlacementConstraint(spec))
+            m_withoutExpectedRoom.add(placementClass, spec.size);
+    }
+}
+
 /// Reserves the worker that is expected to have room for the task first. Returns whether there is one.
 bool TaskScheduler::OverduePlacement::reserveWorker(const ReadyStep& ready, uint32_t index)
 {
+    auto service = m_scheduler.m_candidates.find(m_scheduler.policyOf(*ready.job).service);
+    if (service == m_scheduler.m_candidates.end())
+        return false;
+    bool isShort = !ready.job->spec.steps[ready.step].longRunning;
+    auto workers = service->second.size() / (isShort ? workersPerShortTaskReservation : workersPerReservation);
+    auto& reserved = reservedWorkers(service->first, isShort);
+    if (reserved >= std::max<size_t>(1, workers))
+        return false;
     auto search = m_scheduler.prepareSearch(*ready.job, ready, {}, m_now, PlacementMode::Shared);
     if (!search)
         return false;
-    auto& reservations = m_scheduler.m_reservations;
     RoomReservations::Reservation reservation { .task = refOf(ready, index), .since = m_now };
-    bool isShort = !search->spec.longRunning;
     if (isShort)
         reservation.priority = std::get<0>(ready.key);
-    auto reserved = std::ranges::count_if(search->candidates, [&](const WorkerEntry* it) {
-        const auto* other = reservations.find(it->handle);
-        return other && other->priority.has_value() == isShort;
-    });
-    auto workers = search->candidates.size() / (isShort ? workersPerShortTaskReservation : workersPerReservation);
-    if (std::cmp_greater_equal(reserved, std::max<size_t>(1, workers)))
-        return false;
     const WorkerEntry* best = nullptr;
     auto shortest = Milliseconds::max();
     for (const auto* worker : search->candidates) {
+        if (m_scheduler.m_reservations.find(worker->handle))
+            continue;
         auto siblings = search->siblingRuns.find(worker->handle);
         auto runsThere = siblings == search->siblingRuns.end() ? 0 : siblings->second;
-        if (reservations.find(worker->handle)
-            || !m_scheduler.isAllowed(*search, taskOf(ready, index), *worker, runsThere))
-            continue;
-        auto time = worker->expectedTimeUntilRoom(search->size, m_now);
-        if (!time || *time >= shortest)
+        auto time = expectedRoom(*worker).timeUntil(search->size);
+        if (!time || *time >= shortest || !m_scheduler.isAllowed(*search, taskOf(ready, index), *worker, runsThere))
             continue;
         shortest = *time;
         best = worker;
     }
-    if (best)
-        reservations.reserve(best->handle, reservation);
-    return best != nullptr;
+    if (!best)
+        return false;
+    m_scheduler.m_reservations.reserve(best->handle, reservation);
+    ++reserved;
+    return true;
+}
+
+const RoomForecast& TaskScheduler::OverduePlacement::expectedRoom(const WorkerEntry& worker)
+{
+    auto it = m_forecasts.find(worker.handle);
+    return it == m_forecasts.end() ? m_forecasts.emplace(worker.handle, worker.expectedRoom(m_now)).first->second
+                                   : it->second;
 }
 
-std::optional<Milliseconds> TaskScheduler::WorkerEntry::expectedTimeUntilRoom(const Resources& size, Instant now) const
+RoomForecast TaskScheduler::WorkerEntry::expectedRoom(Instant now) const
 {
     std::vector<ExpectedRelease> releases;
     for (const auto& [key, active] : runs) {
@@ -281,7 +407,7 @@
         releases.push_back({ .time = run->phase == RunPhase::Stopping ? Milliseconds { 0 } : remaining,
             .size = reservedSize(*active.spec) });
     }
-    return timeUntilRoom(size, freeResources(), std::move(releases));
+    return RoomForecast::create(freeResources(), std::move(releases));
 }
 
 /// Starts the long-running tasks that have to run again where they fit, and adds the sizes of the others to `unplaced`.
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -152,6 +152,10 @@
         bool isHeld = worker->isHeldForIsolation(m_latestEventAt);
         use.isolated += isHeld ? 1 : 0;
         auto free = std::max<int64_t>(0, worker->freeResources().cpuMillis);
+        if (m_reservations.find(handle)) {
+            ++use.reserved;
+            use.reservedFreeMillis += free;
+        }
         if (isHeld)
             use.heldFreeMillis += free;
         else
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
+#include <LibDecision/ExpectedRoom.h>
 #include <LibDecision/RunOrder.h>
 #include <LibDecision/TaskScheduler.h>
 #include <algorithm>
@@ -117,8 +118,8 @@
     bool isOverFull() const { return listsRunOfUnknownSize || !Resources {}.fitsIn(freeResources()); }
     bool isHeldForIsolation(Instant now) const { return isolatedRuns > 0 || heldForIsolationUntil > now; }
 
-    /// Returns when the runs on the worker are expected to leave room for the size, or nullopt if they will not.
-    std::optional<Milliseconds> expectedTimeUntilRoom(const Resources& size, Instant now) const;
+    /// The room that the worker will have by the estimates of its runs; long-running ones stay.
+    RoomForecast expectedRoom(Instant now) const;
 
     /// Resources that the best-effort tasks on the worker reserve.
     Resources bestEffortSize() const
--- a/Tests/LibDecision/BusyService.h
+++ b/Tests/LibDecision/BusyService.h
@@ -29,6 +29,12 @@
 
         /// Number of short jobs that wait at any time.
         size_t backlog { 20 };
+
+        /// Short jobs that arrive besides, whatever waits.
+        int64_t arrivalsPerSecond { 0 };
+
+        /// Processors of the workers, in turn.
+        std::vector<int64_t> workerMillis { workerSize.cpuMillis };
     };
 
     explicit BusyService(Options options)
@@ -46,7 +52,7 @@
     void addWorker()
     {
         auto handle = ++m_lastWorker;
-        m_fixture.addWorker(handle, workerSize);
+        m_fixture.addWorker(handle, sizeOf(handle));
         m_runs[handle];
     }
 
@@ -75,6 +81,15 @@
         addJob(id, { .size = { cpuMillis, 1000, 0 }, .estimateMs = runMs }, stored);
     }
 
+    Resources sizeOf(WorkerHandle handle) const
+    {
+        auto size = workerSize;
+        size.cpuMillis = m_options.workerMillis[handle % m_options.workerMillis.size()];
+        return size;
+    }
+
+    bool isDraining(WorkerHandle handle) const { return m_draining.contains(handle); }
+
     /// The worker that runs the task, or 0.
     WorkerHandle workerOf(const TaskRef& task) const
     {
@@ -82,9 +97,12 @@
         return it == m_runs.end() ? 0 : it->first;
     }
 
-    void removeWorker(WorkerHandle handle)
+    /// The worker is gone, which the leader does not know yet.
+    void loseWorker(WorkerHandle handle) { m_runs.erase(handle); }
+
+    void removeWorker(WorkerHandle handle, WorkerEnd end = WorkerEnd::Left)
     {
-        scheduler().removeWorker(handle, WorkerEnd::Left, now());
+        scheduler().removeWorker(handle, end, now());
         m_runs.erase(handle);
         m_draining.erase(handle);
     }
@@ -99,7 +117,7 @@
     void drain(WorkerHandle handle)
     {
         TaskWorkerView view { .id = "w" + std::to_string(handle), .service = "token", .zone = "a" };
-        view.capacity = workerSize;
+        view.capacity = sizeOf(handle);
         view.draining = true;
         scheduler().updateWorker(handle, view);
         m_draining.insert(handle);
@@ -150,6 +168,9 @@
     /// Most processors in use on one worker.
     int64_t mostUsedMillis() const { return m_mostUsedMillis; }
 
+    /// Number of short tasks that have started.
+    size_t shortStarts() const { return m_shortStarts; }
+
 private:
     template <typename T> T draw(std::pair<T, T> range)
     {
@@ -158,22 +179,34 @@
 
     void fillBacklog()
     {
-        while (scheduler().totals().waitingTasks < m_options.backlog) {
-            auto id = "short" + std::to_string(++m_shortJobs);
-            constexpr int64_t step { 100 };
-            auto millis = draw(m_options.shortTaskMillis) / step * step;
-            m_runTimes[id] = Milliseconds { draw(m_options.shortTaskMs) };
-            addJob(id, { .size = { millis, 500, 0 }, .estimateMs = draw(m_options.shortTaskMs) });
-        }
+        constexpr int64_t msPerSecond { 1000 };
+        m_arrivals += m_options.arrivalsPerSecond * planInterval.count();
+        for (; m_arrivals >= msPerSecond; m_arrivals -= msPerSecond)
+            addShortJob();
+        while (m_options.backlog > 0 && scheduler().totals().waitingTasks < m_options.backlog)
+            addShortJob();
+    }
+
+    void addShortJob()
+    {
+        auto id = "short" + std::to_string(++m_shortJobs);
+        constexpr int64_t step { 100 };
+        auto millis = draw(m_options.shortTaskMillis) / step * step;
+        m_runTimes[id] = Milliseconds { draw(m_options.shortTaskMs) };
+        addJob(id, { .size = { millis, 500, 0 }, .estimateMs = draw(m_options.shortTaskMs) });
     }
 
     void begin(const StartTask& start)
     {
-        m_runs.at(start.worker)[start.task] = start;
+        auto runs = m_runs.find(start.worker);
+        if (runs == m_runs.end())
+            return;
+        runs->second[start.task] = start;
         m_startedAt[start.task] = now();
+        m_shortStarts += m_runTimes.contains(start.task.job) ? 1 : 0;
         scheduler().commandAccepted(start.worker, start.task, start.run, now());
         int64_t used = 0;
-        for (const auto& [task, run] : m_runs.at(start.worker))
+        for (const auto& [task, run] : runs->second)
             used += m_sizes[task.job];
         m_mostUsedMillis = std::max(m_mostUsedMillis, used);
     }
@@ -230,6 +263,10 @@
     std::map<JobId, Milliseconds> m_runTimes {};
     WorkerHandle m_lastWorker { 0 };
     size_t m_shortJobs { 0 };
+    size_t m_shortStarts { 0 };
+
+    /// Thousandths of short jobs that have arrived and are not added yet.
+    int64_t m_arrivals { 0 };
     int64_t m_mostUsedMillis { 0 };
 };
 
--- a/Tests/LibDecision/TestTaskReservations.cpp
+++ b/Tests/LibDecision/TestTaskReservations.cpp
@@ -27,26 +27,26 @@
     /// The long-running task runs for `runTime` before its worker leaves.
     explicit HeldWorker(Milliseconds runTime)
     {
-        service.addJob(lasting.job, BusyService::longRunning(cpuMillis));
+        m_service.addJob(m_lasting.job, BusyService::longRunning(cpuMillis));
         // Isolated runs go where few others would be lost.
-        service.addJob("other", BusyService::longRunning(otherMillis));
-        service.passFor(runTime);
-        service.addWorker();
-        service.addSuspect("suspect", suspectMillis);
+        m_service.addJob("other", BusyService::longRunning(otherMillis));
+        m_service.passFor(runTime);
+        m_service.addWorker();
+        m_service.addSuspect("suspect", suspectMillis);
         // The record of the start is stored first.
-        service.passFor(Milliseconds { 300 });
-        CHECK_EQUAL(2, service.workerOf({ .job = "suspect" }));
-        service.removeWorker(1);
+        m_service.passFor(Milliseconds { 300 });
+        CHECK_EQUAL(2, m_service.workerOf({ .job = "suspect" }));
+        m_service.removeWorker(1);
     }
 
-    Milliseconds timeUntilRestart() { return service.timeUntilRunning(lasting, searchLimit); }
+    Milliseconds timeUntilRestart() { return m_service.timeUntilRunning(m_lasting, searchLimit); }
 
 private:
     static constexpr int64_t cpuMillis { 4400 };
     static constexpr int64_t otherMillis { 500 };
     static constexpr int64_t suspectMillis { 1000 };
-    BusyService service { { .workers = 1, .backlog = 0 } };
-    TaskRef lasting { .job = "lasting" };
+    BusyService m_service { { .workers = 1, .backlog = 0 } };
+    TaskRef m_lasting { .job = "lasting" };
 };
 
 /// A service in which workers are lost, drain and lapse, and isolated runs hold others, at random.
@@ -138,6 +138,47 @@
     CHECK_COMPARE(service.mostUsedMillis(), <=, BusyService::workerSize.cpuMillis);
 }
 
+// Guards against tasks that fit on no worker and take up the searches for workers to reserve, so that others wait
+// without end behind small tasks (LOST, grown Riga and grown Sofia).
+TEST(TaskReservations, LongRunningTaskRunsAgainBesideOthersThatFitNowhere)
+{
+    constexpr uint32_t wideTasks { 12 };
+    constexpr uint32_t workers { 12 };
+    constexpr size_t backlog { 60 };
+    BusyService service({ .workers = wideTasks + workers, .backlog = backlog });
+    for (uint32_t i = 0; i < wideTasks; ++i)
+        service.addJob("wide" + std::to_string(i), BusyService::longRunning(7500));
+    auto small = BusyService::longRunning(1000, workers);
+    small.maxPerWorker = 1;
+    service.addJob("small", small);
+    TaskRef task { .job = "lasting" };
+    service.addJob(task.job, BusyService::longRunning(4400));
+    service.passFor(warmUp);
+    for (uint32_t i = 0; i < wideTasks; ++i)
+        service.removeWorker(service.workerOf({ .job = "wide" + std::to_string(i) }));
+    service.passFor(warmUp);
+    service.lapseWorker(service.workerOf(task));
+    auto time = service.timeUntilRunning(task, searchLimit);
+    CHECK_COMPARE(time.count(), <=, maxTimeToRestart.count());
+}
+
+// Guards against workers that stay reserved for tasks that run on, once these can be reached again.
+TEST(TaskReservations, ReservationsEndOnceTheWorkerIsReachedAgain)
+{
+    BusyService service({});
+    TaskRef task { .job = "lasting" };
+    service.addJob(task.job, BusyService::longRunning(4400));
+    service.passFor(warmUp);
+    auto worker = service.workerOf(task);
+    service.scheduler().setReachable(worker, false, service.now());
+    service.passFor(Milliseconds { 3000 });
+    CHECK_EQUAL(1, service.scheduler().workerUse().reserved);
+    service.scheduler().setReachable(worker, true, service.now());
+    service.pass();
+    CHECK_EQUAL(0, service.scheduler().workerUse().reserved);
+    CHECK_EQUAL(worker, service.workerOf(task));
+}
+
 // Guards against a long-running task that waits while all room is on a worker held for an isolated run (LOST, issue
 // 39).
 TEST(TaskReservations, LongRunningTaskRunsAgainBesideIsolatedRun)
@@ -196,10 +237,11 @@
 {
     std::vector<ExpectedRelease> releases { { Milliseconds { 3000 }, { 2000, 0, 0 } },
         { Milliseconds { 1000 }, { 1000, 500, 0 } } };
-    CHECK(timeUntilRoom({ 500, 0, 0 }, { 500, 0, 0 }, releases) == Milliseconds { 0 });
-    CHECK(timeUntilRoom({ 1500, 0, 0 }, { 500, 0, 0 }, releases) == Milliseconds { 1000 });
-    CHECK(timeUntilRoom({ 2000, 0, 0 }, { 500, 0, 0 }, releases) == Milliseconds { 3000 });
-    CHECK(timeUntilRoom({ 500, 600, 0 }, { 500, 0, 0 }, releases) == std::nullopt);
+    auto forecast = RoomForecast::create({ 500, 0, 0 }, releases);
+    CHECK(forecast.timeUntil({ 500, 0, 0 }) == Milliseconds { 0 });
+    CHECK(forecast.timeUntil({ 1500, 0, 0 }) == Milliseconds { 1000 });
+    CHECK(forecast.timeUntil({ 2000, 0, 0 }) == Milliseconds { 3000 });
+    CHECK(forecast.timeUntil({ 500, 600, 0 }) == std::nullopt);
 }
 
 // Guards against a task that keeps two workers from others.
