Log why a long-running task finds no worker, and each that has to run again

workers_without_expected_room counts the workers that would have no room even without the runs that do not last; workers_reserved, reserved_workers and reserved_free_millis show the room that is kept. Long-running tasks that ran before are named beyond the limit of lines, up to four times as many.

WorkersWithoutRoomOrLabelAreTold compares all counts and gets the new one.

--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -61,7 +61,12 @@
         return std::tie(b.longestWait, a.job, a.step) < std::tie(a.longestWait, b.job, b.step);
     });
     moveLongestOfEachKindToFront(waits);
-    waits.resize(std::min(waits.size(), maxCount));
+    // Each long-running task that has to run again is named, whatever else waits.
+    constexpr size_t restartsPerCount { 4 };
+    auto other = std::find_if(waits.begin() + static_cast<std::ptrdiff_t>(std::min(waits.size(), maxCount)),
+        waits.end(), [](const StepWait& it) { return !it.longRunning || !it.hasRun; });
+    auto count = static_cast<size_t>(std::distance(waits.begin(), other));
+    waits.resize(std::min(count, std::max(maxCount, restartsPerCount * maxCount)));
     for (auto& wait : waits)
         addCrashedRuns(wait);
     return waits;
@@ -178,14 +183,17 @@
         if (worker->view.service != search->service || !isUsable(*worker, m_latestEventAt))
             continue;
         auto siblings = search->siblingRuns.find(handle);
-        if (!search->size.fitsIn(worker->freeResources() + worker->bestEffortSize()))
+        if (!search->size.fitsIn(worker->freeResources() + worker->bestEffortSize())) {
             ++refusals.noRoom;
-        else if (!search->size.fitsIn(worker->freeResources()))
+            refusals.noExpectedRoom += worker->expectedRoom(search->now).timeUntil(search->size) ? 0 : 1;
+        } else if (!search->size.fitsIn(worker->freeResources()))
             ++refusals.behindBestEffort;
         else if (!hasRoom(*search, *worker))
             ++refusals.notIdle;
         else if (worker->isHeldForIsolation(search->now))
             ++(isHeldByPreference(*worker) ? refusals.heldByPreference : refusals.held);
+        else if (m_reservations.excludes(handle, std::get<0>(search->ready.key)))
+            ++refusals.reserved;
         else if (!isAllowed(*search, task, *worker, siblings == search->siblingRuns.end() ? 0 : siblings->second))
             ++refusals.constraint;
         else if (!scoreOf(*search, task, *worker))
--- a/Libraries/LibNode/TaskLeaderReports.cpp
+++ b/Libraries/LibNode/TaskLeaderReports.cpp
@@ -86,6 +86,8 @@
                 { "headroom_millis", m_scheduler.headroomCpuMillis() }, { "idle_millis", m_scheduler.idleCpuMillis() },
                 { "usable_workers", use.usable }, { "isolated_workers", use.isolated },
                 { "workers_without_room", refusals.noRoom },
+                { "workers_without_expected_room", refusals.noExpectedRoom }, { "workers_reserved", refusals.reserved },
+                { "reserved_workers", use.reserved }, { "reserved_free_millis", use.reservedFreeMillis },
                 { "workers_behind_best_effort", refusals.behindBestEffort }, { "workers_not_idle", refusals.notIdle },
                 { "workers_held", refusals.held }, { "workers_held_by_preference", refusals.heldByPreference },
                 { "workers_excluded", refusals.constraint }, { "workers_serving", refusals.servingPressure },
--- a/Tests/LibDecision/TestTaskWaits.cpp
+++ b/Tests/LibDecision/TestTaskWaits.cpp
@@ -50,7 +50,39 @@
     fixture.addWorker(2, { 500, 125000, 0 });
     auto step = fixture.step(1);
     step.requiredLabel = "missing";
-    CHECK((refusalsOf(step) == WorkerRefusals { .noRoom = 1, .constraint = 1 }));
+    CHECK((refusalsOf(step) == WorkerRefusals { .noRoom = 1, .noExpectedRoom = 1, .constraint = 1 }));
+}
+
+// Guards against a log that does not tell whether a task that lasts could ever fit (LOST, grown Sofia).
+TEST(TaskWaits, WorkersWithoutExpectedRoomAreTold)
+{
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    fixture.addWorker(2, { 4000, 125000, 0 });
+    StepSpec lasting { .size = { 3000, 1000, 0 }, .longRunning = true };
+    scheduler.addJob(fixture.job("lasting", { lasting }), std::nullopt, neverInstant);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+    auto step = fixture.step(1);
+    step.size.cpuMillis = 3000;
+    scheduler.addJob(fixture.job("short", { step }), std::nullopt, neverInstant);
+    CHECK_EQUAL(1, fixture.planStarts().size());
+    step.size.cpuMillis = 2000;
+    CHECK((refusalsOf(step) == WorkerRefusals { .noRoom = 2, .noExpectedRoom = 1 }));
+}
+
+// Guards against a long-running task that has to run again and that the log leaves out, because others wait longer.
+TEST(TaskWaits, EachTaskThatHasToRunAgainIsNamed)
+{
+    constexpr int jobs { 4 };
+    fixture.addWorker(1, { 4000, 125000, 0 });
+    for (int i = 0; i < jobs; ++i) {
+        StepSpec lasting { .size = { 1000, 1000, 0 }, .longRunning = true };
+        scheduler.addJob(fixture.job("lasting" + std::to_string(i), { lasting }), std::nullopt, neverInstant);
+    }
+    for (const auto& start : fixture.planStarts())
+        scheduler.commandAccepted(1, start.task, start.run, fixture.now());
+    scheduler.removeWorker(1, WorkerEnd::Left, fixture.now());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    CHECK_EQUAL(jobs, scheduler.stepWaits(fixture.now(), Milliseconds { 0 }, 1).size());
 }
 
 // Guards against a metric that lacks the wait of a task, or shows it under another reason.
