Look for tasks of lost workers only in plans that reserve workers

Each plan went through all workers to find tasks whose workers are out of contact. They are needed only where workers are reserved, once in 100 ms. All tests of LibDecision pass.

--- a/Libraries/LibDecision/TaskReservations.cpp
+++ b/Libraries/LibDecision/TaskReservations.cpp
@@ -54,13 +54,14 @@
     void place(Instant knownBy)
     {
         releaseReservations();
-        auto expected = expectedRestarts(knownBy);
+        bool mayReserve = m_scheduler.m_reservations.beginSearch(m_now, reservationInterval);
+        auto expected = mayReserve ? expectedRestarts(knownBy) : std::vector<ReadyTask> {};
         for (const auto& step : overdueSteps(knownBy))
             placeStep(step);
         for (const auto& [ready, index] : delayedShortTasks(knownBy))
             placeShortTask(ready, index);
         std::ranges::move(expected, std::back_inserter(m_withoutWorker));
-        if (m_scheduler.m_reservations.beginSearch(m_now, reservationInterval))
+        if (mayReserve)
             reserveWorkers();
     }
 
