Show by tests that each leader of a chain waits anew for lost workers

LeaderChainDay plays six nodes, each with an event loop of its own so that one of them can stand still alone, and 14 workers in virtual time. Leaders end by an orderly stop with a new process on the same host, by a kill or by a freeze. Its bounds come from the lease of 5 s by the slowest clock (5.15 s), the margin of 0.3 s, the election after a kill (1.3 s) and a settling time of 1 s of the leader in office.

The cause is not changed here.

--- /dev/null
+++ b/Tests/LibNode/TestLeaderChains.cpp
@@ -0,0 +1,110 @@
+#include "LeaderChainDay.h"
+#include <CppUTest/TestHarness.h>
+#include <cstdio>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+using namespace Bergamot;
+
+TEST_GROUP(LeaderChains) {};
+
+/// What several days have shown, with the seeds that show it.
+struct ChainResults {
+    std::string runs;
+    std::string renewedWaits;
+    std::string lateStarts;
+
+    static void add(std::string& text, const std::string& day, const std::vector<std::string>& seen)
+    {
+        if (!seen.empty())
+            text += fmt::format("\n{}: {} in all; {}", day, seen.size(), seen.front());
+    }
+
+    void add(const std::string& name, const LeaderChainDay& day)
+    {
+        add(runs, name, day.runViolations);
+        add(renewedWaits, name, day.renewedWaits);
+        add(lateStarts, name, day.lateStarts);
+        if (std::getenv("LEADER_CHAINS_VERBOSE"))
+            fmt::print("{}: {} elections, longest wait {} ms, {} waits begun anew, {} late, {} wrong runs\n{}\n", name,
+                day.elections, day.longestWait().count(), day.renewedWaits.size(), day.lateStarts.size(),
+                day.runViolations.size(), fmt::join(day.events, "\n"));
+    }
+};
+
+/// A worker is lost under the first of `changes + 1` leaders, whose hosts are restarted one after the other.
+static void playSeries(uint32_t changes, Milliseconds term, ChainResults& results)
+{
+    LeaderChainDay day(1);
+    CHECK(day.begin());
+    auto lost = std::ranges::find_if(day.executor.workers, [](const auto& it) { return !it.second.runs.empty(); });
+    day.loseWorker(lost->first, true);
+    for (uint32_t i = 0; i < changes; ++i) {
+        CHECK(day.advanceUntilLed(LeaderChainDay::shutdownTime + LeaderChainDay::electionAfterKill));
+        day.advance(term);
+        day.endTerm(LeaderChainDay::EndOfTerm::Stop);
+    }
+    day.advance(Milliseconds { 9000 });
+    CHECK(day.areLastingTasksRunning());
+    results.add(fmt::format("{} changes, terms of {} ms", changes, term.count()), day);
+}
+
+static const ChainResults& playedSeries()
+{
+    static const auto results = [] {
+        ChainResults played;
+        for (auto term : { Milliseconds { 400 }, Milliseconds { 700 }, Milliseconds { 1000 } }) {
+            for (uint32_t changes : { 0, 1, 2, 4, 8, 16 })
+                playSeries(changes, term, played);
+        }
+        return played;
+    }();
+    return results;
+}
+
+// Guards against a wait for the lease of a lost worker that each leader of a series of restarts starts anew (issue 58).
+TEST(LeaderChains, WaitForALostWorkerDoesNotGrowWithTheNumberOfRestarts)
+{
+    STRCMP_EQUAL("", playedSeries().renewedWaits.c_str());
+    STRCMP_EQUAL("", playedSeries().lateStarts.c_str());
+}
+
+// Guards against a task that runs twice, because a leader of such a series waits too short.
+TEST(LeaderChains, NoTaskRunsTwiceAcrossRestarts) { STRCMP_EQUAL("", playedSeries().runs.c_str()); }
+
+static const ChainResults& playedDays()
+{
+    static const auto results = [] {
+        uint32_t first = 1;
+        uint32_t last = 60;
+        if (const auto* seeds = std::getenv("LEADER_CHAINS_SEEDS"))
+            std::sscanf(seeds, "%u-%u", &first, &last);
+        ChainResults played;
+        for (uint32_t seed = first; seed <= last; ++seed) {
+            LeaderChainDay day(seed);
+            CHECK_TEXT(day.begin(), fmt::format("no start, seed {}", seed).c_str());
+            day.run();
+            played.add(fmt::format("seed {}", seed), day);
+        }
+        return played;
+    }();
+    return results;
+}
+
+// Guards against a task that runs on two workers, or again after its acknowledged end, because a leader that follows
+// others waits too short.
+TEST(LeaderChains, NoTaskRunsTwiceAcrossLeaders) { STRCMP_EQUAL("", playedDays().runs.c_str()); }
+
+// Guards against waits for leases that leaders start anew one after the other, whatever ends them and whatever workers
+// are lost meanwhile (issue 58).
+TEST(LeaderChains, LeasesAreWaitedForOnceWhateverTheNumberOfLeaders)
+{
+    STRCMP_EQUAL("", playedDays().renewedWaits.c_str());
+}
+
+// Guards against the same where the first leader after the loss counts the lease from its own election.
+TEST(LeaderChains, WaitCountsFromTheLossWhateverTheNumberOfLeaders)
+{
+    STRCMP_EQUAL("", playedDays().lateStarts.c_str());
+}
