Cut off leaders from the store and workers twice in chains of leaders

A worker that returns for a moment between two cuts shows whether a leader that has stored it as unreached renews its lease before the record without it is stored. A leader that the store does not reach goes on renewing leases beside its successor. The longest lease is that of 5 s, so that no worker that is listed anew is waited for longer.

--- a/Tests/LibNode/LeaderChainDay.h
+++ b/Tests/LibNode/LeaderChainDay.h
@@ -40,6 +40,9 @@
     static constexpr Milliseconds announcementInterval { 1000 };
     static constexpr Milliseconds silenceUntilRemoval { 3000 };
 
+    /// Workers grant no longer leases than those that leaders ask for.
+    static constexpr Milliseconds maxLease { 5000 };
+
     /// A process that is asked to end goes on for this long, as bergamot-node does for its load balancer.
     static constexpr Milliseconds shutdownTime { 2600 };
 
@@ -86,7 +89,8 @@
         Instant since { neverInstant };
     };
 
-    enum class EndOfTerm : uint8_t { Stop, Kill, Freeze };
+    enum class EndOfTerm : uint8_t { Stop, Kill, Freeze, CutOff };
+    static constexpr uint32_t endOfTermCount { 4 };
 
     struct LastingTask {
         TaskRef task;
@@ -141,6 +145,7 @@
     explicit LeaderChainDay(uint32_t seed)
         : random(seed)
     {
+        executor.maxLease = maxLease;
         executor.shapeOf = [this](const TaskRef& task) { return shapeOf(task); };
         executor.onStart = [this](const TaskRef& task, uint64_t run) { checkStart(task, run); };
         configure();
@@ -150,7 +155,7 @@
             auto& host = hosts[i];
             host.name = fmt::format("m{}", i);
             host.loop = EventLoop::create(clock);
-            host.store = std::make_unique<HostStore>(*host.loop, store);
+            host.store = std::make_unique<HostStore>(*loop, *host.loop, store);
             host.executor = std::make_unique<HostExecutor>(*host.loop, executor);
         }
     }
@@ -244,7 +249,8 @@
                 NodeOptions { .member = host.name,
                     .incarnation = host.incarnation,
                     .peerAddress = host.name,
-                    .workerSilenceUntilRemoval = silenceUntilRemoval });
+                    .workerSilenceUntilRemoval = silenceUntilRemoval,
+                    .maxLease = maxLease });
         host.node->start();
     }
 
@@ -264,7 +270,10 @@
         host.endsAt = clock.now() + shutdownTime;
     }
 
-    bool canLead(const Host& host) const { return host.node && !host.isStopping && clock.now() >= host.frozenUntil; }
+    bool canLead(const Host& host) const
+    {
+        return host.node && !host.isStopping && !host.store->isCutOff() && clock.now() >= host.frozenUntil;
+    }
 
     size_t possibleLeaders() const
     {
@@ -358,7 +367,11 @@
         }
         case EndOfTerm::Freeze:
             host.frozenUntil = clock.now() + pickTime(500, 6000);
-            note(fmt::format("{} freezes for {} ms", host.name, (host.frozenUntil - clock.now()).count()));
+            return note(fmt::format("{} freezes for {} ms", host.name, (host.frozenUntil - clock.now()).count()));
+        case EndOfTerm::CutOff:
+            host.store->cutUntil = clock.now() + pickTime(1500, 8000);
+            note(fmt::format(
+                "{} is cut off from the store for {} ms", host.name, (host.store->cutUntil - clock.now()).count()));
         }
     }
 
@@ -407,11 +420,20 @@
         });
     }
 
-    /// The worker runs on without contact, and returns.
+    /// The worker runs on without contact, and returns for good, or for a moment between two cuts.
     void cutOffWorker(const std::string& id)
     {
-        auto time = pickTime(500, 9000);
         lostWorkers.insert(id);
+        cutOff(id, pickTime(500, 9000));
+        if (pick(2) > 0)
+            return;
+        auto backFor = pickTime(50, 1500);
+        auto timeToNextCut = executor.workers.at(id).cutUntil - clock.now() + backFor;
+        loop->callAfter(timeToNextCut, [this, id] { cutOff(id, pickTime(3000, 9000)); });
+    }
+
+    void cutOff(const std::string& id, Milliseconds time)
+    {
         note(fmt::format("{} is cut off for {} ms", id, time.count()));
         executor.workers.at(id).cutUntil = clock.now() + time;
         workerLost();
@@ -422,10 +444,11 @@
         auto id = pickHealthyWorker();
         if (!id)
             return;
-        switch (pick(4)) {
+        switch (pick(5)) {
         case 0:
             return drainWorker(*id);
         case 1:
+        case 2:
             return cutOffWorker(*id);
         default:
             return loseWorker(*id, pick(3) > 0);
@@ -520,8 +543,8 @@
     /// Starts all processes, and runs all lasting tasks.
     bool begin()
     {
-        // Workers that are new to a leader may hold leases of 6 s until then, as far as this leader can tell.
-        constexpr Milliseconds timeUntilSettled { 9000 };
+        // Workers that are new to a leader may hold leases of earlier ones until then, as far as this leader can tell.
+        constexpr Milliseconds timeUntilSettled { 8000 };
         for (auto& host : hosts)
             startNode(host);
         putLastingTasks();
@@ -548,7 +571,7 @@
         constexpr Milliseconds lastTerm = electionAfterKill + maxLeaseWait + settlingTime + Milliseconds { 1500 };
         auto terms = minTerms + pick(termCounts);
         uint32_t maxTermMs = pick(2) == 0 ? 1000 : 3000;
-        uint32_t firstKind = pick(4);
+        uint32_t onlyKind = pick(2 * endOfTermCount);
         for (uint32_t i = 0; i < terms && advanceUntilLed(maxTimeToLeader); ++i) {
             auto term = pickTime(200, maxTermMs);
             auto timeToEvent = pickTime(0, static_cast<uint32_t>(term.count()));
@@ -563,7 +586,7 @@
             if (!isLed())
                 continue;
             // Some days have one kind of end only.
-            auto kind = firstKind < 3 ? firstKind : pick(3);
+            auto kind = onlyKind < endOfTermCount ? onlyKind : pick(endOfTermCount);
             endTerm(static_cast<EndOfTerm>(kind));
             if (pick(5) == 0) {
                 advance(pickTime(0, 800));
