Let the clocks of workers and hosts run at their own rates in chains of leaders

The steady clocks of workers may be 2 % slow, and a successor that places an earlier election by the clock of another host relies on the rates too.

--- a/Tests/LibNode/FaultyWorkers.h
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -76,6 +76,9 @@
 
         /// Local time at which the worker's clock read zero.
         Instant clockZero {};
+
+        /// Rate of the worker's clock.
+        double clockRate { 1 };
     };
 
     FaultyWorkers(EventLoop& loop, std::mt19937& random)
@@ -234,7 +237,10 @@
         worker.ends.clear();
     }
 
-    int64_t clockMs(const Worker& worker) const { return (m_loop.now() - worker.clockZero).count(); }
+    int64_t clockMs(const Worker& worker) const
+    {
+        return static_cast<int64_t>(static_cast<double>((m_loop.now() - worker.clockZero).count()) * worker.clockRate);
+    }
 
     void extendLease(Worker& worker, int64_t untilMs)
     {
--- a/Tests/LibNode/LeaderChainDay.h
+++ b/Tests/LibNode/LeaderChainDay.h
@@ -4,6 +4,7 @@
 #include "FakePeerTransport.h"
 #include "FakeRecordStore.h"
 #include "FaultyWorkers.h"
+#include "HostClock.h"
 #include "HostExecutor.h"
 #include "HostStore.h"
 #include "NodeTestClock.h"
@@ -46,6 +47,10 @@
     /// A process that is asked to end goes on for this long, as bergamot-node does for its load balancer.
     static constexpr Milliseconds shutdownTime { 2600 };
 
+    /// The steady clocks of workers may be 2 % slow, those of hosts are nearly right.
+    static constexpr double slowestWorkerClockRate { 0.98 };
+    static constexpr double maxHostClockError { 0.003 };
+
     /// A lease of 5 s lasts this long by the slowest clock, and is taken as over this much later.
     static constexpr Milliseconds leaseBySlowestClock { 5150 };
     static constexpr Milliseconds leaseMargin { 300 };
@@ -69,6 +74,7 @@
 
     struct Host {
         std::string name;
+        std::unique_ptr<HostClock> clock;
         std::unique_ptr<EventLoop> loop;
         std::unique_ptr<HostStore> store;
         std::unique_ptr<HostExecutor> executor;
@@ -153,12 +159,17 @@
         executor.shapeOf = [this](const TaskRef& task) { return shapeOf(task); };
         executor.onStart = [this](const TaskRef& task, uint64_t run) { checkStart(task, run); };
         configure();
-        for (uint32_t i = 0; i < workerCount; ++i)
-            announce(fmt::format("w{}", i));
+        for (uint32_t i = 0; i < workerCount; ++i) {
+            auto id = fmt::format("w{}", i);
+            executor.workers[id].clockRate = pick(2) == 0 ? 1 : slowestWorkerClockRate;
+            announce(id);
+        }
         for (uint32_t i = 0; i < hostCount; ++i) {
             auto& host = hosts[i];
             host.name = fmt::format("m{}", i);
-            host.loop = EventLoop::create(clock);
+            host.clock = std::make_unique<HostClock>(clock);
+            host.clock->rate = 1 + maxHostClockError * (static_cast<int>(pick(3)) - 1);
+            host.loop = EventLoop::create(*host.clock);
             host.store = std::make_unique<HostStore>(*loop, *host.loop, store);
             host.executor = std::make_unique<HostExecutor>(*host.loop, executor);
         }
