--- a/Tests/LibNode/LeaderChainDay.h
+++ b/Tests/LibNode/LeaderChainDay.h
@@ -462,7 +462,7 @@
             note(fmt::format("{} is reached", id));
             // A leader renews a withheld lease 0.5 s later at the earliest.
             bool isCutOff = hosts[leader.host].store->isCutOff();
-            loop->callAfter(isCutOff ? pickTime(500, 1500) : pickTime(20, 100), [this, id] {
+            loop->callAfter(isCutOff ? pickTime(700, 1500) : pickTime(20, 100), [this, id] {
                 cutOff(id, pickTime(6000, 9000));
                 endTermIfLed(EndOfTerm::Kill);
             });
@@ -586,7 +586,7 @@
         for (auto& host : hosts)
             startNode(host);
         putLastingTasks();
-        advance(timeUntilSettled);
+        advance(timeUntilSettled + pickTime(0, 500));
         return isLed() && areLastingTasksRunning();
     }
 
@@ -640,12 +640,20 @@
     /// A worker returns to a leader that has stored it as unreached and has just lost the store.
     void runWithReturningWorker()
     {
-        auto id = pickHealthyWorker();
-        cutOffWorkerTwice(*id, pickTime(2500, 4200), true);
+        cutOffWorkerTwice(*pickHealthyWorker(), pickTime(2500, 4200), true);
         advance(pickTime(0, 300));
         endTerm(pick(2) == 0 ? EndOfTerm::Stop : EndOfTerm::Kill);
         advance(lastTerm + pickTime(0, 1000));
     }
+
+    /// A worker is cut off just before a leader stops, so that its lease ends as late as possible.
+    void runWithCutOffAtAStop()
+    {
+        cutOff(*pickHealthyWorker(), pickTime(6000, 9000));
+        advance(pickTime(0, 60));
+        endTerm(EndOfTerm::Stop);
+        advance(lastTerm);
+    }
 };
 
 }
--- a/Tests/LibNode/TestLeaderChains.cpp
+++ b/Tests/LibNode/TestLeaderChains.cpp
@@ -117,7 +117,15 @@
 // unreached before the record without this worker is stored.
 TEST(LeaderChains, NoTaskRunsTwiceAfterTheReturnOfItsWorker)
 {
-    constexpr uint32_t seeds { 20 };
+    constexpr uint32_t seeds { 40 };
     auto played = playSeeds("returning, seed", seeds, [](LeaderChainDay& day) { day.runWithReturningWorker(); });
     STRCMP_EQUAL("", played.runs.c_str());
 }
+
+// Guards against a task that runs twice, because the lease of its worker lasts longer by the worker's clock.
+TEST(LeaderChains, NoTaskRunsTwiceOnAWorkerThatIsCutOffAtAStop)
+{
+    constexpr uint32_t seeds { 40 };
+    auto played = playSeeds("cut off at a stop, seed", seeds, [](LeaderChainDay& day) { day.runWithCutOffAtAStop(); });
+    STRCMP_EQUAL("", played.runs.c_str());
+}
