Keep a process alive throughout series of restarts in chains of leaders

With six hosts and terms of 400 ms all processes had been restarted at one moment, and 1.2 s passed without any of them. With ten hosts the first one is back before the last one stops; the bounds are unchanged.

--- a/Tests/LibNode/LeaderChainDay.h
+++ b/Tests/LibNode/LeaderChainDay.h
@@ -13,7 +13,6 @@
 #include <LibWire/LeadershipRecord.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
-#include <array>
 #include <cstdint>
 #include <fmt/format.h>
 #include <map>
@@ -31,7 +30,7 @@
 /// the workers have room for several times the tasks.
 struct LeaderChainDay {
     static constexpr Milliseconds tickTime { 10 };
-    static constexpr uint32_t hostCount { 6 };
+    static constexpr size_t defaultHostCount { 6 };
     static constexpr uint32_t workerCount { 14 };
     static constexpr uint32_t lastingJobCount { 3 };
     static constexpr uint32_t tasksPerLastingJob { 5 };
@@ -129,7 +128,7 @@
     FakeRecordStore store { *loop };
     FaultyWorkers executor { *loop, random };
     Formats formats;
-    std::array<Host, hostCount> hosts;
+    std::vector<Host> hosts;
     std::map<JobId, JobSpec> jobs;
     std::vector<LastingTask> lastingTasks;
     std::map<std::string, Instant> announcedAt;
@@ -152,8 +151,9 @@
     std::vector<std::string> lateStarts;
     std::vector<std::string> events;
 
-    explicit LeaderChainDay(uint32_t seed)
+    explicit LeaderChainDay(uint32_t seed, size_t hostCount = defaultHostCount)
         : random(seed)
+        , hosts(hostCount)
     {
         executor.maxLease = maxLease;
         executor.shapeOf = [this](const TaskRef& task) { return shapeOf(task); };
@@ -164,7 +164,7 @@
             executor.workers[id].clockRate = pick(2) == 0 ? 1 : slowestWorkerClockRate;
             announce(id);
         }
-        for (uint32_t i = 0; i < hostCount; ++i) {
+        for (size_t i = 0; i < hostCount; ++i) {
             auto& host = hosts[i];
             host.name = fmt::format("m{}", i);
             host.clock = std::make_unique<HostClock>(clock);
@@ -593,7 +593,7 @@
     /// One more process is restarted, which need not be the leader.
     void restartFollower()
     {
-        auto& host = hosts[pick(hostCount)];
+        auto& host = hosts[pick(static_cast<uint32_t>(hosts.size()))];
         if (canLead(host) && host.incarnation != leader.incarnation) {
             note(fmt::format("{} stops as a follower", host.name));
             stop(host);
--- a/Tests/LibNode/TestLeaderChains.cpp
+++ b/Tests/LibNode/TestLeaderChains.cpp
@@ -36,7 +36,9 @@
 /// A worker is lost under the first of `changes + 1` leaders, whose hosts are restarted one after the other.
 static void playSeries(uint32_t changes, Milliseconds term, ChainResults& results)
 {
-    LeaderChainDay day(1);
+    // Enough that the first one is back before the last one stops: nothing shows how long all processes were away.
+    constexpr size_t hostCount { 10 };
+    LeaderChainDay day(1, hostCount);
     CHECK(day.begin());
     auto lost = std::ranges::find_if(day.executor.workers, [](const auto& it) { return !it.second.runs.empty(); });
     day.loseWorker(lost->first, true);
