--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -178,6 +178,8 @@
             && tracked.steps[i].waiting.empty())
             makeStepReady(job, occurrence, i);
     }
+    for (auto& step : tracked.steps)
+        step.wasReadyBefore = job.isInherited && !step.waiting.empty();
 }
 
 void TaskScheduler::makeStepReady(TrackedJob& job, uint32_t occurrence, uint32_t step)
@@ -343,6 +345,12 @@
     worker->view = view;
 }
 
+bool TaskScheduler::hasRuns(WorkerHandle handle) const
+{
+    auto it = m_workers.find(handle);
+    return it != m_workers.end() && !it->second->runs.empty();
+}
+
 void TaskScheduler::setReachable(WorkerHandle handle, bool reachable, Instant now)
 {
     auto it = m_workers.find(handle);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -109,6 +109,9 @@
     /// starts have not been sent.
     bool hasRoomForRuns(WorkerHandle) const;
 
+    /// Whether the worker has known runs, including those whose starts have not been sent.
+    bool hasRuns(WorkerHandle) const;
+
     /// An unreachable worker gets no new runs.
     void setReachable(WorkerHandle, bool reachable, Instant now);
 
@@ -305,7 +308,8 @@
     bool placeStep(const ReadyStep&, Instant now);
     class OverduePlacement;
     void placeOverdueTasks(UnplacedSizes&, Instant now, Instant knownBy);
-    static void setWaitingSince(TrackedStep&, Instant now);
+    Milliseconds maxInheritedWait(const ReadyStep&) const;
+    void setWaitingSince(const ReadyStep&, Instant now) const;
     static bool hasRunBefore(const TrackedJob&, const TrackedTask&);
     void addWaitsOfUnlistedRuns(std::vector<StepWait>&, Instant now, Milliseconds minWait) const;
     void moveLongestOfEachKindToFront(std::vector<StepWait>&) const;
@@ -499,6 +503,9 @@
 
     /// Time of the latest report or plan.
     Instant m_latestEventAt { neverInstant };
+
+    /// Unix time of the latest plan.
+    int64_t m_latestUnixMs { 0 };
     Instant m_unblockAt { neverInstant };
 
     /// StartPermission::mayUnblock of the latest plan.
