--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -27,6 +27,14 @@
     struct Events {
         /// Called with the runs that the worker reports in its reply to a lease renewal sent at `requestSentAt`.
         std::function<void(const RenewLeaseReply&, Instant requestSentAt)> onReport {};
+
+        /// Called with the run ends that a worker lists in its reply to a proof of its incarnation. Its next report
+        /// lists them too, unless the worker has left by then.
+        std::function<void(const std::vector<RunEnd>&)> onEndsListed { [](const std::vector<RunEnd>&) {} };
+
+        /// Called with the run ends in a reply that arrives after the session was closed. May be called after the
+        /// session and its owner have been destroyed.
+        std::function<void(const std::vector<RunEnd>&)> onLateEnds { [](const std::vector<RunEnd>&) {} };
         std::function<void(const StartTask&, TaskCommandOutcome)> onStartReply {};
 
         /// Called when a start got no reply, for each attempt.
@@ -50,6 +58,9 @@
 
     static constexpr Milliseconds defaultUnacknowledgedWait { 800 };
 
+    /// An end counts as known 100 ms after its worker has listed it, so a leaving worker is asked more often.
+    static constexpr Milliseconds defaultLeavingReportInterval { 50 };
+
     struct Options {
         TaskExecutorAddress executor {};
         int64_t startedAtMs { 0 };
@@ -90,6 +101,14 @@
         /// outlive the session.
         const Milliseconds& maxUnacknowledgedWait { defaultUnacknowledgedWait };
 
+        /// Whether the worker has announced that it leaves. Run ends that it has not reported by then are lost with it,
+        /// so it is asked for further ones before the reported ones are stored.
+        std::function<bool()> isLeaving { [] { return false; } };
+
+        /// The time after which a leaving worker with active runs is asked for further run ends. The leader may change
+        /// the value at any time. Must outlive the session.
+        const Milliseconds& leavingReportInterval { defaultLeavingReportInterval };
+
         /// Whether the start may be sent now. Asked directly before each start command is sent, also before a retry:
         /// the decision may be seconds old, and the worker may have announced its drain since.
         std::function<bool(const StartTask&)> canStart {};
@@ -127,8 +146,8 @@
     void start(uint64_t fenceToken);
     void enqueueCommand(TaskAction);
 
-    /// Suppresses all further events, including events from replies that have already arrived. For an owner that is
-    /// called by the session and therefore cannot destroy it yet.
+    /// Suppresses all further events but onLateEnds, including events from replies that have already arrived. For an
+    /// owner that is called by the session and therefore cannot destroy it yet.
     void close() { *m_alive = false; }
 
     /// Takes back the starts that have not been sent. Called before the worker is removed.
@@ -236,6 +255,7 @@
     void sendLeaseRenewal(std::shared_ptr<ConcurrencyLimiter>);
     void handleLeaseRenewalReply(absl::StatusOr<RenewLeaseReply>, Instant requestSentAt);
     void scheduleLeaseRenewal(Milliseconds delay);
+    bool mayLoseUnreportedEnds() const;
     void recordReply(const TaskCommandReply&, Instant requestSentAt);
     void recordFirstReply(const TaskCommandReply&);
     void recordCommandReply(const TaskCommandReply&, Instant requestSentAt);
--- a/Libraries/LibNode/WorkerSessionCommands.cpp
+++ b/Libraries/LibNode/WorkerSessionCommands.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/GuardedCall.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/LeaderLoad.h>
 #include <LibNode/WorkerSession.h>
@@ -114,9 +115,10 @@
     m_hasProofForFront = false;
     ++m_callsInProgress;
     m_taskExecutor.renewLease(m_options.executor, m_fenceToken, {},
-        [this, alive = m_alive, requestSentAt = m_loop.now()](const absl::StatusOr<RenewLeaseReply>& reply) {
+        [this, alive = m_alive, requestSentAt = m_loop.now(), onLateEnds = m_options.events.onLateEnds](
+            const absl::StatusOr<RenewLeaseReply>& reply) {
             if (!*alive)
-                return;
+                return reply.ok() ? onLateEnds(reply->ended) : void();
             recordCallResult(reply.status());
             m_isProofInProgress = false;
             if (!reply.ok())
@@ -129,7 +131,10 @@
             recordProof(requestSentAt);
             m_hasProofForFront = true;
             recordReply(reply->commandReply, requestSentAt);
-            sendNextCommand();
+            // A later report may have been read already, so the reply says nothing about the active runs.
+            guardedCall("report_failed", [&] { m_options.events.onEndsListed(reply->ended); });
+            if (*alive)
+                sendNextCommand();
         });
 }
 
