--- a/Tests/LibNode/FaultyWorkers.h
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -77,6 +77,9 @@
 
         /// Local time at which the worker's clock read zero.
         Instant clockZero {};
+
+        /// Rate of the worker's clock.
+        double clockRate { 1 };
     };
 
     FaultyWorkers(EventLoop& loop, std::mt19937& random)
@@ -207,8 +210,10 @@
         }
         std::map<std::pair<TaskRef, uint64_t>, uint32_t> members;
         for (const auto& [id, worker] : workers) {
-            for (const auto& [task, run] : worker.runs)
-                ++members[{ gangOf(task), run.run }];
+            for (const auto& [task, run] : worker.runs) {
+                if (shapeOf(task).gangSize > 0)
+                    ++members[{ gangOf(task), run.run }];
+            }
         }
         for (auto& [id, worker] : workers)
             advanceRuns(worker, passed, members);
@@ -250,7 +255,10 @@
         worker.ends.clear();
     }
 
-    int64_t clockMs(const Worker& worker) const { return (m_loop.now() - worker.clockZero).count(); }
+    int64_t clockMs(const Worker& worker) const
+    {
+        return static_cast<int64_t>(static_cast<double>((m_loop.now() - worker.clockZero).count()) * worker.clockRate);
+    }
 
     void extendLease(Worker& worker, int64_t untilMs)
     {
