Show a second run after a leader that learns of its election late

A task ran on two workers at one time: a leader that was cut off from the store renewed a lease until the second leader had reached half of the workers, 1.2 s after that one had learned of its election; the third leader counted the lease from when the election had been stored.

--- a/Tests/LibNode/TestCutOffLeader.cpp
+++ b/Tests/LibNode/TestCutOffLeader.cpp
@@ -1,10 +1,23 @@
 #include "CutOffCluster.h"
 #include <CppUTest/TestHarness.h>
+#include <LibWire/LeadershipRecord.h>
+#include <LibWire/ValueCodec.h>
 
 using namespace Bergamot;
 
 TEST_GROUP(CutOffLeader) {};
 
+/// Number of elections in the leadership stream.
+static size_t countElections(FakeRecordStore& store)
+{
+    size_t n = 0;
+    for (const auto& record : store.records(StreamName::Leadership)) {
+        auto decoded = decodeValue<LeadershipRecord>(record.value);
+        n += decoded.ok() && decoded->epoch == 0 ? 1 : 0;
+    }
+    return n;
+}
+
 /// Delays of the loss of contact, so that it meets keepalives, reports and lease renewals in different states.
 static constexpr Milliseconds delayStep { 70 };
 static constexpr Milliseconds maxDelay { 2100 };
@@ -244,3 +257,39 @@
     CHECK_EQUAL(1, it.mostRuns);
     CHECK(it.workers.at("w1").runs.contains(it.task));
 }
+
+// Guards against a task that runs twice because a third leader counts the leases of an unreached worker from the
+// election of the second one, which had learned of its own election late, and reached half of the workers later still.
+TEST(CutOffLeader, LeasesEndInTimeWhenTheSecondLeaderLearnsOfItsElectionLate)
+{
+    constexpr Milliseconds pauseStep { 100 };
+    constexpr Milliseconds maxPause { 900 };
+    for (Milliseconds pause { 0 }; pause <= maxPause; pause += pauseStep) {
+        CutOffCluster it;
+        CutOffCluster::Member third { *it.loop, it.store, it.workers };
+        it.runTask(3);
+        // From here on no worker may hold a lease of the longest duration.
+        it.advance(Milliseconds { 8000 });
+        it.first.store.isCutOff = true;
+        it.second.executor.unreachable = { "w1" };
+        third.executor.unreachable = { "w1" };
+        auto elections = countElections(it.store);
+        for (int i = 0; i < 1000 && countElections(it.store) == elections; ++i)
+            it.advance(Milliseconds { 5 });
+        CHECK_EQUAL(elections + 1, countElections(it.store));
+        // The second node reads its claim late and the state slowly; the third has read the claim.
+        it.second.store.isCutOff = true;
+        it.startNode(third, 3);
+        it.advance(pause);
+        it.second.store.isCutOff = false;
+        it.store.readNewestTime = Milliseconds { 550 };
+        it.advance(Milliseconds { 2600 });
+        CHECK_EQUAL(1, it.mostRuns);
+        it.second.node.reset();
+        it.store.readNewestTime = Milliseconds { 4 };
+        it.advance(Milliseconds { 10000 });
+        auto mostRuns = it.mostRuns;
+        third.node.reset();
+        CHECK_EQUAL(1, mostRuns);
+    }
+}
