Show drained workers that are taken out too early or too late

After an unreadable list of assigned workers, a leader takes a draining worker that runs a task for one that no leader has given anything, and its successor starts the task again at once. A worker that is idle when it announces its drain stays stored as assigned until its next idle report, up to 2 s later.

--- a/Tests/LibNode/TestAssignedWorkers.cpp
+++ b/Tests/LibNode/TestAssignedWorkers.cpp
@@ -135,3 +135,42 @@
     CHECK_EQUAL(1, starts());
     CHECK(isStoredAsAssigned("w2"));
 }
+
+// Guards against a second run of a task: the stored list of workers could not be decoded, and a leader took a worker
+// that drains and runs a task for one that no leader has given anything.
+TEST(AssignedWorkers, DrainingWorkerWithRunsIsStoredAfterAnUnreadableList)
+{
+    TaskRef task { .job = "j", .occurrence = 0, .step = 0, .index = 0 };
+    announce("w1");
+    announce("w2");
+    setDraining("w2", true);
+    putJob("j");
+    runs["w2"] = { { .task = task, .run = 1 } };
+    store.put(StreamName::Progress, assignedWorkersKey, "not a list of workers");
+    elect();
+    run(Milliseconds { 2000 });
+    CHECK(grantsTo("w2", epoch) > 0);
+    CHECK_EQUAL(0, starts());
+    silent = { "w2" };
+    elect();
+    auto time = timeOfStart(electedAt, Milliseconds { 10000 });
+    CHECK(time.has_value());
+    CHECK(*time >= minLeaseWait);
+}
+
+// Guards against a successor that waits for a worker that was idle when it announced that it drains, and left at the
+// end of its notice.
+TEST(AssignedWorkers, IdleWorkerIsTakenOutWhenItAnnouncesItsDrain)
+{
+    announce("w1");
+    announce("w2");
+    putAssignedWorkers({ "w1", "w2" });
+    elect();
+    run(Milliseconds { 1000 });
+    // The worker answers an idle report after 2 s only.
+    silent = { "w1", "w2" };
+    run(Milliseconds { 100 });
+    setDraining("w2", true);
+    run(Milliseconds { 1500 });
+    CHECK_FALSE(isStoredAsAssigned("w2"));
+}
