Show waits that still begin anew with each leader

A leader that reaches half of the workers late drops the workers from the record that it has inherited, and a wait for a leader not known to have stopped begins anew under each successor, also when all leaders since have stopped. Both tests fail.

--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -526,3 +526,43 @@
     run(Milliseconds { 2000 });
     CHECK(isStoredAsUnreached("added"));
 }
+
+// Guards against tasks that wait anew after a leader that reaches half of the workers late: the record that it has read
+// shows that no leader before its author can renew the lease, and the later ones have renewed none.
+TEST(UnreachedWorkers, LeaderThatReachesHalfLateKeepsTheRecordOfItsPredecessor)
+{
+    leadWithoutReachingW2();
+    auto firstElectedAt = electedAt;
+    silent = { "w1", "w2" };
+    elect();
+    run(Milliseconds { 1400 });
+    silent = { "w2" };
+    run(Milliseconds { 600 });
+    CHECK_EQUAL(0, starts());
+    CHECK(isStoredAsUnreached("w2"));
+    elect();
+    checkStartIsHeldBackSince(firstElectedAt);
+}
+
+// Guards against tasks that wait for 309 s under each of several leaders that have stopped, because of one before them
+// that is not known to have stopped: it has had no proof of its leadership since the first of them was elected.
+TEST(UnreachedWorkers, StoppedLeadersDoNotRestartTheWaitForOneThatIsNotKnownToHaveStopped)
+{
+    constexpr Milliseconds maxWait { 320'000 };
+    announce("w1");
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w2", "w3" };
+    auto unstopped = epoch;
+    haveLeadersStopped = [unstopped](uint64_t first, uint64_t) { return first > unstopped; };
+    elect();
+    auto firstElectedAt = electedAt;
+    for (int i = 0; i < 3; ++i) {
+        run(Milliseconds { 90'000 });
+        elect();
+    }
+    CHECK_EQUAL(0, starts());
+    auto wait = timeOfStart(firstElectedAt, Milliseconds { 400'000 });
+    CHECK(wait.has_value());
+    CHECK(*wait <= maxWait);
+}
