Show that the first record waits behind another append

The leases of inherited workers are withheld until the first record is stored. If the first replies list run ends, these are appended first, and the record only after the answer.

--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -566,3 +566,28 @@
     CHECK(wait.has_value());
     CHECK(*wait <= maxWait);
 }
+
+// Guards against leases that lapse under a slow store because the first record waits for the answer to an append before
+// it, which stores the run ends that the first replies list.
+TEST(UnreachedWorkers, FirstRecordIsNotSentBehindAnotherAppend)
+{
+    constexpr Milliseconds callTime { 700 };
+    constexpr int callsUntilRecord { 4 };
+    constexpr Milliseconds maxWaitForReplies { 300 };
+    for (const auto* id : { "w1", "w2", "w3" })
+        announce(id);
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w3" };
+    ends["w1"] = { { .sequence = 1,
+        .task = { .job = "j", .occurrence = 0, .step = 0, .index = 0 },
+        .run = 1,
+        .outcome = RunOutcome::Done } };
+    store.appendTime = callTime;
+    store.readNewestTime = callTime;
+    elect();
+    while (grantsTo("w2", epoch) == 0 && clock.now() - electedAt < Milliseconds { 20'000 })
+        run(Milliseconds { 20 });
+    auto time = clock.now() - electedAt;
+    CHECK(time <= callsUntilRecord * callTime + maxWaitForReplies);
+}
