--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -526,3 +526,68 @@
     run(Milliseconds { 2000 });
     CHECK(isStoredAsUnreached("added"));
 }
+
+// Guards against tasks that wait anew after a leader that reaches half of the workers late: the record that it has read
+// shows that no leader before its author can renew the lease, and the later ones have renewed none.
+TEST(UnreachedWorkers, LeaderThatReachesHalfLateKeepsTheRecordOfItsPredecessor)
+{
+    leadWithoutReachingW2();
+    auto firstElectedAt = electedAt;
+    silent = { "w1", "w2" };
+    elect();
+    run(Milliseconds { 1400 });
+    silent = { "w2" };
+    run(Milliseconds { 600 });
+    CHECK_EQUAL(0, starts());
+    CHECK(isStoredAsUnreached("w2"));
+    elect();
+    checkStartIsHeldBackSince(firstElectedAt);
+}
+
+// Guards against tasks that wait for 309 s under each of several leaders that have stopped, because of one before them
+// that is not known to have stopped: it has had no proof of its leadership since the first of them was elected.
+TEST(UnreachedWorkers, StoppedLeadersDoNotRestartTheWaitForOneThatIsNotKnownToHaveStopped)
+{
+    constexpr Milliseconds maxWait { 320'000 };
+    announce("w1");
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w2", "w3" };
+    auto unstopped = epoch;
+    haveLeadersStopped = [unstopped](uint64_t first, uint64_t) { return first > unstopped; };
+    elect();
+    auto firstElectedAt = electedAt;
+    for (int i = 0; i < 3; ++i) {
+        run(Milliseconds { 90'000 });
+        elect();
+    }
+    CHECK_EQUAL(0, starts());
+    auto wait = timeOfStart(firstElectedAt, Milliseconds { 400'000 });
+    CHECK(wait.has_value());
+    CHECK(*wait <= maxWait);
+}
+
+// Guards against leases that lapse under a slow store because the first record waits for the answer to an append before
+// it, which stores the run ends that the first replies list.
+TEST(UnreachedWorkers, FirstRecordIsNotSentBehindAnotherAppend)
+{
+    constexpr Milliseconds callTime { 700 };
+    constexpr int callsUntilRecord { 4 };
+    constexpr Milliseconds maxWaitForReplies { 300 };
+    for (const auto* id : { "w1", "w2", "w3" })
+        announce(id);
+    putAssignedWorkers({ "w1", "w2", "w3" });
+    putJob("j");
+    silent = { "w3" };
+    ends["w1"] = { { .sequence = 1,
+        .task = { .job = "j", .occurrence = 0, .step = 0, .index = 0 },
+        .run = 1,
+        .outcome = RunOutcome::Done } };
+    store.appendTime = callTime;
+    store.readNewestTime = callTime;
+    elect();
+    while (grantsTo("w2", epoch) == 0 && clock.now() - electedAt < Milliseconds { 20'000 })
+        run(Milliseconds { 20 });
+    auto time = clock.now() - electedAt;
+    CHECK(time <= callsUntilRecord * callTime + maxWaitForReplies);
+}
