Store the first record of unreached workers before any other change

The first replies list run ends, which were appended 8 ms later, and the record without which no inherited lease is renewed went out only after the answer to that append. Its first time-out (300 ms) also ended before a store with calls of more than that answers.

Nothing is appended now before the first record is due (0.3 s after the first calls to workers at most), so that it is in the first append, whose time-out follows from the answer to the fence. The unreached workers also go before the assigned ones in a batch that has to be split.

FirstRecordIsNotSentBehindAnotherAppend (calls of 700 ms) failed before and passes.

--- a/Libraries/LibNode/ProgressJournal.cpp
+++ b/Libraries/LibNode/ProgressJournal.cpp
@@ -36,9 +36,11 @@
 {
     AppendRequest request { .stream = StreamName::Progress,
         .fence = WriterFence { .writer = writerName, .epoch = m_options.epoch, .sequence = 0 } };
-    m_store.append(request, fenceTimeout, [this, alive = m_alive, onDone = std::move(onDone)](auto reply) {
+    auto handleReply = [this, alive = m_alive, onDone = std::move(onDone), sentAt = m_loop.now()](auto reply) {
         if (!*alive)
             return;
+        // Under a slow store, the first append would be repeated before its answer arrives.
+        m_timeout.recordResult(reply.status(), m_loop.now() - sentAt);
         if (reply.ok() && reply->outcome == AppendOutcome::Fenced)
             return m_options.onFenced();
         if (reply.ok())
@@ -48,7 +50,8 @@
             if (*alive)
                 fencePredecessors(onDone);
         });
-    });
+    };
+    m_store.append(request, fenceTimeout, std::move(handleReply));
 }
 
 /// The first append of an epoch must not be followed by another before its reply: the store accepts any sequence number
@@ -116,12 +119,14 @@
     std::deque<KeyedRecord> records;
     for (const auto& job : batch.jobs)
         records.push_back({ .key = jobKeyPrefix + job.id, .value = encodeValue(job) });
+    // A large batch is split. Added workers could hide from a successor which ones an earlier leader relies on, if the
+    // unreached workers were stored after them.
+    if (batch.unreachedWorkers)
+        records.push_back({ .key = unreachedWorkersKey, .value = encodeValue(*batch.unreachedWorkers) });
     if (batch.assignedWorkers)
         records.push_back({ .key = assignedWorkersKey, .value = encodeValue(*batch.assignedWorkers) });
     if (batch.pressures)
         records.push_back({ .key = pressuresKey, .value = encodeValue(*batch.pressures) });
-    if (batch.unreachedWorkers)
-        records.push_back({ .key = unreachedWorkersKey, .value = encodeValue(*batch.unreachedWorkers) });
     for (const auto& [list, starts] : batch.unansweredStarts)
         records.push_back({ .key = unansweredStartsKeyPrefix + std::to_string(list), .value = encodeValue(starts) });
     auto firstSequence = m_sequence + 1;
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -231,8 +231,11 @@
 
 ProgressBatch TaskLeader::collectProgress()
 {
-    ProgressBatch batch { .jobs = m_scheduler.takeChangedJobs() };
     auto& collected = m_collectedBatches.emplace_back();
+    // The first record of unreached workers would wait for the answer to an append before it, and with it all leases.
+    if (!isFirstUnreachedRecordDue())
+        return {};
+    ProgressBatch batch { .jobs = m_scheduler.takeChangedJobs() };
     collected.acknowledgements = std::exchange(m_pendingAcknowledgements, {});
     collected.cancellationsOfUnknownJobs = std::exchange(m_cancellationsOfUnknownJobs, {});
     for (const auto& cancel : collected.cancellationsOfUnknownJobs)
@@ -243,13 +246,14 @@
         m_pressuresStoredAt = m_loop.now();
         batch.pressures = m_scheduler.savePressures();
     }
-    bool mustStoreUnreachedWorkers = false;
+    bool mustStoreUnreachedWorkers = m_unreachedWorkersChanged && m_unreachedRecords == 0;
     // With workers added, half of the assigned workers need not include one that an earlier leader relies on. So the
     // change is stored together with the workers that decide, and not while an older list of them is in force.
     // A worker may be given tasks once it is stored as assigned, so that a record of this leader must precede.
-    bool canStoreAssignedWorkers = (m_areEarlierLeadersExcluded || !hasInheritedDoubt()) && isFirstUnreachedRecordDue();
+    bool canStoreAssignedWorkers = m_areEarlierLeadersExcluded || !hasInheritedDoubt();
     if (canStoreAssignedWorkers && std::exchange(m_assignedWorkersChanged, false)) {
-        mustStoreUnreachedWorkers = !m_areEarlierLeadersExcluded || m_unreachedRecords == 0;
+        mustStoreUnreachedWorkers
+            = mustStoreUnreachedWorkers || !m_areEarlierLeadersExcluded || m_unreachedRecords == 0;
         batch.assignedWorkers.emplace();
         ++m_assignedRecords;
         collected.assignedWorkers.emplace();
