Judge from the claim whether earlier leaders were excluded in time

A leader that had read its own claim 0.2 to 0.8 s late reached half of the workers within 1.2 s of that, so it stored a silent worker as unreached since its election, although an earlier leader that was cut off from the store had renewed the worker's lease until then. A successor that had read the claim in time counted from it.

The 1.2 s now count from when the claim was sent, which no other node can have read earlier. Records of workers whose renewals were over before are kept if half of the workers are reached late.

Not shown: that 1.2 s and reports that are read late fit into one lease.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -271,6 +271,7 @@
 void LeadershipMonitor::claim()
 {
     m_isClaiming = true;
+    m_claimedAt = m_loop.now();
     LeadershipRecord record { .member = m_options.node.member,
         .incarnation = m_options.node.incarnation,
         .peerAddress = m_options.node.peerAddress,
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -62,6 +62,9 @@
     /// Time of the last successful reply to a read of the leadership stream.
     Instant lastStoreReplyAt() const { return m_lastStoreReplyAt; }
 
+    /// When this node sent its last claim. Other nodes may have known of its election from then on.
+    Instant claimedAt() const { return m_claimedAt; }
+
     /// The newest fencing token of this leader: its epoch, and from the first confirmed keepalive on the offset behind
     /// the last one. So it is above those of all earlier leaders, and below the epoch of each later one, whose claim
     /// follows the keepalive in the stream.
@@ -104,6 +107,7 @@
     bool m_hasLeaderResigned { false };
     bool m_hasResigned { false };
     bool m_isClaiming { false };
+    Instant m_claimedAt { neverInstant };
 
     /// The announcement that earlier processes of this host have ended is sent and not yet read back.
     bool m_isRestartAnnounced { false };
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -118,6 +118,7 @@
         TaskLeader::Options { .node = m_options,
             .epoch = epoch,
             .hasPredecessor = hasPredecessor,
+            .claimedAt = m_leadership.claimedAt(),
             .elections = m_leadership.elections(),
             .haveLeadersStopped
             = [this](uint64_t first, uint64_t end) { return m_leadership.elections().haveLeadersStopped(first, end); },
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -40,6 +40,9 @@
         /// Whether runs started by an earlier leader may still be active.
         bool hasPredecessor { true };
 
+        /// When the claim to `epoch` was sent; that of the start of this leader if it is not set.
+        std::optional<Instant> claimedAt {};
+
         /// The elections known to this node, including that of `epoch`.
         ElectionHistory elections {};
 
@@ -227,6 +230,7 @@
     UnreachedWorkers collectUnreachedWorkers();
     void handleUnreachedWorkersStored(uint64_t record);
     void updateAnnouncement(WorkerHandle, const WorkerAnnouncement&);
+    void assignRetiredWorker(Worker&);
     void retireIfDrained(WorkerHandle);
     void removeWorker(WorkerHandle, WorkerEnd);
     void reportInheritedLoss(const Worker&);
--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -235,14 +235,15 @@
         || (now < m_earlierRenewalsEndBy && !hasReachedHalfOfEarlierWorkers() && !haveEarlierLeadersStopped()))
         return;
     m_areEarlierLeadersExcluded = true;
-    m_earlierRenewalsEndBy = now - m_electedAt <= maxTimeToReachHalf
+    // A successor may count from the election, of which this leader may have learned late.
+    m_earlierRenewalsEndBy = now - m_options.claimedAt.value_or(m_electedAt) <= maxTimeToReachHalf
         ? neverInstant
         : std::min(m_earlierRenewalsEndBy, now + maxUnconfirmedRenewalTime);
     m_unreachedWorkersChanged = m_unreachedWorkersChanged || m_isDoubtStored;
     if (wereEarlierLeadersExcludedLate()) {
         // An earlier leader may have renewed the leases of these workers since the election of this one.
         for (auto& [handle, worker] : m_workers) {
-            if (worker.unreachedSinceEpoch == 0 || !mayObeyEarlierLeader(worker))
+            if (worker.unreachedSinceEpoch == 0 || worker.areEarlierRenewalsOver || !mayObeyEarlierLeader(worker))
                 continue;
             worker.unreachedSinceEpoch = 0;
             m_unreachedWorkersChanged = true;
