Retire only drained workers that are known to run nothing

A worker is not retired while the list is unreadable, and one that lists runs or ends is assigned again. An idle worker is retired when it announces its drain, not with its next report up to 2 s later. Late ends are handled in a guarded call.

AssignedWorkers.DrainingWorkerWithRunsIsStoredAfterAnUnreadableList and .IdleWorkerIsTakenOutWhenItAnnouncesItsDrain failed before and pass.

--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibHttp/EventLoop.h>
 #include <LibNode/OutcomeNames.h>
@@ -134,7 +135,8 @@
     worker.mayRunEarlierTasks = worker.isStored;
     bool isDraining = worker.announcement && worker.announcement->view.draining;
     // No leader has started anything on a worker that is not stored, and none will while it drains.
-    worker.isRetired = !worker.isStored && isDraining && !m_removedIds.contains(incarnation.id);
+    worker.isRetired
+        = !worker.isStored && isDraining && !m_areAssignedWorkersUnreadable && !m_removedIds.contains(incarnation.id);
     if (worker.isRetired)
         worker.firstAssignedRecord = std::numeric_limits<uint64_t>::max();
     else if (!worker.isStored)
@@ -170,12 +172,19 @@
     if (worker.announcement && announcement.view.draining && !worker.announcement->view.draining)
         logInfo("worker_drains", { { "worker", worker.incarnation.id } });
     worker.announcement = announcement;
-    if (!announcement.view.draining && std::exchange(worker.isRetired, false)) {
-        worker.firstAssignedRecord = m_assignedRecords + 1;
-        m_assignedWorkersChanged = true;
-        m_journal.requestFlush();
-    }
+    if (!announcement.view.draining)
+        assignRetiredWorker(worker);
     updateWorkerInScheduler(handle);
+    retireIfDrained(handle);
+}
+
+void TaskLeader::assignRetiredWorker(Worker& worker)
+{
+    if (!std::exchange(worker.isRetired, false))
+        return;
+    worker.firstAssignedRecord = m_assignedRecords + 1;
+    m_assignedWorkersChanged = true;
+    m_journal.requestFlush();
 }
 
 /// Takes a worker that drains out of the stored assigned workers once nothing runs there. Otherwise a successor that is
@@ -334,7 +343,7 @@
         .onLateEnds =
             [this, alive = m_alive](const std::vector<RunEnd>& ends) {
                 if (*alive)
-                    handleLateEnds(ends);
+                    guardedCall("late_ends_failed", [&] { handleLateEnds(ends); });
             },
         .onStartReply = [this, handle](const StartTask& start,
                             TaskCommandOutcome outcome) { handleStartReply(handle, start, outcome); },
@@ -437,6 +446,8 @@
         updateWorkerInScheduler(handle);
     }
     workerReached(worker);
+    if (!reply.running.empty() || !reply.ended.empty())
+        assignRetiredWorker(worker);
     for (const auto& end : reply.ended) {
         bool isNew = end.sequence > worker.lastHandledEndSequence;
         if (isNew && (end.outcome == RunOutcome::Failed || end.outcome == RunOutcome::LeaseExpired))
