Move what concerns draining workers to a file of its own

The first record of unreached workers is looked at without a pass over all workers once it is stored. Behaviour does not change; the groups AssignedWorkers, DrainedWorkers and UnreachedWorkers give the same results.

--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -96,8 +96,10 @@
 bool TaskLeader::isFirstUnreachedRecordDue() const
 {
     constexpr Milliseconds maxWait { 300 };
+    if (m_unreachedRecords > 0)
+        return true;
     auto workers = earlierWorkers();
-    if (m_unreachedRecords > 0 || workers.reached == workers.counted)
+    if (workers.reached == workers.counted)
         return true;
     auto wait = m_areEarlierLeadersExcluded ? unreachedRecordInterval : maxWait;
     return m_areSessionsStarted && m_loop.now() - m_sessionsStartedAt >= wait;
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -79,21 +79,6 @@
         reportIntervalFor(workers), acknowledgementTimeout.minTimeout, WorkerSession::defaultUnacknowledgedWait);
 }
 
-/// Many workers that leave at once are asked less often, with the CPU that the leader spends on reports in mind.
-Milliseconds TaskLeader::leavingReportIntervalFor(size_t leavingWorkers)
-{
-    return std::clamp(reportIntervalFor(leavingWorkers), WorkerSession::defaultLeavingReportInterval,
-        WorkerSession::defaultUnacknowledgedWait);
-}
-
-bool TaskLeader::isLeaving(const Worker& worker) { return worker.announcement && worker.announcement->view.draining; }
-
-void TaskLeader::updateLeavingReportInterval()
-{
-    auto leaving = std::ranges::count_if(m_workers, [](const auto& it) { return isLeaving(it.second); });
-    m_leavingReportInterval = leavingReportIntervalFor(static_cast<size_t>(leaving));
-}
-
 WorkerHandle TaskLeader::addWorker(
     const WorkerIncarnation& incarnation, std::optional<WorkerAnnouncement> announcement, uint64_t unreachedSinceEpoch)
 {
@@ -133,10 +118,9 @@
     worker.firstAssignedRecord = m_assignedRecords + 1;
     worker.isMisdirectedLeaseStored = worker.isStored && worker.session->mayHoldMisdirectedLease();
     worker.mayRunEarlierTasks = worker.isStored;
-    bool isDraining = worker.announcement && worker.announcement->view.draining;
     // No leader has started anything on a worker that is not stored, and none will while it drains.
-    worker.isRetired
-        = !worker.isStored && isDraining && !m_areAssignedWorkersUnreadable && !m_removedIds.contains(incarnation.id);
+    worker.isRetired = !worker.isStored && isLeaving(worker) && !m_areAssignedWorkersUnreadable
+        && !m_removedIds.contains(incarnation.id);
     if (worker.isRetired)
         worker.firstAssignedRecord = std::numeric_limits<uint64_t>::max();
     else if (!worker.isStored)
@@ -178,32 +162,6 @@
     retireIfDrained(handle);
 }
 
-void TaskLeader::assignRetiredWorker(Worker& worker)
-{
-    if (!std::exchange(worker.isRetired, false))
-        return;
-    worker.firstAssignedRecord = m_assignedRecords + 1;
-    m_assignedWorkersChanged = true;
-    m_journal.requestFlush();
-}
-
-/// Takes a worker that drains out of the stored assigned workers once nothing runs there. Otherwise a successor that is
-/// elected after the worker has left waits for its lease.
-void TaskLeader::retireIfDrained(WorkerHandle handle)
-{
-    auto& worker = m_workers.at(handle);
-    bool isDraining = worker.announcement && worker.announcement->view.draining;
-    if (worker.isRetired || !worker.isStored || !isDraining || !worker.session->isIdle()
-        || worker.session->mayHoldMisdirectedLease() || m_scheduler.hasRuns(handle))
-        return;
-    worker.isRetired = true;
-    worker.isStored = false;
-    // No record that is collected already may make the worker count as stored again.
-    worker.firstAssignedRecord = std::numeric_limits<uint64_t>::max();
-    m_assignedWorkersChanged = true;
-    m_journal.requestFlush();
-}
-
 /// Passes the state of a worker to the scheduler. A worker may receive tasks once it has announced itself and is stored
 /// among the assigned workers.
 void TaskLeader::updateWorkerInScheduler(WorkerHandle handle)
