Name the tests that failed at the end of the test run

Which test failed can't be seen.

When a known red test is listed, the tests of its program run one at a time, and each printed its log. Now only the output of a failed test is printed, and the script ends with one line "FAILED: name" for each test of ctest or of these programs that failed. The exit status is as before.

--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -4,14 +4,19 @@
 set -u
 build=${1:-Build}
 cd "$(dirname "$0")/.."
-failed=0
+failures=()
 red=()
 red_ctests=()
 [[ -f KNOWN-RED.txt ]] && mapfile -t red_ctests < <(sed -n 's/^ctest: *//p' KNOWN-RED.txt)
 [[ -f KNOWN-RED.txt ]] && mapfile -t red < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
 programs=$(printf '%s\n' "${red[@]}" | sed -n 's/^Test\([A-Za-z]*\),.*/\1/p' | sort -u | paste -sd '|')
 excluded=$(printf '%s\n' ${programs:+"$programs"} "${red_ctests[@]}" | sed '/^$/d' | paste -sd '|')
-ctest --test-dir "$build" --output-on-failure -j "$(nproc)" ${excluded:+-E "^($excluded)\$"} || failed=1
+failed_log=$build/Testing/Temporary/LastTestsFailed.log
+rm -f "$failed_log"
+if ! ctest --test-dir "$build" --output-on-failure -j "$(nproc)" ${excluded:+-E "^($excluded)\$"}; then
+    [[ -s $failed_log ]] || failures+=(ctest)
+    [[ -f $failed_log ]] && mapfile -t -O "${#failures[@]}" failures < <(sed 's/^[0-9]*://' "$failed_log")
+fi
 
 run_one() { # PROGRAM GROUP.NAME
     "$build/$1" -sg "${2%%.*}" -sn "${2##*.}"
@@ -21,7 +26,11 @@
 for program in ${programs//|/ }; do
     for name in $("$build/Test$program" -ln); do
         [[ " ${red[*]} " == *" $name "* ]] && continue
-        run_one "Test$program" "$name" || failed=1
+        # Only the output of a failure is printed, so that it is not lost among thousands of log lines.
+        if ! out=$(run_one "Test$program" "$name" 2>&1); then
+            printf '%s\n' "$out"
+            failures+=("Test$program, $name")
+        fi
     done
 done
 for entry in "${red[@]}"; do
@@ -39,4 +48,7 @@
         echo "KNOWN RED: $name"
     fi
 done
-exit $failed
+for name in "${failures[@]}"; do
+    echo "FAILED: $name"
+done
+exit $((${#failures[@]} > 0))
