Count leases of the longest duration from the first reply across leaders

Cause: a lease that a misdirected call may have granted is over one longest lease after the first reply of the incarnation, since that reply proves a fencing token above those of all calls for former incarnations. Each leader counted from its own first reply, and a leader that ends before the longest lease never takes the worker out of the record. Class: what an earlier leader knows is not handed on.

Change: the record of assigned workers names the epoch of the first reply (a new field at the end of the array). A later leader counts the lease from the first election after that epoch that it knows. The epoch is stored only if the reply names the incarnation and was read while no successor had been elected for certain: a leader that was paused or deposed may read it later. A worker that has not replied, one that replies as another incarnation, and records of older versions keep the present rule. Older versions read the new record.

--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -262,9 +262,7 @@
                 continue;
             batch.assignedWorkers->workers.push_back(worker.incarnation);
             collected.assignedWorkers->push_back(handle);
-            worker.isMisdirectedLeaseStored = worker.session->mayHoldMisdirectedLease();
-            if (worker.isMisdirectedLeaseStored)
-                batch.assignedWorkers->withMisdirectedLeases.push_back(worker.incarnation);
+            addMisdirectedLease(worker, *batch.assignedWorkers);
         }
     }
     if (mustStoreUnreachedWorkers || isUnreachedRecordDue()) {
@@ -430,7 +428,7 @@
         startDueSessions();
         updateLeavingReportInterval();
         markUnreachedWorkers();
-        dropExpiredMisdirectedLeases();
+        updateMisdirectedLeases();
         answerQueriesOfUnknownJobs();
         checkJobStreamsForQueries();
         updateLateStarts();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -140,6 +140,9 @@
         /// The stored record of assigned workers says that the worker may hold a lease of the longest duration.
         bool isMisdirectedLeaseStored { false };
 
+        /// Epoch of the worker's first reply according to that record; 0 if it is unknown.
+        uint64_t firstReplyEpoch { 0 };
+
         /// The worker, or a former incarnation of it, may run tasks of an earlier leader.
         bool mayRunEarlierTasks { false };
 
@@ -243,7 +246,11 @@
     Instant misdirectedCallsEndBy(const WorkerId&) const;
     void startSession(Worker&);
     void startDueSessions();
-    void dropExpiredMisdirectedLeases();
+    uint64_t storedFirstReplyEpoch(const WorkerIncarnation&) const;
+    uint64_t firstReplyEpochOf(const Worker&) const;
+    std::optional<Instant> misdirectedLeaseExpiresBy(uint64_t firstReplyEpoch) const;
+    void addMisdirectedLease(Worker&, AssignedWorkers&) const;
+    void updateMisdirectedLeases();
     bool mayMisdirectedLeaseLast() const;
     void restoreLateStarts();
     void recordUnansweredStart(const WorkerIncarnation&, const TaskRef&, uint64_t run);
--- a/Libraries/LibNode/TaskLeaderIncarnations.cpp
+++ b/Libraries/LibNode/TaskLeaderIncarnations.cpp
@@ -134,18 +134,68 @@
     }
 }
 
-/// Has the assigned workers stored again once fewer of them may hold leases of the longest duration, for which a later
-/// leader would wait.
-void TaskLeader::dropExpiredMisdirectedLeases()
+uint64_t TaskLeader::storedFirstReplyEpoch(const WorkerIncarnation& incarnation) const
+{
+    const auto& stored = m_storedAssignedWorkers;
+    auto it = std::ranges::find(stored.firstReplies, incarnation, &FirstReply::worker);
+    if (it == stored.firstReplies.end())
+        return 0;
+    // A worker that was removed may have been replaced by a later incarnation since.
+    bool isStored = std::ranges::find(stored.workers, incarnation) != stored.workers.end();
+    return isStored ? it->epoch : 0;
+}
+
+/// The epoch in which this incarnation of the worker first replied, if the next election is known to have followed; 0
+/// otherwise. A leader that was paused or cut off may read the reply after that election.
+uint64_t TaskLeader::firstReplyEpochOf(const Worker& worker) const
+{
+    const auto& session = *worker.session;
+    if (worker.incarnation.startedAtMs == 0 || session.startedAtMs() != worker.incarnation.startedAtMs)
+        return 0;
+    if (worker.firstReplyEpoch > 0)
+        return worker.firstReplyEpoch;
+    bool isBeforeNextElection
+        = session.firstReplyAt() != neverInstant && session.firstReplyAt() <= m_options.soleLeaderUntil();
+    return isBeforeNextElection ? m_options.epoch : 0;
+}
+
+/// Local time by which a lease has expired that a misdirected call granted to a worker whose first reply came in the
+/// epoch; nullopt if that epoch is unknown.
+std::optional<Instant> TaskLeader::misdirectedLeaseExpiresBy(uint64_t firstReplyEpoch) const
+{
+    if (firstReplyEpoch == 0 || firstReplyEpoch >= m_options.epoch)
+        return std::nullopt;
+    auto nextElectedBy = m_options.elections.electedBy(firstReplyEpoch + 1);
+    if (!nextElectedBy)
+        return std::nullopt;
+    return *nextElectedBy + WorkerClock::maxLocalTime(m_options.node.maxLease.count());
+}
+
+void TaskLeader::addMisdirectedLease(Worker& worker, AssignedWorkers& assigned) const
+{
+    worker.isMisdirectedLeaseStored = worker.session->mayHoldMisdirectedLease();
+    worker.firstReplyEpoch = firstReplyEpochOf(worker);
+    if (!worker.isMisdirectedLeaseStored)
+        return;
+    assigned.withMisdirectedLeases.push_back(worker.incarnation);
+    if (worker.firstReplyEpoch > 0)
+        assigned.firstReplies.push_back({ .worker = worker.incarnation, .epoch = worker.firstReplyEpoch });
+}
+
+/// Has the assigned workers stored again once fewer of them may hold leases of the longest duration, or it is known
+/// when such leases expire, so that a later leader need not wait for them.
+void TaskLeader::updateMisdirectedLeases()
 {
     constexpr Milliseconds interval { 1000 };
     if (m_loop.now() - m_misdirectedLeasesCheckedAt < interval)
         return;
     m_misdirectedLeasesCheckedAt = m_loop.now();
-    bool isExpired = std::ranges::any_of(m_workers, [](const auto& it) {
-        return it.second.isMisdirectedLeaseStored && !it.second.session->mayHoldMisdirectedLease();
+    bool isOutdated = std::ranges::any_of(m_workers, [this](const auto& it) {
+        const auto& worker = it.second;
+        return worker.isMisdirectedLeaseStored
+            && (!worker.session->mayHoldMisdirectedLease() || firstReplyEpochOf(worker) != worker.firstReplyEpoch);
     });
-    if (!isExpired)
+    if (!isOutdated)
         return;
     m_assignedWorkersChanged = true;
     m_journal.requestFlush();
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -91,6 +91,7 @@
     worker.announcement = std::move(announcement);
     worker.isStored
         = std::ranges::find(m_storedAssignedWorkers.workers, incarnation) != m_storedAssignedWorkers.workers.end();
+    worker.firstReplyEpoch = storedFirstReplyEpoch(incarnation);
     worker.session = std::make_unique<WorkerSession>(m_loop, m_taskExecutor,
         WorkerSession::Options { .executor = { .id = incarnation.id, .address = incarnation.address },
             .startedAtMs = incarnation.startedAtMs,
@@ -99,6 +100,7 @@
             .maxLease = m_options.node.maxLease,
             .mayHoldMisdirectedLease = mayHoldMisdirectedLease(incarnation),
             .misdirectedCallsEndBy = misdirectedCallsEndBy(incarnation.id),
+            .misdirectedLeaseExpiresBy = misdirectedLeaseExpiresBy(worker.firstReplyEpoch),
             .earlierRenewalsEndedBy
             = unreachedSinceEpoch ? m_options.elections.electedBy(unreachedSinceEpoch) : std::nullopt,
             .commandTimeout = m_commandTimeout,
@@ -116,7 +118,7 @@
             .load = &m_load,
             .events = makeSessionEvents(handle) });
     worker.firstAssignedRecord = m_assignedRecords + 1;
-    worker.isMisdirectedLeaseStored = worker.isStored && worker.session->mayHoldMisdirectedLease();
+    worker.isMisdirectedLeaseStored = worker.isStored && mayHoldMisdirectedLease(incarnation);
     worker.mayRunEarlierTasks = worker.isStored;
     // No leader has started anything on a worker that is not stored, and none will while it drains.
     worker.isRetired = !worker.isStored && isLeaving(worker) && !m_areAssignedWorkersUnreadable
@@ -401,6 +403,7 @@
     if (worker.incarnation.startedAtMs != worker.session->startedAtMs()) {
         m_assignedWorkersChanged = m_assignedWorkersChanged || worker.incarnation.startedAtMs != 0;
         worker.incarnation.startedAtMs = worker.session->startedAtMs();
+        worker.firstReplyEpoch = 0;
         updateWorkerInScheduler(handle);
     }
     workerReached(worker);
--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -26,9 +26,13 @@
     // An earlier leader may have renewed the lease just before.
     auto renewalsEndedBy = m_options.earlierRenewalsEndedBy.value_or(m_loop.now());
     m_leasesExpireBy = renewalsEndedBy + WorkerClock::maxLocalTime(m_options.lease.count());
-    if (m_options.mayHoldMisdirectedLease)
-        m_leasesExpireBy = std::max(renewalsEndedBy, m_options.misdirectedCallsEndBy)
-            + WorkerClock::maxLocalTime(m_options.maxLease.count());
+    if (!m_options.mayHoldMisdirectedLease)
+        return;
+    m_misdirectedLeaseExpiresBy = m_options.misdirectedLeaseExpiresBy.value_or(neverInstant);
+    auto misdirectedLeaseExpiresBy
+        = m_options.misdirectedLeaseExpiresBy.value_or(std::max(renewalsEndedBy, m_options.misdirectedCallsEndBy)
+            + WorkerClock::maxLocalTime(m_options.maxLease.count()));
+    m_leasesExpireBy = std::max(m_leasesExpireBy, misdirectedLeaseExpiresBy);
 }
 
 WorkerSession::~WorkerSession() { *m_alive = false; }
@@ -227,9 +231,18 @@
 /// From here on the worker refuses calls of sessions with earlier incarnations.
 void WorkerSession::recordFirstReply(const TaskCommandReply& reply)
 {
-    bool isOtherIncarnation = reply.startedAtMs != 0 && reply.startedAtMs != m_options.startedAtMs;
+    bool isNamed = reply.startedAtMs != 0;
+    bool isThisIncarnation = isNamed && reply.startedAtMs == m_options.startedAtMs;
+    if (isNamed)
+        m_firstReplyAt = m_loop.now();
+    // An earlier leader has had a reply of this incarnation before, and may have renewed the lease until this one.
+    if (isThisIncarnation && m_misdirectedLeaseExpiresBy != neverInstant) {
+        auto earlierLeaseExpiresBy = m_loop.now() + WorkerClock::maxLocalTime(m_options.lease.count());
+        m_leasesExpireBy = std::max(m_leasesExpireBy, earlierLeaseExpiresBy);
+        return;
+    }
     m_options.mayHoldMisdirectedLease
-        = m_options.mayHoldMisdirectedLease || (isOtherIncarnation && m_options.startedAtMs != 0);
+        = m_options.mayHoldMisdirectedLease || (isNamed && !isThisIncarnation && m_options.startedAtMs != 0);
     m_misdirectedLeaseExpiresBy = m_loop.now() + WorkerClock::maxLocalTime(m_options.maxLease.count());
     if (!m_options.mayHoldMisdirectedLease)
         return;
--- a/Libraries/LibNode/WorkerSession.h
+++ b/Libraries/LibNode/WorkerSession.h
@@ -82,6 +82,10 @@
         /// Local time by which the worker has executed the last misdirected call, if it has not replied before.
         Instant misdirectedCallsEndBy { neverInstant };
 
+        /// Local time by which a lease that a misdirected call granted has expired; not set if it is not known when
+        /// this incarnation first replied to a leader.
+        std::optional<Instant> misdirectedLeaseExpiresBy {};
+
         /// Local time after which no earlier leader has renewed the lease; the time of creation if it is not set.
         std::optional<Instant> earlierRenewalsEndedBy {};
 
@@ -197,6 +201,9 @@
     /// Whether a misdirected call may have granted a lease to the worker that lasts still.
     bool mayHoldMisdirectedLease() const;
 
+    /// When the first reply was read, if it named the incarnation; neverInstant otherwise.
+    Instant firstReplyAt() const { return m_firstReplyAt; }
+
     /// Local time by which a later incarnation has executed the last start that was meant for this one or for an
     /// earlier one; neverInstant if there was none.
     Instant misdirectedStartsEndBy() const;
@@ -298,9 +305,10 @@
     /// Local time by which every lease granted so far has expired.
     Instant m_leasesExpireBy { neverInstant };
 
-    /// Local time by which a lease has expired that was granted by a misdirected call; neverInstant before the first
-    /// reply.
+    /// Local time by which a lease has expired that was granted by a misdirected call; neverInstant while it is
+    /// unknown.
     Instant m_misdirectedLeaseExpiresBy { neverInstant };
+    Instant m_firstReplyAt { neverInstant };
     Instant m_lastStartSentAt { neverInstant };
 
     /// Incremented when a check of the expiry is scheduled, so that the earlier ones have no effect.
--- a/Libraries/LibWire/AssignedWorkers.h
+++ b/Libraries/LibWire/AssignedWorkers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibWire/FirstReply.h>
 #include <LibWire/WorkerIncarnation.h>
 #include <msgpack.hpp>
 #include <vector>
@@ -15,8 +16,13 @@
     /// earlier incarnation, may have reached them before the first call of the leader that stored this record.
     std::vector<WorkerIncarnation> withMisdirectedLeases {};
 
+    /// First replies of workers in `withMisdirectedLeases`, as far as they are known. The worker refuses misdirected
+    /// calls from then on, so such a lease has expired one longest lease after the next election. Empty in records of
+    /// versions without this field.
+    std::vector<FirstReply> firstReplies {};
+
     bool operator==(const AssignedWorkers&) const = default;
-    MSGPACK_DEFINE_ARRAY(workers, withMisdirectedLeases)
+    MSGPACK_DEFINE_ARRAY(workers, withMisdirectedLeases, firstReplies)
 };
 
 }
--- a/Tests/LibNode/LateCallDay.h
+++ b/Tests/LibNode/LateCallDay.h
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -38,6 +39,13 @@
     uint64_t epoch { 0 };
     std::unique_ptr<TaskLeader> leader;
     Instant leaderBackAt { neverInstant };
+
+    /// Each leader goes on without proof of its leadership until its successor begins, some time after the successor's
+    /// election.
+    bool areLeadersDeposedLate { false };
+    bool isDeposed { false };
+    Instant soleLeaderUntil { Instant::max() };
+    std::optional<Instant> claimedAt;
     std::map<JobId, JobSpec> jobs;
 
     /// When each worker is cut off after its return, and when it last announced itself.
@@ -71,14 +79,17 @@
     {
         ++epoch;
         elections.add(epoch, clock.now());
+        isDeposed = false;
+        soleLeaderUntil = Instant::max();
         leader = std::make_unique<TaskLeader>(*loop, store, executor, formats, metrics,
             TaskLeader::Options {
                 .node = { .member = "m", .workerSilenceUntilRemoval = silenceUntilRemoval, .maxLease = maxLease },
                 .epoch = epoch,
+                .claimedAt = claimedAt,
                 .elections = elections,
                 .onFenced = [] {},
                 .canStart = [] { return true; },
-                .soleLeaderUntil = [] { return Instant::max(); },
+                .soleLeaderUntil = [this] { return soleLeaderUntil; },
                 .fenceToken = [this, leading = epoch] { return fenceTokenAt(leading, clock.now()); } });
         leader->setQueues(1, { { "q", { .service = "s", .maxAttempts = 3 } } });
         leader->start();
@@ -151,11 +162,25 @@
                 announceOrExpire(id, worker);
             }
             recordViolations();
-            if (!leader && clock.now() >= leaderBackAt)
+            if ((!leader || isDeposed) && clock.now() >= leaderBackAt)
                 lead();
         }
     }
 
+    /// The leader is lost, or goes on after the election of its successor.
+    void changeLeader()
+    {
+        if (!areLeadersDeposedLate) {
+            leader.reset();
+        } else {
+            isDeposed = true;
+            soleLeaderUntil = clock.now();
+            claimedAt = clock.now();
+            elections.add(epoch + 1, clock.now(), {}, { .storesReachedWorkers = true });
+        }
+        leaderBackAt = clock.now() + pickTime(100, 3000);
+    }
+
     struct RunOnWorker {
         const FaultyWorkers::Worker* worker { nullptr };
         const FaultyWorkers::Run* run { nullptr };
@@ -220,9 +245,8 @@
             putRandomJob();
         for (int i = 0; i < faultCount; ++i) {
             advance(pickTime(200, 1500));
-            if (pick(100) < leaderChangePercent && leader) {
-                leader.reset();
-                leaderBackAt = clock.now() + pickTime(100, 3000);
+            if (pick(100) < leaderChangePercent && leader && !isDeposed) {
+                changeLeader();
             } else {
                 crashRandomWorker();
             }
--- a/Tests/LibNode/TestFormerIncarnations.cpp
+++ b/Tests/LibNode/TestFormerIncarnations.cpp
@@ -2,6 +2,14 @@
 
 using namespace Bergamot;
 
+/// The assigned workers as versions without `AssignedWorkers::firstReplies` store them.
+struct OlderAssignedWorkers {
+    std::vector<WorkerIncarnation> workers {};
+    std::vector<WorkerIncarnation> withMisdirectedLeases {};
+
+    MSGPACK_DEFINE_ARRAY(workers, withMisdirectedLeases)
+};
+
 /// Calls for a former incarnation of a worker may be executed by the one that has started under the same id.
 TEST_GROUP_BASE(FormerIncarnations, TaskLeaderFixture)
 {
@@ -62,6 +70,31 @@
         return timeOfStart(electedAt, Milliseconds { 15'000 });
     }
 
+    /// Elects a leader that reaches three workers, of which w1 has just started again, and lets it lead for `time`.
+    void leadWithRestartedWorker(Milliseconds time)
+    {
+        for (const char* worker : { "w1", "w2", "w3" })
+            announce(worker);
+        elect();
+        run(Milliseconds { 20'000 });
+        restart("w1", 60);
+        run(time);
+    }
+
+    /// Puts a job and returns the time from the election of a further leader, which does not reach w1, to the start.
+    std::optional<Milliseconds> timeOfStartBesideSilentWorker()
+    {
+        silent.insert("w1");
+        putJob("j");
+        elect();
+        return timeOfStart(electedAt, Milliseconds { 15'000 });
+    }
+
+    std::vector<FirstReply> storedFirstReplies()
+    {
+        return storedValue<AssignedWorkers>(assignedWorkersKey)->firstReplies;
+    }
+
     uint64_t highestToken(const std::string& worker) const
     {
         uint64_t token = 0;
@@ -204,3 +237,98 @@
     }
     CHECK_EQUAL(1, startsOn("w1"));
 }
+
+// Guards against a wait for the longest lease that begins anew under each of many leaders.
+TEST(FormerIncarnations, LeadersThatEndSoonDoNotRestartTheWaitForTheLongestLease)
+{
+    leadWithRestartedWorker(Milliseconds { 3000 });
+    for (int i = 0; i < 4; ++i) {
+        elect();
+        run(Milliseconds { 3000 });
+    }
+    auto wait = timeOfStartBesideSilentWorker();
+    CHECK(wait.has_value());
+    CHECK_COMPARE(wait->count(), <=, maxLeaseWait.count());
+}
+
+// Guards against a successor that waits for a drained worker, because each leader ends before the longest lease.
+TEST(FormerIncarnations, DrainedWorkerIsTakenOutByALeaderThatEndsSoon)
+{
+    leadWithRestartedWorker(Milliseconds { 3000 });
+    for (int i = 0; i < 4; ++i) {
+        elect();
+        run(Milliseconds { 3000 });
+    }
+    formats.announcements["w1"].view.draining = true;
+    store.put(StreamName::Workers, "w1", "w1");
+    run(Milliseconds { 3000 });
+    CHECK_FALSE(isStoredAsAssigned("w1"));
+}
+
+// Guards against a second run while the longest lease lasts: it counts from the end of the epoch of the first reply.
+TEST(FormerIncarnations, LongestLeaseIsCountedFromTheElectionAfterTheFirstReply)
+{
+    leadWithRestartedWorker(Milliseconds { 2000 });
+    CHECK_EQUAL(1, storedFirstReplies().size());
+    CHECK_EQUAL(60, storedFirstReplies().front().worker.startedAtMs);
+    CHECK_EQUAL(epoch, storedFirstReplies().front().epoch);
+    auto wait = timeOfStartBesideSilentWorker();
+    CHECK(wait.has_value());
+    CHECK_COMPARE(wait->count(), >=, longestLease.count());
+}
+
+// Guards against the same when a leader reads the first reply after the election of its successor.
+TEST(FormerIncarnations, ReplyAfterTheNextElectionIsNotStoredAsTheFirst)
+{
+    leadWithRestartedWorker(Milliseconds { 0 });
+    soleLeaderUntil = clock.now();
+    elections.add(epoch + 1, clock.now(), {}, { .storesReachedWorkers = true });
+    run(Milliseconds { 4000 });
+    auto stored = storedValue<AssignedWorkers>(assignedWorkersKey);
+    CHECK_EQUAL(1, stored->withMisdirectedLeases.size());
+    CHECK_EQUAL(60, stored->withMisdirectedLeases.front().startedAtMs);
+    CHECK(stored->firstReplies.empty());
+    soleLeaderUntil = Instant::max();
+    auto wait = timeOfStartBesideSilentWorker();
+    CHECK(wait.has_value());
+    CHECK_COMPARE(wait->count(), >=, longestLease.count());
+}
+
+// Guards against the same after a first reply that a leader takes for that of a worker that has never replied.
+TEST(FormerIncarnations, UnreachedWorkerHasNoFirstReply)
+{
+    timeUntilNextLeaderStarts({ incarnationOf("w1") });
+    CHECK(storedFirstReplies().empty());
+    auto stored = storedValue<AssignedWorkers>(assignedWorkersKey);
+    CHECK_EQUAL(3, stored->workers.size());
+}
+
+// Guards against the same when a leader of an older version has stored the workers.
+TEST(FormerIncarnations, RecordWithoutFirstRepliesKeepsItsMeaning)
+{
+    leadWithRestartedWorker(Milliseconds { 3000 });
+    elect();
+    run(Milliseconds { 1000 });
+    auto current = *storedValue<AssignedWorkers>(assignedWorkersKey);
+    CHECK_EQUAL(1, current.firstReplies.size());
+    OlderAssignedWorkers older { .workers = current.workers, .withMisdirectedLeases = current.withMisdirectedLeases };
+    store.put(StreamName::Progress, assignedWorkersKey, encodeValue(older));
+    auto wait = timeOfStartBesideSilentWorker();
+    CHECK(wait.has_value());
+    CHECK_COMPARE(wait->count(), >=, longestLease.count());
+}
+
+// Guards against records that nodes of another version cannot read.
+TEST(FormerIncarnations, AssignedWorkersAreReadByOtherVersions)
+{
+    AssignedWorkers current { .workers = { incarnationOf("w1"), incarnationOf("w2") },
+        .withMisdirectedLeases = { incarnationOf("w2") },
+        .firstReplies = { { .worker = incarnationOf("w2"), .epoch = 7 } } };
+    CHECK(*decodeValue<AssignedWorkers>(encodeValue(current)) == current);
+    auto older = decodeValue<OlderAssignedWorkers>(encodeValue(current));
+    CHECK(older.ok());
+    CHECK(older->workers == current.workers);
+    CHECK(older->withMisdirectedLeases == current.withMisdirectedLeases);
+    current.firstReplies.clear();
+    CHECK(*decodeValue<AssignedWorkers>(encodeValue(*older)) == current);
+}
--- a/Tests/LibNode/TestLateCalls.cpp
+++ b/Tests/LibNode/TestLateCalls.cpp
@@ -7,7 +7,11 @@
 
 static constexpr uint32_t dayCount { 40 };
 
-static void checkDays(uint32_t days, uint32_t leaderChangePercent, bool hasLateCalls)
+/// What happens at a change of leader.
+enum class LeaderChange : uint8_t { Lost, DeposedLate };
+
+static void checkDays(
+    uint32_t days, uint32_t leaderChangePercent, bool hasLateCalls, LeaderChange change = LeaderChange::Lost)
 {
     // Without acknowledged ends, a day would check nothing.
     constexpr size_t minAcknowledgedTasks { 20 };
@@ -15,6 +19,7 @@
     size_t misdirectedCalls = 0;
     for (uint32_t seed = 1; seed <= days; ++seed) {
         LateCallDay day(seed);
+        day.areLeadersDeposedLate = change == LeaderChange::DeposedLate;
         if (!hasLateCalls)
             day.executor.latePercent = day.executor.latePercentWhileUnreachable = 0;
         day.run(leaderChangePercent);
@@ -40,6 +45,13 @@
 // leaders.
 TEST(LateCalls, NoTaskRunsTwiceUnderNewLeaders) { checkDays(dayCount, 15, true); }
 
+// Guards against the same when each of many leaders goes on after the election of the next one, and counts a lease of
+// the longest duration by the replies that it gets then.
+TEST(LateCalls, NoTaskRunsTwiceUnderLeadersThatAreDeposedLate)
+{
+    checkDays(dayCount, 40, true, LeaderChange::DeposedLate);
+}
+
 // Guards against a start that counts as accepted by the former incarnation, because the reply of the next one does not
 // name it.
 TEST(LateCalls, NoTaskRunsTwiceAfterAStartByTheNextIncarnation) { checkDays(2 * dayCount, 0, false); }
--- a/Tests/LibNode/TestWorkerSessionIncarnations.cpp
+++ b/Tests/LibNode/TestWorkerSessionIncarnations.cpp
@@ -20,8 +20,11 @@
     std::vector<uint64_t> startedRuns;
     int incarnationMismatches { 0 };
     std::vector<StopTask> possibleRuns;
-    WorkerSession session { *loop, taskExecutor,
-        WorkerSession::Options { .executor = { .id = "w1", .address = "a:1" },
+    WorkerSession session { *loop, taskExecutor, makeOptions() };
+
+    WorkerSession::Options makeOptions()
+    {
+        return { .executor = { .id = "w1", .address = "a:1" },
             .startedAtMs = 50,
             .commandTimeout = commandTimeout,
             .acknowledgementTimeout = acknowledgementTimeout,
@@ -40,7 +43,8 @@
                         ++incarnationMismatches;
                         possibleRuns = session.stopsOfPossibleRuns();
                     },
-                .onFenced = [] {} } } };
+                .onFenced = [] {} } };
+    }
 
     void advance(Milliseconds time)
     {
@@ -58,6 +62,28 @@
             .endCoverage = RunEndCoverage::All };
     }
 
+    /// Whether a lease of the longest duration is still waited for, after it is known to have expired by a time, once
+    /// an incarnation with this start time has replied.
+    bool mayHoldMisdirectedLeaseAfterReplyOf(int64_t startedAtMs)
+    {
+        auto options = makeOptions();
+        options.mayHoldMisdirectedLease = true;
+        options.misdirectedLeaseExpiresBy = clock.now() + Milliseconds { 1000 };
+        WorkerSession inherited { *loop, taskExecutor, options };
+        taskExecutor.renewLeaseCalls.clear();
+        inherited.start(4);
+        loop->runReady();
+        advance(Milliseconds { 500 });
+        auto reply = replyAt(1000);
+        reply.commandReply.startedAtMs = startedAtMs;
+        taskExecutor.takeRenewLeaseCall().reply(reply);
+        loop->runReady();
+        CHECK(inherited.mayHoldMisdirectedLease());
+        CHECK(inherited.remainingLease() >= options.lease);
+        advance(Milliseconds { 1500 });
+        return inherited.mayHoldMisdirectedLease();
+    }
+
     void connect()
     {
         session.start(3);
@@ -340,3 +366,12 @@
     CHECK(haveLeasesExpired);
     CHECK(session.isReachable());
 }
+
+// Guards against a lease of the longest duration that counts as expired because another incarnation has replied before.
+TEST(WorkerSessionIncarnations, EarlierFirstReplyCountsForItsIncarnationOnly)
+{
+    CHECK_FALSE(mayHoldMisdirectedLeaseAfterReplyOf(50));
+    CHECK(mayHoldMisdirectedLeaseAfterReplyOf(40));
+    constexpr int64_t unnamed = 0;
+    CHECK(mayHoldMisdirectedLeaseAfterReplyOf(unnamed));
+}
