--- a/Tests/LibNode/TestAssignedWorkers.cpp
+++ b/Tests/LibNode/TestAssignedWorkers.cpp
@@ -2,12 +2,45 @@
 
 using namespace Bergamot;
 
-TEST_GROUP_BASE(AssignedWorkers, TaskLeaderFixture) { void setDraining(const std::string& worker, bool isDraining) {
-    formats.announcements[worker].view.draining = isDraining;
-store.put(StreamName::Workers, worker, worker);
-}
-}
-;
+/// The stored assigned workers, for whose leases a new leader waits.
+TEST_GROUP_BASE(AssignedWorkers, TaskLeaderFixture)
+{
+    /// The longest time until a leader that reaches all assigned workers starts the first task.
+    static constexpr Milliseconds maxStartDelay { 500 };
+
+    void setDraining(const std::string& worker, bool isDraining)
+    {
+        formats.announcements[worker].view.draining = isDraining;
+        store.put(StreamName::Workers, worker, worker);
+    }
+
+    /// Lets the platform list the workers, which earlier leaders have stored, and has a leader reach them.
+    void electWithAssigned(const std::vector<std::string>& workers)
+    {
+        for (const auto& worker : workers)
+            announce(worker);
+        putAssignedWorkers(workers);
+        elect();
+        run(Milliseconds { 1000 });
+    }
+
+    /// As above with w1 and w2, and lets w2 drain without a run for longer than a report takes.
+    void electAndDrainIdleWorker()
+    {
+        electWithAssigned({ "w1", "w2" });
+        setDraining("w2", true);
+        run(Milliseconds { 3000 });
+        CHECK_FALSE(isStoredAsAssigned("w2"));
+    }
+
+    /// Puts a job, elects a leader and returns the time until it starts the job.
+    std::optional<Milliseconds> timeOfStartByNextLeader(const std::string& job)
+    {
+        putJob(job);
+        elect();
+        return timeOfStart(electedAt, maxLeaseWait);
+    }
+};
 
 // Guards against a start on a worker that the next leader does not wait for: a worker was removed after its silence and
 // listed again, and its absence from the stored assigned workers went unnoticed.
@@ -44,44 +77,27 @@
 // office finds it neither listed nor reachable.
 TEST(AssignedWorkers, LeaderDoesNotWaitForADrainedWorkerThatHasLeft)
 {
-    announce("w1");
-    announce("w2");
-    putAssignedWorkers({ "w1", "w2" });
-    elect();
-    run(Milliseconds { 1000 });
-    setDraining("w2", true);
-    run(Milliseconds { 3000 });
-    CHECK_FALSE(isStoredAsAssigned("w2"));
+    electAndDrainIdleWorker();
     CHECK(isStoredAsAssigned("w1"));
     store.put(StreamName::Workers, "w2", {});
     silent = { "w2" };
-    putJob("j");
-    elect();
-    auto time = timeOfStart(electedAt, maxLeaseWait);
+    auto time = timeOfStartByNextLeader("j");
     CHECK(time.has_value());
-    CHECK(*time <= Milliseconds { 500 });
+    CHECK(*time <= maxStartDelay);
 }
 
 // Guards against tasks that wait for a drained worker because a new leader, which finds it listed still, assigns it
 // again.
 TEST(AssignedWorkers, DrainedWorkerIsNotAssignedAgainByTheNextLeader)
 {
-    announce("w1");
-    announce("w2");
-    putAssignedWorkers({ "w1", "w2" });
-    elect();
-    run(Milliseconds { 1000 });
-    setDraining("w2", true);
-    run(Milliseconds { 3000 });
+    electAndDrainIdleWorker();
     silent = { "w2" };
     for (bool isListed : { true, false }) {
         if (!isListed)
             store.put(StreamName::Workers, "w2", {});
-        putJob(isListed ? "j1" : "j2");
-        elect();
-        auto time = timeOfStart(electedAt, maxLeaseWait);
+        auto time = timeOfStartByNextLeader(isListed ? "j1" : "j2");
         CHECK(time.has_value());
-        CHECK(*time <= Milliseconds { 500 });
+        CHECK(*time <= maxStartDelay);
         run(Milliseconds { 300 });
         CHECK_FALSE(isStoredAsAssigned("w2"));
     }
@@ -93,19 +109,14 @@
     TaskRef task { .job = "j", .occurrence = 0, .step = 0, .index = 0 };
     putJob("j");
     for (bool isEnded : { false, true }) {
-        announce("w1");
-        announce("w2");
-        putAssignedWorkers({ "w1", "w2" });
         runs["w2"] = { { .task = task, .run = 1 } };
-        elect();
-        run(Milliseconds { 1000 });
+        electWithAssigned({ "w1", "w2" });
         if (isEnded) {
             store.fault = FakeRecordStore::Fault::LosingReplies;
             runs.clear();
             ends["w2"] = { { .sequence = 1, .task = task, .run = 1, .outcome = RunOutcome::Stopped } };
         }
-        formats.announcements["w2"].view.draining = true;
-        store.put(StreamName::Workers, "w2", "w2");
+        setDraining("w2", true);
         run(Milliseconds { 3000 });
         CHECK(isStoredAsAssigned("w2"));
         store.fault = FakeRecordStore::Fault::None;
@@ -117,10 +128,7 @@
 // Guards against a start on a worker that no successor waits for, because it no longer drains.
 TEST(AssignedWorkers, WorkerThatNoLongerDrainsIsStoredBeforeItsNextStart)
 {
-    announce("w2");
-    putAssignedWorkers({ "w2" });
-    elect();
-    run(Milliseconds { 1000 });
+    electWithAssigned({ "w2" });
     setDraining("w2", true);
     run(Milliseconds { 3000 });
     CHECK_FALSE(isStoredAsAssigned("w2"));
@@ -162,11 +170,7 @@
 // end of its notice.
 TEST(AssignedWorkers, IdleWorkerIsTakenOutWhenItAnnouncesItsDrain)
 {
-    announce("w1");
-    announce("w2");
-    putAssignedWorkers({ "w1", "w2" });
-    elect();
-    run(Milliseconds { 1000 });
+    electWithAssigned({ "w1", "w2" });
     // The worker answers an idle report after 2 s only.
     silent = { "w1", "w2" };
     run(Milliseconds { 100 });
--- a/Tests/LibNode/TestFormerIncarnations.cpp
+++ b/Tests/LibNode/TestFormerIncarnations.cpp
@@ -81,6 +81,16 @@
         run(time);
     }
 
+    /// Has leaders follow each other, all of which end before the longest lease, but not before a report.
+    void electShortLeaders()
+    {
+        constexpr int leaders = 4;
+        for (int i = 0; i < leaders; ++i) {
+            elect();
+            run(Milliseconds { 3000 });
+        }
+    }
+
     /// Puts a job and returns the time from the election of a further leader, which does not reach w1, to the start.
     std::optional<Milliseconds> timeOfStartBesideSilentWorker()
     {
@@ -242,10 +252,7 @@
 TEST(FormerIncarnations, LeadersThatEndSoonDoNotRestartTheWaitForTheLongestLease)
 {
     leadWithRestartedWorker(Milliseconds { 3000 });
-    for (int i = 0; i < 4; ++i) {
-        elect();
-        run(Milliseconds { 3000 });
-    }
+    electShortLeaders();
     auto wait = timeOfStartBesideSilentWorker();
     CHECK(wait.has_value());
     CHECK_COMPARE(wait->count(), <=, maxLeaseWait.count());
@@ -255,10 +262,7 @@
 TEST(FormerIncarnations, DrainedWorkerIsTakenOutByALeaderThatEndsSoon)
 {
     leadWithRestartedWorker(Milliseconds { 3000 });
-    for (int i = 0; i < 4; ++i) {
-        elect();
-        run(Milliseconds { 3000 });
-    }
+    electShortLeaders();
     formats.announcements["w1"].view.draining = true;
     store.put(StreamName::Workers, "w1", "w1");
     run(Milliseconds { 3000 });
