Store with a crash that an earlier one may have no record

A leader that finds a worker of an earlier leader gone counts one possible crash without a record under each inherited task that waits. Only that leader knew it. When it was killed too, the next one judged the crash at a quiet moment as the fourth instead of the fifth: it did not require isolation, or did not take the crash for a proof. The same holds for a crash that was withdrawn because the rack was lost too.

Each record of a crash now says whether one without a record may precede it. Records of earlier versions lack the field, which then reads as no; earlier versions ignore it.

--- a/Libraries/LibDecision/CrashHistory.cpp
+++ b/Libraries/LibDecision/CrashHistory.cpp
@@ -99,6 +99,12 @@
     return static_cast<size_t>(std::ranges::count_if(m_runs, [&](const CrashedRun& it) { return isOfTask(it, task); }));
 }
 
+bool CrashHistory::mayFollowUnrecordedCrash(const TaskRef& task) const
+{
+    return std::ranges::any_of(
+        m_runs, [&](const CrashedRun& it) { return isOfTask(it, task) && it.mayFollowUnrecordedCrash; });
+}
+
 double CrashHistory::highestOtherCrashRate(const TaskRef& task) const
 {
     double highest = 0;
--- a/Libraries/LibDecision/CrashHistory.h
+++ b/Libraries/LibDecision/CrashHistory.h
@@ -54,6 +54,9 @@
     /// Number of recorded runs of the task, confirmed or not.
     size_t count(const TaskRef&) const;
 
+    /// Whether the task may have crashed a worker before its recorded crashes.
+    bool mayFollowUnrecordedCrash(const TaskRef&) const;
+
     /// The highest rate of other crashes that is stored with a crash of the task.
     double highestOtherCrashRate(const TaskRef&) const;
 
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -49,7 +49,8 @@
         .workerStartedAtMs = worker.view.startedAtMs,
         .runTimeMs = static_cast<uint32_t>(std::max<int64_t>(0, (lostAt - run.startedAt).count())),
         .isolated = run.isolated,
-        .unanswered = run.confirmedAt == neverInstant };
+        .unanswered = run.confirmedAt == neverInstant,
+        .mayFollowUnrecordedCrash = maxUnrecordedCrashesOf(job, key) > 0 };
 }
 
 void TaskScheduler::indexCrash(const TrackedJob& job, const CrashedRun& crashed)
--- a/Libraries/LibDecision/TaskStartRecords.cpp
+++ b/Libraries/LibDecision/TaskStartRecords.cpp
@@ -38,10 +38,11 @@
     return job.occurrences[key.occurrence].steps[key.step].mayHaveLostRuns;
 }
 
+/// What an earlier leader knew of unrecorded crashes is stored with the crashes that followed them.
 size_t TaskScheduler::maxUnrecordedCrashesOf(const TrackedJob& job, const TaskRef& key)
 {
     const auto& task = job.occurrences[key.occurrence].steps[key.step].tasks[key.index];
-    return mayHaveLostRuns(job, key) || task.hasExcusedCrash ? 1 : 0;
+    return mayHaveLostRuns(job, key) || task.hasExcusedCrash || job.crashes.mayFollowUnrecordedCrash(key) ? 1 : 0;
 }
 
 /// Whether a start, which is among the starts of the task already, has to be recorded before it is sent.
--- a/Libraries/LibWire/CrashedRun.h
+++ b/Libraries/LibWire/CrashedRun.h
@@ -37,9 +37,12 @@
     /// unknown.
     double expectedCrashes { 0 };
 
+    /// Whether an earlier crash under the task may have no record.
+    bool mayFollowUnrecordedCrash { false };
+
     bool operator==(const CrashedRun&) const = default;
     MSGPACK_DEFINE_ARRAY(occurrence, step, index, run, worker, workerStartedAtMs, runTimeMs, isolated, confirmed,
-        otherCrashRate, unanswered, expectedCrashes)
+        otherCrashRate, unanswered, expectedCrashes, mayFollowUnrecordedCrash)
 };
 
 }
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -112,6 +112,18 @@
         }
     }
 
+    /// Returns the progress of a job whose only task was on this many workers when they crashed in waves.
+    static JobProgress storedAfterWaves(const JobId& id, uint64_t crashes)
+    {
+        JobProgress stored { .id = id, .state = JobStage::Running, .done = { "0" } };
+        for (uint64_t run = 1; run <= crashes; ++run) {
+            stored.crashedRuns.push_back(
+                { .run = run, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.15 });
+            stored.crashedRuns.back().worker = id + std::to_string(run);
+        }
+        return stored;
+    }
+
     void checkShortJobsCompleted()
     {
         for (int i = 0; i < jobs; ++i)
@@ -270,11 +282,7 @@
 TEST(CrashWaves, CrashAfterTheBackoffIsJudgedWithoutTheWaves)
 {
     addWorkers();
-    JobProgress stored { .id = "cause", .state = JobStage::Running, .done = { "0" } };
-    for (uint64_t run = 1; run <= 3; ++run) {
-        stored.crashedRuns.push_back({ .run = run, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.15 });
-        stored.crashedRuns.back().worker = "earlier" + std::to_string(run);
-    }
+    auto stored = storedAfterWaves("cause", 3);
     run(Milliseconds { 1000 });
     startWave();
     while (crashedAt.empty())
@@ -366,16 +374,45 @@
     CHECK(scheduler.stateOf("j") != JobStage::Failed);
 }
 
+// Guards against a sixth start of a cause because only the leader before the last knew of an unrecorded crash (BUDGET).
+TEST(CrashWaves, UnrecordedCrashCountsUnderLaterLeaders)
+{
+    constexpr uint64_t recordedCrashes { 3 };
+    constexpr Milliseconds timeToJudge { 12000 };
+    TaskSchedulerFixture earlier { 2 };
+    earlier.addWorker(1);
+    earlier.scheduler().addJob(fixture.job("cause", { fixture.step(1) }), std::nullopt, earlier.now() + planInterval);
+    earlier.plan();
+    earlier.scheduler().inheritedWorkerLost();
+    earlier.advance(planInterval);
+    earlier.plan();
+    auto stored = earlier.scheduler().takeChangedJobs().at(0);
+    CHECK_EQUAL(1, stored.crashedRuns.size());
+    auto crashed = stored.crashedRuns[0];
+    crashed.confirmed = true;
+    crashed.otherCrashRate = 0.1;
+    crashed.expectedCrashes = 0.55;
+    crashed.runTimeMs = 450;
+    stored.crashedRuns.clear();
+    for (crashed.run = 1; crashed.run <= recordedCrashes; ++crashed.run) {
+        crashed.worker = "earlier" + std::to_string(crashed.run);
+        stored.crashedRuns.push_back(crashed);
+    }
+    addWorkers();
+    scheduler.addJob(fixture.job("cause", { fixture.step(1) }), stored, neverInstant);
+    TaskRef task { "cause", 0, 0, 0 };
+    crashingTasks.insert(task);
+    run(timeToJudge);
+    CHECK_EQUAL(1, starts[task]);
+    CHECK(scheduler.stateOf("cause") == JobStage::Failed);
+}
+
 // Guards against a start in the middle of a wave whose losses only an earlier leader has seen (BUDGET, issue 29).
 TEST(CrashWaves, NewLeaderWatchesTheWorkersBeforeABackoffEnds)
 {
     constexpr Milliseconds watchTime { 3700 };
     addWorkers();
-    JobProgress stored { .id = "cause", .state = JobStage::Running, .done = { "0" } };
-    for (uint64_t run = 1; run <= 4; ++run) {
-        stored.crashedRuns.push_back({ .run = run, .confirmed = true, .otherCrashRate = 0.1, .expectedCrashes = 0.15 });
-        stored.crashedRuns.back().worker = "earlier" + std::to_string(run);
-    }
+    auto stored = storedAfterWaves("cause", 4);
     scheduler.addJob(fixture.job("cause", { fixture.step(1) }), stored, neverInstant);
     TaskRef task { "cause", 0, 0, 0 };
     run(watchTime);
--- a/Tests/LibWire/TestJobProgress.cpp
+++ b/Tests/LibWire/TestJobProgress.cpp
@@ -21,7 +21,8 @@
         .workerStartedAtMs = 5,
         .runTimeMs = 6,
         .isolated = true,
-        .confirmed = true } };
+        .confirmed = true,
+        .mayFollowUnrecordedCrash = true } };
     auto decoded = decodeValue<JobProgress>(encodeValue(progress));
     CHECK(decoded.ok());
     CHECK(*decoded == progress);
@@ -37,3 +38,18 @@
     CHECK(decoded->crashedRuns.empty());
     CHECK_EQUAL(1, decoded->failedRuns.size());
 }
+
+// Guards against crashes that a leader of an earlier version cannot read, and against refusing those that it stored.
+TEST(JobProgress, CrashesAreReadByEarlierVersionsAndFromThem)
+{
+    using OlderCrash = std::tuple<uint32_t, uint32_t, uint32_t, uint64_t, WorkerId, int64_t, uint32_t, bool, bool,
+        double, bool, double>;
+    CrashedRun crashed { .run = 4, .worker = "w", .expectedCrashes = 0.5, .mayFollowUnrecordedCrash = true };
+    auto older = decodeValue<OlderCrash>(encodeValue(crashed));
+    CHECK(older.ok());
+    auto decoded = decodeValue<CrashedRun>(encodeValue(*older));
+    CHECK(decoded.ok());
+    CHECK(!decoded->mayFollowUnrecordedCrash);
+    crashed.mayFollowUnrecordedCrash = false;
+    CHECK(*decoded == crashed);
+}
