Keep the likely cause of a loss known after the lease

A loss under an isolated run, or one of a task that has to back off, does not count among the losses for other causes. That was looked up in the runs on the worker, which are dropped when its lease expires.

Whether there was a likely cause is now kept until the worker is reachable again or removed.

Without the change CrashWaves.CrashUnderAnotherCauseIsKnownAsSuchAfterTheLease fails (rate of other crashes 0.0047 in place of 0).

--- a/Libraries/LibDecision/TaskLosses.cpp
+++ b/Libraries/LibDecision/TaskLosses.cpp
@@ -15,13 +15,15 @@
 /// Crashes under a task that may have no record, because leaders failed right after them.
 static constexpr size_t maxUnrecordedCrashes = 2;
 
-/// Whether an isolated run is active on the worker, or one of a task that has to back off.
+/// Whether an isolated run is active on the worker, or one of a task that has to back off, or was when the worker was
+/// lost.
 bool TaskScheduler::hasLikelyCause(const WorkerEntry& worker) const
 {
-    return worker.isolatedRuns > 0 || std::ranges::any_of(worker.runs, [&](const auto& it) {
-        const auto& job = *it.second.job;
-        return restartBackoff(job, crashKey(job, it.first.first)) > Milliseconds { 0 };
-    });
+    return worker.wasLostWithLikelyCause || worker.isolatedRuns > 0
+        || std::ranges::any_of(worker.runs, [&](const auto& it) {
+               const auto& job = *it.second.job;
+               return restartBackoff(job, crashKey(job, it.first.first)) > Milliseconds { 0 };
+           });
 }
 
 /// Returns the losses of other workers of the service that have no known cause. Workers that are not removed yet count
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -15,6 +15,7 @@
     if (it == m_workers.end())
         return;
     recordRunTimes(*it->second);
+    it->second->wasLostWithLikelyCause = !it->second->reachable && hasLikelyCause(*it->second);
     auto runs = it->second->runs;
     for (const auto& [key, active] : runs)
         dropRun(*active.job, key.first, *active.task, key.second);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -357,10 +357,12 @@
     if (it == m_workers.end())
         return;
     auto& worker = *it->second;
-    if (reachable)
+    if (reachable) {
         worker.lostAt = neverInstant;
-    else if (worker.reachable)
+        worker.wasLostWithLikelyCause = false;
+    } else if (worker.reachable) {
         worker.lostAt = now;
+    }
     worker.reachable = reachable;
 }
 
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -99,6 +99,9 @@
     Instant knownSince { neverInstant };
     Instant lostAt { neverInstant };
 
+    /// Whether a run was the likely cause of the loss when the runs on the unreachable worker were given up.
+    bool wasLostWithLikelyCause { false };
+
     /// When the worker last reported its runs or accepted a command.
     Instant lastReplyAt { neverInstant };
 
--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -407,6 +407,30 @@
     CHECK(scheduler.stateOf("cause") == JobStage::Failed);
 }
 
+// Guards against a sixth start of a cause because the crash of another one counts as a loss without a cause once its
+// lease has expired (BUDGET).
+TEST(CrashWaves, CrashUnderAnotherCauseIsKnownAsSuchAfterTheLease)
+{
+    addWorkers();
+    for (const std::string id : { "cause", "other" }) {
+        scheduler.addJob(fixture.job(id, { fixture.step(1) }), storedAfterWaves(id, 3), neverInstant);
+        crashingTasks.insert({ id, 0, 0, 0 });
+    }
+    auto planned = nextStarts();
+    CHECK_EQUAL(2, planned.size());
+    for (const auto& start : planned)
+        execute(start);
+    for (const auto& start : planned) {
+        if (start.task.job == "other")
+            scheduler.markRunsLost(start.worker, fixture.now());
+    }
+    run(restartTime + planInterval);
+    auto crashed = scheduler.timelineOf("cause")->crashedRuns;
+    CHECK_EQUAL(4, crashed.size());
+    DOUBLES_EQUAL(0, crashed.back().otherCrashRate, 0);
+    CHECK(scheduler.stateOf("cause") == JobStage::Failed);
+}
+
 // Guards against a start in the middle of a wave whose losses only an earlier leader has seen (BUDGET, issue 29).
 TEST(CrashWaves, NewLeaderWatchesTheWorkersBeforeABackoffEnds)
 {
