Start tasks that are stored as idle without the wait for unreached workers

Cause: no record says where a task runs, so a new leader holds back all tasks of earlier leaders until no worker that it has not reached can run them.

Change: a leader names in the progress of a job the long-running tasks that it may start itself and that have waited for 0.3 s, unless one of their starts had no reply. It starts such a task only once an append without it is known to be stored. A new leader starts the tasks that are stored as idle as soon as it may start anything, if the claims of all leaders since the author state that they keep to this; otherwise it waits, and stores a record without the task first all the same. Progress and claims of earlier versions read as before: no idle tasks, no such claim.

Price: a task that has waited for 0.3 s starts one append later, not at all while the store does not answer, and its start holds room until then.

--- a/Libraries/LibDecision/ElectionClaim.h
+++ b/Libraries/LibDecision/ElectionClaim.h
@@ -12,6 +12,9 @@
     /// The leader stores which workers it has reached before it renews their leases.
     bool storesReachedWorkers { false };
 
+    /// The leader stores that a task is no longer idle before it starts the task.
+    bool recordsStartsOfIdleTasks { false };
+
     bool operator==(const ElectionClaim&) const = default;
 };
 
--- a/Libraries/LibDecision/ElectionHistory.cpp
+++ b/Libraries/LibDecision/ElectionHistory.cpp
@@ -42,12 +42,23 @@
         it->second.knownBy = std::min(it->second.knownBy, readAt - leastTimeOf(age));
 }
 
-bool ElectionHistory::doLeadersStoreReachedWorkers(uint64_t author, uint64_t epoch) const
+/// Whether the claims of all leaders elected after `author` and before `epoch`, which must be known, state this.
+bool ElectionHistory::doLeadersBetween(uint64_t author, uint64_t epoch, bool ElectionClaim::*claim) const
 {
     auto first = m_elections.find(author);
     return author < epoch && first != m_elections.end() && m_elections.contains(epoch)
         && std::all_of(std::next(first), m_elections.lower_bound(epoch),
-            [](const auto& it) { return it.second.claim.storesReachedWorkers; });
+            [claim](const auto& it) { return it.second.claim.*claim; });
+}
+
+bool ElectionHistory::doLeadersStoreReachedWorkers(uint64_t author, uint64_t epoch) const
+{
+    return doLeadersBetween(author, epoch, &ElectionClaim::storesReachedWorkers);
+}
+
+bool ElectionHistory::doLeadersRecordStartsOfIdleTasks(uint64_t author, uint64_t epoch) const
+{
+    return doLeadersBetween(author, epoch, &ElectionClaim::recordsStartsOfIdleTasks);
 }
 
 std::optional<Instant> ElectionHistory::electedBy(uint64_t epoch) const
--- a/Libraries/LibDecision/ElectionHistory.h
+++ b/Libraries/LibDecision/ElectionHistory.h
@@ -33,6 +33,11 @@
     /// if an election in that range may be unknown.
     bool doLeadersStoreReachedWorkers(uint64_t author, uint64_t epoch) const;
 
+    /// Whether each leader elected after `author` and before `epoch` stores that a task is no longer idle before it
+    /// starts the task, so that a task that `author` has stored as idle has no run. False if an election in that range
+    /// may be unknown.
+    bool doLeadersRecordStartsOfIdleTasks(uint64_t author, uint64_t epoch) const;
+
     /// Local time by which the first known election with this epoch or a later one had taken place; nullopt if none is
     /// known. A process that has just started reads all elections at once, and places them by the times that their
     /// records state.
@@ -52,6 +57,8 @@
     bool haveLeadersStopped(uint64_t first, uint64_t end) const;
 
 private:
+    bool doLeadersBetween(uint64_t author, uint64_t epoch, bool ElectionClaim::*claim) const;
+
     static constexpr size_t maxElections { 64 };
 
     struct Election {
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -38,6 +38,7 @@
     confirmDueCrashes(now);
     m_firstSearchedSuspect = std::exchange(m_firstSkippedSuspect, std::nullopt);
     sendSuspectedStarts(now, permission);
+    sendStartsOfIdleTasks(now, permission);
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
     return std::exchange(m_actions, {});
@@ -318,8 +319,12 @@
     };
     if (job.spec.steps[ready.step].longRunning && wasFoundWaiting)
         start.longRunningWait = now - task.foundWaitingAt;
+    removeIdleRecord(job, task);
     if (!mustRecordStart(job, ref, task)) {
-        m_actions.push_back(std::move(start));
+        if (mustAwaitRecord(job, task))
+            m_startsOfIdleTasks.push_back(std::move(start));
+        else
+            m_actions.push_back(std::move(start));
         return;
     }
     start.isSuspected = job.crashes.isSuspected(crashKey(job, ref));
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -76,7 +76,10 @@
     std::vector<JobProgress> result;
     for (const auto& id : m_changedJobs) {
         auto& job = *m_jobs.at(id);
-        JobProgress progress { .id = id, .state = job.started ? JobStage::Running : JobStage::Queued };
+        JobProgress progress {
+            .id = id, .state = job.started ? JobStage::Running : JobStage::Queued, .epoch = m_options.epoch
+        };
+        ++job.collectedRecords;
         if (job.hasEnded()) {
             progress.state = job.state;
             job.isEndCollected = true;
@@ -91,6 +94,7 @@
             }
             progress.failedRuns.assign(job.failedRuns.begin(), job.failedRuns.end());
             progress.crashedRuns = job.crashes.runs();
+            progress.idleTasks = idleTasksOf(job);
         }
         result.push_back(std::move(progress));
     }
@@ -114,6 +118,7 @@
     auto* job = findJob(progress.id);
     if (!job)
         return false;
+    ++job->storedRecords;
     bool wasEndStored = job->storedState >= JobStage::Completed;
     job->storedState = std::max(job->storedState, progress.state);
     job->storedCrashes = CrashHistory(progress.crashedRuns);
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -177,6 +177,7 @@
     task.waitingSince = neverInstant;
     task.hasRun = true;
     job.started = true;
+    removeIdleRecord(job, task);
     reserve(worker, job, report.task, report.run);
     task.runs.back().suspected = crash != nullptr;
     setIsolated(task.runs.back(), crash && crash->isolated);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -117,7 +117,8 @@
     return true;
 }
 
-bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt)
+bool TaskScheduler::addJob(
+    JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt, bool areIdleTasksReliable)
 {
     auto id = spec.id;
     if (m_jobs.contains(id))
@@ -151,6 +152,8 @@
         }
     }
     m_unblockAt = std::max(m_unblockAt, blockedUntil);
+    if (stored)
+        restoreIdleTasks(tracked, stored->idleTasks, areIdleTasksReliable);
     enforceMaxAttemptsOfAllTasks(tracked);
     if (tracked.hasEnded())
         return true;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -69,8 +69,10 @@
     void setConfigurationCurrent(bool);
 
     /// Returns false if the job is known already. Its tasks do not start before `blockedUntil`, because runs that an
-    /// earlier leader started may still be active. `knownAt` is when this leader read the job.
-    bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant);
+    /// earlier leader started may still be active. `knownAt` is when this leader read the job. The idle tasks in the
+    /// stored progress start earlier if they are reliable.
+    bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant,
+        bool areIdleTasksReliable = false);
 
     /// An end that an earlier leader stored, or the cancellation of an unknown job. The job stays unknown until it is
     /// added.
@@ -200,12 +202,20 @@
     /// harmless after this leader has been replaced, because workers reject them.
     std::vector<TaskAction> plan(Instant now, int64_t unixMs, const StartPermission& = { true, Instant::max(), true });
 
+    /// Has long-running tasks that wait for longer than those that find room at once stored as idle, so that a new
+    /// leader need not wait with them until no worker can run them. `mayStartLate` tells whether a worker may still
+    /// execute a start of the task.
+    void recordIdleTasks(Instant now, const std::function<bool(const TaskRef&)>& mayStartLate);
+
     /// Returns the progress of the jobs that changed since the last call and must be stored.
     std::vector<JobProgress> takeChangedJobs();
 
     /// Returns whether this is the end of a job that this leader knows; true once for each job.
     bool progressStored(const JobProgress&);
 
+    /// Whether a start waits until a record is stored that does not name its task as idle.
+    bool hasStartsOfIdleTasks() const { return !m_startsOfIdleTasks.empty(); }
+
     /// Frees the data of a job whose end is stored, but keeps its state. While a run may be active, the data is kept
     /// until the last run has ended.
     void releaseDetails(const JobId&);
@@ -277,6 +287,14 @@
     const TrackedRun* findRunOn(WorkerHandle, const TaskRef&, uint64_t run);
     void buildOccurrences(TrackedJob&);
     void applyStored(TrackedJob&, const JobProgress&);
+    void restoreIdleTasks(TrackedJob&, const std::vector<IdleTask>&, bool areReliable);
+    static bool isIdleRecordable(const StepSpec&);
+    static bool mustAwaitRecord(const TrackedJob&, const TrackedTask&);
+    void removeIdleRecord(TrackedJob&, TrackedTask&);
+    static std::vector<IdleTask> idleTasksOf(const TrackedJob&);
+    void sendStartsOfIdleTasks(Instant now, const StartPermission&);
+    bool sendStartOfIdleTask(const StartTask&, Instant now, const StartPermission&);
+    void withdrawStartsOfIdleTasks(WorkerHandle, Instant now);
     void activateOccurrence(TrackedJob&, uint32_t occurrence);
     void makeStepReady(TrackedJob&, uint32_t occurrence, uint32_t step);
     void requeue(TrackedJob&, const TaskRef&);
@@ -476,6 +494,9 @@
 
     /// Starts of suspected tasks that wait until their records are stored.
     std::vector<StartTask> m_suspectedStarts;
+
+    /// Starts of tasks that wait until a record is stored that does not name them as idle.
+    std::vector<StartTask> m_startsOfIdleTasks;
     uint32_t m_isolatedRuns { 0 };
 
     /// Workers that isolated runs may take down, as of the latest plan and its starts.
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -31,6 +31,10 @@
 
     /// The records of `crashes` in the stored progress. A suspected task starts only once its records are stored.
     CrashHistory storedCrashes {};
+
+    /// Number of records of the progress that were returned for storage, and of those that are stored.
+    uint64_t collectedRecords { 0 };
+    uint64_t storedRecords { 0 };
     bool started { false };
 
     /// A task has used up its attempts by a limit that may be outdated. The job starts no task until the limit is
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -46,6 +46,13 @@
     /// A start that an earlier leader sent may still be executed, whatever `blockedUntil` says.
     bool isHeld { false };
 
+    /// Whether the progress names the task as idle. Only an eligible task is (isIdleRecordable()).
+    bool isRecordedIdle { false };
+
+    /// Number of the record of the job that must be stored before the task starts, because an earlier one names it as
+    /// idle; 0 if none does.
+    uint64_t startsAfterRecord { 0 };
+
     /// Whether a crash directly after a start was withdrawn because the rack or zone of the worker was lost too.
     bool hasExcusedCrash { false };
 };
--- a/Libraries/LibNode/LateStarts.cpp
+++ b/Libraries/LibNode/LateStarts.cpp
@@ -73,6 +73,22 @@
     return size;
 }
 
+bool LateStarts::hasFreeList() const
+{
+    return (m_hasOpenList && m_lists.at(m_open).entries.size() < maxStartsOfList)
+        || std::ranges::any_of(m_lists, [](const List& it) { return it.entries.empty(); });
+}
+
+bool LateStarts::mayHold(const TaskRef& task) const
+{
+    auto isOfTask = [&](const Entry& it) {
+        return it.start.job == task.job && it.start.occurrence == task.occurrence && it.start.step == task.step
+            && it.start.index == task.index;
+    };
+    return !hasFreeList()
+        || std::ranges::any_of(m_lists, [&](const List& it) { return std::ranges::any_of(it.entries, isOfTask); });
+}
+
 /// A stored start that is over only holds back its task under the next leader, so its removal waits until the list is
 /// empty or gets another start.
 bool LateStarts::isDue(Instant now) const
--- a/Libraries/LibNode/LateStarts.h
+++ b/Libraries/LibNode/LateStarts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/TaskRef.h>
 #include <LibWire/UnansweredStarts.h>
 #include <array>
 #include <cstddef>
@@ -38,6 +39,9 @@
     void eraseIf(const std::function<bool(const Entry&)>&);
     size_t size() const;
 
+    /// Whether a start of the task may be known. True for each task once starts no longer find a list.
+    bool mayHold(const TaskRef&) const;
+
     /// Whether lists are to be stored now.
     bool isDue(Instant now) const;
 
@@ -56,6 +60,7 @@
     };
 
     Entry* find(const UnansweredStart&);
+    bool hasFreeList() const;
     List* openList();
 
     std::array<List, listCount> m_lists;
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -195,7 +195,8 @@
     m_elections.processSeenAfter(epoch - 1, process);
     m_elections.add(epoch, m_loop.now(), std::move(process),
         { .sincePredecessor = Milliseconds { record.electionAgeMs },
-            .storesReachedWorkers = record.storesReachedWorkers });
+            .storesReachedWorkers = record.storesReachedWorkers,
+            .recordsStartsOfIdleTasks = record.recordsStartsOfIdleTasks });
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
     m_leaderSilentSince = m_loop.now();
     m_hasLeaderResigned = false;
@@ -277,7 +278,8 @@
         .peerAddress = m_options.node.peerAddress,
         .cpuMillis = m_options.node.cpuMillis,
         .electionAgeMs = electionAge().count(),
-        .storesReachedWorkers = true };
+        .storesReachedWorkers = true,
+        .recordsStartsOfIdleTasks = true };
     AppendRequest request { .stream = StreamName::Leadership,
         .records = { { .value = encodeValue(record) } },
         .expectedEndOffset = m_position };
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -194,7 +194,9 @@
     // have to wait for earlier leases to expire.
     auto blockedUntil = m_isReconciled || hasLoadedJobs() ? neverInstant : m_earlierLeasesExpireAt;
     updateConfigurationAge();
-    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now()))
+    bool areIdleTasksReliable
+        = stored && m_options.elections.doLeadersRecordStartsOfIdleTasks(stored->epoch, m_options.epoch);
+    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now(), areIdleTasksReliable))
         return;
     logInfo("job_known",
         { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
@@ -316,6 +318,8 @@
             m_scheduler.restoreEnd(cancel.job, JobStage::Cancelled);
         cancel.callback(cancel.reply);
     }
+    if (m_scheduler.hasStartsOfIdleTasks())
+        schedulePlan();
     // Only run ends collected before this batch may be acknowledged: later ones are not stored yet.
     for (auto [handle, sequence] : collected.acknowledgements) {
         if (auto it = m_workers.find(handle); it != m_workers.end())
@@ -384,6 +388,7 @@
         if (auto it = m_workers.find(handle); it != m_workers.end())
             it->second.session->enqueueCommand(std::move(action));
     }
+    m_scheduler.recordIdleTasks(m_loop.now(), [this](const TaskRef& task) { return m_lateStarts.mayHold(task); });
     reportCrashes();
     m_journal.requestFlush();
 }
--- a/Libraries/LibWire/JobProgress.h
+++ b/Libraries/LibWire/JobProgress.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <LibWire/CrashedRun.h>
 #include <LibWire/FailedRun.h>
+#include <LibWire/IdleTask.h>
 #include <LibWire/JobStage.h>
 #include <msgpack.hpp>
 #include <string>
@@ -22,8 +23,15 @@
     std::vector<FailedRun> failedRuns {};
     std::vector<CrashedRun> crashedRuns {};
 
+    /// Tasks that the author starts only once it has stored a record without them. A successor need not wait for
+    /// unreached workers with them, unless a leader in between is of a version without this field.
+    std::vector<IdleTask> idleTasks {};
+
+    /// The leader that stored the record; 0 from versions without this field.
+    uint64_t epoch { 0 };
+
     bool operator==(const JobProgress&) const = default;
-    MSGPACK_DEFINE_ARRAY(id, state, done, failedRuns, crashedRuns)
+    MSGPACK_DEFINE_ARRAY(id, state, done, failedRuns, crashedRuns, idleTasks, epoch)
 };
 
 }
--- a/Libraries/LibWire/LeadershipRecord.h
+++ b/Libraries/LibWire/LeadershipRecord.h
@@ -51,12 +51,15 @@
     /// In claims: the author stores which workers it has reached before it renews their leases.
     bool storesReachedWorkers { false };
 
+    /// In claims: the author stores that a task is no longer idle before it starts the task (JobProgress::idleTasks).
+    bool recordsStartsOfIdleTasks { false };
+
     /// Returns InvalidArgument when the processor capacity or the age is out of range.
     absl::Status check() const;
 
     bool operator==(const LeadershipRecord&) const = default;
     MSGPACK_DEFINE_ARRAY(member, incarnation, peerAddress, epoch, resigns, cpuMillis, readUpTo, hasStopped,
-        electionAgeMs, storesReachedWorkers)
+        electionAgeMs, storesReachedWorkers, recordsStartsOfIdleTasks)
 };
 
 }
--- a/Tests/LibDecision/TestElectionHistory.cpp
+++ b/Tests/LibDecision/TestElectionHistory.cpp
@@ -69,6 +69,19 @@
     CHECK(elections.doLeadersStoreReachedWorkers(9, 12));
 }
 
+// Guards against taking a task for idle that a leader of an older version may have started.
+TEST(ElectionHistory, IdleTasksAreReliableOnlyUnderLeadersThatRecordStarts)
+{
+    elections.add(3, start);
+    elections.add(8, start, {}, { .recordsStartsOfIdleTasks = true });
+    elections.add(9, start, {}, { .storesReachedWorkers = true });
+    elections.add(12, start);
+    CHECK(elections.doLeadersRecordStartsOfIdleTasks(3, 9));
+    CHECK(elections.doLeadersRecordStartsOfIdleTasks(9, 12));
+    CHECK_FALSE(elections.doLeadersRecordStartsOfIdleTasks(8, 12));
+    CHECK_FALSE(elections.doLeadersRecordStartsOfIdleTasks(0, 9));
+}
+
 // Guards against a history that grows with each election, and against dropping the newest elections.
 TEST(ElectionHistory, OldElectionsAreForgotten)
 {
--- a/Tests/LibNode/LeaderChainDay.h
+++ b/Tests/LibNode/LeaderChainDay.h
@@ -23,6 +23,9 @@
 
     static constexpr Milliseconds lastTerm = electionAfterKill + maxLeaseWait + settlingTime + Milliseconds { 1500 };
 
+    /// Room that the lasting tasks of a busy worker take, one of each job.
+    static constexpr int64_t lastingTasksOfWorker { 1000 * lastingJobCount };
+
     std::set<std::string> lostWorkers;
 
     /// Workers that are cut off until a new leader reaches them, with the last fencing token of the former one.
@@ -177,6 +180,83 @@
         }
     }
 
+    /// Has the workers that run nothing take nothing, but for some of them, so that tasks that are lost wait for room.
+    /// Returns those that stay empty.
+    std::vector<std::string> limitRoom(int64_t capacity, size_t emptyWorkers = 0)
+    {
+        executor.capacity = { capacity, capacity, 0 };
+        std::vector<std::string> empty;
+        for (const auto& [id, worker] : executor.workers) {
+            if (worker.runs.empty() && empty.size() < emptyWorkers)
+                empty.push_back(id);
+            else if (worker.runs.empty())
+                drainingWorkers.insert(id);
+            announce(id);
+        }
+        return empty;
+    }
+
+    /// The worker is back as another incarnation soon.
+    void restartWorker(const std::string& id)
+    {
+        note(fmt::format("{} is restarted", id));
+        executor.crash(id, pickTime(300, 2500), pick(2) == 0);
+        workerLost();
+    }
+
+    /// Terms of 0.3 to 4 s while tasks wait for room. Workers are restarted, or calls without a reply are executed
+    /// late; not both, because no leader can prevent that an incarnation which it does not know executes a start.
+    void runWithLittleRoom(bool areCallsLate)
+    {
+        constexpr uint32_t terms { 10 };
+        constexpr Milliseconds maxTimeToLeader { 6000 };
+        limitRoom(lastingTasksOfWorker + 300);
+        executor.latePercent = areCallsLate ? 5 : 0;
+        executor.latePercentWhileUnreachable = areCallsLate ? 50 : 0;
+        for (uint32_t i = 0; i < terms && advanceUntilLed(maxTimeToLeader); ++i) {
+            auto term = pickTime(300, 4000);
+            auto timeToEvent = pickTime(0, static_cast<uint32_t>(term.count()));
+            advance(timeToEvent);
+            if (auto id = pickHealthyWorker()) {
+                if (areCallsLate)
+                    cutOff(*id, pickTime(500, 9000));
+                else
+                    restartWorker(*id);
+            }
+            if (pick(3) == 0)
+                loseRandomWorker();
+            advance(term - timeToEvent);
+            endTermIfPossible(static_cast<EndOfTerm>(pick(endOfTermCount)));
+        }
+        advanceUntilLed(maxTimeToLeader);
+        note("the last leader stays");
+        advance(lastTerm);
+    }
+
+    /// Tasks wait for room, which short tasks leave once the leader has lost the store. A worker on which the leader
+    /// may start one is cut off before the next leader, which has room elsewhere.
+    void runWithRoomBesideACutOffLeader()
+    {
+        constexpr Milliseconds timeToStart { 200 };
+        constexpr Milliseconds shortRunTime { 6600 };
+        constexpr int64_t shortMillis { 3500 };
+        constexpr uint32_t emptyWorkers { 4 };
+        auto lost
+            = std::ranges::find_if(executor.workers, [](const auto& it) { return !it.second.runs.empty(); })->first;
+        auto empty = limitRoom(lastingTasksOfWorker + 1000, emptyWorkers);
+        putJob({ .count = emptyWorkers,
+            .size = { shortMillis, shortMillis, 0 },
+            .estimateMs = static_cast<uint32_t>(shortRunTime.count()) });
+        advance(timeToStart);
+        cutOff(lost, pickTime(15000, 20000));
+        auto timeWithoutStore = pickTime(0, 400);
+        advance(shortRunTime - timeToStart - timeWithoutStore);
+        endTermIfPossible(EndOfTerm::CutOff);
+        advance(timeWithoutStore + pickTime(100, 600));
+        cutOff(empty[pick(emptyWorkers)], pickTime(6000, 9000));
+        advance(lastTerm);
+    }
+
     /// Terms of 0.2 to 3 s, with losses during, after and between them, until one leader stays.
     void run()
     {
--- a/Tests/LibNode/LeaderChainWorld.h
+++ b/Tests/LibNode/LeaderChainWorld.h
@@ -151,6 +151,7 @@
     {
         executor.maxLease = maxLease;
         executor.shapeOf = [this](const TaskRef& task) { return shapeOf(task); };
+        executor.onBack = [](const std::string&) {};
         executor.onStart = [this](const TaskRef& task, uint64_t run) { checkStart(task, run); };
         configure();
         for (uint32_t i = 0; i < workerCount; ++i) {
--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -106,7 +106,7 @@
     {
         ++epoch;
         electedAt = clock.now();
-        elections.add(epoch, electedAt, {}, { .storesReachedWorkers = true });
+        elections.add(epoch, electedAt, {}, { .storesReachedWorkers = true, .recordsStartsOfIdleTasks = true });
         leader = createLeader();
     }
 
--- a/Tests/LibNode/TestLateStartList.cpp
+++ b/Tests/LibNode/TestLateStartList.cpp
@@ -89,3 +89,25 @@
     now += Milliseconds { 2000 };
     CHECK(list.collect(now).at(earlierList).starts.empty());
 }
+
+// Guards against taking a task for idle although a worker may execute a start of it late.
+TEST(LateStartList, TaskOfAKnownStartMayHaveOne)
+{
+    list.add(start(1), now);
+    TaskRef task { .job = "0123456789abcdef", .step = 1, .index = 300 };
+    CHECK(list.mayHold(task));
+    task.index = 301;
+    CHECK_FALSE(list.mayHold(task));
+}
+
+// Guards against the same for starts that found no list.
+TEST(LateStartList, AnyTaskMayHaveAStartOnceTheListsAreFull)
+{
+    const TaskRef other { .job = "j" };
+    uint64_t run = 0;
+    while (list.size() + 1 < LateStarts::listCount * LateStarts::maxStartsOfList)
+        list.add(start(++run), now);
+    CHECK_FALSE(list.mayHold(other));
+    list.add(start(++run), now);
+    CHECK(list.mayHold(other));
+}
--- a/Tests/LibNode/TestLeaderChains.cpp
+++ b/Tests/LibNode/TestLeaderChains.cpp
@@ -121,3 +121,29 @@
     auto played = playSeeds("cut off at a stop, seed", seeds, [](LeaderChainDay& day) { day.runWithCutOffAtAStop(); });
     STRCMP_EQUAL("", played.runs.c_str());
 }
+
+// Guards against a task that runs twice, because a leader takes it for idle although another one has started it: tasks
+// wait for room while leaders follow each other, and workers are restarted.
+TEST(LeaderChains, NoTaskRunsTwiceAfterItHasWaitedForRoom)
+{
+    constexpr uint32_t seeds { 40 };
+    auto played = playSeeds("little room, seed", seeds, [](LeaderChainDay& day) { day.runWithLittleRoom(false); });
+    STRCMP_EQUAL("", played.runs.c_str());
+}
+
+// Guards against the same beside starts that cut-off workers execute late, also when their leader has been replaced.
+TEST(LeaderChains, NoTaskRunsTwiceAfterALateStart)
+{
+    constexpr uint32_t seeds { 40 };
+    auto played = playSeeds("late calls, seed", seeds, [](LeaderChainDay& day) { day.runWithLittleRoom(true); });
+    STRCMP_EQUAL("", played.runs.c_str());
+}
+
+// Guards against a task that runs twice, because a leader has started it without a record that it is idle no more.
+TEST(LeaderChains, NoTaskRunsTwiceAfterItsLeaderHasLostTheStore)
+{
+    constexpr uint32_t seeds { 40 };
+    auto played
+        = playSeeds("store lost, seed", seeds, [](LeaderChainDay& day) { day.runWithRoomBesideACutOffLeader(); });
+    STRCMP_EQUAL("", played.runs.c_str());
+}
--- a/Tests/LibWire/TestJobProgress.cpp
+++ b/Tests/LibWire/TestJobProgress.cpp
@@ -37,3 +37,23 @@
     CHECK(decoded->crashedRuns.empty());
     CHECK_EQUAL(1, decoded->failedRuns.size());
 }
+
+// Guards against taking tasks for idle of which a leader of an earlier version has stored nothing.
+TEST(JobProgress, RecordWithoutIdleTasksNamesNone)
+{
+    std::tuple older { JobId("j"), JobStage::Running, std::vector<std::string> { "01" }, std::vector<FailedRun> {},
+        std::vector<CrashedRun> {} };
+    auto decoded = decodeValue<JobProgress>(encodeValue(older));
+    CHECK(decoded.ok());
+    CHECK(decoded->idleTasks.empty());
+    CHECK_EQUAL(0, decoded->epoch);
+}
+
+// Guards against losing the idle tasks of a job when another leader reads its progress.
+TEST(JobProgress, IdleTasksSurviveTheRoundTrip)
+{
+    JobProgress progress { .id = "j", .done = { "00" }, .idleTasks = { { 1, 2, 3 } }, .epoch = 7 };
+    auto decoded = decodeValue<JobProgress>(encodeValue(progress));
+    CHECK(decoded.ok());
+    CHECK(*decoded == progress);
+}
