Count the renewals of a leader from the election that replaced it

What callers saw: while few workers are reached, tasks that were lost wait up to 309 s under each of several leaders, although all leaders since the first of them have stopped. Cause: a leader without proof of its leadership may renew leases for 300 s. A new leader that does not reach half of the workers waited for these from its own election, whichever earlier leader may still go on. Change: the wait counts from the election after the last leader that is not known to have stopped, with the ages of elections. That leader lost its proof before the election (docs/proof.md, point 6). The leadership stream already states which leaders have stopped. What follows when the wait ends is what follows when all leaders are known to have stopped, so the last leases are waited for as before.

--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -220,14 +220,31 @@
     return earlierWorkers().isHalfReached() && olderWorkers().isHalfReached();
 }
 
-/// A leader that has ended renews no lease, however few workers this leader reaches. The workers are asked first: they
-/// may hold ends of runs, whose tasks would start again.
+/// Local time by which the last earlier leader that may go on had been replaced. It has had no proof of its leadership
+/// since then, and nor have those before it.
+static Instant unstoppedLeadersReplacedBy(const TaskLeader::Options& options, Instant electedAt)
+{
+    auto successor = options.epoch;
+    auto leader = options.elections.predecessorOf(successor);
+    while (leader && options.haveLeadersStopped && options.haveLeadersStopped(*leader, successor)) {
+        successor = *leader;
+        leader = options.elections.predecessorOf(successor);
+    }
+    return options.elections.electedBy(successor).value_or(electedAt);
+}
+
+/// Whether no earlier leader renews leases any more, however few workers this leader reaches: each has ended, or has
+/// had no proof of its leadership for too long. The workers are asked first: they may hold ends of runs, whose tasks
+/// would start again.
 bool TaskLeader::haveEarlierLeadersStopped() const
 {
     if (!m_areSessionsStarted || m_loop.now() - m_sessionsStartedAt < silenceUntilStored)
         return false;
-    return m_options.haveLeadersStopped
-        && m_options.haveLeadersStopped(m_storedUnreachedWorkers.oldestEpoch, m_options.epoch);
+    if (m_options.haveLeadersStopped
+        && m_options.haveLeadersStopped(m_storedUnreachedWorkers.oldestEpoch, m_options.epoch))
+        return true;
+    auto longestRenewals = std::chrono::duration_cast<Milliseconds>(maxUnprovenRenewalTime * clockRateFactor);
+    return m_loop.now() - unstoppedLeadersReplacedBy(m_options, m_electedAt) > longestRenewals;
 }
 
 void TaskLeader::updateEarlierRenewals()
