Log when a new leader may renew the leases of its predecessors

A new leader renews no inherited lease before its first record of unreached workers is stored. No line told when that was, so a trace could not show whether leases of living workers ended before or after. `leases_allowed` has the number of workers, the time since the election and whether the leader may renew at all.

--- a/Libraries/LibNode/TaskLeaderUnreached.cpp
+++ b/Libraries/LibNode/TaskLeaderUnreached.cpp
@@ -149,11 +149,18 @@
 
 void TaskLeader::handleUnreachedWorkersStored(uint64_t record)
 {
+    size_t allowed = 0;
     for (auto& [handle, worker] : m_workers) {
         if (!worker.session->withholdsLease() || record < worker.firstRecordWithout)
             continue;
         worker.session->allowLease();
         updateWorkerInScheduler(handle);
+        ++allowed;
+    }
+    if (allowed > 0) {
+        logInfo("leases_allowed",
+            { { "epoch", m_options.epoch }, { "workers", allowed }, { "of", m_workers.size() },
+                { "ms", (m_loop.now() - m_electedAt).count() }, { "can_renew", canRenewLeases() } });
     }
     schedulePlan();
 }
