Count a withheld lease from the first reply of its worker

A worker that replies once and then falls silent counted as free one lease after the election, but a leader that is cut off from the store may renew its lease until that reply, which raises the fencing token.

Cause: since leases are withheld, the first reply is not followed by a renewal that moves the expiry. Now the reply itself does, unless the record of unreached workers tells when the last renewal was.

WorkerSession.LeaseCountsFromTheFirstReplyWhileItIsWithheld fails without the change (the lease counts as expired before 6,120 ms after the reply).

--- a/Libraries/LibNode/WorkerSession.cpp
+++ b/Libraries/LibNode/WorkerSession.cpp
@@ -235,12 +235,13 @@
     bool isThisIncarnation = isNamed && reply.startedAtMs == m_options.startedAtMs;
     if (isNamed)
         m_firstReplyAt = m_loop.now();
-    // An earlier leader has had a reply of this incarnation before, and may have renewed the lease until this one.
-    if (isThisIncarnation && m_misdirectedLeaseExpiresBy != neverInstant) {
+    // An earlier leader may have renewed the lease until this reply.
+    if (!m_options.earlierRenewalsEndedBy || m_misdirectedLeaseExpiresBy != neverInstant) {
         auto earlierLeaseExpiresBy = m_loop.now() + WorkerClock::maxLocalTime(m_options.lease.count());
         m_leasesExpireBy = std::max(m_leasesExpireBy, earlierLeaseExpiresBy);
-        return;
     }
+    if (isThisIncarnation && m_misdirectedLeaseExpiresBy != neverInstant)
+        return;
     m_options.mayHoldMisdirectedLease
         = m_options.mayHoldMisdirectedLease || (isNamed && !isThisIncarnation && m_options.startedAtMs != 0);
     m_misdirectedLeaseExpiresBy = m_loop.now() + WorkerClock::maxLocalTime(m_options.maxLease.count());
--- a/Tests/LibNode/TestWorkerSession.cpp
+++ b/Tests/LibNode/TestWorkerSession.cpp
@@ -556,6 +556,25 @@
     CHECK(taskExecutor.takeRenewLeaseCall().request.leaseUntilMs.has_value());
 }
 
+// Guards against a lease that counts as expired although an earlier leader may have renewed it until the first reply.
+TEST(WorkerSession, LeaseCountsFromTheFirstReplyWhileItIsWithheld)
+{
+    constexpr Milliseconds timeUntilReply { 900 };
+    session->withholdLease();
+    session->start(3);
+    advance(timeUntilReply);
+    taskExecutor.takeRenewLeaseCall().reply(replyAt(1000));
+    auto repliedAt = clock.now();
+    while (leaseExpiries == 0 && clock.now() - repliedAt < Milliseconds { 20000 }) {
+        if (!taskExecutor.renewLeaseCalls.empty())
+            taskExecutor.takeRenewLeaseCall().reply(absl::DeadlineExceededError("lost"));
+        advance(Milliseconds { 100 });
+    }
+    CHECK_EQUAL(1, leaseExpiries);
+    CHECK(clock.now() - repliedAt >= Milliseconds { 6120 });
+    CHECK(clock.now() - repliedAt < Milliseconds { 8000 });
+}
+
 // Guards against holding a worker for unhealthy because the leader itself withdrew a start that it had not sent: the
 // worker then got no start for a second (SHORT on day trouble-1 of the large Riga site).
 TEST(WorkerSession, WithdrawnStartIsNoRefusalOfTheWorker)
