Add failing tests of idle tasks beside lost workers

Found by review; both fail on (TestLibDecision -sg IdleTasks).

StartThatWasNotSentIsNoCrashAfterTheLeaseOfItsWorker: removeWorker() withdraws the starts that wait for a record, but the end of a lease does not. The task keeps a crash under a start that was never sent (1 record in place of 0), and the loss may count as one with a likely cause.

TaskStoredAsIdleHasNoUnrecordedCrash: a task that is stored as idle cannot have run on a lost worker of an earlier leader, but counts as one that may have, and the record of its first start now says so to all later leaders.

--- a/Tests/LibDecision/TestIdleTasks.cpp
+++ b/Tests/LibDecision/TestIdleTasks.cpp
@@ -140,3 +140,32 @@
     fixture.addWorker(2);
     CHECK_EQUAL(1, fixture.planStarts().size());
 }
+
+// Guards against a crash under a task whose start was never sent: the lease ended while the start waited to be sent.
+TEST(IdleTasks, StartThatWasNotSentIsNoCrashAfterTheLeaseOfItsWorker)
+{
+    inherit(lasting(), storedAsIdle(), true);
+    fixture.addWorker(1);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    scheduler().setReachable(1, false, fixture.now());
+    fixture.advance(leaseWait);
+    scheduler().suspectCrash(1, fixture.now());
+    scheduler().markRunsLost(1, fixture.now());
+    scheduler().removeWorker(1, WorkerEnd::Crashed, fixture.now());
+    auto changed = scheduler().takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    CHECK_EQUAL(0, changed.front().crashedRuns.size());
+}
+
+// Guards against a crash that is counted under a task that ran nowhere when the worker was lost.
+TEST(IdleTasks, TaskStoredAsIdleHasNoUnrecordedCrash)
+{
+    inherit(lasting(), storedAsIdle(), true);
+    scheduler().inheritedWorkerLost();
+    fixture.addWorker(1);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    auto changed = scheduler().takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    for (const auto& it : changed.front().crashedRuns)
+        CHECK_FALSE(it.mayFollowUnrecordedCrash);
+}
