Add a failing test of mayFollowUnrecordedCrash after recorded starts

Each start of a suspected task is recorded before it is sent. When a worker of an earlier leader is lost while such a task waits, the next record says all the same that a crash may have none. Before, this counted under one leader; now it counts under all later ones, which may give up the job one crash earlier.

--- a/Tests/LibDecision/TestCrashWaves.cpp
+++ b/Tests/LibDecision/TestCrashWaves.cpp
@@ -407,6 +407,26 @@
     CHECK(scheduler.stateOf("cause") == JobStage::Failed);
 }
 
+// Guards against a job that later leaders give up a crash earlier: each start since the first crash has a record, so
+// the lost worker of an earlier leader leaves none without one.
+TEST(CrashWaves, NoCrashIsUnrecordedOnceStartsAreRecorded)
+{
+    constexpr int32_t promptMs { 450 };
+    TaskSchedulerFixture leader { 2 };
+    leader.addWorker(1);
+    auto stored = storedAfterWaves("j", 1);
+    stored.crashedRuns.front().runTimeMs = promptMs;
+    leader.scheduler().addJob(fixture.job("j", { fixture.step(1) }), stored, leader.now() + planInterval);
+    leader.plan();
+    leader.scheduler().inheritedWorkerLost();
+    leader.advance(planInterval);
+    leader.plan();
+    auto changed = leader.scheduler().takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    CHECK_EQUAL(2, changed.front().crashedRuns.size());
+    CHECK_FALSE(changed.front().crashedRuns.back().mayFollowUnrecordedCrash);
+}
+
 // Guards against a sixth start of a cause because the crash of another one counts as a loss without a cause once its
 // lease has expired (BUDGET).
 TEST(CrashWaves, CrashUnderAnotherCauseIsKnownAsSuchAfterTheLease)
