Add a failing test of starts for which there was no list

A start that is added while all lists of LateStarts are full is dropped. mayHold() says yes for each task while the lists are full, but no again as soon as one list is free, although the dropped start may be executed for up to 12 s. Its task is then stored as idle.

--- a/Tests/LibNode/TestLateStartList.cpp
+++ b/Tests/LibNode/TestLateStartList.cpp
@@ -111,3 +111,19 @@
     list.add(start(++run), now);
     CHECK(list.mayHold(other));
 }
+
+// Guards against taking a task for idle although its start, for which there was no list, may still be executed.
+TEST(LateStartList, StartWithoutAListIsNotForgottenOnceAListIsFree)
+{
+    const Milliseconds delay { 12000 };
+    const TaskRef task { .job = "0123456789abcdef", .step = 1, .index = 301 };
+    uint64_t run = 0;
+    while (list.size() < LateStarts::listCount * LateStarts::maxStartsOfList)
+        list.add(start(++run), now);
+    auto dropped = start(++run);
+    dropped.index = task.index;
+    list.add(dropped, now + delay);
+    CHECK(list.mayHold(task));
+    list.eraseIf([](const LateStarts::Entry& it) { return it.start.run <= LateStarts::maxStartsOfList; });
+    CHECK(list.mayHold(task));
+}
