Add a failing test of the proof of leadership after missed records

A leader that has missed records of the leadership stream takes its next stored keepalive as a proof at once, although a claim may be among the missed records. The fencing token waits for leaderTimeout in this case; the proof does not. Point 6 of 'Waits for silent workers across leaders' (proof.md) rests on no claim being unread before the keepalive.

--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -317,6 +317,21 @@
     }
 }
 
+// Guards against two leaders: the claim of a successor may be among the records that the store has deleted.
+TEST(LeadershipMonitor, LeaderThatHasMissedRecordsHasNoProofAtOnce)
+{
+    addMember(1);
+    advance(Milliseconds { 2000 });
+    store.fault = FakeRecordStore::Fault::Refusing;
+    advance(Milliseconds { 3000 });
+    store.put(StreamName::Leadership, {}, encodeValue(LeadershipRecord { .member = "m3", .incarnation = 3 }));
+    auto successorElectedAt = clock.now();
+    store.expire(StreamName::Leadership);
+    store.fault = FakeRecordStore::Fault::None;
+    advance(Milliseconds { 700 });
+    CHECK(members[0]->monitor->soleLeaderUntil(clock.now()) <= successorElectedAt);
+}
+
 // Guards against elections that a process which starts later, and learns of all at once, takes for recent ones, and
 // against elections that are placed before they have taken place.
 TEST(LeadershipMonitor, RestartedProcessKnowsTheAgesOfElections)
