Record no crash under a start that was not sent when the lease ends

A start of a task that is stored as idle waits for the record without it. If the lease of its worker ended meanwhile, the run counted as active on the lost worker: a crash was recorded under a task that was never started, and the loss could count as one with a likely cause. Only the removal of a worker withdrew such starts. Now the end of a lease does too.

--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -9,11 +9,12 @@
 /// A stop command is repeated if the worker still lists the run after this time.
 static constexpr Milliseconds stopRetryInterval { 1000 };
 
-void TaskScheduler::markRunsLost(WorkerHandle handle, Instant)
+void TaskScheduler::markRunsLost(WorkerHandle handle, Instant now)
 {
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
         return;
+    withdrawStartsOfIdleTasks(handle, now);
     recordRunTimes(*it->second);
     it->second->wasLostWithLikelyCause = !it->second->reachable && hasLikelyCause(*it->second);
     auto runs = it->second->runs;
