Count no unrecorded crash under tasks whose starts have records

Callers could see a job given up one crash earlier than the rule allows (found by the review, not seen in a play). When a worker of an earlier leader is lost, each task that waits counted as one that may have crashed it without a record, and since this is stored for later leaders. That is wrong for a task whose stored crashes require a record of each start, and for one that is stored as idle, which ran nowhere.

CrashWaves.NoCrashIsUnrecordedOnceStartsAreRecorded and IdleTasks.TaskStoredAsIdleHasNoUnrecordedCrash fail without the change.

--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -87,7 +87,7 @@
 }
 
 /// Returns the task that holds the state of crashes, like `crashKey`.
-static TrackedTask& crashTaskOf(TrackedJob& job, const TaskRef& ref)
+TrackedTask& TaskScheduler::crashTaskOf(TrackedJob& job, const TaskRef& ref)
 {
     auto& tasks = job.occurrences[ref.occurrence].steps[ref.step].tasks;
     return tasks[job.spec.steps[ref.step].gang ? 0 : ref.index];
--- a/Libraries/LibDecision/TaskIdleRecords.cpp
+++ b/Libraries/LibDecision/TaskIdleRecords.cpp
@@ -64,10 +64,12 @@
         if (!task || task->done || !isIdleRecordable(job.spec.steps[it.step]))
             continue;
         task->isRecordedIdle = true;
-        if (areReliable)
-            task->blockedUntil = neverInstant;
-        else
+        if (!areReliable) {
             removeIdleRecord(job, *task);
+            continue;
+        }
+        task->blockedUntil = neverInstant;
+        task->areEarlierCrashesRecorded = true;
     }
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -428,6 +428,8 @@
     void markPossiblyLostSteps();
     static bool mayHaveLostRuns(const TrackedJob&, const TaskRef& key);
     static size_t maxUnrecordedCrashesOf(const TrackedJob&, const TaskRef& key);
+    static bool mustRecordEachStart(const TrackedJob&, const TaskRef& key);
+    static TrackedTask& crashTaskOf(TrackedJob&, const TaskRef&);
     static bool mayHaveCrashedAtStart(const TrackedJob&, const TaskRef& key);
     static bool mustRecordStart(const TrackedJob&, const TaskRef&, const TrackedTask&);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
--- a/Libraries/LibDecision/TaskStartRecords.cpp
+++ b/Libraries/LibDecision/TaskStartRecords.cpp
@@ -19,8 +19,19 @@
     if (!std::exchange(m_hasLostInheritedWorker, false))
         return;
     for (const auto& [key, ready] : m_readySteps) {
-        if (ready.job->isInherited)
-            ready.job->occurrences[ready.occurrence].steps[ready.step].mayHaveLostRuns = true;
+        auto& job = *ready.job;
+        if (!job.isInherited)
+            continue;
+        auto& step = job.occurrences[ready.occurrence].steps[ready.step];
+        step.mayHaveLostRuns = true;
+        if (job.crashes.isEmpty())
+            continue;
+        for (auto index : step.waiting) {
+            TaskRef ref { job.spec.id, ready.occurrence, ready.step, index };
+            auto& task = crashTaskOf(job, ref);
+            task.areEarlierCrashesRecorded
+                = task.areEarlierCrashesRecorded || mustRecordEachStart(job, crashKey(job, ref));
+        }
     }
 }
 
@@ -42,14 +53,21 @@
 size_t TaskScheduler::maxUnrecordedCrashesOf(const TrackedJob& job, const TaskRef& key)
 {
     const auto& task = job.occurrences[key.occurrence].steps[key.step].tasks[key.index];
-    return mayHaveLostRuns(job, key) || task.hasExcusedCrash || job.crashes.mayFollowUnrecordedCrash(key) ? 1 : 0;
+    bool mayHaveLostCrash = mayHaveLostRuns(job, key) && !task.areEarlierCrashesRecorded;
+    return mayHaveLostCrash || task.hasExcusedCrash || job.crashes.mayFollowUnrecordedCrash(key) ? 1 : 0;
+}
+
+/// Whether the crashes that are stored with the job require a record of each further start.
+bool TaskScheduler::mustRecordEachStart(const TrackedJob& job, const TaskRef& key)
+{
+    return job.crashes.isSuspected(key) || mayHaveCrashedAtStart(job, key);
 }
 
 /// Whether a start, which is among the starts of the task already, has to be recorded before it is sent.
 bool TaskScheduler::mustRecordStart(const TrackedJob& job, const TaskRef& ref, const TrackedTask& task)
 {
     auto key = crashKey(job, ref);
-    if (job.crashes.isSuspected(key) || mayHaveCrashedAtStart(job, key))
+    if (mustRecordEachStart(job, key))
         return true;
     bool isFirstStart = task.starts == 1;
     return isFirstStart && mayHaveLostRuns(job, ref);
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -55,6 +55,9 @@
 
     /// Whether a crash directly after a start was withdrawn because the rack or zone of the worker was lost too.
     bool hasExcusedCrash { false };
+
+    /// Whether no earlier leader can have left a crash under the task without a record.
+    bool areEarlierCrashesRecorded { false };
 };
 
 }
