Take no proof of leadership from keepalives right after missed records

A leader that has missed records of the leadership stream, which the store had deleted, took its next stored keepalive as a proof at once, although the claim of a successor may be among them. The fencing token waited for the time in which such a successor sends a keepalive, the proof did not.

LeadershipMonitor.LeaderThatHasMissedRecordsHasNoProofAtOnce (from the review) fails without the change.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -326,13 +326,14 @@
 void LeadershipMonitor::confirmLeadership()
 {
     while (!m_storedKeepalives.empty() && m_storedKeepalives.begin()->first < m_position) {
-        const auto& [offset, sentAt] = *m_storedKeepalives.begin();
+        const auto [offset, sentAt] = *m_storedKeepalives.begin();
+        m_storedKeepalives.erase(m_storedKeepalives.begin());
+        // A leader whose claim was among missed records sends a keepalive within this time.
+        if (sentAt - m_missedRecordsAt < leaderTimeout)
+            continue;
         m_confirmedAt = sentAt;
         m_leaseExpiresAt = m_confirmedAt + leadershipLeaseDuration;
-        // A leader whose claim was among missed records has sent a keepalive since.
-        if (sentAt - m_missedRecordsAt >= leaderTimeout)
-            m_fenceToken = offset + 1;
-        m_storedKeepalives.erase(m_storedKeepalives.begin());
+        m_fenceToken = offset + 1;
     }
 }
 
