Give the tests of unreached workers and unstopped leaders fixtures of their own

The formatter took the body of TEST_GROUP_BASE for a block when a member function came first, and put members at column 0. The tests are unchanged.

--- a/Tests/LibNode/TestUnreachedWorkers.cpp
+++ b/Tests/LibNode/TestUnreachedWorkers.cpp
@@ -2,35 +2,39 @@
 
 using namespace Bergamot;
 
-TEST_GROUP_BASE(UnreachedWorkers, TaskLeaderFixture) {
+class UnreachedWorkersFixture : public TaskLeaderFixture {
+public:
     /// Elects a leader that has a job and two workers and reaches only w1, and lets it lead for 2 s.
-    void leadWithoutReachingW2() { announce("w1");
-announce("w2");
-putAssignedWorkers({ "w1", "w2" });
-putJob("j");
-silent = { "w2" };
-elect();
-run(Milliseconds { 2000 });
-CHECK(isStoredAsUnreached("w2"));
-CHECK_FALSE(isStoredAsUnreached("w1"));
-}
+    void leadWithoutReachingW2()
+    {
+        announce("w1");
+        announce("w2");
+        putAssignedWorkers({ "w1", "w2" });
+        putJob("j");
+        silent = { "w2" };
+        elect();
+        run(Milliseconds { 2000 });
+        CHECK(isStoredAsUnreached("w2"));
+        CHECK_FALSE(isStoredAsUnreached("w1"));
+    }
 
-bool isStoredAsUnreached(const std::string& worker)
-{
-    auto stored = storedValue<UnreachedWorkers>(unreachedWorkersKey).value_or(UnreachedWorkers {});
-    return std::ranges::any_of(stored.workers, [&](const auto& it) { return it.worker.id == worker; });
-}
+    bool isStoredAsUnreached(const std::string& worker)
+    {
+        auto stored = storedValue<UnreachedWorkers>(unreachedWorkersKey).value_or(UnreachedWorkers {});
+        return std::ranges::any_of(stored.workers, [&](const auto& it) { return it.worker.id == worker; });
+    }
 
-/// Checks that the next start follows when the leases of w2 have expired if they were last renewed at `since`.
-void checkStartIsHeldBackSince(Instant since)
-{
-    auto time = timeOfStart(since, Milliseconds { 10000 });
-    CHECK(time.has_value());
-    CHECK(*time >= minLeaseWait);
-    CHECK(*time <= maxLeaseWait);
-}
-}
-;
+    /// Checks that the next start follows when the leases of w2 have expired if they were last renewed at `since`.
+    void checkStartIsHeldBackSince(Instant since)
+    {
+        auto time = timeOfStart(since, Milliseconds { 10000 });
+        CHECK(time.has_value());
+        CHECK(*time >= minLeaseWait);
+        CHECK(*time <= maxLeaseWait);
+    }
+};
+
+TEST_GROUP_BASE(UnreachedWorkers, UnreachedWorkersFixture) {};
 
 // Guards against tasks that wait anew with each of several leaders, and against a start before the leases have expired.
 TEST(UnreachedWorkers, WaitBeginsWithTheFirstLeaderThatDidNotReachTheWorker)
--- a/Tests/LibNode/TestUnstoppedLeaders.cpp
+++ b/Tests/LibNode/TestUnstoppedLeaders.cpp
@@ -13,35 +13,40 @@
 /// What a leader needs beyond the renewals of earlier ones, their leases included.
 static constexpr Milliseconds settlingTime { 6000 };
 
-TEST_GROUP_BASE(UnstoppedLeaders, TaskLeaderFixture) { /// Three workers, of which the leaders reach only w1.
-    void setup() override { elections.clear();
-haveLeadersStopped = [this](uint64_t first, uint64_t end) { return elections.haveLeadersStopped(first, end); };
-announce("w1");
-putAssignedWorkers({ "w1", "w2", "w3" });
-putJob("j");
-silent = { "w2", "w3" };
-}
+class UnstoppedLeadersFixture : public TaskLeaderFixture {
+public:
+    /// Three workers, of which the leaders reach only w1.
+    void setup() override
+    {
+        elections.clear();
+        haveLeadersStopped = [this](uint64_t first, uint64_t end) { return elections.haveLeadersStopped(first, end); };
+        announce("w1");
+        putAssignedWorkers({ "w1", "w2", "w3" });
+        putJob("j");
+        silent = { "w2", "w3" };
+    }
 
-/// Lets a leader lead for `time`. It is known to stop at the end unless it `goesOn`.
-void lead(Milliseconds time, bool goesOn = false)
-{
-    elect();
-    run(time);
-    CHECK_EQUAL(0, starts());
-    if (!goesOn)
-        elections.leaderStopped(epoch, {}, 0);
-}
+    /// Lets a leader lead for `time`. It is known to stop at the end unless it `goesOn`.
+    void lead(Milliseconds time, bool goesOn = false)
+    {
+        elect();
+        run(time);
+        CHECK_EQUAL(0, starts());
+        if (!goesOn)
+            elections.leaderStopped(epoch, {}, 0);
+    }
 
-/// Checks that the next start follows when the renewals have ended of a leader that was replaced at `replacedAt`.
-void checkStartIsHeldBackSince(Instant replacedAt)
-{
-    auto wait = timeOfStart(replacedAt, Milliseconds { 400'000 });
-    CHECK(wait.has_value());
-    CHECK(*wait >= longestRenewals + unconfirmedLease);
-    CHECK(*wait <= longestRenewalsByAnyClock + settlingTime);
-}
-}
-;
+    /// Checks that the next start follows when the renewals have ended of a leader that was replaced at `replacedAt`.
+    void checkStartIsHeldBackSince(Instant replacedAt)
+    {
+        auto wait = timeOfStart(replacedAt, Milliseconds { 400'000 });
+        CHECK(wait.has_value());
+        CHECK(*wait >= longestRenewals + unconfirmedLease);
+        CHECK(*wait <= longestRenewalsByAnyClock + settlingTime);
+    }
+};
+
+TEST_GROUP_BASE(UnstoppedLeaders, UnstoppedLeadersFixture) {};
 
 // Guards against a second run of a task, because the wait counts from an election before that of the leader that may go
 // on, and against a wait that begins anew with each leader that has stopped.
