Store on which worker a long-running task runs before it starts

Cause: no record says where a task may run. A new leader holds back each task of earlier leaders until every worker of those leaders has replied or its lease has expired, so each departure beside an election adds a wait to all tasks, and leaders that end soon never settle.

Change: the progress of a job names the worker of each long-running task (JobProgress::placedTasks). A start on another worker waits until the store has a record of it; the starts of one plan share an append. A new leader waits with the task for this worker id only, whichever incarnation. The store rejects records of replaced leaders, so none of them starts the task elsewhere. A task that a late start may run on another worker too is stored without a worker. Claims and keepalives state since which epoch all leaders keep to this, because the store deletes claims after its history and a process that has just started would not know the author of a record. A job that no leader has recorded starts at once, since none can have started its long-running tasks. While the store does not answer, no long-running task starts anew.

--- a/Libraries/LibDecision/ElectionClaim.h
+++ b/Libraries/LibDecision/ElectionClaim.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <cstdint>
 
 namespace Bergamot {
 
@@ -15,6 +16,10 @@
     /// The leader stores that a task is no longer idle before it starts the task.
     bool recordsStartsOfIdleTasks { false };
 
+    /// The first epoch from which on each leader, up to this one, stores on which worker a long-running task runs
+    /// before it starts the task; 0 if this one does not.
+    uint64_t placementsRecordedSince { 0 };
+
     bool operator==(const ElectionClaim&) const = default;
 };
 
--- a/Libraries/LibDecision/ElectionHistory.cpp
+++ b/Libraries/LibDecision/ElectionHistory.cpp
@@ -15,7 +15,10 @@
 
 void ElectionHistory::add(uint64_t epoch, Instant learnedAt, LeaderProcess leader, ElectionClaim claim)
 {
+    bool isLatest = m_elections.empty() || m_elections.rbegin()->first < epoch;
     m_elections.try_emplace(epoch, Election { .knownBy = learnedAt, .leader = std::move(leader), .claim = claim });
+    if (isLatest)
+        m_placementsRecordedSince = claim.placementsRecordedSince;
     if (m_elections.size() <= maxElections)
         return;
     m_elections.erase(m_elections.begin());
@@ -25,6 +28,7 @@
 void ElectionHistory::clear()
 {
     m_elections.clear();
+    m_placementsRecordedSince = 0;
     m_isComplete = false;
 }
 
@@ -61,6 +65,20 @@
     return doLeadersBetween(author, epoch, &ElectionClaim::recordsStartsOfIdleTasks);
 }
 
+std::optional<uint64_t> ElectionHistory::placementsRecordedSince() const
+{
+    if (m_elections.empty() && m_isComplete)
+        return 1;
+    if (m_placementsRecordedSince == 0)
+        return std::nullopt;
+    return m_placementsRecordedSince;
+}
+
+bool ElectionHistory::arePlacementsRecordedSince(uint64_t author) const
+{
+    return m_placementsRecordedSince > 0 && m_placementsRecordedSince <= std::max<uint64_t>(author, 1);
+}
+
 std::optional<Instant> ElectionHistory::electedBy(uint64_t epoch) const
 {
     auto first = m_elections.lower_bound(epoch);
--- a/Libraries/LibDecision/ElectionHistory.h
+++ b/Libraries/LibDecision/ElectionHistory.h
@@ -22,6 +22,18 @@
     /// clock of another host.
     void electedBefore(uint64_t epoch, Instant readAt, Milliseconds age);
 
+    /// The first epoch from which on each leader, up to the latest one, stores on which worker a long-running task runs
+    /// before it starts the task; 1 if no leader has been elected. nullopt if the latest leader does not, or is not
+    /// known. A claim states it, so it holds also if the earlier elections are not known to this node.
+    std::optional<uint64_t> placementsRecordedSince() const;
+
+    /// Must be called, after clear(), for what the keepalive of a leader states whose election is not known.
+    void setPlacementsRecordedSince(uint64_t epoch) { m_placementsRecordedSince = epoch; }
+
+    /// Whether what the leader of `author` has stored about the placement of long-running tasks holds; an `author` of 0
+    /// stands for the time before the first election.
+    bool arePlacementsRecordedSince(uint64_t author) const;
+
     /// Must be called when the node may have missed elections.
     void clear();
 
@@ -71,6 +83,9 @@
 
     std::map<uint64_t, Election> m_elections;
 
+    /// What the latest leader has stated; 0 if it is unknown or that leader stores no placements.
+    uint64_t m_placementsRecordedSince { 0 };
+
     /// Whether no election before the known ones is unknown.
     bool m_isComplete { true };
 };
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -386,7 +386,7 @@
     auto& worker = *it->second;
     // Otherwise their tasks would count as active when the worker crashed.
     withdrawSuspectedStarts(handle, now);
-    withdrawStartsOfIdleTasks(handle, now);
+    withdrawStartsAwaitingRecords(handle, now);
     if (end == WorkerEnd::Crashed) {
         suspectCrash(handle, now);
         m_recentLosses.push_back({ .view = worker.view,
--- a/Libraries/LibDecision/TaskIdleRecords.cpp
+++ b/Libraries/LibDecision/TaskIdleRecords.cpp
@@ -3,25 +3,20 @@
 #include <algorithm>
 #include <utility>
 
-// Records the tasks that run nowhere. No record says where a task runs, so a new leader holds back the tasks of earlier
-// leaders until no worker that it has not reached can run them. It need not do so with a task that is stored as idle:
-// no leader starts such a task before a record without it is stored, and the store rejects records of replaced leaders.
+// Records the tasks that run nowhere. A new leader holds back the tasks of earlier leaders until no worker that it has
+// not reached can run them. It need not do so with a task that is stored as idle: no leader starts such a task before a
+// record without it is stored, and the store rejects records of replaced leaders.
 
 namespace Bergamot {
 
 /// Tasks that find room within this time start without a record.
 static constexpr Milliseconds minIdleTime { 300 };
 
-bool TaskScheduler::isIdleRecordable(const StepSpec& spec)
-{
-    return spec.longRunning && !spec.bestEffort && !spec.gang && !spec.speculative;
-}
-
 void TaskScheduler::recordIdleTasks(Instant now, const std::function<bool(const TaskRef&)>& mayStartLate)
 {
     for (const auto& [key, ready] : m_readySteps) {
         auto& job = *ready.job;
-        if (job.hasEnded() || !isIdleRecordable(job.spec.steps[ready.step]))
+        if (job.hasEnded() || !isPlacementRecordable(job.spec.steps[ready.step]))
             continue;
         auto& step = job.occurrences[ready.occurrence].steps[ready.step];
         for (auto index : step.waiting) {
@@ -32,6 +27,7 @@
                 || mayStartLate({ job.spec.id, ready.occurrence, ready.step, index }))
                 continue;
             task.isRecordedIdle = true;
+            task.recordedWorker.clear();
             markChanged(job);
         }
     }
@@ -43,7 +39,7 @@
     for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
         const auto& steps = job.occurrences[k].steps;
         for (uint32_t s = 0; s < steps.size(); ++s) {
-            if (!isIdleRecordable(job.spec.steps[s]))
+            if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
             for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
                 if (steps[s].tasks[i].isRecordedIdle)
@@ -61,7 +57,7 @@
 {
     for (const auto& it : stored) {
         auto* task = findTask(job, { job.spec.id, it.occurrence, it.step, it.index });
-        if (!task || task->done || !isIdleRecordable(job.spec.steps[it.step]))
+        if (!task || task->done || !isPlacementRecordable(job.spec.steps[it.step]))
             continue;
         task->isRecordedIdle = true;
         if (!areReliable) {
@@ -87,17 +83,17 @@
     return job.storedRecords < task.startsAfterRecord;
 }
 
-void TaskScheduler::sendStartsOfIdleTasks(Instant now, const StartPermission& permission)
+void TaskScheduler::sendStartsAwaitingRecords(Instant now, const StartPermission& permission)
 {
-    auto starts = std::exchange(m_startsOfIdleTasks, {});
+    auto starts = std::exchange(m_startsAwaitingRecords, {});
     for (auto& start : starts) {
-        if (!sendStartOfIdleTask(start, now, permission))
-            m_startsOfIdleTasks.push_back(std::move(start));
+        if (!sendStartAwaitingRecord(start, now, permission))
+            m_startsAwaitingRecords.push_back(std::move(start));
     }
 }
 
 /// Returns false if the start has to wait. A start that is not wanted any more is dropped.
-bool TaskScheduler::sendStartOfIdleTask(const StartTask& start, Instant now, const StartPermission& permission)
+bool TaskScheduler::sendStartAwaitingRecord(const StartTask& start, Instant now, const StartPermission& permission)
 {
     auto* job = findJob(start.task.job);
     auto* task = job ? findTask(*job, start.task) : nullptr;
@@ -119,12 +115,12 @@
 }
 
 /// Takes back the starts on the worker that were not sent yet.
-void TaskScheduler::withdrawStartsOfIdleTasks(WorkerHandle handle, Instant now)
+void TaskScheduler::withdrawStartsAwaitingRecords(WorkerHandle handle, Instant now)
 {
-    auto firstWithdrawn = std::stable_partition(m_startsOfIdleTasks.begin(), m_startsOfIdleTasks.end(),
+    auto firstWithdrawn = std::stable_partition(m_startsAwaitingRecords.begin(), m_startsAwaitingRecords.end(),
         [&](const StartTask& it) { return it.worker != handle; });
-    std::vector<StartTask> withdrawn(firstWithdrawn, m_startsOfIdleTasks.end());
-    m_startsOfIdleTasks.erase(firstWithdrawn, m_startsOfIdleTasks.end());
+    std::vector<StartTask> withdrawn(firstWithdrawn, m_startsAwaitingRecords.end());
+    m_startsAwaitingRecords.erase(firstWithdrawn, m_startsAwaitingRecords.end());
     for (const auto& start : withdrawn)
         startRefused(handle, start.task, start.run, StartRefusal::NotSent, now);
 }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -38,7 +38,7 @@
     confirmDueCrashes(now);
     m_firstSearchedSuspect = std::exchange(m_firstSkippedSuspect, std::nullopt);
     sendSuspectedStarts(now, permission);
-    sendStartsOfIdleTasks(now, permission);
+    sendStartsAwaitingRecords(now, permission);
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
     return std::exchange(m_actions, {});
@@ -320,9 +320,10 @@
     if (job.spec.steps[ready.step].longRunning && wasFoundWaiting)
         start.longRunningWait = now - task.foundWaitingAt;
     removeIdleRecord(job, task);
+    recordPlacement(job, ref, task, worker.view.id);
     if (!mustRecordStart(job, ref, task)) {
         if (mustAwaitRecord(job, task))
-            m_startsOfIdleTasks.push_back(std::move(start));
+            m_startsAwaitingRecords.push_back(std::move(start));
         else
             m_actions.push_back(std::move(start));
         return;
--- /dev/null
+++ b/Libraries/LibDecision/TaskPlacementRecords.cpp
@@ -0,0 +1,135 @@
+#include <LibDecision/TaskScheduler.h>
+#include <LibDecision/TaskWorkerEntry.h>
+#include <algorithm>
+#include <utility>
+
+// Records on which worker a long-running task may be active, before the task starts there. A new leader waits with such
+// a task for this worker only: the store rejects records of replaced leaders, so none of them starts it elsewhere.
+
+namespace Bergamot {
+
+/// Limits the size of a record, which is stored anew with each change of one of its tasks. Further tasks of the job
+/// wait for all workers.
+static constexpr size_t maxPlacedTasksOfJob = 1000;
+
+/// Members of gangs and copies may be active on several workers, and other tasks start too often for a record each.
+bool TaskScheduler::isPlacementRecordable(const StepSpec& spec)
+{
+    return spec.longRunning && !spec.bestEffort && !spec.gang && !spec.speculative;
+}
+
+/// Must be called before the start on the worker is sent, which waits for the record unless the stored one says the
+/// same.
+void TaskScheduler::recordPlacement(TrackedJob& job, const TaskRef& ref, TrackedTask& task, const WorkerId& worker)
+{
+    if (!m_options.recordsPlacements || !isPlacementRecordable(job.spec.steps[ref.step]))
+        return;
+    // A task that may be active on further workers is stored without a worker.
+    auto recorded = m_options.mayStartLate(ref) ? WorkerId {} : worker;
+    // Without any record, a new leader takes the task as never started.
+    if (task.recordedWorker == recorded && job.isProgressStored)
+        return;
+    task.recordedWorker = std::move(recorded);
+    task.startsAfterRecord = job.collectedRecords + 1;
+    markChanged(job);
+}
+
+/// The task may be active on more than the recorded worker from now on.
+void TaskScheduler::removePlacement(TrackedJob& job, TrackedTask& task)
+{
+    if (task.recordedWorker.empty())
+        return;
+    task.recordedWorker.clear();
+    task.startsAfterRecord = job.collectedRecords + 1;
+    markChanged(job);
+}
+
+std::vector<PlacedTask> TaskScheduler::placedTasksOf(const TrackedJob& job)
+{
+    std::vector<PlacedTask> placed;
+    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        const auto& steps = job.occurrences[k].steps;
+        for (uint32_t s = 0; s < steps.size(); ++s) {
+            for (uint32_t i = 0; i < steps[s].tasks.size() && placed.size() < maxPlacedTasksOfJob; ++i) {
+                if (const auto& worker = steps[s].tasks[i].recordedWorker; !worker.empty())
+                    placed.push_back({ k, s, i, worker });
+            }
+        }
+    }
+    return placed;
+}
+
+/// Restores the placements that an earlier leader has stored. After unreliable ones the task may be active anywhere,
+/// and a record without them must precede its start, because a later leader may know enough to rely on them.
+void TaskScheduler::restorePlacements(TrackedJob& job, const std::vector<PlacedTask>& stored, bool areReliable)
+{
+    for (const auto& it : stored) {
+        TaskRef ref { job.spec.id, it.occurrence, it.step, it.index };
+        auto* task = findTask(job, ref);
+        if (!task || task->done || !isPlacementRecordable(job.spec.steps[it.step]))
+            continue;
+        task->recordedWorker = it.worker;
+        if (!areReliable) {
+            removePlacement(job, *task);
+            continue;
+        }
+        task->awaitedWorker = it.worker;
+        m_placedTasks[it.worker].push_back(std::move(ref));
+    }
+}
+
+/// No leader has stored anything about the job, so none has started a task that needs a record.
+void TaskScheduler::unblockUnstartedTasks(TrackedJob& job)
+{
+    for (auto& occurrence : job.occurrences) {
+        for (size_t s = 0; s < occurrence.steps.size(); ++s) {
+            if (!isPlacementRecordable(job.spec.steps[s]))
+                continue;
+            for (auto& task : occurrence.steps[s].tasks)
+                task.blockedUntil = neverInstant;
+        }
+    }
+}
+
+void TaskScheduler::unblockPlacedTasks(const std::function<bool(const WorkerId&)>& mayRunEarlierTasks)
+{
+    for (auto it = m_placedTasks.begin(); it != m_placedTasks.end();) {
+        if (mayRunEarlierTasks(it->first)) {
+            ++it;
+            continue;
+        }
+        for (const auto& ref : it->second) {
+            auto* job = findJob(ref.job);
+            auto* task = job ? findTask(*job, ref) : nullptr;
+            if (!task || task->awaitedWorker != it->first)
+                continue;
+            task->blockedUntil = neverInstant;
+            task->awaitedWorker.clear();
+        }
+        it = m_placedTasks.erase(it);
+    }
+}
+
+/// Runs that leaders of earlier versions started have no records. Called once their tasks cannot run elsewhere.
+void TaskScheduler::recordPlacementsOfAdoptedRuns(TrackedJob& job)
+{
+    if (!m_options.recordsPlacements || job.hasEnded())
+        return;
+    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        auto& steps = job.occurrences[k].steps;
+        for (uint32_t s = 0; s < steps.size(); ++s) {
+            if (!isPlacementRecordable(job.spec.steps[s]))
+                continue;
+            for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+                auto& task = steps[s].tasks[i];
+                bool mayRunElsewhere = task.isHeld || task.runs.size() != 1 || task.isRecordedIdle;
+                if (!task.recordedWorker.empty() || mayRunElsewhere)
+                    continue;
+                if (auto worker = m_workers.find(task.runs.front().worker); worker != m_workers.end())
+                    recordPlacement(job, { job.spec.id, k, s, i }, task, worker->second->view.id);
+            }
+        }
+    }
+}
+
+}
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -95,6 +95,7 @@
             progress.failedRuns.assign(job.failedRuns.begin(), job.failedRuns.end());
             progress.crashedRuns = job.crashes.runs();
             progress.idleTasks = idleTasksOf(job);
+            progress.placedTasks = placedTasksOf(job);
         }
         result.push_back(std::move(progress));
     }
@@ -119,6 +120,7 @@
     if (!job)
         return false;
     ++job->storedRecords;
+    job->isProgressStored = true;
     bool wasEndStored = job->storedState >= JobStage::Completed;
     job->storedState = std::max(job->storedState, progress.state);
     job->storedCrashes = CrashHistory(progress.crashedRuns);
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -14,7 +14,7 @@
     auto it = m_workers.find(handle);
     if (it == m_workers.end())
         return;
-    withdrawStartsOfIdleTasks(handle, now);
+    withdrawStartsAwaitingRecords(handle, now);
     recordRunTimes(*it->second);
     it->second->wasLostWithLikelyCause = !it->second->reachable && hasLikelyCause(*it->second);
     auto runs = it->second->runs;
@@ -180,6 +180,8 @@
     task.hasRun = true;
     job.started = true;
     removeIdleRecord(job, task);
+    if (task.recordedWorker != worker.view.id)
+        removePlacement(job, task);
     reserve(worker, job, report.task, report.run);
     task.runs.back().suspected = crash != nullptr;
     setIsolated(task.runs.back(), crash && crash->isolated);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -117,8 +117,13 @@
     return true;
 }
 
-bool TaskScheduler::addJob(
-    JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt, bool areIdleTasksReliable)
+bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt)
+{
+    return addJob(std::move(spec), std::move(stored), blockedUntil, knownAt, StoredProgressUse {});
+}
+
+bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt,
+    const StoredProgressUse& use)
 {
     auto id = spec.id;
     if (m_jobs.contains(id))
@@ -136,6 +141,7 @@
     job->spec = std::move(spec);
     job->knownAt = knownAt;
     job->isInherited = blockedUntil != neverInstant;
+    job->isProgressStored = stored.has_value();
     auto& tracked = *job;
     m_jobs.emplace(id, std::move(job));
     buildOccurrences(tracked);
@@ -152,8 +158,12 @@
         }
     }
     m_unblockAt = std::max(m_unblockAt, blockedUntil);
-    if (stored)
-        restoreIdleTasks(tracked, stored->idleTasks, areIdleTasksReliable);
+    if (stored) {
+        restoreIdleTasks(tracked, stored->idleTasks, use.areIdleTasksReliable);
+        restorePlacements(tracked, stored->placedTasks, use.arePlacementsReliable);
+    } else if (use.arePlacementsReliable) {
+        unblockUnstartedTasks(tracked);
+    }
     enforceMaxAttemptsOfAllTasks(tracked);
     if (tracked.hasEnded())
         return true;
@@ -430,13 +440,17 @@
 void TaskScheduler::unblockTasks()
 {
     m_unblockAt = neverInstant;
+    m_placedTasks.clear();
     for (auto& [id, job] : m_jobs) {
         for (auto& occurrence : job->occurrences) {
             for (auto& step : occurrence.steps) {
-                for (auto& task : step.tasks)
+                for (auto& task : step.tasks) {
                     task.blockedUntil = neverInstant;
+                    task.awaitedWorker.clear();
+                }
             }
         }
+        recordPlacementsOfAdoptedRuns(*job);
     }
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -43,6 +43,21 @@
     struct Options {
         /// Leader epoch; run numbers of a later epoch are higher.
         uint64_t epoch { 0 };
+
+        /// Whether the start of a long-running task waits until the store knows its worker.
+        bool recordsPlacements { false };
+
+        /// Whether a worker may still execute an earlier start of the task, which may then run there too.
+        std::function<bool(const TaskRef&)> mayStartLate { [](const TaskRef&) { return false; } };
+    };
+
+    /// What may be relied on in the stored progress of a job, because no leader since its author has started a task
+    /// without a record.
+    struct StoredProgressUse {
+        bool areIdleTasksReliable { false };
+
+        /// If there is no stored progress, no long-running task of the job has been started.
+        bool arePlacementsReliable { false };
     };
 
     /// Why a worker did not start a run.
@@ -69,10 +84,11 @@
     void setConfigurationCurrent(bool);
 
     /// Returns false if the job is known already. Its tasks do not start before `blockedUntil`, because runs that an
-    /// earlier leader started may still be active. `knownAt` is when this leader read the job. The idle tasks in the
-    /// stored progress start earlier if they are reliable.
-    bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant,
-        bool areIdleTasksReliable = false);
+    /// earlier leader started may still be active. `knownAt` is when this leader read the job. Tasks that the stored
+    /// progress names as idle, or places on a worker, start earlier if that is reliable.
+    bool addJob(
+        JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt, const StoredProgressUse&);
+    bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant);
 
     /// An end that an earlier leader stored, or the cancellation of an unknown job. The job stays unknown until it is
     /// added.
@@ -184,6 +200,9 @@
     /// Lets tasks start that no worker has listed. Called once all workers have replied to the new leader.
     void unblockTasks();
 
+    /// Lets those tasks start that can be active only on workers on which no unknown run of an earlier leader may be.
+    void unblockPlacedTasks(const std::function<bool(const WorkerId&)>& mayRunEarlierTasks);
+
     /// What this leader may start.
     struct StartPermission {
         bool mayStart { true };
@@ -213,8 +232,8 @@
     /// Returns whether this is the end of a job that this leader knows; true once for each job.
     bool progressStored(const JobProgress&);
 
-    /// Whether a start waits until a record is stored that does not name its task as idle.
-    bool hasStartsOfIdleTasks() const { return !m_startsOfIdleTasks.empty(); }
+    /// Whether a start waits until a record is stored that neither names its task as idle nor places it elsewhere.
+    bool hasStartsAwaitingRecords() const { return !m_startsAwaitingRecords.empty(); }
 
     /// Frees the data of a job whose end is stored, but keeps its state. While a run may be active, the data is kept
     /// until the last run has ended.
@@ -288,13 +307,19 @@
     void buildOccurrences(TrackedJob&);
     void applyStored(TrackedJob&, const JobProgress&);
     void restoreIdleTasks(TrackedJob&, const std::vector<IdleTask>&, bool areReliable);
-    static bool isIdleRecordable(const StepSpec&);
+    static bool isPlacementRecordable(const StepSpec&);
     static bool mustAwaitRecord(const TrackedJob&, const TrackedTask&);
     void removeIdleRecord(TrackedJob&, TrackedTask&);
     static std::vector<IdleTask> idleTasksOf(const TrackedJob&);
-    void sendStartsOfIdleTasks(Instant now, const StartPermission&);
-    bool sendStartOfIdleTask(const StartTask&, Instant now, const StartPermission&);
-    void withdrawStartsOfIdleTasks(WorkerHandle, Instant now);
+    void restorePlacements(TrackedJob&, const std::vector<PlacedTask>&, bool areReliable);
+    static void unblockUnstartedTasks(TrackedJob&);
+    void recordPlacement(TrackedJob&, const TaskRef&, TrackedTask&, const WorkerId&);
+    void removePlacement(TrackedJob&, TrackedTask&);
+    void recordPlacementsOfAdoptedRuns(TrackedJob&);
+    static std::vector<PlacedTask> placedTasksOf(const TrackedJob&);
+    void sendStartsAwaitingRecords(Instant now, const StartPermission&);
+    bool sendStartAwaitingRecord(const StartTask&, Instant now, const StartPermission&);
+    void withdrawStartsAwaitingRecords(WorkerHandle, Instant now);
     void activateOccurrence(TrackedJob&, uint32_t occurrence);
     void makeStepReady(TrackedJob&, uint32_t occurrence, uint32_t step);
     void requeue(TrackedJob&, const TaskRef&);
@@ -497,8 +522,11 @@
     /// Starts of suspected tasks that wait until their records are stored.
     std::vector<StartTask> m_suspectedStarts;
 
-    /// Starts of tasks that wait until a record is stored that does not name them as idle.
-    std::vector<StartTask> m_startsOfIdleTasks;
+    /// Starts that wait until a record is stored that neither names their tasks as idle nor places them elsewhere.
+    std::vector<StartTask> m_startsAwaitingRecords;
+
+    /// The blocked tasks that wait for one worker only, by worker.
+    std::map<WorkerId, std::vector<TaskRef>> m_placedTasks;
     uint32_t m_isolatedRuns { 0 };
 
     /// Workers that isolated runs may take down, as of the latest plan and its starts.
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -35,6 +35,9 @@
     /// Number of records of the progress that were returned for storage, and of those that are stored.
     uint64_t collectedRecords { 0 };
     uint64_t storedRecords { 0 };
+
+    /// Whether the store has a record of the progress, of this leader or of an earlier one.
+    bool isProgressStored { false };
     bool started { false };
 
     /// A task has used up its attempts by a limit that may be outdated. The job starts no task until the limit is
--- a/Libraries/LibDecision/TrackedTask.h
+++ b/Libraries/LibDecision/TrackedTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Ids.h>
 #include <LibCore/Time.h>
 #include <LibDecision/TrackedRun.h>
 #include <cstdint>
@@ -46,11 +47,18 @@
     /// A start that an earlier leader sent may still be executed, whatever `blockedUntil` says.
     bool isHeld { false };
 
-    /// Whether the progress names the task as idle. Only an eligible task is (isIdleRecordable()).
+    /// Whether the progress names the task as idle. Only an eligible task is (isPlacementRecordable()).
     bool isRecordedIdle { false };
 
+    /// The only worker on which the task may be active according to the progress; empty if the progress does not tell.
+    /// Only an eligible task has one.
+    WorkerId recordedWorker {};
+
+    /// The worker for which the task waits while it is blocked; empty if it waits for all workers.
+    WorkerId awaitedWorker {};
+
     /// Number of the record of the job that must be stored before the task starts, because an earlier one names it as
-    /// idle; 0 if none does.
+    /// idle or on another worker; 0 if none does.
     uint64_t startsAfterRecord { 0 };
 
     /// Whether a crash directly after a start was withdrawn because the rack or zone of the worker was lost too.
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -196,7 +196,8 @@
     m_elections.add(epoch, m_loop.now(), std::move(process),
         { .sincePredecessor = Milliseconds { record.electionAgeMs },
             .storesReachedWorkers = record.storesReachedWorkers,
-            .recordsStartsOfIdleTasks = record.recordsStartsOfIdleTasks });
+            .recordsStartsOfIdleTasks = record.recordsStartsOfIdleTasks,
+            .placementsRecordedSince = record.placementsRecordedSince });
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
     m_leaderSilentSince = m_loop.now();
     m_hasLeaderResigned = false;
@@ -225,6 +226,7 @@
     if (record.peerAddress.empty())
         return;
     m_elections.clear();
+    m_elections.setPlacementsRecordedSince(record.placementsRecordedSince);
     m_leader = Leader { record.epoch, record.member, record.incarnation, record.peerAddress };
     logInfo("leader_changed", { { "epoch", record.epoch }, { "leader", record.member }, { "self", false } });
     stepDown();
@@ -279,7 +281,8 @@
         .cpuMillis = m_options.node.cpuMillis,
         .electionAgeMs = electionAge().count(),
         .storesReachedWorkers = true,
-        .recordsStartsOfIdleTasks = true };
+        .recordsStartsOfIdleTasks = true,
+        .placementsRecordedSince = m_elections.placementsRecordedSince().value_or(m_position + 1) };
     AppendRequest request { .stream = StreamName::Leadership,
         .records = { { .value = encodeValue(record) } },
         .expectedEndOffset = m_position };
@@ -300,7 +303,8 @@
         .peerAddress = m_options.node.peerAddress,
         .epoch = m_leader->epoch,
         .resigns = m_hasResigned,
-        .electionAgeMs = electionAge().count() };
+        .electionAgeMs = electionAge().count(),
+        .placementsRecordedSince = m_elections.placementsRecordedSince().value_or(m_leader->epoch) };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
     m_store.append(request, appendTimeout,
         [this, alive = m_alive, sentAt, epoch = m_leader->epoch](absl::StatusOr<AppendReply> reply) {
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -52,7 +52,9 @@
     , m_formats(formats)
     , m_metrics(metrics)
     , m_options(std::move(options))
-    , m_scheduler({ .epoch = m_options.epoch })
+    , m_scheduler({ .epoch = m_options.epoch,
+          .recordsPlacements = true,
+          .mayStartLate = [this](const TaskRef& task) { return m_lateStarts.mayHold(task); } })
     , m_renewalLimiter(
           std::make_shared<ConcurrencyLimiter>(maxConcurrentRenewals(m_options.node.cpuMillis, firstRenewalTimeout)))
     , m_journal(loop, store,
@@ -194,9 +196,8 @@
     // have to wait for earlier leases to expire.
     auto blockedUntil = m_isReconciled || hasLoadedJobs() ? neverInstant : m_earlierLeasesExpireAt;
     updateConfigurationAge();
-    bool areIdleTasksReliable
-        = stored && m_options.elections.doLeadersRecordStartsOfIdleTasks(stored->epoch, m_options.epoch);
-    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now(), areIdleTasksReliable))
+    auto use = useOf(stored);
+    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now(), use))
         return;
     logInfo("job_known",
         { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
@@ -205,6 +206,17 @@
     applyEndsOf(id);
 }
 
+TaskScheduler::StoredProgressUse TaskLeader::useOf(const std::optional<JobProgress>& stored) const
+{
+    const auto& elections = m_options.elections;
+    auto author = stored ? stored->epoch : 0;
+    // Versions that store no epoch store no placements either.
+    bool isAuthorKnown = !stored || author > 0;
+    return { .areIdleTasksReliable = stored && elections.doLeadersRecordStartsOfIdleTasks(author, m_options.epoch),
+        .arePlacementsReliable
+        = isAuthorKnown && elections.arePlacementsRecordedSince(author) && !m_areAssignedWorkersUnreadable };
+}
+
 bool TaskLeader::hasLoadedJobs() const
 {
     // Jobs accepted during the load arrive with the first read after it.
@@ -316,7 +328,7 @@
             m_scheduler.restoreEnd(cancel.job, JobStage::Cancelled);
         cancel.callback(cancel.reply);
     }
-    if (m_scheduler.hasStartsOfIdleTasks())
+    if (m_scheduler.hasStartsAwaitingRecords())
         schedulePlan();
     // Only run ends collected before this batch may be acknowledged: later ones are not stored yet.
     for (auto [handle, sequence] : collected.acknowledgements) {
@@ -325,17 +337,28 @@
     }
 }
 
+/// Whether runs that earlier leaders started on the worker may be unknown to this leader.
+bool TaskLeader::mayRunEarlierTasks(const Worker& worker)
+{
+    bool mayHaveRuns = !worker.isRetired || worker.mayRunEarlierTasks;
+    return mayHaveRuns && !worker.session->isReconciled();
+}
+
+/// A worker that is not known has ended, or was stored as one without runs.
+bool TaskLeader::mayRunEarlierTasks(const WorkerId& id) const
+{
+    auto handle = findHandle(id);
+    return handle && mayRunEarlierTasks(m_workers.at(*handle));
+}
+
 void TaskLeader::checkReconciled()
 {
     if (m_isReconciled || !m_workerReader || !m_workerReader->hasLoaded())
         return;
     if (m_areAssignedWorkersUnreadable && m_loop.now() < m_earlierLeasesExpireAt)
         return;
-    for (const auto& [handle, worker] : m_workers) {
-        bool mayHaveRuns = !worker.isRetired || worker.mayRunEarlierTasks;
-        if (mayHaveRuns && !worker.session->isReconciled())
-            return;
-    }
+    if (std::ranges::any_of(m_workers, [](const auto& it) { return mayRunEarlierTasks(it.second); }))
+        return;
     m_isReconciled = true;
     auto passed = m_loop.now() - m_electedAt;
     m_metrics.recordTakeover(passed);
@@ -380,6 +403,8 @@
         return;
     m_lastPlanAt = m_loop.now();
     updateConfigurationAge();
+    if (!m_isReconciled && m_areSessionsStarted && m_workerReader->hasLoaded())
+        m_scheduler.unblockPlacedTasks([this](const WorkerId& id) { return mayRunEarlierTasks(id); });
     for (auto& action : m_scheduler.plan(m_loop.now(), unixMsNow(), startPermission())) {
         auto handle = std::visit([](const auto& command) { return command.worker; }, action);
         recordCommand(action);
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -286,6 +286,9 @@
     ProgressBatch collectProgress();
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
+    TaskScheduler::StoredProgressUse useOf(const std::optional<JobProgress>& stored) const;
+    static bool mayRunEarlierTasks(const Worker&);
+    bool mayRunEarlierTasks(const WorkerId&) const;
     void checkReconciled();
     void beginExcludingEarlierLeaders();
     void restoreDoubtfulWorkers();
--- a/Libraries/LibWire/JobProgress.h
+++ b/Libraries/LibWire/JobProgress.h
@@ -5,6 +5,7 @@
 #include <LibWire/FailedRun.h>
 #include <LibWire/IdleTask.h>
 #include <LibWire/JobStage.h>
+#include <LibWire/PlacedTask.h>
 #include <msgpack.hpp>
 #include <string>
 #include <vector>
@@ -30,8 +31,12 @@
     /// The leader that stored the record; 0 from versions without this field.
     uint64_t epoch { 0 };
 
+    /// Tasks that the author starts on another worker only once it has stored a record that says so. A successor waits
+    /// with them for this worker only, unless a leader in between is of a version without this field.
+    std::vector<PlacedTask> placedTasks {};
+
     bool operator==(const JobProgress&) const = default;
-    MSGPACK_DEFINE_ARRAY(id, state, done, failedRuns, crashedRuns, idleTasks, epoch)
+    MSGPACK_DEFINE_ARRAY(id, state, done, failedRuns, crashedRuns, idleTasks, epoch, placedTasks)
 };
 
 }
--- a/Libraries/LibWire/LeadershipRecord.h
+++ b/Libraries/LibWire/LeadershipRecord.h
@@ -54,12 +54,17 @@
     /// In claims: the author stores that a task is no longer idle before it starts the task (JobProgress::idleTasks).
     bool recordsStartsOfIdleTasks { false };
 
+    /// In claims and keepalives: each leader from this epoch on, up to the author, stores on which worker a
+    /// long-running task runs before it starts the task (JobProgress::placedTasks). 1 stands for all leaders; 0 in
+    /// records of versions without this field, which do not store it.
+    uint64_t placementsRecordedSince { 0 };
+
     /// Returns InvalidArgument when the processor capacity or the age is out of range.
     absl::Status check() const;
 
     bool operator==(const LeadershipRecord&) const = default;
     MSGPACK_DEFINE_ARRAY(member, incarnation, peerAddress, epoch, resigns, cpuMillis, readUpTo, hasStopped,
-        electionAgeMs, storesReachedWorkers, recordsStartsOfIdleTasks)
+        electionAgeMs, storesReachedWorkers, recordsStartsOfIdleTasks, placementsRecordedSince)
 };
 
 }
--- a/Tests/LibDecision/TestElectionHistory.cpp
+++ b/Tests/LibDecision/TestElectionHistory.cpp
@@ -82,6 +82,25 @@
     CHECK_FALSE(elections.doLeadersRecordStartsOfIdleTasks(0, 9));
 }
 
+// Guards against relying on the placement of a task that a leader of an older version may have started elsewhere.
+TEST(ElectionHistory, PlacementsHoldSinceTheEpochThatTheLatestClaimStates)
+{
+    CHECK_EQUAL(1, elections.placementsRecordedSince().value_or(0));
+    elections.add(3, start, {}, { .placementsRecordedSince = 1 });
+    CHECK(elections.arePlacementsRecordedSince(0));
+    elections.add(8, start);
+    CHECK_FALSE(elections.placementsRecordedSince().has_value());
+    CHECK_FALSE(elections.arePlacementsRecordedSince(3));
+    elections.add(9, start, {}, { .placementsRecordedSince = 9 });
+    CHECK_FALSE(elections.arePlacementsRecordedSince(8));
+    CHECK(elections.arePlacementsRecordedSince(9));
+    elections.add(12, start, {}, { .placementsRecordedSince = 9 });
+    CHECK(elections.arePlacementsRecordedSince(9));
+    elections.clear();
+    CHECK_FALSE(elections.placementsRecordedSince().has_value());
+    CHECK_FALSE(elections.arePlacementsRecordedSince(12));
+}
+
 // Guards against a history that grows with each election, and against dropping the newest elections.
 TEST(ElectionHistory, OldElectionsAreForgotten)
 {
--- a/Tests/LibNode/FaultyWorkers.h
+++ b/Tests/LibNode/FaultyWorkers.h
@@ -235,6 +235,9 @@
         crash(id, forGood, isSilent);
     }
 
+    /// Ends the run of the task on the worker by its own fault.
+    void fail(const std::string& id, const TaskRef& task) { end(workers.at(id), task, RunOutcome::Failed); }
+
     size_t runsOf(const TaskRef& task) const
     {
         return static_cast<size_t>(
--- a/Tests/LibNode/LeaderChainDay.h
+++ b/Tests/LibNode/LeaderChainDay.h
@@ -292,6 +292,52 @@
         advance(lastTerm);
     }
 
+    /// Runs end on workers that stay in contact, under leaders that are too short to start them again. Other workers
+    /// are lost or leave in each gap between leaders. Returns how long the tasks of these runs then wait for the last
+    /// leader.
+    std::vector<Milliseconds> waitsBesideDepartures()
+    {
+        constexpr uint32_t terms { 5 };
+        constexpr Milliseconds maxTimeToLeader { 6000 };
+        std::vector<LastingTask*> ended;
+        std::set<std::string> kept;
+        for (auto& [id, worker] : executor.workers) {
+            if (worker.runs.empty() || ended.size() == 2)
+                continue;
+            auto task = worker.runs.begin()->first;
+            executor.fail(id, task);
+            kept.insert(id);
+            ended.push_back(&*std::ranges::find(lastingTasks, task, &LastingTask::task));
+        }
+        for (uint32_t i = 0; i < terms; ++i) {
+            if (!advanceUntilLed(maxTimeToLeader))
+                return {};
+            advance(pickTime(50, 250));
+            endTermIfPossible(pick(2) == 0 ? EndOfTerm::Stop : EndOfTerm::Kill);
+            auto id = pickHealthyWorker();
+            if (!id || kept.contains(*id))
+                continue;
+            if (pick(2) == 0)
+                loseWorker(*id, pick(2) == 0);
+            else
+                drainWorker(*id);
+        }
+        advanceUntilLed(maxTimeToLeader);
+        auto ledSince = clock.now();
+        std::map<TaskRef, Instant> startedAt;
+        for (Milliseconds passed { 0 }; passed < lastTerm; passed += tickTime) {
+            advance(tickTime);
+            for (const auto* it : ended) {
+                if (it->isRunning)
+                    startedAt.try_emplace(it->task, clock.now());
+            }
+        }
+        std::vector<Milliseconds> waits;
+        for (const auto* it : ended)
+            waits.push_back(startedAt.contains(it->task) ? startedAt.at(it->task) - ledSince : lastTerm);
+        return waits;
+    }
+
     /// A worker returns to a leader that has stored it as unreached and has just lost the store.
     void runWithReturningWorker()
     {
--- a/Tests/LibNode/TaskLeaderFixture.h
+++ b/Tests/LibNode/TaskLeaderFixture.h
@@ -106,7 +106,10 @@
     {
         ++epoch;
         electedAt = clock.now();
-        elections.add(epoch, electedAt, {}, { .storesReachedWorkers = true, .recordsStartsOfIdleTasks = true });
+        elections.add(epoch, electedAt, {},
+            { .storesReachedWorkers = true,
+                .recordsStartsOfIdleTasks = true,
+                .placementsRecordedSince = placementsRecordedSince });
         leader = createLeader();
     }
 
@@ -201,6 +204,9 @@
 
     uint64_t epoch { 7 };
 
+    /// What the claims of leaders state.
+    uint64_t placementsRecordedSince { 1 };
+
     /// The longest lease that workers grant.
     Milliseconds maxLease { 6000 };
     NodeTestClock clock;
--- a/Tests/LibNode/TestLeaderChains.cpp
+++ b/Tests/LibNode/TestLeaderChains.cpp
@@ -105,6 +105,22 @@
     STRCMP_EQUAL("", playedDays().lateStarts.c_str());
 }
 
+// Guards against a task that waits for workers on which it cannot run: others left between the leaders (issue 61).
+TEST(LeaderChains, TasksOfReachedWorkersDoNotWaitForDepartures)
+{
+    constexpr uint32_t seeds { 30 };
+    constexpr Milliseconds maxWait { 1500 };
+    std::string late;
+    auto played = playSeeds("departures, seed", seeds, [&](LeaderChainDay& day) {
+        for (auto wait : day.waitsBesideDepartures()) {
+            if (wait > maxWait)
+                late += fmt::format(" {}", wait.count());
+        }
+    });
+    STRCMP_EQUAL("", late.c_str());
+    STRCMP_EQUAL("", played.runs.c_str());
+}
+
 // Guards against a task that runs twice, because a leader has renewed the lease of a worker that it has stored as
 // unreached before the record without this worker is stored.
 TEST(LeaderChains, NoTaskRunsTwiceAfterTheReturnOfItsWorker)
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -317,6 +317,40 @@
     }
 }
 
+// Guards against placements that count for nothing under a process which has started since the store has deleted the
+// claim of their author.
+TEST(LeadershipMonitor, PlacementsOfALeaderWhoseClaimIsDeletedHold)
+{
+    addMember(1);
+    advance(Milliseconds { 2000 });
+    auto author = members[0]->elections.back();
+    store.expire(StreamName::Leadership);
+    addMember(2);
+    advance(Milliseconds { 1000 });
+    members.erase(members.begin());
+    advance(Milliseconds { 4000 });
+    CHECK(members[0]->monitor->isLeader());
+    const auto& elections = members[0]->monitor->elections();
+    CHECK_FALSE(elections.predecessorOf(members[0]->elections.back()).has_value());
+    CHECK(elections.arePlacementsRecordedSince(author));
+    CHECK(elections.arePlacementsRecordedSince(0));
+}
+
+// Guards against relying on placements of a leader whose successor is not known: it may be of an older version.
+TEST(LeadershipMonitor, PlacementsDoNotHoldBeyondALeaderOfAnOlderVersion)
+{
+    addMember(1);
+    advance(Milliseconds { 2000 });
+    auto author = members[0]->elections.back();
+    store.put(StreamName::Leadership, {},
+        encodeValue(LeadershipRecord { .member = "m3", .incarnation = 3, .peerAddress = "a3" }));
+    advance(Milliseconds { 6000 });
+    CHECK(members[0]->monitor->isLeader());
+    CHECK(members[0]->elections.back() > author);
+    CHECK_FALSE(members[0]->monitor->elections().arePlacementsRecordedSince(author));
+    CHECK(members[0]->monitor->elections().arePlacementsRecordedSince(members[0]->elections.back()));
+}
+
 // Guards against two leaders: the claim of a successor may be among the records that the store has deleted.
 TEST(LeadershipMonitor, LeaderThatHasMissedRecordsHasNoProofAtOnce)
 {
