Test that the placement of tasks survives the round trip and older records

A successor relies on JobProgress::placedTasks, so a record must return them as they were stored, and one of an earlier version must name none.

--- a/Tests/LibWire/TestJobProgress.cpp
+++ b/Tests/LibWire/TestJobProgress.cpp
@@ -73,3 +73,23 @@
     CHECK(decoded.ok());
     CHECK(*decoded == progress);
 }
+
+// Guards against waiting with a task for other workers than the one on which an earlier leader has started it.
+TEST(JobProgress, PlacedTasksSurviveTheRoundTrip)
+{
+    JobProgress progress { .id = "j", .done = { "00" }, .epoch = 7, .placedTasks = { { 1, 2, 3, "w" } } };
+    auto decoded = decodeValue<JobProgress>(encodeValue(progress));
+    CHECK(decoded.ok());
+    CHECK(*decoded == progress);
+}
+
+// Guards against relying on placements that a leader of an earlier version has not stored.
+TEST(JobProgress, RecordOfAnEarlierVersionPlacesNoTask)
+{
+    std::tuple older { JobId("j"), JobStage::Running, std::vector<std::string> { "01" }, std::vector<FailedRun> {},
+        std::vector<CrashedRun> {}, std::vector<IdleTask> {}, uint64_t { 7 } };
+    auto decoded = decodeValue<JobProgress>(encodeValue(older));
+    CHECK(decoded.ok());
+    CHECK(decoded->placedTasks.empty());
+    CHECK_EQUAL(7, decoded->epoch);
+}
