Name the reliability of stored progress for what it is

StoredProgressUse said what a caller does with the flags; ProgressReliability says what they state. No change of behaviour: the groups PlacementRecords, IdleTasks and PlacedTasks pass as before.

--- a/Libraries/LibDecision/TaskPlacementRecords.cpp
+++ b/Libraries/LibDecision/TaskPlacementRecords.cpp
@@ -74,7 +74,7 @@
             continue;
         }
         task->awaitedWorker = it.worker;
-        m_placedTasks[it.worker].push_back(std::move(ref));
+        m_tasksByAwaitedWorker[it.worker].push_back(std::move(ref));
     }
 }
 
@@ -93,7 +93,7 @@
 
 void TaskScheduler::unblockPlacedTasks(const std::function<bool(const WorkerId&)>& mayRunEarlierTasks)
 {
-    for (auto it = m_placedTasks.begin(); it != m_placedTasks.end();) {
+    for (auto it = m_tasksByAwaitedWorker.begin(); it != m_tasksByAwaitedWorker.end();) {
         if (mayRunEarlierTasks(it->first)) {
             ++it;
             continue;
@@ -106,7 +106,7 @@
             task->blockedUntil = neverInstant;
             task->awaitedWorker.clear();
         }
-        it = m_placedTasks.erase(it);
+        it = m_tasksByAwaitedWorker.erase(it);
     }
 }
 
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -119,11 +119,11 @@
 
 bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt)
 {
-    return addJob(std::move(spec), std::move(stored), blockedUntil, knownAt, StoredProgressUse {});
+    return addJob(std::move(spec), std::move(stored), blockedUntil, knownAt, ProgressReliability {});
 }
 
 bool TaskScheduler::addJob(JobSpec spec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt,
-    const StoredProgressUse& use)
+    const ProgressReliability& reliability)
 {
     auto id = spec.id;
     if (m_jobs.contains(id))
@@ -159,9 +159,9 @@
     }
     m_unblockAt = std::max(m_unblockAt, blockedUntil);
     if (stored) {
-        restoreIdleTasks(tracked, stored->idleTasks, use.areIdleTasksReliable);
-        restorePlacements(tracked, stored->placedTasks, use.arePlacementsReliable);
-    } else if (use.arePlacementsReliable) {
+        restoreIdleTasks(tracked, stored->idleTasks, reliability.idleTasks);
+        restorePlacements(tracked, stored->placedTasks, reliability.placements);
+    } else if (reliability.placements) {
         unblockUnstartedTasks(tracked);
     }
     enforceMaxAttemptsOfAllTasks(tracked);
@@ -440,7 +440,7 @@
 void TaskScheduler::unblockTasks()
 {
     m_unblockAt = neverInstant;
-    m_placedTasks.clear();
+    m_tasksByAwaitedWorker.clear();
     for (auto& [id, job] : m_jobs) {
         for (auto& occurrence : job->occurrences) {
             for (auto& step : occurrence.steps) {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -53,11 +53,11 @@
 
     /// What may be relied on in the stored progress of a job, because no leader since its author has started a task
     /// without a record.
-    struct StoredProgressUse {
-        bool areIdleTasksReliable { false };
+    struct ProgressReliability {
+        bool idleTasks { false };
 
         /// If there is no stored progress, no long-running task of the job has been started.
-        bool arePlacementsReliable { false };
+        bool placements { false };
     };
 
     /// Why a worker did not start a run.
@@ -87,7 +87,7 @@
     /// earlier leader started may still be active. `knownAt` is when this leader read the job. Tasks that the stored
     /// progress names as idle, or places on a worker, start earlier if that is reliable.
     bool addJob(
-        JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt, const StoredProgressUse&);
+        JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt, const ProgressReliability&);
     bool addJob(JobSpec, std::optional<JobProgress> stored, Instant blockedUntil, Instant knownAt = neverInstant);
 
     /// An end that an earlier leader stored, or the cancellation of an unknown job. The job stays unknown until it is
@@ -526,7 +526,7 @@
     std::vector<StartTask> m_startsAwaitingRecords;
 
     /// The blocked tasks that wait for one worker only, by worker.
-    std::map<WorkerId, std::vector<TaskRef>> m_placedTasks;
+    std::map<WorkerId, std::vector<TaskRef>> m_tasksByAwaitedWorker;
     uint32_t m_isolatedRuns { 0 };
 
     /// Workers that isolated runs may take down, as of the latest plan and its starts.
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -196,8 +196,8 @@
     // have to wait for earlier leases to expire.
     auto blockedUntil = m_isReconciled || hasLoadedJobs() ? neverInstant : m_earlierLeasesExpireAt;
     updateConfigurationAge();
-    auto use = useOf(stored);
-    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now(), use))
+    auto reliability = reliabilityOf(stored);
+    if (!m_scheduler.addJob(std::move(*spec), std::move(stored), blockedUntil, m_loop.now(), reliability))
         return;
     logInfo("job_known",
         { { "job", id }, { "queue", queue }, { "age_ms", unixMsNow() - acceptedAtMs }, { "offset", record.offset } });
@@ -206,14 +206,14 @@
     applyEndsOf(id);
 }
 
-TaskScheduler::StoredProgressUse TaskLeader::useOf(const std::optional<JobProgress>& stored) const
+TaskScheduler::ProgressReliability TaskLeader::reliabilityOf(const std::optional<JobProgress>& stored) const
 {
     const auto& elections = m_options.elections;
     auto author = stored ? stored->epoch : 0;
     // Versions that store no epoch store no placements either.
     bool isAuthorKnown = !stored || author > 0;
-    return { .areIdleTasksReliable = stored && elections.doLeadersRecordStartsOfIdleTasks(author, m_options.epoch),
-        .arePlacementsReliable
+    return { .idleTasks = stored && elections.doLeadersRecordStartsOfIdleTasks(author, m_options.epoch),
+        .placements
         = isAuthorKnown && elections.arePlacementsRecordedSince(author) && !m_areAssignedWorkersUnreadable };
 }
 
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -286,7 +286,7 @@
     ProgressBatch collectProgress();
     void handleProgressStored(const ProgressBatch&);
     void logJobEnd(const JobProgress&);
-    TaskScheduler::StoredProgressUse useOf(const std::optional<JobProgress>& stored) const;
+    TaskScheduler::ProgressReliability reliabilityOf(const std::optional<JobProgress>& stored) const;
     static bool mayRunEarlierTasks(const Worker&);
     bool mayRunEarlierTasks(const WorkerId&) const;
     void checkReconciled();
--- a/Tests/LibDecision/TestIdleTasks.cpp
+++ b/Tests/LibDecision/TestIdleTasks.cpp
@@ -27,7 +27,7 @@
     void inherit(StepSpec step, std::optional<JobProgress> stored = {}, bool isReliable = false)
     {
         scheduler().addJob(TaskSchedulerFixture::job(task.job, { std::move(step) }, "batch"), std::move(stored),
-            fixture.now() + leaseWait, fixture.now(), { .areIdleTasksReliable = isReliable });
+            fixture.now() + leaseWait, fixture.now(), { .idleTasks = isReliable });
     }
 
     JobProgress storedAsIdle() const { return { .id = task.job, .done = { "0" }, .idleTasks = { {} }, .epoch = 1 }; }
--- a/Tests/LibDecision/TestPlacementRecords.cpp
+++ b/Tests/LibDecision/TestPlacementRecords.cpp
@@ -49,8 +49,7 @@
 
     void inherit(std::optional<JobProgress> stored, bool isReliable)
     {
-        scheduler.addJob(
-            lastingJob(), std::move(stored), now + leaseWait, now, { .arePlacementsReliable = isReliable });
+        scheduler.addJob(lastingJob(), std::move(stored), now + leaseWait, now, { .placements = isReliable });
     }
 
     static JobProgress storedOn(const WorkerId& worker)
