Let processes that drain claim leadership, and hand over to ones that go on

Cause: SIGTERM ended all claims of a process for good, and a process that had just started counted the leader's silence from its own start. In overlapping series of restarts each process gets SIGTERM before the time-out of 1.05 s.

- A process that drains claims too, after all that go on (LibDecision/Succession), if 1.5 s of its drain are left.
- A leader that gets SIGTERM hands over at once if a process is known that goes on.
Otherwise it leads while it drains, until such a process announces itself or 0.7 s before its end.
It stops leading 0.2 s before its end and announces that. bergamot-node does not end early while it leads, or while the record that it has stopped is not stored.
- Candidates that did not claim before a draining process was elected are taken as ended until they announce themselves, so no leader hands over to them.
- The candidacy at SIGTERM states how long its author has seen no record of the leader (leaderSilentMs).
A later process counts from there if it has read no record of a leader that the author had not read.
The silence is at most the time since that record was stored, so the lease of 0.95 s ends before a claim as before.
- `claim_withheld` tells why a process does not claim while the leader is silent, once a second at most; `leader_changed` has `silent_ms`.

LeaderChainWorld and UnstoppedLeaders only pass the time of the end.

--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -24,11 +24,6 @@
 static constexpr Milliseconds leaderTimeout { 1050 };
 static constexpr Milliseconds maxMemberDelay { 250 };
 
-/// Nodes with less than this share of the CPU of the largest candidate delay their claim by `lowCpuClaimDelay`. One
-/// leader sends the commands to all workers, so a leader on a small host would limit the whole cluster.
-static constexpr double minCpuShare = 0.75;
-static constexpr Milliseconds lowCpuClaimDelay { 400 };
-
 /// Nodes that start together have this long to read each other's candidacies before the first election.
 static constexpr Milliseconds firstElectionDelay { 500 };
 
@@ -36,6 +31,16 @@
 /// leaderTimeout.
 static constexpr Milliseconds leadershipLeaseDuration { 950 };
 
+/// A process that drains claims only if it can lead for this long.
+static constexpr Milliseconds minDrainingTerm { 1500 };
+
+/// A leader that drains resigns this long before its end, so that another process that drains is elected meanwhile.
+static constexpr Milliseconds handOverTime { 700 };
+
+/// A leader that drains stops leading this long before its end, and announces it.
+static constexpr Milliseconds stopTime { 200 };
+static constexpr Milliseconds withheldClaimLogInterval { 1000 };
+
 /// Keepalives that are kept until they are read back. An older one proves less than a newer one.
 static constexpr size_t maxStoredKeepalives { 32 };
 
@@ -43,6 +48,9 @@
     : m_loop(loop)
     , m_store(store)
     , m_options(std::move(options))
+    , m_succession({ .member = m_options.node.member,
+          .incarnation = m_options.node.incarnation,
+          .cpuMillis = m_options.node.cpuMillis })
 {
 }
 
@@ -59,12 +67,15 @@
 /// The append may be delayed or lost, which is harmless: other nodes then treat the CPU of this node as unknown.
 void LeadershipMonitor::announceCandidacy()
 {
+    auto silence = std::max(m_lastStoreReplyAt - m_leaderSilentSince, Milliseconds { 0 });
     LeadershipRecord record { .member = m_options.node.member,
         .incarnation = m_options.node.incarnation,
         .peerAddress = m_options.node.peerAddress,
         .epoch = candidacyEpoch,
         .cpuMillis = m_options.node.cpuMillis,
-        .readUpTo = m_position };
+        .readUpTo = m_position,
+        .drains = drains(),
+        .leaderSilentMs = isStreamCurrent() ? silence.count() : 0 };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
     m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
         if (!*alive || reply.ok())
@@ -99,8 +110,12 @@
         .member = m_options.node.member, .incarnation = m_options.node.incarnation, .epoch = epoch, .hasStopped = true
     };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
+    ++m_unstoredStops;
     m_store.append(request, appendTimeout, [this, alive = m_alive, epoch](absl::StatusOr<AppendReply> reply) {
-        if (!*alive || reply.ok())
+        if (!*alive)
+            return;
+        --m_unstoredStops;
+        if (reply.ok())
             return;
         logWarning("stop_announcement_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
         m_loop.callAfter(keepaliveInterval, [this, alive, epoch] {
@@ -148,7 +163,9 @@
         confirmLeadership();
         if (m_position >= reply.end) {
             guardedCall("claim_failed", [&] { claimIfDue(); });
+            logWithheldClaim();
             announceRestart();
+            handOverIfDue();
         }
     }
     readNext();
@@ -162,7 +179,6 @@
             "leadership_record_unreadable", { { "offset", record.offset }, { "error", statusText(decoded.status()) } });
         return m_elections.clear();
     }
-    m_maxCandidateCpuMillis = std::max(m_maxCandidateCpuMillis, decoded->cpuMillis);
     if (decoded->epoch == candidacyEpoch)
         return applyCandidacy(*decoded);
     if (decoded->hasStopped)
@@ -174,13 +190,24 @@
     if (!m_leader || decoded->epoch != m_leader->epoch)
         return;
     m_elections.electedBefore(decoded->epoch, m_loop.now(), Milliseconds { decoded->electionAgeMs });
-    m_leaderSilentSince = m_loop.now();
+    applyLeaderRecord(record.offset);
     m_hasLeaderResigned = decoded->resigns;
 }
 
+void LeadershipMonitor::applyLeaderRecord(LogPosition offset)
+{
+    m_leaderSilentSince = m_loop.now();
+    m_leaderRecordsEnd = offset + 1;
+}
+
 void LeadershipMonitor::applyCandidacy(const LeadershipRecord& record)
 {
     m_elections.processSeenAfter(record.readUpTo, { record.member, record.incarnation, record.peerAddress });
+    m_succession.candidateSeen(
+        record.member, { .incarnation = record.incarnation, .cpuMillis = record.cpuMillis, .drains = record.drains });
+    // The author has read all records of the leader that this node has read.
+    if (record.readUpTo >= m_leaderRecordsEnd)
+        m_leaderSilentSince = std::min(m_leaderSilentSince, m_loop.now() - Milliseconds { record.leaderSilentMs });
     // A claim of an earlier process of this host may have been carried out since it was sent.
     if (record.incarnation == m_options.node.incarnation)
         m_isRestartAnnounced = false;
@@ -197,13 +224,19 @@
         { .sincePredecessor = Milliseconds { record.electionAgeMs },
             .storesReachedWorkers = record.storesReachedWorkers,
             .recordsStartsOfIdleTasks = record.recordsStartsOfIdleTasks });
+    if (record.drains)
+        m_succession.drainingLeaderElected();
+    m_succession.candidateSeen(
+        record.member, { .incarnation = record.incarnation, .cpuMillis = record.cpuMillis, .drains = record.drains });
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
-    m_leaderSilentSince = m_loop.now();
+    auto silence = m_loop.now() - m_leaderSilentSince;
+    applyLeaderRecord(epoch - 1);
     m_hasLeaderResigned = false;
     bool isOwn = record.incarnation == m_options.node.incarnation;
     if (isKnown)
         return;
-    logInfo("leader_changed", { { "epoch", epoch }, { "leader", record.member }, { "self", isOwn } });
+    logInfo("leader_changed",
+        { { "epoch", epoch }, { "leader", record.member }, { "self", isOwn }, { "silent_ms", silence.count() } });
     if (m_isLeader && !isOwn)
         stepDown();
     if (isOwn && m_hasResigned)
@@ -211,6 +244,7 @@
     if (!isOwn || m_hasResigned)
         return;
     m_isLeader = true;
+    m_hasHandedOver = false;
     m_ownEpoch = epoch;
     m_fenceToken = epoch;
     m_options.onElected(epoch, hasPredecessor);
@@ -239,14 +273,17 @@
 
 bool LeadershipMonitor::canClaim() const
 {
-    return !m_isLeader && !m_hasResigned && (!m_options.canClaim || m_options.canClaim());
+    return !m_isLeader && !m_hasResigned && hasTimeToLead() && (!m_options.canClaim || m_options.canClaim());
 }
 
+bool LeadershipMonitor::hasTimeToLead() const { return !drains() || m_loop.now() + minDrainingTerm <= m_endsBy; }
+
+/// A node that could not read the stream must not conclude that the leader sent no keepalives.
+bool LeadershipMonitor::isStreamCurrent() const { return m_loop.now() - m_lastStoreReplyAt <= maxReadGap; }
+
 void LeadershipMonitor::claimIfDue()
 {
-    // A node that could not read the stream must not conclude that the leader sent no keepalives.
-    bool isStreamCurrent = m_loop.now() - m_lastStoreReplyAt <= maxReadGap;
-    if (!isStreamCurrent || m_isClaiming || !canClaim() || m_loop.now() < claimDueAt())
+    if (!isStreamCurrent() || m_isClaiming || !canClaim() || m_loop.now() < claimDueAt())
         return;
     claim();
 }
@@ -254,19 +291,32 @@
 /// Time at which this node claims leadership if it reads no further record of the leader.
 Instant LeadershipMonitor::claimDueAt() const
 {
+    auto delay = m_succession.claimDelay(m_leader ? m_leader->incarnation : 0, drains());
     if (!m_leader)
-        return m_startedAt + firstElectionDelay + cpuClaimDelay();
+        return m_startedAt + firstElectionDelay + delay;
     if (m_hasLeaderResigned)
-        return m_leaderSilentSince + cpuClaimDelay();
+        return m_leaderSilentSince + delay;
     auto memberDelay = Milliseconds { static_cast<int64_t>(
         digestOf(m_options.node.member) % static_cast<uint64_t>(maxMemberDelay.count())) };
-    return m_leaderSilentSince + leaderTimeout + cpuClaimDelay() + memberDelay;
+    return m_leaderSilentSince + leaderTimeout + delay + memberDelay;
 }
 
-Milliseconds LeadershipMonitor::cpuClaimDelay() const
+void LeadershipMonitor::logWithheldClaim()
 {
-    auto minCpuMillis = minCpuShare * static_cast<double>(m_maxCandidateCpuMillis);
-    return static_cast<double>(m_options.node.cpuMillis) >= minCpuMillis ? Milliseconds { 0 } : lowCpuClaimDelay;
+    auto now = m_loop.now();
+    auto silence = now - m_leaderSilentSince;
+    bool isSilent = m_hasLeaderResigned || silence >= leaderTimeout;
+    if (m_isLeader || m_isClaiming || !isSilent || now - m_withheldClaimLoggedAt < withheldClaimLogInterval)
+        return;
+    m_withheldClaimLoggedAt = now;
+    const auto* reason = "candidates_before_it";
+    if (m_hasResigned)
+        reason = "resigned";
+    else if (!hasTimeToLead())
+        reason = "ends_soon";
+    else if (!canClaim())
+        reason = "not_loaded";
+    logInfo("claim_withheld", { { "reason", reason }, { "silent_ms", silence.count() }, { "drains", drains() } });
 }
 
 void LeadershipMonitor::claim()
@@ -279,14 +329,18 @@
         .cpuMillis = m_options.node.cpuMillis,
         .electionAgeMs = electionAge().count(),
         .storesReachedWorkers = true,
-        .recordsStartsOfIdleTasks = true };
+        .recordsStartsOfIdleTasks = true,
+        .drains = drains() };
     AppendRequest request { .stream = StreamName::Leadership,
         .records = { { .value = encodeValue(record) } },
         .expectedEndOffset = m_position };
     // The reply is not needed: this node reads its claim from the stream, even if the reply is lost.
-    m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply>) {
-        if (*alive)
-            m_isClaiming = false;
+    m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
+        if (!*alive)
+            return;
+        m_isClaiming = false;
+        if (reply.ok())
+            m_claimEnd = reply->offset + 1;
     });
 }
 
@@ -299,14 +353,14 @@
         .incarnation = m_options.node.incarnation,
         .peerAddress = m_options.node.peerAddress,
         .epoch = m_leader->epoch,
-        .resigns = m_hasResigned,
+        .resigns = hasResignedEpoch(),
         .electionAgeMs = electionAge().count() };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
     m_store.append(request, appendTimeout,
         [this, alive = m_alive, sentAt, epoch = m_leader->epoch](absl::StatusOr<AppendReply> reply) {
             if (!*alive || !m_isLeader || m_leader->epoch != epoch)
                 return;
-            if (reply.ok() && !m_hasResigned) {
+            if (reply.ok() && !hasResignedEpoch()) {
                 m_storedKeepalives.emplace(reply->offset, sentAt);
                 if (m_storedKeepalives.size() > maxStoredKeepalives)
                     m_storedKeepalives.erase(m_storedKeepalives.begin());
@@ -315,7 +369,7 @@
                 logWarning("keepalive_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
             }
             m_loop.callAfter(keepaliveInterval, [this, alive, epoch] {
-                if (*alive && m_isLeader && m_leader->epoch == epoch && !m_hasResigned)
+                if (*alive && m_isLeader && m_leader->epoch == epoch && !hasResignedEpoch())
                     sendKeepalive();
             });
         });
@@ -339,7 +393,13 @@
 
 void LeadershipMonitor::resign()
 {
-    if (std::exchange(m_hasResigned, true) || !m_isLeader)
+    if (!std::exchange(m_hasResigned, true))
+        resignEpoch();
+}
+
+void LeadershipMonitor::resignEpoch()
+{
+    if (!m_isLeader || std::exchange(m_hasHandedOver, true))
         return;
     logInfo("leader_resigns", { { "epoch", m_leader->epoch } });
     // A successor may be elected as soon as the record is stored.
@@ -348,6 +408,39 @@
     sendKeepalive();
 }
 
+void LeadershipMonitor::drain(Instant endsBy)
+{
+    if (drains())
+        return;
+    m_endsBy = endsBy;
+    announceCandidacy();
+    handOverIfDue();
+    m_loop.callAfter(std::max(endsBy - handOverTime - m_loop.now(), Milliseconds { 0 }), [this, alive = m_alive] {
+        if (*alive)
+            endDrain();
+    });
+}
+
+void LeadershipMonitor::handOverIfDue()
+{
+    if (drains() && m_succession.hasSuccessor())
+        resignEpoch();
+}
+
+void LeadershipMonitor::endDrain()
+{
+    resign();
+    m_loop.callAfter(handOverTime - stopTime, [this, alive = m_alive] {
+        if (*alive)
+            stepDown();
+    });
+}
+
+bool LeadershipMonitor::mayEnd() const
+{
+    return !m_isLeader && !m_isClaiming && m_claimEnd <= m_position && m_unstoredStops == 0;
+}
+
 void LeadershipMonitor::stepDown()
 {
     if (!std::exchange(m_isLeader, false))
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibDecision/ElectionHistory.h>
+#include <LibDecision/Succession.h>
 #include <LibNode/NodeOptions.h>
 #include <LibPlatform/RecordStore.h>
 #include <LibWire/LeadershipRecord.h>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -73,6 +75,13 @@
     /// Resigns if this node is the leader. The node makes no further claims.
     void resign();
 
+    /// Must be called when the process has been asked to end and will end at `endsBy` at the latest. The node hands its
+    /// leadership over as soon as a process is known that goes on. It claims only after all that go on.
+    void drain(Instant endsBy);
+
+    /// Whether this node does not lead, and whether it is stored that it has stopped wherever it has led.
+    bool mayEnd() const;
+
     /// Must be called when a worker or the store has rejected the epoch of this leader.
     void stepDown();
 
@@ -86,13 +95,19 @@
     void announceCandidacy();
     void announceRestart();
     void announceStop(uint64_t epoch);
+    void applyLeaderRecord(LogPosition offset);
+    void handOverIfDue();
+    void resignEpoch();
+    void endDrain();
+    bool drains() const { return m_endsBy != Instant::max(); }
+    bool hasTimeToLead() const;
+    bool isStreamCurrent() const;
+    bool hasResignedEpoch() const { return m_hasResigned || m_hasHandedOver; }
+    void logWithheldClaim();
     LeaderProcess ownProcess() const;
     Milliseconds electionAge() const;
     bool canClaim() const;
     Instant claimDueAt() const;
-
-    /// Delay of this node's claim in favour of candidates with more CPU.
-    Milliseconds cpuClaimDelay() const;
     void claim();
     void sendKeepalive();
     void confirmLeadership();
@@ -106,22 +121,35 @@
     bool m_isLeader { false };
     bool m_hasLeaderResigned { false };
     bool m_hasResigned { false };
+
+    /// This leader has resigned in favour of a process that goes on. It may claim again once it is deposed.
+    bool m_hasHandedOver { false };
+    Instant m_endsBy { Instant::max() };
     bool m_isClaiming { false };
     Instant m_claimedAt { neverInstant };
 
+    /// End of the last claim of this node that is known to be stored.
+    LogPosition m_claimEnd { 0 };
+
+    /// Announcements that this node has stopped leading which are not known to be stored.
+    size_t m_unstoredStops { 0 };
+
     /// The announcement that earlier processes of this host have ended is sent and not yet read back.
     bool m_isRestartAnnounced { false };
 
     /// The latest epoch in which this node has led.
     uint64_t m_ownEpoch { 0 };
 
-    /// Highest CPU capacity announced by any candidate.
-    int64_t m_maxCandidateCpuMillis { 0 };
+    Succession m_succession;
     Instant m_startedAt { neverInstant };
 
-    /// Start of the current period without a record of the leader. A period in which this node could not read the
-    /// stream does not count.
+    /// Start of the current period without a record of the leader, as this node or an author of a record has seen it. A
+    /// period in which this node could not read the stream does not count.
     Instant m_leaderSilentSince { neverInstant };
+
+    /// End of the last record of a leader that this node has read.
+    LogPosition m_leaderRecordsEnd { 0 };
+    Instant m_withheldClaimLoggedAt { neverInstant };
     Instant m_leaseExpiresAt { neverInstant };
 
     /// When the keepalives were sent that are stored but not read yet, by offset.
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -195,10 +195,10 @@
     });
 }
 
-void Node::prepareShutdown()
+void Node::prepareShutdown(Instant endsBy)
 {
     m_isShuttingDown = true;
-    m_leadership.resign();
+    m_leadership.drain(endsBy);
 }
 
 }
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -58,8 +58,12 @@
     /// The metrics in the Prometheus text format. May be called from any thread.
     std::string metricsText() const { return m_metrics.text(); }
 
-    /// Resigns leadership and reports not ready. Requests are still served.
-    void prepareShutdown();
+    /// Must be called when the process has been asked to end and will end at `endsBy` at the latest. The node reports
+    /// not ready and hands its leadership over once another process can lead. Requests are still served.
+    void prepareShutdown(Instant endsBy);
+
+    /// Whether the process can end now without leaving its leadership or the record of its end behind.
+    bool mayEnd() const { return m_leadership.mayEnd(); }
 
 private:
     void applyOperatorRecord(const KeyedRecord&);
--- a/Libraries/LibWire/LeadershipRecord.cpp
+++ b/Libraries/LibWire/LeadershipRecord.cpp
@@ -8,6 +8,8 @@
         return absl::InvalidArgumentError("cpuMillis: out of range");
     if (electionAgeMs < 0 || electionAgeMs > maxElectionAgeMs)
         return absl::InvalidArgumentError("electionAgeMs: out of range");
+    if (leaderSilentMs < 0 || leaderSilentMs > maxLeaderSilentMs)
+        return absl::InvalidArgumentError("leaderSilentMs: out of range");
     return absl::OkStatus();
 }
 
--- a/Libraries/LibWire/LeadershipRecord.h
+++ b/Libraries/LibWire/LeadershipRecord.h
@@ -19,6 +19,9 @@
 /// Limit of LeadershipRecord::electionAgeMs.
 inline constexpr int64_t maxElectionAgeMs = int64_t { 1 } << 40;
 
+/// Limit of LeadershipRecord::leaderSilentMs.
+inline constexpr int64_t maxLeaderSilentMs = int64_t { 1 } << 40;
+
 /// A record of the leadership stream. The epoch of a claim is its offset plus one, so epochs increase without being
 /// stored.
 struct LeadershipRecord {
@@ -54,12 +57,19 @@
     /// In claims: the author stores that a task is no longer idle before it starts the task (JobProgress::idleTasks).
     bool recordsStartsOfIdleTasks { false };
 
-    /// Returns InvalidArgument when the processor capacity or the age is out of range.
+    /// In claims and candidacies: the author has been asked to end, and leads only while no other process can.
+    bool drains { false };
+
+    /// In candidacies, the time for which the author has read no record of a leader, when it had read up to `readUpTo`;
+    /// 0 when it is unknown. So a process that starts later counts the silence that earlier ones have seen.
+    int64_t leaderSilentMs { 0 };
+
+    /// Returns InvalidArgument when the processor capacity or a time is out of range.
     absl::Status check() const;
 
     bool operator==(const LeadershipRecord&) const = default;
     MSGPACK_DEFINE_ARRAY(member, incarnation, peerAddress, epoch, resigns, cpuMillis, readUpTo, hasStopped,
-        electionAgeMs, storesReachedWorkers, recordsStartsOfIdleTasks)
+        electionAgeMs, storesReachedWorkers, recordsStartsOfIdleTasks, drains, leaderSilentMs)
 };
 
 }
--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -185,7 +185,7 @@
         if (info.ssi_signo == SIGHUP || m_drainStartedAt != neverInstant)
             continue;
         m_drainStartedAt = m_loop->now();
-        m_node->prepareShutdown();
+        m_node->prepareShutdown(m_drainStartedAt + Milliseconds { m_settings.gracePeriodMs } - exitMargin);
         checkDrain();
     }
 }
@@ -194,7 +194,7 @@
 {
     auto elapsed = m_loop->now() - m_drainStartedAt;
     bool idle = m_front->requestsInProgress() == 0;
-    if ((elapsed >= readinessPropagationTime && idle)
+    if ((elapsed >= readinessPropagationTime && idle && m_node->mayEnd())
         || elapsed >= Milliseconds { m_settings.gracePeriodMs } - exitMargin) {
         logInfo("process_stop", { { "drained", idle }, { "ms", elapsed.count() } });
         m_loop->stop();
--- a/Tests/LibNode/LeaderChainWorld.h
+++ b/Tests/LibNode/LeaderChainWorld.h
@@ -275,7 +275,7 @@
     /// The process ends as after SIGTERM, and a new one starts on its host.
     void stop(Host& host)
     {
-        host.node->prepareShutdown();
+        host.node->prepareShutdown(host.clock->now() + shutdownTime);
         host.isStopping = true;
         host.endsAt = clock.now() + shutdownTime;
     }
--- a/Tests/LibNode/TestUnstoppedLeaders.cpp
+++ b/Tests/LibNode/TestUnstoppedLeaders.cpp
@@ -101,6 +101,7 @@
 {
     constexpr Milliseconds termOfSecond { 150'000 };
     constexpr Milliseconds electionTime { 3000 };
+    constexpr Milliseconds shutdownTime { 5200 };
     CutOffCluster it;
     CutOffCluster::Member third { *it.loop, it.store, it.workers };
     it.runTask(5);
@@ -113,7 +114,7 @@
     it.advance(termOfSecond);
     CHECK_EQUAL(1, it.mostRuns);
     CHECK(it.workers.at("w1").runs.contains(it.task));
-    it.second.node->prepareShutdown();
+    it.second.node->prepareShutdown(it.loop->now() + shutdownTime);
     it.advance(longestRenewalsByAnyClock + electionTime + settlingTime - termOfSecond);
     auto mostRuns = it.mostRuns;
     bool runsElsewhere = it.workers.at("w4").runs.contains(it.task) || it.workers.at("w5").runs.contains(it.task);
