Take a hand-over back if no other process has been elected

A leader that drains hands over to a process that it knows from the stream. If that process has been killed and no other one is up, nobody claimed, and the leader spent the rest of its drain without proof of its leadership, so it started no new jobs.

It now goes on after 1.2 s without an election, and takes the candidates that it knew as ended until they announce themselves. Its keepalive is either stored before any claim, which then fails because the stream has grown, or after one, which deposes the leader before it has read the keepalive back. So the proof of leadership is as strict as before.

--- a/Libraries/LibDecision/Succession.cpp
+++ b/Libraries/LibDecision/Succession.cpp
@@ -40,7 +40,7 @@
     m_entries.erase(std::ranges::min_element(m_entries, {}, [](const auto& it) { return it.second.startOrder; }));
 }
 
-void Succession::drainingLeaderElected()
+void Succession::candidatesMissedElection()
 {
     for (auto& [member, entry] : m_entries)
         entry.hasMissedElection = true;
--- a/Libraries/LibDecision/Succession.h
+++ b/Libraries/LibDecision/Succession.h
@@ -36,9 +36,9 @@
     /// Must be called for each announcement in the order of the stream. A process that drains does so until its end.
     void candidateSeen(const MemberId&, const Candidate&);
 
-    /// A process that drains has been elected, so the candidates that should have claimed before it are taken as ended
-    /// until they announce themselves again.
-    void drainingLeaderElected();
+    /// Must be called when no candidate that goes on has claimed, although it should have. The known ones are taken as
+    /// ended until they announce themselves again.
+    void candidatesMissedElection();
 
     /// Whether a process other than this one can be expected to claim and to go on.
     bool hasSuccessor() const;
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -34,6 +34,11 @@
 /// A process that drains claims only if it can lead for this long.
 static constexpr Milliseconds minDrainingTerm { 1500 };
 
+/// A leader that has handed over goes on if no other process has been elected for this long. Must be longer than an
+/// append and the interval of keepalives, so that the last keepalive before has been answered.
+static constexpr Milliseconds handOverTimeout { 1200 };
+static_assert(handOverTimeout > appendTimeout + keepaliveInterval);
+
 /// A leader that drains resigns this long before its end, so that another process that drains is elected meanwhile.
 static constexpr Milliseconds handOverTime { 700 };
 
@@ -225,7 +230,7 @@
             .storesReachedWorkers = record.storesReachedWorkers,
             .recordsStartsOfIdleTasks = record.recordsStartsOfIdleTasks });
     if (record.drains)
-        m_succession.drainingLeaderElected();
+        m_succession.candidatesMissedElection();
     m_succession.candidateSeen(
         record.member, { .incarnation = record.incarnation, .cpuMillis = record.cpuMillis, .drains = record.drains });
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
@@ -423,8 +428,23 @@
 
 void LeadershipMonitor::handOverIfDue()
 {
-    if (drains() && m_succession.hasSuccessor())
-        resignEpoch();
+    if (!m_isLeader || m_hasHandedOver || !drains() || !m_succession.hasSuccessor())
+        return;
+    resignEpoch();
+    m_loop.callAfter(handOverTimeout, [this, alive = m_alive, epoch = m_ownEpoch] {
+        if (*alive && m_isLeader && m_ownEpoch == epoch && !m_hasResigned)
+            takeBackResignation();
+    });
+}
+
+/// The keepalive that follows is stored either before any claim, which then fails, or after one, which deposes this
+/// leader before the keepalive proves its leadership.
+void LeadershipMonitor::takeBackResignation()
+{
+    logInfo("resignation_taken_back", { { "epoch", m_ownEpoch } });
+    m_succession.candidatesMissedElection();
+    m_hasHandedOver = false;
+    sendKeepalive();
 }
 
 void LeadershipMonitor::endDrain()
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -97,6 +97,7 @@
     void announceStop(uint64_t epoch);
     void applyLeaderRecord(LogPosition offset);
     void handOverIfDue();
+    void takeBackResignation();
     void resignEpoch();
     void endDrain();
     bool drains() const { return m_endsBy != Instant::max(); }
--- a/Tests/LibDecision/TestSuccession.cpp
+++ b/Tests/LibDecision/TestSuccession.cpp
@@ -38,7 +38,7 @@
 {
     succession.candidateSeen("m2", { .incarnation = 2, .cpuMillis = 4000 });
     CHECK(succession.hasSuccessor());
-    succession.drainingLeaderElected();
+    succession.candidatesMissedElection();
     CHECK_FALSE(succession.hasSuccessor());
     CHECK(delay(true) == Milliseconds { 0 });
     succession.candidateSeen("m2", { .incarnation = 2, .cpuMillis = 4000 });
--- a/Tests/LibNode/TestRestartSeries.cpp
+++ b/Tests/LibNode/TestRestartSeries.cpp
@@ -1,5 +1,6 @@
 #include "RestartSeriesWorld.h"
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 using namespace Bergamot;
 
@@ -29,3 +30,19 @@
     }
     CHECK_COMPARE(longest.count(), <=, maxTimeWithoutLeader.count());
 }
+
+// Guards against a drain without a leader after a hand-over to a process that has been killed.
+TEST(RestartSeries, HandOverToAKilledProcessIsTakenBack)
+{
+    RestartSeriesWorld it { 1, 2 };
+    CHECK(it.begin());
+    auto* leading = it.leadingHost();
+    for (auto& host : it.hosts) {
+        if (&host != leading)
+            it.end(host, Milliseconds { 60'000 });
+    }
+    it.terminate(*leading);
+    it.advance(Milliseconds { 4000 });
+    CHECK(it.isLed());
+    CHECK_COMPARE(it.longestWithoutLeader.count(), <=, 1300);
+}
