Prefer the process that has started last as the next leader

When a leader resigned or fell silent, all candidates of the same CPU claimed at about the same time. In a series of restarts the winner was often a host that had not been restarted yet, so the next restart changed the leader again.

The process whose first announcement is the last one in the leadership stream claims without delay, the others 100 to 200 ms later. A dead one costs only that. Small hosts still wait 400 ms more, and processes that drain 200 ms more than all others. This delay replaces the one by node of up to 250 ms after the time-out.

No host of an overlapping series is back when the leader must hand over, so the order alone does not help there. The property of the time without a leader still holds; its processes now read the stream 0 to 40 ms late.

--- a/Libraries/LibDecision/Succession.cpp
+++ b/Libraries/LibDecision/Succession.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Digest.h>
 #include <LibDecision/Succession.h>
 #include <algorithm>
 #include <utility>
@@ -9,10 +10,14 @@
 static constexpr double minCpuShare = 0.75;
 static constexpr Milliseconds lowCpuClaimDelay { 400 };
 
-/// By how much the claim of a process that drains follows those of all that do not. Covers the delay by node.
-static constexpr Milliseconds drainingMargin { 400 };
+/// The others claim this much after the process that has started last, plus a delay that differs by node.
+static constexpr Milliseconds earlierStartDelay { 100 };
+static constexpr Milliseconds maxMemberDelay { 100 };
 
-static_assert(Succession::maxClaimDelay >= lowCpuClaimDelay);
+/// By how much the claim of a process that drains follows those of all that do not.
+static constexpr Milliseconds drainingMargin { 200 };
+
+static_assert(Succession::maxClaimDelay == lowCpuClaimDelay + earlierStartDelay + maxMemberDelay);
 
 Succession::Succession(Options options)
     : m_options(std::move(options))
@@ -46,23 +51,44 @@
         entry.hasMissedElection = true;
 }
 
+bool Succession::isLasting(const Entry& entry) const { return !entry.candidate.drains && !entry.hasMissedElection; }
+
 bool Succession::hasLastingCandidateBeside(uint64_t incarnation) const
 {
     return std::ranges::any_of(m_entries, [&](const auto& it) {
-        const auto& candidate = it.second.candidate;
-        return it.first != m_options.member && candidate.incarnation != incarnation && !candidate.drains
-            && !it.second.hasMissedElection;
+        return it.first != m_options.member && it.second.candidate.incarnation != incarnation && isLasting(it.second);
     });
 }
 
 bool Succession::hasSuccessor() const { return hasLastingCandidateBeside(m_options.incarnation); }
 
+bool Succession::hasEnoughCpu(int64_t cpuMillis) const
+{
+    return static_cast<double>(cpuMillis) >= minCpuShare * static_cast<double>(m_maxCpuMillis);
+}
+
+/// Whether this process has started after all candidates that may claim without delay.
+bool Succession::hasStartedLast(uint64_t formerLeader) const
+{
+    auto own = m_entries.find(m_options.member);
+    if (own == m_entries.end() || own->second.candidate.incarnation != m_options.incarnation)
+        return false;
+    return std::ranges::none_of(m_entries, [&](const auto& it) {
+        const auto& candidate = it.second.candidate;
+        return candidate.incarnation != formerLeader && isLasting(it.second) && hasEnoughCpu(candidate.cpuMillis)
+            && it.second.startOrder > own->second.startOrder;
+    });
+}
+
 Milliseconds Succession::claimDelay(uint64_t formerLeader, bool drains) const
 {
-    if (drains && hasLastingCandidateBeside(formerLeader))
-        return maxClaimDelay + drainingMargin;
-    auto minCpuMillis = minCpuShare * static_cast<double>(m_maxCpuMillis);
-    return static_cast<double>(m_options.cpuMillis) >= minCpuMillis ? Milliseconds { 0 } : lowCpuClaimDelay;
+    auto memberDelay = Milliseconds { static_cast<int64_t>(
+        digestOf(m_options.member) % static_cast<uint64_t>(maxMemberDelay.count())) };
+    if (drains)
+        return memberDelay
+            + (hasLastingCandidateBeside(formerLeader) ? maxClaimDelay + drainingMargin : Milliseconds { 0 });
+    auto cpuDelay = hasEnoughCpu(m_options.cpuMillis) ? Milliseconds { 0 } : lowCpuClaimDelay;
+    return hasStartedLast(formerLeader) ? cpuDelay : cpuDelay + earlierStartDelay + memberDelay;
 }
 
 }
--- a/Libraries/LibDecision/Succession.h
+++ b/Libraries/LibDecision/Succession.h
@@ -9,8 +9,9 @@
 namespace Bergamot {
 
 /// Decides how long a process holds back its claim of leadership in favour of better candidates, and whether a leader
-/// that ends soon has a successor. Processes that do not drain come before those that do, and hosts with more CPU
-/// before small ones. The delays only avoid changes of leader. That no two processes lead is guaranteed by the store.
+/// that ends soon has a successor. Processes that do not drain come before those that do, hosts with more CPU before
+/// small ones, and the process that has started last before the others: in a series of restarts it is not restarted
+/// again. The delays only avoid changes of leader. That no two processes lead is guaranteed by the store.
 class Succession {
 public:
     struct Options {
@@ -29,7 +30,7 @@
     };
 
     /// Largest result of claimDelay() for a process that does not drain.
-    static constexpr Milliseconds maxClaimDelay { 400 };
+    static constexpr Milliseconds maxClaimDelay { 600 };
 
     explicit Succession(Options);
 
@@ -58,7 +59,10 @@
         bool hasMissedElection { false };
     };
 
+    bool isLasting(const Entry&) const;
     bool hasLastingCandidateBeside(uint64_t incarnation) const;
+    bool hasEnoughCpu(int64_t cpuMillis) const;
+    bool hasStartedLast(uint64_t formerLeader) const;
     void removeOldest();
 
     Options m_options;
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -1,4 +1,3 @@
-#include <LibCore/Digest.h>
 #include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
@@ -20,9 +19,8 @@
 static constexpr Milliseconds maxReadGap = Milliseconds { 1000 } + readWait;
 static constexpr Milliseconds retryDelay { 150 };
 
-/// A leader is replaced if no keepalive arrives within this time plus a delay that differs by node.
+/// A leader is replaced if no keepalive arrives within this time plus the delay of the best candidate.
 static constexpr Milliseconds leaderTimeout { 1050 };
-static constexpr Milliseconds maxMemberDelay { 250 };
 
 /// Nodes that start together have this long to read each other's candidacies before the first election.
 static constexpr Milliseconds firstElectionDelay { 500 };
@@ -301,9 +299,7 @@
         return m_startedAt + firstElectionDelay + delay;
     if (m_hasLeaderResigned)
         return m_leaderSilentSince + delay;
-    auto memberDelay = Milliseconds { static_cast<int64_t>(
-        digestOf(m_options.node.member) % static_cast<uint64_t>(maxMemberDelay.count())) };
-    return m_leaderSilentSince + leaderTimeout + delay + memberDelay;
+    return m_leaderSilentSince + leaderTimeout + delay;
 }
 
 void LeadershipMonitor::logWithheldClaim()
--- a/Tests/LibNode/RestartSeriesWorld.h
+++ b/Tests/LibNode/RestartSeriesWorld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FakeRecordStore.h"
+#include "LateReplyStore.h"
 #include "NodeTestClock.h"
 #include <LibHttp/EventLoop.h>
 #include <LibNode/LeadershipMonitor.h>
@@ -44,6 +45,7 @@
     std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
     FakeRecordStore store { *loop };
     std::mt19937 random;
+    LateReplyStore lateStore { *loop, store, random };
     std::vector<Host> hosts;
     uint64_t incarnation { 0 };
     size_t readRecords { 0 };
@@ -77,7 +79,7 @@
         host.startedAt = clock.now();
         host.drainsSince = Instant::max();
         host.nextTermAt = lifeTime ? clock.now() + lifeTime() : Instant::max();
-        host.monitor = std::make_unique<LeadershipMonitor>(*loop, store,
+        host.monitor = std::make_unique<LeadershipMonitor>(*loop, lateStore,
             LeadershipMonitor::Options {
                 .node = { .member = host.name, .incarnation = ++incarnation << 32U, .peerAddress = host.name },
                 .canClaim = [this, &host] { return clock.now() >= host.startedAt + loadTime; },
--- a/Tests/LibNode/TestRestartSeries.cpp
+++ b/Tests/LibNode/TestRestartSeries.cpp
@@ -1,6 +1,7 @@
 #include "RestartSeriesWorld.h"
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <vector>
 
 using namespace Bergamot;
 
@@ -46,3 +47,38 @@
     CHECK(it.isLed());
     CHECK_COMPARE(it.longestWithoutLeader.count(), <=, 1300);
 }
+
+/// Restarts each process once, the leader in office first wherever it is left, and returns the changes of leader.
+static uint32_t changesInSeries(RestartSeriesWorld& it, Milliseconds gap)
+{
+    std::vector<RestartSeriesWorld::Host*> left;
+    for (auto& host : it.hosts)
+        left.push_back(&host);
+    auto before = it.elections;
+    while (!left.empty()) {
+        auto next = std::ranges::find(left, it.leadingHost());
+        if (next == left.end())
+            next = left.begin() + it.random() % left.size();
+        it.terminate(**next);
+        left.erase(next);
+        it.advance(gap);
+    }
+    it.advance(Milliseconds { 8000 });
+    return it.elections - before;
+}
+
+// Guards against a change of leader at each restart of a series, because the next host of the series succeeds.
+TEST(RestartSeries, SeriesOverAllHostsCostsFewChanges)
+{
+    constexpr size_t hostCount { 8 };
+    constexpr uint32_t maxChanges { 3 };
+    constexpr uint32_t series { 40 };
+    uint32_t most = 0;
+    for (uint32_t seed = 1; seed <= series; ++seed) {
+        RestartSeriesWorld it { seed, hostCount };
+        CHECK(it.begin());
+        most = std::max(most, changesInSeries(it, Milliseconds { 7000 }));
+        CHECK(it.isLed());
+    }
+    CHECK_COMPARE(most, <=, maxChanges);
+}
