--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -1,4 +1,3 @@
-#include <LibCore/Digest.h>
 #include <LibCore/GuardedCall.h>
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
@@ -20,14 +19,8 @@
 static constexpr Milliseconds maxReadGap = Milliseconds { 1000 } + readWait;
 static constexpr Milliseconds retryDelay { 150 };
 
-/// A leader is replaced if no keepalive arrives within this time plus a delay that differs by node.
+/// A leader is replaced if no keepalive arrives within this time plus the delay of the best candidate.
 static constexpr Milliseconds leaderTimeout { 1050 };
-static constexpr Milliseconds maxMemberDelay { 250 };
-
-/// Nodes with less than this share of the CPU of the largest candidate delay their claim by `lowCpuClaimDelay`. One
-/// leader sends the commands to all workers, so a leader on a small host would limit the whole cluster.
-static constexpr double minCpuShare = 0.75;
-static constexpr Milliseconds lowCpuClaimDelay { 400 };
 
 /// Nodes that start together have this long to read each other's candidacies before the first election.
 static constexpr Milliseconds firstElectionDelay { 500 };
@@ -36,6 +29,21 @@
 /// leaderTimeout.
 static constexpr Milliseconds leadershipLeaseDuration { 950 };
 
+/// A process that drains claims only if it can lead for this long.
+static constexpr Milliseconds minDrainingTerm { 1500 };
+
+/// A leader that has handed over goes on if no other process has been elected for this long. Must be longer than an
+/// append and the interval of keepalives, so that the last keepalive before has been answered.
+static constexpr Milliseconds handOverTimeout { 1200 };
+static_assert(handOverTimeout > appendTimeout + keepaliveInterval);
+
+/// A leader that drains resigns this long before its end, so that another process that drains is elected meanwhile.
+static constexpr Milliseconds handOverTime { 700 };
+
+/// A leader that drains stops leading this long before its end, and announces it.
+static constexpr Milliseconds stopTime { 200 };
+static constexpr Milliseconds withheldClaimLogInterval { 1000 };
+
 /// Keepalives that are kept until they are read back. An older one proves less than a newer one.
 static constexpr size_t maxStoredKeepalives { 32 };
 
@@ -43,6 +51,9 @@
     : m_loop(loop)
     , m_store(store)
     , m_options(std::move(options))
+    , m_succession({ .member = m_options.node.member,
+          .incarnation = m_options.node.incarnation,
+          .cpuMillis = m_options.node.cpuMillis })
 {
 }
 
@@ -59,12 +70,15 @@
 /// The append may be delayed or lost, which is harmless: other nodes then treat the CPU of this node as unknown.
 void LeadershipMonitor::announceCandidacy()
 {
+    auto silence = std::max(m_lastStoreReplyAt - m_leaderSilentSince, Milliseconds { 0 });
     LeadershipRecord record { .member = m_options.node.member,
         .incarnation = m_options.node.incarnation,
         .peerAddress = m_options.node.peerAddress,
         .epoch = candidacyEpoch,
         .cpuMillis = m_options.node.cpuMillis,
-        .readUpTo = m_position };
+        .readUpTo = m_position,
+        .drains = drains(),
+        .leaderSilentMs = isStreamCurrent() ? silence.count() : 0 };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
     m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
         if (!*alive || reply.ok())
@@ -99,8 +113,12 @@
         .member = m_options.node.member, .incarnation = m_options.node.incarnation, .epoch = epoch, .hasStopped = true
     };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
+    ++m_unstoredStops;
     m_store.append(request, appendTimeout, [this, alive = m_alive, epoch](absl::StatusOr<AppendReply> reply) {
-        if (!*alive || reply.ok())
+        if (!*alive)
+            return;
+        --m_unstoredStops;
+        if (reply.ok())
             return;
         logWarning("stop_announcement_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
         m_loop.callAfter(keepaliveInterval, [this, alive, epoch] {
@@ -148,7 +166,9 @@
         confirmLeadership();
         if (m_position >= reply.end) {
             guardedCall("claim_failed", [&] { claimIfDue(); });
+            logWithheldClaim();
             announceRestart();
+            handOverIfDue();
         }
     }
     readNext();
@@ -162,7 +182,6 @@
             "leadership_record_unreadable", { { "offset", record.offset }, { "error", statusText(decoded.status()) } });
         return m_elections.clear();
     }
-    m_maxCandidateCpuMillis = std::max(m_maxCandidateCpuMillis, decoded->cpuMillis);
     if (decoded->epoch == candidacyEpoch)
         return applyCandidacy(*decoded);
     if (decoded->hasStopped)
@@ -174,13 +193,24 @@
     if (!m_leader || decoded->epoch != m_leader->epoch)
         return;
     m_elections.electedBefore(decoded->epoch, m_loop.now(), Milliseconds { decoded->electionAgeMs });
-    m_leaderSilentSince = m_loop.now();
+    applyLeaderRecord(record.offset);
     m_hasLeaderResigned = decoded->resigns;
 }
 
+void LeadershipMonitor::applyLeaderRecord(LogPosition offset)
+{
+    m_leaderSilentSince = m_loop.now();
+    m_leaderRecordsEnd = offset + 1;
+}
+
 void LeadershipMonitor::applyCandidacy(const LeadershipRecord& record)
 {
     m_elections.processSeenAfter(record.readUpTo, { record.member, record.incarnation, record.peerAddress });
+    m_succession.candidateSeen(
+        record.member, { .incarnation = record.incarnation, .cpuMillis = record.cpuMillis, .drains = record.drains });
+    // The author has read all records of the leader that this node has read.
+    if (record.readUpTo >= m_leaderRecordsEnd)
+        m_leaderSilentSince = std::min(m_leaderSilentSince, m_loop.now() - Milliseconds { record.leaderSilentMs });
     // A claim of an earlier process of this host may have been carried out since it was sent.
     if (record.incarnation == m_options.node.incarnation)
         m_isRestartAnnounced = false;
@@ -198,13 +228,19 @@
             .storesReachedWorkers = record.storesReachedWorkers,
             .recordsStartsOfIdleTasks = record.recordsStartsOfIdleTasks,
             .placementsRecordedSince = record.placementsRecordedSince });
+    if (record.drains)
+        m_succession.candidatesMissedElection();
+    m_succession.candidateSeen(
+        record.member, { .incarnation = record.incarnation, .cpuMillis = record.cpuMillis, .drains = record.drains });
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
-    m_leaderSilentSince = m_loop.now();
+    auto silence = m_loop.now() - m_leaderSilentSince;
+    applyLeaderRecord(epoch - 1);
     m_hasLeaderResigned = false;
     bool isOwn = record.incarnation == m_options.node.incarnation;
     if (isKnown)
         return;
-    logInfo("leader_changed", { { "epoch", epoch }, { "leader", record.member }, { "self", isOwn } });
+    logInfo("leader_changed",
+        { { "epoch", epoch }, { "leader", record.member }, { "self", isOwn }, { "silent_ms", silence.count() } });
     if (m_isLeader && !isOwn)
         stepDown();
     if (isOwn && m_hasResigned)
@@ -212,6 +248,7 @@
     if (!isOwn || m_hasResigned)
         return;
     m_isLeader = true;
+    m_hasHandedOver = false;
     m_ownEpoch = epoch;
     m_fenceToken = epoch;
     m_options.onElected(epoch, hasPredecessor);
@@ -241,14 +278,17 @@
 
 bool LeadershipMonitor::canClaim() const
 {
-    return !m_isLeader && !m_hasResigned && (!m_options.canClaim || m_options.canClaim());
+    return !m_isLeader && !m_hasResigned && hasTimeToLead() && (!m_options.canClaim || m_options.canClaim());
 }
 
+bool LeadershipMonitor::hasTimeToLead() const { return !drains() || m_loop.now() + minDrainingTerm <= m_endsBy; }
+
+/// A node that could not read the stream must not conclude that the leader sent no keepalives.
+bool LeadershipMonitor::isStreamCurrent() const { return m_loop.now() - m_lastStoreReplyAt <= maxReadGap; }
+
 void LeadershipMonitor::claimIfDue()
 {
-    // A node that could not read the stream must not conclude that the leader sent no keepalives.
-    bool isStreamCurrent = m_loop.now() - m_lastStoreReplyAt <= maxReadGap;
-    if (!isStreamCurrent || m_isClaiming || !canClaim() || m_loop.now() < claimDueAt())
+    if (!isStreamCurrent() || m_isClaiming || !canClaim() || m_loop.now() < claimDueAt())
         return;
     claim();
 }
@@ -256,19 +296,30 @@
 /// Time at which this node claims leadership if it reads no further record of the leader.
 Instant LeadershipMonitor::claimDueAt() const
 {
+    auto delay = m_succession.claimDelay(m_leader ? m_leader->incarnation : 0, drains());
     if (!m_leader)
-        return m_startedAt + firstElectionDelay + cpuClaimDelay();
+        return m_startedAt + firstElectionDelay + delay;
     if (m_hasLeaderResigned)
-        return m_leaderSilentSince + cpuClaimDelay();
-    auto memberDelay = Milliseconds { static_cast<int64_t>(
-        digestOf(m_options.node.member) % static_cast<uint64_t>(maxMemberDelay.count())) };
-    return m_leaderSilentSince + leaderTimeout + cpuClaimDelay() + memberDelay;
+        return m_leaderSilentSince + delay;
+    return m_leaderSilentSince + leaderTimeout + delay;
 }
 
-Milliseconds LeadershipMonitor::cpuClaimDelay() const
+void LeadershipMonitor::logWithheldClaim()
 {
-    auto minCpuMillis = minCpuShare * static_cast<double>(m_maxCandidateCpuMillis);
-    return static_cast<double>(m_options.node.cpuMillis) >= minCpuMillis ? Milliseconds { 0 } : lowCpuClaimDelay;
+    auto now = m_loop.now();
+    auto silence = now - m_leaderSilentSince;
+    bool isSilent = m_hasLeaderResigned || silence >= leaderTimeout;
+    if (m_isLeader || m_isClaiming || !isSilent || now - m_withheldClaimLoggedAt < withheldClaimLogInterval)
+        return;
+    m_withheldClaimLoggedAt = now;
+    const auto* reason = "candidates_before_it";
+    if (m_hasResigned)
+        reason = "resigned";
+    else if (!hasTimeToLead())
+        reason = "ends_soon";
+    else if (!canClaim())
+        reason = "not_loaded";
+    logInfo("claim_withheld", { { "reason", reason }, { "silent_ms", silence.count() }, { "drains", drains() } });
 }
 
 void LeadershipMonitor::claim()
@@ -282,14 +333,18 @@
         .electionAgeMs = electionAge().count(),
         .storesReachedWorkers = true,
         .recordsStartsOfIdleTasks = true,
-        .placementsRecordedSince = m_elections.placementsRecordedSince().value_or(m_position + 1) };
+        .placementsRecordedSince = m_elections.placementsRecordedSince().value_or(m_position + 1),
+        .drains = drains() };
     AppendRequest request { .stream = StreamName::Leadership,
         .records = { { .value = encodeValue(record) } },
         .expectedEndOffset = m_position };
     // The reply is not needed: this node reads its claim from the stream, even if the reply is lost.
-    m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply>) {
-        if (*alive)
-            m_isClaiming = false;
+    m_store.append(request, appendTimeout, [this, alive = m_alive](absl::StatusOr<AppendReply> reply) {
+        if (!*alive)
+            return;
+        m_isClaiming = false;
+        if (reply.ok())
+            m_claimEnd = reply->offset + 1;
     });
 }
 
@@ -302,7 +357,7 @@
         .incarnation = m_options.node.incarnation,
         .peerAddress = m_options.node.peerAddress,
         .epoch = m_leader->epoch,
-        .resigns = m_hasResigned,
+        .resigns = hasResignedEpoch(),
         .electionAgeMs = electionAge().count(),
         .placementsRecordedSince = m_elections.placementsRecordedSince().value_or(m_leader->epoch) };
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
@@ -310,7 +365,7 @@
         [this, alive = m_alive, sentAt, epoch = m_leader->epoch](absl::StatusOr<AppendReply> reply) {
             if (!*alive || !m_isLeader || m_leader->epoch != epoch)
                 return;
-            if (reply.ok() && !m_hasResigned) {
+            if (reply.ok() && !hasResignedEpoch()) {
                 m_storedKeepalives.emplace(reply->offset, sentAt);
                 if (m_storedKeepalives.size() > maxStoredKeepalives)
                     m_storedKeepalives.erase(m_storedKeepalives.begin());
@@ -319,7 +374,7 @@
                 logWarning("keepalive_failed", { { "epoch", epoch }, { "error", statusText(reply.status()) } });
             }
             m_loop.callAfter(keepaliveInterval, [this, alive, epoch] {
-                if (*alive && m_isLeader && m_leader->epoch == epoch && !m_hasResigned)
+                if (*alive && m_isLeader && m_leader->epoch == epoch && !hasResignedEpoch())
                     sendKeepalive();
             });
         });
@@ -343,7 +398,13 @@
 
 void LeadershipMonitor::resign()
 {
-    if (std::exchange(m_hasResigned, true) || !m_isLeader)
+    if (!std::exchange(m_hasResigned, true))
+        resignEpoch();
+}
+
+void LeadershipMonitor::resignEpoch()
+{
+    if (!m_isLeader || std::exchange(m_hasHandedOver, true))
         return;
     logInfo("leader_resigns", { { "epoch", m_leader->epoch } });
     // A successor may be elected as soon as the record is stored.
@@ -352,6 +413,54 @@
     sendKeepalive();
 }
 
+void LeadershipMonitor::drain(Instant endsBy)
+{
+    if (drains())
+        return;
+    m_endsBy = endsBy;
+    announceCandidacy();
+    handOverIfDue();
+    m_loop.callAfter(std::max(endsBy - handOverTime - m_loop.now(), Milliseconds { 0 }), [this, alive = m_alive] {
+        if (*alive)
+            endDrain();
+    });
+}
+
+void LeadershipMonitor::handOverIfDue()
+{
+    if (!m_isLeader || m_hasHandedOver || !drains() || !m_succession.hasSuccessor())
+        return;
+    resignEpoch();
+    m_loop.callAfter(handOverTimeout, [this, alive = m_alive, epoch = m_ownEpoch] {
+        if (*alive && m_isLeader && m_ownEpoch == epoch && !m_hasResigned)
+            takeBackResignation();
+    });
+}
+
+/// The keepalive that follows is stored either before any claim, which then fails, or after one, which deposes this
+/// leader before the keepalive proves its leadership.
+void LeadershipMonitor::takeBackResignation()
+{
+    logInfo("resignation_taken_back", { { "epoch", m_ownEpoch } });
+    m_succession.candidatesMissedElection();
+    m_hasHandedOver = false;
+    sendKeepalive();
+}
+
+void LeadershipMonitor::endDrain()
+{
+    resign();
+    m_loop.callAfter(handOverTime - stopTime, [this, alive = m_alive] {
+        if (*alive)
+            stepDown();
+    });
+}
+
+bool LeadershipMonitor::mayEnd() const
+{
+    return !m_isLeader && !m_isClaiming && m_claimEnd <= m_position && m_unstoredStops == 0;
+}
+
 void LeadershipMonitor::stepDown()
 {
     if (!std::exchange(m_isLeader, false))
