Let a server stop without losing a request that it has read

A process that stops checked requestsInProgress() and then shut its server down. Between the two the server's thread could read another request, and a response counted as sent before it had been written: both were lost.

stopReading() ends all reads, closes the connections without an unanswered request and lets the others finish; unfinishedRequests() counts from before a read until the response is in the socket, so nothing can start once it is zero. closeConnectionsAfterResponses() makes each response the last one of its connection; requests sent ahead are answered first.

--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -39,11 +39,23 @@
     /// Number of requests that have been received but not answered.
     size_t requestsInProgress() const { return m_state->requestsInProgress.load(); }
 
+    /// Number of requests that are being read, are in progress, or whose response has not been written in full. No
+    /// request starts once this is zero after stopReading().
+    size_t unfinishedRequests() const { return m_state->unfinishedRequests.load(); }
+
+    /// From this call on, the response to the last request that has been read from a connection has the header
+    /// `Connection: close`, and the connection closes after it. May be called from any thread.
+    void closeConnectionsAfterResponses() { m_state->isClosingConnections = true; }
+
+    /// Stops reading from all connections. A connection whose requests have all been answered closes; requests that
+    /// have been read completely are still answered. May be called from any thread.
+    void stopReading() { m_state->stopReading(); }
+
     /// Replaces the limits, also for open connections. May be called from any thread.
     void setLimits(const HttpLimits&);
 
-    /// Closes the listener and all connections. Pistache drops requests in progress here, so the caller must
-    /// first wait until requestsInProgress() is zero.
+    /// Closes the listener and all connections. Pistache drops unfinished requests here, so the caller must first call
+    /// stopReading() and wait until unfinishedRequests() is zero.
     void shutdown();
 
 private:
--- a/Libraries/LibHttp/ResponseQueue.cpp
+++ b/Libraries/LibHttp/ResponseQueue.cpp
@@ -22,6 +22,8 @@
         eventfd_write(m_wakeup, 1);
 }
 
+void ResponseQueue::wake() { eventfd_write(m_wakeup, 1); }
+
 std::vector<ResponseQueue::Entry> ResponseQueue::takeAll()
 {
     std::scoped_lock lock(m_mutex);
--- a/Libraries/LibHttp/ResponseQueue.h
+++ b/Libraries/LibHttp/ResponseQueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/HttpResponse.h>
+#include <LibHttp/UnfinishedRequest.h>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -18,6 +19,7 @@
     struct Entry {
         std::weak_ptr<Pistache::Tcp::Peer> peer;
         HttpResponse response;
+        std::shared_ptr<UnfinishedRequest> request;
     };
 
     ResponseQueue();
@@ -27,10 +29,13 @@
 
     void push(Entry);
 
+    /// Wakes the thread that polls the descriptor although the queue may be empty.
+    void wake();
+
     /// Removes and returns all queued responses.
     std::vector<Entry> takeAll();
 
-    /// An eventfd that is readable while the queue is not empty.
+    /// An eventfd that is readable while the queue is not empty, and once after wake().
     int descriptor() const { return m_wakeup; }
 
 private:
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -2,7 +2,9 @@
 
 #include <LibCore/Time.h>
 #include <LibHttp/RequestParser.h>
+#include <LibHttp/UnfinishedRequest.h>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace Bergamot {
@@ -39,6 +41,9 @@
     /// Value of the Connection header of the response.
     std::string connectionHeader {};
 
+    /// The request whose response is being written.
+    std::shared_ptr<UnfinishedRequest> requestBeingAnswered {};
+
     bool canReceive() const { return phase != Phase::InProgress && phase != Phase::WritingResponse; }
 };
 
--- a/Libraries/LibHttp/ServerTransport.cpp
+++ b/Libraries/LibHttp/ServerTransport.cpp
@@ -55,6 +55,7 @@
     , m_timer(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
 {
     VERIFY(m_timer >= 0);
+    m_state->addResponseQueue(m_responseQueue);
 }
 
 ServerTransport::~ServerTransport() { ::close(m_timer); }
@@ -80,6 +81,8 @@
         auto descriptor = static_cast<int>(event.getTag().value());
         if (descriptor == m_responseQueue->descriptor()) {
             writeQueuedResponses();
+            if (m_state->isReadingStopped)
+                closeConnectionsWithoutRequest();
             continue;
         }
         if (descriptor == m_timer) {
@@ -135,6 +138,13 @@
 void ServerTransport::readFrom(const PeerPointer& peer)
 {
     auto& connection = connectionOf(*peer);
+    // Counted before the flag is read, so that stopReading() either prevents this read or is followed by its count.
+    UnfinishedRequest read(m_state);
+    if (m_state->isReadingStopped) {
+        if (connection.canReceive() && connection.phase != Phase::Closing)
+            markForClose(peer);
+        return;
+    }
     bool isConnected = receive(peer, connection);
     // A peer that has shut down its sending side still gets the responses to its complete requests.
     if (!isConnected || (connection.hasInputEnded && connection.canReceive()))
@@ -166,8 +176,11 @@
     connection.connectionHeader = complete.connectionHeader.empty() ? "Close" : std::move(complete.connectionHeader);
     enterPhase(connection, Phase::InProgress);
     ++m_state->requestsInProgress;
-    HttpResponder responder([queue = m_responseQueue, weak = std::weak_ptr(peer)](
-                                const HttpResponse& response) { queue->push({ .peer = weak, .response = response }); });
+    HttpResponder responder(
+        [queue = m_responseQueue, weak = std::weak_ptr(peer),
+            unfinished = std::make_shared<UnfinishedRequest>(m_state)](const HttpResponse& response) {
+            queue->push({ .peer = weak, .response = response, .request = unfinished });
+        });
     m_state->handler(std::move(complete.request), std::move(responder));
 }
 
@@ -183,8 +196,19 @@
 {
     for (const auto& entry : m_responseQueue->takeAll()) {
         --m_state->requestsInProgress;
-        if (auto peer = entry.peer.lock(); peer && isOpen(peer))
+        if (auto peer = entry.peer.lock(); peer && isOpen(peer)) {
+            connectionOf(*peer).requestBeingAnswered = entry.request;
             write(peer, entry.response);
+        }
+    }
+}
+
+void ServerTransport::closeConnectionsWithoutRequest()
+{
+    for (const auto& [descriptor, peer] : peers) {
+        const auto& connection = connectionOf(*peer);
+        if (connection.canReceive() && connection.phase != Phase::Closing)
+            markForClose(peer);
     }
 }
 
@@ -192,6 +216,11 @@
 {
     auto& connection = connectionOf(*peer);
     enterPhase(connection, Phase::WritingResponse);
+    // Requests that the peer has sent ahead are answered before the connection closes.
+    if (m_state->isClosingConnections && connection.input.empty()) {
+        connection.closeAfterResponse = true;
+        connection.connectionHeader = "Close";
+    }
     auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status,
         Pistache::Http::codeString(static_cast<Pistache::Http::Code>(response.status)));
     for (const auto& header : response.headers)
@@ -220,6 +249,8 @@
 void ServerTransport::onResponseWritten(const PeerPointer& peer)
 {
     auto& connection = connectionOf(*peer);
+    // Kept until a request that follows in the input has been counted.
+    auto answeredRequest = std::exchange(connection.requestBeingAnswered, nullptr);
     if (connection.closeAfterResponse)
         return closeGracefully(peer);
     enterPhase(connection, Phase::Idle);
--- a/Libraries/LibHttp/ServerTransport.h
+++ b/Libraries/LibHttp/ServerTransport.h
@@ -37,6 +37,7 @@
     void dispatch(const PeerPointer&, RequestParser::Complete);
     void sendErrorAndClose(const PeerPointer&, int status, std::string_view title);
     void writeQueuedResponses();
+    void closeConnectionsWithoutRequest();
     void write(const PeerPointer&, const HttpResponse&);
     void onResponseWritten(const PeerPointer&);
     void closeGracefully(const PeerPointer&);
