Answer every request before a draining process stops

Nothing bounded the work of a request by the end of its process; submissions that wait for an append and cancels had the same fault.

Node::prepareShutdown(answerBy) caps the deadlines of new requests at that time, answers all pending ones then (submissions: 504 if an append may store the job, 503 if none was sent; queries and cancels: 503 with Retry-After) and refuses later ones at once. The process sets it to 4.7 s of its 6 s grace period. It stops reading when nothing is unfinished after 2.6 s, or at that time, and ends once each response is written, or 500 ms later if a peer does not read. From 2.6 s on responses close their connections; earlier the load balancer may send the caller back to this host. process_stop has the number of unfinished requests as in_progress.

Tests: on the program before, both NodeProcessDrain tests (a cancel, and a submission while the store sends no replies; callers that wait a minute) fail because the connection closes without an answer; both pass now, and the process ends within 5.6 s of SIGTERM. NodeDrain and the new tests of JobAcceptor, QueryRouter and NodeIngress cover the parts in virtual time; they use new functions and do not build on the code before.

--- a/Libraries/LibNode/JobAcceptor.cpp
+++ b/Libraries/LibNode/JobAcceptor.cpp
@@ -47,6 +47,17 @@
         it.callback(it.mayBeStored ? AcceptResult::Unknown : AcceptResult::Refused);
 }
 
+void JobAcceptor::answerPending()
+{
+    auto pending = std::exchange(m_pendingJobs, {});
+    for (auto& it : m_jobsInAppend) {
+        if (auto callback = std::exchange(it.callback, nullptr))
+            callback(AcceptResult::Unknown);
+    }
+    for (auto& it : pending)
+        it.callback(it.mayBeStored ? AcceptResult::Unknown : AcceptResult::Refused);
+}
+
 void JobAcceptor::sendAppend()
 {
     failExpired();
@@ -77,6 +88,7 @@
 void JobAcceptor::handleReply(const absl::StatusOr<AppendReply>& reply)
 {
     auto jobs = std::exchange(m_jobsInAppend, {});
+    std::erase_if(jobs, [](const PendingJob& it) { return !it.callback; });
     if (absl::IsDeadlineExceeded(reply.status())) {
         m_timeout.recordTimeout();
         ++m_consecutiveTimeouts;
@@ -90,6 +102,8 @@
             job.callback(AcceptResult::Accepted);
         return sendAppend();
     }
+    if (jobs.empty())
+        return sendAppend();
     bool wasNotStored = absl::IsAborted(reply.status()) || absl::IsResourceExhausted(reply.status());
     logWarning("job_append_failed",
         { { "jobs", jobs.size() }, { "first", jobs.front().record.key }, { "unknown_effect", !wasNotStored },
--- a/Libraries/LibNode/JobAcceptor.h
+++ b/Libraries/LibNode/JobAcceptor.h
@@ -39,10 +39,16 @@
     /// probes the store, and other jobs are refused immediately.
     void accept(const JobSpec&, Instant deadline, Callback);
 
+    /// Answers all pending jobs now: Unknown if an append may have stored or may still store the job, Refused
+    /// otherwise.
+    void answerPending();
+
 private:
     struct PendingJob {
         KeyedRecord record;
         Instant deadline;
+
+        /// Empty once the job has been answered while an append that contains it is in progress.
         Callback callback;
 
         /// An append that contains this job has failed without a definite result.
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -195,10 +195,19 @@
     });
 }
 
-void Node::prepareShutdown()
+void Node::prepareShutdown(Instant answerBy)
 {
     m_isShuttingDown = true;
     m_leadership.resign();
+    if (answerBy == Instant::max())
+        return;
+    m_ingress.setAnswerBy(answerBy);
+    m_services.loop.callAfter(answerBy - m_services.loop.now(), [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_acceptor.answerPending();
+        m_queries.answerPending();
+    });
 }
 
 }
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -58,8 +58,9 @@
     /// The metrics in the Prometheus text format. May be called from any thread.
     std::string metricsText() const { return m_metrics.text(); }
 
-    /// Resigns leadership and reports not ready. Requests are still served.
-    void prepareShutdown();
+    /// Resigns leadership and reports not ready. Requests are still served until `answerBy`: those without a result by
+    /// then get a response that says so, and later ones are refused.
+    void prepareShutdown(Instant answerBy = Instant::max());
 
 private:
     void applyOperatorRecord(const KeyedRecord&);
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -91,7 +91,7 @@
     int64_t ms = 0;
     auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
     auto allowed = ec == std::errc {} && ms > 0 ? std::min(Milliseconds { ms }, maxDeadline) : defaultDeadline;
-    return m_loop.now() + std::max(allowed - replyMargin, allowed / 2);
+    return std::min(m_answerBy, m_loop.now() + std::max(allowed - replyMargin, allowed / 2));
 }
 
 /// The Host header without a port.
@@ -109,6 +109,8 @@
 
 void NodeIngress::route(const HttpRequest& request, HttpResponder responder)
 {
+    if (m_loop.now() >= m_answerBy)
+        return respond(responder, 503, "the node shuts down");
     auto routing = m_options.routing();
     if (!routing)
         return respond(responder, 503, "no configuration yet");
--- a/Libraries/LibNode/NodeIngress.h
+++ b/Libraries/LibNode/NodeIngress.h
@@ -34,6 +34,9 @@
 
     void handle(const HttpRequest&, HttpResponder);
 
+    /// No request waits for its result beyond this time; requests that arrive later are refused.
+    void setAnswerBy(Instant answerBy) { m_answerBy = answerBy; }
+
 private:
     using SharedResponder = std::shared_ptr<HttpResponder>;
 
@@ -48,6 +51,7 @@
     const PlatformFormats& m_formats;
     NodeMetrics& m_metrics;
     Options m_options;
+    Instant m_answerBy { Instant::max() };
 };
 
 }
--- a/Libraries/LibNode/QueryRouter.cpp
+++ b/Libraries/LibNode/QueryRouter.cpp
@@ -45,6 +45,12 @@
     sendWithRetry(queryId);
 }
 
+void QueryRouter::answerPending()
+{
+    for (auto& [queryId, pending] : std::exchange(m_pendingQueries, {}))
+        pending.callback({ .queryId = queryId });
+}
+
 void QueryRouter::sendWithRetry(uint64_t queryId)
 {
     auto it = m_pendingQueries.find(queryId);
--- a/Libraries/LibNode/QueryRouter.h
+++ b/Libraries/LibNode/QueryRouter.h
@@ -44,6 +44,9 @@
     /// Retries until `deadline`. The callback receives Unavailable if no leader has replied by then.
     void sendQuery(JobQueryKind, std::string subject, Instant deadline, ReplyCallback);
 
+    /// Answers all pending queries with Unavailable now.
+    void answerPending();
+
 private:
     struct PendingQuery {
         JobQuery query;
--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -1,5 +1,6 @@
 #include "NodeProcess.h"
 #include <LibCore/Logger.h>
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <fmt/format.h>
@@ -23,6 +24,9 @@
 /// Part of the grace period that is reserved for the exit of the process.
 static constexpr Milliseconds exitMargin { 800 };
 
+/// Time for peers to read the last responses. A busy processor also delays the responses themselves.
+static constexpr Milliseconds maxResponseTime { 500 };
+
 static std::pair<std::string, uint16_t> splitAddress(const std::string& address)
 {
     auto colon = address.rfind(':');
@@ -185,18 +189,33 @@
         if (info.ssi_signo == SIGHUP || m_drainStartedAt != neverInstant)
             continue;
         m_drainStartedAt = m_loop->now();
-        m_node->prepareShutdown();
+        auto drainTime = Milliseconds { m_settings.gracePeriodMs } - exitMargin - maxResponseTime;
+        m_answerBy = m_drainStartedAt + std::max(drainTime, Milliseconds { 0 });
+        m_node->prepareShutdown(m_answerBy);
         checkDrain();
     }
 }
 
+/// Stops the loop when every request that has been read has its response. Only a peer that does not read its response
+/// ends the drain earlier.
 void NodeProcess::checkDrain()
 {
-    auto elapsed = m_loop->now() - m_drainStartedAt;
-    bool idle = m_front->requestsInProgress() == 0;
-    if ((elapsed >= readinessPropagationTime && idle)
-        || elapsed >= Milliseconds { m_settings.gracePeriodMs } - exitMargin) {
-        logInfo("process_stop", { { "drained", idle }, { "ms", elapsed.count() } });
+    auto now = m_loop->now();
+    bool mayStop = now - m_drainStartedAt >= readinessPropagationTime;
+    // Until then, a new connection of the same caller may come back to this host.
+    if (mayStop)
+        m_front->closeConnectionsAfterResponses();
+    if (now >= m_answerBy || (mayStop && m_front->unfinishedRequests() == 0)) {
+        m_isReadingStopped = true;
+        m_front->stopReading();
+    }
+    if (now >= m_answerBy && m_answeredAt == neverInstant)
+        m_answeredAt = now;
+    auto unfinished = m_front->unfinishedRequests();
+    bool isDrained = m_isReadingStopped && unfinished == 0;
+    if (isDrained || (m_answeredAt != neverInstant && now - m_answeredAt >= maxResponseTime)) {
+        logInfo("process_stop",
+            { { "drained", isDrained }, { "in_progress", unfinished }, { "ms", (now - m_drainStartedAt).count() } });
         m_loop->stop();
         return;
     }
--- a/Services/bergamot-node/NodeProcess.h
+++ b/Services/bergamot-node/NodeProcess.h
@@ -53,6 +53,13 @@
     int m_signalFd { -1 };
     uint64_t m_limitsVersion { 0 };
     Instant m_drainStartedAt { neverInstant };
+
+    /// When every request has a response, at the latest. Set by the start of the drain.
+    Instant m_answerBy { neverInstant };
+
+    /// When the first drain check at or after m_answerBy ran, which is late if the process was suspended.
+    Instant m_answeredAt { neverInstant };
+    bool m_isReadingStopped { false };
 };
 
 }
--- a/Tests/LibNode/TestJobAcceptor.cpp
+++ b/Tests/LibNode/TestJobAcceptor.cpp
@@ -111,3 +111,54 @@
     advance(Milliseconds { 50 });
     CHECK(results.back() == AcceptResult::Accepted);
 }
+
+// Guards against a submission without an answer when the process stops, and against an untrue one (issue 61).
+TEST(JobAcceptor, PendingJobsAreAnsweredTrulyAtOnce)
+{
+    for (auto fault : { FakeRecordStore::Fault::Unresponsive, FakeRecordStore::Fault::LosingReplies }) {
+        results.clear();
+        store.fault = fault;
+        accept("in append " + std::to_string(static_cast<int>(fault)));
+        advance(Milliseconds { 20 });
+        accept("behind it " + std::to_string(static_cast<int>(fault)));
+        CHECK(results.empty());
+        acceptor.answerPending();
+        CHECK_EQUAL(2, results.size());
+        CHECK(results[0] == AcceptResult::Unknown);
+        CHECK(results[1] == AcceptResult::Refused);
+        advance(Milliseconds { 5000 });
+        CHECK_EQUAL(2, results.size());
+        for (const auto& it : store.records(StreamName::Jobs))
+            CHECK(it.key.starts_with("in append"));
+    }
+    store.fault = FakeRecordStore::Fault::None;
+    accept("later");
+    advance(Milliseconds { 50 });
+    CHECK(results.back() == AcceptResult::Accepted);
+}
+
+// Guards against refusing a job of an append without a reply that waits for its next append (issue 61).
+TEST(JobAcceptor, JobBetweenTwoAppendsIsNotRefusedAtOnce)
+{
+    store.fault = FakeRecordStore::Fault::LosingReplies;
+    accept("j1", Milliseconds { 20000 });
+    auto appends = store.appends;
+    while (store.appends == appends)
+        advance(Milliseconds { 2 });
+    advance(Milliseconds { 50 });
+    acceptor.answerPending();
+    CHECK_EQUAL(1, results.size());
+    CHECK(results[0] == AcceptResult::Unknown);
+}
+
+// Guards against a job that is answered twice, at once and by the reply to its append.
+TEST(JobAcceptor, ReplyAfterTheAnswerIsIgnored)
+{
+    store.appendTime = Milliseconds { 100 };
+    accept("j1");
+    advance(Milliseconds { 20 });
+    acceptor.answerPending();
+    advance(Milliseconds { 500 });
+    CHECK_EQUAL(1, results.size());
+    CHECK(results[0] == AcceptResult::Unknown);
+}
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -274,3 +274,19 @@
     CHECK_EQUAL(1, responses.size());
     CHECK_EQUAL(500, responses[0].status);
 }
+
+// Guards against a request that starts a wait which the process does not outlive (issue 61).
+TEST(NodeIngress, RequestAfterTheEndOfADrainIsRefusedAtOnce)
+{
+    ingress.setAnswerBy(clock.now() + Milliseconds { 100 });
+    CHECK_EQUAL(200, statusOf("GET", "/q/"));
+    advance(Milliseconds { 100 });
+    queries.clear();
+    for (auto method : { "POST", "GET", "DELETE" }) {
+        CHECK_EQUAL(
+            503, statusOf(method, std::string("/q/") + id, encodeValue(JobSpec { .id = "x", .steps = { {} } })));
+        STRCMP_EQUAL("1", std::string(headerValue(responses.front().headers, "Retry-After")).c_str());
+    }
+    CHECK(queries.empty());
+    CHECK_EQUAL(0, store.appends);
+}
--- a/Tests/LibNode/TestQueryRouter.cpp
+++ b/Tests/LibNode/TestQueryRouter.cpp
@@ -144,3 +144,20 @@
     advance(Milliseconds { 20 });
     CHECK_EQUAL(1, transport.sent.size());
 }
+
+// Guards against a query without an answer when the process stops, and against a second answer or further retries.
+TEST(QueryRouter, PendingQueryIsAnsweredAtOnce)
+{
+    auto router = makeRouter(1);
+    ask(*router);
+    advance(Milliseconds { 10 });
+    router->answerPending();
+    CHECK(receivedReply.has_value());
+    CHECK(receivedReply->status == JobQueryStatus::Unavailable);
+    receivedReply.reset();
+    auto sent = transport.sent.size();
+    transport.deliver(encodePeerMessage(JobQueryReply { .queryId = queryIdSent(0), .status = JobQueryStatus::Found }));
+    advance(Milliseconds { 3000 });
+    CHECK_FALSE(receivedReply.has_value());
+    CHECK_EQUAL(sent, transport.sent.size());
+}
