--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -195,10 +195,19 @@
     });
 }
 
-void Node::prepareShutdown(Instant endsBy)
+void Node::prepareShutdown(const ShutdownTimes& times)
 {
     m_isShuttingDown = true;
-    m_leadership.drain(endsBy);
+    m_leadership.drain(times.endsBy);
+    if (times.answerBy == Instant::max())
+        return;
+    m_ingress.setAnswerBy(times.answerBy);
+    m_services.loop.callAfter(times.answerBy - m_services.loop.now(), [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_acceptor.answerPending();
+        m_queries.answerPending();
+    });
 }
 
 }
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -58,9 +58,17 @@
     /// The metrics in the Prometheus text format. May be called from any thread.
     std::string metricsText() const { return m_metrics.text(); }
 
-    /// Must be called when the process has been asked to end and will end at `endsBy` at the latest. The node reports
-    /// not ready and hands its leadership over once another process can lead. Requests are still served.
-    void prepareShutdown(Instant endsBy);
+    struct ShutdownTimes {
+        /// Requests without a result by then get a response that says so, and later ones are refused.
+        Instant answerBy { Instant::max() };
+
+        /// When the process ends at the latest.
+        Instant endsBy { Instant::max() };
+    };
+
+    /// Must be called when the process has been asked to end. The node reports not ready, goes on serving requests, and
+    /// hands its leadership over once another process can lead.
+    void prepareShutdown(const ShutdownTimes&);
 
     /// Whether the process can end now without leaving its leadership or the record of its end behind.
     bool mayEnd() const { return m_leadership.mayEnd(); }
--- a/Tests/LibNode/TestUnstoppedLeaders.cpp
+++ b/Tests/LibNode/TestUnstoppedLeaders.cpp
@@ -114,7 +114,7 @@
     it.advance(termOfSecond);
     CHECK_EQUAL(1, it.mostRuns);
     CHECK(it.workers.at("w1").runs.contains(it.task));
-    it.second.node->prepareShutdown(it.loop->now() + shutdownTime);
+    it.second.node->prepareShutdown({ .endsBy = it.loop->now() + shutdownTime });
     it.advance(longestRenewalsByAnyClock + electionTime + settlingTime - termOfSecond);
     auto mostRuns = it.mostRuns;
     bool runsElsewhere = it.workers.at("w4").runs.contains(it.task) || it.workers.at("w5").runs.contains(it.task);
