--- a/Tests/LibDecision/TestPlacementRecords.cpp
+++ b/Tests/LibDecision/TestPlacementRecords.cpp
@@ -161,3 +161,22 @@
     CHECK_EQUAL(1, placed.size());
     STRCMP_EQUAL("w1", placed.front().worker.c_str());
 }
+
+// Guards against a task whose later leaders wait for all workers for as long as its run lasts: a late start that could
+// have run it elsewhere when it started is over.
+TEST(PlacementRecords, RunIsRecordedOnceNoLateStartMayRunItElsewhere)
+{
+    mayStartLate = true;
+    addNewJob();
+    planStarts();
+    storeProgress();
+    auto start = planStarts().front();
+    scheduler.commandAccepted(start.worker, start.task, start.run, now);
+    mayStartLate = false;
+    scheduler.runsReported(
+        start.worker, { { .task = task, .run = start.run, .progressPercent = 5 } }, RunEndCoverage::All, now, now);
+    planStarts();
+    auto placed = storeProgress();
+    CHECK_EQUAL(1, placed.size());
+    STRCMP_EQUAL(nameOf(start.worker).c_str(), placed.front().worker.c_str());
+}
