Store a placement that a late start kept out once the start is over

Cause: recordPlacement() stores a task without a worker if a late start may run it elsewhere, and nothing named its worker later. Each successor then waited with the task for all workers for as long as the run lasted.

Change: each plan looks at the tasks that were stored so, and names the worker of a run once LateStarts no longer holds the task.

Evidence: PlacementRecords.RunIsRecordedOnceNoLateStartMayRunItElsewhere failed before and passes; all 309 tests of TestLibDecision pass.

--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -39,6 +39,7 @@
     m_firstSearchedSuspect = std::exchange(m_firstSkippedSuspect, std::nullopt);
     sendSuspectedStarts(now, permission);
     sendStartsAwaitingRecords(now, permission);
+    recordOmittedPlacements();
     if (permission.mayStart)
         placeWaitingTasks(now, permission.knownBy);
     return std::exchange(m_actions, {});
--- a/Libraries/LibDecision/TaskPlacementRecords.cpp
+++ b/Libraries/LibDecision/TaskPlacementRecords.cpp
@@ -26,6 +26,8 @@
         return;
     // A task that may be active on further workers is stored without a worker.
     auto recorded = m_options.mayStartLate(ref) ? WorkerId {} : worker;
+    if (recorded.empty())
+        m_unplacedTasks.insert(ref);
     // Without any record, a new leader takes the task as never started.
     if (task.recordedWorker == recorded && job.isProgressStored)
         return;
@@ -34,6 +36,25 @@
     markChanged(job);
 }
 
+/// Stores the workers that were left out because of a late start, once none may run the task elsewhere any more.
+/// Otherwise each successor would wait with the task for all workers for as long as the run lasts.
+void TaskScheduler::recordOmittedPlacements()
+{
+    std::erase_if(m_unplacedTasks, [this](const TaskRef& ref) {
+        auto* job = findJob(ref.job);
+        auto* task = job && !job->hasEnded() ? findTask(*job, ref) : nullptr;
+        // The next start of the task records it anew.
+        if (!task || task->runs.size() != 1 || !task->recordedWorker.empty())
+            return true;
+        const auto& run = task->runs.front();
+        auto worker = m_workers.find(run.worker);
+        if (run.phase != RunPhase::Running || task->isHeld || worker == m_workers.end() || m_options.mayStartLate(ref))
+            return false;
+        recordPlacement(*job, ref, *task, worker->second->view.id);
+        return true;
+    });
+}
+
 /// The task may be active on more than the recorded worker from now on.
 void TaskScheduler::removePlacement(TrackedJob& job, TrackedTask& task)
 {
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -316,6 +316,7 @@
     void recordPlacement(TrackedJob&, const TaskRef&, TrackedTask&, const WorkerId&);
     void removePlacement(TrackedJob&, TrackedTask&);
     void recordPlacementsOfAdoptedRuns(TrackedJob&);
+    void recordOmittedPlacements();
     static std::vector<PlacedTask> placedTasksOf(const TrackedJob&);
     void sendStartsAwaitingRecords(Instant now, const StartPermission&);
     bool sendStartAwaitingRecord(const StartTask&, Instant now, const StartPermission&);
@@ -527,6 +528,9 @@
 
     /// The blocked tasks that wait for one worker only, by worker.
     std::map<WorkerId, std::vector<TaskRef>> m_placedTasks;
+
+    /// The tasks that are stored without a worker because a late start may run them elsewhere.
+    std::set<TaskRef> m_unplacedTasks;
     uint32_t m_isolatedRuns { 0 };
 
     /// Workers that isolated runs may take down, as of the latest plan and its starts.
