Order waiting steps by what can still be in time in overload

The trace of Riga shows that all jobs that end after 46 s are 10 to 43 s late, and that new jobs wait 12 to 22 s for their first start.

Cause: the steps of a priority started in the order of their objectives. With a backlog, these are always the jobs that are late already, so each new job waits until it is late too.

ReadySteps now keeps the order. In overload it puts the steps of one priority whose jobs can still be in time first, then those that end while a late result is of use (three times the objective), then the others; each group has the earliest objective first. StepDeadlines derives the latest useful starts from the longest chain of estimates that begins with the step. Only steps whose outlook has changed are moved, at known times. Without overload the order is as before. Long-running tasks keep their rules. The runs that a job fails by itself count as its work, and an occurrence of a repeating job has its objective from its due time.

Tests (Overload): twice the capacity arrives, behind a backlog of 12 s. Of the jobs that arrive 12 s later, 0 were in time before, of 768 single steps and of 256 chains; the tests ask for 45% and 40%.

--- a/Libraries/LibDecision/TaskIdleRecords.cpp
+++ b/Libraries/LibDecision/TaskIdleRecords.cpp
@@ -19,7 +19,7 @@
 
 void TaskScheduler::recordIdleTasks(Instant now, const std::function<bool(const TaskRef&)>& mayStartLate)
 {
-    for (const auto& [key, ready] : m_readySteps) {
+    for (const auto& [order, ready] : m_readySteps) {
         auto& job = *ready.job;
         if (job.hasEnded() || !isIdleRecordable(job.spec.steps[ready.step]))
             continue;
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -35,6 +35,7 @@
     markPossiblyLostSteps();
     collectCandidates(now);
     updateShortTaskDemand();
+    m_readySteps.update(unixMs, m_backlog);
     confirmDueCrashes(now);
     m_firstSearchedSuspect = std::exchange(m_firstSkippedSuspect, std::nullopt);
     sendSuspectedStarts(now, permission);
@@ -76,6 +77,7 @@
         candidates.clear();
     m_sizesWithoutRoom = {};
     m_freeCpuMillis = 0;
+    m_shortTaskRoomMillis = 0;
     m_heldWorkers = 0;
     m_usedIsolationSlots = 0;
     if (m_planningSince == neverInstant)
@@ -93,6 +95,7 @@
             candidates = &m_candidates[*service];
         }
         candidates->push_back(worker.get());
+        m_shortTaskRoomMillis += std::max<int64_t>(0, worker->view.capacity.cpuMillis - worker->servingCpuMillis);
         m_heldWorkers += worker->isolatedRuns == 0 && worker->heldForIsolationUntil > now ? 1 : 0;
         if (!worker->isOverFull())
             m_freeCpuMillis += worker->freeResources().cpuMillis;
@@ -105,12 +108,18 @@
 {
     auto now = m_latestEventAt;
     int64_t waiting = 0;
-    for (const auto& [key, ready] : m_readySteps) {
+    double waitingWork = 0;
+    for (const auto& [order, ready] : m_readySteps) {
         const auto& spec = ready.job->spec.steps[ready.step];
         const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-        if (!spec.longRunning && !spec.bestEffort)
-            waiting += spec.size.cpuMillis * static_cast<int64_t>(step.waiting.size());
+        if (spec.longRunning || spec.bestEffort)
+            continue;
+        auto millis = spec.size.cpuMillis * static_cast<int64_t>(step.waiting.size());
+        waiting += millis;
+        waitingWork += static_cast<double>(millis) * spec.estimateMs;
     }
+    auto room = static_cast<double>(std::max<int64_t>(1, m_shortTaskRoomMillis));
+    m_backlog = Milliseconds { static_cast<int64_t>(waitingWork / room) };
     if (m_shortTaskDemandAt != neverInstant)
         m_shortTaskDemandMillis
             *= std::exp2(-static_cast<double>((now - m_shortTaskDemandAt).count()) / shortTaskDemandHalfLifeMs);
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -144,7 +144,7 @@
                 return;
         }
     }
-    std::erase_if(m_readySteps, [&](const auto& it) { return it.second.job == &job; });
+    m_readySteps.eraseIf([&](const ReadyStep& it) { return it.job == &job; });
     job.occurrences = {};
     job.failedRuns = {};
     job.crashes = {};
--- a/Libraries/LibDecision/TaskReservations.cpp
+++ b/Libraries/LibDecision/TaskReservations.cpp
@@ -195,7 +195,7 @@
     Instant knownBy) const
 {
     std::vector<OverdueStep> steps;
-    for (const auto& [key, ready] : m_scheduler.m_readySteps) {
+    for (const auto& [order, ready] : m_scheduler.m_readySteps) {
         const auto& spec = ready.job->spec.steps[ready.step];
         if (!spec.longRunning || spec.gang || ready.job->hasEnded() || ready.job->knownAt > knownBy)
             continue;
@@ -218,7 +218,7 @@
     Instant knownBy) const
 {
     std::vector<ReadyTask> tasks;
-    for (const auto& [key, ready] : m_scheduler.m_readySteps) {
+    for (const auto& [order, ready] : m_scheduler.m_readySteps) {
         const auto& spec = ready.job->spec.steps[ready.step];
         const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
         bool isShort = !spec.longRunning && !spec.bestEffort && !spec.gang;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -5,6 +5,7 @@
 #include <LibDecision/IsolationLimit.h>
 #include <LibDecision/JobTimeline.h>
 #include <LibDecision/PressureModel.h>
+#include <LibDecision/ReadySteps.h>
 #include <LibDecision/RoomReservations.h>
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunEndCoverage.h>
@@ -253,16 +254,6 @@
 
 private:
     struct WorkerEntry;
-    using StepKey = std::tuple<uint32_t, int64_t, uint64_t>;
-    struct ReadyStep {
-        TrackedJob* job { nullptr };
-        uint32_t occurrence { 0 };
-        uint32_t step { 0 };
-
-        /// Key of the step in `m_readySteps`.
-        StepKey key {};
-    };
-
     /// The loss of a worker without a known cause.
     struct OtherLoss {
         const TaskWorkerView* view { nullptr };
@@ -297,6 +288,7 @@
     void withdrawStartsOfIdleTasks(WorkerHandle, Instant now);
     void activateOccurrence(TrackedJob&, uint32_t occurrence);
     void makeStepReady(TrackedJob&, uint32_t occurrence, uint32_t step);
+    void addReadyStep(TrackedJob&, uint32_t occurrence, uint32_t step);
     void requeue(TrackedJob&, const TaskRef&);
     void enqueue(TrackedJob&, const TaskRef&);
     void completeTask(TrackedJob&, const TaskRef&, TrackedTask&);
@@ -477,7 +469,7 @@
 
     /// Workers that are reserved for tasks that fit on none.
     RoomReservations m_reservations;
-    std::map<StepKey, ReadyStep> m_readySteps;
+    ReadySteps m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
     std::set<JobId> m_changedJobs;
@@ -540,6 +532,11 @@
     double m_shortTaskDemandMillis { 0 };
     Instant m_shortTaskDemandAt { neverInstant };
 
+    /// Processors of usable workers that long-running tasks leave, and the time in which they could do the waiting work
+    /// of short tasks, as of the latest plan.
+    int64_t m_shortTaskRoomMillis { 0 };
+    Milliseconds m_backlog { 0 };
+
     /// Free processors of usable workers, as of the latest plan and its starts.
     int64_t m_freeCpuMillis { 0 };
 };
--- a/Libraries/LibDecision/TaskStartRecords.cpp
+++ b/Libraries/LibDecision/TaskStartRecords.cpp
@@ -18,7 +18,7 @@
 {
     if (!std::exchange(m_hasLostInheritedWorker, false))
         return;
-    for (const auto& [key, ready] : m_readySteps) {
+    for (const auto& [order, ready] : m_readySteps) {
         auto& job = *ready.job;
         if (!job.isInherited)
             continue;
--- a/Libraries/LibDecision/TaskSuspects.cpp
+++ b/Libraries/LibDecision/TaskSuspects.cpp
@@ -54,7 +54,7 @@
 std::vector<TaskScheduler::WaitingSuspect> TaskScheduler::suspectsByWait(Instant now, Instant knownBy)
 {
     std::vector<WaitingSuspect> suspects;
-    for (const auto& [key, ready] : m_readySteps) {
+    for (const auto& [order, ready] : m_readySteps) {
         bool isHeldBack = ready.job->knownAt > knownBy || ready.job->awaitsConfiguration;
         if (ready.job->crashes.isEmpty() || ready.job->hasEnded() || isHeldBack)
             continue;
@@ -64,7 +64,7 @@
         for (auto index : step.waiting) {
             if (mayStartIsolated(ready, index, now))
                 suspects.push_back(
-                    { .order = { step.tasks[index].waitingSince, key }, .ready = &ready, .index = index });
+                    { .order = { step.tasks[index].waitingSince, ready.key }, .ready = &ready, .index = index });
             if (isGang)
                 break;
         }
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -39,7 +39,7 @@
 std::vector<StepWait> TaskScheduler::stepWaits(Instant now, Milliseconds minWait, size_t maxCount) const
 {
     std::vector<StepWait> waits;
-    for (const auto& [key, ready] : m_readySteps) {
+    for (const auto& [order, ready] : m_readySteps) {
         if (ready.job->hasEnded())
             continue;
         const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
