--- a/Libraries/LibDecision/TaskIdleRecords.cpp
+++ b/Libraries/LibDecision/TaskIdleRecords.cpp
@@ -14,7 +14,7 @@
 
 void TaskScheduler::recordIdleTasks(Instant now, const std::function<bool(const TaskRef&)>& mayStartLate)
 {
-    for (const auto& [key, ready] : m_readySteps) {
+    for (const auto& [order, ready] : m_readySteps) {
         auto& job = *ready.job;
         if (job.hasEnded() || !isPlacementRecordable(job.spec.steps[ready.step]))
             continue;
