--- a/Tests/LibNode/LateCallDay.h
+++ b/Tests/LibNode/LateCallDay.h
@@ -28,6 +28,9 @@
     static constexpr Milliseconds silenceUntilRemoval { 3000 };
     static constexpr Milliseconds maxLease { 10000 };
 
+    /// Their tasks need less than half of the room.
+    static constexpr size_t lastingJobs { 6 };
+
     NodeTestClock clock;
     std::unique_ptr<EventLoop> loop { EventLoop::create(clock) };
     std::mt19937 random;
@@ -40,6 +43,10 @@
     std::unique_ptr<TaskLeader> leader;
     Instant leaderBackAt { neverInstant };
 
+    /// Some tasks last for the whole day, and leaders rely on the stored placements of such tasks.
+    bool hasLastingTasks { false };
+    uint32_t lastingStarts { 0 };
+
     /// Each leader goes on without proof of its leadership until its successor begins, some time after the successor's
     /// election.
     bool areLeadersDeposedLate { false };
@@ -66,6 +73,8 @@
         executor.latePercentWhileUnreachable = 50;
         executor.latePercent = 2;
         executor.shapeOf = [this](const TaskRef& task) { return shapeOf(task); };
+        executor.onStart
+            = [this](const TaskRef& task, uint64_t) { lastingStarts += shapeOf(task).longRunning ? 1 : 0; };
         executor.onBack = [this](const std::string& id) { announceLater(id); };
     }
 
@@ -75,10 +84,17 @@
 
     Milliseconds pickTime(uint32_t fromMs, uint32_t toMs) { return Milliseconds { fromMs + pick(toMs - fromMs) }; }
 
+    ElectionClaim claim() const
+    {
+        return { .storesReachedWorkers = areLeadersDeposedLate,
+            .recordsStartsOfIdleTasks = hasLastingTasks,
+            .placementsRecordedSince = hasLastingTasks ? 1U : 0U };
+    }
+
     void lead()
     {
         ++epoch;
-        elections.add(epoch, clock.now());
+        elections.add(epoch, clock.now(), {}, hasLastingTasks ? claim() : ElectionClaim {});
         isDeposed = false;
         soleLeaderUntil = Instant::max();
         leader = std::make_unique<TaskLeader>(*loop, store, executor, formats, metrics,
@@ -129,7 +145,7 @@
     FaultyWorkers::TaskShape shapeOf(const TaskRef& task) const
     {
         const auto& step = jobs.at(task.job).steps.at(task.step);
-        return { .duration = Milliseconds { step.estimateMs }, .size = step.size };
+        return { .duration = Milliseconds { step.estimateMs }, .size = step.size, .longRunning = step.longRunning };
     }
 
     void putRandomJob()
@@ -137,7 +153,8 @@
         JobSpec spec { .id = fmt::format("j{}", jobs.size()), .queue = "q" };
         spec.steps.push_back({ .count = 1 + pick(6),
             .size = { 500 + 100 * pick(15), 512, 0 },
-            .estimateMs = static_cast<uint32_t>(pickTime(2000, 15000).count()) });
+            .estimateMs = static_cast<uint32_t>(pickTime(2000, 15000).count()),
+            .longRunning = hasLastingTasks && jobs.size() < lastingJobs });
         jobs[spec.id] = spec;
         store.put(StreamName::Jobs, spec.id, encodeValue(spec));
     }
@@ -176,7 +193,7 @@
             isDeposed = true;
             soleLeaderUntil = clock.now();
             claimedAt = clock.now();
-            elections.add(epoch + 1, clock.now(), {}, { .storesReachedWorkers = true });
+            elections.add(epoch + 1, clock.now(), {}, claim());
         }
         leaderBackAt = clock.now() + pickTime(100, 3000);
     }
--- a/Tests/LibNode/TestLateCalls.cpp
+++ b/Tests/LibNode/TestLateCalls.cpp
@@ -10,20 +10,25 @@
 /// What happens at a change of leader.
 enum class LeaderChange : uint8_t { Lost, DeposedLate };
 
-static void checkDays(
-    uint32_t days, uint32_t leaderChangePercent, bool hasLateCalls, LeaderChange change = LeaderChange::Lost)
+enum class Tasks : uint8_t { Short, ShortAndLasting };
+
+static void checkDays(uint32_t days, uint32_t leaderChangePercent, bool hasLateCalls,
+    LeaderChange change = LeaderChange::Lost, Tasks tasks = Tasks::Short)
 {
     // Without acknowledged ends, a day would check nothing.
     constexpr size_t minAcknowledgedTasks { 20 };
     std::string violations;
     size_t misdirectedCalls = 0;
+    size_t lastingStarts = 0;
     for (uint32_t seed = 1; seed <= days; ++seed) {
         LateCallDay day(seed);
+        day.hasLastingTasks = tasks == Tasks::ShortAndLasting;
         day.areLeadersDeposedLate = change == LeaderChange::DeposedLate;
         if (!hasLateCalls)
             day.executor.latePercent = day.executor.latePercentWhileUnreachable = 0;
         day.run(leaderChangePercent);
         misdirectedCalls += day.executor.misdirectedCalls;
+        lastingStarts += day.lastingStarts;
         CHECK_TEXT(
             day.executor.acknowledged.size() >= minAcknowledgedTasks, fmt::format("few ends, seed {}", seed).c_str());
         if (!day.violations.empty())
@@ -31,7 +36,9 @@
     }
     // Without such calls, the days would check nothing.
     constexpr size_t minMisdirectedCalls { 10 };
+    constexpr size_t minLastingStarts { 40 };
     CHECK(!hasLateCalls || misdirectedCalls >= minMisdirectedCalls * days);
+    CHECK(tasks == Tasks::Short || lastingStarts >= minLastingStarts * days);
     STRCMP_EQUAL("", violations.c_str());
 }
 
@@ -55,3 +62,16 @@
 // Guards against a start that counts as accepted by the former incarnation, because the reply of the next one does not
 // name it.
 TEST(LateCalls, NoTaskRunsTwiceAfterAStartByTheNextIncarnation) { checkDays(2 * dayCount, 0, false); }
+
+// Guards against a lasting task that runs twice, because a new leader relies on its stored placement while a late call
+// has started it elsewhere.
+TEST(LateCalls, NoLastingTaskRunsTwiceUnderNewLeaders)
+{
+    checkDays(dayCount, 30, true, LeaderChange::Lost, Tasks::ShortAndLasting);
+}
+
+// Guards against the same when each of many leaders goes on after the election of the next one.
+TEST(LateCalls, NoLastingTaskRunsTwiceUnderLeadersThatAreDeposedLate)
+{
+    checkDays(dayCount, 40, true, LeaderChange::DeposedLate, Tasks::ShortAndLasting);
+}
