Test that a lasting task does not run beside an incarnation that is not stored

A worker starts again and executes a late start of the task. Two leaders that end soon know the later incarnation and do not store it. The next one knows only the earlier one, whose lease has expired, and starts the task of this worker elsewhere although it waits for other workers still. The test fails: "127300 ms: j1.1 runs on w3 and w6".

--- a/Tests/LibNode/TestLateCalls.cpp
+++ b/Tests/LibNode/TestLateCalls.cpp
@@ -75,3 +75,15 @@
 {
     checkDays(dayCount, 40, true, LeaderChange::DeposedLate, Tasks::ShortAndLasting);
 }
+
+// Guards against a lasting task that starts again while a later incarnation of its worker runs it: earlier leaders knew
+// of that incarnation and had not stored it, and the stored one counts as lost.
+TEST(LateCalls, LastingTaskDoesNotRunBesideAnIncarnationThatIsNotStored)
+{
+    constexpr uint32_t seed { 1072 };
+    constexpr uint32_t leaderChangePercent { 30 };
+    LateCallDay day(seed);
+    day.hasLastingTasks = true;
+    day.run(leaderChangePercent);
+    STRCMP_EQUAL("", fmt::format("{}", fmt::join(day.violations, "; ")).c_str());
+}
