--- a/Tests/LibNode/TestLateCalls.cpp
+++ b/Tests/LibNode/TestLateCalls.cpp
@@ -29,8 +29,9 @@
         day.run(leaderChangePercent);
         misdirectedCalls += day.executor.misdirectedCalls;
         lastingStarts += day.lastingStarts;
-        CHECK_TEXT(
-            day.executor.acknowledged.size() >= minAcknowledgedTasks, fmt::format("few ends, seed {}", seed).c_str());
+        // Lasting tasks leave less room to the others, and are started again all day.
+        auto events = tasks == Tasks::Short ? day.executor.acknowledged.size() : day.lastingStarts;
+        CHECK_TEXT(events >= minAcknowledgedTasks, fmt::format("few ends or starts, seed {}", seed).c_str());
         if (!day.violations.empty())
             violations += fmt::format("\nseed {}: {}", seed, fmt::join(day.violations, "; "));
     }
