Wait for all workers with a placed task that a late start may run

Cause: the placement names a worker id, and a new leader that does not know the later incarnation under this id takes the worker as gone once the lease of the stored incarnation has expired. A late start may have put the task on the later one under the longest lease. The wait for the other workers hid this before.

Change: a placed task that LateStarts holds is not started before the wait for all workers is over.

Evidence: LateCalls.LastingTaskDoesNotRunBesideAnIncarnationThatIsNotStored failed and passes; LateCalls, PlacedTasks and TestLibDecision pass.

--- a/Libraries/LibDecision/TaskPlacementRecords.cpp
+++ b/Libraries/LibDecision/TaskPlacementRecords.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 // Records on which worker a long-running task may be active, before the task starts there. A new leader waits with such
@@ -119,15 +120,19 @@
             ++it;
             continue;
         }
-        for (const auto& ref : it->second) {
+        std::erase_if(it->second, [&](const TaskRef& ref) {
+            // The task may run on a later incarnation that this leader does not know.
+            if (m_options.mayStartLate(ref))
+                return false;
             auto* job = findJob(ref.job);
             auto* task = job ? findTask(*job, ref) : nullptr;
-            if (!task || task->awaitedWorker != it->first)
-                continue;
-            task->blockedUntil = neverInstant;
-            task->awaitedWorker.clear();
-        }
-        it = m_placedTasks.erase(it);
+            if (task && task->awaitedWorker == it->first) {
+                task->blockedUntil = neverInstant;
+                task->awaitedWorker.clear();
+            }
+            return true;
+        });
+        it = it->second.empty() ? m_placedTasks.erase(it) : std::next(it);
     }
 }
 
