Let long-running tasks run again in the order of their own waits

Two hypotheses before the change: 1. Short tasks take the room, because only one worker in four is reserved. 2. Long-running tasks that have waited for less time take the room.

The trace of grown Riga refutes the first: after 46 s, 0 to 14 of 171 to 184 workers are reserved (a quarter would be 42 to 46), and nearly all others would have no room even without short tasks (workers_without_expected_room). Room comes with new workers, which long-running tasks fill 20 to 100 ms after the first contact.

There are two causes. All overdue tasks of a step were placed in the order of the longest wait among them, so tasks of the step that had waited for a much shorter time went ahead of other steps. And the wait of a task of a lost worker began at the end of the lease, so that a task that had run for seconds after the loss could go before it.

Now the tasks are placed in groups of one step and one start of the wait, and the wait of a task of a lost worker counts from the loss of contact. Failed searches are remembered by step in a plan, so the smaller groups do not search in vain again.

--- a/Libraries/LibDecision/RoomReservations.cpp
+++ b/Libraries/LibDecision/RoomReservations.cpp
@@ -45,7 +45,13 @@
 
 void RoomReservations::removeUrgentIf(const std::function<bool(const TaskRef&)>& predicate)
 {
-    std::erase_if(m_urgentTasks, predicate);
+    std::erase_if(m_urgentTasks, [&](const auto& entry) { return predicate(entry.first); });
+}
+
+std::optional<Instant> RoomReservations::lossOf(const TaskRef& task) const
+{
+    auto it = m_urgentTasks.find(task);
+    return it == m_urgentTasks.end() ? std::nullopt : std::optional(it->second);
 }
 
 bool RoomReservations::beginSearch(Instant now, Milliseconds interval)
--- a/Libraries/LibDecision/RoomReservations.h
+++ b/Libraries/LibDecision/RoomReservations.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace Bergamot {
@@ -41,8 +40,11 @@
     const std::map<WorkerHandle, Reservation>& all() const { return m_reservations; }
 
     /// A task whose worker has been out of contact for long has to run again as soon as its lease has expired.
-    void addUrgent(const TaskRef& task) { m_urgentTasks.insert(task); }
+    void addUrgent(const TaskRef& task, Instant lostAt) { m_urgentTasks.insert_or_assign(task, lostAt); }
     bool isUrgent(const TaskRef& task) const { return m_urgentTasks.contains(task); }
+
+    /// Returns when contact to the worker of the urgent task was lost, or nullopt if the task is not urgent.
+    std::optional<Instant> lossOf(const TaskRef&) const;
     void removeUrgentIf(const std::function<bool(const TaskRef&)>&);
 
     /// Whether the last search for workers to reserve began at least `interval` ago. If so, one begins now.
@@ -55,7 +57,9 @@
 private:
     std::map<WorkerHandle, Reservation> m_reservations;
     std::map<TaskRef, WorkerHandle> m_workers;
-    std::set<TaskRef> m_urgentTasks;
+
+    /// The urgent tasks, and when contact to their workers was lost.
+    std::map<TaskRef, Instant> m_urgentTasks;
     std::optional<TaskRef> m_nextSearch;
     Instant m_searchedAt { neverInstant };
 };
--- a/Libraries/LibDecision/TaskReservations.cpp
+++ b/Libraries/LibDecision/TaskReservations.cpp
@@ -66,10 +66,9 @@
     }
 
 private:
-    /// The long-running tasks of a step that have to run again.
+    /// The long-running tasks of a step that have to run again, as far as their waits began at the same time.
     struct OverdueStep {
-        /// Start of the longest wait.
-        Instant since { Instant::max() };
+        Instant since { neverInstant };
         ReadyStep ready {};
         std::vector<uint32_t> tasks {};
     };
@@ -79,6 +78,14 @@
         uint32_t index { 0 };
     };
 
+    /// The searches for workers that have failed for a task of a step. The tasks of a step need the same, so they fail
+    /// for the others too.
+    struct FailedSearches {
+        bool shared { false };
+        bool besideIsolated { false };
+        bool reservation { false };
+    };
+
     static TaskRef refOf(const ReadyStep& ready, uint32_t index)
     {
         return { ready.job->spec.id, ready.occurrence, ready.step, index };
@@ -89,9 +96,15 @@
         return ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     }
 
+    FailedSearches& failedSearchesOf(const ReadyStep& ready)
+    {
+        return m_failedSearches[&ready.job->occurrences[ready.occurrence].steps[ready.step]];
+    }
+
     bool isLongOutOfContact(const WorkerEntry&) const;
     bool hasToRunAgain(const TaskRef&) const;
     bool isOverdue(const ReadyStep&, uint32_t index, Milliseconds maxWait) const;
+    Instant waitingSince(const ReadyStep&, uint32_t index) const;
     std::vector<ReadyTask> expectedRestarts(Instant knownBy);
     std::vector<OverdueStep> overdueSteps(Instant knownBy) const;
     std::vector<ReadyTask> delayedShortTasks(Instant knownBy) const;
@@ -116,6 +129,7 @@
     UnplacedSizes& m_unplaced;
     Instant m_now;
     size_t m_searches { 0 };
+    std::map<const TrackedStep*, FailedSearches> m_failedSearches {};
 
     /// Number of reserved workers by service, for long-running and for short tasks.
     std::map<std::pair<std::string, bool>, size_t> m_reservedWorkers {};
@@ -164,6 +178,13 @@
         && m_scheduler.isolationOf(*ready.job, ref) == RunIsolation::None;
 }
 
+/// Returns since when the task has waited. A task of a lost worker has had no run since the loss, although it may wait
+/// for a start only once the lease has expired.
+Instant TaskScheduler::OverduePlacement::waitingSince(const ReadyStep& ready, uint32_t index) const
+{
+    return m_scheduler.m_reservations.lossOf(refOf(ready, index)).value_or(taskOf(ready, index).waitingSince);
+}
+
 /// Returns the long-running tasks whose workers have probably been lost. Room for them is kept while their leases last:
 /// once these have expired, little is left of the time within which the tasks have to run again.
 std::vector<TaskScheduler::OverduePlacement::ReadyTask> TaskScheduler::OverduePlacement::expectedRestarts(
@@ -179,7 +200,7 @@
             if (!active.spec->longRunning || active.spec->gang || job.knownAt > knownBy || !hasToRunAgain(ref)
                 || m_scheduler.isolationOf(job, ref) != RunIsolation::None)
                 continue;
-            m_scheduler.m_reservations.addUrgent(ref);
+            m_scheduler.m_reservations.addUrgent(ref, worker->lostAt);
             if (m_scheduler.m_reservations.workerFor(ref))
                 continue;
             ReadyStep ready { .job = &job, .occurrence = ref.occurrence, .step = ref.step };
@@ -190,7 +211,8 @@
     return tasks;
 }
 
-/// Returns the steps with tasks that have to run again, longest wait first.
+/// Returns the tasks that have to run again, longest wait first. Those of one step that have waited for as long are
+/// together.
 std::vector<TaskScheduler::OverduePlacement::OverdueStep> TaskScheduler::OverduePlacement::overdueSteps(
     Instant knownBy) const
 {
@@ -199,15 +221,14 @@
         const auto& spec = ready.job->spec.steps[ready.step];
         if (!spec.longRunning || spec.gang || ready.job->hasEnded() || ready.job->knownAt > knownBy)
             continue;
-        OverdueStep overdue { .ready = ready };
+        std::map<Instant, std::vector<uint32_t>> tasks;
         for (auto index : ready.job->occurrences[ready.occurrence].steps[ready.step].waiting) {
             if (!hasRunBefore(*ready.job, taskOf(ready, index)) || !isOverdue(ready, index, maxRestartWait))
                 continue;
-            overdue.since = std::min(overdue.since, taskOf(ready, index).waitingSince);
-            overdue.tasks.push_back(index);
+            tasks[waitingSince(ready, index)].push_back(index);
         }
-        if (!overdue.tasks.empty())
-            steps.push_back(std::move(overdue));
+        for (auto& [since, indices] : tasks)
+            steps.push_back({ .since = since, .ready = ready, .tasks = std::move(indices) });
     }
     std::ranges::stable_sort(steps, {}, &OverdueStep::since);
     return steps;
@@ -270,9 +291,9 @@
     const auto& spec = ready.job->spec.steps[ready.step];
     PlacementClass placementClass { .service = m_scheduler.policyOf(*ready.job).service, .longRunning = true };
     std::optional<StepRanking> ranking;
-    bool mayFit = !m_unplaced.covers(placementClass, spec.size);
-    // The tasks of a step need the same, so after a failed search none of them is tried.
-    bool mayFitBesideIsolated = m_scheduler.m_isolatedRuns > 0;
+    auto& failed = failedSearchesOf(ready);
+    failed.shared |= m_unplaced.covers(placementClass, spec.size);
+    failed.besideIsolated |= m_scheduler.m_isolatedRuns == 0;
     bool mayFitOnReserved = !m_gatheringWorkers.empty();
     for (auto index : overdue.tasks) {
         const auto& task = taskOf(ready, index);
@@ -282,13 +303,13 @@
         auto* worker = reservedWorkerWithRoom(ready, index);
         if (worker)
             ranking.reset();
-        else if (mayFit)
+        else if (!failed.shared)
             worker = m_scheduler.chooseNextWorker(ranking, ready, task, m_now);
-        if (!worker && std::exchange(mayFit, false) && !hasPlacementConstraint(spec))
+        if (!worker && !std::exchange(failed.shared, true) && !hasPlacementConstraint(spec))
             m_unplaced.add(placementClass, spec.size);
-        if (!worker && mayFitBesideIsolated && maySearch()) {
+        if (!worker && !failed.besideIsolated && maySearch()) {
             worker = m_scheduler.chooseWorker(*ready.job, ready, task, {}, m_now, PlacementMode::BesideIsolated);
-            mayFitBesideIsolated = worker != nullptr;
+            failed.besideIsolated = worker == nullptr;
         }
         if (!worker && mayFitOnReserved) {
             worker = takeReservedWorker(ready, index);
@@ -383,11 +404,9 @@
         std::rotate(m_withoutWorker.begin(), first, m_withoutWorker.end());
     reservations.setNextSearch(std::nullopt);
     size_t searches = 0;
-    const ReadyTask* failed = nullptr;
     for (const auto& it : m_withoutWorker) {
-        // The tasks of a step need the same, so after a failed search none of them is tried.
-        if (failed && failed->ready.job == it.ready.job && failed->ready.occurrence == it.ready.occurrence
-            && failed->ready.step == it.ready.step)
+        auto& failed = failedSearchesOf(it.ready);
+        if (failed.reservation)
             continue;
         const auto& spec = it.ready.job->spec.steps[it.ready.step];
         PlacementClass placementClass { .service = m_scheduler.policyOf(*it.ready.job).service,
@@ -398,7 +417,7 @@
             return reservations.setNextSearch(refOf(it.ready, it.index));
         if (reserveWorker(it.ready, it.index))
             continue;
-        failed = &it;
+        failed.reservation = true;
         if (!hasPlacementConstraint(spec))
             m_withoutExpectedRoom.add(placementClass, spec.size);
     }
--- a/Tests/LibDecision/TestTaskReservations.cpp
+++ b/Tests/LibDecision/TestTaskReservations.cpp
@@ -49,6 +49,71 @@
     TaskRef m_lasting { .job = "lasting" };
 };
 
+/// Three workers that are full of long-running tasks: four of the step "first", and two of the step "second", which run
+/// on the third worker. Two of them fit on a worker.
+class FullWorkers {
+public:
+    static constexpr int64_t workerMillis { 8000 };
+
+    /// The workers that are added later have `addedMillis` processors.
+    explicit FullWorkers(int64_t addedMillis)
+        : service({ .workers = 2,
+            .backlog = 0,
+            .workerMillis = { addedMillis, workerMillis, workerMillis, workerMillis, addedMillis } })
+    {
+        service.addJob("first", BusyService::longRunning(cpuMillis, 4));
+        service.passFor(warmUp);
+        service.addWorker();
+        service.addJob("second", BusyService::longRunning(cpuMillis, 2));
+        passFor(warmUp);
+        CHECK_EQUAL(3, service.workerOf({ .job = "second" }));
+    }
+
+    void passFor(Milliseconds time)
+    {
+        for (auto end = service.now() + time; service.now() < end;) {
+            service.pass();
+            recordRuns();
+        }
+    }
+
+    void addWorkersAfter(const std::vector<Milliseconds>& times)
+    {
+        for (auto time : times) {
+            passFor(time);
+            service.addWorker();
+        }
+        passFor(warmUp);
+    }
+
+    /// The longest time between two runs of a task of the job.
+    Milliseconds longestTimeToRestart(const JobId& job) const
+    {
+        auto it = m_longest.find(job);
+        return it == m_longest.end() ? Milliseconds { 0 } : it->second;
+    }
+
+    BusyService service;
+
+private:
+    static constexpr int64_t cpuMillis { 4000 };
+
+    void recordRuns()
+    {
+        for (const auto& [handle, runs] : service.runs()) {
+            for (const auto& [task, start] : runs) {
+                auto [it, isNew] = m_lastRunning.try_emplace(task, service.now());
+                auto& longest = m_longest[task.job];
+                longest = std::max(longest, std::chrono::duration_cast<Milliseconds>(service.now() - it->second));
+                it->second = service.now();
+            }
+        }
+    }
+
+    std::map<TaskRef, Instant> m_lastRunning {};
+    std::map<JobId, Milliseconds> m_longest {};
+};
+
 /// A service in which workers are lost, drain and lapse, and isolated runs hold others, at random.
 class RandomDay {
 public:
@@ -224,6 +289,42 @@
     CHECK_COMPARE(time.count(), >, maxTimeToRestart.count());
 }
 
+// Guards against tasks that start with others of their step before tasks of other steps that have waited for longer
+// (LOST, issue 61).
+TEST(TaskReservations, TasksRunAgainInTheOrderOfTheirWaitsWhateverTheirStep)
+{
+    FullWorkers full(2 * FullWorkers::workerMillis);
+    full.service.removeWorker(1);
+    full.passFor(Milliseconds { 100 });
+    full.service.removeWorker(3);
+    full.passFor(Milliseconds { 900 });
+    full.service.drain(2);
+    full.passFor(Milliseconds { 3000 });
+    full.addWorkersAfter({ Milliseconds { 0 }, Milliseconds { 2500 } });
+    CHECK_COMPARE(full.longestTimeToRestart("first").count(), <=, maxTimeToRestart.count());
+    CHECK_COMPARE(full.longestTimeToRestart("second").count(), <=, maxTimeToRestart.count());
+}
+
+// Guards against tasks whose wait counts from the end of the lease of their lost worker, so that tasks that have run
+// since its loss start before them (LOST, issue 61).
+TEST(TaskReservations, TasksOfALostWorkerHaveWaitedSinceItsLoss)
+{
+    constexpr Milliseconds timeUntilUnreachable { 1300 };
+    constexpr Milliseconds remainingLease { 3500 };
+    FullWorkers full(FullWorkers::workerMillis);
+    full.service.loseWorker(3);
+    full.passFor(timeUntilUnreachable);
+    full.service.scheduler().setReachable(3, false, full.service.now());
+    full.passFor(Milliseconds { 500 });
+    full.service.drain(1);
+    full.passFor(remainingLease - Milliseconds { 500 });
+    full.service.removeWorker(3);
+    full.passFor(Milliseconds { 500 });
+    full.addWorkersAfter({ Milliseconds { 0 }, Milliseconds { 2000 } });
+    CHECK_COMPARE(full.longestTimeToRestart("first").count(), <=, maxTimeToRestart.count());
+    CHECK_COMPARE(full.longestTimeToRestart("second").count(), <=, maxTimeToRestart.count());
+}
+
 // Guards against two runs of a task whose step is queued twice, because its only run was listed again and lost (TWICE).
 TEST(TaskReservations, TaskOfAStepThatIsQueuedTwiceStartsOnce)
 {
