--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Plays the scenario other-kind of review/standin-2. Exit status: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.."
+command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
+[[ -x target/review-2/review-2 && -x ${command%% *} ]] || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+# shellcheck disable=SC2086
+timeout -k 1 118 target/review-2/review-2 other-kind "$here/record.txt" "$folder" $command
+status=$?
+((status == 0 || status == 1)) || status=2
+exit $status
