--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the scenario scheduled-jobs of review/standin-2. Exit status: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# Plays the scenario learned-pressure of review/standin-2. Exit status: 1 if the rule was broken, 0 if it held, 2 if it could not run.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
@@ -8,7 +8,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 # shellcheck disable=SC2086
-timeout -k 1 118 target/review-2/review-2 scheduled-jobs "$here/record.txt" "$folder" $command
+timeout -k 1 118 target/review-2/review-2 learned-pressure "$here/record.txt" "$folder" $command
 status=$?
 ((status == 0 || status == 1)) || status=2
 exit $status
--- a/review/standin-2/Worker.cpp
+++ b/review/standin-2/Worker.cpp
@@ -53,6 +53,7 @@
     m_startedAt = m_loop.now();
     m_token = 0;
     m_leaseUntil = 0;
+    m_workedUntil = 0;
     m_nextEnd = 1;
     m_heartbeats = 0;
     m_runs.clear();
@@ -116,7 +117,12 @@
         m_closed[task] = std::max(m_closed[task], number);
         return answer(responder, 200);
     }
-    answer(responder, request.path == "/pace" ? 200 : 404);
+    if (request.path == "/pace") {
+        if (auto it = m_runs.find(task); it != m_runs.end() && it->second.number == number)
+            it->second.percent = command.value("percent", int64_t { 100 });
+        return answer(responder, 200);
+    }
+    answer(responder, 404);
 }
 
 void Worker::extendLease(const json& command)
@@ -182,15 +188,30 @@
     m_waiting.push_back({ .responder = responder, .until = clockMs() + wait });
 }
 
+/// The tail of a task that serves: its own load and the tasks that fill beside it make it longer.
+double Worker::tailOf(const Run& serving) const
+{
+    constexpr double maxUtilisation = 0.95;
+    double utilisation = serving.behaviour.value("load", 0.0);
+    for (const auto& [task, run] : m_runs) {
+        auto share = static_cast<double>(run.behaviour.value("cpu", int64_t { 0 }) * run.percent) / 100.0
+            / static_cast<double>(m_options.cpu);
+        utilisation += run.behaviour.value("fills", false) ? run.behaviour.value("presses", 0.0) * share : 0;
+    }
+    return serving.behaviour.value("tail", 0.0) / (1 - std::min(utilisation, maxUtilisation));
+}
+
 std::string Worker::lists()
 {
     json running = json::array();
     for (const auto& [task, run] : m_runs) {
-        auto age = clockMs() - run.startedAt;
         bool lasts = run.behaviour.value("lasts", false);
-        auto length = std::max<int64_t>(1, lasts ? startUpMs : run.behaviour.value("ms", int64_t { 1 }));
-        auto percent = std::min<int64_t>(100, 100 * age / length);
-        auto figure = run.behaviour.value(lasts ? "tail" : "cpu", int64_t { 0 });
+        auto worked = lasts ? static_cast<double>(clockMs() - run.startedAt) : run.workedMs;
+        auto length
+            = static_cast<double>(std::max<int64_t>(1, lasts ? startUpMs : run.behaviour.value("ms", int64_t { 1 })));
+        auto percent = std::min<int64_t>(100, static_cast<int64_t>(100 * worked / length));
+        auto figure
+            = lasts ? static_cast<int64_t>(tailOf(run)) : run.behaviour.value("cpu", int64_t { 0 }) * run.percent / 100;
         running.push_back({ task, run.number, "", percent, figure });
     }
     constexpr size_t maxEnds = 500;
@@ -225,12 +246,17 @@
     m_loop.callAfter(tickInterval, [this] { tick(); });
     lapseIfDue();
     auto now = clockMs();
+    for (auto& [task, run] : m_runs)
+        run.workedMs
+            += static_cast<double>(std::max<int64_t>(0, now - std::max(m_workedUntil, run.startedAt)) * run.percent)
+            / 100.0;
+    m_workedUntil = now;
     std::vector<std::pair<std::string, std::string>> due;
     for (const auto& [task, run] : m_runs) {
         bool lasts = run.behaviour.value("lasts", false);
         if (run.stopsAt > 0 && now >= run.stopsAt)
             due.emplace_back(task, "stopped");
-        else if (!lasts && now - run.startedAt >= run.behaviour.value("ms", int64_t { 1 }))
+        else if (!lasts && run.workedMs >= static_cast<double>(run.behaviour.value("ms", int64_t { 1 })))
             due.emplace_back(task, run.behaviour.value("fails", false) ? "failed" : "done");
     }
     for (const auto& [task, how] : due)
--- a/review/standin-2/Worker.h
+++ b/review/standin-2/Worker.h
@@ -16,7 +16,7 @@
 
 /// A worker as PROTOCOL.md tells it: leases by its own clock, fencing tokens, run numbers, ends that are listed until
 /// they are acknowledged, entries in the store. The spec of a job says what its tasks do: for each step `ms` (how long
-/// a task takes), `fails` (its first runs that fail), `lasts`, `fills`, `tail`, `cpu` and `mem`.
+/// a task takes), `fails`, `lasts`, `tail` and `load` (of a task that serves), `fills`, `presses`, `cpu` and `mem`.
 class Worker {
 public:
     struct Options {
@@ -72,6 +72,10 @@
         int64_t startedAt { 0 };
         int64_t stopsAt { 0 };
         nlohmann::json behaviour;
+
+        /// The share at which the task works, in percent, and the work done so far, in milliseconds at full speed.
+        int64_t percent { 100 };
+        double workedMs { 0 };
     };
     struct End {
         uint64_t sequence { 0 };
@@ -96,6 +100,7 @@
     void lapseIfDue();
     void answer(const Responder&, int status, const char* reason = nullptr);
     std::string lists();
+    double tailOf(const Run&) const;
     int64_t clockMs() const;
 
     Bergamot::EventLoop& m_loop;
@@ -106,6 +111,7 @@
     bool m_isCutOff { false };
     bool m_isDraining { false };
     int64_t m_born { 0 };
+    int64_t m_workedUntil { 0 };
     Bergamot::Instant m_startedAt {};
     uint64_t m_token { 0 };
     int64_t m_leaseUntil { 0 };
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -203,7 +203,7 @@
     site.after(30'000, [&site] { site.stop(); });
 }
 
-/// review/10: a worker starts again as another kind while calls to it get no answer.
+/// Not among the five cases: a worker starts again as another kind while calls to it get no answer.
 void otherKind(Site& site, bool hasTrouble)
 {
     json step { { "count", 4 }, { "cpu", 1000 }, { "memMb", 512 }, { "estRuntimeMs", 400 }, { "constraints", "a" } };
@@ -228,7 +228,52 @@
     site.after(24'000, [&site] { site.stop(); });
 }
 
-/// review/9: jobs that run every minute.
+/// review/9: an image that presses nothing fills beside one that presses, and is blamed with it.
+void learnedPressure(Site& site, bool hasTrouble)
+{
+    // The site's figures: load 0.42, tail 4 ms, target 4.5 times that, pressure 5, tasks of up to 7 cores.
+    constexpr double sitePressure = 5;
+    static constexpr int64_t finishMs = 14'000;
+    static constexpr int64_t lostMs = 3000;
+    const json serving { { "count", 12 }, { "cpu", 2000 }, { "memMb", 512 }, { "estRuntimeMs", 400 },
+        { "longRunning", true }, { "image", "ledger-api" }, { "targetMs", 18 }, { "antiAffinity", 1 } };
+    const json servingBehaviour { { "lasts", true }, { "cpu", 2000 }, { "mem", 512 }, { "tail", 4 }, { "load", 0.42 } };
+    site.submit("lasting", jobText(json::array({ servingBehaviour }), json::array({ serving })));
+    auto fill = [&site](const std::string& image, double presses) {
+        json step { { "count", 12 }, { "cpu", 7000 }, { "memMb", 1024 }, { "estRuntimeMs", 2000 }, { "fills", true },
+            { "image", image } };
+        json behaviour { { "ms", 2000 }, { "fills", true }, { "cpu", 7000 }, { "mem", 1024 }, { "presses", presses } };
+        return site.submit("batch", jobText(json::array({ behaviour }), json::array({ step })));
+    };
+    constexpr int rounds = 6;
+    for (int i = 0; i < rounds; ++i)
+        site.after(3000 + 3000 * i, [fill, hasTrouble] {
+            fill("settle-report", 0);
+            fill("settle-scan", hasTrouble ? sitePressure : 0);
+        });
+    site.after(33'000, [&site, fill] {
+        auto id = fill("settle-report", 0);
+        site.after(finishMs + lostMs, [&site, id] {
+            const auto& job = site.jobs().at(id);
+            size_t running = 0;
+            for (const auto& worker : site.workers())
+                running += worker->runCount();
+            site.record().add(fmt::format("{} runs on all workers, 12 of them of the serving step", running));
+            if (job.isAccepted && job.starts == 0)
+                site.record().addViolation(fmt::format(
+                    "LOST: {} was accepted {} ms ago, none of its 12 tasks has begun, and 24 of 384 cores are reserved",
+                    id, site.elapsedMs() - job.acceptedAt));
+        });
+        site.after(30'000, [&site, id] {
+            const auto& job = site.jobs().at(id);
+            site.record().add(fmt::format(
+                "{}: {} starts, {} ms after its acceptance", id, job.starts, site.elapsedMs() - job.acceptedAt));
+            site.stop();
+        });
+    });
+}
+
+/// review/10: jobs that run every minute.
 void scheduledJobs(Site& site, bool hasTrouble)
 {
     const int64_t occurrences = hasTrouble ? 43'200 : 24;
@@ -275,6 +320,7 @@
         { "many-images", manyImages },
         { "foreign-entry", foreignEntry },
         { "other-kind", otherKind },
+        { "learned-pressure", learnedPressure },
         { "scheduled-jobs", scheduledJobs },
     };
     if (!scenarios.contains(scenario))
