--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -277,6 +277,25 @@
     });
 }
 
+/// Not among the five cases: one job of very many lasting tasks.
+void manyLastingTasks(Site& site, bool hasTrouble)
+{
+    constexpr int64_t largeTask = 20'000;
+    site.after(1000, [&site, hasTrouble] {
+        json steps = json::array();
+        json behaviours = json::array();
+        for (int i = 0; i < 5; ++i) {
+            auto step = lastingStep("ledger-api", largeTask);
+            step["count"] = hasTrouble ? 10'000 : 10;
+            step.erase("targetMs");
+            steps.push_back(step);
+            behaviours.push_back(lastingBehaviour(largeTask));
+        }
+        site.submit("batch", jobText(behaviours, steps));
+    });
+    site.after(15'000, [&site] { judgeNewJobs(site); });
+}
+
 /// review/10: jobs that run every minute.
 void scheduledJobs(Site& site, bool hasTrouble)
 {
@@ -326,6 +345,7 @@
         { "other-kind", otherKind },
         { "learned-pressure", learnedPressure },
         { "scheduled-jobs", scheduledJobs },
+        { "many-lasting-tasks", manyLastingTasks },
     };
     if (!scenarios.contains(scenario))
         return notRunStatus;
