--- a/review/standin-2/Worker.cpp
+++ b/review/standin-2/Worker.cpp
@@ -206,6 +206,14 @@
     }.dump();
 }
 
+int64_t Worker::cpuInUse() const
+{
+    int64_t cpu = 0;
+    for (const auto& [task, run] : m_runs)
+        cpu += run.behaviour.value("cpu", int64_t { 0 });
+    return cpu;
+}
+
 void Worker::end(const std::string& task, const std::string& how)
 {
     auto it = m_runs.find(task);
--- a/review/standin-2/Worker.h
+++ b/review/standin-2/Worker.h
@@ -58,6 +58,9 @@
     const Options& options() const { return m_options; }
     bool runs(const std::string& task) const { return m_runs.contains(task); }
     size_t runCount() const { return m_runs.size(); }
+
+    /// Processors of all runs at full speed, in thousandths of a core.
+    int64_t cpuInUse() const;
     size_t unacknowledgedEnds() const { return m_ends.size(); }
     int64_t born() const { return m_born; }
     void setDraining(bool draining) { m_isDraining = draining; }
