Hold only the live occurrences of repeating jobs in memory

Cause: TaskScheduler::buildOccurrences() built all occurrences of a job with all steps and tasks when the job was read, some 17 MB a job. Each plan walked over all of them to find those that were due, and each record of the progress had a string for each step of each occurrence.

Now LiveOccurrences builds an occurrence when it is due or when an event, a run of an earlier leader or stored progress concerns it, and it is freed once it has ended and no run of it is active. Those that have ended are kept as ranges (OccurrenceSet); the next due one is found without a walk. Addresses of live occurrences are stable. failedRuns of ended occurrences are no longer stored, and the timeline of a job keeps the latest 256 ended steps.

Records: JobProgress leaves out occurrences without progress at the end of `done`. While the occurrences up to the last live or ended one need no more than 1,000 strings, the format is the one of earlier versions. After that endedOccurrences (ranges) and doneOccurrences (numbers that `done` describes) are used. Records of earlier versions are read as before. A leader of an earlier version that reads a record with ranges runs ended occurrences again, and leaves none out.

Left: occurrences that are due are all live.

--- a/Libraries/LibDecision/TaskIdleRecords.cpp
+++ b/Libraries/LibDecision/TaskIdleRecords.cpp
@@ -36,8 +36,8 @@
 std::vector<IdleTask> TaskScheduler::idleTasksOf(const TrackedJob& job)
 {
     std::vector<IdleTask> idle;
-    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        const auto& steps = job.occurrences[k].steps;
+    for (const auto& [k, occurrence] : job.occurrences) {
+        const auto& steps = occurrence.steps;
         for (uint32_t s = 0; s < steps.size(); ++s) {
             if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -31,6 +31,7 @@
         inheritedWorkerLost();
         unblockTasks();
     }
+    freeEndedOccurrences();
     activateDueOccurrences(unixMs);
     markPossiblyLostSteps();
     collectCandidates(now);
@@ -52,25 +53,6 @@
     return task.isHeld || task.blockedUntil > now || (!m_mayUnblock && task.blockedUntil != neverInstant);
 }
 
-void TaskScheduler::activateDueOccurrences(int64_t unixMs)
-{
-    auto recurring = m_recurringJobs;
-    for (const auto& id : recurring) {
-        auto& job = *m_jobs.at(id);
-        bool hasFutureOccurrences = false;
-        for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-            if (job.occurrences[k].due)
-                continue;
-            if (job.occurrences[k].dueUnixMs > unixMs)
-                hasFutureOccurrences = true;
-            else
-                activateOccurrence(job, k);
-        }
-        if (!hasFutureOccurrences)
-            m_recurringJobs.erase(id);
-    }
-}
-
 /// Collects the usable workers of each service for this plan and sums up their free processors.
 void TaskScheduler::collectCandidates(Instant now)
 {
--- a/Libraries/LibDecision/TaskPlacementRecords.cpp
+++ b/Libraries/LibDecision/TaskPlacementRecords.cpp
@@ -69,8 +69,8 @@
 std::vector<PlacedTask> TaskScheduler::placedTasksOf(const TrackedJob& job)
 {
     std::vector<PlacedTask> placed;
-    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        const auto& steps = job.occurrences[k].steps;
+    for (const auto& [k, occurrence] : job.occurrences) {
+        const auto& steps = occurrence.steps;
         for (uint32_t s = 0; s < steps.size(); ++s) {
             for (uint32_t i = 0; i < steps[s].tasks.size() && placed.size() < maxPlacedTasksOfJob; ++i) {
                 if (const auto& worker = steps[s].tasks[i].recordedWorker; !worker.empty())
@@ -103,14 +103,17 @@
 /// No leader has stored anything about the job, so none has started a task that needs a record.
 void TaskScheduler::unblockUnstartedTasks(TrackedJob& job)
 {
-    for (auto& occurrence : job.occurrences) {
-        for (size_t s = 0; s < occurrence.steps.size(); ++s) {
+    auto unblock = [&](std::vector<TrackedStep>& steps) {
+        for (size_t s = 0; s < steps.size(); ++s) {
             if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
-            for (auto& task : occurrence.steps[s].tasks)
+            for (auto& task : steps[s].tasks)
                 task.blockedUntil = neverInstant;
         }
-    }
+    };
+    unblock(job.occurrences.initialSteps());
+    for (auto& [k, occurrence] : job.occurrences)
+        unblock(occurrence.steps);
 }
 
 void TaskScheduler::unblockPlacedTasks(const std::function<bool(const WorkerId&)>& mayRunEarlierTasks)
@@ -141,8 +144,8 @@
 {
     if (!m_options.recordsPlacements || job.hasEnded())
         return;
-    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        auto& steps = job.occurrences[k].steps;
+    for (auto& [k, occurrence] : job.occurrences) {
+        auto& steps = occurrence.steps;
         for (uint32_t s = 0; s < steps.size(); ++s) {
             if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -13,8 +13,13 @@
     job.storedState = stored.state;
     if (job.hasEnded())
         return;
-    job.failedRuns.insert(stored.failedRuns.begin(), stored.failedRuns.end());
+    restoreDone(job, stored);
     for (const auto& failed : stored.failedRuns) {
+        if (job.occurrences.hasEnded(failed.occurrence)) {
+            ++job.endedFailedRuns;
+            continue;
+        }
+        job.failedRuns.insert(failed);
         if (auto* task = findTask(job, { job.spec.id, failed.occurrence, failed.step, failed.index }))
             ++task->failures;
     }
@@ -22,21 +27,6 @@
     job.storedCrashes = job.crashes;
     for (const auto& crashed : stored.crashedRuns)
         indexCrash(job, crashed);
-    size_t position = 0;
-    for (auto& occurrence : job.occurrences) {
-        for (auto& step : occurrence.steps) {
-            if (position >= stored.done.size())
-                return;
-            const auto& done = stored.done[position++];
-            for (size_t i = 0; i < std::min(done.size(), step.tasks.size()); ++i) {
-                if (done[i] != '1')
-                    continue;
-                step.tasks[i].done = true;
-                --step.remainingTasks;
-                job.started = true;
-            }
-        }
-    }
 }
 
 /// Fails the job when the task has used up the attempts that its queue allows, once the limit is known to be in force.
@@ -84,14 +74,7 @@
             progress.state = job.state;
             job.isEndCollected = true;
         } else {
-            for (const auto& occurrence : job.occurrences) {
-                for (const auto& step : occurrence.steps) {
-                    std::string done(step.tasks.size(), '0');
-                    for (size_t i = 0; i < done.size(); ++i)
-                        done[i] = step.tasks[i].done ? '1' : '0';
-                    progress.done.push_back(std::move(done));
-                }
-            }
+            storeDone(job, progress);
             progress.failedRuns.assign(job.failedRuns.begin(), job.failedRuns.end());
             progress.crashedRuns = job.crashes.runs();
             progress.idleTasks = idleTasksOf(job);
@@ -140,7 +123,7 @@
 {
     if (!job.detailsReleasable)
         return;
-    for (const auto& occurrence : job.occurrences) {
+    for (const auto& [k, occurrence] : job.occurrences) {
         for (const auto& step : occurrence.steps) {
             if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return !it.runs.empty(); }))
                 return;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -81,7 +81,7 @@
 {
     m_latestEventAt = now;
     auto* job = findJob(end.task.job);
-    auto* task = job && !job->occurrences.empty() ? findTask(*job, end.task) : nullptr;
+    auto* task = job ? findTask(*job, end.task) : nullptr;
     if (!task)
         return;
     if (auto* run = findRun(*task, end.run)) {
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -48,12 +48,12 @@
 
 TrackedTask* TaskScheduler::findTask(TrackedJob& job, const TaskRef& task)
 {
-    if (task.occurrence >= job.occurrences.size())
+    const auto& steps = job.spec.steps;
+    if (task.step >= steps.size() || task.index >= steps[task.step].count)
         return nullptr;
-    auto& steps = job.occurrences[task.occurrence].steps;
-    if (task.step >= steps.size() || task.index >= steps[task.step].tasks.size())
-        return nullptr;
-    return &steps[task.step].tasks[task.index];
+    auto* occurrence
+        = job.hasEnded() ? job.occurrences.find(task.occurrence) : job.occurrences.findOrBuild(task.occurrence);
+    return occurrence ? &occurrence->steps[task.step].tasks[task.index] : nullptr;
 }
 
 TrackedRun* TaskScheduler::findRun(TrackedTask& task, uint64_t run)
@@ -77,29 +77,6 @@
     return longest;
 }
 
-void TaskScheduler::buildOccurrences(TrackedJob& job)
-{
-    const auto& spec = job.spec;
-    job.occurrences.resize(std::max<uint32_t>(1, spec.repeats));
-    job.remainingOccurrences = static_cast<uint32_t>(job.occurrences.size());
-    for (size_t k = 0; k < job.occurrences.size(); ++k) {
-        auto& occurrence = job.occurrences[k];
-        occurrence.due = spec.repeats == 0;
-        occurrence.dueUnixMs = spec.firstDueMs + static_cast<int64_t>(k) * spec.intervalMs;
-        occurrence.remainingSteps = static_cast<uint32_t>(spec.steps.size());
-        for (const auto& step : spec.steps) {
-            TrackedStep tracked { .remainingTasks = step.count };
-            if (step.bestEffort)
-                tracked.image = m_pressure.bestEffortImage(step.image);
-            else if (step.longRunning)
-                tracked.image = m_pressure.servingImage(step.image);
-            tracked.pendingDependencies = static_cast<uint32_t>(step.dependsOn.size());
-            tracked.tasks.resize(step.count);
-            occurrence.steps.push_back(std::move(tracked));
-        }
-    }
-}
-
 bool TaskScheduler::wasKnownAt(const JobId& id, Instant time) const
 {
     auto it = m_jobs.find(id);
@@ -144,19 +121,13 @@
     job->isProgressStored = stored.has_value();
     auto& tracked = *job;
     m_jobs.emplace(id, std::move(job));
-    buildOccurrences(tracked);
+    prepareOccurrences(tracked, blockedUntil);
     if (stored)
         applyStored(tracked, *stored);
     const auto& policy = policyOf(tracked);
     tracked.objectiveUnixMs = tracked.spec.acceptedAtMs
         + static_cast<int64_t>(policy.stretch * static_cast<double>(criticalPathMs(tracked.spec)))
         + policy.targetLatencyMs;
-    for (auto& occurrence : tracked.occurrences) {
-        for (auto& step : occurrence.steps) {
-            for (auto& task : step.tasks)
-                task.blockedUntil = blockedUntil;
-        }
-    }
     m_unblockAt = std::max(m_unblockAt, blockedUntil);
     if (stored) {
         restoreIdleTasks(tracked, stored->idleTasks, reliability.idleTasks);
@@ -165,6 +136,8 @@
         unblockUnstartedTasks(tracked);
     }
     enforceMaxAttemptsOfAllTasks(tracked);
+    if (!tracked.hasEnded() && tracked.occurrences.remaining() == 0)
+        finishJob(tracked, JobStage::Completed);
     if (tracked.hasEnded())
         return true;
     if (tracked.spec.repeats > 0) {
@@ -175,26 +148,6 @@
     return true;
 }
 
-void TaskScheduler::activateOccurrence(TrackedJob& job, uint32_t occurrence)
-{
-    auto& tracked = job.occurrences[occurrence];
-    tracked.due = true;
-    // The tasks of a step may all be done in the stored progress.
-    for (uint32_t i = 0; i < tracked.steps.size(); ++i) {
-        if (tracked.steps[i].remainingTasks == 0)
-            completeStep(job, occurrence, i);
-        if (job.hasEnded())
-            return;
-    }
-    for (uint32_t i = 0; i < tracked.steps.size(); ++i) {
-        if (tracked.steps[i].pendingDependencies == 0 && tracked.steps[i].remainingTasks > 0
-            && tracked.steps[i].waiting.empty())
-            makeStepReady(job, occurrence, i);
-    }
-    for (auto& step : tracked.steps)
-        step.wasReadyBefore = job.isInherited && !step.waiting.empty();
-}
-
 void TaskScheduler::makeStepReady(TrackedJob& job, uint32_t occurrence, uint32_t step)
 {
     auto& tracked = job.occurrences[occurrence].steps[step];
@@ -267,20 +220,12 @@
     const auto& job = *it->second;
     JobTimeline timeline { .queue = job.spec.queue,
         .objectiveUnixMs = job.objectiveUnixMs,
-        .failedRuns = static_cast<uint32_t>(job.failedRuns.size()),
+        .failedRuns = job.endedFailedRuns + static_cast<uint32_t>(job.failedRuns.size()),
         .maxAttempts = policyOf(job).maxAttempts,
         .crashedRuns = job.crashes.runs() };
-    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        for (uint32_t i = 0; i < job.occurrences[k].steps.size(); ++i) {
-            const auto& step = job.occurrences[k].steps[i];
-            if (step.doneAt == neverInstant || step.lastStartAt == neverInstant)
-                continue;
-            timeline.steps.push_back({ .occurrence = k,
-                .step = i,
-                .waitTime = step.lastStartAt - step.readyAt,
-                .runTime = step.doneAt - step.lastStartAt });
-        }
-    }
+    timeline.steps = job.endedSteps;
+    for (const auto& [k, occurrence] : job.occurrences)
+        appendTimeline(timeline.steps, k, occurrence);
     return timeline;
 }
 
@@ -416,16 +361,15 @@
     }
     if (--occurrence.remainingSteps > 0)
         return;
-    if (--job.remainingOccurrences == 0)
-        finishJob(job, JobStage::Completed);
+    endOccurrence(job, k);
 }
 
 void TaskScheduler::finishJob(TrackedJob& job, JobStage state)
 {
     job.state = state;
     m_recurringJobs.erase(job.spec.id);
-    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        auto& steps = job.occurrences[k].steps;
+    for (auto& [k, occurrence] : job.occurrences) {
+        auto& steps = occurrence.steps;
         for (uint32_t s = 0; s < steps.size(); ++s) {
             steps[s].waiting.clear();
             for (uint32_t i = 0; i < steps[s].tasks.size(); ++i)
@@ -440,14 +384,17 @@
     m_unblockAt = neverInstant;
     m_tasksByAwaitedWorker.clear();
     for (auto& [id, job] : m_jobs) {
-        for (auto& occurrence : job->occurrences) {
-            for (auto& step : occurrence.steps) {
+        auto unblock = [](std::vector<TrackedStep>& steps) {
+            for (auto& step : steps) {
                 for (auto& task : step.tasks) {
                     task.blockedUntil = neverInstant;
                     task.awaitedWorker.clear();
                 }
             }
-        }
+        };
+        unblock(job->occurrences.initialSteps());
+        for (auto& [k, occurrence] : job->occurrences)
+            unblock(occurrence.steps);
         recordPlacementsOfAdoptedRuns(*job);
     }
 }
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -119,6 +119,9 @@
     /// Number of jobs whose data is kept.
     size_t jobCount() const { return m_jobs.size(); }
 
+    /// Number of occurrences of jobs that are held in memory.
+    size_t builtOccurrences() const;
+
     void updateWorker(WorkerHandle, const TaskWorkerView&);
 
     /// Whether the worker may get runs: it is reachable, not draining, and its zone is not excluded.
@@ -295,7 +298,14 @@
     static TrackedTask* findTask(TrackedJob&, const TaskRef&);
     static TrackedRun* findRun(TrackedTask&, uint64_t run);
     const TrackedRun* findRunOn(WorkerHandle, const TaskRef&, uint64_t run);
-    void buildOccurrences(TrackedJob&);
+    void prepareOccurrences(TrackedJob&, Instant blockedUntil);
+    void endOccurrence(TrackedJob&, uint32_t number);
+    void freeEndedOccurrences();
+    static void freeOccurrence(TrackedJob&, uint32_t number, const TrackedOccurrence&);
+    static void appendTimeline(std::vector<StepTimeline>&, uint32_t number, const TrackedOccurrence&);
+    static void restoreDone(TrackedJob&, const JobProgress&);
+    static void restoreDoneTasks(TrackedJob&, uint32_t number, const std::vector<std::string>& done, size_t position);
+    static void storeDone(const TrackedJob&, JobProgress&);
     void applyStored(TrackedJob&, const JobProgress&);
     void restoreIdleTasks(TrackedJob&, const std::vector<IdleTask>&, bool areReliable);
     static bool isPlacementRecordable(const StepSpec&);
@@ -498,6 +508,9 @@
     ReadySteps m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
+
+    /// Occurrences that have ended and are not freed yet.
+    std::vector<std::pair<JobId, uint32_t>> m_endedOccurrences;
     std::set<JobId> m_changedJobs;
     std::vector<TaskAction> m_actions;
 
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -2,7 +2,8 @@
 
 #include <LibCore/Time.h>
 #include <LibDecision/CrashHistory.h>
-#include <LibDecision/TrackedOccurrence.h>
+#include <LibDecision/LiveOccurrences.h>
+#include <LibDecision/StepTimeline.h>
 #include <LibWire/JobProgress.h>
 #include <LibWire/JobSpec.h>
 #include <cstdint>
@@ -24,9 +25,14 @@
 
     /// The stored state. Clients see the end of the job only once it is stored.
     JobStage storedState { JobStage::Queued };
-    std::vector<TrackedOccurrence> occurrences {};
-    uint32_t remainingOccurrences { 0 };
+    LiveOccurrences occurrences {};
+
+    /// The failed runs of occurrences that have not ended, and the number of the others.
     std::set<FailedRun> failedRuns {};
+    uint32_t endedFailedRuns { 0 };
+
+    /// The latest completed steps of ended occurrences.
+    std::vector<StepTimeline> endedSteps {};
     CrashHistory crashes {};
 
     /// The records of `crashes` in the stored progress. A suspected task starts only once its records are stored.
--- a/Tests/LibWire/TestJobProgress.cpp
+++ b/Tests/LibWire/TestJobProgress.cpp
@@ -93,3 +93,24 @@
     CHECK(decoded->placedTasks.empty());
     CHECK_EQUAL(7, decoded->epoch);
 }
+
+// Guards against losing ended occurrences when another leader reads the progress.
+TEST(JobProgress, EndedOccurrencesSurviveTheRoundTrip)
+{
+    JobProgress progress { .id = "j", .done = { "01" }, .endedOccurrences = { { 0, 7 }, { 8, 3 } } };
+    progress.doneOccurrences = { 7 };
+    auto decoded = decodeValue<JobProgress>(encodeValue(progress));
+    CHECK(decoded.ok());
+    CHECK(*decoded == progress);
+}
+
+// Guards against refusing or misreading the progress that a leader of an earlier version stored.
+TEST(JobProgress, RecordOfAnEarlierVersionDescribesAllOccurrences)
+{
+    std::tuple older { JobId("j"), JobStage::Running, std::vector<std::string> { "01" }, std::vector<FailedRun> {},
+        std::vector<CrashedRun> {}, std::vector<IdleTask> {}, uint64_t { 7 }, std::vector<PlacedTask> {} };
+    auto decoded = decodeValue<JobProgress>(encodeValue(older));
+    CHECK(decoded.ok());
+    CHECK(decoded->endedOccurrences.empty());
+    CHECK(decoded->doneOccurrences.empty());
+}
