Add ended occurrences to the hostile records of the node's decoders

JobProgress names ended occurrences and those that its flags describe; a record with numbers beyond those of the job must not end a leader. TestPlatformAdapter passes with it.

--- a/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
+++ b/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
@@ -129,7 +129,11 @@
             withChange([](JobSpec& it) { it.policyAtAcceptance = QueuePolicy { .stretch = notANumber }; }) };
     case 11:
         return { encodeValue(JobProgress { .id = "j", .done = { "11111", "1" }, .failedRuns = { { 0, 0, max32, 1 } } }),
-            encodeValue(JobProgress { .id = "j", .failedRuns = { { 0, max32, 0, 1 }, { max32, 0, 0, 1 } } }) };
+            encodeValue(JobProgress { .id = "j", .failedRuns = { { 0, max32, 0, 1 }, { max32, 0, 0, 1 } } }),
+            encodeValue(JobProgress { .id = "j",
+                .done = { "1", "111", "", "11", "1" },
+                .endedOccurrences = { { 1, max32 }, { max32, max32 } },
+                .doneOccurrences = { 0, 0, max32 } }) };
     case 13:
         return { encodeValue(PressureRecord { .baseTailLatencies = { { "a", notANumber } } }),
             encodeValue(
