Tell numbers of best-effort images from those of serving images

The step got the number of a best-effort image, because it is best-effort, and the interference code used that number as the index of a serving image, because the step is long-running with a target.

BestEffortImage and ServingImage are distinct types now, and a step holds a variant of them, so that one cannot stand for the other. A best-effort step is never serving: it gets what others leave unused, and the leader itself throttles it (decisions/platform.md, section 5). PressureModel checks the range of each number. The same confusion is fixed in three more places: best-effort long-running tasks counted as neighbours of the serving image with their number, and their tail latency was taken for processor use, both in the pressure model and for the speed of adopted runs.

--- a/Libraries/LibDecision/PlacementClass.h
+++ b/Libraries/LibDecision/PlacementClass.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <LibDecision/ImageNumber.h>
 #include <compare>
-#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -14,7 +14,7 @@
     bool longRunning { false };
 
     /// Image number in the pressure model; set for best-effort tasks only.
-    std::optional<uint32_t> bestEffortImage {};
+    std::optional<BestEffortImage> bestEffortImage {};
 
     auto operator<=>(const PlacementClass&) const = default; // NOLINT(modernize-use-nullptr)
 };
--- a/Libraries/LibDecision/PressureModel.cpp
+++ b/Libraries/LibDecision/PressureModel.cpp
@@ -22,39 +22,48 @@
 /// Corrects estimated pressures, which are too low because the tail latency of long queues understates the utilisation.
 static constexpr double pressureSafetyFactor = 1.4;
 
-uint32_t PressureModel::bestEffortImage(const std::string& name)
+BestEffortImage PressureModel::bestEffortImage(const std::string& name)
 {
     auto it = m_bestEffortImages.find(name);
     if (it != m_bestEffortImages.end())
         return it->second;
     if (m_bestEffortImages.size() >= maxBestEffortImages)
-        return 0;
-    auto number = static_cast<uint32_t>(m_bestEffortImages.size()) + 1;
+        return BestEffortImage::Untracked;
+    auto number = static_cast<BestEffortImage>(m_bestEffortImages.size() + 1);
     m_bestEffortImages.emplace(name, number);
     return number;
 }
 
-uint32_t PressureModel::servingImage(const std::string& name)
+ServingImage PressureModel::servingImage(const std::string& name)
 {
-    auto [it, first] = m_servingImages.try_emplace(name, static_cast<uint32_t>(m_regressions.size()));
+    auto [it, first] = m_servingImages.try_emplace(name, static_cast<ServingImage>(m_regressions.size()));
     if (first)
         m_regressions.emplace_back();
     return it->second;
 }
 
-double PressureModel::utilisationAt(uint32_t servingImage, double tailLatencyMs) const
+const PressureModel::Regression* PressureModel::find(ServingImage image) const
 {
-    double baseTailLatencyMs = m_regressions[servingImage].baseTailLatencyMs;
+    auto index = static_cast<size_t>(image);
+    return index < m_regressions.size() ? &m_regressions[index] : nullptr;
+}
+
+double PressureModel::utilisationAt(ServingImage image, double tailLatencyMs) const
+{
+    const auto* regression = find(image);
+    double baseTailLatencyMs = regression ? regression->baseTailLatencyMs : 0;
     if (baseTailLatencyMs <= 0 || tailLatencyMs <= 0)
         return 0;
     return std::clamp(1 - baseTailLatencyMs / tailLatencyMs, 0.0, maxUtilisation);
 }
 
-double PressureModel::pressure(uint32_t bestEffortImage, uint32_t servingImage) const
+double PressureModel::pressure(BestEffortImage bestEffortImage, ServingImage servingImage) const
 {
-    const auto& pressures = m_regressions[servingImage].pressures;
-    return bestEffortImage > 0 && bestEffortImage < pressures.size() ? pressureSafetyFactor * pressures[bestEffortImage]
-                                                                     : 0;
+    const auto* regression = find(servingImage);
+    auto index = static_cast<size_t>(bestEffortImage);
+    if (!regression || bestEffortImage == BestEffortImage::Untracked || index >= regression->pressures.size())
+        return 0;
+    return pressureSafetyFactor * regression->pressures[index];
 }
 
 void PressureModel::addNewImages(Regression& regression) const
@@ -111,11 +120,12 @@
 {
     PressureRecord record;
     for (const auto& [serving, number] : m_servingImages) {
-        const auto& regression = m_regressions[number];
+        const auto& regression = m_regressions[static_cast<size_t>(number)];
         if (regression.baseTailLatencyMs <= 0)
             continue;
         record.baseTailLatencies.push_back({ serving, regression.baseTailLatencyMs });
-        for (const auto& [bestEffort, index] : m_bestEffortImages) {
+        for (const auto& [bestEffort, bestEffortNumber] : m_bestEffortImages) {
+            auto index = static_cast<size_t>(bestEffortNumber);
             if (index < regression.pressures.size())
                 record.pairs.push_back({ bestEffort, serving, regression.pressures[index] });
         }
@@ -126,28 +136,29 @@
 void PressureModel::restore(const PressureRecord& record)
 {
     for (const auto& base : record.baseTailLatencies)
-        m_regressions[servingImage(base.servingImage)].baseTailLatencyMs = base.tailLatencyMs;
+        m_regressions[static_cast<size_t>(servingImage(base.servingImage))].baseTailLatencyMs = base.tailLatencyMs;
     for (const auto& pair : record.pairs)
         bestEffortImage(pair.bestEffortImage);
     for (auto& regression : m_regressions)
         addNewImages(regression);
     for (const auto& pair : record.pairs) {
-        auto index = bestEffortImage(pair.bestEffortImage);
+        auto index = static_cast<size_t>(bestEffortImage(pair.bestEffortImage));
         auto it = m_servingImages.find(pair.servingImage);
         if (index == 0 || it == m_servingImages.end())
             continue;
-        auto& regression = m_regressions[it->second];
+        auto& regression = m_regressions[static_cast<size_t>(it->second)];
         regression.priors[index] = std::clamp(pair.pressure, 0.0, maxPressure);
         regression.pressures[index] = regression.priors[index];
     }
 }
 
 void PressureModel::observe(
-    uint32_t servingImage, double tailLatencyMs, const Shares& shares, double& load, Instant now)
+    ServingImage servingImage, double tailLatencyMs, const Shares& shares, double& load, Instant now)
 {
-    if (tailLatencyMs <= 0)
+    auto number = static_cast<size_t>(servingImage);
+    if (tailLatencyMs <= 0 || number >= m_regressions.size())
         return;
-    auto& regression = m_regressions[servingImage];
+    auto& regression = m_regressions[number];
     regression.baseTailLatencyMs
         = regression.baseTailLatencyMs > 0 ? std::min(regression.baseTailLatencyMs, tailLatencyMs) : tailLatencyMs;
     addNewImages(regression);
--- a/Libraries/LibDecision/PressureModel.h
+++ b/Libraries/LibDecision/PressureModel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/ImageNumber.h>
 #include <LibWire/PressureRecord.h>
 #include <cstdint>
 #include <map>
@@ -19,12 +20,12 @@
 /// forgetting estimates the pressures; the loads of individual tasks average out.
 class PressureModel {
 public:
-    /// Returns the number of a best-effort image and assigns one to a new image. Returns 0 for new images once the
-    /// maximum number of distinct images is reached.
-    uint32_t bestEffortImage(const std::string& name);
+    /// Returns the number of a best-effort image and assigns one to a new image. Returns `Untracked` for new images
+    /// once the maximum number of distinct images is reached.
+    BestEffortImage bestEffortImage(const std::string& name);
 
     /// Returns the number of a serving image and assigns one to a new image.
-    uint32_t servingImage(const std::string& name);
+    ServingImage servingImage(const std::string& name);
 
     /// Processors that the tasks of each best-effort image use, as a share of the worker's processors, indexed by image
     /// number. The reported tail latency lags behind the processor use, so callers smooth the shares with the same lag.
@@ -32,18 +33,19 @@
 
     /// Records one report of a serving task and updates `load`, the estimate of the utilisation that the task causes
     /// itself.
-    void observe(uint32_t servingImage, double tailLatencyMs, const Shares&, double& load, Instant now);
+    void observe(ServingImage, double tailLatencyMs, const Shares&, double& load, Instant now);
 
-    /// Added utilisation of the serving task per share of the worker's processors; 0 for a pair without observations.
-    double pressure(uint32_t bestEffortImage, uint32_t servingImage) const;
+    /// Added utilisation of the serving task per share of the worker's processors; 0 for a pair without observations
+    /// and for numbers that the model has not assigned.
+    double pressure(BestEffortImage, ServingImage) const;
 
     /// Saves the learned pressures, and restores those of an earlier leader as priors, which apply until new
     /// observations outweigh them.
     PressureRecord save() const;
     void restore(const PressureRecord&);
 
-    /// Returns the utilisation at which the tail latency reaches `tailLatencyMs`.
-    double utilisationAt(uint32_t servingImage, double tailLatencyMs) const;
+    /// Returns the utilisation at which the tail latency reaches `tailLatencyMs`; 0 for an image without observations.
+    double utilisationAt(ServingImage, double tailLatencyMs) const;
 
 private:
     /// Weighted sums of the regression for one serving image. Variable 0 is the mean load; variable i is the share of
@@ -61,12 +63,13 @@
         Instant solvedAt { neverInstant };
     };
 
+    const Regression* find(ServingImage) const;
     void addNewImages(Regression&) const;
     void decay(Regression&, Instant now) const;
     void solve(Regression&) const;
 
-    std::map<std::string, uint32_t> m_bestEffortImages;
-    std::map<std::string, uint32_t> m_servingImages;
+    std::map<std::string, BestEffortImage> m_bestEffortImages;
+    std::map<std::string, ServingImage> m_servingImages;
 
     /// Indexed by the number of the serving image.
     std::vector<Regression> m_regressions;
--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <limits>
 #include <utility>
+#include <variant>
 
 namespace Bergamot {
 
@@ -98,8 +99,20 @@
     }
 }
 
-/// Whether runs of the step report a tail latency that has a target.
-static bool hasLatencyTarget(const StepSpec& spec) { return spec.longRunning && spec.targetLatencyMs > 0; }
+/// Returns the image of a run that reports a tail latency that has a target, or nullptr for other runs.
+static const ServingImage* targetedImageOf(const StepSpec& spec, const ImageNumber& image)
+{
+    return spec.targetLatencyMs > 0 ? std::get_if<ServingImage>(&image) : nullptr;
+}
+
+/// Returns the processors that a best-effort run uses. Long-running tasks report a tail latency instead, so theirs
+/// follow from their speed.
+static double usedMillis(const TrackedRun& run, const StepSpec& spec)
+{
+    constexpr double wholeSpeed { 100 };
+    return spec.longRunning ? static_cast<double>(spec.size.cpuMillis) * run.speedPercent / wholeSpeed
+                            : static_cast<double>(run.recentMeasurement);
+}
 
 void TaskScheduler::observeInterference(WorkerEntry& worker, Instant now)
 {
@@ -113,27 +126,28 @@
         smoothed -= weight * smoothed;
     for (const auto& [key, active] : worker.runs) {
         const auto& run = *findRun(*active.task, key.second);
-        if (!active.spec->bestEffort || run.recentMeasurement <= 0 || active.image == 0)
+        const auto* image = std::get_if<BestEffortImage>(&active.image);
+        if (!image || *image == BestEffortImage::Untracked || run.recentMeasurement <= 0)
             continue;
-        if (worker.bestEffortShares.size() <= active.image)
-            worker.bestEffortShares.resize(active.image + 1, 0);
-        worker.bestEffortShares[active.image]
-            += weight * static_cast<double>(run.recentMeasurement) / worker.capacityMillis();
+        auto index = static_cast<size_t>(*image);
+        if (worker.bestEffortShares.size() <= index)
+            worker.bestEffortShares.resize(index + 1, 0);
+        worker.bestEffortShares[index] += weight * usedMillis(run, *active.spec) / worker.capacityMillis();
     }
     for (auto& share : worker.bestEffortShares)
         share = share < negligibleBestEffortShare ? 0 : share;
     for (const auto& [key, active] : worker.runs) {
         auto& run = *findRun(*active.task, key.second);
-        if (!hasLatencyTarget(*active.spec) || run.progressPercent < 100 || now - run.startedAt < measurementDelay)
+        const auto* image = targetedImageOf(*active.spec, active.image);
+        if (!image || run.progressPercent < 100 || now - run.startedAt < measurementDelay)
             continue;
-        m_pressure.observe(
-            active.image, static_cast<double>(run.recentMeasurement), worker.bestEffortShares, run.load, now);
+        m_pressure.observe(*image, static_cast<double>(run.recentMeasurement), worker.bestEffortShares, run.load, now);
     }
 }
 
 /// Returns the utilisation that best-effort tasks may add before the tail latency of the serving task reaches
 /// `tailLatencyLimitShare` of its target.
-double TaskScheduler::servingMargin(const TrackedRun& run, const StepSpec& spec, uint32_t image) const
+double TaskScheduler::servingMargin(const TrackedRun& run, const StepSpec& spec, ServingImage image) const
 {
     return m_pressure.utilisationAt(image, tailLatencyLimitShare * spec.targetLatencyMs) - run.load;
 }
@@ -146,30 +160,34 @@
         return;
     worker.servingPressures.clear();
     for (const auto& [key, active] : worker.runs) {
-        if (!hasLatencyTarget(*active.spec))
+        const auto* image = targetedImageOf(*active.spec, active.image);
+        if (!image)
             continue;
         auto run = std::ranges::find(active.task->runs, key.second, &TrackedRun::run);
-        WorkerEntry::ServingPressure pressure { .image = active.image };
-        pressure.margin = servingMargin(*run, *active.spec, active.image);
+        WorkerEntry::ServingPressure pressure { .image = *image };
+        pressure.margin = servingMargin(*run, *active.spec, *image);
         for (const auto& [otherKey, other] : worker.runs) {
             if (other.spec->bestEffort)
-                pressure.added += addedUtilisation(worker, *other.spec, other.image, active.image);
+                pressure.added += addedUtilisation(worker, *other.spec, other.image, *image);
         }
         worker.servingPressures.push_back(pressure);
     }
 }
 
-double TaskScheduler::addedUtilisation(
-    const WorkerEntry& worker, const StepSpec& bestEffortSpec, uint32_t bestEffortImage, uint32_t servingImage) const
+double TaskScheduler::addedUtilisation(const WorkerEntry& worker, const StepSpec& bestEffortSpec,
+    const ImageNumber& bestEffortImage, ServingImage servingImage) const
 {
-    return m_pressure.pressure(bestEffortImage, servingImage) * static_cast<double>(bestEffortSpec.size.cpuMillis)
+    const auto* image = std::get_if<BestEffortImage>(&bestEffortImage);
+    if (!image)
+        return 0;
+    return m_pressure.pressure(*image, servingImage) * static_cast<double>(bestEffortSpec.size.cpuMillis)
         / worker.capacityMillis();
 }
 
 /// Returns the share of its full speed at which another best-effort task may run beside the serving tasks; may
 /// exceed 1.
 double TaskScheduler::allowedBestEffortShare(
-    WorkerEntry& worker, const StepSpec& bestEffortSpec, uint32_t bestEffortImage) const
+    WorkerEntry& worker, const StepSpec& bestEffortSpec, const ImageNumber& bestEffortImage) const
 {
     if (worker.overTargetSince != neverInstant)
         return 0;
@@ -215,7 +233,7 @@
 {
     bool isOverTarget = false;
     for (const auto& [key, active] : worker.runs) {
-        if (!hasLatencyTarget(*active.spec))
+        if (!targetedImageOf(*active.spec, active.image))
             continue;
         const auto& run = *findRun(*active.task, key.second);
         isOverTarget
@@ -234,7 +252,7 @@
         const TaskRef* ref;
         TrackedRun* run;
         const StepSpec* spec;
-        uint32_t image;
+        ImageNumber image;
         double allowed { 1 };
     };
     std::vector<BestEffortRun> bestEffortRuns;
@@ -251,23 +269,24 @@
     bool exceedsMaxOverTargetTime
         = worker.overTargetSince != neverInstant && now - worker.overTargetSince > maxOverTargetTime;
     for (const auto& [key, active] : worker.runs) {
-        if (!hasLatencyTarget(*active.spec))
+        const auto* image = targetedImageOf(*active.spec, active.image);
+        if (!image)
             continue;
         const auto& run = *findRun(*active.task, key.second);
         if (run.progressPercent < 100)
             continue;
         double totalAdded = 0;
         for (const auto& bestEffortRun : bestEffortRuns)
-            totalAdded += addedUtilisation(worker, *bestEffortRun.spec, bestEffortRun.image, active.image);
+            totalAdded += addedUtilisation(worker, *bestEffortRun.spec, bestEffortRun.image, *image);
         bool overTarget = run.recentMeasurement >= active.spec->targetLatencyMs;
         if (totalAdded < negligiblePressure && !overTarget)
             continue;
-        double margin = servingMargin(run, *active.spec, active.image);
+        double margin = servingMargin(run, *active.spec, *image);
         double share = totalAdded > 0 ? std::clamp(margin / totalAdded, 0.0, 1.0) : 1;
         if (overTarget)
             share = std::min(share, overTargetSpeedShare);
         for (auto& bestEffortRun : bestEffortRuns) {
-            double ownAdded = addedUtilisation(worker, *bestEffortRun.spec, bestEffortRun.image, active.image);
+            double ownAdded = addedUtilisation(worker, *bestEffortRun.spec, bestEffortRun.image, *image);
             if (ownAdded >= negligiblePressure || totalAdded < negligiblePressure)
                 bestEffortRun.allowed = std::min(bestEffortRun.allowed, share);
         }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -179,7 +179,7 @@
         const auto& spec = ready.job->spec.steps[ready.step];
         PlacementClass placementClass { .service = policyOf(*ready.job).service, .longRunning = spec.longRunning };
         if (spec.bestEffort)
-            placementClass.bestEffortImage = tracked.image;
+            placementClass.bestEffortImage = std::get<BestEffortImage>(tracked.image);
         setWaitingSince(ready, now);
         if (ready.job->knownAt > knownBy) {
             tracked.delay = PlacementDelay::UnconfirmedLeadership;
--- a/Libraries/LibDecision/TaskReports.cpp
+++ b/Libraries/LibDecision/TaskReports.cpp
@@ -155,12 +155,13 @@
     m_actions.push_back(StopTask { .worker = handle, .task = ref, .run = run, .reason = reason });
 }
 
-/// Whether the run uses nearly all of the processors that it requested, so that its worker does not throttle it.
+/// Whether the run uses nearly all of the processors that it requested, so that its worker does not throttle it. A
+/// long-running one reports a tail latency instead.
 static bool isAtFullSpeed(const RunReport& report, const StepSpec& spec)
 {
     constexpr int64_t minUsePercent = 90;
     constexpr int64_t percent = 100;
-    return percent * report.recentMeasurement >= minUsePercent * spec.size.cpuMillis;
+    return !spec.longRunning && percent * report.recentMeasurement >= minUsePercent * spec.size.cpuMillis;
 }
 
 void TaskScheduler::adoptRun(
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -91,7 +91,7 @@
             TrackedStep tracked { .remainingTasks = step.count };
             if (step.bestEffort)
                 tracked.image = m_pressure.bestEffortImage(step.image);
-            else if (step.longRunning)
+            else if (isServing(step))
                 tracked.image = m_pressure.servingImage(step.image);
             tracked.pendingDependencies = static_cast<uint32_t>(step.dependsOn.size());
             tracked.tasks.resize(step.count);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -466,12 +466,12 @@
     static bool isSlow(const WorkerEntry&, Instant now);
     void handleSlowRun(WorkerEntry&, const TaskRef&, TrackedJob&, TrackedTask&, TrackedRun&, Instant now);
     void requestSpeculativeCopy(TrackedJob&, const TaskRef&, TrackedTask&);
-    double servingMargin(const TrackedRun&, const StepSpec&, uint32_t image) const;
-    double sameImageShare(const WorkerEntry&, uint32_t image) const;
+    double servingMargin(const TrackedRun&, const StepSpec&, ServingImage) const;
+    double sameImageShare(const WorkerEntry&, const ImageNumber&) const;
     double addedUtilisation(
-        const WorkerEntry&, const StepSpec& bestEffortSpec, uint32_t bestEffortImage, uint32_t servingImage) const;
+        const WorkerEntry&, const StepSpec& bestEffortSpec, const ImageNumber& bestEffortImage, ServingImage) const;
     void refreshServingPressures(WorkerEntry&) const;
-    double allowedBestEffortShare(WorkerEntry&, const StepSpec&, uint32_t bestEffortImage) const;
+    double allowedBestEffortShare(WorkerEntry&, const StepSpec&, const ImageNumber&) const;
     void reserve(WorkerEntry&, TrackedJob&, const TaskRef&, uint64_t run);
     void release(WorkerHandle, const TrackedJob&, const TaskRef&, uint64_t run);
 
--- a/Libraries/LibDecision/TaskWorkerChoice.cpp
+++ b/Libraries/LibDecision/TaskWorkerChoice.cpp
@@ -46,7 +46,8 @@
 /// are a class, whatever their image.
 static PlacementClass roomClassOf(const std::string& service, const StepSpec& spec)
 {
-    return { .service = service, .bestEffortImage = spec.bestEffort ? std::optional(0U) : std::nullopt };
+    return { .service = service,
+        .bestEffortImage = spec.bestEffort ? std::optional(BestEffortImage::Untracked) : std::nullopt };
 }
 
 /// Prepares the search for workers for tasks of the step, or returns nullopt if the service has no usable workers.
@@ -154,7 +155,7 @@
         if (!spec.longRunning)
             score = -score;
     }
-    if (spec.longRunning)
+    if (isServing(spec))
         score += sameImageWeight * sameImageShare(worker, search.image);
     score -= siblingWeight * static_cast<double>(siblings);
     if (!spec.dataRack.empty() && worker.view.rack == spec.dataRack)
@@ -234,12 +235,12 @@
 }
 
 /// Returns the share of the worker's serving tasks that have this image; 0 for a worker without serving tasks.
-double TaskScheduler::sameImageShare(const WorkerEntry& worker, uint32_t image) const
+double TaskScheduler::sameImageShare(const WorkerEntry& worker, const ImageNumber& image) const
 {
     double same = 0;
     double all = 0;
     for (const auto& [key, active] : worker.runs) {
-        if (!active.spec->longRunning)
+        if (!isServing(*active.spec))
             continue;
         all += 1;
         same += active.image == image ? 1 : 0;
--- a/Libraries/LibDecision/TaskWorkerEntry.h
+++ b/Libraries/LibDecision/TaskWorkerEntry.h
@@ -3,6 +3,7 @@
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
 #include <LibDecision/ExpectedRoom.h>
+#include <LibDecision/ImageNumber.h>
 #include <LibDecision/RunOrder.h>
 #include <LibDecision/TaskScheduler.h>
 #include <algorithm>
@@ -22,6 +23,10 @@
     return size;
 }
 
+/// Whether the tasks of the step serve users of their own. A best-effort task runs on what the others leave idle,
+/// whatever its other fields say, so that its tail latency is not defended against the tasks beside it.
+inline bool isServing(const StepSpec& spec) { return spec.longRunning && !spec.bestEffort; }
+
 /// Scheduling state of one worker.
 struct TaskScheduler::WorkerEntry {
     WorkerHandle handle { 0 };
@@ -40,7 +45,7 @@
         TrackedJob* job { nullptr };
         TrackedTask* task { nullptr };
         const StepSpec* spec { nullptr };
-        uint32_t image { 0 };
+        ImageNumber image {};
 
         /// Value of `reportCount` at the latest report that lists the run.
         uint64_t lastListedInReport { 0 };
@@ -48,7 +53,7 @@
 
     /// Interference of the worker's best-effort tasks with one serving task.
     struct ServingPressure {
-        uint32_t image { 0 };
+        ServingImage image {};
 
         /// Utilisation that best-effort tasks may add before the tail latency comes near its target.
         double margin { 0 };
--- a/Libraries/LibDecision/TaskWorkerSearch.h
+++ b/Libraries/LibDecision/TaskWorkerSearch.h
@@ -3,6 +3,7 @@
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
 #include <LibDecision/CandidateRanking.h>
+#include <LibDecision/ImageNumber.h>
 #include <LibDecision/TaskScheduler.h>
 #include <cstdint>
 #include <map>
@@ -28,7 +29,7 @@
 
     /// Limits the choice to the workers of this rack unless it is empty.
     std::string rack {};
-    uint32_t image { 0 };
+    ImageNumber image {};
 
     /// Resources that a run reserves.
     Resources size {};
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/ImageNumber.h>
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/SiblingRunTimes.h>
 #include <LibDecision/SuspectDelay.h>
@@ -20,8 +21,7 @@
     /// Number of dependencies that are not completed.
     uint32_t pendingDependencies { 0 };
 
-    /// Number of the best-effort or serving image in the pressure model.
-    uint32_t image { 0 };
+    ImageNumber image {};
 
     /// Run times of the completed tasks.
     SiblingRunTimes runTimes {};
--- a/Tests/LibDecision/TestPressureModel.cpp
+++ b/Tests/LibDecision/TestPressureModel.cpp
@@ -11,10 +11,10 @@
 {
     static constexpr double truePressure = 5;
     PressureModel model;
-    uint32_t heavy { model.bestEffortImage("heavy") };
-    uint32_t light { model.bestEffortImage("light") };
-    uint32_t sensitive { model.servingImage("sensitive") };
-    uint32_t tolerant { model.servingImage("tolerant") };
+    BestEffortImage heavy { model.bestEffortImage("heavy") };
+    BestEffortImage light { model.bestEffortImage("light") };
+    ServingImage sensitive { model.servingImage("sensitive") };
+    ServingImage tolerant { model.servingImage("tolerant") };
     std::mt19937 random { 7 };
     Instant now { Milliseconds { 1000 } };
 
@@ -32,7 +32,7 @@
             now += Milliseconds { 500 };
             double own = 0.35 + 0.15 * std::sin(i * 0.3);
             PressureModel::Shares shares { 0, share(random), share(random) };
-            double utilisation = std::min(0.95, own + truePressure * shares[heavy]);
+            double utilisation = std::min(0.95, own + truePressure * shares[static_cast<size_t>(heavy)]);
             model.observe(sensitive, std::round(4 / (1 - utilisation)), shares, sensitiveLoad, now);
             model.observe(tolerant, std::round(4 / (1 - own)), shares, tolerantLoad, now);
         }
@@ -60,8 +60,24 @@
     DOUBLES_EQUAL(
         model.utilisationAt(sensitive, 8), successor.utilisationAt(successor.servingImage("sensitive"), 8), 1e-9);
     double load = 0.4;
-    PressureModel::Shares shares(successor.bestEffortImage("light") + 1, 0);
+    PressureModel::Shares shares(static_cast<size_t>(successor.bestEffortImage("light")) + 1, 0);
     shares.back() = 0.05;
     successor.observe(successor.servingImage("sensitive"), 8, shares, load, now);
     CHECK(pressureOn(successor) > 0.6 * truePressure);
 }
+
+// Guards against reads and writes beyond the known images, which ended the process.
+TEST(PressureModel, NumbersThatWereNotAssignedPressNothing)
+{
+    constexpr uint32_t maxNumber { 0xffffffff };
+    for (auto number : { uint32_t { 2 }, uint32_t { 33 }, maxNumber }) {
+        double load = 0.4;
+        model.observe(ServingImage { number }, 8, { 0, 0.5, 0.5 }, load, now);
+        DOUBLES_EQUAL(0.4, load, 1e-9);
+        CHECK(model.utilisationAt(ServingImage { number }, 8) == 0);
+        CHECK(model.pressure(heavy, ServingImage { number }) == 0);
+        CHECK(model.pressure(BestEffortImage { number }, ServingImage { number }) == 0);
+    }
+    simulateSeconds(1);
+    CHECK(model.pressure(BestEffortImage { maxNumber }, sensitive) == 0);
+}
