Leave out a record that the store refuses for good, and store the rest of the batch

An append that is refused for good although its records are within the limit loses its largest record, if that has 16 KB or more; smaller ones do not explain the refusal, and their append is repeated as before. Each omission is an error line (record_omitted) and counts in bergamot_node_records_omitted_total. What the record holds does not count as stored: starts wait for the next record of the job, and no run end is acknowledged until one is stored. Assigned workers are left out together with the unreached workers, which must be stored first. An append of which nothing is left keeps its sequence number with a record without a value.

New tests: four of ProgressJournal, RunEndIsNotAcknowledgedWhileItsRecordIsLeftOut and StartWaitsForTheRecordAfterOneThatWasLeftOut.

--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -127,6 +127,22 @@
     return !wasEndStored && job->storedState >= JobStage::Completed;
 }
 
+void TaskScheduler::progressOmitted(const JobId& id)
+{
+    auto* job = findJob(id);
+    if (!job)
+        return;
+    ++job->storedRecords;
+    for (auto& occurrence : job->occurrences) {
+        for (auto& step : occurrence.steps) {
+            for (auto& task : step.tasks) {
+                if (task.startsAfterRecord == job->storedRecords)
+                    ++task.startsAfterRecord;
+            }
+        }
+    }
+}
+
 void TaskScheduler::releaseDetails(const JobId& id)
 {
     auto* job = findJob(id);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -233,6 +233,9 @@
     /// Returns whether this is the end of a job that this leader knows; true once for each job.
     bool progressStored(const JobProgress&);
 
+    /// A collected record of the job was left out. What waits for it waits for the next one.
+    void progressOmitted(const JobId&);
+
     /// Whether a start waits until a record is stored that neither names its task as idle nor places it elsewhere.
     bool hasStartsAwaitingRecords() const { return !m_startsAwaitingRecords.empty(); }
 
--- a/Libraries/LibNode/ProgressBatch.h
+++ b/Libraries/LibNode/ProgressBatch.h
@@ -6,6 +6,7 @@
 #include <LibWire/UnansweredStarts.h>
 #include <LibWire/UnreachedWorkers.h>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -22,6 +23,11 @@
     /// The changed lists, by number.
     std::map<size_t, UnansweredStarts> unansweredStarts {};
 
+    /// Records of the batch that are left out, because they exceed the store's limit or the store refused them for
+    /// good, and the jobs among them. What they hold does not count as stored.
+    uint32_t omittedRecords { 0 };
+    std::vector<JobId> omittedJobs {};
+
     bool isEmpty() const
     {
         return jobs.empty() && !assignedWorkers && !pressures && !unreachedWorkers && unansweredStarts.empty();
--- a/Libraries/LibNode/ProgressJournal.h
+++ b/Libraries/LibNode/ProgressJournal.h
@@ -15,7 +15,8 @@
 /// Writes the leader's state to the progress stream, in order and fenced by the leader's epoch. A batch holds all
 /// changes since the previous one. It is appended once the previous append is answered. Urgent changes wait for that
 /// reply for a limited time only: the store may have executed the append and lost the reply, and it rejects an append
-/// after a missing one. A large batch takes several appends, so a leader that loads the state may find a part of it.
+/// after a missing one. A record that the store refuses for good is left out of its batch. A large batch takes several
+/// appends, so a leader that loads the state may find a part of it.
 class ProgressJournal {
 public:
     struct Options {
@@ -25,7 +26,7 @@
         std::function<ProgressBatch()> collect {};
 
         /// Called when the batch is stored, in the order of collection, and also for an empty batch, which is not
-        /// appended.
+        /// appended. Records that were left out are not in the batch any more.
         std::function<void(const ProgressBatch&)> onStored {};
 
         /// Called when the store rejects an append because it has seen a later epoch.
@@ -65,6 +66,7 @@
 
     bool mayCollect() const;
     void flush();
+    bool leaveOutRefusedRecord(Append&);
     void send(Append&);
     void repeatFirst();
     void handleReply(uint64_t sequence, absl::StatusOr<AppendReply>);
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -294,6 +294,7 @@
 {
     auto collected = std::move(m_collectedBatches.front());
     m_collectedBatches.pop_front();
+    handleOmittedRecords(batch);
     for (const auto& progress : batch.jobs) {
         if (!m_scheduler.progressStored(progress))
             continue;
@@ -324,6 +325,8 @@
         return true;
     });
     for (const auto& cancel : collected.cancellationsOfUnknownJobs) {
+        if (std::ranges::find(batch.omittedJobs, cancel.job) != batch.omittedJobs.end())
+            continue;
         if (!m_scheduler.stateOf(cancel.job))
             m_scheduler.restoreEnd(cancel.job, JobStage::Cancelled);
         cancel.callback(cancel.reply);
@@ -331,10 +334,7 @@
     if (m_scheduler.hasStartsAwaitingRecords())
         schedulePlan();
     // Only run ends collected before this batch may be acknowledged: later ones are not stored yet.
-    for (auto [handle, sequence] : collected.acknowledgements) {
-        if (auto it = m_workers.find(handle); it != m_workers.end())
-            it->second.session->acknowledge(sequence);
-    }
+    acknowledgeStoredEnds(collected.acknowledgements);
 }
 
 /// Whether runs that earlier leaders started on the worker may be unknown to this leader.
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -285,6 +285,8 @@
     bool isBeingCancelled(const JobId&) const;
     ProgressBatch collectProgress();
     void handleProgressStored(const ProgressBatch&);
+    void handleOmittedRecords(const ProgressBatch&);
+    void acknowledgeStoredEnds(const std::vector<std::pair<WorkerHandle, uint64_t>>&);
     void logJobEnd(const JobProgress&);
     TaskScheduler::ProgressReliability reliabilityOf(const std::optional<JobProgress>& stored) const;
     static bool mayRunEarlierTasks(const Worker&);
@@ -396,6 +398,10 @@
     std::set<WorkerId> m_removedIds;
     std::vector<OrphanedEnds> m_orphanedEnds;
     std::vector<std::pair<WorkerHandle, uint64_t>> m_pendingAcknowledgements;
+
+    /// Jobs whose latest record was left out, and the acknowledgements of run ends that are held back meanwhile.
+    std::set<JobId> m_jobsWithoutRecord;
+    std::map<WorkerHandle, uint64_t> m_heldAcknowledgements;
     std::vector<PendingCancellation> m_pendingCancellations;
     std::vector<PendingCancellation> m_cancellationsOfUnknownJobs;
 
--- a/Libraries/LibNode/TaskLeaderRecords.cpp
+++ b/Libraries/LibNode/TaskLeaderRecords.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Logger.h>
 #include <LibCore/StatusText.h>
 #include <LibNode/TaskLeader.h>
+#include <LibReport/NodeMetrics.h>
 #include <LibWire/ValueCodec.h>
 #include <algorithm>
 #include <charconv>
@@ -49,6 +50,33 @@
         m_storedProgress[progress->id] = std::move(*progress);
 }
 
+/// The run ends of this job are not stored, so they must not be forgotten by the workers that list them. Which ones of
+/// a worker these are is not known, so all acknowledgements wait until a record of the job is stored.
+void TaskLeader::handleOmittedRecords(const ProgressBatch& batch)
+{
+    m_metrics.recordOmittedRecords(batch.omittedRecords);
+    for (const auto& progress : batch.jobs)
+        m_jobsWithoutRecord.erase(progress.id);
+    for (const auto& id : batch.omittedJobs) {
+        m_scheduler.progressOmitted(id);
+        // An unknown job that is cancelled has no run ends.
+        if (m_scheduler.stateOf(id))
+            m_jobsWithoutRecord.insert(id);
+    }
+}
+
+void TaskLeader::acknowledgeStoredEnds(const std::vector<std::pair<WorkerHandle, uint64_t>>& acknowledgements)
+{
+    for (auto [handle, sequence] : acknowledgements)
+        m_heldAcknowledgements[handle] = sequence;
+    if (!m_jobsWithoutRecord.empty())
+        return;
+    for (auto [handle, sequence] : std::exchange(m_heldAcknowledgements, {})) {
+        if (auto it = m_workers.find(handle); it != m_workers.end())
+            it->second.session->acknowledge(sequence);
+    }
+}
+
 void TaskLeader::applyUnansweredStarts(const KeyedRecord& record)
 {
     auto number = std::string_view(record.key).substr(std::string_view(unansweredStartsKeyPrefix).size());
--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -57,6 +57,9 @@
           gaugeFamily("bergamot_node_oldest_wait_seconds", "Longest current wait of a task for its start, by reason."),
           { { "reason", m_waitReasons } })
     , m_elections(counterFamily("bergamot_node_elections_total", "Times that this process became leader.").Add({}))
+    , m_omittedRecords(counterFamily("bergamot_node_records_omitted_total",
+          "Records of the leader that were not stored, because they are too large or the store refused them for good.")
+                           .Add({}))
     , m_takeoverTime(histogramFamily("bergamot_node_takeover_seconds",
           "Time from the election until all workers have answered or their leases have lapsed.")
                          .Add({}, takeoverBounds))
@@ -93,6 +96,8 @@
 
 void NodeMetrics::recordElection() { m_elections.Increment(); }
 
+void NodeMetrics::recordOmittedRecords(uint32_t n) { m_omittedRecords.Increment(n); }
+
 void NodeMetrics::recordTakeover(std::chrono::milliseconds duration) { m_takeoverTime.Observe(toSeconds(duration)); }
 
 void NodeMetrics::setLeader(bool isLeader, uint64_t epoch)
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -43,6 +43,7 @@
     /// Records the stored end of a job. States: completed, failed, cancelled.
     void recordJobEnd(std::string_view state);
     void recordElection();
+    void recordOmittedRecords(uint32_t n);
 
     /// Records the time from the election until every worker has replied or its lease has expired.
     void recordTakeover(std::chrono::milliseconds duration);
@@ -86,6 +87,7 @@
     SeriesTable<prometheus::Counter> m_jobEnds;
     SeriesTable<prometheus::Gauge> m_oldestWaits;
     prometheus::Counter& m_elections;
+    prometheus::Counter& m_omittedRecords;
     prometheus::Histogram& m_takeoverTime;
     prometheus::Gauge& m_leader;
     prometheus::Gauge& m_epoch;
--- a/Services/bergamot-node/NodeProcess.cpp
+++ b/Services/bergamot-node/NodeProcess.cpp
@@ -59,8 +59,9 @@
     : m_settings(settings)
     , m_loop(EventLoop::create(m_clock))
     , m_engine(HttpEngine::create(*m_loop, HttpEngine::Options::forSocketLimit(settings.maxSockets)))
-    , m_store(std::make_unique<Platform::PlatformStore>(
-          *m_engine, Platform::PlatformStore::Options { .address = settings.storeAddress }))
+    , m_store(std::make_unique<Platform::PlatformStore>(*m_engine,
+          Platform::PlatformStore::Options {
+              .address = settings.storeAddress, .maxRecordBytes = static_cast<size_t>(settings.maxRecordBytes) }))
     , m_workers(std::make_unique<Platform::PlatformWorkers>(*m_engine))
 {
 }
--- a/Tests/LibDecision/TestPlacementRecords.cpp
+++ b/Tests/LibDecision/TestPlacementRecords.cpp
@@ -87,6 +87,20 @@
     STRCMP_EQUAL(nameOf(starts.front().worker).c_str(), placed.front().worker.c_str());
 }
 
+// Guards against a start that a new leader does not know of, because its record was left out as too large.
+TEST(PlacementRecords, StartWaitsForTheRecordAfterOneThatWasLeftOut)
+{
+    addNewJob();
+    planStarts();
+    CHECK_EQUAL(1, scheduler.takeChangedJobs().size());
+    scheduler.progressOmitted("j");
+    CHECK_EQUAL(0, planStarts().size());
+    scheduler.cancelJob("j");
+    auto end = scheduler.takeChangedJobs();
+    CHECK_EQUAL(1, end.size());
+    CHECK_TRUE(scheduler.progressStored(end.front()));
+}
+
 // Guards against a task that waits for workers on which it cannot run (issue 61).
 TEST(PlacementRecords, TaskWaitsForItsRecordedWorkerOnly)
 {
--- a/Tests/LibNode/FakeRecordStore.cpp
+++ b/Tests/LibNode/FakeRecordStore.cpp
@@ -53,7 +53,9 @@
     size_t bytes = 0;
     for (const auto& record : request.records)
         bytes += encodedSizeOf(record);
-    if (bytes > maxCallBytes)
+    bool isRecordTooLarge = std::ranges::any_of(
+        request.records, [this](const KeyedRecord& it) { return contentSizeOf(it) > maxRecordSize; });
+    if (bytes > maxCallBytes || isRecordTooLarge)
         return m_loop.callAfter(replyTime, [callback] { callback(absl::InvalidArgumentError("too large")); });
     auto reply = apply(partition, request);
     if (fault == Fault::LosingReplies)
--- a/Tests/LibNode/FakeRecordStore.h
+++ b/Tests/LibNode/FakeRecordStore.h
@@ -30,6 +30,7 @@
     {
     }
 
+    size_t maxRecordBytes() const override { return statedMaxRecordBytes; }
     void append(const AppendRequest&, Milliseconds timeout, Callback<AppendReply>) override;
     void read(StreamName, uint32_t partition, LogPosition from, Milliseconds wait, Callback<ReadReply>) override;
     void readNewest(StreamName, uint32_t partition, const std::string& afterKey, Milliseconds timeout,
@@ -72,6 +73,10 @@
     /// Larger appends fail with InvalidArgument.
     size_t maxCallBytes { 2 << 20 };
 
+    /// Appends with a larger record fail with InvalidArgument. Writers know `statedMaxRecordBytes`.
+    size_t maxRecordSize { defaultMaxRecordBytes };
+    size_t statedMaxRecordBytes { defaultMaxRecordBytes };
+
     /// Maximum number of records in a page of readNewest().
     size_t pageRecords { 500 };
 
--- a/Tests/LibNode/TestProgressJournal.cpp
+++ b/Tests/LibNode/TestProgressJournal.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/ProgressJournal.h>
 #include <LibWire/ValueCodec.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,6 +18,10 @@
     FakeRecordStore store { *loop };
     std::vector<JobProgress> changed;
     std::vector<std::string> stored;
+    std::vector<std::string> omitted;
+    std::optional<AssignedWorkers> assignedWorkers;
+    std::optional<UnreachedWorkers> unreachedWorkers;
+    bool areAssignedWorkersStored { false };
     int collections { 0 };
     int storedBatches { 0 };
     int fencedCalls { 0 };
@@ -29,13 +34,17 @@
                 .collect =
                     [this] {
                         ++collections;
-                        return ProgressBatch { .jobs = std::exchange(changed, {}) };
+                        return ProgressBatch { .jobs = std::exchange(changed, {}),
+                            .assignedWorkers = std::exchange(assignedWorkers, {}),
+                            .unreachedWorkers = std::exchange(unreachedWorkers, {}) };
                     },
                 .onStored =
                     [this](const ProgressBatch& batch) {
                         ++storedBatches;
                         for (const auto& job : batch.jobs)
                             stored.push_back(job.id);
+                        omitted.insert(omitted.end(), batch.omittedJobs.begin(), batch.omittedJobs.end());
+                        areAssignedWorkersStored = areAssignedWorkersStored || batch.assignedWorkers;
                     },
                 .onFenced = [this] { ++fencedCalls; } });
     }
@@ -46,6 +55,12 @@
         journal->requestFlush();
     }
 
+    void changeLargeJob(const std::string& id)
+    {
+        changed.push_back({ .id = id, .done = { std::string(defaultMaxRecordBytes, '1') } });
+        journal->requestFlush();
+    }
+
     size_t recordCount() { return store.records(StreamName::Progress).size(); }
 
     void advance(Milliseconds time)
@@ -117,6 +132,75 @@
     CHECK_EQUAL(0, fencedCalls);
 }
 
+// Guards against a record that the store refuses each time it is repeated, so that the leader stores nothing any more.
+TEST(ProgressJournal, RecordBeyondTheLimitIsLeftOutOfItsBatch)
+{
+    change("j1");
+    changeLargeJob("large");
+    change("j2");
+    advance(Milliseconds { 50 });
+    CHECK((stored == std::vector<std::string> { "j1", "j2" }));
+    CHECK((omitted == std::vector<std::string> { "large" }));
+    CHECK_EQUAL(1, store.appends);
+    changeLargeJob("large");
+    advance(Milliseconds { 50 });
+    CHECK_EQUAL(2, omitted.size());
+    CHECK_EQUAL(1, store.appends);
+    change("large");
+    advance(Milliseconds { 50 });
+    CHECK_EQUAL("large", stored.back());
+}
+
+// Guards against the same with a limit that the journal does not know.
+TEST(ProgressJournal, RecordThatIsRefusedForGoodIsNotRepeated)
+{
+    store.statedMaxRecordBytes *= 2;
+    change("j1");
+    changeLargeJob("large");
+    change("j2");
+    advance(Milliseconds { 50 });
+    CHECK((stored == std::vector<std::string> { "j1", "j2" }));
+    CHECK((omitted == std::vector<std::string> { "large" }));
+    CHECK_EQUAL(2, store.appends);
+}
+
+// Guards against a gap in the sequence numbers after an append of which nothing is left, for which the leader resigns.
+TEST(ProgressJournal, AppendThatLosesItsOnlyRecordKeepsItsSequenceNumber)
+{
+    store.statedMaxRecordBytes *= 2;
+    change("j1");
+    advance(Milliseconds { 50 });
+    changeLargeJob("large");
+    advance(Milliseconds { 50 });
+    change("j2");
+    advance(Milliseconds { 50 });
+    CHECK((stored == std::vector<std::string> { "j1", "j2" }));
+    CHECK((omitted == std::vector<std::string> { "large" }));
+    CHECK_EQUAL(0, fencedCalls);
+    store.readNewest(StreamName::Progress, 0, "", Milliseconds { 100 }, [](const auto& reply) {
+        CHECK_TRUE(reply.ok());
+        CHECK_EQUAL(2, reply->records.size());
+    });
+    advance(Milliseconds { 50 });
+}
+
+// Guards against added workers that are stored without the unreached workers, which must precede them.
+TEST(ProgressJournal, AssignedWorkersAreNotStoredWithoutUnreachedWorkers)
+{
+    for (bool isLimitKnown : { true, false }) {
+        store.statedMaxRecordBytes = isLimitKnown ? defaultMaxRecordBytes : 2 * defaultMaxRecordBytes;
+        assignedWorkers.emplace();
+        UnreachedWorker worker;
+        worker.worker.id = std::string(defaultMaxRecordBytes, 'w');
+        unreachedWorkers.emplace().workers.push_back(worker);
+        change("j");
+        advance(Milliseconds { 50 });
+        CHECK_FALSE(areAssignedWorkersStored);
+    }
+    CHECK_EQUAL(2, stored.size());
+    CHECK_EQUAL(2, recordCount());
+}
+
 // Guards against reporting progress as stored before the store has replied.
 TEST(ProgressJournal, NothingIsReportedStoredWhileTheStoreIsUnresponsive)
 {
--- a/Tests/LibNode/TestTaskLeader.cpp
+++ b/Tests/LibNode/TestTaskLeader.cpp
@@ -332,6 +332,21 @@
     CHECK(stageOf("j") == JobStage::Completed);
 }
 
+// Guards against acknowledging a run end, or showing it, whose record was left out because the store refuses it.
+TEST(TaskLeader, RunEndIsNotAcknowledgedWhileItsRecordIsLeftOut)
+{
+    auto run = leadWithOneRun();
+    advance(Milliseconds { 40 });
+    store.statedMaxRecordBytes = 4;
+    std::vector<RunEnd> ends { { .sequence = 1, .task = { "j", 0, 0, 0 }, .run = run } };
+    for (int i = 0; i < 100; ++i) {
+        CHECK_EQUAL(0, report("w1", 50, {}, ends));
+        CHECK(stageOf("j") == JobStage::Running);
+        advance(Milliseconds { 40 });
+    }
+    CHECK(storedProgress("j").value_or(JobProgress {}).state != JobStage::Completed);
+}
+
 // Guards against acknowledging a run end that arrives during an append together with that append, which holds only
 // earlier run ends.
 TEST(TaskLeader, RunEndDuringAnAppendIsAcknowledgedWithTheNextAppend)
--- a/Tests/LibReport/TestNodeMetrics.cpp
+++ b/Tests/LibReport/TestNodeMetrics.cpp
@@ -28,6 +28,7 @@
     metrics.recordJobEnd("completed");
     metrics.setOldestWait("no_worker", std::chrono::milliseconds { 2500 });
     metrics.recordElection();
+    metrics.recordOmittedRecords(1);
     metrics.recordTakeover(std::chrono::milliseconds { 300 });
 }
 
