Bound the stored pressures and the serving images of the pressure model

A saved record keeps the base tail latencies observed last, up to 48 KB, and the highest pressures, up to 96 KB; a pressure of 0 is what a successor assumes anyway. The model learns at most 256 serving images, at some 9 KB each; further ones are not numbered, as best-effort images beyond 32 already were, and only a missed target throttles tasks beside them. Numbers are not reused while a leader leads; images that are not stored are forgotten with it.

--- a/Libraries/LibDecision/PressureModel.cpp
+++ b/Libraries/LibDecision/PressureModel.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/PressureModel.h>
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Bergamot {
 
@@ -10,6 +11,16 @@
 /// Maximum number of distinct best-effort images. Further ones get the number 0, whose pressure is 0.
 static constexpr size_t maxBestEffortImages = 32;
 
+/// Maximum number of distinct serving images. Bounds the memory of the model, at about 9 KB an image.
+static constexpr size_t maxServingImages = 256;
+
+/// Bounds for the encoded base tail latencies and for the pairs of a saved record, in bytes.
+static constexpr size_t maxSavedBaseBytes = size_t { 48 } << 10;
+static constexpr size_t maxSavedPairBytes = size_t { 96 } << 10;
+
+/// Upper bound for the encoded size of an entry beside its names.
+static constexpr size_t savedEntryBytes = 20;
+
 /// The weight of an observation halves in this time.
 static constexpr double halfLifeMs = 20000;
 static constexpr Milliseconds solveInterval { 500 };
@@ -36,10 +47,15 @@
 
 ServingImage PressureModel::servingImage(const std::string& name)
 {
-    auto [it, first] = m_servingImages.try_emplace(name, static_cast<ServingImage>(m_regressions.size()));
-    if (first)
-        m_regressions.emplace_back();
-    return it->second;
+    auto it = m_servingImages.find(name);
+    if (it != m_servingImages.end())
+        return it->second;
+    if (m_regressions.size() >= maxServingImages)
+        return ServingImage::Untracked;
+    auto number = static_cast<ServingImage>(m_regressions.size());
+    m_servingImages.emplace(name, number);
+    m_regressions.emplace_back();
+    return number;
 }
 
 const PressureModel::Regression* PressureModel::find(ServingImage image) const
@@ -118,25 +134,46 @@
 
 PressureRecord PressureModel::save() const
 {
-    PressureRecord record;
-    for (const auto& [serving, number] : m_servingImages) {
+    using Entry = std::pair<const std::string*, const Regression*>;
+    std::vector<Entry> observed;
+    for (const auto& [name, number] : m_servingImages) {
         const auto& regression = m_regressions[static_cast<size_t>(number)];
-        if (regression.baseTailLatencyMs <= 0)
-            continue;
-        record.baseTailLatencies.push_back({ serving, regression.baseTailLatencyMs });
-        for (const auto& [bestEffort, bestEffortNumber] : m_bestEffortImages) {
-            auto index = static_cast<size_t>(bestEffortNumber);
-            if (index < regression.pressures.size())
-                record.pairs.push_back({ bestEffort, serving, regression.pressures[index] });
+        if (regression.baseTailLatencyMs > 0)
+            observed.emplace_back(&name, &regression);
+    }
+    std::ranges::stable_sort(observed, std::ranges::greater {}, [](const Entry& it) { return it.second->decayedAt; });
+    PressureRecord record;
+    std::vector<PairPressure> pairs;
+    size_t bytes = 0;
+    for (const auto& [name, regression] : observed) {
+        bytes += name->size() + savedEntryBytes;
+        if (bytes > maxSavedBaseBytes)
+            break;
+        record.baseTailLatencies.push_back({ *name, regression->baseTailLatencyMs });
+        for (const auto& [bestEffort, number] : m_bestEffortImages) {
+            auto index = static_cast<size_t>(number);
+            // A pressure of 0 is what a successor assumes without an entry.
+            if (index < regression->pressures.size() && regression->pressures[index] > 0)
+                pairs.push_back({ bestEffort, *name, regression->pressures[index] });
         }
     }
+    std::ranges::stable_sort(pairs, std::ranges::greater {}, &PairPressure::pressure);
+    bytes = 0;
+    for (auto& pair : pairs) {
+        bytes += pair.bestEffortImage.size() + pair.servingImage.size() + savedEntryBytes;
+        if (bytes > maxSavedPairBytes)
+            break;
+        record.pairs.push_back(std::move(pair));
+    }
     return record;
 }
 
 void PressureModel::restore(const PressureRecord& record)
 {
-    for (const auto& base : record.baseTailLatencies)
-        m_regressions[static_cast<size_t>(servingImage(base.servingImage))].baseTailLatencyMs = base.tailLatencyMs;
+    for (const auto& base : record.baseTailLatencies) {
+        if (auto number = servingImage(base.servingImage); number != ServingImage::Untracked)
+            m_regressions[static_cast<size_t>(number)].baseTailLatencyMs = base.tailLatencyMs;
+    }
     for (const auto& pair : record.pairs)
         bestEffortImage(pair.bestEffortImage);
     for (auto& regression : m_regressions)
--- a/Libraries/LibDecision/PressureModel.h
+++ b/Libraries/LibDecision/PressureModel.h
@@ -24,7 +24,7 @@
     /// once the maximum number of distinct images is reached.
     BestEffortImage bestEffortImage(const std::string& name);
 
-    /// Returns the number of a serving image and assigns one to a new image.
+    /// Returns the number of a serving image and assigns one to a new image, or returns `Untracked` as above.
     ServingImage servingImage(const std::string& name);
 
     /// Processors that the tasks of each best-effort image use, as a share of the worker's processors, indexed by image
@@ -39,7 +39,8 @@
     /// and for numbers that the model has not assigned.
     double pressure(BestEffortImage, ServingImage) const;
 
-    /// Saves the learned pressures, and restores those of an earlier leader as priors, which apply until new
+    /// Saves the learned pressures in a record of limited size, without the images observed longest ago and the lowest
+    /// pressures if necessary, and restores those of an earlier leader as priors, which apply until new
     /// observations outweigh them.
     PressureRecord save() const;
     void restore(const PressureRecord&);
--- a/Tests/LibDecision/TestPressureModel.cpp
+++ b/Tests/LibDecision/TestPressureModel.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 #include <LibDecision/PressureModel.h>
+#include <LibPlatform/RecordLimits.h>
+#include <LibWire/ValueCodec.h>
 #include <cmath>
 #include <random>
 #include <string>
@@ -81,3 +83,29 @@
     simulateSeconds(1);
     CHECK(model.pressure(BestEffortImage { maxNumber }, sensitive) == 0);
 }
+
+// Guards against a record of many images that the store refuses, and against a model that grows without limit.
+TEST(PressureModel, SavedRecordIsBoundedAndKeepsTheHighestPressures)
+{
+    constexpr size_t nameBytes { 1000 };
+    constexpr int servingImages { 300 };
+    auto nameOf = [](int i) { return std::to_string(i) + std::string(nameBytes, 'n'); };
+    for (int i = 0; i < 40; ++i)
+        model.bestEffortImage(nameOf(i));
+    simulateSeconds(60);
+    PressureModel::Shares shares(33, 0.05);
+    for (int i = 0; i < servingImages; ++i) {
+        double load = 0;
+        model.observe(model.servingImage(nameOf(i)), 4, shares, load, now);
+        now += Milliseconds { 600 };
+        model.observe(model.servingImage(nameOf(i)), 8, shares, load, now);
+    }
+    simulateSeconds(1);
+    CHECK_TRUE(model.servingImage("one more") == ServingImage::Untracked);
+    auto record = model.save();
+    CHECK(encodeValue(record).size() < defaultMaxRecordBytes);
+    CHECK_FALSE(record.pairs.empty());
+    PressureModel successor;
+    successor.restore(record);
+    DOUBLES_EQUAL(model.pressure(heavy, sensitive), pressureOn(successor), 1e-9);
+}
