Keep the records of large jobs within the store's limit

A job of five steps of 10,000 lasting tasks, most of which wait, had a progress record of 348,275 bytes, because each idle task was named; failed runs could do the same. A job's own record could exceed the limit too and was appended again until its deadline, together with the jobs of others.

A record names 4,000 idle tasks of a job at most. The others still start after a record only, and a successor waits with them for all workers. It names 3,000 failed runs of unfinished tasks at most, of the tasks with most failures; those of finished tasks decide nothing. Limitation: tasks whose failed runs are left out may start that much more often after a change of leader. JobAcceptor refuses a job whose record exceeds the limit (503: not accepted, never runs) without an append.

RecordOfALargeJobStaysWithinTheLimit fails without the limit of idle tasks.

--- a/Libraries/LibDecision/TaskIdleRecords.cpp
+++ b/Libraries/LibDecision/TaskIdleRecords.cpp
@@ -12,6 +12,9 @@
 /// Tasks that find room within this time start without a record.
 static constexpr Milliseconds minIdleTime { 300 };
 
+/// Limits the size of a record.
+static constexpr size_t maxIdleTasksOfJob = 4000;
+
 void TaskScheduler::recordIdleTasks(Instant now, const std::function<bool(const TaskRef&)>& mayStartLate)
 {
     for (const auto& [order, ready] : m_readySteps) {
@@ -33,6 +36,8 @@
     }
 }
 
+/// Returns as many recorded idle tasks as a record may name. Further ones start after a record too, and a successor
+/// takes them as tasks that may run anywhere.
 std::vector<IdleTask> TaskScheduler::idleTasksOf(const TrackedJob& job)
 {
     std::vector<IdleTask> idle;
@@ -41,7 +46,7 @@
         for (uint32_t s = 0; s < steps.size(); ++s) {
             if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
-            for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+            for (uint32_t i = 0; i < steps[s].tasks.size() && idle.size() < maxIdleTasksOfJob; ++i) {
                 if (steps[s].tasks[i].isRecordedIdle)
                     idle.push_back({ k, s, i });
             }
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -71,6 +71,29 @@
         m_changedJobs.insert(job.spec.id);
 }
 
+/// Returns the failed runs that still count. Of too many for a record, those of the tasks with the fewest are left out,
+/// which may then be started that much more often under another leader.
+std::vector<FailedRun> TaskScheduler::failedRunsToStore(TrackedJob& job)
+{
+    constexpr size_t maxFailedRunsOfJob { 3000 };
+    std::vector<std::pair<uint32_t, FailedRun>> failed;
+    for (const auto& it : job.failedRuns) {
+        const auto* task = findTask(job, { job.spec.id, it.occurrence, it.step, it.index });
+        if (task && !task->done)
+            failed.emplace_back(task->failures, it);
+    }
+    if (failed.size() > maxFailedRunsOfJob) {
+        std::ranges::stable_sort(failed, std::ranges::greater {}, &std::pair<uint32_t, FailedRun>::first);
+        failed.resize(maxFailedRunsOfJob);
+    }
+    std::vector<FailedRun> runs;
+    runs.reserve(failed.size());
+    for (const auto& [failures, run] : failed)
+        runs.push_back(run);
+    std::ranges::sort(runs);
+    return runs;
+}
+
 std::vector<JobProgress> TaskScheduler::takeChangedJobs()
 {
     std::vector<JobProgress> result;
@@ -92,7 +115,7 @@
                     progress.done.push_back(std::move(done));
                 }
             }
-            progress.failedRuns.assign(job.failedRuns.begin(), job.failedRuns.end());
+            progress.failedRuns = failedRunsToStore(job);
             progress.crashedRuns = job.crashes.runs();
             progress.idleTasks = idleTasksOf(job);
             progress.placedTasks = placedTasksOf(job);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -304,6 +304,7 @@
     static bool isPlacementRecordable(const StepSpec&);
     static bool mustAwaitRecord(const TrackedJob&, const TrackedTask&);
     void removeIdleRecord(TrackedJob&, TrackedTask&);
+    static std::vector<FailedRun> failedRunsToStore(TrackedJob&);
     static std::vector<IdleTask> idleTasksOf(const TrackedJob&);
     void restorePlacements(TrackedJob&, const std::vector<PlacedTask>&, bool areReliable);
     static void unblockUnstartedTasks(TrackedJob&);
--- a/Libraries/LibNode/JobAcceptor.cpp
+++ b/Libraries/LibNode/JobAcceptor.cpp
@@ -26,9 +26,13 @@
 {
     if (m_consecutiveTimeouts >= timeoutsUntilRefusal && (!m_jobsInAppend.empty() || !m_pendingJobs.empty()))
         return callback(AcceptResult::Refused);
-    m_pendingJobs.push_back({ .record = { .key = job.id, .value = encodeValue(job) },
-        .deadline = deadline,
-        .callback = std::move(callback) });
+    KeyedRecord record { .key = job.id, .value = encodeValue(job) };
+    // The store would refuse its append for good, and with it the jobs that share the append.
+    if (contentSizeOf(record) > m_store.maxRecordBytes()) {
+        logWarning("job_too_large", { { "job", job.id }, { "bytes", contentSizeOf(record) } });
+        return callback(AcceptResult::Refused);
+    }
+    m_pendingJobs.push_back({ .record = std::move(record), .deadline = deadline, .callback = std::move(callback) });
     if (m_jobsInAppend.empty())
         sendAppend();
 }
--- a/Tests/LibDecision/TestIdleTasks.cpp
+++ b/Tests/LibDecision/TestIdleTasks.cpp
@@ -1,5 +1,7 @@
 #include "TaskSchedulerFixture.h"
 #include <CppUTest/TestHarness.h>
+#include <LibPlatform/RecordLimits.h>
+#include <LibWire/ValueCodec.h>
 #include <optional>
 #include <vector>
 
@@ -169,3 +171,28 @@
     for (const auto& it : changed.front().crashedRuns)
         CHECK_FALSE(it.mayFollowUnrecordedCrash);
 }
+
+// Guards against a record of a large job that the store refuses, and against a start of a task that it does not name
+// before a record without the task.
+TEST(IdleTasks, RecordOfALargeJobStaysWithinTheLimit)
+{
+    constexpr uint32_t tasks { 10000 };
+    std::vector<StepSpec> steps(5, lasting());
+    for (auto& step : steps)
+        step.count = tasks;
+    scheduler().addJob(TaskSchedulerFixture::job(task.job, steps, "batch"), {}, neverInstant, fixture.now());
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    fixture.advance(waitUntilRecorded);
+    recordIdleTasks();
+    auto changed = scheduler().takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    CHECK(!changed.front().idleTasks.empty());
+    CHECK(encodeValue(changed.front()).size() < defaultMaxRecordBytes);
+    scheduler().progressStored(changed.front());
+    fixture.addWorker(1);
+    CHECK_EQUAL(0, fixture.planStarts().size());
+    changed = scheduler().takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    scheduler().progressStored(changed.front());
+    CHECK(!fixture.planStarts().empty());
+}
--- a/Tests/LibNode/TestJobAcceptor.cpp
+++ b/Tests/LibNode/TestJobAcceptor.cpp
@@ -56,6 +56,17 @@
     CHECK_EQUAL(jobs, store.records(StreamName::Jobs).size());
 }
 
+// Guards against a job that the store refuses for good, whose append is repeated together with the jobs of others.
+TEST(JobAcceptor, JobBeyondTheLimitOfARecordIsRefusedAlone)
+{
+    acceptor.accept({ .id = "large", .payload = std::string(defaultMaxRecordBytes, 'p') },
+        clock.now() + Milliseconds { 3000 }, [this](AcceptResult it) { results.push_back(it); });
+    accept("j");
+    advance(Milliseconds { 20 });
+    CHECK((results == std::vector { AcceptResult::Refused, AcceptResult::Accepted }));
+    CHECK_EQUAL(1, store.appends);
+}
+
 // Guards against refusing a job that may be stored: the caller would conclude that the job never runs.
 TEST(JobAcceptor, JobWithALostReplyIsNeverRefused)
 {
--- a/Tests/LibNode/TestProgressJournal.cpp
+++ b/Tests/LibNode/TestProgressJournal.cpp
@@ -148,7 +148,7 @@
     CHECK_EQUAL(1, store.appends);
     change("large");
     advance(Milliseconds { 50 });
-    CHECK_EQUAL("large", stored.back());
+    STRCMP_EQUAL("large", stored.back().c_str());
 }
 
 // Guards against the same with a limit that the journal does not know.
