--- a/Libraries/LibDecision/PressureModel.cpp
+++ b/Libraries/LibDecision/PressureModel.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/PressureModel.h>
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Bergamot {
 
@@ -10,6 +11,16 @@
 /// Maximum number of distinct best-effort images. Further ones get the number 0, whose pressure is 0.
 static constexpr size_t maxBestEffortImages = 32;
 
+/// Maximum number of distinct serving images. Bounds the memory of the model, at about 9 KB an image.
+static constexpr size_t maxServingImages = 256;
+
+/// Bounds for the encoded base tail latencies and for the pairs of a saved record, in bytes.
+static constexpr size_t maxSavedBaseBytes = size_t { 48 } << 10;
+static constexpr size_t maxSavedPairBytes = size_t { 96 } << 10;
+
+/// Upper bound for the encoded size of an entry beside its names.
+static constexpr size_t savedEntryBytes = 20;
+
 /// The weight of an observation halves in this time.
 static constexpr double halfLifeMs = 20000;
 static constexpr Milliseconds solveInterval { 500 };
@@ -22,39 +33,53 @@
 /// Corrects estimated pressures, which are too low because the tail latency of long queues understates the utilisation.
 static constexpr double pressureSafetyFactor = 1.4;
 
-uint32_t PressureModel::bestEffortImage(const std::string& name)
+BestEffortImage PressureModel::bestEffortImage(const std::string& name)
 {
     auto it = m_bestEffortImages.find(name);
     if (it != m_bestEffortImages.end())
         return it->second;
     if (m_bestEffortImages.size() >= maxBestEffortImages)
-        return 0;
-    auto number = static_cast<uint32_t>(m_bestEffortImages.size()) + 1;
+        return BestEffortImage::Untracked;
+    auto number = static_cast<BestEffortImage>(m_bestEffortImages.size() + 1);
     m_bestEffortImages.emplace(name, number);
     return number;
 }
 
-uint32_t PressureModel::servingImage(const std::string& name)
+ServingImage PressureModel::servingImage(const std::string& name)
+{
+    auto it = m_servingImages.find(name);
+    if (it != m_servingImages.end())
+        return it->second;
+    if (m_regressions.size() >= maxServingImages)
+        return ServingImage::Untracked;
+    auto number = static_cast<ServingImage>(m_regressions.size());
+    m_servingImages.emplace(name, number);
+    m_regressions.emplace_back();
+    return number;
+}
+
+const PressureModel::Regression* PressureModel::find(ServingImage image) const
 {
-    auto [it, first] = m_servingImages.try_emplace(name, static_cast<uint32_t>(m_regressions.size()));
-    if (first)
-        m_regressions.emplace_back();
-    return it->second;
+    auto index = static_cast<size_t>(image);
+    return index < m_regressions.size() ? &m_regressions[index] : nullptr;
 }
 
-double PressureModel::utilisationAt(uint32_t servingImage, double tailLatencyMs) const
+double PressureModel::utilisationAt(ServingImage image, double tailLatencyMs) const
 {
-    double baseTailLatencyMs = m_regressions[servingImage].baseTailLatencyMs;
+    const auto* regression = find(image);
+    double baseTailLatencyMs = regression ? regression->baseTailLatencyMs : 0;
     if (baseTailLatencyMs <= 0 || tailLatencyMs <= 0)
         return 0;
     return std::clamp(1 - baseTailLatencyMs / tailLatencyMs, 0.0, maxUtilisation);
 }
 
-double PressureModel::pressure(uint32_t bestEffortImage, uint32_t servingImage) const
+double PressureModel::pressure(BestEffortImage bestEffortImage, ServingImage servingImage) const
 {
-    const auto& pressures = m_regressions[servingImage].pressures;
-    return bestEffortImage > 0 && bestEffortImage < pressures.size() ? pressureSafetyFactor * pressures[bestEffortImage]
-                                                                     : 0;
+    const auto* regression = find(servingImage);
+    auto index = static_cast<size_t>(bestEffortImage);
+    if (!regression || bestEffortImage == BestEffortImage::Untracked || index >= regression->pressures.size())
+        return 0;
+    return pressureSafetyFactor * regression->pressures[index];
 }
 
 void PressureModel::addNewImages(Regression& regression) const
@@ -109,45 +134,68 @@
 
 PressureRecord PressureModel::save() const
 {
+    using Entry = std::pair<const std::string*, const Regression*>;
+    std::vector<Entry> observed;
+    for (const auto& [name, number] : m_servingImages) {
+        const auto& regression = m_regressions[static_cast<size_t>(number)];
+        if (regression.baseTailLatencyMs > 0)
+            observed.emplace_back(&name, &regression);
+    }
+    std::ranges::stable_sort(observed, std::ranges::greater {}, [](const Entry& it) { return it.second->decayedAt; });
     PressureRecord record;
-    for (const auto& [serving, number] : m_servingImages) {
-        const auto& regression = m_regressions[number];
-        if (regression.baseTailLatencyMs <= 0)
-            continue;
-        record.baseTailLatencies.push_back({ serving, regression.baseTailLatencyMs });
-        for (const auto& [bestEffort, index] : m_bestEffortImages) {
-            if (index < regression.pressures.size())
-                record.pairs.push_back({ bestEffort, serving, regression.pressures[index] });
+    std::vector<PairPressure> pairs;
+    size_t bytes = 0;
+    for (const auto& [name, regression] : observed) {
+        bytes += name->size() + savedEntryBytes;
+        if (bytes > maxSavedBaseBytes)
+            break;
+        record.baseTailLatencies.push_back({ *name, regression->baseTailLatencyMs });
+        for (const auto& [bestEffort, number] : m_bestEffortImages) {
+            auto index = static_cast<size_t>(number);
+            // A pressure of 0 is what a successor assumes without an entry.
+            if (index < regression->pressures.size() && regression->pressures[index] > 0)
+                pairs.push_back({ bestEffort, *name, regression->pressures[index] });
         }
     }
+    std::ranges::stable_sort(pairs, std::ranges::greater {}, &PairPressure::pressure);
+    bytes = 0;
+    for (auto& pair : pairs) {
+        bytes += pair.bestEffortImage.size() + pair.servingImage.size() + savedEntryBytes;
+        if (bytes > maxSavedPairBytes)
+            break;
+        record.pairs.push_back(std::move(pair));
+    }
     return record;
 }
 
 void PressureModel::restore(const PressureRecord& record)
 {
-    for (const auto& base : record.baseTailLatencies)
-        m_regressions[servingImage(base.servingImage)].baseTailLatencyMs = base.tailLatencyMs;
+    for (const auto& base : record.baseTailLatencies) {
+        if (auto number = servingImage(base.servingImage); number != ServingImage::Untracked)
+            m_regressions[static_cast<size_t>(number)].baseTailLatencyMs = base.tailLatencyMs;
+    }
     for (const auto& pair : record.pairs)
         bestEffortImage(pair.bestEffortImage);
     for (auto& regression : m_regressions)
         addNewImages(regression);
     for (const auto& pair : record.pairs) {
-        auto index = bestEffortImage(pair.bestEffortImage);
+        auto index = static_cast<size_t>(bestEffortImage(pair.bestEffortImage));
         auto it = m_servingImages.find(pair.servingImage);
         if (index == 0 || it == m_servingImages.end())
             continue;
-        auto& regression = m_regressions[it->second];
+        auto& regression = m_regressions[static_cast<size_t>(it->second)];
         regression.priors[index] = std::clamp(pair.pressure, 0.0, maxPressure);
         regression.pressures[index] = regression.priors[index];
     }
 }
 
 void PressureModel::observe(
-    uint32_t servingImage, double tailLatencyMs, const Shares& shares, double& load, Instant now)
+    ServingImage servingImage, double tailLatencyMs, const Shares& shares, double& load, Instant now)
 {
-    if (tailLatencyMs <= 0)
+    auto number = static_cast<size_t>(servingImage);
+    if (tailLatencyMs <= 0 || number >= m_regressions.size())
         return;
-    auto& regression = m_regressions[servingImage];
+    auto& regression = m_regressions[number];
     regression.baseTailLatencyMs
         = regression.baseTailLatencyMs > 0 ? std::min(regression.baseTailLatencyMs, tailLatencyMs) : tailLatencyMs;
     addNewImages(regression);
--- a/Libraries/LibDecision/TaskOccurrences.cpp
+++ b/Libraries/LibDecision/TaskOccurrences.cpp
@@ -1,4 +1,5 @@
 #include <LibDecision/TaskScheduler.h>
+#include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
 #include <set>
 #include <string>
@@ -24,7 +25,7 @@
         TrackedStep tracked { .tasks = { TrackedTask { .blockedUntil = blockedUntil } }, .remainingTasks = step.count };
         if (step.bestEffort)
             tracked.image = m_pressure.bestEffortImage(step.image);
-        else if (step.longRunning)
+        else if (isServing(step))
             tracked.image = m_pressure.servingImage(step.image);
         tracked.pendingDependencies = static_cast<uint32_t>(step.dependsOn.size());
         steps.push_back(std::move(tracked));
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -236,6 +236,9 @@
     /// Returns whether this is the end of a job that this leader knows; true once for each job.
     bool progressStored(const JobProgress&);
 
+    /// A collected record of the job was left out. What waits for it waits for the next one.
+    void progressOmitted(const JobId&);
+
     /// Whether a start waits until a record is stored that neither names its task as idle nor places it elsewhere.
     bool hasStartsAwaitingRecords() const { return !m_startsAwaitingRecords.empty(); }
 
@@ -311,6 +314,7 @@
     static bool isPlacementRecordable(const StepSpec&);
     static bool mustAwaitRecord(const TrackedJob&, const TrackedTask&);
     void removeIdleRecord(TrackedJob&, TrackedTask&);
+    static std::vector<FailedRun> failedRunsToStore(TrackedJob&);
     static std::vector<IdleTask> idleTasksOf(const TrackedJob&);
     void restorePlacements(TrackedJob&, const std::vector<PlacedTask>&, bool areReliable);
     static void unblockUnstartedTasks(TrackedJob&);
@@ -476,12 +480,12 @@
     static bool isSlow(const WorkerEntry&, Instant now);
     void handleSlowRun(WorkerEntry&, const TaskRef&, TrackedJob&, TrackedTask&, TrackedRun&, Instant now);
     void requestSpeculativeCopy(TrackedJob&, const TaskRef&, TrackedTask&);
-    double servingMargin(const TrackedRun&, const StepSpec&, uint32_t image) const;
-    double sameImageShare(const WorkerEntry&, uint32_t image) const;
+    double servingMargin(const TrackedRun&, const StepSpec&, ServingImage) const;
+    double sameImageShare(const WorkerEntry&, const ImageNumber&) const;
     double addedUtilisation(
-        const WorkerEntry&, const StepSpec& bestEffortSpec, uint32_t bestEffortImage, uint32_t servingImage) const;
+        const WorkerEntry&, const StepSpec& bestEffortSpec, const ImageNumber& bestEffortImage, ServingImage) const;
     void refreshServingPressures(WorkerEntry&) const;
-    double allowedBestEffortShare(WorkerEntry&, const StepSpec&, uint32_t bestEffortImage) const;
+    double allowedBestEffortShare(WorkerEntry&, const StepSpec&, const ImageNumber&) const;
     void reserve(WorkerEntry&, TrackedJob&, const TaskRef&, uint64_t run);
     void release(WorkerHandle, const TrackedJob&, const TaskRef&, uint64_t run);
 
