--- a/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
+++ b/Tests/PlatformAdapter/NodeDecoderSeeds.cpp
@@ -44,8 +44,8 @@
     case 2:
         return { "evacuate/z", "config", "" };
     case 3:
-        return { R"({"service":"s","addr":"1.2.3.4:5","zone":"z","state":"ready","coldLeftMs":3,"slots":8,"seq":4,)"
-                 R"("capacity":{"cpu":1000,"memMb":5,"gpu":0},"labels":["a","r1"],"born":7})" };
+        return { R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":8,"state":"ready","seq":4,)"
+                 R"("coldLeftMs":3,"capacity":{"cpu":1000,"memMb":5,"gpu":0},"labels":["a","r1"],"born":7})" };
     case 4:
         return {
             R"({"clockMs":5,"born":3,"running":[["j.0.1.2",3,"cp",41,18]],"finished":[[58,"j.0.1.9",1,"done",""]]})",
--- a/Tests/PlatformAdapter/TestMalformedDocuments.cpp
+++ b/Tests/PlatformAdapter/TestMalformedDocuments.cpp
@@ -80,12 +80,40 @@
     CHECK_FALSE(isRead(other));
 }
 
+// Guards against an entry of another writer that names another zone or a later incarnation of a worker and lacks a
+// field that each worker writes (review/8).
+TEST(MalformedDocuments, WorkerWithoutARequiredFieldIsRejected)
+{
+    const auto entry = nlohmann::json::parse(
+        R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":0,
+            "capacity":{"cpu":16000,"memMb":32768},"labels":["a","r1-3"],"seq":4})");
+    auto isRead
+        = [&](const nlohmann::json& it) { return formats.readWorkerRecord({ .key = "i-1", .value = it.dump() }).ok(); };
+    CHECK(isRead(entry));
+    for (const auto& [field, value] : entry.items()) {
+        auto other = entry;
+        other.erase(field);
+        CHECK_FALSE_TEXT(isRead(other), field.c_str());
+        other[field] = nullptr;
+        CHECK_FALSE_TEXT(isRead(other), field.c_str());
+    }
+    for (const auto* field : { "cpu", "memMb" }) {
+        auto other = entry;
+        other["capacity"].erase(field);
+        CHECK_FALSE_TEXT(isRead(other), field);
+    }
+    auto other = entry;
+    other["zone"] = "";
+    CHECK_FALSE(isRead(other));
+}
+
 // Guards against a session with an address that no process can have: the leader would wait for it, and ask the network
 // for a host of that name. Also against an address that changes the path or the host of a call.
 TEST(MalformedDocuments, WorkerWithAnUnusableAddressIsRejected)
 {
     auto isRead = [&](const std::string& address) {
-        nlohmann::json entry { { "service", "s" }, { "addr", address }, { "zone", "z" }, { "state", "ready" },
+        nlohmann::json entry { { "service", "s" }, { "addr", address }, { "zone", "z" }, { "version", "v1" },
+            { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 }, { "labels", { "a", "r1-3" } }, { "seq", 4 },
             { "capacity", { { "cpu", 1 }, { "memMb", 1 } } } };
         return formats.readWorkerRecord({ .key = "i-1", .value = entry.dump() }).ok();
     };
@@ -101,8 +129,8 @@
 // Guards against an id that ends the header in which each call names its worker.
 TEST(MalformedDocuments, WorkerWithAnUnusableIdIsRejected)
 {
-    constexpr auto* entry = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready",
-                                "capacity":{"cpu":1,"memMb":1}})";
+    constexpr auto* entry = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready",
+        "coldLeftMs":0,"capacity":{"cpu":1,"memMb":1},"labels":["a","r1-3"],"seq":4})";
     CHECK(formats.readWorkerRecord({ .key = "i-1", .value = entry }).ok());
     for (const auto* id : { "", "i\r\nX-A: b", "i\n", "i 1", "\x7f", "\xff" })
         CHECK_FALSE_TEXT(formats.readWorkerRecord({ .key = id, .value = entry }).ok(), id);
--- a/Tests/PlatformAdapter/TestPlatformJson.cpp
+++ b/Tests/PlatformAdapter/TestPlatformJson.cpp
@@ -89,6 +89,16 @@
             R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":7})",
             R"({"service":3,"addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1}})" })
         CHECK_FALSE(formats.readWorkerRecord({ .key = "i-2", .value = other }).ok());
+    // The same with nothing else amiss.
+    auto isReadWith = [&](const std::string& part, const std::string& replacement) {
+        auto other = entry;
+        other.replace(other.find(part), part.size(), replacement);
+        return formats.readWorkerRecord({ .key = "i-2", .value = other }).ok();
+    };
+    CHECK(isReadWith(R"("draining")", R"("ready")"));
+    CHECK_FALSE(isReadWith(R"("draining")", R"("odd")"));
+    CHECK_FALSE(isReadWith(R"({"cpu":16000,"memMb":32768,"gpu":0})", "7"));
+    CHECK_FALSE(isReadWith(R"("service":"s")", R"("service":3)"));
 }
 
 // Guards against a capacity that is read once: a worker may announce another one while it runs, also only less
@@ -97,8 +107,9 @@
 {
     auto capacityOf = [this](const std::string& capacity) {
         auto worker = formats.readWorkerRecord({ .key = "i-1",
-            .value
-            = R"({"service":"s","addr":"a:1","zone":"z","state":"ready","born":77,"capacity":)" + capacity + "}" });
+            .value = R"({"service":"s","addr":"a:1","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":0,
+                "labels":["a","r1-3"],"seq":4,"born":77,"capacity":)"
+                + capacity + "}" });
         CHECK(worker.ok());
         CHECK_EQUAL(77, worker->startedAtMs);
         return worker->view.capacity;
--- a/Tests/PlatformAdapter/TestPlatformMutations.cpp
+++ b/Tests/PlatformAdapter/TestPlatformMutations.cpp
@@ -58,8 +58,9 @@
     const std::string job
         = R"({"spec":"s","repeatCount":2,"startAtMs":5,"intervalMs":7,"steps":[{"count":4,"cpu":500,)"
           R"("memMb":256,"estRuntimeMs":900,"affinity":"r1-3"},{"count":2,"dependsOn":[0],"gang":true}]})";
-    const std::string worker = R"({"service":"s","addr":"1.2.3.4:5","zone":"z","state":"ready","coldLeftMs":3,)"
-                               R"("capacity":{"cpu":1000,"memMb":5,"gpu":0},"labels":["a","r1"],"born":7,"seq":4})";
+    const std::string worker
+        = R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":8,"state":"ready",)"
+          R"("coldLeftMs":3,"capacity":{"cpu":1000,"memMb":5,"gpu":0},"labels":["a","r1"],"born":7,"seq":4})";
     const std::string config
         = R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",)"
           R"("priority":1,"maxAttempts":3,"stretch":1.5,"targetLatencyMs":9}],"limits":{"maxBodyBytes":5}})";
