End no lease on the word of an announcement

An entry of another writer (fields missing, service unknown, a later `born`) under the id of a worker that was cut off replaced the worker at once, and its tasks started again while it ran on. An unreachable worker was replaced on any such entry, a reachable one after 1 s without a reply.

A worker that this leader has reached is now replaced only once a later incarnation has replied, at the worker's own address or at the announced one, which the leader asks for it, or once its lease has expired. A reply of the worker to a later request contradicts the entry. Starts without a reply are held back for an announced incarnation as for a known one. A worker that this leader has not reached is replaced at once as before: it has started nothing there, and it waits for the successor as long.

An entry whose service the configuration does not name is kept aside until it does, and one without `born` under the id of a worker that announces it is ignored.

Not covered: a full copy of a worker's entry, with its `born`.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -106,6 +106,7 @@
         std::map<std::string, QueuePolicy> queues;
         for (const auto& route : m_routing->routes)
             queues[route.queue] = route.policy;
+        m_leader->setServices(m_routing->services);
         m_leader->setQueues(m_routing->version, std::move(queues));
     }
     m_leader->setExcludedZones(m_zonesOut);
--- a/Libraries/LibNode/TaskLeader.cpp
+++ b/Libraries/LibNode/TaskLeader.cpp
@@ -160,8 +160,13 @@
             .maxWait = Milliseconds { 0 },
             .pollInterval = workerListInterval,
             .loadTimeout = stateLoadTimeout,
-            .onReload = [this] { m_listedWorkers.clear(); },
-            .onRecord = [this](const KeyedRecord& record) { applyWorkerRecord(record); },
+            .onReload =
+                [this] {
+                    m_listedWorkers.clear();
+                    m_entriesOfUnknownServices.clear();
+                },
+            .onRecord
+            = [this](const KeyedRecord& record) { applyWorkerRecord(record, m_workerReader->appendedAfter()); },
             .onCaughtUp = [this] { handleWorkersCaughtUp(); } });
     for (auto& reader : m_jobReaders)
         reader->start();
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -72,6 +72,7 @@
 
     void start();
     void setQueues(uint64_t configVersion, std::map<std::string, QueuePolicy>);
+    void setServices(std::set<std::string>);
     void setExcludedZones(std::set<ZoneId>);
 
     /// Replies immediately, except that the cancellation of a job that has not ended is confirmed once it is stored. No
@@ -156,9 +157,12 @@
         uint64_t unknownEndSequence { 0 };
         Instant unknownEndSeenAt { neverInstant };
 
-        /// The announcement of a later incarnation that this one, which is reachable, has yet to contradict.
+        /// The announcement of a later incarnation that no reply has proved or contradicted yet.
         std::optional<WorkerAnnouncement> announcedSuccessor;
         Instant successorAnnouncedAt { neverInstant };
+
+        /// A request to the address in that announcement has no reply yet.
+        bool isSuccessorProbed { false };
     };
 
     /// How many of the workers on whose replies an earlier leader counts have been reached since, so that they reject
@@ -209,7 +213,9 @@
     void applyUnansweredStarts(const KeyedRecord&);
     void handleUnreadableProgress(const std::string& key, const absl::Status&);
     void applyJobRecord(const KeyedRecord&);
-    void applyWorkerRecord(const KeyedRecord&);
+    void applyWorkerRecord(const KeyedRecord&, Instant writtenAfter);
+    bool isServiceKnown(const WorkerId&, const WorkerAnnouncement&) const;
+    bool isStartTimeMissing(const WorkerId&, const WorkerAnnouncement&) const;
     void handleWorkersCaughtUp();
     void removeAbsentWorkers();
     void handleJobsCaughtUp();
@@ -240,7 +246,12 @@
     std::vector<StopTask> stopsOfRunsOnSuccessor(WorkerHandle);
     void replaceWorker(WorkerHandle, const WorkerIncarnation& successor, std::optional<WorkerAnnouncement>);
     void checkAnnouncedSuccessor(WorkerHandle, const WorkerAnnouncement&);
+    void checkAnnouncedSuccessorLater(WorkerHandle);
     void decideOnAnnouncedSuccessor(WorkerHandle);
+    static bool canReplaceUnproven(const Worker&);
+    void replaceByAnnounced(WorkerHandle, WorkerAnnouncement);
+    void probeAnnouncedAddress(WorkerHandle);
+    void handleProbeReply(WorkerHandle, const std::string& address, const absl::StatusOr<RenewLeaseReply>&);
     void handleIncarnationMismatch(WorkerHandle);
     bool mayHoldMisdirectedLease(const WorkerIncarnation&) const;
     Instant misdirectedCallsEndBy(const WorkerId&) const;
@@ -368,6 +379,10 @@
     /// The handles of all workers in `m_workers`, by worker id.
     std::set<std::pair<WorkerId, WorkerHandle>> m_handles;
     ListedWorkers m_listedWorkers;
+
+    /// The services that the configuration names, and the newest entries of workers that name another one.
+    std::set<std::string> m_services;
+    std::map<WorkerId, KeyedRecord> m_entriesOfUnknownServices;
     WorkerHandle m_lastHandle { 0 };
 
     /// The assigned workers according to the latest record that is stored for certain.
--- a/Libraries/LibNode/TaskLeaderIncarnations.cpp
+++ b/Libraries/LibNode/TaskLeaderIncarnations.cpp
@@ -8,39 +8,107 @@
 
 namespace Bergamot {
 
-/// An entry may come from another writer, so a reachable worker is asked first. Its reply contradicts the entry, or
-/// proves the later incarnation.
+/// An entry may come from another writer, so it ends no lease: the worker is replaced once a later incarnation has
+/// replied, at the address of the worker or at the announced one, or once the lease has expired.
 void TaskLeader::checkAnnouncedSuccessor(WorkerHandle handle, const WorkerAnnouncement& announcement)
 {
-    constexpr Milliseconds replyTime { 1000 };
     auto& worker = m_workers.at(handle);
-    if (worker.announcedSuccessor)
-        return;
+    if (canReplaceUnproven(worker))
+        return replaceByAnnounced(handle, announcement);
+    const auto& known = worker.announcedSuccessor;
+    bool isCheckDue = known.has_value();
+    bool isSameSuccessor
+        = known && known->startedAtMs == announcement.startedAtMs && known->address == announcement.address;
     worker.announcedSuccessor = announcement;
+    if (isSameSuccessor)
+        return;
     worker.successorAnnouncedAt = m_loop.now();
-    m_loop.callAfter(replyTime, [this, alive = m_alive, handle] {
+    if (worker.isSessionStarted)
+        worker.session->proveIncarnation();
+    probeAnnouncedAddress(handle);
+    if (!isCheckDue)
+        checkAnnouncedSuccessorLater(handle);
+}
+
+/// Whether no lease of the worker depends on the truth of an entry: this leader has started nothing on a worker that it
+/// has not reached, and waits with the tasks of earlier leaders for the successor as for the worker.
+bool TaskLeader::canReplaceUnproven(const Worker& worker)
+{
+    return worker.session->isUnreached() || worker.session->haveLeasesExpired();
+}
+
+void TaskLeader::replaceByAnnounced(WorkerHandle handle, WorkerAnnouncement announcement)
+{
+    WorkerIncarnation successor { .id = m_workers.at(handle).incarnation.id,
+        .address = announcement.address,
+        .startedAtMs = announcement.startedAtMs };
+    replaceWorker(handle, successor, std::move(announcement));
+}
+
+void TaskLeader::checkAnnouncedSuccessorLater(WorkerHandle handle)
+{
+    constexpr Milliseconds interval { 200 };
+    m_loop.callAfter(interval, [this, alive = m_alive, handle] {
         if (*alive)
             decideOnAnnouncedSuccessor(handle);
     });
-    worker.session->proveIncarnation();
 }
 
 void TaskLeader::decideOnAnnouncedSuccessor(WorkerHandle handle)
 {
     auto it = m_workers.find(handle);
-    if (it == m_workers.end())
+    if (it == m_workers.end() || !it->second.announcedSuccessor)
         return;
     auto& worker = it->second;
-    auto announcement = *std::exchange(worker.announcedSuccessor, std::nullopt);
-    if (worker.session->lastReplyAt() <= worker.successorAnnouncedAt) {
-        WorkerIncarnation successor {
-            .id = worker.incarnation.id, .address = announcement.address, .startedAtMs = announcement.startedAtMs
-        };
-        return replaceWorker(handle, successor, std::move(announcement));
+    if (canReplaceUnproven(worker))
+        return replaceByAnnounced(handle, *std::exchange(worker.announcedSuccessor, std::nullopt));
+    if (worker.session->answeredRequestSentAt() < worker.successorAnnouncedAt) {
+        probeAnnouncedAddress(handle);
+        return checkAnnouncedSuccessorLater(handle);
     }
     logWarning("announced_incarnation_contradicted",
         { { "worker", worker.incarnation.id }, { "born", worker.incarnation.startedAtMs },
-            { "announced_born", announcement.startedAtMs }, { "announced_address", announcement.address } });
+            { "announced_born", worker.announcedSuccessor->startedAtMs },
+            { "announced_address", worker.announcedSuccessor->address } });
+    worker.announcedSuccessor.reset();
+}
+
+/// Asks the process at the announced address which incarnation it is. The session asks the one at the worker's address.
+void TaskLeader::probeAnnouncedAddress(WorkerHandle handle)
+{
+    auto& worker = m_workers.at(handle);
+    const auto& address = worker.announcedSuccessor->address;
+    if (!worker.isSessionStarted || worker.isSuccessorProbed || address == worker.incarnation.address)
+        return;
+    worker.isSuccessorProbed = true;
+    TaskExecutorAddress executor { .id = worker.incarnation.id, .address = address };
+    auto fenceToken = m_lastSessions.at(worker.incarnation.id).fenceToken;
+    m_taskExecutor.renewLease(executor, fenceToken, {},
+        [this, alive = m_alive, handle, address](const absl::StatusOr<RenewLeaseReply>& reply) {
+            if (*alive)
+                handleProbeReply(handle, address, reply);
+        });
+}
+
+void TaskLeader::handleProbeReply(
+    WorkerHandle handle, const std::string& address, const absl::StatusOr<RenewLeaseReply>& reply)
+{
+    auto it = m_workers.find(handle);
+    if (it == m_workers.end())
+        return;
+    auto& worker = it->second;
+    worker.isSuccessorProbed = false;
+    bool isSuccessor = reply.ok() && reply->commandReply.outcome == TaskCommandOutcome::Accepted
+        && worker.incarnation.startedAtMs != 0 && reply->commandReply.startedAtMs > worker.incarnation.startedAtMs;
+    if (!isSuccessor)
+        return;
+    WorkerIncarnation successor {
+        .id = worker.incarnation.id, .address = address, .startedAtMs = reply->commandReply.startedAtMs
+    };
+    auto announced = std::exchange(worker.announcedSuccessor, std::nullopt);
+    if (announced && (announced->startedAtMs != successor.startedAtMs || announced->address != address))
+        announced.reset();
+    replaceWorker(handle, successor, std::move(announced));
 }
 
 /// Runs that the later incarnation at the address of a worker may have taken for the former one.
@@ -90,8 +158,12 @@
         successor.address = announced->address;
         return replaceWorker(handle, successor, std::move(announced));
     }
-    if (successor.startedAtMs <= worker.incarnation.startedAtMs)
+    if (successor.startedAtMs <= worker.incarnation.startedAtMs) {
+        // Another process has the address of the worker, which has announced that it started again elsewhere.
+        if (auto announced = worker.announcedSuccessor; announced && announced->address != worker.incarnation.address)
+            return replaceByAnnounced(handle, std::move(*announced));
         return removeWorker(handle, endOf(worker));
+    }
     // Until it has a session of its own, it executes late calls for the former incarnation.
     replaceWorker(handle, successor, std::nullopt);
 }
--- a/Libraries/LibNode/TaskLeaderLateStarts.cpp
+++ b/Libraries/LibNode/TaskLeaderLateStarts.cpp
@@ -71,7 +71,7 @@
     const auto& session = *worker.session;
     if (!session.isUnreached() && session.isReconciled())
         entry.hasUnreachedSuccessor = false;
-    else if (worker.incarnation.startedAtMs > entry.start.workerStartedAtMs)
+    else if (worker.incarnation.startedAtMs > entry.start.workerStartedAtMs || worker.announcedSuccessor)
         entry.hasUnreachedSuccessor = true;
 }
 
--- a/Libraries/LibNode/TaskLeaderWorkers.cpp
+++ b/Libraries/LibNode/TaskLeaderWorkers.cpp
@@ -19,43 +19,6 @@
     return it->second;
 }
 
-/// The clocks of hosts differ by seconds; an entry that is further ahead is not a worker's.
-static constexpr Milliseconds maxClockDifference { 3'600'000 };
-
-void TaskLeader::applyWorkerRecord(const KeyedRecord& record)
-{
-    if (record.value.empty()) {
-        m_listedWorkers.removed(record.key, m_loop.now());
-        return;
-    }
-    auto announcement = m_formats.readWorkerRecord(record);
-    // Such an entry comes from another writer and names no worker. With a start time in the future, the true entries
-    // of the worker would count as those of earlier incarnations.
-    if (!announcement.ok() || announcement->startedAtMs > unixMsNow() + maxClockDifference.count())
-        return;
-    m_listedWorkers.announced(record.key, announcement->startedAtMs, m_workerReader->appendedAfter());
-    WorkerIncarnation incarnation {
-        .id = record.key, .address = announcement->address, .startedAtMs = announcement->startedAtMs
-    };
-    auto handle = findHandle(record.key);
-    if (handle) {
-        auto& worker = m_workers.at(*handle);
-        bool sameIncarnation = worker.incarnation.startedAtMs == 0 || announcement->startedAtMs == 0
-            || worker.incarnation.startedAtMs == announcement->startedAtMs;
-        // What another writer has announced of this worker gives way once nothing can be running there.
-        bool isNeverReached = worker.session->isUnreached() && worker.session->haveLeasesExpired();
-        if (sameIncarnation && !(isNeverReached && worker.incarnation.address != announcement->address))
-            return updateAnnouncement(*handle, *announcement);
-        // A record of an earlier incarnation does not apply to the current one.
-        if (announcement->startedAtMs < worker.incarnation.startedAtMs && !isNeverReached)
-            return;
-        if (worker.session->isReachable())
-            return checkAnnouncedSuccessor(*handle, *announcement);
-        return replaceWorker(*handle, incarnation, *announcement);
-    }
-    addWorker(incarnation, *announcement);
-}
-
 /// Interval of the reports of each worker with which the CPU that the leader spends on reports stays limited.
 Milliseconds TaskLeader::reportIntervalFor(size_t workers)
 {
@@ -332,6 +295,11 @@
                 logWarning("worker_lapsed", { { "worker", worker.incarnation.id } });
                 // The worker may come back as another incarnation, which then proves that it crashed.
                 m_scheduler.suspectCrash(handle, m_loop.now());
+                // The announced incarnation may have executed starts without a reply.
+                if (worker.announcedSuccessor && canReplaceUnproven(worker)) {
+                    replaceByAnnounced(handle, *std::exchange(worker.announcedSuccessor, std::nullopt));
+                    return checkReconciled();
+                }
                 m_scheduler.markRunsLost(handle, m_loop.now());
                 reportInheritedLoss(worker);
                 checkReconciled();
--- a/Libraries/LibPlatform/RoutingTable.h
+++ b/Libraries/LibPlatform/RoutingTable.h
@@ -4,6 +4,8 @@
 #include <LibPlatform/QueueRoute.h>
 #include <cstddef>
 #include <cstdint>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -20,6 +22,9 @@
     Milliseconds headerTimeout { HttpLimits {}.headerTimeout };
     Milliseconds idleTimeout { HttpLimits {}.idleTimeout };
 
+    /// The names of all services; empty if the configuration does not contain them.
+    std::set<std::string> services {};
+
     bool operator==(const RoutingTable&) const = default;
 
     /// Returns the route of `host` with the longest path prefix that matches `path`, or null if no route matches.
--- a/Tests/LibNode/LateCallDay.h
+++ b/Tests/LibNode/LateCallDay.h
@@ -55,6 +55,10 @@
     std::optional<Instant> claimedAt;
     std::map<JobId, JobSpec> jobs;
 
+    /// Another writer leaves entries under the ids of workers.
+    bool hasForeignEntries { false };
+    std::mt19937 foreignRandom { 1 };
+
     /// When each worker is cut off after its return, and when it last announced itself.
     std::map<std::string, Instant> cutAt;
     std::map<std::string, Instant> announcedAt;
@@ -168,12 +172,32 @@
         worker.cutUntil = clock.now() + pickTime(5000, 12000);
     }
 
+    /// Leaves an entry with a start time, a zone and a room that need not be those of the worker.
+    void putForeignEntry()
+    {
+        auto pickForeign = [this](uint32_t n) { return static_cast<int64_t>(foreignRandom() % n); };
+        auto id = fmt::format("w{}", pickForeign(static_cast<uint32_t>(executor.workers.size())));
+        auto startedAtMs = executor.workers.at(id).startedAtMs;
+        const std::vector<int64_t> startTimes { startedAtMs + 1, startedAtMs + 1 + pickForeign(100'000),
+            int64_t { 1 } << 40, std::max<int64_t>(1, startedAtMs - pickForeign(10)) };
+        WorkerAnnouncement entry { .view
+            = { .id = id, .service = "s", .zone = "z", .rack = id, .capacity = executor.capacity },
+            .address = id,
+            .startedAtMs = startTimes.at(static_cast<size_t>(pickForeign(static_cast<uint32_t>(startTimes.size())))) };
+        entry.view.draining = pickForeign(4) == 0;
+        auto value = fmt::format("foreign {}", formats.announcements.size());
+        formats.announcements[value] = entry;
+        store.put(StreamName::Workers, id, value);
+    }
+
     void advance(Milliseconds time)
     {
         for (Milliseconds passed { 0 }; passed < time; passed += tickTime) {
             clock.advance(tickTime);
             loop->runReady();
             executor.tick(tickTime);
+            if (hasForeignEntries && foreignRandom() % 20 == 0)
+                putForeignEntry();
             for (auto& [id, worker] : executor.workers) {
                 cutOffIfDue(id, worker);
                 announceOrExpire(id, worker);
--- a/Tests/PlatformAdapter/TestPlatformJson.cpp
+++ b/Tests/PlatformAdapter/TestPlatformJson.cpp
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 #include <platform/PlatformJson.h>
+#include <set>
 #include <string>
 
 using namespace Bergamot;
@@ -126,7 +127,7 @@
 {
     auto change = formats.readOperatorRecord({ .key = "config",
         .value = R"({"version":7,"routes":[{"name":"q","host":"h","pathPrefix":"/p/","service":"s","priority":2,
-            "maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"limits":{"maxBodyBytes":1000,
+            "maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"services":[{"name":"s"},{"name":"t"}],"limits":{"maxBodyBytes":1000,
             "maxHeaderBytes":8192,"headerTimeoutMs":700,"idleTimeoutMs":9000}})" });
     CHECK(change.ok());
     const auto& table = std::get<RoutingTable>(*change);
@@ -137,6 +138,7 @@
     CHECK_EQUAL(9000, table.idleTimeout.count());
     QueuePolicy policy { .service = "s", .priority = 2, .maxAttempts = 3, .stretch = 1.5, .targetLatencyMs = 250 };
     CHECK(table.routes[0].policy == policy);
+    CHECK((table.services == std::set<std::string> { "s", "t" }));
     auto out = formats.readOperatorRecord({ .key = "evacuate/riga-a", .value = "{}" });
     CHECK((std::get<ZoneOut>(*out) == ZoneOut { "riga-a", true }));
     auto back = formats.readOperatorRecord({ .key = "evacuate/riga-a" });
