--- a/Libraries/LibNode/TaskLeaderLateStarts.cpp
+++ b/Libraries/LibNode/TaskLeaderLateStarts.cpp
@@ -70,11 +70,10 @@
         return;
     const auto& worker = m_workers.at(*handle);
     const auto& session = *worker.session;
-    if (worker.announcedSuccessor)
-        entry.hasUnreachedSuccessor = true;
-    else if (!session.isUnreached() && session.isReconciled())
+    bool isAnnouncedOnly = worker.announcedSuccessor.has_value();
+    if (!isAnnouncedOnly && !session.isUnreached() && session.isReconciled())
         entry.hasUnreachedSuccessor = false;
-    else if (worker.incarnation.startedAtMs > entry.start.workerStartedAtMs)
+    else if (isAnnouncedOnly || worker.incarnation.startedAtMs > entry.start.workerStartedAtMs)
         entry.hasUnreachedSuccessor = true;
 }
 
