--- a/Tests/PlatformAdapter/TestPlatformJson.cpp
+++ b/Tests/PlatformAdapter/TestPlatformJson.cpp
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 #include <platform/PlatformJson.h>
+#include <set>
 #include <string>
 
 using namespace Bergamot;
@@ -89,6 +90,16 @@
             R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":7})",
             R"({"service":3,"addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1}})" })
         CHECK_FALSE(formats.readWorkerRecord({ .key = "i-2", .value = other }).ok());
+    // The same with nothing else amiss.
+    auto isReadWith = [&](const std::string& part, const std::string& replacement) {
+        auto other = entry;
+        other.replace(other.find(part), part.size(), replacement);
+        return formats.readWorkerRecord({ .key = "i-2", .value = other }).ok();
+    };
+    CHECK(isReadWith(R"("draining")", R"("ready")"));
+    CHECK_FALSE(isReadWith(R"("draining")", R"("odd")"));
+    CHECK_FALSE(isReadWith(R"({"cpu":16000,"memMb":32768,"gpu":0})", "7"));
+    CHECK_FALSE(isReadWith(R"("service":"s")", R"("service":3)"));
 }
 
 // Guards against a capacity that is read once: a worker may announce another one while it runs, also only less
@@ -97,8 +108,9 @@
 {
     auto capacityOf = [this](const std::string& capacity) {
         auto worker = formats.readWorkerRecord({ .key = "i-1",
-            .value
-            = R"({"service":"s","addr":"a:1","zone":"z","state":"ready","born":77,"capacity":)" + capacity + "}" });
+            .value = R"({"service":"s","addr":"a:1","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":0,
+                "labels":["a","r1-3"],"seq":4,"born":77,"capacity":)"
+                + capacity + "}" });
         CHECK(worker.ok());
         CHECK_EQUAL(77, worker->startedAtMs);
         return worker->view.capacity;
@@ -115,7 +127,7 @@
 {
     auto change = formats.readOperatorRecord({ .key = "config",
         .value = R"({"version":7,"routes":[{"name":"q","host":"h","pathPrefix":"/p/","service":"s","priority":2,
-            "maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"limits":{"maxBodyBytes":1000,
+            "maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"services":[{"name":"s"},{"name":"t"}],"limits":{"maxBodyBytes":1000,
             "maxHeaderBytes":8192,"headerTimeoutMs":700,"idleTimeoutMs":9000}})" });
     CHECK(change.ok());
     const auto& table = std::get<RoutingTable>(*change);
@@ -126,6 +138,7 @@
     CHECK_EQUAL(9000, table.idleTimeout.count());
     QueuePolicy policy { .service = "s", .priority = 2, .maxAttempts = 3, .stretch = 1.5, .targetLatencyMs = 250 };
     CHECK(table.routes[0].policy == policy);
+    CHECK((table.services == std::set<std::string> { "s", "t" }));
     auto out = formats.readOperatorRecord({ .key = "evacuate/riga-a", .value = "{}" });
     CHECK((std::get<ZoneOut>(*out) == ZoneOut { "riga-a", true }));
     auto back = formats.readOperatorRecord({ .key = "evacuate/riga-a" });
