Answer a query without a leader at its deadline, not at the next retry

A query that no leader answers ended only when it was due to be sent again, every 400 ms. A caller whose deadline was shorter got its answer after that deadline. The wait for the next retry is now at most the time to the deadline.

NodeIngress.QueryWithAShortDeadlineIsAnsweredInTime fails without the change.

--- a/Libraries/LibNode/QueryRouter.cpp
+++ b/Libraries/LibNode/QueryRouter.cpp
@@ -58,7 +58,7 @@
         return;
     if (m_loop.now() >= it->second.deadline)
         return handleReply({ .queryId = queryId });
-    m_loop.callAfter(retryInterval, [this, alive = m_alive, queryId] {
+    m_loop.callAfter(std::min(retryInterval, it->second.deadline - m_loop.now()), [this, alive = m_alive, queryId] {
         if (*alive)
             sendWithRetry(queryId);
     });
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -231,6 +231,16 @@
     CHECK_EQUAL(503, responses.at(0).status);
 }
 
+// Guards against an answer that waits for the next retry of the query, which is after the caller's deadline.
+TEST(NodeIngress, QueryWithAShortDeadlineIsAnsweredInTime)
+{
+    leaderAddress = std::nullopt;
+    request("GET", std::string("/q/") + id, {}, { { "X-Deadline-Ms", "100" } });
+    advance(Milliseconds { 90 });
+    CHECK_EQUAL(1, responses.size());
+    CHECK_EQUAL(503, responses.at(0).status);
+}
+
 // Guards against malformed, non-positive and out-of-range deadlines, which could keep a request open for hours; the
 // default of 3 s applies instead.
 TEST(NodeIngress, InvalidDeadlineIsReplacedByTheDefault)
