Refuse a job whose best-effort tasks would wait beyond its objective

Best-effort tasks may use only what the serving tasks on the same worker tolerate, and acceptance knew nothing of that capacity, so the backlog had no bound.

The leader now estimates the expected wait of new tasks for each service and image: the waiting work divided by the rate at which such work was started while the class was backlogged (BacklogEstimate). Its keepalives carry the estimates. A node refuses a job whose expected wait and longest chain of estimates exceed its objective (overloadFor()), with 503 and the time after which the backlog is expected to be short enough. It asks the leader first whether the job is known, because the request may repeat one that was accepted; if no leader answers, the job is accepted as before. The expected waits count for 3 s and until the leader changes.

--- /dev/null
+++ b/Libraries/LibDecision/TaskBacklog.cpp
@@ -0,0 +1,66 @@
+#include <LibDecision/TaskScheduler.h>
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string_view>
+
+// Feeds the estimate of how long best-effort tasks of new jobs will wait.
+
+namespace Bergamot {
+
+static double workOf(const StepSpec& spec, size_t tasks)
+{
+    return static_cast<double>(spec.size.cpuMillis) / 1000 * spec.estimateMs * static_cast<double>(tasks);
+}
+
+/// Whether the tasks wait for capacity. Other waits end without it, and say nothing about new jobs.
+static bool awaitsCapacity(const TrackedStep& step)
+{
+    switch (step.delay) {
+    case PlacementDelay::None:
+    case PlacementDelay::EarlierLeader:
+    case PlacementDelay::UnconfirmedLeadership:
+    case PlacementDelay::CrashSuspicion:
+    case PlacementDelay::OutdatedConfiguration:
+        return false;
+    default:
+        return true;
+    }
+}
+
+void TaskScheduler::updateBacklogEstimate(Instant now)
+{
+    std::map<BacklogEstimate::Class, BacklogEstimate::Demand> demands;
+    std::set<const TrackedOccurrence*> countedOccurrences;
+    for (const auto& [order, ready] : m_readySteps) {
+        const auto& spec = ready.job->spec.steps[ready.step];
+        const auto& occurrence = ready.job->occurrences[ready.occurrence];
+        const auto& step = occurrence.steps[ready.step];
+        if (!spec.bestEffort || spec.longRunning || ready.job->hasEnded() || step.waiting.empty())
+            continue;
+        const std::string_view service = policyOf(*ready.job).service;
+        auto& demand = demands[{ service, spec.image }];
+        demand.workCoreMs += workOf(spec, step.waiting.size());
+        // Tasks are queued at the end, so the first one has waited longest.
+        const auto& first = step.tasks[step.waiting.front()];
+        if (awaitsCapacity(step) && first.waitingSince != neverInstant)
+            demand.longestWait = std::max(demand.longestWait, now - first.foundWaitingAt);
+        if (!countedOccurrences.insert(&occurrence).second)
+            continue;
+        for (size_t i = ready.step + 1; i < occurrence.steps.size(); ++i) {
+            const auto& laterSpec = ready.job->spec.steps[i];
+            if (laterSpec.bestEffort && occurrence.steps[i].pendingDependencies > 0)
+                demands[{ service, laterSpec.image }].workCoreMs += workOf(laterSpec, laterSpec.count);
+        }
+    }
+    m_backlogEstimate.update(now, demands);
+}
+
+void TaskScheduler::addStartedWork(const ReadyStep& ready)
+{
+    const auto& spec = ready.job->spec.steps[ready.step];
+    if (spec.bestEffort && !spec.longRunning)
+        m_backlogEstimate.addStartedWork({ policyOf(*ready.job).service, spec.image }, workOf(spec, 1));
+}
+
+}
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -35,6 +35,7 @@
     markPossiblyLostSteps();
     collectCandidates(now);
     updateShortTaskDemand();
+    updateBacklogEstimate(now);
     m_readySteps.update(unixMs, m_backlog);
     confirmDueCrashes(now);
     m_firstSearchedSuspect = std::exchange(m_firstSkippedSuspect, std::nullopt);
@@ -316,6 +317,7 @@
         .resumed = !task.checkpoint.empty(),
         .progressedAt = now });
     reserve(worker, job, ref, run);
+    addStartedWork(ready);
     if (!job.spec.steps[ready.step].bestEffort)
         m_freeCpuMillis -= job.spec.steps[ready.step].size.cpuMillis;
     StartTask start {
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -1,3 +1,4 @@
+#include <LibDecision/CriticalPath.h>
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
@@ -62,21 +63,6 @@
     return it == task.runs.end() ? nullptr : &*it;
 }
 
-/// Returns the length of the critical path: the largest sum of estimates along dependencies.
-static int64_t criticalPathMs(const JobSpec& spec)
-{
-    std::vector<int64_t> ends(spec.steps.size(), 0);
-    int64_t longest = 0;
-    for (size_t i = 0; i < spec.steps.size(); ++i) {
-        int64_t begin = 0;
-        for (auto earlier : spec.steps[i].dependsOn)
-            begin = std::max(begin, earlier < i ? ends[earlier] : 0);
-        ends[i] = begin + spec.steps[i].estimateMs;
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
 void TaskScheduler::buildOccurrences(TrackedJob& job)
 {
     const auto& spec = job.spec;
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/BacklogEstimate.h>
 #include <LibDecision/CandidateRanking.h>
 #include <LibDecision/EndedJobs.h>
 #include <LibDecision/IsolationLimit.h>
@@ -271,6 +272,9 @@
     /// Processors of usable workers that further best-effort tasks may expect to be idle, in thousandths of a core.
     int64_t idleCpuMillis() const;
 
+    /// The expected waits of the backlogged classes of best-effort tasks, as of the latest plan.
+    std::vector<ExpectedWait> expectedWaits() const { return m_backlogEstimate.expectedWaits(); }
+
 private:
     struct WorkerEntry;
     /// The loss of a worker without a known cause.
@@ -337,6 +341,8 @@
     void placeWaitingTasks(Instant now, Instant knownBy);
     void collectCandidates(Instant now);
     void updateShortTaskDemand();
+    void updateBacklogEstimate(Instant now);
+    void addStartedWork(const ReadyStep&);
     bool acceptsRuns(const WorkerEntry&) const;
     bool isUsable(const WorkerEntry&, Instant now) const;
     bool leavesHeadroom(const StepSpec&) const;
@@ -571,6 +577,7 @@
 
     /// Free processors of usable workers, as of the latest plan and its starts.
     int64_t m_freeCpuMillis { 0 };
+    BacklogEstimate m_backlogEstimate;
 };
 
 }
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -42,6 +42,9 @@
 
 /// A leader that drains stops leading this long before its end, and announces it.
 static constexpr Milliseconds stopTime { 200 };
+
+/// The backlog of a service may be gone after this time.
+static constexpr Milliseconds maxExpectedWaitAge { 3000 };
 static constexpr Milliseconds withheldClaimLogInterval { 1000 };
 
 /// Keepalives that are kept until they are read back. An older one proves less than a newer one.
@@ -195,6 +198,8 @@
     m_elections.electedBefore(decoded->epoch, m_loop.now(), Milliseconds { decoded->electionAgeMs });
     applyLeaderRecord(record.offset);
     m_hasLeaderResigned = decoded->resigns;
+    m_expectedWaits = std::move(decoded->expectedWaits);
+    m_expectedWaitsReadAt = m_loop.now();
 }
 
 void LeadershipMonitor::applyLeaderRecord(LogPosition offset)
@@ -233,6 +238,8 @@
     m_succession.candidateSeen(
         record.member, { .incarnation = record.incarnation, .cpuMillis = record.cpuMillis, .drains = record.drains });
     m_leader = Leader { epoch, record.member, record.incarnation, record.peerAddress };
+    if (!isKnown)
+        m_expectedWaits.clear();
     auto silence = m_loop.now() - m_leaderSilentSince;
     applyLeaderRecord(epoch - 1);
     m_hasLeaderResigned = false;
@@ -265,10 +272,17 @@
     m_elections.clear();
     m_elections.setPlacementsRecordedSince(record.placementsRecordedSince);
     m_leader = Leader { record.epoch, record.member, record.incarnation, record.peerAddress };
+    m_expectedWaits.clear();
     logInfo("leader_changed", { { "epoch", record.epoch }, { "leader", record.member }, { "self", false } });
     stepDown();
 }
 
+std::vector<ExpectedWait> LeadershipMonitor::expectedWaits() const
+{
+    bool isRecent = m_loop.now() - m_expectedWaitsReadAt <= maxExpectedWaitAge;
+    return isRecent ? m_expectedWaits : std::vector<ExpectedWait> {};
+}
+
 /// The least time since the election of the current leader.
 Milliseconds LeadershipMonitor::electionAge() const
 {
@@ -360,6 +374,8 @@
         .resigns = hasResignedEpoch(),
         .electionAgeMs = electionAge().count(),
         .placementsRecordedSince = m_elections.placementsRecordedSince().value_or(m_leader->epoch) };
+    if (m_options.expectedWaits && !record.resigns)
+        record.expectedWaits = m_options.expectedWaits();
     AppendRequest request { .stream = StreamName::Leadership, .records = { { .value = encodeValue(record) } } };
     m_store.append(request, appendTimeout,
         [this, alive = m_alive, sentAt, epoch = m_leader->epoch](absl::StatusOr<AppendReply> reply) {
--- a/Libraries/LibNode/LeadershipMonitor.h
+++ b/Libraries/LibNode/LeadershipMonitor.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Bergamot {
 
@@ -40,6 +41,9 @@
         /// `hasPredecessor` is false only if no earlier leader can exist.
         std::function<void(uint64_t epoch, bool hasPredecessor)> onElected {};
         std::function<void()> onDeposed {};
+
+        /// Returns what the keepalives of this leader say; an empty function means nothing.
+        std::function<std::vector<ExpectedWait>()> expectedWaits {};
     };
 
     /// `loop` and `store` must outlive the monitor.
@@ -52,6 +56,9 @@
     void claimIfDue();
     const std::optional<Leader>& leader() const { return m_leader; }
     bool isLeader() const { return m_isLeader; }
+
+    /// The expected waits in the latest keepalive of the current leader; empty if it was read too long ago.
+    std::vector<ExpectedWait> expectedWaits() const;
     const ElectionHistory& elections() const { return m_elections; }
 
     /// True while this node leads and its leadership lease guarantees that no other node has been elected.
@@ -163,6 +170,10 @@
     /// When this node last found that it had missed records that the store has deleted, among them perhaps a claim.
     Instant m_missedRecordsAt { neverInstant };
     Instant m_lastStoreReplyAt { neverInstant };
+
+    /// From the latest keepalive of the current leader, and when it was read.
+    std::vector<ExpectedWait> m_expectedWaits;
+    Instant m_expectedWaitsReadAt { neverInstant };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -35,7 +35,8 @@
           { .node = m_options,
               .canClaim = [this] { return m_hasReadOperators && m_routing; },
               .onElected = [this](uint64_t epoch, bool hasPredecessor) { handleElected(epoch, hasPredecessor); },
-              .onDeposed = [this] { handleDeposed(); } })
+              .onDeposed = [this] { handleDeposed(); },
+              .expectedWaits = [this] { return m_leader ? m_leader->expectedWaits() : std::vector<ExpectedWait> {}; } })
     , m_acceptor(services.loop, services.store, static_cast<uint32_t>(digestOf(m_options.member) % jobPartitions))
     , m_queries(services.loop, services.peers,
           { .firstQueryId = m_options.incarnation,
@@ -55,7 +56,8 @@
                   } })
     , m_ingress(services.loop, m_acceptor, m_queries, services.formats, m_metrics,
           { .routing = [this] { return m_routing; },
-              .isConfigurationCurrent = [this] { return isConfigurationCurrent(); } })
+              .isConfigurationCurrent = [this] { return isConfigurationCurrent(); },
+              .expectedWaits = [this] { return m_leadership.expectedWaits(); } })
 {
 }
 
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -18,8 +18,12 @@
 
 /// Part of a caller's deadline reserved for sending the response.
 static constexpr Milliseconds replyMargin { 250 };
+
+/// Most time that a submission waits for the leader's answer whether it knows the job.
+static constexpr Milliseconds maxStateQueryTime { 1000 };
 static constexpr const char* deadlineHeader = "X-Deadline-Ms";
 static constexpr size_t jobIdLength = 16;
+static constexpr std::string_view unknownResultBody = R"({"title":"the store did not answer","ran":"unknown"})";
 
 static void respond(HttpResponder& responder, int status, std::string_view problem)
 {
@@ -149,7 +153,15 @@
     job->policyAtAcceptance = route.policy;
     job->configVersionAtAcceptance = configVersion;
     job->acceptedAtMs = std::chrono::duration_cast<Milliseconds>(now).count();
-    m_acceptor.accept(*job, deadlineOf(request), [this, id, responder, startedAt = m_loop.now()](AcceptResult result) {
+    auto deadline = deadlineOf(request);
+    if (auto overload = overloadFor(*job))
+        return refuseUnlessKnown(*job, *overload, deadline, responder);
+    accept(*job, deadline, responder);
+}
+
+void NodeIngress::accept(const JobSpec& job, Instant deadline, const SharedResponder& responder)
+{
+    m_acceptor.accept(job, deadline, [this, id = job.id, responder, startedAt = m_loop.now()](AcceptResult result) {
         logInfo("job_submitted",
             { { "job", id }, { "result", nameOf(result) }, { "ms", (m_loop.now() - startedAt).count() } });
         m_metrics.recordSubmission(nameOf(result), m_loop.now() - startedAt);
@@ -157,10 +169,51 @@
             return responder->send({ .status = 200, .body = "{}" });
         if (result == AcceptResult::Refused)
             return respond(*responder, 503, "the store is unavailable");
-        responder->send({ .status = 504, .body = R"({"title":"the store did not answer","ran":"unknown"})" });
+        responder->send({ .status = 504, .body = std::string(unknownResultBody) });
     });
 }
 
+std::optional<ServiceOverload> NodeIngress::overloadFor(const JobSpec& job) const
+{
+    if (!m_options.expectedWaits || !job.policyAtAcceptance)
+        return std::nullopt;
+    return Bergamot::overloadFor(job, *job.policyAtAcceptance, m_options.expectedWaits());
+}
+
+/// A request that is repeated after the job was accepted must not be told that the job never runs, so the leader is
+/// asked first. The job is accepted if the leader does not answer.
+void NodeIngress::refuseUnlessKnown(
+    const JobSpec& job, const ServiceOverload& overload, Instant deadline, const SharedResponder& responder)
+{
+    auto now = m_loop.now();
+    auto queryDeadline = now + std::min(maxStateQueryTime, (deadline - now) / 2);
+    m_queries.sendQuery(JobQueryKind::State, job.id, queryDeadline,
+        [this, job, overload, deadline, responder, startedAt = now](const JobQueryReply& reply) {
+            m_metrics.recordQuery(nameOf(JobQueryKind::State), nameOf(reply.status), m_loop.now() - startedAt);
+            if (reply.status == JobQueryStatus::Found)
+                return responder->send({ .status = 200, .body = "{}" });
+            if (reply.status == JobQueryStatus::Unknown) {
+                m_metrics.recordSubmission("overloaded", m_loop.now() - startedAt);
+                return refuse(job, overload, responder);
+            }
+            // The request may repeat one that was accepted, so it is not refused at the end of a drain either.
+            if (m_loop.now() >= m_answerBy)
+                return responder->send({ .status = 504, .body = std::string(unknownResultBody) });
+            accept(job, std::min(deadline, m_answerBy), responder);
+        });
+}
+
+void NodeIngress::refuse(const JobSpec& job, const ServiceOverload& overload, const SharedResponder& responder)
+{
+    logInfo("job_refused",
+        { { "job", job.id }, { "reason", "overload" }, { "queue", job.queue }, { "image", overload.image },
+            { "expected_wait_ms", overload.expectedWait.count() }, { "max_wait_ms", overload.maxWait.count() } });
+    auto seconds = std::chrono::ceil<std::chrono::seconds>(overload.retryAfter()).count();
+    HttpResponse response { .status = 503, .body = R"({"title":"the service is overloaded","ran":"no"})" };
+    response.headers.push_back({ "Retry-After", std::to_string(std::max<int64_t>(1, seconds)) });
+    responder->send(response);
+}
+
 void NodeIngress::forwardQuery(
     JobQueryKind kind, const std::string& subject, Instant deadline, SharedResponder responder)
 {
--- a/Libraries/LibNode/NodeIngress.h
+++ b/Libraries/LibNode/NodeIngress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/JobAdmission.h>
 #include <LibHttp/HttpRequest.h>
 #include <LibHttp/HttpResponder.h>
 #include <LibNode/JobAcceptor.h>
@@ -9,8 +10,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Bergamot {
 
@@ -27,6 +30,9 @@
 
         /// Whether the configuration comes from a recent read of the operators' records.
         std::function<bool()> isConfigurationCurrent {};
+
+        /// Returns the expected waits that the leader has published lately. An empty function means none.
+        std::function<std::vector<ExpectedWait>()> expectedWaits {};
     };
 
     /// All references must outlive the ingress.
@@ -42,6 +48,10 @@
 
     void route(const HttpRequest&, HttpResponder);
     void submit(const HttpRequest&, const QueueRoute&, uint64_t configVersion, const JobId&, SharedResponder);
+    void accept(const JobSpec&, Instant deadline, const SharedResponder&);
+    std::optional<ServiceOverload> overloadFor(const JobSpec&) const;
+    void refuseUnlessKnown(const JobSpec&, const ServiceOverload&, Instant deadline, const SharedResponder&);
+    void refuse(const JobSpec&, const ServiceOverload&, const SharedResponder&);
     void forwardQuery(JobQueryKind, const std::string& subject, Instant deadline, SharedResponder);
     Instant deadlineOf(const HttpRequest&) const;
 
--- a/Libraries/LibNode/TaskLeader.h
+++ b/Libraries/LibNode/TaskLeader.h
@@ -80,6 +80,9 @@
     /// streams have been read since the query arrived: it may have been accepted after an earlier read.
     void handleQuery(const JobQuery&, std::function<void(const JobQueryReply&)>);
 
+    /// The expected waits of best-effort tasks of new jobs.
+    std::vector<ExpectedWait> expectedWaits() const { return m_scheduler.expectedWaits(); }
+
 private:
     /// Bounds of the time-out after which a command without a reply is retried. Retries are idempotent.
     static constexpr Milliseconds minCommandTimeout { 250 };
--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -26,7 +26,7 @@
 }
 
 NodeMetrics::NodeMetrics()
-    : m_submissionResults({ "accepted", "refused", "unknown" })
+    : m_submissionResults({ "accepted", "refused", "unknown", "overloaded" })
     , m_queryKinds({ "state", "cancel", "pending" })
     , m_queryResults({ "found", "unknown", "unavailable" })
     , m_startOutcomes({ "accepted", "fenced", "superseded", "too_late", "no_room", "invalid", "unhealthy", "other_life",
--- a/Libraries/LibWire/LeadershipRecord.h
+++ b/Libraries/LibWire/LeadershipRecord.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibWire/ExpectedWait.h>
 #include <absl/status/status.h>
 #include <cstdint>
 #include <limits>
 #include <msgpack.hpp>
 #include <string>
+#include <vector>
 
 namespace Bergamot {
 
@@ -69,12 +71,17 @@
     /// 0 when it is unknown. So a process that starts later counts the silence that earlier ones have seen.
     int64_t leaderSilentMs { 0 };
 
-    /// Returns InvalidArgument when the processor capacity or a time is out of range.
+    /// In keepalives: the classes of best-effort tasks that wait now, the longest waits first.
+    std::vector<ExpectedWait> expectedWaits {};
+
+    /// Returns InvalidArgument when the processor capacity, a time, or the number or a name of the expected waits is
+    /// out of range.
     absl::Status check() const;
 
     bool operator==(const LeadershipRecord&) const = default;
     MSGPACK_DEFINE_ARRAY(member, incarnation, peerAddress, epoch, resigns, cpuMillis, readUpTo, hasStopped,
-        electionAgeMs, storesReachedWorkers, recordsStartsOfIdleTasks, placementsRecordedSince, drains, leaderSilentMs)
+        electionAgeMs, storesReachedWorkers, recordsStartsOfIdleTasks, placementsRecordedSince, drains, leaderSilentMs,
+        expectedWaits)
 };
 
 }
--- a/Tests/LibNode/TestLeadershipMonitor.cpp
+++ b/Tests/LibNode/TestLeadershipMonitor.cpp
@@ -21,6 +21,7 @@
         std::vector<uint64_t> elections;
         bool canClaim { true };
         bool failsWhenElected { false };
+        std::vector<ExpectedWait> expectedWaits;
         int depositions { 0 };
     };
     FakeRecordStore store { *loop };
@@ -44,6 +45,7 @@
                             throw std::out_of_range("a fault in the start of the leader");
                     },
                 .onDeposed = [it] { ++it->depositions; },
+                .expectedWaits = [it] { return it->expectedWaits; },
             });
         it->monitor->start();
         members.push_back(std::move(member));
@@ -529,3 +531,42 @@
     CHECK_EQUAL(0, leaders());
     CHECK(members[0]->monitor->elections().haveLeadersStopped(epoch, epoch + 1));
 }
+
+// Guards against nodes that refuse jobs for a backlog that ended, or that a leader published which has been replaced.
+TEST(LeadershipMonitor, ExpectedWaitsAreThoseOfTheCurrentLeadersLatestKeepalive)
+{
+    for (uint64_t i = 1; i <= 3; ++i)
+        addMember(i);
+    advance(Milliseconds { 900 });
+    auto first = leaderIndex();
+    auto other = (first + 1) % members.size();
+    CHECK(members[other]->monitor->expectedWaits().empty());
+    members[first]->expectedWaits = { { .service = "s", .image = "i", .waitMs = 7 } };
+    advance(Milliseconds { 700 });
+    for (const auto& member : members)
+        CHECK(member->monitor->expectedWaits() == members[first]->expectedWaits);
+    members[first]->expectedWaits.clear();
+    advance(Milliseconds { 700 });
+    CHECK(members[other]->monitor->expectedWaits().empty());
+    members[first]->expectedWaits = { { .service = "s", .image = "i", .waitMs = 7 } };
+    advance(Milliseconds { 700 });
+    members[first]->monitor->resign();
+    advance(Milliseconds { 300 });
+    CHECK(leaderIndex() != first);
+    for (const auto& member : members)
+        CHECK(member->monitor->expectedWaits().empty());
+}
+
+// Guards against refusals that go on while a node cannot read the stream.
+TEST(LeadershipMonitor, ExpectedWaitsAreForgottenWhenTheStreamCannotBeRead)
+{
+    addMember(1);
+    members[0]->expectedWaits = { { .service = "s", .image = "i", .waitMs = 7 } };
+    advance(Milliseconds { 1500 });
+    CHECK_EQUAL(1, members[0]->monitor->expectedWaits().size());
+    store.fault = FakeRecordStore::Fault::Unresponsive;
+    advance(Milliseconds { 2000 });
+    CHECK_EQUAL(1, members[0]->monitor->expectedWaits().size());
+    advance(Milliseconds { 1500 });
+    CHECK(members[0]->monitor->expectedWaits().empty());
+}
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -42,8 +42,11 @@
             { .queue = "long", .host = "h.example", .pathPrefix = "/q/deep/" },
             { .queue = "other", .host = "o.example", .pathPrefix = "/q/deep/er/" } } }) };
     NodeIngress ingress { *loop, acceptor, router, formats, metrics,
-        { .routing = [this] { return routing; }, .isConfigurationCurrent = [this] { return isCurrent; } } };
+        { .routing = [this] { return routing; },
+            .isConfigurationCurrent = [this] { return isCurrent; },
+            .expectedWaits = [this] { return expectedWaits; } } };
     bool isCurrent { true };
+    std::vector<ExpectedWait> expectedWaits;
     std::vector<HttpResponse> responses;
 
     void request(const std::string& method, const std::string& path, std::string body = {}, HttpHeaders headers = {})
@@ -68,6 +71,18 @@
             { { "X-Deadline-Ms", std::to_string(deadline.count()) } });
     }
 
+    /// Submits a job with an objective of 3 s, while its best-effort tasks wait 30 s.
+    void submitInOverload(Milliseconds deadline = Milliseconds { 3000 })
+    {
+        auto table = std::make_shared<RoutingTable>(*routing);
+        table->routes[0].policy = { .service = "s", .stretch = 1, .targetLatencyMs = 1000 };
+        routing = table;
+        expectedWaits = { { .service = "s", .image = "i", .waitMs = 30500 } };
+        JobSpec job { .id = "x", .steps = { { .estimateMs = 2000, .bestEffort = true, .image = "i" } } };
+        request("POST", std::string("/q/") + id, encodeValue(job),
+            { { "X-Deadline-Ms", std::to_string(deadline.count()) } });
+    }
+
     JobSpec storedJob()
     {
         const auto& records = store.records(StreamName::Jobs);
@@ -300,3 +315,84 @@
     CHECK(queries.empty());
     CHECK_EQUAL(0, store.appends);
 }
+
+// Guards against accepting jobs that wait beyond any use, with which the backlog never ends (issue 67).
+TEST(NodeIngress, JobThatWouldEndTooLateIsRefused)
+{
+    reply = { .status = JobQueryStatus::Unknown };
+    submitInOverload();
+    advance(Milliseconds { 30 });
+    CHECK_EQUAL(503, responses.at(0).status);
+    STRCMP_EQUAL("30", std::string(headerValue(responses.at(0).headers, "Retry-After")).c_str());
+    STRCMP_CONTAINS(R"("ran":"no")", responses.at(0).body.c_str());
+    CHECK_EQUAL(1, queries.size());
+    CHECK(queries.front().kind == JobQueryKind::State);
+    STRCMP_EQUAL(id, queries.front().subject.c_str());
+    CHECK_EQUAL(0, store.appends);
+    STRCMP_CONTAINS(R"(bergamot_node_submission_seconds_count{result="overloaded"} 1)", metrics.text().c_str());
+    CHECK(metrics.text().find(R"(result="accepted")") == std::string::npos);
+}
+
+// Guards against refusing jobs that the backlog does not concern, or asking the leader for each of them.
+TEST(NodeIngress, JobsOfOtherImagesAreAcceptedDuringABacklog)
+{
+    expectedWaits = { { .service = "s", .image = "i", .waitMs = 30500 } };
+    submit();
+    advance(Milliseconds { 30 });
+    CHECK_EQUAL(200, responses.at(0).status);
+    CHECK(queries.empty());
+}
+
+// Guards against telling the caller that a job never runs which was accepted by an earlier request.
+TEST(NodeIngress, KnownJobIsNotRefused)
+{
+    for (auto stage : { JobStage::Queued, JobStage::Running, JobStage::Completed }) {
+        responses.clear();
+        reply = { .status = JobQueryStatus::Found, .state = stage };
+        submitInOverload();
+        advance(Milliseconds { 30 });
+        CHECK_EQUAL(200, responses.at(0).status);
+        STRCMP_EQUAL("{}", responses.at(0).body.c_str());
+    }
+    CHECK_EQUAL(0, store.appends);
+}
+
+// Guards against a refusal of a job that may have been accepted before, and against an answer after the caller's
+// deadline, while no leader answers.
+TEST(NodeIngress, JobIsAcceptedDuringABacklogIfNoLeaderAnswers)
+{
+    leaderAddress = std::nullopt;
+    for (auto deadline : { 40, 1000, 60000 }) {
+        responses.clear();
+        submitInOverload(Milliseconds { deadline });
+        advance(std::min(Milliseconds { deadline }, Milliseconds { 1100 }));
+        CHECK_EQUAL(1, responses.size());
+        CHECK_EQUAL(200, responses.at(0).status);
+    }
+}
+
+// Guards against a submission that waits for the leader longer than the process lives.
+TEST(NodeIngress, SubmissionDuringABacklogIsAnsweredBeforeTheEndOfADrain)
+{
+    leaderAddress = std::nullopt;
+    ingress.setAnswerBy(clock.now() + Milliseconds { 100 });
+    submitInOverload();
+    advance(Milliseconds { 100 });
+    CHECK_EQUAL(1, responses.size());
+    CHECK_EQUAL(200, responses.at(0).status);
+}
+
+// Guards against an append that is sent at the end of a drain, after all pending submissions have been answered.
+TEST(NodeIngress, NoJobIsStoredAfterTheEndOfADrain)
+{
+    leaderAddress = std::nullopt;
+    submitInOverload();
+    ingress.setAnswerBy(clock.now() + Milliseconds { 2 });
+    advance(Milliseconds { 2 });
+    acceptor.answerPending();
+    router.answerPending();
+    CHECK_EQUAL(1, responses.size());
+    CHECK_EQUAL(504, responses.at(0).status);
+    advance(Milliseconds { 100 });
+    CHECK_EQUAL(0, store.appends);
+}
--- a/Tests/LibWire/TestValueCodec.cpp
+++ b/Tests/LibWire/TestValueCodec.cpp
@@ -121,3 +121,22 @@
     }
     CHECK(decodeValue<LeadershipRecord>(encodeValue(LeadershipRecord { .member = "m", .cpuMillis = 64'000 })).ok());
 }
+
+// Guards against one record of the leadership stream that fills the memory of every node, or with which all jobs are
+// refused for ever.
+TEST(ValueCodec, UnusableExpectedWaitsAreRefused)
+{
+    auto isRead = [](size_t count, size_t nameLength, int64_t waitMs) {
+        std::string name(nameLength, 'n');
+        LeadershipRecord record { .member = "m" };
+        record.expectedWaits.assign(count, { .service = name, .image = name, .waitMs = waitMs });
+        auto decoded = decodeValue<LeadershipRecord>(encodeValue(record));
+        return decoded.ok() && *decoded == record;
+    };
+    CHECK(isRead(0, 0, 0));
+    CHECK(isRead(maxExpectedWaits, maxExpectedWaitNameLength, maxExpectedWaitMs));
+    CHECK_FALSE(isRead(maxExpectedWaits + 1, 1, 1));
+    CHECK_FALSE(isRead(1, maxExpectedWaitNameLength + 1, 1));
+    CHECK_FALSE(isRead(1, 1, -1));
+    CHECK_FALSE(isRead(1, 1, maxExpectedWaitMs + 1));
+}
