Log the margins that hold back best-effort tasks, and the jobs without a run

The line task_waits told that the serving tasks of most workers refuse a best-effort task (workers_serving), but not whether the margin is used up by other best-effort tasks, by the load of the serving tasks themselves, or is only less than the task needs at once. These call for different remedies.

task_waits now names the image, and for the worker on which the task could run fastest the margin, what runs there adds and what the task would add (best_margin, best_added, best_own), whether its job has anything running (job_idle) and how many jobs have not (idle_jobs, metric bergamot_node_idle_jobs).

--- a/Libraries/LibDecision/StepWait.h
+++ b/Libraries/LibDecision/StepWait.h
@@ -8,6 +8,7 @@
 #include <LibDecision/TaskWorkerView.h>
 #include <LibWire/CrashedRun.h>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace Bergamot {
@@ -25,6 +26,12 @@
     Resources size {};
     bool longRunning { false };
 
+    /// The image of a best-effort step; empty for others.
+    std::string bestEffortImage {};
+
+    /// Whether no task of the job is running.
+    bool isJobIdle { false };
+
     /// Whether the task that has waited longest has run before, or may have run under an earlier leader.
     bool hasRun { false };
 
--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -166,21 +166,33 @@
         / worker.capacityMillis();
 }
 
+/// Returns the margin of the serving task on the worker that limits the best-effort task most, or nullopt if the task
+/// disturbs none.
+std::optional<ServingMargin> TaskScheduler::limitingMargin(
+    WorkerEntry& worker, const StepSpec& bestEffortSpec, uint32_t bestEffortImage) const
+{
+    refreshServingPressures(worker);
+    std::optional<ServingMargin> limiting;
+    for (const auto& serving : worker.servingPressures) {
+        ServingMargin margin { .margin = serving.margin,
+            .added = serving.added,
+            .own = addedUtilisation(worker, bestEffortSpec, bestEffortImage, serving.image) };
+        if (margin.own >= negligiblePressure && (!limiting || margin.share() < limiting->share()))
+            limiting = margin;
+    }
+    return limiting;
+}
+
 /// Returns the share of its full speed at which another best-effort task may run beside the serving tasks; may
 /// exceed 1.
 double TaskScheduler::allowedBestEffortShare(
     WorkerEntry& worker, const StepSpec& bestEffortSpec, uint32_t bestEffortImage) const
 {
+    constexpr double unlimited { 100 };
     if (worker.overTargetSince != neverInstant)
         return 0;
-    refreshServingPressures(worker);
-    double allowed = 100;
-    for (const auto& serving : worker.servingPressures) {
-        double added = addedUtilisation(worker, bestEffortSpec, bestEffortImage, serving.image);
-        if (added >= negligiblePressure)
-            allowed = std::min(allowed, std::max(0.0, serving.margin - serving.added) / added);
-    }
-    return allowed;
+    auto limiting = limitingMargin(worker, bestEffortSpec, bestEffortImage);
+    return limiting ? std::min(unlimited, limiting->share()) : unlimited;
 }
 
 /// Whether the change from the known speed of the run is sent to its worker.
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -303,6 +303,7 @@
     };
     if (!worker.runs.try_emplace({ task, run }, active).second)
         return;
+    ++job.activeRuns;
     worker.servingPressuresValid = false;
     auto size = step.size;
     if (step.bestEffort) {
@@ -330,6 +331,7 @@
         auto& longest = active->second.task->longestRunTime;
         longest = std::max(longest, tracked->reportedAt - tracked->startedAt);
     }
+    --active->second.job->activeRuns;
     worker.runs.erase(active);
     worker.servingPressuresValid = false;
     const auto& step = job.spec.steps[task.step];
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -10,6 +10,7 @@
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunEndCoverage.h>
 #include <LibDecision/RunReport.h>
+#include <LibDecision/ServingMargin.h>
 #include <LibDecision/StepWait.h>
 #include <LibDecision/StopReason.h>
 #include <LibDecision/SuspectDelay.h>
@@ -261,6 +262,13 @@
     /// Why the usable workers cannot take the task of the step that has waited longest. The job must be known.
     WorkerRefusals refusalsOf(const StepWait&) const;
 
+    /// Returns, for a best-effort step, the margin on the worker with room on which a task of it may run fastest, or
+    /// nullopt if it disturbs no serving task on any of them. The job must be known.
+    std::optional<ServingMargin> bestServingMargin(const StepWait&) const;
+
+    /// Number of jobs with a waiting task and without a run whose task has waited for at least `minWait`.
+    size_t idleJobs(Instant now, Milliseconds minWait) const;
+
     WorkerUse workerUse() const;
 
     /// Processors that are free on usable workers, and those that are reserved for the demand of short tasks, in
@@ -471,6 +479,8 @@
     double addedUtilisation(
         const WorkerEntry&, const StepSpec& bestEffortSpec, uint32_t bestEffortImage, uint32_t servingImage) const;
     void refreshServingPressures(WorkerEntry&) const;
+    std::optional<ServingMargin> limitingMargin(
+        WorkerEntry&, const StepSpec& bestEffortSpec, uint32_t bestEffortImage) const;
     double allowedBestEffortShare(WorkerEntry&, const StepSpec&, uint32_t bestEffortImage) const;
     void reserve(WorkerEntry&, TrackedJob&, const TaskRef&, uint64_t run);
     void release(WorkerHandle, const TrackedJob&, const TaskRef&, uint64_t run);
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -13,13 +13,16 @@
 
 namespace Bergamot {
 
-static StepWait waitOf(const JobSpec& job, uint32_t occurrence, uint32_t step)
+static StepWait waitOf(const TrackedJob& job, uint32_t occurrence, uint32_t step)
 {
-    return { .job = job.id,
+    const auto& spec = job.spec.steps[step];
+    return { .job = job.spec.id,
         .occurrence = occurrence,
         .step = step,
-        .size = job.steps[step].size,
-        .longRunning = job.steps[step].longRunning };
+        .size = spec.size,
+        .longRunning = spec.longRunning,
+        .bestEffortImage = spec.bestEffort ? spec.image : std::string {},
+        .isJobIdle = job.activeRuns == 0 };
 }
 
 static void addTask(StepWait& wait, uint32_t index, Milliseconds time)
@@ -43,7 +46,7 @@
         if (ready.job->hasEnded())
             continue;
         const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
-        auto wait = waitOf(ready.job->spec, ready.occurrence, ready.step);
+        auto wait = waitOf(*ready.job, ready.occurrence, ready.step);
         wait.reason = step.delay;
         if (step.delay == PlacementDelay::CrashSuspicion)
             wait.suspectDelay = step.suspectDelay;
@@ -118,10 +121,10 @@
             auto time = now - std::max(run->startedAt, run->reportedAt);
             if (time < minWait)
                 continue;
-            auto& wait = unlisted
-                             .try_emplace({ ref.job, ref.occurrence, ref.step },
-                                 waitOf(active.job->spec, ref.occurrence, ref.step))
-                             .first->second;
+            auto& wait
+                = unlisted
+                      .try_emplace({ ref.job, ref.occurrence, ref.step }, waitOf(*active.job, ref.occurrence, ref.step))
+                      .first->second;
             wait.reason = PlacementDelay::UnlistedRun;
             if (time > wait.longestWait)
                 wait.worker = handle;
@@ -169,6 +172,41 @@
     return use;
 }
 
+std::optional<ServingMargin> TaskScheduler::bestServingMargin(const StepWait& wait) const
+{
+    const auto& job = *m_jobs.at(wait.job);
+    ReadyStep ready { .occurrence = wait.occurrence, .step = wait.step };
+    auto search = prepareSearch(job, ready, {}, m_latestEventAt, PlacementMode::Shared);
+    if (!search || !search->spec.bestEffort)
+        return std::nullopt;
+    std::optional<ServingMargin> best;
+    for (const auto& [handle, worker] : m_workers) {
+        if (worker->view.service != search->service || !isUsable(*worker, m_latestEventAt)
+            || !hasRoom(*search, *worker))
+            continue;
+        auto margin = limitingMargin(*worker, search->spec, search->image);
+        if (!margin)
+            return std::nullopt;
+        if (!best || margin->share() > best->share())
+            best = margin;
+    }
+    return best;
+}
+
+size_t TaskScheduler::idleJobs(Instant now, Milliseconds minWait) const
+{
+    std::set<const TrackedJob*> idle;
+    for (const auto& [order, ready] : m_readySteps) {
+        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+        if (ready.job->hasEnded() || ready.job->activeRuns > 0 || step.waiting.empty())
+            continue;
+        auto since = step.tasks[step.waiting.front()].waitingSince;
+        if (since != neverInstant && now - since >= minWait)
+            idle.insert(ready.job);
+    }
+    return idle.size();
+}
+
 WorkerRefusals TaskScheduler::refusalsOf(const StepWait& wait) const
 {
     WorkerRefusals refusals;
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -40,6 +40,9 @@
     bool isProgressStored { false };
     bool started { false };
 
+    /// Number of runs on all workers, including those that are being stopped.
+    uint32_t activeRuns { 0 };
+
     /// A task has used up its attempts by a limit that may be outdated. The job starts no task until the limit is
     /// known.
     bool awaitsConfiguration { false };
--- a/Libraries/LibNode/TaskLeaderReports.cpp
+++ b/Libraries/LibNode/TaskLeaderReports.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/TaskLeader.h>
 #include <LibReport/NodeMetrics.h>
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 #include <iterator>
 #include <string>
@@ -38,6 +39,12 @@
             { "config_version", m_configVersion }, { "steps_ms", steps } });
 }
 
+static int64_t percentOf(double share)
+{
+    constexpr double percent { 100 };
+    return std::llround(percent * share);
+}
+
 void TaskLeader::updateGauges()
 {
     auto totals = m_scheduler.totals();
@@ -69,8 +76,11 @@
     updateOldestWaits();
     logUnsettledWorkers();
     auto use = m_scheduler.workerUse();
+    auto idleJobs = m_scheduler.idleJobs(now, longWait);
+    m_metrics.setIdleJobs(idleJobs);
     for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines)) {
         auto refusals = m_scheduler.refusalsOf(wait);
+        auto margin = m_scheduler.bestServingMargin(wait).value_or(ServingMargin {});
         auto worker = m_workers.find(wait.worker);
         logInfo("task_waits",
             { { "job", wait.job }, { "occurrence", wait.occurrence }, { "step", wait.step }, { "tasks", wait.tasks },
@@ -91,7 +101,9 @@
                 { "workers_behind_best_effort", refusals.behindBestEffort }, { "workers_not_idle", refusals.notIdle },
                 { "workers_held", refusals.held }, { "workers_held_by_preference", refusals.heldByPreference },
                 { "workers_excluded", refusals.constraint }, { "workers_serving", refusals.servingPressure },
-                { "crashes", describeCrashes(wait.crashedRuns) },
+                { "image", wait.bestEffortImage }, { "job_idle", wait.isJobIdle }, { "idle_jobs", idleJobs },
+                { "best_margin", percentOf(margin.margin) }, { "best_added", percentOf(margin.added) },
+                { "best_own", percentOf(margin.own) }, { "crashes", describeCrashes(wait.crashedRuns) },
                 { "coincidence", fmt::format("{:.1e}", wait.coincidence) } });
     }
 }
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -52,6 +52,9 @@
     /// Sets the longest current wait of a task for the reason. Reasons: earlier_leader, headroom, no_worker,
     /// unconfirmed_leadership, crash_suspicion, unlisted_run, gang_member, outdated_configuration.
     void setOldestWait(std::string_view reason, std::chrono::milliseconds wait);
+
+    /// Sets the number of jobs without a run of which a task has waited for over 3 s.
+    void setIdleJobs(size_t jobs);
     void setWorkers(size_t reachable, size_t known);
     void setConfigVersion(uint64_t version);
 
@@ -91,6 +94,7 @@
     prometheus::Gauge& m_epoch;
     prometheus::Gauge& m_waitingTasks;
     prometheus::Gauge& m_activeRuns;
+    prometheus::Gauge& m_idleJobs;
     prometheus::Gauge& m_workersReachable;
     prometheus::Gauge& m_workersKnown;
     prometheus::Gauge& m_configVersion;
