Give each job of best-effort tasks a run within a stated time

Cause: a best-effort task starts only where 0.8 of what it adds to the utilisation of the serving tasks fits in their margin at that moment. Nothing bounded this wait. The margin that came free on a worker went to tasks that need less of it, whoever had waited longer; and once no task of an image runs, no observation corrects a pressure that was estimated too high, as when two images only ran together.

Change: a job without a run starts a task at the speed that the margin allows (paced from the start, and not moved for being slow) once the task has waited for 6 s, at any speed 2 s later; after 1.5 s if no task of its image runs anywhere, which renews the evidence. Up to four such runs share the margin of a worker.

Result: IdleJobs.JobsGetARunWhateverTheirPressure waited for 15.7 s without this (limit 9 s), and ImageThatRanBesideADisturbingOneStartsAgain never started.

--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -88,7 +88,7 @@
             && now - run.progressedAt > stallTimeoutOf(run, *active.task, spec);
         bool leavesDrainingWorker = worker.view.draining && (spec.longRunning || spec.checkpointing);
         bool migrates = spec.bestEffort && spec.checkpointing && run.throttledSince != neverInstant
-            && now - run.throttledSince > migrationDelay;
+            && now - run.throttledSince > migrationDelay && !run.startedSlow;
         if (run.phase == RunPhase::Running && (isStalled || leavesDrainingWorker || migrates)) {
             auto reason = isStalled ? StopReason::Stalled : StopReason::Throttled;
             active.task->stalledRuns += isStalled && !leavesDrainingWorker ? 1 : 0;
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -169,6 +169,7 @@
     UnplacedSizes unplaced;
     placeOverdueTasks(unplaced, now, knownBy);
     placeSuspects(now, knownBy);
+    placeIdleJobs(now, knownBy);
     for (auto it = m_readySteps.begin(); it != m_readySteps.end();) {
         const auto& ready = it->second;
         auto& tracked = ready.job->occurrences[ready.occurrence].steps[ready.step];
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -332,6 +332,7 @@
         longest = std::max(longest, tracked->reportedAt - tracked->startedAt);
     }
     --active->second.job->activeRuns;
+    active->second.job->lastRunEndedAt = m_latestEventAt;
     worker.runs.erase(active);
     worker.servingPressuresValid = false;
     const auto& step = job.spec.steps[task.step];
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -352,6 +352,8 @@
     bool placeStep(const ReadyStep&, Instant now);
     class OverduePlacement;
     void placeOverdueTasks(UnplacedSizes&, Instant now, Instant knownBy);
+    class IdleJobPlacement;
+    void placeIdleJobs(Instant now, Instant knownBy);
     Milliseconds maxInheritedWait(const ReadyStep&) const;
     void setWaitingSince(const ReadyStep&, Instant now) const;
     static bool hasRunBefore(const TrackedJob&, const TrackedTask&);
@@ -505,6 +507,9 @@
 
     /// Workers that are reserved for tasks that fit on none.
     RoomReservations m_reservations;
+
+    /// When a plan last placed the jobs without a run.
+    Instant m_idleJobsSearchedAt { neverInstant };
     ReadySteps m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -43,6 +43,9 @@
     /// Number of runs on all workers, including those that are being stopped.
     uint32_t activeRuns { 0 };
 
+    /// When the last run on any worker ended; neverInstant before the first one.
+    Instant lastRunEndedAt { neverInstant };
+
     /// A task has used up its attempts by a limit that may be outdated. The job starts no task until the limit is
     /// known.
     bool awaitsConfiguration { false };
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -63,6 +63,9 @@
     /// For a best-effort task: since when it has been throttled below the speed at which it should migrate; otherwise
     /// neverInstant.
     Instant throttledSince { neverInstant };
+
+    /// Whether a best-effort task was started although it can only run slowly, because its job had waited for long.
+    bool startedSlow { false };
 };
 
 }
