--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -139,7 +139,7 @@
     if (!job)
         return;
     ++job->storedRecords;
-    for (auto& occurrence : job->occurrences) {
+    for (auto& [k, occurrence] : job->occurrences) {
         for (auto& step : occurrence.steps) {
             for (auto& task : step.tasks) {
                 if (task.startsAfterRecord == job->storedRecords)
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -11,6 +11,7 @@
 #include <LibDecision/RunEnd.h>
 #include <LibDecision/RunEndCoverage.h>
 #include <LibDecision/RunReport.h>
+#include <LibDecision/ServingMargin.h>
 #include <LibDecision/StepWait.h>
 #include <LibDecision/StopReason.h>
 #include <LibDecision/SuspectDelay.h>
@@ -268,6 +269,13 @@
     /// Why the usable workers cannot take the task of the step that has waited longest. The job must be known.
     WorkerRefusals refusalsOf(const StepWait&) const;
 
+    /// Returns, for a best-effort step, the margin on the worker with room on which a task of it may run fastest, or
+    /// nullopt if it disturbs no serving task on any of them. The job must be known.
+    std::optional<ServingMargin> bestServingMargin(const StepWait&) const;
+
+    /// Number of jobs with a waiting task and without a run whose task has waited for at least `minWait`.
+    size_t idleJobs(Instant now, Milliseconds minWait) const;
+
     WorkerUse workerUse() const;
 
     /// Processors that are free on usable workers, and those that are reserved for the demand of short tasks, in
@@ -364,6 +372,8 @@
     bool placeStep(const ReadyStep&, Instant now);
     class OverduePlacement;
     void placeOverdueTasks(UnplacedSizes&, Instant now, Instant knownBy);
+    class IdleJobPlacement;
+    void placeIdleJobs(Instant now, Instant knownBy);
     Milliseconds maxInheritedWait(const ReadyStep&) const;
     void setWaitingSince(const ReadyStep&, Instant now) const;
     static bool hasRunBefore(const TrackedJob&, const TrackedTask&);
@@ -491,6 +501,7 @@
     double addedUtilisation(
         const WorkerEntry&, const StepSpec& bestEffortSpec, const ImageNumber& bestEffortImage, ServingImage) const;
     void refreshServingPressures(WorkerEntry&) const;
+    std::optional<ServingMargin> limitingMargin(WorkerEntry&, const StepSpec& bestEffortSpec, const ImageNumber&) const;
     double allowedBestEffortShare(WorkerEntry&, const StepSpec&, const ImageNumber&) const;
     void reserve(WorkerEntry&, TrackedJob&, const TaskRef&, uint64_t run);
     void release(WorkerHandle, const TrackedJob&, const TaskRef&, uint64_t run);
@@ -515,6 +526,9 @@
 
     /// Workers that are reserved for tasks that fit on none.
     RoomReservations m_reservations;
+
+    /// When a plan last placed the jobs without a run.
+    Instant m_idleJobsSearchedAt { neverInstant };
     ReadySteps m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
