--- a/Libraries/LibDecision/BacklogEstimate.cpp
+++ b/Libraries/LibDecision/BacklogEstimate.cpp
@@ -47,9 +47,6 @@
 
 Milliseconds BacklogEstimate::expectedWait(const Backlog& backlog)
 {
-    constexpr Milliseconds longest { maxExpectedWaitMs };
-    if (backlog.startedCoreMs <= 0)
-        return longest;
     auto waitMs = backlog.demand.workCoreMs * backlog.observedMs / backlog.startedCoreMs;
     return Milliseconds { static_cast<int64_t>(std::min(waitMs, static_cast<double>(maxExpectedWaitMs))) };
 }
@@ -59,7 +56,9 @@
     std::vector<ExpectedWait> waits;
     for (const auto& [key, backlog] : m_backlogs) {
         const auto& [service, image] = key;
-        if (backlog.observedMs >= minObservedMs && std::max(service.size(), image.size()) <= maxExpectedWaitNameLength)
+        // A class of which nothing starts waits for something else than capacity.
+        if (backlog.observedMs >= minObservedMs && backlog.startedCoreMs > 0
+            && std::max(service.size(), image.size()) <= maxExpectedWaitNameLength)
             waits.push_back({ .service = service, .image = image, .waitMs = expectedWait(backlog).count() });
     }
     std::ranges::stable_sort(waits, std::greater {}, &ExpectedWait::waitMs);
--- a/Libraries/LibDecision/BacklogEstimate.h
+++ b/Libraries/LibDecision/BacklogEstimate.h
@@ -14,11 +14,13 @@
 /// one service. What such tasks may use beside serving tasks is not known in advance, so the estimate rests on the rate
 /// at which waiting work of the class has been started lately.
 ///
-/// - A class is backlogged while one of its tasks has waited for 1.5 s. Only such a class has an expected wait.
+/// - A class is backlogged while one of its tasks has waited for `minBackloggedWait`. Only such a class has an expected
+/// wait.
 /// - The rate counts only the time in which the class was backlogged without a break: at other times the demand limits
-///   it. It is an average with exponential forgetting, and valid after 2 s.
+///   it. It is an average with exponential forgetting, and valid after `minObservedMs`.
 /// - The expected wait is the waiting work divided by the rate. Without a valid rate there is none: a wait of seconds
-///   may have ended before a new job's turn comes, as after the loss of workers.
+///   may have ended before a new job's turn comes, as after the loss of workers, and a class of which nothing starts
+///   waits for something else than capacity.
 class BacklogEstimate {
 public:
     /// Service and image.
--- a/Libraries/LibDecision/TaskBacklog.cpp
+++ b/Libraries/LibDecision/TaskBacklog.cpp
@@ -1,4 +1,6 @@
 #include <LibDecision/TaskScheduler.h>
+#include <LibDecision/TaskWorkerEntry.h>
+#include <LibDecision/TaskWorkerSearch.h>
 #include <algorithm>
 #include <map>
 #include <set>
@@ -8,7 +10,10 @@
 
 namespace Bergamot {
 
-static double workOf(const StepSpec& spec, size_t tasks)
+/// Whether tasks of the step are part of the estimate: best-effort tasks that end.
+static bool countsTowardsBacklog(const StepSpec& spec) { return spec.bestEffort && !spec.longRunning; }
+
+static double workCoreMsOf(const StepSpec& spec, size_t tasks)
 {
     return static_cast<double>(spec.size.cpuMillis) / 1000 * spec.estimateMs * static_cast<double>(tasks);
 }
@@ -28,6 +33,18 @@
     }
 }
 
+/// Whether the tasks of the step can start once there is enough capacity. Those with constraints, or larger than each
+/// worker, say nothing about other jobs of their image.
+bool TaskScheduler::mayFitWithCapacity(const ReadyStep& ready) const
+{
+    const auto& spec = ready.job->spec.steps[ready.step];
+    auto service = m_candidates.find(policyOf(*ready.job).service);
+    if (hasPlacementConstraint(spec) || service == m_candidates.end())
+        return false;
+    return std::ranges::any_of(
+        service->second, [&](const WorkerEntry* worker) { return reservedSize(spec).fitsIn(worker->view.capacity); });
+}
+
 void TaskScheduler::updateBacklogEstimate(Instant now)
 {
     std::map<BacklogEstimate::Class, BacklogEstimate::Demand> demands;
@@ -36,21 +53,21 @@
         const auto& spec = ready.job->spec.steps[ready.step];
         const auto& occurrence = ready.job->occurrences[ready.occurrence];
         const auto& step = occurrence.steps[ready.step];
-        if (!spec.bestEffort || spec.longRunning || ready.job->hasEnded() || step.waiting.empty())
+        if (!countsTowardsBacklog(spec) || ready.job->hasEnded() || step.waiting.empty() || !mayFitWithCapacity(ready))
             continue;
         const std::string_view service = policyOf(*ready.job).service;
         auto& demand = demands[{ service, spec.image }];
-        demand.workCoreMs += workOf(spec, step.waiting.size());
+        demand.workCoreMs += workCoreMsOf(spec, step.waiting.size());
         // Tasks are queued at the end, so the first one has waited longest.
         const auto& first = step.tasks[step.waiting.front()];
-        if (awaitsCapacity(step) && first.waitingSince != neverInstant)
+        if (awaitsCapacity(step) && first.foundWaitingAt != neverInstant)
             demand.longestWait = std::max(demand.longestWait, now - first.foundWaitingAt);
         if (!countedOccurrences.insert(&occurrence).second)
             continue;
         for (size_t i = ready.step + 1; i < occurrence.steps.size(); ++i) {
             const auto& laterSpec = ready.job->spec.steps[i];
-            if (laterSpec.bestEffort && occurrence.steps[i].pendingDependencies > 0)
-                demands[{ service, laterSpec.image }].workCoreMs += workOf(laterSpec, laterSpec.count);
+            if (countsTowardsBacklog(laterSpec) && occurrence.steps[i].pendingDependencies > 0)
+                demands[{ service, laterSpec.image }].workCoreMs += workCoreMsOf(laterSpec, laterSpec.count);
         }
     }
     m_backlogEstimate.update(now, demands);
@@ -59,8 +76,8 @@
 void TaskScheduler::addStartedWork(const ReadyStep& ready)
 {
     const auto& spec = ready.job->spec.steps[ready.step];
-    if (spec.bestEffort && !spec.longRunning)
-        m_backlogEstimate.addStartedWork({ policyOf(*ready.job).service, spec.image }, workOf(spec, 1));
+    if (countsTowardsBacklog(spec))
+        m_backlogEstimate.addStartedWork({ policyOf(*ready.job).service, spec.image }, workCoreMsOf(spec, 1));
 }
 
 }
--- a/Libraries/LibDecision/TaskIdleJobs.cpp
+++ b/Libraries/LibDecision/TaskIdleJobs.cpp
@@ -8,32 +8,41 @@
 #include <utility>
 #include <vector>
 
-// Starts a task of each job that has waited for long with best-effort tasks only, at the speed that the serving tasks
-// of a worker allow. Otherwise the margin that becomes free on a worker would always go to tasks that disturb the
-// serving tasks less, and no observation would correct a pressure that was estimated too high.
+// Starts a best-effort task of each job that has had no run for long, at the speed that the serving tasks of a worker
+// allow. Otherwise the margin that becomes free on a worker would always go to tasks that disturb the serving tasks
+// less, and no observation would correct a pressure that was estimated too high.
 
 namespace Bergamot {
 
-/// A job without a run gets one after this time if no task of its image runs: it shows whether the pressure of the
-/// image is still as high as it was.
+/// A job without a run for this time gets one if no task of its image runs anywhere, to measure the pressure of the
+/// image again.
 static constexpr Milliseconds maxIdleTime { 1500 };
 
-/// A job whose task has waited for the first time gets a run whenever it had none for the second time, at any speed
-/// after the third. Earlier, jobs run one after the other: each ends sooner than if all ran slowly.
-static constexpr Milliseconds maxQueueTime { 6000 };
-static constexpr Milliseconds maxIdleTimeOfDelayedJob { 1000 };
-static constexpr Milliseconds maxWaitForMargin { 2000 };
+/// A job with a task that has waited for this time is delayed. Until then, jobs run one after the other, so that each
+/// ends sooner than if all ran slowly.
+static constexpr Milliseconds minDelayedWait { 6000 };
+
+/// A delayed job gets a run after this time without one.
+static constexpr Milliseconds maxDelayedIdleTime { 1000 };
+
+/// After this time without a run, the run of a delayed job starts at any speed.
+static constexpr Milliseconds minIdleTimeForAnySpeed { 2000 };
 
 /// Lowest share of its full speed at which such a run starts beside the other best-effort tasks of a worker.
 static constexpr double minSlowSpeedShare = 0.1;
 
-/// Such runs on one worker. They share its margin, so each further one slows down the others.
-static constexpr size_t maxSlowRunsPerWorker = 4;
+/// Such runs on one worker, beside which that of a delayed job, or of another one, may start. They share the margin of
+/// the worker, so each further one slows down the others.
+static constexpr size_t maxSlowRunsBesideDelayedJob = 3;
+static constexpr size_t maxSlowRunsBesideOtherJob = 0;
 
 /// Workers are searched in one plan of this time, with this many searches, each of which visits all workers.
 static constexpr Milliseconds idleJobInterval { 100 };
 static constexpr size_t maxIdleJobSearches = 8;
 
+/// A job for which no worker was found leaves the searches to others for this time.
+static constexpr Milliseconds searchRetryDelay { 500 };
+
 /// Places the jobs without a run in one plan.
 class TaskScheduler::IdleJobPlacement {
 public:
@@ -49,8 +58,9 @@
             return;
         m_scheduler.m_idleJobsSearchedAt = m_now;
         size_t searches = 0;
-        for (const auto& job : idleJobs(knownBy)) {
-            if (!job.isDelayed && !isUnobserved(job))
+        for (const auto& job : idleSteps(knownBy)) {
+            // An earlier step of the job may have started in this plan.
+            if (job.ready.job->activeRuns > 0 || (!job.isDelayed && !isUnobserved(job)))
                 continue;
             if (++searches > maxIdleJobSearches)
                 return;
@@ -62,7 +72,7 @@
     struct IdleJob {
         Instant since { neverInstant };
 
-        /// Whether the task has waited for `maxQueueTime`.
+        /// Whether the task has waited for `minDelayedWait`.
         bool isDelayed { false };
         ReadyStep ready {};
         uint32_t index { 0 };
@@ -96,7 +106,7 @@
     }
 
     std::optional<IdleJob> idleJobOf(const ReadyStep&) const;
-    std::vector<IdleJob> idleJobs(Instant knownBy) const;
+    std::vector<IdleJob> idleSteps(Instant knownBy) const;
     std::vector<Candidate> candidatesFor(const IdleJob&);
     std::optional<Candidate> candidateOf(const WorkerSearch&, const IdleJob&, WorkerEntry&) const;
     static size_t countSlowRuns(const WorkerEntry&);
@@ -119,7 +129,7 @@
     const auto& spec = job.spec.steps[ready.step];
     const auto& step = job.occurrences[ready.occurrence].steps[ready.step];
     if (!spec.bestEffort || spec.longRunning || spec.gang || job.hasEnded() || job.awaitsConfiguration
-        || job.activeRuns > 0 || step.waiting.empty())
+        || job.activeRuns > 0 || step.waiting.empty() || m_now - job.slowStartFailedAt < searchRetryDelay)
         return std::nullopt;
     IdleJob idle { .ready = ready, .index = step.waiting.front() };
     const auto& task = step.tasks[idle.index];
@@ -127,13 +137,14 @@
         || m_scheduler.isolationOf(job, refOf(idle)) != RunIsolation::None)
         return std::nullopt;
     idle.since = std::max(task.waitingSince, job.lastRunEndedAt);
-    idle.isDelayed = m_now - task.waitingSince >= maxQueueTime;
-    auto limit = idle.isDelayed ? maxIdleTimeOfDelayedJob : maxIdleTime;
+    idle.isDelayed = m_now - task.waitingSince >= minDelayedWait;
+    auto limit = idle.isDelayed ? maxDelayedIdleTime : maxIdleTime;
     return m_now - idle.since >= limit ? std::optional(idle) : std::nullopt;
 }
 
-/// Returns the jobs without a run that only wait for best-effort tasks, longest wait first.
-std::vector<TaskScheduler::IdleJobPlacement::IdleJob> TaskScheduler::IdleJobPlacement::idleJobs(Instant knownBy) const
+/// Returns the waiting best-effort steps of jobs without a run, longest time without one first. A job may occur more
+/// than once.
+std::vector<TaskScheduler::IdleJobPlacement::IdleJob> TaskScheduler::IdleJobPlacement::idleSteps(Instant knownBy) const
 {
     std::vector<IdleJob> jobs;
     for (const auto& [order, ready] : m_scheduler.m_readySteps) {
@@ -167,7 +178,7 @@
         || !m_scheduler.isAllowed(search, task, worker, runsThere))
         return std::nullopt;
     Candidate candidate { .worker = &worker, .slowRuns = countSlowRuns(worker) };
-    if (candidate.slowRuns >= (job.isDelayed ? maxSlowRunsPerWorker : 1))
+    if (candidate.slowRuns > (job.isDelayed ? maxSlowRunsBesideDelayedJob : maxSlowRunsBesideOtherJob))
         return std::nullopt;
     // Best-effort tasks share the processors, so a further one gets some of them on a worker without idle ones.
     auto idleMillis = static_cast<double>(worker.freeBestEffortMillis());
@@ -211,7 +222,7 @@
 
 void TaskScheduler::IdleJobPlacement::placeJob(const IdleJob& job)
 {
-    bool mayStartAtAnySpeed = job.isDelayed && m_now - job.since >= maxWaitForMargin;
+    bool mayStartAtAnySpeed = job.isDelayed && m_now - job.since >= minIdleTimeForAnySpeed;
     auto candidates = candidatesFor(job);
     auto best = std::ranges::max_element(candidates, {}, &Candidate::expectedSpeed);
     if (best != candidates.end() && best->share >= minSlowSpeedShare)
@@ -220,6 +231,8 @@
         candidates, {}, [](const Candidate& it) { return std::pair(it.slowRuns, -it.shareAlone); });
     if (best != candidates.end() && mayStartAtAnySpeed)
         start(job, *best);
+    else
+        job.ready.job->slowStartFailedAt = m_now;
 }
 
 void TaskScheduler::IdleJobPlacement::start(const IdleJob& job, const Candidate& candidate)
@@ -240,7 +253,7 @@
         m_scheduler.setSpeedPercent(*candidate.worker, ref, run, percent, m_now);
 }
 
-/// Starts a task of each job that has had no run for long, although a worker has room for it.
+/// Starts a best-effort task of each job that has had no run for long.
 void TaskScheduler::placeIdleJobs(Instant now, Instant knownBy) { IdleJobPlacement(*this, now).place(knownBy); }
 
 }
--- a/Libraries/LibDecision/TaskInterference.cpp
+++ b/Libraries/LibDecision/TaskInterference.cpp
@@ -26,6 +26,10 @@
 static constexpr uint32_t migrationSpeedPercent = 40;
 static constexpr Milliseconds migrationDelay { 1500 };
 
+/// A best-effort run that started slow is moved once it has been below this speed for this long.
+static constexpr uint32_t stuckSpeedPercent = 10;
+static constexpr Milliseconds maxStuckTime { 5000 };
+
 /// Smaller speed changes, in percentage points, are not worth a command to the worker.
 static constexpr uint32_t minSpeedPercentChange = 10;
 
@@ -90,7 +94,9 @@
         bool leavesDrainingWorker = worker.view.draining && (spec.longRunning || spec.checkpointing);
         bool migrates = spec.bestEffort && spec.checkpointing && run.throttledSince != neverInstant
             && now - run.throttledSince > migrationDelay && !run.startedSlow;
-        if (run.phase == RunPhase::Running && (isStalled || leavesDrainingWorker || migrates)) {
+        bool isStuck = run.startedSlow && run.speedPercent < stuckSpeedPercent && run.speedChangedAt != neverInstant
+            && now - run.speedChangedAt > maxStuckTime;
+        if (run.phase == RunPhase::Running && (isStalled || leavesDrainingWorker || migrates || isStuck)) {
             auto reason = isStalled ? StopReason::Stalled : StopReason::Throttled;
             active.task->stalledRuns += isStalled && !leavesDrainingWorker ? 1 : 0;
             stopRun(key.first, run, leavesDrainingWorker ? StopReason::WorkerDrains : reason);
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -269,12 +269,13 @@
     /// Why the usable workers cannot take the task of the step that has waited longest. The job must be known.
     WorkerRefusals refusalsOf(const StepWait&) const;
 
-    /// Returns, for a best-effort step, the margin on the worker with room on which a task of it may run fastest, or
-    /// nullopt if it disturbs no serving task on any of them. The job must be known.
+    /// Returns, for a best-effort step, the margin on that worker with room where a task of it may run fastest. Returns
+    /// nullopt for other steps, if no worker has room, or if a worker with room has no serving task that limits it. The
+    /// job must be known.
     std::optional<ServingMargin> bestServingMargin(const StepWait&) const;
 
-    /// Number of jobs with a waiting task and without a run whose task has waited for at least `minWait`.
-    size_t idleJobs(Instant now, Milliseconds minWait) const;
+    /// Number of jobs of any kind without a run and with a step whose first task has waited for at least `minWait`.
+    size_t countJobsWithoutRun(Instant now, Milliseconds minWait) const;
 
     WorkerUse workerUse() const;
 
@@ -363,6 +364,7 @@
     void placeWaitingTasks(Instant now, Instant knownBy);
     void collectCandidates(Instant now);
     void updateShortTaskDemand();
+    bool mayFitWithCapacity(const ReadyStep&) const;
     void updateBacklogEstimate(Instant now);
     void addStartedWork(const ReadyStep&);
     bool acceptsRuns(const WorkerEntry&) const;
--- a/Libraries/LibDecision/TaskWaits.cpp
+++ b/Libraries/LibDecision/TaskWaits.cpp
@@ -193,7 +193,7 @@
     return best;
 }
 
-size_t TaskScheduler::idleJobs(Instant now, Milliseconds minWait) const
+size_t TaskScheduler::countJobsWithoutRun(Instant now, Milliseconds minWait) const
 {
     std::set<const TrackedJob*> idle;
     for (const auto& [order, ready] : m_readySteps) {
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -52,6 +52,9 @@
     /// When the last run on any worker ended; neverInstant before the first one.
     Instant lastRunEndedAt { neverInstant };
 
+    /// When a search for a worker for a run at low speed last failed.
+    Instant slowStartFailedAt { neverInstant };
+
     /// A task has used up its attempts by a limit that may be outdated. The job starts no task until the limit is
     /// known.
     bool awaitsConfiguration { false };
--- a/Libraries/LibDecision/TrackedRun.h
+++ b/Libraries/LibDecision/TrackedRun.h
@@ -64,7 +64,8 @@
     /// neverInstant.
     Instant throttledSince { neverInstant };
 
-    /// Whether a best-effort task was started although it can only run slowly, because its job had waited for long.
+    /// Whether the run of a job without other runs was started although it could not run at full speed. Such a run is
+    /// moved only if it stays nearly paused.
     bool startedSlow { false };
 };
 
--- a/Libraries/LibNode/JobAcceptor.cpp
+++ b/Libraries/LibNode/JobAcceptor.cpp
@@ -37,6 +37,12 @@
         sendAppend();
 }
 
+bool JobAcceptor::isPending(const JobId& id) const
+{
+    auto isOfJob = [&](const PendingJob& it) { return it.record.key == id; };
+    return std::ranges::any_of(m_pendingJobs, isOfJob) || std::ranges::any_of(m_jobsInAppend, isOfJob);
+}
+
 void JobAcceptor::failExpired()
 {
     auto now = m_loop.now();
--- a/Libraries/LibNode/JobAcceptor.h
+++ b/Libraries/LibNode/JobAcceptor.h
@@ -39,6 +39,9 @@
     /// probes the store, and other jobs are refused immediately.
     void accept(const JobSpec&, Instant deadline, Callback);
 
+    /// Whether an append of the job is to be sent or has no definite result yet.
+    bool isPending(const JobId&) const;
+
     /// Answers all pending jobs now: Unknown if an append may have stored or may still store the job, Refused
     /// otherwise.
     void answerPending();
--- a/Libraries/LibNode/LeadershipMonitor.cpp
+++ b/Libraries/LibNode/LeadershipMonitor.cpp
@@ -43,7 +43,7 @@
 /// A leader that drains stops leading this long before its end, and announces it.
 static constexpr Milliseconds stopTime { 200 };
 
-/// The backlog of a service may be gone after this time.
+/// Expected waits that were read longer ago are ignored, because the backlog may be gone.
 static constexpr Milliseconds maxExpectedWaitAge { 3000 };
 static constexpr Milliseconds withheldClaimLogInterval { 1000 };
 
--- a/Libraries/LibNode/NodeIngress.cpp
+++ b/Libraries/LibNode/NodeIngress.cpp
@@ -192,7 +192,9 @@
             m_metrics.recordQuery(nameOf(JobQueryKind::State), nameOf(reply.status), m_loop.now() - startedAt);
             if (reply.status == JobQueryStatus::Found)
                 return responder->send({ .status = 200, .body = "{}" });
-            if (reply.status == JobQueryStatus::Unknown) {
+            // An append of the job may still take effect.
+            bool mayBeStored = m_acceptor.isPending(job.id);
+            if (reply.status == JobQueryStatus::Unknown && !mayBeStored) {
                 m_metrics.recordSubmission("overloaded", m_loop.now() - startedAt);
                 return refuse(job, overload, responder);
             }
--- a/Libraries/LibNode/TaskLeaderReports.cpp
+++ b/Libraries/LibNode/TaskLeaderReports.cpp
@@ -76,7 +76,7 @@
     updateOldestWaits();
     logUnsettledWorkers();
     auto use = m_scheduler.workerUse();
-    auto idleJobs = m_scheduler.idleJobs(now, longWait);
+    auto idleJobs = m_scheduler.countJobsWithoutRun(now, longWait);
     m_metrics.setIdleJobs(idleJobs);
     for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines)) {
         auto refusals = m_scheduler.refusalsOf(wait);
--- a/Tests/LibDecision/PressedService.h
+++ b/Tests/LibDecision/PressedService.h
@@ -50,10 +50,18 @@
     void setPressure(const std::string& image, double pressure) { m_pressures[image] = pressure; }
 
     JobId addJob(const std::string& image, uint32_t tasks, int64_t cpuMillis = 7000, Milliseconds time = maxRunTime)
+    {
+        return addJob(image, tasks, { cpuMillis, 1024, 0 }, time);
+    }
+
+    /// Adds a job of one task that needs this much memory.
+    JobId addJobOfLargeTasks(int64_t memoryMb) { return addJob("large", 1, { 1000, memoryMb, 0 }, maxRunTime); }
+
+    JobId addJob(const std::string& image, uint32_t tasks, const Resources& size, Milliseconds time)
     {
         auto id = "fill" + std::to_string(++m_lastJob);
         StepSpec step { .count = tasks,
-            .size = { cpuMillis, 1024, 0 },
+            .size = size,
             .estimateMs = static_cast<uint32_t>(time.count()),
             .bestEffort = true,
             .image = image };
@@ -70,6 +78,9 @@
     /// task because the serving tasks of all of them are over their targets.
     Milliseconds longestIdleTime() const { return m_longestIdleTime; }
 
+    /// The longest time for which a run of a best-effort task was paused.
+    Milliseconds longestPause() const { return m_longestPause; }
+
     /// The longest time in which a serving task was over its target.
     Milliseconds longestOverTarget() const { return m_longestOverTarget; }
 
@@ -124,6 +135,7 @@
         uint32_t speedPercent { 100 };
         double workMs { 0 };
         double phase { 0 };
+        Instant pausedSince { neverInstant };
         Instant overTargetSince { neverInstant };
     };
 
@@ -178,7 +190,8 @@
             bool isServing = !m_jobs.contains(start->task.job);
             constexpr double circle { 2 * std::numbers::pi };
             auto phase = circle * static_cast<double>(m_random()) / static_cast<double>(std::mt19937::max());
-            m_runs[start->worker][start->task] = { .start = *start, .isServing = isServing, .phase = phase };
+            m_runs[start->worker][start->task]
+                = { .start = *start, .isServing = isServing, .phase = phase, .pausedSince = now() };
             if (!isServing)
                 m_jobs.at(start->task.job).hasStarted = true;
             scheduler().commandAccepted(start->worker, start->task, start->run, now());
@@ -221,6 +234,9 @@
                     continue;
                 }
                 auto& job = m_jobs.at(run.start.task.job);
+                if (run.speedPercent > 0)
+                    run.pausedSince = now();
+                m_longestPause = std::max(m_longestPause, now() - run.pausedSince);
                 run.workMs += static_cast<double>(planInterval.count()) * speed * run.speedPercent / 100;
                 if (run.workMs < static_cast<double>(job.runTime.count())) {
                     ++it;
@@ -315,6 +331,7 @@
     size_t m_lastJob { 0 };
     Milliseconds m_longestIdleTime { 0 };
     Milliseconds m_longestOverTarget { 0 };
+    Milliseconds m_longestPause { 0 };
 };
 
 }
--- a/Tests/LibDecision/TestBacklogEstimate.cpp
+++ b/Tests/LibDecision/TestBacklogEstimate.cpp
@@ -82,11 +82,18 @@
     CHECK_EQUAL(10000, waitOf("i"));
     pass(Milliseconds { 16000 }, { { { "s", "i" }, demand(40000, 3000) } }, 1);
     CHECK(waitOf("i") > 25000);
-    pass(Milliseconds { 60000 }, { { { "s", "i" }, demand(40000, 3000) } }, 0);
+    pass(Milliseconds { 60000 }, { { { "s", "i" }, demand(40000, 3000) } }, 1e-6);
     CHECK(waitOf("i") > 300000);
     CHECK(waitOf("i") <= maxExpectedWaitMs);
 }
 
+// Guards against refusing all jobs of an image for good because a task waits for something else than capacity.
+TEST(BacklogEstimate, NothingIsExpectedOfAClassOfWhichNothingStarts)
+{
+    pass(Milliseconds { 60000 }, { { { "s", "i" }, demand(40000, 60000) } }, 0);
+    CHECK(estimate.expectedWaits().empty());
+}
+
 // Guards against refusing jobs of an image that finds room, because another image of the service or the same image in
 // another service does not.
 TEST(BacklogEstimate, ClassesAreToldApart)
--- a/Tests/LibDecision/TestIdleJobs.cpp
+++ b/Tests/LibDecision/TestIdleJobs.cpp
@@ -63,3 +63,29 @@
         CHECK_COMPARE_TEXT(service.longestOverTarget().count(), <, maxOverTarget.count(), std::to_string(seed).c_str());
     }
 }
+
+// Guards against jobs that no worker can take and that use up all searches, so that the others get no run.
+TEST(IdleJobs, JobsThatFitNowhereDoNotHideOthers)
+{
+    PressedService service({});
+    service.setPressure("scan", 5);
+    constexpr int64_t moreThanAWorker { 200000 };
+    for (int i = 0; i < 20; ++i)
+        service.addJobOfLargeTasks(moreThanAWorker);
+    for (int i = 0; i < 3; ++i)
+        service.addJob("scan", 12);
+    service.passFor(Milliseconds { 3000 });
+    auto last = service.addJob("scan", 12);
+    service.passFor(maxIdleTime);
+    CHECK(service.hasStarted(last));
+}
+
+// Guards against a run that stays paused on its worker for good while its job counts as running.
+TEST(IdleJobs, PausedRunIsMoved)
+{
+    PressedService service({ .workers = 2 });
+    service.setPressure("scan", 20);
+    service.addJob("scan", 1, 30000);
+    service.passFor(Milliseconds { 15000 });
+    CHECK_COMPARE(service.longestPause().count(), <=, 7000);
+}
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -333,6 +333,20 @@
     CHECK(metrics.text().find(R"(result="accepted")") == std::string::npos);
 }
 
+// Guards against a refusal while an append of an earlier request for the same job may still store it.
+TEST(NodeIngress, JobWithAnAppendInProgressIsNotRefused)
+{
+    reply = { .status = JobQueryStatus::Unknown };
+    store.fault = FakeRecordStore::Fault::Unresponsive;
+    submit();
+    advance(Milliseconds { 30 });
+    submitInOverload();
+    advance(Milliseconds { 3000 });
+    CHECK_EQUAL(2, responses.size());
+    for (const auto& it : responses)
+        CHECK_EQUAL(504, it.status);
+}
+
 // Guards against refusing jobs that the backlog does not concern, or asking the leader for each of them.
 TEST(NodeIngress, JobsOfOtherImagesAreAcceptedDuringABacklog)
 {
