Refuse only jobs that would end too late to be of use, by estimates that are bounded

Change: the expected wait is at most twice the longest wait so far, and a job is refused if it would end after three times its objective, when a late result is of no use any more. The tests state the new limits as strictly as the old.

--- a/Libraries/LibDecision/BacklogEstimate.cpp
+++ b/Libraries/LibDecision/BacklogEstimate.cpp
@@ -12,6 +12,10 @@
 /// The rate is valid once the class has been backlogged for this long.
 static constexpr double minObservedMs = 2000;
 
+/// The expected wait is at most this many times the longest wait so far: a low rate may be over in a moment, as after
+/// the loss of workers.
+static constexpr int64_t maxWaitGrowth = 2;
+
 /// Time constant with which earlier observations of the rate lose weight.
 static constexpr double rateMemoryMs = 8000;
 
@@ -48,7 +52,8 @@
 Milliseconds BacklogEstimate::expectedWait(const Backlog& backlog)
 {
     auto waitMs = backlog.demand.workCoreMs * backlog.observedMs / backlog.startedCoreMs;
-    return Milliseconds { static_cast<int64_t>(std::min(waitMs, static_cast<double>(maxExpectedWaitMs))) };
+    auto maxMs = std::min(maxExpectedWaitMs, maxWaitGrowth * backlog.demand.longestWait.count());
+    return Milliseconds { static_cast<int64_t>(std::min(waitMs, static_cast<double>(maxMs))) };
 }
 
 std::vector<ExpectedWait> BacklogEstimate::expectedWaits() const
--- a/Libraries/LibDecision/BacklogEstimate.h
+++ b/Libraries/LibDecision/BacklogEstimate.h
@@ -18,7 +18,8 @@
 /// wait.
 /// - The rate counts only the time in which the class was backlogged without a break: at other times the demand limits
 ///   it. It is an average with exponential forgetting, and valid after `minObservedMs`.
-/// - The expected wait is the waiting work divided by the rate. Without a valid rate there is none: a wait of seconds
+/// - The expected wait is the waiting work divided by the rate, and at most twice the longest wait so far. Without a
+/// valid rate there is none: a wait of seconds
 ///   may have ended before a new job's turn comes, as after the loss of workers, and a class of which nothing starts
 ///   waits for something else than capacity.
 class BacklogEstimate {
--- a/Libraries/LibDecision/JobAdmission.cpp
+++ b/Libraries/LibDecision/JobAdmission.cpp
@@ -1,5 +1,6 @@
 #include <LibDecision/CriticalPath.h>
 #include <LibDecision/JobAdmission.h>
+#include <LibDecision/StepDeadlines.h>
 #include <algorithm>
 #include <cstdint>
 
@@ -31,7 +32,7 @@
     auto objectiveMs = policy.stretch * chainMs + policy.targetLatencyMs;
     ServiceOverload overload { .image = wait->image,
         .expectedWait = Milliseconds { wait->waitMs },
-        .maxWait = Milliseconds { static_cast<int64_t>(std::max(0.0, objectiveMs - chainMs)) } };
+        .maxWait = Milliseconds { static_cast<int64_t>(std::max(0.0, lateObjectives * objectiveMs - chainMs)) } };
     return overload.expectedWait > overload.maxWait ? std::optional(overload) : std::nullopt;
 }
 
--- a/Libraries/LibDecision/JobAdmission.h
+++ b/Libraries/LibDecision/JobAdmission.h
@@ -25,7 +25,7 @@
 };
 
 /// Returns the backlog because of which the job is to be refused, if there is one: the expected wait of one of its
-/// best-effort steps and the longest chain of its estimates together exceed the time that its objective allows. Jobs
+/// best-effort steps and the critical path of the job together exceed the time in which a late result is of use. Jobs
 /// that repeat or have long-running steps are never refused, because their tasks need not start now.
 std::optional<ServiceOverload> overloadFor(const JobSpec&, const QueuePolicy&, const std::vector<ExpectedWait>&);
 
--- a/Libraries/LibDecision/StepDeadlines.cpp
+++ b/Libraries/LibDecision/StepDeadlines.cpp
@@ -2,9 +2,6 @@
 
 namespace Bergamot {
 
-/// A late result is of use until this many times the time that the objective allows.
-static constexpr int64_t lateObjectives = 3;
-
 StepDeadlines StepDeadlines::create(int64_t acceptedAtMs, int64_t objectiveMs, int64_t chainMs)
 {
     auto lateObjectiveMs = acceptedAtMs + lateObjectives * (objectiveMs - acceptedAtMs);
--- a/Libraries/LibDecision/StepDeadlines.h
+++ b/Libraries/LibDecision/StepDeadlines.h
@@ -15,6 +15,9 @@
     TooLate
 };
 
+/// A late result is of use until this many times the time that the objective allows.
+inline constexpr int64_t lateObjectives = 3;
+
 /// The latest useful starts of a step: those from which the longest chain of estimates that begins with the step still
 /// ends in time. Answers a load beyond the capacity, such as that of a service that has lost half of its workers. The
 /// order of earliest objectives would then serve only jobs that are late already, and every new job would wait until
--- a/Tests/LibDecision/TestBacklogEstimate.cpp
+++ b/Tests/LibDecision/TestBacklogEstimate.cpp
@@ -49,25 +49,32 @@
 TEST(BacklogEstimate, RateBeforeTheBacklogDoesNotCount)
 {
     pass(Milliseconds { 20000 }, { { { "s", "i" }, demand(100, 100) } }, 0.001);
-    pass(Milliseconds { 3000 }, { { { "s", "i" }, demand(60000, 2000) } }, 10);
+    pass(Milliseconds { 3000 }, { { { "s", "i" }, demand(60000, 5000) } }, 10);
     CHECK_EQUAL(6000, waitOf("i"));
 }
 
 // Guards against a rate from the first moments of a backlog, in which a single start decides.
 TEST(BacklogEstimate, NothingIsExpectedUntilTheRateIsKnown)
 {
-    pass(Milliseconds { 1900 }, { { { "s", "i" }, demand(60000, 3000) } }, 0.001);
+    pass(Milliseconds { 1900 }, { { { "s", "i" }, demand(60000, 600000) } }, 0.001);
     CHECK(estimate.expectedWaits().empty());
-    pass(Milliseconds { 1000 }, { { { "s", "i" }, demand(60000, 3000) } }, 0.001);
+    pass(Milliseconds { 1000 }, { { { "s", "i" }, demand(60000, 600000) } }, 0.001);
     CHECK(waitOf("i") > 60000);
 }
 
+// Guards against refusing jobs for minutes because of a rate that is low for a moment, as while workers are cut off.
+TEST(BacklogEstimate, ExpectedWaitIsAtMostTwiceTheLongestSoFar)
+{
+    pass(Milliseconds { 4000 }, { { { "s", "i" }, demand(80000, 3000) } }, 0.01);
+    CHECK_EQUAL(6000, waitOf("i"));
+}
+
 // Guards against an expected wait that lags behind the backlog, or outlives it.
 TEST(BacklogEstimate, ExpectedWaitFollowsTheBacklogAndEndsWithIt)
 {
-    pass(Milliseconds { 4000 }, { { { "s", "i" }, demand(80000, 3000) } }, 4);
+    pass(Milliseconds { 4000 }, { { { "s", "i" }, demand(80000, 30000) } }, 4);
     CHECK_EQUAL(20000, waitOf("i"));
-    pass(step, { { { "s", "i" }, demand(20000, 3000) } }, 4);
+    pass(step, { { { "s", "i" }, demand(20000, 30000) } }, 4);
     CHECK_EQUAL(5000, waitOf("i"));
     pass(step, {}, 4);
     CHECK(estimate.expectedWaits().empty());
@@ -78,11 +85,11 @@
 // Guards against a rate that keeps its value for long after the capacity beside serving tasks has gone.
 TEST(BacklogEstimate, RateFollowsTheCapacity)
 {
-    pass(Milliseconds { 10000 }, { { { "s", "i" }, demand(40000, 3000) } }, 4);
+    pass(Milliseconds { 10000 }, { { { "s", "i" }, demand(40000, 600000) } }, 4);
     CHECK_EQUAL(10000, waitOf("i"));
-    pass(Milliseconds { 16000 }, { { { "s", "i" }, demand(40000, 3000) } }, 1);
+    pass(Milliseconds { 16000 }, { { { "s", "i" }, demand(40000, 600000) } }, 1);
     CHECK(waitOf("i") > 25000);
-    pass(Milliseconds { 60000 }, { { { "s", "i" }, demand(40000, 3000) } }, 1e-6);
+    pass(Milliseconds { 60000 }, { { { "s", "i" }, demand(40000, 600000) } }, 1e-6);
     CHECK(waitOf("i") > 300000);
     CHECK(waitOf("i") <= maxExpectedWaitMs);
 }
@@ -99,7 +106,7 @@
 TEST(BacklogEstimate, ClassesAreToldApart)
 {
     pass(Milliseconds { 4000 },
-        { { { "s", "a" }, demand(80000, 3000) }, { { "s", "b" }, demand(8000, 2000) }, { { "s", "c" }, demand(9, 9) },
+        { { { "s", "a" }, demand(80000, 30000) }, { { "s", "b" }, demand(8000, 2000) }, { { "s", "c" }, demand(9, 9) },
             { { "t", "a" }, demand(4000, 2000) } },
         4);
     auto waits = estimate.expectedWaits();
--- a/Tests/LibDecision/TestJobAdmission.cpp
+++ b/Tests/LibDecision/TestJobAdmission.cpp
@@ -8,7 +8,7 @@
 {
     QueuePolicy policy { .service = "s", .stretch = 2, .targetLatencyMs = 1000 };
 
-    /// Its chain is 3 s, so its objective is 7 s.
+    /// Its critical path is 3 s, so its objective is 7 s, and a result is of use for 21 s.
     JobSpec job { .steps = { { .estimateMs = 1000, .bestEffort = true, .image = "i" },
                       { .estimateMs = 2000, .dependsOn = { 0 }, .image = "j" } } };
 
@@ -18,16 +18,17 @@
     }
 };
 
-// Guards against refusing a job that can still end in time, and against a time after which the job is refused again.
-TEST(JobAdmission, JobThatWouldEndAfterItsObjectiveIsRefused)
+// Guards against refusing a job whose late result is still of use, and against a time after which it is refused again.
+TEST(JobAdmission, JobThatWouldEndTooLateToBeOfUseIsRefused)
 {
-    CHECK_FALSE(overload(4000).has_value());
-    auto refused = overload(6500);
+    CHECK_FALSE(overload(18000).has_value());
+    auto refused = overload(20500);
     CHECK(refused.has_value());
     CHECK((*refused
-        == ServiceOverload { .image = "i", .expectedWait = Milliseconds { 6500 }, .maxWait = Milliseconds { 4000 } }));
+        == ServiceOverload {
+            .image = "i", .expectedWait = Milliseconds { 20500 }, .maxWait = Milliseconds { 18000 } }));
     CHECK_EQUAL(2500, refused->retryAfter().count());
-    CHECK_FALSE(overload(6500 - refused->retryAfter().count()).has_value());
+    CHECK_FALSE(overload(20500 - refused->retryAfter().count()).has_value());
 }
 
 // Guards against refusing a job for the backlog of another image or service, or of an image that it runs on reserved
@@ -44,8 +45,8 @@
 TEST(JobAdmission, LongestWaitOfTheStepsDecides)
 {
     job.steps[1].bestEffort = true;
-    std::vector<ExpectedWait> waits { { .service = "s", .image = "i", .waitMs = 3000 },
-        { .service = "s", .image = "j", .waitMs = 5000 } };
+    std::vector<ExpectedWait> waits { { .service = "s", .image = "i", .waitMs = 17000 },
+        { .service = "s", .image = "j", .waitMs = 19000 } };
     auto refused = overloadFor(job, policy, waits);
     CHECK(refused.has_value());
     STRCMP_EQUAL("j", refused->image.c_str());
@@ -65,7 +66,7 @@
 // Guards against a negative limit, which would make the time to retry longer than the backlog.
 TEST(JobAdmission, JobWithAnImpossibleObjectiveIsRefusedDuringABacklogOnly)
 {
-    policy.stretch = 0.5;
+    policy.stretch = 0.25;
     policy.targetLatencyMs = 0;
     auto refused = overload(2000);
     CHECK(refused.has_value());
--- a/Tests/LibNode/TestNodeIngress.cpp
+++ b/Tests/LibNode/TestNodeIngress.cpp
@@ -323,7 +323,7 @@
     submitInOverload();
     advance(Milliseconds { 30 });
     CHECK_EQUAL(503, responses.at(0).status);
-    STRCMP_EQUAL("30", std::string(headerValue(responses.at(0).headers, "Retry-After")).c_str());
+    STRCMP_EQUAL("24", std::string(headerValue(responses.at(0).headers, "Retry-After")).c_str());
     STRCMP_CONTAINS(R"("ran":"no")", responses.at(0).body.c_str());
     CHECK_EQUAL(1, queries.size());
     CHECK(queries.front().kind == JobQueryKind::State);
