--- a/Libraries/LibNode/TaskLeaderLateStarts.cpp
+++ b/Libraries/LibNode/TaskLeaderLateStarts.cpp
@@ -5,9 +5,8 @@
 #include <set>
 #include <utility>
 
-// Keeps the starts without a reply for the next leader, and holds back the tasks of such starts by this leader and by
-// earlier ones: a worker that has started again under its id, and that this leader does not reach, may execute them
-// late.
+// Keeps the starts without a reply for the next leader, and holds back the tasks of those that earlier leaders have
+// left: a worker that has started again under its id, and that this leader does not reach, may execute them late.
 
 namespace Bergamot {
 
@@ -70,24 +69,25 @@
         return;
     const auto& worker = m_workers.at(*handle);
     const auto& session = *worker.session;
-    bool isAnnouncedOnly = worker.announcedSuccessor.has_value();
-    if (!isAnnouncedOnly && !session.isUnreached() && session.isReconciled())
+    if (!session.isUnreached() && session.isReconciled())
         entry.hasUnreachedSuccessor = false;
-    else if (isAnnouncedOnly || worker.incarnation.startedAtMs > entry.start.workerStartedAtMs)
+    else if (worker.incarnation.startedAtMs > entry.start.workerStartedAtMs || worker.announcedSuccessor)
         entry.hasUnreachedSuccessor = true;
 }
 
-/// Whether the run of a start may exist without this leader knowing.
+/// Whether the run of a start that an earlier leader has sent may exist without this leader knowing.
 bool TaskLeader::mayBeRunning(const LateStarts::Entry& entry) const
 {
     auto leaseExpiresBy = entry.executedBy + WorkerClock::maxLocalTime(m_options.node.maxLease.count());
-    return entry.hasUnreachedSuccessor && m_loop.now() < leaseExpiresBy;
+    return entry.start.epoch != m_options.epoch && entry.hasUnreachedSuccessor && m_loop.now() < leaseExpiresBy;
 }
 
 void TaskLeader::holdTasksOfLateStarts()
 {
     std::set<TaskRef> held;
     m_lateStarts.forEach([&](LateStarts::Entry& it) {
+        if (it.start.epoch == m_options.epoch)
+            return;
         updateLateStart(it);
         if (mayBeRunning(it))
             held.insert(taskOf(it.start));
