--- a/Libraries/LibDecision/LiveOccurrences.cpp
+++ b/Libraries/LibDecision/LiveOccurrences.cpp
@@ -36,6 +36,17 @@
     return &m_live.emplace(number, std::move(occurrence)).first->second;
 }
 
+uint32_t LiveOccurrences::countDue(int64_t unixMs) const
+{
+    if (m_isRepeating && unixMs < m_firstDueMs)
+        return 0;
+    auto end = m_count;
+    if (m_isRepeating && m_intervalMs > 0)
+        end = static_cast<uint32_t>(std::min<int64_t>(m_count, (unixMs - m_firstDueMs) / m_intervalMs + 1));
+    auto next = m_ended.firstMissingFrom(m_next);
+    return end > next ? end - next : 0;
+}
+
 std::optional<uint32_t> LiveOccurrences::takeDue(int64_t unixMs)
 {
     auto number = m_ended.firstMissingFrom(m_next);
--- a/Libraries/LibDecision/LiveOccurrences.h
+++ b/Libraries/LibDecision/LiveOccurrences.h
@@ -37,6 +37,9 @@
     /// Returns the next occurrence that is due, has not ended and was not returned before.
     std::optional<uint32_t> takeDue(int64_t unixMs);
 
+    /// Number of occurrences that takeDue() would return, or more if some after the next one have ended already.
+    uint32_t countDue(int64_t unixMs) const;
+
     /// Whether takeDue() may return an occurrence at a later time.
     bool hasFuture() const { return m_ended.firstMissingFrom(m_next) < m_count; }
 
--- a/Libraries/LibDecision/TaskBacklog.cpp
+++ b/Libraries/LibDecision/TaskBacklog.cpp
@@ -35,17 +35,16 @@
 
 /// Whether the tasks of the step can start once there is enough capacity. Those with constraints, or larger than each
 /// worker, say nothing about other jobs of their image.
-bool TaskScheduler::mayFitWithCapacity(const ReadyStep& ready) const
+bool TaskScheduler::mayFitWithCapacity(const TrackedJob& job, const StepSpec& spec) const
 {
-    const auto& spec = ready.job->spec.steps[ready.step];
-    auto service = m_candidates.find(policyOf(*ready.job).service);
+    auto service = m_candidates.find(policyOf(job).service);
     if (hasPlacementConstraint(spec) || service == m_candidates.end())
         return false;
     return std::ranges::any_of(
         service->second, [&](const WorkerEntry* worker) { return reservedSize(spec).fitsIn(worker->view.capacity); });
 }
 
-void TaskScheduler::updateBacklogEstimate(Instant now)
+void TaskScheduler::updateBacklogEstimate(Instant now, const std::vector<DeferredOccurrences>& deferred)
 {
     std::map<BacklogEstimate::Class, BacklogEstimate::Demand> demands;
     std::set<const TrackedOccurrence*> countedOccurrences;
@@ -53,7 +52,8 @@
         const auto& spec = ready.job->spec.steps[ready.step];
         const auto& occurrence = ready.job->occurrences[ready.occurrence];
         const auto& step = occurrence.steps[ready.step];
-        if (!countsTowardsBacklog(spec) || ready.job->hasEnded() || step.waiting.empty() || !mayFitWithCapacity(ready))
+        if (!countsTowardsBacklog(spec) || ready.job->hasEnded() || step.waiting.empty()
+            || !mayFitWithCapacity(*ready.job, spec))
             continue;
         const std::string_view service = policyOf(*ready.job).service;
         auto& demand = demands[{ service, spec.image }];
@@ -70,6 +70,13 @@
                 demands[{ service, laterSpec.image }].workCoreMs += workCoreMsOf(laterSpec, laterSpec.count);
         }
     }
+    for (const auto& [job, occurrences] : deferred) {
+        for (const auto& spec : job->spec.steps) {
+            if (countsTowardsBacklog(spec) && mayFitWithCapacity(*job, spec))
+                demands[{ policyOf(*job).service, spec.image }].workCoreMs
+                    += workCoreMsOf(spec, size_t { spec.count } * occurrences);
+        }
+    }
     m_backlogEstimate.update(now, demands);
 }
 
--- a/Libraries/LibDecision/TaskOccurrences.cpp
+++ b/Libraries/LibDecision/TaskOccurrences.cpp
@@ -15,9 +15,21 @@
 /// versions read.
 static constexpr size_t maxPlainDoneStrings = 1000;
 
+/// Limits the memory for occurrences that wait for workers, by the tasks of the occurrences of all repeating jobs.
+/// After an outage, or with a first time in the past, all occurrences of a job may be due at once.
+static constexpr size_t maxWaitingTasksOfRepeatingJobs = 4000;
+
 /// Limits the memory for the steps of ended occurrences, which are kept for the log only.
 static constexpr size_t maxEndedSteps = 256;
 
+static size_t countTasks(const JobSpec& spec)
+{
+    size_t n = 0;
+    for (const auto& step : spec.steps)
+        n += step.count;
+    return std::max<size_t>(1, n);
+}
+
 void TaskScheduler::prepareOccurrences(TrackedJob& job, Instant blockedUntil)
 {
     std::vector<TrackedStep> steps;
@@ -41,20 +53,59 @@
     return n;
 }
 
-void TaskScheduler::activateDueOccurrences(int64_t unixMs)
+/// Returns the number of occurrences with waiting tasks of each repeating job that has any.
+std::map<const TrackedJob*, size_t> TaskScheduler::countWaitingOccurrences() const
 {
-    auto recurring = m_recurringJobs;
-    for (const auto& id : recurring) {
+    std::set<std::pair<const TrackedJob*, uint32_t>> waiting;
+    for (const auto& [order, ready] : m_readySteps) {
+        if (ready.job->spec.repeats > 0)
+            waiting.emplace(ready.job, ready.occurrence);
+    }
+    std::map<const TrackedJob*, size_t> counts;
+    for (const auto& [job, occurrence] : waiting)
+        ++counts[job];
+    return counts;
+}
+
+/// Builds occurrences that are due, and returns those that are left. The jobs have equal shares of the occurrences that
+/// wait for workers, so that a job whose tasks find no worker holds back only itself.
+std::vector<DeferredOccurrences> TaskScheduler::activateDueOccurrences(int64_t unixMs)
+{
+    m_deferredOccurrences = 0;
+    std::vector<TrackedJob*> jobs;
+    for (const auto& id : m_recurringJobs) {
         auto& job = *m_jobs.at(id);
-        while (!job.hasEnded()) {
-            auto number = job.occurrences.takeDue(unixMs);
-            if (!number)
-                break;
-            activateOccurrence(job, *number);
-        }
-        if (!job.occurrences.hasFuture())
-            m_recurringJobs.erase(id);
+        if (job.occurrences.countDue(unixMs) > 0)
+            jobs.push_back(&job);
+    }
+    if (jobs.empty())
+        return {};
+    auto waiting = countWaitingOccurrences();
+    auto share = maxWaitingTasksOfRepeatingJobs / jobs.size();
+    std::vector<DeferredOccurrences> deferred;
+    for (auto* job : jobs) {
+        activateDueOccurrences(*job, unixMs, waiting[job], share);
+        auto count = job->hasEnded() ? 0 : job->occurrences.countDue(unixMs);
+        m_deferredOccurrences += count;
+        if (count > 0)
+            deferred.push_back({ .job = job, .count = count });
+    }
+    return deferred;
+}
+
+/// Builds occurrences until `maxWaitingTasks` tasks are in occurrences that wait; one if there is none.
+void TaskScheduler::activateDueOccurrences(
+    TrackedJob& job, int64_t unixMs, size_t waitingOccurrences, size_t maxWaitingTasks)
+{
+    auto maxWaiting = std::max<size_t>(1, maxWaitingTasks / countTasks(job.spec));
+    for (auto n = waitingOccurrences; n < maxWaiting && !job.hasEnded(); ++n) {
+        auto number = job.occurrences.takeDue(unixMs);
+        if (!number)
+            break;
+        activateOccurrence(job, *number);
     }
+    if (!job.occurrences.hasFuture())
+        m_recurringJobs.erase(job.spec.id);
 }
 
 void TaskScheduler::activateOccurrence(TrackedJob& job, uint32_t occurrence)
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -32,11 +32,11 @@
         unblockTasks();
     }
     freeEndedOccurrences();
-    activateDueOccurrences(unixMs);
+    auto deferred = activateDueOccurrences(unixMs);
     markPossiblyLostSteps();
     collectCandidates(now);
-    updateShortTaskDemand();
-    updateBacklogEstimate(now);
+    updateShortTaskDemand(deferred);
+    updateBacklogEstimate(now, deferred);
     m_readySteps.update(unixMs, m_backlog);
     confirmDueCrashes(now);
     m_firstSearchedSuspect = std::exchange(m_firstSkippedSuspect, std::nullopt);
@@ -88,19 +88,27 @@
 
 /// Tracks the recent peak of the processors that short tasks reserve or wait for. Without this headroom, long-running
 /// tasks would take all remaining processors after the loss of a zone, and short tasks would wait behind them.
-void TaskScheduler::updateShortTaskDemand()
+void TaskScheduler::updateShortTaskDemand(const std::vector<DeferredOccurrences>& deferred)
 {
     auto now = m_latestEventAt;
     int64_t waiting = 0;
     double waitingWork = 0;
-    for (const auto& [order, ready] : m_readySteps) {
-        const auto& spec = ready.job->spec.steps[ready.step];
-        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+    auto addWaitingTasks = [&](const StepSpec& spec, size_t tasks) {
         if (spec.longRunning || spec.bestEffort)
-            continue;
-        auto millis = spec.size.cpuMillis * static_cast<int64_t>(step.waiting.size());
+            return;
+        auto millis = spec.size.cpuMillis * static_cast<int64_t>(tasks);
         waiting += millis;
         waitingWork += static_cast<double>(millis) * spec.estimateMs;
+    };
+    for (const auto& [order, ready] : m_readySteps) {
+        const auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+        addWaitingTasks(ready.job->spec.steps[ready.step], step.waiting.size());
+    }
+    for (const auto& [job, occurrences] : deferred) {
+        for (const auto& spec : job->spec.steps) {
+            if (spec.dependsOn.empty())
+                addWaitingTasks(spec, size_t { spec.count } * occurrences);
+        }
     }
     auto room = static_cast<double>(std::max<int64_t>(1, m_shortTaskRoomMillis));
     m_backlog = Milliseconds { static_cast<int64_t>(waitingWork / room) };
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/BacklogEstimate.h>
 #include <LibDecision/CandidateRanking.h>
+#include <LibDecision/DeferredOccurrences.h>
 #include <LibDecision/EndedJobs.h>
 #include <LibDecision/IsolationLimit.h>
 #include <LibDecision/JobTimeline.h>
@@ -124,6 +125,9 @@
     /// Number of occurrences of jobs that are held in memory.
     size_t builtOccurrences() const;
 
+    /// Number of occurrences that are due and wait until earlier ones of their jobs have started, as of the latest plan.
+    size_t deferredOccurrences() const { return m_deferredOccurrences; }
+
     void updateWorker(WorkerHandle, const TaskWorkerView&);
 
     /// Whether the worker may get runs: it is reachable, not draining, and its zone is not excluded.
@@ -360,12 +364,14 @@
     void updateRun(TrackedJob&, TrackedTask&, TrackedRun&, const RunReport&, Instant now);
     void requestStop(WorkerHandle, const TaskRef&, uint64_t run, StopReason, Instant now);
     bool isBlocked(const TrackedTask&, Instant now) const;
-    void activateDueOccurrences(int64_t unixMs);
+    std::map<const TrackedJob*, size_t> countWaitingOccurrences() const;
+    std::vector<DeferredOccurrences> activateDueOccurrences(int64_t unixMs);
+    void activateDueOccurrences(TrackedJob&, int64_t unixMs, size_t waitingOccurrences, size_t maxWaitingTasks);
     void placeWaitingTasks(Instant now, Instant knownBy);
     void collectCandidates(Instant now);
-    void updateShortTaskDemand();
-    bool mayFitWithCapacity(const ReadyStep&) const;
-    void updateBacklogEstimate(Instant now);
+    void updateShortTaskDemand(const std::vector<DeferredOccurrences>&);
+    bool mayFitWithCapacity(const TrackedJob&, const StepSpec&) const;
+    void updateBacklogEstimate(Instant now, const std::vector<DeferredOccurrences>&);
     void addStartedWork(const ReadyStep&);
     bool acceptsRuns(const WorkerEntry&) const;
     bool isUsable(const WorkerEntry&, Instant now) const;
@@ -534,6 +540,7 @@
     ReadySteps m_readySteps;
     uint64_t m_readySequence { 0 };
     std::set<JobId> m_recurringJobs;
+    size_t m_deferredOccurrences { 0 };
 
     /// Occurrences that have ended and are not freed yet.
     std::vector<std::pair<JobId, uint32_t>> m_endedOccurrences;
--- a/Libraries/LibNode/TaskLeaderReports.cpp
+++ b/Libraries/LibNode/TaskLeaderReports.cpp
@@ -78,6 +78,7 @@
     auto use = m_scheduler.workerUse();
     auto idleJobs = m_scheduler.countJobsWithoutRun(now, longWait);
     m_metrics.setIdleJobs(idleJobs);
+    m_metrics.setDeferredOccurrences(m_scheduler.deferredOccurrences());
     for (const auto& wait : m_scheduler.stepWaits(now, longWait, maxLines)) {
         auto refusals = m_scheduler.refusalsOf(wait);
         auto margin = m_scheduler.bestServingMargin(wait).value_or(ServingMargin {});
@@ -102,6 +103,7 @@
                 { "workers_held", refusals.held }, { "workers_held_by_preference", refusals.heldByPreference },
                 { "workers_excluded", refusals.constraint }, { "workers_serving", refusals.servingPressure },
                 { "image", wait.bestEffortImage }, { "job_idle", wait.isJobIdle }, { "idle_jobs", idleJobs },
+                { "deferred_occurrences", m_scheduler.deferredOccurrences() },
                 { "best_margin", percentOf(margin.margin) }, { "best_added", percentOf(margin.added) },
                 { "best_own", percentOf(margin.own) }, { "crashes", describeCrashes(wait.crashedRuns) },
                 { "coincidence", fmt::format("{:.1e}", wait.coincidence) } });
--- a/Libraries/LibReport/NodeMetrics.cpp
+++ b/Libraries/LibReport/NodeMetrics.cpp
@@ -69,6 +69,9 @@
     , m_activeRuns(gaugeFamily("bergamot_node_active_runs", "Runs that may be active on workers.").Add({}))
     , m_idleJobs(
           gaugeFamily("bergamot_node_idle_jobs", "Jobs without a run of which a task has waited for over 3 s.").Add({}))
+    , m_deferredOccurrences(gaugeFamily("bergamot_node_deferred_occurrences",
+          "Occurrences of jobs that are due and wait until earlier ones of their jobs have started.")
+                                .Add({}))
     , m_workersReachable(gaugeFamily("bergamot_node_workers_reachable", "Workers that answer the leader.").Add({}))
     , m_workersKnown(gaugeFamily("bergamot_node_workers_known", "Workers that may hold tasks.").Add({}))
     , m_configVersion(gaugeFamily("bergamot_node_config_version", "Version of the configuration in force.").Add({}))
@@ -119,6 +122,11 @@
     m_oldestWaits.at(reason).Set(toSeconds(wait));
 }
 
+void NodeMetrics::setDeferredOccurrences(size_t occurrences)
+{
+    m_deferredOccurrences.Set(static_cast<double>(occurrences));
+}
+
 void NodeMetrics::setIdleJobs(size_t jobs) { m_idleJobs.Set(static_cast<double>(jobs)); }
 
 void NodeMetrics::setWorkers(size_t reachable, size_t known)
--- a/Libraries/LibReport/NodeMetrics.h
+++ b/Libraries/LibReport/NodeMetrics.h
@@ -56,6 +56,9 @@
 
     /// Sets the number of jobs without a run of which a task has waited for over 3 s.
     void setIdleJobs(size_t jobs);
+
+    /// Sets the number of occurrences that are due and wait until earlier ones of their jobs have started.
+    void setDeferredOccurrences(size_t occurrences);
     void setWorkers(size_t reachable, size_t known);
     void setConfigVersion(uint64_t version);
 
@@ -97,6 +100,7 @@
     prometheus::Gauge& m_waitingTasks;
     prometheus::Gauge& m_activeRuns;
     prometheus::Gauge& m_idleJobs;
+    prometheus::Gauge& m_deferredOccurrences;
     prometheus::Gauge& m_workersReachable;
     prometheus::Gauge& m_workersKnown;
     prometheus::Gauge& m_configVersion;
--- a/Libraries/LibWire/JobLimits.h
+++ b/Libraries/LibWire/JobLimits.h
@@ -12,7 +12,7 @@
 inline constexpr int64_t maxRepeatsPerJob = 100'000;
 
 /// Bounds the memory of the leader, which keeps about 200 bytes for each task of a job that has not ended. Of a
-/// repeating job it keeps the live occurrences only, but all of them may be due at once.
+/// repeating job it keeps the live occurrences only.
 inline constexpr int64_t maxTasksPerJob = 50'000;
 
 /// Limit of each resource that one task reserves.
--- a/Tests/LibDecision/TestRepeatingJobs.cpp
+++ b/Tests/LibDecision/TestRepeatingJobs.cpp
@@ -1,6 +1,9 @@
 #include "TaskSchedulerFixture.h"
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <numeric>
+#include <string>
 #include <vector>
 
 using namespace Bergamot;
@@ -233,6 +236,79 @@
     CHECK_EQUAL(1, fixture.scheduler().timelineOf("j")->failedRuns);
 }
 
+// Guards against leaders that exceed their memory because all occurrences of many jobs are due at once, after an outage
+// or with a first time in the past (issue 70), under a new leader too.
+TEST(RepeatingJobs, OccurrencesThatAreDueAtOnceAreBuiltAsWorkersTakeTheEarlierOnes)
+{
+    constexpr uint32_t jobs { 24 };
+    constexpr size_t capacity { 64 };
+    constexpr size_t maxBuilt { 5000 };
+    TaskSchedulerFixture successor(2);
+    addWorkers(successor);
+    std::map<JobId, JobProgress> records;
+    for (auto* leader : { &fixture, &successor }) {
+        for (uint32_t i = 0; i < jobs; ++i) {
+            auto spec = repeatingJob(manyRepeats);
+            spec.id = "j" + std::to_string(i);
+            auto stored = records.contains(spec.id) ? std::optional(records.at(spec.id)) : std::nullopt;
+            leader->scheduler().addJob(spec, stored, neverInstant);
+        }
+        goTo(*leader, manyRepeats);
+        for (int round = 0; round < 20; ++round) {
+            auto starts = leader->planStarts();
+            CHECK_EQUAL(capacity, starts.size());
+            CHECK_COMPARE(leader->scheduler().builtOccurrences(), <=, maxBuilt);
+            CHECK_COMPARE(leader->scheduler().deferredOccurrences(), >, 1'000'000);
+            completeAll(*leader, starts);
+        }
+        for (const auto& progress : leader->scheduler().takeChangedJobs())
+            records.insert_or_assign(progress.id, progress);
+    }
+}
+
+// Guards against occurrences that are left out, or run again, because they waited for earlier ones.
+TEST(RepeatingJobs, EachOfManyOccurrencesThatAreDueAtOnceRunsOnce)
+{
+    constexpr uint32_t repeats { 10'000 };
+    for (int64_t interval : { intervalMs, int64_t { 1 }, int64_t { 0 } }) {
+        TaskSchedulerFixture leader;
+        leader.addWorker(1, { 2'000'000, 2'000'000, 0 });
+        auto spec = repeatingJob(repeats);
+        spec.intervalMs = interval;
+        leader.scheduler().addJob(spec, std::nullopt, neverInstant);
+        goTo(leader, repeats);
+        std::vector<uint32_t> started;
+        for (auto starts = leader.planStarts(); !starts.empty(); starts = leader.planStarts()) {
+            std::ranges::copy(occurrencesOf(starts), std::back_inserter(started));
+            completeAll(leader, starts);
+        }
+        std::ranges::sort(started);
+        std::vector<uint32_t> expected(repeats);
+        std::iota(expected.begin(), expected.end(), 0U);
+        CHECK(started == expected);
+        store(leader);
+        CHECK(leader.scheduler().stateOf("j") == JobStage::Completed);
+        CHECK_EQUAL(0, leader.scheduler().deferredOccurrences());
+    }
+}
+
+// Guards against a job whose tasks no worker can take, and which holds back the occurrences of other jobs.
+TEST(RepeatingJobs, JobWithoutAWorkerHoldsBackOnlyItself)
+{
+    auto stuck = repeatingJob(manyRepeats);
+    stuck.id = "stuck";
+    stuck.steps.front().size.cpuMillis = 1'000'000;
+    fixture.scheduler().addJob(stuck, std::nullopt, neverInstant);
+    goTo(fixture, manyRepeats);
+    CHECK(fixture.planStarts().empty());
+    fixture.scheduler().addJob(repeatingJob(manyRepeats), std::nullopt, neverInstant);
+    for (int round = 0; round < 5; ++round) {
+        auto starts = fixture.planStarts();
+        CHECK_EQUAL(64, starts.size());
+        completeAll(fixture, starts);
+    }
+}
+
 // Guards against running occurrences again that a leader of an earlier version has stored as done.
 TEST(RepeatingJobs, RecordOfAnEarlierVersionIsContinued)
 {
--- a/Tests/LibDecision/TestTaskBacklog.cpp
+++ b/Tests/LibDecision/TestTaskBacklog.cpp
@@ -100,6 +100,18 @@
     CHECK(wait > 10000 && wait < 14500);
 }
 
+// Guards against an estimate without the occurrences that are due and not held in memory yet.
+TEST(TaskBacklog, DeferredOccurrencesCount)
+{
+    fixture.addWorker(1, { 400'000, 1'000'000, 0 });
+    auto job = fixture.job("repeating", { bestEffortStep(1, "i") });
+    job.repeats = 24'000;
+    scheduler.addJob(job, std::nullopt, neverInstant);
+    pass(Milliseconds { 10000 });
+    CHECK(scheduler.deferredOccurrences() > 10'000);
+    CHECK(waitOf("i") > 15000);
+}
+
 // Guards against refusing jobs for the waits of other tasks, which have processors of their own.
 TEST(TaskBacklog, OnlyBestEffortTasksHaveExpectedWaits)
 {
