--- a/Libraries/LibDecision/LiveOccurrences.cpp
+++ b/Libraries/LibDecision/LiveOccurrences.cpp
@@ -19,6 +19,12 @@
     return it == m_live.end() ? nullptr : &it->second;
 }
 
+const TrackedOccurrence* LiveOccurrences::find(uint32_t number) const
+{
+    auto it = m_live.find(number);
+    return it == m_live.end() ? nullptr : &it->second;
+}
+
 TrackedOccurrence* LiveOccurrences::findOrBuild(uint32_t number)
 {
     if (auto* occurrence = find(number))
@@ -29,10 +35,6 @@
         .remainingSteps = static_cast<uint32_t>(m_initialSteps.size()),
         .dueUnixMs = dueUnixMs(number),
         .due = !m_isRepeating };
-    for (auto& step : occurrence.steps) {
-        auto task = std::move(step.tasks.front());
-        step.tasks.assign(step.remainingTasks, task);
-    }
     return &m_live.emplace(number, std::move(occurrence)).first->second;
 }
 
--- a/Libraries/LibDecision/LiveOccurrences.h
+++ b/Libraries/LibDecision/LiveOccurrences.h
@@ -18,7 +18,6 @@
 
     LiveOccurrences() = default;
 
-    /// Each of `initialSteps` has one task, which stands for all of its `remainingTasks`.
     LiveOccurrences(const JobSpec&, std::vector<TrackedStep> initialSteps);
 
     /// The steps of occurrences that are built from now on, as passed to the constructor.
@@ -30,6 +29,7 @@
 
     /// Returns nullptr if the occurrence is not held in memory.
     TrackedOccurrence* find(uint32_t number);
+    const TrackedOccurrence* find(uint32_t number) const;
 
     /// Returns nullptr if the job has no such occurrence, or if it has ended and is not held in memory any more.
     TrackedOccurrence* findOrBuild(uint32_t number);
--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -90,7 +90,13 @@
 TrackedTask& TaskScheduler::crashTaskOf(TrackedJob& job, const TaskRef& ref)
 {
     auto& tasks = job.occurrences[ref.occurrence].steps[ref.step].tasks;
-    return tasks[job.spec.steps[ref.step].gang ? 0 : ref.index];
+    return tasks.edit(job.spec.steps[ref.step].gang ? 0 : ref.index);
+}
+
+bool TaskScheduler::hasExcusedCrash(const TrackedJob& job, const TaskRef& ref)
+{
+    const auto& tasks = job.occurrences[ref.occurrence].steps[ref.step].tasks;
+    return tasks[job.spec.steps[ref.step].gang ? 0 : ref.index].hasExcusedCrash;
 }
 
 /// The records of an ended job are kept: they may be the cause of its end, which is logged once it is stored.
@@ -98,7 +104,8 @@
 {
     if (job.hasEnded())
         return;
-    crashTaskOf(job, ref).hasExcusedCrash = false;
+    if (hasExcusedCrash(job, ref))
+        crashTaskOf(job, ref).hasExcusedCrash = false;
     if (!job.crashes.isEmpty() && job.crashes.clear(crashKey(job, ref)))
         markChanged(job);
 }
@@ -107,26 +114,26 @@
 /// been: those that are left by a crash say nothing about the member that caused it.
 void TaskScheduler::clearIfProven(TrackedJob& job, TrackedTask& task, const TaskRef& ref, const TrackedRun& run)
 {
-    if (job.crashes.isEmpty() && !crashTaskOf(job, ref).hasExcusedCrash)
+    if (job.crashes.isEmpty() && !hasExcusedCrash(job, ref))
         return;
     auto clearingTime = job.crashes.clearingTime(crashKey(job, ref));
-    auto isProven = [&](TrackedTask& it) {
+    auto isProven = [&](const TrackedTask& it) {
         const auto* active = findRun(it, run.run);
         return active && active->reportedAt - active->startedAt >= clearingTime;
     };
     auto& tasks = job.occurrences[ref.occurrence].steps[ref.step].tasks;
     bool isGang = job.spec.steps[ref.step].gang;
-    if (isGang ? !std::ranges::all_of(tasks, isProven) : !isProven(task))
+    if (isGang ? tasks.anyOf(std::not_fn(isProven)) : !isProven(task))
         return;
     clearCrashes(job, ref);
     if (run.isolated)
         m_isolationLimit.recordHarmlessRun(m_latestEventAt);
-    for (auto& it : tasks) {
+    tasks.forEachInMemory([&](uint32_t, TrackedTask& it) {
         if (!isGang && &it != &task)
-            continue;
+            return;
         for (auto& active : it.runs)
             setIsolated(active, false);
-    }
+    });
 }
 
 void TaskScheduler::suspectCrash(WorkerHandle handle, Instant now)
--- a/Libraries/LibDecision/TaskGangs.cpp
+++ b/Libraries/LibDecision/TaskGangs.cpp
@@ -11,9 +11,9 @@
 /// Why the gang must not start yet; None if all members can start.
 PlacementDelay TaskScheduler::delayOfGang(const TrackedStep& step, Instant now) const
 {
-    if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return it.done || !it.runs.empty(); }))
+    if (step.tasks.anyOf([](const TrackedTask& it) { return it.done || !it.runs.empty(); }))
         return PlacementDelay::GangMember;
-    if (std::ranges::any_of(step.tasks, [&](const TrackedTask& it) { return isBlocked(it, now); }))
+    if (step.tasks.anyOf([&](const TrackedTask& it) { return isBlocked(it, now); }))
         return PlacementDelay::EarlierLeader;
     return PlacementDelay::None;
 }
@@ -22,8 +22,7 @@
 void TaskScheduler::requeueGang(TrackedJob& job, const TaskRef& ref)
 {
     auto& step = job.occurrences[ref.occurrence].steps[ref.step];
-    bool allEnded = std::ranges::all_of(step.tasks, [](const TrackedTask& it) { return it.runs.empty() && !it.done; });
-    if (!allEnded)
+    if (step.tasks.anyOf([](const TrackedTask& it) { return !it.runs.empty() || it.done; }))
         return;
     // After a takeover, members that no worker has listed may be queued already.
     if (step.waiting.empty())
@@ -44,7 +43,7 @@
     auto isolation = isolationOf(*ready.job, ref);
     if (isolation != RunIsolation::None) {
         step.delay = PlacementDelay::CrashSuspicion;
-        step.suspectDelay = delayOfSuspect(*ready.job, ref, step.tasks.front(), now);
+        step.suspectDelay = delayOfSuspect(*ready.job, ref, step.tasks[0], now);
         if (step.suspectDelay != SuspectDelay::None)
             return true;
         // Gangs that have to run isolated were placed before all other tasks.
@@ -73,8 +72,10 @@
     if (!maySearchIsolated() || !hasIsolationSlots(*ready.job, ready.job->spec.steps[ready.step].count, isolation))
         return false;
     if (startGang(ready, {}, now, PlacementMode::Isolated)) {
-        for (auto& task : ready.job->occurrences[ready.occurrence].steps[ready.step].tasks)
-            task.runs.back().isolatedByPreference = isolation == RunIsolation::Preferred;
+        ready.job->occurrences[ready.occurrence].steps[ready.step].tasks.forEachInMemory(
+            [&](uint32_t, TrackedTask& it) {
+                it.runs.back().isolatedByPreference = isolation == RunIsolation::Preferred;
+            });
         return true;
     }
     ++m_failedSearches;
@@ -114,10 +115,9 @@
     auto actionsBefore = m_actions.size();
     // All members get the same run number, which is higher than any earlier run number of a member.
     uint32_t starts = 0;
-    for (const auto& task : step.tasks)
-        starts = std::max(starts, task.starts);
+    step.tasks.forEachInMemory([&](uint32_t, const TrackedTask& it) { starts = std::max(starts, it.starts); });
     for (uint32_t i = 0; i < step.tasks.size(); ++i) {
-        auto& task = step.tasks[i];
+        auto& task = step.tasks.edit(i);
         task.starts = starts;
         auto* worker = chooseWorker(*ready.job, ready, task, rack, now, mode);
         if (!worker) {
@@ -137,8 +137,9 @@
     const auto& spec = ready.job->spec.steps[ready.step];
     std::vector<std::pair<WorkerEntry*, Resources>> reserved;
     std::map<WorkerHandle, uint32_t> members;
-    for (const auto& task : ready.job->occurrences[ready.occurrence].steps[ready.step].tasks) {
-        auto* worker = holdForIsolation(ready, task, now);
+    const auto& tasks = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks;
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+        auto* worker = holdForIsolation(ready, tasks[i], now);
         if (!worker)
             break;
         bool isFull = spec.maxPerWorker > 0 && ++members[worker->handle] >= spec.maxPerWorker;
@@ -154,7 +155,7 @@
 {
     auto& job = *ready.job;
     for (uint32_t i = 0; i < members; ++i) {
-        auto& task = job.occurrences[ready.occurrence].steps[ready.step].tasks[i];
+        auto& task = job.occurrences[ready.occurrence].steps[ready.step].tasks.edit(i);
         TaskRef ref { job.spec.id, ready.occurrence, ready.step, i };
         const auto& run = task.runs.back();
         release(run.worker, job, ref, run.run);
@@ -173,10 +174,9 @@
 {
     auto& step = job.occurrences[ref.occurrence].steps[ref.step];
     step.waiting.clear();
-    for (auto& task : step.tasks) {
-        task.done = true;
-        task.checkpoint.clear();
-    }
+    for (uint32_t i = 0; i < step.tasks.size(); ++i)
+        step.tasks.markDone(i);
+    step.tasks.forEachInMemory([](uint32_t, TrackedTask& it) { it.checkpoint.clear(); });
     step.remainingTasks = 0;
     markChanged(job);
     completeStep(job, ref.occurrence, ref.step);
@@ -186,8 +186,9 @@
 void TaskScheduler::breakGang(TrackedJob& job, const TaskRef& ref)
 {
     auto& step = job.occurrences[ref.occurrence].steps[ref.step];
-    for (uint32_t i = 0; i < step.tasks.size(); ++i)
-        stopActiveRuns({ ref.job, ref.occurrence, ref.step, i }, step.tasks[i], StopReason::GangBroken);
+    step.tasks.forEachInMemory([&](uint32_t i, TrackedTask& it) {
+        stopActiveRuns({ ref.job, ref.occurrence, ref.step, i }, it, StopReason::GangBroken);
+    });
     requeueGang(job, ref);
 }
 
@@ -195,8 +196,9 @@
 /// restart from the same one.
 void TaskScheduler::shareCheckpoint(TrackedJob& job, const TaskRef& ref, const std::string& checkpoint)
 {
-    for (auto& task : job.occurrences[ref.occurrence].steps[ref.step].tasks)
-        task.checkpoint = checkpoint;
+    auto& tasks = job.occurrences[ref.occurrence].steps[ref.step].tasks;
+    tasks.initial().checkpoint = checkpoint;
+    tasks.forEachInMemory([&](uint32_t, TrackedTask& it) { it.checkpoint = checkpoint; });
 }
 
 }
--- a/Libraries/LibDecision/TaskIdleJobs.cpp
+++ b/Libraries/LibDecision/TaskIdleJobs.cpp
@@ -242,7 +242,7 @@
     auto actionsBefore = m_scheduler.m_actions.size();
     m_scheduler.startRun(*candidate.worker, job.ready, job.index, m_now);
     std::erase(step.waiting, job.index);
-    auto& run = step.tasks[job.index].runs.back();
+    auto& run = step.tasks.edit(job.index).runs.back();
     run.startedSlow = candidate.expectedSpeed() < 1;
     if (m_runningImages)
         m_runningImages->insert(imageOf(job));
--- a/Libraries/LibDecision/TaskIdleRecords.cpp
+++ b/Libraries/LibDecision/TaskIdleRecords.cpp
@@ -23,21 +23,24 @@
             continue;
         auto& step = job.occurrences[ready.occurrence].steps[ready.step];
         for (auto index : step.waiting) {
-            auto& task = step.tasks[index];
+            if (job.recordedIdleTasks >= maxIdleTasksOfJob)
+                break;
+            const auto& task = step.tasks[index];
             bool isIdle = !task.done && task.runs.empty() && !isBlocked(task, now);
             bool hasWaited = task.waitingSince != neverInstant && now - task.foundWaitingAt >= minIdleTime;
             if (!isIdle || !hasWaited || task.isRecordedIdle
                 || mayStartLate({ job.spec.id, ready.occurrence, ready.step, index }))
                 continue;
-            task.isRecordedIdle = true;
-            task.recordedWorker.clear();
+            auto& recorded = step.tasks.edit(index);
+            recorded.isRecordedIdle = true;
+            recorded.recordedWorker.clear();
+            ++job.recordedIdleTasks;
             markChanged(job);
         }
     }
 }
 
-/// Returns as many recorded idle tasks as a record may name. Further ones start after a record too, and a successor
-/// takes them as tasks that may run anywhere.
+/// A successor takes the idle tasks that are not recorded as tasks that may run anywhere.
 std::vector<IdleTask> TaskScheduler::idleTasksOf(const TrackedJob& job)
 {
     std::vector<IdleTask> idle;
@@ -46,10 +49,10 @@
         for (uint32_t s = 0; s < steps.size(); ++s) {
             if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
-            for (uint32_t i = 0; i < steps[s].tasks.size() && idle.size() < maxIdleTasksOfJob; ++i) {
-                if (steps[s].tasks[i].isRecordedIdle)
-                    idle.push_back({ k, s, i });
-            }
+            steps[s].tasks.forEachInMemory([&, occurrence = k](uint32_t i, const TrackedTask& it) {
+                if (it.isRecordedIdle && idle.size() < maxIdleTasksOfJob)
+                    idle.push_back({ occurrence, s, i });
+            });
         }
     }
     return idle;
@@ -64,7 +67,8 @@
         auto* task = findTask(job, { job.spec.id, it.occurrence, it.step, it.index });
         if (!task || task->done || !isPlacementRecordable(job.spec.steps[it.step]))
             continue;
-        task->isRecordedIdle = true;
+        if (!std::exchange(task->isRecordedIdle, true))
+            ++job.recordedIdleTasks;
         if (!areReliable) {
             removeIdleRecord(job, *task);
             continue;
@@ -78,6 +82,7 @@
 {
     if (!std::exchange(task.isRecordedIdle, false))
         return;
+    --job.recordedIdleTasks;
     // The record that is collected next is the first one without the task.
     task.startsAfterRecord = job.collectedRecords + 1;
     markChanged(job);
--- a/Libraries/LibDecision/TaskIsolation.cpp
+++ b/Libraries/LibDecision/TaskIsolation.cpp
@@ -207,14 +207,14 @@
 {
     if (!maySearchIsolated() || !hasIsolationSlots(*ready.job, 1, isolation))
         return false;
-    auto& task = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
-    auto* worker = chooseWorker(*ready.job, ready, task, {}, now, PlacementMode::Isolated);
+    auto& tasks = ready.job->occurrences[ready.occurrence].steps[ready.step].tasks;
+    auto* worker = chooseWorker(*ready.job, ready, tasks[index], {}, now, PlacementMode::Isolated);
     if (!worker) {
         ++m_failedSearches;
         return false;
     }
     startRun(*worker, ready, index, now, PlacementMode::Isolated);
-    task.runs.back().isolatedByPreference = isolation == RunIsolation::Preferred;
+    tasks.edit(index).runs.back().isolatedByPreference = isolation == RunIsolation::Preferred;
     return true;
 }
 
--- a/Libraries/LibDecision/TaskOccurrences.cpp
+++ b/Libraries/LibDecision/TaskOccurrences.cpp
@@ -34,7 +34,8 @@
 {
     std::vector<TrackedStep> steps;
     for (const auto& step : job.spec.steps) {
-        TrackedStep tracked { .tasks = { TrackedTask { .blockedUntil = blockedUntil } }, .remainingTasks = step.count };
+        TrackedStep tracked { .tasks = TaskTable({ .blockedUntil = blockedUntil }, step.count),
+            .remainingTasks = step.count };
         if (step.bestEffort)
             tracked.image = m_pressure.bestEffortImage(step.image);
         else if (isServing(step))
@@ -108,6 +109,18 @@
         m_recurringJobs.erase(job.spec.id);
 }
 
+size_t TaskScheduler::tasksInMemory() const
+{
+    size_t n = 0;
+    for (const auto& [id, job] : m_jobs) {
+        for (const auto& [number, occurrence] : job->occurrences) {
+            for (const auto& step : occurrence.steps)
+                n += step.tasks.sizeInMemory();
+        }
+    }
+    return n;
+}
+
 void TaskScheduler::activateOccurrence(TrackedJob& job, uint32_t occurrence)
 {
     auto* tracked = job.occurrences.findOrBuild(occurrence);
@@ -151,7 +164,7 @@
         if (!occurrence)
             return true;
         for (const auto& step : occurrence->steps) {
-            if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return !it.runs.empty(); }))
+            if (step.tasks.anyOf([](const TrackedTask& it) { return !it.runs.empty(); }))
                 return false;
         }
         freeOccurrence(*job, ended.second, *occurrence);
@@ -219,10 +232,10 @@
         return;
     for (auto i = position; i < end; ++i) {
         auto& step = occurrence->steps[i - position];
-        for (size_t task = 0; task < std::min(done[i].size(), step.tasks.size()); ++task) {
+        for (uint32_t task = 0; task < std::min<size_t>(done[i].size(), step.tasks.size()); ++task) {
             if (done[i][task] != '1')
                 continue;
-            step.tasks[task].done = true;
+            step.tasks.markDone(task);
             --step.remainingTasks;
             job.started = true;
         }
@@ -252,7 +265,7 @@
 {
     for (const auto& step : occurrence.steps) {
         std::string flags(step.tasks.size(), '0');
-        for (size_t i = 0; i < flags.size(); ++i)
+        for (uint32_t i = 0; i < flags.size(); ++i)
             flags[i] = step.tasks[i].done ? '1' : '0';
         done.push_back(std::move(flags));
     }
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -210,11 +210,21 @@
 void TaskScheduler::setWaitingSince(const ReadyStep& ready, Instant now) const
 {
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
+    auto& initial = step.tasks.initial();
+    bool isFirstPlan = initial.foundWaitingAt == neverInstant;
     auto inheritedWait = maxInheritedWait(ready);
+    // The tasks that were never placed are queued together when their step becomes ready.
+    if (isFirstPlan) {
+        initial.waitingSince = now - inheritedWait;
+        initial.foundWaitingAt = now;
+    }
     for (auto it = step.waiting.rbegin(); it != step.waiting.rend(); ++it) {
-        auto& task = step.tasks[*it];
-        if (task.waitingSince != neverInstant)
+        if (step.tasks[*it].waitingSince != neverInstant) {
+            if (isFirstPlan)
+                continue;
             return;
+        }
+        auto& task = step.tasks.edit(*it);
         // The wait of a task that has run under this leader began under this leader.
         bool isFirstWait = !task.hasRun && task.starts == 0;
         task.waitingSince = isFirstWait ? now - inheritedWait : now;
@@ -236,9 +246,10 @@
     // The tasks of a step need the same, so after a failed search none of them is tried.
     bool searchIsolated = true;
     for (auto index : step.waiting) {
-        auto& task = step.tasks[index];
+        const auto& task = step.tasks[index];
         if (task.done || (task.wantsSpeculativeCopy && task.runs.size() != 1)) {
-            task.wantsSpeculativeCopy = false;
+            if (task.wantsSpeculativeCopy)
+                step.tasks.edit(index).wantsSpeculativeCopy = false;
             if (task.done || !task.runs.empty())
                 continue;
         }
@@ -292,7 +303,7 @@
 {
     auto& job = *ready.job;
     auto& step = job.occurrences[ready.occurrence].steps[ready.step];
-    auto& task = step.tasks[index];
+    auto& task = step.tasks.edit(index);
     step.lastStartAt = now;
     // A job that was added before the first plan or report has no ready time.
     if (step.readyAt == neverInstant)
--- a/Libraries/LibDecision/TaskPlacementRecords.cpp
+++ b/Libraries/LibDecision/TaskPlacementRecords.cpp
@@ -72,10 +72,10 @@
     for (const auto& [k, occurrence] : job.occurrences) {
         const auto& steps = occurrence.steps;
         for (uint32_t s = 0; s < steps.size(); ++s) {
-            for (uint32_t i = 0; i < steps[s].tasks.size() && placed.size() < maxPlacedTasksOfJob; ++i) {
-                if (const auto& worker = steps[s].tasks[i].recordedWorker; !worker.empty())
-                    placed.push_back({ k, s, i, worker });
-            }
+            steps[s].tasks.forEachInMemory([&, occurrence = k](uint32_t i, const TrackedTask& it) {
+                if (!it.recordedWorker.empty() && placed.size() < maxPlacedTasksOfJob)
+                    placed.push_back({ occurrence, s, i, it.recordedWorker });
+            });
         }
     }
     return placed;
@@ -107,8 +107,8 @@
         for (size_t s = 0; s < steps.size(); ++s) {
             if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
-            for (auto& task : steps[s].tasks)
-                task.blockedUntil = neverInstant;
+            steps[s].tasks.initial().blockedUntil = neverInstant;
+            steps[s].tasks.forEachInMemory([](uint32_t, TrackedTask& it) { it.blockedUntil = neverInstant; });
         }
     };
     unblock(job.occurrences.initialSteps());
@@ -149,14 +149,13 @@
         for (uint32_t s = 0; s < steps.size(); ++s) {
             if (!isPlacementRecordable(job.spec.steps[s]))
                 continue;
-            for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
-                auto& task = steps[s].tasks[i];
+            steps[s].tasks.forEachInMemory([&, occurrence = k](uint32_t i, TrackedTask& task) {
                 bool mayRunElsewhere = task.isHeld || task.runs.size() != 1 || task.isRecordedIdle;
                 if (!task.recordedWorker.empty() || mayRunElsewhere)
-                    continue;
+                    return;
                 if (auto worker = m_workers.find(task.runs.front().worker); worker != m_workers.end())
-                    recordPlacement(job, { job.spec.id, k, s, i }, task, worker->second->view.id);
-            }
+                    recordPlacement(job, { job.spec.id, occurrence, s, i }, task, worker->second->view.id);
+            });
         }
     }
 }
--- a/Libraries/LibDecision/TaskProgress.cpp
+++ b/Libraries/LibDecision/TaskProgress.cpp
@@ -63,7 +63,7 @@
 
 /// Returns the failed runs that still count. Of too many for a record, those of the tasks with the fewest are left out,
 /// which may then be started that much more often under another leader.
-std::vector<FailedRun> TaskScheduler::failedRunsToStore(TrackedJob& job)
+std::vector<FailedRun> TaskScheduler::failedRunsToStore(const TrackedJob& job)
 {
     constexpr size_t maxFailedRunsOfJob { 3000 };
     std::vector<std::pair<uint32_t, FailedRun>> failed;
@@ -141,10 +141,10 @@
     ++job->storedRecords;
     for (auto& [k, occurrence] : job->occurrences) {
         for (auto& step : occurrence.steps) {
-            for (auto& task : step.tasks) {
-                if (task.startsAfterRecord == job->storedRecords)
-                    ++task.startsAfterRecord;
-            }
+            step.tasks.forEachInMemory([&](uint32_t, TrackedTask& it) {
+                if (it.startsAfterRecord == job->storedRecords)
+                    ++it.startsAfterRecord;
+            });
         }
     }
 }
@@ -164,7 +164,7 @@
         return;
     for (const auto& [k, occurrence] : job.occurrences) {
         for (const auto& step : occurrence.steps) {
-            if (std::ranges::any_of(step.tasks, [](const TrackedTask& it) { return !it.runs.empty(); }))
+            if (step.tasks.anyOf([](const TrackedTask& it) { return !it.runs.empty(); }))
                 return;
         }
     }
--- a/Libraries/LibDecision/TaskReservations.cpp
+++ b/Libraries/LibDecision/TaskReservations.cpp
@@ -91,7 +91,7 @@
         return { ready.job->spec.id, ready.occurrence, ready.step, index };
     }
 
-    static TrackedTask& taskOf(const ReadyStep& ready, uint32_t index)
+    static const TrackedTask& taskOf(const ReadyStep& ready, uint32_t index)
     {
         return ready.job->occurrences[ready.occurrence].steps[ready.step].tasks[index];
     }
@@ -337,10 +337,9 @@
 {
     if (auto reserved = m_scheduler.m_reservations.workerFor(refOf(ready, index)))
         release(*reserved);
-    auto& task = taskOf(ready, index);
     // A task that starts in the first plan that finds it waiting has waited for no time.
-    if (task.waitingSince == neverInstant)
-        task.waitingSince = m_now;
+    if (taskOf(ready, index).waitingSince == neverInstant)
+        ready.job->occurrences[ready.occurrence].steps[ready.step].tasks.edit(index).waitingSince = m_now;
     m_scheduler.startRun(worker, ready, index, m_now);
     m_forecasts.erase(worker.handle);
     std::erase(ready.job->occurrences[ready.occurrence].steps[ready.step].waiting, index);
--- a/Libraries/LibDecision/TaskScheduler.cpp
+++ b/Libraries/LibDecision/TaskScheduler.cpp
@@ -54,6 +54,16 @@
         return nullptr;
     auto* occurrence
         = job.hasEnded() ? job.occurrences.find(task.occurrence) : job.occurrences.findOrBuild(task.occurrence);
+    return occurrence ? &occurrence->steps[task.step].tasks.edit(task.index) : nullptr;
+}
+
+/// Returns nullptr if the occurrence of the task is not held in memory.
+const TrackedTask* TaskScheduler::findTask(const TrackedJob& job, const TaskRef& task)
+{
+    const auto& steps = job.spec.steps;
+    if (task.step >= steps.size() || task.index >= steps[task.step].count)
+        return nullptr;
+    const auto* occurrence = job.occurrences.find(task.occurrence);
     return occurrence ? &occurrence->steps[task.step].tasks[task.index] : nullptr;
 }
 
@@ -63,6 +73,12 @@
     return it == task.runs.end() ? nullptr : &*it;
 }
 
+const TrackedRun* TaskScheduler::findRun(const TrackedTask& task, uint64_t run)
+{
+    auto it = std::ranges::find(task.runs, run, &TrackedRun::run);
+    return it == task.runs.end() ? nullptr : &*it;
+}
+
 bool TaskScheduler::wasKnownAt(const JobId& id, Instant time) const
 {
     auto it = m_jobs.find(id);
@@ -150,8 +166,8 @@
 void TaskScheduler::requeue(TrackedJob& job, const TaskRef& ref)
 {
     auto& occurrence = job.occurrences[ref.occurrence];
-    auto& step = occurrence.steps[ref.step];
-    auto& task = step.tasks[ref.index];
+    const auto& step = occurrence.steps[ref.step];
+    const auto& task = step.tasks[ref.index];
     // makeStepReady() queues the tasks of a step that is not ready yet.
     if (!occurrence.due || step.pendingDependencies > 0)
         return;
@@ -230,7 +246,7 @@
     const auto& step = job.spec.steps[task.step];
     auto& tracked = job.occurrences[task.occurrence].steps[task.step];
     WorkerEntry::ActiveRun active {
-        .job = &job, .task = &tracked.tasks[task.index], .spec = &step, .image = tracked.image
+        .job = &job, .task = &tracked.tasks.edit(task.index), .spec = &step, .image = tracked.image
     };
     if (!worker.runs.try_emplace({ task, run }, active).second)
         return;
@@ -327,6 +343,8 @@
     markChanged(job);
     auto& step = job.occurrences[ref.occurrence].steps[ref.step];
     std::erase(step.waiting, ref.index);
+    if (task.runs.empty())
+        step.tasks.releaseDone(ref.index);
     if (--step.remainingTasks == 0)
         completeStep(job, ref.occurrence, ref.step);
 }
@@ -361,8 +379,9 @@
         auto& steps = occurrence.steps;
         for (uint32_t s = 0; s < steps.size(); ++s) {
             steps[s].waiting.clear();
-            for (uint32_t i = 0; i < steps[s].tasks.size(); ++i)
-                stopActiveRuns({ job.spec.id, k, s, i }, steps[s].tasks[i], StopReason::JobEnded);
+            steps[s].tasks.forEachInMemory([&, number = k](uint32_t i, TrackedTask& it) {
+                stopActiveRuns({ job.spec.id, number, s, i }, it, StopReason::JobEnded);
+            });
         }
     }
     markChanged(job);
@@ -374,11 +393,13 @@
     m_tasksByAwaitedWorker.clear();
     for (auto& [id, job] : m_jobs) {
         auto unblock = [](std::vector<TrackedStep>& steps) {
+            auto unblockTask = [](TrackedTask& it) {
+                it.blockedUntil = neverInstant;
+                it.awaitedWorker.clear();
+            };
             for (auto& step : steps) {
-                for (auto& task : step.tasks) {
-                    task.blockedUntil = neverInstant;
-                    task.awaitedWorker.clear();
-                }
+                unblockTask(step.tasks.initial());
+                step.tasks.forEachInMemory([&](uint32_t, TrackedTask& it) { unblockTask(it); });
             }
         };
         unblock(job->occurrences.initialSteps());
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -125,7 +125,11 @@
     /// Number of occurrences of jobs that are held in memory.
     size_t builtOccurrences() const;
 
-    /// Number of occurrences that are due and wait until earlier ones of their jobs have started, as of the latest plan.
+    /// Number of tasks of jobs that are held in memory.
+    size_t tasksInMemory() const;
+
+    /// Number of occurrences that are due and wait until earlier ones of their jobs have started, as of the latest
+    /// plan.
     size_t deferredOccurrences() const { return m_deferredOccurrences; }
 
     void updateWorker(WorkerHandle, const TaskWorkerView&);
@@ -316,7 +320,9 @@
     void enforceMaxAttemptsOfAllTasks(TrackedJob&);
     void enforceMaxAttemptsOfAllJobs();
     static TrackedTask* findTask(TrackedJob&, const TaskRef&);
+    static const TrackedTask* findTask(const TrackedJob&, const TaskRef&);
     static TrackedRun* findRun(TrackedTask&, uint64_t run);
+    static const TrackedRun* findRun(const TrackedTask&, uint64_t run);
     const TrackedRun* findRunOn(WorkerHandle, const TaskRef&, uint64_t run);
     void prepareOccurrences(TrackedJob&, Instant blockedUntil);
     void endOccurrence(TrackedJob&, uint32_t number);
@@ -331,7 +337,7 @@
     static bool isPlacementRecordable(const StepSpec&);
     static bool mustAwaitRecord(const TrackedJob&, const TrackedTask&);
     void removeIdleRecord(TrackedJob&, TrackedTask&);
-    static std::vector<FailedRun> failedRunsToStore(TrackedJob&);
+    static std::vector<FailedRun> failedRunsToStore(const TrackedJob&);
     static std::vector<IdleTask> idleTasksOf(const TrackedJob&);
     void restorePlacements(TrackedJob&, const std::vector<PlacedTask>&, bool areReliable);
     static void unblockUnstartedTasks(TrackedJob&);
@@ -486,6 +492,7 @@
     static size_t maxUnrecordedCrashesOf(const TrackedJob&, const TaskRef& key);
     static bool mustRecordEachStart(const TrackedJob&, const TaskRef& key);
     static TrackedTask& crashTaskOf(TrackedJob&, const TaskRef&);
+    static bool hasExcusedCrash(const TrackedJob&, const TaskRef&);
     static bool mayHaveCrashedAtStart(const TrackedJob&, const TaskRef& key);
     static bool mustRecordStart(const TrackedJob&, const TaskRef&, const TrackedTask&);
     void recordSuspectedStart(const WorkerEntry&, TrackedJob&, const TaskRef&, TrackedRun&);
--- a/Libraries/LibDecision/TaskWorkerChoice.cpp
+++ b/Libraries/LibDecision/TaskWorkerChoice.cpp
@@ -74,13 +74,13 @@
         .countsSiblings = spec.maxPerWorker > 0 || spec.longRunning || spec.prefersSameRack };
     if (!search.countsSiblings)
         return search;
-    for (const auto& other : step.tasks) {
+    step.tasks.forEachInMemory([&](uint32_t, const TrackedTask& other) {
         for (const auto& run : other.runs) {
             ++search.siblingRuns[run.worker];
             if (auto it = m_workers.find(run.worker); spec.prefersSameRack && it != m_workers.end())
                 search.racks.insert(it->second->view.rack);
         }
-    }
+    });
     return search;
 }
 
--- a/Libraries/LibDecision/TrackedJob.h
+++ b/Libraries/LibDecision/TrackedJob.h
@@ -31,6 +31,9 @@
     std::set<FailedRun> failedRuns {};
     uint32_t endedFailedRuns { 0 };
 
+    /// Number of tasks that the progress names as idle.
+    size_t recordedIdleTasks { 0 };
+
     /// The latest completed steps of ended occurrences.
     std::vector<StepTimeline> endedSteps {};
     CrashHistory crashes {};
--- a/Libraries/LibDecision/TrackedStep.h
+++ b/Libraries/LibDecision/TrackedStep.h
@@ -5,14 +5,14 @@
 #include <LibDecision/PlacementDelay.h>
 #include <LibDecision/SiblingRunTimes.h>
 #include <LibDecision/SuspectDelay.h>
-#include <LibDecision/TrackedTask.h>
+#include <LibDecision/TaskTable.h>
 #include <cstdint>
 #include <vector>
 
 namespace Bergamot {
 
 struct TrackedStep {
-    std::vector<TrackedTask> tasks {};
+    TaskTable tasks {};
     uint32_t remainingTasks { 0 };
 
     /// The step counts as completed in its occurrence and for its dependents.
--- a/Libraries/LibWire/JobLimits.h
+++ b/Libraries/LibWire/JobLimits.h
@@ -11,8 +11,8 @@
 inline constexpr int64_t maxTasksPerStep = 10'000;
 inline constexpr int64_t maxRepeatsPerJob = 100'000;
 
-/// Bounds the memory of the leader, which keeps about 200 bytes for each task of a job that has not ended. Of a
-/// repeating job it keeps the live occurrences only.
+/// Bounds the memory of the leader, which keeps some 10 bytes for each task that waits, and about 300 for each that
+/// runs. Of a repeating job it keeps the live occurrences only.
 inline constexpr int64_t maxTasksPerJob = 50'000;
 
 /// Limit of each resource that one task reserves.
--- /dev/null
+++ b/Tests/LibDecision/TestLargeJobs.cpp
@@ -0,0 +1,108 @@
+#include "TaskSchedulerFixture.h"
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace Bergamot;
+
+/// Jobs with as many tasks as a job may have, and two workers that take 64 of them.
+TEST_GROUP(LargeJobs)
+{
+    static constexpr uint32_t jobs { 24 };
+    static constexpr uint32_t tasksPerStep { 10'000 };
+    static constexpr size_t capacity { 64 };
+    static constexpr size_t maxTasksInMemory { 2 * capacity };
+    TaskSchedulerFixture fixture;
+
+    static void addWorkers(TaskSchedulerFixture & to)
+    {
+        for (WorkerHandle handle = 1; handle <= 2; ++handle) {
+            to.addWorker(handle);
+            to.scheduler().setReachable(handle, true, to.now());
+        }
+    }
+
+    static void end(TaskSchedulerFixture & in, const std::vector<StartTask>& starts, RunOutcome outcome)
+    {
+        for (const auto& start : starts)
+            in.endRun(start, outcome);
+    }
+};
+
+// Guards against leaders that exceed their memory because jobs have many tasks that wait, or that are done (issue 70),
+// under a new leader too.
+TEST(LargeJobs, TasksThatWaitOrAreDoneAreNotHeldInMemory)
+{
+    TaskSchedulerFixture successor(2);
+    std::map<JobId, JobProgress> records;
+    for (auto* leader : { &fixture, &successor }) {
+        addWorkers(*leader);
+        for (uint32_t i = 0; i < jobs; ++i) {
+            auto id = "j" + std::to_string(i);
+            auto stored = records.contains(id) ? std::optional(records.at(id)) : std::nullopt;
+            std::vector<StepSpec> steps(5, TaskSchedulerFixture::step(tasksPerStep));
+            leader->scheduler().addJob(TaskSchedulerFixture::job(id, steps), stored, neverInstant);
+        }
+        for (int round = 0; round < 20; ++round) {
+            auto starts = leader->planStarts();
+            CHECK_EQUAL(capacity, starts.size());
+            CHECK_COMPARE(leader->scheduler().tasksInMemory(), <=, maxTasksInMemory);
+            end(*leader, starts, RunOutcome::Done);
+            leader->advance(Milliseconds { 100 });
+        }
+        for (const auto& progress : leader->scheduler().takeChangedJobs())
+            records.insert_or_assign(progress.id, progress);
+    }
+}
+
+// Guards against the same with long-running tasks, the waiting ones of which are stored as idle.
+TEST(LargeJobs, IdleTasksInMemoryAreBounded)
+{
+    constexpr size_t maxIdleTasksOfJob { 4000 };
+    addWorkers(fixture);
+    auto step = TaskSchedulerFixture::step(tasksPerStep);
+    step.longRunning = true;
+    fixture.scheduler().addJob(
+        TaskSchedulerFixture::job("j", std::vector<StepSpec>(5, step)), std::nullopt, neverInstant);
+    fixture.plan();
+    fixture.advance(Milliseconds { 1000 });
+    fixture.scheduler().recordIdleTasks(fixture.now(), [](const TaskRef&) { return false; });
+    CHECK_COMPARE(fixture.scheduler().tasksInMemory(), <=, maxIdleTasksOfJob + maxTasksInMemory);
+}
+
+// Guards against tasks that are left out or run again because they have no state of their own: some fail, some are lost
+// with their worker, and a new leader takes over.
+TEST(LargeJobs, EachTaskIsDoneOnce)
+{
+    std::map<uint32_t, uint32_t> done;
+    std::optional<JobProgress> stored;
+    for (uint64_t epoch = 1; epoch <= 3; ++epoch) {
+        TaskSchedulerFixture leader(epoch);
+        addWorkers(leader);
+        leader.scheduler().addJob(
+            TaskSchedulerFixture::job("j", { TaskSchedulerFixture::step(1000) }), stored, neverInstant);
+        std::set<uint32_t> failed;
+        for (int round = 0; round < (epoch == 3 ? 100 : 6); ++round) {
+            for (const auto& start : leader.planStarts()) {
+                bool fails = start.task.index % 97 == 0 && failed.insert(start.task.index).second && epoch == 2;
+                if (start.task.index % 89 == 0 && round == 3) {
+                    leader.scheduler().startRefused(start.worker, start.task, start.run,
+                        TaskScheduler::StartRefusal::InsufficientResources, leader.now());
+                    continue;
+                }
+                leader.endRun(start, fails ? RunOutcome::Failed : RunOutcome::Done);
+                if (!fails)
+                    ++done[start.task.index];
+            }
+            leader.advance(Milliseconds { 1000 });
+        }
+        for (const auto& progress : leader.scheduler().takeChangedJobs())
+            stored = progress;
+    }
+    CHECK_EQUAL(1000, done.size());
+    for (const auto& [index, times] : done)
+        CHECK_EQUAL(1, times);
+    CHECK(stored->state == JobStage::Completed);
+}
