--- a/Tests/LibDecision/TestLargeJobs.cpp
+++ b/Tests/LibDecision/TestLargeJobs.cpp
@@ -1,4 +1,6 @@
 #include "TaskSchedulerFixture.h"
+#include <LibPlatform/RecordLimits.h>
+#include <LibWire/ValueCodec.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -106,3 +108,35 @@
         CHECK_EQUAL(1, times);
     CHECK(stored->state == JobStage::Completed);
 }
+
+// Guards against a record of failed runs that the store refuses for good (review/7), and against one that leaves out
+// those of the tasks that may start the fewest times.
+TEST(LargeJobs, RecordOfManyFailedRunsStaysWithinTheLimit)
+{
+    constexpr uint32_t steps { 3 };
+    constexpr uint32_t failedTwice { 20 };
+    fixture.scheduler().setQueues({ { "quick", { .service = "token", .maxAttempts = 4, .stretch = 1.5 } } });
+    fixture.addWorker(1, { 40'000'000, 40'000'000, 0 });
+    fixture.scheduler().setReachable(1, true, fixture.now());
+    fixture.scheduler().addJob(
+        TaskSchedulerFixture::job("j", std::vector<StepSpec>(steps, TaskSchedulerFixture::step(tasksPerStep))),
+        std::nullopt, neverInstant);
+    auto starts = fixture.planStarts();
+    CHECK_EQUAL(steps * tasksPerStep, starts.size());
+    end(fixture, starts, RunOutcome::Failed);
+    fixture.advance(Milliseconds { 10'000 });
+    auto restarts = fixture.planStarts();
+    restarts.resize(failedTwice);
+    for (const auto& start : restarts)
+        fixture.endRun(start, RunOutcome::Failed, 2);
+    auto changed = fixture.scheduler().takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    CHECK_COMPARE(encodeValue(changed.front()).size(), <, defaultMaxRecordBytes);
+    std::map<std::pair<uint32_t, uint32_t>, uint32_t> failures;
+    for (const auto& failed : changed.front().failedRuns)
+        ++failures[{ failed.step, failed.index }];
+    for (const auto& start : restarts) {
+        std::pair key { start.task.step, start.task.index };
+        CHECK_EQUAL(2, failures[key]);
+    }
+}
