--- a/Libraries/LibDecision/TaskCrashes.cpp
+++ b/Libraries/LibDecision/TaskCrashes.cpp
@@ -1,3 +1,4 @@
+#include <LibDecision/CrashRecordLimit.h>
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <algorithm>
@@ -154,6 +155,8 @@
         const auto* recorded = active.job->crashes.find(crashKey(*active.job, key.first), key.second);
         if (recorded && (recorded->confirmed || recorded->worker == worker.view.id))
             continue;
+        if (!recorded && CrashRecordLimit::isReached(active.job->crashes))
+            continue;
         auto crashed = describeCrash(worker, *active.job, key.first, *run);
         if (Milliseconds { crashed.runTimeMs } <= maxTimeToCrash)
             recordCrash(*active.job, crashed);
--- a/Libraries/LibDecision/TaskIdleJobs.cpp
+++ b/Libraries/LibDecision/TaskIdleJobs.cpp
@@ -1,3 +1,4 @@
+#include <LibDecision/CrashRecordLimit.h>
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <LibDecision/TaskWorkerSearch.h>
@@ -134,6 +135,7 @@
     IdleJob idle { .ready = ready, .index = step.waiting.front() };
     const auto& task = step.tasks[idle.index];
     if (task.done || task.waitingSince == neverInstant || m_scheduler.isBlocked(task, m_now)
+        || CrashRecordLimit(ready).holdsBack(idle.index)
         || m_scheduler.isolationOf(job, refOf(idle)) != RunIsolation::None)
         return std::nullopt;
     idle.since = std::max(task.waitingSince, job.lastRunEndedAt);
--- a/Libraries/LibDecision/TaskPlacement.cpp
+++ b/Libraries/LibDecision/TaskPlacement.cpp
@@ -1,3 +1,4 @@
+#include <LibDecision/CrashRecordLimit.h>
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
 #include <LibDecision/TaskWorkerSearch.h>
@@ -241,6 +242,7 @@
     auto& step = ready.job->occurrences[ready.occurrence].steps[ready.step];
     std::vector<uint32_t> stillWaiting;
     std::optional<StepRanking> ranking;
+    CrashRecordLimit recordLimit(ready);
     bool keepTrying = true;
     bool hasCapacity = true;
     // The tasks of a step need the same, so after a failed search none of them is tried.
@@ -258,6 +260,12 @@
             stillWaiting.push_back(index);
             continue;
         }
+        if (recordLimit.holdsBack(index)) {
+            step.delay = PlacementDelay::CrashSuspicion;
+            step.suspectDelay = SuspectDelay::RecordsNotStored;
+            stillWaiting.push_back(index);
+            continue;
+        }
         TaskRef ref { ready.job->spec.id, ready.occurrence, ready.step, index };
         if (auto isolation = isolationOf(*ready.job, ref); isolation != RunIsolation::None) {
             ranking.reset();
--- a/Libraries/LibDecision/TaskReservations.cpp
+++ b/Libraries/LibDecision/TaskReservations.cpp
@@ -1,3 +1,4 @@
+#include <LibDecision/CrashRecordLimit.h>
 #include <LibDecision/ExpectedRoom.h>
 #include <LibDecision/TaskScheduler.h>
 #include <LibDecision/TaskWorkerEntry.h>
@@ -222,8 +223,10 @@
         if (!spec.longRunning || spec.gang || ready.job->hasEnded() || ready.job->knownAt > knownBy)
             continue;
         std::map<Instant, std::vector<uint32_t>> tasks;
+        CrashRecordLimit recordLimit(ready);
         for (auto index : ready.job->occurrences[ready.occurrence].steps[ready.step].waiting) {
-            if (!hasRunBefore(*ready.job, taskOf(ready, index)) || !isOverdue(ready, index, maxRestartWait))
+            if (!hasRunBefore(*ready.job, taskOf(ready, index)) || !isOverdue(ready, index, maxRestartWait)
+                || recordLimit.holdsBack(index))
                 continue;
             tasks[waitingSince(ready, index)].push_back(index);
         }
@@ -247,7 +250,7 @@
             || ready.job->knownAt > knownBy)
             continue;
         auto index = step.waiting.front();
-        if (isOverdue(ready, index, maxShortTaskWait))
+        if (isOverdue(ready, index, maxShortTaskWait) && !CrashRecordLimit(ready).holdsBack(index))
             tasks.push_back({ .ready = ready, .index = index });
         if (tasks.size() >= maxReservingShortTasks)
             break;
@@ -295,10 +298,11 @@
     failed.shared |= m_unplaced.covers(placementClass, spec.size);
     failed.besideIsolated |= m_scheduler.m_isolatedRuns == 0;
     bool mayFitOnReserved = !m_gatheringWorkers.empty();
+    CrashRecordLimit recordLimit(ready);
     for (auto index : overdue.tasks) {
         const auto& task = taskOf(ready, index);
         // A step whose last waiting task was adopted and lost again since the last plan is queued twice.
-        if (!task.runs.empty())
+        if (!task.runs.empty() || recordLimit.holdsBack(index))
             continue;
         auto* worker = reservedWorkerWithRoom(ready, index);
         if (worker)
--- a/Tests/LibDecision/TestLargeJobs.cpp
+++ b/Tests/LibDecision/TestLargeJobs.cpp
@@ -26,6 +26,16 @@
         }
     }
 
+    /// Adds a reachable worker with an id and a start time as long as those of a platform.
+    static void addPlatformWorker(TaskSchedulerFixture & to, WorkerHandle handle, int64_t cpuMillis)
+    {
+        TaskWorkerView view { .id = "i-" + std::to_string(handle + 10'000'000), .service = "token", .zone = "a" };
+        view.startedAtMs = 1'796'000'000'000 + handle;
+        view.capacity = { cpuMillis, cpuMillis, 0 };
+        to.scheduler().updateWorker(handle, view);
+        to.scheduler().setReachable(handle, true, to.now());
+    }
+
     static void end(TaskSchedulerFixture & in, const std::vector<StartTask>& starts, RunOutcome outcome)
     {
         for (const auto& start : starts)
@@ -140,3 +150,47 @@
         CHECK_EQUAL(2, failures[key]);
     }
 }
+
+// Guards against a record that the store refuses for good (review/7), because a new leader that has lost a worker
+// records each first start of a large job, and against tasks that never start because of that.
+TEST(LargeJobs, RecordOfStartsAfterALostWorkerStaysWithinTheLimit)
+{
+    TaskSchedulerFixture successor(2);
+    auto& scheduler = successor.scheduler();
+    addPlatformWorker(successor, 1, 40'000'000);
+    scheduler.addJob(TaskSchedulerFixture::job("j", { TaskSchedulerFixture::step(tasksPerStep) }), std::nullopt,
+        successor.now() + Milliseconds { 5000 });
+    successor.plan();
+    scheduler.inheritedWorkerLost();
+    scheduler.unblockTasks();
+    size_t done = 0;
+    for (int round = 0; round < 100 && done < tasksPerStep; ++round) {
+        successor.plan();
+        for (const auto& progress : scheduler.takeChangedJobs()) {
+            CHECK_COMPARE(encodeValue(progress).size(), <, defaultMaxRecordBytes);
+            scheduler.progressStored(progress);
+        }
+        auto starts = successor.planStarts();
+        end(successor, starts, RunOutcome::Done);
+        done += starts.size();
+        successor.advance(Milliseconds { 100 });
+    }
+    CHECK_EQUAL(tasksPerStep, done);
+}
+
+// Guards against the same because many workers that run tasks of one job refuse connections.
+TEST(LargeJobs, RecordOfRunsOnManyCrashedWorkersStaysWithinTheLimit)
+{
+    constexpr WorkerHandle workers { 100 };
+    for (WorkerHandle handle = 1; handle <= workers; ++handle)
+        addPlatformWorker(fixture, handle, 100'000);
+    fixture.scheduler().addJob(
+        TaskSchedulerFixture::job("j", { TaskSchedulerFixture::step(tasksPerStep) }), std::nullopt, neverInstant);
+    CHECK_EQUAL(tasksPerStep, fixture.planStarts().size());
+    for (WorkerHandle handle = 1; handle <= workers; ++handle)
+        fixture.scheduler().suspectCrash(handle, fixture.now());
+    auto changed = fixture.scheduler().takeChangedJobs();
+    CHECK_EQUAL(1, changed.size());
+    CHECK(!changed.front().crashedRuns.empty());
+    CHECK_COMPARE(encodeValue(changed.front()).size(), <, defaultMaxRecordBytes);
+}
