--- a/Libraries/LibDecision/TaskBacklog.cpp
+++ b/Libraries/LibDecision/TaskBacklog.cpp
@@ -44,6 +44,17 @@
         service->second, [&](const WorkerEntry* worker) { return reservedSize(spec).fitsIn(worker->view.capacity); });
 }
 
+/// Returns the services of which many workers are out of use for the moment.
+std::set<std::string_view> TaskScheduler::servicesShortOfWorkers(Instant now)
+{
+    std::set<std::string_view> services;
+    for (const auto& [service, workers] : m_candidates) {
+        if (m_workerShortages[service].update(workers.size(), now))
+            services.insert(service);
+    }
+    return services;
+}
+
 void TaskScheduler::updateBacklogEstimate(Instant now, const std::vector<DeferredOccurrences>& deferred)
 {
     std::map<BacklogEstimate::Class, BacklogEstimate::Demand> demands;
@@ -77,6 +88,9 @@
                     += workCoreMsOf(spec, size_t { spec.count } * occurrences);
         }
     }
+    // The rate at which their tasks start is unknown for the time after it.
+    auto shortServices = servicesShortOfWorkers(now);
+    std::erase_if(demands, [&](const auto& it) { return shortServices.contains(it.first.first); });
     m_backlogEstimate.update(now, demands);
 }
 
