--- a/Libraries/LibDecision/TaskBacklog.cpp
+++ b/Libraries/LibDecision/TaskBacklog.cpp
@@ -88,7 +88,7 @@
                     += workCoreMsOf(spec, size_t { spec.count } * occurrences);
         }
     }
-    // The rate at which their tasks start is unknown for the time after it.
+    // The rate at which tasks start with fewer workers says nothing of the time when these are back.
     auto shortServices = servicesShortOfWorkers(now);
     std::erase_if(demands, [&](const auto& it) { return shortServices.contains(it.first.first); });
     m_backlogEstimate.update(now, demands);
