--- a/Libraries/LibDecision/TaskBacklog.cpp
+++ b/Libraries/LibDecision/TaskBacklog.cpp
@@ -44,17 +44,6 @@
         service->second, [&](const WorkerEntry* worker) { return reservedSize(spec).fitsIn(worker->view.capacity); });
 }
 
-/// Returns the services of which many workers are out of use for the moment.
-std::set<std::string_view> TaskScheduler::servicesShortOfWorkers(Instant now)
-{
-    std::set<std::string_view> services;
-    for (const auto& [service, workers] : m_candidates) {
-        if (m_workerShortages[service].update(workers.size(), now))
-            services.insert(service);
-    }
-    return services;
-}
-
 void TaskScheduler::updateBacklogEstimate(Instant now, const std::vector<DeferredOccurrences>& deferred)
 {
     std::map<BacklogEstimate::Class, BacklogEstimate::Demand> demands;
@@ -88,9 +77,6 @@
                     += workCoreMsOf(spec, size_t { spec.count } * occurrences);
         }
     }
-    // The rate at which tasks start with fewer workers says nothing of the time when these are back.
-    auto shortServices = servicesShortOfWorkers(now);
-    std::erase_if(demands, [&](const auto& it) { return shortServices.contains(it.first.first); });
     m_backlogEstimate.update(now, demands);
 }
 
--- a/Libraries/LibDecision/TaskScheduler.h
+++ b/Libraries/LibDecision/TaskScheduler.h
@@ -24,7 +24,6 @@
 #include <LibDecision/WorkerEnd.h>
 #include <LibDecision/WorkerLoss.h>
 #include <LibDecision/WorkerRefusals.h>
-#include <LibDecision/WorkerShortage.h>
 #include <LibDecision/WorkerUse.h>
 #include <LibWire/QueuePolicy.h>
 #include <cstdint>
@@ -34,7 +33,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -381,7 +379,6 @@
     bool mayFitWithCapacity(const TrackedJob&, const StepSpec&) const;
     void updateBacklogEstimate(Instant now, const std::vector<DeferredOccurrences>&);
     void addStartedWork(const ReadyStep&);
-    std::set<std::string_view> servicesShortOfWorkers(Instant now);
     bool acceptsRuns(const WorkerEntry&) const;
     bool isUsable(const WorkerEntry&, Instant now) const;
     bool leavesHeadroom(const StepSpec&) const;
@@ -628,9 +625,6 @@
     /// Free processors of usable workers, as of the latest plan and its starts.
     int64_t m_freeCpuMillis { 0 };
     BacklogEstimate m_backlogEstimate;
-
-    /// By service.
-    std::map<std::string, WorkerShortage> m_workerShortages;
 };
 
 }
